--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+# Commands of the workspace. Every target installs what it needs into .venv.
+VENV ?= .venv
+PYTHON ?= python3.11
+BIN := $(VENV)/bin
+PACKAGES := core daemon client standins bench
+export PYTHONPATH := $(CURDIR):$(subst $(eval) ,:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)/src))
+export PYTHONDONTWRITEBYTECODE := 1
+STAMP := $(VENV)/.installed
+SOURCES := packages tests
+REQUIREMENTS := requirements/constraints.txt requirements/runtime.txt requirements/dev.txt
+
+.PHONY: install format check test demo bench
+install: $(STAMP)
+
+$(STAMP): $(REQUIREMENTS) $(wildcard packages/*/pyproject.toml)
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check -c requirements/constraints.txt -r requirements/runtime.txt -r requirements/dev.txt
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation $(foreach p,$(PACKAGES),-e packages/$(p))
+	touch $@
+
+format: install
+	$(BIN)/black --quiet $(SOURCES)
+	$(BIN)/ruff check --quiet --fix $(SOURCES)
+
+check: install
+	$(BIN)/black --check --quiet $(SOURCES)
+	$(BIN)/ruff check --quiet $(SOURCES)
+	$(BIN)/mypy
+
+test: install
+	$(BIN)/python -m tests $(TESTS)
+
+demo: install
+	$(BIN)/python -m ibispaddle_bench.demo
+
+bench: install
+	$(BIN)/python -m ibispaddle_bench.experiment
--- /dev/null
+++ b/packages/bench/src/ibispaddle_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load generator, experiments and measurements."""
--- /dev/null
+++ b/packages/client/src/ibispaddle_client/__init__.py
@@ -0,0 +1,1 @@
+"""Command line of the operators of ibispaddle."""
--- /dev/null
+++ b/packages/core/src/ibispaddle_core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of ibispaddle, free of input and output."""
--- /dev/null
+++ b/packages/core/src/ibispaddle_core/logevents.py
@@ -0,0 +1,68 @@
+"""Numbered log events.
+
+The catalogue for operators is `docs/ref/log-events.md`; a test keeps the two equal. Numbers are never
+used again for another event.
+"""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class Level(StrEnum):
+    """Rank a log event."""
+
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
+@dataclass(frozen=True)
+class LogEvent:
+    """Describe one kind of log record."""
+
+    number: int
+    name: str
+    level: Level
+    text: str
+
+
+INSTANCE_STARTED = LogEvent(1000, "instance_started", Level.INFO, "The instance listens.")
+INSTANCE_READY = LogEvent(1001, "instance_ready", Level.INFO, "The instance accepts requests.")
+INSTANCE_DRAINING = LogEvent(
+    1002, "instance_draining", Level.INFO, "A planned stop began; no new work is accepted."
+)
+INSTANCE_STOPPED = LogEvent(1003, "instance_stopped", Level.INFO, "The instance ended.")
+DRAIN_TIMEOUT = LogEvent(
+    1004, "drain_timeout", Level.ERROR, "The drain timeout passed with requests in flight."
+)
+SETTINGS_REJECTED = LogEvent(
+    1005, "settings_rejected", Level.ERROR, "The settings have mistakes; the instance cannot start."
+)
+REQUEST_ENDED = LogEvent(2000, "request_ended", Level.INFO, "A request ended.")
+REQUEST_REFUSED = LogEvent(2001, "request_refused", Level.WARNING, "A request was refused.")
+ATTEMPT_FAILED = LogEvent(
+    2002, "attempt_failed", Level.WARNING, "An attempt at an upstream failed."
+)
+UPSTREAM_DOWN = LogEvent(3000, "upstream_down", Level.WARNING, "An upstream stopped answering.")
+UPSTREAM_LEAVING = LogEvent(
+    3001, "upstream_leaving", Level.INFO, "An upstream is leaving and gets no new work."
+)
+LIST_UNAVAILABLE = LogEvent(
+    3002, "list_unavailable", Level.WARNING, "The instance list cannot be read."
+)
+LOG_UNAVAILABLE = LogEvent(
+    4000, "log_unavailable", Level.WARNING, "The platform's log cannot be read or appended to."
+)
+LOG_AVAILABLE = LogEvent(4001, "log_available", Level.INFO, "The platform's log answers again.")
+CONFIG_IN_FORCE = LogEvent(
+    5000, "config_in_force", Level.INFO, "A configuration revision is in force."
+)
+CONFIG_UNUSABLE = LogEvent(
+    5001, "config_unusable", Level.ERROR, "An accepted configuration cannot be used."
+)
+
+
+def all_events() -> list[LogEvent]:
+    """Return all log events, by number."""
+    events = [value for value in globals().values() if isinstance(value, LogEvent)]
+    return sorted(events, key=lambda event: event.number)
--- /dev/null
+++ b/packages/core/src/ibispaddle_core/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Admission, fair queueing, placement, deadlines, retries and large prompts."""
--- /dev/null
+++ b/packages/core/src/ibispaddle_core/scheduling/messages.py
@@ -0,0 +1,229 @@
+"""Events into the scheduler and decisions out of it.
+
+All times are monotonic milliseconds of the instance.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from ..runstate import RunState
+
+
+class UpstreamState(StrEnum):
+    """Tell what may be sent to an upstream."""
+
+    LIVE = "live"
+    LEAVING = "leaving"  # Finishes what it has, gets no new work.
+    DOWN = "down"
+
+
+class Outcome(StrEnum):
+    """Tell how an attempt ended."""
+
+    COMPLETED = "completed"
+    REJECTED = "rejected"  # The upstream refused and proved that nothing ran.
+    NOT_SENT = "not_sent"  # No byte reached the upstream.
+    FAILED = "failed"  # The connection broke or the upstream failed after bytes were sent.
+    STALLED = "stalled"
+    CANCELLED = "cancelled"
+
+
+class RefusalReason(StrEnum):
+    """Tell why the scheduler refuses a request."""
+
+    DEADLINE = "deadline"
+    QUEUE_FULL = "queue_full"
+    NO_UPSTREAM = "no_upstream"
+    TOO_LARGE = "too_large"
+    UPSTREAM_FAILED = "upstream_failed"
+    CANCELLED = "cancelled"
+    DRAINING = "draining"
+
+
+@dataclass(frozen=True)
+class Request:
+    """Describe a validated request for a model."""
+
+    request_id: str
+    workspace: str
+    neighbour: str
+    model: str
+    prompt_tokens: int
+    max_output_tokens: int
+    arrived_ms: int
+    deadline_ms: int
+    fingerprint: str = ""
+    prefix_hashes: tuple[str, ...] = ()  # One hash per block of the prompt, longest prefix last.
+
+
+@dataclass(frozen=True)
+class RunnerLoad:
+    """Report the load of one runner as read from it."""
+
+    upstream_id: str
+    boot_id: str
+    seq: int
+    observed_ms: int
+    running: int
+    waiting: int
+    queued_prefill_tokens: int
+    kv_tokens_used: int
+    kv_tokens_total: int
+    prefill_tokens_per_s: float
+    decode_tokens_per_s: float
+
+
+@dataclass(frozen=True)
+class Upstream:
+    """Describe a runner that may be used for a set of models."""
+
+    upstream_id: str
+    data_centre: str
+    models: tuple[str, ...]
+    state: UpstreamState = UpstreamState.LIVE
+
+
+@dataclass(frozen=True)
+class RequestArrived:
+    """Report a request that asks for admission."""
+
+    request: Request
+
+
+@dataclass(frozen=True)
+class LoadReported:
+    """Report a runner's load."""
+
+    load: RunnerLoad
+
+
+@dataclass(frozen=True)
+class UpstreamsChanged:
+    """Replace the set of known runners."""
+
+    upstreams: tuple[Upstream, ...]
+
+
+@dataclass(frozen=True)
+class FirstToken:
+    """Report the first token of a request's current attempt."""
+
+    request_id: str
+
+
+@dataclass(frozen=True)
+class TokensRelayed:
+    """Report generated tokens since the last report of the request."""
+
+    request_id: str
+    tokens: int
+
+
+@dataclass(frozen=True)
+class AttemptEnded:
+    """Report the end of an attempt.
+
+    `bytes_relayed` is true when part of the answer reached the caller, which rules out a retry.
+    """
+
+    request_id: str
+    upstream_id: str
+    outcome: Outcome
+    bytes_relayed: bool = False
+
+
+@dataclass(frozen=True)
+class CallerLeft:
+    """Report that the caller closed its connection."""
+
+    request_id: str
+
+
+@dataclass(frozen=True)
+class PeerConsumption:
+    """Merge the consumption counters of another instance, in engine milliseconds."""
+
+    instance_boot: str
+    consumed_ms: Mapping[str, float] = field(default_factory=dict)  # By neighbour, cumulative.
+
+
+@dataclass(frozen=True)
+class ReservationAnswered:
+    """Report a runner's answer to a memory reservation."""
+
+    request_id: str
+    upstream_id: str
+    handle: str
+    granted: bool
+
+
+@dataclass(frozen=True)
+class Tick:
+    """Report that time passed."""
+
+
+Event = (
+    RequestArrived
+    | LoadReported
+    | UpstreamsChanged
+    | FirstToken
+    | TokensRelayed
+    | AttemptEnded
+    | CallerLeft
+    | PeerConsumption
+    | ReservationAnswered
+    | Tick
+)
+
+
+@dataclass(frozen=True)
+class Dispatch:
+    """Send the request to an upstream.
+
+    `segments` holds the KV handles of a prompt that spans engines, in prompt order.
+    """
+
+    request_id: str
+    upstream_id: str
+    priority: int
+    segments: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True)
+class Refuse:
+    """End the request with an error to the caller."""
+
+    request_id: str
+    reason: RefusalReason
+    run_state: RunState
+    retry_after_ms: int = 0
+
+
+@dataclass(frozen=True)
+class CancelAttempt:
+    """Stop the request's attempt at an upstream."""
+
+    request_id: str
+    upstream_id: str
+
+
+@dataclass(frozen=True)
+class ReserveMemory:
+    """Reserve KV memory at a runner; answered by `ReservationAnswered`."""
+
+    request_id: str
+    upstream_id: str
+    handle: str
+    tokens: int
+
+
+@dataclass(frozen=True)
+class FreeMemory:
+    """Free a KV handle; repeated by the daemon until the runner confirms it."""
+
+    upstream_id: str
+    handle: str
+
+
+Decision = Dispatch | Refuse | CancelAttempt | ReserveMemory | FreeMemory
--- /dev/null
+++ b/packages/core/src/ibispaddle_core/settings/__init__.py
@@ -0,0 +1,33 @@
+"""Settings of an instance and configuration of the fleet: schema, overlays and checks."""
+
+from .exceptions import SettingsError
+from .fleet import (
+    FleetConfig,
+    LimitSettings,
+    ModelConfig,
+    NeighbourConfig,
+    SchedulingConfig,
+    ServiceConfig,
+    WorkspaceConfig,
+)
+from .instance import InstanceSettings
+from .loading import check_fleet, load_fleet, load_instance, parse_json
+from .overlay import Origin, merge_layers
+
+__all__ = [
+    "FleetConfig",
+    "InstanceSettings",
+    "LimitSettings",
+    "ModelConfig",
+    "NeighbourConfig",
+    "Origin",
+    "SchedulingConfig",
+    "ServiceConfig",
+    "SettingsError",
+    "WorkspaceConfig",
+    "check_fleet",
+    "load_fleet",
+    "load_instance",
+    "merge_layers",
+    "parse_json",
+]
--- /dev/null
+++ b/packages/core/src/ibispaddle_core/settings/checks.py
@@ -0,0 +1,100 @@
+"""Checks across several settings."""
+
+from collections.abc import Collection, Iterator, Mapping
+
+from ..checks import CheckMessage, Severity
+from .fleet import FleetConfig
+from .instance import InstanceSettings
+from .overlay import Origin
+
+# Clock difference between a caller and the log that the claim window has to cover.
+CLOCK_TOLERANCE_MS = 60_000
+
+
+def run_instance_checks(settings: InstanceSettings, source: str) -> list[CheckMessage]:
+    """Return the mistakes between values of one instance's settings."""
+    messages = []
+    if settings.claim_window_ms + 2 * CLOCK_TOLERANCE_MS > settings.log_retention_ms:
+        messages.append(
+            CheckMessage(
+                "settings.E020",
+                Severity.ERROR,
+                f"The claim window of {settings.claim_window_ms} ms does not fit in the log's"
+                f" retention of {settings.log_retention_ms} ms.",
+                "Lower 'claim_window_ms' or raise the retention by at least two minutes over it.",
+                source,
+                "$.claim_window_ms",
+            )
+        )
+    for name in ("listen", "peer_listen"):
+        value = getattr(settings, name)
+        host, _, port = value.rpartition(":")
+        if not host or not port.isdigit() or int(port) > 65_535:
+            messages.append(
+                CheckMessage(
+                    "settings.E021",
+                    Severity.ERROR,
+                    f"The address '{value}' is not an IP address and a port.",
+                    "Write IP:PORT, for example 127.0.0.1:8080.",
+                    source,
+                    f"$.{name}",
+                )
+            )
+    return messages
+
+
+def run_fleet_checks(config: FleetConfig, origins: Mapping[str, Origin]) -> list[CheckMessage]:
+    """Return the mistakes between parts of the fleet's configuration."""
+    return [*_check_references(config, origins), *_check_keys(config), *_check_services(config)]
+
+
+def _check_references(config: FleetConfig, origins: Mapping[str, Origin]) -> Iterator[CheckMessage]:
+    for name, workspace in config.workspaces.items():
+        path = f"$.workspaces.{name}"
+        wanted: tuple[tuple[str, tuple[str, ...], Collection[str], str], ...] = (
+            ("neighbour", (workspace.neighbour,), config.neighbours, "settings.E010"),
+            ("models", workspace.models, config.models, "settings.E011"),
+            ("services", workspace.services, config.services, "settings.E012"),
+        )
+        for field, values, known, check_id in wanted:
+            origin = origins.get(f"{path}.{field}")
+            for value in values:
+                if value not in known:
+                    yield CheckMessage(
+                        check_id,
+                        Severity.ERROR,
+                        f"The workspace '{name}' names '{value}', which is not configured.",
+                        f"Known: {', '.join(sorted(known)) or 'none'}.",
+                        origin.layer if origin else "",
+                        f"{path}.{field}",
+                    )
+
+
+def _check_keys(config: FleetConfig) -> Iterator[CheckMessage]:
+    owners: dict[str, str] = {}
+    for name, workspace in config.workspaces.items():
+        for digest in workspace.key_sha256:
+            other = owners.setdefault(digest, name)
+            if other != name:
+                yield CheckMessage(
+                    "settings.E013",
+                    Severity.ERROR,
+                    f"The workspaces '{other}' and '{name}' have a bearer key in common.",
+                    "Give each workspace keys of its own.",
+                    "",
+                    f"$.workspaces.{name}.key_sha256",
+                )
+
+
+def _check_services(config: FleetConfig) -> Iterator[CheckMessage]:
+    for name, service in config.services.items():
+        if service.key_time == "optional":
+            yield CheckMessage(
+                "settings.W001",
+                Severity.WARNING,
+                f"The service '{name}' accepts idempotency keys without a creation time: a call"
+                " that is repeated after the claim window can run a second time.",
+                "Set 'key_time' to 'required'.",
+                "",
+                f"$.services.{name}.key_time",
+            )
--- /dev/null
+++ b/packages/core/src/ibispaddle_core/settings/loading.py
@@ -0,0 +1,131 @@
+"""Parsing and validation of settings documents."""
+
+import difflib
+import json
+from collections.abc import Mapping
+from typing import Any, TypeVar
+
+from pydantic import ValidationError
+
+from ..checks import CheckMessage, Severity
+from .base import SettingsModel
+from .checks import run_fleet_checks, run_instance_checks
+from .exceptions import SettingsError
+from .fleet import FleetConfig
+from .instance import InstanceSettings
+from .overlay import Origin, merge_layers
+
+Model = TypeVar("Model", bound=SettingsModel)
+
+_IDS = {"extra_forbidden": "settings.E001", "missing": "settings.E004"}
+_RANGE_KINDS = ("greater", "less", "too_short", "too_long", "pattern", "literal_error")
+
+
+def parse_json(text: str | bytes, source: str) -> dict[str, Any]:
+    """Return the JSON object in `text`.
+
+    Raises `SettingsError` with `settings.E005` when the text is not a JSON object or names a key
+    twice in one object.
+    """
+    try:
+        value = json.loads(text, object_pairs_hook=_reject_duplicate_keys)
+    except ValueError as exc:
+        raise SettingsError([_not_json(f"The text is not valid JSON: {exc}.", source)]) from exc
+    if not isinstance(value, dict):
+        kind = type(value).__name__
+        raise SettingsError([_not_json(f"A JSON object is expected, not '{kind}'.", source)])
+    return value
+
+
+def load_instance(document: Mapping[str, Any], source: str = "") -> InstanceSettings:
+    """Return validated instance settings; raise `SettingsError` with every mistake."""
+    settings, messages = _validate(InstanceSettings, document, {}, source)
+    if settings is not None:
+        messages += run_instance_checks(settings, source)
+    return _result(settings, messages)
+
+
+def load_fleet(layers: Mapping[str, Mapping[str, Any]]) -> FleetConfig:
+    """Return the validated configuration; raise `SettingsError` with every mistake.
+
+    >>> load_fleet({"base": {"neighbours": {"a": {"weight": 2.0}}}}).neighbours["a"].weight
+    2.0
+    """
+    config, messages = check_fleet(layers)
+    return _result(config, messages)
+
+
+def check_fleet(
+    layers: Mapping[str, Mapping[str, Any]],
+) -> tuple[FleetConfig | None, list[CheckMessage]]:
+    """Return the configuration, if it can be used, and all check messages."""
+    merged, origins = merge_layers(layers)
+    config, messages = _validate(FleetConfig, merged, origins, next(iter(layers), ""))
+    if config is not None:
+        messages += run_fleet_checks(config, origins)
+    return config, messages
+
+
+def _result(settings: Model | None, messages: list[CheckMessage]) -> Model:
+    errors = [message for message in messages if message.severity is Severity.ERROR]
+    if errors or settings is None:
+        raise SettingsError(errors)
+    return settings
+
+
+def _validate(
+    model: type[Model], document: Mapping[str, Any], origins: Mapping[str, Origin], source: str
+) -> tuple[Model | None, list[CheckMessage]]:
+    try:
+        return model.model_validate(dict(document)), []
+    except ValidationError as exc:
+        return None, [_to_message(error, model, origins, source) for error in exc.errors()]
+
+
+def _to_message(
+    error: Any, model: type[SettingsModel], origins: Mapping[str, Origin], source: str
+) -> CheckMessage:
+    path = "$" + "".join(f".{part}" for part in error["loc"])
+    kind = error["type"]
+    name = str(error["loc"][-1]) if error["loc"] else ""
+    source = next((o.layer for p, o in origins.items() if p.startswith(path)), source)
+    if kind == "extra_forbidden":
+        known = difflib.get_close_matches(name, _field_names(model), n=1)
+        hint = f"Did you mean '{known[0]}'?" if known else "Remove the key."
+        text = f"Unknown key '{name}'."
+    elif kind == "missing":
+        text, hint = f"The key '{name}' is missing.", "Add the key."
+    else:
+        text = f"The value {_quote(name, error['input'])} is not valid: {error['msg']}."
+        hint = "See docs/ref/settings.md for the type, unit and limits of the key."
+    in_range = any(part in kind for part in _RANGE_KINDS)
+    check_id = _IDS.get(kind, "settings.E003" if in_range else "settings.E002")
+    return CheckMessage(check_id, Severity.ERROR, text, hint, source, path)
+
+
+def _quote(name: str, value: Any) -> str:
+    """Return the value for a message; keys and secrets are never printed."""
+    if any(word in name for word in ("key", "secret", "sha256")):
+        return "(hidden)"
+    return repr(value if len(repr(value)) < 80 else type(value).__name__)
+
+
+def _field_names(model: type[SettingsModel]) -> list[str]:
+    names: list[str] = []
+    schema = model.model_json_schema()
+    for part in (schema, *schema.get("$defs", {}).values()):
+        names += part.get("properties", {})
+    return names
+
+
+def _reject_duplicate_keys(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    value = dict(pairs)
+    if len(value) != len(pairs):
+        keys = [key for key, _ in pairs]
+        twice = next(key for key in keys if keys.count(key) > 1)
+        raise ValueError(f"the key '{twice}' occurs twice in one object")
+    return value
+
+
+def _not_json(text: str, source: str) -> CheckMessage:
+    return CheckMessage("settings.E005", Severity.ERROR, text, "Correct the file.", source)
--- /dev/null
+++ b/packages/daemon/src/ibispaddle_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The ibispaddle instance: sockets and timers around the core."""
--- /dev/null
+++ b/packages/standins/src/ibispaddle_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and the upstreams, for tests."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of ibispaddle, one folder per subsystem."""
