Hid key hashes that stand in a list in check messages

Cause: the message looked at the last part of the JSON path, which is an index inside a list. Change: the whole path decides. Test test_key_hash_is_not_printed failed before and passes now.

--- a/packages/core/src/ibispaddle_core/settings/loading.py
+++ b/packages/core/src/ibispaddle_core/settings/loading.py
@@ -96,16 +96,16 @@
     elif kind == "missing":
         text, hint = f"The key '{name}' is missing.", "Add the key."
     else:
-        text = f"The value {_quote(name, error['input'])} is not valid: {error['msg']}."
+        text = f"The value {_quote(path, error["input"])} is not valid: {error['msg']}."
         hint = "See docs/ref/settings.md for the type, unit and limits of the key."
     in_range = any(part in kind for part in _RANGE_KINDS)
     check_id = _IDS.get(kind, "settings.E003" if in_range else "settings.E002")
     return CheckMessage(check_id, Severity.ERROR, text, hint, source, path)
 
 
-def _quote(name: str, value: Any) -> str:
+def _quote(path: str, value: Any) -> str:
     """Return the value for a message; keys and secrets are never printed."""
-    if any(word in name for word in ("key", "secret", "sha256")):
+    if any(word in path for word in ("_key", "key_sha256", "secret")):
         return "(hidden)"
     return repr(value if len(repr(value)) < 80 else type(value).__name__)
 
