--- a/packages/core/src/ibispaddle_core/settings/loading.py
+++ b/packages/core/src/ibispaddle_core/settings/loading.py
@@ -96,7 +96,8 @@
     elif kind == "missing":
         text, hint = f"The key '{name}' is missing.", "Add the key."
     else:
-        text = f"The value {_quote(path, error["input"])} is not valid: {error['msg']}."
+        quoted = _quote(path, error["input"])
+        text = f"The value {quoted} is not valid: {error['msg']}."
         hint = "See docs/ref/settings.md for the type, unit and limits of the key."
     in_range = any(part in kind for part in _RANGE_KINDS)
     check_id = _IDS.get(kind, "settings.E003" if in_range else "settings.E002")
