--- /dev/null
+++ b/packages/core/src/ibispaddle_core/scheduling/admission.py
@@ -0,0 +1,90 @@
+"""Admission: refuse at once what cannot be served in time."""
+
+from dataclasses import dataclass
+
+from ..shares import ShareCounters
+from .cost import CostModel
+from .messages import RefusalReason, Request
+from .queue import FairQueue, Lane
+from .runners import RunnerTable
+
+MIN_RETRY_AFTER_MS = 1_000
+MAX_RETRY_AFTER_MS = 30_000
+# Time constant of the measured dispatch rate of a lane.
+RATE_WINDOW_MS = 5_000.0
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """Refuse a request for a reason."""
+
+    reason: RefusalReason
+    retry_after_ms: int = 0
+
+
+class DispatchRate:
+    """Measure the engine time per millisecond that this instance dispatches from each lane."""
+
+    def __init__(self) -> None:
+        self._rates: dict[Lane, tuple[float, int]] = {}
+
+    def count(self, lane: Lane, cost_ms: float, now_ms: int) -> None:
+        """Count a dispatched request."""
+        self._rates[lane] = (self.rate(lane, now_ms) + cost_ms / RATE_WINDOW_MS, now_ms)
+
+    def rate(self, lane: Lane, now_ms: int) -> float:
+        """Return the decayed rate."""
+        value, at_ms = self._rates.get(lane, (0.0, now_ms))
+        return value * max(0.0, 1 - (now_ms - at_ms) / RATE_WINDOW_MS)
+
+
+class Admission:
+    """Decide whether a request may enter the queue."""
+
+    def __init__(
+        self, cost: CostModel, queue: FairQueue, shares: ShareCounters, runners: RunnerTable
+    ) -> None:
+        self._cost = cost
+        self._queue = queue
+        self._shares = shares
+        self._runners = runners
+        self.dispatched = DispatchRate()
+
+    def check(self, req: Request, lane: Lane, now_ms: int) -> Verdict | None:
+        """Return why the request must be refused, or None if it may enter."""
+        model = self._cost.model(req.model)
+        if self._cost.kv_tokens(req) > model.context_tokens:
+            return Verdict(RefusalReason.TOO_LARGE)
+        live = self._runners.live(req.model)
+        if not live:
+            return Verdict(RefusalReason.NO_UPSTREAM, MIN_RETRY_AFTER_MS)
+        limit = self._cost.segment_limit(req.model)
+        segments = -(-self._cost.kv_tokens(req) // limit)
+        if segments > len(live):
+            return Verdict(RefusalReason.TOO_LARGE)
+        wait_ms = self.queue_wait_ms(lane, req.neighbour, now_ms)
+        if self._queue.is_full(req.neighbour):
+            return Verdict(RefusalReason.QUEUE_FULL, self.retry_after_ms(wait_ms))
+        if now_ms + wait_ms + self.service_ms(req, segments) > req.deadline_ms:
+            return Verdict(RefusalReason.DEADLINE, self.retry_after_ms(wait_ms))
+        return None
+
+    def service_ms(self, req: Request, segments: int = 1) -> float:
+        """Return the expected time from dispatch to the last token on an idle engine."""
+        rate = self._cost.model(req.model).prefill_tokens_per_s / 1000
+        return req.prompt_tokens / segments / rate + self._cost.decode_ms(req)
+
+    def queue_wait_ms(self, lane: Lane, neighbour: str, now_ms: int) -> float:
+        """Return the expected time in the queue from the measured rate and the fair share."""
+        ahead = self._queue.cost_ms(lane, neighbour)
+        if ahead <= 0:
+            return 0.0
+        rate = self.dispatched.rate(lane, now_ms)
+        total = sum(self._shares.weight(name) for name in self._queue.neighbours(lane))
+        share = self._shares.weight(neighbour) / total
+        return min(ahead / (rate * share), 600_000.0) if rate > 0 else 0.0
+
+    @staticmethod
+    def retry_after_ms(wait_ms: float) -> int:
+        """Return when a resend has a chance, within bounds."""
+        return int(max(MIN_RETRY_AFTER_MS, min(MAX_RETRY_AFTER_MS, wait_ms)))
--- /dev/null
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -0,0 +1,398 @@
+"""The scheduler of one instance: state, event, time and seed in, decisions out."""
+
+import heapq
+from random import Random
+from typing import assert_never
+
+from ..runstate import RunState
+from ..settings.fleet import FleetConfig
+from ..shares import ShareCounters
+from .admission import Admission
+from .cost import CostModel
+from .exceptions import DuplicateRequestError
+from .large import LargePrompts
+from .messages import (
+    AttemptEnded,
+    CallerLeft,
+    CancelAttempt,
+    Decision,
+    Dispatch,
+    Event,
+    FirstToken,
+    LoadReported,
+    Outcome,
+    PeerConsumption,
+    RefusalReason,
+    Refuse,
+    Request,
+    RequestArrived,
+    ReservationAnswered,
+    Tick,
+    TokensRelayed,
+    Upstream,
+    UpstreamsChanged,
+    UpstreamState,
+)
+from .placement import Choice, Placement, PredictedPlacement
+from .prefixes import PrefixIndex
+from .queue import FairQueue, Lane
+from .requests import RequestState
+from .retries import RetryBudget
+from .runners import RunnerTable, RunnerView, SentWork
+
+# How often a blocked queue is looked at again when no event arrives.
+QUEUE_POLL_MS = 20
+# Requests of one lane that are looked at in one pass when the first ones find no runner.
+MAX_BLOCKED_PER_LANE = 2
+
+
+class Scheduler:
+    """Decide admission, order, placement, deadlines, retries and large prompts.
+
+    The scheduler is deterministic: equal events at equal times with an equal seed give equal
+    decisions. Every admitted request ends by its deadline with `Refuse`, or earlier with the end
+    of its last attempt or the caller's leaving.
+    """
+
+    def __init__(
+        self, config: FleetConfig, seed: int, instance_boot: str, wall_offset_ms: int = 0
+    ) -> None:
+        self._settings = config.scheduling
+        self.shares = ShareCounters({n: c.weight for n, c in config.neighbours.items()})
+        self.cost = CostModel(config)
+        self.runners = RunnerTable(self.cost)
+        self.queue = FairQueue(self._settings.max_queue_per_neighbour)
+        self._admission = Admission(self.cost, self.queue, self.shares, self.runners)
+        self._prefixes = PrefixIndex()
+        self._rng = Random(f"{seed}/{instance_boot}")
+        self.placement: Placement = PredictedPlacement(
+            self._settings, self.cost, self._prefixes, self._rng
+        )
+        self._budget = RetryBudget(self._settings.retry_budget)
+        self._large = LargePrompts(instance_boot, wall_offset_ms)
+        self._states: dict[str, RequestState] = {}
+        self._deadlines: list[tuple[int, str]] = []
+        self._first_tokens: list[tuple[int, str]] = []
+        self._pumped_ms = 0
+
+    @classmethod
+    def from_config(
+        cls, config: FleetConfig, seed: int, instance_boot: str, wall_offset_ms: int = 0
+    ) -> "Scheduler":
+        """Create a scheduler.
+
+        `wall_offset_ms` is the wall-clock time minus the monotonic time; it dates the expiry in
+        the handles of large prompts.
+        """
+        return cls(config, seed, instance_boot, wall_offset_ms)
+
+    @property
+    def active(self) -> int:
+        """Return the number of admitted requests that have not ended."""
+        return len(self._states)
+
+    def consumption(self) -> dict[str, float]:
+        """Return this instance's cumulative counters for gossip, in engine milliseconds."""
+        return self.shares.own_counters()
+
+    def handle(self, event: Event, now_ms: int) -> list[Decision]:
+        """Take an event and return the decisions that follow from it, in order.
+
+        Raise `DuplicateRequestError` if a request arrives whose id is being scheduled.
+        """
+        decisions = self._expire(now_ms)
+        match event:
+            case RequestArrived(request):
+                decisions += self._arrive(request, now_ms)
+            case LoadReported(load):
+                known = self.runners.views.get(load.upstream_id)
+                if known and known.load and known.load.boot_id != load.boot_id:
+                    self._prefixes.forget(load.upstream_id)
+                self.runners.report(load)
+            case UpstreamsChanged(upstreams):
+                decisions += self._change_upstreams(upstreams, now_ms)
+            case FirstToken(request_id):
+                self._first_token(request_id)
+            case TokensRelayed(request_id, tokens):
+                if (state := self._states.get(request_id)) is not None:
+                    state.tokens += tokens
+            case AttemptEnded():
+                decisions += self._attempt_ended(event, now_ms)
+            case CallerLeft(request_id):
+                if (state := self._states.get(request_id)) is not None:
+                    decisions += self._end(state)
+            case PeerConsumption(instance_boot, consumed_ms):
+                self.shares.merge(instance_boot, consumed_ms, now_ms)
+            case ReservationAnswered():
+                decisions += self._reservation(event, now_ms)
+            case Tick():
+                pass
+            case _:
+                assert_never(event)
+        decisions += self._pump(now_ms)
+        decisions += self._large.advance(now_ms)
+        return decisions
+
+    def next_wakeup_ms(self, now_ms: int) -> int | None:
+        """Return when `Tick` is needed at the latest, or None while nothing waits."""
+        self._drop_stale_timers()
+        times = [heap[0][0] for heap in (self._deadlines, self._first_tokens) if heap]
+        if len(self.queue):
+            times.append(self._pumped_ms + QUEUE_POLL_MS)
+        if (large_ms := self._large.next_wakeup_ms()) is not None:
+            times.append(large_ms)
+        return max(now_ms, min(times)) if times else None
+
+    def _arrive(self, req: Request, now_ms: int) -> list[Decision]:
+        if req.request_id in self._states:
+            raise DuplicateRequestError(f"request {req.request_id!r} is already being scheduled")
+        prompt_class = self.cost.prompt_class(req.prompt_tokens)
+        verdict = self._admission.check(req, (prompt_class, req.model), now_ms)
+        if verdict is not None:
+            return [
+                Refuse(req.request_id, verdict.reason, RunState.NOT_RUN, verdict.retry_after_ms)
+            ]
+        state = RequestState(req, prompt_class, self.cost.engine_ms(req))
+        self._states[req.request_id] = state
+        heapq.heappush(self._deadlines, (req.deadline_ms, req.request_id))
+        self._enqueue(state)
+        return []
+
+    def _lane(self, state: RequestState) -> Lane:
+        return state.prompt_class, state.req.model
+
+    def _enqueue(self, state: RequestState, front: bool = False) -> None:
+        req = state.req
+        self.queue.add(self._lane(state), req.neighbour, req.request_id, state.cost_ms, front)
+        state.queued = True
+
+    def _dequeue(self, state: RequestState) -> None:
+        if state.queued:
+            req = state.req
+            self.queue.remove(self._lane(state), req.neighbour, req.request_id, state.cost_ms)
+            state.queued = False
+
+    def _pump(self, now_ms: int) -> list[Decision]:
+        """Dispatch waiting requests, the neighbour with the lowest consumption first."""
+        self._pumped_ms = now_ms
+        decisions: list[Decision] = []
+        for lane in self.queue.lanes():
+            progress = True
+            while progress:
+                progress = False
+                blocked = 0
+                for request_id in self.queue.heads(lane, self.shares.normalised):
+                    state = self._states[request_id]
+                    started = self._start(state, now_ms)
+                    decisions += started or []
+                    progress = started is not None
+                    blocked += not progress
+                    if progress or blocked >= MAX_BLOCKED_PER_LANE:
+                        break
+        return decisions
+
+    def _start(self, state: RequestState, now_ms: int) -> list[Decision] | None:
+        """Dispatch, reserve for or refuse a waiting request; None if it must wait."""
+        req = state.req
+        if not self.runners.live(req.model):
+            return self._refuse(state, RefusalReason.NO_UPSTREAM, 1_000)
+        tokens = self.cost.kv_tokens(req)
+        segments = -(-tokens // self.cost.segment_limit(req.model))
+        if now_ms + self._admission.service_ms(req, segments) > req.deadline_ms:
+            wait_ms = self._admission.queue_wait_ms(self._lane(state), req.neighbour, now_ms)
+            return self._refuse(
+                state, RefusalReason.DEADLINE, self._admission.retry_after_ms(wait_ms)
+            )
+        if segments > 1:
+            return self._begin_large(state, segments, now_ms)
+        choice = self.placement.choose(req, state.tried, self.runners, now_ms)
+        if choice is None:
+            return None
+        return [self._dispatch(state, choice, (), now_ms)]
+
+    def _begin_large(
+        self, state: RequestState, segments: int, now_ms: int
+    ) -> list[Decision] | None:
+        if self._large.reserving:
+            return None
+        live = self.runners.live(state.req.model)
+        if segments > len(live):
+            return self._refuse(state, RefusalReason.TOO_LARGE, 0)
+        tokens = self.cost.kv_tokens(state.req)
+        starts = range(len(live) - segments + 1)
+        free = [sum(view.kv_free() for view in live[s : s + segments]) for s in starts]
+        start = max(starts, key=lambda s: (free[s], -s))
+        self._dequeue(state)
+        self._large.begin(state, live[start : start + segments], tokens, now_ms)
+        return []
+
+    def _reservation(self, event: ReservationAnswered, now_ms: int) -> list[Decision]:
+        decisions, ready = self._large.answer(event, now_ms)
+        if not ready:
+            return decisions
+        state = self._states[event.request_id]
+        views = [self.runners.views[u] for u in self._large.group(event.request_id)]
+        tokens = state.req.prompt_tokens // len(views)
+        ttft_ms = tokens / views[0].prefill_rate
+        choice = Choice(views[0], 0.0, ttft_ms, tokens)
+        handles = self._large.handles(event.request_id)
+        return [*decisions, self._dispatch(state, choice, handles, now_ms)]
+
+    def _dispatch(
+        self, state: RequestState, choice: Choice, handles: tuple[str, ...], now_ms: int
+    ) -> Decision:
+        req = state.req
+        self._dequeue(state)
+        if state.attempts == 0:
+            self._budget.count_first_attempt(now_ms)
+        state.attempts += 1
+        upstream_id = choice.view.upstream.upstream_id
+        state.tried.add(upstream_id)
+        state.upstream_id = upstream_id
+        state.cancelling = state.first_token = False
+        state.tokens = 0
+        state.first_token_due_ms = (
+            now_ms + int(choice.ttft_ms) + self._settings.first_token_timeout_ms
+        )
+        heapq.heappush(self._first_tokens, (state.first_token_due_ms, req.request_id))
+        group = self._large.group(req.request_id) if handles else [upstream_id]
+        for member in group:
+            self.runners.views[member].sent[req.request_id] = SentWork(
+                state.prompt_class,
+                choice.prefill_tokens,
+                0 if handles else self.cost.kv_tokens(req),
+                now_ms,
+            )
+        state.charged_ms = state.cost_ms
+        self.shares.charge(req.neighbour, state.charged_ms, now_ms)
+        self._admission.dispatched.count(self._lane(state), state.cost_ms, now_ms)
+        self._prefixes.record(req, upstream_id)
+        return Dispatch(req.request_id, upstream_id, self.placement.priority(req), handles)
+
+    def _first_token(self, request_id: str) -> None:
+        state = self._states.get(request_id)
+        if state is None or state.upstream_id is None:
+            return
+        state.first_token = True
+        for view in self._views(state):
+            if (work := view.sent.get(request_id)) is not None:
+                work.prefill_tokens = 0
+
+    def _views(self, state: RequestState) -> list[RunnerView]:
+        request_id = state.req.request_id
+        ids = self._large.group(request_id) if request_id in self._large else [state.upstream_id]
+        return [self.runners.views[i] for i in ids if i is not None and i in self.runners.views]
+
+    def _forget_attempt(self, state: RequestState) -> None:
+        for view in self._views(state):
+            view.sent.pop(state.req.request_id, None)
+        state.upstream_id = None
+        state.cancelling = False
+
+    def _attempt_ended(self, event: AttemptEnded, now_ms: int) -> list[Decision]:
+        state = self._states.get(event.request_id)
+        if state is None or state.upstream_id != event.upstream_id:
+            return []
+        first_token = state.first_token
+        req = state.req
+        if event.outcome is Outcome.COMPLETED:
+            self.cost.observe_output(req, state.tokens)
+            decode_ms = self.cost.decode_engine_ms(req.model, state.tokens)
+            estimate_ms = self.cost.decode_engine_ms(req.model, self.cost.expected_output(req))
+            if decode_ms > estimate_ms:
+                self.shares.charge(req.neighbour, decode_ms - estimate_ms, now_ms)
+            else:
+                self.shares.refund(req.neighbour, estimate_ms - decode_ms)
+            return self._finish(state)
+        self._forget_attempt(state)
+        decisions = self._large.release(req.request_id)
+        if event.outcome in (Outcome.REJECTED, Outcome.NOT_SENT):
+            self.shares.refund(req.neighbour, state.charged_ms)
+        else:
+            state.may_have_run = True
+        retry = (
+            not event.bytes_relayed
+            and not first_token
+            and state.attempts < self._settings.max_attempts
+            and not self.queue.is_full(req.neighbour)
+            and bool(self.runners.live(req.model))
+            and self._budget.try_take(now_ms)
+        )
+        if not retry:
+            return decisions + self._refuse(state, RefusalReason.UPSTREAM_FAILED, 1_000)
+        self._enqueue(state, front=True)
+        return decisions
+
+    def _change_upstreams(self, upstreams: tuple[Upstream, ...], now_ms: int) -> list[Decision]:
+        decisions: list[Decision] = []
+        down = {view.upstream.upstream_id for view in self.runners.replace(upstreams)}
+        for state in list(self._states.values()):
+            # A stream that has begun is left to the relay, which sees whether it continues.
+            used = {view.upstream.upstream_id for view in self._views(state)}
+            if state.upstream_id is None or state.first_token or state.cancelling:
+                continue
+            if used & down:
+                state.cancelling = True
+                decisions.append(CancelAttempt(state.req.request_id, state.upstream_id))
+
+        def unusable(upstream_id: str) -> bool:
+            view = self.runners.views.get(upstream_id)
+            return view is None or view.upstream.state is not UpstreamState.LIVE
+
+        for request_id in self._large.using(unusable):
+            state = self._states[request_id]
+            if state.upstream_id is None:
+                decisions += self._large.release(request_id)
+                if self.queue.is_full(state.req.neighbour):
+                    decisions += self._refuse(state, RefusalReason.NO_UPSTREAM, 1_000)
+                else:
+                    self._enqueue(state, front=True)
+        return decisions
+
+    def _expire(self, now_ms: int) -> list[Decision]:
+        decisions: list[Decision] = []
+        while self._deadlines and self._deadlines[0][0] <= now_ms:
+            state = self._states.get(heapq.heappop(self._deadlines)[1])
+            if state is not None and state.req.deadline_ms <= now_ms:
+                decisions += self._refuse(state, RefusalReason.DEADLINE, 0)
+        while self._first_tokens and self._first_tokens[0][0] <= now_ms:
+            due_ms, request_id = heapq.heappop(self._first_tokens)
+            state = self._states.get(request_id)
+            if state is not None and self._waits_for_first_token(state, due_ms):
+                state.cancelling = True
+                decisions.append(CancelAttempt(request_id, state.upstream_id or ""))
+        return decisions
+
+    @staticmethod
+    def _waits_for_first_token(state: RequestState, due_ms: int) -> bool:
+        in_flight = state.upstream_id is not None and state.first_token_due_ms == due_ms
+        return in_flight and not state.first_token and not state.cancelling
+
+    def _drop_stale_timers(self) -> None:
+        while self._deadlines and self._deadlines[0][1] not in self._states:
+            heapq.heappop(self._deadlines)
+        while self._first_tokens:
+            due_ms, request_id = self._first_tokens[0]
+            state = self._states.get(request_id)
+            if state is not None and self._waits_for_first_token(state, due_ms):
+                break
+            heapq.heappop(self._first_tokens)
+
+    def _refuse(
+        self, state: RequestState, reason: RefusalReason, retry_after_ms: int
+    ) -> list[Decision]:
+        refusal = Refuse(state.req.request_id, reason, state.run_state, retry_after_ms)
+        return [*self._end(state), refusal]
+
+    def _end(self, state: RequestState) -> list[Decision]:
+        """Cancel what is in flight and forget the request."""
+        decisions: list[Decision] = []
+        if state.upstream_id is not None and not state.cancelling:
+            decisions.append(CancelAttempt(state.req.request_id, state.upstream_id))
+        return decisions + self._finish(state)
+
+    def _finish(self, state: RequestState) -> list[Decision]:
+        self._dequeue(state)
+        self._forget_attempt(state)
+        del self._states[state.req.request_id]
+        return self._large.release(state.req.request_id)
--- /dev/null
+++ b/packages/core/src/ibispaddle_core/scheduling/cost.py
@@ -0,0 +1,85 @@
+"""Estimates of engine time for prompts and outputs."""
+
+from enum import IntEnum
+
+from ..settings.fleet import FleetConfig, ModelConfig
+from .messages import Request
+
+# An output is rarely as long as its limit; the estimate starts here and follows completed requests.
+INITIAL_OUTPUT_FRACTION = 0.5
+OUTPUT_SMOOTHING = 0.05
+# Streams that share an engine's decode steps, which divides the engine time of one stream's token.
+DECODE_BATCH = 16
+
+
+class PromptClass(IntEnum):
+    """Classify prompts by length; a lower class is served first."""
+
+    SHORT = 0
+    MEDIUM = 1
+    LONG = 2
+
+
+class CostModel:
+    """Estimate the time of a request's phases from rates and completed requests."""
+
+    def __init__(self, config: FleetConfig) -> None:
+        self._config = config
+        self._default = ModelConfig()
+        self._output_fraction: dict[str, float] = {}
+
+    def model(self, name: str) -> ModelConfig:
+        """Return the settings of a model, or the defaults for one that is not configured."""
+        return self._config.models.get(name, self._default)
+
+    def prompt_class(self, prompt_tokens: int) -> PromptClass:
+        """Return the class of a prompt."""
+        if prompt_tokens < self._config.scheduling.short_prompt_tokens:
+            return PromptClass.SHORT
+        if prompt_tokens < self._config.scheduling.long_prompt_tokens:
+            return PromptClass.MEDIUM
+        return PromptClass.LONG
+
+    def priority(self, prompt_tokens: int) -> int:
+        """Return the engine priority, 0 highest: shorter prompts first, long ones far behind."""
+        match self.prompt_class(prompt_tokens):
+            case PromptClass.SHORT:
+                return 0
+            case PromptClass.MEDIUM:
+                return 2
+        long_tokens = self._config.scheduling.long_prompt_tokens
+        return min(8, 4 + prompt_tokens // (2 * long_tokens))
+
+    def expected_output(self, req: Request) -> int:
+        """Return the output tokens that the request is expected to generate."""
+        fraction = self._output_fraction.get(req.workspace, INITIAL_OUTPUT_FRACTION)
+        return max(1, int(req.max_output_tokens * fraction))
+
+    def observe_output(self, req: Request, tokens: int) -> None:
+        """Learn from the output length of a completed request."""
+        fraction = min(1.0, tokens / req.max_output_tokens)
+        known = self._output_fraction.get(req.workspace, INITIAL_OUTPUT_FRACTION)
+        self._output_fraction[req.workspace] = known + OUTPUT_SMOOTHING * (fraction - known)
+
+    def engine_ms(self, req: Request) -> float:
+        """Return the engine time that the request is expected to consume."""
+        model = self.model(req.model)
+        prefill_ms = 1000 * req.prompt_tokens / model.prefill_tokens_per_s
+        return prefill_ms + self.decode_engine_ms(req.model, self.expected_output(req))
+
+    def decode_engine_ms(self, model: str, tokens: int) -> float:
+        """Return the engine time of generated tokens, which share their steps with others."""
+        return 1000 * tokens / (self.model(model).decode_tokens_per_s * DECODE_BATCH)
+
+    def decode_ms(self, req: Request) -> float:
+        """Return the time from the first to the last token of the expected output."""
+        return 1000 * self.expected_output(req) / self.model(req.model).decode_tokens_per_s
+
+    def kv_tokens(self, req: Request) -> int:
+        """Return the engine memory that the request may need, in tokens."""
+        return req.prompt_tokens + req.max_output_tokens
+
+    def segment_limit(self, model: str) -> int:
+        """Return the most memory that one prompt may take on one engine, in tokens."""
+        reserve = self._config.scheduling.short_memory_reserve
+        return max(1, int(self.model(model).engine_kv_tokens * (1 - reserve)))
--- /dev/null
+++ b/packages/core/src/ibispaddle_core/scheduling/large.py
@@ -0,0 +1,143 @@
+"""Prompts larger than one engine's memory: reserve on several runners, run, free.
+
+Reservations are taken in ascending runner id. An instance keeps what it has while a runner refuses,
+so the order is total and two instances cannot wait for each other in a circle.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from .messages import (
+    Decision,
+    FreeMemory,
+    ReservationAnswered,
+    ReserveMemory,
+)
+from .requests import RequestState
+from .runners import RunnerView
+
+RETRY_MS = 100
+# Covers the difference between the wall clocks of instances; see the design page.
+HANDLE_GRACE_MS = 5_000
+# A reservation whose answer was lost is sent again; the request is idempotent by handle.
+ANSWER_TIMEOUT_MS = 1_000
+
+
+@dataclass(slots=True)
+class Segment:
+    """Hold one part of a large prompt."""
+
+    upstream_id: str
+    handle: str
+    tokens: int
+    requested: bool = False
+    granted: bool = False
+
+
+@dataclass(slots=True)
+class LargePrompt:
+    """Hold the reservations of one large prompt."""
+
+    state: RequestState
+    segments: list[Segment]
+    retry_ms: int
+
+    @property
+    def complete(self) -> bool:
+        """Return whether every segment has its memory."""
+        return all(segment.granted for segment in self.segments)
+
+
+class LargePrompts:
+    """Run the reservations of all large prompts of this instance."""
+
+    def __init__(self, instance_boot: str, wall_offset_ms: int) -> None:
+        self._boot = instance_boot
+        self._wall_offset_ms = wall_offset_ms
+        self._prompts: dict[str, LargePrompt] = {}
+        self._generation = 0  # Keeps a repeated free of an old handle from a retry's memory.
+
+    def __contains__(self, request_id: str) -> bool:
+        return request_id in self._prompts
+
+    def group(self, request_id: str) -> list[str]:
+        """Return the runners of the request's group in id order."""
+        return [segment.upstream_id for segment in self._prompts[request_id].segments]
+
+    def begin(self, state: RequestState, group: list[RunnerView], tokens: int, now_ms: int) -> None:
+        """Start to reserve memory for a prompt on the runners of a group, given in id order."""
+        expiry_ms = state.req.deadline_ms + self._wall_offset_ms + HANDLE_GRACE_MS
+        self._generation += 1
+        part, rest = divmod(tokens, len(group))
+        segments = [
+            Segment(
+                view.upstream.upstream_id,
+                f"ir-{self._boot}-{state.req.request_id}-{self._generation}.{number}-{expiry_ms}",
+                part + (number < rest),
+            )
+            for number, view in enumerate(group)
+        ]
+        self._prompts[state.req.request_id] = LargePrompt(state, segments, now_ms)
+
+    def advance(self, now_ms: int) -> list[Decision]:
+        """Send the reservations that are due."""
+        decisions: list[Decision] = []
+        for request_id, prompt in self._prompts.items():
+            if prompt.complete or prompt.retry_ms > now_ms:
+                continue
+            segment = next(s for s in prompt.segments if not s.granted)
+            segment.requested = True
+            prompt.retry_ms = now_ms + ANSWER_TIMEOUT_MS
+            decisions.append(
+                ReserveMemory(request_id, segment.upstream_id, segment.handle, segment.tokens)
+            )
+        return decisions
+
+    def answer(self, event: ReservationAnswered, now_ms: int) -> tuple[list[Decision], bool]:
+        """Take an answer; return decisions and whether the prompt is ready to run."""
+        prompt = self._prompts.get(event.request_id)
+        segment = None
+        if prompt is not None:
+            segment = next((s for s in prompt.segments if s.handle == event.handle), None)
+        if prompt is None or segment is None:
+            # The request has ended; the memory of a late grant is freed at once.
+            if event.granted:
+                return [FreeMemory(event.upstream_id, event.handle)], False
+            return [], False
+        if segment.granted:
+            return [], False
+        if not event.granted:
+            prompt.retry_ms = now_ms + RETRY_MS
+            return [], False
+        segment.granted = True
+        prompt.retry_ms = now_ms
+        return [], prompt.complete
+
+    def handles(self, request_id: str) -> tuple[str, ...]:
+        """Return the handles of the request in prompt order."""
+        return tuple(segment.handle for segment in self._prompts[request_id].segments)
+
+    def release(self, request_id: str) -> list[Decision]:
+        """Free every reservation that was requested, answered or not."""
+        prompt = self._prompts.pop(request_id, None)
+        if prompt is None:
+            return []
+        return [FreeMemory(s.upstream_id, s.handle) for s in prompt.segments if s.requested]
+
+    def using(self, unusable: Callable[[str], bool]) -> list[str]:
+        """Return the requests with a segment on a runner for which the predicate is true."""
+        return [
+            request_id
+            for request_id, prompt in self._prompts.items()
+            if any(unusable(segment.upstream_id) for segment in prompt.segments)
+        ]
+
+    @property
+    def reserving(self) -> bool:
+        """Return whether a prompt of this instance still waits for memory."""
+        return any(not prompt.complete for prompt in self._prompts.values())
+
+    def next_wakeup_ms(self) -> int | None:
+        """Return when the next reservation is due."""
+        times = [p.retry_ms for p in self._prompts.values() if not p.complete]
+        return min(times, default=None)
--- /dev/null
+++ b/packages/core/src/ibispaddle_core/scheduling/placement.py
@@ -0,0 +1,99 @@
+"""Choice of a runner by predicted time to first token."""
+
+from dataclasses import dataclass
+from random import Random
+from typing import Protocol
+
+from ..settings.fleet import SchedulingConfig
+from .cost import CostModel, PromptClass
+from .messages import Request
+from .prefixes import PrefixIndex
+from .runners import RunnerTable, RunnerView
+
+# Looks at no more runners than this, so that the decision time does not grow with the fleet.
+MAX_CANDIDATES = 32
+# Runners whose predictions differ by less are equal; the choice among them is random, because
+# several instances that see the same report would otherwise all choose the same runner.
+NEAR_EQUAL_MS = 20.0
+# A request stays in the instance's queue while every runner's predicted wait is longer. This keeps
+# the engines busy and leaves the order between neighbours to the queue.
+MAX_ENGINE_WAIT_MS = {
+    PromptClass.SHORT: 400.0,
+    PromptClass.MEDIUM: 400.0,
+    PromptClass.LONG: 1_000.0,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """Name the chosen runner with its predicted wait and time to first token."""
+
+    view: RunnerView
+    wait_ms: float
+    ttft_ms: float
+    prefill_tokens: int
+
+
+class Placement(Protocol):
+    """Choose a runner for a request."""
+
+    def choose(
+        self, req: Request, tried: set[str], runners: RunnerTable, now_ms: int
+    ) -> Choice | None:
+        """Return the choice, or None while the request should stay queued."""
+
+    def priority(self, req: Request) -> int:
+        """Return the engine priority of the request."""
+
+
+class PredictedPlacement:
+    """Choose the runner with the lowest predicted time to first token."""
+
+    def __init__(
+        self, settings: SchedulingConfig, cost: CostModel, prefixes: PrefixIndex, rng: Random
+    ) -> None:
+        self._settings = settings
+        self._cost = cost
+        self._prefixes = prefixes
+        self._rng = rng
+
+    def priority(self, req: Request) -> int:
+        """Return the engine priority of the request."""
+        return self._cost.priority(req.prompt_tokens)
+
+    def choose(
+        self, req: Request, tried: set[str], runners: RunnerTable, now_ms: int
+    ) -> Choice | None:
+        """Return the choice, or None while every runner is too busy or has too little memory."""
+        prompt_class = self._cost.prompt_class(req.prompt_tokens)
+        views = runners.live(req.model)
+        if prompt_class is PromptClass.LONG:
+            count = max(1, round(len(views) * self._settings.long_fleet_fraction))
+            views = views[:count]
+        if len(views) > MAX_CANDIDATES:
+            views = self._rng.sample(views, MAX_CANDIDATES)
+        untried = [view for view in views if view.upstream.upstream_id not in tried]
+        choices = []
+        for view in untried or views:
+            choice = self._predict(req, prompt_class, view, now_ms)
+            if choice is not None:
+                choices.append(choice)
+        if not choices:
+            return None
+        best = min(choice.ttft_ms for choice in choices)
+        return self._rng.choice([c for c in choices if c.ttft_ms <= best + NEAR_EQUAL_MS])
+
+    def _predict(
+        self, req: Request, prompt_class: PromptClass, view: RunnerView, now_ms: int
+    ) -> Choice | None:
+        free = view.kv_free()
+        if prompt_class is not PromptClass.SHORT:
+            free -= int(view.kv_total * self._settings.short_memory_reserve)
+        if self._cost.kv_tokens(req) > free:
+            return None
+        wait_ms = view.wait_ms(prompt_class, now_ms, self._settings.load_report_max_age_ms)
+        if wait_ms > MAX_ENGINE_WAIT_MS[prompt_class]:
+            return None
+        cached = self._prefixes.cached_tokens(req, view.upstream.upstream_id)
+        tokens = max(1, req.prompt_tokens - cached)
+        return Choice(view, wait_ms, wait_ms + tokens / view.prefill_rate, tokens)
--- /dev/null
+++ b/packages/core/src/ibispaddle_core/scheduling/queue.py
@@ -0,0 +1,76 @@
+"""Bounded queue per neighbour with one lane per model and prompt class."""
+
+from collections import deque
+from collections.abc import Callable, Iterator
+
+from .cost import PromptClass
+
+Lane = tuple[PromptClass, str]
+
+
+class FairQueue:
+    """Hold waiting request ids; each neighbour fills only its own bounded part."""
+
+    def __init__(self, max_per_neighbour: int) -> None:
+        self._max = max_per_neighbour
+        self._lanes: dict[Lane, dict[str, deque[str]]] = {}
+        self._waiting: dict[str, int] = {}
+        self._cost: dict[tuple[Lane, str], float] = {}
+
+    def __len__(self) -> int:
+        return sum(self._waiting.values())
+
+    def length(self, neighbour: str) -> int:
+        """Return the number of waiting requests of the neighbour."""
+        return self._waiting.get(neighbour, 0)
+
+    def is_full(self, neighbour: str) -> bool:
+        """Return whether the neighbour's queue has reached its bound."""
+        return self.length(neighbour) >= self._max
+
+    def add(
+        self, lane: Lane, neighbour: str, request_id: str, cost_ms: float, front: bool = False
+    ) -> None:
+        """Add a request at the end, or at the front for a retry."""
+        ids = self._lanes.setdefault(lane, {}).setdefault(neighbour, deque())
+        if front:
+            ids.appendleft(request_id)
+        else:
+            ids.append(request_id)
+        self._waiting[neighbour] = self.length(neighbour) + 1
+        self._cost[lane, neighbour] = self._cost.get((lane, neighbour), 0.0) + cost_ms
+
+    def remove(self, lane: Lane, neighbour: str, request_id: str, cost_ms: float) -> None:
+        """Remove a waiting request."""
+        ids = self._lanes[lane][neighbour]
+        if ids[0] == request_id:
+            ids.popleft()
+        else:
+            ids.remove(request_id)
+        self._waiting[neighbour] -= 1
+        self._cost[lane, neighbour] -= cost_ms
+        if not ids:
+            del self._lanes[lane][neighbour]
+            del self._cost[lane, neighbour]
+            if not self._lanes[lane]:
+                del self._lanes[lane]
+        if not self._waiting[neighbour]:
+            del self._waiting[neighbour]
+
+    def lanes(self) -> list[Lane]:
+        """Return the lanes that hold requests, shorter prompts first."""
+        return sorted(self._lanes)
+
+    def heads(self, lane: Lane, order: Callable[[str], float]) -> Iterator[str]:
+        """Yield the first request of each neighbour of the lane, lowest order value first."""
+        neighbours = self._lanes.get(lane, {})
+        for name in sorted(neighbours, key=lambda name: (order(name), name)):
+            yield neighbours[name][0]
+
+    def neighbours(self, lane: Lane) -> list[str]:
+        """Return the neighbours with waiting requests in the lane."""
+        return list(self._lanes.get(lane, {}))
+
+    def cost_ms(self, lane: Lane, neighbour: str) -> float:
+        """Return the engine time of the neighbour's waiting requests in the lane."""
+        return self._cost.get((lane, neighbour), 0.0)
--- /dev/null
+++ b/packages/core/src/ibispaddle_core/scheduling/requests.py
@@ -0,0 +1,33 @@
+"""State of one admitted request."""
+
+from dataclasses import dataclass, field
+
+from ..runstate import RunState
+from .cost import PromptClass
+from .messages import Request
+
+
+@dataclass(slots=True)
+class RequestState:
+    """Hold what the scheduler knows of an admitted request."""
+
+    req: Request
+    prompt_class: PromptClass
+    cost_ms: float  # Expected engine time.
+    attempts: int = 0
+    tried: set[str] = field(default_factory=set)
+    upstream_id: str | None = None  # Set while an attempt is in flight.
+    cancelling: bool = False  # The attempt was cancelled; its end has not been reported.
+    first_token: bool = False
+    first_token_due_ms: int = 0
+    may_have_run: bool = False  # A past attempt ended without proof that nothing ran.
+    queued: bool = False
+    charged_ms: float = 0.0  # Charged for the attempt in flight.
+    tokens: int = 0
+
+    @property
+    def run_state(self) -> RunState:
+        """Return what a refusal at this moment may claim."""
+        if self.may_have_run or self.upstream_id is not None:
+            return RunState.UNKNOWN
+        return RunState.NOT_RUN
--- /dev/null
+++ b/packages/core/src/ibispaddle_core/scheduling/retries.py
@@ -0,0 +1,37 @@
+"""Retry budget: retries are a bounded part of first attempts."""
+
+from collections import deque
+
+WINDOW_MS = 10_000
+# Lets an instance with little traffic retry at all.
+MIN_RETRIES_PER_WINDOW = 3
+
+
+class RetryBudget:
+    """Allow retries up to a ratio of the first attempts in the last ten seconds."""
+
+    def __init__(self, ratio: float) -> None:
+        self._ratio = ratio
+        self._first: deque[int] = deque()
+        self._retries: deque[int] = deque()
+
+    def count_first_attempt(self, now_ms: int) -> None:
+        """Count a first attempt."""
+        self._first.append(now_ms)
+        self._expire(now_ms)
+
+    def try_take(self, now_ms: int) -> bool:
+        """Take one retry from the budget and return whether there was one."""
+        self._expire(now_ms)
+        if self._ratio <= 0:
+            return False
+        allowed = max(MIN_RETRIES_PER_WINDOW, self._ratio * len(self._first))
+        if len(self._retries) + 1 > allowed:
+            return False
+        self._retries.append(now_ms)
+        return True
+
+    def _expire(self, now_ms: int) -> None:
+        for times in (self._first, self._retries):
+            while times and times[0] <= now_ms - WINDOW_MS:
+                times.popleft()
--- /dev/null
+++ b/packages/core/src/ibispaddle_core/scheduling/runners.py
@@ -0,0 +1,129 @@
+"""View of the runners: reported load, corrected by the work sent since the report."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from .cost import CostModel, PromptClass
+from .messages import RunnerLoad, Upstream, UpstreamState
+
+# A report gives no lengths of the waiting prompts. Work above this many tokens per waiting request
+# is taken to be long prompts, which a short prompt overtakes by its priority.
+SHORT_WAITING_TOKENS = 4_000
+
+
+@dataclass(slots=True)
+class SentWork:
+    """Describe a request that this instance sent to a runner."""
+
+    prompt_class: PromptClass
+    prefill_tokens: int  # Zero after the first token.
+    kv_tokens: int
+    sent_ms: int
+
+
+@dataclass(slots=True)
+class RunnerView:
+    """Hold what an instance knows of one runner."""
+
+    upstream: Upstream
+    prefill_rate: float  # Tokens per millisecond.
+    kv_total: int
+    load: RunnerLoad | None = None
+    sent: dict[str, SentWork] = field(default_factory=dict)
+
+    @property
+    def live(self) -> bool:
+        """Return whether the runner may get new work."""
+        return self.upstream.state is UpstreamState.LIVE
+
+    def wait_ms(self, prompt_class: PromptClass, now_ms: int, max_age_ms: int) -> float:
+        """Return the predicted wait of a new request of the class before its prefill starts."""
+        load = self.load
+        reported = 0.0
+        seen_ms = -1
+        if load is not None and now_ms - load.observed_ms <= max_age_ms:
+            seen_ms = load.observed_ms
+            tokens = float(load.queued_prefill_tokens)
+            if prompt_class is not PromptClass.LONG:
+                tokens = min(tokens, SHORT_WAITING_TOKENS * load.waiting)
+            reported = max(0.0, tokens - self.prefill_rate * (now_ms - seen_ms))
+        unseen = 0.0
+        for work in self.sent.values():
+            if work.prefill_tokens and work.prompt_class <= prompt_class and work.sent_ms > seen_ms:
+                done = self.prefill_rate * (now_ms - work.sent_ms)
+                unseen += max(0.0, work.prefill_tokens - done)
+        return (reported + unseen) / self.prefill_rate
+
+    def long_tokens(self) -> int:
+        """Return the tokens of this instance's long prompts that are still in prefill."""
+        return sum(
+            work.prefill_tokens
+            for work in self.sent.values()
+            if work.prompt_class is PromptClass.LONG
+        )
+
+    def kv_free(self) -> int:
+        """Return the engine memory that is predicted to be free, in tokens."""
+        load = self.load
+        if load is None:
+            return self.kv_total - sum(work.kv_tokens for work in self.sent.values())
+        unseen = sum(w.kv_tokens for w in self.sent.values() if w.sent_ms > load.observed_ms)
+        return self.kv_total - load.kv_tokens_used - unseen
+
+
+class RunnerTable:
+    """Hold the views of all runners, grouped by model in id order."""
+
+    def __init__(self, cost: CostModel) -> None:
+        self._cost = cost
+        self.views: dict[str, RunnerView] = {}
+        self._by_model: dict[str, list[RunnerView]] = {}
+
+    def replace(self, upstreams: Iterable[Upstream]) -> list[RunnerView]:
+        """Replace the set of runners and return those that are down.
+
+        A runner that is missing from the set gets no new work and finishes what it has.
+        """
+        listed = {upstream.upstream_id: upstream for upstream in upstreams}
+        for view in list(self.views.values()):
+            old = view.upstream
+            if old.upstream_id not in listed:
+                if not view.sent:
+                    del self.views[old.upstream_id]
+                    continue
+                view.upstream = Upstream(
+                    old.upstream_id, old.data_centre, old.models, UpstreamState.LEAVING
+                )
+        for upstream_id, upstream in listed.items():
+            known = self.views.get(upstream_id)
+            if known is not None:
+                known.upstream = upstream
+                continue
+            model = self._cost.model(upstream.models[0] if upstream.models else "")
+            self.views[upstream_id] = RunnerView(
+                upstream, model.prefill_tokens_per_s / 1000, model.engine_kv_tokens
+            )
+        self._by_model = {}
+        for view in sorted(self.views.values(), key=lambda view: view.upstream.upstream_id):
+            if view.live:
+                for name in view.upstream.models:
+                    self._by_model.setdefault(name, []).append(view)
+        return [v for v in self.views.values() if v.upstream.state is UpstreamState.DOWN]
+
+    def live(self, model: str) -> list[RunnerView]:
+        """Return the runners that may get new work for the model, in id order."""
+        return self._by_model.get(model, [])
+
+    def report(self, load: RunnerLoad) -> None:
+        """Take over a load report unless a newer one of the same boot is known."""
+        view = self.views.get(load.upstream_id)
+        if view is None:
+            return
+        known = view.load
+        if known is not None and known.boot_id == load.boot_id and known.seq >= load.seq:
+            return
+        view.load = load
+        if load.prefill_tokens_per_s > 0:
+            view.prefill_rate = load.prefill_tokens_per_s / 1000
+        if load.kv_tokens_total > 0:
+            view.kv_total = load.kv_tokens_total
--- /dev/null
+++ b/packages/core/src/ibispaddle_core/shares/counters.py
@@ -0,0 +1,83 @@
+"""Cumulative consumption of each neighbour, merged over instances.
+
+Every instance owns one counter per neighbour that only grows. Counters of peers are merged by
+maximum, so a repeated or reordered message changes nothing.
+"""
+
+import math
+from collections.abc import Mapping
+
+from .exceptions import NegativeCostError
+
+# Time constant of the decay. It bounds the credit that an idle neighbour collects to the work of
+# about this time, and is long against the 0.5 s between two gossip messages.
+DECAY_MS = 20_000.0
+
+
+class ShareCounters:
+    """Order neighbours by decayed consumption divided by weight."""
+
+    def __init__(self, weights: Mapping[str, float], decay_ms: float = DECAY_MS) -> None:
+        self._weights = dict(weights)
+        self._decay_ms = decay_ms
+        self._own: dict[str, float] = {}
+        self._credit: dict[str, float] = {}
+        self._peers: dict[str, dict[str, float]] = {}
+        self._decayed: dict[str, float] = {}
+        self._decayed_at_ms = 0
+
+    def weight(self, neighbour: str) -> float:
+        """Return the neighbour's weight, 1 if none is configured."""
+        return self._weights.get(neighbour, 1.0)
+
+    def charge(self, neighbour: str, cost_ms: float, now_ms: int) -> None:
+        """Count engine milliseconds that this instance consumed for the neighbour."""
+        if cost_ms < 0:
+            raise NegativeCostError(f"cost of {neighbour!r} is {cost_ms} ms, expected at least 0")
+        credit = min(cost_ms, self._credit.get(neighbour, 0.0))
+        if credit:
+            self._credit[neighbour] -= credit
+        self._own[neighbour] = self._own.get(neighbour, 0.0) + cost_ms - credit
+        self._add(neighbour, cost_ms - credit, now_ms)
+
+    def refund(self, neighbour: str, cost_ms: float) -> None:
+        """Subtract an overestimate from later charges, because the counter itself may not fall."""
+        self._credit[neighbour] = self._credit.get(neighbour, 0.0) + max(0.0, cost_ms)
+
+    def merge(self, instance_boot: str, consumed_ms: Mapping[str, float], now_ms: int) -> None:
+        """Merge the counters of a peer by maximum.
+
+        The first message of a peer only sets the base: what it consumed before is history that the
+        decay has mostly removed.
+        """
+        known = self._peers.get(instance_boot)
+        if known is None:
+            self._peers[instance_boot] = dict(consumed_ms)
+            return
+        for neighbour, value in consumed_ms.items():
+            growth = value - known.get(neighbour, 0.0)
+            if growth > 0:
+                known[neighbour] = value
+                self._add(neighbour, growth, now_ms)
+
+    def own_counters(self) -> dict[str, float]:
+        """Return this instance's cumulative counters, in engine milliseconds."""
+        return dict(self._own)
+
+    @property
+    def peers(self) -> tuple[str, ...]:
+        """Return the boot ids of the peers whose counters are known."""
+        return tuple(self._peers)
+
+    def normalised(self, neighbour: str) -> float:
+        """Return the decayed consumption per unit of weight; only the order has a meaning."""
+        return self._decayed.get(neighbour, 0.0) / self.weight(neighbour)
+
+    def _add(self, neighbour: str, cost_ms: float, now_ms: int) -> None:
+        elapsed = now_ms - self._decayed_at_ms
+        if elapsed > 0:
+            factor = math.exp(-elapsed / self._decay_ms)
+            for name in self._decayed:
+                self._decayed[name] *= factor
+            self._decayed_at_ms = now_ms
+        self._decayed[neighbour] = self._decayed.get(neighbour, 0.0) + cost_ms
--- /dev/null
+++ b/tests/scheduling/test_scheduler.py
@@ -0,0 +1,190 @@
+"""Tests of single behaviours of the scheduler."""
+
+import unittest
+
+from ibispaddle_core.runstate import RunState
+from ibispaddle_core.scheduling import (
+    AttemptEnded,
+    CallerLeft,
+    CancelAttempt,
+    Dispatch,
+    DuplicateRequestError,
+    FreeMemory,
+    LoadReported,
+    Outcome,
+    RefusalReason,
+    Refuse,
+    RequestArrived,
+    ReservationAnswered,
+    ReserveMemory,
+    Tick,
+    UpstreamsChanged,
+)
+
+from . import fakes
+
+
+class AdmissionTest(unittest.TestCase):
+    def test_idle_runner_gets_the_request_at_once(self):
+        """Guard against a wait while a runner is idle."""
+        decisions = fakes.scheduler().handle(RequestArrived(fakes.request("a")), 5)
+        self.assertIsInstance(decisions[0], Dispatch)
+        self.assertEqual(len(decisions), 1)
+
+    def test_request_that_cannot_finish_is_refused_at_once(self):
+        """Guard against engine time spent on an answer that comes too late."""
+        req = fakes.request("a", prompt_tokens=90_000, deadline_ms=1_000)
+        (refusal,) = fakes.scheduler().handle(RequestArrived(req), 0)
+        self.assertEqual(refusal.reason, RefusalReason.DEADLINE)
+        self.assertEqual(refusal.run_state, RunState.NOT_RUN)
+        self.assertGreater(refusal.retry_after_ms, 0)
+
+    def test_prompt_above_the_context_is_refused(self):
+        """Guard against a prompt that no group of engines can hold."""
+        req = fakes.request("a", prompt_tokens=1_000_001)
+        (refusal,) = fakes.scheduler().handle(RequestArrived(req), 0)
+        self.assertEqual(refusal.reason, RefusalReason.TOO_LARGE)
+
+    def test_no_runner_is_a_refusal(self):
+        """Guard against a request that waits for runners that do not exist."""
+        (refusal,) = fakes.scheduler(0).handle(RequestArrived(fakes.request("a")), 0)
+        self.assertEqual(refusal.reason, RefusalReason.NO_UPSTREAM)
+
+    def test_full_queue_of_one_neighbour_leaves_room_for_others(self):
+        """Guard against a neighbour that fills the queue of another."""
+        sched = busy_scheduler(max_queue_per_neighbour=2)
+        results = [sched.handle(RequestArrived(fakes.request(f"n{i}")), 1) for i in range(3)]
+        self.assertEqual(results[2][0].reason, RefusalReason.QUEUE_FULL)
+        other = fakes.request("s0", neighbour="south")
+        self.assertEqual(sched.handle(RequestArrived(other), 1), [])
+
+    def test_duplicate_id_is_an_error(self):
+        """Guard against two requests that share one state."""
+        sched = fakes.scheduler()
+        sched.handle(RequestArrived(fakes.request("a")), 0)
+        with self.assertRaises(DuplicateRequestError):
+            sched.handle(RequestArrived(fakes.request("a")), 0)
+
+
+def busy_scheduler(**scheduling):
+    """Return a scheduler whose runners all report a long queue."""
+    sched = fakes.scheduler(**scheduling)
+    for number in range(3):
+        report = fakes.load(f"r{number:03}", 1, waiting=100, queued_prefill_tokens=400_000)
+        sched.handle(LoadReported(report), 0)
+    return sched
+
+
+class EndingTest(unittest.TestCase):
+    def test_deadline_cancels_and_refuses(self):
+        """Guard against a request that outlives its allotted time."""
+        sched = fakes.scheduler()
+        (dispatch,) = sched.handle(RequestArrived(fakes.request("a")), 0)
+        self.assertEqual(sched.next_wakeup_ms(0), 10_000)
+        decisions = sched.handle(Tick(), 10_000)
+        self.assertEqual(decisions[0], CancelAttempt("a", dispatch.upstream_id))
+        self.assertEqual(decisions[1].run_state, RunState.UNKNOWN)
+        self.assertEqual(sched.active, 0)
+
+    def test_waiting_request_is_refused_as_not_run(self):
+        """Guard against a wrong run state for a request that was never sent."""
+        sched = busy_scheduler()
+        self.assertEqual(sched.handle(RequestArrived(fakes.request("a", deadline_ms=2_000)), 0), [])
+        for number in range(3):
+            report = fakes.load(
+                f"r{number:03}", 2, waiting=99, queued_prefill_tokens=400_000, observed_ms=1_990
+            )
+            sched.handle(LoadReported(report), 1_000)
+        (refusal,) = sched.handle(Tick(), 2_000)
+        self.assertEqual(refusal.run_state, RunState.NOT_RUN)
+
+    def test_caller_left_cancels_without_an_answer(self):
+        """Guard against work for a caller that has gone."""
+        sched = fakes.scheduler()
+        (dispatch,) = sched.handle(RequestArrived(fakes.request("a")), 0)
+        decisions = sched.handle(CallerLeft("a"), 5)
+        self.assertEqual(decisions, [CancelAttempt("a", dispatch.upstream_id)])
+
+
+class RetryTest(unittest.TestCase):
+    def test_failed_attempt_moves_to_another_runner(self):
+        """Guard against a retry on the runner that has just failed."""
+        sched = fakes.scheduler()
+        (first,) = sched.handle(RequestArrived(fakes.request("a")), 0)
+        (second,) = sched.handle(AttemptEnded("a", first.upstream_id, Outcome.FAILED), 5)
+        self.assertNotEqual(first.upstream_id, second.upstream_id)
+
+    def test_no_retry_after_bytes_reached_the_caller(self):
+        """Guard against an answer that is a mixture of two runs."""
+        sched = fakes.scheduler()
+        (first,) = sched.handle(RequestArrived(fakes.request("a")), 0)
+        (refusal,) = sched.handle(AttemptEnded("a", first.upstream_id, Outcome.FAILED, True), 5)
+        self.assertEqual(refusal.reason, RefusalReason.UPSTREAM_FAILED)
+        self.assertEqual(refusal.run_state, RunState.UNKNOWN)
+
+    def test_budget_bounds_retries(self):
+        """Guard against retries that multiply the load of an overloaded fleet."""
+        sched = fakes.scheduler(retry_budget=0.1)
+        dispatched = 0
+        for number in range(60):
+            pending = sched.handle(RequestArrived(fakes.request(f"a{number}")), 0)
+            while pending and isinstance(pending[0], Dispatch):
+                dispatched += 1
+                ended = AttemptEnded(f"a{number}", pending[0].upstream_id, Outcome.REJECTED)
+                pending = sched.handle(ended, 0)
+            self.assertIsInstance(pending[-1], Refuse)
+            self.assertEqual(pending[-1].run_state, RunState.NOT_RUN)
+        self.assertLessEqual(dispatched, 66)
+
+    def test_down_runner_ends_the_wait_for_the_first_token(self):
+        """Guard against a wait until the deadline for a runner that has died."""
+        sched = fakes.scheduler()
+        (first,) = sched.handle(RequestArrived(fakes.request("a")), 0)
+        states = tuple(
+            fakes.upstream(n, "down" if f"r{n:03}" == first.upstream_id else "live")
+            for n in range(3)
+        )
+        self.assertEqual(
+            sched.handle(UpstreamsChanged(states), 5), [CancelAttempt("a", first.upstream_id)]
+        )
+        (second,) = sched.handle(AttemptEnded("a", first.upstream_id, Outcome.CANCELLED), 6)
+        self.assertIsInstance(second, Dispatch)
+
+
+class LargePromptTest(unittest.TestCase):
+    def test_reserves_in_id_order_then_runs_and_frees(self):
+        """Guard against a circular wait and against memory that stays reserved."""
+        sched = fakes.scheduler()
+        req = fakes.request("a", prompt_tokens=600_000, deadline_ms=100_000)
+        (reserve,) = sched.handle(RequestArrived(req), 0)
+        self.assertIsInstance(reserve, ReserveMemory)
+        (second,) = sched.handle(
+            ReservationAnswered("a", reserve.upstream_id, reserve.handle, True), 1
+        )
+        self.assertLess(reserve.upstream_id, second.upstream_id)
+        self.assertEqual(
+            sched.handle(ReservationAnswered("a", second.upstream_id, second.handle, False), 2), []
+        )
+        (again,) = sched.handle(Tick(), 102)
+        self.assertEqual(again, second)
+        (run,) = sched.handle(
+            ReservationAnswered("a", second.upstream_id, second.handle, True), 103
+        )
+        self.assertEqual(run.segments, (reserve.handle, second.handle))
+        ended = sched.handle(AttemptEnded("a", run.upstream_id, Outcome.COMPLETED), 5_000)
+        self.assertEqual(
+            ended,
+            [
+                FreeMemory(reserve.upstream_id, reserve.handle),
+                FreeMemory(second.upstream_id, second.handle),
+            ],
+        )
+
+    def test_late_grant_is_freed(self):
+        """Guard against memory that is granted after its request ended."""
+        sched = fakes.scheduler()
+        req = fakes.request("a", prompt_tokens=600_000, deadline_ms=100_000)
+        (reserve,) = sched.handle(RequestArrived(req), 0)
+        sched.handle(CallerLeft("a"), 1)
+        late = sched.handle(ReservationAnswered("a", reserve.upstream_id, reserve.handle, True), 2)
+        self.assertEqual(late, [FreeMemory(reserve.upstream_id, reserve.handle)])
--- /dev/null
+++ b/tests/shares/test_counters.py
@@ -0,0 +1,46 @@
+"""Tests of the merged share counters."""
+
+import unittest
+
+from ibispaddle_core.shares import NegativeCostError, ShareCounters
+
+
+class ShareCountersTest(unittest.TestCase):
+    def test_repeated_and_reordered_messages_change_nothing(self):
+        """Guard against consumption that is counted twice when gossip repeats."""
+        shares = ShareCounters({"a": 1.0})
+        shares.merge("peer", {"a": 0.0}, 0)
+        shares.merge("peer", {"a": 100.0}, 10)
+        once = shares.normalised("a")
+        shares.merge("peer", {"a": 100.0}, 10)
+        shares.merge("peer", {"a": 40.0}, 10)
+        self.assertEqual(shares.normalised("a"), once)
+
+    def test_weight_divides_consumption(self):
+        """Guard against shares that ignore the weights."""
+        shares = ShareCounters({"a": 3.0, "b": 1.0})
+        shares.charge("a", 300.0, 0)
+        shares.charge("b", 100.0, 0)
+        self.assertAlmostEqual(shares.normalised("a"), shares.normalised("b"))
+
+    def test_idle_neighbour_keeps_no_unbounded_credit(self):
+        """Guard against a neighbour that returns from a pause and shuts out all others."""
+        shares = ShareCounters({}, decay_ms=1_000.0)
+        shares.charge("busy", 1_000_000.0, 0)
+        for now_ms in range(0, 20_000, 100):
+            shares.charge("busy", 50.0, now_ms)
+        self.assertLess(shares.normalised("busy"), 600.0)
+
+    def test_refund_lowers_later_charges_but_not_the_counter(self):
+        """Guard against a counter that falls, which a merge by maximum would ignore."""
+        shares = ShareCounters({})
+        shares.charge("a", 100.0, 0)
+        shares.refund("a", 30.0)
+        self.assertEqual(shares.own_counters(), {"a": 100.0})
+        shares.charge("a", 50.0, 0)
+        self.assertEqual(shares.own_counters(), {"a": 120.0})
+
+    def test_negative_charge_is_an_error(self):
+        """Guard against a silent decrease of a cumulative counter."""
+        with self.assertRaises(NegativeCostError):
+            ShareCounters({}).charge("a", -1.0, 0)
