Added the seeded experiment in virtual time

Cause: placement and protection need measurements with stale views and several instances. Change: engine model (continuous batching, chunked prefill, memory, prefix cache, cancel, deaths, leaving), 8 instances on the core's Scheduler, three baselines, JSON lines, table and plots.

--- /dev/null
+++ b/packages/bench/src/ibispaddle_bench/engine_model.py
@@ -0,0 +1,263 @@
+"""Model of a model engine in virtual time: continuous batching with chunked prefill.
+
+The engine works in steps. A step computes at most `CHUNK_TOKENS` of waiting prompts, highest
+priority first, and one token of every stream that decodes. All times are milliseconds.
+"""
+
+import heapq
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from ibispaddle_core.scheduling import RunnerLoad
+
+PREFILL_TOKENS_PER_MS = 50.0
+KV_TOKENS = 400_000
+CHUNK_TOKENS = 2_048
+# A token costs twice the time at this position, because attention grows with the context.
+ATTENTION_TOKENS = 500_000
+DECODE_STEP_MS = 14.0
+DECODE_STREAM_MS = 0.1
+STEP_OVERHEAD_MS = 1.0
+CACHE_TOKENS = 100_000  # Prefix cache beside the KV memory.
+
+
+def prefill_ms(tokens: float, position: float = 0.0) -> float:
+    """Return the time of computing `tokens` that start at a position of the prompt."""
+    mean_position = position + tokens / 2
+    return tokens / PREFILL_TOKENS_PER_MS * (1 + mean_position / ATTENTION_TOKENS)
+
+
+def alone_ttft_ms(tokens: int) -> float:
+    """Return the time to first token of a prompt on an idle engine."""
+    steps = -(-tokens // CHUNK_TOKENS)
+    return prefill_ms(tokens) + steps * STEP_OVERHEAD_MS
+
+
+@dataclass(slots=True)
+class Job:
+    """Hold one request, or one segment of a large prompt, on an engine."""
+
+    job_id: str
+    neighbour: str
+    prompt_tokens: int
+    output_tokens: int
+    priority: int
+    prefix: str = ""
+    prefix_tokens: int = 0
+    position: int = 0
+    reserved: bool = False  # Memory is held by a handle.
+    decode: bool = True
+    held: int = 0
+    on_first: Callable[[], None] = lambda: None
+    on_done: Callable[[], None] = lambda: None
+    on_failed: Callable[[], None] = lambda: None
+    decoding: bool = False
+    ended: bool = False
+
+
+@dataclass
+class Engine:
+    """Run jobs in steps; `schedule(at_ms, action)` is the event loop of the experiment."""
+
+    engine_id: str
+    schedule: Callable[[float, Callable[[], None]], None]
+    boot: int = 0
+    alive: bool = True
+    leaving: bool = False
+    jobs: dict[str, Job] = field(default_factory=dict)
+    handles: dict[str, int] = field(default_factory=dict)
+    used: int = 0
+    consumed: dict[str, dict[int, float]] = field(default_factory=dict)
+    busy_ms: float = 0.0
+    _waiting: list[tuple[int, int, Job]] = field(default_factory=list)
+    _prefilling: list[tuple[int, int, Job]] = field(default_factory=list)
+    _finishing: list[tuple[int, int, Job]] = field(default_factory=list)
+    _cache: OrderedDict[str, int] = field(default_factory=OrderedDict)
+    _streams: int = 0
+    _step: int = 0
+    _order: int = 0
+    _stepping: bool = False
+    _seq: int = 0
+
+    def submit(self, job: Job, now_ms: float) -> None:
+        """Take a job; a dead engine fails it at once."""
+        if not self.alive:
+            job.on_failed()
+            return
+        self._order += 1
+        self.jobs[job.job_id] = job
+        heapq.heappush(self._waiting, (job.priority, self._order, job))
+        if not self._stepping:
+            self._begin_step(now_ms)
+
+    def cancel(self, job_id: str) -> None:
+        """Stop a job and free its memory; its callbacks are not called."""
+        job = self.jobs.pop(job_id, None)
+        if job is not None:
+            self._end(job)
+
+    def reserve(self, handle: str, tokens: int) -> bool:
+        """Reserve memory; idempotent by handle."""
+        if handle in self.handles:
+            return True
+        if not self.alive or self.leaving or self.used + tokens > KV_TOKENS:
+            return False
+        self.handles[handle] = tokens
+        self.used += tokens
+        return True
+
+    def free(self, handle: str) -> None:
+        """Free a reservation; idempotent."""
+        self.used -= self.handles.pop(handle, 0)
+
+    def start_decode(self, job: Job, now_ms: float) -> None:
+        """Let a prefilled segment job generate the output."""
+        if job.ended or not self.alive:
+            return
+        self._stream(job)
+        if not self._stepping:
+            self._begin_step(now_ms)
+
+    def die(self) -> None:
+        """Lose all jobs, memory and cached prefixes."""
+        self.alive = False
+        jobs = list(self.jobs.values())
+        for job in jobs:
+            self._end(job)
+        self.jobs, self.handles, self.used = {}, {}, 0
+        self._waiting, self._prefilling, self._finishing = [], [], []
+        self._cache.clear()
+        for job in jobs:
+            job.on_failed()
+
+    def restart(self) -> None:
+        """Come back empty with a new boot id."""
+        self.boot += 1
+        self.alive = True
+
+    def load(self, now_ms: float) -> RunnerLoad:
+        """Return the load report."""
+        self._seq += 1
+        entries = [j for _, _, j in self._waiting + self._prefilling if not j.ended]
+        queued = sum(job.prompt_tokens - job.position for job in entries)
+        return RunnerLoad(
+            self.engine_id,
+            f"{self.engine_id}/{self.boot}",
+            self._seq,
+            int(now_ms),
+            self._streams,
+            len(entries),
+            queued,
+            self.used,
+            KV_TOKENS,
+            PREFILL_TOKENS_PER_MS * 1000,
+            1000 / DECODE_STEP_MS,
+        )
+
+    def _end(self, job: Job) -> None:
+        if job.ended:
+            return
+        job.ended = True
+        self.used -= job.held
+        job.held = 0
+        if job.decoding:
+            self._streams -= 1
+
+    def _admit(self) -> None:
+        """Move waiting jobs for which there is memory to prefill, in priority order."""
+        blocked = []
+        while self._waiting:
+            entry = heapq.heappop(self._waiting)
+            job = entry[2]
+            if job.ended:
+                continue
+            need = 0 if job.reserved else job.prompt_tokens + job.output_tokens
+            if self.used + need > KV_TOKENS:
+                blocked.append(entry)
+                continue
+            job.held = need
+            self.used += need
+            if job.prefix and job.prefix in self._cache:
+                self._cache.move_to_end(job.prefix)
+                job.position = min(job.prompt_tokens - 1, self._cache[job.prefix])
+            heapq.heappush(self._prefilling, entry)
+        self._waiting = blocked  # Popped in order, therefore still a heap.
+
+    def _begin_step(self, now_ms: float) -> None:
+        if not self.alive:
+            self._stepping = False
+            return
+        self._admit()
+        budget = CHUNK_TOKENS
+        work: list[tuple[Job, int]] = []
+        time_ms = 0.0
+        entries = self._prefilling
+        popped = []
+        while entries and budget > 0:
+            entry = heapq.heappop(entries)
+            job = entry[2]
+            if job.ended:
+                continue
+            tokens = min(budget, job.prompt_tokens - job.position)
+            cost = prefill_ms(tokens, job.position)
+            self._consume(job.neighbour, cost, now_ms)
+            time_ms += cost
+            budget -= tokens
+            work.append((job, tokens))
+            popped.append(entry)
+        for entry in popped:
+            heapq.heappush(entries, entry)
+        if not work and not self._streams:
+            self._stepping = False
+            return
+        self._stepping = True
+        if self._streams:
+            time_ms = max(time_ms, DECODE_STEP_MS) + DECODE_STREAM_MS * self._streams
+        end_ms = now_ms + time_ms + STEP_OVERHEAD_MS
+        self.busy_ms += end_ms - now_ms
+        boot = self.boot
+        self.schedule(end_ms, lambda: self._end_step(work, end_ms, boot))
+
+    def _end_step(self, work: list[tuple[Job, int]], now_ms: float, boot: int) -> None:
+        if not self.alive or boot != self.boot:
+            self._stepping = False
+            return
+        self._step += 1
+        while self._finishing and self._finishing[0][0] <= self._step:
+            job = heapq.heappop(self._finishing)[2]
+            if not job.ended:
+                self._consume(job.neighbour, DECODE_STREAM_MS * job.output_tokens, now_ms)
+                del self.jobs[job.job_id]
+                self._end(job)
+                job.on_done()
+        for job, tokens in work:
+            if job.ended:
+                continue
+            job.position += tokens
+            if job.position >= job.prompt_tokens:
+                self._prefilling = [e for e in self._prefilling if e[2] is not job]
+                heapq.heapify(self._prefilling)
+                self._remember(job)
+                if job.decode:
+                    self._stream(job)
+                job.on_first()
+        self._begin_step(now_ms)
+
+    def _stream(self, job: Job) -> None:
+        job.decoding = True
+        self._streams += 1
+        self._order += 1
+        heapq.heappush(self._finishing, (self._step + job.output_tokens, self._order, job))
+
+    def _remember(self, job: Job) -> None:
+        if job.prefix:
+            self._cache[job.prefix] = job.prefix_tokens
+            self._cache.move_to_end(job.prefix)
+            while sum(self._cache.values()) > CACHE_TOKENS:
+                self._cache.popitem(last=False)
+
+    def _consume(self, neighbour: str, cost_ms: float, now_ms: float) -> None:
+        seconds = self.consumed.setdefault(neighbour, {})
+        second = int(now_ms // 1000)
+        seconds[second] = seconds.get(second, 0.0) + cost_ms
--- /dev/null
+++ b/packages/bench/src/ibispaddle_bench/experiment.py
@@ -0,0 +1,103 @@
+"""Run the seeded experiment: JSON lines, a table and plots.
+
+    python -m ibispaddle_bench.experiment [--quick] [--seeds 1,2,3] [--out DIRECTORY]
+
+Seeds 1 to 3 are for work on the scheduler; seeds 11 to 13 are kept for the figures of
+docs/MEASUREMENTS.md.
+"""
+
+import argparse
+import json
+import pathlib
+from concurrent.futures import ProcessPoolExecutor
+from typing import Any
+
+from .experiment_scenarios import Scenario, scenarios
+from .experiment_scenarios import run as run_scenario
+from .plots import draw
+
+PROCESSES = 4
+
+
+def table(rows: list[dict[str, Any]]) -> str:
+    """Return the results as a text table with one line per scenario and policy."""
+    columns = {
+        "scenario": 14,
+        "policy": 15,
+        "seed": 5,
+        "short_p50_ms": 12,
+        "short_p99_ms": 12,
+        "slowdown_p99": 12,
+        "under32k_p95_ms": 15,
+        "long_ratio_p95": 14,
+        "refused": 8,
+        "late": 5,
+        "held": 6,
+        "goodput": 9,
+        "decision_us": 11,
+    }
+    lines = [" ".join(name.rjust(width) for name, width in columns.items())]
+    for row in rows:
+        cells = []
+        for name, width in columns.items():
+            value = row.get(name)
+            text = f"{value:.3g}" if isinstance(value, float) and value < 1000 else f"{value}"
+            if isinstance(value, float) and value >= 1000:
+                text = f"{value:.0f}"
+            cells.append(("-" if value is None else text).rjust(width))
+        lines.append(" ".join(cells))
+    return "\n".join(lines)
+
+
+def add_ratios(rows: list[dict[str, Any]]) -> None:
+    """Add what compares two runs: short-prompt slowdown and goodput under overload."""
+    by_key = {(r["policy"], r["seed"], r["scenario"]): r for r in rows}
+    for row in rows:
+        # The denominator is the short traffic alone under the same policy. For baselines it is
+        # additionally useful to compare the absolute values.
+        alone = by_key.get((row["policy"], row["seed"], f"{row['scenario']}-short"))
+        if alone is not None and alone["short_p99_ms"]:
+            row["slowdown_p99"] = row["short_p99_ms"] / alone["short_p99_ms"]
+        base = by_key.get((row["policy"], row["seed"], "load-100"))
+        if row["scenario"] == "load-150" and base is not None:
+            row["goodput_ratio"] = row["goodput"] / base["goodput"]
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run all scenarios and write results.jsonl, the table and the plots."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", default="1,2,3")
+    parser.add_argument("--out", type=pathlib.Path, default=pathlib.Path("out/bench"))
+    parser.add_argument("--quick", action="store_true", help="one seed, 80% load, no baselines")
+    parser.add_argument("--only", default="", help="comma-separated scenario names")
+    args = parser.parse_args(argv)
+    seeds = [int(seed) for seed in args.seeds.split(",")]
+    chosen: list[Scenario] = scenarios(seeds, args.quick)
+    if args.only:
+        chosen = [s for s in chosen if s.name in args.only.split(",")]
+    args.out.mkdir(parents=True, exist_ok=True)
+    # Longest runs first, so that the last process does not end long after the others.
+    chosen.sort(key=lambda s: -s.weight)
+    with ProcessPoolExecutor(PROCESSES) as pool:
+        rows = list(pool.map(run_scenario, chosen))
+    rows.sort(key=lambda r: (r["scenario"], r["policy"], r["seed"]))
+    add_ratios(rows)
+    with (args.out / "results.jsonl").open("w") as out:
+        for row in rows:
+            out.write(json.dumps(row, sort_keys=True) + "\n")
+    text = table(rows)
+    (args.out / "table.txt").write_text(text + "\n")
+    print(text)
+    for row in rows:
+        if "goodput_ratio" in row:
+            print(f"goodput 150%/100% {row['policy']} {row['seed']}: {row['goodput_ratio']:.3f}")
+        if "share_error" in row:
+            print(
+                f"share error seed {row['seed']}: {row['share_error']:.4f}, {row['share_detail']}"
+            )
+    draw(rows, args.out)
+    return 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- /dev/null
+++ b/packages/bench/src/ibispaddle_bench/experiment_baselines.py
@@ -0,0 +1,80 @@
+"""Baseline placements: no prediction, no classes, no priorities, no wait in the instance."""
+
+from collections.abc import Callable
+from itertools import count
+
+from ibispaddle_core.scheduling import Request, Scheduler
+from ibispaddle_core.scheduling.placement import Choice
+from ibispaddle_core.scheduling.runners import RunnerTable, RunnerView
+
+
+class BaselinePlacement:
+    """Send every request at once to the runner with the lowest score."""
+
+    def __init__(self, score: Callable[[RunnerView], float]) -> None:
+        self._score = score
+
+    def priority(self, req: Request) -> int:
+        """Return the same priority for all requests."""
+        return 5
+
+    def choose(
+        self, req: Request, tried: set[str], runners: RunnerTable, now_ms: int
+    ) -> Choice | None:
+        """Return the untried runner with the lowest score; ties go to the lowest id."""
+        views = runners.live(req.model)
+        views = [v for v in views if v.upstream.upstream_id not in tried] or views
+        if not views:
+            return None
+        view = min(views, key=self._score)
+        return Choice(view, 0.0, req.prompt_tokens / view.prefill_rate, req.prompt_tokens)
+
+
+def round_robin(scheduler: Scheduler) -> None:
+    """Choose runners in turn."""
+    turn = count(1)
+    last: dict[str, int] = {}
+
+    class RoundRobin(BaselinePlacement):
+        def choose(
+            self, req: Request, tried: set[str], runners: RunnerTable, now_ms: int
+        ) -> Choice | None:
+            choice = super().choose(req, tried, runners, now_ms)
+            if choice is not None:
+                last[choice.view.upstream.upstream_id] = next(turn)
+            return choice
+
+    scheduler.placement = RoundRobin(lambda view: last.get(view.upstream.upstream_id, 0))
+
+
+def least_requests(scheduler: Scheduler) -> None:
+    """Choose the runner with the fewest outstanding requests."""
+
+    def score(view: RunnerView) -> float:
+        load = view.load
+        if load is None:
+            return len(view.sent)
+        unseen = sum(work.sent_ms > load.observed_ms for work in view.sent.values())
+        return load.running + load.waiting + unseen
+
+    scheduler.placement = BaselinePlacement(score)
+
+
+def least_tokens(scheduler: Scheduler) -> None:
+    """Choose the runner with the fewest outstanding prompt tokens."""
+
+    def score(view: RunnerView) -> float:
+        load = view.load
+        seen_ms = load.observed_ms if load is not None else -1
+        unseen = sum(w.prefill_tokens for w in view.sent.values() if w.sent_ms > seen_ms)
+        return unseen + (load.queued_prefill_tokens if load is not None else 0)
+
+    scheduler.placement = BaselinePlacement(score)
+
+
+POLICIES: dict[str, Callable[[Scheduler], None] | None] = {
+    "ibispaddle": None,
+    "round_robin": round_robin,
+    "least_requests": least_requests,
+    "least_tokens": least_tokens,
+}
--- /dev/null
+++ b/packages/bench/src/ibispaddle_bench/experiment_fleet.py
@@ -0,0 +1,327 @@
+"""Instances, engines and the network of the experiment, in virtual time.
+
+Each instance runs its own `Scheduler`, the same code as in the daemon. Load reports and consumption
+counters reach it late, by gossip.
+"""
+
+import heapq
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from random import Random
+
+from ibispaddle_core.scheduling import (
+    AttemptEnded,
+    CancelAttempt,
+    Decision,
+    Dispatch,
+    Event,
+    FirstToken,
+    FreeMemory,
+    LoadReported,
+    Outcome,
+    PeerConsumption,
+    Refuse,
+    RequestArrived,
+    ReservationAnswered,
+    ReserveMemory,
+    Scheduler,
+    Tick,
+    TokensRelayed,
+    Upstream,
+    UpstreamsChanged,
+    UpstreamState,
+)
+from ibispaddle_core.settings.fleet import FleetConfig
+
+from .engine_model import Engine, Job
+from .workload import Arrival
+
+NETWORK_MS = 1.0
+REPORT_EVERY_MS = 500.0
+REPORT_DELAY_MS = (50.0, 1_000.0)
+REPORT_LOSS = 0.02
+GOSSIP_EVERY_MS = 500.0
+GOSSIP_DELAY_MS = (50.0, 600.0)
+DETECTION_MS = (200.0, 2_000.0)  # From an engine's death until an instance's view shows it.
+LIST_DELAY_MS = (200.0, 1_500.0)  # From the change of the list until an instance has read it.
+
+
+@dataclass
+class Record:
+    """Hold the measured course of one request."""
+
+    arrival: Arrival
+    instance: int
+    first_ms: float | None = None
+    end_ms: float | None = None
+    outcome: str = ""
+    dispatches: int = 0
+    segments: int = 1
+
+
+@dataclass
+class Plan:
+    """Describe what happens to engines: (time, engine) of deaths and leavings."""
+
+    deaths: list[tuple[float, int]] = field(default_factory=list)
+    leavings: list[tuple[float, int]] = field(default_factory=list)
+    restart_after_ms: float = 10_000.0
+
+
+class Fleet:
+    """Run arrivals through several instances before a set of engines."""
+
+    def __init__(
+        self,
+        config: FleetConfig,
+        seed: int,
+        instances: int,
+        runners: int,
+        arrivals: list[Arrival],
+        plan: Plan,
+        adapt: Callable[[Scheduler], None] | None = None,
+    ) -> None:
+        self._rng = Random(f"fleet/{seed}")
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._count = 0
+        self.now_ms = 0.0
+        self.engines = {f"r{n:03}": Engine(f"r{n:03}", self.at) for n in range(runners)}
+        self._upstreams = {e: Upstream(e, "dc1", ("m",)) for e in self.engines}
+        self.schedulers = [
+            Scheduler.from_config(config, seed, f"boot-{n}") for n in range(instances)
+        ]
+        if adapt is not None:
+            for scheduler in self.schedulers:
+                adapt(scheduler)
+        self._wakeups: list[float] = [float("inf")] * instances
+        self.records: dict[str, Record] = {}
+        self._open: set[str] = set()
+        self._last_arrival_ms = arrivals[-1].at_ms if arrivals else 0.0
+        self._arrivals = iter(arrivals)
+        self.decision_s = 0.0
+        self.late_dispatches = 0  # Dispatches to an engine two seconds after it began to leave.
+        self._left_at: dict[str, float] = {}
+        self._next_arrival()
+        for number in range(instances):
+            self._change_list(number)
+            self.at(self._rng.uniform(0, GOSSIP_EVERY_MS), lambda n=number: self._gossip(n))  # type: ignore[misc]
+        for engine in self.engines.values():
+            self.at(self._rng.uniform(0, REPORT_EVERY_MS), lambda e=engine: self._report(e))  # type: ignore[misc]
+        names = list(self.engines)
+        for at_ms, index in plan.deaths:
+            name = names[index]
+            self.at(at_ms, lambda e=name: self._die(e, plan.restart_after_ms))  # type: ignore[misc]
+        for at_ms, index in plan.leavings:
+            self.at(at_ms, lambda e=names[index]: self._leave(e))  # type: ignore[misc]
+
+    def at(self, at_ms: float, action: Callable[[], None]) -> None:
+        """Run an action at a virtual time."""
+        self._count += 1
+        heapq.heappush(self._events, (at_ms, self._count, action))
+
+    def run(self, drain_ms: float = 400_000.0) -> None:
+        """Run until all requests have ended and the last messages have arrived."""
+        end_ms = self._last_arrival_ms + drain_ms
+        quiet_since = None
+        while self._events and self.now_ms < end_ms:
+            self.now_ms, _, action = heapq.heappop(self._events)
+            action()
+            if self._open or self.now_ms < self._last_arrival_ms:
+                quiet_since = None
+            elif quiet_since is None:
+                quiet_since = self.now_ms
+            elif self.now_ms > quiet_since + 1_000:
+                return
+
+    def _next_arrival(self) -> None:
+        arrival = next(self._arrivals, None)
+        if arrival is not None:
+            self.at(arrival.at_ms, lambda: self._arrive(arrival))
+
+    def _arrive(self, arrival: Arrival) -> None:
+        self._next_arrival()
+        number = self._rng.randrange(len(self.schedulers))
+        name = arrival.request.request_id
+        self.records[name] = Record(arrival, number)
+        self._open.add(name)
+        self._handle(number, RequestArrived(arrival.request))
+
+    def _handle(self, number: int, event: Event) -> None:
+        scheduler = self.schedulers[number]
+        now_ms = int(self.now_ms)
+        started = time.perf_counter()
+        decisions = scheduler.handle(event, now_ms)
+        wakeup = scheduler.next_wakeup_ms(now_ms)
+        self.decision_s += time.perf_counter() - started
+        for decision in decisions:
+            self._execute(number, decision)
+        if wakeup is not None and wakeup < self._wakeups[number]:
+            self._wakeups[number] = wakeup
+            self.at(max(float(wakeup), self.now_ms + 1), lambda: self._wake(number, wakeup))
+
+    def _wake(self, number: int, wakeup: int) -> None:
+        if self._wakeups[number] == wakeup:
+            self._wakeups[number] = float("inf")
+            self._handle(number, Tick())
+
+    def _execute(self, number: int, decision: Decision) -> None:
+        at_ms = self.now_ms + NETWORK_MS
+        match decision:
+            case Dispatch():
+                self._dispatch(number, decision)
+            case Refuse(request_id, reason):
+                self._close(request_id, f"refused:{reason}")
+            case CancelAttempt(request_id, upstream_id):
+                self.at(at_ms, lambda: self._cancel(number, request_id, upstream_id))
+            case ReserveMemory(request_id, upstream_id, handle, tokens):
+
+                def answer() -> None:
+                    granted = self.engines[upstream_id].reserve(handle, tokens)
+                    event = ReservationAnswered(request_id, upstream_id, handle, granted)
+                    self.at(self.now_ms + NETWORK_MS, lambda: self._handle(number, event))
+
+                self.at(at_ms, answer)
+            case FreeMemory(upstream_id, handle):
+                self.at(at_ms, lambda: self.engines[upstream_id].free(handle))
+
+    def _cancel(self, number: int, request_id: str, upstream_id: str) -> None:
+        for engine in self.engines.values():
+            for job_id in (f"{request_id}@{number}", *self._segment_ids(request_id)):
+                engine.cancel(job_id)
+        event = AttemptEnded(request_id, upstream_id, Outcome.CANCELLED)
+        self.at(self.now_ms + NETWORK_MS, lambda: self._handle(number, event))
+
+    def _segment_ids(self, request_id: str) -> list[str]:
+        segments = self.records[request_id].segments
+        return [f"{request_id}#{n}" for n in range(segments)] if segments > 1 else []
+
+    def _close(self, request_id: str, outcome: str) -> None:
+        record = self.records[request_id]
+        record.end_ms = self.now_ms
+        record.outcome = outcome
+        self._open.discard(request_id)
+
+    def _dispatch(self, number: int, dispatch: Dispatch) -> None:
+        name, upstream_id = dispatch.request_id, dispatch.upstream_id
+        record = self.records[name]
+        record.dispatches += 1
+        if self.now_ms > self._left_at.get(upstream_id, float("inf")) + 2_000:
+            self.late_dispatches += 1
+        engine = self.engines[upstream_id]
+        arrival = record.arrival
+        ended = [False]
+
+        def tell(event: Event) -> None:
+            self.at(self.now_ms + NETWORK_MS, lambda: self._handle(number, event))
+
+        def first() -> None:
+            if record.first_ms is None:
+                record.first_ms = self.now_ms + NETWORK_MS
+            tell(FirstToken(name))
+
+        def done() -> None:
+            self._close(name, "completed")
+            tell(TokensRelayed(name, arrival.output_tokens))
+            tell(AttemptEnded(name, upstream_id, Outcome.COMPLETED, True))
+
+        def failed() -> None:
+            if not ended[0]:
+                ended[0] = True
+                relayed = record.first_ms is not None
+                tell(AttemptEnded(name, upstream_id, Outcome.FAILED, relayed))
+
+        job = Job(
+            f"{name}@{number}",
+            arrival.request.neighbour,
+            arrival.request.prompt_tokens,
+            arrival.output_tokens,
+            dispatch.priority,
+            arrival.prefix,
+            arrival.prefix_tokens,
+            on_first=first,
+            on_done=done,
+            on_failed=failed,
+        )
+        if not dispatch.segments:
+            self.at(self.now_ms + NETWORK_MS, lambda: engine.submit(job, self.now_ms))
+            return
+        self._dispatch_segments(record, dispatch, job)
+
+    def _dispatch_segments(self, record: Record, dispatch: Dispatch, whole: Job) -> None:
+        """Compute each segment where its memory is reserved, then decode on the first runner."""
+        holders = []
+        for handle in dispatch.segments:
+            holders += [e for e in self.engines.values() if handle in e.handles]
+        if len(holders) != len(dispatch.segments):
+            self.at(self.now_ms + NETWORK_MS, whole.on_failed)
+            return
+        record.segments = len(holders)
+        remaining = len(holders)
+        jobs: list[tuple[Engine, Job]] = []
+
+        def first() -> None:
+            nonlocal remaining
+            remaining -= 1
+            if remaining == 0:
+                whole.on_first()
+                jobs[0][0].start_decode(jobs[0][1], self.now_ms)
+
+        for number, engine in enumerate(holders):
+            job = replace(
+                whole,
+                job_id=f"{record.arrival.request.request_id}#{number}",
+                prompt_tokens=max(1, whole.prompt_tokens // len(holders)),
+                prefix="",
+                reserved=True,
+                decode=False,
+                on_first=first,
+            )
+            jobs.append((engine, job))
+        for engine, job in jobs:
+            self.at(
+                self.now_ms + NETWORK_MS,
+                lambda e=engine, j=job: e.submit(j, self.now_ms),  # type: ignore[misc]
+            )
+
+    def _report(self, engine: Engine) -> None:
+        self.at(self.now_ms + REPORT_EVERY_MS, lambda: self._report(engine))
+        if not engine.alive:
+            return
+        event = LoadReported(engine.load(self.now_ms))
+        for number in range(len(self.schedulers)):
+            if self._rng.random() >= REPORT_LOSS:
+                delay_ms = self._rng.uniform(*REPORT_DELAY_MS)
+                self.at(self.now_ms + delay_ms, lambda n=number: self._handle(n, event))  # type: ignore[misc]
+
+    def _gossip(self, number: int) -> None:
+        self.at(self.now_ms + GOSSIP_EVERY_MS, lambda: self._gossip(number))
+        event = PeerConsumption(f"boot-{number}", self.schedulers[number].consumption())
+        for peer in range(len(self.schedulers)):
+            if peer != number:
+                delay_ms = self._rng.uniform(*GOSSIP_DELAY_MS)
+                self.at(self.now_ms + delay_ms, lambda n=peer: self._handle(n, event))  # type: ignore[misc]
+
+    def _change_list(self, number: int) -> None:
+        self._handle(number, UpstreamsChanged(tuple(self._upstreams.values())))
+
+    def _set_state(self, engine_id: str, state: UpstreamState, delays: tuple[float, float]) -> None:
+        self._upstreams[engine_id] = replace(self._upstreams[engine_id], state=state)
+        for number in range(len(self.schedulers)):
+            delay_ms = self._rng.uniform(*delays)
+            self.at(self.now_ms + delay_ms, lambda n=number: self._change_list(n))  # type: ignore[misc]
+
+    def _die(self, engine_id: str, restart_after_ms: float) -> None:
+        self.engines[engine_id].die()
+        self._set_state(engine_id, UpstreamState.DOWN, DETECTION_MS)
+
+        def restart() -> None:
+            self.engines[engine_id].restart()
+            self._set_state(engine_id, UpstreamState.LIVE, LIST_DELAY_MS)
+
+        self.at(self.now_ms + restart_after_ms, restart)
+
+    def _leave(self, engine_id: str) -> None:
+        self.engines[engine_id].leaving = True
+        self._left_at[engine_id] = self.now_ms
+        self._set_state(engine_id, UpstreamState.LEAVING, LIST_DELAY_MS)
--- /dev/null
+++ b/packages/bench/src/ibispaddle_bench/experiment_scenarios.py
@@ -0,0 +1,195 @@
+"""Scenarios of the experiment and the figures taken from one run."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from ibispaddle_core.settings.fleet import FleetConfig
+
+from .engine_model import DECODE_STEP_MS, KV_TOKENS, PREFILL_TOKENS_PER_MS, alone_ttft_ms
+from .experiment_baselines import POLICIES
+from .experiment_fleet import NETWORK_MS, Fleet, Plan, Record
+from .workload import LONG_TOKENS, NEIGHBOURS, RUNNERS, Arrival, arrivals
+
+INSTANCES = 8
+WARM_UP_MS = 20_000
+MEASURED_MS = 60_000
+SHARE_MINUTES = 2
+LENGTHS = (1_000, 2_000, 4_000, 8_000, 16_000, 32_000, 100_000, 200_000, 400_000, 1_000_001)
+
+
+@dataclass(frozen=True)
+class Scenario:
+    """Describe one run."""
+
+    name: str
+    policy: str
+    seed: int
+    load: float
+    short_only: bool = False
+    faults: bool = False
+    backlog: bool = False
+
+    @property
+    def weight(self) -> float:
+        """Return the expected relative run time."""
+        return self.load * (0.6 if self.short_only else 1.0) * (3.0 if self.backlog else 1.0)
+
+
+def scenarios(seeds: list[int], quick: bool) -> list[Scenario]:
+    """Return the runs for the seeds."""
+    result = []
+    for seed in seeds:
+        for policy in ["ibispaddle"] if quick else POLICIES:
+            for percent in [80] if quick else [50, 80, 95, 100, 150]:
+                name = f"load-{percent}"
+                result.append(Scenario(name, policy, seed, percent / 100))
+                if percent == 80:
+                    result.append(
+                        Scenario(f"{name}-short", policy, seed, percent / 100, short_only=True)
+                    )
+        if not quick:
+            result.append(Scenario("faults-80", "ibispaddle", seed, 0.8, faults=True))
+            result.append(Scenario("backlog", "ibispaddle", seed, 2.5, backlog=True))
+    return result
+
+
+def fleet_config() -> FleetConfig:
+    """Return the configuration of the experiment."""
+    return FleetConfig.model_validate(
+        {
+            "neighbours": {name: {"weight": weight} for name, weight in NEIGHBOURS.items()},
+            "models": {
+                "m": {
+                    "context_tokens": 1_100_000,
+                    "engine_kv_tokens": KV_TOKENS,
+                    "prefill_tokens_per_s": PREFILL_TOKENS_PER_MS * 1000,
+                    "decode_tokens_per_s": 1000 / DECODE_STEP_MS,
+                }
+            },
+        }
+    )
+
+
+def run(scenario: Scenario) -> dict[str, Any]:
+    """Run one scenario and return its figures."""
+    duration_ms = WARM_UP_MS + (SHARE_MINUTES if scenario.backlog else 1) * MEASURED_MS
+    # Equal traffic of all neighbours at 2.5 times the capacity exceeds the half that the heaviest
+    # is entitled to, so that all are backlogged.
+    mix = dict.fromkeys(NEIGHBOURS, 1.0) if scenario.backlog else None
+    traffic = arrivals(scenario.seed, scenario.load, duration_ms, mix)
+    if scenario.short_only:
+        traffic = [a for a in traffic if a.request.prompt_tokens < 8_000]
+    plan = Plan()
+    if scenario.faults:
+        plan = Plan(deaths=[(30_000, 3), (45_000, 20), (46_000, 11)], leavings=[(35_000, 7)])
+    fleet = Fleet(
+        fleet_config(),
+        scenario.seed,
+        INSTANCES,
+        RUNNERS,
+        traffic,
+        plan,
+        POLICIES[scenario.policy],
+    )
+    fleet.run()
+    row = figures(fleet, duration_ms)
+    row.update(scenario=scenario.name, policy=scenario.policy, seed=scenario.seed)
+    if scenario.backlog:
+        row.update(share_figures(fleet))
+    return row
+
+
+def percentile(values: list[float], part: float) -> float | None:
+    """Return a percentile by nearest rank, or None without values."""
+    if not values:
+        return None
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(part * len(ordered)))]
+
+
+def ttft_ms(record: Record) -> float | None:
+    """Return the engine's time to first token as the instance sees it, without the network."""
+    if record.first_ms is None:
+        return None
+    return record.first_ms - record.arrival.at_ms - 2 * NETWORK_MS
+
+
+def alone_ms(arrival: Arrival) -> float:
+    """Return the time to first token of the request on an empty fleet."""
+    request = arrival.request
+    segments = -(-(request.prompt_tokens + request.max_output_tokens) // int(KV_TOKENS * 0.85))
+    reserve_ms = 2 * NETWORK_MS * segments if segments > 1 else 0.0
+    return alone_ttft_ms(request.prompt_tokens // segments) + reserve_ms
+
+
+def figures(fleet: Fleet, end_ms: float) -> dict[str, Any]:
+    """Return the figures of the measured window."""
+    window = [r for r in fleet.records.values() if WARM_UP_MS <= r.arrival.at_ms < end_ms]
+    timed = [(r.arrival.request.prompt_tokens, t, r) for r in window if (t := ttft_ms(r))]
+    short = [t for tokens, t, _ in timed if tokens < 8_000]
+    long = [t / alone_ms(r.arrival) for tokens, t, r in timed if tokens > LONG_TOKENS]
+    done = [r for r in fleet.records.values() if r.outcome == "completed" and r.end_ms]
+    good = [r for r in done if WARM_UP_MS <= (r.end_ms or 0) < end_ms]
+    tokens = sum(r.arrival.request.prompt_tokens + r.arrival.output_tokens for r in good)
+    refused: dict[str, int] = {}
+    for record in window:
+        if record.outcome != "completed":
+            refused[record.outcome] = refused.get(record.outcome, 0) + 1
+    late = [
+        r
+        for r in fleet.records.values()
+        if r.end_ms is None or r.end_ms > r.arrival.request.deadline_ms + 2
+    ]
+    by_length = []
+    for low, high in zip(LENGTHS, LENGTHS[1:], strict=False):
+        part = [t for count, t, _ in timed if low <= count < high]
+        by_length.append([low, len(part), *(percentile(part, p) or 0.0 for p in (0.5, 0.95, 0.99))])
+    long_all = [r for r in window if r.arrival.request.prompt_tokens > LONG_TOKENS]
+    return {
+        "requests": len(window),
+        "short_p50_ms": percentile(short, 0.5),
+        "short_p99_ms": percentile(short, 0.99),
+        "under32k_p95_ms": percentile([t for count, t, _ in timed if count < 32_000], 0.95),
+        "long_ratio_p50": percentile(long, 0.5),
+        "long_ratio_p95": percentile(long, 0.95),
+        "long_done": sum(r.outcome == "completed" for r in long_all),
+        "long_all": len(long_all),
+        "spanning_ratio_p95": percentile(
+            [t / alone_ms(r.arrival) for _, t, r in timed if r.segments > 1], 0.95
+        ),
+        "refused": sum(refused.values()),
+        "outcomes": refused,
+        "late": len(late),
+        "held": sum(e.used for e in fleet.engines.values()),
+        "late_dispatches": fleet.late_dispatches,
+        "goodput": tokens / (end_ms - WARM_UP_MS) * 1000,
+        "goodput_requests": len(good) / (end_ms - WARM_UP_MS) * 1000,
+        "utilisation": sum(e.busy_ms for e in fleet.engines.values())
+        / (fleet.now_ms * len(fleet.engines)),
+        "decision_us": 1e6 * fleet.decision_s / max(1, len(fleet.records)),
+        "by_length": by_length,
+    }
+
+
+def share_figures(fleet: Fleet) -> dict[str, Any]:
+    """Return the largest difference between a neighbour's part of any minute and its share."""
+    total_weight = sum(NEIGHBOURS.values())
+    worst = 0.0
+    detail: dict[str, float] = {}
+    start = WARM_UP_MS // 1000
+    for first in range(start, start + (SHARE_MINUTES - 1) * 60 + 1, 5):
+        used = {
+            name: sum(
+                engine.consumed.get(name, {}).get(second, 0.0)
+                for engine in fleet.engines.values()
+                for second in range(first, first + 60)
+            )
+            for name in NEIGHBOURS
+        }
+        total = sum(used.values())
+        for name, weight in NEIGHBOURS.items():
+            error = used[name] / total - weight / total_weight
+            if abs(error) > abs(detail.get(name, 0.0)):
+                detail[name] = round(error, 4)
+            worst = max(worst, abs(error))
+    return {"share_error": worst, "share_detail": detail}
--- /dev/null
+++ b/packages/bench/src/ibispaddle_bench/workload.py
@@ -0,0 +1,98 @@
+"""Seeded traffic of the experiment."""
+
+import math
+from dataclasses import dataclass
+from functools import cache
+from random import Random
+
+from ibispaddle_core.scheduling import Request
+
+from .engine_model import CHUNK_TOKENS, DECODE_STREAM_MS, STEP_OVERHEAD_MS, prefill_ms
+
+RUNNERS = 25
+LONG_EVERY = 50  # One prompt in fifty is longer than LONG_TOKENS.
+LONG_TOKENS = 100_000
+MAX_TOKENS = 1_000_000
+PARETO = 1.5  # Tail exponent of long prompts between LONG_TOKENS and MAX_TOKENS.
+MEDIAN_TOKENS = 2_500
+SIGMA = 0.8  # Of the logarithm of shorter prompts.
+MEAN_OUTPUT = 245  # 2.7 million tokens/s over 11,000 requests/s on the design page.
+MAX_OUTPUT = 1_024
+PREFIX_SHARE = 0.3
+PREFIX_TOKENS = 800
+NEIGHBOURS = {"north": 4.0, "east": 2.0, "south": 1.0, "west": 1.0}
+DEADLINE_MS = {"short": 30_000, "medium": 60_000, "long": 300_000}
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """Hold one request with what only the engine knows about it."""
+
+    at_ms: float
+    request: Request
+    output_tokens: int
+    prefix: str
+    prefix_tokens: int
+
+
+def prompt_tokens(rng: Random) -> int:
+    """Draw a prompt length."""
+    if rng.random() < 1 / LONG_EVERY:
+        top = 1 - (LONG_TOKENS / MAX_TOKENS) ** PARETO
+        return int(LONG_TOKENS / (1 - rng.random() * top) ** (1 / PARETO))
+    return int(max(1_000, min(LONG_TOKENS - 1, rng.lognormvariate(math.log(MEDIAN_TOKENS), SIGMA))))
+
+
+def engine_ms(prompt: int, output: int) -> float:
+    """Return the engine time of a request on a busy engine."""
+    return prefill_ms(prompt) + prompt / CHUNK_TOKENS * STEP_OVERHEAD_MS + output * DECODE_STREAM_MS
+
+
+@cache
+def capacity_per_s() -> float:
+    """Return the requests per second that keep all runners exactly busy."""
+    rng = Random("capacity")
+    costs = []
+    for _ in range(200_000):
+        prompt = prompt_tokens(rng)
+        parts = -(-prompt // 340_000)
+        costs.append(parts * engine_ms(prompt // parts, 0) + MEAN_OUTPUT * DECODE_STREAM_MS)
+    return RUNNERS * 1000 / (sum(costs) / len(costs))
+
+
+def arrivals(
+    seed: int, load: float, duration_ms: int, mix: dict[str, float] | None = None
+) -> list[Arrival]:
+    """Return Poisson arrivals at a part of the capacity; `mix` is the traffic of each neighbour."""
+    rng = Random(f"workload/{seed}")
+    mix = mix or NEIGHBOURS
+    rate_per_ms = load * capacity_per_s() / 1000
+    result: list[Arrival] = []
+    at_ms = 0.0
+    while True:
+        at_ms += rng.expovariate(rate_per_ms)
+        if at_ms >= duration_ms:
+            return result
+        prompt = prompt_tokens(rng)
+        output = max(1, min(MAX_OUTPUT, int(rng.expovariate(1 / MEAN_OUTPUT))))
+        neighbour = rng.choices(list(mix), list(mix.values()))[0]
+        shared = rng.random() < PREFIX_SHARE and prompt < LONG_TOKENS
+        prefix = f"{neighbour}/{rng.randrange(20)}" if shared else ""
+        kind = "long" if prompt > LONG_TOKENS else "medium" if prompt >= 8_000 else "short"
+        # The first prefix block is the shared one, the rest is the request's own text.
+        blocks = max(1, prompt // PREFIX_TOKENS)
+        name = f"q{len(result)}"
+        hashes = (prefix, *(f"{name}/{i}" for i in range(1, blocks))) if shared else ()
+        request = Request(
+            request_id=name,
+            workspace=f"{neighbour}.w",
+            neighbour=neighbour,
+            model="m",
+            prompt_tokens=prompt,
+            max_output_tokens=MAX_OUTPUT,
+            arrived_ms=int(at_ms),
+            deadline_ms=int(at_ms) + DEADLINE_MS[kind],
+            fingerprint=name,
+            prefix_hashes=hashes,
+        )
+        result.append(Arrival(at_ms, request, output, prefix, PREFIX_TOKENS if shared else 0))
--- a/packages/core/src/ibispaddle_core/scheduling/prefixes.py
+++ b/packages/core/src/ibispaddle_core/scheduling/prefixes.py
@@ -6,6 +6,8 @@
 
 MAX_PREFIXES = 20_000
 MAX_RUNNERS_PER_PREFIX = 4
+# Bounds the work for a very long prompt.
+MAX_BLOCKS = 32
 
 
 class PrefixIndex:
@@ -16,7 +18,7 @@
 
     def record(self, req: Request, upstream_id: str) -> None:
         """Record that the runner will hold the request's prefixes."""
-        for prefix in req.prefix_hashes:
+        for prefix in req.prefix_hashes[:MAX_BLOCKS]:
             runners = self._runners.setdefault(prefix, [])
             if upstream_id in runners:
                 runners.remove(upstream_id)
@@ -29,7 +31,7 @@
     def cached_tokens(self, req: Request, upstream_id: str) -> int:
         """Return the tokens of the longest prefix that the runner is expected to hold."""
         count = len(req.prefix_hashes)
-        for depth in range(count, 0, -1):
+        for depth in range(min(count, MAX_BLOCKS), 0, -1):
             if upstream_id in self._runners.get(req.prefix_hashes[depth - 1], ()):
                 return req.prompt_tokens * depth // count
         return 0
