--- /dev/null
+++ b/packages/client/src/ibispaddle_client/__main__.py
@@ -0,0 +1,37 @@
+"""Entry point of `ibispaddle`."""
+
+import sys
+
+import typer
+
+from .commands import check, config_diff, config_show, schema
+from .exceptions import ClientError, ExitStatus
+
+app = typer.Typer(
+    name="ibispaddle",
+    help="Check settings and operate a fleet of ibispaddle instances.",
+    no_args_is_help=True,
+    pretty_exceptions_enable=False,
+)
+config_app = typer.Typer(help="Show, compare and change the configuration.", no_args_is_help=True)
+app.add_typer(config_app, name="config")
+
+app.command("check")(check.command)
+app.command("schema")(schema.command)
+config_app.command("show")(config_show.command)
+config_app.command("diff")(config_diff.command)
+
+
+def main() -> None:
+    """Run the command line; report a user's mistake without a stack trace."""
+    try:
+        app()
+    except ClientError as exc:
+        typer.echo(f"ibispaddle: {exc}", err=True)
+        sys.exit(exc.status)
+    except BrokenPipeError:
+        sys.exit(ExitStatus.OK)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/client/src/ibispaddle_client/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of `ibispaddle`, one module each."""
