--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 SOURCES := packages tests
 REQUIREMENTS := requirements/constraints.txt requirements/runtime.txt requirements/dev.txt
 
-.PHONY: install format check test demo bench
+.PHONY: install format docs check test demo bench
 install: $(STAMP)
 
 $(STAMP): $(REQUIREMENTS) $(wildcard packages/*/pyproject.toml)
@@ -22,6 +22,10 @@
 	$(BIN)/black --quiet $(SOURCES)
 	$(BIN)/ruff check --quiet --fix $(SOURCES)
 
+docs: install
+	$(BIN)/ibispaddle reference settings > docs/ref/settings.md
+	$(BIN)/ibispaddle reference log-events > docs/ref/log-events.md
+
 check: install
 	$(BIN)/black --check --quiet $(SOURCES)
 	$(BIN)/ruff check --quiet $(SOURCES)
--- a/packages/client/src/ibispaddle_client/__main__.py
+++ b/packages/client/src/ibispaddle_client/__main__.py
@@ -4,7 +4,7 @@
 
 import typer
 
-from .commands import check, config_diff, config_show, schema
+from .commands import check, config_diff, config_show, reference, schema
 from .exceptions import ClientError, ExitStatus
 
 app = typer.Typer(
@@ -18,6 +18,7 @@
 
 app.command("check")(check.command)
 app.command("schema")(schema.command)
+app.command("reference", hidden=True)(reference.command)
 config_app.command("show")(config_show.command)
 config_app.command("diff")(config_diff.command)
 
--- a/packages/core/src/ibispaddle_core/settings/fleet.py
+++ b/packages/core/src/ibispaddle_core/settings/fleet.py
@@ -110,12 +110,20 @@
 class FleetConfig(SettingsModel):
     """The whole configuration of the fleet, as in force at one site."""
 
-    neighbours: dict[str, NeighbourConfig] = Field(default_factory=dict)
-    workspaces: dict[str, WorkspaceConfig] = Field(default_factory=dict)
-    models: dict[str, ModelConfig] = Field(default_factory=dict)
-    services: dict[str, ServiceConfig] = Field(default_factory=dict)
+    neighbours: dict[str, NeighbourConfig] = Field(
+        default_factory=dict, description="Organisations that are owed a share, by id."
+    )
+    workspaces: dict[str, WorkspaceConfig] = Field(
+        default_factory=dict, description="Tenants, by id."
+    )
+    models: dict[str, ModelConfig] = Field(default_factory=dict, description="Models, by id.")
+    services: dict[str, ServiceConfig] = Field(
+        default_factory=dict, description="Plain services, by id."
+    )
     operator_key_sha256: tuple[Sha256Hex, ...] = Field(
         (), strict=False, description="SHA-256 of each operator key."
     )
-    limits: LimitSettings = LimitSettings()
-    scheduling: SchedulingConfig = SchedulingConfig()
+    limits: LimitSettings = Field(LimitSettings(), description="Bounds on callers.")
+    scheduling: SchedulingConfig = Field(
+        SchedulingConfig(), description="Admission, queueing, placement and retries."
+    )
--- a/packages/core/src/ibispaddle_core/settings/instance.py
+++ b/packages/core/src/ibispaddle_core/settings/instance.py
@@ -8,8 +8,8 @@
 class TlsSettings(SettingsModel):
     """Certificate and key files of a listener."""
 
-    certificate_file: str
-    key_file: str
+    certificate_file: str = Field(description="PEM file with the certificate chain.")
+    key_file: str = Field(description="PEM file with the private key.")
 
 
 class InstanceSettings(SettingsModel):
@@ -31,12 +31,25 @@
         "", description="Base configuration that is used while the log is empty."
     )
     overlay_file: str = Field("", description="Site overlay that is used while the log is empty.")
-    list_poll_interval_ms: int = Field(500, ge=50, le=60_000)
-    probe_interval_ms: int = Field(500, ge=50, le=60_000)
-    gossip_interval_ms: int = Field(500, ge=50, le=60_000)
-    claim_batch_interval_ms: int = Field(50, ge=5, le=5_000)
+    list_poll_interval_ms: int = Field(
+        500, ge=50, le=60_000, description="Interval between readings of the instance list."
+    )
+    probe_interval_ms: int = Field(
+        500, ge=50, le=60_000, description="Interval between load probes of one runner."
+    )
+    gossip_interval_ms: int = Field(
+        500, ge=50, le=60_000, description="Interval between digests to other instances."
+    )
+    claim_batch_interval_ms: int = Field(
+        50, ge=5, le=5_000, description="Shortest time between two appends of claims."
+    )
     claim_window_ms: int = Field(3_600_000, ge=1_000, description="How long claims are kept.")
-    usage_flush_interval_ms: int = Field(2_000, ge=100, le=600_000)
+    usage_flush_interval_ms: int = Field(
+        2_000,
+        ge=100,
+        le=600_000,
+        description="Shortest time between two appends of usage counters.",
+    )
     log_retention_ms: int = Field(
         86_400_000, ge=10_000, description="How long the platform's log keeps records."
     )
--- /dev/null
+++ b/tests/docs/__init__.py
@@ -0,0 +1,1 @@
+"""Tests that the documentation agrees with the code."""
--- /dev/null
+++ b/tests/docs/test_reference.py
@@ -0,0 +1,31 @@
+"""Tests that the generated reference pages are current."""
+
+import pathlib
+import unittest
+
+from ibispaddle_client.reference import log_events_page, settings_page
+from ibispaddle_core.logevents import all_events
+
+REF = pathlib.Path(__file__).resolve().parents[2] / "docs" / "ref"
+
+
+class ReferenceTest(unittest.TestCase):
+    maxDiff = None
+
+    def test_settings_page_is_current(self):
+        """Guard against a setting that the reference does not list."""
+        self.assertEqual((REF / "settings.md").read_text(), settings_page())
+
+    def test_log_event_catalogue_is_current(self):
+        """Guard against a log event that the catalogue does not list."""
+        self.assertEqual((REF / "log-events.md").read_text(), log_events_page())
+
+    def test_log_event_numbers_are_unique(self):
+        """Guard against two events that an operator cannot tell apart."""
+        events = all_events()
+        self.assertEqual(len({event.number for event in events}), len(events))
+        self.assertEqual(len({event.name for event in events}), len(events))
+
+
+if __name__ == "__main__":
+    unittest.main()
