--- a/packages/client/src/ibispaddle_client/reference.py
+++ b/packages/client/src/ibispaddle_client/reference.py
@@ -52,7 +52,7 @@
     yield from ("| key | type | default | limits | meaning |", "| --- | --- | --- | --- | --- |")
     required = schema.get("required", [])
     for key, field in schema.get("properties", {}).items():
-        fallback = {} if field.get("type") == "object" else None
+        fallback: Any = {} if field.get("type") == "object" else None
         default = f"`{_compact(field.get('default', fallback))}`"
         default = "(required)" if key in required else default
         meaning = field.get("description", "")
