Added the stand-ins of the platform and the upstreams

Cause: tests, the demo and the bench need the engine, service, log, instance list and collector as processes that can fail on request. Change: added packages/standins with one process per interface, the start of processes in packages/bench, and tests of the faults that other tests rely on.

--- /dev/null
+++ b/packages/bench/src/ibispaddle_bench/processes.py
@@ -0,0 +1,171 @@
+"""Start and end of the processes of a fleet."""
+
+import json
+import os
+import selectors
+import signal
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+START_TIMEOUT_S = 15.0
+END_TIMEOUT_S = 10.0
+
+
+class ProcessError(Exception):
+    """Report a process that did not start or did not become ready."""
+
+
+def call_json(url: str, body: Any = None, method: str = "", timeout_s: float = 5.0) -> Any:
+    """Return the JSON answer of a request; the method is POST when there is a body."""
+    data = None if body is None else json.dumps(body).encode()
+    request = urllib.request.Request(url, data, method=method or None)
+    request.add_header("Content-Type", "application/json")
+    with urllib.request.urlopen(request, timeout=timeout_s) as response:
+        return json.loads(response.read())
+
+
+@dataclass
+class ManagedProcess:
+    """A process with one HTTP port."""
+
+    name: str
+    popen: subprocess.Popen[bytes]
+    port: int
+    command: list[str] = field(default_factory=list)
+    log_file: Path | None = None
+
+    @property
+    def pid(self) -> int:
+        """Return the process id."""
+        return self.popen.pid
+
+    @property
+    def url(self) -> str:
+        """Return the base URL."""
+        return f"http://127.0.0.1:{self.port}"
+
+    @property
+    def address(self) -> str:
+        """Return IP:PORT."""
+        return f"127.0.0.1:{self.port}"
+
+    @property
+    def running(self) -> bool:
+        """Return whether the process has not ended."""
+        return self.popen.poll() is None
+
+    def set_faults(self, **faults: Any) -> None:
+        """Switch faults of a stand-in."""
+        call_json(f"{self.url}/admin/faults", faults)
+
+    def state(self) -> Any:
+        """Return the counters of a stand-in."""
+        return call_json(f"{self.url}/admin/state")
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal if the process runs."""
+        if self.running:
+            self.popen.send_signal(number)
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self.signal(signal.SIGKILL)
+        self.close()
+
+    def end(self, timeout_s: float = END_TIMEOUT_S) -> int:
+        """Ask the process to end, kill it after the time limit, and return its exit status."""
+        self.signal(signal.SIGTERM)
+        try:
+            status = self.popen.wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            # A stopped process does not act on SIGTERM, but SIGKILL ends it.
+            self.popen.kill()
+            status = self.popen.wait()
+        self.close()
+        return status
+
+    def close(self) -> None:
+        """Collect the exit status and close the pipes."""
+        self.popen.wait()
+        for pipe in (self.popen.stdin, self.popen.stdout):
+            if pipe is not None:
+                pipe.close()
+
+
+def start_stand_in(kind: str, *options: str, port: int = 0, name: str = "") -> ManagedProcess:
+    """Start a stand-in and return it when it listens.
+
+    The stand-in ends when this process ends, because its standard input closes.
+    """
+    command = [sys.executable, "-m", f"ibispaddle_standins.{kind}", "--end-with-stdin"]
+    command += ["--port", str(port), *options]
+    popen = subprocess.Popen(
+        command, stdin=subprocess.PIPE, stdout=subprocess.PIPE, env=_environment()
+    )
+    try:
+        line = _first_line(popen, START_TIMEOUT_S)
+    except ProcessError as exc:
+        popen.kill()
+        popen.wait()
+        raise ProcessError(f"{name or kind}: {exc}") from exc
+    return ManagedProcess(name or kind, popen, json.loads(line)["port"], command)
+
+
+def start_stand_ins(specs: Sequence[tuple[str, str, Sequence[str]]]) -> list[ManagedProcess]:
+    """Start several stand-ins at the same time; a spec is (kind, name, options)."""
+    # Starting a process takes most of its time in imports, so the starts overlap.
+    from concurrent.futures import ThreadPoolExecutor
+
+    with ThreadPoolExecutor(max(1, len(specs))) as pool:
+        futures = [
+            pool.submit(start_stand_in, kind, *options, name=name) for kind, name, options in specs
+        ]
+    try:
+        return [future.result() for future in futures]
+    except ProcessError:
+        for future in futures:
+            if future.exception() is None:
+                future.result().kill()
+        raise
+
+
+def wait_until_ready(url: str, timeout_s: float, process: ManagedProcess | None = None) -> None:
+    """Wait until a URL answers with 200."""
+    ends = time.monotonic() + timeout_s
+    last = "no answer"
+    while time.monotonic() < ends:
+        if process is not None and not process.running:
+            raise ProcessError(f"{process.name} ended with status {process.popen.returncode}")
+        try:
+            with urllib.request.urlopen(url, timeout=1.0) as response:
+                if response.status == 200:
+                    return
+        except urllib.error.HTTPError as exc:
+            last = f"status {exc.code}: {exc.read(500)!r}"
+        except OSError as exc:
+            last = repr(exc)
+        time.sleep(0.02)
+    raise ProcessError(f"{url} did not answer with 200 within {timeout_s} s; last: {last}")
+
+
+def _environment() -> dict[str, str]:
+    return dict(os.environ, PYTHONUNBUFFERED="1")
+
+
+def _first_line(popen: subprocess.Popen[bytes], timeout_s: float) -> bytes:
+    assert popen.stdout is not None
+    with selectors.DefaultSelector() as selector:
+        selector.register(popen.stdout, selectors.EVENT_READ)
+        if not selector.select(timeout_s):
+            raise ProcessError(f"no port within {timeout_s} s")
+    line = popen.stdout.readline()
+    if not line:
+        raise ProcessError(f"ended with status {popen.wait()} before it listened")
+    return line
--- /dev/null
+++ b/packages/standins/src/ibispaddle_standins/answers.py
@@ -0,0 +1,66 @@
+"""Content of the engine stand-in's answers, which lets a reader verify them.
+
+Each token names the prompt by a short hash and states its own index, so that a foreign, missing or
+doubled token is detected.
+"""
+
+import hashlib
+import re
+from typing import Any
+
+_TOKEN = re.compile(r"([0-9a-f]{8})\.(\d+) ")
+
+CHARACTERS_PER_TOKEN = 4
+
+
+def prompt_text(body: dict[str, Any]) -> str:
+    """Return the text of all messages, or of the prompt, of a request body."""
+    if "messages" not in body:
+        prompt = body["prompt"]
+        return prompt if isinstance(prompt, str) else "\n".join(prompt)
+    texts = []
+    for message in body["messages"]:
+        content = message.get("content") or ""
+        if not isinstance(content, str):
+            content = "".join(part.get("text", "") for part in content)
+        texts.append(content)
+    return "\n".join(texts)
+
+
+def estimate_tokens(text: str) -> int:
+    """Return the number of tokens that a text counts for.
+
+    >>> estimate_tokens("12345")
+    2
+    """
+    return -(-len(text) // CHARACTERS_PER_TOKEN)
+
+
+def prompt_hash(text: str) -> str:
+    """Return the 8 hexadecimal digits that stand in every token of the answer to a prompt."""
+    return hashlib.blake2b(text.encode(), digest_size=4).hexdigest()
+
+
+def token_text(hashed: str, index: int) -> str:
+    """Return the token at an index of the answer.
+
+    >>> token_text("00c0ffee", 2)
+    '00c0ffee.2 '
+    """
+    return f"{hashed}.{index} "
+
+
+def find_fault(text: str, prompt: str, tokens: int) -> str:
+    """Return what is wrong with an answer of `tokens` tokens, or an empty string."""
+    hashed = prompt_hash(prompt)
+    found = list(_TOKEN.finditer(text))
+    if sum(len(match.group()) for match in found) != len(text):
+        return "the answer contains text that is not a token"
+    for position, match in enumerate(found):
+        if match.group(1) != hashed:
+            return f"token {position} belongs to another prompt"
+        if int(match.group(2)) != position:
+            return f"token {match.group(2)} stands at position {position}"
+    if len(found) != tokens:
+        return f"{len(found)} tokens instead of {tokens}"
+    return ""
--- /dev/null
+++ b/packages/standins/src/ibispaddle_standins/collector.py
@@ -0,0 +1,55 @@
+"""Trace collector: accepts OTLP over HTTP with JSON bodies and keeps the spans."""
+
+import argparse
+import asyncio
+from collections import deque
+from typing import Any
+
+from aiohttp import web
+
+from .server import Handler, StandIn, main
+
+MAX_SPANS = 100_000
+
+
+class Collector(StandIn):
+    """Keep the latest spans, each with the attributes of its resource."""
+
+    name = "collector"
+    known_faults = ("outage", "delay_ms")
+
+    def __init__(self, args: argparse.Namespace) -> None:
+        super().__init__(args)
+        self.spans: deque[dict[str, Any]] = deque(maxlen=MAX_SPANS)
+        self.requests = 0
+
+    def add_routes(self, router: web.UrlDispatcher) -> None:
+        router.add_post("/v1/traces", self.store)
+
+    def state(self) -> dict[str, Any]:
+        return {"requests": self.requests, "spans": list(self.spans)}
+
+    async def intercept(self, request: web.Request, handler: Handler) -> web.StreamResponse:
+        await asyncio.sleep(self.faults.get("delay_ms", 0) / 1000)
+        if self.faults.take("outage"):
+            return web.json_response({"message": "outage"}, status=503)
+        return await handler(request)
+
+    async def store(self, request: web.Request) -> web.Response:
+        """Store every span of an export request."""
+        try:
+            document = await request.json()
+            for resource_spans in document["resourceSpans"]:
+                resource = resource_spans.get("resource", {})
+                for scope_spans in resource_spans["scopeSpans"]:
+                    self.spans.extend(
+                        span | {"resource": resource} for span in scope_spans["spans"]
+                    )
+        except (ValueError, KeyError, TypeError) as exc:
+            return web.json_response({"message": f"not an export request: {exc!r}"}, status=400)
+        self.requests += 1
+        return web.json_response({"partialSuccess": {}})
+
+
+if __name__ == "__main__":
+    main(Collector)
--- /dev/null
+++ b/packages/standins/src/ibispaddle_standins/engine/app.py
@@ -0,0 +1,403 @@
+"""HTTP interface of the engine stand-in."""
+
+import argparse
+import asyncio
+import json
+import os
+import secrets
+import time
+from collections import OrderedDict
+from typing import Any
+
+from aiohttp import web
+
+from ..answers import estimate_tokens, prompt_hash, prompt_text
+from ..server import Handler, StandIn, abort_connection
+from .batching import Batcher, Sequence
+from .memory import Memory, prefix_hashes
+from .orders import Orders
+from .streams import ChunkWriter, usage_event, whole_answer
+
+CRASH_STATUS = 70
+# Delay of a crash, so that the answer to the request that asks for it and the tokens that were
+# generated before it leave the process.
+CRASH_DELAY_S = 0.01
+SWEEP_INTERVAL_S = 0.1
+MAX_REMEMBERED_REQUESTS = 20_000
+DEFAULT_PRIORITY = 5
+
+
+def error_response(status: int, code: str, message: str) -> web.Response:
+    """Return an error in the form of the chat-completions protocol."""
+    error = {"message": message, "type": "engine_error", "code": code, "param": None}
+    return web.json_response({"error": error}, status=status)
+
+
+class Engine(StandIn):
+    """Serve prompts with a simulated engine."""
+
+    name = "engine"
+    known_faults = (
+        "crash",  # The process exits.
+        "crash_marker",  # The process exits when it computes a prompt that contains this text.
+        "crash_after_tokens",  # Tokens generated for the marked prompt before the exit.
+        "freeze",  # Nothing is computed or answered; with the value "tokens" only no token comes.
+        "reject",  # New prompts are refused with 503.
+        "reject_reservations",  # Reservations are refused with 409.
+        "lose_kv_answers",  # Memory operations take effect, but the connection closes unanswered.
+        "delay_kv_ms",  # Delay of the answers to memory operations.
+        "cut_after_tokens",  # Streams are cut after so many tokens; the sequence runs on.
+        "duplicate_every",
+        "skip_every",
+        "foreign_every",  # A chunk of another completion follows each such token.
+        "foreign_answer",  # A whole answer or the echoed request id belongs to another request.
+        "load_lag_ms",  # Age of a load report.
+        "cache_event_delay_ms",
+        "cache_event_gap_every",
+        "fencing",  # Whether orders with an outdated fencing number are refused.
+        "leaving",  # The load report states that the engine is leaving.
+    )
+
+    def __init__(self, args: argparse.Namespace) -> None:
+        super().__init__(args)
+        self.boot_id = args.boot_id or secrets.token_hex(8)
+        self.memory = Memory(args.kv_tokens)
+        self.batcher = Batcher(
+            self.memory, args.prefill_rate, args.decode_rate, args.max_batch, args.time_scale
+        )
+        self.batcher.on_first_work = self.crash_if_marked
+        self.batcher.on_tokens = self.crash_if_marked
+        self.orders = Orders(list(args.models), args.role)
+        self.sequences: dict[str, Sequence] = {}
+        self.forgotten: OrderedDict[str, bool] = OrderedDict()  # Request id and whether it ran.
+        self.arrivals = self.accepted = self.rejected = self.cancels = self.resumes = 0
+        self.load_seq = 0
+        self.reports: list[tuple[float, dict[str, Any]]] = []
+        self.tasks: list[asyncio.Task[None]] = []
+        self.faults.update(
+            {
+                "crash_marker": args.crash_marker or None,
+                "fencing": args.fencing,
+                "load_lag_ms": args.load_lag_ms,
+                "cache_event_delay_ms": args.cache_event_delay_ms,
+                "cache_event_gap_every": args.cache_event_gap_every,
+            }
+        )
+        self.faults.values = {name: value for name, value in self.faults.values.items() if value}
+        self.faults_changed()
+
+    @classmethod
+    def add_arguments(cls, parser: argparse.ArgumentParser) -> None:
+        parser.add_argument("--models", nargs="+", default=["m"], help="models that are loaded")
+        parser.add_argument("--role", default="mixed", help="role in the load report")
+        parser.add_argument("--boot-id", default="", help="boot id; empty: a random one")
+        parser.add_argument("--prefill-rate", type=float, default=25_000, help="tokens/s")
+        parser.add_argument("--decode-rate", type=float, default=60, help="tokens/s of a stream")
+        parser.add_argument("--max-batch", type=int, default=256, help="admitted sequences")
+        parser.add_argument("--max-waiting", type=int, default=1_000, help="queued sequences")
+        parser.add_argument("--kv-tokens", type=int, default=400_000, help="KV memory, tokens")
+        parser.add_argument("--time-scale", type=float, default=1, help="speed of engine time")
+        parser.add_argument("--output-tokens", type=int, default=32, help="without a max_tokens")
+        parser.add_argument(
+            "--resume-window-ms", type=int, default=5_000, help="life of a sequence nobody reads"
+        )
+        parser.add_argument("--load-lag-ms", type=int, default=100, help="age of load reports")
+        parser.add_argument("--cache-event-delay-ms", type=int, default=0)
+        parser.add_argument("--cache-event-gap-every", type=int, default=0, help="0: no gaps")
+        parser.add_argument("--fencing", action="store_true", help="check fencing numbers")
+        parser.add_argument("--crash-marker", default="", help="text that crashes the engine")
+
+    def add_routes(self, router: web.UrlDispatcher) -> None:
+        router.add_post("/v1/chat/completions", self.complete)
+        router.add_post("/v1/completions", self.complete)
+        router.add_get("/v1/models", self.list_models)
+        router.add_post("/v1/cancel", self.cancel)
+        router.add_post("/v1/resume", self.resume)
+        router.add_get("/load", self.report_load)
+        router.add_get("/cache/events", self.read_cache_events)
+        router.add_post("/kv/{action:reserve|import|export}", self.hold_memory)
+        router.add_delete("/kv/{handle}", self.delete_memory)
+        router.add_get("/kv", self.list_memory)
+        router.add_post("/orders", self.receive_order)
+
+    def state(self) -> dict[str, Any]:
+        return {
+            "boot_id": self.boot_id,
+            "arrivals": self.arrivals,
+            "accepted": self.accepted,
+            "rejected": self.rejected,
+            "cancels": self.cancels,
+            "resumes": self.resumes,
+            "running": self.batcher.running,
+            "waiting": len(self.batcher.waiting),
+            "tokens_prefilled": int(self.batcher.tokens_prefilled),
+            "tokens_generated": self.batcher.tokens_generated,
+            "kv_tokens_used": self.memory.used,
+            "kv_tokens_most_used": self.memory.most_used,
+            "kv_tokens_cached": sum(self.memory.cache.values()),
+            "handles": {name: handle.tokens for name, handle in self.memory.handles.items()},
+            "orders": self.orders.received,
+            "models": self.orders.models,
+            "role": self.orders.role,
+        }
+
+    async def started(self) -> None:
+        self.tasks += [
+            asyncio.create_task(self.batcher.run()),
+            asyncio.create_task(self.sweep()),
+            asyncio.create_task(self.record_load()),
+        ]
+
+    def faults_changed(self) -> None:
+        self.memory.event_delay_ms = self.faults.get("cache_event_delay_ms", 0)
+        self.memory.event_gap_every = self.faults.get("cache_event_gap_every", 0)
+        self.batcher.set_frozen(bool(self.faults.get("freeze")))
+        if self.faults.get("crash"):
+            self.crash()
+        self.faults.values = {name: value for name, value in self.faults.values.items() if value}
+
+    async def intercept(self, request: web.Request, handler: Handler) -> web.StreamResponse:
+        while self.faults.get("freeze") is True:
+            await asyncio.sleep(0.01)
+        response = await handler(request)
+        while self.faults.get("freeze") is True:
+            await asyncio.sleep(0.01)
+        if request.path.startswith("/kv/"):
+            await asyncio.sleep(self.faults.get("delay_kv_ms", 0) / 1000)
+            if self.faults.take("lose_kv_answers"):
+                abort_connection(request)
+        return response
+
+    def crash(self) -> None:
+        """Exit without closing anything."""
+        asyncio.get_running_loop().call_later(CRASH_DELAY_S, os._exit, CRASH_STATUS)
+
+    def crash_if_marked(self, sequence: Sequence) -> None:
+        """Exit if the sequence carries the crash marker and has come far enough."""
+        if sequence.marked and sequence.generated >= self.faults.get("crash_after_tokens", 0):
+            self.crash()
+
+    # Prompts
+
+    async def complete(self, request: web.Request) -> web.StreamResponse:
+        """Run one prompt."""
+        self.arrivals += 1
+        try:
+            body = json.loads(await request.read())
+            prompt = prompt_text(body)
+        except (ValueError, KeyError, TypeError, AttributeError) as exc:
+            return error_response(400, "invalid_request", f"not a request: {exc!r}")
+        sequence = self.new_sequence(request, body, prompt)
+        if isinstance(sequence, web.Response):
+            self.rejected += 1
+            return sequence
+        self.accepted += 1
+        self.sequences[sequence.request_id] = sequence
+        self.batcher.submit(sequence)
+        chat = request.path == "/v1/chat/completions"
+        if body.get("stream"):
+            with_usage = bool((body.get("stream_options") or {}).get("include_usage"))
+            return await self.stream(request, sequence, chat, 0, with_usage)
+        sequence.readers += 1
+        try:
+            while not sequence.ended:
+                sequence.changed.clear()
+                await sequence.changed.wait()
+        finally:
+            self.reader_left(sequence)
+        if sequence.generated < sequence.max_tokens:
+            return error_response(409, "cancelled", "the request was cancelled")
+        answer = whole_answer(sequence, chat, self.faults)
+        return web.json_response(answer, headers=self.headers(sequence))
+
+    def new_sequence(
+        self, request: web.Request, body: dict[str, Any], prompt: str
+    ) -> Sequence | web.Response:
+        """Return the sequence for a request, or the refusal."""
+        model = body.get("model", "")
+        tokens = estimate_tokens(prompt)
+        limit = body.get("max_completion_tokens") or body.get("max_tokens")
+        max_tokens = int(limit or self.args.output_tokens)
+        names = request.headers.get("X-KV-Segments", "")
+        segments = [name.strip() for name in names.split(",") if name.strip()]
+        request_id = request.headers.get("X-Request-Id") or secrets.token_hex(8)
+        if model not in self.orders.models:
+            return error_response(404, "model_not_found", f"the model {model!r} is not loaded")
+        if self.faults.take("reject"):
+            return error_response(503, "rejected", "the engine takes no new prompts")
+        if request_id in self.sequences:
+            return error_response(409, "duplicate", f"the request {request_id!r} is known")
+        if segments and not any(name in self.memory.handles for name in segments):
+            return error_response(409, "unknown_handle", "no segment is held by this engine")
+        if not segments and tokens + max_tokens > self.memory.total:
+            return error_response(400, "context_length_exceeded", "longer than the KV memory")
+        if len(self.batcher.waiting) >= self.args.max_waiting:
+            return error_response(429, "queue_full", "too many prompts are waiting")
+        marker = self.faults.get("crash_marker", "")
+        return Sequence(
+            request_id=request_id,
+            completion_id=f"cmpl-{secrets.token_hex(8)}",
+            model=model,
+            hashed_prompt=prompt_hash(prompt),
+            # Each engine of a group computes its own segment of the prompt at the same time.
+            prompt_tokens=tokens // max(1, len(segments)),
+            max_tokens=max_tokens,
+            priority=int(request.headers.get("X-Priority", DEFAULT_PRIORITY)),
+            order=self.arrivals,
+            memory_tokens=0 if segments else tokens + max_tokens,
+            prefix_hashes=[] if segments else prefix_hashes(prompt),
+            marked=bool(marker) and marker in prompt,
+        )
+
+    def headers(self, sequence: Sequence) -> dict[str, str]:
+        """Return the headers of an answer."""
+        foreign = bool(self.faults.values) and self.faults.take("foreign_answer")
+        request_id = "foreign" if foreign else sequence.request_id
+        return {"X-Engine-Boot": self.boot_id, "X-Request-Id": request_id}
+
+    async def stream(
+        self,
+        request: web.Request,
+        sequence: Sequence,
+        chat: bool,
+        start: int,
+        with_usage: bool = False,
+    ) -> web.StreamResponse:
+        """Stream the tokens of a sequence from an index on."""
+        response = web.StreamResponse(headers=self.headers(sequence))
+        response.content_type = "text/event-stream"
+        writer = ChunkWriter(sequence, chat, self.faults)
+        sequence.readers += 1
+        try:
+            await response.prepare(request)
+            await writer.write(request, response, start)
+            if sequence.generated == sequence.max_tokens:
+                last = usage_event(writer) if with_usage else b""
+                await response.write(last + b"data: [DONE]\n\n")
+        except ConnectionResetError:
+            pass
+        finally:
+            self.reader_left(sequence)
+        return response
+
+    def reader_left(self, sequence: Sequence) -> None:
+        """Note since when nobody reads the sequence."""
+        sequence.readers -= 1
+        sequence.unread_since = time.monotonic()
+
+    async def sweep(self) -> None:
+        """End sequences that nobody has read for the resume window."""
+        while True:
+            await asyncio.sleep(SWEEP_INTERVAL_S)
+            oldest = time.monotonic() - self.args.resume_window_ms / 1000
+            for sequence in list(self.sequences.values()):
+                if sequence.readers == 0 and sequence.unread_since < oldest:
+                    self.batcher.cancel(sequence)
+                    self.forget(sequence)
+
+    def forget(self, sequence: Sequence) -> None:
+        """Drop a sequence, but remember whether it ran."""
+        del self.sequences[sequence.request_id]
+        self.forgotten[sequence.request_id] = sequence.ran
+        if len(self.forgotten) > MAX_REMEMBERED_REQUESTS:
+            self.forgotten.popitem(last=False)
+
+    async def cancel(self, request: web.Request) -> web.Response:
+        """Stop a request; one that this boot does not know is reported as possibly run."""
+        request_id = (await request.json())["request_id"]
+        self.cancels += 1
+        sequence = self.sequences.get(request_id)
+        if sequence is None:
+            ran = self.forgotten.get(request_id, True)
+            return web.json_response({"cancelled": False, "ran": ran})
+        cancelled = self.batcher.cancel(sequence)
+        return web.json_response({"cancelled": cancelled, "ran": sequence.ran})
+
+    async def resume(self, request: web.Request) -> web.StreamResponse:
+        """Stream a known request again from a token index on."""
+        body = await request.json()
+        sequence = self.sequences.get(body["request_id"])
+        start = int(body["from_token"])
+        if sequence is None or start > sequence.generated or sequence.phase == "cancelled":
+            return error_response(404, "unknown_request", "the request cannot be resumed")
+        self.resumes += 1
+        return await self.stream(request, sequence, body.get("chat", True), start)
+
+    # Reports
+
+    async def list_models(self, request: web.Request) -> web.Response:
+        """List the loaded models."""
+        models = [{"id": model, "object": "model", "created": 0} for model in self.orders.models]
+        return web.json_response({"object": "list", "data": models})
+
+    def load_report(self) -> dict[str, Any]:
+        """Return the load of this moment."""
+        self.load_seq += 1
+        return {
+            "boot_id": self.boot_id,
+            "seq": self.load_seq,
+            "time_ms": int(time.time() * 1000),
+            "running": self.batcher.running,
+            "waiting": len(self.batcher.waiting),
+            "queued_prefill_tokens": self.batcher.queued_prefill_tokens,
+            "kv_tokens_used": self.memory.used,
+            "kv_tokens_total": self.memory.total,
+            "prefill_tokens_per_s": self.batcher.prefill_rate,
+            "decode_tokens_per_s": self.batcher.decode_rate,
+            "models": list(self.orders.models),
+            "role": self.orders.role,
+            "state": "leaving" if self.faults.get("leaving") else "live",
+        }
+
+    async def record_load(self) -> None:
+        """Record load reports from which the lagging one is chosen."""
+        while True:
+            lag_s = self.faults.get("load_lag_ms", 0) / 1000
+            now = time.monotonic()
+            self.reports.append((now, self.load_report()))
+            while len(self.reports) > 1 and self.reports[1][0] <= now - lag_s:
+                self.reports.pop(0)
+            await asyncio.sleep(max(0.02, lag_s / 4))
+
+    async def report_load(self, request: web.Request) -> web.Response:
+        """Answer with the load of some time ago."""
+        if not self.faults.get("load_lag_ms") or not self.reports:
+            return web.json_response(self.load_report())
+        return web.json_response(self.reports[0][1])
+
+    async def read_cache_events(self, request: web.Request) -> web.Response:
+        """Answer with the visible cache events."""
+        return web.json_response(self.memory.events.read(int(request.query.get("from", "0"))))
+
+    # Memory and orders
+
+    async def hold_memory(self, request: web.Request) -> web.Response:
+        """Reserve, import or export the memory of a handle; the source is not contacted."""
+        body = await request.json()
+        handle, action = body["handle"], request.match_info["action"]
+        if action == "export" and handle not in self.memory.handles:
+            return error_response(404, "unknown_handle", f"the handle {handle!r} is not held")
+        if action == "reserve" and self.faults.take("reject_reservations"):
+            return error_response(409, "insufficient_memory", "refused by a fault")
+        state = {"reserve": "reserved", "import": "imported", "export": "exported"}[action]
+        source = str(body.get("source", ""))
+        if not self.memory.hold(handle, int(body.get("tokens", 0)), state, source):
+            return error_response(409, "insufficient_memory", "the tokens do not fit")
+        tokens = self.memory.handles[handle].tokens
+        return web.json_response({"handle": handle, "tokens": tokens, "state": state})
+
+    async def delete_memory(self, request: web.Request) -> web.Response:
+        """Free the memory of a handle."""
+        held = self.memory.handles.pop(request.match_info["handle"], None)
+        self.batcher.release()
+        return web.json_response({"deleted": held is not None, "boot_id": self.boot_id})
+
+    async def list_memory(self, request: web.Request) -> web.Response:
+        """List all handles with their tokens."""
+        handles = {name: handle.tokens for name, handle in self.memory.handles.items()}
+        return web.json_response({"boot_id": self.boot_id, "handles": handles})
+
+    async def receive_order(self, request: web.Request) -> web.Response:
+        """Apply an order."""
+        status, body = self.orders.apply(await request.json(), bool(self.faults.get("fencing")))
+        return web.json_response(body, status=status)
--- /dev/null
+++ b/packages/standins/src/ibispaddle_standins/engine/streams.py
@@ -0,0 +1,124 @@
+"""Answers of the engine stand-in: event streams and whole bodies."""
+
+import json
+import time
+from typing import Any
+
+from aiohttp import web
+
+from ..answers import token_text
+from ..server import Faults, abort_connection
+from .batching import Phase, Sequence
+
+FOREIGN_ID = "cmpl-foreign"
+FOREIGN_HASH = "f0f0f0f0"
+CHUNK_FAULTS = ("skip_every", "duplicate_every", "foreign_every")
+
+
+class ChunkWriter:
+    """Write the tokens of one sequence as server-sent events."""
+
+    def __init__(self, sequence: Sequence, chat: bool, faults: Faults) -> None:
+        self.sequence = sequence
+        self.faults = faults
+        self.head = json.dumps(
+            {
+                "id": sequence.completion_id,
+                "object": "chat.completion.chunk" if chat else "text_completion",
+                "created": int(time.time()),
+                "model": sequence.model,
+            }
+        )[:-1]
+        self.chat = chat
+
+    def chunk(self, index: int, text: str, reason: str | None, head: str = "") -> str:
+        """Return the event of one token."""
+        if self.chat:
+            role = '"role": "assistant", ' if index == 0 else ""
+            content = f'"delta": {{{role}"content": "{text}"}}'
+        else:
+            content = f'"text": "{text}"'
+        quoted = f'"{reason}"' if reason else "null"
+        return (
+            f'data: {head or self.head}, "choices": [{{"index": 0, "token_index": {index}, '
+            f'{content}, "finish_reason": {quoted}}}]}}\n\n'
+        )
+
+    def token(self, index: int) -> str:
+        """Return the events of the token at an index, with the faults that are switched on."""
+        last = index == self.sequence.max_tokens - 1
+        text = token_text(self.sequence.hashed_prompt, index)
+        event = self.chunk(index, text, "stop" if last else None)
+        if not any(name in self.faults.values for name in CHUNK_FAULTS):
+            return event
+        if self._strikes("skip_every", index):
+            return ""
+        if self._strikes("duplicate_every", index):
+            event += event
+        if self._strikes("foreign_every", index):
+            head = self.head.replace(self.sequence.completion_id, FOREIGN_ID)
+            event += self.chunk(index, token_text(FOREIGN_HASH, index), None, head)
+        return event
+
+    async def write(self, request: web.Request, response: web.StreamResponse, start: int) -> None:
+        """Write all tokens from an index on."""
+        sent = start
+        sequence = self.sequence
+        cut_at = self.faults.get("cut_after_tokens", -1)
+        while True:
+            ready = sequence.generated
+            if cut_at > start and ready >= cut_at:
+                ready = cut_at
+            if sent < ready:
+                events = "".join(self.token(index) for index in range(sent, ready))
+                sent = ready
+                await response.write(events.encode())
+                if sent == cut_at and cut_at > start:
+                    abort_connection(request)
+                    raise ConnectionResetError("connection cut by a fault")
+                continue
+            if sequence.ended:
+                break
+            sequence.changed.clear()
+            await sequence.changed.wait()
+        if sequence.phase is Phase.CANCELLED:
+            await response.write(self.chunk(sent, "", "cancelled").encode())
+
+    def _strikes(self, name: str, index: int) -> bool:
+        every = self.faults.get(name, 0)
+        return bool(every) and index % every == every - 1
+
+
+def usage(sequence: Sequence) -> dict[str, Any]:
+    """Return the usage object of an answer."""
+    return {
+        "prompt_tokens": sequence.prompt_tokens,
+        "completion_tokens": sequence.generated,
+        "total_tokens": sequence.prompt_tokens + sequence.generated,
+        "prompt_tokens_details": {"cached_tokens": sequence.cached_tokens},
+    }
+
+
+def usage_event(writer: ChunkWriter) -> bytes:
+    """Return the event that reports usage after the last token."""
+    counted = json.dumps(usage(writer.sequence))
+    return f'data: {writer.head}, "choices": [], "usage": {counted}}}\n\n'.encode()
+
+
+def whole_answer(sequence: Sequence, chat: bool, faults: Faults) -> dict[str, Any]:
+    """Return the body of an answer that is not streamed."""
+    hashed = FOREIGN_HASH if faults.take("foreign_answer") else sequence.hashed_prompt
+    text = "".join(token_text(hashed, index) for index in range(sequence.generated))
+    choice: dict[str, Any] = {"index": 0, "finish_reason": "stop"}
+    if chat:
+        choice["message"] = {"role": "assistant", "content": text}
+    else:
+        choice["text"] = text
+    return {
+        "id": sequence.completion_id,
+        "object": "chat.completion" if chat else "text_completion",
+        "created": int(time.time()),
+        "model": sequence.model,
+        "choices": [choice],
+        "usage": usage(sequence),
+    }
--- /dev/null
+++ b/packages/standins/src/ibispaddle_standins/server.py
@@ -0,0 +1,152 @@
+"""Common part of all stand-ins: command line, start, faults and state."""
+
+import argparse
+import asyncio
+import json
+import os
+import signal
+import sys
+from collections.abc import Awaitable, Callable, Iterable
+from typing import Any
+
+from aiohttp import web
+
+# A prompt of a million tokens is about 4 MB of text; JSON escapes can multiply its size.
+MAX_BODY_BYTES = 64 * 1024 * 1024
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+class Faults:
+    """Hold the faults that are switched on.
+
+    A value of true stays on until it is switched off with false or null. A whole number counts how
+    often a fault that is consumed with `take` strikes.
+    """
+
+    def __init__(self, known: Iterable[str], initial: dict[str, Any] | None = None) -> None:
+        self.known = frozenset(known)
+        self.values: dict[str, Any] = dict(initial or {})
+
+    def update(self, changes: dict[str, Any]) -> None:
+        """Change some faults; raise `ValueError` for names that the stand-in does not have."""
+        unknown = sorted(set(changes) - self.known)
+        if unknown:
+            raise ValueError(f"unknown faults {unknown}; known: {sorted(self.known)}")
+        self.values |= changes
+
+    def get(self, name: str, default: Any = None) -> Any:
+        """Return the value of a fault, or the default when it is off."""
+        value = self.values.get(name)
+        return default if value is None else value
+
+    def take(self, name: str) -> bool:
+        """Return whether the fault strikes now, and use up one of its strikes."""
+        value = self.values.get(name)
+        if isinstance(value, int) and not isinstance(value, bool):
+            self.values[name] = max(0, value - 1)
+        return bool(value)
+
+
+class StandIn:
+    """Base of the stand-ins."""
+
+    name = ""
+    known_faults: tuple[str, ...] = ()
+
+    def __init__(self, args: argparse.Namespace) -> None:
+        self.args = args
+        self.faults = Faults(self.known_faults)
+
+    @classmethod
+    def add_arguments(cls, parser: argparse.ArgumentParser) -> None:
+        """Add the options of the stand-in."""
+
+    def add_routes(self, router: web.UrlDispatcher) -> None:
+        """Register the handlers of the interface."""
+
+    def state(self) -> dict[str, Any]:
+        """Return the counters that `GET /admin/state` shows."""
+        return {}
+
+    async def started(self) -> None:
+        """Start background work."""
+
+    def faults_changed(self) -> None:
+        """React to changed faults."""
+
+    async def intercept(self, request: web.Request, handler: Handler) -> web.StreamResponse:
+        """Handle a request that is not an admin request."""
+        return await handler(request)
+
+
+def abort_connection(request: web.Request) -> None:
+    """Close the request's connection without an answer."""
+    if request.transport is not None:
+        request.transport.abort()
+
+
+def build_app(stand_in: StandIn) -> web.Application:
+    """Return the application that serves the stand-in."""
+
+    @web.middleware
+    async def faults(request: web.Request, handler: Handler) -> web.StreamResponse:
+        if request.path.startswith("/admin/"):
+            return await handler(request)
+        return await stand_in.intercept(request, handler)
+
+    async def change_faults(request: web.Request) -> web.Response:
+        try:
+            stand_in.faults.update(await request.json())
+        except ValueError as exc:
+            return web.json_response({"error": str(exc)}, status=400)
+        stand_in.faults_changed()
+        return web.json_response(stand_in.faults.values)
+
+    async def show_state(request: web.Request) -> web.Response:
+        return web.json_response(stand_in.state() | {"faults": stand_in.faults.values})
+
+    app = web.Application(client_max_size=MAX_BODY_BYTES, middlewares=[faults])
+    app.router.add_post("/admin/faults", change_faults)
+    app.router.add_get("/admin/state", show_state)
+    stand_in.add_routes(app.router)
+    return app
+
+
+async def serve(stand_in: StandIn) -> None:
+    """Serve until a signal to end, or until standard input closes if that was asked for."""
+    ended = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, ended.set)
+    if stand_in.args.end_with_stdin:
+        loop.add_reader(sys.stdin.fileno(), _end_at_eof, ended)
+    runner = web.AppRunner(
+        build_app(stand_in), handler_cancellation=True, access_log=None, shutdown_timeout=0.5
+    )
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", stand_in.args.port, backlog=1024)
+    await site.start()
+    await stand_in.started()
+    port = runner.addresses[0][1]
+    print(json.dumps({"port": port, "pid": os.getpid()}), flush=True)
+    await ended.wait()
+    await runner.cleanup()
+
+
+def _end_at_eof(ended: asyncio.Event) -> None:
+    if not os.read(sys.stdin.fileno(), 4096):
+        ended.set()
+
+
+def main(stand_in_class: type[StandIn]) -> None:
+    """Parse the command line and serve the stand-in."""
+    parser = argparse.ArgumentParser(prog=f"ibispaddle_standins.{stand_in_class.name}")
+    parser.add_argument("--port", type=int, default=0, help="TCP port; 0: chosen by the system")
+    parser.add_argument(
+        "--end-with-stdin",
+        action="store_true",
+        help="end when standard input closes, so that no process outlives the one that started it",
+    )
+    stand_in_class.add_arguments(parser)
+    asyncio.run(serve(stand_in_class(parser.parse_args())))
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the stand-ins: other tests rely on their faults and counters."""
--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""Support of tests with real processes."""
--- /dev/null
+++ b/tests/support/http.py
@@ -0,0 +1,83 @@
+"""Small HTTP client for tests with real processes."""
+
+import http.client
+import json
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any
+
+
+@dataclass
+class Answer:
+    """The answer to one call."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def json(self) -> Any:
+        """Return the parsed body."""
+        return json.loads(self.body)
+
+
+def call(
+    port: int,
+    method: str,
+    path: str,
+    body: Any = None,
+    headers: dict[str, str] | None = None,
+    timeout_s: float = 20.0,
+) -> Answer:
+    """Make one call; a body that is not bytes is sent as JSON."""
+    conn = http.client.HTTPConnection("127.0.0.1", port, timeout=timeout_s)
+    try:
+        data = body if body is None or isinstance(body, bytes) else json.dumps(body).encode()
+        conn.request(method, path, data, headers or {})
+        response = conn.getresponse()
+        names = {name.lower(): value for name, value in response.getheaders()}
+        return Answer(response.status, names, response.read())
+    finally:
+        conn.close()
+
+
+class EventStream:
+    """Read a streamed completion; usable as a context manager and iterator of JSON events."""
+
+    def __init__(
+        self,
+        port: int,
+        path: str,
+        body: Any,
+        headers: dict[str, str] | None = None,
+        timeout_s: float = 20.0,
+    ) -> None:
+        self.conn = http.client.HTTPConnection("127.0.0.1", port, timeout=timeout_s)
+        self.conn.request("POST", path, json.dumps(body).encode(), headers or {})
+        self.response = self.conn.getresponse()
+        self.done = False
+
+    def __enter__(self) -> "EventStream":
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self.conn.close()
+        self.response.close()
+
+    def __iter__(self) -> Iterator[Any]:
+        for line in self.response:
+            if not line.startswith(b"data: "):
+                continue
+            data = line[6:].strip()
+            if data == b"[DONE]":
+                self.done = True
+                return
+            yield json.loads(data)
+
+    def text(self) -> str:
+        """Return the text of all chunks that remain."""
+        parts = []
+        for event in self:
+            for choice in event["choices"]:
+                parts.append(choice.get("text") or choice.get("delta", {}).get("content") or "")
+        return "".join(parts)
