--- /dev/null
+++ b/packages/daemon/src/ibispaddle_daemon/http_client.py
@@ -0,0 +1,253 @@
+"""Non-blocking HTTP client: pooled connections, deadlines, cancel, pause and resume."""
+
+from collections import defaultdict, deque
+from dataclasses import dataclass, field
+from urllib.parse import urlsplit
+
+import h11
+from circuits import BaseComponent, Event, handler
+from ibispaddle_core.clock import Clock, SystemClock
+
+from .events import (
+    CallFailure,
+    Headers,
+    HttpCall,
+    HttpCallError,
+    call_completed,
+    call_data,
+    call_ended,
+    call_head,
+    call_sent,
+)
+from .http_connection import HttpConnection
+from .timers import TimerHandle, TimerQueue
+
+CONNECT_TIMEOUT_MS = 2_000
+# Shorter than the 75 s after which common servers close an idle connection.
+IDLE_TIMEOUT_MS = 30_000
+MAX_IDLE_PER_ADDRESS = 64
+MAX_CONNECTIONS = 8_000
+MAX_WHOLE_BODY_BYTES = 33_554_432
+
+
+@dataclass
+class _Running:
+    """Bind a call to the connection that carries it."""
+
+    call: HttpCall
+    conn: HttpConnection | None = None
+    status: int = 0
+    headers: Headers = ()
+    parts: list[bytes] = field(default_factory=list)
+    size: int = 0
+    timers: list[TimerHandle] = field(default_factory=list)
+
+
+class HttpClient(BaseComponent):
+    """Carry out `http_call` events.
+
+    Every call gets exactly one final event, `call_completed` or `call_ended`, at its deadline at the
+    latest. A connection is reused only after a complete response.
+    """
+
+    channel = "http_client"
+
+    def __init__(self, clock: Clock | None = None) -> None:
+        super().__init__()
+        self._clock = clock or SystemClock()
+        self._timers = TimerQueue(self._clock).register(self)
+        self._calls: dict[str, _Running] = {}
+        self._carried: dict[HttpConnection, _Running] = {}
+        self._idle: defaultdict[tuple[str, int], deque[HttpConnection]] = defaultdict(deque)
+        self._expiring: set[tuple[str, int]] = set()
+        self._closed: list[HttpConnection] = []
+        self._connections = 0
+
+    @property
+    def calls_in_flight(self) -> int:
+        """Return the number of calls without a final event."""
+        return len(self._calls)
+
+    @property
+    def open_connections(self) -> int:
+        """Return the number of connections that carry a call or are kept for reuse."""
+        return self._connections - len(self._closed)
+
+    @handler("http_call")
+    def _on_http_call(self, call: HttpCall) -> None:
+        running = _Running(call)
+        if call.call_id in self._calls:
+            raise ValueError(f"call id '{call.call_id}' is in use")
+        self._calls[call.call_id] = running
+        now_ms = self._clock.now_ms()
+        if call.deadline_ms <= now_ms:
+            self._end(running, CallFailure.TIMEOUT, "the deadline passed before the call began")
+            return
+        running.timers.append(self._timers.at(call.deadline_ms, lambda: self._expire(running)))
+        try:
+            parts = urlsplit(call.url)
+            address = (parts.hostname or "", parts.port or 80)
+            if parts.scheme != "http" or not address[0]:
+                raise ValueError("an http:// URL with an address is expected")
+        except ValueError as exc:
+            self._end(running, CallFailure.PROTOCOL, f"URL '{call.url}': {exc}")
+            return
+        target = parts.path or "/"
+        target += f"?{parts.query}" if parts.query else ""
+        headers: Headers = (("Host", parts.netloc), *call.headers)
+        if call.body or call.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
+            headers += (("Content-Length", str(len(call.body))),)
+        conn = self._take(address)
+        if conn is None:
+            self._end(running, CallFailure.BUSY, f"{MAX_CONNECTIONS} connections are in use")
+            return
+        running.conn = conn
+        self._carried[conn] = running
+        if not conn.is_open:
+            limit_ms = now_ms + CONNECT_TIMEOUT_MS
+            running.timers.append(self._timers.at(limit_ms, lambda: self._give_up(running)))
+            conn.open(address)
+        if running.conn is conn:
+            try:
+                conn.send_request(call.method, target, headers, call.body)
+            except h11.LocalProtocolError as exc:
+                self._end(running, CallFailure.PROTOCOL, f"the request is not valid: {exc}")
+
+    @handler("http_cancel")
+    def _on_http_cancel(self, call_id: str) -> None:
+        if running := self._calls.get(call_id):
+            self._end(running, CallFailure.CANCELLED, "the call was cancelled")
+
+    @handler("http_pause")
+    def _on_http_pause(self, call_id: str) -> None:
+        running = self._calls.get(call_id)
+        if running is not None and running.conn is not None:
+            running.conn.pause()
+
+    @handler("http_resume")
+    def _on_http_resume(self, call_id: str) -> None:
+        running = self._calls.get(call_id)
+        if running is not None and running.conn is not None:
+            running.conn.resume()
+
+    def _take(self, address: tuple[str, int]) -> HttpConnection | None:
+        idle = self._idle[address]
+        oldest_ms = self._clock.now_ms() - IDLE_TIMEOUT_MS
+        while idle:
+            conn = idle.pop()  # The most recently used one, so that the others can expire.
+            if conn.idle_since_ms >= oldest_ms and conn.is_reusable():
+                return conn
+            conn.shut()
+            self._closed.append(conn)
+        if self._closed:
+            return self._closed.pop()
+        if self._connections >= MAX_CONNECTIONS:
+            return None
+        self._connections += 1
+        return HttpConnection(self).register(self)
+
+    def _expire(self, running: _Running) -> None:
+        self._end(running, CallFailure.TIMEOUT, "the deadline passed")
+
+    def _give_up(self, running: _Running) -> None:
+        if running.conn is not None and not running.conn.connected:
+            text = f"no connection within {CONNECT_TIMEOUT_MS} ms"
+            self._end(running, CallFailure.UNREACHABLE, text)
+
+    def _end(self, running: _Running, failure: CallFailure | None = None, text: str = "") -> None:
+        """Release the call's connection and fire the final event."""
+        call, conn = running.call, running.conn
+        if self._calls.get(call.call_id) is not running:
+            return
+        byte_sent = False
+        del self._calls[call.call_id]
+        for timer in running.timers:
+            timer.cancel()
+        if conn is not None:
+            byte_sent = conn.byte_sent
+            running.conn = None
+            self._carried.pop(conn, None)
+            if failure is not None:
+                conn.shut()
+            self._store(conn)
+        error = None if failure is None else HttpCallError(failure, text, byte_sent)
+        event: Event
+        if call.stream:
+            event = call_ended(call.call_id, error)
+        else:
+            body = b"".join(running.parts)
+            event = call_completed(call.call_id, running.status, running.headers, body, error)
+        self.fire(event, call.channel)
+
+    def _store(self, conn: HttpConnection) -> None:
+        idle = self._idle[conn.address]
+        if not conn.is_open:
+            self._closed.append(conn)
+            return
+        conn.idle_since_ms = self._clock.now_ms()
+        idle.append(conn)
+        if len(idle) > MAX_IDLE_PER_ADDRESS:
+            oldest = idle.popleft()
+            oldest.shut()
+            self._closed.append(oldest)
+        if conn.address not in self._expiring:
+            self._expiring.add(conn.address)
+            self._timers.after(IDLE_TIMEOUT_MS, lambda: self._drop_idle(conn.address))
+
+    def _drop_idle(self, address: tuple[str, int]) -> None:
+        idle = self._idle[address]
+        now_ms = self._clock.now_ms()
+        while idle and idle[0].idle_since_ms + IDLE_TIMEOUT_MS <= now_ms:
+            conn = idle.popleft()
+            conn.shut()
+            self._closed.append(conn)
+        if idle:
+            due_ms = idle[0].idle_since_ms + IDLE_TIMEOUT_MS
+            self._timers.at(due_ms, lambda: self._drop_idle(address))
+        else:
+            self._expiring.discard(address)
+            del self._idle[address]
+
+    # Reports of the connections.
+
+    def request_sent(self, conn: HttpConnection) -> None:
+        """Pass on that the first byte was written."""
+        running = self._carried.get(conn)
+        if running and running.call.stream:
+            self.fire(call_sent(running.call.call_id), running.call.channel)
+
+    def head_received(self, conn: HttpConnection, status: int, headers: Headers) -> None:
+        """Pass on or keep the response's head."""
+        if running := self._carried.get(conn):
+            running.status, running.headers = status, headers
+            if running.call.stream:
+                self.fire(call_head(running.call.call_id, status, headers), running.call.channel)
+
+    def data_received(self, conn: HttpConnection, data: bytes) -> None:
+        """Pass on or collect a part of the body."""
+        running = self._carried.get(conn)
+        if running is None:
+            return
+        if running.call.stream:
+            self.fire(call_data(running.call.call_id, data), running.call.channel)
+            return
+        running.parts.append(data)
+        running.size += len(data)
+        if running.size > MAX_WHOLE_BODY_BYTES:
+            text = f"the response exceeds {MAX_WHOLE_BODY_BYTES} bytes"
+            self._end(running, CallFailure.TOO_LARGE, text)
+
+    def response_completed(self, conn: HttpConnection) -> None:
+        """End the call after its complete response."""
+        if running := self._carried.get(conn):
+            self._end(running)
+
+    def connection_failed(self, conn: HttpConnection, failure: CallFailure, text: str) -> None:
+        """End the call, or forget an idle connection that the upstream closed."""
+        if running := self._carried.get(conn):
+            self._end(running, failure, text)
+            return
+        idle = self._idle.get(conn.address)
+        if idle and conn in idle:
+            idle.remove(conn)
+            self._closed.append(conn)
--- /dev/null
+++ b/packages/daemon/src/ibispaddle_daemon/http_connection.py
@@ -0,0 +1,285 @@
+"""One client connection: a circuits `TCPClient` that speaks HTTP/1.1 through h11."""
+
+import itertools
+import os
+import socket
+from errno import EAGAIN, EINPROGRESS, EINTR, EWOULDBLOCK
+from typing import Any, Protocol
+
+import h11
+from circuits import handler
+from circuits.core.pollers import BasePoller
+from circuits.core.utils import findcmp
+from circuits.net.sockets import TCPClient
+
+from .events import CallFailure, Headers
+
+READ_BYTES = 65_536
+_NUMBERS = itertools.count(1)
+_RETRY = (EAGAIN, EWOULDBLOCK, EINTR)
+# Bound of a response head; the listener has the same bound for requests.
+MAX_HEAD_BYTES = 65_536
+
+
+class ConnectionListener(Protocol):
+    """Receive the reports of a connection."""
+
+    def request_sent(self, conn: "HttpConnection") -> None:
+        """Report the first byte written."""
+
+    def head_received(self, conn: "HttpConnection", status: int, headers: Headers) -> None:
+        """Report the response's head."""
+
+    def data_received(self, conn: "HttpConnection", data: bytes) -> None:
+        """Report a part of the response's body."""
+
+    def response_completed(self, conn: "HttpConnection") -> None:
+        """Report a complete response."""
+
+    def connection_failed(self, conn: "HttpConnection", failure: CallFailure, text: str) -> None:
+        """Report that the connection ended outside this protocol."""
+
+
+class HttpConnection(TCPClient):
+    """Carry one call at a time and report to its listener.
+
+    The component stays registered and opens a new socket for each connection, because registering
+    a component empties the dispatch cache of circuits. Events of an earlier socket are ignored.
+    """
+
+    _sock: Any
+    _poller: Any
+
+    def __init__(self, listener: ConnectionListener) -> None:
+        super().__init__(channel=f"http_connection_{next(_NUMBERS)}")
+        self._sock.close()
+        self._listener = listener
+        self._output = bytearray()
+        self._connecting = False
+        self._paused = False
+        self._broken = False
+        self._http: Any = None
+        self.address = ("", 0)
+        self.idle_since_ms = 0
+        self.byte_sent = False
+
+    def open(self, address: tuple[str, int]) -> None:
+        """Begin to connect; the result is reported to the listener."""
+        if self._poller is None:
+            self._poller = findcmp(self.root, BasePoller)
+        self.address = address
+        self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self._output.clear()
+        self._paused = False
+        self._broken = False
+        self.byte_sent = False
+        self._sock = self._create_socket()
+        self._connecting = True
+        status = self._sock.connect_ex(address)
+        if status == 0:
+            self._connecting, self._connected = False, True
+            self._poller.addReader(self, self._sock)
+        elif status == EINPROGRESS:
+            self._poller.addWriter(self, self._sock)
+        else:
+            self._fail(CallFailure.UNREACHABLE, os.strerror(status))
+
+    def send_request(self, method: str, target: str, headers: Headers, body: bytes) -> None:
+        """Queue a request; it is written as soon as the connection is open.
+
+        Raises `h11.LocalProtocolError` if the request is not valid HTTP.
+        """
+        self.byte_sent = False
+        head = self._http.send(h11.Request(method=method, target=target, headers=list(headers)))
+        self._output += head
+        if body:
+            self._output += self._http.send(h11.Data(data=body))
+        self._output += self._http.send(h11.EndOfMessage())
+        if not self._connecting:
+            self._write_output()
+
+    def is_reusable(self) -> bool:
+        """Return whether an idle connection is still open and silent.
+
+        Testing the socket finds a connection that the upstream closed while it was idle, which
+        would otherwise leave the run state of the next request unknown.
+        """
+        try:
+            self._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return self._http.our_state is h11.IDLE
+        except OSError:
+            return False
+        return False
+
+    def pause(self) -> None:
+        """Stop reading."""
+        if not self._paused and self.is_open:
+            self._paused = True
+            if not self._connecting:
+                self._poller.removeReader(self._sock)
+
+    def resume(self) -> None:
+        """Continue reading."""
+        if self._paused and self.is_open:
+            self._paused = False
+            if not self._connecting:
+                self._poller.addReader(self, self._sock)
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether the connection has a socket."""
+        return self._connecting or self._connected
+
+    def shut(self) -> None:
+        """Close the socket without a report."""
+        if self.is_open:
+            self._poller.discard(self._sock)
+            self._connecting = self._connected = False
+            self._sock.close()
+        self._output.clear()
+
+    def _fail(self, failure: CallFailure, text: str) -> None:
+        self.shut()
+        self._listener.connection_failed(self, failure, text)
+
+    @handler("close", override=True)
+    def close(self) -> None:
+        """Close the socket when the process stops."""
+        self.shut()
+
+    def _close(self) -> None:
+        self.shut()
+
+    @handler("_disconnect", priority=1)
+    def _Client__on_disconnect(self, sock: Any) -> None:  # noqa: N802
+        if sock is not self._sock or not self.is_open:
+            return
+        if self._connecting:
+            status = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            self._fail(CallFailure.UNREACHABLE, os.strerror(status))
+        else:
+            self._fail(CallFailure.CLOSED, "the connection was reset")
+
+    @handler("_write", priority=1)
+    def _Client__on_write(self, sock: Any) -> None:  # noqa: N802
+        if sock is not self._sock or not self.is_open:
+            return
+        if self._connecting:
+            status = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if status:
+                self._fail(CallFailure.UNREACHABLE, os.strerror(status))
+                return
+            self._connecting, self._connected = False, True
+            if not self._paused:
+                self._poller.addReader(self, sock)
+        self._write_output()
+
+    def _write_output(self) -> None:
+        if not self._connected:
+            return
+        while self._output:
+            # 1 MiB at a time keeps other connections served while a long prompt is written.
+            piece = memoryview(self._output)[:1_048_576]
+            try:
+                count = self._sock.send(piece)
+            except OSError as exc:
+                if exc.errno in _RETRY:
+                    break
+                # The upstream may have answered before it closed, so the answer is read first.
+                self._broken = True
+                self._output = bytearray()
+                self._receive()
+                if self._connected:
+                    self._fail(CallFailure.CLOSED, str(exc))
+                return
+            finally:
+                piece.release()
+            del self._output[:count]
+            if not self.byte_sent:
+                self.byte_sent = True
+                self._listener.request_sent(self)
+                if not self._connected:
+                    return
+            if count < 1_048_576 and self._output:
+                break
+        writing = self._poller.isWriting(self._sock)
+        if self._output and not writing:
+            self._poller.addWriter(self, self._sock)
+        elif not self._output and writing:
+            self._poller.removeWriter(self._sock)
+
+    @handler("_read", priority=1)
+    def _Client__on_read(self, sock: Any) -> None:  # noqa: N802
+        if sock is self._sock and self._connected and not self._paused:
+            self._receive()
+
+    def _receive(self) -> None:
+        try:
+            data = self._sock.recv(READ_BYTES)
+        except OSError as exc:
+            if exc.errno not in _RETRY:
+                self._fail(CallFailure.CLOSED, str(exc))
+            return
+        if self._http.our_state is h11.IDLE:
+            self._fail(CallFailure.CLOSED, "the idle connection ended")
+            return
+        try:
+            self._http.receive_data(data)
+            self._deliver()
+        except h11.RemoteProtocolError as exc:
+            # h11 reports a connection that ends within a message as a protocol error.
+            failure = CallFailure.PROTOCOL if data else CallFailure.CLOSED
+            self._fail(failure, str(exc))
+
+    def _deliver(self) -> None:
+        parts: list[bytes] = []
+        while True:
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError:
+                self._flush(parts)
+                raise
+            match event:
+                case h11.Data():
+                    parts.append(bytes(event.data))
+                case h11.Response():
+                    headers = tuple(
+                        (k.decode("ascii"), v.decode("latin-1")) for k, v in event.headers
+                    )
+                    self._listener.head_received(self, event.status_code, headers)
+                case h11.InformationalResponse():
+                    pass
+                case h11.EndOfMessage():
+                    self._flush(parts)
+                    self._finish()
+                    return
+                case _:
+                    break
+            if not self._connected:
+                return
+        self._flush(parts)
+
+    def _flush(self, parts: list[bytes]) -> None:
+        if parts and self._connected:
+            self._listener.data_received(self, parts[0] if len(parts) == 1 else b"".join(parts))
+            parts.clear()
+
+    def _finish(self) -> None:
+        if not self._connected:
+            return
+        http = self._http
+        reusable = (
+            not self._output
+            and not self._broken
+            and not self._paused
+            and http.our_state is h11.DONE
+            and http.their_state is h11.DONE
+            and not http.trailing_data[0]
+            and not http.trailing_data[1]
+        )
+        if reusable:
+            http.start_next_cycle()
+        else:
+            self.shut()
+        self._listener.response_completed(self)
--- /dev/null
+++ b/tests/chat/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the chat-completions protocol."""
--- /dev/null
+++ b/tests/daemon/test_http_client.py
@@ -0,0 +1,237 @@
+"""Tests of the HTTP client against upstreams that write raw bytes."""
+
+import socket
+import struct
+import time
+import unittest
+
+from ibispaddle_core.clock import SystemClock
+from ibispaddle_daemon.events import (
+    CallFailure,
+    HttpCall,
+    http_call,
+    http_cancel,
+    http_pause,
+    http_resume,
+)
+from ibispaddle_daemon.http_client import HttpClient
+
+from .support import RawUpstream, Recorder, Root, read_request, wait_until
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+class HttpClientTest(unittest.TestCase):
+    def setUp(self):
+        self.client = HttpClient()
+        self.recorder = Recorder()
+        self.root = self.enterContext(Root(self.client, self.recorder))
+
+    def upstream(self, script):
+        upstream = RawUpstream(script)
+        self.addCleanup(upstream.close)
+        return upstream
+
+    def call(self, address, call_id, *, stream=False, timeout_ms=8_000, body=b"", method="POST"):
+        deadline = SystemClock().now_ms() + timeout_ms
+        url = f"http://{address}/path?x=1"
+        call = HttpCall(call_id, method, url, (("X-A", "b"),), body, deadline, "test", stream)
+        self.root.fire(http_call(call), "http_client")
+
+    def final(self, call_id):
+        """Return the call's only final event."""
+        names = ("call_completed", "call_ended")
+        wait_until(lambda: any(e[0] in names for e in self.recorder.of(call_id)), call_id)
+        return [e for e in self.recorder.of(call_id) if e[0] in names][0]
+
+    def test_complete_response_keeps_the_connection(self):
+        """Guard against a connection per request."""
+
+        def script(conn, number):
+            while read_request(conn)[0]:
+                conn.sendall(OK)
+
+        upstream = self.upstream(script)
+        for call_id in ("a", "b", "c"):
+            self.call(upstream.address, call_id, body=b"x" * 300_000)
+            name, status, _, body, error = self.final(call_id)
+            self.assertEqual((name, status, body, error), ("call_completed", 200, b"hi", None))
+        self.assertEqual(upstream.connections, 1)
+
+    def test_request_bytes(self):
+        """Guard against a lost query, header or body."""
+        seen = []
+
+        def script(conn, number):
+            seen.append(read_request(conn))
+            conn.sendall(OK)
+
+        self.call(self.upstream(script).address, "a", body=b"content")
+        self.final("a")
+        head, body = seen[0]
+        self.assertTrue(head.startswith(b"POST /path?x=1 HTTP/1.1\r\n"))
+        self.assertIn(b"\r\nX-A: b", head)
+        self.assertEqual(body, b"content")
+
+    def test_streamed_response_in_single_bytes(self):
+        """Guard against body bytes that are lost at the borders of reads."""
+
+        def script(conn, number):
+            read_request(conn)
+            for byte in CHUNKED + b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n":
+                conn.sendall(bytes([byte]))
+
+        self.call(self.upstream(script).address, "a", stream=True)
+        self.assertEqual(self.final("a"), ("call_ended", None))
+        events = self.recorder.of("a")
+        self.assertEqual([e[0] for e in events[:2]], ["call_sent", "call_head"])
+        self.assertEqual(b"".join(e[1] for e in events if e[0] == "call_data"), b"abcde")
+
+    def test_refused_connection_sent_no_byte(self):
+        """Guard against an unknown run state when nothing can have run."""
+        with socket.create_server(("127.0.0.1", 0)) as sock:
+            address = "{}:{}".format(*sock.getsockname())
+        self.call(address, "a")
+        error = self.final("a")[4]
+        self.assertEqual((error.failure, error.byte_sent), (CallFailure.UNREACHABLE, False))
+
+    def test_reset_after_the_request_sent_bytes(self):
+        """Guard against `not_run` for a request that the upstream may have read."""
+
+        def script(conn, number):
+            read_request(conn)
+            conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+        self.call(self.upstream(script).address, "a", stream=True)
+        error = self.final("a")[1]
+        self.assertEqual((error.failure, error.byte_sent), (CallFailure.CLOSED, True))
+
+    def test_close_within_the_body_is_an_error(self):
+        """Guard against a cut answer that looks complete."""
+
+        def script(conn, number):
+            read_request(conn)
+            conn.sendall(CHUNKED + b"3\r\nabc\r\n")
+
+        self.call(self.upstream(script).address, "a", stream=True)
+        self.assertEqual(self.final("a")[1].failure, CallFailure.CLOSED)
+        self.assertIn(("call_data", b"abc"), self.recorder.of("a"))
+
+    def test_garbage_is_a_protocol_error(self):
+        """Guard against an upstream that speaks no HTTP."""
+
+        def script(conn, number):
+            read_request(conn)
+            conn.sendall(b"\x00\x01garbage\r\n\r\n")
+
+        self.call(self.upstream(script).address, "a")
+        self.assertEqual(self.final("a")[4].failure, CallFailure.PROTOCOL)
+
+    def test_late_answer_does_not_reach_the_next_call(self):
+        """Guard against an answer that arrives after its call's deadline on a reused connection."""
+
+        def script(conn, number):
+            while read_request(conn)[0]:
+                if number == 0:
+                    time.sleep(0.2)
+                    conn.sendall(OK.replace(b"hi", b"no"))
+                else:
+                    conn.sendall(OK)
+
+        upstream = self.upstream(script)
+        self.call(upstream.address, "late", timeout_ms=50)
+        error = self.final("late")[4]
+        self.assertEqual((error.failure, error.byte_sent), (CallFailure.TIMEOUT, True))
+        self.call(upstream.address, "next")
+        self.assertEqual(self.final("next")[3], b"hi")
+        self.assertEqual(upstream.connections, 2)
+
+    def test_cancelled_call_closes_its_connection(self):
+        """Guard against an upstream that computes for a caller that left."""
+        closed = []
+
+        def script(conn, number):
+            read_request(conn)
+            conn.sendall(CHUNKED)
+            closed.append(conn.recv(1))
+
+        self.call(self.upstream(script).address, "a", stream=True)
+        wait_until(lambda: len(self.recorder.of("a")) >= 2, "head")
+        self.root.fire(http_cancel("a"), "http_client")
+        self.assertEqual(self.final("a")[1].failure, CallFailure.CANCELLED)
+        wait_until(lambda: closed == [b""], "close")
+        self.assertEqual(self.client.calls_in_flight, 0)
+
+    def test_closed_idle_connection_is_not_reused(self):
+        """Guard against a request on a connection that the upstream closed while it was idle."""
+
+        def script(conn, number):
+            read_request(conn)
+            conn.sendall(OK)
+
+        upstream = self.upstream(script)
+        for call_id in ("a", "b"):
+            self.call(upstream.address, call_id)
+            self.assertIsNone(self.final(call_id)[4])
+            wait_until(lambda: self.client.open_connections == 0, "closed connection")
+        self.assertEqual(upstream.connections, 2)
+
+    def test_bytes_after_a_response_do_not_reach_the_next_call(self):
+        """Guard against a second answer that an upstream writes without a request."""
+
+        def script(conn, number):
+            while read_request(conn)[0]:
+                conn.sendall(OK + (OK.replace(b"hi", b"no") if number == 0 else b""))
+
+        upstream = self.upstream(script)
+        self.call(upstream.address, "a")
+        self.assertEqual(self.final("a")[3], b"hi")
+        self.call(upstream.address, "b")
+        self.assertEqual(self.final("b")[3], b"hi")
+        self.assertEqual(upstream.connections, 2)
+
+    def test_pause_stops_reading(self):
+        """Guard against unbounded memory when a caller reads slowly."""
+        sent = [0]
+
+        def script(conn, number):
+            read_request(conn)
+            conn.sendall(CHUNKED)
+            conn.settimeout(0.3)
+            chunk = b"%x\r\n%s\r\n" % (65_536, b"x" * 65_536)
+            try:
+                while sent[0] < 400:
+                    conn.sendall(chunk)
+                    sent[0] += 1
+            except TimeoutError:
+                sent.append(0)
+                time.sleep(10)
+
+        self.call(self.upstream(script).address, "a", stream=True)
+        wait_until(lambda: len(self.recorder.of("a")) >= 2, "head")
+        self.root.fire(http_pause("a"), "http_client")
+        wait_until(lambda: len(sent) > 1, "blocked upstream")
+        before = len(self.recorder.of("a"))
+        self.root.fire(http_resume("a"), "http_client")
+        wait_until(lambda: len(self.recorder.of("a")) > before, "data after resume")
+
+    def test_many_calls_at_once_get_their_own_answers(self):
+        """Guard against answers that are mixed up between connections."""
+
+        def script(conn, number):
+            while True:
+                head, body = read_request(conn)
+                if not head:
+                    return
+                conn.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+
+        upstream = self.upstream(script)
+        for number in range(200):
+            self.call(upstream.address, f"c{number}", body=b"%d" % number)
+        for number in range(200):
+            self.assertEqual(self.final(f"c{number}")[3], b"%d" % number)
+
+
+if __name__ == "__main__":
+    unittest.main()
