Added the chat-completions protocol and the relay's state machine

Cause: callers need validated requests and errors in the protocol's form, and an answer may only contain its own tokens in order. Change: parsing, error bodies, estimates and hashes in chat; in relay a parser of server-sent events and the state machine of one attempt, which checks request id, completion id, token index and end marker.

--- /dev/null
+++ b/packages/core/src/ibispaddle_core/chat/__init__.py
@@ -0,0 +1,23 @@
+"""Chat-completions protocol: requests, error bodies, server-sent events, estimates and hashes."""
+
+from .errors import ProtocolError, error_body, error_event, refusal_error
+from .exceptions import ChatError
+from .hashes import content_fingerprint, prefix_hashes
+from .models import models_body
+from .requests import CompletionRequest, Kind, parse_request
+from .tokens import estimate_tokens
+
+__all__ = [
+    "ChatError",
+    "CompletionRequest",
+    "Kind",
+    "ProtocolError",
+    "content_fingerprint",
+    "error_body",
+    "error_event",
+    "estimate_tokens",
+    "models_body",
+    "parse_request",
+    "prefix_hashes",
+    "refusal_error",
+]
--- /dev/null
+++ b/packages/core/src/ibispaddle_core/chat/errors.py
@@ -0,0 +1,80 @@
+"""Errors in the JSON form of the protocol."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from ..runstate import RunState
+from ..scheduling.messages import RefusalReason
+
+
+@dataclass(frozen=True)
+class ProtocolError:
+    """Describe the end of a request that got no answer.
+
+    `status` is the HTTP status; `code` is stable and meant for programs.
+    """
+
+    status: int
+    code: str
+    message: str
+    run_state: RunState = RunState.NOT_RUN
+    param: str | None = None
+    retry_after_ms: int = 0
+
+    @property
+    def type(self) -> str:
+        """Return the protocol's class of error."""
+        return _TYPES.get(self.status, "server_error" if self.status >= 500 else _INVALID)
+
+
+_INVALID = "invalid_request_error"
+_TYPES = {
+    401: "authentication_error",
+    403: "permission_error",
+    429: "rate_limit_error",
+    503: "overloaded_error",
+    504: "timeout_error",
+}
+
+_REFUSALS: dict[RefusalReason, tuple[int, str, str]] = {
+    RefusalReason.DEADLINE: (504, "deadline", "The request cannot end within its allotted time."),
+    RefusalReason.QUEUE_FULL: (429, "queue_full", "Too many requests are queued."),
+    RefusalReason.NO_UPSTREAM: (503, "no_upstream", "No engine for this model is available."),
+    RefusalReason.TOO_LARGE: (400, "context_length_exceeded", "The prompt is too long."),
+    RefusalReason.UPSTREAM_FAILED: (502, "upstream_failed", "The engine failed."),
+    RefusalReason.CANCELLED: (499, "cancelled", "The caller left."),
+    RefusalReason.DRAINING: (503, "draining", "The instance is being stopped."),
+}
+
+
+def refusal_error(
+    reason: RefusalReason, run_state: RunState, retry_after_ms: int = 0
+) -> ProtocolError:
+    """Return the error for a refusal of the scheduler."""
+    status, code, message = _REFUSALS[reason]
+    return ProtocolError(status, code, message, run_state, None, retry_after_ms)
+
+
+def error_body(error: ProtocolError) -> bytes:
+    """Return the JSON body of an error.
+
+    >>> error_body(ProtocolError(404, "model_not_found", "No model 'x'.", param="model"))[:40]
+    b'{"error":{"message":"No model \\'x\\'.","ty'
+    """
+    return msgspec.json.encode(
+        {
+            "error": {
+                "message": error.message,
+                "type": error.type,
+                "param": error.param,
+                "code": error.code,
+                "run_state": str(error.run_state),
+            }
+        }
+    )
+
+
+def error_event(error: ProtocolError) -> bytes:
+    """Return the server-sent event that ends a stream with an error."""
+    return b"data: " + error_body(error) + b"\n\n"
--- /dev/null
+++ b/packages/core/src/ibispaddle_core/chat/hashes.py
@@ -0,0 +1,43 @@
+"""Hashes of a request's content."""
+
+import hashlib
+from collections.abc import Mapping
+from typing import Any
+
+import msgspec
+
+# Blocks and digest of the runners' prefix cache: the BLAKE2b digest (8 bytes) of the prompt's UTF-8
+# text up to the end of a block.
+BLOCK_CHARACTERS = 4_096
+PREFIX_DIGEST_BYTES = 8
+FINGERPRINT_BYTES = 16
+
+# Fields that change how the answer is delivered but not what is computed.
+_DELIVERY_FIELDS = frozenset(("stream", "stream_options", "user", "metadata", "store"))
+_ENCODER = msgspec.json.Encoder(order="sorted")
+
+
+def content_fingerprint(kind: str, document: Mapping[str, Any], key: bytes) -> str:
+    """Return the keyed hash of a request's model, messages and parameters.
+
+    A caller's own resend has the same fingerprint, whatever the order of its keys. The key (at most
+    64 bytes) keeps callers from searching for contents with equal fingerprints.
+
+    >>> a = content_fingerprint("chat", {"model": "m", "messages": []}, b"k")
+    >>> a == content_fingerprint("chat", {"messages": [], "model": "m", "stream": True}, b"k")
+    True
+    """
+    content = {name: value for name, value in document.items() if name not in _DELIVERY_FIELDS}
+    digest = hashlib.blake2b(kind.encode() + b"\0", digest_size=FINGERPRINT_BYTES, key=key)
+    digest.update(_ENCODER.encode(content))
+    return digest.hexdigest()
+
+
+def prefix_hashes(prompt: str) -> tuple[str, ...]:
+    """Return one hash per whole block of the prompt, longest prefix last."""
+    digest = hashlib.blake2b(digest_size=PREFIX_DIGEST_BYTES)
+    hashes = []
+    for end in range(BLOCK_CHARACTERS, len(prompt) + 1, BLOCK_CHARACTERS):
+        digest.update(prompt[end - BLOCK_CHARACTERS : end].encode("utf-8", "surrogatepass"))
+        hashes.append(digest.hexdigest())
+    return tuple(hashes)
--- /dev/null
+++ b/packages/core/src/ibispaddle_core/relay/__init__.py
@@ -0,0 +1,40 @@
+"""State machine of one attempt: what was sent, what may be passed on, and how it ended."""
+
+from .attempt import Attempt
+from .exceptions import EventTooLargeError, RelayError
+from .messages import (
+    AttemptEvent,
+    AttemptFinished,
+    CancelRequested,
+    DataReceived,
+    Effect,
+    FinalAnswer,
+    FirstByteSent,
+    HeadReceived,
+    PassOn,
+    ReadingPaused,
+    ReadingResumed,
+    ResponseEnded,
+    TimePassed,
+)
+from .sse import SseParser
+
+__all__ = [
+    "Attempt",
+    "AttemptEvent",
+    "AttemptFinished",
+    "CancelRequested",
+    "DataReceived",
+    "Effect",
+    "EventTooLargeError",
+    "FinalAnswer",
+    "FirstByteSent",
+    "HeadReceived",
+    "PassOn",
+    "ReadingPaused",
+    "ReadingResumed",
+    "RelayError",
+    "ResponseEnded",
+    "SseParser",
+    "TimePassed",
+]
