--- /dev/null
+++ b/packages/core/src/ibispaddle_core/configuration/__init__.py
@@ -0,0 +1,57 @@
+"""Configuration of the fleet, folded from the `config` stream of the platform's log."""
+
+from .applying import (
+    Application,
+    Applied,
+    Conflict,
+    Outcome,
+    Phase,
+    Refused,
+    Unavailable,
+    Undetermined,
+    check_change,
+)
+from .base import (
+    NO_REVISION,
+    RECENT_CHANGES,
+    Change,
+    ConfigState,
+    LastChange,
+    LogRecord,
+    SeenChange,
+    is_layer,
+)
+from .exceptions import ConfigurationError, RecordError
+from .fold import Status, Verdict, fold
+from .reader import ConfigReader
+from .snapshots import snapshot_due_ms
+from .starting import PEER_TIMEOUT_MS, PeerStart
+
+__all__ = [
+    "NO_REVISION",
+    "PEER_TIMEOUT_MS",
+    "RECENT_CHANGES",
+    "Application",
+    "Applied",
+    "Change",
+    "ConfigReader",
+    "ConfigState",
+    "ConfigurationError",
+    "Conflict",
+    "LastChange",
+    "LogRecord",
+    "Outcome",
+    "PeerStart",
+    "Phase",
+    "RecordError",
+    "Refused",
+    "SeenChange",
+    "Status",
+    "Unavailable",
+    "Undetermined",
+    "Verdict",
+    "check_change",
+    "fold",
+    "is_layer",
+    "snapshot_due_ms",
+]
--- /dev/null
+++ b/packages/core/src/ibispaddle_core/configuration/fold.py
@@ -0,0 +1,77 @@
+"""The fold of the `config` stream that every reader applies."""
+
+from dataclasses import dataclass, replace
+from enum import StrEnum
+
+from .base import RECENT_CHANGES, Change, ConfigState, LastChange, LogRecord, SeenChange
+from .exceptions import RecordError
+
+
+class Status(StrEnum):
+    """What the fold decided about a record."""
+
+    ACCEPTED = "accepted"
+    CONFLICT = "conflict"  # Another revision was current.
+    DUPLICATE = "duplicate"  # The change id occurred before.
+    MALFORMED = "malformed"
+
+
+@dataclass(frozen=True)
+class Verdict:
+    """The decision about one change, with the change that was current before it."""
+
+    offset: int
+    time_ms: int
+    status: Status
+    change: Change | None
+    revision: int
+    winner: LastChange | None
+
+
+def is_snapshot(record: LogRecord) -> bool:
+    """Return whether the record holds a snapshot."""
+    return "snapshot" in record.data
+
+
+def fold(
+    state: ConfigState, record: LogRecord, recent_changes: int = RECENT_CHANGES
+) -> tuple[ConfigState, Verdict | None]:
+    """Return the state after one record, and the verdict if the record is not a snapshot.
+
+    The record has to be the one directly after `state.as_of`.
+
+    >>> record = LogRecord(0, 0, Change("c1", -1, "base", {}, "ann").to_record())
+    >>> state, verdict = fold(ConfigState(), record)
+    >>> state.revision, str(verdict.status)
+    (0, 'accepted')
+    """
+    if record.offset != state.as_of + 1:
+        raise ValueError(f"record {record.offset} does not follow offset {state.as_of}")
+    state = replace(state, as_of=record.offset)
+    if is_snapshot(record):
+        return state, None
+    try:
+        change = Change.from_record(record.data)
+    except RecordError:
+        return state, _verdict(state, record, Status.MALFORMED, None)
+    if state.seen(change.change_id):
+        return state, _verdict(state, record, Status.DUPLICATE, change)
+    accepted = change.expected_revision == state.revision
+    verdict = _verdict(state, record, Status.ACCEPTED if accepted else Status.CONFLICT, change)
+    seen = SeenChange(change.change_id, record.offset, accepted, change.digest())
+    state = replace(state, recent=(*state.recent, seen)[-recent_changes:])
+    if accepted:
+        state = replace(
+            state,
+            revision=record.offset,
+            layers={**state.layers, change.layer: change.document},
+            last_change=LastChange(change.change_id, change.layer, change.author),
+        )
+        verdict = replace(verdict, revision=record.offset)
+    return state, verdict
+
+
+def _verdict(
+    state: ConfigState, record: LogRecord, status: Status, change: Change | None
+) -> Verdict:
+    return Verdict(record.offset, record.time_ms, status, change, state.revision, state.last_change)
--- /dev/null
+++ b/tests/configuration/oracle.py
@@ -0,0 +1,50 @@
+"""A second, naive implementation of the fold, and a log with retention, for comparison."""
+
+from ibispaddle_core.configuration import Change, LogRecord
+
+
+class FakeLog:
+    """Keep records in memory; the oldest can be cut off."""
+
+    def __init__(self) -> None:
+        self.records: list[LogRecord] = []
+        self.first_offset = 0
+
+    @property
+    def next_offset(self) -> int:
+        return len(self.records)
+
+    def append(self, data: dict, time_ms: int | None = None) -> int:
+        offset = len(self.records)
+        self.records.append(LogRecord(offset, offset if time_ms is None else time_ms, data))
+        return offset
+
+    def read(self, start: int, limit: int) -> list[LogRecord]:
+        return self.records[max(start, self.first_offset) :][:limit]
+
+    def cut(self, first_offset: int) -> None:
+        self.first_offset = max(self.first_offset, min(first_offset, self.next_offset))
+
+
+class Oracle:
+    """Compute revision, layers and accepted offsets from all records ever appended."""
+
+    def __init__(self, recent_changes: int) -> None:
+        self.recent_changes = recent_changes
+        self.views = [(-1, {})]  # View after n records: (revision, layers).
+        self.accepted: list[tuple[int, str]] = []
+        self._ids: list[str] = []
+
+    def add(self, record: LogRecord) -> None:
+        revision, layers = self.views[-1]
+        if "change_id" in record.data and record.data.get("layer"):
+            change = Change.from_record(record.data)
+            if change.change_id not in self._ids[-self.recent_changes :]:
+                self._ids.append(change.change_id)
+                if change.expected_revision == revision:
+                    revision, layers = record.offset, {**layers, change.layer: change.document}
+                    self.accepted.append((record.offset, change.change_id))
+        self.views.append((revision, layers))
+
+    def view(self, as_of: int) -> tuple[int, dict]:
+        return self.views[as_of + 1]
--- /dev/null
+++ b/tests/configuration/test_readers.py
@@ -0,0 +1,214 @@
+"""Property-based tests: readers of the `config` stream agree, whenever they start."""
+
+import unittest
+
+from hypothesis import Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+from ibispaddle_core.configuration import Change, ConfigReader, ConfigState, LogRecord
+
+from .oracle import FakeLog, Oracle
+
+RECENT_CHANGES = 6
+CHANGE_IDS = st.sampled_from([f"c{number}" for number in range(20)])
+LAYERS = st.sampled_from(["base", "site:north", "site:south"])
+
+
+class ReaderMachine(RuleBasedStateMachine):
+    """Start readers at any time, cut the log, and append stale snapshots of paused instances."""
+
+    reader_type = ConfigReader
+
+    @initialize()
+    def start(self):
+        self.log = FakeLog()
+        self.oracle = Oracle(RECENT_CHANGES)
+        self.readers: list[ConfigReader] = []
+        self.paused: list[dict] = []
+        self.highest: dict[int, int] = {}
+        self.bridged = 0
+
+    def append(self, data: dict) -> None:
+        self.log.append(data)
+        self.oracle.add(self.log.records[-1])
+
+    @rule(change_id=CHANGE_IDS, layer=LAYERS, behind=st.sampled_from([0, 0, 0, 1, 3]))
+    def append_change(self, change_id, layer, behind):
+        accepted = [-1, *(offset for offset, _ in self.oracle.accepted)]
+        expected = accepted[max(0, len(accepted) - 1 - behind)]
+        document = {"n": self.log.next_offset}
+        self.append(Change(change_id, expected, layer, document, "ann").to_record())
+
+    @rule(data=st.sampled_from([{}, {"change_id": 3}, {"snapshot": 1}, {"snapshot": {}}]))
+    def append_malformed_record(self, data):
+        self.append(data)
+
+    @precondition(lambda self: any(reader.state for reader in self.readers))
+    @rule(choice=st.integers(0, 9))
+    def take_snapshot(self, choice):
+        states = [reader.state for reader in self.readers if reader.state]
+        self.paused.append(states[choice % len(states)].to_record())
+
+    @precondition(lambda self: self.paused)
+    @rule(choice=st.integers(0, 9))
+    def append_snapshot_late(self, choice):
+        self.append(self.paused[choice % len(self.paused)])
+
+    @rule(kept=st.integers(0, 6))
+    def cut_log(self, kept):
+        self.log.cut(self.log.next_offset - kept)
+
+    @precondition(lambda self: len(self.readers) < 5)
+    @rule()
+    def start_reader(self):
+        self.readers.append(self.reader_type(RECENT_CHANGES))
+
+    @precondition(lambda self: self.readers)
+    @rule(choice=st.integers(0, 4), limit=st.integers(1, 8))
+    def read_page(self, choice, limit):
+        reader = self.readers[choice % len(self.readers)]
+        reader.read_page(self.log.first_offset, self.log.read(reader.position, limit))
+
+    @precondition(lambda self: len(self.readers) > 1)
+    @rule(source=st.integers(0, 4), receiver=st.integers(0, 4))
+    def adopt_peer_state(self, source, receiver):
+        state = self.readers[source % len(self.readers)].state
+        if state is not None:
+            self.readers[receiver % len(self.readers)].adopt(state)
+
+    @invariant()
+    def readers_agree_with_the_whole_log(self):
+        for reader in self.readers:
+            if reader.state is not None:
+                state = reader.state
+                assert (state.revision, state.layers) == self.oracle.view(state.as_of)
+
+    @invariant()
+    def revisions_never_go_back(self):
+        for number, reader in enumerate(self.readers):
+            if reader.state is not None:
+                assert reader.state.revision >= self.highest.get(number, -1)
+                self.highest[number] = reader.state.revision
+
+    @invariant()
+    def change_ids_take_effect_once_within_the_bound(self):
+        last: dict[str, int] = {}
+        for offset, change_id in self.oracle.accepted:
+            if change_id in last:
+                between = self.log.records[last[change_id] + 1 : offset]
+                ids = {str(record.data.get("change_id")) for record in between}
+                assert len(ids) >= RECENT_CHANGES
+            last[change_id] = offset
+
+    @invariant()
+    def a_repeated_record_takes_effect_once(self):
+        effects = [
+            (change_id, self.log.records[offset].data["expected_revision"])
+            for offset, change_id in self.oracle.accepted
+        ]
+        assert len(set(effects)) == len(effects)
+
+    @invariant()
+    def readers_at_the_end_with_a_usable_snapshot_are_current(self):
+        for reader in self.readers:
+            if reader.position == 0 or reader.position < self.log.next_offset:
+                continue
+            retained = self.log.records[reader._block_start : reader.position]
+            usable = any(
+                isinstance(record.data.get("snapshot"), dict)
+                and record.data["snapshot"].get("as_of", -9) >= reader._block_start - 1
+                for record in retained
+            )
+            if usable:
+                assert reader.current
+
+
+class AnySnapshotReader(ConfigReader):
+    """Start from any snapshot, also when records after its `as_of` are missing."""
+
+    def _bridge(self):
+        super()._bridge()
+        for record in self._unfolded:
+            snapshot = record.data.get("snapshot")
+            if isinstance(snapshot, dict) and "revision" in snapshot:
+                state = ConfigState.from_record(record.data)
+                self.state = ConfigState(
+                    self._block_start - 1,
+                    min(state.revision, self._block_start - 1),
+                    state.layers,
+                    state.recent,
+                    state.last_change,
+                )
+
+
+class FaultyMachine(ReaderMachine):
+    reader_type = AnySnapshotReader
+
+
+def run(machine, examples):
+    run_state_machine_as_test(
+        machine,
+        settings=settings(
+            max_examples=examples,
+            stateful_step_count=40,
+            derandomize=True,
+            deadline=None,
+            database=None,
+            phases=[Phase.generate],
+        ),
+    )
+
+
+class ReaderTest(unittest.TestCase):
+    def test_readers_agree(self):
+        """Guard against readers that start from snapshots and serve another state than the rest."""
+        run(ReaderMachine, 250)
+
+    def test_snapshot_rule_is_needed(self):
+        """Guard against a property test that does not notice a snapshot with a gap after it."""
+        with self.assertRaises(AssertionError):
+            run(FaultyMachine, 250)
+
+    def test_gap_keeps_the_last_state(self):
+        """Guard against a reader that folds records after a gap into its old state."""
+        log, reader = FakeLog(), ConfigReader()
+        log.append(Change("a", -1, "base", {"n": 1}, "ann").to_record())
+        reader.read_page(0, log.read(0, 10))
+        log.append(Change("b", 0, "base", {"n": 2}, "ann").to_record())
+        log.append(Change("c", 0, "base", {"n": 3}, "ann").to_record())
+        log.cut(2)
+        reader.read_page(2, log.read(reader.position, 10))
+        self.assertEqual(reader.state.revision, 0)
+        self.assertFalse(reader.current)
+
+    def test_everything_dropped_is_not_an_empty_log(self):
+        """Guard against a start from the base file when retention has removed all records."""
+        reader = ConfigReader()
+        reader.read_page(7, [])
+        self.assertIsNone(reader.state)
+        self.assertFalse(reader.confirmed_empty)
+
+    def test_empty_log_is_confirmed_by_a_page(self):
+        """Guard against a start from the base file before the log was read."""
+        reader = ConfigReader()
+        self.assertFalse(reader.confirmed_empty)
+        reader.read_page(0, [])
+        self.assertTrue(reader.confirmed_empty)
+
+    def test_snapshot_of_its_own_future_is_ignored(self):
+        """Guard against a snapshot record that claims to cover records after itself."""
+        reader = ConfigReader()
+        data = ConfigState(9, 9, {"base": {"n": 1}}).to_record()
+        reader.read_page(4, [LogRecord(4, 0, data)])
+        self.assertIsNone(reader.state)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/platform_log/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package or module of the same name."""
