Added the membership view

Instances need one view of the fleet from three sources that disagree. The view merges the lagging list, heartbeats and observations; departures are never cancelled by an older list version or a heartbeat, and a reading that drops more than a quarter of a kind waits for two further readings.

--- /dev/null
+++ b/packages/core/src/ibispaddle_core/membership/entries.py
@@ -0,0 +1,79 @@
+"""Entries of the platform's instance list."""
+
+from enum import StrEnum
+
+import msgspec
+from result import Err, Ok, Result
+
+from .exceptions import ListFormatError
+
+
+class Kind(StrEnum):
+    """Tell what an entry of the instance list is."""
+
+    ENTRY = "entry"
+    RUNNER = "runner"
+    SERVICE = "service"
+
+
+class ListedState(StrEnum):
+    """State of an entry as the instance list gives it."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class ListEntry(msgspec.Struct, frozen=True):
+    """Describe one instance or upstream as listed by the platform."""
+
+    id: str
+    kind: Kind
+    address: str
+    data_centre: str
+    state: ListedState = ListedState.LIVE
+    peer_address: str | None = None
+    models: tuple[str, ...] = ()
+    service: str | None = None
+    fenced: bool = False
+
+
+class InstanceList(msgspec.Struct, frozen=True):
+    """Hold one reading of the instance list.
+
+    `rejected` counts the entries that could not be read.
+    """
+
+    version: int
+    entries: tuple[ListEntry, ...] = ()
+    rejected: int = 0
+
+
+class _RawList(msgspec.Struct):
+    version: int
+    entries: list[msgspec.Raw]
+
+
+_LIST_DECODER = msgspec.json.Decoder(_RawList)
+_ENTRY_DECODER = msgspec.json.Decoder(ListEntry)
+
+
+def parse_list(data: bytes) -> Result[InstanceList, ListFormatError]:
+    """Parse the body of `GET /instances`.
+
+    Skips single entries that cannot be read, so that one bad entry does not hide the state changes
+    of all others. The first of several entries with one id counts.
+    """
+    try:
+        raw = _LIST_DECODER.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        return Err(ListFormatError(str(exc)))
+    entries: dict[str, ListEntry] = {}
+    rejected = 0
+    for item in raw.entries:
+        try:
+            entry = _ENTRY_DECODER.decode(item)
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            rejected += 1
+            continue
+        entries.setdefault(entry.id, entry)
+    return Ok(InstanceList(raw.version, tuple(entries.values()), rejected))
--- /dev/null
+++ b/packages/core/src/ibispaddle_core/membership/view.py
@@ -0,0 +1,276 @@
+"""Merged view of instances and upstreams.
+
+The view has three sources: the lagging instance list, heartbeats of other instances, and
+observations (own probes and requests, and probe results of other instances). Rules of precedence:
+
+* Observation decides about failures: a listed upstream that does not answer is down.
+* Every source can report that a member leaves; no other source cancels that. A listed departure
+  ends only with a newer list version that says live, a departure reported by the member itself
+  only with a new boot of the member.
+* The list decides about membership: a member that it no longer has gets no new work.
+"""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from .entries import InstanceList, Kind, ListedState, ListEntry
+from .hashing import PROBERS_PER_RUNNER, choose
+
+# Own observations of a runner that another instance probes are overtaken by the prober's reports
+# after this time, so that a passing connection error does not keep the runner out of use.
+OWN_OBSERVATION_MS = 3_000
+REPORT_MAX_AGE_MS = 5_000
+# Gossip within a data centre of 49 instances needs a few seconds per entry; a shorter limit would
+# take slow gossip for a failure.
+HEARTBEAT_TIMEOUT_MS = 10_000
+REMOVE_AFTER_MS = 60_000
+KNOWN_BOOTS = 8
+# A reading that drops more than this part of a kind is confirmed by further readings first: a list
+# that is being rebuilt must not empty the fleet.
+HELD_FRACTION = 0.25
+CONFIRM_READINGS = 3
+CONFIRM_MS = 1_000
+
+
+class MemberState(StrEnum):
+    """Tell what may be expected of a member."""
+
+    LIVE = "live"
+    LEAVING = "leaving"  # Finishes what it has, gets no new work.
+    DOWN = "down"
+    FORGOTTEN = "forgotten"  # Not listed but answering: finishes what it has, gets no new work.
+
+
+class ListOutcome(StrEnum):
+    """Tell how a reading of the list was used."""
+
+    APPLIED = "applied"
+    STALE = "stale"  # The version is older than one read before; ignored as a whole.
+    HELD = "held"  # Departures wait for confirmation by further readings.
+
+
+@dataclass(frozen=True)
+class Member:
+    """Describe one member of the view."""
+
+    entry: ListEntry
+    state: MemberState
+
+
+@dataclass(frozen=True)
+class _Observation:
+    up: bool
+    at_ms: int
+
+
+@dataclass
+class _Record:
+    entry: ListEntry
+    version: int
+    first_ms: int
+    listed: bool = True
+    list_leaving: bool = False
+    leaving_boot: str | None = None
+    boots: list[str] = field(default_factory=list)  # Recent boots of the member, oldest first.
+    heartbeat: tuple[int, int] = (0, 0)
+    heard_ms: int | None = None
+    down_since_ms: int | None = None
+    own: _Observation | None = None
+    reports: dict[str, _Observation] = field(default_factory=dict)
+
+
+class MembershipView:
+    """Merge list, heartbeats and observations.
+
+    >>> view = MembershipView("a")
+    >>> view.apply_list(InstanceList(1, (ListEntry("r", Kind.RUNNER, "x:1", "dc"),)), now_ms=0)
+    <ListOutcome.APPLIED: 'applied'>
+    >>> view.observe("r", up=False, now_ms=10)
+    >>> view.state("r", now_ms=10)
+    <MemberState.DOWN: 'down'>
+    """
+
+    def __init__(self, instance_id: str, heartbeat_timeout_ms: int = HEARTBEAT_TIMEOUT_MS) -> None:
+        self._instance_id = instance_id
+        self._heartbeat_timeout_ms = heartbeat_timeout_ms
+        self._records: dict[str, _Record] = {}
+        self._held: dict[Kind, tuple[int, int]] = {}  # First reading's time and number of readings.
+        self._missing: set[str] = set()
+        self.version = -1
+
+    def apply_list(self, listing: InstanceList, now_ms: int) -> ListOutcome:
+        """Merge one reading of the instance list."""
+        if listing.version < self.version:
+            return ListOutcome.STALE
+        self.version = listing.version
+        for entry in listing.entries:
+            self._apply_entry(entry, listing.version, now_ms)
+        listed = {entry.id for entry in listing.entries}
+        self._missing = self._records.keys() - listed
+        held = [self._drop_missing(kind, now_ms) for kind in Kind]
+        self._remove_silent(now_ms)
+        return ListOutcome.HELD if any(held) else ListOutcome.APPLIED
+
+    def _apply_entry(self, entry: ListEntry, version: int, now_ms: int) -> None:
+        leaving = entry.state is ListedState.LEAVING
+        record = self._records.get(entry.id)
+        if record is None:
+            self._records[entry.id] = _Record(entry, version, now_ms, list_leaving=leaving)
+            return
+        # One version read twice with different states counts as leaving.
+        record.list_leaving = leaving or (record.list_leaving and version == record.version)
+        record.entry, record.version, record.listed = entry, version, True
+
+    def _drop_missing(self, kind: Kind, now_ms: int) -> bool:
+        """Mark the members of a kind that the list lacks; return true if that has to wait."""
+        present = [i for i, r in self._records.items() if r.entry.kind is kind and r.listed]
+        missing = [member_id for member_id in present if member_id in self._missing]
+        if len(missing) > max(1, int(len(present) * HELD_FRACTION)):
+            first_ms, readings = self._held.get(kind, (now_ms, 0))
+            readings += 1
+            self._held[kind] = (first_ms, readings)
+            # A kind without any entry is never confirmed; its members go when they stop answering.
+            unconfirmed = readings < CONFIRM_READINGS or now_ms - first_ms < CONFIRM_MS
+            if unconfirmed or len(missing) == len(present) and not self._has_listed(kind):
+                return True
+        self._held.pop(kind, None)
+        for member_id in missing:
+            self._records[member_id].listed = False
+        return False
+
+    def _has_listed(self, kind: Kind) -> bool:
+        return any(
+            record.entry.kind is kind and member_id not in self._missing
+            for member_id, record in self._records.items()
+        )
+
+    def _remove_silent(self, now_ms: int) -> None:
+        for member_id in list(self._missing):
+            if member_id == self._instance_id or self.state(member_id, now_ms) is not (
+                MemberState.DOWN
+            ):
+                continue
+            record = self._records[member_id]
+            if record.down_since_ms is None:
+                record.down_since_ms = now_ms
+            elif now_ms - record.down_since_ms >= REMOVE_AFTER_MS:
+                del self._records[member_id]
+                self._missing.discard(member_id)
+
+    def observe_heartbeat(
+        self, instance_id: str, boot: int, seq: int, leaving: bool, now_ms: int
+    ) -> bool:
+        """Merge a heartbeat; return false if it is unknown or not newer than the last one."""
+        record = self._records.get(instance_id)
+        if record is None or (boot, seq) <= record.heartbeat:
+            return False
+        record.heartbeat, record.heard_ms = (boot, seq), now_ms
+        record.down_since_ms = None
+        self._note_leaving(record, str(boot), leaving)
+        return True
+
+    def observe(
+        self,
+        member_id: str,
+        up: bool,
+        now_ms: int,
+        observer: str | None = None,
+        boot_id: str = "",
+        leaving: bool = False,
+    ) -> None:
+        """Merge an observation of an upstream; `observer` is another instance, `None` for own."""
+        record = self._records.get(member_id)
+        if record is None:
+            return
+        observation = _Observation(up, now_ms)
+        if observer is None or observer == self._instance_id:
+            record.own = observation
+        else:
+            record.reports[observer] = observation
+        if up:
+            record.down_since_ms = None
+            if boot_id:
+                self._note_leaving(record, boot_id, leaving)
+
+    @staticmethod
+    def _note_leaving(record: _Record, boot: str, leaving: bool) -> None:
+        # A late report of an earlier boot does not end the departure of the current one.
+        is_new = boot not in record.boots
+        if is_new:
+            record.boots = [*record.boots[1 - KNOWN_BOOTS :], boot]
+        if leaving:
+            record.leaving_boot = boot
+        elif is_new:
+            record.leaving_boot = None
+
+    def state(self, member_id: str, now_ms: int) -> MemberState | None:
+        """Return the state of a member, `None` if it is unknown."""
+        record = self._records.get(member_id)
+        if record is None:
+            return None
+        if self._is_down(member_id, record, now_ms):
+            return MemberState.DOWN
+        if record.list_leaving or record.leaving_boot is not None:
+            return MemberState.LEAVING
+        return MemberState.LIVE if record.listed else MemberState.FORGOTTEN
+
+    def _is_down(self, member_id: str, record: _Record, now_ms: int) -> bool:
+        if member_id == self._instance_id:
+            return False
+        if record.entry.kind is Kind.ENTRY:
+            heard_ms = record.first_ms if record.heard_ms is None else record.heard_ms
+            return now_ms - heard_ms > self._heartbeat_timeout_ms
+        own = record.own
+        if own is not None and now_ms - own.at_ms <= OWN_OBSERVATION_MS:
+            return not own.up
+        fresh = [r for r in record.reports.values() if now_ms - r.at_ms <= REPORT_MAX_AGE_MS]
+        if fresh:
+            # One prober may have lost its path; the runner is down if no prober reaches it.
+            return not any(report.up for report in fresh)
+        known = [*record.reports.values(), *([own] if own is not None else [])]
+        return bool(known) and not max(known, key=lambda item: item.at_ms).up
+
+    def entry(self, member_id: str) -> ListEntry | None:
+        """Return the last listed entry of a member."""
+        record = self._records.get(member_id)
+        return record.entry if record else None
+
+    def members(self, now_ms: int, kind: Kind | None = None) -> tuple[Member, ...]:
+        """Return all members, or those of one kind, sorted by id."""
+        found = []
+        for member_id, record in sorted(self._records.items()):
+            state = self.state(member_id, now_ms)
+            if state is not None and kind in (None, record.entry.kind):
+                found.append(Member(record.entry, state))
+        return tuple(found)
+
+    def ranked_instances(self, now_ms: int, data_centre: str | None = None) -> tuple[str, ...]:
+        """Return the ids of the instances that take part in shared duties, by rank."""
+        return tuple(
+            member.entry.id
+            for member in self.members(now_ms, Kind.ENTRY)
+            if member.state is MemberState.LIVE and data_centre in (None, member.entry.data_centre)
+        )
+
+    def probers(self, runner_id: str, now_ms: int) -> tuple[str, ...]:
+        """Return the instances that probe a runner."""
+        entry = self.entry(runner_id)
+        if entry is None:
+            return ()
+        local = self.ranked_instances(now_ms, entry.data_centre)
+        return choose(runner_id, local or self.ranked_instances(now_ms), PROBERS_PER_RUNNER)
+
+    def runners_to_probe(self, now_ms: int) -> tuple[ListEntry, ...]:
+        """Return the runners that this instance probes."""
+        by_centre: dict[str, tuple[str, ...]] = {}
+        everywhere = self.ranked_instances(now_ms)
+        own = []
+        for member_id, record in sorted(self._records.items()):
+            if record.entry.kind is not Kind.RUNNER:
+                continue
+            centre = record.entry.data_centre
+            if centre not in by_centre:
+                by_centre[centre] = self.ranked_instances(now_ms, centre) or everywhere
+            if self._instance_id in choose(member_id, by_centre[centre], PROBERS_PER_RUNNER):
+                own.append(record.entry)
+        return tuple(own)
--- /dev/null
+++ b/tests/gossip/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the gossip package."""
--- /dev/null
+++ b/tests/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the membership package."""
--- /dev/null
+++ b/tests/membership/test_view.py
@@ -0,0 +1,186 @@
+"""Tests of the membership view: precedence of its sources and protection against a bad list."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from ibispaddle_core.membership import (
+    InstanceList,
+    Kind,
+    ListedState,
+    ListEntry,
+    ListOutcome,
+    MembershipView,
+    MemberState,
+    parse_list,
+)
+
+FIXED = settings(derandomize=True, max_examples=150, deadline=None, database=None)
+
+
+def runner(member_id, state=ListedState.LIVE, data_centre="v.1"):
+    return ListEntry(member_id, Kind.RUNNER, "127.0.0.1:1", data_centre, state)
+
+
+def instance(member_id, state=ListedState.LIVE, data_centre="v.1"):
+    return ListEntry(member_id, Kind.ENTRY, "127.0.0.1:1", data_centre, state, "127.0.0.1:2")
+
+
+def fleet(version, runners, instances=("a", "b", "c")):
+    entries = [instance(name) for name in instances] + [runner(name) for name in runners]
+    return InstanceList(version, tuple(entries))
+
+
+RUNNERS = tuple(f"r{n}" for n in range(8))
+
+
+class ParseTest(unittest.TestCase):
+    def test_one_bad_entry_does_not_hide_the_others(self):
+        """Guard against one malformed entry that keeps a leaving upstream in use."""
+        body = (
+            b'{"version": 3, "entries": [{"id": 5}, {"id": "r", "kind": "runner",'
+            b' "address": "127.0.0.1:1", "data_centre": "d", "state": "leaving",'
+            b' "models": ["m"], "service": null, "fenced": true, "new_field": 1}]}'
+        )
+        listing = parse_list(body).ok_value
+        self.assertEqual(listing.rejected, 1)
+        self.assertEqual(listing.entries[0].state, ListedState.LEAVING)
+        self.assertEqual(listing.entries[0].models, ("m",))
+
+    def test_a_body_that_is_no_list_is_an_error(self):
+        """Guard against an error page that is taken for an empty list."""
+        for body in (b"", b"<html>", b"[]", b'{"version": "x", "entries": []}', b"\xff\xfe"):
+            self.assertTrue(parse_list(body).is_err(), body)
+
+
+class ShrunkenListTest(unittest.TestCase):
+    def setUp(self):
+        self.view = MembershipView("a")
+        self.view.apply_list(fleet(1, RUNNERS), 0)
+
+    def live(self, now_ms):
+        members = self.view.members(now_ms, Kind.RUNNER)
+        return [m.entry.id for m in members if m.state is MemberState.LIVE]
+
+    def test_an_empty_list_never_removes_answering_members(self):
+        """Guard against an empty answer of the list that stops all work."""
+        for version in range(2, 12):
+            outcome = self.view.apply_list(InstanceList(version), version * 1_000)
+            self.assertEqual(outcome, ListOutcome.HELD)
+        self.assertEqual(self.live(11_000), list(RUNNERS))
+
+    def test_a_shrunken_list_counts_after_three_readings(self):
+        """Guard against a list under reconstruction that removes most of the fleet at once."""
+        small = fleet(2, RUNNERS[:2])
+        self.assertEqual(self.view.apply_list(small, 500), ListOutcome.HELD)
+        self.assertEqual(self.view.apply_list(small, 1_000), ListOutcome.HELD)
+        self.assertEqual(self.live(1_000), list(RUNNERS))
+        self.assertEqual(self.view.apply_list(small, 1_500), ListOutcome.APPLIED)
+        self.assertEqual(self.live(1_500), list(RUNNERS[:2]))
+        self.assertEqual(self.view.state("r7", 1_500), MemberState.FORGOTTEN)
+
+    def test_a_complete_reading_resets_the_count(self):
+        """Guard against separate short readings that add up to a removal."""
+        for version in range(2, 14, 2):
+            self.view.apply_list(fleet(version, RUNNERS[:2]), version * 1_000)
+            self.view.apply_list(fleet(version + 1, RUNNERS), version * 1_000 + 500)
+        self.assertEqual(self.live(13_500), list(RUNNERS))
+
+    def test_a_single_missing_runner_is_forgotten_at_once(self):
+        """Guard against new work for an upstream that the list has dropped."""
+        self.view.observe("r7", True, 400)
+        self.assertEqual(self.view.apply_list(fleet(2, RUNNERS[:7]), 500), ListOutcome.APPLIED)
+        self.assertEqual(self.view.state("r7", 500), MemberState.FORGOTTEN)
+
+    def test_a_silent_member_that_is_not_listed_is_removed(self):
+        """Guard against records of replaced upstreams that pile up."""
+        self.view.apply_list(fleet(2, RUNNERS[:7]), 500)
+        for now_ms in range(1_000, 70_000, 500):
+            self.view.observe("r7", False, now_ms)
+            self.view.apply_list(fleet(2, RUNNERS[:7]), now_ms)
+        self.assertIsNone(self.view.state("r7", 70_000))
+
+
+class ObservationTest(unittest.TestCase):
+    def setUp(self):
+        self.view = MembershipView("a")
+        self.view.apply_list(fleet(1, RUNNERS), 0)
+
+    def test_observation_of_a_failure_takes_precedence_over_the_list(self):
+        """Guard against work for a dead runner that the list still calls live."""
+        self.view.observe("r1", False, 100)
+        self.view.apply_list(fleet(2, RUNNERS), 200)
+        self.assertEqual(self.view.state("r1", 200), MemberState.DOWN)
+
+    def test_a_runner_is_live_while_one_prober_reaches_it(self):
+        """Guard against one instance's broken path that takes a runner from all instances."""
+        self.view.observe("r1", False, 100, observer="b")
+        self.view.observe("r1", True, 90, observer="c")
+        self.assertEqual(self.view.state("r1", 200), MemberState.LIVE)
+        self.view.observe("r1", False, 250, observer="c")
+        self.assertEqual(self.view.state("r1", 300), MemberState.DOWN)
+
+    def test_reports_overtake_an_old_own_failure(self):
+        """Guard against a restarted runner that stays down at instances that do not probe it."""
+        self.view.observe("r1", False, 100)
+        self.view.observe("r1", True, 3_000, observer="b")
+        self.assertEqual(self.view.state("r1", 3_000), MemberState.DOWN)
+        self.assertEqual(self.view.state("r1", 3_200), MemberState.LIVE)
+
+    def test_instance_without_heartbeats_is_down(self):
+        """Guard against shared duties that stay with a dead instance."""
+        self.view.observe_heartbeat("b", 7, 1, False, 9_000)
+        self.assertEqual(self.view.ranked_instances(12_000), ("a", "b"))
+        self.assertFalse(self.view.observe_heartbeat("b", 7, 1, False, 19_000))
+        self.assertEqual(self.view.ranked_instances(20_000), ("a",))
+
+    def test_restarted_instance_counts_again(self):
+        """Guard against an id that stays leaving after its machine was replaced."""
+        self.view.observe_heartbeat("b", 7, 1, True, 100)
+        self.assertEqual(self.view.state("b", 100), MemberState.LEAVING)
+        self.view.observe_heartbeat("b", 7, 2, False, 200)
+        self.assertEqual(self.view.state("b", 200), MemberState.LEAVING)
+        self.view.observe_heartbeat("b", 8, 1, False, 300)
+        self.assertEqual(self.view.state("b", 300), MemberState.LIVE)
+
+    def test_late_report_of_an_earlier_boot_does_not_end_a_departure(self):
+        """Guard against new work for a leaving runner after a delayed report."""
+        self.view.observe("r1", True, 100, observer="b", boot_id="first")
+        self.view.observe("r1", True, 200, observer="b", boot_id="second", leaving=True)
+        self.view.observe("r1", True, 300, observer="c", boot_id="first")
+        self.assertEqual(self.view.state("r1", 300), MemberState.LEAVING)
+        self.view.observe("r1", True, 400, observer="c", boot_id="third")
+        self.assertEqual(self.view.state("r1", 400), MemberState.LIVE)
+
+
+LIST_READING = st.tuples(st.just("list"), st.integers(0, 12), st.sampled_from(list(ListedState)))
+HEARTBEAT = st.tuples(st.just("beat"), st.integers(1, 3), st.integers(1, 9))
+OBSERVATION = st.tuples(st.just("see"), st.booleans(), st.sampled_from([None, "b", "c"]))
+
+
+class LeavingPropertyTest(unittest.TestCase):
+    @FIXED
+    @given(st.lists(st.one_of(LIST_READING, HEARTBEAT, OBSERVATION), max_size=40), st.booleans())
+    def test_leaving_member_does_not_return_by_old_list_or_heartbeat(self, steps, of_instance):
+        """Guard against new work for a leaving member after a stale list or a late heartbeat."""
+        make, target = (instance, "b") if of_instance else (runner, "r0")
+        view = MembershipView("a", heartbeat_timeout_ms=10**9)
+        others = tuple(instance(name) for name in ("a", "c", "d")) + (runner("r1"),)
+        view.apply_list(InstanceList(5, (*others, make(target, ListedState.LEAVING))), 0)
+        leaving_version = 5
+        for now_ms, (kind, first, second) in enumerate(steps, start=1):
+            if kind == "list":
+                view.apply_list(InstanceList(first, (*others, make(target, second))), now_ms)
+                if second is ListedState.LEAVING:
+                    leaving_version = max(leaving_version, first)
+                elif first > leaving_version:
+                    return  # A newer list brought the member back, as it may.
+            elif kind == "beat":
+                view.observe_heartbeat(target, first, second, False, now_ms)
+            else:
+                view.observe(target, first, now_ms, observer=second, boot_id=f"boot{now_ms}")
+            self.assertIn(view.state(target, now_ms), (MemberState.LEAVING, MemberState.DOWN))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the peer connections, the list reader and the probes."""
