Added the gossip table

Instances exchange versioned entries at a fixed cost. Digests hold at most 1,200 bytes, entries with the fewest transmissions first; entries of other data centres take at most a third. Each entry has one writer, so versions are always ordered; entries that are not renewed expire and are not brought back by slower peers.

--- /dev/null
+++ b/packages/core/src/ibispaddle_core/gossip/__init__.py
@@ -0,0 +1,28 @@
+"""Bounded exchange of versioned entries between instances."""
+
+from .entries import Consumption, Entry, Heartbeat, LargeWait, Payload, RunnerReport
+from .exceptions import DigestFormatError, EntryTooLargeError, GossipError
+from .messages import Digest, StateReply, StateRequest
+from .rounds import FAN_OUT, summary_targets, targets
+from .table import ENTRY_LIFETIME_MS, MAX_DIGEST_BYTES, GossipTable
+
+__all__ = [
+    "ENTRY_LIFETIME_MS",
+    "FAN_OUT",
+    "MAX_DIGEST_BYTES",
+    "Consumption",
+    "Digest",
+    "DigestFormatError",
+    "Entry",
+    "EntryTooLargeError",
+    "GossipError",
+    "GossipTable",
+    "Heartbeat",
+    "LargeWait",
+    "Payload",
+    "RunnerReport",
+    "StateReply",
+    "StateRequest",
+    "summary_targets",
+    "targets",
+]
--- /dev/null
+++ b/packages/core/src/ibispaddle_core/gossip/entries.py
@@ -0,0 +1,99 @@
+"""Versioned entries that instances exchange.
+
+Each entry has a single writer, its origin, so that two versions can always be ordered. Entries
+are encoded as MessagePack arrays and passed on as the bytes that were received.
+"""
+
+import msgspec
+
+
+class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag="h"):
+    """Report that an instance runs, and what configuration it has in force."""
+
+    leaving: bool = False
+    config_offset: int = -1  # Offset of the last record that was folded.
+    config_revision: int = -1
+
+    @property
+    def subject(self) -> str:
+        """Return what the entry is about."""
+        return ""
+
+
+class RunnerReport(msgspec.Struct, frozen=True, array_like=True, tag="l"):
+    """Report the result of an instance's probe of one runner."""
+
+    upstream_id: str
+    up: bool
+    leaving: bool = False
+    boot_id: str = ""
+    seq: int = 0
+    running: int = 0
+    waiting: int = 0
+    queued_prefill_tokens: int = 0
+    kv_tokens_used: int = 0
+    kv_tokens_total: int = 0
+    prefill_tokens_per_s: int = 0
+    decode_tokens_per_s: int = 0
+
+    @property
+    def subject(self) -> str:
+        """Return what the entry is about."""
+        return self.upstream_id
+
+
+class Consumption(msgspec.Struct, frozen=True, array_like=True, tag="c"):
+    """Report what an instance's boot has consumed for one neighbour since its start."""
+
+    neighbour: str
+    instance_boot: str
+    consumed_ms: int  # Engine milliseconds, cumulative.
+
+    @property
+    def subject(self) -> str:
+        """Return what the entry is about."""
+        return self.neighbour
+
+
+class LargeWait(msgspec.Struct, frozen=True, array_like=True, tag="w"):
+    """Report the oldest waiting large prompt of a group; an empty id means none."""
+
+    group: str
+    request_id: str
+    arrived_wall_ms: int
+
+    @property
+    def subject(self) -> str:
+        """Return what the entry is about."""
+        return self.group
+
+
+Payload = Heartbeat | RunnerReport | Consumption | LargeWait
+
+
+class Entry(msgspec.Struct, frozen=True, array_like=True):
+    """Hold one payload with its origin and version.
+
+    `boot` is the wall-clock start of the origin's process in milliseconds, `seq` grows with every
+    entry that the origin writes.
+    """
+
+    origin: str
+    boot: int
+    seq: int
+    payload: Payload
+
+    @property
+    def key(self) -> tuple[type, str, str]:
+        """Return the identity of the entry, which all its versions share."""
+        return (type(self.payload), self.payload.subject, self.origin)
+
+    @property
+    def version(self) -> tuple[int, int]:
+        """Return the value by which versions of one entry are ordered."""
+        return (self.boot, self.seq)
+
+
+ENTRY_ENCODER = msgspec.msgpack.Encoder()
+ENTRY_DECODER = msgspec.msgpack.Decoder(Entry)
+DIGEST_DECODER = msgspec.msgpack.Decoder(list[msgspec.Raw])
--- /dev/null
+++ b/packages/core/src/ibispaddle_core/gossip/table.py
@@ -0,0 +1,204 @@
+"""Table of versioned entries with bounded digests."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+from result import Err, Ok, Result
+
+from .entries import DIGEST_DECODER, ENTRY_DECODER, ENTRY_ENCODER, Entry, Payload
+from .exceptions import DigestFormatError, EntryTooLargeError
+from .queue import TransmissionQueue
+
+MAX_DIGEST_BYTES = 1_200
+_ARRAY_HEADER_BYTES = 3
+# The rest of a digest is for entries of the own data centre, which decide most placements.
+REMOTE_DIGEST_BYTES = 400
+# Writers renew each entry well within this time; older ones belong to dead instances or to probes
+# that have moved.
+ENTRY_LIFETIME_MS = 60_000
+# Versions of expired entries are remembered so that a slower peer does not bring them back.
+EXPIRED_MEMORY_MS = 120_000
+MAX_ENTRIES = 50_000
+
+Key = tuple[type, str, str]
+
+
+@dataclass(slots=True)
+class _Stored:
+    version: tuple[int, int]
+    raw: bytes
+    payload: Payload
+    at_ms: int
+
+
+class GossipTable:
+    """Hold the newest version of each entry and decide what to send next.
+
+    `is_local` tells whether an origin is in the own data centre.
+
+    >>> from .entries import Heartbeat
+    >>> a, b = GossipTable("a", boot=1), GossipTable("b", boot=1)
+    >>> _ = a.put(Heartbeat(), now_ms=0)
+    >>> [entry.origin for entry in b.merge(a.digest(), now_ms=0).ok_value]
+    ['a']
+    """
+
+    def __init__(
+        self, instance_id: str, boot: int, is_local: Callable[[str], bool] = lambda origin: True
+    ) -> None:
+        self._instance_id = instance_id
+        self._is_local = is_local
+        self._entries: dict[Key, _Stored] = {}
+        self._expired: dict[Key, tuple[tuple[int, int], int]] = {}
+        self._boots: dict[str, int] = {instance_id: boot}
+        self._local: TransmissionQueue[Key] = TransmissionQueue()
+        self._remote: TransmissionQueue[Key] = TransmissionQueue()
+        self._summary: TransmissionQueue[Key] = TransmissionQueue()
+        self._seq = 0
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    @property
+    def boot(self) -> int:
+        """Return the boot under which own entries are written."""
+        return self._boots[self._instance_id]
+
+    def put(self, payload: Payload, now_ms: int) -> Entry:
+        """Write a new version of an own entry.
+
+        Raises `EntryTooLargeError` if it does not fit in the part of a digest for remote entries.
+        """
+        self._seq += 1
+        entry = Entry(self._instance_id, self.boot, self._seq, payload)
+        raw = ENTRY_ENCODER.encode(entry)
+        if len(raw) > REMOTE_DIGEST_BYTES - _ARRAY_HEADER_BYTES:
+            raise EntryTooLargeError(f"entry '{payload.subject}' has {len(raw)} bytes")
+        self._store(entry, raw, now_ms)
+        return entry
+
+    def merge(self, digest: bytes, now_ms: int) -> Result[list[Entry], DigestFormatError]:
+        """Merge a received digest and return the entries that were new."""
+        if len(digest) > MAX_DIGEST_BYTES:
+            return Err(DigestFormatError(f"digest has {len(digest)} bytes"))
+        try:
+            raws = [bytes(raw) for raw in DIGEST_DECODER.decode(digest)]
+            entries = [ENTRY_DECODER.decode(raw) for raw in raws]
+        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+            return Err(DigestFormatError(str(exc)))
+        fresh = []
+        for entry, raw in zip(entries, raws, strict=True):
+            if self._accept(entry, raw, now_ms):
+                fresh.append(entry)
+        return Ok(fresh)
+
+    def _accept(self, entry: Entry, raw: bytes, now_ms: int) -> bool:
+        if entry.origin == self._instance_id:
+            self._refute(entry, now_ms)
+            return False
+        boot = self._boots.get(entry.origin)
+        if boot is not None and entry.boot < boot:
+            return False
+        key = entry.key
+        stored = self._entries.get(key)
+        if stored is not None:
+            if entry.version <= stored.version:
+                return False
+        elif (
+            key in self._expired
+            and entry.version <= self._expired[key][0]
+            or len(self._entries) >= MAX_ENTRIES
+        ):
+            return False
+        if boot is not None and entry.boot > boot:
+            self._forget(entry.origin)
+        self._store(entry, raw, now_ms)
+        return True
+
+    def _refute(self, entry: Entry, now_ms: int) -> None:
+        """Rewrite the own entries if a peer holds one from a boot that seems newer.
+
+        This happens after a restart with a clock that was set back; the old entries would
+        otherwise win over the new ones.
+        """
+        if entry.version <= (self.boot, self._seq):
+            return
+        self._boots[self._instance_id] = entry.boot + 1
+        for key, stored in list(self._entries.items()):
+            if key[2] == self._instance_id:
+                self.put(stored.payload, now_ms)
+
+    def _store(self, entry: Entry, raw: bytes, now_ms: int) -> None:
+        key = entry.key
+        self._boots[entry.origin] = entry.boot
+        self._expired.pop(key, None)
+        self._entries[key] = _Stored(entry.version, raw, entry.payload, now_ms)
+        if self._is_local(entry.origin):
+            self._remote.discard(key)
+            self._local.renew(key)
+            self._summary.renew(key)
+        else:
+            self._local.discard(key)
+            self._summary.discard(key)
+            self._remote.renew(key)
+
+    def _forget(self, origin: str) -> None:
+        for key in [key for key in self._entries if key[2] == origin]:
+            self._drop(key)
+
+    def _drop(self, key: Key) -> _Stored:
+        for queue in (self._local, self._remote, self._summary):
+            queue.discard(key)
+        return self._entries.pop(key)
+
+    def _size(self, key: Key) -> int:
+        return len(self._entries[key].raw)
+
+    def digest(self) -> bytes:
+        """Return the next digest for an instance of the own data centre."""
+        budget = MAX_DIGEST_BYTES - _ARRAY_HEADER_BYTES
+        keys = self._remote.take(min(budget, REMOTE_DIGEST_BYTES), self._size)
+        budget -= sum(map(self._size, keys))
+        keys += self._local.take(budget, self._size)
+        return self._encode(keys)
+
+    def summary(self) -> bytes:
+        """Return the next digest for another data centre, of entries written in the own one."""
+        return self._encode(self._summary.take(MAX_DIGEST_BYTES - _ARRAY_HEADER_BYTES, self._size))
+
+    def _encode(self, keys: list[Key]) -> bytes:
+        raws: list[Any] = [msgspec.Raw(self._entries[key].raw) for key in keys]
+        return ENTRY_ENCODER.encode(raws)
+
+    def expire(self, now_ms: int) -> int:
+        """Drop entries that their origin no longer renews and return their number."""
+        old = [
+            key
+            for key, stored in self._entries.items()
+            if now_ms - stored.at_ms >= ENTRY_LIFETIME_MS and key[2] != self._instance_id
+        ]
+        for key in old:
+            self._expired[key] = (self._drop(key).version, now_ms)
+        for key, (_, at_ms) in list(self._expired.items()):
+            if now_ms - at_ms >= EXPIRED_MEMORY_MS:
+                del self._expired[key]
+        known = {key[2] for key in self._entries} | {key[2] for key in self._expired}
+        for origin in self._boots.keys() - known - {self._instance_id}:
+            del self._boots[origin]
+        return len(old)
+
+    def withdraw(self, payload_type: type, subject: str) -> None:
+        """Stop sending an own entry; peers expire it."""
+        key = (payload_type, subject, self._instance_id)
+        if key in self._entries:
+            self._drop(key)
+
+    def entries(self, payload_type: type | None = None) -> list[Entry]:
+        """Return the stored entries, or those with one type of payload."""
+        return [
+            Entry(key[2], *stored.version, stored.payload)
+            for key, stored in self._entries.items()
+            if payload_type in (None, key[0])
+        ]
