Gave each instance home runners

Cause: instances that saw the same late report chose the same runner (herd), and short prompts waited behind work their instance did not know of. Change: instances divide the runners of a model evenly by rank of their boot ids and look at others only if the wait at home exceeds 50 ms; the fixed part of the fleet for long prompts is no longer used.

--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -10,6 +10,7 @@
 from .admission import Admission
 from .cost import CostModel
 from .exceptions import DuplicateRequestError
+from .homes import PEER_EXPIRY_MS, REFRESH_MS, Homes
 from .large import LargePrompts
 from .messages import (
     AttemptEnded,
@@ -65,8 +66,9 @@
         self._admission = Admission(self.cost, self.queue, self.shares, self.runners)
         self._prefixes = PrefixIndex()
         self._rng = Random(f"{seed}/{instance_boot}")
+        self._homes = Homes(instance_boot)
         self.placement: Placement = PredictedPlacement(
-            self._settings, self.cost, self._prefixes, self._rng
+            self._settings, self.cost, self._prefixes, self._homes, self._rng
         )
         self._budget = RetryBudget(self._settings.retry_budget)
         self._large = LargePrompts(instance_boot, wall_offset_ms)
@@ -123,6 +125,8 @@
                     decisions += self._end(state)
             case PeerConsumption(instance_boot, consumed_ms):
                 self.shares.merge(instance_boot, consumed_ms, now_ms)
+                if now_ms >= self._homes.refreshed_ms + REFRESH_MS:
+                    self._homes.refresh(self.shares.recent_peers(now_ms - PEER_EXPIRY_MS), now_ms)
             case ReservationAnswered():
                 decisions += self._reservation(event, now_ms)
             case Tick():
--- a/packages/core/src/ibispaddle_core/scheduling/placement.py
+++ b/packages/core/src/ibispaddle_core/scheduling/placement.py
@@ -6,6 +6,7 @@
 
 from ..settings.fleet import SchedulingConfig
 from .cost import CostModel, PromptClass
+from .homes import Homes
 from .messages import Request
 from .prefixes import PrefixIndex
 from .runners import RunnerTable, RunnerView
@@ -15,6 +16,8 @@
 # Runners whose predictions differ by less are equal; the choice among them is random, because
 # several instances that see the same report would otherwise all choose the same runner.
 NEAR_EQUAL_MS = 20.0
+# Other runners are looked at only if the wait at each home runner is longer.
+MAX_HOME_WAIT_MS = 50.0
 # A request stays in the instance's queue while every runner's predicted wait is longer. This keeps
 # the engines busy and leaves the order between neighbours to the queue.
 MAX_ENGINE_WAIT_MS = {
@@ -50,11 +53,17 @@
     """Choose the runner with the lowest predicted time to first token."""
 
     def __init__(
-        self, settings: SchedulingConfig, cost: CostModel, prefixes: PrefixIndex, rng: Random
+        self,
+        settings: SchedulingConfig,
+        cost: CostModel,
+        prefixes: PrefixIndex,
+        homes: Homes,
+        rng: Random,
     ) -> None:
         self._settings = settings
         self._cost = cost
         self._prefixes = prefixes
+        self._homes = homes
         self._rng = rng
 
     def priority(self, req: Request) -> int:
@@ -65,24 +74,32 @@
         self, req: Request, tried: set[str], runners: RunnerTable, now_ms: int
     ) -> Choice | None:
         """Return the choice, or None while every runner is too busy or has too little memory."""
-        prompt_class = self._cost.prompt_class(req.prompt_tokens)
         views = runners.live(req.model)
-        if prompt_class is PromptClass.LONG:
-            count = max(1, round(len(views) * self._settings.long_fleet_fraction))
-            views = views[:count]
-        if len(views) > MAX_CANDIDATES:
-            views = self._rng.sample(views, MAX_CANDIDATES)
-        untried = [view for view in views if view.upstream.upstream_id not in tried]
-        choices = []
-        for view in untried or views:
-            choice = self._predict(req, prompt_class, view, now_ms)
-            if choice is not None:
-                choices.append(choice)
+        homes = self._homes.select(views)
+        choices = self._choices(req, homes, tried, now_ms)
+        if not choices or min(choice.wait_ms for choice in choices) > MAX_HOME_WAIT_MS:
+            if len(views) > MAX_CANDIDATES:
+                views = self._rng.sample(views, MAX_CANDIDATES)
+            others = [view for view in views if view not in homes]
+            choices += self._choices(req, others, tried, now_ms)
+        if not choices and tried:
+            choices = self._choices(req, views, set(), now_ms)
         if not choices:
             return None
         best = min(choice.ttft_ms for choice in choices)
         return self._rng.choice([c for c in choices if c.ttft_ms <= best + NEAR_EQUAL_MS])
 
+    def _choices(
+        self, req: Request, views: list[RunnerView], tried: set[str], now_ms: int
+    ) -> list[Choice]:
+        prompt_class = self._cost.prompt_class(req.prompt_tokens)
+        choices = (
+            self._predict(req, prompt_class, view, now_ms)
+            for view in views
+            if view.upstream.upstream_id not in tried
+        )
+        return [choice for choice in choices if choice is not None]
+
     def _predict(
         self, req: Request, prompt_class: PromptClass, view: RunnerView, now_ms: int
     ) -> Choice | None:
--- a/packages/core/src/ibispaddle_core/shares/counters.py
+++ b/packages/core/src/ibispaddle_core/shares/counters.py
@@ -23,6 +23,7 @@
         self._own: dict[str, float] = {}
         self._credit: dict[str, float] = {}
         self._peers: dict[str, dict[str, float]] = {}
+        self._heard_ms: dict[str, int] = {}
         self._decayed: dict[str, float] = {}
         self._decayed_at_ms = 0
 
@@ -50,6 +51,7 @@
         The first message of a peer only sets the base: what it consumed before is history that the
         decay has mostly removed.
         """
+        self._heard_ms[instance_boot] = now_ms
         known = self._peers.get(instance_boot)
         if known is None:
             self._peers[instance_boot] = dict(consumed_ms)
@@ -64,10 +66,9 @@
         """Return this instance's cumulative counters, in engine milliseconds."""
         return dict(self._own)
 
-    @property
-    def peers(self) -> tuple[str, ...]:
-        """Return the boot ids of the peers whose counters are known."""
-        return tuple(self._peers)
+    def recent_peers(self, since_ms: int) -> list[str]:
+        """Return the boot ids of the peers that sent their counters since a time."""
+        return [boot for boot, heard_ms in self._heard_ms.items() if heard_ms >= since_ms]
 
     def normalised(self, neighbour: str) -> float:
         """Return the decayed consumption per unit of weight; only the order has a meaning."""
