Predicted waits by engine priority and counted own long prompts until their first token

Cause: a long prompt's wait counted all waiting work, and an own long prompt was taken to be done after its estimate although shorter prompts had delayed it. Change: only own work of the same or a higher priority counts; an own long prompt counts with at least a fifth of its tokens until its first token.

--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -263,6 +263,7 @@
         for member in group:
             self.runners.views[member].sent[req.request_id] = SentWork(
                 state.prompt_class,
+                self.placement.priority(req),
                 choice.prefill_tokens,
                 0 if handles else self.cost.kv_tokens(req),
                 now_ms,
--- a/packages/core/src/ibispaddle_core/scheduling/placement.py
+++ b/packages/core/src/ibispaddle_core/scheduling/placement.py
@@ -108,7 +108,9 @@
             free -= int(view.kv_total * self._settings.short_memory_reserve)
         if self._cost.kv_tokens(req) > free:
             return None
-        wait_ms = view.wait_ms(prompt_class, now_ms, self._settings.load_report_max_age_ms)
+        wait_ms = view.wait_ms(
+            prompt_class, self.priority(req), now_ms, self._settings.load_report_max_age_ms
+        )
         if wait_ms > MAX_ENGINE_WAIT_MS[prompt_class]:
             return None
         cached = self._prefixes.cached_tokens(req, view.upstream.upstream_id)
--- a/packages/core/src/ibispaddle_core/scheduling/runners.py
+++ b/packages/core/src/ibispaddle_core/scheduling/runners.py
@@ -9,6 +9,8 @@
 # A report gives no lengths of the waiting prompts. Work above this many tokens per waiting request
 # is taken to be long prompts, which a short prompt overtakes by its priority.
 SHORT_WAITING_TOKENS = 4_000
+# A long prompt that has not sent its first token is taken to have this part left at least.
+MIN_LONG_REST = 0.2
 
 
 @dataclass(slots=True)
@@ -16,6 +18,7 @@
     """Describe a request that this instance sent to a runner."""
 
     prompt_class: PromptClass
+    priority: int
     prefill_tokens: int  # Zero after the first token.
     kv_tokens: int
     sent_ms: int
@@ -36,8 +39,10 @@
         """Return whether the runner may get new work."""
         return self.upstream.state is UpstreamState.LIVE
 
-    def wait_ms(self, prompt_class: PromptClass, now_ms: int, max_age_ms: int) -> float:
-        """Return the predicted wait of a new request of the class before its prefill starts."""
+    def wait_ms(
+        self, prompt_class: PromptClass, priority: int, now_ms: int, max_age_ms: int
+    ) -> float:
+        """Return the predicted wait of a new request before its prefill starts."""
         load = self.load
         reported = 0.0
         seen_ms = -1
@@ -46,13 +51,24 @@
             tokens = float(load.queued_prefill_tokens)
             if prompt_class is not PromptClass.LONG:
                 tokens = min(tokens, SHORT_WAITING_TOKENS * load.waiting)
+            else:
+                tokens -= sum(
+                    work.prefill_tokens
+                    for work in self.sent.values()
+                    if work.prompt_class is PromptClass.LONG and work.sent_ms <= seen_ms
+                )
             reported = max(0.0, tokens - self.prefill_rate * (now_ms - seen_ms))
-        unseen = 0.0
+        own = 0.0
         for work in self.sent.values():
-            if work.prefill_tokens and work.prompt_class <= prompt_class and work.sent_ms > seen_ms:
-                done = self.prefill_rate * (now_ms - work.sent_ms)
-                unseen += max(0.0, work.prefill_tokens - done)
-        return (reported + unseen) / self.prefill_rate
+            if not work.prefill_tokens or work.priority > priority:
+                continue
+            done = self.prefill_rate * (now_ms - work.sent_ms)
+            if work.prompt_class is PromptClass.LONG:
+                # Known to be unfinished until its first token, whatever the estimate says.
+                own += max(MIN_LONG_REST * work.prefill_tokens, work.prefill_tokens - done)
+            elif work.sent_ms > seen_ms:
+                own += max(0.0, work.prefill_tokens - done)
+        return (reported + own) / self.prefill_rate
 
     def long_tokens(self) -> int:
         """Return the tokens of this instance's long prompts that are still in prefill."""
