Let a blocked prompt hold up no smaller ones

Cause: prompts larger than one engine, which wait for reservations, and long prompts that wait for memory blocked all long prompts of their neighbour. Change: prompts that span engines have a lane of their own; the first four long prompts of each neighbour are tried.

--- a/packages/core/src/ibispaddle_core/scheduling/admission.py
+++ b/packages/core/src/ibispaddle_core/scheduling/admission.py
@@ -58,21 +58,18 @@
         live = self._runners.live(req.model)
         if not live:
             return Verdict(RefusalReason.NO_UPSTREAM, MIN_RETRY_AFTER_MS)
-        limit = self._cost.segment_limit(req.model)
-        segments = -(-self._cost.kv_tokens(req) // limit)
-        if segments > len(live):
+        if self._cost.segments(req) > len(live):
             return Verdict(RefusalReason.TOO_LARGE)
         wait_ms = self.queue_wait_ms(lane, req.neighbour, now_ms)
         if self._queue.is_full(req.neighbour):
             return Verdict(RefusalReason.QUEUE_FULL, self.retry_after_ms(wait_ms))
-        if now_ms + wait_ms + self.service_ms(req, segments) > req.deadline_ms:
+        if now_ms + wait_ms + self.service_ms(req) > req.deadline_ms:
             return Verdict(RefusalReason.DEADLINE, self.retry_after_ms(wait_ms))
         return None
 
-    def service_ms(self, req: Request, segments: int = 1) -> float:
+    def service_ms(self, req: Request) -> float:
         """Return the expected time from dispatch to the last token on an idle engine."""
-        rate = self._cost.model(req.model).prefill_tokens_per_s / 1000
-        return req.prompt_tokens / segments / rate + self._cost.decode_ms(req)
+        return self._cost.alone_ms(req) + self._cost.decode_ms(req)
 
     def queue_wait_ms(self, lane: Lane, neighbour: str, now_ms: int) -> float:
         """Return the expected time in the queue from the measured rate and the fair share."""
--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -8,7 +8,7 @@
 from ..settings.fleet import FleetConfig
 from ..shares import ShareCounters
 from .admission import Admission
-from .cost import CostModel
+from .cost import CostModel, PromptClass
 from .exceptions import DuplicateRequestError
 from .homes import PEER_EXPIRY_MS, REFRESH_MS, Homes
 from .large import LargePrompts
@@ -45,6 +45,9 @@
 QUEUE_POLL_MS = 20
 # Requests of one lane that are looked at in one pass when the first ones find no runner.
 MAX_BLOCKED_PER_LANE = 2
+# Long prompts of one neighbour that are looked at: one that waits for memory must not hold up
+# smaller ones.
+BLOCKED_DEPTH = 4
 
 
 class Scheduler:
@@ -150,7 +153,7 @@
     def _arrive(self, req: Request, now_ms: int) -> list[Decision]:
         if req.request_id in self._states:
             raise DuplicateRequestError(f"request {req.request_id!r} is already being scheduled")
-        prompt_class = self.cost.prompt_class(req.prompt_tokens)
+        prompt_class = self.cost.prompt_class(req)
         verdict = self._admission.check(req, (prompt_class, req.model), now_ms)
         if verdict is not None:
             return [
@@ -185,13 +188,15 @@
             while progress:
                 progress = False
                 blocked = 0
-                for request_id in self.queue.heads(lane, self.shares.normalised):
+                depth = BLOCKED_DEPTH if lane[0] is PromptClass.LONG else 1
+                limit = depth * MAX_BLOCKED_PER_LANE
+                for _, request_id in self.queue.heads(lane, self.shares.normalised, depth):
                     state = self._states[request_id]
                     started = self._start(state, now_ms)
                     decisions += started or []
                     progress = started is not None
                     blocked += not progress
-                    if progress or blocked >= MAX_BLOCKED_PER_LANE:
+                    if progress or blocked >= limit:
                         break
         return decisions
 
@@ -200,26 +205,23 @@
         req = state.req
         if not self.runners.live(req.model):
             return self._refuse(state, RefusalReason.NO_UPSTREAM, 1_000)
-        tokens = self.cost.kv_tokens(req)
-        segments = -(-tokens // self.cost.segment_limit(req.model))
-        if now_ms + self._admission.service_ms(req, segments) > req.deadline_ms:
+        if now_ms + self._admission.service_ms(req) > req.deadline_ms:
             wait_ms = self._admission.queue_wait_ms(self._lane(state), req.neighbour, now_ms)
             return self._refuse(
                 state, RefusalReason.DEADLINE, self._admission.retry_after_ms(wait_ms)
             )
-        if segments > 1:
-            return self._begin_large(state, segments, now_ms)
+        if state.prompt_class is PromptClass.SPANNING:
+            return self._begin_large(state, now_ms)
         choice = self.placement.choose(req, state.tried, self.runners, now_ms)
         if choice is None:
             return None
         return [self._dispatch(state, choice, (), now_ms)]
 
-    def _begin_large(
-        self, state: RequestState, segments: int, now_ms: int
-    ) -> list[Decision] | None:
+    def _begin_large(self, state: RequestState, now_ms: int) -> list[Decision] | None:
         if self._large.reserving:
             return None
         live = self.runners.live(state.req.model)
+        segments = self.cost.segments(state.req)
         if segments > len(live):
             return self._refuse(state, RefusalReason.TOO_LARGE, 0)
         tokens = self.cost.kv_tokens(state.req)
--- a/packages/core/src/ibispaddle_core/scheduling/cost.py
+++ b/packages/core/src/ibispaddle_core/scheduling/cost.py
@@ -18,6 +18,7 @@
     SHORT = 0
     MEDIUM = 1
     LONG = 2
+    SPANNING = 3  # Larger than one engine's memory.
 
 
 class CostModel:
@@ -32,23 +33,34 @@
         """Return the settings of a model, or the defaults for one that is not configured."""
         return self._config.models.get(name, self._default)
 
-    def prompt_class(self, prompt_tokens: int) -> PromptClass:
-        """Return the class of a prompt."""
-        if prompt_tokens < self._config.scheduling.short_prompt_tokens:
+    def prompt_class(self, req: Request) -> PromptClass:
+        """Return the class of a request's prompt."""
+        if self.segments(req) > 1:
+            return PromptClass.SPANNING
+        if req.prompt_tokens < self._config.scheduling.short_prompt_tokens:
             return PromptClass.SHORT
-        if prompt_tokens < self._config.scheduling.long_prompt_tokens:
+        if req.prompt_tokens < self._config.scheduling.long_prompt_tokens:
             return PromptClass.MEDIUM
         return PromptClass.LONG
 
-    def priority(self, prompt_tokens: int) -> int:
+    def segments(self, req: Request) -> int:
+        """Return the number of engines whose memory the request needs."""
+        return -(-self.kv_tokens(req) // self.segment_limit(req.model))
+
+    def alone_ms(self, req: Request) -> float:
+        """Return the time to first token on an idle fleet."""
+        rate = self.model(req.model).prefill_tokens_per_s / 1000
+        return req.prompt_tokens / self.segments(req) / rate
+
+    def priority(self, req: Request) -> int:
         """Return the engine priority, 0 highest: shorter prompts first, long ones far behind."""
-        match self.prompt_class(prompt_tokens):
+        match self.prompt_class(req):
             case PromptClass.SHORT:
                 return 0
             case PromptClass.MEDIUM:
                 return 2
         long_tokens = self._config.scheduling.long_prompt_tokens
-        return min(8, 4 + prompt_tokens // (2 * long_tokens))
+        return min(8, 4 + req.prompt_tokens // (2 * long_tokens))
 
     def expected_output(self, req: Request) -> int:
         """Return the output tokens that the request is expected to generate."""
--- a/packages/core/src/ibispaddle_core/scheduling/placement.py
+++ b/packages/core/src/ibispaddle_core/scheduling/placement.py
@@ -24,6 +24,7 @@
     PromptClass.SHORT: 400.0,
     PromptClass.MEDIUM: 400.0,
     PromptClass.LONG: 1_000.0,
+    PromptClass.SPANNING: 1_000.0,
 }
 
 
@@ -68,7 +69,7 @@
 
     def priority(self, req: Request) -> int:
         """Return the engine priority of the request."""
-        return self._cost.priority(req.prompt_tokens)
+        return self._cost.priority(req)
 
     def choose(
         self, req: Request, tried: set[str], runners: RunnerTable, now_ms: int
@@ -92,7 +93,7 @@
     def _choices(
         self, req: Request, views: list[RunnerView], tried: set[str], now_ms: int
     ) -> list[Choice]:
-        prompt_class = self._cost.prompt_class(req.prompt_tokens)
+        prompt_class = self._cost.prompt_class(req)
         choices = (
             self._predict(req, prompt_class, view, now_ms)
             for view in views
--- a/packages/core/src/ibispaddle_core/scheduling/queue.py
+++ b/packages/core/src/ibispaddle_core/scheduling/queue.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 from collections.abc import Callable, Iterator
+from itertools import islice
 
 from .cost import PromptClass
 
@@ -61,11 +62,17 @@
         """Return the lanes that hold requests, shorter prompts first."""
         return sorted(self._lanes)
 
-    def heads(self, lane: Lane, order: Callable[[str], float]) -> Iterator[str]:
-        """Yield the first request of each neighbour of the lane, lowest order value first."""
+    def heads(
+        self, lane: Lane, order: Callable[[str], float], depth: int = 1
+    ) -> Iterator[tuple[str, str]]:
+        """Yield (neighbour, request id) of the first `depth` requests of each neighbour.
+
+        Neighbours come lowest order value first.
+        """
         neighbours = self._lanes.get(lane, {})
         for name in sorted(neighbours, key=lambda name: (order(name), name)):
-            yield neighbours[name][0]
+            for request_id in islice(neighbours[name], depth):
+                yield name, request_id
 
     def neighbours(self, lane: Lane) -> list[str]:
         """Return the neighbours with waiting requests in the lane."""
--- a/packages/core/src/ibispaddle_core/scheduling/runners.py
+++ b/packages/core/src/ibispaddle_core/scheduling/runners.py
@@ -49,13 +49,13 @@
         if load is not None and now_ms - load.observed_ms <= max_age_ms:
             seen_ms = load.observed_ms
             tokens = float(load.queued_prefill_tokens)
-            if prompt_class is not PromptClass.LONG:
+            if prompt_class < PromptClass.LONG:
                 tokens = min(tokens, SHORT_WAITING_TOKENS * load.waiting)
             else:
                 tokens -= sum(
                     work.prefill_tokens
                     for work in self.sent.values()
-                    if work.prompt_class is PromptClass.LONG and work.sent_ms <= seen_ms
+                    if work.prompt_class >= PromptClass.LONG and work.sent_ms <= seen_ms
                 )
             reported = max(0.0, tokens - self.prefill_rate * (now_ms - seen_ms))
         own = 0.0
@@ -63,7 +63,7 @@
             if not work.prefill_tokens or work.priority > priority:
                 continue
             done = self.prefill_rate * (now_ms - work.sent_ms)
-            if work.prompt_class is PromptClass.LONG:
+            if work.prompt_class >= PromptClass.LONG:
                 # Known to be unfinished until its first token, whatever the estimate says.
                 own += max(MIN_LONG_REST * work.prefill_tokens, work.prefill_tokens - done)
             elif work.sent_ms > seen_ms:
@@ -75,7 +75,7 @@
         return sum(
             work.prefill_tokens
             for work in self.sent.values()
-            if work.prompt_class is PromptClass.LONG
+            if work.prompt_class >= PromptClass.LONG
         )
 
     def kv_free(self) -> int:
