Lent home runners for long prompts to one instance at a time

Cause: when a report showed an idle runner, several instances with waiting long prompts sent theirs to it at once (traces: up to five long prompts on one runner, later ones waiting for memory). Change: each instance's homes are lent to one other instance per 3 s turn, and only a report from within the turn counts. Also corrected the rest of own long prompts in the reported queue.

--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -69,7 +69,7 @@
         self._admission = Admission(self.cost, self.queue, self.shares, self.runners)
         self._prefixes = PrefixIndex()
         self._rng = Random(f"{seed}/{instance_boot}")
-        self._homes = Homes(instance_boot)
+        self._homes = Homes(instance_boot, wall_offset_ms)
         self.placement: Placement = PredictedPlacement(
             self._settings, self.cost, self._prefixes, self._homes, self._rng
         )
--- a/packages/core/src/ibispaddle_core/scheduling/homes.py
+++ b/packages/core/src/ibispaddle_core/scheduling/homes.py
@@ -10,13 +10,17 @@
 # A peer that was not heard of for this long has no homes; gossip arrives about twice a second.
 PEER_EXPIRY_MS = 10_000
 REFRESH_MS = 1_000
+# Each instance's homes are lent to one other instance at a time. A turn is longer than a load
+# report needs to arrive, so that the borrower sees what the one before it sent.
+TURN_MS = 3_000
 
 
 class Homes:
     """Divide the runners of a model in id order evenly among the known instances."""
 
-    def __init__(self, instance_boot: str) -> None:
+    def __init__(self, instance_boot: str, wall_offset_ms: int) -> None:
         self._boot = instance_boot
+        self._wall_offset_ms = wall_offset_ms
         self._instances = [instance_boot]
         self.refreshed_ms = -REFRESH_MS
 
@@ -27,6 +31,20 @@
 
     def select(self, views: list[RunnerView]) -> list[RunnerView]:
         """Return this instance's home runners; empty if there are more instances than runners."""
-        rank = self._instances.index(self._boot)
+        return self._block(views, self._instances.index(self._boot))
+
+    def borrowed(self, views: list[RunnerView], now_ms: int) -> list[RunnerView]:
+        """Return the runners of the instance that lends to this one during the present turn."""
+        count = len(self._instances)
+        if count == 1:
+            return []
+        turn = (now_ms + self._wall_offset_ms) // TURN_MS % (count - 1)
+        return self._block(views, (self._instances.index(self._boot) + 1 + turn) % count)
+
+    def turn_began_ms(self, now_ms: int) -> int:
+        """Return the monotonic time at which the present turn began."""
+        return now_ms - (now_ms + self._wall_offset_ms) % TURN_MS
+
+    def _block(self, views: list[RunnerView], rank: int) -> list[RunnerView]:
         count = len(self._instances)
         return views[rank * len(views) // count : (rank + 1) * len(views) // count]
--- a/packages/core/src/ibispaddle_core/scheduling/placement.py
+++ b/packages/core/src/ibispaddle_core/scheduling/placement.py
@@ -79,10 +79,7 @@
         homes = self._homes.select(views)
         choices = self._choices(req, homes, tried, now_ms)
         if not choices or min(choice.wait_ms for choice in choices) > MAX_HOME_WAIT_MS:
-            if len(views) > MAX_CANDIDATES:
-                views = self._rng.sample(views, MAX_CANDIDATES)
-            others = [view for view in views if view not in homes]
-            choices += self._choices(req, others, tried, now_ms)
+            choices += self._choices(req, self._others(req, views, homes, now_ms), tried, now_ms)
         if not choices and tried:
             choices = self._choices(req, views, set(), now_ms)
         if not choices:
@@ -90,6 +87,21 @@
         best = min(choice.ttft_ms for choice in choices)
         return self._rng.choice([c for c in choices if c.ttft_ms <= best + NEAR_EQUAL_MS])
 
+    def _others(
+        self, req: Request, views: list[RunnerView], homes: list[RunnerView], now_ms: int
+    ) -> list[RunnerView]:
+        if self._cost.prompt_class(req) >= PromptClass.LONG and homes:
+            # A report from before the turn may not show what the previous borrower sent.
+            began_ms = self._homes.turn_began_ms(now_ms)
+            return [
+                view
+                for view in self._homes.borrowed(views, now_ms)
+                if view.load is not None and view.load.observed_ms >= began_ms
+            ]
+        if len(views) > MAX_CANDIDATES:
+            views = self._rng.sample(views, MAX_CANDIDATES)
+        return [view for view in views if view not in homes]
+
     def _choices(
         self, req: Request, views: list[RunnerView], tried: set[str], now_ms: int
     ) -> list[Choice]:
--- a/packages/core/src/ibispaddle_core/scheduling/runners.py
+++ b/packages/core/src/ibispaddle_core/scheduling/runners.py
@@ -53,7 +53,7 @@
                 tokens = min(tokens, SHORT_WAITING_TOKENS * load.waiting)
             else:
                 tokens -= sum(
-                    work.prefill_tokens
+                    max(0.0, work.prefill_tokens - self.prefill_rate * (seen_ms - work.sent_ms))
                     for work in self.sent.values()
                     if work.prompt_class >= PromptClass.LONG and work.sent_ms <= seen_ms
                 )
