Chose groups by the smallest free memory and served long prompts by stretch

Cause: a group with much memory in sum may have one full engine; a first-come order lets a 100 k prompt wait for an 800 k one. Change: the group with the largest minimum of free memory; long prompts wait in the order of arrival plus twice their own time. Kept the group rule because it cannot choose a full engine and the order because it cannot starve; neither is shown to gain here.

--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -48,6 +48,9 @@
 # Long prompts of one neighbour that are looked at: one that waits for memory must not hold up
 # smaller ones.
 BLOCKED_DEPTH = 4
+# Wait, in multiples of the own time to first token, after which a long prompt is as urgent as one
+# that has just arrived with no length.
+STRETCH = 2.0
 
 
 class Scheduler:
@@ -168,9 +171,14 @@
     def _lane(self, state: RequestState) -> Lane:
         return state.prompt_class, state.req.model
 
-    def _enqueue(self, state: RequestState, front: bool = False) -> None:
+    def _enqueue(self, state: RequestState) -> None:
         req = state.req
-        self.queue.add(self._lane(state), req.neighbour, req.request_id, state.cost_ms, front)
+        # Long prompts are served in the order in which each reaches a multiple of its own time, so
+        # a shorter one passes a longer one, and every one moves up while it waits.
+        rank = req.arrived_ms + STRETCH * self.cost.alone_ms(req)
+        if state.prompt_class < PromptClass.LONG:
+            rank = req.arrived_ms
+        self.queue.add(self._lane(state), req.neighbour, req.request_id, state.cost_ms, rank)
         state.queued = True
 
     def _dequeue(self, state: RequestState) -> None:
@@ -190,7 +198,8 @@
                 blocked = 0
                 depth = BLOCKED_DEPTH if lane[0] is PromptClass.LONG else 1
                 limit = depth * MAX_BLOCKED_PER_LANE
-                for _, request_id in self.queue.heads(lane, self.shares.normalised, depth):
+                heads = [i for _, i in self.queue.heads(lane, self.shares.normalised, depth)]
+                for request_id in heads:
                     state = self._states[request_id]
                     started = self._start(state, now_ms)
                     decisions += started or []
@@ -226,7 +235,7 @@
             return self._refuse(state, RefusalReason.TOO_LARGE, 0)
         tokens = self.cost.kv_tokens(state.req)
         starts = range(len(live) - segments + 1)
-        free = [sum(view.kv_free() for view in live[s : s + segments]) for s in starts]
+        free = [min(view.kv_free() for view in live[s : s + segments]) for s in starts]
         start = max(starts, key=lambda s: (free[s], -s))
         self._dequeue(state)
         self._large.begin(state, live[start : start + segments], tokens, now_ms)
@@ -327,7 +336,7 @@
         )
         if not retry:
             return decisions + self._refuse(state, RefusalReason.UPSTREAM_FAILED, 1_000)
-        self._enqueue(state, front=True)
+        self._enqueue(state)
         return decisions
 
     def _change_upstreams(self, upstreams: tuple[Upstream, ...], now_ms: int) -> list[Decision]:
@@ -353,7 +362,7 @@
                 if self.queue.is_full(state.req.neighbour):
                     decisions += self._refuse(state, RefusalReason.NO_UPSTREAM, 1_000)
                 else:
-                    self._enqueue(state, front=True)
+                    self._enqueue(state)
         return decisions
 
     def _expire(self, now_ms: int) -> list[Decision]:
--- a/packages/core/src/ibispaddle_core/scheduling/queue.py
+++ b/packages/core/src/ibispaddle_core/scheduling/queue.py
@@ -1,6 +1,6 @@
 """Bounded queue per neighbour with one lane per model and prompt class."""
 
-from collections import deque
+from bisect import insort
 from collections.abc import Callable, Iterator
 from itertools import islice
 
@@ -14,7 +14,7 @@
 
     def __init__(self, max_per_neighbour: int) -> None:
         self._max = max_per_neighbour
-        self._lanes: dict[Lane, dict[str, deque[str]]] = {}
+        self._lanes: dict[Lane, dict[str, list[tuple[float, str]]]] = {}
         self._waiting: dict[str, int] = {}
         self._cost: dict[tuple[Lane, str], float] = {}
 
@@ -29,28 +29,20 @@
         """Return whether the neighbour's queue has reached its bound."""
         return self.length(neighbour) >= self._max
 
-    def add(
-        self, lane: Lane, neighbour: str, request_id: str, cost_ms: float, front: bool = False
-    ) -> None:
-        """Add a request at the end, or at the front for a retry."""
-        ids = self._lanes.setdefault(lane, {}).setdefault(neighbour, deque())
-        if front:
-            ids.appendleft(request_id)
-        else:
-            ids.append(request_id)
+    def add(self, lane: Lane, neighbour: str, request_id: str, cost_ms: float, rank: float) -> None:
+        """Add a request; the lowest rank of the neighbour in the lane is served first."""
+        entries = self._lanes.setdefault(lane, {}).setdefault(neighbour, [])
+        insort(entries, (rank, request_id))
         self._waiting[neighbour] = self.length(neighbour) + 1
         self._cost[lane, neighbour] = self._cost.get((lane, neighbour), 0.0) + cost_ms
 
     def remove(self, lane: Lane, neighbour: str, request_id: str, cost_ms: float) -> None:
         """Remove a waiting request."""
-        ids = self._lanes[lane][neighbour]
-        if ids[0] == request_id:
-            ids.popleft()
-        else:
-            ids.remove(request_id)
+        entries = self._lanes[lane][neighbour]
+        del entries[next(i for i, entry in enumerate(entries) if entry[1] == request_id)]
         self._waiting[neighbour] -= 1
         self._cost[lane, neighbour] -= cost_ms
-        if not ids:
+        if not entries:
             del self._lanes[lane][neighbour]
             del self._cost[lane, neighbour]
             if not self._lanes[lane]:
@@ -71,7 +63,7 @@
         """
         neighbours = self._lanes.get(lane, {})
         for name in sorted(neighbours, key=lambda name: (order(name), name)):
-            for request_id in islice(neighbours[name], depth):
+            for _, request_id in islice(neighbours[name], depth):
                 yield name, request_id
 
     def neighbours(self, lane: Lane) -> list[str]:
