--- a/packages/core/src/ibispaddle_core/scheduling/placement.py
+++ b/packages/core/src/ibispaddle_core/scheduling/placement.py
@@ -19,8 +19,6 @@
 # Added for a short prompt on a runner that computes a long one: the step in progress has to end
 # first, and the long prompt is delayed.
 LONG_PENALTY_MS = 20.0
-# Home runners that compute no long prompt, so that short ones find a runner free of them.
-SHORT_HOMES = 1
 # Other runners are looked at only if the wait at each home runner is longer.
 MAX_HOME_WAIT_MS = 20.0
 # A request stays in the instance's queue while every runner's predicted wait is longer. This keeps
@@ -82,11 +80,7 @@
         """Return the choice, or None while every runner is too busy or has too little memory."""
         views = runners.live(req.model)
         homes = self._homes.select(views)
-        usable = homes
-        if self._cost.prompt_class(req) is PromptClass.LONG and len(homes) > 1:
-            free = [view for view in homes if not view.computes_long(now_ms)]
-            usable = free if len(free) > SHORT_HOMES else []
-        choices = self._choices(req, usable, tried, now_ms)
+        choices = self._choices(req, homes, tried, now_ms)
         if not choices or min(choice.wait_ms for choice in choices) > MAX_HOME_WAIT_MS:
             choices += self._choices(req, self._others(req, views, homes, now_ms), tried, now_ms)
         if not choices and tried:
