Enforced shares while a neighbour is backlogged, and added memory claims

Cause: shares were kept only within a prompt class: with all neighbours backlogged (weights 4:2:1:1, equal traffic at 2.5 times the capacity) short prompts of all neighbours filled the engines, and the heaviest got 25% instead of 50%. Long prompts found no memory at all under overload, because short ones took every part that became free. Change: while a neighbour is backlogged, one above its share gets only idle runners; a prompt that has waited 30 s claims memory at a home runner, or on its group, and peers respect it (message PeerClaims, to be gossiped like PeerConsumption); short prompts borrow like long ones and look at other runners only if that fails; a blocked lane is looked at again after 20 ms.

--- a/packages/bench/src/ibispaddle_bench/experiment_baselines.py
+++ b/packages/bench/src/ibispaddle_bench/experiment_baselines.py
@@ -19,7 +19,12 @@
         return 5
 
     def choose(
-        self, req: Request, tried: set[str], runners: RunnerTable, now_ms: int
+        self,
+        req: Request,
+        tried: set[str],
+        spare_only: bool,
+        runners: RunnerTable,
+        now_ms: int,
     ) -> Choice | None:
         """Return the untried runner with the lowest score; ties go to the lowest id."""
         views = runners.live(req.model)
@@ -37,9 +42,14 @@
 
     class RoundRobin(BaselinePlacement):
         def choose(
-            self, req: Request, tried: set[str], runners: RunnerTable, now_ms: int
+            self,
+            req: Request,
+            tried: set[str],
+            spare_only: bool,
+            runners: RunnerTable,
+            now_ms: int,
         ) -> Choice | None:
-            choice = super().choose(req, tried, runners, now_ms)
+            choice = super().choose(req, tried, spare_only, runners, now_ms)
             if choice is not None:
                 last[choice.view.upstream.upstream_id] = next(turn)
             return choice
--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -1,6 +1,7 @@
 """The scheduler of one instance: state, event, time and seed in, decisions out."""
 
 import heapq
+from itertools import islice
 from random import Random
 from typing import assert_never
 
@@ -8,6 +9,7 @@
 from ..settings.fleet import FleetConfig
 from ..shares import ShareCounters
 from .admission import Admission
+from .claims import Claims
 from .cost import CostModel, PromptClass
 from .exceptions import DuplicateRequestError
 from .homes import PEER_EXPIRY_MS, REFRESH_MS, Homes
@@ -22,6 +24,7 @@
     FirstToken,
     LoadReported,
     Outcome,
+    PeerClaims,
     PeerConsumption,
     RefusalReason,
     Refuse,
@@ -34,14 +37,14 @@
     UpstreamsChanged,
     UpstreamState,
 )
-from .placement import Choice, Placement, PredictedPlacement
+from .placement import CLAIM_AFTER_MS, Choice, Placement, PredictedPlacement
 from .prefixes import PrefixIndex
 from .queue import FairQueue, Lane
 from .requests import RequestState
 from .retries import RetryBudget
 from .runners import RunnerTable, RunnerView, SentWork
 
-# How often a blocked queue is looked at again when no event arrives.
+# How often a blocked lane is looked at again; bounds the work per event under overload.
 QUEUE_POLL_MS = 20
 # Requests of one lane that are looked at in one pass when the first ones find no runner.
 MAX_BLOCKED_PER_LANE = 2
@@ -53,6 +56,19 @@
 STRETCH = 2.0
 
 
+# A neighbour with a request that waits longer than this is backlogged. Long prompts wait for memory
+# even at moderate load; counted earlier, they would stop the short prompts of all others.
+BACKLOG_MS = {
+    PromptClass.SHORT: 1_000,
+    PromptClass.MEDIUM: 2_000,
+    PromptClass.LONG: 20_000,
+    PromptClass.SPANNING: 60_000,
+}
+# While a neighbour is backlogged, one whose consumption per weight is higher by more than this
+# part gets only capacity that is idle.
+SHARE_SLACK = 0.02
+
+
 class Scheduler:
     """Decide admission, order, placement, deadlines, retries and large prompts.
 
@@ -72,16 +88,17 @@
         self._admission = Admission(self.cost, self.queue, self.shares, self.runners)
         self._prefixes = PrefixIndex()
         self._rng = Random(f"{seed}/{instance_boot}")
+        self._claims = Claims()
         self._homes = Homes(instance_boot, wall_offset_ms)
         self.placement: Placement = PredictedPlacement(
-            self._settings, self.cost, self._prefixes, self._homes, self._rng
+            self._settings, self.cost, self._prefixes, self._homes, self._claims, self._rng
         )
         self._budget = RetryBudget(self._settings.retry_budget)
         self._large = LargePrompts(instance_boot, wall_offset_ms)
         self._states: dict[str, RequestState] = {}
         self._deadlines: list[tuple[int, str]] = []
         self._first_tokens: list[tuple[int, str]] = []
-        self._pumped_ms = 0
+        self._blocked_until: dict[Lane, int] = {}
 
     @classmethod
     def from_config(
@@ -103,6 +120,10 @@
         """Return this instance's cumulative counters for gossip, in engine milliseconds."""
         return self.shares.own_counters()
 
+    def claims(self) -> dict[str, int]:
+        """Return the engine memory that waiting prompts claim, for gossip, in tokens by runner."""
+        return self._claims.own()
+
     def handle(self, event: Event, now_ms: int) -> list[Decision]:
         """Take an event and return the decisions that follow from it, in order.
 
@@ -133,6 +154,8 @@
                 self.shares.merge(instance_boot, consumed_ms, now_ms)
                 if now_ms >= self._homes.refreshed_ms + REFRESH_MS:
                     self._homes.refresh(self.shares.recent_peers(now_ms - PEER_EXPIRY_MS), now_ms)
+            case PeerClaims(instance_boot, claimed):
+                self._claims.merge(instance_boot, claimed, now_ms)
             case ReservationAnswered():
                 decisions += self._reservation(event, now_ms)
             case Tick():
@@ -140,6 +163,8 @@
             case _:
                 assert_never(event)
         decisions += self._pump(now_ms)
+        for request_id, upstream_id, tokens in self._large.unclaimed(now_ms - CLAIM_AFTER_MS):
+            self._claims.add(request_id, upstream_id, tokens)
         decisions += self._large.advance(now_ms)
         return decisions
 
@@ -147,8 +172,7 @@
         """Return when `Tick` is needed at the latest, or None while nothing waits."""
         self._drop_stale_timers()
         times = [heap[0][0] for heap in (self._deadlines, self._first_tokens) if heap]
-        if len(self.queue):
-            times.append(self._pumped_ms + QUEUE_POLL_MS)
+        times += [self._blocked_until.get(lane, now_ms) for lane in self.queue.lanes()]
         if (large_ms := self._large.next_wakeup_ms()) is not None:
             times.append(large_ms)
         return max(now_ms, min(times)) if times else None
@@ -189,27 +213,41 @@
 
     def _pump(self, now_ms: int) -> list[Decision]:
         """Dispatch waiting requests, the neighbour with the lowest consumption first."""
-        self._pumped_ms = now_ms
         decisions: list[Decision] = []
+        floor: float | None = None
         for lane in self.queue.lanes():
-            progress = True
-            while progress:
-                progress = False
-                blocked = 0
-                depth = BLOCKED_DEPTH if lane[0] is PromptClass.LONG else 1
-                limit = depth * MAX_BLOCKED_PER_LANE
-                heads = [i for _, i in self.queue.heads(lane, self.shares.normalised, depth)]
-                for request_id in heads:
-                    state = self._states[request_id]
-                    started = self._start(state, now_ms)
-                    decisions += started or []
-                    progress = started is not None
-                    blocked += not progress
-                    if progress or blocked >= limit:
-                        break
+            if now_ms < self._blocked_until.get(lane, 0):
+                continue
+            if floor is None:
+                floor = self._share_floor(now_ms)
+            while (started := self._pump_lane(lane, floor, now_ms)) is not None:
+                decisions += started
+            if self.queue.neighbours(lane):
+                self._blocked_until[lane] = now_ms + QUEUE_POLL_MS
         return decisions
 
-    def _start(self, state: RequestState, now_ms: int) -> list[Decision] | None:
+    def _pump_lane(self, lane: Lane, floor: float, now_ms: int) -> list[Decision] | None:
+        """Start one request of the lane, or return None if all that were tried must wait."""
+        depth = BLOCKED_DEPTH if lane[0] is PromptClass.LONG else 1
+        heads = self.queue.heads(lane, self.shares.normalised, depth)
+        for neighbour, request_id in islice(heads, depth * MAX_BLOCKED_PER_LANE):
+            spare_only = self.shares.normalised(neighbour) > floor * (1 + SHARE_SLACK)
+            started = self._start(self._states[request_id], spare_only, now_ms)
+            if started is not None:
+                return started
+        return None
+
+    def _share_floor(self, now_ms: int) -> float:
+        """Return the lowest normalised consumption of a neighbour that has been kept waiting."""
+        waiting = {
+            neighbour
+            for lane in self.queue.lanes()
+            for neighbour, request_id in self.queue.heads(lane, lambda _: 0.0)
+            if self._states[request_id].req.arrived_ms <= now_ms - BACKLOG_MS[lane[0]]
+        }
+        return min(map(self.shares.normalised, waiting), default=float("inf"))
+
+    def _start(self, state: RequestState, spare_only: bool, now_ms: int) -> list[Decision] | None:
         """Dispatch, reserve for or refuse a waiting request; None if it must wait."""
         req = state.req
         if not self.runners.live(req.model):
@@ -221,7 +259,7 @@
             )
         if state.prompt_class is PromptClass.SPANNING:
             return self._begin_large(state, now_ms)
-        choice = self.placement.choose(req, state.tried, self.runners, now_ms)
+        choice = self.placement.choose(req, state.tried, spare_only, self.runners, now_ms)
         if choice is None:
             return None
         return [self._dispatch(state, choice, (), now_ms)]
@@ -238,11 +276,14 @@
         free = [min(view.kv_free() for view in live[s : s + segments]) for s in starts]
         start = max(starts, key=lambda s: (free[s], -s))
         self._dequeue(state)
-        self._large.begin(state, live[start : start + segments], tokens, now_ms)
+        group = live[start : start + segments]
+        self._large.begin(state, group, tokens, now_ms)
         return []
 
     def _reservation(self, event: ReservationAnswered, now_ms: int) -> list[Decision]:
         decisions, ready = self._large.answer(event, now_ms)
+        if event.granted:
+            self._claims.remove(event.request_id, event.upstream_id)
         if not ready:
             return decisions
         state = self._states[event.request_id]
@@ -258,6 +299,7 @@
     ) -> Decision:
         req = state.req
         self._dequeue(state)
+        self._claims.remove(req.request_id)
         if state.attempts == 0:
             self._budget.count_first_attempt(now_ms)
         state.attempts += 1
@@ -359,6 +401,7 @@
             state = self._states[request_id]
             if state.upstream_id is None:
                 decisions += self._large.release(request_id)
+                self._claims.remove(request_id)
                 if self.queue.is_full(state.req.neighbour):
                     decisions += self._refuse(state, RefusalReason.NO_UPSTREAM, 1_000)
                 else:
@@ -409,6 +452,7 @@
 
     def _finish(self, state: RequestState) -> list[Decision]:
         self._dequeue(state)
+        self._claims.remove(state.req.request_id)
         self._forget_attempt(state)
         del self._states[state.req.request_id]
         return self._large.release(state.req.request_id)
--- a/packages/core/src/ibispaddle_core/scheduling/large.py
+++ b/packages/core/src/ibispaddle_core/scheduling/large.py
@@ -32,6 +32,7 @@
     tokens: int
     requested: bool = False
     granted: bool = False
+    claimed: bool = False
 
 
 @dataclass(slots=True)
@@ -41,6 +42,7 @@
     state: RequestState
     segments: list[Segment]
     retry_ms: int
+    began_ms: int
 
     @property
     def complete(self) -> bool:
@@ -77,7 +79,21 @@
             )
             for number, view in enumerate(group)
         ]
-        self._prompts[state.req.request_id] = LargePrompt(state, segments, now_ms)
+        self._prompts[state.req.request_id] = LargePrompt(state, segments, now_ms, now_ms)
+
+    def unclaimed(self, before_ms: int) -> list[tuple[str, str, int]]:
+        """Return request, runner and tokens of segments that have waited since before a time.
+
+        Each is returned once.
+        """
+        result = []
+        for request_id, prompt in self._prompts.items():
+            if prompt.began_ms <= before_ms and not prompt.complete:
+                for segment in prompt.segments:
+                    if not segment.granted and not segment.claimed:
+                        segment.claimed = True
+                        result.append((request_id, segment.upstream_id, segment.tokens))
+        return result
 
     def advance(self, now_ms: int) -> list[Decision]:
         """Send the reservations that are due."""
--- a/packages/core/src/ibispaddle_core/scheduling/messages.py
+++ b/packages/core/src/ibispaddle_core/scheduling/messages.py
@@ -148,6 +148,14 @@
     consumed_ms: Mapping[str, float] = field(default_factory=dict)  # By neighbour, cumulative.
 
 
+@dataclass(frozen=True)
+class PeerClaims:
+    """Replace what another instance waits for: engine memory in tokens by runner."""
+
+    instance_boot: str
+    tokens: Mapping[str, int] = field(default_factory=dict)
+
+
 @dataclass(frozen=True)
 class ReservationAnswered:
     """Report a runner's answer to a memory reservation."""
@@ -172,6 +180,7 @@
     | AttemptEnded
     | CallerLeft
     | PeerConsumption
+    | PeerClaims
     | ReservationAnswered
     | Tick
 )
--- a/packages/core/src/ibispaddle_core/scheduling/placement.py
+++ b/packages/core/src/ibispaddle_core/scheduling/placement.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from ..settings.fleet import SchedulingConfig
+from .claims import Claims
 from .cost import CostModel, PromptClass
 from .homes import Homes
 from .messages import Request
@@ -19,6 +20,9 @@
 # Added for a short prompt on a runner that computes a long one: the step in progress has to end
 # first, and the long prompt is delayed.
 LONG_PENALTY_MS = 20.0
+# Wait after which a long prompt claims memory. Earlier claims take memory from short prompts that a
+# long one would have found anyway.
+CLAIM_AFTER_MS = 30_000
 # Other runners are looked at only if the wait at each home runner is longer.
 MAX_HOME_WAIT_MS = 20.0
 # A request stays in the instance's queue while every runner's predicted wait is longer. This keeps
@@ -45,9 +49,17 @@
     """Choose a runner for a request."""
 
     def choose(
-        self, req: Request, tried: set[str], runners: RunnerTable, now_ms: int
+        self,
+        req: Request,
+        tried: set[str],
+        spare_only: bool,
+        runners: RunnerTable,
+        now_ms: int,
     ) -> Choice | None:
-        """Return the choice, or None while the request should stay queued."""
+        """Return the choice, or None while the request should stay queued.
+
+        With `spare_only` only runners without any waiting work qualify.
+        """
 
     def priority(self, req: Request) -> int:
         """Return the engine priority of the request."""
@@ -62,12 +74,14 @@
         cost: CostModel,
         prefixes: PrefixIndex,
         homes: Homes,
+        claims: Claims,
         rng: Random,
     ) -> None:
         self._settings = settings
         self._cost = cost
         self._prefixes = prefixes
         self._homes = homes
+        self._claims = claims
         self._rng = rng
 
     def priority(self, req: Request) -> int:
@@ -75,35 +89,59 @@
         return self._cost.priority(req)
 
     def choose(
-        self, req: Request, tried: set[str], runners: RunnerTable, now_ms: int
+        self,
+        req: Request,
+        tried: set[str],
+        spare_only: bool,
+        runners: RunnerTable,
+        now_ms: int,
     ) -> Choice | None:
         """Return the choice, or None while every runner is too busy or has too little memory."""
         views = runners.live(req.model)
         homes = self._homes.select(views)
+        if spare_only:
+            homes = [view for view in homes if view.idle]
         choices = self._choices(req, homes, tried, now_ms)
         if not choices or min(choice.wait_ms for choice in choices) > MAX_HOME_WAIT_MS:
-            choices += self._choices(req, self._others(req, views, homes, now_ms), tried, now_ms)
-        if not choices and tried:
+            others = self._others(req, views, homes, now_ms)
+            if spare_only:
+                others = [view for view in others if view.idle]
+            choices += self._choices(req, others, tried, now_ms)
+        if not choices and self._cost.prompt_class(req) < PromptClass.LONG:
+            rest = [view for view in views if not spare_only or view.idle]
+            sample = self._rng.sample(rest, min(len(rest), MAX_CANDIDATES))
+            choices = self._choices(req, sample, tried, now_ms)
+        if not choices and tried and not spare_only:
             choices = self._choices(req, views, set(), now_ms)
         if not choices:
+            if not spare_only and self._cost.prompt_class(req) is PromptClass.LONG:
+                self._claim(req, homes, now_ms)
             return None
         best = min(choice.ttft_ms for choice in choices)
         return self._rng.choice([c for c in choices if c.ttft_ms <= best + NEAR_EQUAL_MS])
 
+    def _claim(self, req: Request, homes: list[RunnerView], now_ms: int) -> None:
+        """Claim memory at the home runner with the most free memory, if one is unclaimed."""
+        if now_ms < req.arrived_ms + CLAIM_AFTER_MS or self._claims.has_claim(req.request_id):
+            return
+        unclaimed = [v for v in homes if not self._claims.is_claimed(v.upstream.upstream_id)]
+        if unclaimed and len(unclaimed) >= min(2, len(homes)):
+            view = max(unclaimed, key=lambda view: view.kv_free())
+            self._claims.add(req.request_id, view.upstream.upstream_id, self._cost.kv_tokens(req))
+
     def _others(
         self, req: Request, views: list[RunnerView], homes: list[RunnerView], now_ms: int
     ) -> list[RunnerView]:
-        if self._cost.prompt_class(req) >= PromptClass.LONG and homes:
-            # A report from before the turn may not show what the previous borrower sent.
-            began_ms = self._homes.turn_began_ms(now_ms)
-            return [
-                view
-                for view in self._homes.borrowed(views, now_ms)
-                if view.load is not None and view.load.observed_ms >= began_ms
-            ]
-        if len(views) > MAX_CANDIDATES:
-            views = self._rng.sample(views, MAX_CANDIDATES)
-        return [view for view in views if view not in homes]
+        if not homes:
+            if len(views) > MAX_CANDIDATES:
+                return self._rng.sample(views, MAX_CANDIDATES)
+            return views
+        borrowed = self._homes.borrowed(views, now_ms)
+        if self._cost.prompt_class(req) < PromptClass.LONG:
+            return borrowed
+        # A report from before the turn may not show what the previous borrower sent.
+        began_ms = self._homes.turn_began_ms(now_ms)
+        return [v for v in borrowed if v.load is not None and v.load.observed_ms >= began_ms]
 
     def _choices(
         self, req: Request, views: list[RunnerView], tried: set[str], now_ms: int
@@ -119,8 +157,9 @@
     def _predict(
         self, req: Request, prompt_class: PromptClass, view: RunnerView, now_ms: int
     ) -> Choice | None:
-        free = view.kv_free()
-        if prompt_class is not PromptClass.SHORT:
+        upstream_id = view.upstream.upstream_id
+        free = view.kv_free() - self._claims.against(req.request_id, upstream_id)
+        if prompt_class is not PromptClass.SHORT and not self._claims.has_claim(req.request_id):
             free -= int(view.kv_total * self._settings.short_memory_reserve)
         if self._cost.kv_tokens(req) > free:
             return None
@@ -132,6 +171,6 @@
         penalty_ms = 0.0
         if prompt_class < PromptClass.LONG and view.computes_long(now_ms):
             penalty_ms = LONG_PENALTY_MS
-        cached = self._prefixes.cached_tokens(req, view.upstream.upstream_id)
+        cached = self._prefixes.cached_tokens(req, upstream_id)
         tokens = max(1, req.prompt_tokens - cached)
         return Choice(view, wait_ms, wait_ms + penalty_ms + tokens / view.prefill_rate, tokens)
--- a/packages/core/src/ibispaddle_core/scheduling/runners.py
+++ b/packages/core/src/ibispaddle_core/scheduling/runners.py
@@ -39,6 +39,13 @@
         """Return whether the runner may get new work."""
         return self.upstream.state is UpstreamState.LIVE
 
+    @property
+    def idle(self) -> bool:
+        """Return whether no prompt waits or is in prefill, as far as is known."""
+        if self.load is not None and self.load.waiting:
+            return False
+        return not any(work.prefill_tokens for work in self.sent.values())
+
     def wait_ms(
         self, prompt_class: PromptClass, priority: int, now_ms: int, max_age_ms: int
     ) -> float:
