--- /dev/null
+++ b/packages/daemon/src/ibispaddle_daemon/__main__.py
@@ -0,0 +1,49 @@
+"""Command line of `ibispaddled`."""
+
+import sys
+from pathlib import Path
+from typing import Annotated
+
+import typer
+from ibispaddle_core import logevents
+from ibispaddle_core.settings import SettingsError
+
+from . import logs
+from .app import App
+from .loading import read_fleet, read_instance
+
+EXIT_SETTINGS = 2
+
+
+def run(
+    settings: Annotated[Path, typer.Option(help="Settings file of this instance.")],
+    check: Annotated[bool, typer.Option("--check", help="Check the settings and exit.")] = False,
+) -> None:
+    """Run one ibispaddle instance."""
+    try:
+        instance = read_instance(settings)
+        logs.configure(instance.instance_id)
+        config = read_fleet(instance)
+        if check:
+            print(f"{settings}: the settings are valid")
+            return
+        app = App(instance, config)
+    except SettingsError as exc:
+        for message in exc.messages:
+            print(message, file=sys.stderr)
+        logs.log_event(logevents.SETTINGS_REJECTED, mistakes=len(exc.messages))
+        raise typer.Exit(EXIT_SETTINGS) from exc
+    except OSError as exc:
+        print(f"{settings}: {exc}", file=sys.stderr)
+        raise typer.Exit(EXIT_SETTINGS) from exc
+    app.run()
+    raise typer.Exit(app.exit_status)
+
+
+def main() -> None:
+    """Run the command line."""
+    typer.run(run)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/daemon/src/ibispaddle_daemon/app.py
@@ -0,0 +1,179 @@
+"""Wiring of an instance and its life cycle."""
+
+import signal
+import ssl
+from pathlib import Path
+from typing import Any
+
+from circuits import BaseComponent, handler
+from circuits.core.pollers import EPoll
+from ibispaddle_core import logevents
+from ibispaddle_core.clock import Clock, SystemClock
+from ibispaddle_core.settings import FleetConfig, InstanceSettings
+
+from .entry import Entry
+from .events import drain_completed, drain_started
+from .fleet_poller import FleetPoller
+from .http_client import HttpClient
+from .http_server import HttpServer
+from .logs import log_error, log_event
+from .metrics import Metrics, Status
+from .services import Services
+from .timers import TimerQueue
+from .tracing import Tracing
+
+DRAIN_POLL_MS = 20
+# Callers may send a last request on a connection that is still open; a pause without any request
+# shows that they have moved on to other instances.
+DRAIN_QUIET_MS = 300
+FLUSH_TIMEOUT_MS = 500
+# Used while instances share no secret. The key only has to be equal at all instances.
+DEFAULT_FINGERPRINT_KEY = b"ibispaddle"
+
+
+class App(BaseComponent):
+    """Hold all components of one instance."""
+
+    channel = "app"
+
+    def __init__(
+        self, settings: InstanceSettings, config: FleetConfig, clock: Clock | None = None
+    ) -> None:
+        super().__init__()
+        self.settings = settings
+        self.clock = clock or SystemClock()
+        self.exit_status = 0
+        self._draining = False
+        self._drain_limit_ms = 0
+        self._quiet_since_ms: int | None = None
+        self._was_ready = False
+        EPoll().register(self)
+        self.timers = TimerQueue(self.clock).register(self)
+        self.metrics = Metrics()
+        self.http_client = HttpClient(self.clock).register(self)
+        self.tracing = Tracing(
+            settings.instance_id,
+            settings.data_centre,
+            settings.trace_url,
+            self.clock,
+            self.timers,
+        ).register(self)
+        self.status = Status(self.metrics, ("fleet",)).register(self)
+        self.server = HttpServer(
+            settings.listen, self.clock, self.timers, config.limits, _tls(settings)
+        ).register(self)
+        self.entry = Entry(
+            settings.instance_id,
+            config,
+            self.clock,
+            self.timers,
+            self.metrics,
+            self.tracing,
+            _fingerprint_key(settings),
+        ).register(self)
+        self.services = Services(
+            settings.instance_id, config, self.clock, self.timers, self.metrics, self.tracing
+        ).register(self)
+        self.fleet_poller = FleetPoller(
+            settings.list_url,
+            settings.list_poll_interval_ms,
+            settings.probe_interval_ms,
+            self.clock,
+            self.timers,
+        ).register(self)
+        self._add_gauges()
+
+    def _add_gauges(self) -> None:
+        add = self.metrics.add_gauge
+        add(
+            "ibispaddle_caller_connections",
+            "Open connections of callers.",
+            lambda: self.server.listener.open_connections,
+        )
+        add(
+            "ibispaddle_upstream_connections",
+            "Open connections to upstreams.",
+            lambda: self.http_client.open_connections,
+        )
+        add(
+            "ibispaddle_upstream_calls",
+            "HTTP calls in flight.",
+            lambda: self.http_client.calls_in_flight,
+        )
+
+    @handler("started", channel="*")
+    def _on_started(self, *args: Any) -> None:
+        address = f"{self.server.host}:{self.server.port}"
+        log_event(logevents.INSTANCE_STARTED, listen=address)
+
+    @handler("readiness_changed", channel="*", priority=-1)
+    def _on_readiness_changed(self, component: str, ready: bool) -> None:
+        if self.status.is_ready and not self._was_ready:
+            log_event(logevents.INSTANCE_READY)
+        self._was_ready = self.status.is_ready
+
+    @handler("exception", channel="*")
+    def _on_exception(self, kind: Any, value: Any, trace: list[str], **kwargs: Any) -> None:
+        log_error(f"{kind.__name__}: {value}\n{''.join(trace)}")
+
+    @handler("signal", channel="*")
+    def _on_signal(self, number: int, stack: Any) -> None:
+        if number in (signal.SIGTERM, signal.SIGINT) and not self._draining:
+            self._begin_drain()
+        elif number == signal.SIGINT:
+            self.exit_status = 130
+            self.stop()
+
+    def _begin_drain(self) -> None:
+        self._draining = True
+        self._drain_limit_ms = self.clock.now_ms() + self.settings.drain_timeout_ms
+        log_event(logevents.INSTANCE_DRAINING, requests=self.server.active)
+        self.fire(drain_started(), "*")
+        self.timers.after(DRAIN_POLL_MS, self._check_drain)
+
+    def _check_drain(self) -> None:
+        now_ms = self.clock.now_ms()
+        deadlines = (self.entry.latest_deadline_ms, self.services.latest_deadline_ms)
+        limit_ms = max(self._drain_limit_ms, *deadlines)
+        busy = self.server.active + self.server.unsent_connections
+        busy += self.services.calls_in_flight
+        if busy:
+            self._quiet_since_ms = None
+        elif self._quiet_since_ms is None:
+            self._quiet_since_ms = now_ms
+        quiet_ms = 0 if self._quiet_since_ms is None else now_ms - self._quiet_since_ms
+        if quiet_ms >= DRAIN_QUIET_MS or (not busy and now_ms >= limit_ms):
+            self._finish_drain()
+        elif now_ms >= limit_ms:
+            log_event(logevents.DRAIN_TIMEOUT, requests=self.server.active)
+            self.exit_status = 1
+            self._finish_drain()
+        else:
+            self.timers.after(DRAIN_POLL_MS, self._check_drain)
+
+    def _finish_drain(self) -> None:
+        self.fire(drain_completed("requests"), "*")
+        limit_ms = self.clock.now_ms() + FLUSH_TIMEOUT_MS
+
+        def check() -> None:
+            if self.http_client.calls_in_flight and self.clock.now_ms() < limit_ms:
+                self.timers.after(DRAIN_POLL_MS, check)
+                return
+            log_event(logevents.INSTANCE_STOPPED, exit_status=self.exit_status)
+            self.stop()
+
+        self.timers.after(DRAIN_POLL_MS, check)
+
+
+def _tls(settings: InstanceSettings) -> ssl.SSLContext | None:
+    if settings.tls is None:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.load_cert_chain(settings.tls.certificate_file, settings.tls.key_file)
+    return context
+
+
+def _fingerprint_key(settings: InstanceSettings) -> bytes:
+    if not settings.peer_secret_file:
+        return DEFAULT_FINGERPRINT_KEY
+    return Path(settings.peer_secret_file).read_bytes().strip()
--- /dev/null
+++ b/packages/daemon/src/ibispaddle_daemon/attempts.py
@@ -0,0 +1,386 @@
+"""Attempts at runners: HTTP calls, relay, flow control, resume and proof that nothing ran."""
+
+import itertools
+from typing import TYPE_CHECKING
+
+import msgspec
+from circuits import BaseComponent, handler
+from ibispaddle_core import logevents
+from ibispaddle_core.chat import Kind, ProtocolError
+from ibispaddle_core.clock import Clock
+from ibispaddle_core.relay import (
+    Attempt,
+    AttemptEvent,
+    AttemptFinished,
+    CancelRequested,
+    DataReceived,
+    FinalAnswer,
+    FirstByteSent,
+    HeadReceived,
+    PassOn,
+    ReadingPaused,
+    ReadingResumed,
+    ResponseEnded,
+    TimePassed,
+)
+from ibispaddle_core.runstate import RunState
+from ibispaddle_core.scheduling import Dispatch, Outcome
+from opentelemetry.trace import Status, StatusCode
+
+from .calls import CallResult, Calls
+from .events import (
+    CallFailure,
+    Headers,
+    HttpCall,
+    HttpCallError,
+    http_call,
+    http_cancel,
+    http_pause,
+    http_resume,
+    runner_failed,
+)
+from .logs import log_event
+from .metrics import Metrics
+from .model_request import ModelRequest, RunningAttempt
+from .responses import JSON
+from .timers import TimerQueue
+from .tracing import Tracing
+
+if TYPE_CHECKING:
+    from .entry import Entry
+
+# Time for the engine to state whether a failed attempt ran.
+PROOF_TIMEOUT_MS = 500
+MAX_RESUMES = 2
+# The entry ends a request at its deadline; the HTTP call only follows, so that the caller's error
+# states the deadline and no retry begins at that moment.
+DEADLINE_MARGIN_MS = 250
+# Time for the upstream to complete its HTTP response after the end marker.
+TRAILER_TIMEOUT_MS = 1_000
+_PATHS = {Kind.CHAT: "/v1/chat/completions", Kind.TEXT: "/v1/completions"}
+_NUMBERS = itertools.count(1)
+
+
+class _CancelAnswer(msgspec.Struct):
+    ran: bool
+
+
+class _ErrorFields(msgspec.Struct):
+    message: str = "The engine refused the request."
+    code: str | None = None
+    param: str | None = None
+
+
+class _ErrorBody(msgspec.Struct):
+    error: _ErrorFields
+
+
+class Attempts(BaseComponent):
+    """Carry out attempts and report their end to the entry."""
+
+    channel = "attempts"
+
+    def __init__(
+        self, entry: "Entry", clock: Clock, timers: TimerQueue, metrics: Metrics, tracing: Tracing
+    ) -> None:
+        super().__init__()
+        self._entry = entry
+        self._clock = clock
+        self._timers = timers
+        self._metrics = metrics
+        self._tracing = tracing
+        self._calls = Calls("attempt_calls", clock).register(self)
+        self._running: dict[str, tuple[ModelRequest, RunningAttempt]] = {}
+
+    # Start, cancel, resume
+
+    def start(self, request: ModelRequest, decision: Dispatch) -> None:
+        """Send the request to a runner."""
+        request.attempts += 1
+        now_ms = self._clock.now_ms()
+        cfg = self._entry.config.scheduling
+        model = self._entry.scheduler.cost.model(request.req.model)
+        prefill_ms = 1000 * request.req.prompt_tokens / model.prefill_tokens_per_s
+        engine_id = f"{request.request_id}.{request.attempts}"
+        headers: Headers = (("X-Priority", str(decision.priority)),)
+        if decision.segments:
+            headers += (("X-KV-Segments", ",".join(decision.segments)),)
+        machine = Attempt(
+            engine_id,
+            request.parsed.stream,
+            now_ms=now_ms,
+            first_token_ms=int(prefill_ms) + cfg.first_token_timeout_ms,
+            stall_ms=cfg.stall_timeout_ms,
+        )
+        path = _PATHS[request.parsed.kind]
+        self._send(request, decision.upstream_id, engine_id, machine, path, headers, request.body)
+
+    def _resume(self, request: ModelRequest, failed: RunningAttempt) -> None:
+        """Continue a stream on the same engine at the next token."""
+        request.resumes += 1
+        request.unproved_attempts += 1
+        stall_ms = self._entry.config.scheduling.stall_timeout_ms
+        machine = Attempt(
+            failed.engine_request_id,
+            True,
+            now_ms=self._clock.now_ms(),
+            first_token_ms=stall_ms,
+            stall_ms=stall_ms,
+            next_index=failed.machine.next_index,
+            completion_id=failed.machine.completion_id,
+            boot_id=failed.machine.boot_id,
+        )
+        body = msgspec.json.encode(
+            {
+                "request_id": failed.engine_request_id,
+                "from_token": machine.next_index,
+                "chat": request.parsed.kind is Kind.CHAT,
+            }
+        )
+        engine_id = failed.engine_request_id
+        self._send(request, failed.upstream_id, engine_id, machine, "/v1/resume", (), body)
+
+    def _send(
+        self,
+        request: ModelRequest,
+        upstream_id: str,
+        engine_id: str,
+        machine: Attempt,
+        path: str,
+        headers: Headers,
+        body: bytes,
+    ) -> None:
+        base_url = self._entry.base_url(upstream_id)
+        span = self._tracing.start_call(request.span, f"POST {path}")
+        span.set_attribute("ibispaddle.upstream", upstream_id)
+        call_id = f"attempt-{next(_NUMBERS)}"
+        running = RunningAttempt(call_id, upstream_id, base_url, engine_id, machine, span)
+        running.is_resumed = path == "/v1/resume"
+        request.attempt = running
+        self._running[call_id] = (request, running)
+        headers = (
+            *JSON,
+            ("X-Request-Id", engine_id),
+            *headers,
+            *self._tracing.headers_for(span),
+        )
+        call = HttpCall(
+            call_id,
+            "POST",
+            base_url + path,
+            headers,
+            body,
+            request.req.deadline_ms + DEADLINE_MARGIN_MS,
+            self.channel,
+            stream=True,
+        )
+        self.fire(http_call(call), "http_client")
+        self._watch(request, running)
+
+    def cancel(self, request: ModelRequest) -> None:
+        """End the running attempt and report it."""
+        if request.attempt is not None:
+            self._feed(request, request.attempt, CancelRequested())
+
+    def abandon(self, request: ModelRequest) -> None:
+        """End the running attempt of a request that is being refused."""
+        if request.attempt is not None:
+            running = request.attempt
+            running.machine.handle(CancelRequested(), self._clock.now_ms())
+            self._release(request, running)
+            self._ask_to_stop(running, None)
+
+    def _watch(self, request: ModelRequest, running: RunningAttempt) -> None:
+        """Wait until the attempt may have stalled."""
+        due_ms = running.machine.stalls_at_ms
+        if due_ms is None:
+            return
+        if running.timer is not None:
+            # Each token moves the time later, which the check notices by itself; only the first
+            # token can move it earlier, because the first one may take longer than the others.
+            if running.timer_due_ms <= due_ms:
+                return
+            running.timer.cancel()
+
+        def check() -> None:
+            running.timer = None
+            self._feed(request, running, TimePassed())
+            self._watch(request, running)
+
+        running.timer_due_ms = due_ms
+        running.timer = self._timers.at(due_ms, check)
+
+    # Events of the HTTP client
+
+    @handler("call_sent")
+    def _on_call_sent(self, call_id: str) -> None:
+        self._feed_call(call_id, FirstByteSent())
+
+    @handler("call_head")
+    def _on_call_head(self, call_id: str, status: int, headers: Headers) -> None:
+        self._feed_call(call_id, HeadReceived(status, headers))
+
+    @handler("call_data")
+    def _on_call_data(self, call_id: str, data: bytes) -> None:
+        self._feed_call(call_id, DataReceived(data))
+
+    @handler("call_ended")
+    def _on_call_ended(self, call_id: str, error: HttpCallError | None) -> None:
+        if error is None:
+            self._feed_call(call_id, ResponseEnded(complete=True, byte_sent=True))
+            return
+        if error.failure is CallFailure.UNREACHABLE and (found := self._running.get(call_id)):
+            self.fire(runner_failed(found[1].upstream_id), "*")
+        timed_out = error.failure is CallFailure.TIMEOUT
+        event = ResponseEnded(False, error.byte_sent, f"{error.failure}: {error.text}", timed_out)
+        self._feed_call(call_id, event)
+
+    def _feed_call(self, call_id: str, event: AttemptEvent) -> None:
+        found = self._running.get(call_id)
+        if found is not None:
+            self._feed(*found, event)
+
+    def _feed(self, request: ModelRequest, running: RunningAttempt, event: AttemptEvent) -> None:
+        for effect in running.machine.handle(event, self._clock.now_ms()):
+            match effect:
+                case PassOn(data, tokens):
+                    request.pass_on(data)
+                    self._entry.count_tokens(request, tokens)
+                    self._limit_unsent(request, running)
+                    self._watch(request, running)
+                case AttemptFinished():
+                    self._release(request, running)
+                    self._finished(request, running, effect)
+
+    # Flow control
+
+    def _limit_unsent(self, request: ModelRequest, running: RunningAttempt) -> None:
+        limit = self._entry.config.limits.max_unsent_bytes // 2
+        if not running.is_paused and request.exchange.unsent_bytes > limit:
+            running.is_paused = True
+            running.machine.handle(ReadingPaused(), self._clock.now_ms())
+            self.fire(http_pause(running.call_id), "http_client")
+
+    def caller_has_read(self, request: ModelRequest) -> None:
+        """Continue to read from the runner when the caller has taken most of the answer."""
+        running = request.attempt
+        if running is None or not running.is_paused:
+            return
+        if request.exchange.unsent_bytes <= self._entry.config.limits.max_unsent_bytes // 4:
+            running.is_paused = False
+            running.machine.handle(ReadingResumed(), self._clock.now_ms())
+            self.fire(http_resume(running.call_id), "http_client")
+            self._watch(request, running)
+
+    # End of an attempt
+
+    def _release(self, request: ModelRequest, running: RunningAttempt) -> None:
+        """Detach the attempt from its HTTP call."""
+        end = running.machine.finished
+        assert end is not None
+        self._running.pop(running.call_id, None)
+        request.attempt = None
+        if running.timer is not None:
+            running.timer.cancel()
+        if end.answer is FinalAnswer.STREAM:
+            # The connection can be reused if the response ends soon after its end marker.
+            cancel = http_cancel(running.call_id)
+            self._timers.after(TRAILER_TIMEOUT_MS, lambda: self.fire(cancel, "http_client"))
+        else:
+            self.fire(http_cancel(running.call_id), "http_client")
+        if running.machine.dropped_events:
+            self._metrics.dropped.add({}, running.machine.dropped_events)
+        self._metrics.attempts.inc({"outcome": str(end.outcome)})
+        if end.outcome is not Outcome.COMPLETED:
+            running.span.set_status(Status(StatusCode.ERROR, end.text))
+        running.span.set_attribute("ibispaddle.outcome", str(end.outcome))
+        running.span.end()
+
+    def _finished(
+        self, request: ModelRequest, running: RunningAttempt, end: AttemptFinished
+    ) -> None:
+        usage = running.machine.usage
+        if end.outcome is Outcome.COMPLETED:
+            if usage is not None:
+                request.prompt_tokens = usage.prompt_tokens
+            if end.answer is FinalAnswer.STREAM:
+                request.exchange.end()
+            else:
+                request.answer(200, end.body)
+                request.tokens = usage.completion_tokens if usage else 0
+                request.unreported_tokens = request.tokens
+            self._entry.finish(request, "ok")
+            self._entry.attempt_ended(request, running.upstream_id, end.outcome)
+            return
+        log_event(
+            logevents.ATTEMPT_FAILED,
+            request=request.request_id,
+            upstream=running.upstream_id,
+            outcome=str(end.outcome),
+            reason=end.text,
+        )
+        if end.answer is FinalAnswer.WHOLE:
+            self._answer_refusal(request, end)
+            self._entry.attempt_ended(request, running.upstream_id, end.outcome)
+        elif self._can_resume(request, running, end):
+            self._resume(request, running)
+        elif running.machine.byte_sent and end.run_state is RunState.UNKNOWN:
+            self._ask_to_stop(running, request)
+        else:
+            self._entry.attempt_ended(request, running.upstream_id, end.outcome)
+
+    @staticmethod
+    def _can_resume(request: ModelRequest, running: RunningAttempt, end: AttemptFinished) -> bool:
+        return (
+            request.parsed.stream
+            and running.machine.next_index > 0
+            and running.machine.boot_id != ""
+            and request.resumes < MAX_RESUMES
+            and end.outcome in (Outcome.FAILED, Outcome.STALLED)
+        )
+
+    def _answer_refusal(self, request: ModelRequest, end: AttemptFinished) -> None:
+        """Pass on a refusal whose cause is the caller's request."""
+        try:
+            fields = msgspec.json.decode(end.body, type=_ErrorBody).error
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            fields = _ErrorFields()
+        code = fields.code or "invalid_request"
+        state = request.run_state
+        request.fail(ProtocolError(end.status, code, fields.message, state, fields.param))
+        self._entry.finish(request, code)
+
+    def _ask_to_stop(self, running: RunningAttempt, request: ModelRequest | None) -> None:
+        """Stop the engine's work on an attempt; `ran` false in its answer proves that none ran.
+
+        With a request, the attempt is reported after the answer or a timeout.
+        """
+        if request is not None:
+            request.unproved_attempts += 1
+
+        def done(result: CallResult) -> None:
+            if request is None:
+                return
+            outcome = running.machine.finished.outcome if running.machine.finished else None
+            proved = not running.machine.next_index and _proves_not_run(result)
+            if proved:
+                request.unproved_attempts -= 1
+            self._entry.attempt_ended(
+                request,
+                running.upstream_id,
+                Outcome.REJECTED if proved else outcome or Outcome.FAILED,
+            )
+
+        if running.machine.byte_sent:
+            body = msgspec.json.encode({"request_id": running.engine_request_id})
+            url = f"{running.base_url}/v1/cancel"
+            self._calls.send("POST", url, body, PROOF_TIMEOUT_MS, done)
+
+
+def _proves_not_run(result: CallResult) -> bool:
+    if result.error is not None or result.status != 200:
+        return False
+    try:
+        return not msgspec.json.decode(result.body, type=_CancelAnswer).ran
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return False
--- /dev/null
+++ b/packages/daemon/src/ibispaddle_daemon/calls.py
@@ -0,0 +1,62 @@
+"""Whole HTTP calls with a callback, for components that make many kinds of calls."""
+
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from circuits import BaseComponent, handler
+from ibispaddle_core.clock import Clock
+
+from .events import Headers, HttpCall, HttpCallError, http_call
+from .responses import JSON
+
+_NUMBERS = itertools.count(1)
+
+
+@dataclass(frozen=True)
+class CallResult:
+    """Hold the answer to a whole call."""
+
+    status: int
+    headers: Headers
+    body: bytes
+    error: HttpCallError | None
+
+
+class Calls(BaseComponent):
+    """Make whole calls through the HTTP client."""
+
+    def __init__(self, channel: str, clock: Clock) -> None:
+        super().__init__(channel=channel)
+        self._clock = clock
+        self._callbacks: dict[str, Callable[[CallResult], None]] = {}
+
+    def send(
+        self,
+        method: str,
+        url: str,
+        body: bytes,
+        timeout_ms: int,
+        callback: Callable[[CallResult], None],
+    ) -> None:
+        """Make a call; the callback gets its only result by the end of `timeout_ms`."""
+        call_id = f"{self.channel}-{next(_NUMBERS)}"
+        self._callbacks[call_id] = callback
+        call = HttpCall(
+            call_id=call_id,
+            method=method,
+            url=url,
+            headers=JSON if body else (),
+            body=body,
+            deadline_ms=self._clock.now_ms() + timeout_ms,
+            channel=self.channel,
+        )
+        self.fire(http_call(call), "http_client")
+
+    @handler("call_completed")
+    def _on_call_completed(
+        self, call_id: str, status: int, headers: Headers, body: bytes, error: HttpCallError | None
+    ) -> None:
+        callback = self._callbacks.pop(call_id, None)
+        if callback is not None:
+            callback(CallResult(status, headers, body, error))
--- /dev/null
+++ b/packages/daemon/src/ibispaddle_daemon/entry.py
@@ -0,0 +1,360 @@
+"""Requests for models: connects callers, the scheduler and the relay."""
+
+import secrets
+from collections.abc import Sequence
+
+from circuits import BaseComponent, handler
+from ibispaddle_core import logevents
+from ibispaddle_core.chat import (
+    Kind,
+    ProtocolError,
+    content_fingerprint,
+    models_body,
+    parse_request,
+    refusal_error,
+)
+from ibispaddle_core.clock import Clock
+from ibispaddle_core.membership import Kind as EntryKind
+from ibispaddle_core.membership import ListedState, ListEntry
+from ibispaddle_core.scheduling import (
+    AttemptEnded,
+    CallerLeft,
+    CancelAttempt,
+    Decision,
+    Dispatch,
+    Event,
+    FirstToken,
+    FreeMemory,
+    LoadReported,
+    Outcome,
+    RefusalReason,
+    Refuse,
+    Request,
+    RequestArrived,
+    ReserveMemory,
+    RunnerLoad,
+    Scheduler,
+    Tick,
+    TokensRelayed,
+    Upstream,
+    UpstreamsChanged,
+    UpstreamState,
+)
+from ibispaddle_core.settings import FleetConfig
+
+from .attempts import Attempts
+from .callers import Caller, CallerDirectory, read_timeout_ms
+from .engine_memory import EngineMemory
+from .events import usage_counted
+from .http_exchange import Exchange
+from .logs import log_event
+from .metrics import Metrics
+from .model_request import ModelRequest
+from .responses import JSON, not_found, respond_error, wrong_method
+from .timers import TimerHandle, TimerQueue
+from .tracing import Tracing
+
+_KINDS = {"/v1/chat/completions": Kind.CHAT, "/v1/completions": Kind.TEXT}
+# Tokens are reported to the scheduler in groups, because each report costs a scheduling pass.
+TOKENS_PER_REPORT = 32
+
+
+class Entry(BaseComponent):
+    """Admit requests, carry out the scheduler's decisions and answer the callers."""
+
+    channel = "entry"
+
+    def __init__(
+        self,
+        instance_id: str,
+        config: FleetConfig,
+        clock: Clock,
+        timers: TimerQueue,
+        metrics: Metrics,
+        tracing: Tracing,
+        fingerprint_key: bytes,
+    ) -> None:
+        super().__init__()
+        self._clock = clock
+        self._timers = timers
+        self._metrics = metrics
+        self._tracing = tracing
+        self._fingerprint_key = fingerprint_key[:64]
+        self._boot = f"{instance_id}-{secrets.token_hex(4)}"
+        self._number = 0
+        self._config = config
+        self._callers = CallerDirectory(config)
+        offset_ms = clock.wall_ms() - clock.now_ms()
+        seed = secrets.randbits(64)
+        self.scheduler = Scheduler.from_config(config, seed, self._boot, offset_ms)
+        self._wakeup: tuple[int, TimerHandle] | None = None
+        self._requests: dict[str, ModelRequest] = {}
+        self._addresses: dict[str, str] = {}
+        self._entries: tuple[ListEntry, ...] = ()
+        self._down: set[str] = set()
+        self._memory = EngineMemory(clock, timers).register(self)
+        self.attempts = Attempts(self, clock, timers, metrics, tracing).register(self)
+        metrics.add_gauge(
+            "ibispaddle_requests_in_flight", "Requests in flight.", lambda: len(self._requests)
+        )
+
+    @property
+    def config(self) -> FleetConfig:
+        """Return the configuration in force."""
+        return self._config
+
+    @property
+    def requests_in_flight(self) -> int:
+        """Return the number of requests that have not ended."""
+        return len(self._requests)
+
+    @property
+    def latest_deadline_ms(self) -> int:
+        """Return the latest deadline of a request in flight, or 0."""
+        return max((r.req.deadline_ms for r in self._requests.values()), default=0)
+
+    def base_url(self, upstream_id: str) -> str:
+        """Return the URL of a runner."""
+        return f"http://{self._addresses.get(upstream_id, '')}"
+
+    # Fleet and configuration
+
+    @handler("configuration_changed", channel="*")
+    def _on_configuration_changed(self, config: FleetConfig, revision: int) -> None:
+        self._config = config
+        self._callers = CallerDirectory(config)
+
+    @handler("list_changed", channel="*")
+    def _on_list_changed(self, entries: Sequence[ListEntry]) -> None:
+        self._entries = tuple(entry for entry in entries if entry.kind is EntryKind.RUNNER)
+        self._addresses |= {entry.id: entry.address for entry in self._entries}
+        self._down &= {entry.id for entry in self._entries}
+        self._change_upstreams()
+
+    @handler("load_reported", channel="*")
+    def _on_load_reported(self, load: RunnerLoad) -> None:
+        if load.upstream_id in self._down:
+            self._down.discard(load.upstream_id)
+            self._change_upstreams()
+        self.tell(LoadReported(load))
+
+    @handler("runner_failed", channel="*")
+    def _on_runner_failed(self, upstream_id: str) -> None:
+        if upstream_id not in self._down:
+            self._down.add(upstream_id)
+            self._change_upstreams()
+
+    def _change_upstreams(self) -> None:
+        def state(entry: ListEntry) -> UpstreamState:
+            if entry.id in self._down:
+                return UpstreamState.DOWN
+            leaving = entry.state is ListedState.LEAVING
+            return UpstreamState.LEAVING if leaving else UpstreamState.LIVE
+
+        upstreams = tuple(
+            Upstream(entry.id, entry.data_centre, tuple(entry.models), state(entry))
+            for entry in self._entries
+        )
+        self.tell(UpstreamsChanged(upstreams))
+
+    # Requests
+
+    @handler("exchange_started")
+    def _on_exchange_started(self, exchange: Exchange) -> None:
+        kind = _KINDS.get(exchange.path)
+        if kind is None and exchange.path != "/v1/models":
+            not_found(exchange)
+            return
+        allowed = "POST" if kind else "GET"
+        if exchange.method != allowed:
+            wrong_method(exchange, allowed)
+            return
+        caller = self._callers.identify(exchange)
+        if caller.is_err():
+            self._reject(exchange, caller.unwrap_err())
+            return
+        if kind is None:
+            body = models_body(caller.unwrap().workspace.models, caller.unwrap().neighbour)
+            exchange.respond(200, JSON, body)
+            return
+        error = self._begin(exchange, kind, caller.unwrap())
+        if error is not None:
+            self._reject(exchange, error)
+
+    def _reject(self, exchange: Exchange, error: ProtocolError) -> None:
+        self._metrics.requests.inc({"code": error.code})
+        log_event(logevents.REQUEST_REFUSED, path=exchange.path, code=error.code)
+        respond_error(exchange, error)
+
+    def _begin(self, exchange: Exchange, kind: Kind, caller: Caller) -> ProtocolError | None:
+        """Hand a request to the scheduler, or return the error for its caller."""
+        timeout = read_timeout_ms(exchange, caller.workspace.request_timeout_ms)
+        if timeout.is_err():
+            return timeout.unwrap_err()
+        result = parse_request(kind, exchange.body)
+        if result.is_err():
+            return result.unwrap_err()
+        parsed = result.unwrap()
+        model = self._config.models.get(parsed.model)
+        if model is None or parsed.model not in caller.workspace.models:
+            text = f"The model '{parsed.model[:100]}' does not exist or is not open to this key."
+            return ProtocolError(404, "model_not_found", text, param="model")
+        output_tokens = parsed.max_output_tokens or model.default_max_output_tokens
+        if parsed.prompt_tokens + output_tokens > model.context_tokens:
+            text = (
+                f"The prompt of {parsed.prompt_tokens} tokens and an output of {output_tokens}"
+                f" tokens exceed the model's {model.context_tokens} tokens."
+            )
+            return ProtocolError(400, "context_length_exceeded", text)
+        self._number += 1
+        fingerprint = content_fingerprint(str(kind), parsed.document, self._fingerprint_key)
+        req = Request(
+            request_id=f"{self._boot}-{self._number}",
+            workspace=caller.name,
+            neighbour=caller.neighbour,
+            model=parsed.model,
+            prompt_tokens=parsed.prompt_tokens,
+            max_output_tokens=output_tokens,
+            arrived_ms=exchange.arrived_ms,
+            deadline_ms=exchange.arrived_ms + timeout.unwrap(),
+            fingerprint=fingerprint,
+            prefix_hashes=parsed.prefix_hashes,
+        )
+        span = self._tracing.start_request(f"POST {exchange.path}", exchange.headers)
+        span.set_attribute("ibispaddle.request_id", req.request_id)
+        span.set_attribute("ibispaddle.workspace", caller.name)
+        request = ModelRequest(req, parsed, caller, exchange, span, exchange.body)
+        self._requests[req.request_id] = request
+        exchange.on_closed = lambda: self._on_caller_left(request)
+        exchange.on_drained = lambda: self.attempts.caller_has_read(request)
+        request.timers.append(self._timers.at(req.deadline_ms, lambda: self._expire(request)))
+        self.tell(RequestArrived(req))
+        return None
+
+    def _on_caller_left(self, request: ModelRequest) -> None:
+        if request.request_id in self._requests:
+            self.tell(CallerLeft(request.request_id))
+            self.finish(request, "cancelled")
+
+    def _expire(self, request: ModelRequest) -> None:
+        """End a request at its deadline, even if the scheduler has lost sight of it."""
+        self.tell(Tick())
+        if request.request_id in self._requests:
+            self.tell(CallerLeft(request.request_id))
+            self._refuse(request, refusal_error(RefusalReason.DEADLINE, request.run_state))
+
+    def finish(self, request: ModelRequest, code: str) -> None:
+        """Forget a request after its caller got an answer or left."""
+        if self._requests.pop(request.request_id, None) is None:
+            return
+        for timer in request.timers:
+            timer.cancel()
+        request.exchange.on_closed = request.exchange.on_drained = None
+        now_ms = self._clock.now_ms()
+        self._metrics.requests.inc({"code": code})
+        self._metrics.duration.observe({}, (now_ms - request.req.arrived_ms) / 1000)
+        if request.first_token_ms is not None:
+            waited_ms = request.first_token_ms - request.req.arrived_ms
+            self._metrics.first_token.observe({}, waited_ms / 1000)
+        self._metrics.tokens.add({}, request.tokens)
+        request.span.set_attribute("ibispaddle.code", code)
+        request.span.set_attribute("ibispaddle.tokens", request.tokens)
+        request.span.end()
+        log_event(
+            logevents.REQUEST_ENDED,
+            request=request.request_id,
+            workspace=request.req.workspace,
+            model=request.req.model,
+            code=code,
+            tokens=request.tokens,
+            attempts=request.attempts,
+            duration_ms=now_ms - request.req.arrived_ms,
+        )
+        if request.tokens or code == "ok":
+            self._count_usage(request)
+
+    def _count_usage(self, request: ModelRequest) -> None:
+        req, cost = request.req, self.scheduler.cost
+        prompt_tokens = request.prompt_tokens or req.prompt_tokens
+        prefill_ms = 1000 * prompt_tokens / cost.model(req.model).prefill_tokens_per_s
+        engine_ms = prefill_ms + cost.decode_engine_ms(req.model, request.tokens)
+        self.fire(
+            usage_counted(req.workspace, req.neighbour, prompt_tokens, request.tokens, engine_ms),
+            "*",
+        )
+
+    def _refuse(self, request: ModelRequest, error: ProtocolError) -> None:
+        self.attempts.abandon(request)
+        log_event(
+            logevents.REQUEST_REFUSED,
+            request=request.request_id,
+            code=error.code,
+            run_state=str(error.run_state),
+        )
+        request.fail(error)
+        self.finish(request, error.code)
+
+    # Scheduler
+
+    def tell(self, event: Event) -> None:
+        """Hand an event to the scheduler and carry out its decisions."""
+        now_ms = self._clock.now_ms()
+        for decision in self.scheduler.handle(event, now_ms):
+            self._carry_out(decision)
+        wakeup_ms = self.scheduler.next_wakeup_ms(now_ms)
+        if wakeup_ms is None:
+            return
+        if self._wakeup is not None:
+            if self._wakeup[0] <= wakeup_ms:
+                return
+            self._wakeup[1].cancel()
+        self._wakeup = (wakeup_ms, self._timers.at(wakeup_ms, self._wake))
+
+    def _wake(self) -> None:
+        self._wakeup = None
+        self.tell(Tick())
+
+    def _carry_out(self, decision: Decision) -> None:
+        match decision:
+            case FreeMemory(upstream_id):
+                self._memory.free(self.base_url(upstream_id), decision)
+                return
+            case ReserveMemory(_, upstream_id):
+                self._memory.reserve(self.base_url(upstream_id), decision, self.tell)
+                return
+        request = self._requests.get(decision.request_id)
+        if request is None:
+            return
+        match decision:
+            case Dispatch():
+                self.attempts.start(request, decision)
+            case CancelAttempt():
+                self.attempts.cancel(request)
+            case Refuse(_, reason, _, retry_after_ms):
+                self._refuse(request, refusal_error(reason, request.run_state, retry_after_ms))
+
+    # Reports of the attempts
+
+    def count_tokens(self, request: ModelRequest, tokens: int) -> None:
+        """Count generated tokens that were passed on."""
+        if not tokens:
+            return
+        if request.first_token_ms is None:
+            request.first_token_ms = self._clock.now_ms()
+            self.tell(FirstToken(request.request_id))
+        request.tokens += tokens
+        request.unreported_tokens += tokens
+        if request.unreported_tokens >= TOKENS_PER_REPORT:
+            self._report_tokens(request)
+
+    def _report_tokens(self, request: ModelRequest) -> None:
+        tokens, request.unreported_tokens = request.unreported_tokens, 0
+        if tokens:
+            self.tell(TokensRelayed(request.request_id, tokens))
+
+    def attempt_ended(self, request: ModelRequest, upstream_id: str, outcome: Outcome) -> None:
+        """Report the end of an attempt; the scheduler may retry or refuse."""
+        self._report_tokens(request)
+        self.tell(
+            AttemptEnded(request.request_id, upstream_id, outcome, bytes_relayed=request.is_relayed)
+        )
--- a/packages/daemon/src/ibispaddle_daemon/events.py
+++ b/packages/daemon/src/ibispaddle_daemon/events.py
@@ -162,6 +162,10 @@
     """Record the outcome of a claimed call: `claim_finished(call_id, outcome)`."""
 
 
+class exchange_started(Event):
+    """Hand over a caller's request: `exchange_started(exchange)`, on the channel of its path."""
+
+
 class usage_counted(Event):
     """Count a request's usage.
 
--- /dev/null
+++ b/packages/daemon/src/ibispaddle_daemon/http_exchange.py
@@ -0,0 +1,96 @@
+"""One request of a caller and the way to answer it."""
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+import h11
+
+from .events import Headers, find_header
+
+if TYPE_CHECKING:
+    from .http_protocol import CallerHttp
+
+
+class Exchange:
+    """Hold a complete request and write its response.
+
+    The owner sets `on_closed` (the caller left before the response was complete) and `on_drained`
+    (unsent bytes became fewer). All methods do nothing after the caller left.
+    """
+
+    def __init__(
+        self, http: "CallerHttp", method: str, target: str, headers: Headers, arrived_ms: int
+    ) -> None:
+        self._http = http
+        self.method = method
+        self.target = target
+        self.path, _, self.query = target.partition("?")
+        self.headers = headers
+        self.arrived_ms = arrived_ms
+        self.body = b""
+        self.status = 0
+        self.is_closed = False
+        self.is_counted = False
+        self.on_new_connection = http.accepted_while_draining
+        self.is_complete = False
+        self.on_closed: Callable[[], None] | None = None
+        self.on_drained: Callable[[], None] | None = None
+
+    @property
+    def sock(self) -> Any:
+        """Return the socket of the caller's connection."""
+        return self._http.conn.sock
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the bytes of the response that the caller has not taken yet."""
+        return self._http.conn.unsent_bytes
+
+    @property
+    def is_started(self) -> bool:
+        """Return whether the response's head was written."""
+        return self.status != 0
+
+    def header(self, name: str) -> str | None:
+        """Return the first value of a request header."""
+        return find_header(self.headers, name)
+
+    def respond(self, status: int, headers: Headers, body: bytes) -> None:
+        """Write a whole response."""
+        if self.is_closed or self.is_started:
+            return
+        length = (("Content-Length", str(len(body))),) if status not in (204, 304) else ()
+        self._send_head(status, (*headers, *length), self._data(body))
+        self.end()
+
+    def start(self, status: int, headers: Headers) -> None:
+        """Write the head of a streamed response."""
+        if not self.is_closed and not self.is_started:
+            self._send_head(status, headers, None)
+
+    def write(self, data: bytes) -> None:
+        """Write a part of a streamed response."""
+        if not self.is_closed and not self.is_complete and data and self.method != "HEAD":
+            self._http.send(h11.Data(data=data))
+
+    def end(self) -> None:
+        """Complete the response."""
+        if not self.is_closed and not self.is_complete:
+            self.is_complete = True
+            self._http.end_response()
+
+    def abort(self) -> None:
+        """Close the caller's connection, so that an incomplete response is seen as such."""
+        if not self.is_closed and not self.is_complete:
+            self._http.abort()
+
+    def _data(self, body: bytes) -> h11.Data | None:
+        return h11.Data(data=body) if body and self.method != "HEAD" else None
+
+    def _send_head(self, status: int, headers: Headers, data: h11.Data | None) -> None:
+        self.status = status
+        if self._http.closes_after_response():
+            headers = (*headers, ("Connection", "close"))
+        encoded = [(k.encode("ascii"), v.encode("latin-1", "replace")) for k, v in headers]
+        response = h11.Response(status_code=status, headers=encoded)
+        self._http.send(response, data)
--- /dev/null
+++ b/packages/daemon/src/ibispaddle_daemon/logs.py
@@ -0,0 +1,60 @@
+"""Log records as JSON lines, written through absl.logging."""
+
+import logging
+from typing import Any
+
+import msgspec
+from absl import flags
+from absl import logging as absl_logging
+from ibispaddle_core.logevents import Level, LogEvent
+
+_LEVELS = {
+    Level.INFO: absl_logging.INFO,
+    Level.WARNING: absl_logging.WARNING,
+    Level.ERROR: absl_logging.ERROR,
+}
+
+
+class JsonFormatter(logging.Formatter):
+    """Format a record as one JSON object."""
+
+    def __init__(self, instance_id: str) -> None:
+        super().__init__()
+        self._instance_id = instance_id
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the line for a record."""
+        line: dict[str, Any] = {
+            "time": round(record.created, 3),
+            "level": record.levelname.lower(),
+            "instance": self._instance_id,
+        }
+        event = getattr(record, "event", None)
+        if event is not None:
+            line |= {"number": event.number, "event": event.name, "text": event.text}
+            line |= getattr(record, "fields", {})
+        else:
+            line["text"] = record.getMessage()
+        if record.exc_info:
+            line["exception"] = self.formatException(record.exc_info)
+        return msgspec.json.encode(line, enc_hook=str).decode()
+
+
+def configure(instance_id: str) -> None:
+    """Write all records of this process as JSON lines to standard error."""
+    # The command line is read by typer; absl only has to know that no flags follow.
+    flags.FLAGS.mark_as_parsed()
+    absl_logging.use_absl_handler()
+    absl_logging.set_stderrthreshold("debug")
+    absl_logging.set_verbosity(absl_logging.INFO)
+    absl_logging.get_absl_handler().setFormatter(JsonFormatter(instance_id))
+
+
+def log_event(event: LogEvent, **fields: Any) -> None:
+    """Write a numbered event with its fields."""
+    absl_logging.log(_LEVELS[event.level], event.text, extra={"event": event, "fields": fields})
+
+
+def log_error(text: str) -> None:
+    """Write an unexpected failure."""
+    absl_logging.log(absl_logging.ERROR, "%s", text)
--- /dev/null
+++ b/packages/daemon/src/ibispaddle_daemon/metrics.py
@@ -0,0 +1,107 @@
+"""Metrics of an instance and the paths `/healthz`, `/readyz` and `/metrics`."""
+
+from collections.abc import Callable
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+from circuits import BaseComponent, handler
+
+from .http_exchange import Exchange
+from .responses import JSON, not_found, wrong_method
+
+_SECONDS = (0.001, 0.003, 0.005, 0.015, 0.05, 0.1, 0.25, 0.65, 1.0, 2.5, 5.0, 15.0, 60.0)
+
+
+class Metrics:
+    """Hold the registry and the metrics of the request path."""
+
+    def __init__(self) -> None:
+        self.registry = Registry()
+        self.requests = Counter(
+            "ibispaddle_requests_total", "Requests that ended, by code.", registry=self.registry
+        )
+        self.attempts = Counter(
+            "ibispaddle_attempts_total", "Attempts that ended, by outcome.", registry=self.registry
+        )
+        self.tokens = Counter(
+            "ibispaddle_relayed_tokens_total", "Generated tokens relayed.", registry=self.registry
+        )
+        self.dropped = Counter(
+            "ibispaddle_dropped_events_total",
+            "Events of upstreams that were repeated or foreign and not passed on.",
+            registry=self.registry,
+        )
+        self.first_token = Histogram(
+            "ibispaddle_first_token_seconds",
+            "Time from a request's arrival to its first token.",
+            registry=self.registry,
+            buckets=_SECONDS,
+        )
+        self.duration = Histogram(
+            "ibispaddle_request_seconds",
+            "Time from a request's arrival to its end.",
+            registry=self.registry,
+            buckets=_SECONDS,
+        )
+        self._gauges: list[tuple[Gauge, Callable[[], float]]] = []
+
+    def add_gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
+        """Add a value that is read when the metrics are rendered."""
+        self._gauges.append((Gauge(name, text, registry=self.registry), read))
+
+    def render(self) -> bytes:
+        """Return all metrics in the text format."""
+        for gauge, read in self._gauges:
+            gauge.set({}, read())
+        body, _ = render(self.registry, [])
+        return body
+
+
+class Status(BaseComponent):
+    """Answer `/healthz`, `/readyz` and `/metrics`.
+
+    The instance is ready while every component that has reported is ready, all required components
+    have reported, and no planned stop has begun.
+    """
+
+    channel = "status"
+
+    def __init__(self, metrics: Metrics, required: tuple[str, ...]) -> None:
+        super().__init__()
+        self._metrics = metrics
+        self._ready = dict.fromkeys(required, False)
+        self._draining = False
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether the instance accepts requests."""
+        return not self._draining and all(self._ready.values())
+
+    @handler("readiness_changed", channel="*")
+    def _on_readiness_changed(self, component: str, ready: bool) -> None:
+        self._ready[component] = ready
+
+    @handler("drain_started", channel="*")
+    def _on_drain_started(self) -> None:
+        self._draining = True
+
+    @handler("exchange_started")
+    def _on_exchange_started(self, exchange: Exchange) -> None:
+        if exchange.method not in ("GET", "HEAD"):
+            wrong_method(exchange, "GET")
+            return
+        match exchange.path:
+            case "/healthz":
+                exchange.respond(200, JSON, b'{"status":"ok"}')
+            case "/readyz" if self.is_ready:
+                exchange.respond(200, JSON, b'{"status":"ready"}')
+            case "/readyz":
+                missing = ["draining"] if self._draining else []
+                missing += [name for name, ready in self._ready.items() if not ready]
+                waiting = ", ".join(f'"{name}"' for name in missing)
+                body = f'{{"status":"not ready","waiting_for":[{waiting}]}}'
+                exchange.respond(503, JSON, body.encode())
+            case "/metrics":
+                content_type = "text/plain; version=0.0.4; charset=utf-8"
+                exchange.respond(200, (("Content-Type", content_type),), self._metrics.render())
+            case _:
+                not_found(exchange)
--- /dev/null
+++ b/packages/daemon/src/ibispaddle_daemon/services.py
@@ -0,0 +1,330 @@
+"""Plain HTTP services: `/services/NAME/...`, any method."""
+
+import hashlib
+import itertools
+import secrets
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
+from circuits import BaseComponent, handler
+from ibispaddle_core import logevents
+from ibispaddle_core.chat import ProtocolError
+from ibispaddle_core.clock import Clock
+from ibispaddle_core.membership import Kind, ListedState, ListEntry
+from ibispaddle_core.runstate import RunState
+from ibispaddle_core.settings import FleetConfig, ServiceConfig
+
+from .callers import TIMEOUT_HEADER, Caller, CallerDirectory, read_timeout_ms
+from .events import Headers, HttpCall, HttpCallError, claim_requested, http_call, http_cancel
+from .http_exchange import Exchange
+from .logs import log_event
+from .metrics import Metrics
+from .responses import respond_error
+from .timers import TimerHandle, TimerQueue
+from .tracing import Tracing
+
+KEY_HEADER = "Idempotency-Key"
+MAX_ATTEMPTS = 3
+MAX_KEY_CHARACTERS = 255
+RETRY_AFTER_MS = 1_000
+DEADLINE_MARGIN_MS = 250
+
+_HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "host",
+        "expect",
+    )
+)
+# The bearer key is the caller's secret with this system, not with the service.
+_NOT_FORWARDED = _HOP_BY_HOP | {
+    "authorization",
+    TIMEOUT_HEADER.lower(),
+    "x-request-id",
+    "traceparent",
+    "tracestate",
+}
+_NUMBERS = itertools.count(1)
+
+
+@dataclass(eq=False)
+class ServiceCall:
+    """Hold one call from its arrival to its answer."""
+
+    call_id: str
+    caller: Caller
+    service: str
+    config: ServiceConfig
+    exchange: Exchange
+    target: str
+    deadline_ms: int
+    key: str
+    span: Any
+    tried: set[str] = field(default_factory=set)
+    attempts: int = 0
+    attempt_id: str = ""
+    attempt_span: Any = None
+    upstream_id: str = ""
+    unproved_attempts: int = 0
+    is_claimed: bool = False
+    timer: TimerHandle | None = None
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Return whether the call may run more than once."""
+        return self.exchange.method in self.config.repeatable_methods
+
+    @property
+    def run_state(self) -> RunState:
+        """Return what is known about the run."""
+        return RunState.UNKNOWN if self.unproved_attempts else RunState.NOT_RUN
+
+
+class Services(BaseComponent):
+    """Pass calls on to services; calls that are not repeatable run at most once."""
+
+    channel = "services"
+
+    def __init__(
+        self,
+        instance_id: str,
+        config: FleetConfig,
+        clock: Clock,
+        timers: TimerQueue,
+        metrics: Metrics,
+        tracing: Tracing,
+    ) -> None:
+        super().__init__()
+        self._boot = f"{instance_id}-{secrets.token_hex(4)}"
+        self._clock = clock
+        self._timers = timers
+        self._metrics = metrics
+        self._tracing = tracing
+        self._set_config(config)
+        self._entries: tuple[ListEntry, ...] = ()
+        self._loads: dict[str, int] = {}
+        self._calls: dict[str, ServiceCall] = {}
+        self._attempts: dict[str, ServiceCall] = {}
+
+    @property
+    def calls_in_flight(self) -> int:
+        """Return the number of calls that have not ended, with or without a caller."""
+        return len(self._calls)
+
+    @property
+    def latest_deadline_ms(self) -> int:
+        """Return the latest deadline of a call in flight, or 0."""
+        return max((call.deadline_ms for call in self._calls.values()), default=0)
+
+    def _set_config(self, config: FleetConfig) -> None:
+        self._config = config
+        self._callers = CallerDirectory(config)
+
+    @handler("configuration_changed", channel="*")
+    def _on_configuration_changed(self, config: FleetConfig, revision: int) -> None:
+        self._set_config(config)
+
+    @handler("list_changed", channel="*")
+    def _on_list_changed(self, entries: Sequence[ListEntry]) -> None:
+        self._entries = tuple(entry for entry in entries if entry.kind is Kind.SERVICE)
+
+    @handler("exchange_started")
+    def _on_exchange_started(self, exchange: Exchange) -> None:
+        error = self._begin(exchange)
+        if error is not None:
+            self._metrics.requests.inc({"code": error.code})
+            log_event(logevents.REQUEST_REFUSED, path=exchange.path, code=error.code)
+            respond_error(exchange, error)
+
+    def _begin(self, exchange: Exchange) -> ProtocolError | None:
+        identified = self._callers.identify(exchange)
+        if identified.is_err():
+            return identified.unwrap_err()
+        caller = identified.unwrap()
+        _, _, name, *_ = f"{exchange.path}/".split("/", 3)
+        config = self._config.services.get(name)
+        if config is None or name not in caller.workspace.services:
+            text = f"The service '{name[:100]}' does not exist or is not open to this key."
+            return ProtocolError(404, "service_not_found", text)
+        timeout = read_timeout_ms(exchange, config.request_timeout_ms)
+        if timeout.is_err():
+            return timeout.unwrap_err()
+        key = exchange.header(KEY_HEADER) or ""
+        repeatable = exchange.method in config.repeatable_methods
+        if not repeatable and not 0 < len(key) <= MAX_KEY_CHARACTERS:
+            text = f"The method '{exchange.method}' needs the header '{KEY_HEADER}'."
+            return ProtocolError(400, "idempotency_key_required", text, param=KEY_HEADER)
+        call_id = f"{self._boot}-s{next(_NUMBERS)}"
+        span = self._tracing.start_request(f"{exchange.method} /services/{name}", exchange.headers)
+        call = ServiceCall(
+            call_id=call_id,
+            caller=caller,
+            service=name,
+            config=config,
+            exchange=exchange,
+            target=exchange.target.removeprefix(f"/services/{name}") or "/",
+            deadline_ms=exchange.arrived_ms + timeout.unwrap(),
+            key=key,
+            span=span,
+        )
+        self._calls[call_id] = call
+        exchange.on_closed = lambda: self._on_caller_left(call)
+        call.timer = self._timers.at(call.deadline_ms, lambda: self._expire(call))
+        if call.is_repeatable:
+            self._send(call)
+        else:
+            self._request_claim(call)
+        return None
+
+    # Claims
+
+    def _request_claim(self, call: ServiceCall) -> None:
+        """Ask the claims component whether this call may run; the deadline ends the wait."""
+        scope = f"{call.caller.name}\0{call.service}\0{call.exchange.method}\0{call.target}\0"
+        request_hash = hashlib.blake2b(
+            scope.encode("latin-1", "replace") + call.exchange.body, digest_size=16
+        ).hexdigest()
+        self.fire(
+            claim_requested(call.call_id, call.key, request_hash, call.deadline_ms, self.channel),
+            "*",
+        )
+
+    # Attempts
+
+    def _choose(self, call: ServiceCall) -> ListEntry | None:
+        """Return the service instance with the fewest calls, preferring ones not tried yet."""
+        live = [
+            entry
+            for entry in self._entries
+            if entry.service == call.service and entry.state is ListedState.LIVE
+        ]
+        return min(
+            live,
+            key=lambda e: (e.id in call.tried, self._loads.get(e.id, 0), secrets.randbits(16)),
+            default=None,
+        )
+
+    def _send(self, call: ServiceCall) -> None:
+        entry = self._choose(call)
+        if entry is None:
+            text = f"No instance of the service '{call.service}' is available."
+            self._fail(call, 503, "no_upstream", text)
+            return
+        call.attempts += 1
+        call.tried.add(entry.id)
+        call.upstream_id = entry.id
+        call.attempt_id = f"{call.call_id}.{call.attempts}"
+        call.attempt_span = self._tracing.start_call(call.span, f"{call.exchange.method} service")
+        call.attempt_span.set_attribute("ibispaddle.upstream", entry.id)
+        self._loads[entry.id] = self._loads.get(entry.id, 0) + 1
+        self._attempts[call.attempt_id] = call
+        headers: Headers = tuple(
+            (name, value)
+            for name, value in call.exchange.headers
+            if name.lower() not in _NOT_FORWARDED
+        )
+        headers += (("X-Request-Id", call.attempt_id),)
+        headers += self._tracing.headers_for(call.attempt_span)
+        http = HttpCall(
+            call.attempt_id,
+            call.exchange.method,
+            f"http://{entry.address}{call.target}",
+            headers,
+            call.exchange.body,
+            call.deadline_ms + DEADLINE_MARGIN_MS,
+            self.channel,
+        )
+        self.fire(http_call(http), "http_client")
+
+    @handler("call_completed")
+    def _on_call_completed(
+        self, call_id: str, status: int, headers: Headers, body: bytes, error: HttpCallError | None
+    ) -> None:
+        call = self._attempts.pop(call_id, None)
+        if call is None:
+            return
+        self._loads[call.upstream_id] -= 1
+        call.attempt_span.end()
+        if call.call_id not in self._calls:
+            return
+        call.attempt_id = ""
+        if error is None:
+            self._answer(call, status, headers, body)
+            return
+        log_event(
+            logevents.ATTEMPT_FAILED,
+            request=call.call_id,
+            upstream=call.upstream_id,
+            outcome=str(error.failure),
+            reason=error.text,
+        )
+        call.unproved_attempts += error.byte_sent
+        may_repeat = call.is_repeatable or not error.byte_sent
+        if may_repeat and call.attempts < MAX_ATTEMPTS:
+            self._send(call)
+        else:
+            self._fail(call, 502, "upstream_failed", f"The service '{call.service}' failed.")
+
+    # End
+
+    def _answer(self, call: ServiceCall, status: int, headers: Headers, body: bytes) -> None:
+        kept = tuple((name, value) for name, value in headers if name.lower() not in _HOP_BY_HOP)
+        kept = tuple((name, value) for name, value in kept if name.lower() != "x-request-id")
+        call.exchange.respond(status, (*kept, ("X-Request-Id", call.call_id)), body)
+        self._finish(call, str(status))
+
+    def _fail(self, call: ServiceCall, status: int, code: str, text: str) -> None:
+        retry_after_ms = RETRY_AFTER_MS if status == 503 else 0
+        error = ProtocolError(status, code, text, call.run_state, retry_after_ms=retry_after_ms)
+        log_event(
+            logevents.REQUEST_REFUSED,
+            request=call.call_id,
+            code=code,
+            run_state=str(error.run_state),
+        )
+        respond_error(call.exchange, error, (("X-Request-Id", call.call_id),))
+        self._finish(call, code)
+
+    def _expire(self, call: ServiceCall) -> None:
+        self._abandon(call)
+        self._fail(call, 504, "deadline", "The call did not end within its allotted time.")
+
+    def _on_caller_left(self, call: ServiceCall) -> None:
+        # A call that is not repeatable runs on, so that its outcome is known to a retry.
+        if call.is_repeatable:
+            self._abandon(call)
+            self._finish(call, "cancelled")
+
+    def _abandon(self, call: ServiceCall) -> None:
+        if call.attempt_id:
+            call.unproved_attempts += 1
+            self.fire(http_cancel(call.attempt_id), "http_client")
+
+    def _finish(self, call: ServiceCall, code: str) -> None:
+        if self._calls.pop(call.call_id, None) is None:
+            return
+        if call.timer is not None:
+            call.timer.cancel()
+        call.exchange.on_closed = None
+        now_ms = self._clock.now_ms()
+        self._metrics.requests.inc({"code": code})
+        call.span.set_attribute("ibispaddle.code", code)
+        call.span.end()
+        log_event(
+            logevents.REQUEST_ENDED,
+            request=call.call_id,
+            workspace=call.caller.name,
+            service=call.service,
+            code=code,
+            attempts=call.attempts,
+            duration_ms=now_ms - call.exchange.arrived_ms,
+        )
--- /dev/null
+++ b/tests/daemon/processes.py
@@ -0,0 +1,228 @@
+"""Real processes for the daemon's tests: stand-ins and instances on ports the system chose."""
+
+import contextlib
+import hashlib
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+import urllib.request
+from pathlib import Path
+from typing import Any
+
+from .support import wait_until
+
+KEY = "key-of-the-workspace"
+STOP_S = 15
+
+
+def http(method: str, url: str, body: Any = None, timeout_s: float = 10) -> Any:
+    """Return the JSON answer to a request that has to succeed."""
+    data = None if body is None else json.dumps(body).encode()
+    request = urllib.request.Request(url, data, {"Content-Type": "application/json"}, method=method)
+    with urllib.request.urlopen(request, timeout=timeout_s) as response:
+        return json.loads(response.read())
+
+
+class StandIn:
+    """One stand-in process, which ends with this process at the latest."""
+
+    def __init__(self, module: str, *args: str) -> None:
+        self.proc = subprocess.Popen(
+            [sys.executable, "-m", f"ibispaddle_standins.{module}", "--end-with-stdin", *args],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+        )
+        port = json.loads(self.proc.stdout.readline())["port"]
+        self.address = f"127.0.0.1:{port}"
+        self.url = f"http://{self.address}"
+
+    def faults(self, **faults: Any) -> None:
+        """Switch faults on or off."""
+        http("POST", f"{self.url}/admin/faults", faults)
+
+    def state(self) -> dict[str, Any]:
+        """Return the counters."""
+        return http("GET", f"{self.url}/admin/state")
+
+    def close(self) -> None:
+        """End the process."""
+        with contextlib.suppress(ProcessLookupError):
+            self.proc.send_signal(signal.SIGCONT)
+        self.proc.stdin.close()
+        try:
+            self.proc.wait(STOP_S)
+        except subprocess.TimeoutExpired:
+            self.proc.kill()
+            self.proc.wait()
+        self.proc.stdout.close()
+
+
+def runner_entry(name: str, address: str, state: str = "live", model: str = "m") -> dict:
+    """Return a runner's entry of the instance list."""
+    return {
+        "id": name,
+        "kind": "runner",
+        "address": address,
+        "data_centre": "dc1",
+        "state": state,
+        "models": [model],
+        "service": None,
+        "fenced": False,
+    }
+
+
+def service_entry(name: str, address: str, service: str = "shop") -> dict:
+    """Return a service's entry of the instance list."""
+    return runner_entry(name, address) | {"kind": "service", "models": [], "service": service}
+
+
+def fleet_document(**changes: Any) -> dict[str, Any]:
+    """Return a base configuration with one workspace."""
+    document = {
+        "neighbours": {"n": {"weight": 1.0}},
+        # A high rate lets requests pass the admission that the stand-in cannot finish in time.
+        "models": {"m": {"context_tokens": 2_000_000, "decode_tokens_per_s": 100_000.0}},
+        "services": {"shop": {}},
+        "workspaces": {
+            "w": {
+                "neighbour": "n",
+                "key_sha256": [hashlib.sha256(KEY.encode()).hexdigest()],
+                "models": ["m"],
+                "services": ["shop"],
+                "request_timeout_ms": 20_000,
+            }
+        },
+    }
+    return document | changes
+
+
+class Instance:
+    """One `ibispaddled` process."""
+
+    def __init__(self, folder: str, list_url: str, document: dict, **settings: Any) -> None:
+        base = Path(folder) / "base.json"
+        base.write_text(json.dumps(document))
+        path = Path(folder) / "instance.json"
+        values = {
+            "instance_id": "entry.1",
+            "data_centre": "dc1",
+            "listen": "127.0.0.1:0",
+            "peer_listen": "127.0.0.1:0",
+            "log_url": "http://127.0.0.1:9",
+            "list_url": list_url,
+            "base_file": str(base),
+            "list_poll_interval_ms": 100,
+            "probe_interval_ms": 100,
+        }
+        path.write_text(json.dumps(values | settings))
+        self.lines: list[dict[str, Any]] = []
+        self.proc = subprocess.Popen(
+            [sys.executable, "-m", "ibispaddle_daemon", "--settings", str(path)],
+            stderr=subprocess.PIPE,
+            env=dict(os.environ, OPENAI_LOG="warning"),
+        )
+        self.reader = threading.Thread(target=self._read, daemon=True)
+        self.reader.start()
+        wait_until(lambda: self.events("instance_started") or self.proc.poll() is not None, "start")
+        if not self.events("instance_started"):
+            raise AssertionError(f"the instance did not start: {self.lines}")
+        self.address = self.events("instance_started")[0]["listen"]
+        self.url = f"http://{self.address}"
+
+    def _read(self) -> None:
+        for line in self.proc.stderr:
+            try:
+                self.lines.append(json.loads(line))
+            except ValueError:
+                self.lines.append({"event": "not_json", "text": line.decode(errors="replace")})
+
+    def events(self, name: str) -> list[dict[str, Any]]:
+        """Return the log records of one event."""
+        return [line for line in list(self.lines) if line.get("event") == name]
+
+    def problems(self) -> list[dict[str, Any]]:
+        """Return log records that no run may have."""
+        return [line for line in list(self.lines) if "event" not in line or "exception" in line]
+
+    def wait_ready(self) -> None:
+        """Return when the instance accepts requests."""
+        wait_until(lambda: self.events("instance_ready"), "readiness")
+
+    def metric(self, name: str) -> float:
+        """Return the sum of a metric's values."""
+        with urllib.request.urlopen(f"{self.url}/metrics", timeout=10) as response:
+            lines = response.read().decode().splitlines()
+        return sum(
+            float(line.split()[-1]) for line in lines if line.split("{")[0].split()[0] == name
+        )
+
+    def stop(self, timeout_s: float = STOP_S) -> int:
+        """Send SIGTERM and return the exit status."""
+        self.proc.send_signal(signal.SIGTERM)
+        return self.proc.wait(timeout_s)
+
+    def close(self) -> None:
+        """End the process at once if it still runs."""
+        if self.proc.poll() is None:
+            self.proc.kill()
+            self.proc.wait()
+        self.reader.join(5)
+        self.proc.stderr.close()
+
+
+class Fleet:
+    """An instance list, runners and one instance."""
+
+    def __init__(
+        self,
+        runners: int = 1,
+        runner_args: tuple[str, ...] = ("--time-scale", "20"),
+        services: int = 0,
+        document: dict | None = None,
+        **settings: Any,
+    ) -> None:
+        self.stack = contextlib.ExitStack()
+        try:
+            folder = self.stack.enter_context(tempfile.TemporaryDirectory())
+            self.list = self.add(StandIn("instances"))
+            self.runners = [self.add(StandIn("engine", *runner_args)) for _ in range(runners)]
+            self.services = [self.add(StandIn("service")) for _ in range(services)]
+            self.publish()
+            document = document or fleet_document()
+            self.instance = Instance(folder, self.list.url, document, **settings)
+            self.stack.callback(self.instance.close)
+            self.instance.wait_ready()
+            if runners:
+                wait_until(lambda: self.reachable() >= runners, "probed runners")
+        except BaseException:
+            self.stack.close()
+            raise
+
+    def reachable(self) -> int:
+        """Return the number of runners that the instance keeps a connection to."""
+        return int(self.instance.metric("ibispaddle_upstream_connections")) - 1
+
+    def add(self, stand_in: StandIn) -> StandIn:
+        """Close a stand-in with the fleet."""
+        self.stack.callback(stand_in.close)
+        return stand_in
+
+    def publish(self, states: dict[int, str] | None = None) -> None:
+        """Write the instance list."""
+        states = states or {}
+        entries = [
+            runner_entry(f"runner.{i}", runner.address, states.get(i, "live"))
+            for i, runner in enumerate(self.runners)
+        ]
+        entries += [service_entry(f"shop.{i}", s.address) for i, s in enumerate(self.services)]
+        http("PUT", f"{self.list.url}/admin/entries", {"entries": entries})
+
+    def __enter__(self) -> "Fleet":
+        return self
+
+    def __exit__(self, *exc: object) -> None:
+        self.stack.close()
--- /dev/null
+++ b/tests/daemon/test_request_path.py
@@ -0,0 +1,238 @@
+"""Tests of the request path with the public client library, real instances and stand-ins."""
+
+import unittest
+
+import openai
+from ibispaddle_standins.answers import find_fault
+
+from .processes import KEY, Fleet, StandIn, fleet_document
+from .support import wait_until
+
+PROMPT = "Draft a motif with lilies."
+
+
+def client(fleet: Fleet, key: str = KEY, **kwargs) -> openai.OpenAI:
+    """Return the unmodified client library, without its own retries."""
+    return openai.OpenAI(
+        api_key=key, base_url=f"{fleet.instance.url}/v1", max_retries=0, timeout=15, **kwargs
+    )
+
+
+class FleetTest(unittest.TestCase):
+    """Run each test against one fleet per class, and check that nothing is left behind."""
+
+    RUNNERS = 2
+    DOCUMENT = None
+    SETTINGS = {}
+
+    @classmethod
+    def setUpClass(cls):
+        cls.fleet = cls.enterClassContext(
+            Fleet(cls.RUNNERS, document=cls.DOCUMENT, services=1, **cls.SETTINGS)
+        )
+
+    def setUp(self):
+        self.client = self.enterContext(client(self.fleet))
+
+    def tearDown(self):
+        metric = self.fleet.instance.metric
+        wait_until(lambda: metric("ibispaddle_requests_in_flight") == 0, "ended requests")
+        wait_until(
+            lambda: not any(r.state()["running"] for r in self.fleet.runners), "idle runners"
+        )
+        self.assertEqual(self.fleet.instance.problems(), [])
+
+    def chat(self, prompt=PROMPT, tokens=8, **kwargs):
+        messages = [{"role": "user", "content": prompt}]
+        return self.client.chat.completions.create(
+            model="m", messages=messages, max_tokens=tokens, **kwargs
+        )
+
+
+class LibraryTest(FleetTest):
+    def test_streamed_chat(self):
+        """Guard against a stream that the client library cannot read."""
+        parts = [chunk.choices[0].delta.content for chunk in self.chat(tokens=50, stream=True)]
+        self.assertEqual(find_fault("".join(parts), PROMPT, 50), "")
+
+    def test_whole_chat(self):
+        """Guard against a whole answer that the client library cannot read."""
+        answer = self.chat(tokens=50)
+        self.assertEqual(find_fault(answer.choices[0].message.content, PROMPT, 50), "")
+        self.assertEqual(answer.usage.completion_tokens, 50)
+
+    def test_text_completions(self):
+        """Guard against a second request form that is only half supported."""
+        answer = self.client.completions.create(model="m", prompt=PROMPT, max_tokens=9)
+        self.assertEqual(find_fault(answer.choices[0].text, PROMPT, 9), "")
+        stream = self.client.completions.create(model="m", prompt=PROMPT, max_tokens=9, stream=True)
+        self.assertEqual(find_fault("".join(c.choices[0].text for c in stream), PROMPT, 9), "")
+
+    def test_usage_of_a_stream(self):
+        """Guard against a lost usage event."""
+        options = {"include_usage": True}
+        chunks = list(self.chat(tokens=4, stream=True, stream_options=options))
+        self.assertEqual(chunks[-1].usage.completion_tokens, 4)
+
+    def test_models(self):
+        """Guard against a list that the client library cannot read."""
+        self.assertEqual([model.id for model in self.client.models.list()], ["m"])
+
+    def test_errors_have_the_librarys_classes(self):
+        """Guard against errors whose class, code or run state is lost."""
+        user = [{"role": "user", "content": "x"}]
+        with client(self.fleet, key="wrong") as stranger:
+            for caller, error, status, code, request in (
+                (stranger, openai.AuthenticationError, 401, "invalid_api_key", {"model": "m"}),
+                (self.client, openai.NotFoundError, 404, "model_not_found", {"model": "other"}),
+                (
+                    self.client,
+                    openai.BadRequestError,
+                    400,
+                    "invalid_value",
+                    {"model": "m", "max_tokens": -1},
+                ),
+                (
+                    self.client,
+                    openai.BadRequestError,
+                    400,
+                    "context_length_exceeded",
+                    {"model": "m", "max_tokens": 3_000_000},
+                ),
+            ):
+                for stream in (False, True):
+                    with self.subTest(code=code, stream=stream):
+                        with self.assertRaises(error) as caught:
+                            caller.chat.completions.create(messages=user, stream=stream, **request)
+                        self.assertEqual(caught.exception.status_code, status)
+                        self.assertEqual(caught.exception.code, code)
+                        self.assertEqual(caught.exception.body["run_state"], "not_run")
+                        headers = caught.exception.response.headers
+                        self.assertEqual(headers["x-run-state"], "not_run")
+
+    def test_deadline_ends_a_stream_with_an_error_event(self):
+        """Guard against a stream that outlives its allotted time or looks complete."""
+        headers = {"X-Request-Timeout-Ms": "300"}
+        with self.assertRaises(openai.APIError) as caught:
+            for _ in self.chat(tokens=5_000, stream=True, extra_headers=headers):
+                pass
+        self.assertEqual(caught.exception.code, "deadline")
+        self.assertEqual(caught.exception.body["run_state"], "unknown")
+
+
+class FaultTest(FleetTest):
+    RUNNERS = 1
+
+    def tearDown(self):
+        known = self.fleet.runners[0].state()["faults"]
+        self.fleet.runners[0].faults(**dict.fromkeys(known))
+        super().tearDown()
+
+    def stream(self, tokens=40, **kwargs):
+        chunks = self.chat(tokens=tokens, stream=True, **kwargs)
+        return "".join(chunk.choices[0].delta.content for chunk in chunks)
+
+    def test_repeated_and_foreign_tokens_are_not_passed_on(self):
+        """Guard against tokens of another answer or tokens that occur twice."""
+        self.fleet.runners[0].faults(duplicate_every=3, foreign_every=4)
+        self.assertEqual(find_fault(self.stream(), PROMPT, 40), "")
+        self.assertGreater(self.fleet.instance.metric("ibispaddle_dropped_events_total"), 0)
+
+    def test_cut_stream_is_resumed_at_the_next_token(self):
+        """Guard against a cut connection that loses or repeats tokens."""
+        self.fleet.runners[0].faults(cut_after_tokens=10)
+        self.assertEqual(find_fault(self.stream(), PROMPT, 40), "")
+        self.assertGreater(self.fleet.runners[0].state()["resumes"], 0)
+
+    def test_skipped_token_is_not_hidden(self):
+        """Guard against a gap in the answer: it is filled by a resume or ends with an error."""
+        self.fleet.runners[0].faults(skip_every=30)
+        with self.assertRaises(openai.APIError) as caught:
+            self.stream()
+        self.assertEqual(caught.exception.body["run_state"], "unknown")
+
+    def test_foreign_answer_is_not_passed_on(self):
+        """Guard against an answer to another request."""
+        self.fleet.runners[0].faults(foreign_answer=True)
+        with self.assertRaises(openai.APIStatusError) as caught:
+            self.stream()
+        self.assertEqual(caught.exception.body["run_state"], "unknown")
+
+    def test_refusal_of_the_engine_is_not_run(self):
+        """Guard against an unknown run state after the engine proved that nothing ran."""
+        self.fleet.runners[0].faults(reject=True)
+        with self.assertRaises(openai.APIStatusError) as caught:
+            self.stream()
+        self.assertEqual(caught.exception.body["run_state"], "not_run")
+
+    def test_frozen_engine_ends_at_the_deadline(self):
+        """Guard against a request that waits for an engine that never answers."""
+        self.fleet.runners[0].faults(freeze="tokens")
+        for stream in (True, False):
+            with self.assertRaises(openai.APIStatusError) as caught:
+                self.chat(stream=stream, extra_headers={"X-Request-Timeout-Ms": "400"})
+            self.assertEqual(caught.exception.status_code, 504)
+
+    def test_caller_that_leaves_stops_the_engine(self):
+        """Guard against work for a caller that is gone."""
+        before = self.fleet.runners[0].state()["cancels"]
+        stream = self.chat(tokens=100_000, stream=True)
+        next(iter(stream))
+        stream.close()
+        wait_until(lambda: self.fleet.runners[0].state()["cancels"] > before, "cancel")
+        wait_until(lambda: self.fleet.runners[0].state()["running"] == 0, "idle engine")
+
+
+class StalledEngineTest(FleetTest):
+    RUNNERS = 1
+    DOCUMENT = fleet_document(scheduling={"stall_timeout_ms": 200})
+
+    def test_stream_that_stalls_ends_with_an_error(self):
+        """Guard against a stream that is silent until its deadline."""
+        received = []
+        with self.assertRaises(openai.APIError) as caught:
+            for chunk in self.chat(tokens=100_000, stream=True):
+                received.append(chunk)
+                if len(received) == 5:
+                    self.fleet.runners[0].faults(freeze="tokens")
+        self.fleet.runners[0].faults(freeze=None)
+        self.assertEqual(caught.exception.body["code"], "upstream_failed")
+
+
+class RetryTest(FleetTest):
+    RUNNERS = 2
+    DOCUMENT = fleet_document(scheduling={"retry_budget": 1.0})
+
+    def test_dead_engine_is_replaced_by_another(self):
+        """Guard against an error while another engine can answer."""
+        self.fleet.runners[0].proc.kill()
+        self.fleet.runners[0].proc.wait()
+        try:
+            for _ in range(4):
+                answer = self.chat(tokens=5)
+                self.assertEqual(find_fault(answer.choices[0].message.content, PROMPT, 5), "")
+        finally:
+            self.fleet.runners.pop(0)
+
+
+class TraceTest(unittest.TestCase):
+    def test_spans_follow_the_callers_trace(self):
+        """Guard against spans that are lost or do not belong to the caller's trace."""
+        collector = StandIn("collector")
+        self.addCleanup(collector.close)
+        fleet = self.enterContext(Fleet(1, trace_url=collector.url))
+        trace = "0af7651916cd43dd8448eb211c80319c"
+        headers = {"traceparent": f"00-{trace}-b7ad6b7169203331-01"}
+        with client(fleet) as library:
+            library.completions.create(
+                model="m", prompt=PROMPT, max_tokens=3, extra_headers=headers
+            )
+        wait_until(lambda: len(collector.state()["spans"]) >= 2, "spans")
+        spans = {span["kind"]: span for span in collector.state()["spans"]}
+        outer, inner = spans[2], spans[3]
+        self.assertEqual((outer["traceId"], outer["parentSpanId"]), (trace, "b7ad6b7169203331"))
+        self.assertEqual((inner["traceId"], inner["parentSpanId"]), (trace, outer["spanId"]))
+
+
+if __name__ == "__main__":
+    unittest.main()
