--- /dev/null
+++ b/tests/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the launcher, the callers and the load tools."""
--- /dev/null
+++ b/tests/bench/test_fleet.py
@@ -0,0 +1,69 @@
+"""Tests of the launcher with the stand-ins alone."""
+
+import os
+import unittest
+
+from ibispaddle_bench.fleet import Fleet, FleetSpec, merge, reserve_ports
+from ibispaddle_bench.processes import ProcessError, call_json, start_stand_in, wait_until_ready
+from ibispaddle_core.settings import load_fleet, load_instance
+
+
+class FleetTest(unittest.TestCase):
+    def test_stand_ins_are_listed_and_end_with_the_fleet(self):
+        """Guard against processes that outlive the fleet that started them."""
+        with Fleet(FleetSpec(entries=0, runners=2, services=1)) as fleet:
+            listed = call_json(f"{fleet.instances.url}/instances")["entries"]
+            pids = [process.pid for process in fleet._processes]
+            folder = fleet.folder
+        self.assertEqual([entry["id"] for entry in listed], ["runner.1", "runner.2", "service.1"])
+        self.assertEqual([entry["data_centre"] for entry in listed], ["dc.1", "dc.2", "dc.1"])
+        self.assertEqual(len(pids), 6)
+        for pid in pids:
+            with self.assertRaises(ProcessLookupError):
+                os.kill(pid, 0)
+        self.assertFalse(folder.exists())
+
+    def test_restarted_runner_keeps_its_address_and_gets_a_new_boot_id(self):
+        """Guard against a restart that looks like another runner or like no restart."""
+        with Fleet(FleetSpec(entries=0, runners=1, services=0)) as fleet:
+            before, state = fleet.runners[0], fleet.runners[0].state()
+            before.kill()
+            after = fleet.restart_runner(0)
+            self.assertEqual((after.port, after.name), (before.port, before.name))
+            self.assertNotEqual(after.state()["boot_id"], state["boot_id"])
+            self.assertEqual(after.state()["models"], state["models"])
+
+    def test_documents_pass_the_settings_checks(self):
+        """Guard against a launcher whose settings the daemon refuses."""
+        spec = FleetSpec(entries=1, configuration={"limits": {"max_requests": 7}})
+        config = load_fleet({"base": spec.configuration_document()})
+        self.assertEqual(config.limits.max_requests, 7)
+        with Fleet(FleetSpec(entries=0, runners=0, services=0)) as fleet:
+            settings = load_instance(fleet.settings("entry.2", 1, 2))
+        self.assertEqual(settings.data_centre, "dc.2")
+
+    def test_process_that_ends_is_reported(self):
+        """Guard against a launcher that waits its whole time for a process that has ended."""
+        with self.assertRaisesRegex(ProcessError, "ended with status 2"):
+            start_stand_in("engine", "--no-such-option")
+        engine = start_stand_in("engine")
+        engine.kill()
+        with self.assertRaisesRegex(ProcessError, "ended with status -9"):
+            wait_until_ready(f"{engine.url}/readyz", 20, engine)
+
+
+class PortTest(unittest.TestCase):
+    def test_ports_are_distinct(self):
+        """Guard against two instances that are told to listen on one port."""
+        self.assertEqual(len(set(reserve_ports(50))), 50)
+
+
+class MergeTest(unittest.TestCase):
+    def test_nested_objects_are_merged(self):
+        """Guard against a change that removes its neighbours in the same object."""
+        base = {"a": {"b": 1, "c": 2}, "d": 3}
+        self.assertEqual(merge(base, {"a": {"b": 5}}), {"a": {"b": 5, "c": 2}, "d": 3})
+
+
+if __name__ == "__main__":
+    unittest.main()
