Added a sampling profiler for the instances under load

Cause: the costs of the daemon under load have to be found without the distortion of a deterministic profiler.

--- a/packages/bench/src/ibispaddle_bench/latency.py
+++ b/packages/bench/src/ibispaddle_bench/latency.py
@@ -20,6 +20,7 @@
 from .fleet import WORKSPACE_KEYS, Fleet, FleetSpec
 from .load import Load, LoadReport, percentile, run_load
 from .load_worker import LengthClass
+from .sampling import read_costs
 
 TARGET_RATE = 28.0
 OUTPUT_TOKENS = 250  # At 28 requests/s these are 7,000 tokens/s.
@@ -50,6 +51,7 @@
 RATE_FACTOR = 1.5
 MAX_RATE = 1_000.0
 BISECTIONS = 2
+COSTS = 30  # Functions that are printed from a profile.
 
 
 def fleet_spec(runners: int, interpreter_options: tuple[str, ...] = ()) -> FleetSpec:
@@ -250,6 +252,19 @@
     console.print(table)
 
 
+def print_costs(console: Console, profile: Path) -> None:
+    """Print the functions with the largest own and cumulative shares of a profile."""
+    costs = read_costs(profile)
+    by_total = sorted(costs, key=lambda cost: -cost.cumulative)
+    for title, chosen in (("own", costs[:COSTS]), ("cumulative", by_total[: 2 * COSTS])):
+        table = Table(title=f"Processor time of the instance, by {title} share")
+        for name in ("own %", "cumulative %", "function"):
+            table.add_column(name, justify="left" if name == "function" else "right")
+        for cost in chosen:
+            table.add_row(f"{cost.own:.1%}", f"{cost.cumulative:.1%}", cost.function)
+        console.print(table)
+
+
 def main() -> int:
     """Measure and return the exit status."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -265,9 +280,15 @@
     parser.add_argument("--find-highest", action="store_true")
     parser.add_argument("--direct-only", action="store_true", help="measure the engines alone")
     parser.add_argument("--output", type=Path, help="file for the JSON lines")
+    parser.add_argument(
+        "--profile", type=Path, help="file for a profile of the instance; print its largest costs"
+    )
     args = parser.parse_args()
     console = Console(stderr=True)
-    spec = fleet_spec(args.runners)
+    profiler = (
+        ("-m", "ibispaddle_bench.sampling", str(args.profile.resolve())) if args.profile else ()
+    )
+    spec = fleet_spec(args.runners, profiler)
     if args.direct_only:
         spec = FleetSpec(**{**spec.__dict__, "entries": 0})
     with Fleet(spec) as fleet:
@@ -284,6 +305,8 @@
     else:
         sys.stdout.write(lines)
     print_table(console, measurement.records)
+    if args.profile:
+        print_costs(console, args.profile)
     return 0
 
 
--- /dev/null
+++ b/packages/bench/src/ibispaddle_bench/sampling.py
@@ -0,0 +1,103 @@
+"""Sampling profiler for a Python process that is started through it.
+
+`python -m ibispaddle_bench.sampling OUTPUT -m MODULE ARGUMENT...` runs the module, records its stack
+every two milliseconds of processor time, and writes the counts to OUTPUT at the end. The deterministic
+profilers of the standard library make small functions look several times as expensive as they are.
+"""
+
+import json
+import runpy
+import signal
+import sys
+from collections import Counter
+from dataclasses import dataclass
+from pathlib import Path
+from types import FrameType
+from typing import Any
+
+INTERVAL_S = 0.002
+# Modules of the runner itself, at the bottom of every stack.
+IGNORED_FILES = ("<frozen runpy>", "sampling.py")
+
+
+class Sampler:
+    """Count the functions on the stack at each sample."""
+
+    def __init__(self) -> None:
+        self.samples = 0
+        self.own: Counter[str] = Counter()
+        self.cumulative: Counter[str] = Counter()
+
+    def start(self) -> None:
+        """Begin to sample."""
+        signal.signal(signal.SIGPROF, self.sample)
+        signal.setitimer(signal.ITIMER_PROF, INTERVAL_S, INTERVAL_S)
+
+    def sample(self, number: int, frame: FrameType | None) -> None:
+        """Count the stack of one sample."""
+        self.samples += 1
+        seen: set[str] = set()
+        top = True
+        while frame is not None:
+            code = frame.f_code
+            if not code.co_filename.endswith(IGNORED_FILES):
+                name = f"{short_path(code.co_filename)}:{code.co_firstlineno} {code.co_qualname}"
+                if top:
+                    self.own[name] += 1
+                    top = False
+                seen.add(name)
+            frame = frame.f_back
+        self.cumulative.update(seen)
+
+    def write(self, path: Path) -> None:
+        """Stop and write the counts."""
+        signal.setitimer(signal.ITIMER_PROF, 0)
+        counts = {"samples": self.samples, "own": self.own, "cumulative": self.cumulative}
+        path.write_text(json.dumps(counts))
+
+
+def short_path(path: str) -> str:
+    """Return the part of a path after the packages or the library's folder."""
+    for mark in ("/site-packages/", "/src/", "/lib/python3.11/"):
+        _, found, rest = path.rpartition(mark)
+        if found:
+            return rest
+    return path
+
+
+@dataclass(frozen=True)
+class Cost:
+    """Share of the samples in which a function was on top, and anywhere, of the stack."""
+
+    function: str
+    own: float
+    cumulative: float
+
+
+def read_costs(path: Path) -> list[Cost]:
+    """Return the costs that a profile holds, highest own share first."""
+    counts: dict[str, Any] = json.loads(path.read_text())
+    total = max(1, counts["samples"])
+    costs = [
+        Cost(name, counts["own"].get(name, 0) / total, count / total)
+        for name, count in counts["cumulative"].items()
+    ]
+    return sorted(costs, key=lambda cost: (-cost.own, -cost.cumulative))
+
+
+def main() -> None:
+    """Run the module that the command line names."""
+    if len(sys.argv) < 4 or sys.argv[2] != "-m":
+        sys.exit("usage: python -m ibispaddle_bench.sampling OUTPUT -m MODULE ARGUMENT...")
+    output, module = Path(sys.argv[1]), sys.argv[3]
+    sys.argv[:] = [module, *sys.argv[4:]]
+    sampler = Sampler()
+    sampler.start()
+    try:
+        runpy.run_module(module, run_name="__main__", alter_sys=True)
+    finally:
+        sampler.write(output)
+
+
+if __name__ == "__main__":
+    main()
