Added the usage ledger

Usage has to survive lost answers, repetition and the death of an instance. All merges take the maximum.

--- /dev/null
+++ b/packages/core/src/ibispaddle_core/usage/totals.py
@@ -0,0 +1,45 @@
+"""Totals that a reader of the stream `usage` computes."""
+
+from collections.abc import Mapping
+from typing import Any
+
+import msgspec
+from result import Err, Ok, Result
+
+from .counters import ZERO, Counts
+from .exceptions import UsageRecordError
+
+
+class _Record(msgspec.Struct):
+    instance_boot: str
+    counters: dict[str, tuple[int, int, int, int]]
+
+
+class UsageTotals:
+    """Fold usage records: the maximum per process and workspace, summed over processes."""
+
+    def __init__(self) -> None:
+        self._counts: dict[tuple[str, str], Counts] = {}
+
+    def fold(self, data: Mapping[str, Any]) -> Result[None, UsageRecordError]:
+        """Merge one record."""
+        try:
+            record = msgspec.convert(data, _Record)
+        except msgspec.ValidationError as exc:
+            return Err(UsageRecordError(str(exc)))
+        for workspace, values in record.counters.items():
+            key = (record.instance_boot, workspace)
+            self._counts[key] = self._counts.get(key, ZERO).maximum(Counts(*values))
+        return Ok(None)
+
+    def process(self, instance_boot: str, workspace: str) -> Counts:
+        """Return what one process counted for a workspace, as far as the log has it."""
+        return self._counts.get((instance_boot, workspace), ZERO)
+
+    def total(self, workspace: str) -> Counts:
+        """Return the sum of a workspace over all processes."""
+        total = ZERO
+        for (_, name), counts in self._counts.items():
+            if name == workspace:
+                total = total.plus(counts)
+        return total
