--- a/packages/daemon/src/ibispaddle_daemon/app.py
+++ b/packages/daemon/src/ibispaddle_daemon/app.py
@@ -90,6 +90,11 @@
             "Open connections of callers.",
             lambda: self.server.listener.open_connections,
         )
+        add(
+            "ibispaddle_unsent_bytes",
+            "Bytes of answers that callers have not taken yet.",
+            lambda: self.server.unsent_bytes,
+        )
         add(
             "ibispaddle_upstream_connections",
             "Open connections to upstreams.",
--- a/packages/daemon/src/ibispaddle_daemon/http_server.py
+++ b/packages/daemon/src/ibispaddle_daemon/http_server.py
@@ -93,6 +93,11 @@
         """Return the number of connections with bytes that the caller has not taken."""
         return sum(1 for conn in self._protocols if conn.unsent_bytes)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the bytes that callers have not taken yet."""
+        return sum(conn.unsent_bytes for conn in self._protocols)
+
     # Bounds
 
     def max_body_bytes(self) -> int:
