Added tests of the planned stop and of TLS

Change: 20 callers stream while SIGTERM arrives; a draining instance is probed; a certificate is used. Responses carry the standard reason phrase.

--- a/packages/daemon/src/ibispaddle_daemon/http_exchange.py
+++ b/packages/daemon/src/ibispaddle_daemon/http_exchange.py
@@ -1,6 +1,7 @@
 """One request of a caller and the way to answer it."""
 
 from collections.abc import Callable
+from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
 import h11
@@ -11,6 +12,9 @@
     from .http_protocol import CallerHttp
 
 
+_REASONS = {status.value: status.phrase.encode("ascii") for status in HTTPStatus}
+
+
 class Exchange:
     """Hold a complete request and write its response.
 
@@ -92,5 +96,6 @@
         if self._http.closes_after_response():
             headers = (*headers, ("Connection", "close"))
         encoded = [(k.encode("ascii"), v.encode("latin-1", "replace")) for k, v in headers]
-        response = h11.Response(status_code=status, headers=encoded)
+        reason = _REASONS.get(status, b"")
+        response = h11.Response(status_code=status, headers=encoded, reason=reason)
         self._http.send(response, data)
--- /dev/null
+++ b/tests/daemon/test_stop.py
@@ -0,0 +1,175 @@
+"""Tests of the planned stop and of TLS with real processes."""
+
+import contextlib
+import json
+import socket
+import ssl
+import subprocess
+import tempfile
+import threading
+import time
+import unittest
+from pathlib import Path
+
+import openai
+from ibispaddle_standins.answers import find_fault
+
+from .processes import KEY, Fleet
+from .support import wait_until
+from .test_bad_callers import AUTH, chat_body, post, read_response
+
+
+class LoadThread(threading.Thread):
+    """Send streamed requests one after the other until one is refused."""
+
+    def __init__(self, url: str, number: int) -> None:
+        super().__init__(daemon=True)
+        self.url = url
+        self.number = number
+        self.complete = 0
+        self.streaming = False
+        self.problems: list[str] = []
+        self.end = ""
+
+    def run(self) -> None:
+        prompt = f"prompt {self.number}"
+        with openai.OpenAI(
+            api_key=KEY, base_url=f"{self.url}/v1", max_retries=0, timeout=20
+        ) as client:
+            while not self.end:
+                try:
+                    parts = []
+                    for chunk in client.completions.create(
+                        model="m", prompt=prompt, max_tokens=40, stream=True
+                    ):
+                        self.streaming = True
+                        parts.append(chunk.choices[0].text)
+                    fault = find_fault("".join(parts), prompt, 40)
+                    if fault:
+                        self.problems.append(fault)
+                    self.complete += 1
+                except openai.APIStatusError as exc:
+                    self.end = f"{exc.code} {exc.body['run_state']}"
+                except openai.APIConnectionError as exc:
+                    # Only a refused connection shows that no request was cut.
+                    self.end = "refused" if "refused" in repr(exc.__cause__) else repr(exc)
+
+
+class StopTest(unittest.TestCase):
+    def test_stop_under_load_cuts_no_request(self):
+        """Guard against requests that a planned stop cuts or leaves without an answer."""
+        with Fleet(2, ("--time-scale", "2"), trace_url="http://127.0.0.1:9") as fleet:
+            threads = [LoadThread(fleet.instance.url, number) for number in range(20)]
+            for thread in threads:
+                thread.start()
+            wait_until(lambda: all(t.streaming and t.complete for t in threads), "load")
+            started = time.monotonic()
+            status = fleet.instance.stop()
+            for thread in threads:
+                thread.join(20)
+            self.assertEqual(status, 0)
+            self.assertLess(time.monotonic() - started, 10)
+            self.assertEqual([t.problems for t in threads if t.problems], [])
+            ends = {thread.end for thread in threads}
+            self.assertLessEqual(ends, {"draining not_run", "refused"})
+            self.assertEqual(fleet.instance.problems(), [])
+            self.assertTrue(fleet.instance.events("instance_stopped"))
+
+    def test_draining_instance_is_not_ready_and_takes_no_new_connections(self):
+        """Guard against new work at an instance that is being stopped."""
+        with Fleet(1, ("--time-scale", "1")) as fleet:
+            host, port = fleet.instance.address.split(":")
+
+            def connect():
+                return contextlib.closing(socket.create_connection((host, int(port)), timeout=10))
+
+            with connect() as running, connect() as idle:
+                body = chat_body(stream=True, max_tokens=90)
+                running.sendall(post("/v1/chat/completions", body))
+                idle.sendall(post("/v1/completions", b"{"))
+                self.assertEqual(read_response(idle)[0], 400)
+                self.assertIn(b"200 OK", running.recv(4_096))
+                fleet.instance.proc.terminate()
+                wait_until(lambda: fleet.instance.events("instance_draining"), "drain")
+                with connect() as new:
+                    new.sendall(b"GET /readyz HTTP/1.1\r\nHost: a\r\n\r\n")
+                    self.assertEqual(read_response(new)[0], 503)
+                with connect() as new:
+                    new.sendall(post("/v1/chat/completions", chat_body()))
+                    status, headers, answer = read_response(new)
+                    self.assertEqual((status, headers["retry-after"]), (503, "1"))
+                    self.assertEqual(json.loads(answer)["error"]["code"], "draining")
+                # A request that was on its way on an open connection is still answered.
+                idle.sendall(post("/v1/chat/completions", chat_body()))
+                status, headers, _ = read_response(idle)
+                self.assertEqual((status, headers["connection"]), (200, "close"))
+                rest = b""
+                while piece := running.recv(65_536):
+                    rest += piece
+                self.assertIn(b"data: [DONE]", rest)
+            self.assertEqual(fleet.instance.proc.wait(10), 0)
+
+    def test_stop_lasts_until_the_deadline_of_the_last_request(self):
+        """Guard against a request that is cut because it outlasts the drain timeout."""
+        with Fleet(1, ("--time-scale", "1"), drain_timeout_ms=100) as fleet:
+            host, port = fleet.instance.address.split(":")
+            with socket.create_connection((host, int(port)), timeout=10) as sock:
+                sock.sendall(post("/v1/chat/completions", chat_body(max_tokens=60)))
+                wait_until(lambda: fleet.runners[0].state()["running"], "start")
+                self.assertIsNone(fleet.instance.proc.poll())
+                fleet.instance.proc.terminate()
+                self.assertEqual(read_response(sock)[0], 200)
+            self.assertEqual(fleet.instance.proc.wait(10), 0)
+
+
+class TlsTest(unittest.TestCase):
+    def test_requests_over_tls(self):
+        """Guard against a listener that ignores its certificate or stalls in a handshake."""
+        with tempfile.TemporaryDirectory() as folder:
+            cert, key = Path(folder) / "cert.pem", Path(folder) / "key.pem"
+            write_certificate(cert, key)
+            tls = {"certificate_file": str(cert), "key_file": str(key)}
+            with TlsFleet(1, tls=tls) as fleet:
+                host, port = fleet.instance.address.split(":")
+                silent = [socket.create_connection((host, int(port))) for _ in range(3)]
+                context = ssl.create_default_context(cafile=cert)
+                with (
+                    socket.create_connection((host, int(port)), timeout=10) as plain,
+                    context.wrap_socket(plain, server_hostname="localhost") as sock,
+                ):
+                    body = chat_body(stream=True, max_tokens=500)
+                    head = AUTH + "Connection: close\r\nX-Padding: " + "y" * 30_000 + "\r\n"
+                    sock.sendall(post("/v1/chat/completions", body, head))
+                    answer = b""
+                    while piece := sock.recv(65_536):
+                        answer += piece
+                self.assertIn(b"data: [DONE]", answer)
+                self.assertIn(b'"token_index": 499', answer)
+                for sock in silent:
+                    sock.close()
+                self.assertEqual(fleet.instance.stop(), 0)
+                self.assertEqual(fleet.instance.problems(), [])
+
+
+class TlsFleet(Fleet):
+    """A fleet whose instance answers over TLS only, so that its metrics are not read."""
+
+    def reachable(self) -> int:
+        return len(self.runners)
+
+
+def write_certificate(cert: Path, key: Path) -> None:
+    """Write a self-signed certificate for `localhost`."""
+    subprocess.run(
+        [
+            *("openssl", "req", "-x509", "-newkey", "rsa:2048", "-nodes", "-days", "2"),
+            *("-subj", "/CN=localhost", "-addext", "subjectAltName=DNS:localhost"),
+            *("-keyout", str(key), "-out", str(cert)),
+        ],
+        check=True,
+        capture_output=True,
+    )
+
+
+if __name__ == "__main__":
+    unittest.main()
