Added at-most-once execution of calls with an idempotency key

Change: the claim table folded from `claims`, the state machine of one call, key times, the queue that forms batches, and the book that ties them together. Faults found in the design, with their traces: - A claim that reaches the log late runs a call twice. Claim 1 runs at t0; at t0 + window a retry claims with a long deadline; its append takes effect after the table has dropped claim 1 and is first. Correction: a claim carries the key's creation time and counts only if its time in the log lies within the window of that time, by the log's clock alone (test_fleet.LateClaimTest). - A release can overtake the append of its claim, whose answer was lost. The claim then arrives, is first, and nobody sends: the key stays blocked after the caller was told `not_run`. Correction: the fold remembers released ids (test_fleet.OvertakingReleaseTest). - `not_run` during a log outage is true of the copy that is refused and not of the key: an earlier copy can have run at an instance that reaches the log. If the own table shows another claim of the key, the answer is `unknown`. - Bodies of outcomes for a whole window take up to 2.6 GB at 180 calls/s; they are bounded to 16 MiB here, and a dropped body is answered `unknown`. The tests see a second run when any claim may win and when the window rule is removed.

--- /dev/null
+++ b/packages/core/src/ibispaddle_core/idempotency/keys.py
@@ -0,0 +1,58 @@
+"""Idempotency keys: scope, creation time and age."""
+
+import hashlib
+import re
+from enum import StrEnum
+
+# Greatest difference between the clocks of a caller, an instance and the log.
+CLOCK_TOLERANCE_MS = 60_000
+
+_SEPARATOR = "\x1f"
+_UUID7 = re.compile(r"[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}\Z", re.I)
+_MILLISECONDS = re.compile(r"([0-9]{13})-.")
+
+
+class KeyAge(StrEnum):
+    """Tell whether a key's creation time lies in the claim window."""
+
+    USABLE = "usable"
+    MISSING = "missing"
+    EXPIRED = "expired"
+    FUTURE = "future"
+
+
+def scoped_key(workspace: str, service: str, key: str) -> str:
+    """Return a key that is unique across workspaces and services.
+
+    Without the scope, two workspaces that choose the same key would receive each other's answers.
+    """
+    return _SEPARATOR.join((workspace, service, key))
+
+
+def key_created_ms(key: str) -> int | None:
+    """Return the creation time in a key, in milliseconds since the Unix epoch, or None.
+
+    >>> key_created_ms("1700000000000-order-17")
+    1700000000000
+    >>> key_created_ms("018bcfe5-6800-7000-8000-000000000000")
+    1700000000000
+    """
+    own = key.rsplit(_SEPARATOR, 1)[-1]
+    if _UUID7.match(own):
+        return int(own[:8] + own[9:13], 16)
+    found = _MILLISECONDS.match(own)
+    return int(found.group(1)) if found else None
+
+
+def key_age(created_ms: int | None, wall_ms: int, window_ms: int) -> KeyAge:
+    """Compare a creation time with the wall clock."""
+    if created_ms is None:
+        return KeyAge.MISSING
+    if created_ms > wall_ms + CLOCK_TOLERANCE_MS:
+        return KeyAge.FUTURE
+    return KeyAge.EXPIRED if created_ms < wall_ms - window_ms else KeyAge.USABLE
+
+
+def hash_key(key: str) -> str:
+    """Return 128 bits of the key's SHA-256 as hexadecimal digits."""
+    return hashlib.sha256(key.encode()).hexdigest()[:32]
--- /dev/null
+++ b/packages/core/src/ibispaddle_core/idempotency/queue.py
@@ -0,0 +1,117 @@
+"""Queue of the entries that one instance appends in batches."""
+
+from dataclasses import dataclass
+
+from .records import Claim, Entry, Release, batch_record
+
+MAX_BATCH_ENTRIES = 200
+MIN_RETRY_MS = 100
+MAX_RETRY_MS = 5_000
+
+
+@dataclass
+class _Queued:
+    entry: Entry
+    expires_ms: int
+    # Whether an append of the entry may have taken effect although its answer is missing.
+    attempted: bool = False
+
+
+class AppendQueue:
+    """Form batches: at most one append in flight, and one per interval.
+
+    After a lost answer the entries are appended again until they are confirmed. A repeated entry has
+    no second effect, because entries are recognised by the claim id.
+    """
+
+    def __init__(self, prefix: str, interval_ms: int, keep_ms: int) -> None:
+        self._prefix = prefix
+        self._interval_ms = interval_ms
+        self._keep_ms = keep_ms
+        self._queue: list[_Queued] = []
+        self._in_flight: list[_Queued] = []
+        self._batches: dict[str, list[_Queued]] = {}  # Without answer; may be read from the stream.
+        self._batch_id = ""
+        self._sequence = 0
+        self._not_before_ms = 0
+        self._retry_ms = MIN_RETRY_MS
+
+    def __len__(self) -> int:
+        return len(self._queue) + len(self._in_flight)
+
+    def add(self, entry: Entry, now_ms: int) -> None:
+        """Queue an entry. A release of a claim that was never appended removes the claim."""
+        if isinstance(entry, Release):
+            claims = [
+                queued
+                for queued in self._queue
+                if isinstance(queued.entry, Claim) and queued.entry.claim_id == entry.claim_id
+            ]
+            self._queue = [queued for queued in self._queue if queued not in claims]
+            if claims and not any(queued.attempted for queued in claims):
+                return
+        self._queue.append(_Queued(entry, now_ms + self._keep_ms))
+
+    def next_due_ms(self) -> int | None:
+        """Return the earliest time of the next batch, or None if there is none."""
+        return self._not_before_ms if self._queue and not self._in_flight else None
+
+    def next_batch(self, now_ms: int) -> tuple[str, dict] | None:
+        """Return the id and the record of the next batch if one may be appended now."""
+        self._queue = [queued for queued in self._queue if queued.expires_ms > now_ms]
+        if not self._queue or self._in_flight or now_ms < self._not_before_ms:
+            return None
+        self._in_flight = self._queue[:MAX_BATCH_ENTRIES]
+        self._queue = self._queue[MAX_BATCH_ENTRIES:]
+        self._sequence += 1
+        self._batch_id = f"{self._prefix}/{self._sequence}"
+        self._not_before_ms = now_ms + self._interval_ms
+        return self._batch_id, batch_record(self._batch_id, [q.entry for q in self._in_flight])
+
+    def appended(self, batch_id: str) -> None:
+        """Record that the batch is in the stream, by its answer or because it was read."""
+        if batch_id == self._batch_id and self._in_flight:
+            self._in_flight = []
+            self._retry_ms = MIN_RETRY_MS
+        lost = self._batches.pop(batch_id, [])
+        self._queue = [queued for queued in self._queue if not any(queued is q for q in lost)]
+
+    def answer_lost(self, batch_id: str, now_ms: int) -> None:
+        """Queue the batch again; it may already be in the stream or arrive later."""
+        if batch_id == self._batch_id and self._in_flight:
+            for queued in self._in_flight:
+                queued.attempted = True
+            self._batches[batch_id] = list(self._in_flight)
+            while len(self._batches) > 64:
+                del self._batches[next(iter(self._batches))]
+            self._requeue(now_ms)
+
+    def refused(self, batch_id: str, now_ms: int, drop_claims: bool) -> list[str]:
+        """Queue the batch again after the log refused it.
+
+        With `drop_claims`, claims that are certainly not in the stream are removed; returns their
+        ids.
+        """
+        if batch_id != self._batch_id or not self._in_flight:
+            return []
+        dropped = [
+            queued
+            for queued in self._in_flight
+            if drop_claims and isinstance(queued.entry, Claim) and not queued.attempted
+        ]
+        self._in_flight = [queued for queued in self._in_flight if queued not in dropped]
+        self._requeue(now_ms)
+        return [queued.entry.claim_id for queued in dropped]
+
+    def _requeue(self, now_ms: int) -> None:
+        # Claims whose release was queued in the meantime are not appended again.
+        released = {q.entry.claim_id for q in self._queue if isinstance(q.entry, Release)}
+        kept = [
+            queued
+            for queued in self._in_flight
+            if not (isinstance(queued.entry, Claim) and queued.entry.claim_id in released)
+        ]
+        self._queue = kept + self._queue
+        self._in_flight = []
+        self._not_before_ms = max(self._not_before_ms, now_ms + self._retry_ms)
+        self._retry_ms = min(2 * self._retry_ms, MAX_RETRY_MS)
--- /dev/null
+++ b/tests/idempotency/fleet.py
@@ -0,0 +1,214 @@
+"""Instances, a log and a service in virtual time for the tests of at-most-once execution."""
+
+from dataclasses import dataclass, field
+
+from ibispaddle_core.configuration import LogRecord
+from ibispaddle_core.idempotency import (
+    CallCompleted,
+    CallNotSent,
+    CallUnknown,
+    ClaimBook,
+    Outcome,
+    Refuse,
+    Replay,
+    Send,
+)
+from ibispaddle_core.runstate import RunState
+
+WINDOW_MS = 200_000
+RETENTION_MS = 400_000
+INTERVAL_MS = 50
+EPOCH_MS = 1_700_000_000_000
+
+
+@dataclass
+class Append:
+    """An append that was sent; it can reach the log at any time, also after its answer was lost."""
+
+    instance: "Instance"
+    batch_id: str
+    record: dict
+    answered: bool = False
+
+
+@dataclass
+class Instance:
+    name: str
+    skew_ms: int
+    book: ClaimBook
+    unsent: dict[str, Send] = field(default_factory=dict)  # Decided; deadline not yet checked.
+    checked: list[str] = field(default_factory=list)  # Deadline checked; not yet written.
+    written: list[str] = field(default_factory=list)  # Written; outcome not yet recorded.
+
+
+class Fleet:
+    """Drive the claim books of several instances and count the runs of each key."""
+
+    table_type = None
+
+    def __init__(self, skews_ms=(0, 20_000, -20_000)):
+        self.now_ms = 0
+        self.log: list[LogRecord] = []
+        self.first_offset = 0
+        self.appends: list[Append] = []
+        self.available = True
+        self.boots = 0
+        self.calls: dict[str, str] = {}  # call id -> key
+        self.answers: dict[str, object] = {}
+        self.runs: dict[str, list[str]] = {}  # key -> call ids
+        self.crashed: set[str] = set()  # Keys with a call on an instance that crashed.
+        self.instances = [self._boot(f"i{n}", skew) for n, skew in enumerate(skews_ms)]
+
+    def _boot(self, name, skew_ms):
+        self.boots += 1
+        book = ClaimBook(f"{name}/{self.boots}", WINDOW_MS, RETENTION_MS, INTERVAL_MS)
+        if self.table_type is not None:
+            book.table = self.table_type(WINDOW_MS, RETENTION_MS)
+        return Instance(name, skew_ms, book)
+
+    def wall_ms(self, skew_ms=0):
+        return EPOCH_MS + self.now_ms + skew_ms
+
+    def advance(self, delta_ms):
+        self.now_ms += delta_ms
+        oldest = self.wall_ms() - RETENTION_MS
+        while self.first_offset < len(self.log) and self.log[self.first_offset].time_ms < oldest:
+            self.first_offset += 1
+
+    def request(self, number, key, timeout_ms=10_000, request_hash="r"):
+        instance = self.instances[number]
+        call_id = f"call{len(self.calls)}"
+        self.calls[call_id] = key
+        decided = instance.book.request(
+            call_id,
+            key,
+            request_hash,
+            self.now_ms + timeout_ms,
+            self.now_ms,
+            self.wall_ms(instance.skew_ms),
+            self.available,
+        )
+        self.take(instance, decided)
+        return call_id
+
+    def take(self, instance, decided):
+        for item in decided:
+            if isinstance(item.decision, Send):
+                assert item.call_id not in instance.unsent, "two permissions for one call"
+                instance.unsent[item.call_id] = item.decision
+            else:
+                self.answer(item.call_id, item.decision)
+
+    def answer(self, call_id, decision):
+        assert call_id not in self.answers, "two answers to one call"
+        self.answers[call_id] = decision
+        if isinstance(decision, Replay):
+            assert decision.outcome.body.decode() in self.runs[self.calls[call_id]]
+
+    def start_append(self, number):
+        instance = self.instances[number]
+        batch = instance.book.queue.next_batch(self.now_ms)
+        if batch is not None:
+            self.appends.append(Append(instance, *batch))
+        return batch is not None
+
+    def deliver(self, index, answer=True):
+        append = self.appends.pop(index)
+        self.log.append(LogRecord(len(self.log), self.wall_ms(), append.record))
+        if not append.answered:
+            if answer:
+                append.instance.book.queue.appended(append.batch_id)
+            else:
+                append.instance.book.queue.answer_lost(append.batch_id, self.now_ms)
+
+    def lose_answer(self, index):
+        append = self.appends[index]
+        if not append.answered:
+            append.answered = True
+            append.instance.book.queue.answer_lost(append.batch_id, self.now_ms)
+
+    def refuse(self, index, outage):
+        append = self.appends[index]
+        if not append.answered:
+            self.appends.pop(index)
+            book = append.instance.book
+            decided = book.append_refused(append.batch_id, self.now_ms, outage)
+            if append.instance in self.instances:
+                self.take(append.instance, decided)
+
+    def read(self, number, limit=1_000):
+        instance = self.instances[number]
+        start = max(instance.book.table.position, self.first_offset)
+        page = self.log[start : start + limit]
+        wall_ms = self.wall_ms(instance.skew_ms)
+        self.take(instance, instance.book.read_page(self.first_offset, page, self.now_ms, wall_ms))
+
+    def tick(self, number):
+        instance = self.instances[number]
+        self.take(instance, instance.book.tick(self.now_ms))
+
+    def check_send(self, number):
+        instance = self.instances[number]
+        for call_id, permission in list(instance.unsent.items()):
+            del instance.unsent[call_id]
+            if self.now_ms < permission.deadline_ms:
+                instance.checked.append(call_id)
+            else:
+                instance.book.finished(call_id, CallNotSent(), self.now_ms)
+                self.answer(call_id, Refuse(RunState.NOT_RUN, "deadline"))
+
+    def refuse_connection(self, number):
+        instance = self.instances[number]
+        if instance.checked:
+            call_id = instance.checked.pop()
+            instance.book.finished(call_id, CallNotSent(), self.now_ms)
+            self.answer(call_id, Refuse(RunState.NOT_RUN, "unreachable"))
+
+    def write(self, number):
+        instance = self.instances[number]
+        for call_id in instance.checked:
+            self.runs.setdefault(self.calls[call_id], []).append(call_id)
+            instance.written.append(call_id)
+        instance.checked.clear()
+
+    def finish(self, number, known=True):
+        instance = self.instances[number]
+        for call_id in instance.written:
+            outcome = Outcome(200, "text/plain", call_id.encode())
+            result = CallCompleted(outcome) if known else CallUnknown()
+            instance.book.finished(call_id, result, self.now_ms)
+            decision = Replay(outcome) if known else Refuse(RunState.UNKNOWN, "closed")
+            self.answer(call_id, decision)
+        instance.written.clear()
+
+    def crash(self, number):
+        old = self.instances[number]
+        self.crashed |= {self.calls[c] for c in self.calls if c not in self.answers}
+        if len(old.book.queue):  # A release can be lost with the instance; its key stays blocked.
+            self.crashed |= set(self.calls.values())
+        self.instances[number] = self._boot(old.name, old.skew_ms)
+        for append in self.appends:
+            append.answered = append.answered or append.instance is old
+
+    def settle(self):
+        """Let every instance finish: deliver appends, read, send and answer."""
+        for _ in range(12):
+            self.advance(6_000)
+            for number in range(len(self.instances)):
+                self.start_append(number)
+            while self.appends:
+                self.deliver(0)
+            for number in range(len(self.instances)):
+                self.read(number)
+                self.tick(number)
+                self.check_send(number)
+                self.write(number)
+                self.finish(number)
+
+    def check(self):
+        for key, calls in self.runs.items():
+            assert len(calls) <= 1, f"key {key} ran {len(calls)} times"
+        ran = {call_id for calls in self.runs.values() for call_id in calls}
+        for call_id, decision in self.answers.items():
+            if isinstance(decision, Refuse) and decision.run_state is RunState.NOT_RUN:
+                assert call_id not in ran, f"{call_id} was answered 'not_run' and ran"
--- /dev/null
+++ b/tests/idempotency/test_fleet.py
@@ -0,0 +1,346 @@
+"""Property-based tests: at most one run per key across instances, pauses, crashes and outages."""
+
+import unittest
+
+from hypothesis import Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+from ibispaddle_core.idempotency import ClaimTable, Refuse, Replay, Void, Won
+from ibispaddle_core.runstate import RunState
+
+from .fleet import EPOCH_MS, Fleet
+
+INSTANCES = st.integers(0, 2)
+PICKS = st.integers(0, 9)
+
+
+class FleetMachine(RuleBasedStateMachine):
+    """Run the steps of three instances, the log and the service in any order.
+
+    A paused instance is one whose steps do not occur for a while.
+    """
+
+    table_type = None
+
+    @initialize()
+    def start(self):
+        self.fleet = Fleet.__new__(Fleet)
+        self.fleet.table_type = self.table_type
+        self.fleet.__init__()
+        self.keys: list[str] = []
+        self.crashes = self.far = 0
+        for number in range(3):
+            self.fleet.read(number)
+        self.make_key(0)
+
+    @precondition(lambda self: len(self.keys) < 3)
+    @rule(age_ms=st.sampled_from([0, 0, 0, 50_000, 190_000, -50_000]))
+    def make_key(self, age_ms):
+        self.keys.append(f"{EPOCH_MS + self.fleet.now_ms - age_ms}-k{len(self.keys)}")
+
+    @rule(
+        number=INSTANCES,
+        pick=PICKS,
+        timeout_ms=st.sampled_from([10_000, 10_000, 500, 300_000]),
+        steps=st.integers(0, 4),
+    )
+    def request(self, number, pick, timeout_ms, steps):
+        self.fleet.request(number, self.keys[-1 - pick % min(len(self.keys), 2)], timeout_ms)
+        if steps:
+            self.work(number, steps)
+
+    @rule(number=INSTANCES)
+    def start_append(self, number):
+        self.fleet.start_append(number)
+
+    @precondition(lambda self: self.fleet.appends)
+    @rule(pick=PICKS, answer=st.booleans())
+    def deliver(self, pick, answer):
+        self.fleet.deliver(pick % len(self.fleet.appends), answer)
+
+    @precondition(lambda self: self.fleet.appends)
+    @rule(pick=PICKS)
+    def lose_answer(self, pick):
+        self.fleet.lose_answer(pick % len(self.fleet.appends))
+
+    @precondition(lambda self: self.fleet.appends)
+    @rule(pick=PICKS, outage=st.booleans())
+    def refuse(self, pick, outage):
+        self.fleet.refuse(pick % len(self.fleet.appends), outage)
+
+    @rule(number=INSTANCES, steps=st.integers(1, 4))
+    def work(self, number, steps):
+        """Take the usual steps of an instance up to some point."""
+        if self.fleet.start_append(number):
+            self.fleet.deliver(len(self.fleet.appends) - 1)
+        self.fleet.read(number)
+        for step in (self.fleet.check_send, self.fleet.write, self.fleet.finish)[: steps - 1]:
+            step(number)
+
+    @rule(number=INSTANCES, limit=st.integers(1, 5))
+    def read(self, number, limit):
+        self.fleet.read(number, limit)
+
+    @rule(number=INSTANCES)
+    def tick(self, number):
+        self.fleet.tick(number)
+
+    @rule(number=INSTANCES, through=st.booleans())
+    def send(self, number, through):
+        self.fleet.check_send(number)
+        if through:
+            self.fleet.write(number)
+
+    @rule(number=INSTANCES)
+    def write(self, number):
+        self.fleet.write(number)
+
+    @rule(number=INSTANCES)
+    def refuse_connection(self, number):
+        self.fleet.refuse_connection(number)
+
+    @rule(number=INSTANCES, known=st.booleans())
+    def finish(self, number, known):
+        self.fleet.finish(number, known)
+
+    @rule(delta_ms=st.sampled_from([50, 50, 50, 500, 2_000]))
+    def advance(self, delta_ms):
+        self.fleet.advance(delta_ms)
+
+    @precondition(lambda self: self.far < 3)
+    @rule(delta_ms=st.sampled_from([12_000, 12_000, 120_000, 250_000]))
+    def advance_far(self, delta_ms):
+        self.far += 1
+        self.fleet.advance(delta_ms)
+
+    @precondition(lambda self: self.crashes < 2)
+    @rule(number=INSTANCES)
+    def crash(self, number):
+        self.crashes += 1
+        self.fleet.crash(number)
+
+    @rule(available=st.sampled_from([True, True, True, False]))
+    def change_log_health(self, available):
+        self.fleet.available = available
+
+    @invariant()
+    def at_most_one_run_and_true_answers(self):
+        self.fleet.check()
+
+    def teardown(self):
+        """Check that a key nobody ran is not blocked, unless its instance crashed."""
+        fleet = getattr(self, "fleet", None)
+        if fleet is None:
+            return
+        fleet.available = True
+        fleet.settle()
+        fleet.check()
+        for key in self.keys:
+            created_ms = int(key[:13])
+            usable = fleet.wall_ms() - 120_000 <= created_ms <= fleet.wall_ms()
+            if usable and key not in fleet.runs and key not in fleet.crashed:
+                call_id = fleet.request(0, key, timeout_ms=30_000)
+                fleet.settle()
+                answer = fleet.answers[call_id]
+                assert isinstance(answer, Replay), f"{key} is blocked: {answer}"
+                fleet.check()
+        fleet.advance(300_000)  # The longest timeout: calls wait for claims of crashed instances.
+        fleet.settle()
+        fleet.check()
+        for instance in fleet.instances:
+            assert not instance.book._calls, "a call has no answer"
+            assert len(instance.book.queue) == 0, "an entry was not appended"
+            assert not instance.book._by_claim and not instance.book._by_key
+
+
+class AnyClaimTable(ClaimTable):
+    """Let every claim that was read win."""
+
+    def _fold_claim(self, claim):
+        super()._fold_claim(claim)
+        return Won(claim.claim_id, claim.key_hash)
+
+
+class AnyClaimMachine(FleetMachine):
+    table_type = AnyClaimTable
+
+
+class NoTombstoneTable(ClaimTable):
+    """Forget a release whose claim was not read yet."""
+
+    def _fold_release(self, release):
+        entry = self.get(release.key_hash)
+        if entry is None or entry.holder != release.claim_id:
+            return None
+        return super()._fold_release(release)
+
+
+class UnboundedClaimTable(ClaimTable):
+    """Accept claims whatever their time in the log says about the key's window."""
+
+    def _fold_claim(self, claim):
+        notice = super()._fold_claim(claim)
+        if isinstance(notice, Void):
+            bounded = type(claim)(claim.claim_id, claim.key_hash, claim.request_hash, None)
+            return super()._fold_claim(bounded)
+        return notice
+
+
+def run(machine, examples, steps=50):
+    run_state_machine_as_test(
+        machine,
+        settings=settings(
+            max_examples=examples,
+            stateful_step_count=steps,
+            derandomize=True,
+            deadline=None,
+            database=None,
+            phases=[Phase.generate],
+        ),
+    )
+
+
+class FleetTest(unittest.TestCase):
+    def test_at_most_one_run_per_key(self):
+        """Guard against a call that runs twice, a false 'not_run' and a key that stays blocked."""
+        run(FleetMachine, 400)
+
+    def test_order_rule_is_needed(self):
+        """Guard against a property test that does not notice two runs."""
+        with self.assertRaises(AssertionError):
+            run(AnyClaimMachine, 400)
+
+
+def late_claim(table_type):
+    """Append a retry's claim after the table has dropped the claim that ran."""
+    fleet = Fleet.__new__(Fleet)
+    fleet.table_type = table_type
+    fleet.__init__((0, 0))
+    key = f"{fleet.wall_ms()}-k"
+    for number in (0, 1):
+        fleet.read(number)
+    fleet.request(0, key)
+    fleet.start_append(0)
+    fleet.deliver(0)
+    fleet.read(0)
+    fleet.check_send(0)
+    fleet.write(0)
+    fleet.advance(190_000)
+    second = fleet.request(1, key, timeout_ms=190_000)  # Has not read the first claim.
+    fleet.start_append(1)
+    fleet.advance(150_000)  # The append is under way for 150 s.
+    fleet.deliver(0)
+    fleet.read(1)
+    fleet.check_send(1)
+    fleet.write(1)
+    return fleet, second
+
+
+class LateClaimTest(unittest.TestCase):
+    def test_late_claim_does_not_run(self):
+        """Guard against a second run when a claim reaches the log after the first was dropped."""
+        fleet, second = late_claim(None)
+        fleet.check()
+        self.assertIs(fleet.answers[second].run_state, RunState.UNKNOWN)
+
+    def test_window_rule_is_needed(self):
+        """Guard against a trace that does not need the rule on the claim's time in the log."""
+        fleet, _ = late_claim(UnboundedClaimTable)
+        with self.assertRaises(AssertionError):
+            fleet.check()
+
+
+def overtaking_release(table_type):
+    """Append a release before the claim that it releases; return the answer of a later retry."""
+    fleet = Fleet.__new__(Fleet)
+    fleet.table_type = table_type
+    fleet.__init__((0, 0))
+    key = f"{fleet.wall_ms()}-k"
+    for number in (0, 1):
+        fleet.read(number)
+    first = fleet.request(0, key, timeout_ms=1_000)
+    fleet.start_append(0)
+    fleet.lose_answer(0)
+    fleet.advance(1_000)
+    fleet.tick(0)
+    assert fleet.answers[first].run_state is RunState.NOT_RUN
+    fleet.start_append(0)
+    fleet.deliver(1)
+    fleet.deliver(0)
+    retry = fleet.request(1, key)
+    fleet.settle()
+    fleet.check()
+    return fleet.answers[retry]
+
+
+class OvertakingReleaseTest(unittest.TestCase):
+    def test_late_claim_does_not_block_its_key(self):
+        """Guard against a key that nobody may send after a caller was told 'not_run'."""
+        self.assertIsInstance(overtaking_release(None), Replay)
+
+    def test_release_has_to_be_remembered(self):
+        """Guard against a trace that does not need the memory of releases."""
+        self.assertIsInstance(overtaking_release(NoTombstoneTable), Refuse)
+
+
+class RetryTest(unittest.TestCase):
+    def test_retry_waits_and_replays(self):
+        """Guard against a retry that runs the call again or gets no answer."""
+        fleet = Fleet((0, 0))
+        for number in (0, 1):
+            fleet.read(number)
+        key = f"{fleet.wall_ms()}-k"
+        fleet.request(0, key)
+        second = fleet.request(1, key)
+        fleet.settle()
+        self.assertIsInstance(fleet.answers[second], Replay)
+        self.assertEqual(len(fleet.runs[key]), 1)
+
+    def test_same_key_for_another_request_is_refused(self):
+        """Guard against the answer of one request being given to another."""
+        fleet = Fleet((0,))
+        fleet.read(0)
+        key = f"{fleet.wall_ms()}-k"
+        fleet.request(0, key, request_hash="a")
+        other = fleet.request(0, key, request_hash="b")
+        fleet.settle()
+        self.assertIsInstance(fleet.answers[other], Refuse)
+
+    def test_instance_that_starts_later_knows_earlier_claims(self):
+        """Guard against a second run at an instance that was started after the first."""
+        fleet = Fleet((0, 0))
+        fleet.read(0)
+        key = f"{fleet.wall_ms()}-k"
+        fleet.request(0, key)
+        fleet.settle()
+        fleet.crash(1)
+        fleet.read(1)
+        retry = fleet.request(1, key)
+        fleet.settle()
+        self.assertIsInstance(fleet.answers[retry], Replay)
+
+    def test_unread_log_refuses(self):
+        """Guard against a run at an instance that has not read the earlier claims."""
+        fleet = Fleet((0,))
+        call = fleet.request(0, f"{fleet.wall_ms()}-k")
+        self.assertIs(fleet.answers[call].run_state, RunState.UNKNOWN)
+
+    def test_outage_refuses_at_once(self):
+        """Guard against a caller that waits for a log that cannot answer."""
+        fleet = Fleet((0,))
+        fleet.read(0)
+        fleet.available = False
+        call = fleet.request(0, f"{fleet.wall_ms()}-k")
+        self.assertIs(fleet.answers[call].run_state, RunState.NOT_RUN)
+        self.assertGreater(fleet.answers[call].retry_after_ms, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
