--- /dev/null
+++ b/packages/core/src/ibispaddle_core/scheduling/placement.py
@@ -0,0 +1,131 @@
+"""Choice of a runner by predicted time to first token."""
+
+from dataclasses import dataclass
+from random import Random
+from typing import Protocol
+
+from ..settings.fleet import SchedulingConfig
+from .cost import CostModel, PromptClass
+from .homes import Homes
+from .messages import Request
+from .prefixes import PrefixIndex
+from .runners import RunnerTable, RunnerView
+
+# Looks at no more runners than this, so that the decision time does not grow with the fleet.
+MAX_CANDIDATES = 32
+# Runners whose predictions differ by less are equal; the choice among them is random, because
+# several instances that see the same report would otherwise all choose the same runner.
+NEAR_EQUAL_MS = 20.0
+# Other runners are looked at only if the wait at each home runner is longer.
+MAX_HOME_WAIT_MS = 50.0
+# A request stays in the instance's queue while every runner's predicted wait is longer. This keeps
+# the engines busy and leaves the order between neighbours to the queue.
+MAX_ENGINE_WAIT_MS = {
+    PromptClass.SHORT: 400.0,
+    PromptClass.MEDIUM: 400.0,
+    PromptClass.LONG: 1_000.0,
+    PromptClass.SPANNING: 1_000.0,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """Name the chosen runner with its predicted wait and time to first token."""
+
+    view: RunnerView
+    wait_ms: float
+    ttft_ms: float
+    prefill_tokens: int
+
+
+class Placement(Protocol):
+    """Choose a runner for a request."""
+
+    def choose(
+        self, req: Request, tried: set[str], runners: RunnerTable, now_ms: int
+    ) -> Choice | None:
+        """Return the choice, or None while the request should stay queued."""
+
+    def priority(self, req: Request) -> int:
+        """Return the engine priority of the request."""
+
+
+class PredictedPlacement:
+    """Choose the runner with the lowest predicted time to first token."""
+
+    def __init__(
+        self,
+        settings: SchedulingConfig,
+        cost: CostModel,
+        prefixes: PrefixIndex,
+        homes: Homes,
+        rng: Random,
+    ) -> None:
+        self._settings = settings
+        self._cost = cost
+        self._prefixes = prefixes
+        self._homes = homes
+        self._rng = rng
+
+    def priority(self, req: Request) -> int:
+        """Return the engine priority of the request."""
+        return self._cost.priority(req)
+
+    def choose(
+        self, req: Request, tried: set[str], runners: RunnerTable, now_ms: int
+    ) -> Choice | None:
+        """Return the choice, or None while every runner is too busy or has too little memory."""
+        views = runners.live(req.model)
+        homes = self._homes.select(views)
+        choices = self._choices(req, homes, tried, now_ms)
+        if not choices or min(choice.wait_ms for choice in choices) > MAX_HOME_WAIT_MS:
+            choices += self._choices(req, self._others(req, views, homes, now_ms), tried, now_ms)
+        if not choices and tried:
+            choices = self._choices(req, views, set(), now_ms)
+        if not choices:
+            return None
+        best = min(choice.ttft_ms for choice in choices)
+        return self._rng.choice([c for c in choices if c.ttft_ms <= best + NEAR_EQUAL_MS])
+
+    def _others(
+        self, req: Request, views: list[RunnerView], homes: list[RunnerView], now_ms: int
+    ) -> list[RunnerView]:
+        if self._cost.prompt_class(req) >= PromptClass.LONG and homes:
+            # A report from before the turn may not show what the previous borrower sent.
+            began_ms = self._homes.turn_began_ms(now_ms)
+            return [
+                view
+                for view in self._homes.borrowed(views, now_ms)
+                if view.load is not None and view.load.observed_ms >= began_ms
+            ]
+        if len(views) > MAX_CANDIDATES:
+            views = self._rng.sample(views, MAX_CANDIDATES)
+        return [view for view in views if view not in homes]
+
+    def _choices(
+        self, req: Request, views: list[RunnerView], tried: set[str], now_ms: int
+    ) -> list[Choice]:
+        prompt_class = self._cost.prompt_class(req)
+        choices = (
+            self._predict(req, prompt_class, view, now_ms)
+            for view in views
+            if view.upstream.upstream_id not in tried
+        )
+        return [choice for choice in choices if choice is not None]
+
+    def _predict(
+        self, req: Request, prompt_class: PromptClass, view: RunnerView, now_ms: int
+    ) -> Choice | None:
+        free = view.kv_free()
+        if prompt_class is not PromptClass.SHORT:
+            free -= int(view.kv_total * self._settings.short_memory_reserve)
+        if self._cost.kv_tokens(req) > free:
+            return None
+        wait_ms = view.wait_ms(
+            prompt_class, self.priority(req), now_ms, self._settings.load_report_max_age_ms
+        )
+        if wait_ms > MAX_ENGINE_WAIT_MS[prompt_class]:
+            return None
+        cached = self._prefixes.cached_tokens(req, view.upstream.upstream_id)
+        tokens = max(1, req.prompt_tokens - cached)
+        return Choice(view, wait_ms, wait_ms + tokens / view.prefill_rate, tokens)
