--- a/packages/core/src/ibispaddle_core/gossip/__init__.py
+++ b/packages/core/src/ibispaddle_core/gossip/__init__.py
@@ -2,6 +2,7 @@
 
 from .entries import Consumption, Entry, Heartbeat, LargeWait, Payload, RunnerReport
 from .exceptions import DigestFormatError, EntryTooLargeError, GossipError
+from .handshake import NONCE_BYTES, PROTOCOL, Handshake, HandshakeError, Hello, Proof
 from .messages import Digest, StateReply, StateRequest
 from .rounds import FAN_OUT, summary_targets, targets
 from .table import ENTRY_LIFETIME_MS, MAX_DIGEST_BYTES, GossipTable
@@ -10,6 +11,8 @@
     "ENTRY_LIFETIME_MS",
     "FAN_OUT",
     "MAX_DIGEST_BYTES",
+    "NONCE_BYTES",
+    "PROTOCOL",
     "Consumption",
     "Digest",
     "DigestFormatError",
@@ -17,9 +20,13 @@
     "EntryTooLargeError",
     "GossipError",
     "GossipTable",
+    "Handshake",
+    "HandshakeError",
     "Heartbeat",
+    "Hello",
     "LargeWait",
     "Payload",
+    "Proof",
     "RunnerReport",
     "StateReply",
     "StateRequest",
--- a/packages/core/src/ibispaddle_core/membership/view.py
+++ b/packages/core/src/ibispaddle_core/membership/view.py
@@ -96,6 +96,7 @@
         self._records: dict[str, _Record] = {}
         self._held: dict[Kind, tuple[int, int]] = {}  # First reading's time and number of readings.
         self._missing: set[str] = set()
+        self._sorted_ids: list[str] = []
         self.version = -1
 
     def apply_list(self, listing: InstanceList, now_ms: int) -> ListOutcome:
@@ -107,7 +108,7 @@
             self._apply_entry(entry, listing.version, now_ms)
         listed = {entry.id for entry in listing.entries}
         self._missing = self._records.keys() - listed
-        held = [self._drop_missing(kind, now_ms) for kind in Kind]
+        held = [self._drop_missing(kind, not listed, now_ms) for kind in Kind]
         self._remove_silent(now_ms)
         return ListOutcome.HELD if any(held) else ListOutcome.APPLIED
 
@@ -116,34 +117,33 @@
         record = self._records.get(entry.id)
         if record is None:
             self._records[entry.id] = _Record(entry, version, now_ms, list_leaving=leaving)
+            self._sorted_ids = []
             return
         # One version read twice with different states counts as leaving.
         record.list_leaving = leaving or (record.list_leaving and version == record.version)
         record.entry, record.version, record.listed = entry, version, True
 
-    def _drop_missing(self, kind: Kind, now_ms: int) -> bool:
-        """Mark the members of a kind that the list lacks; return true if that has to wait."""
+    def _drop_missing(self, kind: Kind, is_empty: bool, now_ms: int) -> bool:
+        """Mark the members of a kind that the list lacks; return true if that has to wait.
+
+        An empty list, or one that lacks all of several members of a kind, is never confirmed; the
+        members go when they stop answering.
+        """
         present = [i for i, r in self._records.items() if r.entry.kind is kind and r.listed]
         missing = [member_id for member_id in present if member_id in self._missing]
-        if len(missing) > max(1, int(len(present) * HELD_FRACTION)):
+        is_whole_kind = bool(missing) and len(missing) == len(present)
+        if is_whole_kind or len(missing) > max(1, int(len(present) * HELD_FRACTION)):
             first_ms, readings = self._held.get(kind, (now_ms, 0))
             readings += 1
             self._held[kind] = (first_ms, readings)
-            # A kind without any entry is never confirmed; its members go when they stop answering.
             unconfirmed = readings < CONFIRM_READINGS or now_ms - first_ms < CONFIRM_MS
-            if unconfirmed or len(missing) == len(present) and not self._has_listed(kind):
+            if unconfirmed or is_empty or (is_whole_kind and len(present) > 1):
                 return True
         self._held.pop(kind, None)
         for member_id in missing:
             self._records[member_id].listed = False
         return False
 
-    def _has_listed(self, kind: Kind) -> bool:
-        return any(
-            record.entry.kind is kind and member_id not in self._missing
-            for member_id, record in self._records.items()
-        )
-
     def _remove_silent(self, now_ms: int) -> None:
         for member_id in list(self._missing):
             if member_id == self._instance_id or self.state(member_id, now_ms) is not (
@@ -155,6 +155,7 @@
                 record.down_since_ms = now_ms
             elif now_ms - record.down_since_ms >= REMOVE_AFTER_MS:
                 del self._records[member_id]
+                self._sorted_ids = []
                 self._missing.discard(member_id)
 
     def observe_heartbeat(
@@ -206,8 +207,9 @@
     def state(self, member_id: str, now_ms: int) -> MemberState | None:
         """Return the state of a member, `None` if it is unknown."""
         record = self._records.get(member_id)
-        if record is None:
-            return None
+        return self._state(member_id, record, now_ms) if record else None
+
+    def _state(self, member_id: str, record: _Record, now_ms: int) -> MemberState:
         if self._is_down(member_id, record, now_ms):
             return MemberState.DOWN
         if record.list_leaving or record.leaving_boot is not None:
@@ -235,12 +237,20 @@
         record = self._records.get(member_id)
         return record.entry if record else None
 
+    def boot(self, instance_id: str) -> int:
+        """Return the boot of an instance's last heartbeat, 0 if none was heard."""
+        record = self._records.get(instance_id)
+        return record.heartbeat[0] if record else 0
+
     def members(self, now_ms: int, kind: Kind | None = None) -> tuple[Member, ...]:
         """Return all members, or those of one kind, sorted by id."""
+        if len(self._sorted_ids) != len(self._records):
+            self._sorted_ids = sorted(self._records)
         found = []
-        for member_id, record in sorted(self._records.items()):
-            state = self.state(member_id, now_ms)
-            if state is not None and kind in (None, record.entry.kind):
+        for member_id in self._sorted_ids:
+            record = self._records[member_id]
+            if kind is None or record.entry.kind is kind:
+                state = self._state(member_id, record, now_ms)
                 found.append(Member(record.entry, state))
         return tuple(found)
 
@@ -260,17 +270,18 @@
         local = self.ranked_instances(now_ms, entry.data_centre)
         return choose(runner_id, local or self.ranked_instances(now_ms), PROBERS_PER_RUNNER)
 
-    def runners_to_probe(self, now_ms: int) -> tuple[ListEntry, ...]:
-        """Return the runners that this instance probes."""
-        by_centre: dict[str, tuple[str, ...]] = {}
-        everywhere = self.ranked_instances(now_ms)
-        own = []
-        for member_id, record in sorted(self._records.items()):
-            if record.entry.kind is not Kind.RUNNER:
-                continue
-            centre = record.entry.data_centre
-            if centre not in by_centre:
-                by_centre[centre] = self.ranked_instances(now_ms, centre) or everywhere
-            if self._instance_id in choose(member_id, by_centre[centre], PROBERS_PER_RUNNER):
-                own.append(record.entry)
-        return tuple(own)
+    def probe_duties(self, now_ms: int) -> tuple[tuple[ListEntry, int], ...]:
+        """Return the runners that this instance probes, with its position among the probers."""
+        ranked: dict[str, list[str]] = {}
+        for member in self.members(now_ms, Kind.ENTRY):
+            if member.state is MemberState.LIVE:
+                ranked.setdefault(member.entry.data_centre, []).append(member.entry.id)
+        everywhere = [instance_id for ids in ranked.values() for instance_id in ids]
+        duties = []
+        for member in self.members(now_ms, Kind.RUNNER):
+            candidates = ranked.get(member.entry.data_centre, everywhere)
+            if self._instance_id in candidates:
+                chosen = choose(member.entry.id, candidates, PROBERS_PER_RUNNER)
+                if self._instance_id in chosen:
+                    duties.append((member.entry, chosen.index(self._instance_id)))
+        return tuple(duties)
--- /dev/null
+++ b/packages/daemon/src/ibispaddle_daemon/instance_list.py
@@ -0,0 +1,139 @@
+"""Poll of the platform's instance list."""
+
+# ruff: noqa: N801
+
+import itertools
+import random
+
+import msgspec
+from absl import logging
+from circuits import BaseComponent, Event, handler
+from ibispaddle_core.clock import Clock
+from ibispaddle_core.logevents import LIST_UNAVAILABLE
+from ibispaddle_core.membership import (
+    ListedState,
+    ListEntry,
+    ListOutcome,
+    Member,
+    MembershipView,
+    MemberState,
+    parse_list,
+)
+from ibispaddle_core.settings import InstanceSettings
+
+from .events import (
+    Headers,
+    HttpCall,
+    HttpCallError,
+    call_completed,
+    http_call,
+    list_changed,
+    readiness_changed,
+)
+from .timers import TimerQueue
+
+POLL_TIMEOUT_MS = 2_000
+# States also change without a reading, for instance when heartbeats stop.
+REVIEW_INTERVAL_MS = 500
+LOG_INTERVAL_S = 30
+
+
+class members_changed(Event):
+    """Report the merged view: `members_changed(members)` with `Member` data classes."""
+
+
+class InstanceListReader(BaseComponent):
+    """Read the list, merge it into the shared view and report changes.
+
+    `list_changed(entries)` carries the entries in use: a forgotten member is given as leaving, and
+    a member that is down keeps its listed state. `members_changed(members)` carries all states.
+    """
+
+    channel = "instance_list"
+
+    def __init__(
+        self,
+        settings: InstanceSettings,
+        view: MembershipView,
+        clock: Clock,
+        timers: TimerQueue,
+        seed: int | None = None,
+    ) -> None:
+        super().__init__()
+        self._settings = settings
+        self._url = f"{settings.list_url.rstrip('/')}/instances"
+        self._view = view
+        self._clock = clock
+        self._timers = timers
+        self._rng = random.Random(seed)
+        self._numbers = itertools.count(1)
+        self._members: tuple[Member, ...] = ()
+        self._is_read = False
+        self.failures = 0  # Readings that failed since the last good one.
+
+    @handler("started", channel="*")
+    def _on_started(self, *_: object) -> None:
+        self._poll()
+        self._review()
+
+    def _poll(self) -> None:
+        # One call at a time: the next poll is scheduled when this one has ended.
+        call_id = f"instance_list-{next(self._numbers)}"
+        deadline_ms = self._clock.now_ms() + POLL_TIMEOUT_MS
+        call = HttpCall(call_id, "GET", self._url, (), b"", deadline_ms, self.channel)
+        self.fire(http_call(call), "http_client")
+
+    @handler(call_completed.__name__)
+    def _on_call_completed(
+        self, call_id: str, status: int, headers: Headers, body: bytes, error: HttpCallError | None
+    ) -> None:
+        interval_ms = self._settings.list_poll_interval_ms * self._rng.uniform(0.9, 1.1)
+        self._timers.after(round(interval_ms), self._poll)
+        problem = error.text if error else f"status {status}" if status != 200 else ""
+        if not problem:
+            parsed = parse_list(body)
+            if parsed.is_err():
+                problem = str(parsed.unwrap_err())
+            else:
+                listing = parsed.unwrap()
+                outcome = self._view.apply_list(listing, self._clock.now_ms())
+                if outcome is ListOutcome.STALE:
+                    problem = f"version {listing.version} is older than {self._view.version}"
+        if problem:
+            self.failures += 1
+            logging.log_every_n_seconds(
+                logging.WARNING,
+                "%d %s %s",
+                LOG_INTERVAL_S,
+                LIST_UNAVAILABLE.number,
+                LIST_UNAVAILABLE.name,
+                problem,
+            )
+            return
+        self.failures = 0
+        self._report()
+        if not self._is_read:
+            self._is_read = True
+            self.fire(readiness_changed(self.channel, True), "*")
+
+    def _review(self) -> None:
+        self._timers.after(REVIEW_INTERVAL_MS, self._review)
+        self._report()
+
+    @handler("runner_failed", channel="*", priority=-1)
+    def _on_runner_failed(self, upstream_id: str) -> None:
+        self._report()
+
+    def _report(self) -> None:
+        members = self._view.members(self._clock.now_ms())
+        if members == self._members:
+            return
+        self._members = members
+        self.fire(members_changed(members), "*")
+        self.fire(list_changed(tuple(_entry_in_use(member) for member in members)), "*")
+
+
+def _entry_in_use(member: Member) -> ListEntry:
+    if member.state in (MemberState.LEAVING, MemberState.FORGOTTEN):
+        return msgspec.structs.replace(member.entry, state=ListedState.LEAVING)
+    return member.entry
--- /dev/null
+++ b/packages/daemon/src/ibispaddle_daemon/peer_codec.py
@@ -0,0 +1,172 @@
+"""Encoding of the messages between instances: pycapnp serialization in length-prefixed frames."""
+
+import pathlib
+import struct
+from typing import Any
+
+import capnp
+from ibispaddle_core.gossip import Digest, Hello, Proof, StateReply, StateRequest
+from ibispaddle_core.quarantine import Clearance, Death, Notice, NoticeReceived, Suspicion
+from ibispaddle_core.usage import Counts, UsageAck, UsageSync
+from result import Err, Ok, Result
+
+Message = (
+    Hello
+    | Proof
+    | Digest
+    | StateRequest
+    | StateReply
+    | UsageSync
+    | UsageAck
+    | Notice
+    | NoticeReceived
+)
+
+# A configuration state with 620 workspaces is the largest message; it has well under 1 MiB.
+MAX_FRAME_BYTES = 8_388_608
+# A peer that has not proved the shared secret may send no more than a hello and a proof.
+MAX_HANDSHAKE_FRAME_BYTES = 1_024
+HEADER = struct.Struct(">I")
+# Bounds the work that pointers into the same bytes can cause when a message is read.
+TRAVERSAL_FACTOR = 4
+
+_schema: Any = capnp.load(str(pathlib.Path(__file__).with_name("peers.capnp")))
+
+
+class PeerFormatError(Exception):
+    """Raise when a received message cannot be read."""
+
+
+def encode(message: Message) -> bytes:
+    """Return the message as one frame; raises `TypeError` for a message of no known class."""
+    envelope = _schema.Envelope.new_message(**_fields(message))
+    data: bytes = envelope.to_bytes()
+    return HEADER.pack(len(data)) + data
+
+
+def _fields(message: Message) -> dict[str, Any]:
+    match message:
+        case Digest(data):
+            return {"digest": data}
+        case Hello():
+            return {
+                "hello": {
+                    "protocol": message.protocol,
+                    "instanceId": message.instance_id,
+                    "boot": message.boot,
+                    "nonce": message.nonce,
+                }
+            }
+        case Proof(mac):
+            return {"proof": mac}
+        case StateRequest(component, request_id, body):
+            return {"stateRequest": {"component": component, "requestId": request_id, "body": body}}
+        case StateReply(component, request_id, body):
+            return {"stateReply": {"component": component, "requestId": request_id, "body": body}}
+        case UsageSync():
+            counters = [
+                {
+                    "workspace": workspace,
+                    "requests": counts.requests,
+                    "promptTokens": counts.prompt_tokens,
+                    "generatedTokens": counts.generated_tokens,
+                    "engineMs": counts.engine_ms,
+                }
+                for workspace, counts in message.counters
+            ]
+            return {
+                "usageSync": {
+                    "instanceBoot": message.instance_boot,
+                    "base": message.base,
+                    "upto": message.upto,
+                    "counters": counters,
+                }
+            }
+        case UsageAck(instance_boot, upto):
+            return {"usageAck": {"instanceBoot": instance_boot, "upto": upto}}
+        case Notice():
+            return {
+                "notice": {
+                    "noticeId": message.notice_id,
+                    "suspicions": [
+                        {"fingerprint": s.fingerprint, "death": _death(s.death), "atMs": s.at_ms}
+                        for s in message.suspicions
+                    ],
+                    "clearances": [
+                        {
+                            "fingerprint": c.fingerprint,
+                            "deaths": [_death(death) for death in c.deaths],
+                            "atMs": c.at_ms,
+                        }
+                        for c in message.clearances
+                    ],
+                }
+            }
+        case NoticeReceived(notice_id):
+            return {"noticeReceived": notice_id}
+    raise TypeError(f"{type(message).__name__} is not a message between instances")
+
+
+def _death(death: Death) -> dict[str, str]:
+    return {"upstreamId": death.upstream_id, "bootId": death.boot_id}
+
+
+def decode(data: bytes) -> Result[Message, PeerFormatError]:
+    """Read the content of one frame."""
+    limit = len(data) // 8 * TRAVERSAL_FACTOR + 64
+    try:
+        with _schema.Envelope.from_bytes(data, traversal_limit_in_words=limit) as envelope:
+            return Ok(_message(envelope))
+    except (capnp.KjException, UnicodeDecodeError, ValueError) as exc:
+        return Err(PeerFormatError(str(exc).splitlines()[0] if str(exc) else repr(exc)))
+
+
+def _message(envelope: Any) -> Message:
+    kind = envelope.which()
+    match str(kind):
+        case "digest":
+            return Digest(bytes(envelope.digest))
+        case "hello":
+            hello = envelope.hello
+            return Hello(hello.protocol, hello.instanceId, hello.boot, bytes(hello.nonce))
+        case "proof":
+            return Proof(bytes(envelope.proof))
+        case "stateRequest":
+            state = envelope.stateRequest
+            return StateRequest(state.component, state.requestId, bytes(state.body))
+        case "stateReply":
+            state = envelope.stateReply
+            return StateReply(state.component, state.requestId, bytes(state.body))
+        case "usageSync":
+            sync = envelope.usageSync
+            counters = tuple(
+                (
+                    item.workspace,
+                    Counts(item.requests, item.promptTokens, item.generatedTokens, item.engineMs),
+                )
+                for item in sync.counters
+            )
+            return UsageSync(sync.instanceBoot, sync.base, sync.upto, counters)
+        case "usageAck":
+            return UsageAck(envelope.usageAck.instanceBoot, envelope.usageAck.upto)
+        case "notice":
+            return _notice(envelope.notice)
+        case "noticeReceived":
+            return NoticeReceived(envelope.noticeReceived)
+    raise ValueError(f"unknown message '{kind}'")
+
+
+def _notice(notice: Any) -> Notice:
+    suspicions = tuple(
+        Suspicion(item.fingerprint, Death(item.death.upstreamId, item.death.bootId), item.atMs)
+        for item in notice.suspicions
+    )
+    clearances = tuple(
+        Clearance(
+            item.fingerprint,
+            tuple(Death(death.upstreamId, death.bootId) for death in item.deaths),
+            item.atMs,
+        )
+        for item in notice.clearances
+    )
+    return Notice(notice.noticeId, suspicions, clearances)
--- /dev/null
+++ b/packages/daemon/src/ibispaddle_daemon/peer_transport.py
@@ -0,0 +1,320 @@
+"""Authenticated TCP connections between instances."""
+
+import errno
+import os
+import secrets
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+from circuits import BaseComponent, handler
+from circuits.core.pollers import BasePoller
+from circuits.core.utils import findcmp
+from ibispaddle_core.clock import Clock
+from ibispaddle_core.gossip import NONCE_BYTES, PROTOCOL, Handshake, HandshakeError, Hello, Proof
+
+from .peer_codec import (
+    HEADER,
+    MAX_FRAME_BYTES,
+    MAX_HANDSHAKE_FRAME_BYTES,
+    Message,
+    decode,
+    encode,
+)
+from .timers import TimerQueue
+
+READ_BYTES = 65_536
+HANDSHAKE_TIMEOUT_MS = 2_000
+# A peer that does not read what was sent to it for this long is disconnected by the kernel.
+USER_TIMEOUT_MS = 5_000
+IDLE_TIMEOUT_MS = 60_000
+# Bounds what is held for a peer that reads slowly.
+MAX_UNSENT_BYTES = 16_777_216
+MAX_LINKS = 2_000
+# Strangers can hold no more than this many connections for the time of a handshake.
+MAX_UNPROVED_LINKS = 256
+LISTEN_BACKLOG = 512
+_RETRY = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR)
+
+
+@dataclass(eq=False)
+class Link:
+    """Hold one connection."""
+
+    sock: socket.socket
+    handshake: Handshake
+    opened_ms: int
+    is_dialled: bool
+    connecting: bool = False
+    closed: bool = False
+    received: bytearray = field(default_factory=bytearray)
+    unsent: bytearray = field(default_factory=bytearray)
+    used_ms: int = 0
+
+    @property
+    def peer_id(self) -> str | None:
+        """Return the id of the other instance once it has proved the secret."""
+        peer = self.handshake.peer
+        return peer.instance_id if peer is not None and self.handshake.is_complete else None
+
+
+class LinkListener(Protocol):
+    """Receive the reports of the transport."""
+
+    def link_opened(self, link: Link) -> None:
+        """Report that the other side has proved the shared secret."""
+
+    def message_received(self, link: Link, message: Message) -> None:
+        """Report one message of an authenticated peer."""
+
+    def link_closed(self, link: Link, reason: str) -> None:
+        """Report the end of a connection; `link.peer_id` is None if it was not authenticated."""
+
+
+@dataclass
+class TrafficCounters:
+    """Count frames and their bytes."""
+
+    frames_out: int = 0
+    bytes_out: int = 0
+    frames_in: int = 0
+    bytes_in: int = 0
+
+
+class PeerTransport(BaseComponent):
+    """Accept and open connections, authenticate them and exchange messages.
+
+    Everything a peer sends is bounded before it is parsed; a peer that sends something else than
+    valid messages is disconnected.
+    """
+
+    channel = "peer_transport"
+
+    def __init__(
+        self,
+        instance_id: str,
+        boot: int,
+        secret: bytes,
+        bind: tuple[str, int],
+        clock: Clock,
+        timers: TimerQueue,
+        listener: LinkListener,
+    ) -> None:
+        super().__init__()
+        self._instance_id, self._boot, self._secret = instance_id, boot, secret
+        self._clock, self._timers, self._listener = clock, timers, listener
+        self._links: dict[socket.socket, Link] = {}
+        self._unproved: set[Link] = set()
+        self._poller: Any = None
+        self.traffic = TrafficCounters()
+        self._server = socket.create_server(bind, backlog=LISTEN_BACKLOG)
+        self._server.setblocking(False)
+        host, port = self._server.getsockname()[:2]
+        self.address = f"{host}:{port}"
+
+    @property
+    def links(self) -> tuple[Link, ...]:
+        """Return all connections."""
+        return tuple(self._links.values())
+
+    @handler("registered", "started", channel="*")
+    def _on_registered(self, *_: object) -> None:
+        poller = findcmp(self.root, BasePoller) if self._poller is None else None
+        if poller is not None:
+            self._poller = poller
+            poller.addReader(self, self._server)
+            self._timers.after(IDLE_TIMEOUT_MS // 2, self._close_idle)
+
+    @handler("stopped", channel="*")
+    def _on_stopped(self, *_: object) -> None:
+        self.close_all()
+
+    def close_all(self) -> None:
+        """Close the listener and all connections."""
+        for link in self.links:
+            self.close(link, "the instance stops")
+        if self._poller is not None:
+            self._poller.discard(self._server)
+        self._server.close()
+
+    def dial(self, peer_id: str, address: str) -> Link | None:
+        """Begin to connect; `None` if no connection can be tried."""
+        host, _, port = address.rpartition(":")
+        if self._poller is None or len(self._links) >= MAX_LINKS or not port.isdigit():
+            return None
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        link = self._add(sock, is_dialled=True, expected_id=peer_id)
+        link.connecting = True
+        try:
+            status = sock.connect_ex((host, int(port)))
+        except OSError as exc:
+            status = exc.errno or errno.EINVAL
+        if status not in (0, errno.EINPROGRESS):
+            # Reported in a later turn, so that the caller knows the link before it ends.
+            self._timers.after(0, lambda: self.close(link, os.strerror(status)))
+            return link
+        self._poller.addWriter(self, sock)
+        return link
+
+    def _add(self, sock: socket.socket, is_dialled: bool, expected_id: str | None = None) -> Link:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+        nonce = secrets.token_bytes(NONCE_BYTES)
+        hello = Hello(PROTOCOL, self._instance_id, self._boot, nonce)
+        handshake = Handshake(hello, self._secret, is_dialled, expected_id)
+        now_ms = self._clock.now_ms()
+        link = Link(sock, handshake, now_ms, is_dialled, used_ms=now_ms)
+        self._links[sock] = link
+        self._timers.after(HANDSHAKE_TIMEOUT_MS, lambda: self._check_handshake(link))
+        return link
+
+    def _check_handshake(self, link: Link) -> None:
+        if not link.handshake.is_complete:
+            self.close(link, f"no proof within {HANDSHAKE_TIMEOUT_MS} ms")
+
+    def _close_idle(self) -> None:
+        self._timers.after(IDLE_TIMEOUT_MS // 2, self._close_idle)
+        oldest_ms = self._clock.now_ms() - IDLE_TIMEOUT_MS
+        for link in self.links:
+            if link.used_ms < oldest_ms:
+                self.close(link, "")
+
+    def send(self, link: Link, frame: bytes) -> bool:
+        """Send an encoded message; return false if the link cannot take it."""
+        if link.closed:
+            return False
+        if len(link.unsent) + len(frame) > MAX_UNSENT_BYTES:
+            self.close(link, f"more than {MAX_UNSENT_BYTES} bytes wait for the peer")
+            return False
+        self.traffic.frames_out += 1
+        self.traffic.bytes_out += len(frame)
+        link.used_ms = self._clock.now_ms()
+        link.unsent += frame
+        if not link.connecting and not self._poller.isWriting(link.sock):
+            self._write(link)
+        return not link.closed
+
+    def close(self, link: Link, reason: str) -> None:
+        """Close a connection and report it once; an empty reason means a planned end."""
+        if link.closed:
+            return
+        link.closed = True
+        self._links.pop(link.sock, None)
+        self._unproved.discard(link)
+        self._poller.discard(link.sock)
+        link.sock.close()
+        self._listener.link_closed(link, reason)
+
+    def _write(self, link: Link) -> None:
+        try:
+            count = link.sock.send(link.unsent)
+            del link.unsent[:count]
+        except OSError as exc:
+            if exc.errno not in _RETRY:
+                self.close(link, str(exc))
+                return
+        writing = self._poller.isWriting(link.sock)
+        if link.unsent and not writing:
+            self._poller.addWriter(self, link.sock)
+        elif not link.unsent and writing:
+            self._poller.removeWriter(link.sock)
+
+    @handler("_write", priority=1)
+    def _on_write(self, sock: socket.socket) -> None:
+        link = self._links.get(sock)
+        if link is None:
+            return
+        if link.connecting:
+            status = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if status:
+                self.close(link, os.strerror(status))
+                return
+            link.connecting = False
+            self._poller.addReader(self, sock)
+            self._advance(link, link.handshake.start)
+        if not link.closed:
+            self._write(link)
+
+    @handler("_disconnect", priority=1)
+    def _on_disconnect(self, sock: socket.socket) -> None:
+        link = self._links.get(sock)
+        if link is not None:
+            status = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            self.close(link, os.strerror(status) if status else "the connection was reset")
+
+    @handler("_read", priority=1)
+    def _on_read(self, sock: socket.socket) -> None:
+        if sock is self._server:
+            self._accept()
+            return
+        link = self._links.get(sock)
+        if link is None:
+            return
+        try:
+            data = sock.recv(READ_BYTES)
+        except OSError as exc:
+            if exc.errno not in _RETRY:
+                self.close(link, str(exc))
+            return
+        if not data:
+            self.close(link, "the peer closed the connection")
+            return
+        link.received += data
+        self._take_frames(link)
+
+    def _accept(self) -> None:
+        try:
+            sock, _ = self._server.accept()
+        except OSError:
+            return
+        if len(self._links) >= MAX_LINKS or len(self._unproved) >= MAX_UNPROVED_LINKS:
+            sock.close()
+            return
+        sock.setblocking(False)
+        self._unproved.add(self._add(sock, is_dialled=False))
+        self._poller.addReader(self, sock)
+
+    def _take_frames(self, link: Link) -> None:
+        buffer = link.received
+        start = 0
+        while not link.closed and len(buffer) - start >= HEADER.size:
+            (length,) = HEADER.unpack_from(buffer, start)
+            complete = link.handshake.is_complete
+            if length > (MAX_FRAME_BYTES if complete else MAX_HANDSHAKE_FRAME_BYTES):
+                self.close(link, f"a frame of {length} bytes")
+                return
+            end = start + HEADER.size + length
+            if len(buffer) < end:
+                break
+            data = bytes(buffer[start + HEADER.size : end])
+            start = end
+            self.traffic.frames_in += 1
+            self.traffic.bytes_in += HEADER.size + length
+            self._receive(link, data)
+        del buffer[:start]
+
+    def _receive(self, link: Link, data: bytes) -> None:
+        decoded = decode(data)
+        if decoded.is_err():
+            self.close(link, f"invalid message: {decoded.unwrap_err()}")
+            return
+        message = decoded.unwrap()
+        link.used_ms = self._clock.now_ms()
+        if not link.handshake.is_complete:
+            self._advance(link, lambda: link.handshake.receive(message))
+            if link.handshake.is_complete and not link.closed:
+                self._unproved.discard(link)
+                self._listener.link_opened(link)
+        elif isinstance(message, Hello | Proof):
+            self.close(link, "a second handshake")
+        else:
+            self._listener.message_received(link, message)
+
+    def _advance(self, link: Link, step: Callable[[], Any]) -> None:
+        try:
+            for reply in step():
+                self.send(link, encode(reply))
+        except HandshakeError as exc:
+            self.close(link, str(exc))
--- /dev/null
+++ b/packages/daemon/src/ibispaddle_daemon/peers.py
@@ -0,0 +1,336 @@
+"""Messages between instances: connections, gossip rounds and heartbeats."""
+
+# ruff: noqa: N801
+
+import random
+from collections import defaultdict, deque
+from dataclasses import dataclass, field
+
+from absl import logging
+from circuits import BaseComponent, Event, handler
+from ibispaddle_core.clock import Clock
+from ibispaddle_core.gossip import (
+    Digest,
+    Entry,
+    GossipTable,
+    Heartbeat,
+    Payload,
+    RunnerReport,
+    summary_targets,
+    targets,
+)
+from ibispaddle_core.membership import Kind, MembershipView, MemberState
+from ibispaddle_core.scheduling import RunnerLoad
+from ibispaddle_core.settings import InstanceSettings
+
+from .events import load_reported, peer_received, runner_failed
+from .peer_codec import Message, encode
+from .peer_transport import Link, PeerTransport
+from .timers import TimerQueue
+
+# A heartbeat every second round leaves more of the digests to load reports.
+HEARTBEAT_ROUNDS = 2
+EXPIRY_ROUNDS = 10
+# Every so many rounds a digest goes to an instance that is believed dead, so that the two sides of
+# a partition find each other again.
+DOWN_TARGET_ROUNDS = 4
+MIN_BACKOFF_MS = 100
+MAX_BACKOFF_MS = 10_000
+MAX_PENDING_FRAMES = 64
+REFUSAL_LOG_INTERVAL_S = 10
+
+
+class gossip_put(Event):
+    """Write an own gossip entry: `gossip_put(payload)`."""
+
+
+class gossip_received(Event):
+    """Deliver new entries of other instances: `gossip_received(entries)`."""
+
+
+class config_position(Event):
+    """Report the configuration in force for the heartbeats: `config_position(offset, revision)`."""
+
+
+class peer_connected(Event):
+    """Report a new connection to an instance: `peer_connected(instance_id)`."""
+
+
+class peer_lost(Event):
+    """Report the end of the last connection to an instance: `peer_lost(instance_id, reason)`."""
+
+
+@dataclass
+class _Peer:
+    """Hold the connections to one instance and what waits for them."""
+
+    links: list[Link] = field(default_factory=list)
+    dialling: Link | None = None
+    pending: deque[bytes] = field(default_factory=deque)
+    failures: int = 0
+    retry_ms: int = 0
+
+
+class Peers(BaseComponent):
+    """Exchange messages with other instances and keep the gossip table.
+
+    Connections are opened when there is something to send and close after a minute without
+    traffic. `view` is shared with the components that read the list and probe runners.
+    """
+
+    channel = "peers"
+
+    def __init__(
+        self,
+        settings: InstanceSettings,
+        secret: bytes,
+        view: MembershipView,
+        boot: int,
+        clock: Clock,
+        timers: TimerQueue,
+        seed: int | None = None,
+    ) -> None:
+        super().__init__()
+        self._settings = settings
+        self._instance_id = settings.instance_id
+        self._view = view
+        self._clock = clock
+        self._timers = timers
+        self._rng = random.Random(seed)
+        self.table = GossipTable(settings.instance_id, boot, self._is_local)
+        host, _, port = settings.peer_listen.rpartition(":")
+        self.transport = PeerTransport(
+            settings.instance_id, boot, secret, (host, int(port)), clock, timers, self
+        ).register(self)
+        self._peers: defaultdict[str, _Peer] = defaultdict(_Peer)
+        self._dialled: dict[Link, str] = {}
+        self._heartbeat = Heartbeat()
+        self._rounds = 0
+        self._runner_versions: dict[str, tuple[str, int]] = {}
+        self._down_runners: set[str] = set()
+        self._config_offsets: dict[str, int] = {}
+
+    def _is_local(self, origin: str) -> bool:
+        entry = self._view.entry(origin)
+        return entry is None or entry.data_centre == self._settings.data_centre
+
+    @property
+    def connected_peers(self) -> tuple[str, ...]:
+        """Return the instances with an authenticated connection."""
+        return tuple(sorted(name for name, peer in self._peers.items() if peer.links))
+
+    # Gossip
+
+    @handler("started", channel="*")
+    def _on_started(self, *_: object) -> None:
+        self.table.put(self._heartbeat, self._clock.now_ms())
+        self._schedule_round()
+
+    def _schedule_round(self) -> None:
+        # Jitter keeps the rounds of instances that started together apart.
+        interval_ms = self._settings.gossip_interval_ms * self._rng.uniform(0.9, 1.1)
+        self._timers.after(round(interval_ms), self._run_round)
+
+    def _run_round(self) -> None:
+        self._schedule_round()
+        self.gossip()
+
+    def gossip(self) -> None:
+        """Carry out one gossip round."""
+        now_ms = self._clock.now_ms()
+        self._rounds += 1
+        if self._rounds % HEARTBEAT_ROUNDS == 0:
+            self.table.put(self._heartbeat, now_ms)
+        if self._rounds % EXPIRY_ROUNDS == 0:
+            self.table.expire(now_ms)
+        ranked: dict[str, list[str]] = {}
+        down: list[str] = []
+        for member in self._view.members(now_ms, Kind.ENTRY):
+            if member.state is MemberState.LIVE:
+                ranked.setdefault(member.entry.data_centre, []).append(member.entry.id)
+            elif member.state is MemberState.DOWN:
+                down.append(member.entry.id)
+        centre = self._settings.data_centre
+        chosen = targets(self._rng, self._instance_id, ranked.get(centre, []))
+        if down and self._rounds % DOWN_TARGET_ROUNDS == 0:
+            chosen.append(self._rng.choice(down))
+        for peer_id in chosen:
+            self.send(peer_id, Digest(self.table.digest()))
+        for peer_id in summary_targets(self._instance_id, centre, ranked):
+            self.send(peer_id, Digest(self.table.summary()))
+
+    @handler("gossip_put", channel="*")
+    def _on_gossip_put(self, payload: Payload) -> None:
+        self.table.put(payload, self._clock.now_ms())
+
+    @handler("config_position", channel="*")
+    def _on_config_position(self, offset: int, revision: int) -> None:
+        self._beat(Heartbeat(self._heartbeat.leaving, offset, revision))
+
+    @handler("drain_started", channel="*")
+    def _on_drain_started(self) -> None:
+        beat = self._heartbeat
+        self._beat(Heartbeat(True, beat.config_offset, beat.config_revision))
+        self.gossip()
+
+    def _beat(self, heartbeat: Heartbeat) -> None:
+        if heartbeat != self._heartbeat:
+            self._heartbeat = heartbeat
+            self.table.put(heartbeat, self._clock.now_ms())
+
+    def _merge(self, link: Link, data: bytes) -> None:
+        merged = self.table.merge(data, self._clock.now_ms())
+        if merged.is_err():
+            self.transport.close(link, f"invalid digest: {merged.unwrap_err()}")
+            return
+        others = []
+        for entry in merged.unwrap():
+            match entry.payload:
+                case Heartbeat():
+                    self._note_heartbeat(entry, entry.payload)
+                case RunnerReport():
+                    self._note_report(entry.origin, entry.payload)
+                case _:
+                    others.append(entry)
+        if others:
+            self.fire(gossip_received(others), "*")
+
+    def _note_heartbeat(self, entry: Entry, beat: Heartbeat) -> None:
+        now_ms = self._clock.now_ms()
+        self._view.observe_heartbeat(entry.origin, entry.boot, entry.seq, beat.leaving, now_ms)
+        if self._config_offsets.get(entry.origin) != beat.config_offset:
+            self._config_offsets[entry.origin] = beat.config_offset
+            self.fire(peer_received(entry.origin, beat), "*")
+
+    def _note_report(self, origin: str, report: RunnerReport) -> None:
+        now_ms = self._clock.now_ms()
+        name = report.upstream_id
+        self._view.observe(name, report.up, now_ms, origin, report.boot_id, report.leaving)
+        is_down = self._view.state(name, now_ms) is MemberState.DOWN
+        if not report.up:
+            if is_down and name not in self._down_runners:
+                self._down_runners.add(name)
+                self.fire(runner_failed(name), "*")
+            return
+        if is_down:
+            return  # The own observation of a failure is newer than this report.
+        known = self._runner_versions.get(name)
+        # The two probers of a runner report the same load; the second report is not passed on.
+        is_repeated = known is not None and known[0] == report.boot_id and report.seq <= known[1]
+        if is_repeated and name not in self._down_runners:
+            return
+        self._down_runners.discard(name)
+        self._runner_versions[name] = (report.boot_id, report.seq)
+        self.fire(load_reported(load_of(report, now_ms)), "*")
+
+    # Messages
+
+    @handler("peer_send", channel="*")
+    def _on_peer_send(self, instance_id: str, message: Message) -> None:
+        self.send(instance_id, message)
+
+    @handler("peer_broadcast", channel="*")
+    def _on_peer_broadcast(self, message: Message) -> None:
+        frame = encode(message)
+        for member in self._view.members(self._clock.now_ms(), Kind.ENTRY):
+            if member.entry.id != self._instance_id and member.state is not MemberState.DOWN:
+                self._send_frame(member.entry.id, frame)
+
+    def send(self, instance_id: str, message: Message) -> bool:
+        """Send a message or queue it until the connection is open; return false if neither."""
+        return self._send_frame(instance_id, encode(message))
+
+    def _send_frame(self, instance_id: str, frame: bytes) -> bool:
+        peer = self._peers[instance_id]
+        for link in peer.links:
+            return self.transport.send(link, frame)
+        if peer.dialling is None and not self._dial(instance_id, peer):
+            return False
+        if len(peer.pending) >= MAX_PENDING_FRAMES:
+            return False
+        peer.pending.append(frame)
+        return True
+
+    def _dial(self, instance_id: str, peer: _Peer) -> bool:
+        now_ms = self._clock.now_ms()
+        entry = self._view.entry(instance_id)
+        if entry is None or not entry.peer_address or now_ms < peer.retry_ms:
+            return False
+        link = self.transport.dial(instance_id, entry.peer_address)
+        if link is None:
+            return False
+        peer.dialling = link
+        self._dialled[link] = instance_id
+        return True
+
+    # Reports of the transport
+
+    def link_opened(self, link: Link) -> None:
+        """Use the connection and send what waits for it."""
+        instance_id = link.peer_id
+        assert instance_id is not None
+        peer = self._peers[instance_id]
+        if self._dialled.pop(link, None) is not None and peer.dialling is link:
+            peer.dialling = None
+        is_first = not peer.links
+        # Both sides prefer the connection that the lower id has dialled; the other one goes idle.
+        preferred = link.is_dialled == (self._instance_id < instance_id)
+        peer.links.insert(0 if preferred else len(peer.links), link)
+        peer.failures = peer.retry_ms = 0
+        while peer.pending and not link.closed:
+            self.transport.send(link, peer.pending.popleft())
+        if is_first:
+            self.fire(peer_connected(instance_id), "*")
+
+    def message_received(self, link: Link, message: Message) -> None:
+        """Merge a digest, pass on any other message."""
+        if isinstance(message, Digest):
+            self._merge(link, message.data)
+        else:
+            self.fire(peer_received(link.peer_id, message), "*")
+
+    def link_closed(self, link: Link, reason: str) -> None:
+        """Forget the connection; after a failure the next attempt waits longer."""
+        dialled_id = self._dialled.pop(link, None)
+        instance_id = link.peer_id or dialled_id
+        if instance_id is None:
+            logging.log_every_n_seconds(
+                logging.WARNING, "peer connection refused: %s", REFUSAL_LOG_INTERVAL_S, reason
+            )
+            return
+        peer = self._peers[instance_id]
+        if peer.dialling is link:
+            peer.dialling = None
+            self._back_off(peer)
+            if not peer.links:
+                peer.pending.clear()
+        if link in peer.links:
+            peer.links.remove(link)
+            if reason:
+                self._back_off(peer)
+            if not peer.links:
+                self.fire(peer_lost(instance_id, reason), "*")
+        if not peer.links and peer.dialling is None and self._view.entry(instance_id) is None:
+            del self._peers[instance_id]
+
+    def _back_off(self, peer: _Peer) -> None:
+        peer.failures += 1
+        delay_ms = min(MAX_BACKOFF_MS, MIN_BACKOFF_MS * 2 ** min(peer.failures - 1, 10))
+        peer.retry_ms = self._clock.now_ms() + round(delay_ms * self._rng.uniform(0.5, 1.5))
+
+
+def load_of(report: RunnerReport, now_ms: int) -> RunnerLoad:
+    """Return the report as the scheduler's message."""
+    return RunnerLoad(
+        report.upstream_id,
+        report.boot_id,
+        report.seq,
+        now_ms,
+        report.running,
+        report.waiting,
+        report.queued_prefill_tokens,
+        report.kv_tokens_used,
+        report.kv_tokens_total,
+        float(report.prefill_tokens_per_s),
+        float(report.decode_tokens_per_s),
+    )
--- /dev/null
+++ b/packages/daemon/src/ibispaddle_daemon/usage.py
@@ -0,0 +1,168 @@
+"""Usage accounting: copies to the rank successors and flushes to the log."""
+
+from absl import logging
+from circuits import BaseComponent, handler
+from ibispaddle_core.clock import Clock
+from ibispaddle_core.gossip import Consumption
+from ibispaddle_core.membership import MembershipView, MemberState, successors
+from ibispaddle_core.settings import InstanceSettings
+from ibispaddle_core.usage import (
+    HOLDERS,
+    Flush,
+    UsageAck,
+    UsageLedger,
+    UsageSync,
+    flush_interval_ms,
+)
+
+from .events import drain_completed, log_append, peer_send
+from .peer_codec import Message
+from .peers import gossip_put
+from .timers import TimerQueue
+
+STREAM = "usage"
+# Consumption that has not changed is written again within the lifetime of gossip entries.
+RENEW_ROUNDS = 40
+# An append without an answer counts as failed after this time; repeating it does no harm.
+APPEND_TIMEOUT_MS = 10_000
+TAKE_OVER_INTERVAL_MS = 2_000
+DRAIN_RETRY_MS = 200
+
+
+class Usage(BaseComponent):
+    """Own the usage ledger."""
+
+    channel = "usage"
+
+    def __init__(
+        self,
+        settings: InstanceSettings,
+        view: MembershipView,
+        boot: int,
+        clock: Clock,
+        timers: TimerQueue,
+    ) -> None:
+        super().__init__()
+        self._settings = settings
+        self._instance_id = settings.instance_id
+        self._view = view
+        self._clock = clock
+        self._timers = timers
+        self._rounds = 0
+        self._sent_consumption: dict[str, int] = {}
+        self._requests_drained = False
+        self._drained = False
+        self.ledger = UsageLedger(settings.instance_id, boot)
+
+    @handler("started", channel="*")
+    def _on_started(self, *_: object) -> None:
+        self._sync()
+        self._schedule_flush()
+        self._timers.after(TAKE_OVER_INTERVAL_MS, self._take_over)
+
+    @handler("usage_counted", channel="*")
+    def _on_usage_counted(
+        self,
+        workspace: str,
+        neighbour: str,
+        prompt_tokens: int,
+        generated_tokens: int,
+        engine_ms: float,
+    ) -> None:
+        self.ledger.count(workspace, neighbour, prompt_tokens, generated_tokens, engine_ms)
+
+    # Copies to the rank successors
+
+    def _sync(self) -> None:
+        self._timers.after(self._settings.gossip_interval_ms, self._sync)
+        self._rounds += 1
+        for peer_id in self._holders():
+            sync = self.ledger.sync_for(peer_id)
+            if sync is not None:
+                self.fire(peer_send(peer_id, sync), "*")
+        renew = self._rounds % RENEW_ROUNDS == 0
+        for neighbour, consumed_ms in self.ledger.consumed_ms.items():
+            if renew or self._sent_consumption.get(neighbour) != consumed_ms:
+                self._sent_consumption[neighbour] = consumed_ms
+                payload = Consumption(neighbour, self.ledger.instance_boot, consumed_ms)
+                self.fire(gossip_put(payload), "*")
+
+    def _holders(self) -> list[str]:
+        """Return the rank successors that hold copies, one of them in another data centre.
+
+        Instances with neighbouring ids often share a data centre and would be lost with it.
+        """
+        instances = self._view.ranked_instances(self._clock.now_ms())
+        order = successors(self._instance_id, instances, len(instances))
+        holders = list(order[:HOLDERS])
+        for instance_id in order[1:]:
+            entry = self._view.entry(instance_id)
+            if entry is not None and entry.data_centre != self._settings.data_centre:
+                return [*holders[: HOLDERS - 1], instance_id]
+        return holders
+
+    @handler("peer_received", channel="*")
+    def _on_peer_received(self, instance_id: str, message: Message) -> None:
+        match message:
+            case UsageSync():
+                self.fire(peer_send(instance_id, self.ledger.receive(message)), "*")
+            case UsageAck():
+                self.ledger.acknowledge(instance_id, message)
+
+    @handler("peer_connected", channel="*")
+    def _on_peer_connected(self, instance_id: str) -> None:
+        self.ledger.reset_holder(instance_id)
+
+    # Appends to the log
+
+    def _schedule_flush(self) -> None:
+        minimum_ms = self._settings.usage_flush_interval_ms
+        instances = len(self._view.ranked_instances(self._clock.now_ms()))
+        self._timers.after(flush_interval_ms(instances, minimum_ms), self._flush)
+
+    def _flush(self) -> None:
+        self._schedule_flush()
+        self._append(self.ledger.next_flush())
+
+    def _take_over(self) -> None:
+        self._timers.after(TAKE_OVER_INTERVAL_MS, self._take_over)
+        for flush in self.ledger.take_over(self._is_gone):
+            self._append(flush)
+
+    def _is_gone(self, instance_id: str, boot: int) -> bool:
+        now_ms = self._clock.now_ms()
+        state = self._view.state(instance_id, now_ms)
+        return state in (None, MemberState.DOWN) or self._view.boot(instance_id) > boot
+
+    def _append(self, flush: Flush | None) -> None:
+        if flush is None:
+            return
+        self.fire(log_append(STREAM, flush.data, flush.token, self.channel), "*")
+        self._timers.after(APPEND_TIMEOUT_MS, lambda: self.ledger.flushed(flush.token, False))
+
+    @handler("log_appended")
+    def _on_log_appended(self, token: int, offset: int | None, error: object) -> None:
+        if error is not None:
+            logging.debug("usage record was not appended: %s", error)
+        self.ledger.flushed(token, error is None)
+        self._check_drained()
+
+    # Planned stop
+
+    @handler("drain_completed", channel="*")
+    def _on_drain_completed(self, component: str) -> None:
+        if component == "requests" and not self._requests_drained:
+            self._requests_drained = True
+            self._drain()
+
+    def _drain(self) -> None:
+        """Append until the log has all counters; the drain timeout ends this if the log is down."""
+        self._check_drained()
+        if not self._drained:
+            self._append(self.ledger.next_flush())
+            self._timers.after(DRAIN_RETRY_MS, self._drain)
+
+    def _check_drained(self) -> None:
+        if self._requests_drained and not self._drained and self.ledger.is_flushed:
+            self._drained = True
+            self.fire(drain_completed(self.channel), "*")
--- a/tests/membership/test_hashing.py
+++ b/tests/membership/test_hashing.py
@@ -38,8 +38,9 @@
         for number in instances:
             view = MembershipView(f"i{number}")
             view.apply_list(content, 0)
-            for entry in view.runners_to_probe(0):
+            for entry, position in view.probe_duties(0):
                 probed.setdefault(entry.id, []).append(f"i{number}")
+                self.assertEqual(view.probers(entry.id, 0)[position], f"i{number}")
         for number, centre in runners.items():
             local = [n for n, c in instances.items() if c == centre] or list(instances)
             self.assertEqual(len(probed.get(f"r{number}", [])), min(2, len(local)))
--- a/tests/membership/test_view.py
+++ b/tests/membership/test_view.py
@@ -79,6 +79,23 @@
         self.assertEqual(self.live(1_500), list(RUNNERS[:2]))
         self.assertEqual(self.view.state("r7", 1_500), MemberState.FORGOTTEN)
 
+    def test_an_empty_list_does_not_remove_a_single_member(self):
+        """Guard against an empty answer that removes the only member of a kind."""
+        view = MembershipView("a")
+        view.apply_list(InstanceList(1, (runner("r"), *fleet(1, ()).entries)), 0)
+        for version in range(2, 9):
+            view.apply_list(InstanceList(version), version * 1_000)
+        self.assertEqual(view.state("r", 9_000), MemberState.LIVE)
+        for version in range(9, 12):
+            view.apply_list(fleet(version, ()), version * 1_000)
+        self.assertEqual(view.state("r", 12_000), MemberState.FORGOTTEN)
+
+    def test_a_list_without_any_runner_does_not_remove_them(self):
+        """Guard against a part of the list that is lost for longer than a few readings."""
+        for version in range(2, 12):
+            self.view.apply_list(fleet(version, ()), version * 1_000)
+        self.assertEqual(self.live(11_000), list(RUNNERS))
+
     def test_a_complete_reading_resets_the_count(self):
         """Guard against separate short readings that add up to a removal."""
         for version in range(2, 14, 2):
--- /dev/null
+++ b/tests/peers/test_codec.py
@@ -0,0 +1,159 @@
+"""Tests of the messages between instances: encoding, damage and the handshake."""
+
+import random
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from ibispaddle_core.gossip import (
+    Digest,
+    Handshake,
+    HandshakeError,
+    Hello,
+    Proof,
+    StateReply,
+    StateRequest,
+)
+from ibispaddle_core.quarantine import Clearance, Death, Notice, NoticeReceived, Suspicion
+from ibispaddle_core.usage import Counts, UsageAck, UsageSync
+from ibispaddle_daemon.peer_codec import HEADER, decode, encode
+
+FIXED = settings(derandomize=True, max_examples=150, deadline=None, database=None)
+NUMBER = st.integers(0, 2**63 - 1)
+TEXT = st.text(max_size=20).filter(lambda text: "\0" not in text)
+DATA = st.binary(max_size=100)
+DEATH = st.builds(Death, TEXT, TEXT)
+COUNTS = st.builds(Counts, NUMBER, NUMBER, NUMBER, NUMBER)
+SUSPICION = st.builds(Suspicion, TEXT, DEATH, NUMBER)
+CLEARANCE = st.builds(Clearance, TEXT, st.lists(DEATH, max_size=3).map(tuple), NUMBER)
+MESSAGE = st.one_of(
+    st.builds(Hello, st.integers(0, 65_535), TEXT, NUMBER, DATA),
+    st.builds(Proof, DATA),
+    st.builds(Digest, DATA),
+    st.builds(StateRequest, TEXT, NUMBER, DATA),
+    st.builds(StateReply, TEXT, NUMBER, DATA),
+    st.builds(
+        UsageSync, TEXT, NUMBER, NUMBER, st.lists(st.tuples(TEXT, COUNTS), max_size=4).map(tuple)
+    ),
+    st.builds(UsageAck, TEXT, NUMBER),
+    st.builds(
+        Notice,
+        NUMBER,
+        st.lists(SUSPICION, max_size=3).map(tuple),
+        st.lists(CLEARANCE, max_size=3).map(tuple),
+    ),
+    st.builds(NoticeReceived, NUMBER),
+)
+
+
+class CodecTest(unittest.TestCase):
+    @FIXED
+    @given(MESSAGE)
+    def test_messages_survive_the_connection(self, message):
+        """Guard against fields that are lost or mixed up on the way."""
+        frame = encode(message)
+        self.assertEqual(HEADER.unpack_from(frame)[0], len(frame) - HEADER.size)
+        self.assertEqual(decode(frame[HEADER.size :]).ok_value, message)
+
+    @FIXED
+    @given(MESSAGE, st.integers(0, 2**32))
+    def test_damaged_message_is_read_or_refused(self, message, seed):
+        """Guard against a crash or an endless read on bytes that a peer has damaged."""
+        rng = random.Random(seed)
+        data = bytearray(encode(message)[HEADER.size :])
+        for _ in range(rng.randrange(1, 6)):
+            data[rng.randrange(len(data))] = rng.randrange(256)
+        decode(bytes(data))
+        decode(bytes(data[: rng.randrange(len(data))]))
+        decode(rng.randbytes(64))
+
+    def test_other_bytes_are_refused(self):
+        """Guard against a stranger's bytes that are taken for a message."""
+        for data in (b"", b"GET / HTTP/1.1\r\n\r\n", b"\xff" * 64, b"\0\0\0\0\xff\xff\xff\x7f"):
+            self.assertTrue(decode(data).is_err(), data)
+
+    def test_object_of_another_class_is_an_error(self):
+        """Guard against a message that is silently not sent."""
+        with self.assertRaises(TypeError):
+            encode(object())
+
+
+def side(name, secret=b"s", dialler=True, nonce=None, expected=None, boot=1):
+    nonce = nonce or name.encode().ljust(32, b"-")
+    return Handshake(Hello(1, name, boot, nonce), secret, dialler, expected)
+
+
+def run(dialler, acceptor):
+    queue = [(acceptor, message) for message in dialler.start()]
+    while queue:
+        receiver, message = queue.pop(0)
+        other = dialler if receiver is acceptor else acceptor
+        queue += [(other, reply) for reply in receiver.receive(message)]
+
+
+class HandshakeTest(unittest.TestCase):
+    def test_equal_secrets_are_accepted_by_both_sides(self):
+        """Guard against instances that cannot connect."""
+        dialler, acceptor = side("a", expected="b"), side("b", dialler=False)
+        run(dialler, acceptor)
+        self.assertEqual(
+            (dialler.is_complete, dialler.peer.instance_id, acceptor.peer.instance_id),
+            (True, "b", "a"),
+        )
+        self.assertTrue(acceptor.is_complete)
+
+    def test_stranger_gets_no_proof(self):
+        """Guard against a stranger that reads or sends messages, or collects proofs."""
+        dialler, acceptor = side("a", secret=b"wrong"), side("b", dialler=False)
+        with self.assertRaises(HandshakeError):
+            run(dialler, acceptor)
+        self.assertFalse(acceptor.is_complete or dialler.is_complete)
+
+    def test_false_acceptor_is_refused(self):
+        """Guard against an instance that talks to a stranger at a listed address."""
+        dialler = side("a")
+        (hello,) = dialler.start()
+        false = side("b", secret=b"wrong", dialler=False)
+        (answer,) = false.receive(hello)
+        dialler.receive(answer)
+        with self.assertRaises(HandshakeError):
+            dialler.receive(Proof(b"x" * 32))
+        self.assertFalse(dialler.is_complete)
+
+    def test_reflected_messages_are_refused(self):
+        """Guard against a stranger that sends back what it was sent."""
+        dialler = side("a")
+        (hello,) = dialler.start()
+        with self.assertRaises(HandshakeError):
+            dialler.receive(hello)
+        dialler = side("a")
+        (hello,) = dialler.start()
+        (proof,) = dialler.receive(Hello(1, "b", 1, b"n" * 32))
+        with self.assertRaises(HandshakeError):
+            dialler.receive(proof)
+
+    def test_old_proof_is_refused(self):
+        """Guard against a recorded handshake that is played back."""
+        dialler, acceptor = side("a"), side("b", dialler=False)
+        (hello,) = dialler.start()
+        (answer,) = acceptor.receive(hello)
+        (proof,) = dialler.receive(answer)
+        again = side("b", dialler=False, nonce=b"n" * 32)
+        again.receive(hello)
+        with self.assertRaises(HandshakeError):
+            again.receive(proof)
+
+    def test_other_instance_at_the_address_is_refused(self):
+        """Guard against messages for an instance that its replacement receives."""
+        with self.assertRaises(HandshakeError):
+            run(side("a", expected="c"), side("b", dialler=False))
+
+    def test_messages_before_the_proof_are_refused(self):
+        """Guard against work for a peer that has not proved the secret."""
+        for message in (Digest(b""), Proof(b"x"), NoticeReceived(1)):
+            with self.assertRaises(HandshakeError):
+                side("b", dialler=False).receive(message)
+
+
+if __name__ == "__main__":
+    unittest.main()
