Wired peers, probes, list reader, usage and quarantine into the instance

The simple poller probed every runner from every instance, which does not scale, and instances did not know of each other. The instance now reads the list with protection against bad readings, probes its own runners and learns the others' loads by gossip. An instance takes part in duties before the list has it.

--- a/packages/core/src/ibispaddle_core/membership/view.py
+++ b/packages/core/src/ibispaddle_core/membership/view.py
@@ -90,10 +90,17 @@
     <MemberState.DOWN: 'down'>
     """
 
-    def __init__(self, instance_id: str, heartbeat_timeout_ms: int = HEARTBEAT_TIMEOUT_MS) -> None:
+    def __init__(
+        self,
+        instance_id: str,
+        data_centre: str = "",
+        heartbeat_timeout_ms: int = HEARTBEAT_TIMEOUT_MS,
+    ) -> None:
         self._instance_id = instance_id
         self._heartbeat_timeout_ms = heartbeat_timeout_ms
-        self._records: dict[str, _Record] = {}
+        # The instance takes part in shared duties before the lagging list has it.
+        own = ListEntry(instance_id, Kind.ENTRY, "", data_centre)
+        self._records: dict[str, _Record] = {instance_id: _Record(own, -1, 0)}
         self._held: dict[Kind, tuple[int, int]] = {}  # First reading's time and number of readings.
         self._missing: set[str] = set()
         self._sorted_ids: list[str] = []
@@ -129,7 +136,11 @@
         An empty list, or one that lacks all of several members of a kind, is never confirmed; the
         members go when they stop answering.
         """
-        present = [i for i, r in self._records.items() if r.entry.kind is kind and r.listed]
+        present = [
+            member_id
+            for member_id, record in self._records.items()
+            if record.entry.kind is kind and record.listed and member_id != self._instance_id
+        ]
         missing = [member_id for member_id in present if member_id in self._missing]
         is_whole_kind = bool(missing) and len(missing) == len(present)
         if is_whole_kind or len(missing) > max(1, int(len(present) * HELD_FRACTION)):
@@ -212,6 +223,8 @@
     def _state(self, member_id: str, record: _Record, now_ms: int) -> MemberState:
         if self._is_down(member_id, record, now_ms):
             return MemberState.DOWN
+        if member_id == self._instance_id:
+            return MemberState.LEAVING if record.list_leaving else MemberState.LIVE
         if record.list_leaving or record.leaving_boot is not None:
             return MemberState.LEAVING
         return MemberState.LIVE if record.listed else MemberState.FORGOTTEN
--- a/packages/daemon/src/ibispaddle_daemon/app.py
+++ b/packages/daemon/src/ibispaddle_daemon/app.py
@@ -9,18 +9,23 @@
 from circuits.core.pollers import EPoll
 from ibispaddle_core import logevents
 from ibispaddle_core.clock import Clock, SystemClock
+from ibispaddle_core.membership import MembershipView
 from ibispaddle_core.settings import FleetConfig, InstanceSettings
 
 from .entry import Entry
 from .events import drain_completed, drain_started
-from .fleet_poller import FleetPoller
 from .http_client import HttpClient
 from .http_server import HttpServer
+from .instance_list import InstanceListReader
 from .logs import log_error, log_event
 from .metrics import Metrics, Status
+from .peers import Peers
+from .probes import Probes
+from .quarantine import QuarantineGuard
 from .services import Services
 from .timers import TimerQueue
 from .tracing import Tracing
+from .usage import Usage
 
 DRAIN_POLL_MS = 20
 # Callers may send a last request on a connection that is still open; a pause without any request
@@ -58,7 +63,7 @@
             self.clock,
             self.timers,
         ).register(self)
-        self.status = Status(self.metrics, ("fleet",)).register(self)
+        self.status = Status(self.metrics, ("instance_list",)).register(self)
         self.server = HttpServer(
             settings.listen, self.clock, self.timers, config.limits, _tls(settings)
         ).register(self)
@@ -74,15 +79,21 @@
         self.services = Services(
             settings.instance_id, config, self.clock, self.timers, self.metrics, self.tracing
         ).register(self)
-        self.fleet_poller = FleetPoller(
-            settings.list_url,
-            settings.list_poll_interval_ms,
-            settings.probe_interval_ms,
-            self.clock,
-            self.timers,
-        ).register(self)
+        self._add_fleet_components()
         self._add_gauges()
 
+    def _add_fleet_components(self) -> None:
+        """Add what this instance shares with other instances."""
+        settings, clock, timers = self.settings, self.clock, self.timers
+        boot = clock.wall_ms()
+        self.view = MembershipView(settings.instance_id, settings.data_centre)
+        secret = _peer_secret(settings)
+        self.peers = Peers(settings, secret, self.view, boot, clock, timers).register(self)
+        self.probes = Probes(settings, self.view, clock, timers).register(self)
+        self.usage = Usage(settings, self.view, boot, clock, timers).register(self)
+        self.quarantine = QuarantineGuard(settings, self.view, clock, timers).register(self)
+        self.instance_list = InstanceListReader(settings, self.view, clock, timers).register(self)
+
     def _add_gauges(self) -> None:
         add = self.metrics.add_gauge
         add(
@@ -100,6 +111,21 @@
             "Open connections to upstreams.",
             lambda: self.http_client.open_connections,
         )
+        add(
+            "ibispaddle_peer_connections",
+            "Instances with an authenticated connection.",
+            lambda: len(self.peers.connected_peers),
+        )
+        add(
+            "ibispaddle_peer_sent_bytes",
+            "Bytes sent to other instances since the start.",
+            lambda: self.peers.transport.traffic.bytes_out,
+        )
+        add(
+            "ibispaddle_peer_received_bytes",
+            "Bytes received from other instances since the start.",
+            lambda: self.peers.transport.traffic.bytes_in,
+        )
         add(
             "ibispaddle_upstream_calls",
             "HTTP calls in flight.",
@@ -178,7 +204,11 @@
     return context
 
 
-def _fingerprint_key(settings: InstanceSettings) -> bytes:
+def _peer_secret(settings: InstanceSettings) -> bytes:
     if not settings.peer_secret_file:
-        return DEFAULT_FINGERPRINT_KEY
+        return b""
     return Path(settings.peer_secret_file).read_bytes().strip()
+
+
+def _fingerprint_key(settings: InstanceSettings) -> bytes:
+    return _peer_secret(settings) or DEFAULT_FINGERPRINT_KEY
--- a/packages/daemon/src/ibispaddle_daemon/instance_list.py
+++ b/packages/daemon/src/ibispaddle_daemon/instance_list.py
@@ -6,7 +6,6 @@
 import random
 
 import msgspec
-from absl import logging
 from circuits import BaseComponent, Event, handler
 from ibispaddle_core.clock import Clock
 from ibispaddle_core.logevents import LIST_UNAVAILABLE
@@ -30,12 +29,12 @@
     list_changed,
     readiness_changed,
 )
+from .logs import log_event
 from .timers import TimerQueue
 
 POLL_TIMEOUT_MS = 2_000
 # States also change without a reading, for instance when heartbeats stop.
 REVIEW_INTERVAL_MS = 500
-LOG_INTERVAL_S = 30
 
 
 class members_changed(Event):
@@ -101,19 +100,13 @@
                     problem = f"version {listing.version} is older than {self._view.version}"
         if problem:
             self.failures += 1
-            logging.log_every_n_seconds(
-                logging.WARNING,
-                "%d %s %s",
-                LOG_INTERVAL_S,
-                LIST_UNAVAILABLE.number,
-                LIST_UNAVAILABLE.name,
-                problem,
-            )
+            if self.failures == 1:
+                log_event(LIST_UNAVAILABLE, url=self._url, reason=problem)
             return
         self.failures = 0
+        is_first, self._is_read = not self._is_read, True
         self._report()
-        if not self._is_read:
-            self._is_read = True
+        if is_first:
             self.fire(readiness_changed(self.channel, True), "*")
 
     def _review(self) -> None:
@@ -122,11 +115,14 @@
 
     @handler("runner_failed", channel="*", priority=-1)
     def _on_runner_failed(self, upstream_id: str) -> None:
+        now_ms = self._clock.now_ms()
+        if self._view.state(upstream_id, now_ms) is not MemberState.DOWN:
+            self._view.observe(upstream_id, False, now_ms)  # Seen by a request of this instance.
         self._report()
 
     def _report(self) -> None:
         members = self._view.members(self._clock.now_ms())
-        if members == self._members:
+        if members == self._members or not self._is_read:
             return
         self._members = members
         self.fire(members_changed(members), "*")
--- a/packages/daemon/src/ibispaddle_daemon/probes.py
+++ b/packages/daemon/src/ibispaddle_daemon/probes.py
@@ -26,6 +26,7 @@
     load_reported,
     runner_failed,
 )
+from .logs import log_event
 from .peers import gossip_put, load_of
 from .timers import TimerQueue
 
@@ -195,9 +196,7 @@
         if not runner.is_down:
             runner.is_down = True
             reason = error.text if error else f"status {status}"
-            logging.warning(
-                "%d %s %s: %s", UPSTREAM_DOWN.number, UPSTREAM_DOWN.name, runner_id, reason
-            )
+            log_event(UPSTREAM_DOWN, upstream=runner_id, reason=reason)
             self.fire(runner_failed(runner_id), "*")
 
     def _note_answer(self, runner_id: str, runner: _Runner, load: _Load) -> None:
