Broke time to first token and slowdown down by prompt length

Cause: the histograms had no labels, while time to first token by prompt length is what users measure.

--- a/packages/daemon/src/ibispaddle_daemon/entry.py
+++ b/packages/daemon/src/ibispaddle_daemon/entry.py
@@ -48,7 +48,7 @@
 from .events import usage_counted
 from .http_exchange import Exchange
 from .logs import log_event
-from .metrics import Metrics
+from .metrics import Metrics, length_class
 from .model_request import ModelRequest
 from .responses import JSON, not_found, respond_error, wrong_method
 from .timers import TimerHandle, TimerQueue
@@ -255,8 +255,11 @@
         self._metrics.duration.observe({}, (now_ms - request.req.arrived_ms) / 1000)
         if request.first_token_ms is not None:
             waited_ms = request.first_token_ms - request.req.arrived_ms
-            self._metrics.first_token.observe({}, waited_ms / 1000)
-        self._metrics.tokens.add({}, request.tokens)
+            labels = {"prompt": length_class(request.req.prompt_tokens)}
+            self._metrics.first_token.observe(labels, waited_ms / 1000)
+            alone_ms = max(1.0, self.scheduler.cost.alone_ms(request.req))
+            self._metrics.slowdown.observe(labels, waited_ms / alone_ms)
+        self._metrics.tokens.add({"workspace": request.req.workspace}, request.tokens)
         request.span.set_attribute("ibispaddle.code", code)
         request.span.set_attribute("ibispaddle.tokens", request.tokens)
         request.span.end()
--- a/packages/daemon/src/ibispaddle_daemon/metrics.py
+++ b/packages/daemon/src/ibispaddle_daemon/metrics.py
@@ -9,6 +9,25 @@
 from .responses import JSON, not_found, wrong_method
 
 _SECONDS = (0.001, 0.003, 0.005, 0.015, 0.05, 0.1, 0.25, 0.65, 1.0, 2.5, 5.0, 15.0, 60.0)
+_RATIOS = (1.0, 1.1, 1.25, 1.5, 2.0, 3.0, 5.0, 10.0, 30.0, 100.0)
+# Upper limits of the prompt-length classes, in tokens, with the value of the label.
+_LENGTH_CLASSES = (
+    (8_000, "under_8k"),
+    (32_000, "8k_to_32k"),
+    (100_000, "32k_to_100k"),
+    (400_000, "100k_to_400k"),
+)
+_LONGEST_CLASS = "400k_and_more"
+
+
+def length_class(prompt_tokens: int) -> str:
+    """Return the label of a prompt's length class.
+
+    >>> length_class(9_000)
+    '8k_to_32k'
+    """
+    classes = (label for limit, label in _LENGTH_CLASSES if prompt_tokens < limit)
+    return next(classes, _LONGEST_CLASS)
 
 
 class Metrics:
@@ -23,7 +42,9 @@
             "ibispaddle_attempts_total", "Attempts that ended, by outcome.", registry=self.registry
         )
         self.tokens = Counter(
-            "ibispaddle_relayed_tokens_total", "Generated tokens relayed.", registry=self.registry
+            "ibispaddle_relayed_tokens_total",
+            "Generated tokens relayed, by workspace.",
+            registry=self.registry,
         )
         self.dropped = Counter(
             "ibispaddle_dropped_events_total",
@@ -32,10 +53,16 @@
         )
         self.first_token = Histogram(
             "ibispaddle_first_token_seconds",
-            "Time from a request's arrival to its first token.",
+            "Time from a request's arrival to its first token, by prompt length.",
             registry=self.registry,
             buckets=_SECONDS,
         )
+        self.slowdown = Histogram(
+            "ibispaddle_slowdown_ratio",
+            "Time to first token divided by its estimate on an idle fleet, by prompt length.",
+            registry=self.registry,
+            buckets=_RATIOS,
+        )
         self.duration = Histogram(
             "ibispaddle_request_seconds",
             "Time from a request's arrival to its end.",
