Reported cold connections apart from the steady state

Cause: the first seconds of a load open the instance's connections, and their times hid those of the steady state. The demonstration repeated the same refusal once per call. Change: the latency measurement runs a load before the first measurement and reports it as cold; the demonstration groups refusals by reason.

--- a/packages/bench/src/ibispaddle_bench/demo.py
+++ b/packages/bench/src/ibispaddle_bench/demo.py
@@ -114,6 +114,18 @@
     return table
 
 
+def print_unanswered(console: Console, outcomes: list[tuple[PlannedCall, CallOutcome]]) -> None:
+    """Print the reasons of calls without an answer, with the calls that share each reason."""
+    groups: dict[str, list[str]] = {}
+    for planned, outcome in outcomes:
+        if outcome.result is not Result.ANSWERED:
+            kind = f"{planned.tokens} tokens" if planned.tokens else "service call"
+            call = f"{planned.name} ({kind}, {outcome.total_ms:.0f} ms)"
+            groups.setdefault(f"{outcome.result}: {outcome.detail}", []).append(call)
+    for reason, names in groups.items():
+        console.print(f"{len(names)} {reason}\n  {', '.join(names)}", markup=False)
+
+
 def wait_for_free_memory(fleet: Fleet) -> int:
     """Return the engine tokens that are still held when the release time is over."""
     ends = time.monotonic() + MEMORY_RELEASE_TIMEOUT_S
@@ -140,14 +152,7 @@
             outcomes = asyncio.run(run_calls(fleet, calls, progress))
         held = wait_for_free_memory(fleet)
     console.print(first_token_table(outcomes))
-    for planned, outcome in outcomes:
-        if outcome.result is not Result.ANSWERED:
-            kind = f"{planned.tokens} tokens" if planned.tokens else "service call"
-            console.print(
-                f"{outcome.result}: {planned.name} ({kind}, after {outcome.total_ms:.0f} ms):"
-                f" {outcome.detail}",
-                markup=False,
-            )
+    print_unanswered(console, outcomes)
     console.print(f"engine memory held after the load: {held} tokens")
     counts = Counter(outcome.result for _, outcome in outcomes)
     summary = ", ".join(f"{counts[result]} {result}" for result in Result)
--- a/packages/bench/src/ibispaddle_bench/latency.py
+++ b/packages/bench/src/ibispaddle_bench/latency.py
@@ -26,8 +26,11 @@
 OUTPUT_TOKENS = 250  # At 28 requests/s these are 7,000 tokens/s.
 TARGET_MEDIAN_MS = 3.0
 TARGET_P99_MS = 15.0
-# The first answers start on cold connections and caches.
-WARM_UP_S = 2.0
+# Requests at the start of each load are left out, because the number of streams still rises.
+RAMP_S = 2.0
+# A load before the first measurement opens the connections; its times are reported as "cold".
+WARM_UP_FACTOR = 1.5
+WARM_UP_S = 6.0
 # Prompts of 1 k to 1 M tokens, one in fifty over 100 k.
 MIXES = {
     "design": (
@@ -114,26 +117,33 @@
         self.records: list[dict[str, Any]] = []
 
     @property
-    def warm_up_s(self) -> float:
+    def ramp_s(self) -> float:
         """Return the time at the start of a load whose requests are left out."""
-        return float(min(WARM_UP_S, self.args.duration_s / 3))
+        return float(min(RAMP_S, self.args.duration_s / 3))
 
-    def run(self, rate: float, path: str) -> tuple[dict[str, dict[str, Any]], LoadReport]:
+    def warm_up(self) -> None:
+        """Open the connections of the instance and report the times of a cold one."""
+        self.run(self.args.rate * WARM_UP_FACTOR, "cold", WARM_UP_S)
+
+    def run(
+        self, rate: float, path: str, duration_s: float = 0.0
+    ) -> tuple[dict[str, dict[str, Any]], LoadReport]:
         """Run one load and return its records by length class, with the report."""
         load = Load(
             rate=rate,
-            duration_s=self.args.duration_s,
+            duration_s=duration_s or self.args.duration_s,
             output_tokens=self.args.output_tokens,
             mix=MIXES[self.args.mix],
             key=WORKSPACE_KEYS["large"],
             workers=self.args.workers or worker_count(rate),
             seed=self.args.seed,
         )
-        through = path == "instance"
+        through = path != "direct"
         targets = [p.url for p in (self.fleet.entries if through else self.fleet.runners)]
         report = run_load(load, targets, [*self.fleet.entries, *self.fleet.runners])
         records = {
-            record["prompts"]: record for record in summarise(report, load, path, self.warm_up_s)
+            record["prompts"]: record
+            for record in summarise(report, load, path, 0.0 if path == "cold" else self.ramp_s)
         }
         self.records += records.values()
         details = Counter(s.detail[:100] for s in report.samples if s.result != "answered")
@@ -184,7 +194,7 @@
             if name in direct
         ]
         self.records += added
-        paired = paired_differences(direct_report, report, self.warm_up_s)
+        paired = paired_differences(direct_report, report, self.ramp_s)
         bad = report.count("refused") + report.count("lost")
         complete = not bad and "all" in through and "all" in direct
         stretch = (
@@ -295,10 +305,12 @@
         measurement = Measurement(fleet, args, console)
         if args.direct_only:
             measurement.run(args.rate, "direct")
-        elif args.find_highest:
-            measurement.find_highest()
         else:
-            measurement.compare(args.rate)
+            measurement.warm_up()
+            if args.find_highest:
+                measurement.find_highest()
+            else:
+                measurement.compare(args.rate)
     lines = "".join(json.dumps(record) + "\n" for record in measurement.records)
     if args.output:
         args.output.write_text(lines)
