Divided the reading of the instance list within a data centre

The list of 390 instances and 730 runners has about 220 KB; reading it twice a second at each instance would exceed the control budget by far. The instances of a data centre take turns, tell each other of a new version and read it at once. Gauges show the live runners and instances.

--- a/packages/core/src/ibispaddle_core/gossip/__init__.py
+++ b/packages/core/src/ibispaddle_core/gossip/__init__.py
@@ -3,7 +3,7 @@
 from .entries import Consumption, Entry, Heartbeat, LargeWait, Payload, RunnerReport
 from .exceptions import DigestFormatError, EntryTooLargeError, GossipError
 from .handshake import NONCE_BYTES, PROTOCOL, Handshake, HandshakeError, Hello, Proof
-from .messages import Digest, StateReply, StateRequest
+from .messages import Digest, ListSeen, StateReply, StateRequest
 from .rounds import FAN_OUT, summary_targets, targets
 from .table import ENTRY_LIFETIME_MS, MAX_DIGEST_BYTES, GossipTable
 
@@ -25,6 +25,7 @@
     "Heartbeat",
     "Hello",
     "LargeWait",
+    "ListSeen",
     "Payload",
     "Proof",
     "RunnerReport",
--- a/packages/core/src/ibispaddle_core/gossip/messages.py
+++ b/packages/core/src/ibispaddle_core/gossip/messages.py
@@ -10,6 +10,13 @@
     data: bytes
 
 
+@dataclass(frozen=True)
+class ListSeen:
+    """Tell the instances of the data centre that a new version of the instance list can be read."""
+
+    version: int
+
+
 @dataclass(frozen=True)
 class StateRequest:
     """Ask a peer for a component's state.
--- a/packages/daemon/src/ibispaddle_daemon/app.py
+++ b/packages/daemon/src/ibispaddle_daemon/app.py
@@ -9,7 +9,7 @@
 from circuits.core.pollers import EPoll
 from ibispaddle_core import logevents
 from ibispaddle_core.clock import Clock, SystemClock
-from ibispaddle_core.membership import MembershipView
+from ibispaddle_core.membership import Kind, MembershipView, MemberState
 from ibispaddle_core.settings import FleetConfig, InstanceSettings
 
 from .entry import Entry
@@ -111,6 +111,16 @@
             "Open connections to upstreams.",
             lambda: self.http_client.open_connections,
         )
+        add(
+            "ibispaddle_runners_live",
+            "Runners that take new work.",
+            lambda: self._count_live(Kind.RUNNER),
+        )
+        add(
+            "ibispaddle_instances_live",
+            "Instances that take part in shared duties, with this one.",
+            lambda: self._count_live(Kind.ENTRY),
+        )
         add(
             "ibispaddle_peer_connections",
             "Instances with an authenticated connection.",
@@ -132,6 +142,10 @@
             lambda: self.http_client.calls_in_flight,
         )
 
+    def _count_live(self, kind: Kind) -> int:
+        members = self.view.members(self.clock.now_ms(), kind)
+        return sum(member.state is MemberState.LIVE for member in members)
+
     @handler("started", channel="*")
     def _on_started(self, *args: Any) -> None:
         address = f"{self.server.host}:{self.server.port}"
--- a/packages/daemon/src/ibispaddle_daemon/instance_list.py
+++ b/packages/daemon/src/ibispaddle_daemon/instance_list.py
@@ -8,6 +8,7 @@
 import msgspec
 from circuits import BaseComponent, Event, handler
 from ibispaddle_core.clock import Clock
+from ibispaddle_core.gossip import ListSeen
 from ibispaddle_core.logevents import LIST_UNAVAILABLE
 from ibispaddle_core.membership import (
     ListedState,
@@ -27,12 +28,21 @@
     call_completed,
     http_call,
     list_changed,
+    peer_send,
     readiness_changed,
 )
 from .logs import log_event
-from .timers import TimerQueue
+from .peer_codec import Message
+from .timers import TimerHandle, TimerQueue
 
 POLL_TIMEOUT_MS = 2_000
+# The list of 390 instances and 730 runners has about 220 KB. The instances of a data centre take
+# turns to read it, so that each reads it rarely, and tell each other of a new version.
+MAX_TURNS = 60
+# After news of a version the readings of a data centre are spread over this time.
+NEWS_SPREAD_MS = 200
+# A list that is held back is read at the plain interval this often, to confirm it.
+MAX_QUICK_READINGS = 10
 # States also change without a reading, for instance when heartbeats stop.
 REVIEW_INTERVAL_MS = 500
 
@@ -68,6 +78,9 @@
         self._numbers = itertools.count(1)
         self._members: tuple[Member, ...] = ()
         self._is_read = False
+        self._held_readings = 0
+        self._poll_timer: TimerHandle | None = None
+        self._call_id = ""
         self.failures = 0  # Readings that failed since the last good one.
 
     @handler("started", channel="*")
@@ -77,17 +90,53 @@
 
     def _poll(self) -> None:
         # One call at a time: the next poll is scheduled when this one has ended.
-        call_id = f"instance_list-{next(self._numbers)}"
+        self._call_id = f"instance_list-{next(self._numbers)}"
         deadline_ms = self._clock.now_ms() + POLL_TIMEOUT_MS
-        call = HttpCall(call_id, "GET", self._url, (), b"", deadline_ms, self.channel)
+        call = HttpCall(self._call_id, "GET", self._url, (), b"", deadline_ms, self.channel)
         self.fire(http_call(call), "http_client")
 
+    def _schedule(self, delay_ms: int) -> None:
+        if self._poll_timer is not None:
+            self._poll_timer.cancel()
+        self._poll_timer = self._timers.after(delay_ms, self._poll)
+
+    def _delay_ms(self) -> int:
+        """Return the time until this instance's next turn."""
+        interval_ms = self._settings.list_poll_interval_ms
+        local = self._view.ranked_instances(self._clock.now_ms(), self._settings.data_centre)
+        is_quick = 0 < self._held_readings <= MAX_QUICK_READINGS
+        if len(local) <= 1 or self.failures or is_quick:
+            return round(interval_ms * self._rng.uniform(0.9, 1.1))
+        turns = min(len(local), MAX_TURNS)
+        turn = local.index(self._settings.instance_id) % turns
+        wall_ms = self._clock.wall_ms()
+        now_turn = wall_ms // interval_ms
+        ahead = (turn - now_turn - 1) % turns + 1
+        start_ms = (now_turn + ahead) * interval_ms
+        return start_ms - wall_ms + self._rng.randrange(1 + interval_ms // 5)
+
+    @handler("peer_received", channel="*")
+    def _on_peer_received(self, instance_id: str, message: Message) -> None:
+        if not isinstance(message, ListSeen) or message.version <= self._view.version:
+            return
+        if not self._call_id:
+            self._schedule(self._rng.randrange(NEWS_SPREAD_MS))
+
     @handler(call_completed.__name__)
     def _on_call_completed(
         self, call_id: str, status: int, headers: Headers, body: bytes, error: HttpCallError | None
     ) -> None:
-        interval_ms = self._settings.list_poll_interval_ms * self._rng.uniform(0.9, 1.1)
-        self._timers.after(round(interval_ms), self._poll)
+        self._call_id = ""
+        known_version = self._view.version
+        self._note_answer(status, body, error)
+        self._schedule(self._delay_ms())
+        if self._view.version > known_version and known_version >= 0:
+            now_ms = self._clock.now_ms()
+            for peer_id in self._view.ranked_instances(now_ms, self._settings.data_centre):
+                if peer_id != self._settings.instance_id:
+                    self.fire(peer_send(peer_id, ListSeen(self._view.version)), "*")
+
+    def _note_answer(self, status: int, body: bytes, error: HttpCallError | None) -> None:
         problem = error.text if error else f"status {status}" if status != 200 else ""
         if not problem:
             parsed = parse_list(body)
@@ -96,6 +145,9 @@
             else:
                 listing = parsed.unwrap()
                 outcome = self._view.apply_list(listing, self._clock.now_ms())
+                self._held_readings += 1
+                if outcome is not ListOutcome.HELD:
+                    self._held_readings = 0
                 if outcome is ListOutcome.STALE:
                     problem = f"version {listing.version} is older than {self._view.version}"
         if problem:
--- a/packages/daemon/src/ibispaddle_daemon/peer_codec.py
+++ b/packages/daemon/src/ibispaddle_daemon/peer_codec.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 import capnp
-from ibispaddle_core.gossip import Digest, Hello, Proof, StateReply, StateRequest
+from ibispaddle_core.gossip import Digest, Hello, ListSeen, Proof, StateReply, StateRequest
 from ibispaddle_core.quarantine import Clearance, Death, Notice, NoticeReceived, Suspicion
 from ibispaddle_core.usage import Counts, UsageAck, UsageSync
 from result import Err, Ok, Result
@@ -20,6 +20,7 @@
     | UsageAck
     | Notice
     | NoticeReceived
+    | ListSeen
 )
 
 # A configuration state with 620 workspaces is the largest message; it has well under 1 MiB.
@@ -104,6 +105,8 @@
             }
         case NoticeReceived(notice_id):
             return {"noticeReceived": notice_id}
+        case ListSeen(version):
+            return {"listSeen": version}
     raise TypeError(f"{type(message).__name__} is not a message between instances")
 
 
@@ -153,6 +156,8 @@
             return _notice(envelope.notice)
         case "noticeReceived":
             return NoticeReceived(envelope.noticeReceived)
+        case "listSeen":
+            return ListSeen(envelope.listSeen)
     raise ValueError(f"unknown message '{kind}'")
 
 
--- a/packages/daemon/src/ibispaddle_daemon/peers.capnp
+++ b/packages/daemon/src/ibispaddle_daemon/peers.capnp
@@ -12,6 +12,7 @@
     usageAck @6 :UsageAck;
     notice @7 :Notice;
     noticeReceived @8 :UInt64;
+    listSeen @9 :Int64;
   }
 }
 
--- a/tests/peers/test_codec.py
+++ b/tests/peers/test_codec.py
@@ -10,6 +10,7 @@
     Handshake,
     HandshakeError,
     Hello,
+    ListSeen,
     Proof,
     StateReply,
     StateRequest,
@@ -43,6 +44,7 @@
         st.lists(CLEARANCE, max_size=3).map(tuple),
     ),
     st.builds(NoticeReceived, NUMBER),
+    st.builds(ListSeen, NUMBER),
 )
 
 
--- /dev/null
+++ b/tests/peers/test_fleet.py
@@ -0,0 +1,52 @@
+"""Tests of the shared view with real instances, runners and platform."""
+
+import time
+import unittest
+import urllib.request
+
+from ibispaddle_bench.fleet import Fleet, FleetSpec
+
+WAIT_S = 20.0
+
+
+def gauge(entry, name):
+    with urllib.request.urlopen(f"{entry.url}/metrics", timeout=5) as response:
+        lines = response.read().decode().splitlines()
+    return next(float(line.split()[-1]) for line in lines if line.startswith(f"{name} "))
+
+
+class FleetTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.fleet = Fleet(FleetSpec(entries=3, runners=3, services=0, data_centres=("x", "y")))
+        cls.fleet.start()
+        cls.addClassCleanup(cls.fleet.end)
+
+    def wait_for(self, name, *values, entries=None):
+        started = time.monotonic()
+        for entry in entries or self.fleet.entries:
+            while (seen := gauge(entry, name)) not in values:
+                self.assertLess(time.monotonic() - started, WAIT_S, f"{entry.name}: {seen}")
+                time.sleep(0.02)
+        return time.monotonic() - started
+
+    def test_view_follows_the_fleet(self):
+        """Guard against instances that miss a dead runner, its return or a planned stop."""
+        fleet = self.fleet
+        self.wait_for("ibispaddle_peer_connections", 1, 2)  # Opened when there is a message.
+        self.wait_for("ibispaddle_runners_live", 3)
+        fleet.runners[1].kill()
+        self.wait_for("ibispaddle_runners_live", 2)
+        fleet.restart_runner(1)
+        self.wait_for("ibispaddle_runners_live", 3)
+        fleet.states["runner.3"] = "leaving"
+        fleet.publish()
+        took_s = self.wait_for("ibispaddle_runners_live", 2)
+        self.assertLess(took_s, 5, "a leaving runner is known within the target")
+        fleet.entries[2].end(10)
+        self.assertEqual(fleet.entries[2].popen.returncode, 0)
+        self.wait_for("ibispaddle_instances_live", 2, entries=fleet.entries[:2])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/peers/test_observation.py
+++ b/tests/peers/test_observation.py
@@ -3,9 +3,9 @@
 import json
 import unittest
 
-from ibispaddle_core.gossip import RunnerReport
+from ibispaddle_core.gossip import ListSeen, RunnerReport
 from ibispaddle_core.membership import ListedState, MembershipView, MemberState
-from ibispaddle_daemon.events import CallFailure, HttpCallError, call_completed
+from ibispaddle_daemon.events import CallFailure, HttpCallError, call_completed, peer_received
 from ibispaddle_daemon.instance_list import InstanceListReader
 from ibispaddle_daemon.probes import Probes, expired_handles
 
@@ -82,6 +82,33 @@
         states = {m.entry.id: m.state for m in self.loop.events("members_changed")[-1][0]}
         self.assertEqual(states["r2"], MemberState.FORGOTTEN)
 
+    def test_instances_of_a_data_centre_take_turns(self):
+        """Guard against list readings that grow with the square of the fleet."""
+        names = [instance(f"i{n}") for n in range(1, 10)]
+        self.answer = (200, encoded(2, instance("a"), runner("r1"), runner("r2"), *names), None)
+        self.loop.run_for(1_000)
+        before = len(self.http.calls)
+        for now_ms in range(0, 45_000, 1_000):
+            for entry in names:
+                self.view.observe_heartbeat(entry.id, 1, now_ms, False, self.loop.clock.now_ms())
+            self.loop.run_for(1_000)
+        self.assertAlmostEqual(len(self.http.calls) - before, 9, delta=1)
+
+    def test_news_of_a_version_is_passed_on_and_followed(self):
+        """Guard against an instance that waits for its turn while a runner leaves."""
+        self.answer = (200, encoded(2, instance("a"), instance("b"), runner("r1")), None)
+        self.loop.run_for(1_000)
+        self.view.observe_heartbeat("b", 1, 1, False, self.loop.clock.now_ms())
+        self.answer = (200, encoded(3, instance("a"), instance("b")), None)
+        self.loop.fire(peer_received("b", ListSeen(3)), "*")
+        self.loop.run_for(210)
+        self.assertEqual(self.view.version, 3)
+        self.assertIn(("b", ListSeen(3)), self.loop.events("peer_send"))
+        before = len(self.http.calls)
+        self.loop.fire(peer_received("b", ListSeen(3)), "*")
+        self.loop.run_for(10)
+        self.assertEqual(len(self.http.calls), before)
+
     def test_silent_list_is_asked_again_only_after_the_answer(self):
         """Guard against calls that pile up at a slow list."""
         self.answer = None
