Generated the metrics reference from an instance's registry

Cause: the page written by hand fell behind when gauges were added. 'make docs' writes all generated pages.

--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,7 @@
 docs: install
 	$(BIN)/ibispaddle reference settings > docs/ref/settings.md
 	$(BIN)/ibispaddle reference log-events > docs/ref/log-events.md
+	$(BIN)/python -m ibispaddle_daemon.reference > docs/ref/metrics.md
 
 check: install
 	$(BIN)/black --check --quiet $(SOURCES)
