Added the commands that change and follow the configuration

Commands: config apply, config wait, config history, instances. A change keeps its id while its outcome is unknown.

--- a/packages/client/src/ibispaddle_client/__main__.py
+++ b/packages/client/src/ibispaddle_client/__main__.py
@@ -4,7 +4,17 @@
 
 import typer
 
-from .commands import check, config_diff, config_show, reference, schema
+from .commands import (
+    check,
+    config_apply,
+    config_diff,
+    config_history,
+    config_show,
+    config_wait,
+    instances,
+    reference,
+    schema,
+)
 from .exceptions import ClientError, ExitStatus
 
 app = typer.Typer(
@@ -21,6 +31,10 @@
 app.command("reference", hidden=True)(reference.command)
 config_app.command("show")(config_show.command)
 config_app.command("diff")(config_diff.command)
+config_app.command("apply")(config_apply.command)
+config_app.command("history")(config_history.command)
+config_app.command("wait")(config_wait.command)
+app.command("instances")(instances.command)
 
 
 def main() -> None:
--- a/packages/client/src/ibispaddle_client/exceptions.py
+++ b/packages/client/src/ibispaddle_client/exceptions.py
@@ -11,7 +11,7 @@
     USAGE = 2
     UNREACHABLE = 3
     CONFLICT = 4  # Another operator's change came first.
-    TIMEOUT = 5  # A change is accepted but not yet in force everywhere.
+    TIMEOUT = 5  # A change's outcome is unknown, or it is not yet in force everywhere.
 
 
 class ClientError(Exception):
--- /dev/null
+++ b/tests/client/test_online_commands.py
@@ -0,0 +1,85 @@
+"""Tests of the commands that talk to an instance."""
+
+import pathlib
+import tempfile
+import unittest
+
+from ibispaddle_client.__main__ import app
+from ibispaddle_client.exceptions import ConflictError, UnreachableError, WaitTimeoutError
+from typer.testing import CliRunner
+
+from .fakes import FakeInstance
+
+ACCEPTED = (200, {"change_id": "x", "revision": 7, "warnings": []})
+UNDETERMINED = (504, {"error": {"code": "undetermined", "message": "not known yet"}})
+CURRENT = (200, {"revision": 4})
+
+
+def instances(*revisions):
+    return 200, {
+        "instances": [{"id": f"i{n}", "revision": r, "as_of": r} for n, r in enumerate(revisions)]
+    }
+
+
+class OnlineCommandTest(unittest.TestCase):
+    def start(self, answers):
+        fake = FakeInstance(answers)
+        self.addCleanup(fake.close)
+        return fake
+
+    def invoke(self, fake, *args):
+        env = {"IBISPADDLE_SERVER": fake.url, "IBISPADDLE_KEY": "operator-key"}
+        return CliRunner(env=env).invoke(app, list(args))
+
+    def document(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        path = pathlib.Path(folder.name) / "base.json"
+        path.write_text("{}")
+        return str(path)
+
+    def test_unknown_outcome_is_resolved_with_the_same_change_id(self):
+        """Guard against a change that is applied twice after a lost answer."""
+        fake = self.start(
+            {"GET /operator/config": [CURRENT], "POST /operator/config": [UNDETERMINED, ACCEPTED]}
+        )
+        outcome = self.invoke(fake, "config", "apply", self.document())
+        self.assertIn("revision 7 is accepted", outcome.output)
+        self.assertEqual(len(fake.bodies), 2)
+        self.assertEqual(len({body["change_id"] for body in fake.bodies}), 1)
+        self.assertEqual(fake.bodies[0]["expected_revision"], 4)
+
+    def test_conflict_names_the_winning_change(self):
+        """Guard against an operator who does not learn whose change came first."""
+        winner = {"change_id": "other", "layer": "base", "author": "berg"}
+        conflict = (409, {"error": {"code": "conflict", "message": "m"}, "winner": winner})
+        fake = self.start({"POST /operator/config": [conflict]})
+        outcome = self.invoke(fake, "config", "apply", self.document(), "--expected-revision", "3")
+        self.assertIsInstance(outcome.exception, ConflictError)
+        self.assertIn("'berg'", str(outcome.exception))
+
+    def test_wait_ends_when_all_instances_have_the_revision(self):
+        """Guard against a report of success while an instance still lags."""
+        fake = self.start({"GET /operator/instances": [instances(7, 4), instances(7, 7)]})
+        outcome = self.invoke(fake, "config", "wait", "7")
+        self.assertEqual(outcome.exit_code, 0)
+        self.assertIn("i1", outcome.output)
+
+    def test_wait_names_the_instances_that_lag(self):
+        """Guard against an operator who cannot find the instance that lags."""
+        fake = self.start({"GET /operator/instances": [instances(7, 4)]})
+        outcome = self.invoke(fake, "config", "wait", "7", "--timeout", "0.2")
+        self.assertIsInstance(outcome.exception, WaitTimeoutError)
+        self.assertIn("i1", str(outcome.exception))
+        self.assertNotIn("i0", str(outcome.exception))
+
+    def test_unreachable_instance_is_an_error_of_its_own(self):
+        """Guard against a script that takes a network error for a refusal."""
+        fake = self.start({})
+        fake.close()
+        outcome = self.invoke(fake, "instances")
+        self.assertIsInstance(outcome.exception, UnreachableError)
+
+
+if __name__ == "__main__":
+    unittest.main()
