Added tests of deadlines under failure with real processes

Cause: nothing showed with real processes that every admitted request ends in its allotted time.

Change: tests with a frozen, stopped and killed engine before and after the first token, a caller that reads nothing or little, an instance that is stopped beyond the deadline, a platform that is gone or slow, and a frozen service. A caller measures the time; the bound is the allotted time plus 0.5 s for the scheduling of the processes.

--- /dev/null
+++ b/tests/failures/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what must hold under failure, with real processes."""
--- /dev/null
+++ b/tests/failures/support.py
@@ -0,0 +1,305 @@
+"""Callers and fleets for tests under failure.
+
+Bounds are wall-clock times as a caller sees them. `MARGIN_S` covers the scheduling of the processes
+on a busy machine; no mechanism under test may rely on it.
+"""
+
+import contextlib
+import http.client
+import json
+import threading
+import time
+import unittest
+from collections.abc import Callable
+from typing import Any
+
+from ibispaddle_bench.fleet import MODEL, SERVICE, WORKSPACE_KEYS, Fleet, FleetSpec
+from ibispaddle_bench.processes import ManagedProcess, call_json
+from ibispaddle_standins.answers import prompt_hash, token_text
+
+MARGIN_S = 0.5
+KEY = WORKSPACE_KEYS["large"]
+PROMPT = "Draft a motif with lilies."
+# Short intervals bound the duration of the tests; the mechanisms do not depend on them.
+FAST_SETTINGS = {"list_poll_interval_ms": 200, "probe_interval_ms": 200}
+
+
+def wait_until(condition: Callable[[], object], text: str, timeout_s: float = 10.0) -> float:
+    """Return the seconds until the condition held; fail at the time limit."""
+    started = time.monotonic()
+    while not condition():
+        if time.monotonic() - started > timeout_s:
+            raise AssertionError(f"{text}: not within {timeout_s} s")
+        time.sleep(0.01)
+    return time.monotonic() - started
+
+
+def expected_text(prompt: str, tokens: int) -> str:
+    """Return the answer of an engine to a prompt."""
+    hashed = prompt_hash(prompt)
+    return "".join(token_text(hashed, index) for index in range(tokens))
+
+
+def long_prompt(name: str, tokens: int) -> str:
+    """Return a prompt that counts for so many tokens and differs between names."""
+    return (f"{name} " * (4 * tokens))[: 4 * tokens]
+
+
+class Call(threading.Thread):
+    """A request for a model from a caller of its own, with everything that the caller receives.
+
+    `seconds` is the time from sending to the end of the answer. `broken` tells why an answer ended
+    without its regular end.
+    """
+
+    def __init__(
+        self,
+        entry: ManagedProcess,
+        prompt: str = PROMPT,
+        tokens: int = 8,
+        timeout_ms: int = 5_000,
+        stream: bool = True,
+    ) -> None:
+        super().__init__(daemon=True)
+        self.prompt, self.tokens, self.timeout_ms, self.stream = prompt, tokens, timeout_ms, stream
+        self.status = 0
+        self.headers: dict[str, str] = {}
+        self.parts: list[str] = []
+        self.error: dict[str, Any] = {}
+        self.is_done = False
+        self.broken = ""
+        self.seconds = 0.0
+        self._conn = http.client.HTTPConnection("127.0.0.1", entry.port, timeout=60)
+        self.start()
+
+    def run(self) -> None:
+        started = time.monotonic()
+        try:
+            self._exchange()
+        except (OSError, http.client.HTTPException, AttributeError, ValueError) as exc:
+            # Closing the connection from another thread shows as an attribute or value error.
+            self.broken = repr(exc)
+        finally:
+            self.seconds = time.monotonic() - started
+            self._conn.close()
+
+    def _exchange(self) -> None:
+        body = {
+            "model": MODEL,
+            "messages": [{"role": "user", "content": self.prompt}],
+            "max_tokens": self.tokens,
+            "stream": self.stream,
+        }
+        headers = {
+            "Authorization": f"Bearer {KEY}",
+            "Content-Type": "application/json",
+            "X-Request-Timeout-Ms": str(self.timeout_ms),
+        }
+        self._conn.request("POST", "/v1/chat/completions", json.dumps(body), headers)
+        response = self._conn.getresponse()
+        self.status = response.status
+        self.headers = {name.lower(): value for name, value in response.getheaders()}
+        if response.status != 200:
+            self.error = json.loads(response.read())["error"]
+        elif self.stream:
+            self._read_events(response)
+        else:
+            self.parts = [json.loads(response.read())["choices"][0]["message"]["content"]]
+            self.is_done = True
+
+    def _read_events(self, response: http.client.HTTPResponse) -> None:
+        while line := response.readline():
+            if line.startswith(b"data: [DONE]"):
+                self.is_done = True
+            elif line.startswith(b"data: "):
+                event = json.loads(line[6:])
+                self.error = event.get("error") or self.error
+                for choice in event.get("choices", ()):
+                    self.parts.append(choice["delta"].get("content") or "")
+
+    @property
+    def text(self) -> str:
+        """Return what has arrived of the answer."""
+        return "".join(self.parts)
+
+    @property
+    def run_state(self) -> str:
+        """Return what the caller was told about the run of a request that failed."""
+        return self.error.get("run_state", "")
+
+    def leave(self) -> None:
+        """Close the caller's connection."""
+        with contextlib.suppress(OSError, AttributeError):
+            self._conn.sock.shutdown(2)
+
+    def wait_for_tokens(self, count: int = 1) -> "Call":
+        """Return when so many tokens have arrived."""
+        wait_until(lambda: len(self.parts) >= count, f"{count} tokens of {self.describe()}")
+        return self
+
+    def ended(self, timeout_s: float = 30.0) -> "Call":
+        """Return the call after its end."""
+        self.join(timeout_s)
+        if self.is_alive():
+            raise AssertionError(f"no end within {timeout_s} s: {self.describe()}")
+        return self
+
+    def describe(self) -> str:
+        """Return what a failed test prints."""
+        return (
+            f"status {self.status}, {len(self.parts)} parts, done {self.is_done},"
+            f" error {self.error}, broken {self.broken!r}, {self.seconds:.3f} s"
+        )
+
+    def fault(self) -> str:
+        """Return what is wrong with the answer as such, or an empty string.
+
+        An answer is either whole with its end mark, or a part from its beginning with an error and
+        no end mark.
+        """
+        if self.broken:
+            return f"the answer broke off: {self.describe()}"
+        expected = expected_text(self.prompt, self.tokens)
+        if not expected.startswith(self.text):
+            return f"the answer is not the own one: {self.text[-80:]!r}; {self.describe()}"
+        if self.is_done:
+            return "" if self.text == expected and not self.error else f"cut: {self.describe()}"
+        return "" if self.error else f"no end mark and no error: {self.describe()}"
+
+    @property
+    def is_whole(self) -> bool:
+        """Return whether the whole answer arrived."""
+        return self.is_done and not self.fault()
+
+
+class ServiceCall(threading.Thread):
+    """A call of a service from a caller of its own."""
+
+    def __init__(
+        self,
+        entry: ManagedProcess,
+        path: str,
+        method: str = "GET",
+        body: bytes = b"",
+        timeout_ms: int = 5_000,
+        key: str = "",
+    ) -> None:
+        super().__init__(daemon=True)
+        self.method, self.path, self.body, self.timeout_ms, self.key = (
+            *(method, path, body, timeout_ms, key),
+        )
+        self.status = 0
+        self.answer: dict[str, Any] = {}
+        self.broken = ""
+        self.seconds = 0.0
+        self._conn = http.client.HTTPConnection("127.0.0.1", entry.port, timeout=60)
+        self.start()
+
+    def run(self) -> None:
+        started = time.monotonic()
+        headers = {
+            "Authorization": f"Bearer {KEY}",
+            "X-Request-Timeout-Ms": str(self.timeout_ms),
+        }
+        if self.key:
+            headers["Idempotency-Key"] = self.key
+        try:
+            target = f"/services/{SERVICE}/{self.path}"
+            self._conn.request(self.method, target, self.body, headers)
+            response = self._conn.getresponse()
+            self.status = response.status
+            self.answer = json.loads(response.read())
+        except (OSError, http.client.HTTPException, ValueError) as exc:
+            self.broken = repr(exc)
+        finally:
+            self.seconds = time.monotonic() - started
+            self._conn.close()
+
+    @property
+    def run_state(self) -> str:
+        """Return what the caller was told about the run of a call that failed."""
+        return self.answer.get("error", {}).get("run_state", "")
+
+    def ended(self, timeout_s: float = 30.0) -> "ServiceCall":
+        """Return the call after its end."""
+        self.join(timeout_s)
+        if self.is_alive():
+            raise AssertionError(f"no end within {timeout_s} s: {self.path}")
+        return self
+
+
+def metric(entry: ManagedProcess, name: str) -> float:
+    """Return the sum of a metric's values at an instance."""
+    conn = http.client.HTTPConnection("127.0.0.1", entry.port, timeout=10)
+    with contextlib.closing(conn):
+        conn.request("GET", "/metrics")
+        lines = conn.getresponse().read().decode().splitlines()
+    return sum(float(line.split()[-1]) for line in lines if line.split("{")[0].split()[0] == name)
+
+
+class FleetTest(unittest.TestCase):
+    """Run tests against a fleet of their class or of their own.
+
+    With `FLEET_PER_TEST` each test has a fresh fleet, which is needed if it ends processes.
+    """
+
+    SPEC = FleetSpec(entries=1, runners=1, services=0, instance_settings=FAST_SETTINGS)
+    FLEET_PER_TEST = False
+    fleet: Fleet
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        if not cls.FLEET_PER_TEST:
+            cls.fleet = cls.enterClassContext(Fleet(cls.SPEC))
+
+    def setUp(self) -> None:
+        if self.FLEET_PER_TEST:
+            self.fleet = self.enterContext(Fleet(self.SPEC))
+        self.addCleanup(self.restore)
+        self.warm_up()
+
+    def restore(self) -> None:
+        """Switch all faults off and let the fleet become idle."""
+        if self.FLEET_PER_TEST:
+            return
+        for process in [*self.fleet.runners, *self.fleet.services, self.fleet.instances]:
+            process.set_faults(**dict.fromkeys(process.state()["faults"]))
+        for runner in self.fleet.runners:
+            wait_until(lambda r=runner: r.state()["running"] == 0, "idle engine")
+
+    @property
+    def entry(self) -> ManagedProcess:
+        """Return the first instance."""
+        return self.fleet.entries[0]
+
+    @property
+    def runner(self) -> ManagedProcess:
+        """Return the first engine."""
+        return self.fleet.runners[0]
+
+    def warm_up(self) -> None:
+        """Return when every instance answers a prompt, which needs a probed engine."""
+        for entry in self.fleet.entries if self.fleet.runners else ():
+            wait_until(lambda e=entry: Call(e, tokens=1).ended().is_whole, "first answer")
+
+    def call(self, **kwargs: Any) -> Call:
+        """Send a request for a model to the first instance."""
+        return Call(self.entry, **kwargs)
+
+    def in_flight(self, entry: ManagedProcess | None = None) -> float:
+        """Return the number of requests that an instance holds."""
+        return metric(entry or self.entry, "ibispaddle_requests_in_flight")
+
+    def handles(self, runner: ManagedProcess) -> dict[str, int]:
+        """Return the handles that hold memory of an engine."""
+        return call_json(f"{runner.url}/kv")["handles"]
+
+    def assert_ends_in_time(self, call: Call | ServiceCall) -> None:
+        """Check that a caller's request ended within its allotted time."""
+        call.ended()
+        limit_s = call.timeout_ms / 1000 + MARGIN_S
+        self.assertLessEqual(call.seconds, limit_s, getattr(call, "describe", str)())
+
+    def assert_no_fault(self, call: Call) -> None:
+        """Check that an answer is the own one: whole, or cut and marked as such."""
+        self.assertEqual(call.ended().fault(), "")
--- /dev/null
+++ b/tests/failures/test_deadlines.py
@@ -0,0 +1,249 @@
+"""Every admitted request ends in its allotted time, whatever stops answering."""
+
+import json
+import signal
+import socket
+import time
+from dataclasses import replace
+
+from ibispaddle_bench.fleet import MODEL
+
+from .support import (
+    KEY,
+    MARGIN_S,
+    PROMPT,
+    FleetTest,
+    ServiceCall,
+    long_prompt,
+    metric,
+    wait_until,
+)
+
+TIMEOUT_MS = 1_200
+# Lets requests pass the admission that would not end before the deadline.
+OPTIMISTIC = {"models": {MODEL: {"decode_tokens_per_s": 1_000_000.0}}}
+LONG_TOKENS = 100_000
+
+
+class SilentEngineTest(FleetTest):
+    """The engine keeps its connections open and sends nothing."""
+
+    SPEC = replace(FleetTest.SPEC, configuration=OPTIMISTIC, time_scale=5.0)
+
+    def check_silence_before_the_first_token(self) -> None:
+        calls = [self.call(timeout_ms=TIMEOUT_MS, stream=stream) for stream in (True, False)]
+        for call in calls:
+            self.assert_ends_in_time(call)
+            self.assertEqual((call.status, call.run_state), (504, "unknown"), call.describe())
+        self.assertEqual(self.in_flight(), 0)
+
+    def check_silence_after_the_first_token(self, silence) -> None:
+        call = self.call(tokens=LONG_TOKENS, timeout_ms=TIMEOUT_MS).wait_for_tokens(3)
+        silence()
+        self.assert_ends_in_time(call)
+        self.assert_no_fault(call)
+        self.assertEqual((call.error.get("code"), call.is_done), ("deadline", False))
+        self.assertEqual(self.in_flight(), 0)
+
+    def test_frozen_before_the_first_token(self):
+        """Guard against a request that waits for an engine that accepts and never answers."""
+        self.runner.set_faults(freeze=True)
+        self.check_silence_before_the_first_token()
+
+    def test_frozen_after_the_first_token(self):
+        """Guard against a stream that waits for an engine that froze in its middle."""
+        self.check_silence_after_the_first_token(lambda: self.runner.set_faults(freeze=True))
+
+    def test_stopped_before_the_first_token(self):
+        """Guard against a request that waits for an engine whose process is stopped."""
+        self.runner.signal(signal.SIGSTOP)
+        self.addCleanup(self.runner.signal, signal.SIGCONT)
+        self.check_silence_before_the_first_token()
+
+    def test_stopped_after_the_first_token(self):
+        """Guard against a stream that waits for an engine whose process is stopped."""
+        self.addCleanup(self.runner.signal, signal.SIGCONT)
+        self.check_silence_after_the_first_token(lambda: self.runner.signal(signal.SIGSTOP))
+
+
+class KilledEngineTest(FleetTest):
+    """The engine's process ends without closing anything in its protocol."""
+
+    SPEC = replace(FleetTest.SPEC, configuration=OPTIMISTIC)
+    FLEET_PER_TEST = True
+
+    def test_killed_before_the_first_token(self):
+        """Guard against a request that waits for an engine that is gone."""
+        self.runner.set_faults(freeze="tokens")
+        call = self.call(timeout_ms=2_000)
+        wait_until(lambda: self.runner.state()["running"] + self.runner.state()["waiting"], "run")
+        self.runner.kill()
+        self.assert_ends_in_time(call)
+        self.assertEqual(call.run_state, "unknown", call.describe())
+        self.assertEqual(self.in_flight(), 0)
+
+    def test_killed_after_the_first_token(self):
+        """Guard against a stream that waits for an engine that is gone."""
+        call = self.call(tokens=LONG_TOKENS, timeout_ms=2_000).wait_for_tokens(3)
+        self.runner.kill()
+        self.assert_ends_in_time(call)
+        self.assert_no_fault(call)
+        self.assertFalse(call.is_done)
+        self.assertEqual(self.in_flight(), 0)
+
+
+class SlowCallerTest(FleetTest):
+    """The caller does not read, or reads less than the engine generates."""
+
+    SPEC = replace(FleetTest.SPEC, configuration=OPTIMISTIC, time_scale=500.0)
+    TOKENS = 300_000  # About 60 MB of events: far more than all socket buffers hold.
+
+    def send(self, timeout_ms: int) -> socket.socket:
+        """Send a request on a connection with a small receive buffer."""
+        sock = self.enterContext(socket.socket())
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        sock.connect(("127.0.0.1", self.entry.port))
+        body = json.dumps(
+            {
+                "model": MODEL,
+                "messages": [{"role": "user", "content": PROMPT}],
+                "max_tokens": self.TOKENS,
+                "stream": True,
+            }
+        )
+        head = (
+            f"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {KEY}\r\n"
+            f"X-Request-Timeout-Ms: {timeout_ms}\r\nContent-Length: {len(body)}\r\n\r\n"
+        )
+        sock.sendall((head + body).encode())
+        wait_until(lambda: self.in_flight() == 1, "admitted request", 0.5)
+        return sock
+
+    def check_end(self) -> None:
+        self.assertEqual(self.in_flight(), 0)
+        wait_until(lambda: self.runner.state()["running"] == 0, "idle engine", 1.0)
+
+    def test_caller_that_reads_nothing(self):
+        """Guard against a caller that holds an engine and the instance by not reading."""
+        before = self.runner.state()["tokens_generated"]
+        started = time.monotonic()
+        self.send(2_000)
+        wait_until(lambda: self.in_flight() == 0, "end of the request")
+        self.assertLessEqual(time.monotonic() - started, 2.0 + MARGIN_S)
+        self.assertGreater(time.monotonic() - started, 1.5, "the answer ended by itself")
+        self.assertGreater(self.runner.state()["tokens_generated"], before + 100)
+        self.check_end()
+
+    def test_caller_that_reads_a_little(self):
+        """Guard against a slow but steady caller whose stream outlives its deadline."""
+        started = time.monotonic()
+        sock = self.send(1_500)
+        received = 0
+        while self.in_flight():
+            received += len(sock.recv(1_000))
+            time.sleep(0.02)
+            self.assertLessEqual(time.monotonic() - started, 1.5 + MARGIN_S)
+        self.assertGreater(time.monotonic() - started, 1.2, "the answer ended by itself")
+        self.assertGreater(received, 10_000)
+        self.check_end()
+
+
+class StoppedInstanceTest(FleetTest):
+    """The instance itself is stopped beyond the deadline and continued."""
+
+    SPEC = replace(FleetTest.SPEC, configuration=OPTIMISTIC)
+
+    def test_stopped_during_a_stream(self):
+        """Guard against a timer that does not fire after a pause of the process."""
+        calls = [
+            self.call(tokens=LONG_TOKENS, timeout_ms=1_000, prompt="a").wait_for_tokens(),
+            self.call(tokens=LONG_TOKENS, timeout_ms=1_000, prompt="b", stream=False),
+        ]
+        wait_until(lambda: self.in_flight() == 2, "requests")
+        self.entry.signal(signal.SIGSTOP)
+        time.sleep(1.5)
+        self.entry.signal(signal.SIGCONT)
+        continued = time.monotonic()
+        for call in calls:
+            call.ended()
+            self.assertLessEqual(time.monotonic() - continued, MARGIN_S)
+            self.assert_no_fault(call)
+            self.assertEqual((call.error.get("code"), call.is_done), ("deadline", False))
+        wait_until(lambda: self.runner.state()["running"] == 0, "idle engine", 1.0)
+
+
+class StoppedWhileQueuedTest(FleetTest):
+    SPEC = replace(FleetTest.SPEC, runners=2, kv_tokens=2_000, configuration=OPTIMISTIC)
+
+    def test_queued_request_is_not_sent_after_its_deadline(self):
+        """Guard against work that a continued instance sends for a caller that was given up."""
+        for runner in self.fleet.runners:
+            runner.set_faults(reject_reservations=True)
+        accepted = [runner.state()["accepted"] for runner in self.fleet.runners]
+        call = self.call(prompt=long_prompt("veil", 2_500), timeout_ms=1_000)
+        wait_until(lambda: self.in_flight() == 1, "admitted request")
+        self.entry.signal(signal.SIGSTOP)
+        time.sleep(1.2)
+        for runner in self.fleet.runners:
+            runner.set_faults(reject_reservations=None)
+        self.entry.signal(signal.SIGCONT)
+        call.ended()
+        self.assertLessEqual(call.seconds, 1.2 + MARGIN_S)
+        self.assertEqual((call.status, call.run_state), (504, "not_run"), call.describe())
+        time.sleep(0.3)  # Whatever was sent has arrived by now.
+        self.assertEqual([r.state()["accepted"] for r in self.fleet.runners], accepted)
+        for runner in self.fleet.runners:
+            wait_until(lambda r=runner: not self.handles(r), "freed handles", 3.0)
+
+
+class PlatformOutageTest(FleetTest):
+    """Log and instance list are gone."""
+
+    SPEC = replace(FleetTest.SPEC, configuration=OPTIMISTIC, services=1)
+    FLEET_PER_TEST = True
+
+    def test_requests_end_without_log_and_list(self):
+        """Guard against requests that wait for the platform."""
+        self.fleet.log.kill()
+        self.fleet.instances.kill()
+        for number in range(5):
+            call = self.call(prompt=f"{number}", timeout_ms=TIMEOUT_MS)
+            self.assert_ends_in_time(call)
+            self.assertTrue(call.is_whole, call.describe())
+        read = ServiceCall(self.entry, "orders/1", timeout_ms=TIMEOUT_MS)
+        self.assert_ends_in_time(read)
+        self.assertEqual(read.status, 200)
+        key = f"{int(time.time() * 1000)}-deposit"
+        deposit = ServiceCall(self.entry, "deposits", "POST", b"{}", timeout_ms=TIMEOUT_MS, key=key)
+        self.assert_ends_in_time(deposit)
+        self.assertEqual((deposit.status >= 500, deposit.run_state), (True, "not_run"))
+        self.assertEqual(self.fleet.services[0].state()["total_runs"], 1)
+        self.runner.set_faults(freeze=True)
+        call = self.call(timeout_ms=TIMEOUT_MS)
+        self.assert_ends_in_time(call)
+        self.assertEqual(call.run_state, "unknown", call.describe())
+
+    def test_slow_platform(self):
+        """Guard against requests that are held up by slow answers of the platform."""
+        self.fleet.log.set_faults(slow_ms=5_000)
+        self.fleet.instances.set_faults(delay_ms=5_000)
+        # Longer than the time limit for a reading of the list.
+        ends = time.monotonic() + 2.8
+        while time.monotonic() < ends:
+            call = self.call(timeout_ms=TIMEOUT_MS)
+            self.assert_ends_in_time(call)
+            self.assertTrue(call.is_whole, call.describe())
+            time.sleep(0.2)
+
+
+class SilentServiceTest(FleetTest):
+    SPEC = replace(FleetTest.SPEC, runners=0, services=1)
+
+    def test_frozen_service(self):
+        """Guard against a call that waits for a service that accepts and never answers."""
+        self.fleet.services[0].set_faults(freeze=True)
+        calls = [ServiceCall(self.entry, f"orders/{n}", timeout_ms=700) for n in range(5)]
+        for call in calls:
+            self.assert_ends_in_time(call)
+            self.assertEqual((call.status, call.run_state), (504, "unknown"))
+        self.assertEqual(metric(self.entry, "ibispaddle_upstream_calls"), 0)
