--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -67,8 +67,6 @@
 # While a neighbour is backlogged, one whose consumption per weight is higher by more than this
 # part gets only capacity that is idle.
 SHARE_SLACK = 0.02
-# Engine priority of work beyond the share.
-SPARE_PRIORITY = 9
 
 
 class Scheduler:
@@ -264,7 +262,7 @@
         choice = self.placement.choose(req, state.tried, spare_only, self.runners, now_ms)
         if choice is None:
             return None
-        return [self._dispatch(state, choice, (), spare_only, now_ms)]
+        return [self._dispatch(state, choice, (), now_ms)]
 
     def _begin_large(self, state: RequestState, now_ms: int) -> list[Decision] | None:
         if self._large.reserving:
@@ -294,18 +292,12 @@
         ttft_ms = tokens / views[0].prefill_rate
         choice = Choice(views[0], 0.0, ttft_ms, tokens)
         handles = self._large.handles(event.request_id)
-        return [*decisions, self._dispatch(state, choice, handles, False, now_ms)]
+        return [*decisions, self._dispatch(state, choice, handles, now_ms)]
 
     def _dispatch(
-        self,
-        state: RequestState,
-        choice: Choice,
-        handles: tuple[str, ...],
-        spare: bool,
-        now_ms: int,
+        self, state: RequestState, choice: Choice, handles: tuple[str, ...], now_ms: int
     ) -> Decision:
         req = state.req
-        priority = SPARE_PRIORITY if spare else self.placement.priority(req)
         self._dequeue(state)
         self._claims.remove(req.request_id)
         if state.attempts == 0:
@@ -324,7 +316,7 @@
         for member in group:
             self.runners.views[member].sent[req.request_id] = SentWork(
                 state.prompt_class,
-                priority,
+                self.placement.priority(req),
                 choice.prefill_tokens,
                 0 if handles else self.cost.kv_tokens(req),
                 now_ms,
@@ -333,7 +325,7 @@
         self.shares.charge(req.neighbour, state.charged_ms, now_ms)
         self._admission.dispatched.count(self._lane(state), state.cost_ms, now_ms)
         self._prefixes.record(req, upstream_id)
-        return Dispatch(req.request_id, upstream_id, priority, handles)
+        return Dispatch(req.request_id, upstream_id, self.placement.priority(req), handles)
 
     def _first_token(self, request_id: str) -> None:
         state = self._states.get(request_id)
