--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -210,6 +210,9 @@
             req = state.req
             self.queue.remove(self._lane(state), req.neighbour, req.request_id, state.cost_ms)
             state.queued = False
+        elif state.reserving:
+            self.queue.release(state.req.neighbour)
+            state.reserving = False
 
     def _pump(self, now_ms: int) -> list[Decision]:
         """Dispatch waiting requests, the neighbour with the lowest consumption first."""
@@ -275,7 +278,9 @@
         starts = range(len(live) - segments + 1)
         free = [min(view.kv_free() for view in live[s : s + segments]) for s in starts]
         start = max(starts, key=lambda s: (free[s], -s))
-        self._dequeue(state)
+        req = state.req
+        self.queue.take(self._lane(state), req.neighbour, req.request_id, state.cost_ms)
+        state.queued, state.reserving = False, True
         group = live[start : start + segments]
         self._large.begin(state, group, tokens, now_ms)
         return []
@@ -402,6 +407,7 @@
             if state.upstream_id is None:
                 decisions += self._large.release(request_id)
                 self._claims.remove(request_id)
+                self._dequeue(state)
                 if self.queue.is_full(state.req.neighbour):
                     decisions += self._refuse(state, RefusalReason.NO_UPSTREAM, 1_000)
                 else:
--- a/packages/core/src/ibispaddle_core/scheduling/requests.py
+++ b/packages/core/src/ibispaddle_core/scheduling/requests.py
@@ -22,6 +22,7 @@
     first_token_due_ms: int = 0
     may_have_run: bool = False  # A past attempt ended without proof that nothing ran.
     queued: bool = False
+    reserving: bool = False  # Waits for memory; keeps its place in the neighbour's bound.
     charged_ms: float = 0.0  # Charged for the attempt in flight.
     tokens: int = 0
 
--- a/tests/scheduling/test_scheduler.py
+++ b/tests/scheduling/test_scheduler.py
@@ -188,3 +188,16 @@
         sched.handle(CallerLeft("a"), 1)
         late = sched.handle(ReservationAnswered("a", reserve.upstream_id, reserve.handle, True), 2)
         self.assertEqual(late, [FreeMemory(reserve.upstream_id, reserve.handle)])
+
+    def test_long_wait_claims_memory_until_the_request_ends(self):
+        """Guard against claims that keep memory from others after their request ended."""
+        sched = fakes.scheduler()
+        req = fakes.request("a", prompt_tokens=600_000, deadline_ms=100_000)
+        (reserve,) = sched.handle(RequestArrived(req), 0)
+        refused = ReservationAnswered("a", reserve.upstream_id, reserve.handle, False)
+        sched.handle(refused, 1)
+        self.assertEqual(sched.claims(), {})
+        sched.handle(Tick(), 31_000)
+        self.assertIn(reserve.upstream_id, sched.claims())
+        sched.handle(CallerLeft("a"), 31_001)
+        self.assertEqual(sched.claims(), {})
