--- a/packages/core/src/ibispaddle_core/scheduling/homes.py
+++ b/packages/core/src/ibispaddle_core/scheduling/homes.py
@@ -7,8 +7,9 @@
 
 from .runners import RunnerView
 
-# A peer that was not heard of for this long has no homes; gossip arrives about twice a second.
-PEER_EXPIRY_MS = 10_000
+# A peer that was not heard of for this long has no homes. Gossip among 390 instances takes seconds,
+# and the runners of a dead instance are still borrowed until then.
+PEER_EXPIRY_MS = 30_000
 REFRESH_MS = 1_000
 # Each instance's homes are lent to one other instance at a time. A turn is longer than a load
 # report needs to arrive, so that the borrower sees what the one before it sent.
--- a/packages/core/src/ibispaddle_core/scheduling/placement.py
+++ b/packages/core/src/ibispaddle_core/scheduling/placement.py
@@ -99,6 +99,8 @@
         """Return the choice, or None while every runner is too busy or has too little memory."""
         views = runners.live(req.model)
         homes = self._homes.select(views)
+        if len(homes) > MAX_CANDIDATES:
+            homes = self._rng.sample(homes, MAX_CANDIDATES)
         if spare_only:
             homes = [view for view in homes if view.idle]
         choices = self._choices(req, homes, tried, now_ms)
@@ -136,7 +138,7 @@
             if len(views) > MAX_CANDIDATES:
                 return self._rng.sample(views, MAX_CANDIDATES)
             return views
-        borrowed = self._homes.borrowed(views, now_ms)
+        borrowed = self._homes.borrowed(views, now_ms)[:MAX_CANDIDATES]
         if self._cost.prompt_class(req) < PromptClass.LONG:
             return borrowed
         # A report from before the turn may not show what the previous borrower sent.
