Bounded the wait estimate of rarely used lanes and split the base module

Cause: two long prompts in three runs at 80% load were refused at arrival, because no long prompt had started in the last 5 s and the measured rate of their lane was near zero. Change: a lane is taken to get at least a quarter of the instance's part of the runners; the order of waiting requests moved to backlog.py.

--- a/packages/core/src/ibispaddle_core/scheduling/admission.py
+++ b/packages/core/src/ibispaddle_core/scheduling/admission.py
@@ -4,6 +4,7 @@
 
 from ..shares import ShareCounters
 from .cost import CostModel
+from .homes import Homes
 from .messages import RefusalReason, Request
 from .queue import FairQueue, Lane
 from .runners import RunnerTable
@@ -12,6 +13,10 @@
 MAX_RETRY_AFTER_MS = 30_000
 # Time constant of the measured dispatch rate of a lane.
 RATE_WINDOW_MS = 5_000.0
+# Engine time per millisecond and own runner that a lane is taken to get at least. The measured rate
+# of the few long prompts is often zero just because none started in the window.
+MIN_RATE = 0.25
+MAX_WAIT_MS = 600_000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,12 +47,18 @@
     """Decide whether a request may enter the queue."""
 
     def __init__(
-        self, cost: CostModel, queue: FairQueue, shares: ShareCounters, runners: RunnerTable
+        self,
+        cost: CostModel,
+        queue: FairQueue,
+        shares: ShareCounters,
+        runners: RunnerTable,
+        homes: Homes,
     ) -> None:
         self._cost = cost
         self._queue = queue
         self._shares = shares
         self._runners = runners
+        self._homes = homes
         self.dispatched = DispatchRate()
 
     def check(self, req: Request, lane: Lane, now_ms: int) -> Verdict | None:
@@ -76,10 +87,11 @@
         ahead = self._queue.cost_ms(lane, neighbour)
         if ahead <= 0:
             return 0.0
-        rate = self.dispatched.rate(lane, now_ms)
+        part = self._homes.part(self._runners.live(lane[1]))
+        rate = max(self.dispatched.rate(lane, now_ms), MIN_RATE * part)
         total = sum(self._shares.weight(name) for name in self._queue.neighbours(lane))
         share = self._shares.weight(neighbour) / total
-        return min(ahead / (rate * share), 600_000.0) if rate > 0 else 0.0
+        return min(ahead / (rate * share), MAX_WAIT_MS) if rate > 0 else 0.0
 
     @staticmethod
     def retry_after_ms(wait_ms: float) -> int:
--- /dev/null
+++ b/packages/core/src/ibispaddle_core/scheduling/backlog.py
@@ -0,0 +1,94 @@
+"""Waiting requests and the order in which they are tried."""
+
+from collections.abc import Iterator
+from itertools import islice
+
+from ..shares import ShareCounters
+from .cost import CostModel, PromptClass
+from .queue import FairQueue, Lane
+from .requests import RequestState
+
+# Requests of one lane that are looked at in one pass when the first ones find no runner.
+MAX_BLOCKED_PER_LANE = 2
+# Long prompts of one neighbour that are looked at: one that waits for memory must not hold up
+# smaller ones.
+BLOCKED_DEPTH = 4
+# Wait, in multiples of the own time to first token, after which a long prompt is as urgent as one
+# that has just arrived with no length.
+STRETCH = 2.0
+# A neighbour with a request that waits longer than this is backlogged. Long prompts wait for memory
+# even at moderate load; counted earlier, they would stop the short prompts of all others.
+BACKLOG_MS = {
+    PromptClass.SHORT: 1_000,
+    PromptClass.MEDIUM: 2_000,
+    PromptClass.LONG: 20_000,
+    PromptClass.SPANNING: 60_000,
+}
+# While a neighbour is backlogged, one whose consumption per weight is higher by more than this
+# part gets only capacity that is idle.
+SHARE_SLACK = 0.02
+
+
+class Backlog:
+    """Put waiting requests into lanes and yield them by share of their neighbour."""
+
+    def __init__(self, queue: FairQueue, shares: ShareCounters, cost: CostModel) -> None:
+        self._queue = queue
+        self._shares = shares
+        self._cost = cost
+        self._states: dict[str, RequestState] = {}
+
+    @staticmethod
+    def lane(state: RequestState) -> Lane:
+        """Return the lane of a request."""
+        return state.prompt_class, state.req.model
+
+    def add(self, state: RequestState) -> None:
+        """Add a request or, for a retry, add it again with its first rank."""
+        req = state.req
+        # Long prompts are served in the order in which each reaches a multiple of its own time, so
+        # a shorter one passes a longer one, and every one moves up while it waits.
+        rank = float(req.arrived_ms)
+        if state.prompt_class >= PromptClass.LONG:
+            rank += STRETCH * self._cost.alone_ms(req)
+        self._queue.add(self.lane(state), req.neighbour, req.request_id, state.cost_ms, rank)
+        self._states[req.request_id] = state
+        state.queued = True
+
+    def remove(self, state: RequestState) -> None:
+        """Remove a request and give back its place in the bound, if it has one."""
+        req = state.req
+        if state.queued:
+            del self._states[req.request_id]
+            self._queue.remove(self.lane(state), req.neighbour, req.request_id, state.cost_ms)
+        elif state.reserving:
+            self._queue.release(req.neighbour)
+        state.queued = state.reserving = False
+
+    def take(self, state: RequestState) -> None:
+        """Take out a request that begins to reserve memory; it keeps its place in the bound."""
+        req = state.req
+        del self._states[req.request_id]
+        self._queue.take(self.lane(state), req.neighbour, req.request_id, state.cost_ms)
+        state.queued, state.reserving = False, True
+
+    def candidates(self, lane: Lane, floor: float) -> Iterator[tuple[RequestState, bool]]:
+        """Yield requests to try, and whether each may use only idle capacity.
+
+        `floor` is the lowest normalised consumption of a backlogged neighbour.
+        """
+        depth = BLOCKED_DEPTH if lane[0] is PromptClass.LONG else 1
+        heads = self._queue.heads(lane, self._shares.normalised, depth)
+        for neighbour, request_id in islice(heads, depth * MAX_BLOCKED_PER_LANE):
+            spare_only = self._shares.normalised(neighbour) > floor * (1 + SHARE_SLACK)
+            yield self._states[request_id], spare_only
+
+    def floor(self, now_ms: int) -> float:
+        """Return the lowest normalised consumption of a neighbour that has been kept waiting."""
+        waiting = {
+            neighbour
+            for lane in self._queue.lanes()
+            for neighbour, request_id in self._queue.heads(lane, lambda _: 0.0)
+            if self._states[request_id].req.arrived_ms <= now_ms - BACKLOG_MS[lane[0]]
+        }
+        return min(map(self._shares.normalised, waiting), default=float("inf"))
--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -1,7 +1,6 @@
 """The scheduler of one instance: state, event, time and seed in, decisions out."""
 
 import heapq
-from itertools import islice
 from random import Random
 from typing import assert_never
 
@@ -9,6 +8,7 @@
 from ..settings.fleet import FleetConfig
 from ..shares import ShareCounters
 from .admission import Admission
+from .backlog import Backlog
 from .claims import Claims
 from .cost import CostModel, PromptClass
 from .exceptions import DuplicateRequestError
@@ -46,27 +46,6 @@
 
 # How often a blocked lane is looked at again; bounds the work per event under overload.
 QUEUE_POLL_MS = 20
-# Requests of one lane that are looked at in one pass when the first ones find no runner.
-MAX_BLOCKED_PER_LANE = 2
-# Long prompts of one neighbour that are looked at: one that waits for memory must not hold up
-# smaller ones.
-BLOCKED_DEPTH = 4
-# Wait, in multiples of the own time to first token, after which a long prompt is as urgent as one
-# that has just arrived with no length.
-STRETCH = 2.0
-
-
-# A neighbour with a request that waits longer than this is backlogged. Long prompts wait for memory
-# even at moderate load; counted earlier, they would stop the short prompts of all others.
-BACKLOG_MS = {
-    PromptClass.SHORT: 1_000,
-    PromptClass.MEDIUM: 2_000,
-    PromptClass.LONG: 20_000,
-    PromptClass.SPANNING: 60_000,
-}
-# While a neighbour is backlogged, one whose consumption per weight is higher by more than this
-# part gets only capacity that is idle.
-SHARE_SLACK = 0.02
 
 
 class Scheduler:
@@ -85,11 +64,12 @@
         self.cost = CostModel(config)
         self.runners = RunnerTable(self.cost)
         self.queue = FairQueue(self._settings.max_queue_per_neighbour)
-        self._admission = Admission(self.cost, self.queue, self.shares, self.runners)
+        self._backlog = Backlog(self.queue, self.shares, self.cost)
         self._prefixes = PrefixIndex()
         self._rng = Random(f"{seed}/{instance_boot}")
         self._claims = Claims()
         self._homes = Homes(instance_boot, wall_offset_ms)
+        self._admission = Admission(self.cost, self.queue, self.shares, self.runners, self._homes)
         self.placement: Placement = PredictedPlacement(
             self._settings, self.cost, self._prefixes, self._homes, self._claims, self._rng
         )
@@ -189,31 +169,9 @@
         state = RequestState(req, prompt_class, self.cost.engine_ms(req))
         self._states[req.request_id] = state
         heapq.heappush(self._deadlines, (req.deadline_ms, req.request_id))
-        self._enqueue(state)
+        self._backlog.add(state)
         return []
 
-    def _lane(self, state: RequestState) -> Lane:
-        return state.prompt_class, state.req.model
-
-    def _enqueue(self, state: RequestState) -> None:
-        req = state.req
-        # Long prompts are served in the order in which each reaches a multiple of its own time, so
-        # a shorter one passes a longer one, and every one moves up while it waits.
-        rank = req.arrived_ms + STRETCH * self.cost.alone_ms(req)
-        if state.prompt_class < PromptClass.LONG:
-            rank = req.arrived_ms
-        self.queue.add(self._lane(state), req.neighbour, req.request_id, state.cost_ms, rank)
-        state.queued = True
-
-    def _dequeue(self, state: RequestState) -> None:
-        if state.queued:
-            req = state.req
-            self.queue.remove(self._lane(state), req.neighbour, req.request_id, state.cost_ms)
-            state.queued = False
-        elif state.reserving:
-            self.queue.release(state.req.neighbour)
-            state.reserving = False
-
     def _pump(self, now_ms: int) -> list[Decision]:
         """Dispatch waiting requests, the neighbour with the lowest consumption first."""
         decisions: list[Decision] = []
@@ -222,7 +180,7 @@
             if now_ms < self._blocked_until.get(lane, 0):
                 continue
             if floor is None:
-                floor = self._share_floor(now_ms)
+                floor = self._backlog.floor(now_ms)
             while (started := self._pump_lane(lane, floor, now_ms)) is not None:
                 decisions += started
             if self.queue.neighbours(lane):
@@ -231,32 +189,21 @@
 
     def _pump_lane(self, lane: Lane, floor: float, now_ms: int) -> list[Decision] | None:
         """Start one request of the lane, or return None if all that were tried must wait."""
-        depth = BLOCKED_DEPTH if lane[0] is PromptClass.LONG else 1
-        heads = self.queue.heads(lane, self.shares.normalised, depth)
-        for neighbour, request_id in islice(heads, depth * MAX_BLOCKED_PER_LANE):
-            spare_only = self.shares.normalised(neighbour) > floor * (1 + SHARE_SLACK)
-            started = self._start(self._states[request_id], spare_only, now_ms)
+        for state, spare_only in self._backlog.candidates(lane, floor):
+            started = self._start(state, spare_only, now_ms)
             if started is not None:
                 return started
         return None
 
-    def _share_floor(self, now_ms: int) -> float:
-        """Return the lowest normalised consumption of a neighbour that has been kept waiting."""
-        waiting = {
-            neighbour
-            for lane in self.queue.lanes()
-            for neighbour, request_id in self.queue.heads(lane, lambda _: 0.0)
-            if self._states[request_id].req.arrived_ms <= now_ms - BACKLOG_MS[lane[0]]
-        }
-        return min(map(self.shares.normalised, waiting), default=float("inf"))
-
     def _start(self, state: RequestState, spare_only: bool, now_ms: int) -> list[Decision] | None:
         """Dispatch, reserve for or refuse a waiting request; None if it must wait."""
         req = state.req
         if not self.runners.live(req.model):
             return self._refuse(state, RefusalReason.NO_UPSTREAM, 1_000)
         if now_ms + self._admission.service_ms(req) > req.deadline_ms:
-            wait_ms = self._admission.queue_wait_ms(self._lane(state), req.neighbour, now_ms)
+            wait_ms = self._admission.queue_wait_ms(
+                self._backlog.lane(state), req.neighbour, now_ms
+            )
             return self._refuse(
                 state, RefusalReason.DEADLINE, self._admission.retry_after_ms(wait_ms)
             )
@@ -278,9 +225,7 @@
         starts = range(len(live) - segments + 1)
         free = [min(view.kv_free() for view in live[s : s + segments]) for s in starts]
         start = max(starts, key=lambda s: (free[s], -s))
-        req = state.req
-        self.queue.take(self._lane(state), req.neighbour, req.request_id, state.cost_ms)
-        state.queued, state.reserving = False, True
+        self._backlog.take(state)
         group = live[start : start + segments]
         self._large.begin(state, group, tokens, now_ms)
         return []
@@ -303,7 +248,7 @@
         self, state: RequestState, choice: Choice, handles: tuple[str, ...], now_ms: int
     ) -> Decision:
         req = state.req
-        self._dequeue(state)
+        self._backlog.remove(state)
         self._claims.remove(req.request_id)
         if state.attempts == 0:
             self._budget.count_first_attempt(now_ms)
@@ -328,7 +273,7 @@
             )
         state.charged_ms = state.cost_ms
         self.shares.charge(req.neighbour, state.charged_ms, now_ms)
-        self._admission.dispatched.count(self._lane(state), state.cost_ms, now_ms)
+        self._admission.dispatched.count(self._backlog.lane(state), state.cost_ms, now_ms)
         self._prefixes.record(req, upstream_id)
         return Dispatch(req.request_id, upstream_id, self.placement.priority(req), handles)
 
@@ -383,7 +328,7 @@
         )
         if not retry:
             return decisions + self._refuse(state, RefusalReason.UPSTREAM_FAILED, 1_000)
-        self._enqueue(state)
+        self._backlog.add(state)
         return decisions
 
     def _change_upstreams(self, upstreams: tuple[Upstream, ...], now_ms: int) -> list[Decision]:
@@ -407,11 +352,11 @@
             if state.upstream_id is None:
                 decisions += self._large.release(request_id)
                 self._claims.remove(request_id)
-                self._dequeue(state)
+                self._backlog.remove(state)
                 if self.queue.is_full(state.req.neighbour):
                     decisions += self._refuse(state, RefusalReason.NO_UPSTREAM, 1_000)
                 else:
-                    self._enqueue(state)
+                    self._backlog.add(state)
         return decisions
 
     def _expire(self, now_ms: int) -> list[Decision]:
@@ -457,7 +402,7 @@
         return decisions + self._finish(state)
 
     def _finish(self, state: RequestState) -> list[Decision]:
-        self._dequeue(state)
+        self._backlog.remove(state)
         self._claims.remove(state.req.request_id)
         self._forget_attempt(state)
         del self._states[state.req.request_id]
--- a/packages/core/src/ibispaddle_core/scheduling/homes.py
+++ b/packages/core/src/ibispaddle_core/scheduling/homes.py
@@ -34,6 +34,10 @@
         """Return this instance's home runners; empty if there are more instances than runners."""
         return self._block(views, self._instances.index(self._boot))
 
+    def part(self, views: list[RunnerView]) -> float:
+        """Return the number of runners per instance."""
+        return len(views) / len(self._instances)
+
     def borrowed(self, views: list[RunnerView], now_ms: int) -> list[RunnerView]:
         """Return the runners of the instance that lends to this one during the present turn."""
         count = len(self._instances)
