--- a/packages/core/src/ibispaddle_core/scheduling/backlog.py
+++ b/packages/core/src/ibispaddle_core/scheduling/backlog.py
@@ -27,9 +27,6 @@
 # While a neighbour is backlogged, one whose consumption per weight is higher by more than this
 # part gets only capacity that is idle.
 SHARE_SLACK = 0.02
-# Short prompts are held back only at a larger difference: random arrivals alone exceed the smaller
-# one, and a customer is waiting.
-SHORT_SHARE_SLACK = 0.1
 
 
 class Backlog:
@@ -82,9 +79,8 @@
         """
         depth = BLOCKED_DEPTH if lane[0] is PromptClass.LONG else 1
         heads = self._queue.heads(lane, self._shares.normalised, depth)
-        slack = SHORT_SHARE_SLACK if lane[0] is PromptClass.SHORT else SHARE_SLACK
         for neighbour, request_id in islice(heads, depth * MAX_BLOCKED_PER_LANE):
-            spare_only = self._shares.normalised(neighbour) > floor * (1 + slack)
+            spare_only = self._shares.normalised(neighbour) > floor * (1 + SHARE_SLACK)
             yield self._states[request_id], spare_only
 
     def floor(self, now_ms: int) -> float:
