Cancelled the engine's work when a resume was never sent

Cause: after a pause of the instance (SIGSTOP beyond the deadline) the stalled stream was resumed and then abandoned at its deadline before the resume was written; only attempts with a byte written were cancelled, so the engine worked on for its resume window. Ruled out: a late timer (both callers had their answer within 5 ms) and the closed connection (the engine keeps resumable work). Change: an unsent resume also sends the cancel, and is reported as failed, never as not sent.

--- a/packages/daemon/src/ibispaddle_daemon/attempts.py
+++ b/packages/daemon/src/ibispaddle_daemon/attempts.py
@@ -332,7 +332,7 @@
             self._entry.attempt_ended(request, running.upstream_id, end.outcome)
         elif self._can_resume(request, running, end):
             self._resume(request, running)
-        elif running.machine.byte_sent and end.run_state is RunState.UNKNOWN:
+        elif running.is_resumed or end.run_state is RunState.UNKNOWN:
             self._ask_to_stop(running, request)
         else:
             self._entry.attempt_ended(request, running.upstream_id, end.outcome)
@@ -373,13 +373,14 @@
             proved = not running.machine.next_index and _proves_not_run(result)
             if proved:
                 request.unproved_attempts -= 1
-            self._entry.attempt_ended(
-                request,
-                running.upstream_id,
-                Outcome.REJECTED if proved else outcome or Outcome.FAILED,
-            )
+            if proved:
+                outcome = Outcome.REJECTED
+            elif outcome is None or running.is_resumed:
+                outcome = Outcome.FAILED
+            self._entry.attempt_ended(request, running.upstream_id, outcome)
 
-        if running.machine.byte_sent:
+        # A resume that was not sent leaves the work that it was to continue at the engine.
+        if running.machine.byte_sent or running.is_resumed:
             body = msgspec.json.encode({"request_id": running.engine_request_id})
             url = f"{running.base_url}/v1/cancel"
             self._calls.send("POST", url, body, PROOF_TIMEOUT_MS, done)
