Connected services with the claims of idempotency keys

Cause: calls that are not repeatable asked for a claim but did not understand the decision. Change: a won claim sends the call once, before its deadline; a recorded answer is replayed; a refusal reports the run state of the claim; the end of a claimed call is reported as completed, not sent or unknown.

--- a/packages/daemon/src/ibispaddle_daemon/services.py
+++ b/packages/daemon/src/ibispaddle_daemon/services.py
@@ -11,12 +11,33 @@
 from ibispaddle_core import logevents
 from ibispaddle_core.chat import ProtocolError
 from ibispaddle_core.clock import Clock
+from ibispaddle_core.idempotency import (
+    CallCompleted,
+    CallDecision,
+    CallNotSent,
+    CallUnknown,
+    Outcome,
+    Refuse,
+    Replay,
+    Send,
+    scoped_key,
+)
 from ibispaddle_core.membership import Kind, ListedState, ListEntry
 from ibispaddle_core.runstate import RunState
 from ibispaddle_core.settings import FleetConfig, ServiceConfig
 
 from .callers import TIMEOUT_HEADER, Caller, CallerDirectory, read_timeout_ms
-from .events import Headers, HttpCall, HttpCallError, claim_requested, http_call, http_cancel
+from .events import (
+    CallFailure,
+    Headers,
+    HttpCall,
+    HttpCallError,
+    claim_finished,
+    claim_requested,
+    find_header,
+    http_call,
+    http_cancel,
+)
 from .http_exchange import Exchange
 from .logs import log_event
 from .metrics import Metrics
@@ -28,7 +49,23 @@
 MAX_ATTEMPTS = 3
 MAX_KEY_CHARACTERS = 255
 RETRY_AFTER_MS = 1_000
+# The HTTP call of a repeatable request ends this much after its deadline, so that the answer states
+# the deadline. A call that is not repeatable must not be written after its deadline.
 DEADLINE_MARGIN_MS = 250
+# Time after the deadline in which the claims component states what is known about the run.
+CLAIM_MARGIN_MS = 250
+REPLAYED: Headers = (("Idempotency-Replayed", "true"),)
+
+# Status for the reasons of a refused claim; all others mean that a retry may succeed.
+_CLAIM_STATUS = {
+    "key_used_for_another_request": 422,
+    "key_older_than_window": 409,
+    "key_from_the_future": 400,
+    "key_without_creation_time": 400,
+    "outcome_unknown": 409,
+    "recorded_body_unavailable": 409,
+    "deadline_passed": 504,
+}
 
 _HOP_BY_HOP = frozenset(
     (
@@ -76,6 +113,7 @@
     upstream_id: str = ""
     unproved_attempts: int = 0
     is_claimed: bool = False
+    claimed_state: RunState | None = None  # Stated by the claims component in a refusal.
     timer: TimerHandle | None = None
 
     @property
@@ -86,6 +124,8 @@
     @property
     def run_state(self) -> RunState:
         """Return what is known about the run."""
+        if self.claimed_state is not None:
+            return self.claimed_state
         return RunState.UNKNOWN if self.unproved_attempts else RunState.NOT_RUN
 
 
@@ -178,25 +218,56 @@
         )
         self._calls[call_id] = call
         exchange.on_closed = lambda: self._on_caller_left(call)
-        call.timer = self._timers.at(call.deadline_ms, lambda: self._expire(call))
         if call.is_repeatable:
+            call.timer = self._timers.at(call.deadline_ms, lambda: self._expire(call))
             self._send(call)
         else:
+            limit_ms = call.deadline_ms + CLAIM_MARGIN_MS
+            call.timer = self._timers.at(limit_ms, lambda: self._expire(call))
             self._request_claim(call)
         return None
 
     # Claims
 
     def _request_claim(self, call: ServiceCall) -> None:
-        """Ask the claims component whether this call may run; the deadline ends the wait."""
-        scope = f"{call.caller.name}\0{call.service}\0{call.exchange.method}\0{call.target}\0"
-        request_hash = hashlib.blake2b(
-            scope.encode("latin-1", "replace") + call.exchange.body, digest_size=16
-        ).hexdigest()
-        self.fire(
-            claim_requested(call.call_id, call.key, request_hash, call.deadline_ms, self.channel),
-            "*",
-        )
+        """Ask the claims component whether this call may be sent."""
+        scope = f"{call.exchange.method}\0{call.target}\0".encode("latin-1", "replace")
+        request_hash = hashlib.blake2b(scope + call.exchange.body, digest_size=16).hexdigest()
+        key = scoped_key(call.caller.name, call.service, call.key)
+        event = claim_requested(call.call_id, key, request_hash, call.deadline_ms, self.channel)
+        self.fire(event, "*")
+
+    @handler("claim_decided")
+    def _on_claim_decided(self, call_id: str, decision: CallDecision) -> None:
+        call = self._calls.get(call_id)
+        if call is None:
+            if isinstance(decision, Send):
+                # The call was refused meanwhile and will never be sent.
+                self.fire(claim_finished(call_id, CallNotSent()), "*")
+            return
+        match decision:
+            case Send():
+                call.is_claimed = True
+                if self._clock.now_ms() >= call.deadline_ms:
+                    self._expire(call)
+                else:
+                    self._send(call)
+            case Replay(outcome):
+                headers: Headers = (("Content-Type", outcome.content_type),)
+                body = outcome.body or b""
+                self._answer(call, outcome.status or 200, headers + REPLAYED, body)
+            case Refuse(run_state, reason, retry_after_ms):
+                status = _CLAIM_STATUS.get(reason, 503)
+                text = f"The call was not sent: {reason.replace('_', ' ')}."
+                call.claimed_state = run_state
+                self._fail(call, status, reason, text, retry_after_ms or 0)
+
+    def _settle(self, call: ServiceCall, result: CallCompleted | None = None) -> None:
+        """Record how a claimed call ended; the claim stays first in either case."""
+        if call.is_claimed:
+            call.is_claimed = False
+            unknown = CallUnknown() if call.unproved_attempts else CallNotSent()
+            self.fire(claim_finished(call.call_id, result or unknown), "*")
 
     # Attempts
 
@@ -217,7 +288,7 @@
         entry = self._choose(call)
         if entry is None:
             text = f"No instance of the service '{call.service}' is available."
-            self._fail(call, 503, "no_upstream", text)
+            self._fail(call, 503, "no_upstream", text, RETRY_AFTER_MS)
             return
         call.attempts += 1
         call.tried.add(entry.id)
@@ -240,7 +311,7 @@
             f"http://{entry.address}{call.target}",
             headers,
             call.exchange.body,
-            call.deadline_ms + DEADLINE_MARGIN_MS,
+            call.deadline_ms + (DEADLINE_MARGIN_MS if call.is_repeatable else 0),
             self.channel,
         )
         self.fire(http_call(http), "http_client")
@@ -258,6 +329,8 @@
             return
         call.attempt_id = ""
         if error is None:
+            content_type = find_header(headers, "content-type") or ""
+            self._settle(call, CallCompleted(Outcome(status, content_type, body)))
             self._answer(call, status, headers, body)
             return
         log_event(
@@ -269,7 +342,9 @@
         )
         call.unproved_attempts += error.byte_sent
         may_repeat = call.is_repeatable or not error.byte_sent
-        if may_repeat and call.attempts < MAX_ATTEMPTS:
+        if error.failure is CallFailure.TIMEOUT:
+            self._expire(call)
+        elif may_repeat and call.attempts < MAX_ATTEMPTS:
             self._send(call)
         else:
             self._fail(call, 502, "upstream_failed", f"The service '{call.service}' failed.")
@@ -282,8 +357,10 @@
         call.exchange.respond(status, (*kept, ("X-Request-Id", call.call_id)), body)
         self._finish(call, str(status))
 
-    def _fail(self, call: ServiceCall, status: int, code: str, text: str) -> None:
-        retry_after_ms = RETRY_AFTER_MS if status == 503 else 0
+    def _fail(
+        self, call: ServiceCall, status: int, code: str, text: str, retry_after_ms: int = 0
+    ) -> None:
+        self._settle(call)
         error = ProtocolError(status, code, text, call.run_state, retry_after_ms=retry_after_ms)
         log_event(
             logevents.REQUEST_REFUSED,
@@ -295,7 +372,12 @@
         self._finish(call, code)
 
     def _expire(self, call: ServiceCall) -> None:
+        if call.call_id not in self._calls:
+            return
         self._abandon(call)
+        if not (call.is_repeatable or call.is_claimed):
+            # Without a decision it is not known whether an earlier call with this key ran.
+            call.claimed_state = RunState.UNKNOWN
         self._fail(call, 504, "deadline", "The call did not end within its allotted time.")
 
     def _on_caller_left(self, call: ServiceCall) -> None:
--- /dev/null
+++ b/tests/daemon/test_services.py
@@ -0,0 +1,232 @@
+"""Tests of calls to services: repeatable ones with real processes, others with scripted claims."""
+
+import json
+import unittest
+import urllib.error
+import urllib.request
+
+from circuits import BaseComponent, handler
+from ibispaddle_core.clock import ManualClock
+from ibispaddle_core.idempotency import (
+    CallCompleted,
+    CallNotSent,
+    CallUnknown,
+    Outcome,
+    Reason,
+    Refuse,
+    Replay,
+    Send,
+)
+from ibispaddle_core.membership import Kind, ListEntry
+from ibispaddle_core.runstate import RunState
+from ibispaddle_core.settings import load_fleet
+from ibispaddle_daemon.events import (
+    CallFailure,
+    HttpCallError,
+    call_completed,
+    claim_decided,
+    exchange_started,
+    find_header,
+    list_changed,
+)
+from ibispaddle_daemon.metrics import Metrics
+from ibispaddle_daemon.services import Services
+from ibispaddle_daemon.timers import TimerQueue
+from ibispaddle_daemon.tracing import Tracing
+
+from .processes import KEY, Fleet, fleet_document
+
+
+class RepeatableCallTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.fleet = cls.enterClassContext(Fleet(0, services=2))
+
+    def call(self, path, method="GET", body=None, **headers):
+        request = urllib.request.Request(
+            f"{self.fleet.instance.url}/services/shop{path}",
+            body,
+            {"Authorization": f"Bearer {KEY}", **headers},
+            method=method,
+        )
+        try:
+            with urllib.request.urlopen(request, timeout=10) as response:
+                return response.status, response.headers, json.loads(response.read() or b"null")
+        except urllib.error.HTTPError as exc:
+            return exc.code, exc.headers, json.loads(exc.read())["error"]
+
+    def test_path_and_answer_pass_through(self):
+        """Guard against a changed path, query or answer."""
+        status, _, answer = self.call("/orders/7?full=1")
+        self.assertEqual((status, answer["path"]), (200, "/orders/7?full=1"))
+        self.assertEqual(self.call("", "HEAD")[0], 200)
+
+    def test_dead_service_instance_is_replaced(self):
+        """Guard against an error while another instance of the service can answer."""
+        self.fleet.services[0].faults(lose_answers=True)
+        try:
+            for _ in range(4):
+                self.assertEqual(self.call("/x")[0], 200)
+        finally:
+            self.fleet.services[0].faults(lose_answers=None)
+
+    def test_frozen_service_ends_at_the_deadline(self):
+        """Guard against a call that waits for ever."""
+        headers = {"X-Request-Timeout-Ms": "300"}
+        for service in self.fleet.services:
+            service.faults(freeze=True)
+        try:
+            status, _, error = self.call("/x", **headers)
+        finally:
+            for service in self.fleet.services:
+                service.faults(freeze=None)
+        self.assertEqual((status, error["code"], error["run_state"]), (504, "deadline", "unknown"))
+
+    def test_call_that_is_not_repeatable_needs_a_key(self):
+        """Guard against a deposit that a retry runs twice."""
+        status, _, error = self.call("/deposit", "POST", b"{}")
+        self.assertEqual((status, error["code"]), (400, "idempotency_key_required"))
+        self.assertEqual(error["run_state"], "not_run")
+
+
+class FakeExchange:
+    """Stand for a caller's request."""
+
+    arrived_ms = 0
+
+    def __init__(self, method="POST", **headers):
+        self.method, self.target, self.path = method, "/services/shop/deposit?x=1", ""
+        self.path = self.target.partition("?")[0]
+        values = {"Authorization": f"Bearer {KEY}", "Idempotency-Key": "k1"} | headers
+        self.headers = tuple(values.items())
+        self.body = b"{}"
+        self.answers = []
+        self.on_closed = None
+
+    def header(self, name):
+        return find_header(self.headers, name)
+
+    def respond(self, status, headers, body):
+        self.answers.append((status, dict(headers), body))
+
+
+class Peers(BaseComponent):
+    """Record what the services component asks of claims and the HTTP client."""
+
+    channel = "*"
+
+    def __init__(self):
+        super().__init__()
+        self.claims, self.sent, self.outcomes, self.cancelled = [], [], [], []
+
+    @handler("claim_requested")
+    def _on_claim(self, call_id, key, request_hash, deadline_ms, channel):
+        self.claims.append((call_id, key, request_hash))
+
+    @handler("claim_finished")
+    def _on_finished(self, call_id, outcome):
+        self.outcomes.append(outcome)
+
+    @handler("http_call")
+    def _on_call(self, call):
+        self.sent.append(call)
+
+    @handler("http_cancel")
+    def _on_cancel(self, call_id):
+        self.cancelled.append(call_id)
+
+
+class ClaimedCallTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = ManualClock()
+        timers = TimerQueue(self.clock)
+        self.peers = Peers()
+        config = load_fleet({"base": fleet_document()})
+        tracing = Tracing("i", "dc1", "", self.clock, timers)
+        self.services = Services("i", config, self.clock, timers, Metrics(), tracing)
+        self.root = BaseComponent()
+        for component in (timers, self.peers, tracing, self.services):
+            component.register(self.root)
+        entry = ListEntry("s1", Kind.SERVICE, "127.0.0.1:9", "dc1", service="shop")
+        self.fire(list_changed((entry,)), "*")
+        self.exchange = FakeExchange()
+        self.fire(exchange_started(self.exchange), "services")
+        self.call_id = self.peers.claims[0][0]
+
+    def fire(self, event, channel):
+        self.root.fire(event, channel)
+        for _ in range(5):
+            self.root.flush()
+
+    def decide(self, decision):
+        self.fire(claim_decided(self.call_id, decision), "services")
+
+    def complete(self, error=None, status=200):
+        call_id = self.peers.sent[-1].call_id
+        headers = (("Content-Type", "text/plain"),)
+        self.fire(call_completed(call_id, status, headers, b"done", error), "services")
+
+    def run_state(self):
+        return self.exchange.answers[0][1]["X-Run-State"]
+
+    def test_nothing_is_sent_before_the_claim_is_won(self):
+        """Guard against a run that no claim protects."""
+        self.assertEqual(self.peers.sent, [])
+        self.assertIn("w\x1fshop\x1fk1", self.peers.claims[0][1])
+        self.decide(Send(20_000))
+        self.assertEqual(len(self.peers.sent), 1)
+        self.complete()
+        self.assertEqual(self.exchange.answers[0][::2], (200, b"done"))
+        expected = [CallCompleted(Outcome(200, "text/plain", b"done"))]
+        self.assertEqual(self.peers.outcomes, expected)
+
+    def test_failure_after_bytes_were_sent_is_not_repeated(self):
+        """Guard against a second run after a lost answer."""
+        self.decide(Send(20_000))
+        self.complete(HttpCallError(CallFailure.CLOSED, "reset", True))
+        self.assertEqual(len(self.peers.sent), 1)
+        self.assertEqual(self.exchange.answers[0][0], 502)
+        self.assertEqual(self.run_state(), "unknown")
+        self.assertEqual(self.peers.outcomes, [CallUnknown()])
+
+    def test_failure_before_any_byte_is_tried_again_and_then_released(self):
+        """Guard against a key that is blocked although nothing ran."""
+        self.decide(Send(20_000))
+        for _ in range(3):
+            self.complete(HttpCallError(CallFailure.UNREACHABLE, "refused", False))
+        self.assertEqual(len(self.peers.sent), 3)
+        self.assertEqual(self.run_state(), "not_run")
+        self.assertEqual(self.peers.outcomes, [CallNotSent()])
+
+    def test_recorded_answer_is_replayed(self):
+        """Guard against a retry that runs the call again."""
+        self.decide(Replay(Outcome(201, "text/plain", b"first")))
+        status, headers, body = self.exchange.answers[0]
+        self.assertEqual((status, body, headers["Idempotency-Replayed"]), (201, b"first", "true"))
+        self.assertEqual((self.peers.sent, self.peers.outcomes), ([], []))
+
+    def test_refused_claim_reports_its_run_state(self):
+        """Guard against `not_run` for a call whose first copy may have run."""
+        self.decide(Refuse(RunState.UNKNOWN, Reason.OUTCOME_UNKNOWN))
+        self.assertEqual((self.exchange.answers[0][0], self.run_state()), (409, "unknown"))
+        self.assertEqual((self.peers.sent, self.peers.outcomes), ([], []))
+
+    def test_claim_that_is_won_after_the_deadline_is_not_sent(self):
+        """Guard against a run after the caller was told that it did not run."""
+        self.clock.advance(10_000)
+        self.decide(Send(20_000))
+        self.assertEqual(self.peers.sent, [])
+        self.assertEqual((self.exchange.answers[0][0], self.run_state()), (504, "not_run"))
+        self.assertEqual(self.peers.outcomes, [CallNotSent()])
+
+    def test_decision_for_a_call_that_ended_releases_the_claim(self):
+        """Guard against a late decision that sends a call which was refused."""
+        self.decide(Refuse(RunState.NOT_RUN, Reason.LOG_UNAVAILABLE, 1_000))
+        self.assertEqual(self.exchange.answers[0][1]["Retry-After"], "1")
+        self.decide(Send(20_000))
+        self.assertEqual(self.peers.sent, [])
+        self.assertEqual(self.peers.outcomes, [CallNotSent()])
+
+
+if __name__ == "__main__":
+    unittest.main()
