Stopped the engine's work after a resume that could not be sent

Cause: an instance that was paused beyond a stream's deadline began a resume that could no longer be sent, and only attempts with sent bytes were cancelled; the engine computed on (tests.failures.test_deadlines, StoppedInstanceTest). Calls that need a claim waited for their deadline where no component decides claims. Change: no resume begins after the deadline; the end of a resumed attempt cancels the engine's work; without a claims component such calls are refused at once as not run.

--- a/packages/daemon/src/ibispaddle_daemon/attempts.py
+++ b/packages/daemon/src/ibispaddle_daemon/attempts.py
@@ -23,7 +23,6 @@
     ResponseEnded,
     TimePassed,
 )
-from ibispaddle_core.runstate import RunState
 from ibispaddle_core.scheduling import Dispatch, Outcome
 from opentelemetry.trace import Status, StatusCode
 
@@ -332,18 +331,20 @@
             self._entry.attempt_ended(request, running.upstream_id, end.outcome)
         elif self._can_resume(request, running, end):
             self._resume(request, running)
-        elif running.machine.byte_sent and end.run_state is RunState.UNKNOWN:
+        elif running.may_run_on and end.outcome is not Outcome.REJECTED:
             self._ask_to_stop(running, request)
         else:
             self._entry.attempt_ended(request, running.upstream_id, end.outcome)
 
-    @staticmethod
-    def _can_resume(request: ModelRequest, running: RunningAttempt, end: AttemptFinished) -> bool:
+    def _can_resume(
+        self, request: ModelRequest, running: RunningAttempt, end: AttemptFinished
+    ) -> bool:
         return (
             request.parsed.stream
             and running.machine.next_index > 0
             and running.machine.boot_id != ""
             and request.resumes < MAX_RESUMES
+            and self._clock.now_ms() < request.req.deadline_ms
             and end.outcome in (Outcome.FAILED, Outcome.STALLED)
         )
 
@@ -379,7 +380,7 @@
                 Outcome.REJECTED if proved else outcome or Outcome.FAILED,
             )
 
-        if running.machine.byte_sent:
+        if running.may_run_on:
             body = msgspec.json.encode({"request_id": running.engine_request_id})
             url = f"{running.base_url}/v1/cancel"
             self._calls.send("POST", url, body, PROOF_TIMEOUT_MS, done)
--- a/packages/daemon/src/ibispaddle_daemon/model_request.py
+++ b/packages/daemon/src/ibispaddle_daemon/model_request.py
@@ -33,6 +33,14 @@
     is_paused: bool = False
     is_resumed: bool = False
 
+    @property
+    def may_run_on(self) -> bool:
+        """Return whether the engine may still work on the request after the attempt.
+
+        An attempt that resumes a stream may end before its first byte, but the request was sent.
+        """
+        return self.machine.byte_sent or self.is_resumed
+
 
 @dataclass(eq=False)
 class ModelRequest:
--- a/packages/daemon/src/ibispaddle_daemon/services.py
+++ b/packages/daemon/src/ibispaddle_daemon/services.py
@@ -235,6 +235,10 @@
         request_hash = hashlib.blake2b(scope + call.exchange.body, digest_size=16).hexdigest()
         key = scoped_key(call.caller.name, call.service, call.key)
         event = claim_requested(call.call_id, key, request_hash, call.deadline_ms, self.channel)
+        if not self.root.getHandlers(event, "*"):
+            text = "This instance has no component that decides claims."
+            self._fail(call, 503, "claims_unavailable", text, RETRY_AFTER_MS)
+            return
         self.fire(event, "*")
 
     @handler("claim_decided")
