Kept liveness apart from load reports in the gossip and measured the slopes

A measurement with 49 instances in a data centre showed that entries written once did not reach 5% of the instances and that heartbeats were up to 20 rounds old, near the time after which an instance counts as down. Digests now keep a part for heartbeats and a part for entries that were sent before; every new entry shows that its origin runs; heartbeats cross data centres with precedence every 30 s only and have a longer limit there; load reports are passed on every second probe. The program ibispaddle_bench.slopes measures sizes and fits.

--- /dev/null
+++ b/packages/bench/src/ibispaddle_bench/slopes.py
@@ -0,0 +1,258 @@
+"""Measures what one more instance, runner, workspace, claim or entry costs an instance.
+
+`python -m ibispaddle_bench.slopes` prints one JSON object per line: the measured sizes, the
+least-squares fit of each slope, and the projection to the design size with its budgets. Real
+processes are measured at small sizes; the pure core is measured in this process at larger ones.
+"""
+
+import argparse
+import asyncio
+import threading
+import time
+import urllib.request
+from collections.abc import Iterable, Mapping, Sequence
+from pathlib import Path
+from typing import Any
+
+from ibispaddle_core.usage import flush_interval_ms
+
+from .fleet import MODEL, Fleet, FleetSpec
+from .slopes_core import (
+    DESIGN_CENTRES,
+    DESIGN_INSTANCES,
+    DESIGN_RUNNERS,
+    build_claims,
+    build_ledger,
+    build_table,
+    emit,
+    fit,
+    measure_membership,
+    measure_propagation,
+    memory_slope,
+)
+
+# Instances and runners of the runs with real processes.
+FLEET_SIZES = ((3, 10), (3, 25), (6, 10), (6, 50), (9, 25), (9, 100), (18, 50), (18, 100))
+ENGINE_PROCESSES = 4
+WARM_UP_S = 5.0
+# Data centres and instances in each, for the propagation of one entry.
+PROPAGATION_SIZES = ((3, 3), (1, 49), (2, 49), (8, 49))
+# Consumption entries that each instance changes in a round.
+CONSUMERS = (0, 2)
+BUDGET_CPU_PERCENT, BUDGET_MEMORY_MB, BUDGET_BYTES_PER_S = 2.4, 128.0, 29_000.0
+BUDGET_APPENDS_PER_S = 300.0
+LIST_INTERVAL_S = PROBE_INTERVAL_S = GOSSIP_INTERVAL_S = 0.5
+PROBERS = 2
+
+
+class CountingProxy:
+    """Forward connections to one address and count bytes and connections."""
+
+    def __init__(self, address: str, loop: asyncio.AbstractEventLoop) -> None:
+        host, _, port = address.rpartition(":")
+        self._upstream = (host, int(port))
+        self.bytes = 0
+        self.connections = 0
+        self.address = asyncio.run_coroutine_threadsafe(self._listen(), loop).result(5)
+
+    async def _listen(self) -> str:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        try:
+            up_reader, up_writer = await asyncio.open_connection(*self._upstream)
+        except OSError:
+            writer.close()
+            return
+        await asyncio.gather(self._copy(reader, up_writer), self._copy(up_reader, writer))
+
+    async def _copy(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while data := await reader.read(65_536):
+                self.bytes += len(data)
+                writer.write(data)
+                await writer.drain()
+        except (ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+
+class SlopeFleet(Fleet):
+    """A fleet whose runners are represented by few engines, reached through counting proxies."""
+
+    def __init__(self, spec: FleetSpec, listed_runners: int) -> None:
+        super().__init__(spec)
+        self.listed_runners = listed_runners
+        self.loop = asyncio.new_event_loop()
+        threading.Thread(target=self.loop.run_forever, daemon=True).start()
+        self.proxies: dict[str, list[CountingProxy]] = {}
+
+    def start_stand_ins(self) -> None:
+        super().start_stand_ins()
+        self.proxies = {
+            "log": [CountingProxy(self.log.address, self.loop)],
+            "list": [CountingProxy(self.instances.address, self.loop)],
+            "probes": [CountingProxy(runner.address, self.loop) for runner in self.runners],
+        }
+
+    def settings(self, name: str, port: int, peer_port: int) -> dict[str, Any]:
+        values = super().settings(name, port, peer_port)
+        return values | {
+            "log_url": f"http://{self.proxies['log'][0].address}",
+            "list_url": f"http://{self.proxies['list'][0].address}",
+            "trace_url": "",
+        }
+
+    def listed_entries(self) -> list[dict[str, Any]]:
+        entries = [e for e in super().listed_entries() if e["kind"] == "entry"]
+        for number in range(self.listed_runners):
+            name = f"runner.{number + 1}"
+            proxy = self.proxies["probes"][number % len(self.runners)]
+            entry = {"id": name, "kind": "runner", "address": proxy.address, "state": "live"}
+            more = {"service": None, "fenced": False, "models": [MODEL]}
+            entries.append(entry | more | {"data_centre": self.data_centre(name)})
+        return entries
+
+    def counted_bytes(self) -> dict[str, int]:
+        """Return the bytes through the proxies, by what they carry."""
+        return {name: sum(p.bytes for p in group) for name, group in self.proxies.items()}
+
+
+def cpu_ns(pid: int) -> int:
+    """Return the processor time of all threads of a process."""
+    tasks = Path(f"/proc/{pid}/task").iterdir()
+    return sum(int((task / "schedstat").read_text().split()[0]) for task in tasks)
+
+
+def resident_mb(pid: int) -> float:
+    """Return the resident memory of a process."""
+    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    return next(int(line.split()[1]) / 1024 for line in lines if line.startswith("VmRSS"))
+
+
+def peer_counters(url: str) -> dict[str, float]:
+    """Return the peer traffic gauges of an instance."""
+    with urllib.request.urlopen(f"{url}/metrics", timeout=5) as response:
+        lines = response.read().decode().splitlines()
+    wanted = [line.split() for line in lines if line.startswith("ibispaddle_peer_")]
+    return {words[0].removeprefix("ibispaddle_peer_"): float(words[-1]) for words in wanted}
+
+
+def measure_fleet(instances: int, runners: int, seconds: float, centres: int = 1) -> dict[str, Any]:
+    """Run real instances without requests and return the mean per instance."""
+    names = tuple(f"dc.{number + 1}" for number in range(centres))
+    spec = FleetSpec(entries=instances, runners=ENGINE_PROCESSES, services=0, data_centres=names)
+    fleet = SlopeFleet(spec, runners)
+    with fleet:
+        time.sleep(WARM_UP_S)
+        pids = [entry.pid for entry in fleet.entries]
+        before = ([cpu_ns(pid) for pid in pids], fleet.counted_bytes())
+        peers_before = [peer_counters(entry.url) for entry in fleet.entries]
+        started = time.monotonic()
+        time.sleep(seconds)
+        # The processor time is read before the metrics, which cost the instances time.
+        after = ([cpu_ns(pid) for pid in pids], fleet.counted_bytes())
+        elapsed = time.monotonic() - started
+        peers_after = [peer_counters(entry.url) for entry in fleet.entries]
+        memory_mb = sum(map(resident_mb, pids)) / instances
+    per = instances * elapsed
+    row: dict[str, Any] = {"instances": instances, "runners": runners, "data_centres": centres}
+    row["probed_runners"] = PROBERS * runners / instances
+    cpu = sum(b - a for a, b in zip(before[0], after[0], strict=True))
+    row["cpu_percent"] = cpu / 1e9 / per * 100
+    row["memory_mb"] = memory_mb
+    for name in before[1]:
+        row[f"{name}_bytes_per_s"] = (after[1][name] - before[1][name]) / per
+    for name in ("sent_bytes", "received_bytes", "sent_messages", "received_messages"):
+        changes = [b[name] - a[name] for a, b in zip(peers_before, peers_after, strict=True)]
+        row[f"peer_{name}_per_s"] = sum(changes) / per
+    return emit("fleet", **{k: round(v, 3) if isinstance(v, float) else v for k, v in row.items()})
+
+
+def project(fleets: Sequence[Mapping[str, float]], membership: Mapping[str, float]) -> None:
+    """Print the fits and what they give at the design size, against the budgets."""
+    features = ("instances", "runners", "probed_runners")
+    single = [row for row in fleets if row["data_centres"] == 1]
+    design = {
+        "instances": DESIGN_INSTANCES,
+        "runners": DESIGN_RUNNERS,
+        "probed_runners": PROBERS * DESIGN_RUNNERS / DESIGN_INSTANCES,
+    }
+    fits = {
+        "cpu_percent": fit(single, "cpu_percent", features),
+        "memory_mb": fit(single, "memory_mb", ("instances", "runners")),
+        "probes_bytes_per_s": fit(single, "probes_bytes_per_s", ("probed_runners",)),
+        "peer_sent_bytes_per_s": fit(single, "peer_sent_bytes_per_s", ("instances", "runners")),
+    }
+    for name, values in fits.items():
+        rounded = {key: round(value, 5) for key, value in values.items()}
+        emit("fit", target=name, runs=len(single), coefficients=rounded)
+    at_design = {
+        name: sum(values.get(key, 0.0) * size for key, size in design.items()) + values["constant"]
+        for name, values in fits.items()
+    }
+    # Gossip grows with the instances only until every digest is full, so its part is bounded.
+    full_digest = 1_200 + 60
+    gossip = 2 * 3 * full_digest / GOSSIP_INTERVAL_S
+    local = DESIGN_INSTANCES / DESIGN_CENTRES
+    links = (DESIGN_CENTRES - 1) / local
+    summaries = 2 * links * full_digest / GOSSIP_INTERVAL_S
+    reading = membership["list_bytes"] / (LIST_INTERVAL_S * local)
+    alone = membership["list_bytes"] / LIST_INTERVAL_S
+    total = gossip + summaries + reading + at_design["probes_bytes_per_s"]
+    emit(
+        "bytes_per_s",
+        gossip=round(gossip),
+        summaries=round(summaries),
+        probes=round(at_design["probes_bytes_per_s"]),
+        list_in_turns=round(reading),
+        list_without_turns=round(alone),
+        total=round(total),
+        budget=BUDGET_BYTES_PER_S,
+        fits=total <= BUDGET_BYTES_PER_S,
+    )
+    for name, budget in (("cpu_percent", BUDGET_CPU_PERCENT), ("memory_mb", BUDGET_MEMORY_MB)):
+        value = at_design[name]
+        emit(name, projected=round(value, 2), budget=budget, fits=value <= budget)
+    appends = DESIGN_INSTANCES * 1000 / flush_interval_ms(DESIGN_INSTANCES)
+    emit(
+        "usage_appends_per_s",
+        projected=round(appends, 1),
+        budget=BUDGET_APPENDS_PER_S,
+        fits=appends <= BUDGET_APPENDS_PER_S,
+    )
+
+
+def parse_sizes(values: Iterable[str]) -> list[tuple[int, int]]:
+    """Return sizes that are written as INSTANCES:RUNNERS."""
+    return [(int(a), int(b)) for a, _, b in (value.partition(":") for value in values)]
+
+
+def main() -> None:
+    """Measure and print."""
+    parser = argparse.ArgumentParser(prog="python -m ibispaddle_bench.slopes", description=__doc__)
+    parser.add_argument("--seconds", type=float, default=10.0, help="length of each fleet run")
+    parser.add_argument("--sizes", nargs="*", help="fleet runs as INSTANCES:RUNNERS")
+    parser.add_argument("--core-only", action="store_true", help="start no processes")
+    parser.add_argument("--fleet-only", action="store_true", help="skip the core measurements")
+    args = parser.parse_args()
+    sizes = parse_sizes(args.sizes) if args.sizes else list(FLEET_SIZES)
+    if not args.fleet_only:
+        memory_slope("gossip_entry", (2_000, 4_000, 8_000), build_table)
+        memory_slope("workspace", (500, 1_000, 2_000), build_ledger)
+        memory_slope("claim", (2_000, 4_000, 8_000), build_claims)
+        for centres, per_centre in PROPAGATION_SIZES:
+            for consumers in CONSUMERS:
+                measure_propagation(centres, per_centre, consumers)
+    membership = measure_membership()
+    if not args.core_only:
+        rows = [measure_fleet(instances, runners, args.seconds) for instances, runners in sizes]
+        rows.append(measure_fleet(18, 50, args.seconds, centres=3))
+        project(rows, membership)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/bench/src/ibispaddle_bench/slopes_core.py
@@ -0,0 +1,328 @@
+"""Measures the pure core in one process: propagation, memory and processor time per item."""
+
+import json
+import random
+import time
+import tracemalloc
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
+import numpy as np
+from ibispaddle_core.configuration import LogRecord
+from ibispaddle_core.gossip import (
+    Consumption,
+    GossipTable,
+    Heartbeat,
+    RunnerReport,
+    summary_targets,
+    targets,
+)
+from ibispaddle_core.idempotency import Claim, ClaimTable, batch_record
+from ibispaddle_core.membership import InstanceList, Kind, MembershipView, parse_list
+from ibispaddle_core.usage import UsageLedger
+
+DESIGN_INSTANCES, DESIGN_RUNNERS, DESIGN_CENTRES = 390, 730, 8
+GOSSIP_INTERVAL_MS = 500
+HEARTBEAT_ROUNDS = 4
+REPORT_ROUNDS = 2
+# Entries that are written once, a few rounds apart, after the tables have filled.
+WARM_UP_ROUNDS = 30
+WATCHED_ENTRIES = 4
+WATCH_ROUNDS = 40
+
+
+def emit(kind: str, **values: Any) -> dict[str, Any]:
+    """Print one result."""
+    line = {"result": kind, **values}
+    print(json.dumps(line), flush=True)
+    return line
+
+
+def fit(
+    rows: Sequence[Mapping[str, float]], target: str, features: Sequence[str]
+) -> dict[str, float]:
+    """Return the least-squares coefficients of `target` over a constant and the features.
+
+    >>> rows = [{"x": 1, "y": 5}, {"x": 2, "y": 7}, {"x": 3, "y": 9}]
+    >>> {name: round(value, 6) for name, value in fit(rows, "y", ["x"]).items()}
+    {'constant': 3.0, 'x': 2.0, 'residual': 0.0}
+    """
+    matrix = np.array([[1.0, *(row[name] for name in features)] for row in rows])
+    values = np.array([row[target] for row in rows])
+    solution = np.linalg.lstsq(matrix, values, rcond=None)[0]
+    residual = float(np.sqrt(np.mean((matrix @ solution - values) ** 2)))
+    names = ("constant", *features)
+    return {
+        **{name: float(v) for name, v in zip(names, solution, strict=True)},
+        "residual": residual,
+    }
+
+
+@dataclass
+class CoreInstance:
+    """One instance of the propagation measurement."""
+
+    name: str
+    centre: str
+    table: GossipTable
+    rng: random.Random
+    runners: int
+    written: dict[tuple[type, str, str], int] = field(default_factory=dict)
+    known: dict[tuple[type, str, str], int] = field(default_factory=dict)
+
+
+class Propagation:
+    """Gossip between instances in rounds, without delays or losses.
+
+    Each instance writes a heartbeat every fourth round, a report for each of its runners every
+    second round, and `consumers` changed consumption entries every round.
+    """
+
+    def __init__(self, centres: int, per_centre: int, consumers: int) -> None:
+        names = [f"d{c}.i{n:03d}" for c in range(centres) for n in range(per_centre)]
+        self.centre_of = {name: name.partition(".")[0] for name in names}
+        self.ranked: dict[str, list[str]] = {}
+        for name in names:
+            self.ranked.setdefault(self.centre_of[name], []).append(name)
+        self.nodes: dict[str, CoreInstance] = {}
+        share = DESIGN_RUNNERS / DESIGN_INSTANCES
+        for number, name in enumerate(names):
+            runners = int((number + 1) * share) - int(number * share)
+            table = GossipTable(name, 1, self._locality(self.centre_of[name]))
+            rng = random.Random(number)
+            self.nodes[name] = CoreInstance(name, self.centre_of[name], table, rng, runners)
+        self.consumers = consumers
+        self.turn = 0
+        self.watched: dict[str, tuple[str, int, dict[str, int]]] = {}
+        self.digests = self.fresh = 0
+        self.merge_s = 0.0
+
+    def _locality(self, centre: str) -> Callable[[str], bool]:
+        return lambda origin: self.centre_of[origin] == centre
+
+    def round(self) -> None:
+        """Write the entries of one round and exchange the digests."""
+        self.turn += 1
+        now_ms = self.turn * GOSSIP_INTERVAL_MS
+        for number, node in enumerate(self.nodes.values()):
+            payloads: list[Any] = []
+            if (self.turn + number) % HEARTBEAT_ROUNDS == 0:
+                payloads.append(Heartbeat(False, 1_000, 1_000))
+            if (self.turn + number) % REPORT_ROUNDS == 0:
+                payloads += [
+                    RunnerReport(f"runner.{number}.{i}", True, False, "b" * 8, self.turn, 3, 2)
+                    for i in range(node.runners)
+                ]
+            payloads += [
+                Consumption(f"neighbour.{i}", f"{node.name}-1", self.turn * 100)
+                for i in range(self.consumers)
+            ]
+            for payload in payloads:
+                entry = node.table.put(payload, now_ms)
+                node.written[entry.key] = self.turn
+        messages = []
+        for node in self.nodes.values():
+            for target in targets(node.rng, node.name, self.ranked[node.centre]):
+                messages.append((target, node.table.digest()))
+            for target in summary_targets(node.name, node.centre, self.ranked):
+                messages.append((target, node.table.summary()))
+        for target, digest in messages:
+            node = self.nodes[target]
+            started = time.thread_time()
+            fresh = node.table.merge(digest, now_ms).unwrap()
+            self.merge_s += time.thread_time() - started
+            self.fresh += len(fresh)
+            for entry in fresh:
+                # Sequence numbers follow the writes, so the age is found from the origin's record.
+                node.known[entry.key] = entry.seq
+                if entry.payload.subject in self.watched:
+                    _, start, seen = self.watched[entry.payload.subject]
+                    seen.setdefault(target, self.turn - start + 1)
+        self.digests += len(messages)
+
+    def watch(self, index: int) -> None:
+        """Write an entry once and note when each instance gets it."""
+        origin = list(self.nodes.values())[index * 11 % len(self.nodes)]
+        subject = f"watched.{index}"
+        origin.table.put(Consumption(subject, origin.name, 1), self.turn * GOSSIP_INTERVAL_MS)
+        self.watched[subject] = (origin.name, self.turn + 1, {})
+
+    def missing_and_stale(self, kind: type, local: bool) -> dict[str, float]:
+        """Return how old the held versions of all entries are, in rounds.
+
+        The age is that of the held version's successor: 0 if the newest version is held.
+        """
+        seqs = {}
+        for node in self.nodes.values():
+            for entry in node.table.entries(kind):
+                if entry.origin == node.name:
+                    seqs[entry.key] = entry.seq
+        newest = {name: node.table for name, node in self.nodes.items()}
+        ages: list[float] = []
+        missing = total = 0
+        for node in self.nodes.values():
+            for key, newest_seq in seqs.items():
+                origin = key[2]
+                is_local = self.centre_of[origin] == node.centre
+                if origin == node.name or is_local != local or key[1].startswith("watched."):
+                    continue
+                total += 1
+                held = node.known.get(key)
+                if held is None:
+                    missing += 1
+                    continue
+                writes = max(1, newest[origin]._seq) / self.turn
+                ages.append((newest_seq - held) / writes)
+        if not total:
+            return {}
+        return {
+            "median": round(float(np.median(ages)), 1) if ages else -1,
+            "p99": round(float(np.percentile(ages, 99)), 1) if ages else -1,
+            "max": round(max(ages, default=-1), 1),
+            "missing": round(missing / total, 4),
+        }
+
+
+def measure_propagation(centres: int, per_centre: int, consumers: int) -> dict[str, Any]:
+    """Measure the rounds until an entry is known and the age of the known versions."""
+    fleet = Propagation(centres, per_centre, consumers)
+    for _ in range(WARM_UP_ROUNDS):
+        fleet.round()
+    for index in range(WATCHED_ENTRIES):
+        fleet.watch(index)
+        fleet.round()
+    for _ in range(WATCH_ROUNDS):
+        fleet.round()
+    local: list[int] = []
+    remote: list[int] = []
+    for origin, _, seen in fleet.watched.values():
+        for name, rounds in seen.items():
+            same = fleet.centre_of[name] == fleet.centre_of[origin]
+            (local if same else remote).append(rounds)
+    wanted_local = WATCHED_ENTRIES * (per_centre - 1)
+    wanted_remote = WATCHED_ENTRIES * per_centre * (centres - 1)
+    sample = next(iter(fleet.nodes.values())).table
+    return emit(
+        "propagation",
+        instances=centres * per_centre,
+        data_centres=centres,
+        changed_consumption_per_round=consumers,
+        entries=len(sample),
+        local_rounds=_spread(local, wanted_local),
+        remote_rounds=_spread(remote, wanted_remote),
+        local_report_age_rounds=fleet.missing_and_stale(RunnerReport, True),
+        local_heartbeat_age_rounds=fleet.missing_and_stale(Heartbeat, True),
+        remote_report_age_rounds=fleet.missing_and_stale(RunnerReport, False),
+        remote_heartbeat_age_rounds=fleet.missing_and_stale(Heartbeat, False),
+        merge_us_per_digest=round(fleet.merge_s / fleet.digests * 1e6, 1),
+        merge_us_per_new_entry=round(fleet.merge_s / max(1, fleet.fresh) * 1e6, 1),
+        digest_bytes=round(sum(len(sample.digest()) for _ in range(8)) / 8),
+    )
+
+
+def _spread(rounds: list[int], wanted: int) -> dict[str, float]:
+    if not wanted:
+        return {}
+    return {
+        "median": float(np.median(rounds)) if rounds else -1,
+        "max": max(rounds, default=-1),
+        "reached": round(len(rounds) / wanted, 4),
+    }
+
+
+def memory_slope(name: str, sizes: Sequence[int], build: Callable[[int], Any]) -> dict[str, Any]:
+    """Return the bytes of memory per item, fitted over several sizes."""
+    rows = []
+    for size in sizes:
+        tracemalloc.start()
+        kept = build(size)
+        rows.append({"items": size, "bytes": tracemalloc.get_traced_memory()[0]})
+        tracemalloc.stop()
+        del kept
+    return emit("memory", item=name, sizes=list(sizes), fit=fit(rows, "bytes", ["items"]))
+
+
+def build_table(entries: int) -> GossipTable:
+    """Return a table with received entries."""
+    table = GossipTable("a", 1)
+    for number in range(entries // 20):
+        source = GossipTable(f"entry.{number}", 1)
+        for index in range(20):
+            source.put(RunnerReport(f"runner.{number}.{index}", True, False, "b" * 8, 9, 3, 2), 0)
+        while table.merge(source.digest(), 0).unwrap():
+            pass
+    return table
+
+
+def build_ledger(workspaces: int) -> UsageLedger:
+    """Return a ledger with own counters and the copies for two predecessors."""
+    ledgers = [UsageLedger(f"entry.{number}", 1) for number in range(3)]
+    for number in range(workspaces):
+        for ledger in ledgers:
+            ledger.count(f"workspace.{number}", "n", 10, 10, 10)
+    for ledger in ledgers[1:]:
+        while (sync := ledger.sync_for("entry.0")) is not None:
+            ledger.acknowledge("entry.0", ledgers[0].receive(sync))
+    return ledgers[0]
+
+
+def build_claims(claims: int) -> ClaimTable:
+    """Return a table with claims read from the log."""
+    table = ClaimTable(3_600_000, 86_400_000)
+    for number in range(claims):
+        claim = Claim(f"entry.1-1-{number}", f"{number:064x}", f"{number:064x}", 1_000)
+        table.read_page(number, [LogRecord(number, 1_000, batch_record(str(number), [claim]))], 1)
+    return table
+
+
+def design_list(instances: int, runners: int) -> bytes:
+    """Return an instance list of the given size."""
+    common = {"state": "live", "service": None, "fenced": False}
+    entries = [
+        {
+            "id": f"{kind}.{number}",
+            "kind": kind,
+            "address": f"10.20.{number // 250}.{number % 250}:8080",
+            "peer_address": f"10.20.{number // 250}.{number % 250}:8081" if count else None,
+            "data_centre": f"centre.{number % DESIGN_CENTRES}",
+            "models": [f"model.{number % 18}"] if kind == "runner" else [],
+            **common,
+        }
+        for kind, count in (("entry", instances), ("runner", runners))
+        for number in range(count)
+    ]
+    return json.dumps({"version": 7, "entries": entries}).encode()
+
+
+def timed_us(function: Callable[[], Any], times: int = 30) -> float:
+    """Return the processor time of one call."""
+    started = time.process_time()
+    for _ in range(times):
+        function()
+    return (time.process_time() - started) / times * 1e6
+
+
+def measure_membership() -> dict[str, Any]:
+    """Return the processor time of the view's operations at the design size."""
+    body = design_list(DESIGN_INSTANCES, DESIGN_RUNNERS)
+    listing = parse_list(body).unwrap()
+    view = MembershipView("entry.0", "centre.0")
+    view.apply_list(listing, 0)
+    versions = iter(range(8, 1_000))
+
+    def apply() -> None:
+        view.apply_list(InstanceList(next(versions), listing.entries), 0)
+
+    return emit(
+        "membership",
+        instances=DESIGN_INSTANCES,
+        runners=DESIGN_RUNNERS,
+        list_bytes=len(body),
+        parse_list_us=round(timed_us(lambda: parse_list(body))),
+        apply_list_us=round(timed_us(apply)),
+        members_us=round(timed_us(lambda: view.members(0))),
+        members_of_kind_us=round(timed_us(lambda: view.members(0, Kind.ENTRY))),
+        probe_duties_us=round(timed_us(lambda: view.probe_duties(0))),
+        probed_runners=len(view.probe_duties(0)),
+    )
--- a/packages/core/src/ibispaddle_core/gossip/queue.py
+++ b/packages/core/src/ibispaddle_core/gossip/queue.py
@@ -9,6 +9,9 @@
 MAX_TRANSMISSIONS = 64
 # Entries that do not fit in the rest of a digest are passed over this often before it is closed.
 MAX_MISFITS = 4
+# With more new versions than fit, entries that were sent once would never be sent again, and one
+# that its origin writes once would not reach every instance.
+SENT_FRACTION = 0.25
 
 
 class TransmissionQueue(Generic[K]):
@@ -46,23 +49,37 @@
         self._buckets.setdefault(count, {})[key] = None
 
     def take(self, budget: int, size: Callable[[K], int]) -> list[K]:
-        """Return the keys of one digest of at most `budget` bytes and count their transmission."""
-        taken: list[K] = []
+        """Return the keys of one digest of at most `budget` bytes and count their transmission.
+
+        Keys that were not sent yet go first, but leave a part to the others.
+        """
+        sent = [count for count in sorted(self._buckets) if count > 0]
+        reserved = round(budget * SENT_FRACTION) if sent else 0
+        taken: dict[K, None] = {}
+        left = self._fill([0], budget - reserved, size, taken) + reserved
+        left = self._fill(sent, left, size, taken)
+        self._fill([0], left, size, taken)
+        for key in taken:
+            count = self._counts[key]
+            self.discard(key)
+            self._put(key, min(count + 1, MAX_TRANSMISSIONS))
+        return list(taken)
+
+    def _fill(
+        self, counts: list[int], budget: int, size: Callable[[K], int], taken: dict[K, None]
+    ) -> int:
+        """Add keys of these buckets and return the bytes left."""
         misfits = 0
-        for count in sorted(self._buckets):
-            for key in self._buckets[count]:
+        for count in counts:
+            for key in self._buckets.get(count, ()):
+                if key in taken:
+                    continue
                 needed = size(key)
                 if needed > budget:
                     misfits += 1
                     if misfits > MAX_MISFITS:
-                        break
+                        return budget
                     continue
                 budget -= needed
-                taken.append(key)
-            if misfits > MAX_MISFITS:
-                break
-        for key in taken:
-            count = self._counts[key]
-            self.discard(key)
-            self._put(key, min(count + 1, MAX_TRANSMISSIONS))
-        return taken
+                taken[key] = None
+        return budget
--- a/packages/core/src/ibispaddle_core/gossip/table.py
+++ b/packages/core/src/ibispaddle_core/gossip/table.py
@@ -7,19 +7,33 @@
 import msgspec
 from result import Err, Ok, Result
 
-from .entries import DIGEST_DECODER, ENTRY_DECODER, ENTRY_ENCODER, Entry, Payload
+from .entries import (
+    DIGEST_DECODER,
+    ENTRY_DECODER,
+    ENTRY_ENCODER,
+    Entry,
+    Heartbeat,
+    Payload,
+    RunnerReport,
+)
 from .exceptions import DigestFormatError, EntryTooLargeError
 from .queue import TransmissionQueue
 
 MAX_DIGEST_BYTES = 1_200
 _ARRAY_HEADER_BYTES = 3
+# Heartbeats have a part of their own, because an instance whose heartbeat is late counts as down.
+HEARTBEAT_DIGEST_BYTES = 300
 # The rest of a digest is for entries of the own data centre, which decide most placements.
 REMOTE_DIGEST_BYTES = 400
 # Writers renew each entry well within this time; older ones belong to dead instances or to probes
 # that have moved.
-ENTRY_LIFETIME_MS = 60_000
+ENTRY_LIFETIME_MS = 180_000
 # Versions of expired entries are remembered so that a slower peer does not bring them back.
-EXPIRED_MEMORY_MS = 120_000
+EXPIRED_MEMORY_MS = 360_000
+# New versions get precedence on the links between data centres only this often. At 390 instances
+# the 343 heartbeats of other data centres would otherwise fill the digests of each instance.
+SUMMARY_INTERVAL_MS: dict[type, int] = {Heartbeat: 30_000}
+DEFAULT_SUMMARY_INTERVAL_MS = 2_000
 MAX_ENTRIES = 50_000
 
 Key = tuple[type, str, str]
@@ -31,6 +45,17 @@
     raw: bytes
     payload: Payload
     at_ms: int
+    summary_ms: int  # Time at which a version last got precedence between data centres.
+
+
+def _is_summary_due(known: _Stored, payload: Payload, now_ms: int) -> bool:
+    match known.payload, payload:
+        case (Heartbeat(), Heartbeat()) if known.payload != payload:
+            return True
+        case (RunnerReport(up=before), RunnerReport(up=after)) if before != after:
+            return True
+    interval_ms = SUMMARY_INTERVAL_MS.get(type(payload), DEFAULT_SUMMARY_INTERVAL_MS)
+    return now_ms - known.summary_ms >= interval_ms
 
 
 class GossipTable:
@@ -54,6 +79,7 @@
         self._expired: dict[Key, tuple[tuple[int, int], int]] = {}
         self._boots: dict[str, int] = {instance_id: boot}
         self._local: TransmissionQueue[Key] = TransmissionQueue()
+        self._beats: TransmissionQueue[Key] = TransmissionQueue()
         self._remote: TransmissionQueue[Key] = TransmissionQueue()
         self._summary: TransmissionQueue[Key] = TransmissionQueue()
         self._seq = 0
@@ -134,14 +160,18 @@
         key = entry.key
         self._boots[entry.origin] = entry.boot
         self._expired.pop(key, None)
-        self._entries[key] = _Stored(entry.version, raw, entry.payload, now_ms)
+        known = self._entries.get(key)
+        is_due = known is None or _is_summary_due(known, entry.payload, now_ms)
+        summary_ms = now_ms if is_due or known is None else known.summary_ms
+        self._entries[key] = _Stored(entry.version, raw, entry.payload, now_ms, summary_ms)
         if self._is_local(entry.origin):
             self._remote.discard(key)
-            self._local.renew(key)
-            self._summary.renew(key)
+            (self._beats if key[0] is Heartbeat else self._local).renew(key)
+            if is_due:
+                self._summary.renew(key)
         else:
-            self._local.discard(key)
-            self._summary.discard(key)
+            for queue in (self._local, self._beats, self._summary):
+                queue.discard(key)
             self._remote.renew(key)
 
     def _forget(self, origin: str) -> None:
@@ -149,7 +179,7 @@
             self._drop(key)
 
     def _drop(self, key: Key) -> _Stored:
-        for queue in (self._local, self._remote, self._summary):
+        for queue in (self._local, self._beats, self._remote, self._summary):
             queue.discard(key)
         return self._entries.pop(key)
 
@@ -159,7 +189,8 @@
     def digest(self) -> bytes:
         """Return the next digest for an instance of the own data centre."""
         budget = MAX_DIGEST_BYTES - _ARRAY_HEADER_BYTES
-        keys = self._remote.take(min(budget, REMOTE_DIGEST_BYTES), self._size)
+        keys = self._beats.take(HEARTBEAT_DIGEST_BYTES, self._size)
+        keys += self._remote.take(REMOTE_DIGEST_BYTES, self._size)
         budget -= sum(map(self._size, keys))
         keys += self._local.take(budget, self._size)
         return self._encode(keys)
--- a/packages/core/src/ibispaddle_core/membership/view.py
+++ b/packages/core/src/ibispaddle_core/membership/view.py
@@ -23,6 +23,8 @@
 # Gossip within a data centre of 49 instances needs a few seconds per entry; a shorter limit would
 # take slow gossip for a failure.
 HEARTBEAT_TIMEOUT_MS = 10_000
+# Heartbeats get precedence between data centres every 30 s only.
+REMOTE_HEARTBEAT_TIMEOUT_MS = 120_000
 REMOVE_AFTER_MS = 60_000
 KNOWN_BOOTS = 8
 # A reading that drops more than this part of a kind is confirmed by further readings first: a list
@@ -73,6 +75,7 @@
     leaving_boot: str | None = None
     boots: list[str] = field(default_factory=list)  # Recent boots of the member, oldest first.
     heartbeat: tuple[int, int] = (0, 0)
+    alive: tuple[int, int] = (0, 0)  # Newest version of any entry that the instance wrote.
     heard_ms: int | None = None
     down_since_ms: int | None = None
     own: _Observation | None = None
@@ -97,6 +100,7 @@
         heartbeat_timeout_ms: int = HEARTBEAT_TIMEOUT_MS,
     ) -> None:
         self._instance_id = instance_id
+        self._data_centre = data_centre
         self._heartbeat_timeout_ms = heartbeat_timeout_ms
         # The instance takes part in shared duties before the lagging list has it.
         own = ListEntry(instance_id, Kind.ENTRY, "", data_centre)
@@ -176,11 +180,18 @@
         record = self._records.get(instance_id)
         if record is None or (boot, seq) <= record.heartbeat:
             return False
-        record.heartbeat, record.heard_ms = (boot, seq), now_ms
-        record.down_since_ms = None
+        record.heartbeat = (boot, seq)
+        self.observe_entry(instance_id, boot, seq, now_ms)
         self._note_leaving(record, str(boot), leaving)
         return True
 
+    def observe_entry(self, instance_id: str, boot: int, seq: int, now_ms: int) -> None:
+        """Note that an instance has written an entry; a newer one shows that it runs."""
+        record = self._records.get(instance_id)
+        if record is not None and (boot, seq) > record.alive:
+            record.alive, record.heard_ms = (boot, seq), now_ms
+            record.down_since_ms = None
+
     def observe(
         self,
         member_id: str,
@@ -234,7 +245,9 @@
             return False
         if record.entry.kind is Kind.ENTRY:
             heard_ms = record.first_ms if record.heard_ms is None else record.heard_ms
-            return now_ms - heard_ms > self._heartbeat_timeout_ms
+            is_remote = self._data_centre not in ("", record.entry.data_centre)
+            remote_ms = max(REMOTE_HEARTBEAT_TIMEOUT_MS, self._heartbeat_timeout_ms)
+            return now_ms - heard_ms > (remote_ms if is_remote else self._heartbeat_timeout_ms)
         own = record.own
         if own is not None and now_ms - own.at_ms <= OWN_OBSERVATION_MS:
             return not own.up
--- a/packages/daemon/src/ibispaddle_daemon/app.py
+++ b/packages/daemon/src/ibispaddle_daemon/app.py
@@ -136,6 +136,16 @@
             "Bytes received from other instances since the start.",
             lambda: self.peers.transport.traffic.bytes_in,
         )
+        add(
+            "ibispaddle_peer_sent_messages",
+            "Messages sent to other instances since the start.",
+            lambda: self.peers.transport.traffic.frames_out,
+        )
+        add(
+            "ibispaddle_peer_received_messages",
+            "Messages received from other instances since the start.",
+            lambda: self.peers.transport.traffic.frames_in,
+        )
         add(
             "ibispaddle_upstream_calls",
             "HTTP calls in flight.",
--- a/packages/daemon/src/ibispaddle_daemon/peers.py
+++ b/packages/daemon/src/ibispaddle_daemon/peers.py
@@ -28,8 +28,9 @@
 from .peer_transport import Link, PeerTransport
 from .timers import TimerQueue
 
-# A heartbeat every second round leaves more of the digests to load reports.
-HEARTBEAT_ROUNDS = 2
+# A heartbeat every 2 s leaves more of the digests to load reports; five fit in the time after
+# which an instance counts as down.
+HEARTBEAT_ROUNDS = 4
 EXPIRY_ROUNDS = 10
 # Every so many rounds a digest goes to an instance that is believed dead, so that the two sides of
 # a partition find each other again.
@@ -184,7 +185,9 @@
             self.transport.close(link, f"invalid digest: {merged.unwrap_err()}")
             return
         others = []
+        now_ms = self._clock.now_ms()
         for entry in merged.unwrap():
+            self._view.observe_entry(entry.origin, entry.boot, entry.seq, now_ms)
             match entry.payload:
                 case Heartbeat():
                     self._note_heartbeat(entry, entry.payload)
--- a/packages/daemon/src/ibispaddle_daemon/probes.py
+++ b/packages/daemon/src/ibispaddle_daemon/probes.py
@@ -36,9 +36,10 @@
 FAILURES_TO_DOWN = 2
 # The assignment of runners is computed this often; it hashes each runner with each instance.
 ASSIGN_INTERVAL_MS = 1_000
-# The second prober passes on every fourth report only, so that loads take half of the digests;
-# this keeps the runner known as live if the first prober dies.
-SECOND_PROBER_REPORTS = 4
+# The first prober passes on every second report and the second one every eighth, because the
+# reports of all runners would fill the digests. The second keeps the runner known as live if the
+# first dies.
+REPORTS_PER_ENTRY = (2, 8)
 KV_INTERVAL_MS = 5_000
 KV_TIMEOUT_MS = 2_000
 HANDLE_PREFIX = "ir-"
@@ -219,7 +220,7 @@
             round(load.prefill_tokens_per_s),
             round(load.decode_tokens_per_s),
         )
-        if runner.position == 0 or was_down or runner.answers % SECOND_PROBER_REPORTS == 0:
+        if was_down or runner.answers % REPORTS_PER_ENTRY[runner.position] == 0:
             self.fire(gossip_put(report), "*")
         runner.answers += 1
         # A report that has not changed at the runner is not passed on again.
--- a/tests/gossip/test_table.py
+++ b/tests/gossip/test_table.py
@@ -64,6 +64,43 @@
             other.merge(table.digest(), 0)
         self.assertEqual(len(other), 120)
 
+    def test_sent_entry_is_sent_again_although_others_change_always(self):
+        """Guard against an entry that reaches only a part of the instances."""
+        table = GossipTable("a", 1)
+        table.put(consumption("once"), 0)
+        table.digest()
+        table.digest()
+        seen = 0
+        for _ in range(40):
+            for number in range(100):
+                table.put(RunnerReport(f"busy{number}", True), 0)
+            received = GossipTable("b", 1).merge(table.digest(), 0).ok_value
+            seen += "once" in [entry.payload.subject for entry in received]
+        self.assertGreaterEqual(seen, 2)
+
+    def test_heartbeats_do_not_crowd_out_other_entries_between_data_centres(self):
+        """Guard against links between data centres that carry mostly heartbeats."""
+        table, kinds = GossipTable("a", 1), []
+        sources = [GossipTable(f"i{number}", 1) for number in range(40)]
+        for turn in range(24):
+            for source in sources:
+                source.put(Heartbeat(), turn * 500)
+                table.merge(source.digest(), turn * 500)
+            for number in range(60):
+                table.put(RunnerReport(f"r{number}", True, seq=turn), turn * 500)
+            entries = GossipTable("b", 1).merge(table.summary(), 0).ok_value
+            kinds += [type(entry.payload) for entry in entries]
+        self.assertLess(kinds.count(Heartbeat) / len(kinds), 0.3)
+
+    def test_heartbeats_are_not_delayed_by_load_reports(self):
+        """Guard against an instance that counts as down because its data centre is busy."""
+        table = GossipTable("a", 1)
+        for number in range(400):
+            table.put(RunnerReport(f"r{number}", True), 0)
+        table.put(Heartbeat(), 0)
+        received = GossipTable("b", 1).merge(table.digest(), 0).ok_value
+        self.assertIn(Heartbeat(), [entry.payload for entry in received])
+
     def test_remote_entries_leave_room_for_local_ones(self):
         """Guard against other data centres' entries that delay the own ones."""
         table = GossipTable("a", 1, is_local=lambda origin: origin == "a")
--- a/tests/membership/test_view.py
+++ b/tests/membership/test_view.py
@@ -151,6 +151,23 @@
         self.assertFalse(self.view.observe_heartbeat("b", 7, 1, False, 19_000))
         self.assertEqual(self.view.ranked_instances(20_000), ("a",))
 
+    def test_any_new_entry_of_an_instance_shows_that_it_runs(self):
+        """Guard against an instance that counts as dead although its load reports arrive."""
+        self.view.observe_heartbeat("b", 7, 3, False, 0)
+        self.view.observe_entry("b", 7, 9, 9_000)
+        self.assertIn("b", self.view.ranked_instances(18_000))
+        self.view.observe_entry("b", 7, 4, 18_000)
+        self.assertNotIn("b", self.view.ranked_instances(20_000))
+
+    def test_instances_of_other_data_centres_may_be_heard_less_often(self):
+        """Guard against a whole data centre that counts as dead because summaries are rare."""
+        view = MembershipView("a", "v.1")
+        view.apply_list(
+            InstanceList(1, (instance("a"), instance("b"), instance("c", data_centre="v.2"))), 0
+        )
+        self.assertEqual(view.ranked_instances(60_000), ("a", "c"))
+        self.assertEqual(view.ranked_instances(121_000), ("a",))
+
     def test_restarted_instance_counts_again(self):
         """Guard against an id that stays leaving after its machine was replaced."""
         self.view.observe_heartbeat("b", 7, 1, True, 100)
