--- a/packages/daemon/src/ibispaddle_daemon/http_client.py
+++ b/packages/daemon/src/ibispaddle_daemon/http_client.py
@@ -2,10 +2,13 @@
 
 from collections import defaultdict, deque
 from dataclasses import dataclass, field
+from typing import Any
 from urllib.parse import urlsplit
 
 import h11
 from circuits import BaseComponent, Event, handler
+from circuits.core.pollers import BasePoller
+from circuits.core.utils import findcmp
 from ibispaddle_core.clock import Clock, SystemClock
 
 from .events import (
@@ -62,6 +65,8 @@
         self._expiring: set[tuple[str, int]] = set()
         self._closed: list[HttpConnection] = []
         self._connections = 0
+        self._poller: Any = None
+        self._by_socket: dict[Any, HttpConnection] = {}
 
     @property
     def calls_in_flight(self) -> int:
@@ -75,6 +80,10 @@
 
     @handler("http_call")
     def _on_http_call(self, call: HttpCall) -> None:
+        self.start_call(call)
+
+    def start_call(self, call: HttpCall) -> None:
+        """Start a call, as the event `http_call` does one turn of the event loop later."""
         running = _Running(call)
         if call.call_id in self._calls:
             raise ValueError(f"call id '{call.call_id}' is in use")
@@ -144,7 +153,9 @@
         if self._connections >= MAX_CONNECTIONS:
             return None
         self._connections += 1
-        return HttpConnection(self).register(self)
+        if self._poller is None:
+            self._poller = findcmp(self.root, BasePoller)
+        return HttpConnection(self, self._poller, self.channel)
 
     def _expire(self, running: _Running) -> None:
         self._end(running, CallFailure.TIMEOUT, "the deadline passed")
@@ -172,6 +183,9 @@
             self._store(conn)
         error = None if failure is None else HttpCallError(failure, text, byte_sent)
         event: Event
+        if call.sink is not None:
+            call.sink.call_ended(call.call_id, error)
+            return
         if call.stream:
             event = call_ended(call.call_id, error)
         else:
@@ -208,19 +222,55 @@
             self._expiring.discard(address)
             del self._idle[address]
 
+    # Events of the poller. A socket that was closed meanwhile is no longer in the table.
+
+    @handler("_read", priority=1)
+    def _on_readable(self, sock: Any) -> None:
+        if (conn := self._by_socket.get(sock)) is not None:
+            conn.readable()
+
+    @handler("_write", priority=1)
+    def _on_writable(self, sock: Any) -> None:
+        if (conn := self._by_socket.get(sock)) is not None:
+            conn.writable()
+
+    @handler("_disconnect", priority=1)
+    def _on_hung_up(self, sock: Any) -> None:
+        if (conn := self._by_socket.get(sock)) is not None:
+            conn.hung_up()
+
+    @handler("stopped", channel="*")
+    def _on_stopped(self, *args: Any) -> None:
+        for conn in list(self._by_socket.values()):
+            conn.shut()
+
     # Reports of the connections.
 
+    def socket_opened(self, conn: HttpConnection) -> None:
+        """Note which connection owns a socket."""
+        self._by_socket[conn.sock] = conn
+
+    def socket_closed(self, conn: HttpConnection) -> None:
+        """Forget a socket."""
+        self._by_socket.pop(conn.sock, None)
+
     def request_sent(self, conn: HttpConnection) -> None:
         """Pass on that the first byte was written."""
         running = self._carried.get(conn)
-        if running and running.call.stream:
+        if running is None:
+            return
+        if running.call.sink is not None:
+            running.call.sink.call_sent(running.call.call_id)
+        elif running.call.stream:
             self.fire(call_sent(running.call.call_id), running.call.channel)
 
     def head_received(self, conn: HttpConnection, status: int, headers: Headers) -> None:
         """Pass on or keep the response's head."""
         if running := self._carried.get(conn):
             running.status, running.headers = status, headers
-            if running.call.stream:
+            if running.call.sink is not None:
+                running.call.sink.call_head(running.call.call_id, status, headers)
+            elif running.call.stream:
                 self.fire(call_head(running.call.call_id, status, headers), running.call.channel)
 
     def data_received(self, conn: HttpConnection, data: bytes) -> None:
@@ -228,6 +278,9 @@
         running = self._carried.get(conn)
         if running is None:
             return
+        if running.call.sink is not None:
+            running.call.sink.call_data(running.call.call_id, data)
+            return
         if running.call.stream:
             self.fire(call_data(running.call.call_id, data), running.call.channel)
             return
