Added the components for the log, the configuration, claims and operators

Cause: the daemon read its configuration from files only, had no tail of the log, and calls that are not repeatable waited for a claim that nobody answered. Change: `platform_log`, `configuration`, `claims` and `operators`, wired into the instance; `services` follows the claim decisions, scopes keys by workspace and service and leaves the deadline of an unclaimed call to the claims component, which alone knows whether an earlier copy may have run. Until a configuration is in force callers get 503 `starting`. The gauges of upstream calls leave out the long polls of the log.

--- a/packages/core/src/ibispaddle_core/idempotency/__init__.py
+++ b/packages/core/src/ibispaddle_core/idempotency/__init__.py
@@ -2,7 +2,15 @@
 
 from .book import CallDecision, ClaimBook, Decided, Result
 from .exceptions import EntryError, IdempotencyError
-from .keys import CLOCK_TOLERANCE_MS, KeyAge, hash_key, key_age, key_created_ms, scoped_key
+from .keys import (
+    CLOCK_TOLERANCE_MS,
+    KeyAge,
+    hash_key,
+    key_age,
+    key_created_ms,
+    scope_of_key,
+    scoped_key,
+)
 from .queue import AppendQueue
 from .records import (
     MAX_LOGGED_BODY_BYTES,
@@ -83,5 +91,6 @@
     "key_age",
     "key_created_ms",
     "read_entries",
+    "scope_of_key",
     "scoped_key",
 ]
--- a/packages/core/src/ibispaddle_core/idempotency/keys.py
+++ b/packages/core/src/ibispaddle_core/idempotency/keys.py
@@ -29,6 +29,12 @@
     return _SEPARATOR.join((workspace, service, key))
 
 
+def scope_of_key(key: str) -> tuple[str, str]:
+    """Return the workspace and the service of a scoped key; empty for a key without scope."""
+    parts = key.split(_SEPARATOR, 2)
+    return (parts[0], parts[1]) if len(parts) == 3 else ("", "")
+
+
 def key_created_ms(key: str) -> int | None:
     """Return the creation time in a key, in milliseconds since the Unix epoch, or None.
 
--- a/packages/core/src/ibispaddle_core/idempotency/table.py
+++ b/packages/core/src/ibispaddle_core/idempotency/table.py
@@ -109,6 +109,11 @@
             return self.time_ms - self.keep_ms > self._covered_since_ms
         return created_ms - CLOCK_TOLERANCE_MS > self._covered_since_ms
 
+    def skip_to(self, offset: int, since_ms: int) -> None:
+        """Start at an offset; every record from wall time `since_ms` on has it or a higher one."""
+        self.position = offset
+        self._covered_since_ms = since_ms
+
     def read_page(self, first_offset: int, records: list[LogRecord], wall_ms: int) -> list[Notice]:
         """Fold a page that was read from `position` on."""
         if first_offset > self.position:
--- a/packages/daemon/src/ibispaddle_daemon/app.py
+++ b/packages/daemon/src/ibispaddle_daemon/app.py
@@ -12,6 +12,8 @@
 from ibispaddle_core.membership import MembershipView
 from ibispaddle_core.settings import FleetConfig, InstanceSettings
 
+from .claims import Claims
+from .configuration import Configuration
 from .entry import Entry
 from .events import drain_completed, drain_started
 from .http_client import HttpClient
@@ -19,7 +21,9 @@
 from .instance_list import InstanceListReader
 from .logs import log_error, log_event
 from .metrics import Metrics, Status
+from .operators import Operators
 from .peers import Peers
+from .platform_log import PlatformLog
 from .probes import Probes
 from .quarantine import QuarantineGuard
 from .services import Services
@@ -63,7 +67,7 @@
             self.clock,
             self.timers,
         ).register(self)
-        self.status = Status(self.metrics, ("instance_list",)).register(self)
+        self.status = Status(self.metrics, ("instance_list", "configuration")).register(self)
         self.server = HttpServer(
             settings.listen, self.clock, self.timers, config.limits, _tls(settings)
         ).register(self)
@@ -80,6 +84,7 @@
             settings.instance_id, config, self.clock, self.timers, self.metrics, self.tracing
         ).register(self)
         self._add_fleet_components()
+        self._add_log_components(config)
         self._add_gauges()
 
     def _add_fleet_components(self) -> None:
@@ -94,6 +99,16 @@
         self.quarantine = QuarantineGuard(settings, self.view, clock, timers).register(self)
         self.instance_list = InstanceListReader(settings, self.view, clock, timers).register(self)
 
+    def _add_log_components(self, config: FleetConfig) -> None:
+        """Add what depends on the platform's log; `config` applies while the log is empty."""
+        settings, clock, timers = self.settings, self.clock, self.timers
+        self.log = PlatformLog(settings.log_url, clock, timers, clock.wall_ms()).register(self)
+        self.configuration = Configuration(
+            settings, config, self.view, clock, timers, clock.wall_ms()
+        ).register(self)
+        self.claims = Claims(settings, clock.wall_ms(), clock, timers).register(self)
+        self.operators = Operators(settings, self.configuration, clock).register(self)
+
     def _add_gauges(self) -> None:
         add = self.metrics.add_gauge
         add(
@@ -108,8 +123,8 @@
         )
         add(
             "ibispaddle_upstream_connections",
-            "Open connections to upstreams.",
-            lambda: self.http_client.open_connections,
+            "Open connections, without those that wait for the log.",
+            lambda: self.http_client.open_connections - self.log.calls_in_flight,
         )
         add(
             "ibispaddle_peer_connections",
@@ -126,10 +141,30 @@
             "Bytes received from other instances since the start.",
             lambda: self.peers.transport.traffic.bytes_in,
         )
+        add(
+            "ibispaddle_log_available",
+            "Whether the platform's log answers.",
+            lambda: self.log.is_available,
+        )
+        add(
+            "ibispaddle_log_read_bytes",
+            "Bytes read from the platform's log since the start.",
+            lambda: self.log.bytes_read,
+        )
+        add(
+            "ibispaddle_log_appends",
+            "Appends sent to the platform's log since the start.",
+            lambda: self.log.appends_sent,
+        )
+        add(
+            "ibispaddle_claim_table_keys",
+            "Idempotency keys in the claim table.",
+            lambda: len(self.claims.book.table),
+        )
         add(
             "ibispaddle_upstream_calls",
-            "HTTP calls in flight.",
-            lambda: self.http_client.calls_in_flight,
+            "HTTP calls in flight, without those to the log.",
+            lambda: self.http_client.calls_in_flight - self.log.calls_in_flight,
         )
 
     @handler("started", channel="*")
--- a/packages/daemon/src/ibispaddle_daemon/http_server.py
+++ b/packages/daemon/src/ibispaddle_daemon/http_server.py
@@ -36,6 +36,7 @@
     "healthz": "status",
     "readyz": "status",
     "metrics": "status",
+    "operator": "operators",
 }
 _WORK_CHANNELS = ("entry", "services")
 
@@ -61,6 +62,8 @@
         self._display_banner = False
         self.clock = clock
         self.draining = False
+        # Without a configuration in force, callers' keys cannot be judged.
+        self.configured = False
         self._timers = timers
         self._limits = limits
         self._protocols: dict[CallerConnection, CallerHttp] = {}
@@ -75,6 +78,7 @@
     @handler("configuration_changed", channel="*")
     def _on_configuration_changed(self, config: FleetConfig, revision: int) -> None:
         self._limits = config.limits
+        self.configured = True
 
     @handler("drain_started", channel="*")
     def _on_drain_started(self) -> None:
@@ -180,6 +184,9 @@
             error = ProtocolError(
                 503, "draining", "The instance is being stopped.", retry_after_ms=RETRY_AFTER_MS
             )
+        elif not self.configured:
+            text = "The instance has no configuration yet."
+            error = ProtocolError(503, "starting", text, retry_after_ms=RETRY_AFTER_MS)
         elif self.active > self._limits.max_requests:
             text = f"The instance holds {self._limits.max_requests} requests."
             error = ProtocolError(503, "overloaded", text, retry_after_ms=RETRY_AFTER_MS)
--- /dev/null
+++ b/packages/daemon/src/ibispaddle_daemon/platform_log.py
@@ -0,0 +1,319 @@
+"""Client of the platform's log: appends and long-poll tails."""
+
+# ruff: noqa: N801
+
+import random
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Any
+from urllib.parse import quote
+
+import msgspec
+from circuits import BaseComponent, Event, handler
+from ibispaddle_core import logevents
+from ibispaddle_core.clock import Clock
+from ibispaddle_core.configuration import LogRecord
+
+from .events import (
+    CallFailure,
+    Headers,
+    HttpCall,
+    HttpCallError,
+    http_call,
+    http_cancel,
+    log_appended,
+    log_health,
+    log_records,
+)
+from .logs import log_event
+from .timers import TimerQueue
+
+APPEND_TIMEOUT_MS = 5_000
+LONG_POLL_MS = 20_000
+READ_TIMEOUT_MS = 5_000
+PAGE_RECORDS = 500
+MIN_BACKOFF_MS = 100
+MAX_BACKOFF_MS = 5_000
+# After a failed append the log counts as unavailable for this time; then one more may try.
+APPEND_RETRY_MS = 1_000
+
+
+class log_follow_since(Event):
+    """Start a tail at the first record of an age: `log_follow_since(stream, age_ms, channel)`.
+
+    Answered like `log_follow`, and first by `log_located` on the same channel.
+    """
+
+
+class log_located(Event):
+    """Report where a tail starts: `log_located(stream, offset, since_ms)`.
+
+    All records of the stream from wall time `since_ms` on have this or a higher offset.
+    """
+
+
+class LogFailure(StrEnum):
+    """Tell why an append failed."""
+
+    RATE = "rate"  # Refused because of the rate cap; nothing was appended.
+    OUTAGE = "outage"  # Refused or not reachable; nothing was appended.
+    LOST = "lost"  # No answer; the append may have taken effect or may still do so.
+    INVALID = "invalid"  # The log does not accept the record.
+
+
+@dataclass(frozen=True)
+class LogError:
+    """Describe a failed append."""
+
+    failure: LogFailure
+    text: str
+
+    @property
+    def may_have_taken_effect(self) -> bool:
+        """Return whether the record may be in the stream now or later."""
+        return self.failure is LogFailure.LOST
+
+
+class _Record(msgspec.Struct):
+    offset: int
+    time_ms: int
+    data: dict[str, Any]
+
+
+class _Page(msgspec.Struct):
+    first_offset: int
+    next_offset: int
+    records: list[_Record]
+
+
+_DECODER = msgspec.json.Decoder(_Page)
+
+
+@dataclass(eq=False)
+class _Tail:
+    """Hold the position of one tail, or the bounds of the search for its start."""
+
+    stream: str
+    channel: str
+    position: int
+    limit: int = PAGE_RECORDS
+    at_end: bool = False
+    failures: int = 0
+    call_id: str = ""
+    since_ms: int | None = None  # Search for the first record of this time.
+    bounds: tuple[int, int] | None = field(default=None)
+
+
+class PlatformLog(BaseComponent):
+    """Carry out `log_append`, `log_follow` and `log_follow_since`.
+
+    A lost answer is reported as an error; the sender finds out by reading whether its record is in
+    the stream. In `log_records`, `next_offset` is the end of the stream at the time of the read.
+    """
+
+    channel = "platform_log"
+
+    def __init__(self, log_url: str, clock: Clock, timers: TimerQueue, seed: int = 0) -> None:
+        super().__init__()
+        self._url = log_url.rstrip("/")
+        self._clock = clock
+        self._timers = timers
+        self._rng = random.Random(seed)
+        self._appends: dict[str, tuple[Any, str]] = {}
+        self._tails: list[_Tail] = []
+        self._reads: dict[str, _Tail] = {}
+        self._calls = 0
+        self._reads_fail = False
+        self._append_blocked_until_ms = 0
+        self._available: bool | None = None
+        self._stopped = False
+        self.bytes_read = 0
+        self.appends_sent = 0
+
+    @property
+    def is_available(self) -> bool:
+        """Return whether the log answered lately."""
+        return bool(self._available)
+
+    @property
+    def calls_in_flight(self) -> int:
+        """Return the number of appends and reads without an answer."""
+        return len(self._appends) + len(self._reads)
+
+    # Appends
+
+    @handler("log_append", channel="*")
+    def _on_log_append(self, stream: str, data: Any, token: Any, channel: str) -> None:
+        call_id = self._next_call_id()
+        self._appends[call_id] = (token, channel)
+        self.appends_sent += 1
+        headers = (("Content-Type", "application/json"),)
+        self._call(call_id, "POST", stream, "", headers, msgspec.json.encode(data))
+
+    def _append_completed(
+        self, token: Any, channel: str, status: int, body: bytes, error: HttpCallError | None
+    ) -> None:
+        offset, failure = None, None
+        if error is not None:
+            kind = LogFailure.LOST if error.byte_sent else LogFailure.OUTAGE
+            failure = LogError(kind, f"{error.failure}: {error.text}")
+        elif status == 200:
+            try:
+                offset = int(msgspec.json.decode(body)["offset"])
+            except (msgspec.DecodeError, KeyError, TypeError, ValueError) as exc:
+                failure = LogError(LogFailure.LOST, f"the answer cannot be read: {exc}")
+        elif status == 429:
+            failure = LogError(LogFailure.RATE, "the rate cap was exceeded")
+        elif status == 503:
+            failure = LogError(LogFailure.OUTAGE, "the log is in an outage")
+        elif 400 <= status < 500:
+            failure = LogError(LogFailure.INVALID, f"status {status}")
+        else:
+            failure = LogError(LogFailure.LOST, f"status {status}")
+        if failure is None:
+            self._append_blocked_until_ms = 0
+        elif failure.failure in (LogFailure.OUTAGE, LogFailure.LOST):
+            self._append_blocked_until_ms = self._clock.now_ms() + APPEND_RETRY_MS
+            self._timers.at(self._append_blocked_until_ms, self._report_health)
+        # The health goes first, so that receivers know it when they learn of the failure.
+        self._report_health()
+        self.fire(log_appended(token, offset, failure), channel)
+
+    # Tails
+
+    @handler("log_follow", channel="*")
+    def _on_log_follow(self, stream: str, from_offset: int, channel: str) -> None:
+        tail = _Tail(stream, channel, from_offset)
+        self._tails.append(tail)
+        self._read(tail)
+
+    @handler("log_follow_since", channel="*")
+    def _on_log_follow_since(self, stream: str, age_ms: int, channel: str) -> None:
+        tail = _Tail(stream, channel, 0, since_ms=self._clock.wall_ms() - age_ms)
+        self._tails.append(tail)
+        self._read(tail)
+
+    def _read(self, tail: _Tail) -> None:
+        if self._stopped:
+            return
+        tail.call_id = self._next_call_id()
+        self._reads[tail.call_id] = tail
+        position, limit = tail.position, tail.limit
+        wait_ms = LONG_POLL_MS if tail.at_end and not self._reads_fail else 0
+        if tail.since_ms is not None:
+            low, high = tail.bounds or (0, 0)
+            position, limit, wait_ms = (low + high) // 2, 1, 0
+        query = f"?from={position}&limit={limit}&wait_ms={wait_ms}"
+        self._call(tail.call_id, "GET", tail.stream, query, (), b"", wait_ms + READ_TIMEOUT_MS)
+
+    def _read_completed(
+        self, tail: _Tail, status: int, body: bytes, error: HttpCallError | None
+    ) -> None:
+        self.bytes_read += len(body)
+        page = None
+        if error is None and status == 200:
+            try:
+                page = _DECODER.decode(body)
+            except msgspec.DecodeError:
+                page = None
+        if page is None:
+            self._read_failed(tail, error)
+            return
+        tail.failures = 0
+        self._reads_fail = False
+        self._report_health()
+        if tail.since_ms is not None:
+            self._locate(tail, page)
+        else:
+            records = [LogRecord(r.offset, r.time_ms, r.data) for r in page.records]
+            tail.position = max(tail.position, page.first_offset)
+            if records:
+                tail.position = max(tail.position, records[-1].offset + 1)
+            tail.at_end = tail.position >= page.next_offset
+            event = log_records(tail.stream, records, page.first_offset, page.next_offset)
+            self.fire(event, tail.channel)
+        self._read(tail)
+
+    def _locate(self, tail: _Tail, page: _Page) -> None:
+        """Halve the part of the stream in which the first record of the time lies."""
+        assert tail.since_ms is not None
+        if tail.bounds is None:
+            tail.bounds = (page.first_offset, page.next_offset)
+        else:
+            low, high = tail.bounds
+            low = max(low, page.first_offset)
+            record = page.records[0] if page.records else None
+            if record is None or record.time_ms >= tail.since_ms:
+                high = min(high, max(low, (tail.bounds[0] + tail.bounds[1]) // 2))
+            else:
+                low = max(low, record.offset + 1)
+            tail.bounds = (low, high)
+        if tail.bounds[0] >= tail.bounds[1]:
+            tail.position = tail.bounds[0]
+            since_ms, tail.since_ms = tail.since_ms, None
+            self.fire(log_located(tail.stream, tail.position, since_ms), tail.channel)
+
+    def _read_failed(self, tail: _Tail, error: HttpCallError | None) -> None:
+        if error is not None and error.failure is CallFailure.TOO_LARGE and tail.limit > 1:
+            tail.limit //= 2
+            self._read(tail)
+            return
+        if error is not None and error.failure is CallFailure.CANCELLED and self._stopped:
+            return
+        tail.failures += 1
+        # One failed read can be a kept connection that the log has closed.
+        if tail.failures > 1 or error is None or not error.byte_sent:
+            self._reads_fail = True
+            self._report_health()
+        longest_ms = min(MAX_BACKOFF_MS, MIN_BACKOFF_MS << min(tail.failures, 10))
+        delay_ms = int(longest_ms * self._rng.uniform(0.5, 1.0))
+        self._timers.after(delay_ms, lambda: self._read(tail))
+
+    # Calls and health
+
+    @handler("call_completed")
+    def _on_call_completed(
+        self, call_id: str, status: int, headers: Headers, body: bytes, error: HttpCallError | None
+    ) -> None:
+        if call_id in self._appends:
+            token, channel = self._appends.pop(call_id)
+            self._append_completed(token, channel, status, body, error)
+        elif call_id in self._reads:
+            self._read_completed(self._reads.pop(call_id), status, body, error)
+
+    @handler("drain_completed", channel="*")
+    def _on_drain_completed(self, component: str) -> None:
+        """End the tails once the requests have ended; appends go on."""
+        if component == "requests":
+            self._stopped = True
+            for call_id in list(self._reads):
+                self.fire(http_cancel(call_id), "http_client")
+
+    def _report_health(self) -> None:
+        now_ms = self._clock.now_ms()
+        available = not self._reads_fail and now_ms >= self._append_blocked_until_ms
+        if available is self._available:
+            return
+        if self._available is not None or not available:
+            log_event(logevents.LOG_AVAILABLE if available else logevents.LOG_UNAVAILABLE)
+        self._available = available
+        self.fire(log_health(available), "*")
+
+    def _next_call_id(self) -> str:
+        self._calls += 1
+        return f"log-{self._calls}"
+
+    def _call(
+        self,
+        call_id: str,
+        method: str,
+        stream: str,
+        query: str,
+        headers: Headers,
+        body: bytes,
+        timeout_ms: int = APPEND_TIMEOUT_MS,
+    ) -> None:
+        url = f"{self._url}/streams/{quote(stream, safe='')}/records{query}"
+        deadline_ms = self._clock.now_ms() + timeout_ms
+        call = HttpCall(call_id, method, url, headers, body, deadline_ms, self.channel)
+        self.fire(http_call(call), "http_client")
--- a/packages/daemon/src/ibispaddle_daemon/services.py
+++ b/packages/daemon/src/ibispaddle_daemon/services.py
@@ -11,12 +11,33 @@
 from ibispaddle_core import logevents
 from ibispaddle_core.chat import ProtocolError
 from ibispaddle_core.clock import Clock
+from ibispaddle_core.idempotency import (
+    CallCompleted,
+    CallDecision,
+    CallNotSent,
+    CallUnknown,
+    Outcome,
+    Reason,
+    Refuse,
+    Replay,
+    Send,
+    scoped_key,
+)
 from ibispaddle_core.membership import Kind, ListedState, ListEntry
 from ibispaddle_core.runstate import RunState
 from ibispaddle_core.settings import FleetConfig, ServiceConfig
 
 from .callers import TIMEOUT_HEADER, Caller, CallerDirectory, read_timeout_ms
-from .events import Headers, HttpCall, HttpCallError, claim_requested, http_call, http_cancel
+from .events import (
+    Headers,
+    HttpCall,
+    HttpCallError,
+    claim_finished,
+    claim_requested,
+    find_header,
+    http_call,
+    http_cancel,
+)
 from .http_exchange import Exchange
 from .logs import log_event
 from .metrics import Metrics
@@ -55,6 +76,22 @@
 }
 _NUMBERS = itertools.count(1)
 
+_REFUSALS = {
+    Reason.LOG_UNAVAILABLE: (503, "The platform's log is not available; the call was not sent."),
+    Reason.DEADLINE: (504, "The call's time ended before it was allowed to run."),
+    Reason.OTHER_REQUEST: (422, "The idempotency key was used for another request."),
+    Reason.KEY_EXPIRED: (409, "The idempotency key is older than the window of repetitions."),
+    Reason.KEY_FUTURE: (400, "The idempotency key's creation time lies in the future."),
+    Reason.KEY_TIME_MISSING: (
+        400,
+        "The idempotency key carries no creation time; use a UUID of version 7 or a prefix of"
+        " 13 digits, the milliseconds since 1970, and '-'.",
+    ),
+    Reason.NOT_COVERED: (503, "The instance has not read all earlier calls yet."),
+    Reason.OUTCOME_UNKNOWN: (504, "An earlier copy of the call may have run; no answer is known."),
+    Reason.BODY_UNAVAILABLE: (409, "The call has run; its answer is no longer available here."),
+}
+
 
 @dataclass(eq=False)
 class ServiceCall:
@@ -178,25 +215,82 @@
         )
         self._calls[call_id] = call
         exchange.on_closed = lambda: self._on_caller_left(call)
-        call.timer = self._timers.at(call.deadline_ms, lambda: self._expire(call))
         if call.is_repeatable:
+            self._watch_deadline(call)
             self._send(call)
         else:
             self._request_claim(call)
         return None
 
+    def _watch_deadline(self, call: ServiceCall) -> None:
+        call.timer = self._timers.at(call.deadline_ms, lambda: self._expire(call))
+
     # Claims
 
     def _request_claim(self, call: ServiceCall) -> None:
-        """Ask the claims component whether this call may run; the deadline ends the wait."""
+        """Ask the claims component whether this call may run; it answers by the deadline.
+
+        Only that component knows whether an earlier copy may have run, so no timer runs here.
+        """
         scope = f"{call.caller.name}\0{call.service}\0{call.exchange.method}\0{call.target}\0"
         request_hash = hashlib.blake2b(
             scope.encode("latin-1", "replace") + call.exchange.body, digest_size=16
         ).hexdigest()
+        key = scoped_key(call.caller.name, call.service, call.key)
         self.fire(
-            claim_requested(call.call_id, call.key, request_hash, call.deadline_ms, self.channel),
-            "*",
+            claim_requested(call.call_id, key, request_hash, call.deadline_ms, self.channel), "*"
+        )
+
+    @handler("claim_decided")
+    def _on_claim_decided(self, call_id: str, decision: CallDecision) -> None:
+        call = self._calls.get(call_id)
+        match decision:
+            case Send(deadline_ms):
+                # The deadline is read again here, because the process may have been paused since
+                # the decision.
+                if call is None or self._clock.now_ms() >= deadline_ms:
+                    self.fire(claim_finished(call_id, CallNotSent()), "*")
+                    if call is not None:
+                        self._expire(call)
+                    return
+                call.is_claimed = True
+                self._watch_deadline(call)
+                self._send(call)
+            case Replay(outcome) if call is not None:
+                headers = (("Content-Type", outcome.content_type),) if outcome.content_type else ()
+                self._answer(call, outcome.status or 200, headers, outcome.body or b"")
+            case Refuse() if call is not None:
+                self._refuse(call, decision)
+
+    def _refuse(self, call: ServiceCall, refusal: Refuse) -> None:
+        status, text = _REFUSALS[refusal.reason]
+        error = ProtocolError(
+            status,
+            str(refusal.reason),
+            text,
+            refusal.run_state,
+            retry_after_ms=refusal.retry_after_ms or 0,
         )
+        log_event(
+            logevents.REQUEST_REFUSED,
+            request=call.call_id,
+            code=error.code,
+            run_state=str(error.run_state),
+        )
+        respond_error(call.exchange, error, (("X-Request-Id", call.call_id),))
+        self._finish(call, error.code)
+
+    def _finish_claim(self, call: ServiceCall, outcome: Outcome | None) -> None:
+        """Record how a claimed call ended; `outcome` is None without a whole answer."""
+        if not call.is_claimed:
+            return
+        call.is_claimed = False
+        result: CallCompleted | CallNotSent | CallUnknown
+        if outcome is not None:
+            result = CallCompleted(outcome)
+        else:
+            result = CallUnknown() if call.unproved_attempts else CallNotSent()
+        self.fire(claim_finished(call.call_id, result), "*")
 
     # Attempts
 
@@ -279,10 +373,13 @@
     def _answer(self, call: ServiceCall, status: int, headers: Headers, body: bytes) -> None:
         kept = tuple((name, value) for name, value in headers if name.lower() not in _HOP_BY_HOP)
         kept = tuple((name, value) for name, value in kept if name.lower() != "x-request-id")
+        content_type = find_header(headers, "content-type") or ""
+        self._finish_claim(call, Outcome(status, content_type, body))
         call.exchange.respond(status, (*kept, ("X-Request-Id", call.call_id)), body)
         self._finish(call, str(status))
 
     def _fail(self, call: ServiceCall, status: int, code: str, text: str) -> None:
+        self._finish_claim(call, None)
         retry_after_ms = RETRY_AFTER_MS if status == 503 else 0
         error = ProtocolError(status, code, text, call.run_state, retry_after_ms=retry_after_ms)
         log_event(
--- a/tests/daemon/processes.py
+++ b/tests/daemon/processes.py
@@ -189,6 +189,8 @@
         try:
             folder = self.stack.enter_context(tempfile.TemporaryDirectory())
             self.list = self.add(StandIn("instances"))
+            self.log = self.add(StandIn("log"))
+            settings = {"log_url": self.log.url} | settings
             self.runners = [self.add(StandIn("engine", *runner_args)) for _ in range(runners)]
             self.services = [self.add(StandIn("service")) for _ in range(services)]
             self.publish()
