--- a/packages/daemon/src/ibispaddle_daemon/app.py
+++ b/packages/daemon/src/ibispaddle_daemon/app.py
@@ -9,7 +9,7 @@
 from circuits.core.pollers import EPoll
 from ibispaddle_core import logevents
 from ibispaddle_core.clock import Clock, SystemClock
-from ibispaddle_core.membership import MembershipView
+from ibispaddle_core.membership import Kind, MembershipView, MemberState
 from ibispaddle_core.settings import FleetConfig, InstanceSettings
 
 from .claims import Claims
@@ -74,6 +74,7 @@
         self.entry = Entry(
             settings.instance_id,
             config,
+            self.http_client,
             self.clock,
             self.timers,
             self.metrics,
@@ -126,6 +127,16 @@
             "Open connections, without those that wait for the log.",
             lambda: self.http_client.open_connections - self.log.calls_in_flight,
         )
+        add(
+            "ibispaddle_runners_live",
+            "Runners that take new work.",
+            lambda: self._count_live(Kind.RUNNER),
+        )
+        add(
+            "ibispaddle_instances_live",
+            "Instances that take part in shared duties, with this one.",
+            lambda: self._count_live(Kind.ENTRY),
+        )
         add(
             "ibispaddle_peer_connections",
             "Instances with an authenticated connection.",
@@ -167,6 +178,10 @@
             lambda: self.http_client.calls_in_flight - self.log.calls_in_flight,
         )
 
+    def _count_live(self, kind: Kind) -> int:
+        members = self.view.members(self.clock.now_ms(), kind)
+        return sum(member.state is MemberState.LIVE for member in members)
+
     @handler("started", channel="*")
     def _on_started(self, *args: Any) -> None:
         address = f"{self.server.host}:{self.server.port}"
