Added tests of engine memory under failure with real processes

Cause: nothing showed with real processes that the memory of prompts that span engines is freed.

If the instance is killed or stopped, others free the handles: at most max(deadline + 5 s, 10 s silence + 1 s) + 5 s between readings of the handles, plus 1 s.

--- /dev/null
+++ b/tests/failures/test_handle_expiry.py
@@ -0,0 +1,50 @@
+"""Memory of an instance that ended is freed by others when its handles have expired."""
+
+import signal
+import time
+from dataclasses import replace
+
+from .engine_memory import EXPIRY_GRACE_S, KV_PROBE_S, MemoryTest
+
+
+class EndedInstanceTest(MemoryTest):
+    """An instance ends without freeing; others delete the handles after their expiry."""
+
+    SPEC = replace(MemoryTest.SPEC, entries=2)
+    FLEET_PER_TEST = True
+    TIMEOUT_MS = 1_500
+    # The other instances take over the probes of one that has been silent for 10 s, within 1 s.
+    TAKEOVER_S = 11.0
+    # From the request on; the last second is for the probe's calls and the processes.
+    LIMIT_S = max(TIMEOUT_MS / 1000 + EXPIRY_GRACE_S, TAKEOVER_S + 1.0) + KV_PROBE_S + 1.0
+
+    def test_killed_instance(self):
+        """Guard against memory that nobody frees because the instance that reserved it died."""
+        started = time.monotonic()
+        self.spanning(timeout_ms=self.TIMEOUT_MS, entry=self.fleet.entries[1]).wait_for_tokens()
+        self.assertEqual(len(self.holders()), 2)
+        self.fleet.entries[1].kill()
+        self.assert_freed(self.LIMIT_S - (time.monotonic() - started))
+
+    def test_stopped_instance(self):
+        """Guard against memory that is held for as long as an instance is stopped."""
+        started = time.monotonic()
+        entry = self.fleet.entries[1]
+        self.spanning(timeout_ms=self.TIMEOUT_MS, entry=entry).wait_for_tokens()
+        self.assertEqual(len(self.holders()), 2)
+        entry.signal(signal.SIGSTOP)
+        self.addCleanup(entry.signal, signal.SIGCONT)
+        self.assert_freed(self.LIMIT_S - (time.monotonic() - started))
+        entry.signal(signal.SIGCONT)
+        time.sleep(0.5)
+        self.assertEqual(self.held(), {})
+
+    def test_all_instances_killed(self):
+        """Guard against memory that is lost when all instances are replaced at once."""
+        started = time.monotonic()
+        self.spanning(timeout_ms=self.TIMEOUT_MS).wait_for_tokens()
+        for entry in self.fleet.entries:
+            entry.kill()
+        restarted = self.fleet.restart_entry(0)
+        self.assertTrue(restarted.running)
+        self.assert_freed(self.LIMIT_S - (time.monotonic() - started))
