--- a/packages/daemon/src/ibispaddle_daemon/attempts.py
+++ b/packages/daemon/src/ibispaddle_daemon/attempts.py
@@ -4,7 +4,7 @@
 from typing import TYPE_CHECKING
 
 import msgspec
-from circuits import BaseComponent, handler
+from circuits import BaseComponent
 from ibispaddle_core import logevents
 from ibispaddle_core.chat import Kind, ProtocolError
 from ibispaddle_core.clock import Clock
@@ -23,7 +23,6 @@
     ResponseEnded,
     TimePassed,
 )
-from ibispaddle_core.runstate import RunState
 from ibispaddle_core.scheduling import Dispatch, Outcome
 from opentelemetry.trace import Status, StatusCode
 
@@ -33,12 +32,12 @@
     Headers,
     HttpCall,
     HttpCallError,
-    http_call,
     http_cancel,
     http_pause,
     http_resume,
     runner_failed,
 )
+from .http_client import HttpClient
 from .logs import log_event
 from .metrics import Metrics
 from .model_request import ModelRequest, RunningAttempt
@@ -81,10 +80,17 @@
     channel = "attempts"
 
     def __init__(
-        self, entry: "Entry", clock: Clock, timers: TimerQueue, metrics: Metrics, tracing: Tracing
+        self,
+        entry: "Entry",
+        client: HttpClient,
+        clock: Clock,
+        timers: TimerQueue,
+        metrics: Metrics,
+        tracing: Tracing,
     ) -> None:
         super().__init__()
         self._entry = entry
+        self._client = client
         self._clock = clock
         self._timers = timers
         self._metrics = metrics
@@ -173,8 +179,9 @@
             request.req.deadline_ms + DEADLINE_MARGIN_MS,
             self.channel,
             stream=True,
+            sink=self,
         )
-        self.fire(http_call(call), "http_client")
+        self._client.start_call(call)
         self._watch(request, running)
 
     def cancel(self, request: ModelRequest) -> None:
@@ -210,22 +217,22 @@
         running.timer_due_ms = due_ms
         running.timer = self._timers.at(due_ms, check)
 
-    # Events of the HTTP client
+    # Reports of the HTTP client
 
-    @handler("call_sent")
-    def _on_call_sent(self, call_id: str) -> None:
+    def call_sent(self, call_id: str) -> None:
+        """Take the news that the first byte was written."""
         self._feed_call(call_id, FirstByteSent())
 
-    @handler("call_head")
-    def _on_call_head(self, call_id: str, status: int, headers: Headers) -> None:
+    def call_head(self, call_id: str, status: int, headers: Headers) -> None:
+        """Take the head of a response."""
         self._feed_call(call_id, HeadReceived(status, headers))
 
-    @handler("call_data")
-    def _on_call_data(self, call_id: str, data: bytes) -> None:
+    def call_data(self, call_id: str, data: bytes) -> None:
+        """Take a part of a response."""
         self._feed_call(call_id, DataReceived(data))
 
-    @handler("call_ended")
-    def _on_call_ended(self, call_id: str, error: HttpCallError | None) -> None:
+    def call_ended(self, call_id: str, error: HttpCallError | None) -> None:
+        """Take the end of a call."""
         if error is None:
             self._feed_call(call_id, ResponseEnded(complete=True, byte_sent=True))
             return
@@ -324,18 +331,20 @@
             self._entry.attempt_ended(request, running.upstream_id, end.outcome)
         elif self._can_resume(request, running, end):
             self._resume(request, running)
-        elif running.machine.byte_sent and end.run_state is RunState.UNKNOWN:
+        elif running.may_run_on and end.outcome is not Outcome.REJECTED:
             self._ask_to_stop(running, request)
         else:
             self._entry.attempt_ended(request, running.upstream_id, end.outcome)
 
-    @staticmethod
-    def _can_resume(request: ModelRequest, running: RunningAttempt, end: AttemptFinished) -> bool:
+    def _can_resume(
+        self, request: ModelRequest, running: RunningAttempt, end: AttemptFinished
+    ) -> bool:
         return (
             request.parsed.stream
             and running.machine.next_index > 0
             and running.machine.boot_id != ""
             and request.resumes < MAX_RESUMES
+            and self._clock.now_ms() < request.req.deadline_ms
             and end.outcome in (Outcome.FAILED, Outcome.STALLED)
         )
 
@@ -365,13 +374,13 @@
             proved = not running.machine.next_index and _proves_not_run(result)
             if proved:
                 request.unproved_attempts -= 1
-            self._entry.attempt_ended(
-                request,
-                running.upstream_id,
-                Outcome.REJECTED if proved else outcome or Outcome.FAILED,
-            )
+            if proved:
+                outcome = Outcome.REJECTED
+            elif outcome is None or running.is_resumed:
+                outcome = Outcome.FAILED
+            self._entry.attempt_ended(request, running.upstream_id, outcome)
 
-        if running.machine.byte_sent:
+        if running.may_run_on:
             body = msgspec.json.encode({"request_id": running.engine_request_id})
             url = f"{running.base_url}/v1/cancel"
             self._calls.send("POST", url, body, PROOF_TIMEOUT_MS, done)
