--- a/packages/daemon/src/ibispaddle_daemon/app.py
+++ b/packages/daemon/src/ibispaddle_daemon/app.py
@@ -155,7 +155,7 @@
         add(
             "ibispaddle_log_available",
             "Whether the platform's log answers.",
-            lambda: self.log.is_available,
+            lambda: float(self.log.is_available),
         )
         add(
             "ibispaddle_log_read_bytes",
--- a/packages/daemon/src/ibispaddle_daemon/platform_log.py
+++ b/packages/daemon/src/ibispaddle_daemon/platform_log.py
@@ -36,6 +36,9 @@
 MAX_BACKOFF_MS = 5_000
 # After a failed append the log counts as unavailable for this time; then one more may try.
 APPEND_RETRY_MS = 1_000
+# Lost answers in a row that count as an outage. A single one can be a kept connection that the log
+# has closed, and must not refuse the calls of a whole second.
+MAX_LOST_ANSWERS = 3
 
 
 class log_follow_since(Event):
@@ -125,6 +128,7 @@
         self._calls = 0
         self._reads_fail = False
         self._append_blocked_until_ms = 0
+        self._lost_answers = 0
         self._available: bool | None = None
         self._stopped = False
         self.bytes_read = 0
@@ -170,9 +174,11 @@
             failure = LogError(LogFailure.INVALID, f"status {status}")
         else:
             failure = LogError(LogFailure.LOST, f"status {status}")
+        is_lost = failure is not None and failure.failure is LogFailure.LOST
+        self._lost_answers = self._lost_answers + 1 if is_lost else 0
         if failure is None:
             self._append_blocked_until_ms = 0
-        elif failure.failure in (LogFailure.OUTAGE, LogFailure.LOST):
+        elif failure.failure is LogFailure.OUTAGE or self._lost_answers >= MAX_LOST_ANSWERS:
             self._append_blocked_until_ms = self._clock.now_ms() + APPEND_RETRY_MS
             self._timers.at(self._append_blocked_until_ms, self._report_health)
         # The health goes first, so that receivers know it when they learn of the failure.
