--- a/packages/daemon/src/ibispaddle_daemon/services.py
+++ b/packages/daemon/src/ibispaddle_daemon/services.py
@@ -17,7 +17,6 @@
     CallNotSent,
     CallUnknown,
     Outcome,
-    Reason,
     Refuse,
     Replay,
     Send,
@@ -50,9 +49,24 @@
 MAX_ATTEMPTS = 3
 MAX_KEY_CHARACTERS = 255
 RETRY_AFTER_MS = 1_000
+# The HTTP call of a repeatable request ends this much after its deadline, so that the answer states
+# the deadline. A call that is not repeatable must not be written after its deadline.
 DEADLINE_MARGIN_MS = 250
+# Time after the deadline in which the claims component states what is known about the run.
+CLAIM_MARGIN_MS = 250
 REPLAYED: Headers = (("Idempotency-Replayed", "true"),)
 
+# Status for the reasons of a refused claim; all others mean that a retry may succeed.
+_CLAIM_STATUS = {
+    "key_used_for_another_request": 422,
+    "key_older_than_window": 409,
+    "key_from_the_future": 400,
+    "key_without_creation_time": 400,
+    "outcome_unknown": 409,
+    "recorded_body_unavailable": 409,
+    "deadline_passed": 504,
+}
+
 _HOP_BY_HOP = frozenset(
     (
         "connection",
@@ -78,22 +92,6 @@
 }
 _NUMBERS = itertools.count(1)
 
-_REFUSALS = {
-    Reason.LOG_UNAVAILABLE: (503, "The platform's log is not available; the call was not sent."),
-    Reason.DEADLINE: (504, "The call's time ended before it was allowed to run."),
-    Reason.OTHER_REQUEST: (422, "The idempotency key was used for another request."),
-    Reason.KEY_EXPIRED: (409, "The idempotency key is older than the window of repetitions."),
-    Reason.KEY_FUTURE: (400, "The idempotency key's creation time lies in the future."),
-    Reason.KEY_TIME_MISSING: (
-        400,
-        "The idempotency key carries no creation time; use a UUID of version 7 or a prefix of"
-        " 13 digits, the milliseconds since 1970, and '-'.",
-    ),
-    Reason.NOT_COVERED: (503, "The instance has not read all earlier calls yet."),
-    Reason.OUTCOME_UNKNOWN: (409, "An earlier copy of the call may have run; no answer is known."),
-    Reason.BODY_UNAVAILABLE: (409, "The call has run; its answer is no longer available here."),
-}
-
 
 @dataclass(eq=False)
 class ServiceCall:
@@ -115,6 +113,7 @@
     upstream_id: str = ""
     unproved_attempts: int = 0
     is_claimed: bool = False
+    claimed_state: RunState | None = None  # Stated by the claims component in a refusal.
     timer: TimerHandle | None = None
 
     @property
@@ -125,6 +124,8 @@
     @property
     def run_state(self) -> RunState:
         """Return what is known about the run."""
+        if self.claimed_state is not None:
+            return self.claimed_state
         return RunState.UNKNOWN if self.unproved_attempts else RunState.NOT_RUN
 
 
@@ -218,81 +219,58 @@
         self._calls[call_id] = call
         exchange.on_closed = lambda: self._on_caller_left(call)
         if call.is_repeatable:
-            self._watch_deadline(call)
+            call.timer = self._timers.at(call.deadline_ms, lambda: self._expire(call))
             self._send(call)
         else:
+            call.timer = self._timers.at(call.deadline_ms, lambda: self._await_claim(call))
             self._request_claim(call)
         return None
 
-    def _watch_deadline(self, call: ServiceCall) -> None:
-        call.timer = self._timers.at(call.deadline_ms, lambda: self._expire(call))
-
     # Claims
 
     def _request_claim(self, call: ServiceCall) -> None:
-        """Ask the claims component whether this call may run; it answers by the deadline.
-
-        Only that component knows whether an earlier copy may have run, so no timer runs here.
-        """
-        scope = f"{call.caller.name}\0{call.service}\0{call.exchange.method}\0{call.target}\0"
-        request_hash = hashlib.blake2b(
-            scope.encode("latin-1", "replace") + call.exchange.body, digest_size=16
-        ).hexdigest()
+        """Ask the claims component whether this call may be sent."""
+        scope = f"{call.exchange.method}\0{call.target}\0".encode("latin-1", "replace")
+        request_hash = hashlib.blake2b(scope + call.exchange.body, digest_size=16).hexdigest()
         key = scoped_key(call.caller.name, call.service, call.key)
-        self.fire(
-            claim_requested(call.call_id, key, request_hash, call.deadline_ms, self.channel), "*"
-        )
+        event = claim_requested(call.call_id, key, request_hash, call.deadline_ms, self.channel)
+        if not self.root.getHandlers(event, "*"):
+            text = "This instance has no component that decides claims."
+            self._fail(call, 503, "claims_unavailable", text, RETRY_AFTER_MS)
+            return
+        self.fire(event, "*")
 
     @handler("claim_decided")
     def _on_claim_decided(self, call_id: str, decision: CallDecision) -> None:
         call = self._calls.get(call_id)
+        if call is None:
+            if isinstance(decision, Send):
+                # The call was refused meanwhile and will never be sent.
+                self.fire(claim_finished(call_id, CallNotSent()), "*")
+            return
         match decision:
-            case Send(deadline_ms):
-                # The deadline is read again here, because the process may have been paused since
-                # the decision.
-                if call is None or self._clock.now_ms() >= min(deadline_ms, call.deadline_ms):
-                    self.fire(claim_finished(call_id, CallNotSent()), "*")
-                    if call is not None:
-                        self._expire(call)
-                    return
+            case Send():
                 call.is_claimed = True
-                self._watch_deadline(call)
-                self._send(call)
-            case Replay(outcome) if call is not None:
-                headers = (("Content-Type", outcome.content_type),) if outcome.content_type else ()
-                self._answer(call, outcome.status or 200, headers + REPLAYED, outcome.body or b"")
-            case Refuse() if call is not None:
-                self._refuse(call, decision)
-
-    def _refuse(self, call: ServiceCall, refusal: Refuse) -> None:
-        status, text = _REFUSALS[refusal.reason]
-        error = ProtocolError(
-            status,
-            str(refusal.reason),
-            text,
-            refusal.run_state,
-            retry_after_ms=refusal.retry_after_ms or 0,
-        )
-        log_event(
-            logevents.REQUEST_REFUSED,
-            request=call.call_id,
-            code=error.code,
-            run_state=str(error.run_state),
-        )
-        respond_error(call.exchange, error, (("X-Request-Id", call.call_id),))
-        self._finish(call, error.code)
-
-    def _finish_claim(self, call: ServiceCall, outcome: Outcome | None) -> None:
-        """Record how a claimed call ended; `outcome` is None without a whole answer."""
-        if not call.is_claimed:
-            return
-        call.is_claimed = False
-        result: CallCompleted | CallNotSent | CallUnknown
-        if outcome is not None:
-            result = CallCompleted(outcome)
-        else:
-            result = CallUnknown() if call.unproved_attempts else CallNotSent()
-        self.fire(claim_finished(call.call_id, result), "*")
+                if self._clock.now_ms() >= call.deadline_ms:
+                    self._expire(call)
+                else:
+                    self._send(call)
+            case Replay(outcome):
+                headers: Headers = (("Content-Type", outcome.content_type),)
+                body = outcome.body or b""
+                self._answer(call, outcome.status or 200, headers + REPLAYED, body)
+            case Refuse(run_state, reason, retry_after_ms):
+                status = _CLAIM_STATUS.get(reason, 503)
+                text = f"The call was not sent: {reason.replace('_', ' ')}."
+                call.claimed_state = run_state
+                self._fail(call, status, reason, text, retry_after_ms or 0)
+
+    def _settle(self, call: ServiceCall, result: CallCompleted | None = None) -> None:
+        """Record how a claimed call ended; the claim stays first in either case."""
+        if call.is_claimed:
+            call.is_claimed = False
+            unknown = CallUnknown() if call.unproved_attempts else CallNotSent()
+            self.fire(claim_finished(call.call_id, result or unknown), "*")
 
     # Attempts
 
@@ -313,7 +291,7 @@
         entry = self._choose(call)
         if entry is None:
             text = f"No instance of the service '{call.service}' is available."
-            self._fail(call, 503, "no_upstream", text)
+            self._fail(call, 503, "no_upstream", text, RETRY_AFTER_MS)
             return
         call.attempts += 1
         call.tried.add(entry.id)
@@ -354,6 +332,8 @@
             return
         call.attempt_id = ""
         if error is None:
+            content_type = find_header(headers, "content-type") or ""
+            self._settle(call, CallCompleted(Outcome(status, content_type, body)))
             self._answer(call, status, headers, body)
             return
         log_event(
@@ -377,14 +357,13 @@
     def _answer(self, call: ServiceCall, status: int, headers: Headers, body: bytes) -> None:
         kept = tuple((name, value) for name, value in headers if name.lower() not in _HOP_BY_HOP)
         kept = tuple((name, value) for name, value in kept if name.lower() != "x-request-id")
-        content_type = find_header(headers, "content-type") or ""
-        self._finish_claim(call, Outcome(status, content_type, body))
         call.exchange.respond(status, (*kept, ("X-Request-Id", call.call_id)), body)
         self._finish(call, str(status))
 
-    def _fail(self, call: ServiceCall, status: int, code: str, text: str) -> None:
-        self._finish_claim(call, None)
-        retry_after_ms = RETRY_AFTER_MS if status == 503 else 0
+    def _fail(
+        self, call: ServiceCall, status: int, code: str, text: str, retry_after_ms: int = 0
+    ) -> None:
+        self._settle(call)
         error = ProtocolError(status, code, text, call.run_state, retry_after_ms=retry_after_ms)
         log_event(
             logevents.REQUEST_REFUSED,
@@ -399,8 +378,22 @@
         if call.call_id not in self._calls:
             return
         self._abandon(call)
+        if not (call.is_repeatable or call.is_claimed):
+            # Without a decision it is not known whether an earlier call with this key ran.
+            call.claimed_state = RunState.UNKNOWN
         self._fail(call, 504, "deadline", "The call did not end within its allotted time.")
 
+    def _await_claim(self, call: ServiceCall) -> None:
+        """End a call that was sent; give the claims component time to refuse any other.
+
+        The time counts from now, because after a pause of the process all deadlines are due at once
+        and the refusal is still on its way.
+        """
+        if call.is_claimed:
+            self._expire(call)
+        else:
+            call.timer = self._timers.after(CLAIM_MARGIN_MS, lambda: self._expire(call))
+
     def _on_caller_left(self, call: ServiceCall) -> None:
         # A call that is not repeatable runs on, so that its outcome is known to a retry.
         if call.is_repeatable:
