--- a/packages/daemon/src/ibispaddle_daemon/services.py
+++ b/packages/daemon/src/ibispaddle_daemon/services.py
@@ -222,8 +222,7 @@
             call.timer = self._timers.at(call.deadline_ms, lambda: self._expire(call))
             self._send(call)
         else:
-            limit_ms = call.deadline_ms + CLAIM_MARGIN_MS
-            call.timer = self._timers.at(limit_ms, lambda: self._expire(call))
+            call.timer = self._timers.at(call.deadline_ms, lambda: self._await_claim(call))
             self._request_claim(call)
         return None
 
@@ -384,6 +383,17 @@
             call.claimed_state = RunState.UNKNOWN
         self._fail(call, 504, "deadline", "The call did not end within its allotted time.")
 
+    def _await_claim(self, call: ServiceCall) -> None:
+        """End a call that was sent; give the claims component time to refuse any other.
+
+        The time counts from now, because after a pause of the process all deadlines are due at once
+        and the refusal is still on its way.
+        """
+        if call.is_claimed:
+            self._expire(call)
+        else:
+            call.timer = self._timers.after(CLAIM_MARGIN_MS, lambda: self._expire(call))
+
     def _on_caller_left(self, call: ServiceCall) -> None:
         # A call that is not repeatable runs on, so that its outcome is known to a retry.
         if call.is_repeatable:
