Added tests of whole answers under failure with real processes

Cause: nothing showed with real processes that a caller gets the whole answer to its own request, or sees that it is cut.

Change: tests with an engine restarted on its address in mid-stream, a resume that another boot accepts, late answers of engines and services after timeouts while the next requests are in flight, late answers on the caller's own connection, 60 concurrent streams with cancels, faulty chunks under load and an engine killed under 20 streams. ScriptedEngine decides its bytes in the test's process, for behaviour that the stand-in does not have.

Seen to fail without their mechanism with local patches: resume by another boot without the check of the boot id; restarted and killed engine with an end mark in place of the error event; faulty chunks without the checks of completion id and token index; all late answers with connections that are kept after a failed call and without the check of the request id; cancels in between with a cancel that ends all calls.

--- /dev/null
+++ b/tests/failures/scripted_engine.py
@@ -0,0 +1,153 @@
+"""An engine in the test's process whose bytes a test decides.
+
+It shows behaviour that a correct engine does not have, and counts which prompts it ran.
+"""
+
+import contextlib
+import json
+import re
+import socket
+import struct
+import threading
+import time
+from collections.abc import Callable
+
+from ibispaddle_bench.fleet import MODEL, Fleet
+from ibispaddle_bench.processes import call_json
+
+Script = Callable[["ScriptedEngine", socket.socket, str, str, bytes], bool]
+
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER with a time of 0: close sends a reset.
+
+
+def reset(conn: socket.socket) -> bool:
+    """Reset the connection."""
+    conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    conn.close()
+    return False
+
+
+def respond(conn: socket.socket, status: int, body: bytes, headers: str = "") -> bool:
+    """Write a whole response and keep the connection."""
+    head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n{headers}\r\n"
+    conn.sendall(head.encode() + body)
+    return True
+
+
+def error_body(code: str) -> bytes:
+    """Return an error in the form of the chat-completions protocol."""
+    return json.dumps({"error": {"message": "scripted", "code": code}}).encode()
+
+
+def stream_head(boot_id: str, request_id: str) -> bytes:
+    """Return the head of an event stream that ends with its connection."""
+    return (
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n"
+        f"X-Engine-Boot: {boot_id}\r\nX-Request-Id: {request_id}\r\n\r\n"
+    ).encode()
+
+
+def chunk(completion_id: str, index: int, text: str, reason: str | None = None) -> bytes:
+    """Return the event of one token."""
+    choice = {
+        "index": 0,
+        "token_index": index,
+        "delta": {"content": text},
+        "finish_reason": reason,
+    }
+    return b"data: " + json.dumps({"id": completion_id, "choices": [choice]}).encode() + b"\n\n"
+
+
+class ScriptedEngine:
+    """Answer probes like an idle engine and leave all else to a script.
+
+    The script gets the engine, the connection, the path, the request id and the body; it returns
+    whether the connection can carry another request.
+    """
+
+    def __init__(self, name: str, script: Script) -> None:
+        self.name = name
+        self.script = script
+        self.requests: list[str] = []  # Paths in the order of arrival.
+        self.runs = 0
+        self._sequence = 0
+        self._listener = socket.create_server(("127.0.0.1", 0), backlog=64)
+        self._open: list[socket.socket] = []
+        self.address = "{}:{}".format(*self._listener.getsockname())
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                conn, _ = self._listener.accept()
+                self._open.append(conn)
+                threading.Thread(target=self._serve, args=(conn,), daemon=True).start()
+
+    def _serve(self, conn: socket.socket) -> None:
+        with contextlib.suppress(OSError), conn:
+            reader = conn.makefile("rb")
+            while self._answer(conn, reader):
+                pass
+            reader.close()
+
+    def _answer(self, conn: socket.socket, reader) -> bool:
+        head = b""
+        while not head.endswith(b"\r\n\r\n"):
+            line = reader.readline()
+            if not line:
+                return False
+            head += line
+        path = head.split(b" ", 2)[1].decode()
+        fields = dict(re.findall(r"(?m)^([^:\s]+): ([^\r\n]*)", head.decode("latin-1")))
+        fields = {name.lower(): value for name, value in fields.items()}
+        body = reader.read(int(fields.get("content-length", 0)))
+        if path == "/load":
+            return respond(conn, 200, json.dumps(self._load()).encode())
+        if path == "/kv":
+            return respond(conn, 200, b'{"handles": {}}')
+        self.requests.append(path)
+        return self.script(self, conn, path, fields.get("x-request-id", ""), body)
+
+    def _load(self) -> dict:
+        self._sequence += 1
+        return {
+            "boot_id": "scripted",
+            "seq": self._sequence,
+            "time_ms": int(time.time() * 1000),
+            "running": 0,
+            "waiting": 0,
+            "queued_prefill_tokens": 0,
+            "kv_tokens_used": 0,
+            "kv_tokens_total": 400_000,
+            "prefill_tokens_per_s": 25_000.0,
+            "decode_tokens_per_s": 60.0,
+            "models": [MODEL],
+            "role": "mixed",
+            "state": "live",
+        }
+
+    def close(self) -> None:
+        """Stop listening and close all connections."""
+        for sock in (self._listener, *self._open):
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+            sock.close()
+
+
+def publish_with(fleet: Fleet, *engines: ScriptedEngine) -> None:
+    """Write the fleet's instance list with scripted engines added."""
+    entries = fleet.listed_entries()
+    for engine in engines:
+        entries.append(
+            {
+                "id": engine.name,
+                "kind": "runner",
+                "address": engine.address,
+                "data_centre": "dc.1",
+                "state": "live",
+                "models": [MODEL],
+                "service": None,
+                "fenced": False,
+            }
+        )
+    call_json(f"{fleet.instances.url}/admin/entries", {"entries": entries}, method="PUT")
--- /dev/null
+++ b/tests/failures/test_whole_answers.py
@@ -0,0 +1,238 @@
+"""A caller receives the whole answer to its own request and only that, or sees that it is cut."""
+
+import http.client
+import json
+import signal
+import threading
+import time
+from dataclasses import replace
+
+from ibispaddle_bench.fleet import MODEL
+
+from .scripted_engine import ScriptedEngine, chunk, publish_with, respond, stream_head
+from .support import (
+    FAST_SETTINGS,
+    KEY,
+    Call,
+    FleetTest,
+    ServiceCall,
+    expected_text,
+    metric,
+    wait_until,
+)
+
+# Time limit of the call by which an instance asks an engine to stop a request, and a little more.
+STOP_CALL_S = 0.6
+
+
+class RestartedEngineTest(FleetTest):
+    FLEET_PER_TEST = True
+
+    def test_engine_restarted_on_the_same_address(self):
+        """Guard against a stream that another boot of the engine continues."""
+        for number in range(2):
+            calls = [self.call(prompt=f"{number} {n}", tokens=200) for n in range(4)]
+            for call in calls:
+                call.wait_for_tokens(3)
+            self.runner.kill()
+            self.fleet.restart_runner(0)
+            for call in calls:
+                self.assert_no_fault(call)
+                self.assertFalse(call.is_done)
+                self.assertEqual(call.run_state, "unknown")
+            wait_until(lambda: self.call(prompt="next").ended().is_whole, "next answer")
+
+
+class ScriptedEngineTest(FleetTest):
+    """The engine does what a correct one does not."""
+
+    SPEC = replace(FleetTest.SPEC, runners=0)
+    FLEET_PER_TEST = True
+
+    def add_engine(self, script) -> ScriptedEngine:
+        """Return an engine that the instance knows."""
+        engine = ScriptedEngine("runner.8", script)
+        self.addCleanup(engine.close)
+        publish_with(self.fleet, engine)
+        wait_until(lambda: metric(self.entry, "ibispaddle_runners_live") == 1, "known engine")
+        return engine
+
+    def test_resume_by_another_boot(self):
+        """Guard against tokens of another engine boot in a stream that has begun."""
+        texts = [expected_text("Draft a motif with lilies.", n + 1) for n in range(20)]
+        tokens = [text[len(texts[n - 1]) if n else 0 :] for n, text in enumerate(texts)]
+
+        def script(engine, conn, path, request_id, body):
+            if path == "/v1/cancel":
+                return respond(conn, 200, b'{"cancelled": true, "ran": true}')
+            resumed = path == "/v1/resume"
+            # Only the boot id gives the other engine away: its tokens fit the sequence.
+            first = json.loads(body)["from_token"] if resumed else 0
+            conn.sendall(stream_head("boot.2" if resumed else "boot.1", request_id))
+            for index in range(first, 20 if resumed else 5):
+                conn.sendall(chunk("cmpl-1", index, tokens[index], "stop" if index == 19 else None))
+            if resumed:
+                conn.sendall(b"data: [DONE]\n\n")
+            return False
+
+        engine = self.add_engine(script)
+        call = self.call(tokens=20).ended()
+        self.assertIn("/v1/resume", engine.requests)
+        self.assert_no_fault(call)
+        self.assertEqual((call.is_done, len(call.parts)), (False, 5), call.describe())
+
+    def test_late_answer_on_a_reused_connection(self):
+        """Guard against the answer to a request that has timed out as the answer to the next."""
+
+        def script(engine, conn, path, request_id, body):
+            if path == "/v1/cancel":
+                return respond(conn, 200, b'{"cancelled": false, "ran": true}')
+            prompt = json.loads(body)["messages"][0]["content"]
+            if prompt.startswith("late"):
+                time.sleep(1.4)
+            message = {"role": "assistant", "content": expected_text(prompt, 8)}
+            choice = {"index": 0, "message": message, "finish_reason": "stop"}
+            answer = json.dumps({"id": "cmpl", "choices": [choice]}).encode()
+            return respond(conn, 200, answer, f"X-Request-Id: {request_id}\r\n")
+
+        self.add_engine(script)
+        late = [self.call(prompt=f"late {n}", timeout_ms=300, stream=False) for n in range(4)]
+        for call in late:
+            self.assertEqual(call.ended().status, 504, call.describe())
+        time.sleep(STOP_CALL_S)
+        for call in [self.call(prompt=f"next {n}", stream=False) for n in range(4)]:
+            self.assertTrue(call.ended().is_whole, call.describe() + call.text)
+
+
+class LateAnswerTest(FleetTest):
+    SPEC = replace(FleetTest.SPEC, services=1, time_scale=1_000.0)
+
+    def check_answers_after(self, silence, end_of_silence) -> None:
+        """Let requests time out, and check the next ones while late answers arrive."""
+        for round_number in range(2):
+            silence()
+            late = [
+                self.call(prompt=f"late {round_number} {n}", timeout_ms=400, stream=n % 2 == 0)
+                for n in range(10)
+            ]
+            for call in late:
+                self.assertEqual(call.ended().status, 504, call.describe())
+            # A connection that is reused would now have the late answer and the next request. The
+            # instance's own calls to stop the late requests end before.
+            time.sleep(STOP_CALL_S)
+            calls = [
+                self.call(prompt=f"next {round_number} {n}", stream=n % 2 == 1) for n in range(10)
+            ]
+            time.sleep(0.1)
+            end_of_silence()
+            for call in calls:
+                # A late refusal may end a request, but never with another answer.
+                self.assert_no_fault(call)
+            wait_until(lambda: self.call().ended().is_whole, "answer after the silence")
+
+    def test_frozen_engine(self):
+        """Guard against a late answer on a connection that is reused."""
+        self.check_answers_after(
+            lambda: self.runner.set_faults(freeze=True), lambda: self.runner.set_faults(freeze=None)
+        )
+
+    def test_stopped_engine(self):
+        """Guard against answers that a continued process sends all at once."""
+        self.addCleanup(self.runner.signal, signal.SIGCONT)
+        self.check_answers_after(
+            lambda: self.runner.signal(signal.SIGSTOP), lambda: self.runner.signal(signal.SIGCONT)
+        )
+
+    def test_late_answers_of_a_service(self):
+        """Guard against an answer to a call that has timed out as the answer to the next one."""
+        service = self.fleet.services[0]
+        for round_number in range(3):
+            service.set_faults(answer_delay_ms=400)
+            late = [
+                ServiceCall(self.entry, f"late/{round_number}/{n}", timeout_ms=250)
+                for n in range(6)
+            ]
+            for call in late:
+                self.assertEqual(call.ended().status, 504, call.broken)
+            service.set_faults(answer_delay_ms=None)
+            for n in range(20):
+                call = ServiceCall(self.entry, f"next/{round_number}/{n}").ended()
+                self.assertEqual((call.status, call.answer["path"]), (200, f"/{call.path}"))
+
+    def test_callers_connection_after_a_timeout(self):
+        """Guard against a late answer to the request before on the caller's own connection."""
+        conn = http.client.HTTPConnection("127.0.0.1", self.entry.port, timeout=10)
+        self.addCleanup(conn.close)
+
+        def ask(prompt: str, timeout_ms: int) -> tuple[int, dict]:
+            messages = [{"role": "user", "content": prompt}]
+            body = json.dumps({"model": MODEL, "messages": messages, "max_tokens": 9})
+            headers = {
+                "Authorization": f"Bearer {KEY}",
+                "X-Request-Timeout-Ms": str(timeout_ms),
+            }
+            conn.request("POST", "/v1/chat/completions", body, headers)
+            response = conn.getresponse()
+            return response.status, json.loads(response.read())
+
+        for number in range(3):
+            self.runner.set_faults(freeze=True)
+            self.assertEqual(ask(f"late {number}", 300)[0], 504)
+            time.sleep(STOP_CALL_S)
+            thaw = threading.Timer(0.1, lambda: self.runner.set_faults(freeze=None))
+            thaw.start()
+            status, answer = ask(f"next {number}", 5_000)
+            thaw.join()
+            text = answer["choices"][0]["message"]["content"] if status == 200 else answer
+            self.assertEqual(text, expected_text(f"next {number}", 9))
+
+
+class ConcurrentStreamsTest(FleetTest):
+    SPEC = replace(
+        FleetTest.SPEC, entries=2, runners=2, time_scale=2.0, instance_settings=FAST_SETTINGS
+    )
+
+    def run_streams(self, count: int) -> list[Call]:
+        """Run streams at the same time; the callers of each third one leave in its middle."""
+        calls = []
+        for number in range(count):
+            entry = self.fleet.entries[number % 2]
+            calls.append(Call(entry, prompt=f"stream {number}", tokens=60, timeout_ms=15_000))
+        for number, call in enumerate(calls):
+            if number % 3 == 2:
+                call.wait_for_tokens(1 + number % 20)
+                call.leave()
+        return [call.ended() for number, call in enumerate(calls) if number % 3 != 2]
+
+    def test_streams_with_cancels_in_between(self):
+        """Guard against tokens of other streams, and streams that end with their neighbour."""
+        for call in self.run_streams(60):
+            self.assertTrue(call.is_whole, call.describe() + call.text[-100:])
+        for entry in self.fleet.entries:
+            wait_until(lambda e=entry: self.in_flight(e) == 0, "ended requests")
+
+    def test_streams_of_faulty_engines(self):
+        """Guard against foreign, doubled and lost tokens under load."""
+        for runner in self.fleet.runners:
+            runner.set_faults(duplicate_every=7, foreign_every=5, cut_after_tokens=20)
+        calls = self.run_streams(30)
+        for call in calls:
+            self.assert_no_fault(call)
+        self.assertGreater(sum(r.state()["resumes"] for r in self.fleet.runners), 0)
+        self.assertGreater(sum(call.is_whole for call in calls), 0)
+
+    def test_streams_of_an_engine_that_is_killed(self):
+        """Guard against a cut stream that looks complete when an engine dies under load."""
+        calls = [
+            Call(self.fleet.entries[n % 2], prompt=f"cut {n}", tokens=200, timeout_ms=15_000)
+            for n in range(20)
+        ]
+        for call in calls:
+            call.wait_for_tokens()
+        self.runner.kill()
+        time.sleep(0.2)
+        self.fleet.restart_runner(0)
+        for call in calls:
+            self.assert_no_fault(call)
+        cut = sum(not call.is_done for call in calls)
+        self.assertTrue(0 < cut < 20, f"{cut} of 20 streams were cut")
