--- a/packages/daemon/src/ibispaddle_daemon/attempts.py
+++ b/packages/daemon/src/ibispaddle_daemon/attempts.py
@@ -374,7 +374,6 @@
             proved = not running.machine.next_index and _proves_not_run(result)
             if proved:
                 request.unproved_attempts -= 1
-            if proved:
                 outcome = Outcome.REJECTED
             elif outcome is None or running.is_resumed:
                 outcome = Outcome.FAILED
