Let a claim follow an outcome without waiting for the batch interval

Cause: an outcome's append made the next claim of the instance wait up to 50 ms. Change: two batches may follow each other; the mean of one per 50 ms stays. The unit test of the interval became one of the rate and of the burst. Measured on a machine with a load of 14 to 18 on 10 cores: isolated claimed calls 13 ms against 6 ms for plain ones; 20 calls/s at two instances 36.7 ms before and 32.9 ms after, so most of that wait has another cause that is not found yet.

--- a/packages/core/src/ibispaddle_core/idempotency/queue.py
+++ b/packages/core/src/ibispaddle_core/idempotency/queue.py
@@ -18,7 +18,10 @@
 
 
 class AppendQueue:
-    """Form batches: at most one append in flight, and one per interval.
+    """Form batches: at most one append in flight, and on average one per interval.
+
+    Two batches may follow each other at once after a pause. Otherwise the outcome of one call would
+    make the claim of the next one wait, although outcomes are not urgent.
 
     After a lost answer the entries are appended again until they are confirmed. A repeated entry has
     no second effect, because entries are recognised by the claim id.
@@ -34,6 +37,7 @@
         self._batch_id = ""
         self._sequence = 0
         self._not_before_ms = 0
+        self._slot_ms = 0
         self._retry_ms = MIN_RETRY_MS
 
     def __len__(self) -> int:
@@ -65,7 +69,8 @@
         self._queue = self._queue[MAX_BATCH_ENTRIES:]
         self._sequence += 1
         self._batch_id = f"{self._prefix}/{self._sequence}"
-        self._not_before_ms = now_ms + self._interval_ms
+        self._slot_ms = max(self._slot_ms, now_ms - self._interval_ms) + self._interval_ms
+        self._not_before_ms = self._slot_ms
         return self._batch_id, batch_record(self._batch_id, [q.entry for q in self._in_flight])
 
     def appended(self, batch_id: str) -> None:
