Added tests that a request told as not run did not run

Cause: nothing showed with real processes that the run state of a refusal is true.

Change: tests with scripted engines that refuse, reset, answer 4xx and 5xx, cut their answer or freeze, each before or after they ran the prompt, also on a retry; with the engine stand-in that refuses, is frozen, stopped or gone; and with services that lose or delay answers, freeze, crash or are gone. The counters of the engine or service show whether it ran.

--- /dev/null
+++ b/tests/failures/test_not_run.py
@@ -0,0 +1,271 @@
+"""A request that its caller is told was "not run" did not run."""
+
+import signal
+import socket
+import time
+from dataclasses import replace
+
+from .scripted_engine import ScriptedEngine, error_body, publish_with, reset, respond, stream_head
+from .support import Call, FleetTest, ServiceCall, metric, wait_until
+
+# Long enough for an engine to compute whatever it still holds.
+LATE_WORK_S = 0.5
+
+
+class ScriptedRefusalTest(FleetTest):
+    """Engines that fail at each step of an attempt and know whether they ran the prompt."""
+
+    SPEC = replace(
+        FleetTest.SPEC,
+        runners=0,
+        configuration={
+            # With two attempts the least retry budget is never used up.
+            "scheduling": {"first_token_timeout_ms": 400, "retry_budget": 1.0, "max_attempts": 2}
+        },
+    )
+    FLEET_PER_TEST = True
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.engines: list[ScriptedEngine] = []
+
+    def add_engines(self, count: int) -> None:
+        """Add engines that the instance knows, unless there are some."""
+        if self.engines:
+            return
+        self.engines = [ScriptedEngine(f"runner.{n + 8}", reset_unread) for n in range(count)]
+        for engine in self.engines:
+            self.addCleanup(engine.close)
+        publish_with(self.fleet, *self.engines)
+        wait_until(lambda: metric(self.entry, "ibispaddle_runners_live") == count, "engines")
+
+    def check(self, expected: str, *scripts) -> None:
+        """Check the run state that a caller is told, streamed and whole, against the engines'."""
+        self.add_engines(len(scripts))
+        for stream in (True, False):
+            for position in range(len(scripts)):
+                order = scripts[position:] + scripts[:position]
+                for engine, script in zip(self.engines, order, strict=True):
+                    engine.script, engine.runs = script, 0
+                with self.subTest(stream=stream, position=position):
+                    call = self.call(stream=stream, timeout_ms=3_000).ended()
+                    self.assertEqual(call.run_state, expected, call.describe())
+                    self.assertEqual(call.headers.get("x-run-state", expected), expected)
+                    runs = sum(engine.runs for engine in self.engines)
+                    self.assertFalse(runs and expected == "not_run", f"{runs} runs")
+
+    def test_refusals(self):
+        """Guard against an unknown run state after a refusal that proves that nothing ran."""
+        for status, code in ((503, "rejected"), (429, "queue_full"), (404, "model_not_found")):
+            with self.subTest(code=code):
+                self.check("not_run", refuse(status, code))
+
+    def test_failures_after_the_run(self):
+        """Guard against "not run" after an engine that ran the prompt and then failed."""
+        for name, script in (
+            ("reset", run_and_reset),
+            ("500", run_and_respond(500, error_body("internal"))),
+            ("502", run_and_respond(502, b"<html>bad gateway</html>")),
+            ("503", run_and_respond(503, error_body("shutting_down"))),
+            ("503 without a body", run_and_respond(503, b"")),
+            ("404 without a code", run_and_respond(404, b"not found")),
+            ("cut head", run_and_send(b"HTTP/1.1 200 OK\r\nContent-")),
+            ("not HTTP", run_and_send(b"\x00\x01\x02\x03\r\n\r\n")),
+        ):
+            with self.subTest(name):
+                self.check("unknown", script)
+
+    def test_reset_before_the_run(self):
+        """Guard against "not run" without a proof: bytes reached an engine that then reset."""
+        self.check("unknown", reset_unread)
+
+    def test_refusal_after_a_run_elsewhere(self):
+        """Guard against "not run" of a retry's refusal after the first attempt ran."""
+        self.check("unknown", run_and_reset, refuse(503, "rejected"))
+
+    def test_proof_of_the_engine_that_was_frozen(self):
+        """Guard against an unknown run state after the engine proved that nothing ran."""
+        self.check("not_run", freeze(ran=False))
+
+    def test_frozen_after_the_run(self):
+        """Guard against "not run" after an engine that ran the prompt and froze."""
+        self.check("unknown", freeze(ran=True))
+
+
+def refuse(status: int, code: str):
+    """Return a script that refuses without a run."""
+
+    def script(engine, conn, path, request_id, body):
+        if path == "/v1/cancel":
+            return respond(conn, 200, b'{"cancelled": false, "ran": false}')
+        return respond(conn, status, error_body(code))
+
+    return script
+
+
+def run_then(finish):
+    """Return a script that runs the prompt and then calls `finish` with the connection."""
+
+    def script(engine, conn, path, request_id, body):
+        if path == "/v1/cancel":
+            return respond(conn, 200, b'{"cancelled": false, "ran": true}')
+        engine.runs += 1
+        return finish(conn)
+
+    return script
+
+
+run_and_reset = run_then(reset)
+
+
+def run_and_respond(status: int, body: bytes):
+    """Return a script that runs the prompt and answers with an error."""
+    return run_then(lambda conn: respond(conn, status, body))
+
+
+def run_and_send(data: bytes):
+    """Return a script that runs the prompt, sends bytes and closes the connection."""
+
+    def finish(conn: socket.socket) -> bool:
+        conn.sendall(data)
+        return False
+
+    return run_then(finish)
+
+
+def reset_unread(engine, conn, path, request_id, body):
+    """Reset each connection, also that of the question whether the prompt ran."""
+    return reset(conn)
+
+
+def freeze(ran: bool):
+    """Return a script that answers nothing but the question whether the prompt ran."""
+
+    def script(engine, conn, path, request_id, body):
+        if path == "/v1/cancel":
+            text = b'{"cancelled": true, "ran": true}' if ran else b'{"cancelled": 1, "ran": false}'
+            return respond(conn, 200, text)
+        engine.runs += ran
+        conn.sendall(stream_head("boot", request_id) if ran else b"")
+        time.sleep(2.0)
+        return False
+
+    return script
+
+
+class EngineRefusalTest(FleetTest):
+    """The stand-in's counters show whether it computed anything."""
+
+    SPEC = replace(
+        FleetTest.SPEC,
+        configuration={"scheduling": {"first_token_timeout_ms": 500}},
+        time_scale=2.0,
+    )
+
+    def work(self) -> tuple[int, int]:
+        """Return what the engine has computed."""
+        state = self.runner.state()
+        return state["tokens_prefilled"], state["tokens_generated"]
+
+    def check(self, calls: list[Call], before: tuple[int, int]) -> set[str]:
+        """Check that "not run" is true, and return the run states that callers were told."""
+        states = {call.ended().run_state for call in calls}
+        time.sleep(LATE_WORK_S)
+        if states == {"not_run"}:
+            self.assertEqual(self.work(), before)
+        return states
+
+    def test_rejected(self):
+        """Guard against a refused prompt that runs."""
+        before = self.work()
+        self.runner.set_faults(reject=True)
+        calls = [self.call(prompt=f"{n}", stream=n % 2 == 0) for n in range(6)]
+        self.assertEqual(self.check(calls, before), {"not_run"})
+
+    def test_frozen_before_the_run(self):
+        """Guard against a prompt that runs after the engine proved that it did not."""
+        before = self.work()
+        self.runner.set_faults(freeze="tokens")
+        calls = [self.call(prompt=f"{n}", timeout_ms=4_000) for n in range(4)]
+        states = {call.ended().run_state for call in calls}
+        self.runner.set_faults(freeze=None)
+        time.sleep(LATE_WORK_S)
+        self.assertEqual(states, {"not_run"})
+        self.assertEqual(self.work(), before)
+
+    def test_stopped(self):
+        """Guard against "not run" for prompts that a continued engine runs."""
+        self.runner.signal(signal.SIGSTOP)
+        self.addCleanup(self.runner.signal, signal.SIGCONT)
+        calls = [self.call(prompt=f"{n}", timeout_ms=1_200) for n in range(4)]
+        states = {call.ended().run_state for call in calls}
+        self.runner.signal(signal.SIGCONT)
+        self.assertEqual(states, {"unknown"})
+
+
+class KilledEngineTest(FleetTest):
+    FLEET_PER_TEST = True
+
+    def test_connection_refused(self):
+        """Guard against an unknown run state, or a run, when no byte was sent."""
+        self.runner.kill()
+        states = {self.call(prompt=f"{n}", stream=n % 2 == 0).ended().run_state for n in range(6)}
+        self.assertEqual(states, {"not_run"})
+        state = self.fleet.restart_runner(0).state()
+        self.assertEqual((state["arrivals"], state["tokens_prefilled"]), (0, 0))
+
+
+class ServiceRefusalTest(FleetTest):
+    SPEC = replace(FleetTest.SPEC, runners=0, services=1)
+    FLEET_PER_TEST = True
+
+    def runs(self, path: str) -> int:
+        """Return how often a call ran."""
+        runs = self.fleet.services[0].state()["runs"]
+        return sum(run["count"] for run in runs if run["path"] == f"/{path}")
+
+    def call_service(self, path: str, method: str = "GET", **kwargs) -> ServiceCall:
+        key = f"{int(time.time() * 1000)}-{path}" if method == "POST" else ""
+        return ServiceCall(self.entry, path, method, b"{}" * (method == "POST"), key=key, **kwargs)
+
+    def check(self, name: str, methods=("GET", "POST")) -> list[str]:
+        """Call the service with each method, check what ran, and return the run states."""
+        states = []
+        for method in methods:
+            path = f"{name}.{method}"
+            call = self.call_service(path, method, timeout_ms=800).ended()
+            self.assertTrue(call.status, f"{path}: {call.broken}")
+            states.append(call.run_state)
+            time.sleep(0.1)
+            with self.subTest(path=path, status=call.status, run_state=call.run_state):
+                if call.run_state == "not_run":
+                    self.assertEqual(self.runs(path), 0)
+                if method == "POST":
+                    self.assertLessEqual(self.runs(path), 1)
+        return states
+
+    def test_faults_of_a_service(self):
+        """Guard against "not run" after a call that ran or may run, and against a second run."""
+        service = self.fleet.services[0]
+        for name, faults, expected in (
+            ("lose", {"lose_answers": True}, "unknown"),
+            ("late", {"answer_delay_ms": 1_500}, "unknown"),
+            ("slow", {"delay_ms": 1_500}, "unknown"),
+            ("freeze", {"freeze": True}, "unknown"),
+        ):
+            service.set_faults(**faults)
+            self.assertEqual(self.check(name), [expected] * 2, name)
+            service.set_faults(**dict.fromkeys(faults))
+
+    def test_connection_refused(self):
+        """Guard against an unknown run state when no byte was sent."""
+        self.fleet.services[0].kill()
+        for method in ("GET", "POST"):
+            call = self.call_service(f"refused.{method}", method, timeout_ms=800).ended()
+            self.assertEqual(call.run_state, "not_run", call.answer)
+
+    def test_crash_at_the_call(self):
+        """Guard against "not run" without a proof: the service died with the call."""
+        self.fleet.services[0].set_faults(crash="call")
+        call = self.call_service("crash", "POST", timeout_ms=800).ended()
+        self.assertEqual(call.run_state, "unknown", call.answer)
