Added tests that leaving upstreams get no new work

Cause: nothing showed with real processes that a leaving upstream gets no new work and finishes.

Change: tests with two instances, two engines and two services under steady load. An upstream leaves in the list, is forgotten by the list, or reports itself that it leaves; after 2 s its counter of arrivals stands still, its streams go on to their end and all load is served.

--- /dev/null
+++ b/tests/failures/test_leaving_upstreams.py
@@ -0,0 +1,121 @@
+"""An upstream that leaves gets no new work and finishes what it has."""
+
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import replace
+
+from ibispaddle_bench.processes import ManagedProcess
+
+from .support import Call, FleetTest, ServiceCall, wait_until
+
+# From the moment at which the list shows the change.
+NO_NEW_WORK_S = 2.0
+
+
+class LeavingTest(FleetTest):
+    """Two upstreams of each kind under steady load; the default intervals of the instances."""
+
+    SPEC = replace(
+        FleetTest.SPEC, entries=2, runners=2, services=2, time_scale=2.0, instance_settings={}
+    )
+    FLEET_PER_TEST = True
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.calls: list[Call | ServiceCall] = []
+        self._loading = threading.Event()
+        self._threads = [threading.Thread(target=self._load, args=(number,)) for number in range(4)]
+        for thread in self._threads:
+            thread.start()
+        self.addCleanup(self.end_load)
+
+    def _load(self, number: int) -> None:
+        entry = self.fleet.entries[number % 2]
+        count = 0
+        while not self._loading.wait(0.02):
+            count += 1
+            call: Call | ServiceCall
+            if number < 2:
+                call = Call(entry, prompt=f"{number} {count}", tokens=4)
+            else:
+                call = ServiceCall(entry, f"{number}/{count}")
+            call.join()
+            self.calls.append(call)
+
+    def end_load(self) -> None:
+        """End the load and check that it was served."""
+        if self._loading.is_set():
+            return
+        self._loading.set()
+        for thread in self._threads:
+            thread.join()
+        for call in self.calls:
+            served = call.is_whole if isinstance(call, Call) else call.status == 200
+            self.assertTrue(served, vars(call))
+
+    @staticmethod
+    def arrivals(process: ManagedProcess) -> int:
+        """Return the number of prompts or calls that reached an upstream."""
+        state = process.state()
+        return state["arrivals"] if "arrivals" in state else state["arrived"]
+
+    def check(self, process: ManagedProcess, change: Callable[[], None]) -> None:
+        """Check that an upstream is in use, and gets no new work after the change."""
+        before = self.arrivals(process)
+        wait_until(lambda: self.arrivals(process) > before + 3, "use of the upstream")
+        change()
+        time.sleep(NO_NEW_WORK_S)
+        after = self.arrivals(process)
+        served = len(self.calls)
+        time.sleep(1.5)
+        self.assertEqual(self.arrivals(process), after)
+        self.assertGreater(len(self.calls), served + 10)
+
+    def leave(self, process: ManagedProcess) -> None:
+        """Let the list show that an upstream leaves."""
+        self.fleet.states[process.name] = "leaving"
+        self.fleet.publish()
+
+    def forget(self, process: ManagedProcess) -> None:
+        """Let the list forget an upstream that still answers."""
+        self.fleet.unlisted.add(process.name)
+        self.fleet.publish()
+
+    def check_with_streams(self, change: Callable[[ManagedProcess], None]) -> None:
+        """Check that the streams of an engine go on after the change."""
+        prompts = [f"long stream {n}" for n in range(8)]
+        streams = [Call(self.entry, prompt=p, tokens=900, timeout_ms=30_000) for p in prompts]
+        for stream in streams:
+            stream.wait_for_tokens()
+        self.check(self.runner, lambda: change(self.runner))
+        self.end_load()
+        running = self.runner.state()["running"]
+        self.assertGreater(running, 0, "no stream was left at the engine; the test shows nothing")
+        for stream in streams:
+            self.assertTrue(stream.ended().is_whole, stream.describe())
+
+    def test_leaving_runner(self):
+        """Guard against new prompts for an engine that leaves, and against cut streams."""
+        self.check_with_streams(self.leave)
+
+    def test_forgotten_runner(self):
+        """Guard against new prompts for an engine that the list forgets, and against cut streams."""
+        self.check_with_streams(self.forget)
+
+    def test_leaving_service(self):
+        """Guard against new calls for a service that leaves."""
+        self.check(self.fleet.services[0], lambda: self.leave(self.fleet.services[0]))
+        self.end_load()
+
+    def test_forgotten_service(self):
+        """Guard against new calls for a service that the list forgets, and against lost calls."""
+        service = self.fleet.services[0]
+        service.set_faults(answer_delay_ms=300)
+        self.check(service, lambda: self.forget(service))
+        self.end_load()
+
+    def test_runner_that_reports_that_it_leaves(self):
+        """Guard against new prompts for an engine that leaves before the list says so."""
+        self.check(self.runner, lambda: self.runner.set_faults(leaving=True))
+        self.end_load()
