--- /dev/null
+++ b/tests/daemon/test_command_line.py
@@ -0,0 +1,55 @@
+"""Tests of the command line of `ibispaddled`."""
+
+import json
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+from .processes import fleet_document
+
+
+class CheckTest(unittest.TestCase):
+    def setUp(self):
+        self.folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
+
+    def check(self, document, **settings):
+        base, path = self.folder / "base.json", self.folder / "instance.json"
+        base.write_text(json.dumps(document))
+        values = {
+            "instance_id": "entry.1",
+            "data_centre": "dc1",
+            "log_url": "http://127.0.0.1:1",
+            "list_url": "http://127.0.0.1:2",
+            "base_file": str(base),
+        }
+        path.write_text(json.dumps(values | settings))
+        cmd = [sys.executable, "-m", "ibispaddle_daemon", "--settings", str(path), "--check"]
+        return subprocess.run(cmd, capture_output=True, text=True, timeout=30)
+
+    def test_valid_settings(self):
+        """Guard against a checker that refuses what the daemon accepts."""
+        result = self.check(fleet_document())
+        self.assertEqual((result.returncode, result.stderr), (0, ""))
+        self.assertIn("valid", result.stdout)
+
+    def test_mistakes_in_either_file_are_named(self):
+        """Guard against a mistake that shows only when the instance starts."""
+        result = self.check(fleet_document(), listne="127.0.0.1:1")
+        self.assertEqual(result.returncode, 2)
+        self.assertIn("settings.E001", result.stderr)
+        self.assertIn("'listen'", result.stderr)
+        result = self.check(fleet_document(neighbours={}))
+        self.assertEqual(result.returncode, 2)
+        self.assertIn("settings.E010", result.stderr)
+
+    def test_missing_file(self):
+        """Guard against a traceback for a file that does not exist."""
+        result = self.check(fleet_document(), overlay_file=str(self.folder / "none.json"))
+        self.assertEqual(result.returncode, 2)
+        self.assertNotIn("Traceback", result.stderr)
+
+
+if __name__ == "__main__":
+    unittest.main()
