--- a/packages/daemon/src/ibispaddle_daemon/app.py
+++ b/packages/daemon/src/ibispaddle_daemon/app.py
@@ -172,6 +172,16 @@
             "Idempotency keys in the claim table.",
             lambda: len(self.claims.book.table),
         )
+        add(
+            "ibispaddle_peer_sent_messages",
+            "Messages sent to other instances since the start.",
+            lambda: self.peers.transport.traffic.frames_out,
+        )
+        add(
+            "ibispaddle_peer_received_messages",
+            "Messages received from other instances since the start.",
+            lambda: self.peers.transport.traffic.frames_in,
+        )
         add(
             "ibispaddle_upstream_calls",
             "HTTP calls in flight, without those to the log.",
