Exchanged consumption and memory claims, and noticed a dead data centre sooner

The schedulers' counters and claims did not reach other instances. The shares component writes them as gossip entries and hands those of others to the scheduler. The fixed limit of 120 s for instances of other data centres left the runners of a data centre whose only instance died without probes; two instances in two data centres held expired handles for more than 18 s. The limit is now 10 s plus 300 ms per instance, and a runner that is taken over is asked for its handles within 1 s.

--- a/packages/bench/src/ibispaddle_bench/slopes_core.py
+++ b/packages/bench/src/ibispaddle_bench/slopes_core.py
@@ -24,6 +24,7 @@
 
 DESIGN_INSTANCES, DESIGN_RUNNERS, DESIGN_CENTRES = 390, 730, 8
 GOSSIP_INTERVAL_MS = 500
+BOOT_MS = 1_764_800_000_000
 HEARTBEAT_ROUNDS = 4
 REPORT_ROUNDS = 2
 # Entries that are written once, a few rounds apart, after the tables have filled.
@@ -80,7 +81,7 @@
     """
 
     def __init__(self, centres: int, per_centre: int, consumers: int) -> None:
-        names = [f"d{c}.i{n:03d}" for c in range(centres) for n in range(per_centre)]
+        names = [f"centre{c}.entry{n:03d}" for c in range(centres) for n in range(per_centre)]
         self.centre_of = {name: name.partition(".")[0] for name in names}
         self.ranked: dict[str, list[str]] = {}
         for name in names:
@@ -89,7 +90,7 @@
         share = DESIGN_RUNNERS / DESIGN_INSTANCES
         for number, name in enumerate(names):
             runners = int((number + 1) * share) - int(number * share)
-            table = GossipTable(name, 1, self._locality(self.centre_of[name]))
+            table = GossipTable(name, BOOT_MS, self._locality(self.centre_of[name]))
             rng = random.Random(number)
             self.nodes[name] = CoreInstance(name, self.centre_of[name], table, rng, runners)
         self.consumers = consumers
@@ -108,14 +109,11 @@
         for number, node in enumerate(self.nodes.values()):
             payloads: list[Any] = []
             if (self.turn + number) % HEARTBEAT_ROUNDS == 0:
-                payloads.append(Heartbeat(False, 1_000, 1_000))
+                payloads.append(Heartbeat(False, 100_000, 99_000))
             if (self.turn + number) % REPORT_ROUNDS == 0:
-                payloads += [
-                    RunnerReport(f"runner.{number}.{i}", True, False, "b" * 8, self.turn, 3, 2)
-                    for i in range(node.runners)
-                ]
+                payloads += [self._report(number, i) for i in range(node.runners)]
             payloads += [
-                Consumption(f"neighbour.{i}", f"{node.name}-1", self.turn * 100)
+                Consumption(f"neighbour.{i}", BOOT_MS, self.turn * 100_000)
                 for i in range(self.consumers)
             ]
             for payload in payloads:
@@ -141,11 +139,18 @@
                     seen.setdefault(target, self.turn - start + 1)
         self.digests += len(messages)
 
+    def _report(self, number: int, index: int) -> RunnerReport:
+        """Return a report with values of the usual size."""
+        name = f"centre{number % 8}.runner.{number}.{index}"
+        return RunnerReport(
+            name, True, False, "b" * 8, self.turn, 30, 2, 400_000, 300_000, 400_000, 25_000, 60
+        )
+
     def watch(self, index: int) -> None:
         """Write an entry once and note when each instance gets it."""
         origin = list(self.nodes.values())[index * 11 % len(self.nodes)]
         subject = f"watched.{index}"
-        origin.table.put(Consumption(subject, origin.name, 1), self.turn * GOSSIP_INTERVAL_MS)
+        origin.table.put(Consumption(subject, BOOT_MS, 1), self.turn * GOSSIP_INTERVAL_MS)
         self.watched[subject] = (origin.name, self.turn + 1, {})
 
     def missing_and_stale(self, kind: type, local: bool) -> dict[str, float]:
--- a/packages/core/src/ibispaddle_core/gossip/__init__.py
+++ b/packages/core/src/ibispaddle_core/gossip/__init__.py
@@ -1,6 +1,6 @@
 """Bounded exchange of versioned entries between instances."""
 
-from .entries import Consumption, Entry, Heartbeat, LargeWait, Payload, RunnerReport
+from .entries import Consumption, Entry, Heartbeat, LargeWait, MemoryClaims, Payload, RunnerReport
 from .exceptions import DigestFormatError, EntryTooLargeError, GossipError
 from .handshake import NONCE_BYTES, PROTOCOL, Handshake, HandshakeError, Hello, Proof
 from .messages import Digest, ListSeen, StateReply, StateRequest
@@ -26,6 +26,7 @@
     "Hello",
     "LargeWait",
     "ListSeen",
+    "MemoryClaims",
     "Payload",
     "Proof",
     "RunnerReport",
--- a/packages/core/src/ibispaddle_core/gossip/entries.py
+++ b/packages/core/src/ibispaddle_core/gossip/entries.py
@@ -46,7 +46,7 @@
     """Report what an instance's boot has consumed for one neighbour since its start."""
 
     neighbour: str
-    instance_boot: str
+    boot: int  # Start of the counting process; with the origin it identifies the counter.
     consumed_ms: int  # Engine milliseconds, cumulative.
 
     @property
@@ -68,7 +68,19 @@
         return self.group
 
 
-Payload = Heartbeat | RunnerReport | Consumption | LargeWait
+class MemoryClaims(msgspec.Struct, frozen=True, array_like=True, tag="m"):
+    """Report the engine memory that an instance's waiting prompts claim, in tokens by runner."""
+
+    boot: int
+    tokens: tuple[tuple[str, int], ...]
+
+    @property
+    def subject(self) -> str:
+        """Return what the entry is about."""
+        return ""
+
+
+Payload = Heartbeat | RunnerReport | Consumption | LargeWait | MemoryClaims
 
 
 class Entry(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/core/src/ibispaddle_core/gossip/table.py
+++ b/packages/core/src/ibispaddle_core/gossip/table.py
@@ -32,7 +32,7 @@
 EXPIRED_MEMORY_MS = 360_000
 # New versions get precedence on the links between data centres only this often. At 390 instances
 # the 343 heartbeats of other data centres would otherwise fill the digests of each instance.
-SUMMARY_INTERVAL_MS: dict[type, int] = {Heartbeat: 30_000}
+SUMMARY_INTERVAL_MS: dict[type, int] = {Heartbeat: 10_000}
 DEFAULT_SUMMARY_INTERVAL_MS = 2_000
 MAX_ENTRIES = 50_000
 
--- a/packages/core/src/ibispaddle_core/membership/view.py
+++ b/packages/core/src/ibispaddle_core/membership/view.py
@@ -23,8 +23,8 @@
 # Gossip within a data centre of 49 instances needs a few seconds per entry; a shorter limit would
 # take slow gossip for a failure.
 HEARTBEAT_TIMEOUT_MS = 10_000
-# Heartbeats get precedence between data centres every 30 s only.
-REMOTE_HEARTBEAT_TIMEOUT_MS = 120_000
+# Heartbeats between data centres share links of a fixed capacity, so their age grows with the fleet.
+REMOTE_HEARTBEAT_MS_PER_INSTANCE = 300
 REMOVE_AFTER_MS = 60_000
 KNOWN_BOOTS = 8
 # A reading that drops more than this part of a kind is confirmed by further readings first: a list
@@ -109,6 +109,7 @@
         self._held: dict[Kind, tuple[int, int]] = {}  # First reading's time and number of readings.
         self._missing: set[str] = set()
         self._sorted_ids: list[str] = []
+        self._instances = 1
         self.version = -1
 
     def apply_list(self, listing: InstanceList, now_ms: int) -> ListOutcome:
@@ -119,6 +120,7 @@
         for entry in listing.entries:
             self._apply_entry(entry, listing.version, now_ms)
         listed = {entry.id for entry in listing.entries}
+        self._instances = sum(record.entry.kind is Kind.ENTRY for record in self._records.values())
         self._missing = self._records.keys() - listed
         held = [self._drop_missing(kind, not listed, now_ms) for kind in Kind]
         self._remove_silent(now_ms)
@@ -248,9 +250,10 @@
             return False
         if record.entry.kind is Kind.ENTRY:
             heard_ms = record.first_ms if record.heard_ms is None else record.heard_ms
-            is_remote = self._data_centre not in ("", record.entry.data_centre)
-            remote_ms = max(REMOTE_HEARTBEAT_TIMEOUT_MS, self._heartbeat_timeout_ms)
-            return now_ms - heard_ms > (remote_ms if is_remote else self._heartbeat_timeout_ms)
+            limit_ms = self._heartbeat_timeout_ms
+            if self._data_centre not in ("", record.entry.data_centre):
+                limit_ms += self._instances * REMOTE_HEARTBEAT_MS_PER_INSTANCE
+            return now_ms - heard_ms > limit_ms
         own = record.own
         if own is not None and now_ms - own.at_ms <= OWN_OBSERVATION_MS:
             return not own.up
--- a/packages/core/src/ibispaddle_core/usage/ledger.py
+++ b/packages/core/src/ibispaddle_core/usage/ledger.py
@@ -82,7 +82,6 @@
         self._held: dict[str, _Account] = {}
         self._tokens: dict[int, tuple[str, dict[str, Counts]]] = {}
         self._token = 0
-        self._consumed_ms: dict[str, int] = {}
 
     def count(
         self,
@@ -99,13 +98,6 @@
         self._change += 1
         self._changes.pop(workspace, None)
         self._changes[workspace] = self._change
-        consumed_ms = self._consumed_ms.get(neighbour, 0)
-        self._consumed_ms[neighbour] = consumed_ms + added.engine_ms
-
-    @property
-    def consumed_ms(self) -> dict[str, int]:
-        """Return the engine milliseconds by neighbour since the start of the process."""
-        return dict(self._consumed_ms)
 
     @property
     def counters(self) -> dict[str, Counts]:
--- a/packages/daemon/src/ibispaddle_daemon/app.py
+++ b/packages/daemon/src/ibispaddle_daemon/app.py
@@ -27,6 +27,7 @@
 from .probes import Probes
 from .quarantine import QuarantineGuard
 from .services import Services
+from .shares import Shares
 from .timers import TimerQueue
 from .tracing import Tracing
 from .usage import Usage
@@ -97,6 +98,9 @@
         self.peers = Peers(settings, secret, self.view, boot, clock, timers).register(self)
         self.probes = Probes(settings, self.view, clock, timers).register(self)
         self.usage = Usage(settings, self.view, boot, clock, timers).register(self)
+        self.shares = Shares(
+            settings, self.entry.scheduler, self.entry.tell, boot, clock, timers
+        ).register(self)
         self.quarantine = QuarantineGuard(settings, self.view, clock, timers).register(self)
         self.instance_list = InstanceListReader(settings, self.view, clock, timers).register(self)
 
--- a/packages/daemon/src/ibispaddle_daemon/probes.py
+++ b/packages/daemon/src/ibispaddle_daemon/probes.py
@@ -41,6 +41,7 @@
 # first dies.
 REPORTS_PER_ENTRY = (2, 8)
 KV_INTERVAL_MS = 5_000
+FIRST_KV_MS = 1_000
 KV_TIMEOUT_MS = 2_000
 HANDLE_PREFIX = "ir-"
 
@@ -144,7 +145,8 @@
             if known is None or known.entry.address != entry.address:
                 # Starts spread over the interval, so that probes do not come in bursts.
                 start_ms = now_ms + self._rng.randrange(max(1, self._interval_ms // 2))
-                kv_ms = now_ms + self._rng.randrange(KV_INTERVAL_MS)
+                # A runner is often taken over from an instance that died holding its memory.
+                kv_ms = now_ms + self._rng.randrange(FIRST_KV_MS)
                 self._runners[runner_id] = _Runner(entry, start_ms, kv_ms, position)
             else:
                 known.entry, known.position = entry, position
--- a/packages/daemon/src/ibispaddle_daemon/usage.py
+++ b/packages/daemon/src/ibispaddle_daemon/usage.py
@@ -3,7 +3,6 @@
 from absl import logging
 from circuits import BaseComponent, handler
 from ibispaddle_core.clock import Clock
-from ibispaddle_core.gossip import Consumption
 from ibispaddle_core.membership import MembershipView, MemberState, successors
 from ibispaddle_core.settings import InstanceSettings
 from ibispaddle_core.usage import (
@@ -17,12 +16,9 @@
 
 from .events import drain_completed, log_append, peer_send
 from .peer_codec import Message
-from .peers import gossip_put
 from .timers import TimerQueue
 
 STREAM = "usage"
-# Consumption that has not changed is written again within the lifetime of gossip entries.
-RENEW_ROUNDS = 40
 # An append without an answer counts as failed after this time; repeating it does no harm.
 APPEND_TIMEOUT_MS = 10_000
 TAKE_OVER_INTERVAL_MS = 2_000
@@ -52,7 +48,6 @@
         self._timers = timers
         self._rounds = 0
         self._holder_ids: list[str] = []
-        self._sent_consumption: dict[str, int] = {}
         self._requests_drained = False
         self._drained = False
         self.ledger = UsageLedger(settings.instance_id, boot)
@@ -85,12 +80,6 @@
             sync = self.ledger.sync_for(peer_id)
             if sync is not None:
                 self.fire(peer_send(peer_id, sync), "*")
-        renew = self._rounds % RENEW_ROUNDS == 0
-        for neighbour, consumed_ms in self.ledger.consumed_ms.items():
-            if renew or self._sent_consumption.get(neighbour) != consumed_ms:
-                self._sent_consumption[neighbour] = consumed_ms
-                payload = Consumption(neighbour, self.ledger.instance_boot, consumed_ms)
-                self.fire(gossip_put(payload), "*")
 
     def _holders(self) -> list[str]:
         """Return the rank successors that hold copies, one of them in another data centre.
--- a/tests/gossip/test_table.py
+++ b/tests/gossip/test_table.py
@@ -22,7 +22,7 @@
 
 
 def consumption(neighbour="n", amount=1):
-    return Consumption(neighbour, "b-1", amount)
+    return Consumption(neighbour, 1, amount)
 
 
 class DigestTest(unittest.TestCase):
--- a/tests/membership/test_view.py
+++ b/tests/membership/test_view.py
@@ -159,14 +159,22 @@
         self.view.observe_entry("b", 7, 4, 18_000)
         self.assertNotIn("b", self.view.ranked_instances(20_000))
 
-    def test_instances_of_other_data_centres_may_be_heard_less_often(self):
-        """Guard against a whole data centre that counts as dead because summaries are rare."""
+    def test_large_fleet_may_be_heard_less_often_between_data_centres(self):
+        """Guard against a whole data centre that counts as dead because summaries are slow."""
         view = MembershipView("a", "v.1")
-        view.apply_list(
-            InstanceList(1, (instance("a"), instance("b"), instance("c", data_centre="v.2"))), 0
-        )
-        self.assertEqual(view.ranked_instances(60_000), ("a", "c"))
-        self.assertEqual(view.ranked_instances(121_000), ("a",))
+        others = [instance(f"i{n:02d}", data_centre="v.2") for n in range(98)]
+        entries = (instance("a"), instance("b"), *others)
+        view.apply_list(InstanceList(1, entries), 0)
+        self.assertEqual(len(view.ranked_instances(39_000)), 99)
+        self.assertEqual(view.ranked_instances(41_000), ("a",))
+
+    def test_small_fleet_notices_a_dead_data_centre_soon(self):
+        """Guard against runners that nobody probes because their only instance is gone."""
+        view = MembershipView("a", "v.1")
+        entries = (instance("a"), instance("c", data_centre="v.2"), runner("r", data_centre="v.2"))
+        view.apply_list(InstanceList(1, entries), 0)
+        self.assertEqual(view.probe_duties(10_000), ())
+        self.assertEqual([e.id for e, _ in view.probe_duties(11_000)], ["r"])
 
     def test_restarted_instance_counts_again(self):
         """Guard against an id that stays leaving after its machine was replaced."""
--- a/tests/peers/test_accounting.py
+++ b/tests/peers/test_accounting.py
@@ -3,17 +3,21 @@
 import unittest
 
 from ibispaddle_core.configuration import LogRecord
+from ibispaddle_core.gossip import Consumption, Entry, MemoryClaims
 from ibispaddle_core.membership import MembershipView
 from ibispaddle_core.quarantine import Death, Notice, NoticeReceived, Suspicion
+from ibispaddle_core.scheduling import PeerClaims, PeerConsumption
 from ibispaddle_core.usage import Counts, UsageAck, UsageSync, UsageTotals
 from ibispaddle_daemon.events import drain_completed, log_records, peer_received, usage_counted
-from ibispaddle_daemon.peers import peer_connected
+from ibispaddle_daemon.instance_list import members_changed
+from ibispaddle_daemon.peers import gossip_received, peer_connected
 from ibispaddle_daemon.quarantine import (
     QuarantineGuard,
     quarantine_lifted,
     suspect_completed,
     upstream_died,
 )
+from ibispaddle_daemon.shares import Shares
 from ibispaddle_daemon.usage import Usage
 
 from .support import FakeLog, Loop, instance, listing, make_settings
@@ -111,6 +115,73 @@
         self.assertEqual(self.loop.events("drain_completed").count(("usage",)), 1)
 
 
+class FakeScheduler:
+    def __init__(self):
+        self.consumed, self.claimed = {}, {}
+
+    def consumption(self):
+        return self.consumed
+
+    def claims(self):
+        return self.claimed
+
+
+class SharesTest(Base):
+    def setUp(self):
+        super().setUp()
+        self.scheduler, self.told = FakeScheduler(), []
+        self.shares = Shares(
+            make_settings(), self.scheduler, self.told.append, 5, self.loop.clock, self.loop.timers
+        ).register(self.loop)
+        self.loop.begin()
+
+    def puts(self):
+        return [args[0] for args in self.loop.events("gossip_put")]
+
+    def receive_entries(self, *entries):
+        self.loop.fire(gossip_received(entries), "*")
+        self.loop.settle()
+
+    def test_changes_are_written_once_and_renewed(self):
+        """Guard against shares that other instances do not know, or learn at too high a cost."""
+        self.scheduler.consumed = {"n": 7.4}
+        self.scheduler.claimed = {"r1": 10}
+        self.loop.run_for(5_000)
+        claims = MemoryClaims(5, (("r1", 10),))
+        self.assertEqual(self.puts(), [Consumption("n", 5, 7), claims])
+        self.scheduler.claimed = {}
+        self.loop.run_for(16_000)
+        self.assertEqual(self.puts()[2:], [MemoryClaims(5, ()), Consumption("n", 5, 7)])
+
+    def test_values_of_others_reach_the_scheduler(self):
+        """Guard against an instance that serves a neighbour beyond its share."""
+        self.receive_entries(
+            Entry("b", 9, 1, Consumption("n", 7, 100)),
+            Entry("b", 9, 2, Consumption("o", 7, 50)),
+            Entry("b", 9, 3, MemoryClaims(7, (("r1", 10),))),
+        )
+        self.assertEqual(
+            self.told,
+            [PeerClaims("b-7", {"r1": 10}), PeerConsumption("b-7", {"n": 100.0, "o": 50.0})],
+        )
+
+    def test_claims_of_a_dead_instance_end(self):
+        """Guard against memory that stays claimed by an instance that is gone."""
+        self.receive_entries(Entry("b", 9, 3, MemoryClaims(7, (("r1", 10),))))
+        self.loop.fire(members_changed(self.view.members(0)), "*")
+        self.loop.settle()
+        self.assertEqual(len(self.told), 1)
+        self.loop.fire(members_changed(self.view.members(11_000)), "*")
+        self.loop.settle()
+        self.assertEqual(self.told[1:], [PeerClaims("b-7", {})])
+
+    def test_claims_of_an_earlier_boot_end(self):
+        """Guard against memory that stays claimed by a process that was restarted."""
+        self.receive_entries(Entry("b", 9, 3, MemoryClaims(7, (("r1", 10),))))
+        self.receive_entries(Entry("b", 10, 1, MemoryClaims(10, ())))
+        self.assertEqual(self.told[1:], [PeerClaims("b-7", {}), PeerClaims("b-10", {})])
+
+
 class QuarantineTest(Base):
     def setUp(self):
         super().setUp()
--- a/tests/peers/test_peers.py
+++ b/tests/peers/test_peers.py
@@ -96,7 +96,7 @@
         """Guard against lost reports and messages between instances that are connected."""
         a, b = Node("a"), Node("b")
         self.start(a, b, extra=(runner("r1"),))
-        a.fire(gossip_put(Consumption("n", "a-1", 5)), "*")
+        a.fire(gossip_put(Consumption("n", 1, 5)), "*")
         a.fire(gossip_put(RunnerReport("r1", True, False, "boot", 3, running=2)), "*")
         a.fire(peer_send("b", StateRequest("configuration", 7, b"x")), "*")
         a.fire(peer_broadcast(StateRequest("all", 8)), "*")
