Sent headers outside ASCII to upstreams as they were received

Cause: a caller's header with a byte above 127 raised an error while the request was framed, and the call hung until its deadline (found by reading; the new test saw 504 before). Change: header values are encoded as Latin-1; values that cannot be encoded end the call at once.

--- a/packages/daemon/src/ibispaddle_daemon/http_client.py
+++ b/packages/daemon/src/ibispaddle_daemon/http_client.py
@@ -119,7 +119,7 @@
         if running.conn is conn:
             try:
                 conn.send_request(call.method, target, headers, call.body)
-            except h11.LocalProtocolError as exc:
+            except (h11.LocalProtocolError, UnicodeError) as exc:
                 self._end(running, CallFailure.PROTOCOL, f"the request is not valid: {exc}")
 
     @handler("http_cancel")
--- a/packages/daemon/src/ibispaddle_daemon/http_connection.py
+++ b/packages/daemon/src/ibispaddle_daemon/http_connection.py
@@ -90,10 +90,11 @@
     def send_request(self, method: str, target: str, headers: Headers, body: bytes) -> None:
         """Queue a request; it is written as soon as the connection is open.
 
-        Raises `h11.LocalProtocolError` if the request is not valid HTTP.
+        Raises `h11.LocalProtocolError` or `UnicodeError` if the request is not valid HTTP.
         """
         self.byte_sent = False
-        head = self._http.send(h11.Request(method=method, target=target, headers=list(headers)))
+        encoded = [(name.encode("ascii"), value.encode("latin-1")) for name, value in headers]
+        head = self._http.send(h11.Request(method=method, target=target, headers=encoded))
         self._output += head
         if body:
             self._output += self._http.send(h11.Data(data=body))
--- a/tests/daemon/test_services.py
+++ b/tests/daemon/test_services.py
@@ -61,6 +61,12 @@
         self.assertEqual((status, answer["path"]), (200, "/orders/7?full=1"))
         self.assertEqual(self.call("", "HEAD")[0], 200)
 
+    def test_header_outside_ascii_passes_through(self):
+        """Guard against a call that hangs until its deadline because of a caller's header."""
+        self.assertEqual(
+            self.call("/x", **{"X-Name": "\u00c5sa", "X-Request-Timeout-Ms": "900"})[0], 200
+        )
+
     def test_dead_service_instance_is_replaced(self):
         """Guard against an error while another instance of the service can answer."""
         self.fleet.services[0].faults(lose_answers=True)
