Put a changed configuration in force in the scheduler

Cause: the scheduler kept the configuration of its start, so weights, models and queue bounds that operators changed took effect only for keys and limits. Found by reading; no test covered it. Change: the event ConfigurationReplaced reaches cost model, shares, queue and retry budget; requests in flight go on.

--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -18,6 +18,7 @@
     AttemptEnded,
     CallerLeft,
     CancelAttempt,
+    ConfigurationReplaced,
     Decision,
     Dispatch,
     Event,
@@ -80,20 +81,19 @@
     def __init__(
         self, config: FleetConfig, seed: int, instance_boot: str, wall_offset_ms: int = 0
     ) -> None:
-        self._settings = config.scheduling
         self.shares = ShareCounters({n: c.weight for n, c in config.neighbours.items()})
         self.cost = CostModel(config)
         self.runners = RunnerTable(self.cost)
-        self.queue = FairQueue(self._settings.max_queue_per_neighbour)
+        self.queue = FairQueue(config.scheduling.max_queue_per_neighbour)
         self._admission = Admission(self.cost, self.queue, self.shares, self.runners)
         self._prefixes = PrefixIndex()
         self._rng = Random(f"{seed}/{instance_boot}")
         self._claims = Claims()
         self._homes = Homes(instance_boot, wall_offset_ms)
         self.placement: Placement = PredictedPlacement(
-            self._settings, self.cost, self._prefixes, self._homes, self._claims, self._rng
+            self.cost, self._prefixes, self._homes, self._claims, self._rng
         )
-        self._budget = RetryBudget(self._settings.retry_budget)
+        self._budget = RetryBudget(config.scheduling.retry_budget)
         self._large = LargePrompts(instance_boot, wall_offset_ms)
         self._states: dict[str, RequestState] = {}
         self._deadlines: list[tuple[int, str]] = []
@@ -158,6 +158,8 @@
                 self._claims.merge(instance_boot, claimed, now_ms)
             case ReservationAnswered():
                 decisions += self._reservation(event, now_ms)
+            case ConfigurationReplaced(config):
+                self._replace_configuration(config)
             case Tick():
                 pass
             case _:
@@ -168,6 +170,12 @@
         decisions += self._large.advance(now_ms)
         return decisions
 
+    def _replace_configuration(self, config: FleetConfig) -> None:
+        self.cost.replace(config)
+        self.shares.replace_weights({n: c.weight for n, c in config.neighbours.items()})
+        self.queue.replace_bound(config.scheduling.max_queue_per_neighbour)
+        self._budget.replace_ratio(config.scheduling.retry_budget)
+
     def next_wakeup_ms(self, now_ms: int) -> int | None:
         """Return when `Tick` is needed at the latest, or None while nothing waits."""
         self._drop_stale_timers()
@@ -314,7 +322,7 @@
         state.cancelling = state.first_token = False
         state.tokens = 0
         state.first_token_due_ms = (
-            now_ms + int(choice.ttft_ms) + self._settings.first_token_timeout_ms
+            now_ms + int(choice.ttft_ms) + self.cost.scheduling.first_token_timeout_ms
         )
         heapq.heappush(self._first_tokens, (state.first_token_due_ms, req.request_id))
         group = self._large.group(req.request_id) if handles else [upstream_id]
@@ -376,7 +384,7 @@
         retry = (
             not event.bytes_relayed
             and not first_token
-            and state.attempts < self._settings.max_attempts
+            and state.attempts < self.cost.scheduling.max_attempts
             and not self.queue.is_full(req.neighbour)
             and bool(self.runners.live(req.model))
             and self._budget.try_take(now_ms)
--- a/packages/core/src/ibispaddle_core/scheduling/cost.py
+++ b/packages/core/src/ibispaddle_core/scheduling/cost.py
@@ -2,7 +2,7 @@
 
 from enum import IntEnum
 
-from ..settings.fleet import FleetConfig, ModelConfig
+from ..settings.fleet import FleetConfig, ModelConfig, SchedulingConfig
 from .messages import Request
 
 # An output is rarely as long as its limit; the estimate starts here and follows completed requests.
@@ -29,6 +29,15 @@
         self._default = ModelConfig()
         self._output_fraction: dict[str, float] = {}
 
+    @property
+    def scheduling(self) -> SchedulingConfig:
+        """Return the scheduling parameters in force."""
+        return self._config.scheduling
+
+    def replace(self, config: FleetConfig) -> None:
+        """Use another configuration; what was learned about output lengths is kept."""
+        self._config = config
+
     def model(self, name: str) -> ModelConfig:
         """Return the settings of a model, or the defaults for one that is not configured."""
         return self._config.models.get(name, self._default)
--- a/packages/core/src/ibispaddle_core/scheduling/messages.py
+++ b/packages/core/src/ibispaddle_core/scheduling/messages.py
@@ -8,6 +8,7 @@
 from enum import StrEnum
 
 from ..runstate import RunState
+from ..settings.fleet import FleetConfig
 
 
 class UpstreamState(StrEnum):
@@ -166,6 +167,13 @@
     granted: bool
 
 
+@dataclass(frozen=True)
+class ConfigurationReplaced:
+    """Put another configuration in force; requests that were admitted before go on."""
+
+    config: FleetConfig
+
+
 @dataclass(frozen=True)
 class Tick:
     """Report that time passed."""
@@ -182,6 +190,7 @@
     | PeerConsumption
     | PeerClaims
     | ReservationAnswered
+    | ConfigurationReplaced
     | Tick
 )
 
--- a/packages/core/src/ibispaddle_core/scheduling/placement.py
+++ b/packages/core/src/ibispaddle_core/scheduling/placement.py
@@ -4,7 +4,6 @@
 from random import Random
 from typing import Protocol
 
-from ..settings.fleet import SchedulingConfig
 from .claims import Claims
 from .cost import CostModel, PromptClass
 from .homes import Homes
@@ -70,14 +69,12 @@
 
     def __init__(
         self,
-        settings: SchedulingConfig,
         cost: CostModel,
         prefixes: PrefixIndex,
         homes: Homes,
         claims: Claims,
         rng: Random,
     ) -> None:
-        self._settings = settings
         self._cost = cost
         self._prefixes = prefixes
         self._homes = homes
@@ -162,11 +159,11 @@
         upstream_id = view.upstream.upstream_id
         free = view.kv_free() - self._claims.against(req.request_id, upstream_id)
         if prompt_class is not PromptClass.SHORT and not self._claims.has_claim(req.request_id):
-            free -= int(view.kv_total * self._settings.short_memory_reserve)
+            free -= int(view.kv_total * self._cost.scheduling.short_memory_reserve)
         if self._cost.kv_tokens(req) > free:
             return None
         wait_ms = view.wait_ms(
-            prompt_class, self.priority(req), now_ms, self._settings.load_report_max_age_ms
+            prompt_class, self.priority(req), now_ms, self._cost.scheduling.load_report_max_age_ms
         )
         if wait_ms > MAX_ENGINE_WAIT_MS[prompt_class]:
             return None
--- a/packages/core/src/ibispaddle_core/scheduling/queue.py
+++ b/packages/core/src/ibispaddle_core/scheduling/queue.py
@@ -18,6 +18,10 @@
         self._waiting: dict[str, int] = {}
         self._cost: dict[tuple[Lane, str], float] = {}
 
+    def replace_bound(self, max_per_neighbour: int) -> None:
+        """Use another bound; requests beyond a lower one stay queued."""
+        self._max = max_per_neighbour
+
     def __len__(self) -> int:
         return sum(self._waiting.values())
 
--- a/packages/core/src/ibispaddle_core/scheduling/retries.py
+++ b/packages/core/src/ibispaddle_core/scheduling/retries.py
@@ -15,6 +15,10 @@
         self._first: deque[int] = deque()
         self._retries: deque[int] = deque()
 
+    def replace_ratio(self, ratio: float) -> None:
+        """Use another ratio of retries to first attempts."""
+        self._ratio = ratio
+
     def count_first_attempt(self, now_ms: int) -> None:
         """Count a first attempt."""
         self._first.append(now_ms)
--- a/packages/core/src/ibispaddle_core/shares/counters.py
+++ b/packages/core/src/ibispaddle_core/shares/counters.py
@@ -27,6 +27,10 @@
         self._decayed: dict[str, float] = {}
         self._decayed_at_ms = 0
 
+    def replace_weights(self, weights: Mapping[str, float]) -> None:
+        """Use other weights; consumption so far keeps counting."""
+        self._weights = dict(weights)
+
     def weight(self, neighbour: str) -> float:
         """Return the neighbour's weight, 1 if none is configured."""
         return self._weights.get(neighbour, 1.0)
--- a/packages/daemon/src/ibispaddle_daemon/entry.py
+++ b/packages/daemon/src/ibispaddle_daemon/entry.py
@@ -20,6 +20,7 @@
     AttemptEnded,
     CallerLeft,
     CancelAttempt,
+    ConfigurationReplaced,
     Decision,
     Dispatch,
     Event,
@@ -125,6 +126,7 @@
     def _on_configuration_changed(self, config: FleetConfig, revision: int) -> None:
         self._config = config
         self._callers = CallerDirectory(config)
+        self.tell(ConfigurationReplaced(config))
 
     @handler("list_changed", channel="*")
     def _on_list_changed(self, entries: Sequence[ListEntry]) -> None:
