--- a/packages/daemon/src/ibispaddle_daemon/usage.py
+++ b/packages/daemon/src/ibispaddle_daemon/usage.py
@@ -3,7 +3,6 @@
 from absl import logging
 from circuits import BaseComponent, handler
 from ibispaddle_core.clock import Clock
-from ibispaddle_core.gossip import Consumption
 from ibispaddle_core.membership import MembershipView, MemberState, successors
 from ibispaddle_core.settings import InstanceSettings
 from ibispaddle_core.usage import (
@@ -17,15 +16,14 @@
 
 from .events import drain_completed, log_append, peer_send
 from .peer_codec import Message
-from .peers import gossip_put
 from .timers import TimerQueue
 
 STREAM = "usage"
-# Consumption that has not changed is written again within the lifetime of gossip entries.
-RENEW_ROUNDS = 40
 # An append without an answer counts as failed after this time; repeating it does no harm.
 APPEND_TIMEOUT_MS = 10_000
 TAKE_OVER_INTERVAL_MS = 2_000
+# The holders are chosen again after so many rounds.
+HOLDER_ROUNDS = 4
 DRAIN_RETRY_MS = 200
 
 
@@ -49,7 +47,7 @@
         self._clock = clock
         self._timers = timers
         self._rounds = 0
-        self._sent_consumption: dict[str, int] = {}
+        self._holder_ids: list[str] = []
         self._requests_drained = False
         self._drained = False
         self.ledger = UsageLedger(settings.instance_id, boot)
@@ -75,17 +73,13 @@
 
     def _sync(self) -> None:
         self._timers.after(self._settings.gossip_interval_ms, self._sync)
+        if self._rounds % HOLDER_ROUNDS == 0:
+            self._holder_ids = self._holders()
         self._rounds += 1
-        for peer_id in self._holders():
+        for peer_id in self._holder_ids:
             sync = self.ledger.sync_for(peer_id)
             if sync is not None:
                 self.fire(peer_send(peer_id, sync), "*")
-        renew = self._rounds % RENEW_ROUNDS == 0
-        for neighbour, consumed_ms in self.ledger.consumed_ms.items():
-            if renew or self._sent_consumption.get(neighbour) != consumed_ms:
-                self._sent_consumption[neighbour] = consumed_ms
-                payload = Consumption(neighbour, self.ledger.instance_boot, consumed_ms)
-                self.fire(gossip_put(payload), "*")
 
     def _holders(self) -> list[str]:
         """Return the rank successors that hold copies, one of them in another data centre.
--- a/tests/membership/test_view.py
+++ b/tests/membership/test_view.py
@@ -151,6 +151,31 @@
         self.assertFalse(self.view.observe_heartbeat("b", 7, 1, False, 19_000))
         self.assertEqual(self.view.ranked_instances(20_000), ("a",))
 
+    def test_any_new_entry_of_an_instance_shows_that_it_runs(self):
+        """Guard against an instance that counts as dead although its load reports arrive."""
+        self.view.observe_heartbeat("b", 7, 3, False, 0)
+        self.view.observe_entry("b", 7, 9, 9_000)
+        self.assertIn("b", self.view.ranked_instances(18_000))
+        self.view.observe_entry("b", 7, 4, 18_000)
+        self.assertNotIn("b", self.view.ranked_instances(20_000))
+
+    def test_large_fleet_may_be_heard_less_often_between_data_centres(self):
+        """Guard against a whole data centre that counts as dead because summaries are slow."""
+        view = MembershipView("a", "v.1")
+        others = [instance(f"i{n:02d}", data_centre="v.2") for n in range(98)]
+        entries = (instance("a"), instance("b"), *others)
+        view.apply_list(InstanceList(1, entries), 0)
+        self.assertEqual(len(view.ranked_instances(39_000)), 99)
+        self.assertEqual(view.ranked_instances(41_000), ("a",))
+
+    def test_small_fleet_notices_a_dead_data_centre_soon(self):
+        """Guard against runners that nobody probes because their only instance is gone."""
+        view = MembershipView("a", "v.1")
+        entries = (instance("a"), instance("c", data_centre="v.2"), runner("r", data_centre="v.2"))
+        view.apply_list(InstanceList(1, entries), 0)
+        self.assertEqual(view.probe_duties(10_000), ())
+        self.assertEqual([e.id for e, _ in view.probe_duties(11_000)], ["r"])
+
     def test_restarted_instance_counts_again(self):
         """Guard against an id that stays leaving after its machine was replaced."""
         self.view.observe_heartbeat("b", 7, 1, True, 100)
