Connected the request path with suspicions and quarantine

Cause: fingerprints, suspicions and quarantine existed, but no request asked for them; found by reading. Change: an attempt that failed after bytes were sent is reported only after the upstream was found alive (GET /load with the same boot id) or the reachable instances know the suspicion; suspects may use only the upstream that the registry deals to them; quarantined content is refused with 422 and the fingerprint; a completed suspect is cleared. Prompts that span engines are not restricted to one upstream.

--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -1,6 +1,7 @@
 """The scheduler of one instance: state, event, time and seed in, decisions out."""
 
 import heapq
+from collections.abc import Callable, Collection
 from random import Random
 from typing import assert_never
 
@@ -38,7 +39,7 @@
     UpstreamsChanged,
     UpstreamState,
 )
-from .placement import CLAIM_AFTER_MS, Choice, Placement, PredictedPlacement
+from .placement import CLAIM_AFTER_MS, Choice, Placement, PredictedPlacement, choose_allowed
 from .prefixes import PrefixIndex
 from .queue import FairQueue, Lane
 from .requests import RequestState
@@ -65,6 +66,8 @@
         self.runners = RunnerTable(self.cost)
         self.queue = FairQueue(config.scheduling.max_queue_per_neighbour)
         self._backlog = Backlog(self.queue, self.shares, self.cost)
+        # Names the runners that a request may use now, or None for one that may use all.
+        self.restriction: Callable[[Request], Collection[str] | None] = lambda req: None
         self._prefixes = PrefixIndex()
         self._rng = Random(f"{seed}/{instance_boot}")
         self._claims = Claims()
@@ -217,7 +220,11 @@
             )
         if state.prompt_class is PromptClass.SPANNING:
             return self._begin_large(state, now_ms)
-        choice = self.placement.choose(req, state.tried, spare_only, self.runners, now_ms)
+        allowed = self.restriction(req)
+        if allowed is not None:
+            choice = choose_allowed(req, allowed, self.runners, self.cost)
+        else:
+            choice = self.placement.choose(req, state.tried, spare_only, self.runners, now_ms)
         if choice is None:
             return None
         return [self._dispatch(state, choice, (), now_ms)]
--- a/packages/core/src/ibispaddle_core/scheduling/placement.py
+++ b/packages/core/src/ibispaddle_core/scheduling/placement.py
@@ -1,5 +1,6 @@
 """Choice of a runner by predicted time to first token."""
 
+from collections.abc import Collection
 from dataclasses import dataclass
 from random import Random
 from typing import Protocol
@@ -173,3 +174,14 @@
         cached = self._prefixes.cached_tokens(req, upstream_id)
         tokens = max(1, req.prompt_tokens - cached)
         return Choice(view, wait_ms, wait_ms + penalty_ms + tokens / view.prefill_rate, tokens)
+
+
+def choose_allowed(
+    req: Request, allowed: Collection[str], runners: RunnerTable, cost: CostModel
+) -> Choice | None:
+    """Return the first of the allowed runners that has the memory; None while there is none."""
+    for view in runners.live(req.model):
+        if view.upstream.upstream_id in allowed and view.kv_free() >= cost.kv_tokens(req):
+            ttft_ms = req.prompt_tokens / view.prefill_rate
+            return Choice(view, 0.0, ttft_ms, req.prompt_tokens)
+    return None
--- a/packages/daemon/src/ibispaddle_daemon/app.py
+++ b/packages/daemon/src/ibispaddle_daemon/app.py
@@ -28,6 +28,7 @@
 from .quarantine import QuarantineGuard
 from .services import Services
 from .shares import Shares
+from .suspects import Suspects
 from .timers import TimerQueue
 from .tracing import Tracing
 from .usage import Usage
@@ -72,6 +73,11 @@
         self.server = HttpServer(
             settings.listen, self.clock, self.timers, config.limits, _tls(settings)
         ).register(self)
+        self.view = MembershipView(settings.instance_id, settings.data_centre)
+        self.quarantine = QuarantineGuard(settings, self.view, self.clock, self.timers).register(
+            self
+        )
+        self.suspects = Suspects(self.quarantine.registry, self.clock).register(self)
         self.entry = Entry(
             settings.instance_id,
             config,
@@ -81,6 +87,7 @@
             self.metrics,
             self.tracing,
             _fingerprint_key(settings),
+            self.suspects,
         ).register(self)
         self.services = Services(
             settings.instance_id, config, self.clock, self.timers, self.metrics, self.tracing
@@ -93,7 +100,6 @@
         """Add what this instance shares with other instances."""
         settings, clock, timers = self.settings, self.clock, self.timers
         boot = clock.wall_ms()
-        self.view = MembershipView(settings.instance_id, settings.data_centre)
         secret = _peer_secret(settings)
         self.peers = Peers(settings, secret, self.view, boot, clock, timers).register(self)
         self.probes = Probes(settings, self.view, clock, timers).register(self)
@@ -101,7 +107,6 @@
         self.shares = Shares(
             settings, self.entry.scheduler, self.entry.tell, boot, clock, timers
         ).register(self)
-        self.quarantine = QuarantineGuard(settings, self.view, clock, timers).register(self)
         self.instance_list = InstanceListReader(settings, self.view, clock, timers).register(self)
 
     def _add_log_components(self, config: FleetConfig) -> None:
--- a/packages/daemon/src/ibispaddle_daemon/attempts.py
+++ b/packages/daemon/src/ibispaddle_daemon/attempts.py
@@ -42,6 +42,7 @@
 from .metrics import Metrics
 from .model_request import ModelRequest, RunningAttempt
 from .responses import JSON
+from .suspects import LostAttempt, Suspects
 from .timers import TimerQueue
 from .tracing import Tracing
 
@@ -87,8 +88,10 @@
         timers: TimerQueue,
         metrics: Metrics,
         tracing: Tracing,
+        suspects: Suspects,
     ) -> None:
         super().__init__()
+        self._suspects = suspects
         self._entry = entry
         self._client = client
         self._clock = clock
@@ -162,6 +165,7 @@
         call_id = f"attempt-{next(_NUMBERS)}"
         running = RunningAttempt(call_id, upstream_id, base_url, engine_id, machine, span)
         running.is_resumed = path == "/v1/resume"
+        running.upstream_boot = self._entry.boot_of(upstream_id)
         request.attempt = running
         self._running[call_id] = (request, running)
         headers = (
@@ -377,13 +381,39 @@
                 outcome = Outcome.REJECTED
             elif outcome is None or running.is_resumed:
                 outcome = Outcome.FAILED
-            self._entry.attempt_ended(request, running.upstream_id, outcome)
+            if outcome is Outcome.FAILED:
+                self._examine(request, running, result)
+            else:
+                self._entry.attempt_ended(request, running.upstream_id, outcome)
 
         if running.may_run_on:
             body = msgspec.json.encode({"request_id": running.engine_request_id})
             url = f"{running.base_url}/v1/cancel"
             self._calls.send("POST", url, body, PROOF_TIMEOUT_MS, done)
 
+    def _examine(self, request: ModelRequest, running: RunningAttempt, result: CallResult) -> None:
+        """Report a failed attempt once it is known whether its upstream died."""
+        upstream_id = running.upstream_id
+        beside = self.fingerprints().get(upstream_id, ())
+        refused = result.error is not None and result.error.failure is CallFailure.UNREACHABLE
+        lost = LostAttempt(
+            upstream_id,
+            running.base_url,
+            running.machine.boot_id or running.upstream_boot,
+            frozenset((request.req.fingerprint, *beside)),
+            refused,
+        )
+        self._suspects.examine(
+            lost, lambda: self._entry.attempt_ended(request, upstream_id, Outcome.FAILED)
+        )
+
+    def fingerprints(self) -> dict[str, set[str]]:
+        """Return the fingerprints in flight, by upstream."""
+        found: dict[str, set[str]] = {}
+        for request, running in self._running.values():
+            found.setdefault(running.upstream_id, set()).add(request.req.fingerprint)
+        return found
+
 
 def _proves_not_run(result: CallResult) -> bool:
     if result.error is not None or result.status != 200:
--- a/packages/daemon/src/ibispaddle_daemon/entry.py
+++ b/packages/daemon/src/ibispaddle_daemon/entry.py
@@ -1,7 +1,7 @@
 """Requests for models: connects callers, the scheduler and the relay."""
 
 import secrets
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 
 from circuits import BaseComponent, handler
 from ibispaddle_core import logevents
@@ -16,6 +16,7 @@
 from ibispaddle_core.clock import Clock
 from ibispaddle_core.membership import Kind as EntryKind
 from ibispaddle_core.membership import ListedState, ListEntry
+from ibispaddle_core.runstate import RunState
 from ibispaddle_core.scheduling import (
     AttemptEnded,
     CallerLeft,
@@ -53,6 +54,7 @@
 from .metrics import Metrics, length_class
 from .model_request import ModelRequest
 from .responses import JSON, not_found, respond_error, wrong_method
+from .suspects import Suspects
 from .timers import TimerHandle, TimerQueue
 from .tracing import Tracing
 
@@ -76,8 +78,11 @@
         metrics: Metrics,
         tracing: Tracing,
         fingerprint_key: bytes,
+        suspects: Suspects,
     ) -> None:
         super().__init__()
+        self._suspects = suspects
+        self._boots: dict[str, str] = {}
         self._clock = clock
         self._timers = timers
         self._metrics = metrics
@@ -96,7 +101,10 @@
         self._entries: tuple[ListEntry, ...] = ()
         self._down: set[str] = set()
         self._memory = EngineMemory(clock, timers).register(self)
-        self.attempts = Attempts(self, client, clock, timers, metrics, tracing).register(self)
+        self.attempts = Attempts(self, client, clock, timers, metrics, tracing, suspects).register(
+            self
+        )
+        self.scheduler.restriction = self._allowed_runners
         metrics.add_gauge(
             "ibispaddle_requests_in_flight", "Requests in flight.", lambda: len(self._requests)
         )
@@ -116,6 +124,14 @@
         """Return the latest deadline of a request in flight, or 0."""
         return max((r.req.deadline_ms for r in self._requests.values()), default=0)
 
+    def boot_of(self, upstream_id: str) -> str:
+        """Return the last known boot id of a runner, empty if none is known."""
+        return self._boots.get(upstream_id, "")
+
+    def _allowed_runners(self, req: Request) -> Collection[str] | None:
+        ids = [view.upstream.upstream_id for view in self.scheduler.runners.live(req.model)]
+        return self._suspects.allowed(req.fingerprint, ids, self.attempts.fingerprints)
+
     def base_url(self, upstream_id: str) -> str:
         """Return the URL of a runner."""
         return f"http://{self._addresses.get(upstream_id, '')}"
@@ -137,6 +153,7 @@
 
     @handler("load_reported", channel="*")
     def _on_load_reported(self, load: RunnerLoad) -> None:
+        self._boots[load.upstream_id] = load.boot_id
         if load.upstream_id in self._down:
             self._down.discard(load.upstream_id)
             self._change_upstreams()
@@ -210,8 +227,11 @@
                 f" tokens exceed the model's {model.context_tokens} tokens."
             )
             return ProtocolError(400, "context_length_exceeded", text)
-        self._number += 1
         fingerprint = content_fingerprint(str(kind), parsed.document, self._fingerprint_key)
+        refusal = self._suspects.refusal(fingerprint, RunState.NOT_RUN)
+        if refusal is not None:
+            return refusal
+        self._number += 1
         req = Request(
             request_id=f"{self._boot}-{self._number}",
             workspace=caller.name,
@@ -362,6 +382,13 @@
     def attempt_ended(self, request: ModelRequest, upstream_id: str, outcome: Outcome) -> None:
         """Report the end of an attempt; the scheduler may retry or refuse."""
         self._report_tokens(request)
+        if outcome is Outcome.COMPLETED:
+            self._suspects.completed(request.req.fingerprint)
+        refusal = self._suspects.refusal(request.req.fingerprint, request.run_state)
+        if refusal is not None and request.request_id in self._requests:
+            self.tell(CallerLeft(request.request_id))
+            self._refuse(request, refusal)
+            return
         self.tell(
             AttemptEnded(request.request_id, upstream_id, outcome, bytes_relayed=request.is_relayed)
         )
--- a/packages/daemon/src/ibispaddle_daemon/model_request.py
+++ b/packages/daemon/src/ibispaddle_daemon/model_request.py
@@ -32,6 +32,7 @@
     timer_due_ms: int = 0
     is_paused: bool = False
     is_resumed: bool = False
+    upstream_boot: str = ""  # Last known boot of the upstream when the attempt began.
 
     @property
     def may_run_on(self) -> bool:
