Compressed the gossip digests

With entries of the usual size a digest of 1,200 bytes held 13 load reports, and the reports of 49 instances and 92 runners were up to 34 rounds old. The entries repeat ids, so a digest is compressed and holds up to 3,600 bytes of entries; the receiver bounds what it expands.

--- a/packages/bench/src/ibispaddle_bench/slopes_core.py
+++ b/packages/bench/src/ibispaddle_bench/slopes_core.py
@@ -97,6 +97,7 @@
             self.nodes[name] = CoreInstance(name, self.centre_of[name], table, rng, runners)
         self.consumers = consumers
         self.turn = 0
+        self.rng = random.Random(7)
         self.watched: dict[str, tuple[str, int, dict[str, int]]] = {}
         self.digests = self.fresh = 0
         self.merge_s = 0.0
@@ -111,11 +112,11 @@
         for number, node in enumerate(self.nodes.values()):
             payloads: list[Any] = []
             if (self.turn + number) % HEARTBEAT_ROUNDS == 0:
-                payloads.append(Heartbeat(False, 100_000, 99_000))
+                payloads.append(Heartbeat(False, 100_000 + number, 99_000))
             if (self.turn + number) % REPORT_ROUNDS == 0:
                 payloads += [self._report(number, i) for i in range(node.runners)]
             payloads += [
-                Consumption(f"neighbour.{i}", BOOT_MS, self.turn * 100_000)
+                Consumption(f"neighbour.{i}", BOOT_MS + number, self.rng.randrange(10**9))
                 for i in range(self.consumers)
             ]
             for payload in payloads:
@@ -151,10 +152,22 @@
         node.heard[origin], node.heard_seq[origin] = self.turn, seq
 
     def _report(self, number: int, index: int) -> RunnerReport:
-        """Return a report with values of the usual size."""
-        name = f"centre{number % 8}.runner.{number}.{index}"
+        """Return a report with values of the usual size, which compress badly."""
+        rng = self.rng
+        kv_tokens = rng.randrange(400_000)
         return RunnerReport(
-            name, True, False, "b" * 8, self.turn, 30, 2, 400_000, 300_000, 400_000, 25_000, 60
+            f"centre{number % 8}.runner.{number}.{index}",
+            True,
+            False,
+            f"{hash((number, index)) & 0xFFFFFFFF:08x}",
+            self.turn + 100_000,
+            rng.randrange(60),
+            rng.randrange(20),
+            rng.randrange(500_000),
+            kv_tokens,
+            400_000,
+            rng.randrange(15_000, 25_000),
+            rng.randrange(40, 60),
         )
 
     def watch(self, index: int) -> None:
--- a/packages/core/src/ibispaddle_core/gossip/queue.py
+++ b/packages/core/src/ibispaddle_core/gossip/queue.py
@@ -24,6 +24,9 @@
     def __len__(self) -> int:
         return len(self._counts)
 
+    def __contains__(self, key: K) -> bool:
+        return key in self._counts
+
     def renew(self, key: K) -> None:
         """Set a key's transmissions to zero.
 
--- a/packages/core/src/ibispaddle_core/gossip/table.py
+++ b/packages/core/src/ibispaddle_core/gossip/table.py
@@ -1,5 +1,6 @@
 """Table of versioned entries with bounded digests."""
 
+import zlib
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -20,11 +21,16 @@
 from .queue import TransmissionQueue
 
 MAX_DIGEST_BYTES = 1_200
+# Entries repeat ids, so a compressed digest holds two to three times its size in entries. The bound
+# limits what a receiver has to expand.
+MAX_RAW_BYTES = 3_600
+COMPRESSION_LEVEL = 1
 _ARRAY_HEADER_BYTES = 3
+MAX_ENTRY_BYTES = 400
 # Heartbeats have a part of their own, because an instance whose heartbeat is late counts as down.
-HEARTBEAT_DIGEST_BYTES = 400
+HEARTBEAT_FRACTION = 1 / 3
 # The rest of a digest is for entries of the own data centre, which decide most placements.
-REMOTE_DIGEST_BYTES = 400
+REMOTE_FRACTION = 1 / 3
 # Writers renew each entry well within this time; older ones belong to dead instances or to probes
 # that have moved.
 ENTRY_LIFETIME_MS = 180_000
@@ -58,6 +64,15 @@
     return now_ms - known.summary_ms >= interval_ms
 
 
+def _decompress(digest: bytes) -> bytes:
+    """Return the encoded entries; raises `zlib.error` if they exceed their bound."""
+    decompressor = zlib.decompressobj()
+    data = decompressor.decompress(digest, MAX_RAW_BYTES)
+    if not decompressor.eof or decompressor.unused_data:
+        raise zlib.error("the digest is incomplete, too long or followed by other bytes")
+    return data
+
+
 class GossipTable:
     """Hold the newest version of each entry and decide what to send next.
 
@@ -82,6 +97,7 @@
         self._beats: TransmissionQueue[Key] = TransmissionQueue()
         self._remote: TransmissionQueue[Key] = TransmissionQueue()
         self._summary: TransmissionQueue[Key] = TransmissionQueue()
+        self._raw_budget = MAX_RAW_BYTES - _ARRAY_HEADER_BYTES
         self._seq = 0
 
     def __len__(self) -> int:
@@ -95,12 +111,12 @@
     def put(self, payload: Payload, now_ms: int) -> Entry:
         """Write a new version of an own entry.
 
-        Raises `EntryTooLargeError` if it does not fit in the part of a digest for remote entries.
+        Raises `EntryTooLargeError` if it does not fit in any part of a digest.
         """
         self._seq += 1
         entry = Entry(self._instance_id, self.boot, self._seq, payload)
         raw = ENTRY_ENCODER.encode(entry)
-        if len(raw) > REMOTE_DIGEST_BYTES - _ARRAY_HEADER_BYTES:
+        if len(raw) > MAX_ENTRY_BYTES:
             raise EntryTooLargeError(f"entry '{payload.subject}' has {len(raw)} bytes")
         self._store(entry, raw, now_ms)
         return entry
@@ -110,9 +126,9 @@
         if len(digest) > MAX_DIGEST_BYTES:
             return Err(DigestFormatError(f"digest has {len(digest)} bytes"))
         try:
-            raws = [bytes(raw) for raw in DIGEST_DECODER.decode(digest)]
+            raws = [bytes(raw) for raw in DIGEST_DECODER.decode(_decompress(digest))]
             entries = [ENTRY_DECODER.decode(raw) for raw in raws]
-        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        except (msgspec.DecodeError, UnicodeDecodeError, zlib.error) as exc:
             return Err(DigestFormatError(str(exc)))
         fresh = []
         for entry, raw in zip(entries, raws, strict=True):
@@ -188,20 +204,34 @@
 
     def digest(self) -> bytes:
         """Return the next digest for an instance of the own data centre."""
-        budget = MAX_DIGEST_BYTES - _ARRAY_HEADER_BYTES
-        keys = self._beats.take(HEARTBEAT_DIGEST_BYTES, self._size)
-        keys += self._remote.take(REMOTE_DIGEST_BYTES, self._size)
+        budget = self._raw_budget
+        keys = self._beats.take(round(budget * HEARTBEAT_FRACTION), self._size)
+        keys += self._remote.take(round(budget * REMOTE_FRACTION), self._size)
         budget -= sum(map(self._size, keys))
         keys += self._local.take(budget, self._size)
-        return self._encode(keys)
+        return self._encode(keys, self._local)
 
     def summary(self) -> bytes:
         """Return the next digest for another data centre, of entries written in the own one."""
-        return self._encode(self._summary.take(MAX_DIGEST_BYTES - _ARRAY_HEADER_BYTES, self._size))
-
-    def _encode(self, keys: list[Key]) -> bytes:
-        raws: list[Any] = [msgspec.Raw(self._entries[key].raw) for key in keys]
-        return ENTRY_ENCODER.encode(raws)
+        return self._encode(self._summary.take(self._raw_budget, self._size), self._summary)
+
+    def _encode(self, keys: list[Key], queue: TransmissionQueue[Key]) -> bytes:
+        """Compress the entries; the last ones go back to their queue if they do not fit."""
+        while True:
+            raws: list[Any] = [msgspec.Raw(self._entries[key].raw) for key in keys]
+            data = zlib.compress(ENTRY_ENCODER.encode(raws), COMPRESSION_LEVEL)
+            if len(data) <= MAX_DIGEST_BYTES:
+                break
+            kept = min(len(keys) - 1, len(keys) * MAX_DIGEST_BYTES // len(data))
+            for key in keys[kept:]:
+                if key in queue:
+                    queue.renew(key)
+            keys = keys[:kept]
+            self._raw_budget = max(MAX_DIGEST_BYTES, round(self._raw_budget * 0.9))
+        if len(data) < MAX_DIGEST_BYTES * 0.8:
+            limit = MAX_RAW_BYTES - _ARRAY_HEADER_BYTES
+            self._raw_budget = min(limit, round(self._raw_budget * 1.05))
+        return data
 
     def expire(self, now_ms: int) -> int:
         """Drop entries that their origin no longer renews and return their number."""
--- a/tests/gossip/test_table.py
+++ b/tests/gossip/test_table.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+import zlib
 
 import msgspec
 from hypothesis import given, settings
@@ -81,12 +82,12 @@
     def test_heartbeats_do_not_crowd_out_other_entries_between_data_centres(self):
         """Guard against links between data centres that carry mostly heartbeats."""
         table, kinds = GossipTable("a", 1), []
-        sources = [GossipTable(f"i{number}", 1) for number in range(40)]
+        sources = [GossipTable(f"i{number}", 1) for number in range(100)]
         for turn in range(24):
             for source in sources:
                 source.put(Heartbeat(), turn * 500)
                 table.merge(source.digest(), turn * 500)
-            for number in range(60):
+            for number in range(150):
                 table.put(RunnerReport(f"r{number}", True, seq=turn), turn * 500)
             entries = GossipTable("b", 1).merge(table.summary(), 0).ok_value
             kinds += [type(entry.payload) for entry in entries]
@@ -144,12 +145,36 @@
         rng = random.Random(1)
         samples = [good[:-1], good + b"\x00", b"\xc1", b"", b"x" * 5_000]
         samples += [rng.randbytes(rng.randrange(1, 200)) for _ in range(300)]
-        samples.append(msgspec.msgpack.encode([["a", 1, 1, ["h", False, 0, 0]], ["a", "x"]]))
+        contents = [msgspec.msgpack.encode([["a", 1, 1, ["h", False, 0, 0]], ["a", "x"]])]
+        contents += [rng.randbytes(rng.randrange(200)) for _ in range(300)]
+        samples += [zlib.compress(content) for content in contents]
         for sample in samples:
-            if not table.merge(sample, 0).is_err():
-                self.assertEqual(msgspec.msgpack.decode(sample), [])
+            merged = table.merge(sample, 0)
+            if not merged.is_err():
+                self.assertEqual(msgspec.msgpack.decode(zlib.decompress(sample)), [])
         self.assertEqual(len(table), 0)
 
+    def test_digest_that_expands_beyond_its_bound_is_an_error(self):
+        """Guard against memory that a peer fills with a small message."""
+        table = GossipTable("b", 1)
+        for content in (b"\x90" + b"\0" * 3_000, b"\xdd\x7f\xff\xff\xff", b"\0" * 1_000_000):
+            digest = zlib.compress(content, 9)
+            self.assertLessEqual(len(digest), MAX_DIGEST_BYTES)
+            self.assertTrue(table.merge(digest, 0).is_err())
+
+    def test_entries_that_do_not_compress_are_sent_later(self):
+        """Guard against entries that count as sent although the digest had no room for them."""
+        rng = random.Random(3)
+        table, other = GossipTable("a", 1), GossipTable("b", 1)
+        names = {rng.randbytes(100).hex() for _ in range(40)}
+        for name in names:
+            table.put(consumption(name), 0)
+        for _ in range(14):
+            digest = table.digest()
+            self.assertLessEqual(len(digest), MAX_DIGEST_BYTES)
+            other.merge(digest, 0)
+        self.assertEqual({entry.payload.subject for entry in other.entries()}, names)
+
     def test_new_boot_replaces_all_entries_of_the_old_one(self):
         """Guard against reports that outlive the process that made them."""
         table, old, new = GossipTable("b", 1), GossipTable("a", 5), GossipTable("a", 6)
