--- a/packages/bench/src/ibispaddle_bench/slopes_core.py
+++ b/packages/bench/src/ibispaddle_bench/slopes_core.py
@@ -24,6 +24,7 @@
 
 DESIGN_INSTANCES, DESIGN_RUNNERS, DESIGN_CENTRES = 390, 730, 8
 GOSSIP_INTERVAL_MS = 500
+BOOT_MS = 1_764_800_000_000
 HEARTBEAT_ROUNDS = 4
 REPORT_ROUNDS = 2
 # Entries that are written once, a few rounds apart, after the tables have filled.
@@ -68,7 +69,9 @@
     table: GossipTable
     rng: random.Random
     runners: int
-    written: dict[tuple[type, str, str], int] = field(default_factory=dict)
+    heard: dict[str, int] = field(default_factory=dict)  # Round of the last news, by origin.
+    heard_seq: dict[str, int] = field(default_factory=dict)
+    longest_silence: int = 0
     known: dict[tuple[type, str, str], int] = field(default_factory=dict)
 
 
@@ -80,7 +83,7 @@
     """
 
     def __init__(self, centres: int, per_centre: int, consumers: int) -> None:
-        names = [f"d{c}.i{n:03d}" for c in range(centres) for n in range(per_centre)]
+        names = [f"centre{c}.entry{n:03d}" for c in range(centres) for n in range(per_centre)]
         self.centre_of = {name: name.partition(".")[0] for name in names}
         self.ranked: dict[str, list[str]] = {}
         for name in names:
@@ -89,7 +92,7 @@
         share = DESIGN_RUNNERS / DESIGN_INSTANCES
         for number, name in enumerate(names):
             runners = int((number + 1) * share) - int(number * share)
-            table = GossipTable(name, 1, self._locality(self.centre_of[name]))
+            table = GossipTable(name, BOOT_MS, self._locality(self.centre_of[name]))
             rng = random.Random(number)
             self.nodes[name] = CoreInstance(name, self.centre_of[name], table, rng, runners)
         self.consumers = consumers
@@ -108,19 +111,15 @@
         for number, node in enumerate(self.nodes.values()):
             payloads: list[Any] = []
             if (self.turn + number) % HEARTBEAT_ROUNDS == 0:
-                payloads.append(Heartbeat(False, 1_000, 1_000))
+                payloads.append(Heartbeat(False, 100_000, 99_000))
             if (self.turn + number) % REPORT_ROUNDS == 0:
-                payloads += [
-                    RunnerReport(f"runner.{number}.{i}", True, False, "b" * 8, self.turn, 3, 2)
-                    for i in range(node.runners)
-                ]
+                payloads += [self._report(number, i) for i in range(node.runners)]
             payloads += [
-                Consumption(f"neighbour.{i}", f"{node.name}-1", self.turn * 100)
+                Consumption(f"neighbour.{i}", BOOT_MS, self.turn * 100_000)
                 for i in range(self.consumers)
             ]
             for payload in payloads:
-                entry = node.table.put(payload, now_ms)
-                node.written[entry.key] = self.turn
+                node.table.put(payload, now_ms)
         messages = []
         for node in self.nodes.values():
             for target in targets(node.rng, node.name, self.ranked[node.centre]):
@@ -136,16 +135,33 @@
             for entry in fresh:
                 # Sequence numbers follow the writes, so the age is found from the origin's record.
                 node.known[entry.key] = entry.seq
+                self._hear(node, entry.origin, entry.seq)
                 if entry.payload.subject in self.watched:
                     _, start, seen = self.watched[entry.payload.subject]
                     seen.setdefault(target, self.turn - start + 1)
         self.digests += len(messages)
 
+    def _hear(self, node: CoreInstance, origin: str, seq: int) -> None:
+        """Note the rounds between two pieces of news of an origin in the own data centre."""
+        if self.centre_of[origin] != node.centre or seq <= node.heard_seq.get(origin, 0):
+            return
+        if self.turn > WARM_UP_ROUNDS and origin in node.heard:
+            silence = self.turn - node.heard[origin]
+            node.longest_silence = max(node.longest_silence, silence)
+        node.heard[origin], node.heard_seq[origin] = self.turn, seq
+
+    def _report(self, number: int, index: int) -> RunnerReport:
+        """Return a report with values of the usual size."""
+        name = f"centre{number % 8}.runner.{number}.{index}"
+        return RunnerReport(
+            name, True, False, "b" * 8, self.turn, 30, 2, 400_000, 300_000, 400_000, 25_000, 60
+        )
+
     def watch(self, index: int) -> None:
         """Write an entry once and note when each instance gets it."""
         origin = list(self.nodes.values())[index * 11 % len(self.nodes)]
         subject = f"watched.{index}"
-        origin.table.put(Consumption(subject, origin.name, 1), self.turn * GOSSIP_INTERVAL_MS)
+        origin.table.put(Consumption(subject, BOOT_MS, 1), self.turn * GOSSIP_INTERVAL_MS)
         self.watched[subject] = (origin.name, self.turn + 1, {})
 
     def missing_and_stale(self, kind: type, local: bool) -> dict[str, float]:
@@ -213,6 +229,7 @@
         remote_rounds=_spread(remote, wanted_remote),
         local_report_age_rounds=fleet.missing_and_stale(RunnerReport, True),
         local_heartbeat_age_rounds=fleet.missing_and_stale(Heartbeat, True),
+        longest_local_silence_rounds=max(n.longest_silence for n in fleet.nodes.values()),
         remote_report_age_rounds=fleet.missing_and_stale(RunnerReport, False),
         remote_heartbeat_age_rounds=fleet.missing_and_stale(Heartbeat, False),
         merge_us_per_digest=round(fleet.merge_s / fleet.digests * 1e6, 1),
--- a/packages/core/src/ibispaddle_core/gossip/table.py
+++ b/packages/core/src/ibispaddle_core/gossip/table.py
@@ -22,7 +22,7 @@
 MAX_DIGEST_BYTES = 1_200
 _ARRAY_HEADER_BYTES = 3
 # Heartbeats have a part of their own, because an instance whose heartbeat is late counts as down.
-HEARTBEAT_DIGEST_BYTES = 300
+HEARTBEAT_DIGEST_BYTES = 400
 # The rest of a digest is for entries of the own data centre, which decide most placements.
 REMOTE_DIGEST_BYTES = 400
 # Writers renew each entry well within this time; older ones belong to dead instances or to probes
@@ -32,7 +32,7 @@
 EXPIRED_MEMORY_MS = 360_000
 # New versions get precedence on the links between data centres only this often. At 390 instances
 # the 343 heartbeats of other data centres would otherwise fill the digests of each instance.
-SUMMARY_INTERVAL_MS: dict[type, int] = {Heartbeat: 30_000}
+SUMMARY_INTERVAL_MS: dict[type, int] = {Heartbeat: 10_000}
 DEFAULT_SUMMARY_INTERVAL_MS = 2_000
 MAX_ENTRIES = 50_000
 
--- a/packages/core/src/ibispaddle_core/scheduling/placement.py
+++ b/packages/core/src/ibispaddle_core/scheduling/placement.py
@@ -4,7 +4,6 @@
 from random import Random
 from typing import Protocol
 
-from ..settings.fleet import SchedulingConfig
 from .claims import Claims
 from .cost import CostModel, PromptClass
 from .homes import Homes
@@ -70,14 +69,12 @@
 
     def __init__(
         self,
-        settings: SchedulingConfig,
         cost: CostModel,
         prefixes: PrefixIndex,
         homes: Homes,
         claims: Claims,
         rng: Random,
     ) -> None:
-        self._settings = settings
         self._cost = cost
         self._prefixes = prefixes
         self._homes = homes
@@ -99,6 +96,8 @@
         """Return the choice, or None while every runner is too busy or has too little memory."""
         views = runners.live(req.model)
         homes = self._homes.select(views)
+        if len(homes) > MAX_CANDIDATES:
+            homes = self._rng.sample(homes, MAX_CANDIDATES)
         if spare_only:
             homes = [view for view in homes if view.idle]
         choices = self._choices(req, homes, tried, now_ms)
@@ -136,7 +135,7 @@
             if len(views) > MAX_CANDIDATES:
                 return self._rng.sample(views, MAX_CANDIDATES)
             return views
-        borrowed = self._homes.borrowed(views, now_ms)
+        borrowed = self._homes.borrowed(views, now_ms)[:MAX_CANDIDATES]
         if self._cost.prompt_class(req) < PromptClass.LONG:
             return borrowed
         # A report from before the turn may not show what the previous borrower sent.
@@ -160,11 +159,11 @@
         upstream_id = view.upstream.upstream_id
         free = view.kv_free() - self._claims.against(req.request_id, upstream_id)
         if prompt_class is not PromptClass.SHORT and not self._claims.has_claim(req.request_id):
-            free -= int(view.kv_total * self._settings.short_memory_reserve)
+            free -= int(view.kv_total * self._cost.scheduling.short_memory_reserve)
         if self._cost.kv_tokens(req) > free:
             return None
         wait_ms = view.wait_ms(
-            prompt_class, self.priority(req), now_ms, self._settings.load_report_max_age_ms
+            prompt_class, self.priority(req), now_ms, self._cost.scheduling.load_report_max_age_ms
         )
         if wait_ms > MAX_ENGINE_WAIT_MS[prompt_class]:
             return None
