--- /dev/null
+++ b/tests/failures/test_crashing_requests.py
@@ -0,0 +1,76 @@
+"""A request that crashes its engine takes down at most two, however often it is resent."""
+
+import time
+from dataclasses import replace
+
+from .support import FAST_SETTINGS, Call, FleetTest, wait_until
+
+MARKER = "kraschar-motorn"
+MOST_DEATHS = 2
+RESENDS = 5
+
+
+class CrashingRequestTest(FleetTest):
+    """Engines that exit when they compute a prompt with the marker."""
+
+    SPEC = replace(
+        FleetTest.SPEC,
+        entries=3,
+        runners=6,
+        engine_options=("--crash-marker", MARKER),
+        instance_settings=FAST_SETTINGS,
+    )
+    FLEET_PER_TEST = True
+
+    def deaths(self) -> list[str]:
+        """Return the engines that died."""
+        return [runner.name for runner in self.fleet.runners if not runner.running]
+
+    def send(self, number: int) -> Call:
+        """Send the request to the next instance and wait for its answer."""
+        entry = self.fleet.entries[number % len(self.fleet.entries)]
+        prompt = f"Draft a motif. {MARKER}"
+        return Call(entry, prompt=prompt, tokens=40, timeout_ms=8_000).ended()
+
+    def check_resends(self) -> None:
+        """Resend after each answer, and check the deaths and that the fleet still serves."""
+        for number in range(1 + RESENDS):
+            call = self.send(number)
+            self.assert_no_fault(call)
+            self.assertFalse(call.is_done)
+            time.sleep(0.1)  # An engine exits a moment after the tokens that it has sent.
+            deaths = self.deaths()
+            self.assertLessEqual(len(deaths), MOST_DEATHS, f"after {number} resends: {deaths}")
+        self.assertGreater(len(deaths), 0, "no engine died; the test shows nothing")
+        self.assertEqual(self.send(0).run_state, "not_run")
+        for entry in self.fleet.entries:
+            wait_until(lambda e=entry: Call(e).ended().is_whole, "answer to an innocent prompt")
+
+    def test_crash_before_the_first_token(self):
+        """Guard against a request that takes down one engine after the other with its retries."""
+        self.check_resends()
+
+    def test_crash_in_the_stream(self):
+        """Guard against a caller that takes down one engine after the other with its resends."""
+        for runner in self.fleet.runners:
+            runner.set_faults(crash_after_tokens=5)
+        self.check_resends()
+
+    def test_innocent_requests_of_the_same_death(self):
+        """Guard against a quarantine of requests that were in flight when another crashed them."""
+        innocent = [f"innocent {n}" for n in range(12)]
+        calls = [
+            Call(self.fleet.entries[n % 3], prompt=prompt, tokens=120, timeout_ms=15_000)
+            for n, prompt in enumerate(innocent)
+        ]
+        for call in calls:
+            call.wait_for_tokens()
+        self.send(0)
+        cut = [call.prompt for call in calls if not call.ended().is_done]
+        self.assertTrue(cut, "no innocent request was in flight at a death")
+        for number, prompt in enumerate(cut):
+            entry = self.fleet.entries[number % 3]
+            wait_until(
+                lambda e=entry, p=prompt: Call(e, prompt=p, tokens=120).ended().is_whole,
+                "answer to an innocent prompt",
+            )
