Measured how long an instance waits for a processor

Cause: on a machine with other work, times that the scheduler of the operating system adds cannot be told from those of the instance. Change: the latency measurement reports the share of time in which the instance was ready to run but not running.

--- a/packages/bench/src/ibispaddle_bench/latency.py
+++ b/packages/bench/src/ibispaddle_bench/latency.py
@@ -163,6 +163,10 @@
                 "instance_cpu": round(
                     max((used.get(name, 0.0) for name in entries), default=0.0), 3
                 ),
+                # Share of the time in which the instance was ready to run, but not running.
+                "instance_wait": round(
+                    max((report.wait_shares.get(name, 0.0) for name in entries), default=0.0), 3
+                ),
                 "instance_mib": max(
                     (round(report.resident_mib.get(name, 0.0), 1) for name in entries),
                     default=0.0,
--- a/packages/bench/src/ibispaddle_bench/load.py
+++ b/packages/bench/src/ibispaddle_bench/load.py
@@ -32,6 +32,14 @@
     return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS_PER_S
 
 
+def waiting_seconds(process: ManagedProcess) -> float:
+    """Return how long a process was ready to run but other work held the processors."""
+    try:
+        return int(Path(f"/proc/{process.pid}/schedstat").read_text().split()[1]) / 1e9
+    except OSError:
+        return 0.0  # The kernel keeps no such statistics.
+
+
 def resident_mib(process: ManagedProcess) -> float:
     """Return the resident memory of a process."""
     pages = int(Path(f"/proc/{process.pid}/statm").read_text().split()[1])
@@ -59,6 +67,7 @@
     worker_cpu_share: float = 0.0
     worker_lag_p99_ms: float = 0.0
     cpu_shares: dict[str, float] = field(default_factory=dict)
+    wait_shares: dict[str, float] = field(default_factory=dict)
     resident_mib: dict[str, float] = field(default_factory=dict)
 
     @property
@@ -135,14 +144,15 @@
     report = LoadReport()
     # The second half of the load, in which the number of streams is steady.
     time.sleep(max(0.0, start_wall_s + load.duration_s / 2 - time.time()))
-    before = {process.name: cpu_seconds(process) for process in watched}
+    before = {p.name: (cpu_seconds(p), waiting_seconds(p)) for p in watched}
     started = time.monotonic()
     time.sleep(max(0.0, start_wall_s + load.duration_s - time.time()))
-    elapsed = time.monotonic() - started
+    elapsed = max(0.001, time.monotonic() - started)
     for process in watched:
         if process.running:
-            used = cpu_seconds(process) - before[process.name]
-            report.cpu_shares[process.name] = used / max(elapsed, 0.001)
+            cpu_s, waiting_s = before[process.name]
+            report.cpu_shares[process.name] = (cpu_seconds(process) - cpu_s) / elapsed
+            report.wait_shares[process.name] = (waiting_seconds(process) - waiting_s) / elapsed
             report.resident_mib[process.name] = resident_mib(process)
     for popen in workers:
         output, _ = popen.communicate(timeout=180)
--- a/tests/bench/test_load.py
+++ b/tests/bench/test_load.py
@@ -43,7 +43,8 @@
         self.assertEqual(len(times), len(report.samples))
         self.assertGreater(min(times), 0)
         self.assertGreater(min(report.times(lambda sample: sample.total_ms)), 20)
-        self.assertIn("engine", report.cpu_shares)
+        self.assertGreaterEqual(report.cpu_shares["engine"], 0)
+        self.assertGreaterEqual(report.wait_shares["engine"], 0)
 
     def test_incomplete_answers_are_lost(self):
         """Guard against an instance that seems fast because it leaves out tokens."""
