--- a/packages/client/src/ibispaddle_client/__main__.py
+++ b/packages/client/src/ibispaddle_client/__main__.py
@@ -12,8 +12,11 @@
     config_show,
     config_wait,
     instances,
+    quarantine_lift,
+    quarantine_list,
     reference,
     schema,
+    upstreams,
 )
 from .exceptions import ClientError, ExitStatus
 
@@ -25,6 +28,8 @@
 )
 config_app = typer.Typer(help="Show, compare and change the configuration.", no_args_is_help=True)
 app.add_typer(config_app, name="config")
+quarantine_app = typer.Typer(help="Show and lift quarantined requests.", no_args_is_help=True)
+app.add_typer(quarantine_app, name="quarantine")
 
 app.command("check")(check.command)
 app.command("schema")(schema.command)
@@ -35,6 +40,9 @@
 config_app.command("history")(config_history.command)
 config_app.command("wait")(config_wait.command)
 app.command("instances")(instances.command)
+app.command("upstreams")(upstreams.command)
+quarantine_app.command("list")(quarantine_list.command)
+quarantine_app.command("lift")(quarantine_lift.command)
 
 
 def main() -> None:
--- a/packages/daemon/src/ibispaddle_daemon/app.py
+++ b/packages/daemon/src/ibispaddle_daemon/app.py
@@ -16,6 +16,7 @@
 from .configuration import Configuration
 from .entry import Entry
 from .events import drain_completed, drain_started
+from .fleet_operations import FleetOperations
 from .http_client import HttpClient
 from .http_server import HttpServer
 from .instance_list import InstanceListReader
@@ -118,6 +119,7 @@
         ).register(self)
         self.claims = Claims(settings, clock.wall_ms(), clock, timers).register(self)
         self.operators = Operators(settings, self.configuration, clock).register(self)
+        FleetOperations(self.operators, self.view, self.quarantine, clock).register(self)
 
     def _add_gauges(self) -> None:
         add = self.metrics.add_gauge
--- /dev/null
+++ b/packages/daemon/src/ibispaddle_daemon/fleet_operations.py
@@ -0,0 +1,81 @@
+"""Operator paths that show upstreams and the quarantine, and lift entries of it."""
+
+from typing import Any
+
+import msgspec
+from circuits import BaseComponent
+from ibispaddle_core.chat import ProtocolError
+from ibispaddle_core.clock import Clock
+from ibispaddle_core.membership import Kind, MembershipView
+
+from .http_exchange import Exchange
+from .operators import Operators, respond
+from .quarantine import QuarantineGuard, quarantine_lifted
+from .responses import respond_error
+
+
+class _LiftRequest(msgspec.Struct, forbid_unknown_fields=True):
+    fingerprint: str
+    author: str = ""
+
+
+class FleetOperations(BaseComponent):
+    """Answer `/operator/upstreams` and `/operator/quarantine`."""
+
+    channel = "fleet_operations"
+
+    def __init__(
+        self, operators: Operators, view: MembershipView, guard: QuarantineGuard, clock: Clock
+    ) -> None:
+        super().__init__()
+        self._view = view
+        self._guard = guard
+        self._clock = clock
+        operators.add_path("GET", "/operator/upstreams", self._show_upstreams)
+        operators.add_path("GET", "/operator/quarantine", self._show_quarantine)
+        operators.add_path("POST", "/operator/quarantine/lift", self._lift)
+
+    def _show_upstreams(self, exchange: Exchange) -> None:
+        now_ms = self._clock.now_ms()
+        upstreams: list[dict[str, Any]] = [
+            {
+                "id": member.entry.id,
+                "kind": str(member.entry.kind),
+                "data_centre": member.entry.data_centre,
+                "address": member.entry.address,
+                "state": str(member.state),
+                "models": list(member.entry.models),
+                "service": member.entry.service,
+                "checks_fencing": member.entry.fenced,
+            }
+            for kind in (Kind.RUNNER, Kind.SERVICE)
+            for member in self._view.members(now_ms, kind)
+        ]
+        respond(exchange, 200, {"upstreams": upstreams})
+
+    def _show_quarantine(self, exchange: Exchange) -> None:
+        wall_ms = self._clock.wall_ms()
+        entries = [
+            {
+                "fingerprint": entry.fingerprint,
+                "expires_ms": entry.expires_ms,
+                "upstreams": [death.upstream_id for death in entry.deaths],
+            }
+            for entry in self._guard.registry.entries(wall_ms)
+        ]
+        respond(exchange, 200, {"quarantine": entries})
+
+    def _lift(self, exchange: Exchange) -> None:
+        try:
+            lift = msgspec.json.decode(exchange.body, type=_LiftRequest)
+        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+            error = ProtocolError(400, "invalid_request", f"The request cannot be read: {exc}.")
+            respond_error(exchange, error)
+            return
+        if not self._guard.registry.is_quarantined(lift.fingerprint, self._clock.wall_ms()):
+            text = f"The fingerprint '{lift.fingerprint[:100]}' is not in quarantine."
+            respond_error(exchange, ProtocolError(404, "not_quarantined", text))
+            return
+        self.fire(quarantine_lifted(lift.fingerprint, lift.author), "*")
+        # The lift takes effect when the record is read back from the log.
+        respond(exchange, 202, {"fingerprint": lift.fingerprint})
--- /dev/null
+++ b/tests/client/test_against_instance.py
@@ -0,0 +1,89 @@
+"""Tests of the online commands against a real instance."""
+
+import json
+import pathlib
+import tempfile
+import time
+import unittest
+
+import requests
+from ibispaddle_bench.fleet import MODEL, OPERATOR_KEY, WORKSPACE_KEYS, Fleet, FleetSpec
+from ibispaddle_client.__main__ import app
+from ibispaddle_client.exceptions import ConflictError
+from typer.testing import CliRunner
+
+MARKER = "crash-the-engine"
+PROPAGATION_S = 4.0
+
+
+class InstanceTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        spec = FleetSpec(
+            entries=2, runners=4, services=1, engine_options=("--crash-marker", MARKER)
+        )
+        cls.fleet = Fleet(spec)
+        cls.fleet.__enter__()
+        cls.addClassCleanup(cls.fleet.__exit__, None, None, None)
+
+    def invoke(self, *args, entry=0):
+        server = self.fleet.entries[entry].url
+        env = {"IBISPADDLE_SERVER": server, "IBISPADDLE_KEY": OPERATOR_KEY}
+        return CliRunner(env=env).invoke(app, list(args))
+
+    def read(self, *args, entry=0):
+        outcome = self.invoke(*args, "--json", entry=entry)
+        self.assertIsNone(outcome.exception, outcome.output)
+        return json.loads(outcome.output)
+
+    def test_upstreams_are_listed_with_their_state(self):
+        """Guard against an operator who cannot see which upstreams take work."""
+        upstreams = self.read("upstreams")
+        self.assertEqual(sorted(u["kind"] for u in upstreams), ["runner"] * 4 + ["service"])
+
+    def test_wrong_key_is_refused(self):
+        """Guard against operator commands without an operator's key."""
+        env = {"IBISPADDLE_SERVER": self.fleet.entries[0].url, "IBISPADDLE_KEY": "wrong"}
+        outcome = CliRunner(env=env).invoke(app, ["upstreams"])
+        self.assertIn("invalid_operator_key", str(outcome.exception))
+
+    def test_change_is_applied_and_a_second_operator_is_told_of_the_conflict(self):
+        """Guard against an operator who overwrites a change that he has not seen."""
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        path = pathlib.Path(folder.name) / "site.json"
+        path.write_text('{"scheduling": {"max_attempts": 2}}')
+        # The base of the files is in force only while the log has none.
+        base_file = str(self.fleet.folder / "base.json")
+        first = self.read("config", "apply", base_file)["revision"]
+        layer = ("--layer", "site:dc.1", "--expected-revision", str(first))
+        started = time.monotonic()
+        outcome = self.invoke("config", "apply", str(path), *layer, "--wait")
+        self.assertEqual(outcome.exit_code, 0, outcome.output + str(outcome.exception))
+        self.assertLessEqual(time.monotonic() - started, PROPAGATION_S)
+        second = self.invoke("config", "apply", str(path), *layer, entry=1)
+        self.assertIsInstance(second.exception, ConflictError)
+        statuses = [change["status"] for change in self.read("config", "history")]
+        self.assertIn("accepted", statuses)
+
+    def test_quarantined_request_is_listed_and_lifted(self):
+        """Guard against content that stays refused after the cause of the crashes is mended."""
+        body = {"model": MODEL, "messages": [{"role": "user", "content": MARKER}]}
+        headers = {"Authorization": f"Bearer {WORKSPACE_KEYS['small']}"}
+        url = self.fleet.entries[0].url + "/v1/chat/completions"
+        codes = [
+            requests.post(url, json=body, headers=headers, timeout=30).json()["error"]["code"]
+            for _ in range(3)
+        ]
+        self.assertEqual(codes[-1], "quarantined")
+        (entry,) = self.read("quarantine", "list", entry=1)
+        self.assertEqual(len(entry["upstreams"]), 2)
+        self.read("quarantine", "lift", entry["fingerprint"], entry=1)
+        limit = time.monotonic() + PROPAGATION_S
+        while any(self.read("quarantine", "list", entry=number) for number in (0, 1)):
+            self.assertLess(time.monotonic(), limit)
+            time.sleep(0.1)
+
+
+if __name__ == "__main__":
+    unittest.main()
