--- a/packages/daemon/src/ibispaddle_daemon/services.py
+++ b/packages/daemon/src/ibispaddle_daemon/services.py
@@ -4,8 +4,6 @@
 import itertools
 import secrets
 from collections.abc import Sequence
-from dataclasses import dataclass, field
-from typing import Any
 
 from circuits import BaseComponent, handler
 from ibispaddle_core import logevents
@@ -24,9 +22,9 @@
 )
 from ibispaddle_core.membership import Kind, ListedState, ListEntry
 from ibispaddle_core.runstate import RunState
-from ibispaddle_core.settings import FleetConfig, ServiceConfig
+from ibispaddle_core.settings import FleetConfig
 
-from .callers import TIMEOUT_HEADER, Caller, CallerDirectory, read_timeout_ms
+from .callers import CallerDirectory, read_timeout_ms
 from .events import (
     CallFailure,
     Headers,
@@ -42,7 +40,8 @@
 from .logs import log_event
 from .metrics import Metrics
 from .responses import respond_error
-from .timers import TimerHandle, TimerQueue
+from .service_call import ServiceCall, request_headers, response_headers
+from .timers import TimerQueue
 from .tracing import Tracing
 
 KEY_HEADER = "Idempotency-Key"
@@ -67,68 +66,9 @@
     "deadline_passed": 504,
 }
 
-_HOP_BY_HOP = frozenset(
-    (
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "content-length",
-        "host",
-        "expect",
-    )
-)
-# The bearer key is the caller's secret with this system, not with the service.
-_NOT_FORWARDED = _HOP_BY_HOP | {
-    "authorization",
-    TIMEOUT_HEADER.lower(),
-    "x-request-id",
-    "traceparent",
-    "tracestate",
-}
 _NUMBERS = itertools.count(1)
 
 
-@dataclass(eq=False)
-class ServiceCall:
-    """Hold one call from its arrival to its answer."""
-
-    call_id: str
-    caller: Caller
-    service: str
-    config: ServiceConfig
-    exchange: Exchange
-    target: str
-    deadline_ms: int
-    key: str
-    span: Any
-    tried: set[str] = field(default_factory=set)
-    attempts: int = 0
-    attempt_id: str = ""
-    attempt_span: Any = None
-    upstream_id: str = ""
-    unproved_attempts: int = 0
-    is_claimed: bool = False
-    claimed_state: RunState | None = None  # Stated by the claims component in a refusal.
-    timer: TimerHandle | None = None
-
-    @property
-    def is_repeatable(self) -> bool:
-        """Return whether the call may run more than once."""
-        return self.exchange.method in self.config.repeatable_methods
-
-    @property
-    def run_state(self) -> RunState:
-        """Return what is known about the run."""
-        if self.claimed_state is not None:
-            return self.claimed_state
-        return RunState.UNKNOWN if self.unproved_attempts else RunState.NOT_RUN
-
-
 class Services(BaseComponent):
     """Pass calls on to services; calls that are not repeatable run at most once."""
 
@@ -301,11 +241,7 @@
         call.attempt_span.set_attribute("ibispaddle.upstream", entry.id)
         self._loads[entry.id] = self._loads.get(entry.id, 0) + 1
         self._attempts[call.attempt_id] = call
-        headers: Headers = tuple(
-            (name, value)
-            for name, value in call.exchange.headers
-            if name.lower() not in _NOT_FORWARDED
-        )
+        headers = request_headers(call.exchange.headers)
         headers += (("X-Request-Id", call.attempt_id),)
         headers += self._tracing.headers_for(call.attempt_span)
         http = HttpCall(
@@ -355,9 +291,9 @@
     # End
 
     def _answer(self, call: ServiceCall, status: int, headers: Headers, body: bytes) -> None:
-        kept = tuple((name, value) for name, value in headers if name.lower() not in _HOP_BY_HOP)
-        kept = tuple((name, value) for name, value in kept if name.lower() != "x-request-id")
-        call.exchange.respond(status, (*kept, ("X-Request-Id", call.call_id)), body)
+        call.exchange.respond(
+            status, (*response_headers(headers), ("X-Request-Id", call.call_id)), body
+        )
         self._finish(call, str(status))
 
     def _fail(
