Raised the limit of open files to the hard limit at the start

Cause: with the usual soft limit an instance cannot accept more connections than descriptors; the new test timed out with a soft limit of 150. Change: the soft limit is set to the hard limit.

--- a/packages/daemon/src/ibispaddle_daemon/__main__.py
+++ b/packages/daemon/src/ibispaddle_daemon/__main__.py
@@ -1,6 +1,7 @@
 """Command line of `ibispaddled`."""
 
 import gc
+import resource
 import sys
 from pathlib import Path
 from typing import Annotated
@@ -41,10 +42,20 @@
     # millisecond instead of tens of milliseconds during which no stream moves.
     gc.collect()
     gc.freeze()
+    _raise_file_limit()
     app.run()
     raise typer.Exit(app.exit_status)
 
 
+def _raise_file_limit() -> None:
+    """Allow as many open sockets as the system lets this process have.
+
+    The usual soft limit of 1,024 descriptors is below the connections of a busy instance.
+    """
+    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+
+
 def main() -> None:
     """Run the command line."""
     typer.run(run)
--- a/tests/daemon/test_bad_callers.py
+++ b/tests/daemon/test_bad_callers.py
@@ -1,6 +1,7 @@
 """Tests with callers that send wrong requests, read slowly or leave."""
 
 import json
+import resource
 import socket
 import time
 import unittest
@@ -194,5 +195,24 @@
         sock.close()
 
 
+class ManyConnectionsTest(unittest.TestCase):
+    def test_connections_beyond_the_soft_limit_of_descriptors(self):
+        """Guard against callers that cannot connect because of the usual limit of open files."""
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (150, hard))
+        try:
+            fleet = self.enterContext(Fleet(0))
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+        host, port = fleet.instance.address.split(":")
+        socks = [
+            self.enterContext(socket.create_connection((host, int(port)), timeout=10))
+            for _ in range(300)
+        ]
+        for sock in socks:
+            sock.sendall(b"GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n")
+        self.assertEqual({read_response(sock)[0] for sock in socks}, {200})
+
+
 if __name__ == "__main__":
     unittest.main()
