Merged settings layers in time linear in their size

Cause: each value of a layer searched all known origins for values below it. Found while measuring the application of changes; an instance's event loop stood still for that time on every change. Change: only a value that replaces another looks for origins.

--- a/packages/core/src/ibispaddle_core/settings/overlay.py
+++ b/packages/core/src/ibispaddle_core/settings/overlay.py
@@ -47,11 +47,14 @@
         if isinstance(value, Mapping):
             below = target.get(key)
             if not isinstance(below, dict):
-                _forget(here, origins)
+                if key in target:
+                    _forget(here, origins)
                 target[key] = below = {}
             _apply(below, value, here, layer, origins)
             continue
-        _forget(here, origins)
+        # Only a replaced value can have origins; looking for them takes time in the size of all.
+        if key in target:
+            _forget(here, origins)
         if value is None:
             target.pop(key, None)
         else:
