--- a/packages/bench/src/ibispaddle_bench/latency.py
+++ b/packages/bench/src/ibispaddle_bench/latency.py
@@ -6,6 +6,7 @@
 """
 
 import argparse
+import dataclasses
 import json
 import math
 import os
@@ -315,7 +316,7 @@
     )
     spec = fleet_spec(args.runners, profiler)
     if args.direct_only:
-        spec = FleetSpec(**{**spec.__dict__, "entries": 0})
+        spec = dataclasses.replace(spec, entries=0)
     with Fleet(spec) as fleet:
         measurement = Measurement(fleet, args, console)
         if args.direct_only:
