--- a/packages/bench/src/ibispaddle_bench/latency.py
+++ b/packages/bench/src/ibispaddle_bench/latency.py
@@ -6,6 +6,7 @@
 """
 
 import argparse
+import dataclasses
 import json
 import math
 import os
@@ -163,6 +164,10 @@
                 "instance_cpu": round(
                     max((used.get(name, 0.0) for name in entries), default=0.0), 3
                 ),
+                # Share of the time in which the instance was ready to run, but not running.
+                "instance_wait": round(
+                    max((report.wait_shares.get(name, 0.0) for name in entries), default=0.0), 3
+                ),
                 "instance_mib": max(
                     (round(report.resident_mib.get(name, 0.0), 1) for name in entries),
                     default=0.0,
@@ -311,7 +316,7 @@
     )
     spec = fleet_spec(args.runners, profiler)
     if args.direct_only:
-        spec = FleetSpec(**{**spec.__dict__, "entries": 0})
+        spec = dataclasses.replace(spec, entries=0)
     with Fleet(spec) as fleet:
         measurement = Measurement(fleet, args, console)
         if args.direct_only:
--- a/packages/daemon/src/ibispaddle_daemon/app.py
+++ b/packages/daemon/src/ibispaddle_daemon/app.py
@@ -16,6 +16,7 @@
 from .configuration import Configuration
 from .entry import Entry
 from .events import drain_completed, drain_started
+from .fleet_operations import FleetOperations
 from .http_client import HttpClient
 from .http_server import HttpServer
 from .instance_list import InstanceListReader
@@ -28,6 +29,7 @@
 from .quarantine import QuarantineGuard
 from .services import Services
 from .shares import Shares
+from .suspects import Suspects
 from .timers import TimerQueue
 from .tracing import Tracing
 from .usage import Usage
@@ -72,6 +74,11 @@
         self.server = HttpServer(
             settings.listen, self.clock, self.timers, config.limits, _tls(settings)
         ).register(self)
+        self.view = MembershipView(settings.instance_id, settings.data_centre)
+        self.quarantine = QuarantineGuard(settings, self.view, self.clock, self.timers).register(
+            self
+        )
+        self.suspects = Suspects(self.quarantine.registry, self.clock).register(self)
         self.entry = Entry(
             settings.instance_id,
             config,
@@ -81,6 +88,7 @@
             self.metrics,
             self.tracing,
             _fingerprint_key(settings),
+            self.suspects,
         ).register(self)
         self.services = Services(
             settings.instance_id, config, self.clock, self.timers, self.metrics, self.tracing
@@ -93,7 +101,6 @@
         """Add what this instance shares with other instances."""
         settings, clock, timers = self.settings, self.clock, self.timers
         boot = clock.wall_ms()
-        self.view = MembershipView(settings.instance_id, settings.data_centre)
         secret = _peer_secret(settings)
         self.peers = Peers(settings, secret, self.view, boot, clock, timers).register(self)
         self.probes = Probes(settings, self.view, clock, timers).register(self)
@@ -101,7 +108,6 @@
         self.shares = Shares(
             settings, self.entry.scheduler, self.entry.tell, boot, clock, timers
         ).register(self)
-        self.quarantine = QuarantineGuard(settings, self.view, clock, timers).register(self)
         self.instance_list = InstanceListReader(settings, self.view, clock, timers).register(self)
 
     def _add_log_components(self, config: FleetConfig) -> None:
@@ -113,6 +119,7 @@
         ).register(self)
         self.claims = Claims(settings, clock.wall_ms(), clock, timers).register(self)
         self.operators = Operators(settings, self.configuration, clock).register(self)
+        FleetOperations(self.operators, self.view, self.quarantine, clock).register(self)
 
     def _add_gauges(self) -> None:
         add = self.metrics.add_gauge
