Restricted early memory claims to neighbours below their share

Cause: claims gave a neighbour with long work its share, but under an overload that all neighbours cause equally they held back short prompts. Change: a request of a neighbour that is 15% below the mean claims after 30 s, others after 100 s.

--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -74,7 +74,7 @@
         self._homes = Homes(instance_boot, wall_offset_ms)
         self._admission = Admission(self.cost, self.queue, self.shares, self.runners, self._homes)
         self.placement: Placement = PredictedPlacement(
-            self.cost, self._prefixes, self._homes, self._claims, self._rng
+            self.cost, self._prefixes, self._homes, self._claims, self.shares, self._rng
         )
         self._budget = RetryBudget(config.scheduling.retry_budget)
         self._large = LargePrompts(instance_boot, wall_offset_ms)
--- a/packages/core/src/ibispaddle_core/scheduling/placement.py
+++ b/packages/core/src/ibispaddle_core/scheduling/placement.py
@@ -5,6 +5,7 @@
 from random import Random
 from typing import Protocol
 
+from ..shares import ShareCounters
 from .claims import Claims
 from .cost import CostModel, PromptClass
 from .homes import Homes
@@ -23,6 +24,10 @@
 # Wait after which a long prompt claims memory. Earlier claims take memory from short prompts that a
 # long one would have found anyway.
 CLAIM_AFTER_MS = 30_000
+# The same for a neighbour that is not below its share by this part. Claims stop short prompts, so
+# under an overload that all neighbours cause equally they are the last resort.
+CLAIM_MARGIN = 0.15
+LATE_CLAIM_AFTER_MS = 100_000
 # Other runners are looked at only if the wait at each home runner is longer.
 MAX_HOME_WAIT_MS = 20.0
 # A request stays in the instance's queue while every runner's predicted wait is longer. This keeps
@@ -74,12 +79,14 @@
         prefixes: PrefixIndex,
         homes: Homes,
         claims: Claims,
+        shares: ShareCounters,
         rng: Random,
     ) -> None:
         self._cost = cost
         self._prefixes = prefixes
         self._homes = homes
         self._claims = claims
+        self._shares = shares
         self._rng = rng
 
     def priority(self, req: Request) -> int:
@@ -122,7 +129,9 @@
 
     def _claim(self, req: Request, homes: list[RunnerView], now_ms: int) -> None:
         """Claim memory at the home runner with the most free memory, if one is unclaimed."""
-        if now_ms < req.arrived_ms + CLAIM_AFTER_MS or self._claims.has_claim(req.request_id):
+        behind = self._shares.is_behind(req.neighbour, CLAIM_MARGIN)
+        after_ms = CLAIM_AFTER_MS if behind else LATE_CLAIM_AFTER_MS
+        if now_ms < req.arrived_ms + after_ms or self._claims.has_claim(req.request_id):
             return
         unclaimed = [v for v in homes if not self._claims.is_claimed(v.upstream.upstream_id)]
         if unclaimed and len(unclaimed) >= min(2, len(homes)):
--- a/packages/core/src/ibispaddle_core/shares/counters.py
+++ b/packages/core/src/ibispaddle_core/shares/counters.py
@@ -78,6 +78,13 @@
         """Return the decayed consumption per unit of weight; only the order has a meaning."""
         return self._decayed.get(neighbour, 0.0) / self.weight(neighbour)
 
+    def is_behind(self, neighbour: str, margin: float) -> bool:
+        """Return whether the neighbour is below the mean of all by more than a part of it."""
+        if not self._decayed:
+            return False
+        mean = sum(map(self.normalised, self._decayed)) / len(self._decayed)
+        return self.normalised(neighbour) < (1 - margin) * mean
+
     def _add(self, neighbour: str, cost_ms: float, now_ms: int) -> None:
         elapsed = now_ms - self._decayed_at_ms
         if elapsed > 0:
--- a/tests/shares/test_counters.py
+++ b/tests/shares/test_counters.py
@@ -44,3 +44,13 @@
         """Guard against a silent decrease of a cumulative counter."""
         with self.assertRaises(NegativeCostError):
             ShareCounters({}).charge("a", -1.0, 0)
+
+    def test_behind_is_relative_to_the_mean(self):
+        """Guard against claims on memory by a neighbour that has its share."""
+        shares = ShareCounters({"a": 1.0, "b": 1.0})
+        self.assertFalse(shares.is_behind("a", 0.15))
+        shares.charge("a", 80.0, 0)
+        shares.charge("b", 120.0, 0)
+        self.assertTrue(shares.is_behind("a", 0.15))
+        self.assertFalse(shares.is_behind("a", 0.25))
+        self.assertFalse(shares.is_behind("b", 0.15))
