--- a/packages/daemon/src/ibispaddle_daemon/attempts.py
+++ b/packages/daemon/src/ibispaddle_daemon/attempts.py
@@ -6,7 +6,7 @@
 import msgspec
 from circuits import BaseComponent
 from ibispaddle_core import logevents
-from ibispaddle_core.chat import Kind, ProtocolError
+from ibispaddle_core.chat import Kind
 from ibispaddle_core.clock import Clock
 from ibispaddle_core.relay import (
     Attempt,
@@ -27,6 +27,7 @@
 from opentelemetry.trace import Status, StatusCode
 
 from .calls import CallResult, Calls
+from .engine_answers import proves_not_run, refusal_of
 from .events import (
     CallFailure,
     Headers,
@@ -61,20 +62,6 @@
 _NUMBERS = itertools.count(1)
 
 
-class _CancelAnswer(msgspec.Struct):
-    ran: bool
-
-
-class _ErrorFields(msgspec.Struct):
-    message: str = "The engine refused the request."
-    code: str | None = None
-    param: str | None = None
-
-
-class _ErrorBody(msgspec.Struct):
-    error: _ErrorFields
-
-
 class Attempts(BaseComponent):
     """Carry out attempts and report their end to the entry."""
 
@@ -354,14 +341,9 @@
 
     def _answer_refusal(self, request: ModelRequest, end: AttemptFinished) -> None:
         """Pass on a refusal whose cause is the caller's request."""
-        try:
-            fields = msgspec.json.decode(end.body, type=_ErrorBody).error
-        except (msgspec.DecodeError, UnicodeDecodeError):
-            fields = _ErrorFields()
-        code = fields.code or "invalid_request"
-        state = request.run_state
-        request.fail(ProtocolError(end.status, code, fields.message, state, fields.param))
-        self._entry.finish(request, code)
+        error = refusal_of(end, request.run_state)
+        request.fail(error)
+        self._entry.finish(request, error.code)
 
     def _ask_to_stop(self, running: RunningAttempt, request: ModelRequest | None) -> None:
         """Stop the engine's work on an attempt; `ran` false in its answer proves that none ran.
@@ -375,7 +357,7 @@
             if request is None:
                 return
             outcome = running.machine.finished.outcome if running.machine.finished else None
-            proved = not running.machine.next_index and _proves_not_run(result)
+            proved = not running.machine.next_index and proves_not_run(result)
             if proved:
                 request.unproved_attempts -= 1
                 outcome = Outcome.REJECTED
@@ -413,12 +395,3 @@
         for request, running in self._running.values():
             found.setdefault(running.upstream_id, set()).add(request.req.fingerprint)
         return found
-
-
-def _proves_not_run(result: CallResult) -> bool:
-    if result.error is not None or result.status != 200:
-        return False
-    try:
-        return not msgspec.json.decode(result.body, type=_CancelAnswer).ran
-    except (msgspec.DecodeError, UnicodeDecodeError):
-        return False
--- /dev/null
+++ b/packages/daemon/src/ibispaddle_daemon/engine_answers.py
@@ -0,0 +1,42 @@
+"""Answers of engines to a refused request and to a cancel."""
+
+import msgspec
+from ibispaddle_core.chat import ProtocolError
+from ibispaddle_core.relay import AttemptFinished
+from ibispaddle_core.runstate import RunState
+
+from .calls import CallResult
+
+
+class _CancelAnswer(msgspec.Struct):
+    ran: bool
+
+
+class _ErrorFields(msgspec.Struct):
+    message: str = "The engine refused the request."
+    code: str | None = None
+    param: str | None = None
+
+
+class _ErrorBody(msgspec.Struct):
+    error: _ErrorFields
+
+
+def proves_not_run(result: CallResult) -> bool:
+    """Return whether the answer to a cancel states that no token was computed."""
+    if result.error is not None or result.status != 200:
+        return False
+    try:
+        return not msgspec.json.decode(result.body, type=_CancelAnswer).ran
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return False
+
+
+def refusal_of(end: AttemptFinished, run_state: RunState) -> ProtocolError:
+    """Return the error for a caller whose request the engine refused."""
+    try:
+        fields = msgspec.json.decode(end.body, type=_ErrorBody).error
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        fields = _ErrorFields()
+    code = fields.code or "invalid_request"
+    return ProtocolError(end.status, code, fields.message, run_state, fields.param)
