Tested the quarantine with restarted engines and without the log

Change: two more tests of a crashing request: a whole answer whose engines are restarted on their addresses after each death, and the log gone. The resend after the quarantine has to get 422 and 'not_run'.

--- a/tests/failures/test_crashing_requests.py
+++ b/tests/failures/test_crashing_requests.py
@@ -26,26 +26,36 @@
         """Return the engines that died."""
         return [runner.name for runner in self.fleet.runners if not runner.running]
 
-    def send(self, number: int) -> Call:
+    def send(self, number: int, stream: bool = True) -> Call:
         """Send the request to the next instance and wait for its answer."""
         entry = self.fleet.entries[number % len(self.fleet.entries)]
         prompt = f"Draft a motif. {MARKER}"
-        return Call(entry, prompt=prompt, tokens=40, timeout_ms=8_000).ended()
+        return Call(entry, prompt=prompt, tokens=40, timeout_ms=8_000, stream=stream).ended()
 
-    def check_resends(self) -> None:
+    def check_resends(self, stream: bool = True, restart: bool = False) -> None:
         """Resend after each answer, and check the deaths and that the fleet still serves."""
+        deaths = []
         for number in range(1 + RESENDS):
-            call = self.send(number)
+            call = self.send(number, stream)
             self.assert_no_fault(call)
             self.assertFalse(call.is_done)
             time.sleep(0.1)  # An engine exits a moment after the tokens that it has sent.
-            deaths = self.deaths()
+            deaths = [*deaths, *self.deaths()] if restart else self.deaths()
             self.assertLessEqual(len(deaths), MOST_DEATHS, f"after {number} resends: {deaths}")
+            if restart:
+                self.restart_engines()
         self.assertGreater(len(deaths), 0, "no engine died; the test shows nothing")
-        self.assertEqual(self.send(0).run_state, "not_run")
+        refused = self.send(0, stream)
+        self.assertEqual((refused.status, refused.run_state), (422, "not_run"), refused.describe())
         for entry in self.fleet.entries:
             wait_until(lambda e=entry: Call(e).ended().is_whole, "answer to an innocent prompt")
 
+    def restart_engines(self) -> None:
+        """Start the engines that died again, on their addresses."""
+        for index, runner in enumerate(self.fleet.runners):
+            if not runner.running:
+                self.fleet.restart_runner(index)
+
     def test_crash_before_the_first_token(self):
         """Guard against a request that takes down one engine after the other with its retries."""
         self.check_resends()
@@ -56,6 +66,15 @@
             runner.set_faults(crash_after_tokens=5)
         self.check_resends()
 
+    def test_engines_that_are_restarted(self):
+        """Guard against a whole answer's request that crashes each engine again after its start."""
+        self.check_resends(stream=False, restart=True)
+
+    def test_crash_without_the_log(self):
+        """Guard against suspicions that need the log to reach the next instance."""
+        self.fleet.log.kill()
+        self.check_resends()
+
     def test_innocent_requests_of_the_same_death(self):
         """Guard against a quarantine of requests that were in flight when another crashed them."""
         innocent = [f"innocent {n}" for n in range(12)]
