Added the usage account with rollups, its operator path and its command

Nothing read the stream `usage`, and the log drops its records after the retention, so nobody could tell who used what.

A boot ends after 7 days without a record; late records of it are ignored. An idle instance repeats its counters once a day so that its boot stays open. `GET /operator/usage` reads the stream on request, continues where the last read ended, and answers 503 while the log cannot be read. `ibispaddle usage` prints the account.

--- a/packages/client/src/ibispaddle_client/__main__.py
+++ b/packages/client/src/ibispaddle_client/__main__.py
@@ -17,6 +17,7 @@
     reference,
     schema,
     upstreams,
+    usage,
 )
 from .exceptions import ClientError, ExitStatus
 
@@ -41,6 +42,7 @@
 config_app.command("wait")(config_wait.command)
 app.command("instances")(instances.command)
 app.command("upstreams")(upstreams.command)
+app.command("usage")(usage.command)
 quarantine_app.command("list")(quarantine_list.command)
 quarantine_app.command("lift")(quarantine_lift.command)
 
--- a/packages/core/src/ibispaddle_core/usage/ledger.py
+++ b/packages/core/src/ibispaddle_core/usage/ledger.py
@@ -182,6 +182,10 @@
         if appended:
             account.appended.update(counters)
 
+    def repeat(self) -> None:
+        """Flush all own counters again, so that readers do not take an idle process for ended."""
+        self._own.appended.clear()
+
     @property
     def is_flushed(self) -> bool:
         """Return whether the log has all own counters."""
--- /dev/null
+++ b/packages/daemon/src/ibispaddle_daemon/account.py
@@ -0,0 +1,194 @@
+"""Account of who used what: read from the log on request, kept beyond its retention by rollups."""
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from circuits import BaseComponent, handler
+from ibispaddle_core.chat import ProtocolError
+from ibispaddle_core.clock import Clock
+from ibispaddle_core.membership import MembershipView
+from ibispaddle_core.settings import InstanceSettings
+from ibispaddle_core.usage import AccountReader, Counts, UsageRecord
+
+from .calls import CallResult, Calls
+from .configuration import Configuration
+from .events import log_append
+from .http_exchange import Exchange
+from .operators import RETRY_AFTER_MS, Operators, respond
+from .responses import respond_error
+from .timers import TimerQueue
+from .usage import STREAM
+
+# A page is folded at once, which delays other work, so the size of the next page follows from the
+# time that the last one took.
+FIRST_PAGE_RECORDS = 50
+MIN_PAGE_RECORDS = 10
+MAX_PAGE_RECORDS = 500
+MAX_PAGE_MS = 5
+PAGE_TIMEOUT_MS = 5_000
+# Below the 15 s after which the operators' client gives up. A read that takes longer is answered
+# 503 and continued by the next request.
+READ_TIMEOUT_MS = 10_000
+ROLLUP_CHECKS_PER_RETENTION = 16
+
+Done = Callable[[str], None]
+
+
+class _Page(msgspec.Struct):
+    first_offset: int
+    next_offset: int
+    records: list[UsageRecord]
+
+
+_DECODER = msgspec.json.Decoder(_Page)
+
+
+class UsageAccount(BaseComponent):
+    """Answer `/operator/usage`, and append rollups while this instance has rank 0.
+
+    The stream is read only for an operator's request and for a rollup that is due. A later read
+    continues where the last one ended.
+    """
+
+    channel = "usage_account"
+
+    def __init__(
+        self,
+        settings: InstanceSettings,
+        operators: Operators,
+        configuration: Configuration,
+        view: MembershipView,
+        clock: Clock,
+        timers: TimerQueue,
+    ) -> None:
+        super().__init__()
+        self._settings = settings
+        self._configuration = configuration
+        self._view = view
+        self._clock = clock
+        self._timers = timers
+        self._url = f"{settings.log_url.rstrip('/')}/streams/{STREAM}/records"
+        self._calls = Calls("usage_account_calls", clock).register(self)
+        self._waiting: list[Done] = []
+        self._deadline_ms = 0
+        self._page_records = FIRST_PAGE_RECORDS
+        self.reader = AccountReader()
+        operators.add_path("GET", "/operator/usage", self._show)
+
+    # Operator requests
+
+    def _show(self, exchange: Exchange) -> None:
+        self._read(lambda error: self._answer(exchange, error))
+
+    def _answer(self, exchange: Exchange, error: str) -> None:
+        if error:
+            text = f"The usage stream cannot be read: {error}."
+            refusal = ProtocolError(503, "log_unavailable", text, retry_after_ms=RETRY_AFTER_MS)
+            respond_error(exchange, refusal)
+            return
+        config = self._configuration.config
+        workspaces = config.workspaces if config else {}
+        rows: list[dict[str, Any]] = []
+        neighbours: dict[str, Counts] = {}
+        for name, counts in sorted(self.reader.account.totals().items()):
+            # A workspace that was removed from the configuration has no neighbour any more.
+            neighbour = workspaces[name].neighbour if name in workspaces else None
+            rows.append({"workspace": name, "neighbour": neighbour, **_fields(counts)})
+            if neighbour is not None:
+                neighbours[neighbour] = neighbours.get(neighbour, Counts()).plus(counts)
+        body = {
+            "as_of": self.reader.position - 1,
+            "complete": self.reader.complete,
+            "neighbours": [
+                {"neighbour": name, **_fields(counts)}
+                for name, counts in sorted(neighbours.items())
+            ],
+            "workspaces": rows,
+        }
+        respond(exchange, 200, body)
+
+    # Reads
+
+    def _read(self, done: Done) -> None:
+        """Read up to the end of the stream; `done` receives an error text, empty if none."""
+        self._waiting.append(done)
+        if len(self._waiting) == 1:
+            self._deadline_ms = self._clock.now_ms() + READ_TIMEOUT_MS
+            self._read_page()
+
+    def _read_page(self) -> None:
+        left_ms = self._deadline_ms - self._clock.now_ms()
+        if left_ms <= 0:
+            self._end(f"the read has not ended within {READ_TIMEOUT_MS} ms")
+            return
+        url = f"{self._url}?from={self.reader.position}&limit={self._page_records}"
+        self._calls.send("GET", url, b"", min(left_ms, PAGE_TIMEOUT_MS), self._take_page)
+
+    def _take_page(self, result: CallResult) -> None:
+        if result.error is not None or result.status != 200:
+            self._end(str(result.error.failure) if result.error else f"status {result.status}")
+            return
+        started_ms = self._clock.now_ms()
+        try:
+            page = _DECODER.decode(result.body)
+        except msgspec.DecodeError as exc:
+            self._end(f"the log's answer is not a page of records: {exc}")
+            return
+        self.reader.read_page(page.first_offset, page.records)
+        self._choose_page_size(self._clock.now_ms() - started_ms)
+        if page.records and self.reader.position < page.next_offset:
+            self._read_page()
+        else:
+            self._end("")
+
+    def _choose_page_size(self, spent_ms: int) -> None:
+        if spent_ms > MAX_PAGE_MS:
+            self._page_records = max(MIN_PAGE_RECORDS, self._page_records // 2)
+        elif spent_ms <= MAX_PAGE_MS // 2:
+            self._page_records = min(MAX_PAGE_RECORDS, self._page_records * 2)
+
+    def _end(self, error: str) -> None:
+        waiting, self._waiting = self._waiting, []
+        for done in waiting:
+            done(error)
+
+    # Rollups
+
+    @handler("started", channel="*")
+    def _on_started(self, *_: object) -> None:
+        self._schedule_check()
+
+    def _schedule_check(self) -> None:
+        interval_ms = self._settings.log_retention_ms // ROLLUP_CHECKS_PER_RETENTION
+        self._timers.after(interval_ms, self._check_rollup)
+
+    def _check_rollup(self) -> None:
+        self._schedule_check()
+        # A known rollup that is new enough needs no read. An incomplete account can become complete
+        # by a rollup that another instance has appended.
+        reader = self.reader
+        is_unsure = not reader.complete or reader.account.as_of < 0 or self._is_due()
+        if is_unsure and self._has_rank_0():
+            self._read(self._append_rollup)
+
+    def _append_rollup(self, error: str) -> None:
+        if not error and self._is_due():
+            data = self.reader.account.to_record()
+            self.fire(log_append(STREAM, data, None, self.channel), "*")
+
+    def _is_due(self) -> bool:
+        return self.reader.is_rollup_due(self._clock.wall_ms(), self._settings.log_retention_ms)
+
+    def _has_rank_0(self) -> bool:
+        ranked = self._view.ranked_instances(self._clock.now_ms())
+        return bool(ranked) and ranked[0] == self._settings.instance_id
+
+
+def _fields(counts: Counts) -> dict[str, int]:
+    return {
+        "requests": counts.requests,
+        "prompt_tokens": counts.prompt_tokens,
+        "generated_tokens": counts.generated_tokens,
+        "engine_ms": counts.engine_ms,
+    }
--- a/packages/daemon/src/ibispaddle_daemon/app.py
+++ b/packages/daemon/src/ibispaddle_daemon/app.py
@@ -12,6 +12,7 @@
 from ibispaddle_core.membership import Kind, MembershipView, MemberState
 from ibispaddle_core.settings import FleetConfig, InstanceSettings
 
+from .account import UsageAccount
 from .claims import Claims
 from .configuration import Configuration
 from .entry import Entry
@@ -120,6 +121,9 @@
         self.claims = Claims(settings, clock.wall_ms(), clock, timers).register(self)
         self.operators = Operators(settings, self.configuration, clock).register(self)
         FleetOperations(self.operators, self.view, self.quarantine, clock).register(self)
+        UsageAccount(
+            settings, self.operators, self.configuration, self.view, clock, timers
+        ).register(self)
 
     def _add_gauges(self) -> None:
         add = self.metrics.add_gauge
--- a/packages/daemon/src/ibispaddle_daemon/usage.py
+++ b/packages/daemon/src/ibispaddle_daemon/usage.py
@@ -6,6 +6,7 @@
 from ibispaddle_core.membership import MembershipView, MemberState, successors
 from ibispaddle_core.settings import InstanceSettings
 from ibispaddle_core.usage import (
+    CLOSE_AFTER_MS,
     HOLDERS,
     Flush,
     UsageAck,
@@ -25,6 +26,9 @@
 # The holders are chosen again after so many rounds.
 HOLDER_ROUNDS = 4
 DRAIN_RETRY_MS = 200
+# Readers ignore records of a boot that was silent for `CLOSE_AFTER_MS`; one record a day keeps an
+# idle instance's boot open.
+REPEAT_INTERVAL_MS = CLOSE_AFTER_MS // 7
 
 
 class Usage(BaseComponent):
@@ -57,6 +61,7 @@
         self._sync()
         self._schedule_flush()
         self._timers.after(TAKE_OVER_INTERVAL_MS, self._take_over)
+        self._timers.after(REPEAT_INTERVAL_MS, self._repeat)
 
     @handler("usage_counted", channel="*")
     def _on_usage_counted(
@@ -118,6 +123,10 @@
         self._schedule_flush()
         self._append(self.ledger.next_flush())
 
+    def _repeat(self) -> None:
+        self._timers.after(REPEAT_INTERVAL_MS, self._repeat)
+        self.ledger.repeat()
+
     def _take_over(self) -> None:
         self._timers.after(TAKE_OVER_INTERVAL_MS, self._take_over)
         for flush in self.ledger.take_over(self._is_gone):
--- a/tests/client/test_against_instance.py
+++ b/tests/client/test_against_instance.py
@@ -14,6 +14,7 @@
 
 MARKER = "crash-the-engine"
 PROPAGATION_S = 4.0
+FLUSH_S = 5.0  # More than two flush intervals.
 
 
 class InstanceTest(unittest.TestCase):
@@ -41,6 +42,40 @@
         upstreams = self.read("upstreams")
         self.assertEqual(sorted(u["kind"] for u in upstreams), ["runner"] * 4 + ["service"])
 
+    def test_account_equals_the_tokens_of_the_answers(self):
+        """Guard against tokens that are missing from the account or that count twice."""
+        headers = {"Authorization": f"Bearer {WORKSPACE_KEYS['large']}"}
+        expected = {"requests": 0, "prompt_tokens": 0, "generated_tokens": 0}
+        for number in range(6):
+            content = "two words " * (number + 1)
+            body = {"model": MODEL, "messages": [{"role": "user", "content": content}]}
+            url = self.fleet.entries[number % 2].url + "/v1/chat/completions"
+            answer = requests.post(url, json=body, headers=headers, timeout=30)
+            self.assertEqual(answer.status_code, 200, answer.text)
+            tokens = answer.json()["usage"]
+            expected["requests"] += 1
+            expected["prompt_tokens"] += tokens["prompt_tokens"]
+            expected["generated_tokens"] += tokens["completion_tokens"]
+        limit = time.monotonic() + FLUSH_S
+        while (found := self.account_of_large()) != expected and time.monotonic() < limit:
+            time.sleep(0.2)
+        self.assertEqual(found, expected)
+        # Another flush and another instance must not change the account.
+        time.sleep(FLUSH_S / 2)
+        self.assertEqual(self.account_of_large(entry=1), expected)
+
+    def account_of_large(self, entry=0):
+        usage = self.read("usage", entry=entry)
+        self.assertTrue(usage["complete"])
+        rows = [row for row in usage["workspaces"] if row["workspace"] == "large"]
+        for row in rows:
+            self.assertEqual(row["neighbour"], "north")
+            total = next(t for t in usage["neighbours"] if t["neighbour"] == "north")
+            names = ("requests", "prompt_tokens", "generated_tokens")
+            self.assertEqual([row[name] for name in names], [total[name] for name in names])
+            return {name: row[name] for name in names}
+        return None
+
     def test_wrong_key_is_refused(self):
         """Guard against operator commands without an operator's key."""
         env = {"IBISPADDLE_SERVER": self.fleet.entries[0].url, "IBISPADDLE_KEY": "wrong"}
--- a/tests/client/test_online_commands.py
+++ b/tests/client/test_online_commands.py
@@ -1,5 +1,6 @@
 """Tests of the commands that talk to an instance."""
 
+import json
 import pathlib
 import tempfile
 import unittest
@@ -73,6 +74,39 @@
         self.assertIn("i1", str(outcome.exception))
         self.assertNotIn("i0", str(outcome.exception))
 
+    def usage(self, complete):
+        counts = {"requests": 2, "prompt_tokens": 30, "generated_tokens": 41, "engine_ms": 5}
+        names = (("old", None), ("large", "north"))
+        return 200, {
+            "as_of": 9,
+            "complete": complete,
+            "neighbours": [{"neighbour": "north", **counts, "requests": 77}],
+            "workspaces": [{"workspace": w, "neighbour": n, **counts} for w, n in names],
+        }
+
+    def test_usage_is_listed_by_neighbour_and_workspace(self):
+        """Guard against a workspace without a neighbour that is left out of the table."""
+        fake = self.start({"GET /operator/usage": [self.usage(True)]})
+        outcome = self.invoke(fake, "usage")
+        self.assertIsNone(outcome.exception)
+        _, *lines = (line.split() for line in outcome.output.splitlines())
+        counts = ["2", "30", "41", "5"]
+        self.assertEqual(
+            lines,
+            [
+                ["(none)", "old", *counts],
+                ["north", "(all)", "77", *counts[1:]],
+                ["north", "large", *counts],
+            ],
+        )
+        usage = json.loads(self.invoke(fake, "usage", "--json").output)
+        self.assertEqual(usage, self.usage(True)[1])
+
+    def test_incomplete_usage_is_pointed_out(self):
+        """Guard against totals with missing records that are taken for the whole account."""
+        fake = self.start({"GET /operator/usage": [self.usage(False)]})
+        self.assertIn("some usage is missing", self.invoke(fake, "usage").output)
+
     def test_unreachable_instance_is_an_error_of_its_own(self):
         """Guard against a script that takes a network error for a refusal."""
         fake = self.start({})
--- a/tests/usage/test_ledger.py
+++ b/tests/usage/test_ledger.py
@@ -43,6 +43,16 @@
         self.assertIsNone(ledger.next_flush())
         self.assertTrue(ledger.is_flushed)
 
+    def test_idle_process_repeats_its_counters(self):
+        """Guard against an idle process whose later usage is ignored as that of an ended one."""
+        ledger = UsageLedger("a", 1)
+        ledger.count("w", "n", 10, 5, 3)
+        first = ledger.next_flush()
+        ledger.flushed(first.token, appended=True)
+        self.assertIsNone(ledger.next_flush())
+        ledger.repeat()
+        self.assertEqual(ledger.next_flush().data, first.data)
+
     def test_restarted_holder_gets_everything_again(self):
         """Guard against counters that the sender believes held after its successor restarted."""
         ledger, holder = UsageLedger("a", 1), UsageLedger("b", 1)
