Told the deaths of an upstream's successive boots apart

Cause: load reports lag, so two deaths of a restarted engine were both named by the boot before the first one and counted once; and a death of an engine whose boot was not known yet counted as none. Change: a boot that is known to have died is replaced by a name for its successor, and a broken connection to an engine of unknown boot counts as a death.

--- a/packages/core/src/ibispaddle_core/quarantine/registry.py
+++ b/packages/core/src/ibispaddle_core/quarantine/registry.py
@@ -131,6 +131,10 @@
             return None
         return Clearance(fingerprint, self._suspects[fingerprint].open_deaths, now_ms)
 
+    def has_died(self, upstream_id: str, boot_id: str) -> bool:
+        """Return whether a suspicion names this boot of an upstream."""
+        return Death(upstream_id, boot_id) in self._of_death
+
     def is_quarantined(self, fingerprint: str, now_ms: int) -> bool:
         """Return whether requests with this fingerprint are refused."""
         suspect = self._suspects.get(fingerprint)
--- a/packages/daemon/src/ibispaddle_daemon/attempts.py
+++ b/packages/daemon/src/ibispaddle_daemon/attempts.py
@@ -152,7 +152,8 @@
         call_id = f"attempt-{next(_NUMBERS)}"
         running = RunningAttempt(call_id, upstream_id, base_url, engine_id, machine, span)
         running.is_resumed = path == "/v1/resume"
-        running.upstream_boot = self._entry.boot_of(upstream_id)
+        reported_boot = self._entry.boot_of(upstream_id)
+        running.upstream_boot = self._suspects.boot_in_use(upstream_id, reported_boot)
         request.attempt = running
         self._running[call_id] = (request, running)
         headers = (
--- a/packages/daemon/src/ibispaddle_daemon/suspects.py
+++ b/packages/daemon/src/ibispaddle_daemon/suspects.py
@@ -22,6 +22,8 @@
 # Time for the upstream to show that it still runs.
 ALIVE_TIMEOUT_MS = 500
 
+SUCCESSOR_MARK = "+"
+
 InFlight = Callable[[], Mapping[str, Collection[str]]]
 
 
@@ -75,6 +77,17 @@
         now_ms = self._clock.wall_ms()
         return self._registry.allowed(fingerprint, upstream_ids, now_ms, in_flight())
 
+    def boot_in_use(self, upstream_id: str, reported_boot: str) -> str:
+        """Return the boot that an attempt meets, given the last reported one.
+
+        Load reports lag: a boot that is known to have died is replaced by a name for its successor,
+        so that the death of the successor is not taken for the same death.
+        """
+        boot_id = reported_boot
+        while self._registry.has_died(upstream_id, boot_id):
+            boot_id += SUCCESSOR_MARK
+        return boot_id
+
     def completed(self, fingerprint: str) -> None:
         """Clear the suspicion of a request that was answered."""
         if self._registry.is_suspect(fingerprint):
@@ -110,7 +123,8 @@
 def _shows_death(result: CallResult, boot_id: str) -> bool:
     """Return whether an answer to `GET /load` shows that the boot has ended.
 
-    An upstream that does not answer in time may only be slow, and is not counted as dead.
+    An upstream that does not answer in time may only be slow, and is not counted as dead. If it is not
+    known which boot ran the attempt, a restart cannot be ruled out and counts as a death.
     """
     if result.error is not None:
         return result.error.failure is not CallFailure.TIMEOUT
@@ -118,4 +132,4 @@
         current = msgspec.json.decode(result.body, type=_Boot).boot_id
     except (msgspec.DecodeError, UnicodeDecodeError):
         return False
-    return bool(boot_id) and current != boot_id
+    return current != boot_id
--- a/tests/quarantine/test_registry.py
+++ b/tests/quarantine/test_registry.py
@@ -79,6 +79,14 @@
         for data in ({}, good | {"op": "x"}, good | {"deaths": [["a"]]}, good | {"at_ms": "1"}):
             self.assertTrue(parse_record(data).is_err(), data)
 
+    def test_death_of_a_boot_is_known_until_it_expires(self):
+        """Guard against a second death of an upstream that is taken for the first one."""
+        registry = Quarantine()
+        registry.upstream_died(Death("u", "b1"), ("f",), 0)
+        self.assertTrue(registry.has_died("u", "b1"))
+        self.assertFalse(registry.has_died("u", "b2"))
+        self.assertFalse(registry.has_died("v", "b1"))
+
 
 class PlacementTest(unittest.TestCase):
     def test_suspects_of_one_death_get_different_upstreams(self):
