--- /dev/null
+++ b/packages/core/src/ibispaddle_core/orders/records.py
@@ -0,0 +1,87 @@
+"""Records of the stream `orders`."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any
+
+import msgspec
+from result import Err, Ok, Result
+
+from .exceptions import OrderRecordError
+
+
+class Action(StrEnum):
+    """Name what an order asks of a runner."""
+
+    LOAD_MODEL = "load_model"
+    LOAD_ADAPTER = "load_adapter"
+    SET_ROLE = "set_role"
+
+
+# The only argument of each action.
+ARGUMENTS = {Action.LOAD_MODEL: "model", Action.LOAD_ADAPTER: "adapter", Action.SET_ROLE: "role"}
+
+
+class Order(msgspec.Struct, frozen=True):
+    """Ask for a state of one runner."""
+
+    order_id: str
+    upstream_id: str
+    action: Action
+    args: dict[str, str]
+    author: str = ""
+
+    @property
+    def value(self) -> str:
+        """Return the model, adapter or role that is asked for."""
+        return self.args[ARGUMENTS[self.action]]
+
+
+@dataclass(frozen=True)
+class Executor:
+    """Identify one process of an instance."""
+
+    instance_id: str
+    boot: int
+
+
+class _Takeover(msgspec.Struct):
+    upstream_id: str
+    executor: str
+    boot: int
+
+
+@dataclass(frozen=True)
+class Takeover:
+    """Make one process the only sender of an upstream's orders."""
+
+    upstream_id: str
+    executor: Executor
+
+
+def order_record(order: Order) -> dict[str, Any]:
+    """Return the record of an order."""
+    record: dict[str, Any] = msgspec.to_builtins(order)
+    return record
+
+
+def takeover_record(takeover: Takeover) -> dict[str, Any]:
+    """Return the record of a takeover."""
+    executor = takeover.executor
+    fields = {"executor": executor.instance_id, "boot": executor.boot}
+    return {"takeover": {"upstream_id": takeover.upstream_id} | fields}
+
+
+def parse_record(data: Mapping[str, Any]) -> Result[Order | Takeover, OrderRecordError]:
+    """Read one record."""
+    try:
+        if "takeover" in data:
+            fields = msgspec.convert(data["takeover"], _Takeover)
+            return Ok(Takeover(fields.upstream_id, Executor(fields.executor, fields.boot)))
+        order = msgspec.convert(data, Order)
+    except msgspec.ValidationError as exc:
+        return Err(OrderRecordError(str(exc)))
+    if set(order.args) != {ARGUMENTS[order.action]}:
+        return Err(OrderRecordError(f"'{order.action}' needs '{ARGUMENTS[order.action]}'"))
+    return Ok(order)
--- /dev/null
+++ b/tests/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the orders package."""
