Added the component that sends orders to runners, with its operator paths

Cause: nothing sent the orders of the stream to the runners, and operators could neither give nor see them.

It answers GET and POST /operator/orders. The writer of the newest takeover goes on until another process takes over, so that a change of membership leaves no gap.

--- a/packages/daemon/src/ibispaddle_daemon/app.py
+++ b/packages/daemon/src/ibispaddle_daemon/app.py
@@ -24,6 +24,7 @@
 from .logs import log_error, log_event
 from .metrics import Metrics, Status
 from .operators import Operators
+from .orders import Orders
 from .peers import Peers
 from .platform_log import PlatformLog
 from .probes import Probes
@@ -121,6 +122,7 @@
         self.claims = Claims(settings, clock.wall_ms(), clock, timers).register(self)
         self.operators = Operators(settings, self.configuration, clock).register(self)
         FleetOperations(self.operators, self.view, self.quarantine, clock).register(self)
+        Orders(settings, self.operators, self.view, clock.wall_ms(), clock, timers).register(self)
         UsageAccount(
             settings, self.operators, self.configuration, self.view, clock, timers
         ).register(self)
--- /dev/null
+++ b/packages/daemon/src/ibispaddle_daemon/orders.py
@@ -0,0 +1,234 @@
+"""Orders to runners: the stream `orders`, takeovers and reconciliation."""
+
+import itertools
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import msgspec
+from absl import logging
+from circuits import BaseComponent, handler
+from ibispaddle_core.chat import ProtocolError
+from ibispaddle_core.clock import Clock
+from ibispaddle_core.configuration import LogRecord
+from ibispaddle_core.membership import Kind, MembershipView, MemberState, choose
+from ibispaddle_core.orders import (
+    RECONCILE_INTERVAL_MS,
+    Executor,
+    Order,
+    OrdersState,
+    Reconciler,
+    RunnerReport,
+    SendOrder,
+    Takeover,
+    order_record,
+    parse_record,
+    takeover_record,
+)
+from ibispaddle_core.settings import InstanceSettings
+
+from .calls import CallResult, Calls
+from .events import log_append, log_follow
+from .http_exchange import Exchange
+from .operators import Operators, respond
+from .responses import respond_error
+from .timers import TimerQueue
+
+STREAM = "orders"
+LOAD_TIMEOUT_MS = 1_000
+# At most one copy of an order is in flight, because the next is sent after the interval.
+ORDER_TIMEOUT_MS = RECONCILE_INTERVAL_MS
+
+Appended = Callable[[int | None], None]
+
+
+class _Load(msgspec.Struct):
+    boot_id: str
+    models: frozenset[str]
+    role: str
+
+
+class Orders(BaseComponent):
+    """Follow the orders and send those of the runners that this instance is chosen for."""
+
+    channel = "orders"
+
+    def __init__(
+        self,
+        settings: InstanceSettings,
+        operators: Operators,
+        view: MembershipView,
+        boot: int,
+        clock: Clock,
+        timers: TimerQueue,
+    ) -> None:
+        super().__init__()
+        self._view = view
+        self._clock = clock
+        self._timers = timers
+        self._executor = Executor(settings.instance_id, boot)
+        self._state = OrdersState()
+        self._reconciler = Reconciler(self._executor)
+        self._calls = Calls("order_calls", clock).register(self)
+        self._next_offset = 0
+        self._tokens = itertools.count(1)
+        self._appends: dict[int, Appended] = {}
+        # Takeovers that are appended but not read back, with their offset once it is known.
+        self._takeovers: dict[str, int | None] = {}
+        self._round = 0
+        operators.add_path("GET", "/operator/orders", self._show)
+        operators.add_path("POST", "/operator/orders", self._accept)
+
+    @handler("started", channel="*")
+    def _on_started(self, *_: object) -> None:
+        self.fire(log_follow(STREAM, 0, self.channel), "*")
+        self._reconcile()
+
+    # Log
+
+    @handler("log_records")
+    def _on_log_records(
+        self, stream: str, records: Iterable[LogRecord], first_offset: int, next_offset: int
+    ) -> None:
+        changed = False
+        for record in records:
+            parsed = parse_record(record.data)
+            if parsed.is_err():
+                logging.warning("order record %d: %s", record.offset, parsed.unwrap_err())
+            else:
+                self._state.fold(record.offset, parsed.unwrap())
+                changed = True
+        self._next_offset = next_offset
+        for upstream_id, offset in list(self._takeovers.items()):
+            if offset is not None and offset < next_offset:
+                del self._takeovers[upstream_id]
+        if changed:
+            self._reconcile()
+
+    def _append(self, data: dict[str, Any], done: Appended) -> None:
+        token = next(self._tokens)
+        self._appends[token] = done
+        self.fire(log_append(STREAM, data, token, self.channel), "*")
+
+    @handler("log_appended")
+    def _on_log_appended(self, token: int, offset: int | None, error: object) -> None:
+        done = self._appends.pop(token, None)
+        if done is not None:
+            done(None if error is not None else offset)
+
+    # Reconciliation
+
+    def _reconcile(self) -> None:
+        """Take over or compare the runners of this instance; again after the interval."""
+        self._round += 1
+        this_round = self._round
+
+        def repeat() -> None:
+            if self._round == this_round:
+                self._reconcile()
+
+        self._timers.after(RECONCILE_INTERVAL_MS, repeat)
+        now_ms = self._clock.now_ms()
+        instances = self._view.ranked_instances(now_ms)
+        for upstream_id in self._state.upstreams:
+            entry = self._view.entry(upstream_id)
+            if entry is None or self._view.state(upstream_id, now_ms) is MemberState.DOWN:
+                continue
+            # The writer of the newest takeover goes on until another process takes over.
+            if self._state.token(upstream_id, self._executor) is not None:
+                self._ask_load(upstream_id, f"http://{entry.address}", now_ms)
+            elif choose(upstream_id, instances) == (self._executor.instance_id,):
+                self._take_over(upstream_id)
+
+    def _take_over(self, upstream_id: str) -> None:
+        if upstream_id in self._takeovers:
+            return
+
+        def appended(offset: int | None) -> None:
+            if offset is None or offset < self._next_offset:
+                self._takeovers.pop(upstream_id, None)
+            else:
+                self._takeovers[upstream_id] = offset
+
+        self._takeovers[upstream_id] = None
+        self._append(takeover_record(Takeover(upstream_id, self._executor)), appended)
+
+    def _ask_load(self, upstream_id: str, url: str, now_ms: int) -> None:
+        def answered(result: CallResult) -> None:
+            if result.error is not None or result.status != 200:
+                return
+            try:
+                load = msgspec.json.decode(result.body, type=_Load)
+            except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+                logging.warning("load report of %s: %s", upstream_id, exc)
+                return
+            report = RunnerReport(load.boot_id, load.models, load.role)
+            # The time of the question keeps rounds a whole interval apart.
+            sends = self._reconciler.reconcile(self._state, upstream_id, report, now_ms)
+            for send in sends:
+                self._send(send, url, load.boot_id)
+
+        self._calls.send("GET", f"{url}/load", b"", LOAD_TIMEOUT_MS, answered)
+
+    def _send(self, send: SendOrder, url: str, boot_id: str) -> None:
+        order = send.order
+        body = {
+            "order_id": order.order_id,
+            "action": order.action,
+            "args": order.args,
+            "fencing": send.token,
+        }
+
+        def answered(result: CallResult) -> None:
+            if result.error is None and result.status == 200:
+                self._reconciler.order_accepted(order, boot_id)
+                return
+            reason = result.error.text if result.error else f"status {result.status}"
+            logging.warning("order %s to %s: %s", order.order_id, order.upstream_id, reason)
+
+        data = msgspec.json.encode(body)
+        self._calls.send("POST", f"{url}/orders", data, ORDER_TIMEOUT_MS, answered)
+
+    # Operators
+
+    def _show(self, exchange: Exchange) -> None:
+        upstreams = []
+        for upstream_id in self._state.upstreams:
+            entry = self._view.entry(upstream_id)
+            executor = self._state.executor(upstream_id)
+            upstreams.append(
+                {
+                    "upstream_id": upstream_id,
+                    "checks_fencing": entry.fenced if entry else None,
+                    "executor": executor.instance_id if executor else None,
+                    "token": self._state.token(upstream_id, executor) if executor else None,
+                    "orders": [order_record(o) for o in self._state.desired(upstream_id)],
+                }
+            )
+        respond(exchange, 200, {"upstreams": upstreams})
+
+    def _accept(self, exchange: Exchange) -> None:
+        try:
+            data = msgspec.json.decode(exchange.body, type=dict[str, Any])
+        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+            text = f"The request cannot be read: {exc}."
+            respond_error(exchange, ProtocolError(400, "invalid_request", text))
+            return
+        order = parse_record(data).unwrap_or(None)
+        if not isinstance(order, Order):
+            text = "An order has an order_id, upstream_id, action and the action's argument."
+            respond_error(exchange, ProtocolError(400, "invalid_request", text))
+            return
+        entry = self._view.entry(order.upstream_id)
+        if entry is None or entry.kind is not Kind.RUNNER:
+            text = f"There is no runner '{order.upstream_id[:100]}'."
+            respond_error(exchange, ProtocolError(404, "unknown_runner", text))
+            return
+
+        def appended(offset: int | None) -> None:
+            if offset is None:
+                text = "The log did not confirm the order. Send it again with the same id."
+                respond_error(exchange, ProtocolError(504, "order_unconfirmed", text))
+            else:
+                respond(exchange, 202, {"order_id": order.order_id, "offset": offset})
+
+        self._append(order_record(order), appended)
