Added the command that orders a runner and a test with a stopped executor

Cause: operators had no command for orders, and no test showed orders at real processes.

The test stops the executor, gives a newer order through the other instance and continues the executor while the log cannot be read.

Result: the late order is refused by the checking runner. It takes effect at the runner that ignores tokens, which agrees with the newer order once the log answers again.

--- a/packages/client/src/ibispaddle_client/__main__.py
+++ b/packages/client/src/ibispaddle_client/__main__.py
@@ -12,6 +12,7 @@
     config_show,
     config_wait,
     instances,
+    order,
     quarantine_lift,
     quarantine_list,
     reference,
@@ -42,6 +43,7 @@
 config_app.command("wait")(config_wait.command)
 app.command("instances")(instances.command)
 app.command("upstreams")(upstreams.command)
+app.command("order")(order.command)
 app.command("usage")(usage.command)
 quarantine_app.command("list")(quarantine_list.command)
 quarantine_app.command("lift")(quarantine_lift.command)
--- /dev/null
+++ b/tests/orders/test_processes.py
@@ -0,0 +1,108 @@
+"""Tests of orders with real processes, one of which is stopped and continued."""
+
+import json
+import signal
+import time
+import unittest
+
+from ibispaddle_bench.fleet import OPERATOR_KEY, Fleet, FleetSpec
+from ibispaddle_bench.processes import call_json
+from ibispaddle_client.__main__ import app
+from ibispaddle_client.api import OperatorApi
+from ibispaddle_client.exceptions import ClientError
+from ibispaddle_core.membership import choose
+from ibispaddle_core.orders import Action, Order, order_record
+from typer.testing import CliRunner
+
+WAIT_S = 15.0
+# Time in which the log ends the reads that wait, so that a stopped process gets no new records.
+POLL_END_S = 1.0
+
+
+class OrdersTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.fleet = Fleet(FleetSpec(entries=2, runners=6, services=0))
+        cls.fleet.__enter__()
+        cls.addClassCleanup(cls.fleet.__exit__, None, None, None)
+
+    def invoke(self, *args, entry):
+        env = {"IBISPADDLE_SERVER": self.fleet.entries[entry].url, "IBISPADDLE_KEY": OPERATOR_KEY}
+        outcome = CliRunner(env=env).invoke(app, [*args, "--json"])
+        self.assertIsNone(outcome.exception, outcome.output + str(outcome.exception))
+        return json.loads(outcome.output)
+
+    def wait_for(self, condition, what):
+        limit = time.monotonic() + WAIT_S
+        while not condition():
+            self.assertLess(time.monotonic(), limit, what)
+            time.sleep(0.05)
+
+    def wait_for_role(self, runners, role):
+        for runner in runners:
+            load = f"{runner.url}/load"
+            self.wait_for(
+                lambda load=load: call_json(load)["role"] == role, f"{runner.name} {role}"
+            )
+
+    def test_late_order_of_a_stopped_executor_is_refused_or_repaired(self):
+        """Guard against a continued executor that puts an older order into effect for good."""
+        names = [entry.name for entry in self.fleet.entries]
+        runners = [r for r in self.fleet.runners if choose(r.name, names) == (names[0],)][:2]
+        checking, ignoring = runners
+        checking.set_faults(fencing=True)
+        for runner in runners:
+            self.invoke("order", runner.name, "set_role", "prefill", entry=1)
+            self.invoke("order", runner.name, "load_model", "other", entry=1)
+        self.wait_for_role(runners, "prefill")
+        api = OperatorApi(self.fleet.entries[1].url, OPERATOR_KEY)
+        shown = {row["upstream_id"]: row for row in api.get("orders")["upstreams"]}
+        for runner in runners:
+            self.assertEqual(shown[runner.name]["executor"], names[0])
+            actions = [order["action"] for order in shown[runner.name]["orders"]]
+            self.assertEqual(actions, ["set_role", "load_model"])
+        with self.assertRaisesRegex(ClientError, "unknown_runner"):
+            api.post("orders", order_record(unknown_runner_order()))
+        for runner in runners:
+            self.wait_for(lambda r=runner: "other" in r.state()["models"], "model")
+        stopped = self.fleet.entries[0]
+        stopped.signal(signal.SIGSTOP)
+        self.fleet.log.set_faults(read_outage=True)
+        time.sleep(POLL_END_S)
+        self.fleet.log.set_faults(read_outage=False)
+        for runner in runners:
+            self.invoke("order", runner.name, "set_role", "decode", entry=1)
+        self.wait_for_role(runners, "decode")
+        # Without the log, the continued executor cannot learn that it was replaced.
+        self.fleet.log.set_faults(outage=True)
+        stopped.signal(signal.SIGCONT)
+        self.wait_for(lambda: refused(checking), "late order at the checking runner")
+        self.wait_for(lambda: roles(ignoring).count("prefill") > 1, "late order")
+        self.fleet.log.set_faults(outage=False)
+        self.wait_for_role(runners, "decode")
+        time.sleep(3.0)  # More than one reconciliation, after which nothing may change.
+        self.wait_for_role(runners, "decode")
+        self.assertEqual(roles(checking), ["prefill", "decode"])
+
+
+def unknown_runner_order():
+    return Order("o", "runner.99", Action.SET_ROLE, {"role": "prefill"})
+
+
+def refused(runner):
+    return [order for order in runner.state()["orders"] if not order["accepted"]]
+
+
+def roles(runner):
+    """Return the roles that orders have set, without repetitions."""
+    found = []
+    for order in runner.state()["orders"]:
+        if order["accepted"] and order["action"] == "set_role":
+            role = order["args"]["role"]
+            if found[-1:] != [role]:
+                found.append(role)
+    return found
+
+
+if __name__ == "__main__":
+    unittest.main()
