--- a/packages/daemon/src/ibispaddle_daemon/suspects.py
+++ b/packages/daemon/src/ibispaddle_daemon/suspects.py
@@ -123,8 +123,8 @@
 def _shows_death(result: CallResult, boot_id: str) -> bool:
     """Return whether an answer to `GET /load` shows that the boot has ended.
 
-    An upstream that does not answer in time may only be slow, and is not counted as dead. If it is not
-    known which boot ran the attempt, a restart cannot be ruled out and counts as a death.
+    An upstream that does not answer in time may only be slow, and is not counted as dead. A broken
+    connection to an upstream whose boot was not known is no proof either.
     """
     if result.error is not None:
         return result.error.failure is not CallFailure.TIMEOUT
@@ -132,4 +132,4 @@
         current = msgspec.json.decode(result.body, type=_Boot).boot_id
     except (msgspec.DecodeError, UnicodeDecodeError):
         return False
-    return current != boot_id
+    return bool(boot_id) and current != boot_id
