--- a/tests/failures/test_crashing_requests.py
+++ b/tests/failures/test_crashing_requests.py
@@ -77,9 +77,10 @@
 
     def test_innocent_requests_of_the_same_death(self):
         """Guard against a quarantine of requests that were in flight when another crashed them."""
-        innocent = [f"innocent {n}" for n in range(12)]
+        # So many that hardly any engine is without one; the request to be stopped goes to the idlest.
+        innocent = [f"innocent {n}" for n in range(48)]
         calls = [
-            Call(self.fleet.entries[n % 3], prompt=prompt, tokens=120, timeout_ms=15_000)
+            Call(self.fleet.entries[n % 3], prompt=prompt, tokens=240, timeout_ms=15_000)
             for n, prompt in enumerate(innocent)
         ]
         for call in calls:
