--- a/packages/core/src/ibispaddle_core/settings/fleet.py
+++ b/packages/core/src/ibispaddle_core/settings/fleet.py
@@ -86,9 +86,6 @@
     max_queue_per_neighbour: int = Field(200, ge=1, description="Queued requests.")
     short_prompt_tokens: int = Field(8_000, ge=1, description="Upper limit of a short prompt.")
     long_prompt_tokens: int = Field(100_000, ge=1, description="Lower limit of a long prompt.")
-    long_fleet_fraction: float = Field(
-        0.3, gt=0, le=1, description="Initial part of the runners that take long prompts."
-    )
     short_memory_reserve: float = Field(
         0.15, ge=0, lt=1, description="Part of engine memory kept for short prompts."
     )
