Listed the live runners for suspects only

Cause: every attempt to place a request built the list of all live runners, 730 at the design size, only to learn that the request is no suspect. Change: the suspicion is asked first. The gain was not measured.

--- a/packages/daemon/src/ibispaddle_daemon/entry.py
+++ b/packages/daemon/src/ibispaddle_daemon/entry.py
@@ -129,8 +129,10 @@
         return self._boots.get(upstream_id, "")
 
     def _allowed_runners(self, req: Request) -> Collection[str] | None:
+        if not self._suspects.is_suspect(req.fingerprint):
+            return None
         ids = [view.upstream.upstream_id for view in self.scheduler.runners.live(req.model)]
-        return self._suspects.allowed(req.fingerprint, ids, self.attempts.fingerprints)
+        return self._suspects.allowed(req.fingerprint, ids, self.attempts.fingerprints())
 
     def base_url(self, upstream_id: str) -> str:
         """Return the URL of a runner."""
--- a/packages/daemon/src/ibispaddle_daemon/suspects.py
+++ b/packages/daemon/src/ibispaddle_daemon/suspects.py
@@ -24,8 +24,6 @@
 
 SUCCESSOR_MARK = "+"
 
-InFlight = Callable[[], Mapping[str, Collection[str]]]
-
 
 class _Boot(msgspec.Struct):
     boot_id: str
@@ -68,14 +66,18 @@
         )
         return ProtocolError(422, "quarantined", text, run_state)
 
+    def is_suspect(self, fingerprint: str) -> bool:
+        """Return whether the choice of upstreams is restricted for requests with this content."""
+        return self._registry.is_suspect(fingerprint)
+
     def allowed(
-        self, fingerprint: str, upstream_ids: Sequence[str], in_flight: InFlight
-    ) -> Collection[str] | None:
-        """Return the upstreams that a suspect may use now; None for a request without suspicion."""
-        if not self._registry.is_suspect(fingerprint):
-            return None
-        now_ms = self._clock.wall_ms()
-        return self._registry.allowed(fingerprint, upstream_ids, now_ms, in_flight())
+        self,
+        fingerprint: str,
+        upstream_ids: Sequence[str],
+        in_flight: Mapping[str, Collection[str]],
+    ) -> Collection[str]:
+        """Return the upstreams that a suspect may use now; `in_flight` has fingerprints by upstream."""
+        return self._registry.allowed(fingerprint, upstream_ids, self._clock.wall_ms(), in_flight)
 
     def boot_in_use(self, upstream_id: str, reported_boot: str) -> str:
         """Return the boot that an attempt meets, given the last reported one.
@@ -90,7 +92,7 @@
 
     def completed(self, fingerprint: str) -> None:
         """Clear the suspicion of a request that was answered."""
-        if self._registry.is_suspect(fingerprint):
+        if self.is_suspect(fingerprint):
             self.fire(suspect_completed(fingerprint), "*")
 
     def examine(self, lost: LostAttempt, done: Callable[[], None]) -> None:
