--- a/tests/configuration/test_readers.py
+++ b/tests/configuration/test_readers.py
@@ -2,7 +2,6 @@
 
 import unittest
 
-from hypothesis import Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -10,10 +9,11 @@
     invariant,
     precondition,
     rule,
-    run_state_machine_as_test,
 )
 from ibispaddle_core.configuration import Change, ConfigReader, ConfigState, LogRecord
 
+from tests.state_machines import run
+
 from .oracle import FakeLog, Oracle
 
 RECENT_CHANGES = 6
@@ -152,20 +152,6 @@
     reader_type = AnySnapshotReader
 
 
-def run(machine, examples):
-    run_state_machine_as_test(
-        machine,
-        settings=settings(
-            max_examples=examples,
-            stateful_step_count=40,
-            derandomize=True,
-            deadline=None,
-            database=None,
-            phases=[Phase.generate],
-        ),
-    )
-
-
 class ReaderTest(unittest.TestCase):
     def test_readers_agree(self):
         """Guard against readers that start from snapshots and serve another state than the rest."""
--- a/tests/idempotency/test_fleet.py
+++ b/tests/idempotency/test_fleet.py
@@ -2,7 +2,6 @@
 
 import unittest
 
-from hypothesis import Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -10,11 +9,12 @@
     invariant,
     precondition,
     rule,
-    run_state_machine_as_test,
 )
 from ibispaddle_core.idempotency import ClaimTable, Refuse, Replay, Void, Won
 from ibispaddle_core.runstate import RunState
 
+from tests.state_machines import run
+
 from .fleet import EPOCH_MS, Fleet
 
 INSTANCES = st.integers(0, 2)
@@ -193,29 +193,15 @@
         return notice
 
 
-def run(machine, examples, steps=50):
-    run_state_machine_as_test(
-        machine,
-        settings=settings(
-            max_examples=examples,
-            stateful_step_count=steps,
-            derandomize=True,
-            deadline=None,
-            database=None,
-            phases=[Phase.generate],
-        ),
-    )
-
-
 class FleetTest(unittest.TestCase):
     def test_at_most_one_run_per_key(self):
         """Guard against a call that runs twice, a false 'not_run' and a key that stays blocked."""
-        run(FleetMachine, 400)
+        run(FleetMachine, 400, steps=50)
 
     def test_order_rule_is_needed(self):
         """Guard against a property test that does not notice two runs."""
         with self.assertRaises(AssertionError):
-            run(AnyClaimMachine, 400)
+            run(AnyClaimMachine, 400, steps=50)
 
 
 def late_claim(table_type):
--- /dev/null
+++ b/tests/state_machines.py
@@ -0,0 +1,19 @@
+"""Runner of hypothesis state machines with the same examples on every run."""
+
+from hypothesis import Phase, settings
+from hypothesis.stateful import run_state_machine_as_test
+
+
+def run(machine, examples, steps=40):
+    """Run a state machine; raises what its rules and invariants raise."""
+    run_state_machine_as_test(
+        machine,
+        settings=settings(
+            max_examples=examples,
+            stateful_step_count=steps,
+            derandomize=True,
+            deadline=None,
+            database=None,
+            phases=[Phase.generate],
+        ),
+    )
--- a/tests/usage/test_account.py
+++ b/tests/usage/test_account.py
@@ -3,7 +3,6 @@
 import json
 import unittest
 
-from hypothesis import Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -11,10 +10,11 @@
     invariant,
     precondition,
     rule,
-    run_state_machine_as_test,
 )
 from ibispaddle_core.usage import CLOSE_AFTER_MS, Account, AccountReader, Counts, UsageRecord
 
+from tests.state_machines import run
+
 BOOTS = ("a-1", "a-2", "b-1", "c-7")
 WORKSPACES = ("w0", "w1")
 
@@ -187,20 +187,6 @@
     account_type = ForgetfulAccount
 
 
-def run(machine, examples):
-    run_state_machine_as_test(
-        machine,
-        settings=settings(
-            max_examples=examples,
-            stateful_step_count=40,
-            derandomize=True,
-            deadline=None,
-            database=None,
-            phases=[Phase.generate],
-        ),
-    )
-
-
 class AccountTest(unittest.TestCase):
     def test_readers_agree(self):
         """Guard against totals that depend on when a reader started."""
