Kept the ports of a test fleet reserved until its end

Cause: an instance found its port in use at its start (one of 40 runs of a process test at a load of 39): the ports were reserved by binding and closing, and an outgoing connection of another process took one in between. Change: the reserving sockets stay open, bound with SO_REUSEADDR and not listening. The kernel gives such a port to nobody else, and the instance can still listen on it, also after a restart.

--- a/packages/bench/src/ibispaddle_bench/fleet.py
+++ b/packages/bench/src/ibispaddle_bench/fleet.py
@@ -43,19 +43,17 @@
     return hashlib.sha256(key.encode()).hexdigest()
 
 
-def reserve_ports(count: int) -> list[int]:
-    """Return ports of 127.0.0.1 that are free now.
+def reserve_ports(count: int) -> list[socket.socket]:
+    """Return sockets that are bound to ports of 127.0.0.1 and keep others from getting them.
 
-    All are bound at the same time, so that no port is returned twice.
+    While a socket is open, the system gives its port to no outgoing connection and to no socket
+    that asks for any free port. A process that sets `SO_REUSEADDR` can listen on it all the same.
     """
     sockets = [socket.socket() for _ in range(count)]
-    try:
-        for sock in sockets:
-            sock.bind(("127.0.0.1", 0))
-        return [sock.getsockname()[1] for sock in sockets]
-    finally:
-        for sock in sockets:
-            sock.close()
+    for sock in sockets:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(("127.0.0.1", 0))
+    return sockets
 
 
 def merge(base: Mapping[str, Any], changes: Mapping[str, Any]) -> dict[str, Any]:
@@ -134,6 +132,7 @@
         self.unlisted: set[str] = set()
         self._settings: dict[str, dict[str, Any]] = {}
         self._processes: list[ManagedProcess] = []
+        self._reserved: list[socket.socket] = []
 
     def __enter__(self) -> "Fleet":
         try:
@@ -150,7 +149,9 @@
         """Start all processes and wait until every instance is ready."""
         self.start_stand_ins()
         names = [f"entry.{number + 1}" for number in range(self.spec.entries)]
-        ports = reserve_ports(2 * len(names))
+        # The ports stay reserved until the fleet ends, also while an instance is being replaced.
+        self._reserved = reserve_ports(2 * len(names))
+        ports = [sock.getsockname()[1] for sock in self._reserved]
         for index, name in enumerate(names):
             self._settings[name] = self.settings(name, ports[2 * index], ports[2 * index + 1])
         self.publish()
@@ -297,4 +298,7 @@
         for process in [*instances, *(p for p in self._processes if p.log_file is None)]:
             process.end(grace_s)
         self._processes.clear()
+        for sock in self._reserved:
+            sock.close()
+        self._reserved.clear()
         shutil.rmtree(self.folder, ignore_errors=True)
--- a/tests/bench/test_fleet.py
+++ b/tests/bench/test_fleet.py
@@ -1,6 +1,7 @@
 """Tests of the launcher with the stand-ins alone."""
 
 import os
+import socket
 import unittest
 
 from ibispaddle_bench.fleet import Fleet, FleetSpec, merge, reserve_ports
@@ -53,9 +54,33 @@
 
 
 class PortTest(unittest.TestCase):
+    def reserve(self, count: int) -> list[int]:
+        """Return reserved ports, which are given back after the test."""
+        sockets = reserve_ports(count)
+        for sock in sockets:
+            self.addCleanup(sock.close)
+        return [sock.getsockname()[1] for sock in sockets]
+
     def test_ports_are_distinct(self):
         """Guard against two instances that are told to listen on one port."""
-        self.assertEqual(len(set(reserve_ports(50))), 50)
+        self.assertEqual(len(set(self.reserve(50))), 50)
+
+    def test_reserved_port_can_be_listened_on(self):
+        """Guard against an instance that finds its port taken by the reservation, also later."""
+        (port,) = self.reserve(1)
+        for _ in range(2):
+            with socket.create_server(("127.0.0.1", port)):
+                socket.create_connection(("127.0.0.1", port)).close()
+
+    def test_reserved_port_is_given_to_nobody_else(self):
+        """Guard against an outgoing connection that takes the port of an instance."""
+        ports = set(self.reserve(20))
+        with socket.create_server(("127.0.0.1", 0), backlog=2_000) as server:
+            address = server.getsockname()
+            conns = [socket.create_connection(address) for _ in range(500)]
+            self.assertFalse(ports & {conn.getsockname()[1] for conn in conns})
+            for conn in conns:
+                conn.close()
 
 
 class MergeTest(unittest.TestCase):
