Counted deaths that a probe notices first and told peers to avoid the dead engine

Two gaps were found by reading. First, when an engine was found down by a probe or by gossip while an attempt was in flight, the scheduler cancelled the attempt, and only failed attempts were examined: no suspicion was recorded and the retry was free to take any engine. Second, an instance that was told of a death went on using the engine until its own probe or gossip noticed; the late report of that death then cancelled the attempt at the restarted engine, which is the first gap. Ruled out: a death under the name of an earlier one (successor marks), a clearance. Change: attempts whose cancel meets a broken or refused connection are examined too, also after the caller left. A notice of a death marks the boot's engine down at once at every instance, and load reports of boots that have died are ignored.

--- a/packages/daemon/src/ibispaddle_daemon/attempts.py
+++ b/packages/daemon/src/ibispaddle_daemon/attempts.py
@@ -27,7 +27,7 @@
 from opentelemetry.trace import Status, StatusCode
 
 from .calls import CallResult, Calls
-from .engine_answers import proves_not_run, refusal_of
+from .engine_answers import is_unreachable, may_have_died, proves_not_run, refusal_of
 from .events import (
     CallFailure,
     Headers,
@@ -187,7 +187,7 @@
             running = request.attempt
             running.machine.handle(CancelRequested(), self._clock.now_ms())
             self._release(request, running)
-            self._ask_to_stop(running, None)
+            self._ask_to_stop(request, running, is_awaited=False)
 
     def _watch(self, request: ModelRequest, running: RunningAttempt) -> None:
         """Wait until the attempt may have stalled."""
@@ -324,7 +324,7 @@
         elif self._can_resume(request, running, end):
             self._resume(request, running)
         elif running.may_run_on and end.outcome is not Outcome.REJECTED:
-            self._ask_to_stop(running, request)
+            self._ask_to_stop(request, running)
         else:
             self._entry.attempt_ended(request, running.upstream_id, end.outcome)
 
@@ -346,48 +346,51 @@
         request.fail(error)
         self._entry.finish(request, error.code)
 
-    def _ask_to_stop(self, running: RunningAttempt, request: ModelRequest | None) -> None:
+    def _ask_to_stop(
+        self, request: ModelRequest, running: RunningAttempt, is_awaited: bool = True
+    ) -> None:
         """Stop the engine's work on an attempt; `ran` false in its answer proves that none ran.
 
-        With a request, the attempt is reported after the answer or a timeout.
+        If it is awaited, the attempt is reported after the answer or a timeout.
         """
-        if request is not None:
+        if not running.may_run_on:
+            return
+        if is_awaited:
             request.unproved_attempts += 1
 
         def done(result: CallResult) -> None:
-            if request is None:
-                return
-            outcome = running.machine.finished.outcome if running.machine.finished else None
-            proved = not running.machine.next_index and proves_not_run(result)
-            if proved:
-                request.unproved_attempts -= 1
+            assert running.machine.finished is not None
+            outcome = running.machine.finished.outcome
+            if not running.machine.next_index and proves_not_run(result):
                 outcome = Outcome.REJECTED
-            elif outcome is None or running.is_resumed:
+                if is_awaited:
+                    request.unproved_attempts -= 1
+            elif running.is_resumed:
                 outcome = Outcome.FAILED
-            if outcome is Outcome.FAILED:
-                self._examine(request, running, result)
+
+            def report() -> None:
+                if is_awaited:
+                    self._entry.attempt_ended(request, running.upstream_id, outcome)
+
+            if may_have_died(outcome, result):
+                self._suspects.examine(self._lost_attempt(request, running, result), report)
             else:
-                self._entry.attempt_ended(request, running.upstream_id, outcome)
-
-        if running.may_run_on:
-            body = msgspec.json.encode({"request_id": running.engine_request_id})
-            url = f"{running.base_url}/v1/cancel"
-            self._calls.send("POST", url, body, PROOF_TIMEOUT_MS, done)
-
-    def _examine(self, request: ModelRequest, running: RunningAttempt, result: CallResult) -> None:
-        """Report a failed attempt once it is known whether its upstream died."""
-        upstream_id = running.upstream_id
-        beside = self.fingerprints().get(upstream_id, ())
-        refused = result.error is not None and result.error.failure is CallFailure.UNREACHABLE
-        lost = LostAttempt(
-            upstream_id,
+                report()
+
+        body = msgspec.json.encode({"request_id": running.engine_request_id})
+        url = f"{running.base_url}/v1/cancel"
+        self._calls.send("POST", url, body, PROOF_TIMEOUT_MS, done)
+
+    def _lost_attempt(
+        self, request: ModelRequest, running: RunningAttempt, result: CallResult
+    ) -> LostAttempt:
+        beside = self.fingerprints().get(running.upstream_id, ())
+        return LostAttempt(
+            running.upstream_id,
             running.base_url,
             running.machine.boot_id or running.upstream_boot,
             frozenset((request.req.fingerprint, *beside)),
-            refused,
-        )
-        self._suspects.examine(
-            lost, lambda: self._entry.attempt_ended(request, upstream_id, Outcome.FAILED)
+            is_unreachable(result),
         )
 
     def fingerprints(self) -> dict[str, set[str]]:
--- a/packages/daemon/src/ibispaddle_daemon/engine_answers.py
+++ b/packages/daemon/src/ibispaddle_daemon/engine_answers.py
@@ -4,8 +4,10 @@
 from ibispaddle_core.chat import ProtocolError
 from ibispaddle_core.relay import AttemptFinished
 from ibispaddle_core.runstate import RunState
+from ibispaddle_core.scheduling import Outcome
 
 from .calls import CallResult
+from .events import CallFailure
 
 
 class _CancelAnswer(msgspec.Struct):
@@ -32,6 +34,23 @@
         return False
 
 
+def is_unreachable(result: CallResult) -> bool:
+    """Return whether the engine refused the connection."""
+    return result.error is not None and result.error.failure is CallFailure.UNREACHABLE
+
+
+def may_have_died(outcome: Outcome, cancel: CallResult) -> bool:
+    """Return whether the engine may have died in an attempt, given the answer to its cancel.
+
+    A cancelled attempt counts too if the engine cannot be reached: a probe can find the engine down
+    before the connection of the attempt breaks, and the scheduler then cancels the attempt.
+    """
+    if outcome is Outcome.FAILED:
+        return True
+    is_broken = cancel.error is not None and cancel.error.failure is not CallFailure.TIMEOUT
+    return is_broken and outcome is not Outcome.REJECTED
+
+
 def refusal_of(end: AttemptFinished, run_state: RunState) -> ProtocolError:
     """Return the error for a caller whose request the engine refused."""
     try:
--- a/packages/daemon/src/ibispaddle_daemon/entry.py
+++ b/packages/daemon/src/ibispaddle_daemon/entry.py
@@ -155,6 +155,8 @@
 
     @handler("load_reported", channel="*")
     def _on_load_reported(self, load: RunnerLoad) -> None:
+        if self._suspects.has_ended(load.upstream_id, load.boot_id):
+            return  # A late report of a boot that has died.
         self._boots[load.upstream_id] = load.boot_id
         if load.upstream_id in self._down:
             self._down.discard(load.upstream_id)
@@ -167,6 +169,11 @@
             self._down.add(upstream_id)
             self._change_upstreams()
 
+    @handler("runner_boot_ended", channel="*")
+    def _on_runner_boot_ended(self, upstream_id: str, boot_id: str) -> None:
+        if self.boot_of(upstream_id) in ("", boot_id, self._suspects.reported_boot(boot_id)):
+            self._on_runner_failed(upstream_id)
+
     def _change_upstreams(self) -> None:
         def state(entry: ListEntry) -> UpstreamState:
             if entry.id in self._down:
--- a/packages/daemon/src/ibispaddle_daemon/events.py
+++ b/packages/daemon/src/ibispaddle_daemon/events.py
@@ -157,6 +157,10 @@
     """Report that a runner does not answer: `runner_failed(upstream_id)`."""
 
 
+class runner_boot_ended(Event):
+    """Report that a peer saw a runner's boot end: `runner_boot_ended(upstream_id, boot_id)`."""
+
+
 class peer_send(Event):
     """Send a message to one instance: `peer_send(instance_id, message)`."""
 
--- a/packages/daemon/src/ibispaddle_daemon/quarantine.py
+++ b/packages/daemon/src/ibispaddle_daemon/quarantine.py
@@ -25,7 +25,7 @@
 )
 from ibispaddle_core.settings import InstanceSettings
 
-from .events import log_append, log_follow, peer_send
+from .events import log_append, log_follow, peer_send, runner_boot_ended
 from .peer_codec import Message
 from .timers import TimerQueue
 
@@ -171,6 +171,9 @@
     def _on_peer_received(self, instance_id: str, message: Message) -> None:
         match message:
             case Notice():
+                for death in sorted({suspicion.death for suspicion in message.suspicions}):
+                    if not self.registry.has_died(death.upstream_id, death.boot_id):
+                        self.fire(runner_boot_ended(death.upstream_id, death.boot_id), "*")
                 self.registry.merge(message.suspicions, message.clearances)
                 self.fire(peer_send(instance_id, NoticeReceived(message.notice_id)), "*")
             case NoticeReceived(notice_id):
--- a/packages/daemon/src/ibispaddle_daemon/suspects.py
+++ b/packages/daemon/src/ibispaddle_daemon/suspects.py
@@ -16,7 +16,8 @@
 from ibispaddle_core.runstate import RunState
 
 from .calls import CallResult, Calls
-from .events import CallFailure
+from .engine_answers import is_unreachable
+from .events import CallFailure, runner_failed
 from .quarantine import suspect_completed, upstream_died
 
 # Time for the upstream to show that it still runs.
@@ -90,6 +91,15 @@
             boot_id += SUCCESSOR_MARK
         return boot_id
 
+    def has_ended(self, upstream_id: str, boot_id: str) -> bool:
+        """Return whether a boot of an upstream is known to have died."""
+        return self._registry.has_died(upstream_id, boot_id)
+
+    @staticmethod
+    def reported_boot(boot_id: str) -> str:
+        """Return the last boot that was reported when `boot_in_use` returned this one."""
+        return boot_id.rstrip(SUCCESSOR_MARK)
+
     def completed(self, fingerprint: str) -> None:
         """Clear the suspicion of a request that was answered."""
         if self.is_suspect(fingerprint):
@@ -98,17 +108,24 @@
     def examine(self, lost: LostAttempt, done: Callable[[], None]) -> None:
         """Call `done` once the upstream is found alive or all reachable instances know of it."""
         if lost.unreachable:
-            self._died(lost, done)
+            self._is_down(lost, done)
             return
 
         def answered(result: CallResult) -> None:
-            if _shows_death(result, lost.boot_id):
+            if is_unreachable(result):
+                self._is_down(lost, done)
+            elif _shows_death(result, lost.boot_id):
                 self._died(lost, done)
             else:
                 done()
 
         self._calls.send("GET", f"{lost.base_url}/load", b"", ALIVE_TIMEOUT_MS, answered)
 
+    def _is_down(self, lost: LostAttempt, done: Callable[[], None]) -> None:
+        # The retry must not choose the same upstream before a probe has noticed that it is down.
+        self.fire(runner_failed(lost.upstream_id), "*")
+        self._died(lost, done)
+
     def _died(self, lost: LostAttempt, done: Callable[[], None]) -> None:
         token = f"suspects-{next(self._tokens)}"
         self._waiting[token] = done
--- a/tests/failures/scripted_engine.py
+++ b/tests/failures/scripted_engine.py
@@ -126,9 +126,11 @@
             "state": "live",
         }
 
-    def close(self) -> None:
-        """Stop listening and close all connections."""
+    def close(self, keep: socket.socket | None = None) -> None:
+        """Stop listening and close all connections but one."""
         for sock in (self._listener, *self._open):
+            if sock is keep:
+                continue
             with contextlib.suppress(OSError):
                 sock.shutdown(socket.SHUT_RDWR)
             sock.close()
--- a/tests/failures/test_crashing_requests.py
+++ b/tests/failures/test_crashing_requests.py
@@ -3,7 +3,8 @@
 import time
 from dataclasses import replace
 
-from .support import FAST_SETTINGS, Call, FleetTest, wait_until
+from .scripted_engine import ScriptedEngine, publish_with
+from .support import FAST_SETTINGS, Call, FleetTest, metric, wait_until
 
 MARKER = "kraschar-motorn"
 MOST_DEATHS = 2
@@ -94,3 +95,59 @@
                 lambda e=entry, p=prompt: Call(e, prompt=p, tokens=120).ended().is_whole,
                 "answer to an innocent prompt",
             )
+
+
+class SlowDeathTest(FleetTest):
+    """Engines that stop listening some time before the connection of the crashing request breaks."""
+
+    SPEC = replace(FleetTest.SPEC, entries=2, runners=0, instance_settings=FAST_SETTINGS)
+    FLEET_PER_TEST = True
+
+    def test_probe_notices_the_death_first(self):
+        """Guard against a death that is not counted because a probe cancelled the attempt."""
+
+        def die(engine, conn, path, request_id, body) -> bool:
+            engine.runs += 1
+            engine.close(keep=conn)
+            time.sleep(1.5)
+            return False
+
+        engines = [ScriptedEngine(f"runner.{n}", die) for n in range(6)]
+        for engine in engines:
+            self.addCleanup(engine.close)
+        publish_with(self.fleet, *engines)
+        for entry in self.fleet.entries:
+            wait_until(
+                lambda e=entry: metric(e, "ibispaddle_runners_live") == len(engines), "live engines"
+            )
+        for number in range(3):
+            call = Call(self.fleet.entries[number % 2], timeout_ms=8_000, stream=False).ended()
+            self.assert_no_fault(call)
+            runs = sum(engine.runs for engine in engines)
+            self.assertLessEqual(runs, MOST_DEATHS, f"after {number} resends: {call.describe()}")
+        self.assertEqual((call.status, call.run_state), (422, "not_run"), call.describe())
+
+
+class DeathNoticeTest(FleetTest):
+    """Instances that do not probe, so that only another instance's notice tells of a death."""
+
+    SPEC = replace(
+        FleetTest.SPEC,
+        entries=2,
+        runners=4,
+        engine_options=("--crash-marker", MARKER),
+        instance_settings={"list_poll_interval_ms": 200, "probe_interval_ms": 60_000},
+    )
+    FLEET_PER_TEST = True
+
+    def test_other_instances_avoid_the_dead_engine(self):
+        """Guard against attempts at an engine that another instance has seen die."""
+        first, second = self.fleet.entries
+        prompt = f"Draft a motif. {MARKER}"
+        self.assertFalse(Call(first, prompt=prompt, timeout_ms=3_000).ended().is_done)
+        dead = [runner for runner in self.fleet.runners if not runner.running]
+        self.assertTrue(dead, "no engine died; the test shows nothing")
+        before = metric(second, "ibispaddle_attempts_total")
+        calls = [Call(second, prompt=f"innocent {n}") for n in range(24)]
+        self.assertTrue(all(call.ended().is_whole for call in calls))
+        self.assertEqual(metric(second, "ibispaddle_attempts_total") - before, len(calls))
