Added commands that drain and restore an upstream

Cause: taking a runner or service out of use needed a change of the platform's instance list.

Change: the configuration has the field drained_upstreams, an object by upstream id, so that overlays merge with it and two drains do not replace each other. `upstreams drain` and `upstreams restore` read the base from the log, apply the edited document with its revision, and start again after a conflict. The membership view shows such an upstream as drained; the entry and the services treat it like a leaving one. `config apply` refuses a document without the field while the replaced one drains upstreams, because a file on disk does not have what the command changed.

The 8 streams that were running, at least one of them on the drained runner, ended whole, and the runner was used again after the restore. The test fails without the drained set in the view. Before: no such command.

--- a/packages/client/src/ibispaddle_client/__main__.py
+++ b/packages/client/src/ibispaddle_client/__main__.py
@@ -18,6 +18,8 @@
     reference,
     schema,
     upstreams,
+    upstreams_drain,
+    upstreams_restore,
     usage,
 )
 from .exceptions import ClientError, ExitStatus
@@ -32,6 +34,8 @@
 app.add_typer(config_app, name="config")
 quarantine_app = typer.Typer(help="Show and lift quarantined requests.", no_args_is_help=True)
 app.add_typer(quarantine_app, name="quarantine")
+upstreams_app = typer.Typer(help="Show upstreams; take one out of use and back.")
+app.add_typer(upstreams_app, name="upstreams")
 
 app.command("check")(check.command)
 app.command("schema")(schema.command)
@@ -42,7 +46,9 @@
 config_app.command("history")(config_history.command)
 config_app.command("wait")(config_wait.command)
 app.command("instances")(instances.command)
-app.command("upstreams")(upstreams.command)
+upstreams_app.callback(invoke_without_command=True)(upstreams.command)
+upstreams_app.command("drain")(upstreams_drain.command)
+upstreams_app.command("restore")(upstreams_restore.command)
 app.command("order")(order.command)
 app.command("usage")(usage.command)
 quarantine_app.command("list")(quarantine_list.command)
--- a/packages/client/src/ibispaddle_client/commands/config_apply.py
+++ b/packages/client/src/ibispaddle_client/commands/config_apply.py
@@ -1,23 +1,17 @@
 """Apply a change of one layer of the configuration."""
 
-import getpass
-import time
-import uuid
 from pathlib import Path
 from typing import Annotated, Any
 
 import typer
 
-from ..api import OperatorApi, UndeterminedError
+from ..api import OperatorApi
+from ..changes import apply_change, new_change
 from ..documents import read_document
-from ..exceptions import ClientError, UnreachableError
+from ..exceptions import UsageError
 from ..output import print_json
 from .config_wait import WaitSeconds, wait_in_force
-from .options import DEFAULT_SERVER, AsJson, OperatorKey, Server
-
-# The same change id is sent again until its outcome is known; it takes effect at most once.
-ATTEMPTS = 4
-RETRY_DELAY_S = 0.5
+from .options import DEFAULT_SERVER, AsJson, OperatorKey, Server, Wait
 
 Document = Annotated[Path, typer.Argument(help="New document of the layer.")]
 Layer = Annotated[str, typer.Option(help="'base' or 'site:NAME'.")]
@@ -25,19 +19,19 @@
     int | None,
     typer.Option("--expected-revision", help="Revision the change is based on; default: current."),
 ]
-Wait = Annotated[bool, typer.Option("--wait", help="Wait until it is in force at all instances.")]
 
 
-def apply_change(api: OperatorApi, change: dict[str, Any]) -> dict[str, Any]:
-    """Send a change until its outcome is known and return the instance's answer."""
-    for attempt in range(ATTEMPTS):
-        try:
-            return api.post("config", change)
-        except (UndeterminedError, UnreachableError):
-            if attempt == ATTEMPTS - 1:
-                raise
-            time.sleep(RETRY_DELAY_S)
-    raise ClientError("the change was not sent")
+def check_drained(current: dict[str, Any], layer: str, document: dict[str, Any]) -> None:
+    """Refuse a document that lacks the drained upstreams of the layer that it replaces.
+
+    Documents are usually kept in files, which do not have what `upstreams drain` changed since.
+    """
+    drained = current.get("layers", {}).get(layer, {}).get("drained_upstreams")
+    if drained and "drained_upstreams" not in document:
+        raise UsageError(
+            f"the document would restore {', '.join(sorted(drained))}; add 'drained_upstreams' to"
+            " it, as 'ibispaddle upstreams' shows them, or as {} to restore all"
+        )
 
 
 def command(
@@ -55,15 +49,12 @@
     Example: ibispaddle config apply vasteras.json --layer site:vasteras --wait
     """
     api = OperatorApi(server, key)
+    content = read_document(document)
     if expected_revision is None:
-        expected_revision = int(api.get("config")["revision"])
-    change = {
-        "change_id": str(uuid.uuid4()),
-        "expected_revision": expected_revision,
-        "layer": layer,
-        "document": read_document(document),
-        "author": getpass.getuser(),
-    }
+        current = api.get("config")
+        check_drained(current, layer, content)
+        expected_revision = int(current["revision"])
+    change = new_change(expected_revision, layer, content)
     answer = apply_change(api, change)
     if as_json:
         print_json(answer)
--- a/packages/client/src/ibispaddle_client/commands/options.py
+++ b/packages/client/src/ibispaddle_client/commands/options.py
@@ -19,4 +19,10 @@
         "--key", envvar="IBISPADDLE_KEY", help="Operator key; the variable keeps it off the screen."
     ),
 ]
+# For a group of commands that also is a command: its subcommands have a key of their own.
+OptionalOperatorKey = Annotated[
+    str, typer.Option("--key", envvar="IBISPADDLE_KEY", help="Operator key.")
+]
+Upstream = Annotated[str, typer.Argument(help="Id of the upstream, from 'upstreams'.")]
+Wait = Annotated[bool, typer.Option("--wait", help="Wait until it is in force at all instances.")]
 DEFAULT_SERVER = "http://127.0.0.1:8080"
--- a/packages/client/src/ibispaddle_client/commands/order.py
+++ b/packages/client/src/ibispaddle_client/commands/order.py
@@ -11,13 +11,12 @@
 from ..api import OperatorApi, UndeterminedError
 from ..exceptions import ClientError, UnreachableError
 from ..output import print_json
-from .options import DEFAULT_SERVER, AsJson, OperatorKey, Server
+from .options import DEFAULT_SERVER, AsJson, OperatorKey, Server, Upstream
 
 # The same order id is sent again until the log has it; the first record counts.
 ATTEMPTS = 4
 RETRY_DELAY_S = 0.5
 
-Upstream = Annotated[str, typer.Argument(help="Id of the runner, from 'upstreams'.")]
 ActionName = Annotated[Action, typer.Argument(help="What the runner is to do.")]
 Argument = Annotated[str, typer.Argument(help="Name of the model, the adapter or the role.")]
 
--- a/packages/client/src/ibispaddle_client/commands/upstreams.py
+++ b/packages/client/src/ibispaddle_client/commands/upstreams.py
@@ -1,15 +1,33 @@
 """Show the runners and services that an instance knows."""
 
+from typing import Any
+
+import typer
+
 from ..api import OperatorApi
+from ..exceptions import UsageError
 from ..output import print_json, print_table
-from .options import DEFAULT_SERVER, AsJson, OperatorKey, Server
+from .options import DEFAULT_SERVER, AsJson, OptionalOperatorKey, Server
 
 
-def command(key: OperatorKey, server: Server = DEFAULT_SERVER, as_json: AsJson = False) -> None:
-    """Show each upstream with its state and whether it checks fencing tokens.
+def command(
+    context: typer.Context,
+    key: OptionalOperatorKey = "",
+    server: Server = DEFAULT_SERVER,
+    as_json: AsJson = False,
+) -> None:
+    """Show each upstream with its state, or take one out of use and back.
 
     Example: ibispaddle upstreams --json
     """
+    if context.invoked_subcommand is not None:
+        given = [n for n in context.params if _is_given(context, n)]
+        if given:
+            name = context.invoked_subcommand
+            raise UsageError(f"options of 'upstreams {name}' come after the word '{name}'")
+        return
+    if not key:
+        raise UsageError("an operator key is needed in '--key' or IBISPADDLE_KEY")
     upstreams = OperatorApi(server, key).get("upstreams")["upstreams"]
     if as_json:
         print_json(upstreams)
@@ -20,7 +38,7 @@
             u["kind"],
             u["data_centre"],
             u["address"],
-            u["state"],
+            _describe_state(u),
             ", ".join(u["models"]) or u["service"] or "",
             "yes" if u["checks_fencing"] else "no",
         )
@@ -28,3 +46,16 @@
     ]
     columns = ("upstream", "kind", "data centre", "address", "state", "serves", "checks fencing")
     print_table(columns, rows)
+
+
+def _is_given(context: typer.Context, name: str) -> bool:
+    source = context.get_parameter_source(name)
+    return source is not None and source.name == "COMMANDLINE"
+
+
+def _describe_state(upstream: dict[str, Any]) -> str:
+    """Return the state; one that is down or leaving is drained as well if an operator said so."""
+    state = str(upstream["state"])
+    # Instances of the previous version do not send the field.
+    also = upstream.get("drained") and state != "drained"
+    return f"{state}, drained" if also else state
--- /dev/null
+++ b/packages/client/src/ibispaddle_client/commands/upstreams_restore.py
@@ -0,0 +1,25 @@
+"""Give a drained runner or service work again."""
+
+from ..api import OperatorApi
+from ..changes import edit_base
+from ..drains import check_overlays, report, restored
+from .config_wait import WaitSeconds
+from .options import DEFAULT_SERVER, AsJson, OperatorKey, Server, Upstream, Wait
+
+
+def command(
+    upstream: Upstream,
+    key: OperatorKey,
+    wait: Wait = False,
+    timeout_s: WaitSeconds = 10.0,
+    server: Server = DEFAULT_SERVER,
+    as_json: AsJson = False,
+) -> None:
+    """Give a drained runner or service new work again.
+
+    Example: ibispaddle upstreams restore runner.1
+    """
+    api = OperatorApi(server, key)
+    check_overlays(api, upstream)
+    answer = edit_base(api, lambda base: restored(base, upstream))
+    report(api, f"'{upstream}' is not drained", answer, timeout_s if wait else None, as_json)
--- a/packages/core/src/ibispaddle_core/membership/view.py
+++ b/packages/core/src/ibispaddle_core/membership/view.py
@@ -8,8 +8,10 @@
   ends only with a newer list version that says live, a departure reported by the member itself
   only with a new boot of the member.
 * The list decides about membership: a member that it no longer has gets no new work.
+* The configuration decides which upstreams are drained; neither list nor upstream cancels that.
 """
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -39,6 +41,7 @@
 
     LIVE = "live"
     LEAVING = "leaving"  # Finishes what it has, gets no new work.
+    DRAINED = "drained"  # Taken out of use by an operator: finishes what it has.
     DOWN = "down"
     FORGOTTEN = "forgotten"  # Not listed but answering: finishes what it has, gets no new work.
 
@@ -108,6 +111,7 @@
         self._records: dict[str, _Record] = {instance_id: _Record(own, -1, 0)}
         self._held: dict[Kind, tuple[int, int]] = {}  # First reading's time and number of readings.
         self._missing: set[str] = set()
+        self._drained: frozenset[str] = frozenset()
         self._sorted_ids: list[str] = []
         self._instances = 1
         self.version = -1
@@ -231,6 +235,17 @@
         elif is_new:
             record.leaving_boot = None
 
+    def set_drained(self, upstream_ids: Iterable[str]) -> None:
+        """Replace the set of drained upstreams; ids that are not known yet count later."""
+        self._drained = frozenset(upstream_ids)
+
+    def is_drained(self, member_id: str) -> bool:
+        """Return whether an operator took an upstream out of use, whatever its state is."""
+        record = self._records.get(member_id)
+        # Instances are drained by a planned stop; a configuration cannot exclude them from duties.
+        is_upstream = record is not None and record.entry.kind is not Kind.ENTRY
+        return is_upstream and member_id in self._drained
+
     def state(self, member_id: str, now_ms: int) -> MemberState | None:
         """Return the state of a member, `None` if it is unknown."""
         record = self._records.get(member_id)
@@ -243,6 +258,8 @@
             return MemberState.LEAVING if record.list_leaving else MemberState.LIVE
         if record.list_leaving or record.leaving_boot is not None:
             return MemberState.LEAVING
+        if self.is_drained(member_id):
+            return MemberState.DRAINED
         return MemberState.LIVE if record.listed else MemberState.FORGOTTEN
 
     def _is_down(self, member_id: str, record: _Record, now_ms: int) -> bool:
--- a/packages/core/src/ibispaddle_core/settings/fleet.py
+++ b/packages/core/src/ibispaddle_core/settings/fleet.py
@@ -104,6 +104,12 @@
     )
 
 
+class DrainConfig(SettingsModel):
+    """An upstream that an operator took out of use."""
+
+    author: str = Field("", description="Operator who took it out of use.")
+
+
 class FleetConfig(SettingsModel):
     """The whole configuration of the fleet, as in force at one site."""
 
@@ -117,6 +123,9 @@
     services: dict[str, ServiceConfig] = Field(
         default_factory=dict, description="Plain services, by id."
     )
+    drained_upstreams: dict[str, DrainConfig] = Field(
+        default_factory=dict, description="Upstreams that get no new work, by id."
+    )
     operator_key_sha256: tuple[Sha256Hex, ...] = Field(
         (), strict=False, description="SHA-256 of each operator key."
     )
--- a/packages/daemon/src/ibispaddle_daemon/fleet_operations.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet_operations.py
@@ -44,6 +44,7 @@
                 "data_centre": member.entry.data_centre,
                 "address": member.entry.address,
                 "state": str(member.state),
+                "drained": self._view.is_drained(member.entry.id),
                 "models": list(member.entry.models),
                 "service": member.entry.service,
                 "checks_fencing": member.entry.fenced,
--- a/packages/daemon/src/ibispaddle_daemon/instance_list.py
+++ b/packages/daemon/src/ibispaddle_daemon/instance_list.py
@@ -19,7 +19,7 @@
     MemberState,
     parse_list,
 )
-from ibispaddle_core.settings import InstanceSettings
+from ibispaddle_core.settings import FleetConfig, InstanceSettings
 
 from .events import (
     Headers,
@@ -49,6 +49,7 @@
 MAX_QUICK_READINGS = 10
 # States also change without a reading, for instance when heartbeats stop.
 REVIEW_INTERVAL_MS = 500
+_WITHOUT_NEW_WORK = (MemberState.LEAVING, MemberState.FORGOTTEN, MemberState.DRAINED)
 
 
 def turn_length_ms(interval_ms: int, list_bytes: int, instances: int) -> int:
@@ -68,8 +69,8 @@
 class InstanceListReader(BaseComponent):
     """Read the list, merge it into the shared view and report changes.
 
-    `list_changed(entries)` carries the entries in use: a forgotten member is given as leaving, and
-    a member that is down keeps its listed state. `members_changed(members)` carries all states.
+    `list_changed(entries)` carries the entries in use: a forgotten or drained member is given as
+    leaving, and a member that is down keeps its listed state. `members_changed(members)` carries all states.
     """
 
     channel = "instance_list"
@@ -182,6 +183,11 @@
         self._timers.after(REVIEW_INTERVAL_MS, self._review)
         self._report()
 
+    @handler("configuration_changed", channel="*")
+    def _on_configuration_changed(self, config: FleetConfig, revision: int) -> None:
+        self._view.set_drained(config.drained_upstreams)
+        self._report()
+
     @handler("runner_failed", channel="*", priority=-1)
     def _on_runner_failed(self, upstream_id: str) -> None:
         now_ms = self._clock.now_ms()
@@ -199,6 +205,6 @@
 
 
 def _entry_in_use(member: Member) -> ListEntry:
-    if member.state in (MemberState.LEAVING, MemberState.FORGOTTEN):
+    if member.state in _WITHOUT_NEW_WORK:
         return msgspec.structs.replace(member.entry, state=ListedState.LEAVING)
     return member.entry
--- a/tests/client/test_against_instance.py
+++ b/tests/client/test_against_instance.py
@@ -41,6 +41,7 @@
         """Guard against an operator who cannot see which upstreams take work."""
         upstreams = self.read("upstreams")
         self.assertEqual(sorted(u["kind"] for u in upstreams), ["runner"] * 4 + ["service"])
+        self.assertEqual({u["drained"] for u in upstreams}, {False})
 
     def test_account_equals_the_tokens_of_the_answers(self):
         """Guard against tokens that are missing from the account or that count twice."""
--- a/tests/client/test_online_commands.py
+++ b/tests/client/test_online_commands.py
@@ -6,7 +6,12 @@
 import unittest
 
 from ibispaddle_client.__main__ import app
-from ibispaddle_client.exceptions import ConflictError, UnreachableError, WaitTimeoutError
+from ibispaddle_client.exceptions import (
+    ConflictError,
+    UnreachableError,
+    UsageError,
+    WaitTimeoutError,
+)
 from typer.testing import CliRunner
 
 from .fakes import FakeInstance
@@ -59,6 +64,41 @@
         self.assertIsInstance(outcome.exception, ConflictError)
         self.assertIn("'berg'", str(outcome.exception))
 
+    def base(self, revision, **fields):
+        return 200, {"revision": revision, "layers": {"base": fields}}
+
+    def test_drain_is_repeated_on_top_of_an_unrelated_change(self):
+        """Guard against a drain that is lost to, or overwrites, another operator's change."""
+        listed = (200, {"upstreams": [{"id": "r.1"}]})
+        conflict = (409, {"error": {"code": "conflict", "message": "m"}})
+        newer = self.base(5, limits={}, drained_upstreams={"r.2": {}})
+        fake = self.start(
+            {
+                "GET /operator/upstreams": [listed],
+                "GET /operator/config": [self.base(4), self.base(4), newer],
+                "POST /operator/config": [conflict, ACCEPTED],
+            }
+        )
+        outcome = self.invoke(fake, "upstreams", "drain", "r.1")
+        self.assertIn("from revision 7 on", outcome.output, outcome.exception)
+        first, second = fake.bodies
+        self.assertEqual([first["expected_revision"], second["expected_revision"]], [4, 5])
+        self.assertNotEqual(first["change_id"], second["change_id"])
+        self.assertEqual(second["document"].keys(), {"limits", "drained_upstreams"})
+        self.assertEqual(second["document"]["drained_upstreams"].keys(), {"r.1", "r.2"})
+
+    def test_options_before_the_subcommand_are_refused(self):
+        """Guard against an option that is accepted and then ignored."""
+        outcome = self.invoke(self.start({}), "upstreams", "--json", "drain", "r.1")
+        self.assertIsInstance(outcome.exception, UsageError)
+
+    def test_document_from_a_file_does_not_restore_drained_upstreams(self):
+        """Guard against work for an upstream under repair after an unrelated change."""
+        fake = self.start({"GET /operator/config": [self.base(4, drained_upstreams={"r.1": {}})]})
+        outcome = self.invoke(fake, "config", "apply", self.document())
+        self.assertIsInstance(outcome.exception, UsageError)
+        self.assertIn("restore r.1", str(outcome.exception))
+
     def test_wait_ends_when_all_instances_have_the_revision(self):
         """Guard against a report of success while an instance still lags."""
         fake = self.start({"GET /operator/instances": [instances(7, 4), instances(7, 7)]})
--- a/tests/failures/test_leaving_upstreams.py
+++ b/tests/failures/test_leaving_upstreams.py
@@ -5,12 +5,18 @@
 from collections.abc import Callable
 from dataclasses import replace
 
+from ibispaddle_bench.fleet import OPERATOR_KEY
 from ibispaddle_bench.processes import ManagedProcess
+from ibispaddle_client.__main__ import app
+from typer.testing import CliRunner
 
 from .support import Call, FleetTest, ServiceCall, wait_until
 
 # From the moment at which the list shows the change.
 NO_NEW_WORK_S = 2.0
+# From the moment at which a change of the configuration is in force; covers what was sent before.
+SENT_BEFORE_S = 0.1
+IN_FORCE_S = 4.0
 
 
 class LeavingTest(FleetTest):
@@ -60,12 +66,17 @@
         state = process.state()
         return state["arrivals"] if "arrivals" in state else state["arrived"]
 
-    def check(self, process: ManagedProcess, change: Callable[[], None]) -> None:
+    def check(
+        self,
+        process: ManagedProcess,
+        change: Callable[[], None],
+        settle_s: float = NO_NEW_WORK_S,
+    ) -> None:
         """Check that an upstream is in use, and gets no new work after the change."""
         before = self.arrivals(process)
         wait_until(lambda: self.arrivals(process) > before + 3, "use of the upstream")
         change()
-        time.sleep(NO_NEW_WORK_S)
+        time.sleep(settle_s)
         after = self.arrivals(process)
         served = len(self.calls)
         time.sleep(1.5)
@@ -82,13 +93,29 @@
         self.fleet.unlisted.add(process.name)
         self.fleet.publish()
 
-    def check_with_streams(self, change: Callable[[ManagedProcess], None]) -> None:
+    def operate(self, *args: str) -> None:
+        """Run a command of the operators' client."""
+        env = {"IBISPADDLE_SERVER": self.entry.url, "IBISPADDLE_KEY": OPERATOR_KEY}
+        outcome = CliRunner(env=env).invoke(app, list(args))
+        self.assertIsNone(outcome.exception, f"{outcome.output} {outcome.exception}")
+
+    def drain(self, process: ManagedProcess) -> None:
+        """Let an operator drain an upstream, and wait until the change is in force everywhere."""
+        # The base of the files is in force only while the log has none.
+        self.operate("config", "apply", str(self.fleet.folder / "base.json"))
+        started = time.monotonic()
+        self.operate("upstreams", "drain", process.name, "--wait")
+        self.assertLess(time.monotonic() - started, IN_FORCE_S)
+
+    def check_with_streams(
+        self, change: Callable[[ManagedProcess], None], settle_s: float = NO_NEW_WORK_S
+    ) -> None:
         """Check that the streams of an engine go on after the change."""
         prompts = [f"long stream {n}" for n in range(8)]
         streams = [Call(self.entry, prompt=p, tokens=900, timeout_ms=30_000) for p in prompts]
         for stream in streams:
             stream.wait_for_tokens()
-        self.check(self.runner, lambda: change(self.runner))
+        self.check(self.runner, lambda: change(self.runner), settle_s)
         self.end_load()
         running = self.runner.state()["running"]
         self.assertGreater(running, 0, "no stream was left at the engine; the test shows nothing")
@@ -119,3 +146,23 @@
         """Guard against new prompts for an engine that leaves before the list says so."""
         self.check(self.runner, lambda: self.runner.set_faults(leaving=True))
         self.end_load()
+
+    def test_drained_runner(self):
+        """Guard against new prompts for a drained engine, cut streams, and a drain without end."""
+        self.check_with_streams(self.drain, SENT_BEFORE_S)
+        self.operate("upstreams", "restore", self.runner.name, "--wait")
+        before = self.arrivals(self.runner)
+        prompts = iter(range(1_000))
+
+        def is_used() -> bool:
+            Call(self.entry, prompt=f"after {next(prompts)}", tokens=1).ended()
+            return self.arrivals(self.runner) > before
+
+        wait_until(is_used, "use of the restored engine")
+
+    def test_drained_service(self):
+        """Guard against new calls for a drained service, and against lost calls."""
+        service = self.fleet.services[0]
+        service.set_faults(answer_delay_ms=300)
+        self.check(service, lambda: self.drain(service), SENT_BEFORE_S)
+        self.end_load()
--- a/tests/membership/test_view.py
+++ b/tests/membership/test_view.py
@@ -200,6 +200,18 @@
 OBSERVATION = st.tuples(st.just("see"), st.booleans(), st.sampled_from([None, "b", "c"]))
 
 
+class DrainTest(unittest.TestCase):
+    def test_a_drain_applies_to_upstreams_only(self):
+        """Guard against a configuration that takes an instance out of its shared duties."""
+        view = MembershipView("a")
+        view.set_drained(("r0", "b"))
+        view.apply_list(fleet(1, ("r0", "r1")), 0)
+        states = [view.state(name, 0) for name in ("r0", "r1", "b")]
+        self.assertEqual(states, [MemberState.DRAINED, MemberState.LIVE, MemberState.LIVE])
+        view.observe("r0", False, 1)
+        self.assertEqual((view.state("r0", 1), view.is_drained("r0")), (MemberState.DOWN, True))
+
+
 class LeavingPropertyTest(unittest.TestCase):
     @FIXED
     @given(st.lists(st.one_of(LIST_READING, HEARTBEAT, OBSERVATION), max_size=40), st.booleans())
