Added a command that lists workspaces and shares

Cause: an operator had to read the whole configuration to learn which workspace belongs to which neighbour, and to compute shares from weights.

Change: `ibispaddle workspaces` prints both from the configuration in force at the instance that answers. It prints no key and no digest of a key.

Result: weights 1 and 3 are shown as 25.0 and 75.0 per cent by a running fleet of 2 instances. Before: no such command.

--- a/packages/client/src/ibispaddle_client/__main__.py
+++ b/packages/client/src/ibispaddle_client/__main__.py
@@ -21,6 +21,7 @@
     upstreams_drain,
     upstreams_restore,
     usage,
+    workspaces,
 )
 from .exceptions import ClientError, ExitStatus
 
@@ -51,6 +52,7 @@
 upstreams_app.command("restore")(upstreams_restore.command)
 app.command("order")(order.command)
 app.command("usage")(usage.command)
+app.command("workspaces")(workspaces.command)
 quarantine_app.command("list")(quarantine_list.command)
 quarantine_app.command("lift")(quarantine_lift.command)
 
--- /dev/null
+++ b/packages/client/src/ibispaddle_client/commands/workspaces.py
@@ -0,0 +1,67 @@
+"""Show the workspaces and the share of each neighbour."""
+
+from typing import Any
+
+import typer
+
+from ..api import OperatorApi
+from ..exceptions import ClientError
+from ..output import print_json, print_table
+from .options import DEFAULT_SERVER, AsJson, OperatorKey, Server
+
+
+def describe(config: dict[str, Any]) -> dict[str, list[dict[str, Any]]]:
+    """Return neighbours with their share, and workspaces, of a configuration in force.
+
+    A neighbour's share is its weight's part of all configured weights, which it is owed while all
+    neighbours have work waiting.
+
+    >>> describe({"neighbours": {"a": {"weight": 1.0}, "b": {"weight": 3.0}}, "workspaces": {}})[
+    ...     "neighbours"
+    ... ][1]
+    {'neighbour': 'b', 'weight': 3.0, 'share_percent': 75.0}
+    """
+    weights = {name: n["weight"] for name, n in sorted(config["neighbours"].items())}
+    total = sum(weights.values())
+    names = ("neighbour", "models", "services")
+    return {
+        "neighbours": [
+            {"neighbour": name, "weight": weight, "share_percent": round(100 * weight / total, 3)}
+            for name, weight in weights.items()
+        ],
+        "workspaces": [
+            {"workspace": workspace, **{name: fields[name] for name in names}}
+            for workspace, fields in sorted(config["workspaces"].items())
+        ],
+    }
+
+
+def command(key: OperatorKey, server: Server = DEFAULT_SERVER, as_json: AsJson = False) -> None:
+    """Show workspaces with neighbour, models and services, and each neighbour's share.
+
+    The values are those in force at the instance that answers, with its site's overlay.
+
+    Example: ibispaddle workspaces --json
+    """
+    config = OperatorApi(server, key).get("config")["in_force"]
+    if config is None:
+        raise ClientError("the instance has no configuration in force yet")
+    described = describe(config)
+    if as_json:
+        print_json(described)
+        return
+    print_table(
+        ("neighbour", "weight", "share (%)"),
+        [
+            (n["neighbour"], f"{n['weight']:g}", f"{n['share_percent']:.1f}")
+            for n in described["neighbours"]
+        ],
+    )
+    typer.echo("")
+    print_table(
+        ("workspace", "neighbour", "models", "services"),
+        [
+            (w["workspace"], w["neighbour"], ", ".join(w["models"]), ", ".join(w["services"]))
+            for w in described["workspaces"]
+        ],
+    )
--- a/tests/client/test_against_instance.py
+++ b/tests/client/test_against_instance.py
@@ -7,7 +7,7 @@
 import unittest
 
 import requests
-from ibispaddle_bench.fleet import MODEL, OPERATOR_KEY, WORKSPACE_KEYS, Fleet, FleetSpec
+from ibispaddle_bench.fleet import MODEL, OPERATOR_KEY, SERVICE, WORKSPACE_KEYS, Fleet, FleetSpec
 from ibispaddle_client.__main__ import app
 from ibispaddle_client.exceptions import ConflictError
 from typer.testing import CliRunner
@@ -21,7 +21,11 @@
     @classmethod
     def setUpClass(cls):
         spec = FleetSpec(
-            entries=2, runners=4, services=1, engine_options=("--crash-marker", MARKER)
+            entries=2,
+            runners=4,
+            services=1,
+            engine_options=("--crash-marker", MARKER),
+            configuration={"neighbours": {"south": {"weight": 3.0}}},
         )
         cls.fleet = Fleet(spec)
         cls.fleet.__enter__()
@@ -43,6 +47,16 @@
         self.assertEqual(sorted(u["kind"] for u in upstreams), ["runner"] * 4 + ["service"])
         self.assertEqual({u["drained"] for u in upstreams}, {False})
 
+    def test_workspaces_are_listed_with_the_shares_of_their_neighbours(self):
+        """Guard against shares that do not follow the weights, and against keys in the output."""
+        outcome = self.invoke("workspaces")
+        rows = [line.split() for line in outcome.output.splitlines()]
+        self.assertIn(["north", "1", "25.0"], rows)
+        self.assertIn(["large", "north", MODEL, SERVICE], rows)
+        found = self.read("workspaces")
+        self.assertEqual([n["share_percent"] for n in found["neighbours"]], [25.0, 75.0])
+        self.assertNotIn("key", json.dumps(found))
+
     def test_account_equals_the_tokens_of_the_answers(self):
         """Guard against tokens that are missing from the account or that count twice."""
         headers = {"Authorization": f"Bearer {WORKSPACE_KEYS['large']}"}
