Added a command that shows the spans of a recent request

Cause: without access to the trace collector an operator could not see where a request waited, which upstreams it tried and how the attempts ended.

`ibispaddle trace` asks any instance, which fetches the trace from the instance that the request id names with the existing StateRequest. Only named attributes are kept; the text of an upstream's error is not. Calls of services carry the request id, workspace and outcome too.

--- a/packages/client/src/ibispaddle_client/__main__.py
+++ b/packages/client/src/ibispaddle_client/__main__.py
@@ -17,6 +17,7 @@
     quarantine_list,
     reference,
     schema,
+    trace,
     upstreams,
     upstreams_drain,
     upstreams_restore,
@@ -52,6 +53,7 @@
 upstreams_app.command("restore")(upstreams_restore.command)
 app.command("order")(order.command)
 app.command("usage")(usage.command)
+app.command("trace")(trace.command)
 app.command("workspaces")(workspaces.command)
 quarantine_app.command("list")(quarantine_list.command)
 quarantine_app.command("lift")(quarantine_lift.command)
--- a/packages/daemon/src/ibispaddle_daemon/app.py
+++ b/packages/daemon/src/ibispaddle_daemon/app.py
@@ -33,6 +33,7 @@
 from .shares import Shares
 from .suspects import Suspects
 from .timers import TimerQueue
+from .traces import RequestTraces
 from .tracing import Tracing
 from .usage import Usage
 
@@ -122,6 +123,9 @@
         self.claims = Claims(settings, clock.wall_ms(), clock, timers).register(self)
         self.operators = Operators(settings, self.configuration, clock).register(self)
         FleetOperations(self.operators, self.view, self.quarantine, clock).register(self)
+        RequestTraces(
+            settings.instance_id, self.tracing.recent, self.operators, self.view, timers
+        ).register(self)
         Orders(settings, self.operators, self.view, clock.wall_ms(), clock, timers).register(self)
         UsageAccount(
             settings, self.operators, self.configuration, self.view, clock, timers
--- a/packages/daemon/src/ibispaddle_daemon/entry.py
+++ b/packages/daemon/src/ibispaddle_daemon/entry.py
@@ -288,6 +288,7 @@
         self._metrics.tokens.add({"workspace": request.req.workspace}, request.tokens)
         request.span.set_attribute("ibispaddle.code", code)
         request.span.set_attribute("ibispaddle.tokens", request.tokens)
+        request.span.set_attribute("ibispaddle.attempts", request.attempts)
         request.span.end()
         log_event(
             logevents.REQUEST_ENDED,
--- a/packages/daemon/src/ibispaddle_daemon/services.py
+++ b/packages/daemon/src/ibispaddle_daemon/services.py
@@ -145,6 +145,8 @@
             return ProtocolError(400, "idempotency_key_required", text, param=KEY_HEADER)
         call_id = f"{self._boot}-s{next(_NUMBERS)}"
         span = self._tracing.start_request(f"{exchange.method} /services/{name}", exchange.headers)
+        span.set_attribute("ibispaddle.request_id", call_id)
+        span.set_attribute("ibispaddle.workspace", caller.name)
         call = ServiceCall(
             call_id=call_id,
             caller=caller,
@@ -263,6 +265,8 @@
         if call is None:
             return
         self._loads[call.upstream_id] -= 1
+        outcome = str(error.failure) if error else str(status)
+        call.attempt_span.set_attribute("ibispaddle.outcome", outcome)
         call.attempt_span.end()
         if call.call_id not in self._calls:
             return
@@ -350,6 +354,7 @@
         now_ms = self._clock.now_ms()
         self._metrics.requests.inc({"code": code})
         call.span.set_attribute("ibispaddle.code", code)
+        call.span.set_attribute("ibispaddle.attempts", call.attempts)
         call.span.end()
         log_event(
             logevents.REQUEST_ENDED,
--- a/packages/daemon/src/ibispaddle_daemon/tracing.py
+++ b/packages/daemon/src/ibispaddle_daemon/tracing.py
@@ -16,6 +16,7 @@
 
 from .events import Headers, HttpCall, HttpCallError, http_call
 from .timers import TimerQueue
+from .traces import RecentTraces
 
 EXPORT_INTERVAL_MS = 1_000
 EXPORT_TIMEOUT_MS = 5_000
@@ -57,6 +58,8 @@
             "cloud.availability_zone": data_centre,
         }
         provider = TracerProvider(resource=Resource(self._resource), shutdown_on_exit=False)
+        self.recent = RecentTraces(instance_id)
+        provider.add_span_processor(self.recent)
         if self._url:
             provider.add_span_processor(self._buffer)
             timers.after(EXPORT_INTERVAL_MS, self._tick)
