Added metrics of waiting requests, retries, shares and appends

Cause: queues, retries and shares could not be watched, and cumulative values were gauges without the suffix of a counter.

Change: waiting requests and the age of the oldest one by prompt length and neighbour, retries by reason, refusals of the retry budget, consumed part and configured share of each neighbour, and appends to the log by stream and result. Neighbours beyond the 50 with the highest weights share one label. Values of labels are escaped, which aioprometheus leaves to the caller. The counters of traffic between instances are renamed to ..._total, and ibispaddle_log_appends is replaced by ibispaddle_log_appends_total, which counts an append when it has ended.

--- a/packages/bench/src/ibispaddle_bench/slopes.py
+++ b/packages/bench/src/ibispaddle_bench/slopes.py
@@ -139,11 +139,12 @@
 
 
 def peer_counters(url: str) -> dict[str, float]:
-    """Return the peer traffic gauges of an instance."""
+    """Return the counters of an instance's traffic with its peers."""
     with urllib.request.urlopen(f"{url}/metrics", timeout=5) as response:
         lines = response.read().decode().splitlines()
     wanted = [line.split() for line in lines if line.startswith("ibispaddle_peer_")]
-    return {words[0].removeprefix("ibispaddle_peer_"): float(words[-1]) for words in wanted}
+    names = [words[0].removeprefix("ibispaddle_peer_").removesuffix("_total") for words in wanted]
+    return {name: float(words[-1]) for name, words in zip(names, wanted, strict=True)}
 
 
 def measure_fleet(instances: int, runners: int, seconds: float, centres: int = 1) -> dict[str, Any]:
--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -99,6 +99,11 @@
         """Return the number of admitted requests that have not ended."""
         return len(self._states)
 
+    @property
+    def retry_budget_refusals(self) -> int:
+        """Return the number of retries that the budget refused since the start."""
+        return self._budget.refused
+
     def consumption(self) -> dict[str, float]:
         """Return this instance's cumulative counters for gossip, in engine milliseconds."""
         return self.shares.own_counters()
--- a/packages/core/src/ibispaddle_core/scheduling/retries.py
+++ b/packages/core/src/ibispaddle_core/scheduling/retries.py
@@ -14,6 +14,7 @@
         self._ratio = ratio
         self._first: deque[int] = deque()
         self._retries: deque[int] = deque()
+        self.refused = 0  # Retries that were refused since the start.
 
     def replace_ratio(self, ratio: float) -> None:
         """Use another ratio of retries to first attempts."""
@@ -27,10 +28,9 @@
     def try_take(self, now_ms: int) -> bool:
         """Take one retry from the budget and return whether there was one."""
         self._expire(now_ms)
-        if self._ratio <= 0:
-            return False
         allowed = max(MIN_RETRIES_PER_WINDOW, self._ratio * len(self._first))
-        if len(self._retries) + 1 > allowed:
+        if self._ratio <= 0 or len(self._retries) + 1 > allowed:
+            self.refused += 1
             return False
         self._retries.append(now_ms)
         return True
--- a/packages/daemon/src/ibispaddle_daemon/app.py
+++ b/packages/daemon/src/ibispaddle_daemon/app.py
@@ -29,6 +29,7 @@
 from .platform_log import PlatformLog
 from .probes import Probes
 from .quarantine import QuarantineGuard
+from .request_gauges import RequestGauges
 from .services import Services
 from .shares import Shares
 from .suspects import Suspects
@@ -132,7 +133,8 @@
         ).register(self)
 
     def _add_gauges(self) -> None:
-        add = self.metrics.add_gauge
+        add, count = self.metrics.add_gauge, self.metrics.add_counter
+        RequestGauges(self.entry, self.clock).add_to(self.metrics)
         add(
             "ibispaddle_caller_connections",
             "Open connections of callers.",
@@ -163,14 +165,14 @@
             "Instances with an authenticated connection.",
             lambda: len(self.peers.connected_peers),
         )
-        add(
-            "ibispaddle_peer_sent_bytes",
-            "Bytes sent to other instances since the start.",
+        count(
+            "ibispaddle_peer_sent_bytes_total",
+            "Bytes sent to other instances.",
             lambda: self.peers.transport.traffic.bytes_out,
         )
-        add(
-            "ibispaddle_peer_received_bytes",
-            "Bytes received from other instances since the start.",
+        count(
+            "ibispaddle_peer_received_bytes_total",
+            "Bytes received from other instances.",
             lambda: self.peers.transport.traffic.bytes_in,
         )
         add(
@@ -183,24 +185,27 @@
             "Bytes read from the platform's log since the start.",
             lambda: self.log.bytes_read,
         )
-        add(
-            "ibispaddle_log_appends",
-            "Appends sent to the platform's log since the start.",
-            lambda: self.log.appends_sent,
+        self.metrics.add_labelled_counter(
+            "ibispaddle_log_appends_total",
+            "Appends to the platform's log that ended, by stream and result.",
+            lambda: [
+                ({"stream": stream, "result": result}, count)
+                for (stream, result), count in self.log.append_results.items()
+            ],
         )
         add(
             "ibispaddle_claim_table_keys",
             "Idempotency keys in the claim table.",
             lambda: len(self.claims.book.table),
         )
-        add(
-            "ibispaddle_peer_sent_messages",
-            "Messages sent to other instances since the start.",
+        count(
+            "ibispaddle_peer_sent_messages_total",
+            "Messages sent to other instances.",
             lambda: self.peers.transport.traffic.frames_out,
         )
-        add(
-            "ibispaddle_peer_received_messages",
-            "Messages received from other instances since the start.",
+        count(
+            "ibispaddle_peer_received_messages_total",
+            "Messages received from other instances.",
             lambda: self.peers.transport.traffic.frames_in,
         )
         add(
--- a/packages/daemon/src/ibispaddle_daemon/attempts.py
+++ b/packages/daemon/src/ibispaddle_daemon/attempts.py
@@ -93,6 +93,7 @@
     def start(self, request: ModelRequest, decision: Dispatch) -> None:
         """Send the request to a runner."""
         request.attempts += 1
+        self._metrics.count_retry(request.attempts, request.last_outcome)
         now_ms = self._clock.now_ms()
         cfg = self._entry.config.scheduling
         model = self._entry.scheduler.cost.model(request.req.model)
--- a/packages/daemon/src/ibispaddle_daemon/entry.py
+++ b/packages/daemon/src/ibispaddle_daemon/entry.py
@@ -1,7 +1,7 @@
 """Requests for models: connects callers, the scheduler and the relay."""
 
 import secrets
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Iterator, Sequence
 
 from circuits import BaseComponent, handler
 from ibispaddle_core import logevents
@@ -51,7 +51,7 @@
 from .http_client import HttpClient
 from .http_exchange import Exchange
 from .logs import log_event
-from .metrics import Metrics, length_class
+from .metrics import Metrics, escape_label, length_class
 from .model_request import ModelRequest
 from .responses import JSON, not_found, respond_error, wrong_method
 from .suspects import Suspects
@@ -119,6 +119,10 @@
         """Return the number of requests that have not ended."""
         return len(self._requests)
 
+    def waiting_requests(self) -> Iterator[Request]:
+        """Return the requests without an attempt in progress, in the order of arrival."""
+        return (r.req for r in self._requests.values() if r.attempt is None)
+
     @property
     def latest_deadline_ms(self) -> int:
         """Return the latest deadline of a request in flight, or 0."""
@@ -285,7 +289,7 @@
             self._metrics.first_token.observe(labels, waited_ms / 1000)
             alone_ms = max(1.0, self.scheduler.cost.alone_ms(request.req))
             self._metrics.slowdown.observe(labels, waited_ms / alone_ms)
-        self._metrics.tokens.add({"workspace": request.req.workspace}, request.tokens)
+        self._metrics.tokens.add({"workspace": escape_label(request.req.workspace)}, request.tokens)
         request.span.set_attribute("ibispaddle.code", code)
         request.span.set_attribute("ibispaddle.tokens", request.tokens)
         request.span.set_attribute("ibispaddle.attempts", request.attempts)
@@ -385,6 +389,7 @@
     def attempt_ended(self, request: ModelRequest, upstream_id: str, outcome: Outcome) -> None:
         """Report the end of an attempt; the scheduler may retry or refuse."""
         self._report_tokens(request)
+        request.last_outcome = str(outcome)
         if outcome is Outcome.COMPLETED:
             self._suspects.completed(request.req.fingerprint)
         refusal = self._suspects.refusal(request.req.fingerprint, request.run_state)
--- a/packages/daemon/src/ibispaddle_daemon/metrics.py
+++ b/packages/daemon/src/ibispaddle_daemon/metrics.py
@@ -1,6 +1,6 @@
 """Metrics of an instance and the paths `/healthz`, `/readyz` and `/metrics`."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 from circuits import BaseComponent, handler
@@ -20,6 +20,19 @@
 _LONGEST_CLASS = "400k_and_more"
 
 
+Labels = dict[str, str]
+Read = Callable[[], Iterable[tuple[Labels, float]]]
+
+
+def escape_label(value: str) -> str:
+    """Return a label's value as the text format needs it, which the renderer leaves to the caller.
+
+    >>> escape_label('a "b"')
+    'a \\\\"b\\\\"'
+    """
+    return value.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
+
+
 def length_class(prompt_tokens: int) -> str:
     """Return the label of a prompt's length class.
 
@@ -41,6 +54,11 @@
         self.attempts = Counter(
             "ibispaddle_attempts_total", "Attempts that ended, by outcome.", registry=self.registry
         )
+        self.retries = Counter(
+            "ibispaddle_retries_total",
+            "Further attempts of a request, by the reason that the one before ended.",
+            registry=self.registry,
+        )
         self.tokens = Counter(
             "ibispaddle_relayed_tokens_total",
             "Generated tokens relayed, by workspace.",
@@ -69,16 +87,35 @@
             registry=self.registry,
             buckets=_SECONDS,
         )
-        self._gauges: list[tuple[Gauge, Callable[[], float]]] = []
+        self._read_late: list[tuple[Gauge | Counter, Read]] = []
 
     def add_gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
         """Add a value that is read when the metrics are rendered."""
-        self._gauges.append((Gauge(name, text, registry=self.registry), read))
+        self.add_labelled_gauge(name, text, lambda: [({}, read())])
+
+    def add_counter(self, name: str, text: str, read: Callable[[], float]) -> None:
+        """Add a value that never falls and is read when the metrics are rendered."""
+        self.add_labelled_counter(name, text, lambda: [({}, read())])
+
+    def add_labelled_gauge(self, name: str, text: str, read: Read) -> None:
+        """Add values by labels; labels that `read` does not give any more disappear."""
+        self._read_late.append((Gauge(name, text, registry=self.registry), read))
+
+    def add_labelled_counter(self, name: str, text: str, read: Read) -> None:
+        """Add values by labels that never fall."""
+        self._read_late.append((Counter(name, text, registry=self.registry), read))
+
+    def count_retry(self, attempts: int, reason: str) -> None:
+        """Count an attempt that is not a request's first one."""
+        if attempts > 1:
+            self.retries.inc({"reason": reason})
 
     def render(self) -> bytes:
         """Return all metrics in the text format."""
-        for gauge, read in self._gauges:
-            gauge.set({}, read())
+        for metric, read in self._read_late:
+            metric.values.clear()
+            for labels, value in read():
+                metric.set(labels, value)
         body, _ = render(self.registry, [])
         return body
 
--- a/packages/daemon/src/ibispaddle_daemon/model_request.py
+++ b/packages/daemon/src/ibispaddle_daemon/model_request.py
@@ -55,6 +55,7 @@
     body: bytes
     attempt: RunningAttempt | None = None
     attempts: int = 0
+    last_outcome: str = ""  # Of the attempt before.
     resumes: int = 0
     unproved_attempts: int = 0  # Attempts that may have run: bytes were sent and no proof came.
     tokens: int = 0
--- a/packages/daemon/src/ibispaddle_daemon/platform_log.py
+++ b/packages/daemon/src/ibispaddle_daemon/platform_log.py
@@ -3,6 +3,7 @@
 # ruff: noqa: N801
 
 import random
+from collections import Counter
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Any
@@ -122,7 +123,7 @@
         self._clock = clock
         self._timers = timers
         self._rng = random.Random(seed)
-        self._appends: dict[str, tuple[Any, str]] = {}
+        self._appends: dict[str, tuple[str, Any, str]] = {}
         self._tails: list[_Tail] = []
         self._reads: dict[str, _Tail] = {}
         self._calls = 0
@@ -132,7 +133,7 @@
         self._available: bool | None = None
         self._stopped = False
         self.bytes_read = 0
-        self.appends_sent = 0
+        self.append_results: Counter[tuple[str, str]] = Counter()  # By stream and result.
 
     @property
     def is_available(self) -> bool:
@@ -149,13 +150,18 @@
     @handler("log_append", channel="*")
     def _on_log_append(self, stream: str, data: Any, token: Any, channel: str) -> None:
         call_id = self._next_call_id()
-        self._appends[call_id] = (token, channel)
-        self.appends_sent += 1
+        self._appends[call_id] = (stream, token, channel)
         headers = (("Content-Type", "application/json"),)
         self._call(call_id, "POST", stream, "", headers, msgspec.json.encode(data))
 
     def _append_completed(
-        self, token: Any, channel: str, status: int, body: bytes, error: HttpCallError | None
+        self,
+        stream: str,
+        token: Any,
+        channel: str,
+        status: int,
+        body: bytes,
+        error: HttpCallError | None,
     ) -> None:
         offset, failure = None, None
         if error is not None:
@@ -174,6 +180,7 @@
             failure = LogError(LogFailure.INVALID, f"status {status}")
         else:
             failure = LogError(LogFailure.LOST, f"status {status}")
+        self.append_results[stream, str(failure.failure) if failure else "ok"] += 1
         is_lost = failure is not None and failure.failure is LogFailure.LOST
         self._lost_answers = self._lost_answers + 1 if is_lost else 0
         if failure is None:
@@ -282,8 +289,7 @@
         self, call_id: str, status: int, headers: Headers, body: bytes, error: HttpCallError | None
     ) -> None:
         if call_id in self._appends:
-            token, channel = self._appends.pop(call_id)
-            self._append_completed(token, channel, status, body, error)
+            self._append_completed(*self._appends.pop(call_id), status, body, error)
         elif call_id in self._reads:
             self._read_completed(self._reads.pop(call_id), status, body, error)
 
--- a/packages/daemon/src/ibispaddle_daemon/services.py
+++ b/packages/daemon/src/ibispaddle_daemon/services.py
@@ -288,6 +288,7 @@
         if error.failure is CallFailure.TIMEOUT:
             self._expire(call)
         elif may_repeat and call.attempts < MAX_ATTEMPTS:
+            self._metrics.retries.inc({"reason": str(error.failure)})
             self._send(call)
         else:
             self._fail(call, 502, "upstream_failed", f"The service '{call.service}' failed.")
