Gave every failure of the daemon a numbered log event

Cause: an exception in a handler, an address in use at the start and six warnings were written as free text, which no alert can select by number.

Change: events 1006 to 1008, 3003, 3004, 4002, 5002, 6000 and 6001. The text of an exception is cut at 500 characters, because it may repeat a body. Refused connections between instances are still written at most once in 10 s, now by the component's clock. The function log_error is gone, and a test refuses calls of the logging library outside logs.py.

--- a/packages/core/src/ibispaddle_core/logevents.py
+++ b/packages/core/src/ibispaddle_core/logevents.py
@@ -38,6 +38,11 @@
 SETTINGS_REJECTED = LogEvent(
     1005, "settings_rejected", Level.ERROR, "The settings have mistakes; the instance cannot start."
 )
+START_FAILED = LogEvent(1006, "start_failed", Level.ERROR, "The instance cannot start.")
+HANDLER_FAILED = LogEvent(
+    1007, "handler_failed", Level.ERROR, "A part of the daemon failed on an event and goes on."
+)
+DAEMON_FAILED = LogEvent(1008, "daemon_failed", Level.ERROR, "The daemon failed and ends.")
 REQUEST_ENDED = LogEvent(2000, "request_ended", Level.INFO, "A request ended.")
 REQUEST_REFUSED = LogEvent(2001, "request_refused", Level.WARNING, "A request was refused.")
 ATTEMPT_FAILED = LogEvent(
@@ -50,16 +55,40 @@
 LIST_UNAVAILABLE = LogEvent(
     3002, "list_unavailable", Level.WARNING, "The instance list cannot be read."
 )
+LOAD_UNREADABLE = LogEvent(
+    3003, "load_unreadable", Level.WARNING, "The load report of a runner cannot be read."
+)
+ORDER_NOT_ACCEPTED = LogEvent(
+    3004, "order_not_accepted", Level.WARNING, "A runner did not accept an order; it is sent again."
+)
 LOG_UNAVAILABLE = LogEvent(
     4000, "log_unavailable", Level.WARNING, "The platform's log cannot be read or appended to."
 )
 LOG_AVAILABLE = LogEvent(4001, "log_available", Level.INFO, "The platform's log answers again.")
+RECORD_UNREADABLE = LogEvent(
+    4002, "record_unreadable", Level.WARNING, "A record of the log cannot be read and is ignored."
+)
 CONFIG_IN_FORCE = LogEvent(
     5000, "config_in_force", Level.INFO, "A configuration revision is in force."
 )
 CONFIG_UNUSABLE = LogEvent(
     5001, "config_unusable", Level.ERROR, "An accepted configuration cannot be used."
 )
+CONFIG_STATE_INVALID = LogEvent(
+    5002,
+    "config_state_invalid",
+    Level.WARNING,
+    "The configuration that another instance sent cannot be read and is ignored.",
+)
+PEER_REFUSED = LogEvent(
+    6000, "peer_refused", Level.WARNING, "A connection between instances was refused or failed."
+)
+SUSPICIONS_UNACKNOWLEDGED = LogEvent(
+    6001,
+    "suspicions_unacknowledged",
+    Level.WARNING,
+    "Instances did not acknowledge in time which requests may crash upstreams.",
+)
 
 
 def all_events() -> list[LogEvent]:
--- a/packages/daemon/src/ibispaddle_daemon/__main__.py
+++ b/packages/daemon/src/ibispaddle_daemon/__main__.py
@@ -3,6 +3,7 @@
 import gc
 import resource
 import sys
+import traceback
 from pathlib import Path
 from typing import Annotated
 
@@ -14,6 +15,7 @@
 from .app import App
 from .loading import read_fleet, read_instance
 
+EXIT_FAILED = 1
 EXIT_SETTINGS = 2
 
 
@@ -37,13 +39,21 @@
         raise typer.Exit(EXIT_SETTINGS) from exc
     except OSError as exc:
         print(f"{settings}: {exc}", file=sys.stderr)
+        logs.log_event(logevents.START_FAILED, reason=str(exc))
         raise typer.Exit(EXIT_SETTINGS) from exc
+    except Exception as exc:
+        logs.log_exception(logevents.START_FAILED, exc, traceback.format_exc())
+        raise typer.Exit(EXIT_FAILED) from exc
     # Objects of the imported modules live for ever; without them a full collection takes less than a
     # millisecond instead of tens of milliseconds during which no stream moves.
     gc.collect()
     gc.freeze()
     _raise_file_limit()
-    app.run()
+    try:
+        app.run()
+    except Exception as exc:
+        logs.log_exception(logevents.DAEMON_FAILED, exc, traceback.format_exc())
+        raise typer.Exit(EXIT_FAILED) from exc
     raise typer.Exit(app.exit_status)
 
 
--- a/packages/daemon/src/ibispaddle_daemon/app.py
+++ b/packages/daemon/src/ibispaddle_daemon/app.py
@@ -21,7 +21,7 @@
 from .http_client import HttpClient
 from .http_server import HttpServer
 from .instance_list import InstanceListReader
-from .logs import log_error, log_event
+from .logs import log_event, log_exception
 from .metrics import Metrics, Status
 from .operators import Operators
 from .orders import Orders
@@ -231,7 +231,11 @@
 
     @handler("exception", channel="*")
     def _on_exception(self, kind: Any, value: Any, trace: list[str], **kwargs: Any) -> None:
-        log_error(f"{kind.__name__}: {value}\n{''.join(trace)}")
+        # No handler is given when a step of a generator failed.
+        name = getattr(kwargs.get("handler"), "__qualname__", "")
+        event = getattr(kwargs.get("fevent"), "name", "")
+        failed = logevents.HANDLER_FAILED
+        log_exception(failed, value, "".join(trace), handler=name, daemon_event=event)
 
     @handler("signal", channel="*")
     def _on_signal(self, number: int, stack: Any) -> None:
--- a/packages/daemon/src/ibispaddle_daemon/configuration.py
+++ b/packages/daemon/src/ibispaddle_daemon/configuration.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 import msgspec
-from absl import logging
 from circuits import BaseComponent, handler
 from ibispaddle_core import logevents
 from ibispaddle_core.clock import Clock
@@ -234,7 +233,7 @@
             try:
                 state = ConfigState.from_record(msgspec.json.decode(body))
             except (msgspec.DecodeError, RecordError) as exc:
-                logging.warning("configuration state of '%s' is invalid: %s", instance_id, exc)
+                log_event(logevents.CONFIG_STATE_INVALID, instance_id=instance_id, reason=str(exc))
         if self._start is not None:
             self._start.add_answer(instance_id, state)
         elif state is not None and self._published is not None:
--- a/packages/daemon/src/ibispaddle_daemon/logs.py
+++ b/packages/daemon/src/ibispaddle_daemon/logs.py
@@ -6,8 +6,12 @@
 import msgspec
 from absl import flags
 from absl import logging as absl_logging
+from ibispaddle_core import logevents
 from ibispaddle_core.logevents import Level, LogEvent
 
+# The text of an exception may repeat what could not be handled, such as a body.
+MAX_EXCEPTION_CHARACTERS = 500
+
 _LEVELS = {
     Level.INFO: absl_logging.INFO,
     Level.WARNING: absl_logging.WARNING,
@@ -55,6 +59,12 @@
     absl_logging.log(_LEVELS[event.level], event.text, extra={"event": event, "fields": fields})
 
 
-def log_error(text: str) -> None:
-    """Write an unexpected failure."""
-    absl_logging.log(absl_logging.ERROR, "%s", text)
+def log_unreadable(stream: str, offset: int, reason: Exception) -> None:
+    """Write that a record of the log is ignored."""
+    log_event(logevents.RECORD_UNREADABLE, stream=stream, offset=offset, reason=str(reason))
+
+
+def log_exception(event: LogEvent, exc: BaseException, trace: str, **fields: Any) -> None:
+    """Write an unexpected failure with its stack trace."""
+    text = str(exc)[:MAX_EXCEPTION_CHARACTERS]
+    log_event(event, exception=type(exc).__name__, reason=text, trace=trace, **fields)
--- a/packages/daemon/src/ibispaddle_daemon/orders.py
+++ b/packages/daemon/src/ibispaddle_daemon/orders.py
@@ -5,8 +5,8 @@
 from typing import Any
 
 import msgspec
-from absl import logging
 from circuits import BaseComponent, handler
+from ibispaddle_core import logevents
 from ibispaddle_core.chat import ProtocolError
 from ibispaddle_core.clock import Clock
 from ibispaddle_core.configuration import LogRecord
@@ -29,6 +29,7 @@
 from .calls import CallResult, Calls
 from .events import log_append, log_follow
 from .http_exchange import Exchange
+from .logs import log_event, log_unreadable
 from .operators import Operators, respond
 from .responses import respond_error
 from .timers import TimerQueue
@@ -93,7 +94,7 @@
         for record in records:
             parsed = parse_record(record.data)
             if parsed.is_err():
-                logging.warning("order record %d: %s", record.offset, parsed.unwrap_err())
+                log_unreadable(stream, record.offset, parsed.unwrap_err())
             else:
                 self._state.fold(record.offset, parsed.unwrap())
                 changed = True
@@ -159,7 +160,7 @@
             try:
                 load = msgspec.json.decode(result.body, type=_Load)
             except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-                logging.warning("load report of %s: %s", upstream_id, exc)
+                log_event(logevents.LOAD_UNREADABLE, upstream=upstream_id, reason=str(exc))
                 return
             report = RunnerReport(load.boot_id, load.models, load.role)
             # The time of the question keeps rounds a whole interval apart.
@@ -183,7 +184,12 @@
                 self._reconciler.order_accepted(order, boot_id)
                 return
             reason = result.error.text if result.error else f"status {result.status}"
-            logging.warning("order %s to %s: %s", order.order_id, order.upstream_id, reason)
+            log_event(
+                logevents.ORDER_NOT_ACCEPTED,
+                order=order.order_id,
+                upstream=order.upstream_id,
+                reason=reason,
+            )
 
         data = msgspec.json.encode(body)
         self._calls.send("POST", f"{url}/orders", data, ORDER_TIMEOUT_MS, answered)
--- a/packages/daemon/src/ibispaddle_daemon/peers.py
+++ b/packages/daemon/src/ibispaddle_daemon/peers.py
@@ -6,8 +6,8 @@
 from collections import defaultdict, deque
 from dataclasses import dataclass, field
 
-from absl import logging
 from circuits import BaseComponent, Event, handler
+from ibispaddle_core import logevents
 from ibispaddle_core.clock import Clock
 from ibispaddle_core.gossip import (
     Digest,
@@ -24,6 +24,7 @@
 from ibispaddle_core.settings import InstanceSettings
 
 from .events import load_reported, peer_received, runner_failed
+from .logs import log_event
 from .peer_codec import Message, encode
 from .peer_transport import Link, PeerTransport
 from .timers import TimerQueue
@@ -38,7 +39,7 @@
 MIN_BACKOFF_MS = 100
 MAX_BACKOFF_MS = 10_000
 MAX_PENDING_FRAMES = 64
-REFUSAL_LOG_INTERVAL_S = 10
+REFUSAL_LOG_INTERVAL_MS = 10_000
 
 
 class gossip_put(Event):
@@ -110,6 +111,7 @@
         self._runner_versions: dict[str, tuple[str, int]] = {}
         self._down_runners: set[str] = set()
         self._config_offsets: dict[str, int] = {}
+        self._refusal_log_ms = 0
 
     def _is_local(self, origin: str) -> bool:
         entry = self._view.entry(origin)
@@ -297,9 +299,10 @@
         dialled_id = self._dialled.pop(link, None)
         instance_id = link.peer_id or dialled_id
         if instance_id is None:
-            logging.log_every_n_seconds(
-                logging.WARNING, "peer connection refused: %s", REFUSAL_LOG_INTERVAL_S, reason
-            )
+            now_ms = self._clock.now_ms()
+            if now_ms >= self._refusal_log_ms:
+                self._refusal_log_ms = now_ms + REFUSAL_LOG_INTERVAL_MS
+                log_event(logevents.PEER_REFUSED, reason=reason)
             return
         peer = self._peers[instance_id]
         if peer.dialling is link:
--- a/packages/daemon/src/ibispaddle_daemon/quarantine.py
+++ b/packages/daemon/src/ibispaddle_daemon/quarantine.py
@@ -6,8 +6,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from absl import logging
 from circuits import BaseComponent, Event, handler
+from ibispaddle_core import logevents
 from ibispaddle_core.clock import Clock
 from ibispaddle_core.configuration import LogRecord
 from ibispaddle_core.membership import Kind, MembershipView, MemberState
@@ -26,6 +26,7 @@
 from ibispaddle_core.settings import InstanceSettings
 
 from .events import log_append, log_follow, peer_send
+from .logs import log_event, log_unreadable
 from .peer_codec import Message
 from .timers import TimerQueue
 
@@ -158,7 +159,8 @@
         if not sending.waiting or now_ms >= sending.deadline_ms:
             del self._sending[sending.notice.notice_id]
             if sending.waiting:
-                logging.warning("suspicions not acknowledged by %s", sorted(sending.waiting))
+                waiting = sorted(sending.waiting)
+                log_event(logevents.SUSPICIONS_UNACKNOWLEDGED, instances=waiting)
             if sending.channel:
                 self.fire(suspicions_shared(sending.token), sending.channel)
             return
@@ -212,6 +214,6 @@
         for record in records:
             parsed = parse_record(record.data)
             if parsed.is_err():
-                logging.warning("quarantine record %d: %s", record.offset, parsed.unwrap_err())
+                log_unreadable(stream, record.offset, parsed.unwrap_err())
             else:
                 self.registry.fold(parsed.unwrap())
--- a/tests/docs/test_reference.py
+++ b/tests/docs/test_reference.py
@@ -1,12 +1,14 @@
 """Tests that the generated reference pages are current."""
 
 import pathlib
+import re
 import unittest
 
 from ibispaddle_client.reference import log_events_page, settings_page
 from ibispaddle_core.logevents import all_events
 
-REF = pathlib.Path(__file__).resolve().parents[2] / "docs" / "ref"
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+REF, SOURCES = ROOT / "docs" / "ref", ROOT / "packages"
 
 
 class ReferenceTest(unittest.TestCase):
@@ -26,6 +28,14 @@
         self.assertEqual(len({event.number for event in events}), len(events))
         self.assertEqual(len({event.name for event in events}), len(events))
 
+    def test_every_log_line_of_the_daemon_is_a_numbered_event(self):
+        """Guard against a log line that operators cannot look up."""
+        free_text = re.compile(r"logging\.(info|warning|error|exception|fatal|log)")
+        files = [f for f in SOURCES.rglob("ibispaddle_daemon/*.py") if f.name != "logs.py"]
+        self.assertGreater(len(files), 30)
+        found = [f.name for f in files if free_text.search(f.read_text())]
+        self.assertEqual(found, [])
+
 
 if __name__ == "__main__":
     unittest.main()
