--- a/packages/daemon/src/ibispaddle_daemon/app.py
+++ b/packages/daemon/src/ibispaddle_daemon/app.py
@@ -21,7 +21,7 @@
 from .http_client import HttpClient
 from .http_server import HttpServer
 from .instance_list import InstanceListReader
-from .logs import log_error, log_event
+from .logs import log_event, log_exception
 from .metrics import Metrics, Status
 from .operators import Operators
 from .orders import Orders
@@ -29,10 +29,12 @@
 from .platform_log import PlatformLog
 from .probes import Probes
 from .quarantine import QuarantineGuard
+from .request_gauges import RequestGauges
 from .services import Services
 from .shares import Shares
 from .suspects import Suspects
 from .timers import TimerQueue
+from .traces import RequestTraces
 from .tracing import Tracing
 from .usage import Usage
 
@@ -122,13 +124,17 @@
         self.claims = Claims(settings, clock.wall_ms(), clock, timers).register(self)
         self.operators = Operators(settings, self.configuration, clock).register(self)
         FleetOperations(self.operators, self.view, self.quarantine, clock).register(self)
+        RequestTraces(
+            settings.instance_id, self.tracing.recent, self.operators, self.view, timers
+        ).register(self)
         Orders(settings, self.operators, self.view, clock.wall_ms(), clock, timers).register(self)
         UsageAccount(
             settings, self.operators, self.configuration, self.view, clock, timers
         ).register(self)
 
     def _add_gauges(self) -> None:
-        add = self.metrics.add_gauge
+        add, count = self.metrics.add_gauge, self.metrics.add_counter
+        RequestGauges(self.entry, self.clock).add_to(self.metrics)
         add(
             "ibispaddle_caller_connections",
             "Open connections of callers.",
@@ -159,14 +165,14 @@
             "Instances with an authenticated connection.",
             lambda: len(self.peers.connected_peers),
         )
-        add(
-            "ibispaddle_peer_sent_bytes",
-            "Bytes sent to other instances since the start.",
+        count(
+            "ibispaddle_peer_sent_bytes_total",
+            "Bytes sent to other instances.",
             lambda: self.peers.transport.traffic.bytes_out,
         )
-        add(
-            "ibispaddle_peer_received_bytes",
-            "Bytes received from other instances since the start.",
+        count(
+            "ibispaddle_peer_received_bytes_total",
+            "Bytes received from other instances.",
             lambda: self.peers.transport.traffic.bytes_in,
         )
         add(
@@ -179,24 +185,27 @@
             "Bytes read from the platform's log since the start.",
             lambda: self.log.bytes_read,
         )
-        add(
-            "ibispaddle_log_appends",
-            "Appends sent to the platform's log since the start.",
-            lambda: self.log.appends_sent,
+        self.metrics.add_labelled_counter(
+            "ibispaddle_log_appends_total",
+            "Appends to the platform's log that ended, by stream and result.",
+            lambda: [
+                ({"stream": stream, "result": result}, count)
+                for (stream, result), count in self.log.append_results.items()
+            ],
         )
         add(
             "ibispaddle_claim_table_keys",
             "Idempotency keys in the claim table.",
             lambda: len(self.claims.book.table),
         )
-        add(
-            "ibispaddle_peer_sent_messages",
-            "Messages sent to other instances since the start.",
+        count(
+            "ibispaddle_peer_sent_messages_total",
+            "Messages sent to other instances.",
             lambda: self.peers.transport.traffic.frames_out,
         )
-        add(
-            "ibispaddle_peer_received_messages",
-            "Messages received from other instances since the start.",
+        count(
+            "ibispaddle_peer_received_messages_total",
+            "Messages received from other instances.",
             lambda: self.peers.transport.traffic.frames_in,
         )
         add(
@@ -222,7 +231,11 @@
 
     @handler("exception", channel="*")
     def _on_exception(self, kind: Any, value: Any, trace: list[str], **kwargs: Any) -> None:
-        log_error(f"{kind.__name__}: {value}\n{''.join(trace)}")
+        # No handler is given when a step of a generator failed.
+        name = getattr(kwargs.get("handler"), "__qualname__", "")
+        event = getattr(kwargs.get("fevent"), "name", "")
+        failed = logevents.HANDLER_FAILED
+        log_exception(failed, value, "".join(trace), handler=name, daemon_event=event)
 
     @handler("signal", channel="*")
     def _on_signal(self, number: int, stack: Any) -> None:
