Added TLS towards upstreams and between instances

Cause: prompts, answers and messages between instances travelled in plain text; only the listener for callers had TLS.

Change: the settings runner_tls, service_tls and peer_tls, each optional. An upstream's certificate has to name its IP address; a failed handshake counts as unreachable. A write that TLS has begun counts as sent, because it may have sent a part before it asks to wait. Between instances both sides need a certificate of the operators' authority beside the shared secret. Stand-ins serve TLS on a second port.

Before: no TLS towards upstreams or instances.

--- a/packages/core/src/ibispaddle_core/settings/__init__.py
+++ b/packages/core/src/ibispaddle_core/settings/__init__.py
@@ -10,7 +10,7 @@
     ServiceConfig,
     WorkspaceConfig,
 )
-from .instance import InstanceSettings
+from .instance import InstanceSettings, PeerTlsSettings, TlsSettings, UpstreamTlsSettings
 from .loading import check_fleet, load_fleet, load_instance, parse_json
 from .overlay import Origin, merge_layers
 
@@ -21,9 +21,12 @@
     "ModelConfig",
     "NeighbourConfig",
     "Origin",
+    "PeerTlsSettings",
     "SchedulingConfig",
     "ServiceConfig",
     "SettingsError",
+    "TlsSettings",
+    "UpstreamTlsSettings",
     "WorkspaceConfig",
     "check_fleet",
     "load_fleet",
--- a/packages/core/src/ibispaddle_core/settings/instance.py
+++ b/packages/core/src/ibispaddle_core/settings/instance.py
@@ -12,6 +12,20 @@
     key_file: str = Field(description="PEM file with the private key.")
 
 
+class UpstreamTlsSettings(SettingsModel):
+    """TLS towards upstreams of one kind."""
+
+    ca_file: str = Field(
+        description="PEM file with the authorities; a certificate has to name the upstream's IP."
+    )
+
+
+class PeerTlsSettings(TlsSettings):
+    """Mutual TLS between instances."""
+
+    ca_file: str = Field(description="PEM file with the operators' authority for instances.")
+
+
 class InstanceSettings(SettingsModel):
     """What an instance has to know before it can read the log."""
 
@@ -55,6 +69,15 @@
     )
     drain_timeout_ms: int = Field(30_000, ge=0, description="Bound of a planned stop.")
     tls: TlsSettings | None = Field(None, description="TLS of the HTTP listener; null: none.")
+    runner_tls: UpstreamTlsSettings | None = Field(
+        None, description="TLS towards runners; null: none."
+    )
+    service_tls: UpstreamTlsSettings | None = Field(
+        None, description="TLS towards services; null: none."
+    )
+    peer_tls: PeerTlsSettings | None = Field(
+        None, description="TLS between instances, the same for all of them; null: none."
+    )
 
     @property
     def site_name(self) -> str:
--- a/packages/daemon/src/ibispaddle_daemon/app.py
+++ b/packages/daemon/src/ibispaddle_daemon/app.py
@@ -1,7 +1,6 @@
 """Wiring of an instance and its life cycle."""
 
 import signal
-import ssl
 from pathlib import Path
 from typing import Any
 
@@ -34,6 +33,7 @@
 from .shares import Shares
 from .suspects import Suspects
 from .timers import TimerQueue
+from .tls import call_contexts, listener_context, upstream_scheme
 from .traces import RequestTraces
 from .tracing import Tracing
 from .usage import Usage
@@ -66,7 +66,7 @@
         EPoll().register(self)
         self.timers = TimerQueue(self.clock).register(self)
         self.metrics = Metrics()
-        self.http_client = HttpClient(self.clock).register(self)
+        self.http_client = HttpClient(self.clock, call_contexts(settings)).register(self)
         self.tracing = Tracing(
             settings.instance_id,
             settings.data_centre,
@@ -76,7 +76,7 @@
         ).register(self)
         self.status = Status(self.metrics, ("instance_list", "configuration")).register(self)
         self.server = HttpServer(
-            settings.listen, self.clock, self.timers, config.limits, _tls(settings)
+            settings.listen, self.clock, self.timers, config.limits, listener_context(settings)
         ).register(self)
         self.view = MembershipView(settings.instance_id, settings.data_centre)
         self.quarantine = QuarantineGuard(settings, self.view, self.clock, self.timers).register(
@@ -93,9 +93,16 @@
             self.tracing,
             _fingerprint_key(settings),
             self.suspects,
+            upstream_scheme(settings, Kind.RUNNER),
         ).register(self)
         self.services = Services(
-            settings.instance_id, config, self.clock, self.timers, self.metrics, self.tracing
+            settings.instance_id,
+            config,
+            self.clock,
+            self.timers,
+            self.metrics,
+            self.tracing,
+            upstream_scheme(settings, Kind.SERVICE),
         ).register(self)
         self._add_fleet_components()
         self._add_log_components(config)
@@ -286,14 +293,6 @@
         self.timers.after(DRAIN_POLL_MS, check)
 
 
-def _tls(settings: InstanceSettings) -> ssl.SSLContext | None:
-    if settings.tls is None:
-        return None
-    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
-    context.load_cert_chain(settings.tls.certificate_file, settings.tls.key_file)
-    return context
-
-
 def _peer_secret(settings: InstanceSettings) -> bytes:
     if not settings.peer_secret_file:
         return b""
--- a/packages/daemon/src/ibispaddle_daemon/entry.py
+++ b/packages/daemon/src/ibispaddle_daemon/entry.py
@@ -79,9 +79,10 @@
         tracing: Tracing,
         fingerprint_key: bytes,
         suspects: Suspects,
+        runner_scheme: str = "http",
     ) -> None:
         super().__init__()
-        self._suspects = suspects
+        self._suspects, self._scheme = suspects, runner_scheme
         self._boots: dict[str, str] = {}
         self._clock = clock
         self._timers = timers
@@ -140,7 +141,7 @@
 
     def base_url(self, upstream_id: str) -> str:
         """Return the URL of a runner."""
-        return f"http://{self._addresses.get(upstream_id, '')}"
+        return f"{self._scheme}://{self._addresses.get(upstream_id, '')}"
 
     # Fleet and configuration
 
--- a/packages/daemon/src/ibispaddle_daemon/events.py
+++ b/packages/daemon/src/ibispaddle_daemon/events.py
@@ -59,7 +59,7 @@
 class HttpCall:
     """Describe one HTTP call.
 
-    `url` is `http://IP:PORT/PATH`. `deadline_ms` is a monotonic time. `Host` and `Content-Length`
+    `url` is `http://IP:PORT/PATH`, or has another scheme that selects TLS. `deadline_ms` is a monotonic time. `Host` and `Content-Length`
     are added by the client. A streamed call with a `sink` is reported by calls of the sink instead
     of events, which saves the relay an event per token.
     """
--- a/packages/daemon/src/ibispaddle_daemon/http_client.py
+++ b/packages/daemon/src/ibispaddle_daemon/http_client.py
@@ -1,6 +1,8 @@
 """Non-blocking HTTP client: pooled connections, deadlines, cancel, pause and resume."""
 
+import ssl
 from collections import defaultdict, deque
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Any
 from urllib.parse import urlsplit
@@ -22,7 +24,7 @@
     call_head,
     call_sent,
 )
-from .http_connection import HttpConnection
+from .http_connection import Address, HttpConnection
 from .timers import TimerHandle, TimerQueue
 
 CONNECT_TIMEOUT_MS = 2_000
@@ -50,19 +52,23 @@
     """Carry out `http_call` events.
 
     Every call gets exactly one final event, `call_completed` or `call_ended`, at its deadline at the
-    latest. A connection is reused only after a complete response.
+    latest. A connection is reused only after a complete response. `contexts` has the TLS contexts by
+    the scheme of the URL.
     """
 
     channel = "http_client"
 
-    def __init__(self, clock: Clock | None = None) -> None:
+    def __init__(
+        self, clock: Clock | None = None, contexts: Mapping[str, ssl.SSLContext] | None = None
+    ) -> None:
         super().__init__()
+        self._contexts: dict[str, ssl.SSLContext | None] = {"http": None, **(contexts or {})}
         self._clock = clock or SystemClock()
         self._timers = TimerQueue(self._clock).register(self)
         self._calls: dict[str, _Running] = {}
         self._carried: dict[HttpConnection, _Running] = {}
-        self._idle: defaultdict[tuple[str, int], deque[HttpConnection]] = defaultdict(deque)
-        self._expiring: set[tuple[str, int]] = set()
+        self._idle: defaultdict[Address, deque[HttpConnection]] = defaultdict(deque)
+        self._expiring: set[Address] = set()
         self._closed: list[HttpConnection] = []
         self._connections = 0
         self._poller: Any = None
@@ -95,9 +101,9 @@
         running.timers.append(self._timers.at(call.deadline_ms, lambda: self._expire(running)))
         try:
             parts = urlsplit(call.url)
-            address = (parts.hostname or "", parts.port or 80)
-            if parts.scheme != "http" or not address[0]:
-                raise ValueError("an http:// URL with an address is expected")
+            address = (parts.hostname or "", parts.port or 80, parts.scheme)
+            if parts.scheme not in self._contexts or not address[0]:
+                raise ValueError(f"an address and one of {', '.join(self._contexts)} is expected")
         except ValueError as exc:
             self._end(running, CallFailure.PROTOCOL, f"URL '{call.url}': {exc}")
             return
@@ -115,7 +121,7 @@
         if not conn.is_open:
             limit_ms = now_ms + CONNECT_TIMEOUT_MS
             running.timers.append(self._timers.at(limit_ms, lambda: self._give_up(running)))
-            conn.open(address)
+            conn.open(address, self._contexts[parts.scheme])
         if running.conn is conn:
             try:
                 conn.send_request(call.method, target, headers, call.body)
@@ -139,7 +145,7 @@
         if running is not None and running.conn is not None:
             running.conn.resume()
 
-    def _take(self, address: tuple[str, int]) -> HttpConnection | None:
+    def _take(self, address: Address) -> HttpConnection | None:
         idle = self._idle[address]
         oldest_ms = self._clock.now_ms() - IDLE_TIMEOUT_MS
         while idle:
@@ -208,7 +214,7 @@
             self._expiring.add(conn.address)
             self._timers.after(IDLE_TIMEOUT_MS, lambda: self._drop_idle(conn.address))
 
-    def _drop_idle(self, address: tuple[str, int]) -> None:
+    def _drop_idle(self, address: Address) -> None:
         idle = self._idle[address]
         now_ms = self._clock.now_ms()
         while idle and idle[0].idle_since_ms + IDLE_TIMEOUT_MS <= now_ms:
--- a/packages/daemon/src/ibispaddle_daemon/http_connection.py
+++ b/packages/daemon/src/ibispaddle_daemon/http_connection.py
@@ -2,6 +2,7 @@
 
 import os
 import socket
+import ssl
 from errno import EAGAIN, EINPROGRESS, EINTR, EWOULDBLOCK
 from typing import Any, Protocol
 
@@ -9,8 +10,10 @@
 from circuits.net.sockets import TCPClient
 
 from .events import CallFailure, Headers
+from .tls import WANTS
 
 READ_BYTES = 65_536
+Address = tuple[str, int, str]  # IP, port and the scheme of the URL.
 _RETRY = (EAGAIN, EWOULDBLOCK, EINTR)
 # Bound of a response head; the listener has the same bound for requests.
 MAX_HEAD_BYTES = 65_536
@@ -63,11 +66,13 @@
         self._paused = False
         self._broken = False
         self._http: Any = None
-        self.address = ("", 0)
+        self._tls = False
+        self._tcp_open = False
+        self.address: Address = ("", 0, "")
         self.idle_since_ms = 0
         self.byte_sent = False
 
-    def open(self, address: tuple[str, int]) -> None:
+    def open(self, address: Address, tls: ssl.SSLContext | None = None) -> None:
         """Begin to connect; the result is reported to the listener."""
         self.address = address
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
@@ -76,12 +81,21 @@
         self._broken = False
         self.byte_sent = False
         self._sock = self._create_socket()
-        self._connecting = True
+        self._tls = tls is not None
+        if tls is not None:
+            # A connection that ends without the end mark of TLS may have been cut by a stranger.
+            self._sock = tls.wrap_socket(
+                self._sock,
+                do_handshake_on_connect=False,
+                suppress_ragged_eofs=False,
+                server_hostname=address[0],
+            )
+        self._connecting, self._tcp_open = True, False
         self._listener.socket_opened(self)
-        status = self._sock.connect_ex(address)
+        status = self._sock.connect_ex(address[:2])
         if status == 0:
-            self._connecting, self._connected = False, True
-            self._poller.addReader(self, self._sock)
+            self._tcp_open = True
+            self._establish()
         elif status == EINPROGRESS:
             self._poller.addWriter(self, self._sock)
         else:
@@ -109,8 +123,9 @@
         would otherwise leave the run state of the next request unknown.
         """
         try:
-            self._sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
+            # TLS cannot peek; a byte that it takes shows that the connection is not silent.
+            self._sock.recv(1, *(() if self._tls else (socket.MSG_PEEK,)))
+        except (BlockingIOError, ssl.SSLWantReadError):
             return self._http.our_state is h11.IDLE
         except OSError:
             return False
@@ -158,33 +173,72 @@
         sock = self._sock
         if self._connecting:
             status = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-            self._fail(CallFailure.UNREACHABLE, os.strerror(status))
+            text = os.strerror(status) if status else "the connection ended in its handshake"
+            self._fail(CallFailure.UNREACHABLE, text)
         else:
             self._fail(CallFailure.CLOSED, "the connection was reset")
 
     def writable(self) -> None:
         """Finish to connect and write what is queued."""
         sock = self._sock
-        if self._connecting:
+        if self._connecting and not self._tcp_open:
             status = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
             if status:
                 self._fail(CallFailure.UNREACHABLE, os.strerror(status))
                 return
-            self._connecting, self._connected = False, True
-            if not self._paused:
-                self._poller.addReader(self, sock)
-        self._write_output()
+            self._tcp_open = True
+        if not self._connecting or self._establish():
+            self._write_output()
+
+    def _establish(self) -> bool:
+        """Go on with the TLS handshake, if there is one; return whether the connection is open.
+
+        The upstream is unreachable if the handshake fails: no byte of the request was sent.
+        """
+        poller, sock = self._poller, self._sock
+        if self._tls:
+            try:
+                sock.do_handshake()
+            except WANTS as exc:
+                self._listen_for(isinstance(exc, ssl.SSLWantWriteError))
+                return False
+            except (OSError, ValueError) as exc:
+                self._fail(CallFailure.UNREACHABLE, f"the TLS handshake failed: {exc}")
+                return False
+        self._connecting, self._connected = False, True
+        if self._paused and poller.isReading(sock):
+            poller.removeReader(sock)
+        elif not self._paused and not poller.isReading(sock):
+            poller.addReader(self, sock)
+        return True
+
+    def _listen_for(self, writing: bool) -> None:
+        """Wait for what the handshake needs next."""
+        poller, sock = self._poller, self._sock
+        if not poller.isReading(sock):
+            poller.addReader(self, sock)
+        if writing and not poller.isWriting(sock):
+            poller.addWriter(self, sock)
+        elif not writing and poller.isWriting(sock):
+            poller.removeWriter(sock)
 
     def _write_output(self) -> None:
         if not self._connected:
             return
+        if self._output and self._tls:
+            # A write that TLS does not complete may have sent a part.
+            self._note_sent()
+            if not self._connected:
+                return
         while self._output:
             # 1 MiB at a time keeps other connections served while a long prompt is written.
             piece = memoryview(self._output)[:1_048_576]
             try:
                 count = self._sock.send(piece)
+            except WANTS:
+                break
             except OSError as exc:
-                if exc.errno in _RETRY:
+                if exc.errno in _RETRY and not self._tls:
                     break
                 # The upstream may have answered before it closed, so the answer is read first.
                 self._broken = True
@@ -196,11 +250,9 @@
             finally:
                 piece.release()
             del self._output[:count]
-            if not self.byte_sent:
-                self.byte_sent = True
-                self._listener.request_sent(self)
-                if not self._connected:
-                    return
+            self._note_sent()
+            if not self._connected:
+                return
             if count < 1_048_576 and self._output:
                 break
         writing = self._poller.isWriting(self._sock)
@@ -209,16 +261,26 @@
         elif not self._output and writing:
             self._poller.removeWriter(self._sock)
 
+    def _note_sent(self) -> None:
+        if not self.byte_sent:
+            self.byte_sent = True
+            self._listener.request_sent(self)
+
     def readable(self) -> None:
         """Read what has arrived."""
-        if self._connected and not self._paused:
+        if self._connecting and self._tcp_open:
+            self.writable()
+        elif self._connected and not self._paused:
             self._receive()
 
     def _receive(self) -> None:
         try:
+            # More than a record of TLS, so that none of its bytes wait without an event.
             data = self._sock.recv(READ_BYTES)
+        except WANTS:
+            return
         except OSError as exc:
-            if exc.errno not in _RETRY:
+            if self._tls or exc.errno not in _RETRY:
                 self._fail(CallFailure.CLOSED, str(exc))
             return
         if self._http.our_state is h11.IDLE:
--- a/packages/daemon/src/ibispaddle_daemon/loading.py
+++ b/packages/daemon/src/ibispaddle_daemon/loading.py
@@ -5,15 +5,25 @@
 from ibispaddle_core.settings import (
     FleetConfig,
     InstanceSettings,
+    SettingsError,
     load_fleet,
     load_instance,
     parse_json,
 )
 
+from .tls import check_files
+
 
 def read_instance(path: Path) -> InstanceSettings:
-    """Return the instance's settings; raise `SettingsError` or `OSError`."""
-    return load_instance(parse_json(path.read_bytes(), str(path)), str(path))
+    """Return the instance's settings; raise `SettingsError` or `OSError`.
+
+    The files that they name are read too, which only makes sense on the instance's machine.
+    """
+    settings = load_instance(parse_json(path.read_bytes(), str(path)), str(path))
+    mistakes = check_files(settings, str(path))
+    if mistakes:
+        raise SettingsError(mistakes)
+    return settings
 
 
 def read_fleet(settings: InstanceSettings) -> FleetConfig:
--- a/packages/daemon/src/ibispaddle_daemon/orders.py
+++ b/packages/daemon/src/ibispaddle_daemon/orders.py
@@ -33,6 +33,7 @@
 from .operators import Operators, respond
 from .responses import respond_error
 from .timers import TimerQueue
+from .tls import upstream_scheme
 
 STREAM = "orders"
 LOAD_TIMEOUT_MS = 1_000
@@ -63,6 +64,7 @@
         timers: TimerQueue,
     ) -> None:
         super().__init__()
+        self._scheme = upstream_scheme(settings, Kind.RUNNER)
         self._view = view
         self._clock = clock
         self._timers = timers
@@ -136,7 +138,7 @@
                 continue
             # The writer of the newest takeover goes on until another process takes over.
             if self._state.token(upstream_id, self._executor) is not None:
-                self._ask_load(upstream_id, f"http://{entry.address}", now_ms)
+                self._ask_load(upstream_id, f"{self._scheme}://{entry.address}", now_ms)
             elif choose(upstream_id, instances) == (self._executor.instance_id,):
                 self._take_over(upstream_id)
 
--- a/packages/daemon/src/ibispaddle_daemon/peer_transport.py
+++ b/packages/daemon/src/ibispaddle_daemon/peer_transport.py
@@ -4,6 +4,7 @@
 import os
 import secrets
 import socket
+import ssl
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any, Protocol
@@ -23,6 +24,7 @@
     encode,
 )
 from .timers import TimerQueue
+from .tls import WANTS, PeerContexts
 
 READ_BYTES = 65_536
 HANDSHAKE_TIMEOUT_MS = 2_000
@@ -47,6 +49,7 @@
     opened_ms: int
     is_dialled: bool
     connecting: bool = False
+    shaking: bool = False  # The TLS handshake has not ended.
     closed: bool = False
     received: bytearray = field(default_factory=bytearray)
     unsent: bytearray = field(default_factory=bytearray)
@@ -100,10 +103,12 @@
         clock: Clock,
         timers: TimerQueue,
         listener: LinkListener,
+        tls: PeerContexts | None = None,
     ) -> None:
         super().__init__()
         self._instance_id, self._boot, self._secret = instance_id, boot, secret
         self._clock, self._timers, self._listener = clock, timers, listener
+        self._tls = tls
         self._links: dict[socket.socket, Link] = {}
         self._unproved: set[Link] = set()
         self._poller: Any = None
@@ -147,6 +152,7 @@
         sock.setblocking(False)
         link = self._add(sock, is_dialled=True, expected_id=peer_id)
         link.connecting = True
+        sock = link.sock
         try:
             status = sock.connect_ex((host, int(port)))
         except OSError as exc:
@@ -161,11 +167,17 @@
     def _add(self, sock: socket.socket, is_dialled: bool, expected_id: str | None = None) -> Link:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+        if self._tls is not None:
+            context = self._tls.dialling if is_dialled else self._tls.accepting
+            sock = context.wrap_socket(
+                sock, server_side=not is_dialled, do_handshake_on_connect=False
+            )
         nonce = secrets.token_bytes(NONCE_BYTES)
         hello = Hello(PROTOCOL, self._instance_id, self._boot, nonce)
         handshake = Handshake(hello, self._secret, is_dialled, expected_id)
         now_ms = self._clock.now_ms()
         link = Link(sock, handshake, now_ms, is_dialled, used_ms=now_ms)
+        link.shaking = self._tls is not None
         self._links[sock] = link
         self._timers.after(HANDSHAKE_TIMEOUT_MS, lambda: self._check_handshake(link))
         return link
@@ -192,7 +204,8 @@
         self.traffic.bytes_out += len(frame)
         link.used_ms = self._clock.now_ms()
         link.unsent += frame
-        if not link.connecting and not self._poller.isWriting(link.sock):
+        is_open = not link.connecting and not link.shaking
+        if is_open and not self._poller.isWriting(link.sock):
             self._write(link)
         return not link.closed
 
@@ -211,8 +224,10 @@
         try:
             count = link.sock.send(link.unsent)
             del link.unsent[:count]
+        except WANTS:
+            pass
         except OSError as exc:
-            if exc.errno not in _RETRY:
+            if exc.errno not in _RETRY or self._tls is not None:
                 self.close(link, str(exc))
                 return
         writing = self._poller.isWriting(link.sock)
@@ -233,6 +248,31 @@
                 return
             link.connecting = False
             self._poller.addReader(self, sock)
+            if not link.shaking:
+                self._advance(link, link.handshake.start)
+        if link.shaking:
+            self._shake(link)
+        elif not link.closed:
+            self._write(link)
+
+    def _shake(self, link: Link) -> None:
+        """Go on with the TLS handshake; the proof of the shared secret follows it."""
+        writing = self._poller.isWriting(link.sock)
+        try:
+            link.sock.do_handshake()  # type: ignore[attr-defined]
+        except ssl.SSLWantReadError:
+            if writing:
+                self._poller.removeWriter(link.sock)
+            return
+        except ssl.SSLWantWriteError:
+            if not writing:
+                self._poller.addWriter(self, link.sock)
+            return
+        except (OSError, ValueError) as exc:
+            self.close(link, f"the TLS handshake failed: {exc}")
+            return
+        link.shaking = False
+        if link.is_dialled:
             self._advance(link, link.handshake.start)
         if not link.closed:
             self._write(link)
@@ -252,10 +292,16 @@
         link = self._links.get(sock)
         if link is None:
             return
+        if link.shaking:
+            self._shake(link)
+            return
         try:
+            # More than a record of TLS, so that none of its bytes wait without an event.
             data = sock.recv(READ_BYTES)
+        except WANTS:
+            return
         except OSError as exc:
-            if exc.errno not in _RETRY:
+            if exc.errno not in _RETRY or self._tls is not None:
                 self.close(link, str(exc))
             return
         if not data:
@@ -273,8 +319,9 @@
             sock.close()
             return
         sock.setblocking(False)
-        self._unproved.add(self._add(sock, is_dialled=False))
-        self._poller.addReader(self, sock)
+        link = self._add(sock, is_dialled=False)
+        self._unproved.add(link)
+        self._poller.addReader(self, link.sock)
 
     def _take_frames(self, link: Link) -> None:
         buffer = link.received
--- a/packages/daemon/src/ibispaddle_daemon/peers.py
+++ b/packages/daemon/src/ibispaddle_daemon/peers.py
@@ -28,6 +28,7 @@
 from .peer_codec import Message, encode
 from .peer_transport import Link, PeerTransport
 from .timers import TimerQueue
+from .tls import peer_contexts
 
 # A heartbeat every 2 s leaves more of the digests to load reports; five fit in the time after
 # which an instance counts as down.
@@ -102,7 +103,14 @@
         self.table = GossipTable(settings.instance_id, boot, self._is_local)
         host, _, port = settings.peer_listen.rpartition(":")
         self.transport = PeerTransport(
-            settings.instance_id, boot, secret, (host, int(port)), clock, timers, self
+            settings.instance_id,
+            boot,
+            secret,
+            (host, int(port)),
+            clock,
+            timers,
+            self,
+            peer_contexts(settings),
         ).register(self)
         self._peers: defaultdict[str, _Peer] = defaultdict(_Peer)
         self._dialled: dict[Link, str] = {}
--- a/packages/daemon/src/ibispaddle_daemon/probes.py
+++ b/packages/daemon/src/ibispaddle_daemon/probes.py
@@ -13,7 +13,7 @@
 from ibispaddle_core.clock import Clock
 from ibispaddle_core.gossip import RunnerReport
 from ibispaddle_core.logevents import UPSTREAM_DOWN
-from ibispaddle_core.membership import ListEntry, MembershipView
+from ibispaddle_core.membership import Kind, ListEntry, MembershipView
 from ibispaddle_core.settings import InstanceSettings
 
 from .events import (
@@ -29,6 +29,7 @@
 from .logs import log_event
 from .peers import gossip_put, load_of
 from .timers import TimerHandle, TimerQueue
+from .tls import upstream_scheme
 
 # With a probe every 500 ms and a second one right after a failure, a runner that stops answering
 # is down within 500 + 700 + 700 = 1,900 ms.
@@ -92,6 +93,7 @@
     ) -> None:
         super().__init__()
         self._interval_ms = settings.probe_interval_ms
+        self._scheme = upstream_scheme(settings, Kind.RUNNER)
         self._view = view
         self._clock = clock
         self._timers = timers
@@ -159,7 +161,7 @@
     def _call(self, purpose: str, runner_id: str, method: str, path: str, timeout_ms: int) -> None:
         call_id = f"probes-{next(self._numbers)}"
         self._calls[call_id] = (purpose, runner_id)
-        url = f"http://{self._runners[runner_id].entry.address}{path}"
+        url = f"{self._scheme}://{self._runners[runner_id].entry.address}{path}"
         deadline_ms = self._clock.now_ms() + timeout_ms
         call = HttpCall(call_id, method, url, (), b"", deadline_ms, self.channel)
         self.fire(http_call(call), "http_client")
--- a/packages/daemon/src/ibispaddle_daemon/services.py
+++ b/packages/daemon/src/ibispaddle_daemon/services.py
@@ -82,6 +82,7 @@
         timers: TimerQueue,
         metrics: Metrics,
         tracing: Tracing,
+        scheme: str = "http",
     ) -> None:
         super().__init__()
         self._boot = f"{instance_id}-{secrets.token_hex(4)}"
@@ -89,6 +90,7 @@
         self._timers = timers
         self._metrics = metrics
         self._tracing = tracing
+        self._scheme = scheme
         self._set_config(config)
         self._entries: tuple[ListEntry, ...] = ()
         self._loads: dict[str, int] = {}
@@ -249,7 +251,7 @@
         http = HttpCall(
             call.attempt_id,
             call.exchange.method,
-            f"http://{entry.address}{call.target}",
+            f"{self._scheme}://{entry.address}{call.target}",
             headers,
             call.exchange.body,
             call.deadline_ms + (DEADLINE_MARGIN_MS if call.is_repeatable else 0),
--- /dev/null
+++ b/packages/daemon/src/ibispaddle_daemon/tls.py
@@ -0,0 +1,123 @@
+"""TLS contexts of an instance, and checks of the files that they are made of."""
+
+import ssl
+from collections.abc import Iterator
+from dataclasses import dataclass
+from pathlib import Path
+
+from ibispaddle_core.checks import CheckMessage, Severity
+from ibispaddle_core.membership import Kind
+from ibispaddle_core.settings import InstanceSettings, TlsSettings
+
+# Errors of a non-blocking TLS socket that only ask for another turn. Their error numbers are those
+# of the TLS library and equal to unrelated ones of the system.
+WANTS = (ssl.SSLWantReadError, ssl.SSLWantWriteError)
+HTTP = "http"
+
+
+@dataclass(frozen=True)
+class PeerContexts:
+    """Hold the contexts of both sides of a connection between instances."""
+
+    dialling: ssl.SSLContext
+    accepting: ssl.SSLContext
+
+
+def listener_context(settings: InstanceSettings) -> ssl.SSLContext | None:
+    """Return the context of the HTTP listener."""
+    if settings.tls is None:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    _load_own(context, settings.tls)
+    return context
+
+
+def upstream_scheme(settings: InstanceSettings, kind: Kind) -> str:
+    """Return the scheme of the URLs of an upstream kind; it selects the context of a call.
+
+    >>> upstream_scheme(settings, Kind.RUNNER)  # doctest: +SKIP
+    'https+runner'
+    """
+    tls = settings.runner_tls if kind is Kind.RUNNER else settings.service_tls
+    return HTTP if tls is None else f"https+{kind}"
+
+
+def call_contexts(settings: InstanceSettings) -> dict[str, ssl.SSLContext]:
+    """Return the contexts of HTTP calls, by the scheme of their URL."""
+    contexts = {}
+    for kind, tls in ((Kind.RUNNER, settings.runner_tls), (Kind.SERVICE, settings.service_tls)):
+        if tls is not None:
+            context = ssl.create_default_context(ssl.Purpose.SERVER_AUTH, cafile=tls.ca_file)
+            # A renegotiation would make a write wait for a read.
+            context.options |= ssl.OP_NO_RENEGOTIATION
+            contexts[upstream_scheme(settings, kind)] = context
+    return contexts
+
+
+def peer_contexts(settings: InstanceSettings) -> PeerContexts | None:
+    """Return the contexts of connections between instances.
+
+    Both sides need a certificate of the operators' authority. Addresses are not compared: an
+    instance is replaced at any time at another address, and its id is proved by the shared secret.
+    """
+    tls = settings.peer_tls
+    if tls is None:
+        return None
+    dialling = ssl.create_default_context(ssl.Purpose.SERVER_AUTH, cafile=tls.ca_file)
+    dialling.check_hostname = False
+    accepting = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH, cafile=tls.ca_file)
+    accepting.verify_mode = ssl.CERT_REQUIRED
+    for context in (dialling, accepting):
+        context.options |= ssl.OP_NO_RENEGOTIATION
+        _load_own(context, tls)
+    return PeerContexts(dialling, accepting)
+
+
+def _load_own(context: ssl.SSLContext, tls: TlsSettings) -> None:
+    # Without a function an encrypted key would ask for its password on the terminal.
+    context.load_cert_chain(tls.certificate_file, tls.key_file, password=lambda: "")
+
+
+def check_files(settings: InstanceSettings, source: str) -> list[CheckMessage]:
+    """Return the mistakes in the files that the settings name."""
+    messages = []
+    for path, name in _files(settings):
+        try:
+            Path(name).read_bytes()
+        except OSError as exc:
+            text = f"The file '{name}' cannot be read: {exc.strerror}."
+            hint = "Give the path of a file that the user of the process can read."
+            messages.append(CheckMessage("tls.E001", Severity.ERROR, text, hint, source, path))
+    return messages or list(_check_contexts(settings, source))
+
+
+def _files(settings: InstanceSettings) -> Iterator[tuple[str, str]]:
+    for part in ("tls", "runner_tls", "service_tls", "peer_tls"):
+        tls = getattr(settings, part)
+        if tls is not None:
+            for name, value in tls.model_dump().items():
+                yield f"$.{part}.{name}", value
+    if settings.peer_secret_file:
+        yield "$.peer_secret_file", settings.peer_secret_file
+
+
+def _check_contexts(settings: InstanceSettings, source: str) -> Iterator[CheckMessage]:
+    makers = {
+        "tls": listener_context,
+        "runner_tls": lambda s: call_contexts(s.model_copy(update={"service_tls": None})),
+        "service_tls": lambda s: call_contexts(s.model_copy(update={"runner_tls": None})),
+        "peer_tls": peer_contexts,
+    }
+    for part, make in makers.items():
+        try:
+            make(settings)
+        except ssl.SSLError as exc:
+            yield CheckMessage(
+                "tls.E002",
+                Severity.ERROR,
+                f"The files of '{part}' cannot be used: {exc.reason or exc}.",
+                "Give PEM files: certificates with the authority last, and the unencrypted key"
+                " of the first certificate.",
+                source,
+                f"$.{part}",
+            )
--- a/packages/standins/src/ibispaddle_standins/server.py
+++ b/packages/standins/src/ibispaddle_standins/server.py
@@ -5,6 +5,7 @@
 import json
 import os
 import signal
+import ssl
 import sys
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
@@ -127,9 +128,15 @@
     await runner.setup()
     site = web.TCPSite(runner, "127.0.0.1", stand_in.args.port, backlog=1024)
     await site.start()
+    tls_port = 0
+    if stand_in.args.tls_certificate:
+        context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+        context.load_cert_chain(stand_in.args.tls_certificate, stand_in.args.tls_key)
+        await web.TCPSite(runner, "127.0.0.1", 0, ssl_context=context).start()
+        tls_port = runner.addresses[1][1]
     await stand_in.started()
     port = runner.addresses[0][1]
-    print(json.dumps({"port": port, "pid": os.getpid()}), flush=True)
+    print(json.dumps({"port": port, "tls_port": tls_port, "pid": os.getpid()}), flush=True)
     await ended.wait()
     await runner.cleanup()
 
@@ -148,5 +155,7 @@
         action="store_true",
         help="end when standard input closes, so that no process outlives the one that started it",
     )
+    parser.add_argument("--tls-certificate", help="serve TLS with it on a second port")
+    parser.add_argument("--tls-key", help="key of the certificate")
     stand_in_class.add_arguments(parser)
     asyncio.run(serve(stand_in_class(parser.parse_args())))
--- a/tests/daemon/processes.py
+++ b/tests/daemon/processes.py
@@ -36,8 +36,9 @@
             stdin=subprocess.PIPE,
             stdout=subprocess.PIPE,
         )
-        port = json.loads(self.proc.stdout.readline())["port"]
-        self.address = f"127.0.0.1:{port}"
+        ports = json.loads(self.proc.stdout.readline())
+        self.address = f"127.0.0.1:{ports['port']}"
+        self.tls_address = f"127.0.0.1:{ports['tls_port']}"
         self.url = f"http://{self.address}"
 
     def faults(self, **faults: Any) -> None:
@@ -183,6 +184,7 @@
         runner_args: tuple[str, ...] = ("--time-scale", "20"),
         services: int = 0,
         document: dict | None = None,
+        service_args: tuple[str, ...] = (),
         **settings: Any,
     ) -> None:
         self.stack = contextlib.ExitStack()
@@ -192,7 +194,7 @@
             self.log = self.add(StandIn("log"))
             settings = {"log_url": self.log.url} | settings
             self.runners = [self.add(StandIn("engine", *runner_args)) for _ in range(runners)]
-            self.services = [self.add(StandIn("service")) for _ in range(services)]
+            self.services = [self.add(StandIn("service", *service_args)) for _ in range(services)]
             self.publish()
             document = document or fleet_document()
             self.instance = Instance(folder, self.list.url, document, **settings)
--- a/tests/daemon/test_command_line.py
+++ b/tests/daemon/test_command_line.py
@@ -44,6 +44,21 @@
         self.assertEqual(result.returncode, 2)
         self.assertIn("settings.E010", result.stderr)
 
+    def test_unusable_tls_files_are_named_with_a_hint(self):
+        """Guard against a mistake in TLS files that shows only when a connection is made."""
+        junk = self.folder / "junk.pem"
+        junk.write_text("no certificate")
+        missing = {"ca_file": str(self.folder / "none.pem")}
+        result = self.check(fleet_document(), runner_tls=missing, service_tls={"ca_file": "/"})
+        self.assertEqual(result.returncode, 2)
+        self.assertEqual(result.stderr.count("tls.E001"), 2, result.stderr)
+        for text in ("none.pem", "$.runner_tls.ca_file", "$.service_tls.ca_file", "Give the path"):
+            self.assertIn(text, result.stderr)
+        files = dict.fromkeys(("ca_file", "certificate_file", "key_file"), str(junk))
+        result = self.check(fleet_document(), peer_tls=files, runner_tls={"ca_file": str(junk)})
+        self.assertEqual((result.returncode, result.stderr.count("tls.E002")), (2, 2))
+        self.assertNotIn("Traceback", result.stderr)
+
     def test_missing_file(self):
         """Guard against a traceback for a file that does not exist."""
         result = self.check(fleet_document(), overlay_file=str(self.folder / "none.json"))
--- a/tests/daemon/test_stop.py
+++ b/tests/daemon/test_stop.py
@@ -4,7 +4,6 @@
 import json
 import socket
 import ssl
-import subprocess
 import tempfile
 import threading
 import time
@@ -14,6 +13,8 @@
 import openai
 from ibispaddle_standins.answers import find_fault
 
+from tests.support.certificates import Authority
+
 from .processes import KEY, Fleet
 from .support import wait_until
 from .test_bad_callers import AUTH, chat_body, post, read_response
@@ -126,16 +127,16 @@
     def test_requests_over_tls(self):
         """Guard against a listener that ignores its certificate or stalls in a handshake."""
         with tempfile.TemporaryDirectory() as folder:
-            cert, key = Path(folder) / "cert.pem", Path(folder) / "key.pem"
-            write_certificate(cert, key)
-            tls = {"certificate_file": str(cert), "key_file": str(key)}
+            authority = Authority(Path(folder), "operators")
+            cert, key = authority.sign("localhost")
+            tls = {"certificate_file": cert, "key_file": key}
             with TlsFleet(1, tls=tls) as fleet:
                 host, port = fleet.instance.address.split(":")
                 silent = [socket.create_connection((host, int(port))) for _ in range(3)]
-                context = ssl.create_default_context(cafile=cert)
+                context = ssl.create_default_context(cafile=authority.file)
                 with (
                     socket.create_connection((host, int(port)), timeout=10) as plain,
-                    context.wrap_socket(plain, server_hostname="localhost") as sock,
+                    context.wrap_socket(plain, server_hostname="127.0.0.1") as sock,
                 ):
                     body = chat_body(stream=True, max_tokens=500)
                     head = AUTH + "Connection: close\r\nX-Padding: " + "y" * 30_000 + "\r\n"
@@ -158,18 +159,5 @@
         return len(self.runners)
 
 
-def write_certificate(cert: Path, key: Path) -> None:
-    """Write a self-signed certificate for `localhost`."""
-    subprocess.run(
-        [
-            *("openssl", "req", "-x509", "-newkey", "rsa:2048", "-nodes", "-days", "2"),
-            *("-subj", "/CN=localhost", "-addext", "subjectAltName=DNS:localhost"),
-            *("-keyout", str(key), "-out", str(cert)),
-        ],
-        check=True,
-        capture_output=True,
-    )
-
-
 if __name__ == "__main__":
     unittest.main()
