Read list, log and peers again after a pause before taking work

Cause: an instance that was stopped and continued kept its old list and configuration. It admitted requests with a revoked key and sent prompts to runners that had left meanwhile, until its next readings.

The instance is not ready at once, refuses new requests with `recovering` (503, not_run, Retry-After), keeps waiting requests and service calls back, cancels the reads of list and log that began before the pause and repeats them. If the log does not answer, all listed instances are asked, as at the start. Other instances are not taken for silent because of the own pause.

--- a/packages/core/src/ibispaddle_core/logevents.py
+++ b/packages/core/src/ibispaddle_core/logevents.py
@@ -38,6 +38,12 @@
 SETTINGS_REJECTED = LogEvent(
     1005, "settings_rejected", Level.ERROR, "The settings have mistakes; the instance cannot start."
 )
+INSTANCE_PAUSED = LogEvent(
+    1010,
+    "instance_paused",
+    Level.WARNING,
+    "The process was stopped or starved; it reads list and log again before it takes requests.",
+)
 REQUEST_ENDED = LogEvent(2000, "request_ended", Level.INFO, "A request ended.")
 REQUEST_REFUSED = LogEvent(2001, "request_refused", Level.WARNING, "A request was refused.")
 ATTEMPT_FAILED = LogEvent(
--- a/packages/core/src/ibispaddle_core/membership/view.py
+++ b/packages/core/src/ibispaddle_core/membership/view.py
@@ -231,6 +231,13 @@
         elif is_new:
             record.leaving_boot = None
 
+    def note_pause(self, length_ms: int) -> None:
+        """Leave out a pause of the own process, in which no instance could be heard."""
+        for record in self._records.values():
+            record.first_ms += length_ms
+            if record.heard_ms is not None:
+                record.heard_ms += length_ms
+
     def state(self, member_id: str, now_ms: int) -> MemberState | None:
         """Return the state of a member, `None` if it is unknown."""
         record = self._records.get(member_id)
--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -68,6 +68,8 @@
         self._backlog = Backlog(self.queue, self.shares, self.cost)
         # Names the runners that a request may use now, or None for one that may use all.
         self.restriction: Callable[[Request], Collection[str] | None] = lambda req: None
+        # Tells whether waiting requests must stay queued; their deadlines still end them.
+        self.is_held: Callable[[], bool] = lambda: False
         self._prefixes = PrefixIndex()
         self._rng = Random(f"{seed}/{instance_boot}")
         self._claims = Claims()
@@ -186,6 +188,9 @@
     def _pump(self, now_ms: int) -> list[Decision]:
         """Dispatch waiting requests, the neighbour with the lowest consumption first."""
         decisions: list[Decision] = []
+        if self.queue.lanes() and self.is_held():
+            self._blocked_until = dict.fromkeys(self.queue.lanes(), now_ms + QUEUE_POLL_MS)
+            return []
         floor: float | None = None
         for lane in self.queue.lanes():
             if now_ms < self._blocked_until.get(lane, 0):
--- a/packages/daemon/src/ibispaddle_daemon/app.py
+++ b/packages/daemon/src/ibispaddle_daemon/app.py
@@ -25,6 +25,7 @@
 from .metrics import Metrics, Status
 from .operators import Operators
 from .orders import Orders
+from .pauses import Pauses
 from .peers import Peers
 from .platform_log import PlatformLog
 from .probes import Probes
@@ -73,10 +74,17 @@
             self.timers,
         ).register(self)
         self.status = Status(self.metrics, ("instance_list", "configuration")).register(self)
+        self.view = MembershipView(settings.instance_id, settings.data_centre)
+        sources = ("instance_list", "configuration")
+        self.pauses = Pauses(sources, self.view, self.clock, self.timers).register(self)
         self.server = HttpServer(
-            settings.listen, self.clock, self.timers, config.limits, _tls(settings)
+            settings.listen,
+            self.clock,
+            self.timers,
+            config.limits,
+            _tls(settings),
+            self.pauses.is_recovering,
         ).register(self)
-        self.view = MembershipView(settings.instance_id, settings.data_centre)
         self.quarantine = QuarantineGuard(settings, self.view, self.clock, self.timers).register(
             self
         )
@@ -92,8 +100,15 @@
             _fingerprint_key(settings),
             self.suspects,
         ).register(self)
+        self.entry.scheduler.is_held = self.pauses.is_recovering
         self.services = Services(
-            settings.instance_id, config, self.clock, self.timers, self.metrics, self.tracing
+            settings.instance_id,
+            config,
+            self.clock,
+            self.timers,
+            self.metrics,
+            self.tracing,
+            self.pauses.is_recovering,
         ).register(self)
         self._add_fleet_components()
         self._add_log_components(config)
--- a/packages/daemon/src/ibispaddle_daemon/configuration.py
+++ b/packages/daemon/src/ibispaddle_daemon/configuration.py
@@ -27,7 +27,14 @@
 from ibispaddle_core.membership import Kind, MembershipView
 from ibispaddle_core.settings import FleetConfig, InstanceSettings, SettingsError, load_fleet
 
-from .events import configuration_changed, log_append, log_follow, peer_send, readiness_changed
+from .events import (
+    configuration_changed,
+    log_append,
+    log_follow,
+    peer_send,
+    readiness_changed,
+    source_reread,
+)
 from .logs import log_event
 from .peer_codec import Message
 from .peers import config_position
@@ -86,6 +93,9 @@
         self._floor = NO_REVISION
         self._listed = False
         self._start: PeerStart | None = None
+        self._is_asking = False
+        self._is_log_reread = False
+        self._pause = 0  # Number of the last pause, 0 once the state is known to be new enough.
         self._requests: dict[int, str] = {}
         self._request_number = 0
         self._fetching: set[str] = set()
@@ -98,6 +108,7 @@
     def _on_started(self, *_: object) -> None:
         self.fire(readiness_changed(COMPONENT, False), "*")
         self.fire(log_follow(STREAM, 0, self.channel), "*")
+        self._is_asking = True
         self._timers.after(LOG_GRACE_MS, self._ask_peers)
         self._timers.after(SNAPSHOT_CHECK_MS, self._check_snapshot)
 
@@ -157,15 +168,17 @@
 
     def _ask_peers(self) -> None:
         """Ask all listed instances while the log does not answer."""
-        if self._published is not None:
+        if self._published is not None and not self._pause:
+            self._is_asking = False
             return
-        if self.log_available or not self._listed:
+        awaits_log = not self._is_log_reread if self._pause else self.log_available
+        if awaits_log or not self._listed:
             self._timers.after(PEER_RETRY_MS, self._ask_peers)
             return
         now_ms = self._clock.now_ms()
         members = self._view.members(now_ms, Kind.ENTRY)
         peers = [m.entry.id for m in members if m.entry.id != self._settings.instance_id]
-        self._start = PeerStart(peers, now_ms)
+        self._start = PeerStart(peers, now_ms, self._published)
         for peer in peers:
             self._request_state(peer)
         self._check_start()
@@ -183,8 +196,35 @@
         if state is not None:
             self._log_end = min(self._log_end, self.reader.position)
             self._adopt(state)
-        if self._published is None:
-            self._timers.after(PEER_RETRY_MS, self._ask_peers)
+            if self.reader.current or not self.log_available:
+                self._end_pause()
+        self._timers.after(PEER_RETRY_MS, self._ask_peers)
+
+    @handler("process_paused", channel="*")
+    def _on_process_paused(self, number: int) -> None:
+        self._pause = number
+        self._is_log_reread = False
+        # Answers from before the pause may be old.
+        self._requests.clear()
+        if self._start is not None:
+            self._start, self._is_asking = None, False
+
+    @handler("log_reread", channel="*")
+    def _on_log_reread(self, complete: bool, number: int) -> None:
+        """Confirm the state after a pause: by the log, else by other instances."""
+        if number != self._pause:
+            return
+        self._is_log_reread = True
+        if complete and self.reader.current:
+            self._end_pause()
+        elif not self._is_asking:
+            self._is_asking = True
+            self._ask_peers()
+
+    def _end_pause(self) -> None:
+        if self._pause:
+            self.fire(source_reread(COMPONENT, self._pause), "*")
+            self._pause = 0
 
     def _request_state(self, peer: str) -> None:
         self._request_number += 1
--- a/packages/daemon/src/ibispaddle_daemon/events.py
+++ b/packages/daemon/src/ibispaddle_daemon/events.py
@@ -196,6 +196,26 @@
     """Report whether a component is ready: `readiness_changed(component, ready)`."""
 
 
+class process_paused(Event):
+    """Report that the process was paused: `process_paused(number)`, counted from 1."""
+
+
+class source_reread(Event):
+    """Report a source that was read after a pause: `source_reread(source, number)`."""
+
+
+class log_reread(Event):
+    """Report on the tails after a pause: `log_reread(complete, number)`.
+
+    `complete` is true when all tails have reached the end of their streams with reads that began
+    after the pause, and false when the log does not answer.
+    """
+
+
+class pause_ended(Event):
+    """Report that all sources were read after a pause: `pause_ended()`."""
+
+
 class drain_started(Event):
     """Begin a planned stop: `drain_started()`."""
 
--- a/packages/daemon/src/ibispaddle_daemon/http_server.py
+++ b/packages/daemon/src/ibispaddle_daemon/http_server.py
@@ -57,11 +57,13 @@
         timers: TimerQueue,
         limits: LimitSettings,
         tls: ssl.SSLContext | None = None,
+        is_recovering: Callable[[], bool] = lambda: False,
     ) -> None:
         super(BaseServer, self).__init__(channel=self.channel)
         self._display_banner = False
         self.clock = clock
         self.draining = False
+        self._is_recovering = is_recovering
         # Without a configuration in force, callers' keys cannot be judged.
         self.configured = False
         self._timers = timers
@@ -165,8 +167,9 @@
         """Hand a complete request to the component of its path."""
         self.active += 1
         exchange.is_counted = True
+        recovering = self._is_recovering()  # Told to `status` before this exchange.
         channel = _CHANNELS.get(exchange.path.split("/", 2)[1] if "/" in exchange.path else "")
-        if channel in _WORK_CHANNELS and not self._admit(exchange):
+        if channel in _WORK_CHANNELS and not self._admit(exchange, recovering):
             return
         if channel is not None:
             self.fire(exchange_started(exchange), channel)
@@ -179,7 +182,7 @@
             return
         self.fire(event, self.channel)
 
-    def _admit(self, exchange: Exchange) -> bool:
+    def _admit(self, exchange: Exchange, recovering: bool) -> bool:
         if exchange.on_new_connection and self.draining:
             error = ProtocolError(
                 503, "draining", "The instance is being stopped.", retry_after_ms=RETRY_AFTER_MS
@@ -187,6 +190,9 @@
         elif not self.configured:
             text = "The instance has no configuration yet."
             error = ProtocolError(503, "starting", text, retry_after_ms=RETRY_AFTER_MS)
+        elif recovering:
+            text = "The process was paused and reads the fleet's state again."
+            error = ProtocolError(503, "recovering", text, retry_after_ms=RETRY_AFTER_MS)
         elif self.active > self._limits.max_requests:
             text = f"The instance holds {self._limits.max_requests} requests."
             error = ProtocolError(503, "overloaded", text, retry_after_ms=RETRY_AFTER_MS)
--- a/packages/daemon/src/ibispaddle_daemon/instance_list.py
+++ b/packages/daemon/src/ibispaddle_daemon/instance_list.py
@@ -27,9 +27,11 @@
     HttpCallError,
     call_completed,
     http_call,
+    http_cancel,
     list_changed,
     peer_send,
     readiness_changed,
+    source_reread,
 )
 from .logs import log_event
 from .peer_codec import Message
@@ -96,6 +98,7 @@
         self._list_bytes = 0
         self._poll_timer: TimerHandle | None = None
         self._call_id = ""
+        self._pause = 0  # Number of the last pause, 0 once the list was read after it.
         self.failures = 0  # Readings that failed since the last good one.
 
     @handler("started", channel="*")
@@ -110,6 +113,16 @@
         call = HttpCall(self._call_id, "GET", self._url, (), b"", deadline_ms, self.channel)
         self.fire(http_call(call), "http_client")
 
+    @handler("process_paused", channel="*")
+    def _on_process_paused(self, number: int) -> None:
+        """Read the list at once; an answer on its way may have been given before the pause."""
+        self._pause = number
+        if self._call_id:
+            self.fire(http_cancel(self._call_id), "http_client")
+        if self._poll_timer is not None:
+            self._poll_timer.cancel()
+        self._poll()
+
     def _schedule(self, delay_ms: int) -> None:
         if self._poll_timer is not None:
             self._poll_timer.cancel()
@@ -142,6 +155,8 @@
     def _on_call_completed(
         self, call_id: str, status: int, headers: Headers, body: bytes, error: HttpCallError | None
     ) -> None:
+        if call_id != self._call_id:
+            return  # Cancelled after a pause.
         self._call_id = ""
         known_version = self._view.version
         self._note_answer(status, body, error)
@@ -175,6 +190,10 @@
         self.failures = 0
         is_first, self._is_read = not self._is_read, True
         self._report()
+        # A list that drops too much is never confirmed; it counts after the quick readings.
+        if self._pause and (not self._held_readings or self._held_readings > MAX_QUICK_READINGS):
+            self.fire(source_reread(self.channel, self._pause), "*")
+            self._pause = 0
         if is_first:
             self.fire(readiness_changed(self.channel, True), "*")
 
--- a/packages/daemon/src/ibispaddle_daemon/platform_log.py
+++ b/packages/daemon/src/ibispaddle_daemon/platform_log.py
@@ -24,9 +24,10 @@
     log_appended,
     log_health,
     log_records,
+    log_reread,
 )
 from .logs import log_event
-from .timers import TimerQueue
+from .timers import TimerHandle, TimerQueue
 
 APPEND_TIMEOUT_MS = 5_000
 LONG_POLL_MS = 20_000
@@ -105,6 +106,8 @@
     call_id: str = ""
     since_ms: int | None = None  # Search for the first record of this time.
     bounds: tuple[int, int] | None = field(default=None)
+    retry: TimerHandle | None = None
+    is_stale: bool = False  # The end of the stream was not reached since the last pause.
 
 
 class PlatformLog(BaseComponent):
@@ -131,6 +134,7 @@
         self._lost_answers = 0
         self._available: bool | None = None
         self._stopped = False
+        self._pause = 0  # Number of the last pause, 0 once all tails have caught up.
         self.bytes_read = 0
         self.appends_sent = 0
 
@@ -199,6 +203,26 @@
         self._tails.append(tail)
         self._read(tail)
 
+    @handler("process_paused", channel="*")
+    def _on_process_paused(self, number: int) -> None:
+        """Begin all reads again; answers on their way may have been given before the pause."""
+        self._pause = number
+        for call_id in list(self._reads):
+            self.fire(http_cancel(call_id), "http_client")
+        self._reads.clear()
+        for tail in self._tails:
+            tail.is_stale, tail.at_end = True, False
+            if tail.retry is not None:
+                tail.retry.cancel()
+            self._read(tail)
+
+    def _note_caught_up(self, tail: _Tail) -> None:
+        if tail.at_end and tail.is_stale:
+            tail.is_stale = False
+            if self._pause and not any(other.is_stale for other in self._tails):
+                self.fire(log_reread(True, self._pause), "*")
+                self._pause = 0
+
     def _read(self, tail: _Tail) -> None:
         if self._stopped:
             return
@@ -238,6 +262,7 @@
             tail.at_end = tail.position >= page.next_offset
             event = log_records(tail.stream, records, page.first_offset, page.next_offset)
             self.fire(event, tail.channel)
+            self._note_caught_up(tail)
         self._read(tail)
 
     def _locate(self, tail: _Tail, page: _Page) -> None:
@@ -271,9 +296,11 @@
         if tail.failures > 1 or error is None or not error.byte_sent:
             self._reads_fail = True
             self._report_health()
+            if self._pause:
+                self.fire(log_reread(False, self._pause), "*")
         longest_ms = min(MAX_BACKOFF_MS, MIN_BACKOFF_MS << min(tail.failures, 10))
         delay_ms = int(longest_ms * self._rng.uniform(0.5, 1.0))
-        self._timers.after(delay_ms, lambda: self._read(tail))
+        tail.retry = self._timers.after(delay_ms, lambda: self._read(tail))
 
     # Calls and health
 
--- a/packages/daemon/src/ibispaddle_daemon/services.py
+++ b/packages/daemon/src/ibispaddle_daemon/services.py
@@ -3,7 +3,7 @@
 import hashlib
 import itertools
 import secrets
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from circuits import BaseComponent, handler
 from ibispaddle_core import logevents
@@ -82,6 +82,7 @@
         timers: TimerQueue,
         metrics: Metrics,
         tracing: Tracing,
+        is_recovering: Callable[[], bool] = lambda: False,
     ) -> None:
         super().__init__()
         self._boot = f"{instance_id}-{secrets.token_hex(4)}"
@@ -94,6 +95,8 @@
         self._loads: dict[str, int] = {}
         self._calls: dict[str, ServiceCall] = {}
         self._attempts: dict[str, ServiceCall] = {}
+        self._is_recovering = is_recovering
+        self._held: list[ServiceCall] = []
 
     @property
     def calls_in_flight(self) -> int:
@@ -227,7 +230,17 @@
             default=None,
         )
 
+    @handler("pause_ended", channel="*")
+    def _on_pause_ended(self) -> None:
+        held, self._held = self._held, []
+        for call in held:
+            if call.call_id in self._calls and self._clock.now_ms() < call.deadline_ms:
+                self._send(call)
+
     def _send(self, call: ServiceCall) -> None:
+        if self._is_recovering():
+            self._held.append(call)  # Its timer ends it if the recovery takes too long.
+            return
         entry = self._choose(call)
         if entry is None:
             text = f"No instance of the service '{call.service}' is available."
--- a/tests/configuration/test_component.py
+++ b/tests/configuration/test_component.py
@@ -9,7 +9,14 @@
 from ibispaddle_core.gossip import Heartbeat, StateReply, StateRequest
 from ibispaddle_core.settings import FleetConfig, InstanceSettings
 from ibispaddle_daemon.configuration import Configuration
-from ibispaddle_daemon.events import list_changed, log_appended, log_health, log_records
+from ibispaddle_daemon.events import (
+    list_changed,
+    log_appended,
+    log_health,
+    log_records,
+    log_reread,
+    process_paused,
+)
 from ibispaddle_daemon.platform_log import LogError, LogFailure
 
 RETENTION_MS = 400_000
@@ -63,6 +70,11 @@
         self.sent = []
         self.in_force = []
         self.ready = []
+        self.reread = []
+
+    @handler("source_reread", channel="*")
+    def _on_source_reread(self, source, number):
+        self.reread.append(number)
 
     @handler("log_append", channel="*")
     def _on_log_append(self, stream, data, token, channel):
@@ -266,6 +278,74 @@
         self.assertEqual(self.around.appended, [])
 
 
+class PauseTest(ComponentTest):
+    """The process was paused while the configuration may have changed."""
+
+    def setUp(self):
+        super().setUp()
+        self.page(change("a", -1, 1.0).to_record())
+        self.wait(2_500)
+        self.pause()
+
+    def pause(self):
+        self.around.fire(process_paused(1), "*")
+        self.flush()
+
+    def log_answers(self, complete):
+        self.component._on_log_health(complete)
+        self.around.fire(log_reread(complete, 1), "*")
+        self.flush()
+
+    def test_end_of_the_log_confirms_the_state(self):
+        """Guard against a wait for other instances although the log answers."""
+        self.wait(3_000)
+        self.assertEqual(self.around.reread, [])
+        self.log_answers(True)
+        self.assertEqual((self.around.reread, self.around.sent), ([1], []))
+
+    def test_peers_confirm_the_state_while_the_log_is_down(self):
+        """Guard against the state of before the pause when another instance has a newer one."""
+        self.log_answers(False)
+        self.answer("entry.2", state(0, 1.0))
+        self.wait(1_000)
+        self.assertEqual(self.around.reread, [])
+        self.answer("entry.3", state(4, 4.0))
+        self.wait(100)
+        self.assertEqual((self.around.reread, self.revisions()), ([1], [0, 4]))
+
+    def test_own_state_alone_confirms_nothing(self):
+        """Guard against an old configuration with neither log nor peers, and against no retry."""
+        self.log_answers(False)
+        self.wait(2_500)
+        self.assertEqual(self.around.reread, [])
+        self.wait(1_500)
+        self.answer("entry.2", state(0, 1.0))
+        self.wait(2_500)
+        self.assertEqual(self.around.reread, [1])
+
+    def test_answer_to_a_question_of_before_the_pause_is_ignored(self):
+        """Guard against a peer's state that waited in a socket during the pause."""
+        self.component._on_peer_received("entry.2", Heartbeat(False, 4, 4))
+        self.wait(300)
+        old = self.around.sent[-1][1].request_id
+        self.pause()
+        self.log_answers(False)
+        body = msgspec.json.encode(state(0, 1.0).to_record())
+        self.component._on_peer_received("entry.2", StateReply("configuration", old, body))
+        self.wait(2_500)
+        self.assertEqual(self.around.reread, [])
+
+    def test_gap_in_the_log_is_not_the_end(self):
+        """Guard against a pause beyond the retention that leaves an old state in force."""
+        self.page(change("z", 8, 9.0).to_record(), start=9, first=9)
+        self.log_answers(True)
+        self.assertEqual(self.around.reread, [])
+        self.answer("entry.2", state(8, 8.0))
+        self.answer("entry.3", state(8, 8.0))
+        self.wait(100)
+        self.assertEqual((self.around.reread, self.revisions()), ([1], [0, 9]))
+
+
 class EventTest(ComponentTest):
     def test_events_reach_the_handlers(self):
         """Guard against handlers that are bound to another event or channel."""
--- a/tests/failures/support.py
+++ b/tests/failures/support.py
@@ -59,8 +59,10 @@
         tokens: int = 8,
         timeout_ms: int = 5_000,
         stream: bool = True,
+        key: str = KEY,
     ) -> None:
         super().__init__(daemon=True)
+        self.key = key
         self.prompt, self.tokens, self.timeout_ms, self.stream = prompt, tokens, timeout_ms, stream
         self.status = 0
         self.headers: dict[str, str] = {}
@@ -91,7 +93,7 @@
             "stream": self.stream,
         }
         headers = {
-            "Authorization": f"Bearer {KEY}",
+            "Authorization": f"Bearer {self.key}",
             "Content-Type": "application/json",
             "X-Request-Timeout-Ms": str(self.timeout_ms),
         }
--- /dev/null
+++ b/tests/failures/test_pauses.py
@@ -0,0 +1,112 @@
+"""An instance that was stopped learns what it missed before it takes new work."""
+
+import signal
+import time
+import urllib.request
+from dataclasses import replace
+
+from ibispaddle_bench.fleet import OPERATOR_KEY, WORKSPACE_KEYS, sha256_hex
+from ibispaddle_client.api import OperatorApi
+
+from .support import Call, FleetTest, wait_until
+
+OLD_KEY, KEPT_KEY = WORKSPACE_KEYS["large"], WORKSPACE_KEYS["small"]
+# Time in which the log ends the reads that wait, so that a stopped process gets no new records.
+POLL_END_S = 1.0
+PAUSE_S = 2.0
+LOAD_S = 2.0
+
+
+class PauseTest(FleetTest):
+    """Three runners, of which two leave during the pause; the default intervals."""
+
+    SPEC = replace(FleetTest.SPEC, entries=3, runners=3, time_scale=2.0, instance_settings={})
+    FLEET_PER_TEST = True
+
+    def change_fleet(self) -> None:
+        """Revoke a key by a change of the configuration, and let two runners leave."""
+        document = self.SPEC.configuration_document()
+        document["workspaces"]["large"]["key_sha256"] = [sha256_hex("another")]
+        change = {
+            "change_id": "revoke",
+            "expected_revision": -1,
+            "layer": "base",
+            "document": document,
+            "author": "ann",
+        }
+        api = OperatorApi(self.fleet.entries[1].url, OPERATOR_KEY)
+        self.assertEqual(api.post("config", change)["revision"], 0)
+        for runner in self.fleet.runners[1:]:
+            self.fleet.states[runner.name] = "leaving"
+        self.fleet.publish()
+
+    def pause(self) -> None:
+        """Stop the first instance while the fleet changes."""
+        self.entry.signal(signal.SIGSTOP)
+        self.fleet.log.set_faults(read_outage=True)
+        time.sleep(POLL_END_S)
+        self.fleet.log.set_faults(read_outage=False)
+        self.change_fleet()
+        time.sleep(PAUSE_S)
+
+    def calls(self, number: int) -> list[Call]:
+        """Send one request with the revoked key and two with the other."""
+        keys = (OLD_KEY, KEPT_KEY, KEPT_KEY)
+        return [
+            Call(self.entry, prompt=f"{number} {index}", tokens=2, key=key)
+            for index, key in enumerate(keys)
+        ]
+
+    def is_ready(self) -> bool:
+        try:
+            with urllib.request.urlopen(f"{self.entry.url}/readyz", timeout=2):
+                return True
+        except OSError:
+            return False
+
+    def check_continued(self) -> float:
+        """Continue the instance under load; return the seconds until it was ready again."""
+        leaving = self.fleet.runners[1:]
+        before = [runner.state()["arrivals"] for runner in leaving]
+        calls = [call for number in range(5) for call in self.calls(number)]
+        time.sleep(0.3)  # The requests wait in the sockets of the stopped process.
+        started = time.monotonic()
+        self.entry.signal(signal.SIGCONT)
+        ready_s = 0.0
+        while (passed_s := time.monotonic() - started) < LOAD_S:
+            calls += self.calls(len(calls))
+            if not ready_s and self.is_ready():
+                ready_s = passed_s
+            time.sleep(0.02)
+        ready_s = ready_s or wait_until(self.is_ready, "readiness") + LOAD_S
+        outcomes = {(call.key, call.ended().status, call.error.get("code")) for call in calls}
+        refused, served = (503, "recovering"), (200, None)
+        expected = {(OLD_KEY, *refused), (OLD_KEY, 401, "invalid_api_key"), (KEPT_KEY, *refused)}
+        with self.subTest("configuration"):
+            self.assertEqual(outcomes - {(KEPT_KEY, *served)}, expected)
+        for call in calls:
+            if call.status == 503:
+                self.assertEqual((call.run_state, call.headers["retry-after"]), ("not_run", "1"))
+        with self.subTest("leaving runners"):
+            self.assertEqual([runner.state()["arrivals"] for runner in leaving], before)
+        last = Call(self.entry, key=KEPT_KEY).ended()
+        self.assertTrue(last.is_whole, last.describe())
+        return ready_s
+
+    def test_changes_during_the_pause(self):
+        """Guard against an old configuration and new work for leaving runners after a pause."""
+        streams = [self.call(prompt=f"s{n}", tokens=900, timeout_ms=30_000) for n in range(6)]
+        for stream in streams:
+            stream.wait_for_tokens()
+        self.pause()
+        ready_s = self.check_continued()
+        print(f"ready {ready_s:.3f} s after the pause")
+        for stream in streams:
+            self.assertTrue(stream.ended().is_whole, stream.describe())
+
+    def test_log_down_after_the_pause(self):
+        """Guard against an old configuration after a pause when only peers know the new one."""
+        self.pause()
+        self.fleet.log.set_faults(outage=True)
+        ready_s = self.check_continued()
+        print(f"ready {ready_s:.3f} s after the pause, from peers")
