Added a command that begins the configuration again from files

Change: `ibispaddle config restart BASE [--site FILE ...]` appends a record that counts only at the offset that its writer expects, the end of the stream it had read. The state after it depends on nothing before, so readers agree wherever they start. The operator keys of the base file count while no configuration is in force.

--- a/packages/client/src/ibispaddle_client/__main__.py
+++ b/packages/client/src/ibispaddle_client/__main__.py
@@ -9,6 +9,7 @@
     config_apply,
     config_diff,
     config_history,
+    config_restart,
     config_show,
     config_wait,
     instances,
@@ -40,6 +41,7 @@
 config_app.command("diff")(config_diff.command)
 config_app.command("apply")(config_apply.command)
 config_app.command("history")(config_history.command)
+config_app.command("restart")(config_restart.command)
 config_app.command("wait")(config_wait.command)
 app.command("instances")(instances.command)
 app.command("upstreams")(upstreams.command)
--- a/packages/client/src/ibispaddle_client/commands/config_apply.py
+++ b/packages/client/src/ibispaddle_client/commands/config_apply.py
@@ -28,11 +28,11 @@
 Wait = Annotated[bool, typer.Option("--wait", help="Wait until it is in force at all instances.")]
 
 
-def apply_change(api: OperatorApi, change: dict[str, Any]) -> dict[str, Any]:
+def send_until_known(api: OperatorApi, path: str, body: dict[str, Any]) -> dict[str, Any]:
     """Send a change until its outcome is known and return the instance's answer."""
     for attempt in range(ATTEMPTS):
         try:
-            return api.post("config", change)
+            return api.post(path, body)
         except (UndeterminedError, UnreachableError):
             if attempt == ATTEMPTS - 1:
                 raise
@@ -64,7 +64,7 @@
         "document": read_document(document),
         "author": getpass.getuser(),
     }
-    answer = apply_change(api, change)
+    answer = send_until_known(api, "config", change)
     if as_json:
         print_json(answer)
     else:
--- a/packages/core/src/ibispaddle_core/configuration/__init__.py
+++ b/packages/core/src/ibispaddle_core/configuration/__init__.py
@@ -10,6 +10,7 @@
     Unavailable,
     Undetermined,
     check_change,
+    check_layers,
 )
 from .base import (
     NO_REVISION,
@@ -24,10 +25,13 @@
 from .exceptions import ConfigurationError, RecordError
 from .fold import Status, Verdict, fold
 from .reader import ConfigReader
+from .restarting import INQUIRY_WAIT_MS, HasState, Restarting
+from .restarts import Restart, inquiry_id
 from .snapshots import snapshot_due_ms
 from .starting import PEER_TIMEOUT_MS, PeerStart
 
 __all__ = [
+    "INQUIRY_WAIT_MS",
     "NO_REVISION",
     "PEER_TIMEOUT_MS",
     "RECENT_CHANGES",
@@ -38,6 +42,7 @@
     "ConfigState",
     "ConfigurationError",
     "Conflict",
+    "HasState",
     "LastChange",
     "LogRecord",
     "Outcome",
@@ -45,13 +50,17 @@
     "Phase",
     "RecordError",
     "Refused",
+    "Restart",
+    "Restarting",
     "SeenChange",
     "Status",
     "Unavailable",
     "Undetermined",
     "Verdict",
     "check_change",
+    "check_layers",
     "fold",
+    "inquiry_id",
     "is_layer",
     "snapshot_due_ms",
 ]
--- a/packages/core/src/ibispaddle_core/configuration/applying.py
+++ b/packages/core/src/ibispaddle_core/configuration/applying.py
@@ -1,11 +1,12 @@
 """State machine that applies one operator's change."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import StrEnum
 
 from ..checks import CheckMessage, Severity
 from ..settings import check_fleet
-from .base import NO_REVISION, Change, ConfigState, LastChange
+from .base import NO_REVISION, Change, ConfigState, Document, LastChange
 from .fold import Status, Verdict
 
 
@@ -149,7 +150,6 @@
 
 def check_change(state: ConfigState, change: Change) -> list[CheckMessage]:
     """Return the check messages of the configuration of every site after the change."""
-    layers = {**state.layers, change.layer: change.document}
     messages: list[CheckMessage] = []
     if state.revision == NO_REVISION and change.layer != "base":
         # Instances use their base file until the first accepted change. An overlay alone would
@@ -163,6 +163,12 @@
                 change.layer,
             )
         )
+    return messages + check_layers({**state.layers, change.layer: change.document})
+
+
+def check_layers(layers: Mapping[str, Document]) -> list[CheckMessage]:
+    """Return the check messages of the configuration of every site."""
+    messages: list[CheckMessage] = []
     base = layers.get("base", {})
     overlays = [name for name in layers if name != "base"]
     for name in overlays or [""]:
--- a/packages/core/src/ibispaddle_core/configuration/fold.py
+++ b/packages/core/src/ibispaddle_core/configuration/fold.py
@@ -5,6 +5,7 @@
 
 from .base import RECENT_CHANGES, Change, ConfigState, LastChange, LogRecord, SeenChange
 from .exceptions import RecordError
+from .restarts import Restart, inquiry_id, is_in_place, is_restart
 
 
 class Status(StrEnum):
@@ -14,6 +15,7 @@
     CONFLICT = "conflict"  # Another revision was current.
     DUPLICATE = "duplicate"  # The change id occurred before.
     MALFORMED = "malformed"
+    RESTARTED = "restarted"  # The configuration began again from files.
 
 
 @dataclass(frozen=True)
@@ -48,8 +50,10 @@
     if record.offset != state.as_of + 1:
         raise ValueError(f"record {record.offset} does not follow offset {state.as_of}")
     state = replace(state, as_of=record.offset)
-    if is_snapshot(record):
+    if is_snapshot(record) or inquiry_id(record) is not None:
         return state, None
+    if is_restart(record):
+        return _fold_restart(state, record)
     try:
         change = Change.from_record(record.data)
     except RecordError:
@@ -71,6 +75,17 @@
     return state, verdict
 
 
+def _fold_restart(state: ConfigState, record: LogRecord) -> tuple[ConfigState, Verdict]:
+    try:
+        restart = Restart.from_record(record.data)
+    except RecordError:
+        return state, _verdict(state, record, Status.MALFORMED, None)
+    if not is_in_place(restart, record.offset):
+        return state, _verdict(state, record, Status.CONFLICT, restart.as_change())
+    verdict = _verdict(state, record, Status.RESTARTED, restart.as_change())
+    return restart.state_at(record.offset), replace(verdict, revision=record.offset)
+
+
 def _verdict(
     state: ConfigState, record: LogRecord, status: Status, change: Change | None
 ) -> Verdict:
--- a/packages/core/src/ibispaddle_core/configuration/reader.py
+++ b/packages/core/src/ibispaddle_core/configuration/reader.py
@@ -6,6 +6,7 @@
 from .base import RECENT_CHANGES, ConfigState, LogRecord
 from .exceptions import RecordError
 from .fold import Verdict, fold, is_snapshot
+from .restarts import restart_in_effect
 
 # Record times that a reader remembers to find out how long a snapshot stays usable. Two days of
 # changes.
@@ -16,7 +17,7 @@
     """Fold pages of the stream into a state.
 
     The reader has no state until the pages read without a gap either begin at offset 0 or contain a
-    usable snapshot, or until a peer's state that reaches up to them was adopted. When retention
+    usable snapshot or a restart in effect, or until a peer's state that reaches up to them was adopted. When retention
     removes records that were not read yet, the last state is kept and not advanced until a snapshot
     or a peer's state bridges the gap.
     """
@@ -110,18 +111,24 @@
         verdicts = []
         for record in self._unfolded:
             if record.offset > self.state.as_of:
-                self.state, verdict = fold(self.state, record, self._recent_changes)
+                self.state, verdict = self._fold(self.state, record)
                 if verdict:
                     verdicts.append(verdict)
         self._unfolded.clear()
         return verdicts
 
+    def _fold(self, state: ConfigState, record: LogRecord) -> tuple[ConfigState, Verdict | None]:
+        return fold(state, record, self._recent_changes)
+
     def _bridge(self) -> None:
         """Find a state from which the unfolded records can be folded without a gap."""
         if self._block_start == 0 and self._pages:
             self.state = ConfigState()
             return
         for record in self._unfolded:
+            if restart_in_effect(record) is not None:
+                self.state = ConfigState(record.offset - 1)  # The restart replaces all of it.
+                return
             if not is_snapshot(record):
                 continue
             try:
--- /dev/null
+++ b/packages/core/src/ibispaddle_core/configuration/restarts.py
@@ -0,0 +1,107 @@
+"""Records that begin the configuration again after the log has dropped all of it."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from .base import NO_REVISION, Change, ConfigState, Document, LastChange, LogRecord, SeenChange
+from .exceptions import RecordError
+
+
+@dataclass(frozen=True)
+class Restart:
+    """A configuration from files, appended where no reader can derive a state from the log.
+
+    It counts only at `expected_offset`, the end of the stream that its writer had read. A copy that
+    arrives late or twice, and the second of two operators, find another offset.
+    """
+
+    restart_id: str
+    expected_offset: int
+    layers: Mapping[str, Document]
+    author: str
+
+    @classmethod
+    def from_record(cls, data: Mapping[str, Any]) -> "Restart":
+        """Return the restart in a record; raise `RecordError` if a field is missing or wrong."""
+        fields = data.get("restart")
+        if not isinstance(fields, Mapping) or not isinstance(fields.get("layers"), Mapping):
+            raise RecordError("'restart' is not an object with 'layers'")
+        offset = fields.get("expected_offset")
+        if type(offset) is not int or offset < 0:
+            raise RecordError("'expected_offset' is not an offset")
+        if "base" not in fields["layers"]:
+            raise RecordError("the layer 'base' is missing")
+        restart = cls(
+            fields.get("restart_id", ""), offset, dict(fields["layers"]), fields.get("author", "")
+        )
+        for name in restart.layers:
+            restart.as_change(name)
+        return restart
+
+    def to_record(self) -> dict[str, Any]:
+        """Return the JSON object that is appended to the stream."""
+        return {
+            "restart": {
+                "restart_id": self.restart_id,
+                "expected_offset": self.expected_offset,
+                "layers": dict(self.layers),
+                "author": self.author,
+            }
+        }
+
+    def as_change(self, layer: str = "base") -> Change:
+        """Return one layer in the form of a change; raise `RecordError` if a field is wrong."""
+        return Change.from_record(
+            {
+                "change_id": self.restart_id,
+                "expected_revision": NO_REVISION,
+                "layer": layer,
+                "document": self.layers[layer],
+                "author": self.author,
+            }
+        )
+
+    def state_at(self, offset: int) -> ConfigState:
+        """Return the state after the record at an offset, which depends on nothing before it."""
+        change = self.as_change()
+        seen = SeenChange(self.restart_id, offset, True, change.digest())
+        last = LastChange(self.restart_id, "base", self.author)
+        return ConfigState(offset, offset, dict(self.layers), (seen,), last)
+
+
+def is_restart(record: LogRecord) -> bool:
+    """Return whether the record holds a restart, in effect or void."""
+    return "restart" in record.data
+
+
+def is_in_place(restart: Restart, offset: int) -> bool:
+    """Return whether a restart that was found at an offset is in effect."""
+    return offset == restart.expected_offset
+
+
+def restart_in_effect(record: LogRecord) -> Restart | None:
+    """Return the restart in a record if it counts.
+
+    >>> restart = Restart("r1", 7, {"base": {}}, "ann")
+    >>> restart_in_effect(LogRecord(8, 0, restart.to_record())) is None
+    True
+    """
+    if not is_restart(record):
+        return None
+    try:
+        restart = Restart.from_record(record.data)
+    except RecordError:
+        return None
+    return restart if is_in_place(restart, record.offset) else None
+
+
+def inquiry_record(restart_id: str) -> dict[str, Any]:
+    """Return the record that asks instances with a state to append a snapshot."""
+    return {"inquiry": {"restart_id": restart_id}}
+
+
+def inquiry_id(record: LogRecord) -> str | None:
+    """Return the restart id of an inquiry, or None for another record."""
+    inquiry = record.data.get("inquiry")
+    return str(inquiry.get("restart_id")) if isinstance(inquiry, Mapping) else None
--- a/packages/daemon/src/ibispaddle_daemon/app.py
+++ b/packages/daemon/src/ibispaddle_daemon/app.py
@@ -15,6 +15,7 @@
 from .account import UsageAccount
 from .claims import Claims
 from .configuration import Configuration
+from .configuration_restart import ConfigurationRestart
 from .entry import Entry
 from .events import drain_completed, drain_started
 from .fleet_operations import FleetOperations
@@ -136,6 +137,9 @@
         ).register(self)
         self.claims = Claims(settings, clock.wall_ms(), clock, timers).register(self)
         self.operators = Operators(settings, self.configuration, clock).register(self)
+        ConfigurationRestart(
+            settings, config, self.operators, self.configuration, self.view, clock, timers
+        ).register(self)
         FleetOperations(self.operators, self.view, self.quarantine, clock).register(self)
         Orders(settings, self.operators, self.view, clock.wall_ms(), clock, timers).register(self)
         UsageAccount(
--- a/packages/daemon/src/ibispaddle_daemon/configuration.py
+++ b/packages/daemon/src/ibispaddle_daemon/configuration.py
@@ -90,6 +90,7 @@
         self.log_available = False
         self._published: ConfigState | None = None
         self._log_end = 0
+        self._has_page = False
         self._floor = NO_REVISION
         self._listed = False
         self._start: PeerStart | None = None
@@ -121,6 +122,7 @@
         self, stream: str, records: Sequence[LogRecord], first_offset: int, next_offset: int
     ) -> None:
         self._log_end = next_offset
+        self._has_page = True
         self._take(self.reader.read_page(first_offset, records))
 
     def _take(self, verdicts: list[Verdict]) -> None:
@@ -280,6 +282,11 @@
         elif state is not None and self._published is not None:
             self._adopt(state)
 
+    @property
+    def is_at_end(self) -> bool:
+        """Return whether the log answers and was read to the end that it last reported."""
+        return self.log_available and self._has_page and self.reader.position >= self._log_end
+
     # Changes
 
     def apply(self, change: Change, timeout_ms: int, done: Done) -> None:
--- a/packages/daemon/src/ibispaddle_daemon/operators.py
+++ b/packages/daemon/src/ibispaddle_daemon/operators.py
@@ -48,7 +48,8 @@
         self._settings = settings
         self._configuration = configuration
         self._clock = clock
-        self._keys: frozenset[str] = frozenset()
+        self._keys: frozenset[str] | None = None
+        self._start_keys: dict[str, frozenset[str]] = {}
         self._paths: dict[tuple[str, str], Answer] = {
             ("GET", "/operator/config"): self._show,
             ("POST", "/operator/config"): self._apply,
@@ -56,9 +57,15 @@
             ("GET", "/operator/instances"): self._show_instances,
         }
 
-    def add_path(self, method: str, path: str, answer: Answer) -> None:
-        """Add a path; `answer` is called only for requests with an operator key."""
+    def add_path(
+        self, method: str, path: str, answer: Answer, start_keys: frozenset[str] = frozenset()
+    ) -> None:
+        """Add a path; `answer` is called only for requests with an operator key.
+
+        `start_keys` are the digests of the keys that count while no configuration is in force.
+        """
         self._paths[method, path] = answer
+        self._start_keys[path] = start_keys
 
     @handler("configuration_changed", channel="*")
     def _on_configuration_changed(self, config: FleetConfig, revision: int) -> None:
@@ -83,7 +90,10 @@
         scheme, _, key = (exchange.header("authorization") or "").partition(" ")
         digest = hashlib.sha256(key.strip().encode("latin-1", "replace")).hexdigest()
         # Only digests are compared, so the time of the look-up tells nothing about a key.
-        return scheme.lower() == "bearer" and digest in self._keys
+        keys = self._keys
+        if keys is None:
+            keys = self._start_keys.get(exchange.path, frozenset())
+        return scheme.lower() == "bearer" and digest in keys
 
     # Configuration
 
@@ -136,14 +146,17 @@
             respond_error(exchange, ProtocolError(400, "invalid_change", str(exc)))
             return
         self._configuration.apply(
-            change, APPLY_TIMEOUT_MS, lambda outcome: self._answer_change(exchange, change, outcome)
+            change,
+            APPLY_TIMEOUT_MS,
+            lambda outcome: self.answer_outcome(exchange, change.change_id, outcome),
         )
 
-    def _answer_change(self, exchange: Exchange, change: Change, outcome: Outcome) -> None:
+    def answer_outcome(self, exchange: Exchange, change_id: str, outcome: Outcome) -> None:
+        """Answer with what became of a change."""
         match outcome:
             case Applied(revision, warnings):
                 texts = [str(message) for message in warnings]
-                body = {"change_id": change.change_id, "revision": revision, "warnings": texts}
+                body = {"change_id": change_id, "revision": revision, "warnings": texts}
                 respond(exchange, 200, body)
             case Conflict(expected, revision, winner):
                 state = self._configuration.reader.state
@@ -169,7 +182,7 @@
             case Unavailable(text):
                 refusal = ProtocolError(503, "log_unavailable", text, retry_after_ms=RETRY_AFTER_MS)
                 respond_error(exchange, refusal)
-            case Undetermined(change_id):
+            case Undetermined():
                 text = (
                     f"It is not known yet whether the change '{change_id}' was accepted; repeat the"
                     " same request to find out."
--- /dev/null
+++ b/tests/configuration/test_restart_processes.py
@@ -0,0 +1,147 @@
+"""Tests with real processes: the configuration begins again after the log has dropped it."""
+
+import json
+import os
+import subprocess
+import sys
+import time
+import unittest
+from pathlib import Path
+
+from ibispaddle_bench.fleet import OPERATOR_KEY, Fleet, FleetSpec
+from ibispaddle_bench.processes import call_json
+from ibispaddle_client.api import OperatorApi
+from ibispaddle_client.exceptions import ClientError, ExitStatus
+
+from .test_processes import is_ready
+
+WAIT_S = 15.0
+
+
+class RestartTest(unittest.TestCase):
+    def setUp(self):
+        self.spec = FleetSpec(entries=3, runners=0, services=0)
+        self.fleet = Fleet(self.spec)
+        self.addCleanup(self.fleet.end)
+        self.fleet.start()
+        change = {
+            "change_id": "c1",
+            "expected_revision": -1,
+            "layer": "base",
+            "document": self.document(7.0),
+            "author": "ann",
+        }
+        self.assertEqual(self.api(0).post("config", change)["revision"], 0)
+
+    def document(self, weight):
+        document = self.spec.configuration_document()
+        document["neighbours"]["north"]["weight"] = weight
+        return document
+
+    def file(self, name, document):
+        path = Path(self.fleet.folder) / name
+        path.write_text(json.dumps(document))
+        return str(path)
+
+    def api(self, entry):
+        return OperatorApi(self.fleet.entries[entry].url, OPERATOR_KEY)
+
+    def invoke(self, entry, *args):
+        """Start the command and return its process."""
+        env = {"IBISPADDLE_SERVER": self.fleet.entries[entry].url, "IBISPADDLE_KEY": OPERATOR_KEY}
+        command = [sys.executable, "-m", "ibispaddle_client", "config", "restart", *args, "--json"]
+        return subprocess.Popen(
+            command, env=os.environ | env, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True
+        )
+
+    def drop_log(self):
+        """Let the retention remove every record of the configuration."""
+        time.sleep(0.1)
+        self.fleet.log.set_faults(retention_ms=1)
+        page = call_json(f"{self.fleet.log.url}/streams/config/records")
+        self.fleet.log.set_faults(retention_ms=0)
+        self.assertEqual((page["first_offset"], page["records"]), (page["next_offset"], []))
+
+    def wait_for(self, condition, what):
+        limit = time.monotonic() + WAIT_S
+        while not condition():
+            self.assertLess(time.monotonic(), limit, what)
+            time.sleep(0.05)
+
+    def start_all(self):
+        for index, entry in enumerate(self.fleet.entries):
+            self.fleet.entries[index] = self.fleet.start_entry(entry.name)
+
+    def test_one_of_two_operators_begins_again(self):
+        """Guard against a fleet that stays not ready for ever, and against two beginnings."""
+        for entry in self.fleet.entries:
+            entry.kill()
+        self.drop_log()
+        self.start_all()
+        time.sleep(4.0)
+        self.assertFalse(any(is_ready(entry) for entry in self.fleet.entries))
+        site = self.file("dc.1.json", {"neighbours": {"south": {"weight": 9.0}}})
+        bases = [self.file(f"base{n}.json", self.document(2.0 + n)) for n in range(2)]
+        started = time.monotonic()
+        commands = [self.invoke(n, bases[n], "--site", site) for n in range(2)]
+        outputs = [command.communicate(timeout=60) for command in commands]
+        statuses = [command.returncode for command in commands]
+        self.assertEqual(sorted(statuses), [ExitStatus.OK, ExitStatus.CONFLICT], outputs)
+        winner = statuses.index(ExitStatus.OK)
+        answer = json.loads(outputs[winner][0])
+        revision = answer["revision"]
+        self.assertIn(answer["restart_id"], outputs[1 - winner][1])
+        self.wait_for(lambda: all(is_ready(entry) for entry in self.fleet.entries), "ready")
+        print(f"ready {time.monotonic() - started:.2f} s after the command")
+        for number in range(3):
+            shown = self.api(number).get("config")
+            self.assertEqual(shown["revision"], revision)
+            weights = {n: c["weight"] for n, c in shown["in_force"]["neighbours"].items()}
+            south = 9.0 if shown["site"] == "dc.1" else 1.0
+            self.assertEqual(weights, {"north": 2.0 + winner, "south": south})
+        self.check_repeats(revision)
+
+    def check_repeats(self, revision):
+        """A repeated append, a second restart and an old change have no effect."""
+        url = f"{self.fleet.log.url}/streams/config/records"
+        records = {record["offset"]: record["data"] for record in call_json(url)["records"]}
+        restart = records[revision]
+        self.assertEqual(restart["restart"]["expected_offset"], revision)
+        call_json(url, restart)
+        with self.assertRaisesRegex(ClientError, "configuration_exists"):
+            self.api(2).post("config/restart", restart["restart"] | {"restart_id": "again"})
+        same = self.api(2).post("config/restart", restart["restart"])
+        self.assertEqual(same["revision"], revision)
+        change = {
+            "change_id": "c2",
+            "expected_revision": revision,
+            "layer": "base",
+            "document": self.document(3.0),
+            "author": "ann",
+        }
+        self.assertGreater(self.api(2).post("config", change)["revision"], revision)
+
+    def test_instance_with_a_state_refuses_for_all(self):
+        """Guard against a beginning that replaces a configuration that an instance still has."""
+        self.drop_log()
+        self.fleet.entries[0].kill()
+        self.fleet.entries[0] = self.fleet.start_entry(self.fleet.entries[0].name)
+        self.wait_for(lambda: self.answers(0), "listen")
+        base = self.file("base.json", self.document(2.0))
+        command = self.invoke(0, base)
+        _, text = command.communicate(timeout=60)
+        self.assertEqual(command.returncode, ExitStatus.CONFLICT)
+        self.assertRegex(text, "'entry.[23]' has the configuration at revision 0")
+        # The inquiry made an instance with a state append a snapshot, from which this one starts.
+        self.wait_for(lambda: is_ready(self.fleet.entries[0]), "ready")
+        self.assertEqual(self.api(0).get("config")["revision"], 0)
+
+    def answers(self, entry):
+        try:
+            self.api(entry).post("config/restart", {})
+        except ClientError as exc:
+            return "invalid_restart" in str(exc)
+
+
+if __name__ == "__main__":
+    unittest.main()
