Proved the 5 s of a leaving runner with a late list

Cause: the target was not tested. A first version of the test, with two runners, passed without the gossip of the runners' reports, because each instance used only the runner that it probes itself; it was replaced.

Change: a test with four runners, of which two that leave belong to the home runners of an instance in another data centre, with a list that is 60 s late and one that cannot be read. A report of leaving is now gossiped at once and has precedence between data centres, like a failure; before, it waited for every second report and for 2 s.

--- a/packages/core/src/ibispaddle_core/gossip/table.py
+++ b/packages/core/src/ibispaddle_core/gossip/table.py
@@ -58,8 +58,9 @@
     match known.payload, payload:
         case (Heartbeat(), Heartbeat()) if known.payload != payload:
             return True
-        case (RunnerReport(up=before), RunnerReport(up=after)) if before != after:
-            return True
+        case (RunnerReport() as before, RunnerReport() as after):
+            if (before.up, before.leaving) != (after.up, after.leaving):
+                return True
     interval_ms = SUMMARY_INTERVAL_MS.get(type(payload), DEFAULT_SUMMARY_INTERVAL_MS)
     return now_ms - known.summary_ms >= interval_ms
 
--- a/packages/daemon/src/ibispaddle_daemon/probes.py
+++ b/packages/daemon/src/ibispaddle_daemon/probes.py
@@ -74,6 +74,7 @@
     in_flight: bool = False
     failures: int = 0
     is_down: bool = False
+    is_leaving: bool = False
     reported: tuple[str, int] = ("", -1)
 
 
@@ -228,7 +229,10 @@
             round(load.prefill_tokens_per_s),
             round(load.decode_tokens_per_s),
         )
-        if was_down or runner.answers % REPORTS_PER_ENTRY[runner.position] == 0:
+        # A departure does not wait for its turn, because the list may show it much later.
+        is_news = was_down or leaving != runner.is_leaving
+        runner.is_leaving = leaving
+        if is_news or runner.answers % REPORTS_PER_ENTRY[runner.position] == 0:
             self.fire(gossip_put(report), "*")
         runner.answers += 1
         # A report that has not changed at the runner is not passed on again.
--- a/tests/failures/test_leaving_upstreams.py
+++ b/tests/failures/test_leaving_upstreams.py
@@ -11,9 +11,12 @@
 
 # From the moment at which the list shows the change.
 NO_NEW_WORK_S = 2.0
+# From the upstream's change while the list is late.
+LATE_LIST_S = 5.0
+LIST_LAG_MS = 60_000
 
 
-class LeavingTest(FleetTest):
+class LeavingFleetTest(FleetTest):
     """Two upstreams of each kind under steady load; the default intervals of the instances."""
 
     SPEC = replace(
@@ -82,6 +85,10 @@
         self.fleet.unlisted.add(process.name)
         self.fleet.publish()
 
+
+class LeavingTest(LeavingFleetTest):
+    """The list shows a change at once."""
+
     def check_with_streams(self, change: Callable[[ManagedProcess], None]) -> None:
         """Check that the streams of an engine go on after the change."""
         prompts = [f"long stream {n}" for n in range(8)]
@@ -119,3 +126,42 @@
         """Guard against new prompts for an engine that leaves before the list says so."""
         self.check(self.runner, lambda: self.runner.set_faults(leaving=True))
         self.end_load()
+
+
+class LateListTest(LeavingFleetTest):
+    """The runners' own reports have to do.
+
+    The second and the fourth runner belong to the home runners of the instance in the other data
+    centre, which does not probe them and learns of their reports by gossip.
+    """
+
+    SPEC = replace(LeavingFleetTest.SPEC, runners=4)
+
+    def check_late(self) -> None:
+        """Check the time from the reports to the last new prompt, watched beyond the target."""
+        leaving = self.fleet.runners[1::2]
+        for runner in leaving:
+            before = self.arrivals(runner)
+            wait_until(lambda r=runner, n=before: self.arrivals(r) > n + 3, "use of the runner")
+        for runner in leaving:
+            runner.set_faults(leaving=True)
+            self.leave(runner)
+        started, last_s = time.monotonic(), 0.0
+        count = sum(map(self.arrivals, leaving))
+        while (passed_s := time.monotonic() - started) < LATE_LIST_S + 2.0:
+            if (arrivals := sum(map(self.arrivals, leaving))) > count:
+                count, last_s = arrivals, passed_s
+            time.sleep(0.02)
+        print(f"last new prompt {last_s:.2f} s after the change")
+        self.assertLess(last_s, LATE_LIST_S)
+        self.end_load()
+
+    def test_late_list(self):
+        """Guard against new prompts for engines that leave while the list is late."""
+        self.fleet.instances.set_faults(lag_ms=LIST_LAG_MS)
+        self.check_late()
+
+    def test_list_that_cannot_be_read(self):
+        """Guard against new prompts for engines that leave during an outage of the list."""
+        self.fleet.instances.set_faults(outage=True)
+        self.check_late()
