--- a/packages/daemon/src/ibispaddle_daemon/app.py
+++ b/packages/daemon/src/ibispaddle_daemon/app.py
@@ -14,6 +14,7 @@
 from .account import UsageAccount
 from .claims import Claims
 from .configuration import Configuration
+from .configuration_restart import ConfigurationRestart
 from .entry import Entry
 from .events import drain_completed, drain_started
 from .fleet_operations import FleetOperations
@@ -24,6 +25,7 @@
 from .metrics import Metrics, Status
 from .operators import Operators
 from .orders import Orders
+from .pauses import Pauses
 from .peers import Peers
 from .platform_log import PlatformLog
 from .probes import Probes
@@ -76,10 +78,17 @@
             self.timers,
         ).register(self)
         self.status = Status(self.metrics, ("instance_list", "configuration")).register(self)
+        self.view = MembershipView(settings.instance_id, settings.data_centre)
+        sources = ("instance_list", "configuration")
+        self.pauses = Pauses(sources, self.view, self.clock, self.timers).register(self)
         self.server = HttpServer(
-            settings.listen, self.clock, self.timers, config.limits, listener_context(settings)
+            settings.listen,
+            self.clock,
+            self.timers,
+            config.limits,
+            listener_context(settings),
+            self.pauses.is_recovering,
         ).register(self)
-        self.view = MembershipView(settings.instance_id, settings.data_centre)
         self.quarantine = QuarantineGuard(settings, self.view, self.clock, self.timers).register(
             self
         )
@@ -98,6 +107,7 @@
         RequestReader(
             config, _fingerprint_key(settings), self.suspects, self.metrics, self.entry.admit
         ).register(self)
+        self.entry.scheduler.is_held = self.pauses.is_recovering
         self.services = Services(
             settings.instance_id,
             config,
@@ -106,6 +116,7 @@
             self.metrics,
             self.tracing,
             upstream_scheme(settings, Kind.SERVICE),
+            self.pauses.is_recovering,
         ).register(self)
         self._add_fleet_components()
         self._add_log_components(config)
@@ -133,6 +144,9 @@
         ).register(self)
         self.claims = Claims(settings, clock.wall_ms(), clock, timers).register(self)
         self.operators = Operators(settings, self.configuration, clock).register(self)
+        ConfigurationRestart(
+            settings, config, self.operators, self.configuration, self.view, clock, timers
+        ).register(self)
         FleetOperations(self.operators, self.view, self.quarantine, clock).register(self)
         RequestTraces(
             settings.instance_id, self.tracing.recent, self.operators, self.view, timers
