Split the scheduler into timers, attempts and decisions

Change: deadlines and first-token timers are in timers.py; what an attempt occupies at the runners and what it is charged is in attempts.py. base.py decides. No behaviour changes.

--- /dev/null
+++ b/packages/core/src/ibispaddle_core/scheduling/attempts.py
@@ -0,0 +1,115 @@
+"""Attempts in flight: what each occupies at the runners and what it is charged."""
+
+from ..shares import ShareCounters
+from .admission import DispatchRate
+from .backlog import Backlog
+from .claims import Claims
+from .cost import CostModel
+from .large import LargePrompts
+from .messages import Dispatch
+from .placement import Choice
+from .prefixes import PrefixIndex
+from .requests import RequestState
+from .retries import RetryBudget
+from .runners import RunnerTable, RunnerView, SentWork
+from .timers import Timers
+
+
+class Attempts:
+    """Begin and end attempts and keep the views of the runners up to date with them."""
+
+    def __init__(
+        self,
+        cost: CostModel,
+        shares: ShareCounters,
+        runners: RunnerTable,
+        backlog: Backlog,
+        claims: Claims,
+        large: LargePrompts,
+        prefixes: PrefixIndex,
+        dispatched: DispatchRate,
+        budget: RetryBudget,
+        timers: Timers,
+    ) -> None:
+        self._cost = cost
+        self._shares = shares
+        self._runners = runners
+        self._backlog = backlog
+        self._claims = claims
+        self._large = large
+        self._prefixes = prefixes
+        self._dispatched = dispatched
+        self._budget = budget
+        self._timers = timers
+
+    def begin(
+        self,
+        state: RequestState,
+        choice: Choice,
+        priority: int,
+        handles: tuple[str, ...],
+        now_ms: int,
+    ) -> Dispatch:
+        """Take the request out of the queue and send it to the chosen runner."""
+        req = state.req
+        self._backlog.remove(state)
+        self._claims.remove(req.request_id)
+        if state.attempts == 0:
+            self._budget.count_first_attempt(now_ms)
+        state.attempts += 1
+        upstream_id = choice.view.upstream.upstream_id
+        state.tried.add(upstream_id)
+        state.upstream_id = upstream_id
+        state.cancelling = state.first_token = False
+        state.tokens = 0
+        state.first_token_due_ms = (
+            now_ms + int(choice.ttft_ms) + self._cost.scheduling.first_token_timeout_ms
+        )
+        self._timers.add_first_token(state)
+        group = self._large.group(req.request_id) if handles else [upstream_id]
+        for member in group:
+            self._runners.views[member].sent[req.request_id] = SentWork(
+                state.prompt_class,
+                priority,
+                choice.prefill_tokens,
+                0 if handles else self._cost.kv_tokens(req),
+                now_ms,
+            )
+        state.charged_ms = state.cost_ms
+        self._shares.charge(req.neighbour, state.charged_ms, now_ms)
+        self._dispatched.count(self._backlog.lane(state), state.cost_ms, now_ms)
+        self._prefixes.record(req, upstream_id)
+        return Dispatch(req.request_id, upstream_id, priority, handles)
+
+    def first_token(self, state: RequestState) -> None:
+        """Record that the prompt of the attempt in flight is computed."""
+        if state.upstream_id is None:
+            return
+        state.first_token = True
+        for view in self.views(state):
+            if (work := view.sent.get(state.req.request_id)) is not None:
+                work.prefill_tokens = 0
+
+    def views(self, state: RequestState) -> list[RunnerView]:
+        """Return the runners that the attempt or the reservations of the request use."""
+        request_id = state.req.request_id
+        ids = self._large.group(request_id) if request_id in self._large else [state.upstream_id]
+        return [self._runners.views[i] for i in ids if i is not None and i in self._runners.views]
+
+    def settle(self, state: RequestState, now_ms: int) -> None:
+        """Correct the charge of a completed attempt by the length of its output."""
+        req = state.req
+        self._cost.observe_output(req, state.tokens)
+        decode_ms = self._cost.decode_engine_ms(req.model, state.tokens)
+        estimate_ms = self._cost.decode_engine_ms(req.model, self._cost.expected_output(req))
+        if decode_ms > estimate_ms:
+            self._shares.charge(req.neighbour, decode_ms - estimate_ms, now_ms)
+        else:
+            self._shares.refund(req.neighbour, estimate_ms - decode_ms)
+
+    def forget(self, state: RequestState) -> None:
+        """Forget what the attempt of the request occupied."""
+        for view in self.views(state):
+            view.sent.pop(state.req.request_id, None)
+        state.upstream_id = None
+        state.cancelling = False
--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -1,6 +1,5 @@
 """The scheduler of one instance: state, event, time and seed in, decisions out."""
 
-import heapq
 from collections.abc import Callable, Collection
 from random import Random
 from typing import assert_never
@@ -9,6 +8,7 @@
 from ..settings.fleet import FleetConfig
 from ..shares import ShareCounters
 from .admission import Admission
+from .attempts import Attempts
 from .backlog import Backlog
 from .claims import Claims
 from .cost import CostModel, PromptClass
@@ -21,7 +21,6 @@
     CancelAttempt,
     ConfigurationReplaced,
     Decision,
-    Dispatch,
     Event,
     FirstToken,
     LoadReported,
@@ -44,7 +43,8 @@
 from .queue import FairQueue, Lane
 from .requests import RequestState
 from .retries import RetryBudget
-from .runners import RunnerTable, RunnerView, SentWork
+from .runners import RunnerTable
+from .timers import Timers
 
 # How often a blocked lane is looked at again; bounds the work per event under overload.
 QUEUE_POLL_MS = 20
@@ -79,8 +79,19 @@
         self._budget = RetryBudget(config.scheduling.retry_budget)
         self._large = LargePrompts(instance_boot, wall_offset_ms)
         self._states: dict[str, RequestState] = {}
-        self._deadlines: list[tuple[int, str]] = []
-        self._first_tokens: list[tuple[int, str]] = []
+        self._timers = Timers(self._states)
+        self._attempts = Attempts(
+            self.cost,
+            self.shares,
+            self.runners,
+            self._backlog,
+            self._claims,
+            self._large,
+            self._prefixes,
+            self._admission.dispatched,
+            self._budget,
+            self._timers,
+        )
         self._blocked_until: dict[Lane, int] = {}
 
     @classmethod
@@ -124,7 +135,8 @@
             case UpstreamsChanged(upstreams):
                 decisions += self._change_upstreams(upstreams, now_ms)
             case FirstToken(request_id):
-                self._first_token(request_id)
+                if (state := self._states.get(request_id)) is not None:
+                    self._attempts.first_token(state)
             case TokensRelayed(request_id, tokens):
                 if (state := self._states.get(request_id)) is not None:
                     state.tokens += tokens
@@ -161,11 +173,10 @@
 
     def next_wakeup_ms(self, now_ms: int) -> int | None:
         """Return when `Tick` is needed at the latest, or None while nothing waits."""
-        self._drop_stale_timers()
-        times = [heap[0][0] for heap in (self._deadlines, self._first_tokens) if heap]
-        times += [self._blocked_until.get(lane, now_ms) for lane in self.queue.lanes()]
-        if (large_ms := self._large.next_wakeup_ms()) is not None:
-            times.append(large_ms)
+        times = [self._blocked_until.get(lane, now_ms) for lane in self.queue.lanes()]
+        for next_ms in (self._timers.next_ms(), self._large.next_wakeup_ms()):
+            if next_ms is not None:
+                times.append(next_ms)
         return max(now_ms, min(times)) if times else None
 
     def _arrive(self, req: Request, now_ms: int) -> list[Decision]:
@@ -179,7 +190,7 @@
             ]
         state = RequestState(req, prompt_class, self.cost.engine_ms(req))
         self._states[req.request_id] = state
-        heapq.heappush(self._deadlines, (req.deadline_ms, req.request_id))
+        self._timers.add_deadline(state)
         self._backlog.add(state)
         return []
 
@@ -245,6 +256,12 @@
         self._large.begin(state, group, tokens, now_ms)
         return []
 
+    def _dispatch(
+        self, state: RequestState, choice: Choice, handles: tuple[str, ...], now_ms: int
+    ) -> Decision:
+        priority = self.placement.priority(state.req)
+        return self._attempts.begin(state, choice, priority, handles, now_ms)
+
     def _reservation(self, event: ReservationAnswered, now_ms: int) -> list[Decision]:
         decisions, ready = self._large.answer(event, now_ms)
         if event.granted:
@@ -259,59 +276,6 @@
         handles = self._large.handles(event.request_id)
         return [*decisions, self._dispatch(state, choice, handles, now_ms)]
 
-    def _dispatch(
-        self, state: RequestState, choice: Choice, handles: tuple[str, ...], now_ms: int
-    ) -> Decision:
-        req = state.req
-        self._backlog.remove(state)
-        self._claims.remove(req.request_id)
-        if state.attempts == 0:
-            self._budget.count_first_attempt(now_ms)
-        state.attempts += 1
-        upstream_id = choice.view.upstream.upstream_id
-        state.tried.add(upstream_id)
-        state.upstream_id = upstream_id
-        state.cancelling = state.first_token = False
-        state.tokens = 0
-        state.first_token_due_ms = (
-            now_ms + int(choice.ttft_ms) + self.cost.scheduling.first_token_timeout_ms
-        )
-        heapq.heappush(self._first_tokens, (state.first_token_due_ms, req.request_id))
-        group = self._large.group(req.request_id) if handles else [upstream_id]
-        for member in group:
-            self.runners.views[member].sent[req.request_id] = SentWork(
-                state.prompt_class,
-                self.placement.priority(req),
-                choice.prefill_tokens,
-                0 if handles else self.cost.kv_tokens(req),
-                now_ms,
-            )
-        state.charged_ms = state.cost_ms
-        self.shares.charge(req.neighbour, state.charged_ms, now_ms)
-        self._admission.dispatched.count(self._backlog.lane(state), state.cost_ms, now_ms)
-        self._prefixes.record(req, upstream_id)
-        return Dispatch(req.request_id, upstream_id, self.placement.priority(req), handles)
-
-    def _first_token(self, request_id: str) -> None:
-        state = self._states.get(request_id)
-        if state is None or state.upstream_id is None:
-            return
-        state.first_token = True
-        for view in self._views(state):
-            if (work := view.sent.get(request_id)) is not None:
-                work.prefill_tokens = 0
-
-    def _views(self, state: RequestState) -> list[RunnerView]:
-        request_id = state.req.request_id
-        ids = self._large.group(request_id) if request_id in self._large else [state.upstream_id]
-        return [self.runners.views[i] for i in ids if i is not None and i in self.runners.views]
-
-    def _forget_attempt(self, state: RequestState) -> None:
-        for view in self._views(state):
-            view.sent.pop(state.req.request_id, None)
-        state.upstream_id = None
-        state.cancelling = False
-
     def _attempt_ended(self, event: AttemptEnded, now_ms: int) -> list[Decision]:
         state = self._states.get(event.request_id)
         if state is None or state.upstream_id != event.upstream_id:
@@ -319,15 +283,9 @@
         first_token = state.first_token
         req = state.req
         if event.outcome is Outcome.COMPLETED:
-            self.cost.observe_output(req, state.tokens)
-            decode_ms = self.cost.decode_engine_ms(req.model, state.tokens)
-            estimate_ms = self.cost.decode_engine_ms(req.model, self.cost.expected_output(req))
-            if decode_ms > estimate_ms:
-                self.shares.charge(req.neighbour, decode_ms - estimate_ms, now_ms)
-            else:
-                self.shares.refund(req.neighbour, estimate_ms - decode_ms)
+            self._attempts.settle(state, now_ms)
             return self._finish(state)
-        self._forget_attempt(state)
+        self._attempts.forget(state)
         decisions = self._large.release(req.request_id)
         if event.outcome in (Outcome.REJECTED, Outcome.NOT_SENT):
             self.shares.refund(req.neighbour, state.charged_ms)
@@ -351,7 +309,7 @@
         down = {view.upstream.upstream_id for view in self.runners.replace(upstreams)}
         for state in list(self._states.values()):
             # A stream that has begun is left to the relay, which sees whether it continues.
-            used = {view.upstream.upstream_id for view in self._views(state)}
+            used = {view.upstream.upstream_id for view in self._attempts.views(state)}
             if state.upstream_id is None or state.first_token or state.cancelling:
                 continue
             if used & down:
@@ -376,33 +334,13 @@
 
     def _expire(self, now_ms: int) -> list[Decision]:
         decisions: list[Decision] = []
-        while self._deadlines and self._deadlines[0][0] <= now_ms:
-            state = self._states.get(heapq.heappop(self._deadlines)[1])
-            if state is not None and state.req.deadline_ms <= now_ms:
-                decisions += self._refuse(state, RefusalReason.DEADLINE, 0)
-        while self._first_tokens and self._first_tokens[0][0] <= now_ms:
-            due_ms, request_id = heapq.heappop(self._first_tokens)
-            state = self._states.get(request_id)
-            if state is not None and self._waits_for_first_token(state, due_ms):
-                state.cancelling = True
-                decisions.append(CancelAttempt(request_id, state.upstream_id or ""))
+        for state in self._timers.past_deadline(now_ms):
+            decisions += self._refuse(state, RefusalReason.DEADLINE, 0)
+        for state in self._timers.without_first_token(now_ms):
+            state.cancelling = True
+            decisions.append(CancelAttempt(state.req.request_id, state.upstream_id or ""))
         return decisions
 
-    @staticmethod
-    def _waits_for_first_token(state: RequestState, due_ms: int) -> bool:
-        in_flight = state.upstream_id is not None and state.first_token_due_ms == due_ms
-        return in_flight and not state.first_token and not state.cancelling
-
-    def _drop_stale_timers(self) -> None:
-        while self._deadlines and self._deadlines[0][1] not in self._states:
-            heapq.heappop(self._deadlines)
-        while self._first_tokens:
-            due_ms, request_id = self._first_tokens[0]
-            state = self._states.get(request_id)
-            if state is not None and self._waits_for_first_token(state, due_ms):
-                break
-            heapq.heappop(self._first_tokens)
-
     def _refuse(
         self, state: RequestState, reason: RefusalReason, retry_after_ms: int
     ) -> list[Decision]:
@@ -419,6 +357,6 @@
     def _finish(self, state: RequestState) -> list[Decision]:
         self._backlog.remove(state)
         self._claims.remove(state.req.request_id)
-        self._forget_attempt(state)
+        self._attempts.forget(state)
         del self._states[state.req.request_id]
         return self._large.release(state.req.request_id)
--- /dev/null
+++ b/packages/core/src/ibispaddle_core/scheduling/timers.py
@@ -0,0 +1,59 @@
+"""Timers of admitted requests: deadlines and the latest times of first tokens."""
+
+import heapq
+from collections.abc import Iterator, Mapping
+
+from .requests import RequestState
+
+
+class Timers:
+    """Yield the requests whose deadline or first token is due, and when the next one is.
+
+    Entries of requests that have ended stay until they come first.
+    """
+
+    def __init__(self, states: Mapping[str, RequestState]) -> None:
+        self._states = states
+        self._deadlines: list[tuple[int, str]] = []
+        self._first_tokens: list[tuple[int, str]] = []
+
+    def add_deadline(self, state: RequestState) -> None:
+        """Watch the deadline of a request."""
+        heapq.heappush(self._deadlines, (state.req.deadline_ms, state.req.request_id))
+
+    def add_first_token(self, state: RequestState) -> None:
+        """Watch the wait for the first token of the attempt that has just begun."""
+        heapq.heappush(self._first_tokens, (state.first_token_due_ms, state.req.request_id))
+
+    def past_deadline(self, now_ms: int) -> Iterator[RequestState]:
+        """Yield the requests whose deadline has come; the receiver ends each."""
+        while self._deadlines and self._deadlines[0][0] <= now_ms:
+            state = self._states.get(heapq.heappop(self._deadlines)[1])
+            if state is not None and state.req.deadline_ms <= now_ms:
+                yield state
+
+    def without_first_token(self, now_ms: int) -> Iterator[RequestState]:
+        """Yield the requests whose attempt has had no first token in time."""
+        while self._first_tokens and self._first_tokens[0][0] <= now_ms:
+            due_ms, request_id = heapq.heappop(self._first_tokens)
+            state = self._states.get(request_id)
+            if state is not None and self._waits_for_first_token(state, due_ms):
+                yield state
+
+    def next_ms(self) -> int | None:
+        """Return the time of the next timer, or None."""
+        while self._deadlines and self._deadlines[0][1] not in self._states:
+            heapq.heappop(self._deadlines)
+        while self._first_tokens:
+            due_ms, request_id = self._first_tokens[0]
+            state = self._states.get(request_id)
+            if state is not None and self._waits_for_first_token(state, due_ms):
+                break
+            heapq.heappop(self._first_tokens)
+        times = [heap[0][0] for heap in (self._deadlines, self._first_tokens) if heap]
+        return min(times, default=None)
+
+    @staticmethod
+    def _waits_for_first_token(state: RequestState, due_ms: int) -> bool:
+        in_flight = state.upstream_id is not None and state.first_token_due_ms == due_ms
+        return in_flight and not state.first_token and not state.cancelling
