Let the oldest prompt that spans engines reserve first

Cause: decision 3 promises this order between instances, but nothing wrote the entry LargeWait. Two instances that wanted the same group shared it in the order in which they happened to ask.

Change: an instance gossips the prompt that reserves and the oldest that it holds back, with arrival, id and runners (scheduler event PeerWaits, method waiting_prompts). A younger one does not begin on an overlapping group while the entry is fresh, and uses another group that has the memory. The daemon and the experiment gossip them.

The tests fail without the rule, without the expiry, with an expiry that counts from arrival only or from writing only, and the liveness property fails if the rule ignores the age.

--- a/packages/bench/src/ibispaddle_bench/experiment_fleet.py
+++ b/packages/bench/src/ibispaddle_bench/experiment_fleet.py
@@ -22,6 +22,7 @@
     Outcome,
     PeerClaims,
     PeerConsumption,
+    PeerWaits,
     Refuse,
     RequestArrived,
     ReservationAnswered,
@@ -300,10 +301,11 @@
         boot, scheduler = f"boot-{number}", self.schedulers[number]
         consumption = PeerConsumption(boot, scheduler.consumption())
         claims = PeerClaims(boot, scheduler.claims())
+        waits = PeerWaits(boot, int(self.now_ms), scheduler.waiting_prompts())
         for peer in range(len(self.schedulers)):
             if peer != number:
                 delay_ms = self._rng.uniform(*GOSSIP_DELAY_MS)
-                for event in (consumption, claims):
+                for event in (consumption, claims, waits):
                     self.at(
                         self.now_ms + delay_ms,
                         lambda n=peer, e=event: self._handle(n, e),  # type: ignore[misc]
--- a/packages/core/src/ibispaddle_core/gossip/entries.py
+++ b/packages/core/src/ibispaddle_core/gossip/entries.py
@@ -56,16 +56,18 @@
 
 
 class LargeWait(msgspec.Struct, frozen=True, array_like=True, tag="w"):
-    """Report the oldest waiting large prompt of a group; an empty id means none."""
+    """Report the origin's prompts that span engines and wait for memory; none is an empty tuple.
 
-    group: str
-    request_id: str
-    arrived_wall_ms: int
+    Each has its wall-clock arrival, its request id and the runners that it wants.
+    """
+
+    written_wall_ms: int
+    prompts: tuple[tuple[int, str, tuple[str, ...]], ...]
 
     @property
     def subject(self) -> str:
         """Return what the entry is about."""
-        return self.group
+        return ""
 
 
 class MemoryClaims(msgspec.Struct, frozen=True, array_like=True, tag="m"):
--- a/packages/core/src/ibispaddle_core/scheduling/__init__.py
+++ b/packages/core/src/ibispaddle_core/scheduling/__init__.py
@@ -16,6 +16,7 @@
     Outcome,
     PeerClaims,
     PeerConsumption,
+    PeerWaits,
     RefusalReason,
     Refuse,
     Request,
@@ -28,6 +29,7 @@
     Upstream,
     UpstreamsChanged,
     UpstreamState,
+    WaitingPrompt,
 )
 
 __all__ = [
@@ -45,6 +47,7 @@
     "Outcome",
     "PeerClaims",
     "PeerConsumption",
+    "PeerWaits",
     "RefusalReason",
     "Refuse",
     "Request",
@@ -59,4 +62,5 @@
     "Upstream",
     "UpstreamState",
     "UpstreamsChanged",
+    "WaitingPrompt",
 ]
--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -27,6 +27,7 @@
     Outcome,
     PeerClaims,
     PeerConsumption,
+    PeerWaits,
     RefusalReason,
     Refuse,
     Request,
@@ -37,6 +38,7 @@
     Upstream,
     UpstreamsChanged,
     UpstreamState,
+    WaitingPrompt,
 )
 from .placement import CLAIM_AFTER_MS, Choice, Placement, PredictedPlacement, choose_allowed
 from .prefixes import PrefixIndex
@@ -45,6 +47,7 @@
 from .retries import RetryBudget
 from .runners import RunnerTable
 from .timers import Timers
+from .waits import LargeWaits, choose_group
 
 # How often a blocked lane is looked at again; bounds the work per event under overload.
 QUEUE_POLL_MS = 20
@@ -78,6 +81,7 @@
         )
         self._budget = RetryBudget(config.scheduling.retry_budget)
         self._large = LargePrompts(instance_boot, wall_offset_ms)
+        self._waits = LargeWaits(wall_offset_ms)
         self._states: dict[str, RequestState] = {}
         self._timers = Timers(self._states)
         self._attempts = Attempts(
@@ -118,6 +122,10 @@
         """Return the engine memory that waiting prompts claim, for gossip, in tokens by runner."""
         return self._claims.own()
 
+    def waiting_prompts(self) -> tuple[WaitingPrompt, ...]:
+        """Return the prompts that span engines and wait for memory, for gossip."""
+        return self._waits.own(self._large.reserving)
+
     def handle(self, event: Event, now_ms: int) -> list[Decision]:
         """Take an event and return the decisions that follow from it, in order.
 
@@ -151,6 +159,8 @@
                     self._homes.refresh(self.shares.recent_peers(now_ms - PEER_EXPIRY_MS), now_ms)
             case PeerClaims(instance_boot, claimed):
                 self._claims.merge(instance_boot, claimed, now_ms)
+            case PeerWaits():
+                self._waits.merge(event, now_ms)
             case ReservationAnswered():
                 decisions += self._reservation(event, now_ms)
             case ConfigurationReplaced(config):
@@ -248,11 +258,14 @@
         if segments > len(live):
             return self._refuse(state, RefusalReason.TOO_LARGE, 0)
         tokens = self.cost.kv_tokens(state.req)
-        starts = range(len(live) - segments + 1)
-        free = [min(view.kv_free() for view in live[s : s + segments]) for s in starts]
-        start = max(starts, key=lambda s: (free[s], -s))
+        wanted = self._waits.older(self._large.waiting(state.req, ()), now_ms)
+        group, may_begin = choose_group(live, segments, tokens, wanted)
+        if not may_begin:
+            names = [view.upstream.upstream_id for view in group]
+            self._waits.hold(self._large.waiting(state.req, names))
+            return None
+        self._waits.forget(state.req.request_id)
         self._backlog.take(state)
-        group = live[start : start + segments]
         self._large.begin(state, group, tokens, now_ms)
         return []
 
@@ -357,6 +370,7 @@
     def _finish(self, state: RequestState) -> list[Decision]:
         self._backlog.remove(state)
         self._claims.remove(state.req.request_id)
+        self._waits.forget(state.req.request_id)
         self._attempts.forget(state)
         del self._states[state.req.request_id]
         return self._large.release(state.req.request_id)
--- a/packages/core/src/ibispaddle_core/scheduling/large.py
+++ b/packages/core/src/ibispaddle_core/scheduling/large.py
@@ -4,19 +4,23 @@
 so the order is total and two instances cannot wait for each other in a circle.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 from .messages import (
     Decision,
     FreeMemory,
+    Request,
     ReservationAnswered,
     ReserveMemory,
+    WaitingPrompt,
 )
 from .requests import RequestState
 from .runners import RunnerView
 
 RETRY_MS = 100
+# Bounds the gossip entry. Runners beyond it are not protected from younger prompts.
+MAX_GOSSIPED = 5
 # Covers the difference between the wall clocks of instances; see the design page.
 HANDLE_GRACE_MS = 5_000
 # A reservation whose answer was lost is sent again; the request is idempotent by handle.
@@ -149,9 +153,17 @@
         ]
 
     @property
-    def reserving(self) -> bool:
-        """Return whether a prompt of this instance still waits for memory."""
-        return any(not prompt.complete for prompt in self._prompts.values())
+    def reserving(self) -> WaitingPrompt | None:
+        """Return the prompt of this instance that still waits for memory."""
+        for request_id, prompt in self._prompts.items():
+            if not prompt.complete:
+                return self.waiting(prompt.state.req, self.group(request_id))
+        return None
+
+    def waiting(self, req: Request, group: Sequence[str]) -> WaitingPrompt:
+        """Describe a prompt that waits for a group, for other instances."""
+        arrived_wall_ms = req.arrived_ms + self._wall_offset_ms
+        return WaitingPrompt(arrived_wall_ms, req.request_id, tuple(group[:MAX_GOSSIPED]))
 
     def next_wakeup_ms(self) -> int | None:
         """Return when the next reservation is due."""
--- a/packages/core/src/ibispaddle_core/scheduling/messages.py
+++ b/packages/core/src/ibispaddle_core/scheduling/messages.py
@@ -157,6 +157,32 @@
     tokens: Mapping[str, int] = field(default_factory=dict)
 
 
+@dataclass(frozen=True)
+class WaitingPrompt:
+    """Describe a prompt that spans engines and waits for memory of a group of runners."""
+
+    arrived_wall_ms: int
+    request_id: str
+    upstream_ids: tuple[str, ...]
+
+    @property
+    def age(self) -> tuple[int, str]:
+        """Return the key by which prompts are ordered, oldest first."""
+        return (self.arrived_wall_ms, self.request_id)
+
+
+@dataclass(frozen=True)
+class PeerWaits:
+    """Replace the prompts that span engines and wait at another instance.
+
+    The writer repeats its entry every 2 s while a prompt waits.
+    """
+
+    instance: str
+    written_wall_ms: int
+    prompts: tuple[WaitingPrompt, ...] = ()
+
+
 @dataclass(frozen=True)
 class ReservationAnswered:
     """Report a runner's answer to a memory reservation."""
@@ -189,6 +215,7 @@
     | CallerLeft
     | PeerConsumption
     | PeerClaims
+    | PeerWaits
     | ReservationAnswered
     | ConfigurationReplaced
     | Tick
--- a/packages/daemon/src/ibispaddle_daemon/shares.py
+++ b/packages/daemon/src/ibispaddle_daemon/shares.py
@@ -1,13 +1,13 @@
-"""Exchange of the scheduler's consumption counters and memory claims between instances."""
+"""Exchange of the scheduler's counters, memory claims and waiting prompts between instances."""
 
 from collections.abc import Callable, Iterable, Mapping
 from typing import Protocol
 
 from circuits import BaseComponent, handler
 from ibispaddle_core.clock import Clock
-from ibispaddle_core.gossip import Consumption, Entry, MemoryClaims
+from ibispaddle_core.gossip import Consumption, Entry, LargeWait, MemoryClaims
 from ibispaddle_core.membership import Kind, Member, MemberState
-from ibispaddle_core.scheduling import PeerClaims, PeerConsumption
+from ibispaddle_core.scheduling import PeerClaims, PeerConsumption, PeerWaits, WaitingPrompt
 from ibispaddle_core.settings import InstanceSettings
 from ibispaddle_core.usage import instance_boot
 
@@ -16,6 +16,8 @@
 
 # Values that have not changed are written again within the lifetime of gossip entries.
 RENEW_ROUNDS = 40
+# Prompts that wait are repeated more often, because the entries expire within seconds.
+RENEW_WAITS_MS = 2_000
 # Bounds the entry; the largest claims matter most.
 MAX_CLAIMS = 10
 
@@ -29,6 +31,9 @@
     def claims(self) -> Mapping[str, int]:
         """Return the memory that waiting prompts claim, in tokens by runner."""
 
+    def waiting_prompts(self) -> tuple[WaitingPrompt, ...]:
+        """Return the prompts that span engines and wait for memory."""
+
 
 class Shares(BaseComponent):
     """Write the own values as gossip entries and hand those of other instances to the scheduler."""
@@ -39,7 +44,7 @@
         self,
         settings: InstanceSettings,
         scheduler: SharingScheduler,
-        tell: Callable[[PeerConsumption | PeerClaims], None],
+        tell: Callable[[PeerConsumption | PeerClaims | PeerWaits], None],
         boot: int,
         clock: Clock,
         timers: TimerQueue,
@@ -54,6 +59,7 @@
         self._rounds = 0
         self._consumed_ms: dict[str, int] = {}
         self._claims = MemoryClaims(boot, ())
+        self._waits = LargeWait(0, ())
         self._claimants: dict[str, str] = {}  # Instance boot of the last claims, by instance.
 
     @handler("started", channel="*")
@@ -74,6 +80,18 @@
         if claims != self._claims or (renew and claims.tokens):
             self._claims = claims
             self.fire(gossip_put(claims), "*")
+        self._share_waits()
+
+    def _share_waits(self) -> None:
+        wall_ms = self._clock.wall_ms()
+        prompts = tuple(
+            (prompt.arrived_wall_ms, prompt.request_id, prompt.upstream_ids)
+            for prompt in self._scheduler.waiting_prompts()
+        )
+        renew = prompts and wall_ms - self._waits.written_wall_ms >= RENEW_WAITS_MS
+        if renew or prompts != self._waits.prompts:
+            self._waits = LargeWait(wall_ms, prompts)
+            self.fire(gossip_put(self._waits), "*")
 
     @handler("gossip_received", channel="*")
     def _on_gossip_received(self, entries: Iterable[Entry]) -> None:
@@ -85,6 +103,9 @@
                     consumed.setdefault(name, {})[neighbour] = float(consumed_ms)
                 case MemoryClaims(boot, tokens):
                     self._replace_claims(entry.origin, instance_boot(entry.origin, boot), tokens)
+                case LargeWait(written_wall_ms, waits):
+                    prompts = tuple(WaitingPrompt(*wait) for wait in waits)
+                    self._tell(PeerWaits(entry.origin, written_wall_ms, prompts))
         for name, counters in consumed.items():
             self._tell(PeerConsumption(name, counters))
 
--- a/tests/peers/test_accounting.py
+++ b/tests/peers/test_accounting.py
@@ -3,10 +3,10 @@
 import unittest
 
 from ibispaddle_core.configuration import LogRecord
-from ibispaddle_core.gossip import Consumption, Entry, MemoryClaims
+from ibispaddle_core.gossip import Consumption, Entry, LargeWait, MemoryClaims
 from ibispaddle_core.membership import MembershipView
 from ibispaddle_core.quarantine import Death, Notice, NoticeReceived, Suspicion
-from ibispaddle_core.scheduling import PeerClaims, PeerConsumption
+from ibispaddle_core.scheduling import PeerClaims, PeerConsumption, PeerWaits, WaitingPrompt
 from ibispaddle_core.usage import Counts, UsageAck, UsageSync, UsageTotals
 from ibispaddle_daemon.events import drain_completed, log_records, peer_received, usage_counted
 from ibispaddle_daemon.instance_list import members_changed
@@ -117,7 +117,7 @@
 
 class FakeScheduler:
     def __init__(self):
-        self.consumed, self.claimed = {}, {}
+        self.consumed, self.claimed, self.waiting = {}, {}, ()
 
     def consumption(self):
         return self.consumed
@@ -125,6 +125,9 @@
     def claims(self):
         return self.claimed
 
+    def waiting_prompts(self):
+        return self.waiting
+
 
 class SharesTest(Base):
     def setUp(self):
@@ -165,6 +168,20 @@
             [PeerClaims("b-7", {"r1": 10}), PeerConsumption("b-7", {"n": 100.0, "o": 50.0})],
         )
 
+    def test_waiting_prompts_are_repeated_and_withdrawn(self):
+        """Guard against an entry that expires while its prompt waits, or stays after it."""
+        self.scheduler.waiting = (WaitingPrompt(70, "q1", ("r1", "r2")),)
+        self.loop.run_for(4_800)
+        self.scheduler.waiting = ()
+        self.loop.run_for(4_000)
+        prompts = [entry.prompts for entry in self.puts()]
+        self.assertEqual(prompts, 3 * [((70, "q1", ("r1", "r2")),)] + [()])
+
+    def test_waiting_prompts_of_others_reach_the_scheduler(self):
+        """Guard against a younger prompt that overtakes because the entry is not handed on."""
+        self.receive_entries(Entry("b", 9, 1, LargeWait(80, ((70, "q1", ("r1", "r2")),))))
+        self.assertEqual(self.told, [PeerWaits("b", 80, (WaitingPrompt(70, "q1", ("r1", "r2")),))])
+
     def test_claims_of_a_dead_instance_end(self):
         """Guard against memory that stays claimed by an instance that is gone."""
         self.receive_entries(Entry("b", 9, 3, MemoryClaims(7, (("r1", 10),))))
--- a/tests/scheduling/test_properties.py
+++ b/tests/scheduling/test_properties.py
@@ -17,6 +17,7 @@
     Outcome,
     PeerClaims,
     PeerConsumption,
+    PeerWaits,
     Refuse,
     RequestArrived,
     ReservationAnswered,
@@ -24,6 +25,7 @@
     Scheduler,
     Tick,
     UpstreamsChanged,
+    WaitingPrompt,
 )
 
 from . import fakes
@@ -215,6 +217,8 @@
     def peer_gossips(self, consumed, claimed):
         self.handle(PeerConsumption("boot-2", {"north": consumed}))
         self.handle(PeerClaims("boot-2", {"r000": claimed}))
+        older = WaitingPrompt(self.now_ms - 1_000, "p", ("r000", "r002"))
+        self.handle(PeerWaits("i2", self.now_ms, (older,)))
 
     @rule(delta_ms=st.sampled_from([1, 20, 100, 1_000, 5_000, 30_000]))
     def time_passes(self, delta_ms):
