Charged segments in the experiment for the attention to earlier ones

Cause: the engine model computed each segment of a prompt as if it were a prompt of its own, so cutting a prompt saved engine time that a real engine needs. Any comparison of segment numbers would have been won by the largest.

Change: a segment's tokens cost as much as at their position in the whole prompt. The time alone on an empty fleet is that of the last segment. The new figure long_own_ratio_p95 takes the time alone with the number of segments that was used; long_ratio keeps the smallest number that fits the memory.

--- a/packages/bench/src/ibispaddle_bench/engine_model.py
+++ b/packages/bench/src/ibispaddle_bench/engine_model.py
@@ -28,10 +28,14 @@
     return tokens / PREFILL_TOKENS_PER_MS * (1 + mean_position / ATTENTION_TOKENS)
 
 
-def alone_ttft_ms(tokens: int) -> float:
-    """Return the time to first token of a prompt on an idle engine."""
-    steps = -(-tokens // CHUNK_TOKENS)
-    return prefill_ms(tokens) + steps * STEP_OVERHEAD_MS
+def alone_ttft_ms(tokens: int, segments: int = 1) -> float:
+    """Return the time to first token of a prompt on as many idle engines as it has segments.
+
+    The last segment takes longest, because its tokens attend to all earlier ones.
+    """
+    part = tokens // segments
+    steps = -(-part // CHUNK_TOKENS)
+    return prefill_ms(part, (segments - 1) * part) + steps * STEP_OVERHEAD_MS
 
 
 @dataclass(slots=True)
@@ -46,6 +50,7 @@
     prefix: str = ""
     prefix_tokens: int = 0
     position: int = 0
+    offset: int = 0  # Tokens of the prompt before this segment, which its tokens attend to.
     reserved: bool = False  # Memory is held by a handle.
     decode: bool = True
     held: int = 0
@@ -200,7 +205,7 @@
             if job.ended:
                 continue
             tokens = min(budget, job.prompt_tokens - job.position)
-            cost = prefill_ms(tokens, job.position)
+            cost = prefill_ms(tokens, job.offset + job.position)
             self._consume(job.neighbour, cost, now_ms)
             time_ms += cost
             budget -= tokens
--- a/packages/bench/src/ibispaddle_bench/experiment_fleet.py
+++ b/packages/bench/src/ibispaddle_bench/experiment_fleet.py
@@ -269,11 +269,13 @@
                 whole.on_first()
                 jobs[0][0].start_decode(jobs[0][1], self.now_ms)
 
+        part = max(1, whole.prompt_tokens // len(holders))
         for number, engine in enumerate(holders):
             job = replace(
                 whole,
                 job_id=f"{record.arrival.request.request_id}#{number}",
-                prompt_tokens=max(1, whole.prompt_tokens // len(holders)),
+                prompt_tokens=part,
+                offset=number * part,
                 prefix="",
                 reserved=True,
                 decode=False,
--- a/packages/bench/src/ibispaddle_bench/experiment_scenarios.py
+++ b/packages/bench/src/ibispaddle_bench/experiment_scenarios.py
@@ -120,12 +120,16 @@
     return record.first_ms - record.arrival.at_ms - 2 * NETWORK_MS
 
 
-def alone_ms(arrival: Arrival) -> float:
-    """Return the time to first token of the request on an empty fleet."""
+def alone_ms(arrival: Arrival, segments: int = 0) -> float:
+    """Return the time to first token of the request on an empty fleet.
+
+    Without a number of segments it is the smallest that fits the engines' memory.
+    """
     request = arrival.request
-    segments = -(-(request.prompt_tokens + request.max_output_tokens) // int(KV_TOKENS * 0.85))
+    limit = int(KV_TOKENS * 0.85)
+    segments = segments or -(-(request.prompt_tokens + request.max_output_tokens) // limit)
     reserve_ms = 2 * NETWORK_MS * segments if segments > 1 else 0.0
-    return alone_ttft_ms(request.prompt_tokens // segments) + reserve_ms
+    return alone_ttft_ms(request.prompt_tokens, segments) + reserve_ms
 
 
 def figures(fleet: Fleet, end_ms: float) -> dict[str, Any]:
@@ -159,6 +163,10 @@
         "under32k_p95_ms": percentile([t for count, t, _ in timed if count < 32_000], 0.95),
         "long_ratio_p50": percentile(long, 0.5),
         "long_ratio_p95": percentile(long, 0.95),
+        "long_own_ratio_p95": percentile(
+            [t / alone_ms(r.arrival, r.segments) for count, t, r in timed if count > LONG_TOKENS],
+            0.95,
+        ),
         "long_done": sum(r.outcome == "completed" for r in long_all),
         "long_all": len(long_all),
         "spanning_ratio_p95": percentile(
