--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -1,6 +1,5 @@
 """The scheduler of one instance: state, event, time and seed in, decisions out."""
 
-import heapq
 from collections.abc import Callable, Collection
 from random import Random
 from typing import assert_never
@@ -9,6 +8,7 @@
 from ..settings.fleet import FleetConfig
 from ..shares import ShareCounters
 from .admission import Admission
+from .attempts import Attempts
 from .backlog import Backlog
 from .claims import Claims
 from .cost import CostModel, PromptClass
@@ -21,13 +21,13 @@
     CancelAttempt,
     ConfigurationReplaced,
     Decision,
-    Dispatch,
     Event,
     FirstToken,
     LoadReported,
     Outcome,
     PeerClaims,
     PeerConsumption,
+    PeerWaits,
     RefusalReason,
     Refuse,
     Request,
@@ -38,13 +38,16 @@
     Upstream,
     UpstreamsChanged,
     UpstreamState,
+    WaitingPrompt,
 )
 from .placement import CLAIM_AFTER_MS, Choice, Placement, PredictedPlacement, choose_allowed
 from .prefixes import PrefixIndex
 from .queue import FairQueue, Lane
 from .requests import RequestState
 from .retries import RetryBudget
-from .runners import RunnerTable, RunnerView, SentWork
+from .runners import RunnerTable
+from .timers import Timers
+from .waits import LargeWaits, choose_group
 
 # How often a blocked lane is looked at again; bounds the work per event under overload.
 QUEUE_POLL_MS = 20
@@ -80,9 +83,21 @@
         )
         self._budget = RetryBudget(config.scheduling.retry_budget)
         self._large = LargePrompts(instance_boot, wall_offset_ms)
+        self._waits = LargeWaits(wall_offset_ms)
         self._states: dict[str, RequestState] = {}
-        self._deadlines: list[tuple[int, str]] = []
-        self._first_tokens: list[tuple[int, str]] = []
+        self._timers = Timers(self._states)
+        self._attempts = Attempts(
+            self.cost,
+            self.shares,
+            self.runners,
+            self._backlog,
+            self._claims,
+            self._large,
+            self._prefixes,
+            self._admission.dispatched,
+            self._budget,
+            self._timers,
+        )
         self._blocked_until: dict[Lane, int] = {}
 
     @classmethod
@@ -114,6 +129,10 @@
         """Return the engine memory that waiting prompts claim, for gossip, in tokens by runner."""
         return self._claims.own()
 
+    def waiting_prompts(self) -> tuple[WaitingPrompt, ...]:
+        """Return the prompts that span engines and wait for memory, for gossip."""
+        return self._waits.own(self._large.reserving)
+
     def handle(self, event: Event, now_ms: int) -> list[Decision]:
         """Take an event and return the decisions that follow from it, in order.
 
@@ -131,7 +150,8 @@
             case UpstreamsChanged(upstreams):
                 decisions += self._change_upstreams(upstreams, now_ms)
             case FirstToken(request_id):
-                self._first_token(request_id)
+                if (state := self._states.get(request_id)) is not None:
+                    self._attempts.first_token(state)
             case TokensRelayed(request_id, tokens):
                 if (state := self._states.get(request_id)) is not None:
                     state.tokens += tokens
@@ -146,6 +166,8 @@
                     self._homes.refresh(self.shares.recent_peers(now_ms - PEER_EXPIRY_MS), now_ms)
             case PeerClaims(instance_boot, claimed):
                 self._claims.merge(instance_boot, claimed, now_ms)
+            case PeerWaits():
+                self._waits.merge(event, now_ms)
             case ReservationAnswered():
                 decisions += self._reservation(event, now_ms)
             case ConfigurationReplaced(config):
@@ -168,11 +190,10 @@
 
     def next_wakeup_ms(self, now_ms: int) -> int | None:
         """Return when `Tick` is needed at the latest, or None while nothing waits."""
-        self._drop_stale_timers()
-        times = [heap[0][0] for heap in (self._deadlines, self._first_tokens) if heap]
-        times += [self._blocked_until.get(lane, now_ms) for lane in self.queue.lanes()]
-        if (large_ms := self._large.next_wakeup_ms()) is not None:
-            times.append(large_ms)
+        times = [self._blocked_until.get(lane, now_ms) for lane in self.queue.lanes()]
+        for next_ms in (self._timers.next_ms(), self._large.next_wakeup_ms()):
+            if next_ms is not None:
+                times.append(next_ms)
         return max(now_ms, min(times)) if times else None
 
     def _arrive(self, req: Request, now_ms: int) -> list[Decision]:
@@ -186,7 +207,7 @@
             ]
         state = RequestState(req, prompt_class, self.cost.engine_ms(req))
         self._states[req.request_id] = state
-        heapq.heappush(self._deadlines, (req.deadline_ms, req.request_id))
+        self._timers.add_deadline(state)
         self._backlog.add(state)
         return []
 
@@ -247,14 +268,23 @@
         if segments > len(live):
             return self._refuse(state, RefusalReason.TOO_LARGE, 0)
         tokens = self.cost.kv_tokens(state.req)
-        starts = range(len(live) - segments + 1)
-        free = [min(view.kv_free() for view in live[s : s + segments]) for s in starts]
-        start = max(starts, key=lambda s: (free[s], -s))
+        wanted = self._waits.older(self._large.waiting(state.req, ()), now_ms)
+        group, may_begin = choose_group(live, segments, tokens, wanted)
+        if not may_begin:
+            names = [view.upstream.upstream_id for view in group]
+            self._waits.hold(self._large.waiting(state.req, names))
+            return None
+        self._waits.forget(state.req.request_id)
         self._backlog.take(state)
-        group = live[start : start + segments]
         self._large.begin(state, group, tokens, now_ms)
         return []
 
+    def _dispatch(
+        self, state: RequestState, choice: Choice, handles: tuple[str, ...], now_ms: int
+    ) -> Decision:
+        priority = self.placement.priority(state.req)
+        return self._attempts.begin(state, choice, priority, handles, now_ms)
+
     def _reservation(self, event: ReservationAnswered, now_ms: int) -> list[Decision]:
         decisions, ready = self._large.answer(event, now_ms)
         if event.granted:
@@ -269,59 +299,6 @@
         handles = self._large.handles(event.request_id)
         return [*decisions, self._dispatch(state, choice, handles, now_ms)]
 
-    def _dispatch(
-        self, state: RequestState, choice: Choice, handles: tuple[str, ...], now_ms: int
-    ) -> Decision:
-        req = state.req
-        self._backlog.remove(state)
-        self._claims.remove(req.request_id)
-        if state.attempts == 0:
-            self._budget.count_first_attempt(now_ms)
-        state.attempts += 1
-        upstream_id = choice.view.upstream.upstream_id
-        state.tried.add(upstream_id)
-        state.upstream_id = upstream_id
-        state.cancelling = state.first_token = False
-        state.tokens = 0
-        state.first_token_due_ms = (
-            now_ms + int(choice.ttft_ms) + self.cost.scheduling.first_token_timeout_ms
-        )
-        heapq.heappush(self._first_tokens, (state.first_token_due_ms, req.request_id))
-        group = self._large.group(req.request_id) if handles else [upstream_id]
-        for member in group:
-            self.runners.views[member].sent[req.request_id] = SentWork(
-                state.prompt_class,
-                self.placement.priority(req),
-                choice.prefill_tokens,
-                0 if handles else self.cost.kv_tokens(req),
-                now_ms,
-            )
-        state.charged_ms = state.cost_ms
-        self.shares.charge(req.neighbour, state.charged_ms, now_ms)
-        self._admission.dispatched.count(self._backlog.lane(state), state.cost_ms, now_ms)
-        self._prefixes.record(req, upstream_id)
-        return Dispatch(req.request_id, upstream_id, self.placement.priority(req), handles)
-
-    def _first_token(self, request_id: str) -> None:
-        state = self._states.get(request_id)
-        if state is None or state.upstream_id is None:
-            return
-        state.first_token = True
-        for view in self._views(state):
-            if (work := view.sent.get(request_id)) is not None:
-                work.prefill_tokens = 0
-
-    def _views(self, state: RequestState) -> list[RunnerView]:
-        request_id = state.req.request_id
-        ids = self._large.group(request_id) if request_id in self._large else [state.upstream_id]
-        return [self.runners.views[i] for i in ids if i is not None and i in self.runners.views]
-
-    def _forget_attempt(self, state: RequestState) -> None:
-        for view in self._views(state):
-            view.sent.pop(state.req.request_id, None)
-        state.upstream_id = None
-        state.cancelling = False
-
     def _attempt_ended(self, event: AttemptEnded, now_ms: int) -> list[Decision]:
         state = self._states.get(event.request_id)
         if state is None or state.upstream_id != event.upstream_id:
@@ -329,15 +306,9 @@
         first_token = state.first_token
         req = state.req
         if event.outcome is Outcome.COMPLETED:
-            self.cost.observe_output(req, state.tokens)
-            decode_ms = self.cost.decode_engine_ms(req.model, state.tokens)
-            estimate_ms = self.cost.decode_engine_ms(req.model, self.cost.expected_output(req))
-            if decode_ms > estimate_ms:
-                self.shares.charge(req.neighbour, decode_ms - estimate_ms, now_ms)
-            else:
-                self.shares.refund(req.neighbour, estimate_ms - decode_ms)
+            self._attempts.settle(state, now_ms)
             return self._finish(state)
-        self._forget_attempt(state)
+        self._attempts.forget(state)
         decisions = self._large.release(req.request_id)
         if event.outcome in (Outcome.REJECTED, Outcome.NOT_SENT):
             self.shares.refund(req.neighbour, state.charged_ms)
@@ -361,7 +332,7 @@
         down = {view.upstream.upstream_id for view in self.runners.replace(upstreams)}
         for state in list(self._states.values()):
             # A stream that has begun is left to the relay, which sees whether it continues.
-            used = {view.upstream.upstream_id for view in self._views(state)}
+            used = {view.upstream.upstream_id for view in self._attempts.views(state)}
             if state.upstream_id is None or state.first_token or state.cancelling:
                 continue
             if used & down:
@@ -386,33 +357,13 @@
 
     def _expire(self, now_ms: int) -> list[Decision]:
         decisions: list[Decision] = []
-        while self._deadlines and self._deadlines[0][0] <= now_ms:
-            state = self._states.get(heapq.heappop(self._deadlines)[1])
-            if state is not None and state.req.deadline_ms <= now_ms:
-                decisions += self._refuse(state, RefusalReason.DEADLINE, 0)
-        while self._first_tokens and self._first_tokens[0][0] <= now_ms:
-            due_ms, request_id = heapq.heappop(self._first_tokens)
-            state = self._states.get(request_id)
-            if state is not None and self._waits_for_first_token(state, due_ms):
-                state.cancelling = True
-                decisions.append(CancelAttempt(request_id, state.upstream_id or ""))
+        for state in self._timers.past_deadline(now_ms):
+            decisions += self._refuse(state, RefusalReason.DEADLINE, 0)
+        for state in self._timers.without_first_token(now_ms):
+            state.cancelling = True
+            decisions.append(CancelAttempt(state.req.request_id, state.upstream_id or ""))
         return decisions
 
-    @staticmethod
-    def _waits_for_first_token(state: RequestState, due_ms: int) -> bool:
-        in_flight = state.upstream_id is not None and state.first_token_due_ms == due_ms
-        return in_flight and not state.first_token and not state.cancelling
-
-    def _drop_stale_timers(self) -> None:
-        while self._deadlines and self._deadlines[0][1] not in self._states:
-            heapq.heappop(self._deadlines)
-        while self._first_tokens:
-            due_ms, request_id = self._first_tokens[0]
-            state = self._states.get(request_id)
-            if state is not None and self._waits_for_first_token(state, due_ms):
-                break
-            heapq.heappop(self._first_tokens)
-
     def _refuse(
         self, state: RequestState, reason: RefusalReason, retry_after_ms: int
     ) -> list[Decision]:
@@ -429,6 +380,7 @@
     def _finish(self, state: RequestState) -> list[Decision]:
         self._backlog.remove(state)
         self._claims.remove(state.req.request_id)
-        self._forget_attempt(state)
+        self._waits.forget(state.req.request_id)
+        self._attempts.forget(state)
         del self._states[state.req.request_id]
         return self._large.release(state.req.request_id)
