Compared limits of retries under overload with callers that resend

Cause: the budget of retries had been measured neither with failing engines under overload nor with callers that send a failed call again.

--- a/packages/bench/src/ibispaddle_bench/experiment.py
+++ b/packages/bench/src/ibispaddle_bench/experiment.py
@@ -12,7 +12,7 @@
 from concurrent.futures import ProcessPoolExecutor
 from typing import Any
 
-from .experiment_scenarios import Scenario, scenarios
+from .experiment_scenarios import Scenario, failure_scenarios, scenarios
 from .experiment_scenarios import run as run_scenario
 from .plots import draw
 
@@ -32,6 +32,8 @@
         "long_ratio_p95": 14,
         "refused": 8,
         "late": 5,
+        "attempts": 8,
+        "calls_failed": 12,
         "held": 6,
         "goodput": 9,
         "decision_us": 11,
@@ -90,18 +92,20 @@
     parser.add_argument(
         "--set", action="append", default=[], help="KEY=NUMBER of the scheduling settings"
     )
+    parser.add_argument("--processes", type=int, default=PROCESSES)
     args = parser.parse_args(argv)
     settings = {k: json.loads(v) for k, v in (item.split("=") for item in args.set)}
     seeds = [int(seed) for seed in args.seeds.split(",")]
     chosen: list[Scenario] = scenarios(seeds, args.quick, tuple(settings.items()))
     if args.only:
+        chosen += failure_scenarios(seeds, tuple(settings.items()))
         chosen = [s for s in chosen if s.name in args.only.split(",")]
     if args.policy:
         chosen = [s for s in chosen if s.policy == args.policy]
     args.out.mkdir(parents=True, exist_ok=True)
     # Longest runs first, so that the last process does not end long after the others.
     chosen.sort(key=lambda s: -s.weight)
-    with ProcessPoolExecutor(PROCESSES) as pool:
+    with ProcessPoolExecutor(args.processes) as pool:
         rows = list(pool.map(run_scenario, chosen))
     rows.sort(key=lambda r: (r["scenario"], r["policy"], r["seed"]))
     add_ratios(rows)
--- /dev/null
+++ b/packages/bench/src/ibispaddle_bench/experiment_failures.py
@@ -0,0 +1,65 @@
+"""Failing attempts and callers that resend after an error, for the experiment."""
+
+from dataclasses import dataclass, replace
+from random import Random
+
+from .workload import Arrival
+
+# Back-off of a caller whose error carries no Retry-After, doubled with each resend.
+BACKOFF_MS = 500.0
+JITTER = 0.25
+
+
+@dataclass(frozen=True)
+class FailingPeriod:
+    """Describe a time in which some engines refuse or fail a part of their attempts."""
+
+    from_ms: float
+    to_ms: float
+    engines: tuple[int, ...]
+    rejected: float  # Refused at once; nothing ran.
+    failed: float  # Failed after the prompt was computed, before the first token.
+
+
+class Failures:
+    """Draw which attempts fail."""
+
+    def __init__(self, seed: int, periods: list[FailingPeriod], engines: list[str]) -> None:
+        self._rng = Random(f"failures/{seed}")
+        self._periods = [(p, {engines[index] for index in p.engines}) for p in periods]
+
+    def draw(self, engine_id: str, now_ms: float) -> str | None:
+        """Return `rejected`, `failed` or None for an attempt at an engine."""
+        for period, engines in self._periods:
+            if period.from_ms <= now_ms < period.to_ms and engine_id in engines:
+                number = self._rng.random()
+                if number < period.rejected:
+                    return "rejected"
+                if number < period.rejected + period.failed:
+                    return "failed"
+        return None
+
+
+class Resends:
+    """Let callers send a request again after an error, a limited number of times."""
+
+    def __init__(self, seed: int, limit: int) -> None:
+        self._rng = Random(f"resends/{seed}")
+        self._limit = limit
+
+    def resend(
+        self, arrival: Arrival, copy: int, retry_after_ms: int, now_ms: float
+    ) -> Arrival | None:
+        """Return the copy after number `copy` with its time, or None if the caller gives up."""
+        if copy >= self._limit:
+            return None
+        wait_ms = float(retry_after_ms) or BACKOFF_MS * 2**copy
+        at_ms = now_ms + wait_ms * (1 + JITTER * self._rng.random())
+        request = arrival.request
+        request = replace(
+            request,
+            request_id=f"{request.request_id.partition('~')[0]}~{copy + 1}",
+            arrived_ms=int(at_ms),
+            deadline_ms=int(at_ms) + request.deadline_ms - request.arrived_ms,
+        )
+        return replace(arrival, at_ms=at_ms, request=request)
--- a/packages/bench/src/ibispaddle_bench/experiment_fleet.py
+++ b/packages/bench/src/ibispaddle_bench/experiment_fleet.py
@@ -36,6 +36,7 @@
 from ibispaddle_core.settings.fleet import FleetConfig
 
 from .engine_model import Engine, Job
+from .experiment_failures import FailingPeriod, Failures, Resends
 from .workload import Arrival
 
 NETWORK_MS = 1.0
@@ -59,15 +60,20 @@
     outcome: str = ""
     dispatches: int = 0
     segments: int = 1
+    called_ms: float = 0.0  # When the caller sent the first copy.
+    copy: int = 0
+    resent: bool = False
 
 
 @dataclass
 class Plan:
-    """Describe what happens to engines: (time, engine) of deaths and leavings."""
+    """Describe the faults: (time, engine) of deaths and leavings, failing attempts, resends."""
 
     deaths: list[tuple[float, int]] = field(default_factory=list)
     leavings: list[tuple[float, int]] = field(default_factory=list)
     restart_after_ms: float = 10_000.0
+    failing: list[FailingPeriod] = field(default_factory=list)
+    resends: int = 0
 
 
 class Fleet:
@@ -92,6 +98,8 @@
         self.schedulers = [
             Scheduler.from_config(config, seed, f"boot-{n}") for n in range(instances)
         ]
+        self._failures = Failures(seed, plan.failing, list(self.engines))
+        self._resends = Resends(seed, plan.resends)
         if adapt is not None:
             for scheduler in self.schedulers:
                 adapt(scheduler)
@@ -142,9 +150,12 @@
 
     def _arrive(self, arrival: Arrival) -> None:
         self._next_arrival()
+        self._admit(arrival, arrival.at_ms, 0)
+
+    def _admit(self, arrival: Arrival, called_ms: float, copy: int) -> None:
         number = self._rng.randrange(len(self.schedulers))
         name = arrival.request.request_id
-        self.records[name] = Record(arrival, number)
+        self.records[name] = Record(arrival, number, called_ms=called_ms, copy=copy)
         self._open.add(name)
         self._handle(number, RequestArrived(arrival.request))
 
@@ -171,8 +182,9 @@
         match decision:
             case Dispatch():
                 self._dispatch(number, decision)
-            case Refuse(request_id, reason):
+            case Refuse(request_id, reason, _, retry_after_ms):
                 self._close(request_id, f"refused:{reason}")
+                self._resend(self.records[request_id], retry_after_ms)
             case CancelAttempt(request_id, upstream_id):
                 self.at(at_ms, lambda: self._cancel(number, request_id, upstream_id))
             case ReserveMemory(request_id, upstream_id, handle, tokens):
@@ -203,6 +215,13 @@
         record.outcome = outcome
         self._open.discard(request_id)
 
+    def _resend(self, record: Record, retry_after_ms: int) -> None:
+        again = self._resends.resend(record.arrival, record.copy, retry_after_ms, self.now_ms)
+        if again is not None:
+            record.resent = True
+            self._open.add(again.request.request_id)
+            self.at(again.at_ms, lambda: self._admit(again, record.called_ms, record.copy + 1))
+
     def _dispatch(self, number: int, dispatch: Dispatch) -> None:
         name, upstream_id = dispatch.request_id, dispatch.upstream_id
         record = self.records[name]
@@ -244,6 +263,17 @@
             on_done=done,
             on_failed=failed,
         )
+        failure = None if dispatch.segments else self._failures.draw(upstream_id, self.now_ms)
+        if failure == "rejected":
+            tell(AttemptEnded(name, upstream_id, Outcome.REJECTED))
+            return
+        if failure == "failed":
+
+            def fail() -> None:
+                engine.cancel(job.job_id)
+                failed()
+
+            job.on_first = fail
         if not dispatch.segments:
             self.at(self.now_ms + NETWORK_MS, lambda: engine.submit(job, self.now_ms))
             return
--- a/packages/bench/src/ibispaddle_bench/experiment_scenarios.py
+++ b/packages/bench/src/ibispaddle_bench/experiment_scenarios.py
@@ -7,6 +7,7 @@
 
 from .engine_model import DECODE_STEP_MS, KV_TOKENS, PREFILL_TOKENS_PER_MS, alone_ttft_ms
 from .experiment_baselines import POLICIES
+from .experiment_failures import FailingPeriod
 from .experiment_fleet import NETWORK_MS, Fleet, Plan, Record
 from .workload import LONG_TOKENS, NEIGHBOURS, RUNNERS, Arrival, arrivals
 
@@ -15,6 +16,20 @@
 MEASURED_MS = 60_000
 SHARE_MINUTES = 2
 SHARE_START_S = 50  # By then the queues of all neighbours have filled.
+# Retries of attempts: as configured, in effect without a limit, none.
+RETRY_SETTINGS: dict[str, tuple[tuple[str, float], ...]] = {
+    "": (),
+    "-unlimited": (("retry_budget", 1.0), ("max_attempts", 10)),
+    "-no-retry": (("retry_budget", 0.0),),
+}
+# Eight engines refuse or fail half of their attempts for half a minute, all others a few.
+FAILING = (
+    FailingPeriod(30_000, 60_000, tuple(range(8)), 0.25, 0.25),
+    FailingPeriod(20_000, 80_000, tuple(range(8, RUNNERS)), 0.02, 0.02),
+)
+# All engines fail half of their attempts after they have computed the prompt.
+STORM = (FailingPeriod(30_000, 60_000, tuple(range(RUNNERS)), 0.0, 0.5),)
+RESENDS = 3
 LENGTHS = (1_000, 2_000, 4_000, 8_000, 16_000, 32_000, 100_000, 200_000, 400_000, 1_000_001)
 
 
@@ -29,6 +44,8 @@
     short_only: bool = False
     faults: bool = False
     backlog: bool = False
+    failing: tuple[FailingPeriod, ...] = ()
+    resends: int = 0
     settings: tuple[tuple[str, float], ...] = ()
 
     @property
@@ -57,6 +74,24 @@
     return [replace(scenario, settings=settings) for scenario in result]
 
 
+def failure_scenarios(
+    seeds: list[int], settings: tuple[tuple[str, float], ...] = ()
+) -> list[Scenario]:
+    """Return the runs that compare limits of retries; they are run by name only."""
+    result = []
+    for seed in seeds:
+        for suffix, retries in RETRY_SETTINGS.items():
+            for name, periods, resends in (
+                ("failing-150", FAILING, 0),
+                ("resend-150", FAILING, RESENDS),
+                ("storm-150", STORM, RESENDS),
+            ):
+                scenario = Scenario(f"{name}{suffix}", "ibispaddle", seed, 1.5)
+                both = (*retries, *settings)
+                result.append(replace(scenario, settings=both, failing=periods, resends=resends))
+    return result
+
+
 def fleet_config(settings: dict[str, float]) -> FleetConfig:
     """Return the configuration of the experiment."""
     return FleetConfig.model_validate(
@@ -87,6 +122,9 @@
     plan = Plan()
     if scenario.faults:
         plan = Plan(deaths=[(30_000, 3), (45_000, 20), (46_000, 11)], leavings=[(35_000, 7)])
+    if scenario.failing:
+        deaths = [(28_000.0, 23), (40_000.0, 20), (41_000.0, 11), (55_000.0, 3)]
+        plan = Plan(deaths=deaths, failing=list(scenario.failing), resends=scenario.resends)
     fleet = Fleet(
         fleet_config(dict(scenario.settings)),
         scenario.seed,
@@ -151,6 +189,15 @@
         part = [t for count, t, _ in timed if low <= count < high]
         by_length.append([low, len(part), *(percentile(part, p) or 0.0 for p in (0.5, 0.95, 0.99))])
     long_all = [r for r in window if r.arrival.request.prompt_tokens > LONG_TOKENS]
+    # What callers see: a call is one request with the copies that its caller sent again.
+    calls = [
+        r for r in fleet.records.values() if WARM_UP_MS <= r.called_ms < end_ms and not r.resent
+    ]
+    called = [
+        (r.first_ms or 0.0) - r.called_ms
+        for r in calls
+        if r.outcome == "completed" and r.arrival.request.prompt_tokens < 8_000
+    ]
     held = sum(e.used for e in fleet.engines.values())
     return {
         "requests": len(window),
@@ -167,6 +214,10 @@
         "refused": sum(refused.values()),
         "outcomes": refused,
         "late": len(late),
+        "attempts": sum(r.dispatches for r in window),
+        "calls": len(calls),
+        "calls_failed": sum(r.outcome != "completed" for r in calls),
+        "call_short_p99_ms": percentile(called, 0.99),
         "held": held if all(r.end_ms for r in fleet.records.values()) else None,
         "late_dispatches": fleet.late_dispatches,
         "goodput": tokens / (end_ms - WARM_UP_MS) * 1000,
--- a/tests/scheduling/test_experiment.py
+++ b/tests/scheduling/test_experiment.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from ibispaddle_bench.experiment_failures import FailingPeriod
 from ibispaddle_bench.experiment_fleet import Fleet, Plan
 from ibispaddle_bench.experiment_scenarios import figures, fleet_config
 from ibispaddle_bench.workload import arrivals
@@ -20,6 +21,21 @@
         self.assertEqual(row["late_dispatches"], 0)
         self.assertTrue(all(record.end_ms for record in fleet.records.values()))
 
+    def test_every_call_with_failing_attempts_and_resends_ends_once(self):
+        """Guard against copies of a call that are lost, or sent after an answer."""
+        failing = [FailingPeriod(3_000, 8_000, tuple(range(25)), 0.3, 0.3)]
+        plan = Plan(failing=failing, resends=2)
+        fleet = Fleet(fleet_config({}), 5, 8, 25, arrivals(5, 0.9, 10_000), plan)
+        fleet.run()
+        calls = {}
+        for name, record in fleet.records.items():
+            calls.setdefault(name.partition("~")[0], []).append(record)
+        self.assertGreater(len(fleet.records), len(calls))
+        for copies in calls.values():
+            self.assertTrue(all(copy.outcome != "completed" for copy in copies[:-1]))
+            self.assertTrue(copies[-1].outcome == "completed" or len(copies) == 3)
+        self.assertEqual(figures(fleet, 10_000)["held"], 0)
+
 
 if __name__ == "__main__":
     unittest.main()
