Logged upstreams that leave or are drained

Cause: event 3001 was in the catalogue, but nothing wrote it, and a drain left no line in an instance's log.

Change: the instance writes 3001 with the state when an upstream begins to leave, is forgotten by the list or is drained.

Result: the process test of a drained runner finds the line with the state `drained`. Before: no line.

--- a/packages/core/src/ibispaddle_core/logevents.py
+++ b/packages/core/src/ibispaddle_core/logevents.py
@@ -50,7 +50,7 @@
 )
 UPSTREAM_DOWN = LogEvent(3000, "upstream_down", Level.WARNING, "An upstream stopped answering.")
 UPSTREAM_LEAVING = LogEvent(
-    3001, "upstream_leaving", Level.INFO, "An upstream is leaving and gets no new work."
+    3001, "upstream_leaving", Level.INFO, "An upstream is leaving or drained and gets no new work."
 )
 LIST_UNAVAILABLE = LogEvent(
     3002, "list_unavailable", Level.WARNING, "The instance list cannot be read."
--- a/packages/daemon/src/ibispaddle_daemon/instance_list.py
+++ b/packages/daemon/src/ibispaddle_daemon/instance_list.py
@@ -9,8 +9,9 @@
 from circuits import BaseComponent, Event, handler
 from ibispaddle_core.clock import Clock
 from ibispaddle_core.gossip import ListSeen
-from ibispaddle_core.logevents import LIST_UNAVAILABLE
+from ibispaddle_core.logevents import LIST_UNAVAILABLE, UPSTREAM_LEAVING
 from ibispaddle_core.membership import (
+    Kind,
     ListedState,
     ListEntry,
     ListOutcome,
@@ -199,10 +200,20 @@
         members = self._view.members(self._clock.now_ms())
         if members == self._members or not self._is_read:
             return
+        self._log_without_new_work(members)
         self._members = members
         self.fire(members_changed(members), "*")
         self.fire(list_changed(tuple(_entry_in_use(member) for member in members)), "*")
 
+    def _log_without_new_work(self, members: tuple[Member, ...]) -> None:
+        known = {member.entry.id: member.state for member in self._members}
+        for member in members:
+            entry, state = member.entry, member.state
+            if state not in _WITHOUT_NEW_WORK or known.get(entry.id) is state:
+                continue
+            if entry.kind is not Kind.ENTRY:
+                log_event(UPSTREAM_LEAVING, upstream=entry.id, state=str(state))
+
 
 def _entry_in_use(member: Member) -> ListEntry:
     if member.state in _WITHOUT_NEW_WORK:
--- a/tests/failures/test_leaving_upstreams.py
+++ b/tests/failures/test_leaving_upstreams.py
@@ -8,6 +8,7 @@
 from ibispaddle_bench.fleet import OPERATOR_KEY
 from ibispaddle_bench.processes import ManagedProcess
 from ibispaddle_client.__main__ import app
+from ibispaddle_core.logevents import UPSTREAM_LEAVING
 from typer.testing import CliRunner
 
 from .support import Call, FleetTest, ServiceCall, wait_until
@@ -106,6 +107,9 @@
         started = time.monotonic()
         self.operate("upstreams", "drain", process.name, "--wait")
         self.assertLess(time.monotonic() - started, IN_FORCE_S)
+        noted = f'"event":"upstream_leaving","text":"{UPSTREAM_LEAVING.text}",'
+        noted += f'"upstream":"{process.name}","state":"drained"'
+        self.assertIn(noted, self.entry.log_file.read_text())
 
     def check_with_streams(
         self, change: Callable[[ManagedProcess], None], settle_s: float = NO_NEW_WORK_S
