Made the metrics of waiting requests cheaper to read

Cause: with 2,000 waiting requests of 100 neighbours a reading of /metrics held up all streams for 21 to 23 ms, more than an instance may add.

Change: one pass does only a bisection and an append for each request, and 20 instead of 50 neighbours have time series of their own.

--- a/packages/daemon/src/ibispaddle_daemon/metrics.py
+++ b/packages/daemon/src/ibispaddle_daemon/metrics.py
@@ -1,5 +1,6 @@
 """Metrics of an instance and the paths `/healthz`, `/readyz` and `/metrics`."""
 
+from bisect import bisect_right
 from collections.abc import Callable, Iterable
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
@@ -10,15 +11,9 @@
 
 _SECONDS = (0.001, 0.003, 0.005, 0.015, 0.05, 0.1, 0.25, 0.65, 1.0, 2.5, 5.0, 15.0, 60.0)
 _RATIOS = (1.0, 1.1, 1.25, 1.5, 2.0, 3.0, 5.0, 10.0, 30.0, 100.0)
-# Upper limits of the prompt-length classes, in tokens, with the value of the label.
-_LENGTH_CLASSES = (
-    (8_000, "under_8k"),
-    (32_000, "8k_to_32k"),
-    (100_000, "32k_to_100k"),
-    (400_000, "100k_to_400k"),
-)
-_LONGEST_CLASS = "400k_and_more"
-
+# Upper limits of the prompt-length classes, in tokens, and the values of the label.
+_LENGTH_LIMITS = (8_000, 32_000, 100_000, 400_000)
+_LENGTH_CLASSES = ("under_8k", "8k_to_32k", "32k_to_100k", "100k_to_400k", "400k_and_more")
 
 Labels = dict[str, str]
 Read = Callable[[], Iterable[tuple[Labels, float]]]
@@ -39,8 +34,7 @@
     >>> length_class(9_000)
     '8k_to_32k'
     """
-    classes = (label for limit, label in _LENGTH_CLASSES if prompt_tokens < limit)
-    return next(classes, _LONGEST_CLASS)
+    return _LENGTH_CLASSES[bisect_right(_LENGTH_LIMITS, prompt_tokens)]
 
 
 class Metrics:
--- a/packages/daemon/src/ibispaddle_daemon/request_gauges.py
+++ b/packages/daemon/src/ibispaddle_daemon/request_gauges.py
@@ -1,6 +1,7 @@
 """Metrics of waiting requests and of the shares of neighbours, read when they are rendered."""
 
-from collections.abc import Iterable, Iterator, Mapping
+from collections import defaultdict
+from collections.abc import Iterator, Mapping
 
 from ibispaddle_core.clock import Clock
 from ibispaddle_core.settings import NeighbourConfig
@@ -8,8 +9,9 @@
 from .entry import Entry
 from .metrics import Labels, Metrics, escape_label, length_class
 
-# Bounds the number of time series. Neighbours with a lower weight are summed under one label.
-MAX_NEIGHBOURS = 50
+# Neighbours with a lower weight are summed under one label. Rendering takes about 15 us for each of
+# up to 252 time series, during which no stream moves.
+MAX_NEIGHBOURS = 20
 OTHERS = "(others)"
 
 Sample = tuple[Labels, float]
@@ -63,15 +65,14 @@
 
     def waiting(self) -> Iterator[Sample]:
         """Return the number of waiting requests."""
-        return _sum((labels, 1.0) for labels, _ in self._ages())
+        return ((_labels(key), float(len(times))) for key, times in self._arrivals().items())
 
     def oldest(self) -> Iterator[Sample]:
         """Return the highest age of a waiting request, in seconds."""
-        found: dict[tuple[tuple[str, str], ...], float] = {}
-        for labels, age_s in self._ages():
-            key = tuple(labels.items())
-            found[key] = max(found.get(key, 0.0), age_s)
-        return ((dict(key), value) for key, value in found.items())
+        now_ms = self._clock.now_ms()
+        return (
+            (_labels(key), (now_ms - min(times)) / 1000) for key, times in self._arrivals().items()
+        )
 
     def consumed(self) -> Iterator[Sample]:
         """Return each neighbour's part of the decayed consumption."""
@@ -84,25 +85,25 @@
         neighbours = self._entry.config.neighbours
         return self._parts({name: neighbours[name].weight for name in neighbours})
 
-    def _ages(self) -> Iterator[Sample]:
-        now_ms = self._clock.now_ms()
+    def _arrivals(self) -> dict[tuple[str, str], list[int]]:
+        """Return the arrival times of the waiting requests by prompt length and neighbour."""
+        # One pass over thousands of requests delays all streams by its length; it does no more than
+        # needed for each.
         names = neighbour_labels(self._entry.config.neighbours)
+        found: defaultdict[tuple[str, str], list[int]] = defaultdict(list)
         for req in self._entry.waiting_requests():
-            neighbour = names.get(req.neighbour, OTHERS)
-            labels = {"prompt": length_class(req.prompt_tokens), "neighbour": neighbour}
-            yield labels, (now_ms - req.arrived_ms) / 1000
+            key = (length_class(req.prompt_tokens), names.get(req.neighbour, OTHERS))
+            found[key].append(req.arrived_ms)
+        return found
 
     def _parts(self, values: Mapping[str, float]) -> Iterator[Sample]:
         names = neighbour_labels(self._entry.config.neighbours)
         total = sum(values.values()) or 1.0
-        samples = ((names.get(name, OTHERS), value / total) for name, value in values.items())
-        return _sum(({"neighbour": label}, value) for label, value in samples)
+        parts: defaultdict[str, float] = defaultdict(float)
+        for name, value in values.items():
+            parts[names.get(name, OTHERS)] += value / total
+        return (({"neighbour": label}, part) for label, part in parts.items())
 
 
-def _sum(samples: Iterable[Sample]) -> Iterator[Sample]:
-    """Add the samples of equal labels."""
-    totals: dict[tuple[tuple[str, str], ...], float] = {}
-    for labels, value in samples:
-        key = tuple(labels.items())
-        totals[key] = totals.get(key, 0.0) + value
-    return ((dict(key), value) for key, value in totals.items())
+def _labels(key: tuple[str, str]) -> Labels:
+    return {"prompt": key[0], "neighbour": key[1]}
