--- a/packages/client/src/ibispaddle_client/changes.py
+++ b/packages/client/src/ibispaddle_client/changes.py
@@ -33,9 +33,14 @@
 
 def apply_change(api: OperatorApi, change: dict[str, Any]) -> dict[str, Any]:
     """Send a change until its outcome is known and return the instance's answer."""
+    return send_until_known(api, "config", change)
+
+
+def send_until_known(api: OperatorApi, path: str, body: dict[str, Any]) -> dict[str, Any]:
+    """Send what takes effect at most once until its outcome is known and return the answer."""
     for attempt in range(ATTEMPTS):
         try:
-            return api.post("config", change)
+            return api.post(path, body)
         except (UndeterminedError, UnreachableError):
             if attempt == ATTEMPTS - 1:
                 raise
--- a/packages/core/src/ibispaddle_core/logevents.py
+++ b/packages/core/src/ibispaddle_core/logevents.py
@@ -43,6 +43,12 @@
     1007, "handler_failed", Level.ERROR, "A part of the daemon failed on an event and goes on."
 )
 DAEMON_FAILED = LogEvent(1008, "daemon_failed", Level.ERROR, "The daemon failed and ends.")
+INSTANCE_PAUSED = LogEvent(
+    1010,
+    "instance_paused",
+    Level.WARNING,
+    "The process was stopped or starved; it reads list and log again before it takes requests.",
+)
 REQUEST_ENDED = LogEvent(2000, "request_ended", Level.INFO, "A request ended.")
 REQUEST_REFUSED = LogEvent(2001, "request_refused", Level.WARNING, "A request was refused.")
 ATTEMPT_FAILED = LogEvent(
--- a/packages/core/src/ibispaddle_core/membership/view.py
+++ b/packages/core/src/ibispaddle_core/membership/view.py
@@ -246,6 +246,13 @@
         is_upstream = record is not None and record.entry.kind is not Kind.ENTRY
         return is_upstream and member_id in self._drained
 
+    def note_pause(self, length_ms: int) -> None:
+        """Leave out a pause of the own process, in which no instance could be heard."""
+        for record in self._records.values():
+            record.first_ms += length_ms
+            if record.heard_ms is not None:
+                record.heard_ms += length_ms
+
     def state(self, member_id: str, now_ms: int) -> MemberState | None:
         """Return the state of a member, `None` if it is unknown."""
         record = self._records.get(member_id)
