--- a/tests/docs/test_api.py
+++ b/tests/docs/test_api.py
@@ -42,7 +42,9 @@
         """Guard against an operator path that only the source names."""
         paths = found_in_sources(PATH)
         self.assertGreater(len(paths), 8)
-        self.assertEqual({path for path in paths if f"{path}`" not in PAGE.replace("?", "`?")}, set())
+        self.assertEqual(
+            {path for path in paths if f"{path}`" not in PAGE.replace("?", "`?")}, set()
+        )
 
 
 if __name__ == "__main__":
