--- a/tests/docs/test_api.py
+++ b/tests/docs/test_api.py
@@ -12,7 +12,7 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 PAGE = (ROOT / "docs" / "ref" / "api.md").read_text()
 CODE = re.compile(
-    r"(?:ProtocolError\(\s*|_fail\(call, |request_refused\(\w+, )[\w.]+,\s*\"(\w+)\""
+    r"(?:ProtocolError\(\s*|_fail\(call, |request_refused\([\w.]+, )[\w.]+,\s*\"(\w+)\""
     r"|\"code\": \"(\w+)\"|code = \"(\w+)\"|_invalid\(\"(\w+)\""
 )
 PATH = re.compile(r"\"(/operator/[a-z/]+)\"")
