Tested an outage of the log of an hour in virtual time

Cause: only outages of seconds were tested, so nothing showed what grows with their length or what happens when the log returns.

Change: nine instances with the daemon's components for log, configuration, claims and usage around a log with a rate cap, driven by the real timer queue and a manual clock. No mechanism had to change.

--- /dev/null
+++ b/tests/failures/test_long_outage.py
@@ -0,0 +1,140 @@
+"""The log is down for an hour, in virtual time, with the components of the daemon."""
+
+import unittest
+
+from ibispaddle_core.configuration import Applied, Unavailable
+from ibispaddle_core.idempotency import Refuse, Send
+from ibispaddle_core.runstate import RunState
+
+from .virtual_fleet import RATE_CAP_PER_S, VirtualFleet, outcomes
+
+INSTANCES = 9
+BEGIN_MS = 60_000
+OUTAGE_MS = 3_600_000
+END_MS = BEGIN_MS + OUTAGE_MS
+AFTER_MS = 120_000
+REQUEST_MS = 1_000
+BUSY_MS = 20_000  # Around the end of the outage every instance has a request in each step.
+CHANGE_MS = 1_000
+# Change rate of the design during the outage; faster around its end, to see the recovery.
+SLOW_CHANGE_MS = 43_000
+REFUSAL_MS = 100
+# Tails wait up to 5 s between attempts, a flush comes every 2 s.
+RECOVERY_MS = 8_000
+
+
+class LongOutageTest(unittest.TestCase):
+    fault = "down"
+
+    @classmethod
+    def setUpClass(cls):
+        cls.fleet = VirtualFleet(INSTANCES)
+        cls.sizes = []
+        cls.pending_timers = []
+        next_change_ms = 5_000
+        instances = list(cls.fleet.instances.values())
+        for step, now_ms in enumerate(range(1_000, END_MS + AFTER_MS, REQUEST_MS)):
+            cls.fleet.run_to(now_ms)
+            if now_ms == BEGIN_MS:
+                cls.fleet.log.set_fault(cls.fault)
+            if now_ms == END_MS:
+                cls.fleet.log.set_fault("")
+            if now_ms > 5_000:
+                busy = abs(now_ms - END_MS) <= BUSY_MS
+                for instance in instances if busy else [instances[step % INSTANCES]]:
+                    instance.request()
+            if now_ms >= next_change_ms:
+                instances[step % INSTANCES].change(f"c{step}")
+                near_end = now_ms >= END_MS - SLOW_CHANGE_MS
+                next_change_ms += CHANGE_MS if near_end else SLOW_CHANGE_MS
+            if now_ms % 60_000 == 0:
+                cls.sizes.append([instance.sizes() for instance in instances])
+                cls.pending_timers.append(len(cls.fleet.timers._heap))
+            cls.fleet.flush()
+
+    def flushed_ms(self):
+        """Return when the log had what each instance had counted at the end of the outage."""
+        end = self.fleet.clock.epoch_ms + END_MS
+        first = {}
+        for record in self.fleet.log.streams["usage"]:
+            if record["time_ms"] >= end:
+                first.setdefault(record["data"]["instance_boot"], record["time_ms"] - end)
+        self.assertEqual(len(first), INSTANCES)
+        return max(first.values())
+
+    def ended(self, kind, begin_ms, end_ms):
+        return outcomes(self.fleet.instances, kind, begin_ms, end_ms)
+
+    def test_calls_are_refused_at_once_and_not_run(self):
+        """Guard against calls that wait for the log, run, or are refused without a time."""
+        found = self.ended("decisions", BEGIN_MS + 10_000, END_MS)
+        self.assertGreater(len(found), OUTAGE_MS // REQUEST_MS - 20)
+        for began_ms, ended_ms, decision in found:
+            self.assertIsInstance(decision, Refuse)
+            self.assertEqual(decision.run_state, RunState.NOT_RUN)
+            self.assertGreater(decision.retry_after_ms, 0)
+            self.assertLessEqual(ended_ms - began_ms, REFUSAL_MS)
+
+    def test_changes_are_refused_and_the_configuration_stays(self):
+        """Guard against a change that is half accepted, and against a lost configuration."""
+        before = [o for *_, o in self.ended("changes", 0, BEGIN_MS)]
+        self.assertTrue(all(isinstance(o, Applied) for o in before))
+        found = self.ended("changes", BEGIN_MS + 10_000, END_MS - 10_000)
+        self.assertGreater(len(found), 50)
+        for *_, outcome in found:
+            self.assertIsInstance(outcome, Unavailable)
+
+    def test_memory_is_bounded(self):
+        """Guard against queues that grow with the length of the outage."""
+        minutes = len(self.sizes) - 2
+        early, late = self.sizes[2:12], self.sizes[12:minutes]
+        for name in early[0][0]:
+            largest = max(sizes[name] for minute in early for sizes in minute)
+            for minute in late:
+                self.assertLessEqual(max(sizes[name] for sizes in minute), largest + 1, name)
+        self.assertLessEqual(
+            max(self.pending_timers[12:minutes]), max(self.pending_timers[2:12]) * 1.2
+        )
+
+    def test_no_burst_after_the_end(self):
+        """Guard against instances that together exceed the rate cap when the log returns."""
+        self.assertEqual(self.fleet.log.over_rate, 0)
+        times = [t for t in self.fleet.log.appends_ms if END_MS <= t < END_MS + AFTER_MS]
+        busiest = max(sum(t <= other < t + 1_000 for other in times) for t in times)
+        print(f"{self.fault}: at most {busiest} appends in a second after the end")
+        self.assertLess(busiest, RATE_CAP_PER_S)
+
+    def test_recovery(self):
+        """Guard against a fleet that stays degraded after the end of the outage."""
+        claims = self.ended("decisions", END_MS, END_MS + AFTER_MS - 10_000)
+        refused = [began for began, _, d in claims if not isinstance(d, Send)]
+        changes = self.ended("changes", END_MS, END_MS + AFTER_MS - 15_000)
+        failed = [began for began, _, o in changes if isinstance(o, Unavailable)]
+        claims_ms = max(refused, default=END_MS) - END_MS
+        changes_ms = max(failed, default=END_MS) - END_MS
+        applied_ms = min(e for _, e, o in changes if isinstance(o, Applied)) - END_MS
+        flushed_ms = self.flushed_ms()
+        print(
+            f"{self.fault}: last refused claim {claims_ms} ms, last refused change"
+            f" {changes_ms} ms, first applied {applied_ms} ms, usage {flushed_ms} ms"
+        )
+        self.assertLess(max(claims_ms, changes_ms, applied_ms), RECOVERY_MS)
+        self.assertLess(flushed_ms, RECOVERY_MS)
+
+    def test_usage_is_complete(self):
+        """Guard against usage of the outage that is lost or counted twice."""
+        end_ms = END_MS + AFTER_MS
+        self.fleet.run_to(end_ms + 10_000)
+        own, logged = self.fleet.counted()
+        self.assertEqual(own, logged)
+        self.assertGreater(own, OUTAGE_MS // REQUEST_MS)
+
+
+class UnreachableLogTest(LongOutageTest):
+    """The log's address refuses connections."""
+
+    fault = "unreachable"
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/failures/virtual_fleet.py
@@ -0,0 +1,259 @@
+"""Instances with their real log components in virtual time, around a log in the same process."""
+
+import heapq
+import itertools
+import json
+from types import SimpleNamespace
+from urllib.parse import parse_qs, urlsplit
+
+from circuits import BaseComponent, handler
+from ibispaddle_core.clock import ManualClock
+from ibispaddle_core.configuration import Change
+from ibispaddle_core.idempotency import CallCompleted, Outcome, Send, scoped_key
+from ibispaddle_core.settings import FleetConfig, InstanceSettings
+from ibispaddle_daemon.claims import Claims
+from ibispaddle_daemon.configuration import Configuration
+from ibispaddle_daemon.events import (
+    CallFailure,
+    HttpCallError,
+    call_completed,
+    claim_finished,
+    claim_requested,
+    peer_received,
+    usage_counted,
+)
+from ibispaddle_daemon.platform_log import PlatformLog
+from ibispaddle_daemon.timers import TimerQueue
+from ibispaddle_daemon.usage import Usage
+
+LATENCY_MS = 5
+RATE_CAP_PER_S = 300
+RATE_WINDOW_S = 0.25
+START_STEP_MS = 217  # Instances do not flush in step.
+
+
+class VirtualLog:
+    """Follow the log's published interface; `down` answers 503, `unreachable` closes at once."""
+
+    def __init__(self, clock, timers):
+        self.clock, self.timers = clock, timers
+        self.streams = {}
+        self.waiting = []
+        self.fault = ""
+        self.appends_ms = []  # Times of all appends that were tried, also while the log is down.
+        self.over_rate = 0
+        self._allowance, self._allowance_ms = RATE_CAP_PER_S * RATE_WINDOW_S, 0
+
+    def call(self, root, call):
+        self.timers.after(LATENCY_MS, lambda: self.handle(root, call))
+
+    def answer(self, root, call, status, body):
+        event = call_completed(call.call_id, status, (), json.dumps(body).encode(), None)
+        self.timers.after(LATENCY_MS, lambda: root.fire(event, call.channel))
+
+    def handle(self, root, call):
+        url = urlsplit(call.url)
+        records = self.streams.setdefault(url.path.split("/")[2], [])
+        if call.method == "POST":
+            self.appends_ms.append(self.clock.now_ms())
+        if self.fault == "unreachable":
+            error = HttpCallError(CallFailure.UNREACHABLE, "refused", False)
+            root.fire(call_completed(call.call_id, 0, (), b"", error), call.channel)
+        elif self.fault:
+            self.answer(root, call, 503, {})
+        elif call.method == "POST":
+            self.append(root, call, records)
+        else:
+            query = {name: int(values[0]) for name, values in parse_qs(url.query).items()}
+            self.read(root, call, records, query, self.clock.now_ms() + query["wait_ms"])
+
+    def append(self, root, call, records):
+        now_ms = self.clock.now_ms()
+        gained = (now_ms - self._allowance_ms) / 1000 * RATE_CAP_PER_S
+        self._allowance = min(RATE_CAP_PER_S * RATE_WINDOW_S, self._allowance + gained)
+        self._allowance_ms = now_ms
+        if self._allowance < 1:
+            self.over_rate += 1
+            self.answer(root, call, 429, {})
+            return
+        self._allowance -= 1
+        offset, data = len(records), json.loads(call.body)
+        records.append({"offset": offset, "time_ms": self.clock.wall_ms(), "data": data})
+        self.answer(root, call, 200, {"offset": offset})
+        self.wake(records)
+
+    def wake(self, records=None):
+        """Answer the reads that wait for a stream, or all of them."""
+        woken = [item for item in self.waiting if records is None or item[2] is records]
+        self.waiting = [item for item in self.waiting if item not in woken]
+        for item in woken:
+            self.read(*item[:4], limit_ms=0)
+
+    def read(self, root, call, records, query, limit_ms):
+        now_ms, start = self.clock.now_ms(), query["from"]
+        if start >= len(records) and now_ms < limit_ms and not self.fault:
+            item = (root, call, records, query, limit_ms)
+            self.waiting.append(item)
+            self.timers.at(limit_ms, lambda: self.expire(item))
+        elif self.fault:
+            self.answer(root, call, 503, {})
+        else:
+            page = {"first_offset": 0, "next_offset": len(records)}
+            self.answer(root, call, 200, page | {"records": records[start:][: query["limit"]]})
+
+    def expire(self, item):
+        if item in self.waiting:
+            self.waiting.remove(item)
+            self.read(*item)
+
+    def set_fault(self, fault):
+        self.fault = fault
+        if fault:
+            self.wake()
+
+
+class View:
+    """All instances live, each in one of three data centres."""
+
+    def __init__(self, names):
+        self.names = names
+
+    def ranked_instances(self, now_ms, data_centre=None):
+        return self.names
+
+    def members(self, now_ms, kind=None):
+        return [SimpleNamespace(entry=self.entry(name), state="live") for name in self.names]
+
+    def entry(self, name):
+        return SimpleNamespace(id=name, data_centre=f"dc{self.names.index(name) % 3}")
+
+    def state(self, name, now_ms):
+        return "live"
+
+    def boot(self, name):
+        return 0
+
+
+class Instance(BaseComponent):
+    """Root of one instance; keeps what callers and operators are told."""
+
+    channel = "caller"
+
+    def __init__(self, name, fleet):
+        super().__init__()
+        self.own_id, self.fleet, self.calls = name, fleet, itertools.count()
+        self.began_ms, self.finish_ms = {}, []
+        self.decisions, self.changes = [], []
+        settings = InstanceSettings(
+            instance_id=name,
+            data_centre=fleet.view.entry(name).data_centre,
+            log_url="http://log",
+            list_url="http://list",
+            gossip_interval_ms=2_000,
+        )
+        clock, timers = fleet.clock, fleet.timers
+        seed = fleet.view.names.index(name)
+        self.log = PlatformLog(settings.log_url, clock, timers, seed).register(self)
+        self.configuration = Configuration(
+            settings, FleetConfig(), fleet.view, clock, timers, seed
+        ).register(self)
+        self.usage = Usage(settings, fleet.view, 1, clock, timers).register(self)
+        self.claims = Claims(settings, 1, clock, timers).register(self)
+
+    @handler("http_call", channel="*")
+    def _on_http_call(self, call):
+        self.fleet.log.call(self, call)
+
+    @handler("peer_send", channel="*")
+    def _on_peer_send(self, instance_id, message):
+        self.fleet.instances[instance_id].fire(peer_received(self.own_id, message), "*")
+
+    def request(self, timeout_ms=5_000):
+        """Ask for a claim as the component of services does, and count a finished request."""
+        call_id, now_ms = f"{self.own_id}.{next(self.calls)}", self.fleet.clock.now_ms()
+        self.began_ms[call_id] = now_ms
+        key = scoped_key("w", "shop", f"{self.fleet.clock.wall_ms()}-{call_id}")
+        event = claim_requested(call_id, key, "h", now_ms + timeout_ms, self.channel)
+        self.fire(event, "*")
+        self.fire(usage_counted("w", "n", 10, 5, 1.0), "*")
+
+    @handler("claim_decided")
+    def _on_claim_decided(self, call_id, decision):
+        now_ms = self.fleet.clock.now_ms()
+        self.decisions.append((self.began_ms.pop(call_id), now_ms, decision))
+        if isinstance(decision, Send):
+            result = CallCompleted(Outcome(200, "text/plain", b"done"))
+            self.fire(claim_finished(call_id, result), "*")
+
+    def change(self, change_id):
+        """Apply a change as an operator who takes the revision that the instance shows."""
+        began_ms, revision = self.fleet.clock.now_ms(), self.configuration.revision
+        change = Change(change_id, -1 if revision is None else revision, "base", {}, "ann")
+        done = lambda outcome: self.changes.append(  # noqa: E731
+            (began_ms, self.fleet.clock.now_ms(), outcome)
+        )
+        self.configuration.apply(change, 10_000, done)
+
+    def sizes(self):
+        """Return the lengths of everything that could grow while the log is down."""
+        return {
+            "calls": self.log.calls_in_flight,
+            "events": len(self),
+            "claims": len(self.claims.book.queue) + len(self.began_ms) + len(self.claims._channels),
+            "usage": len(self.usage.ledger._tokens) + len(self.usage.ledger.held()),
+            "changes": len(self.configuration._applications),
+            "peer states": len(self.configuration._requests),
+        }
+
+
+class VirtualFleet:
+    """Run instances and log from one queue of timers."""
+
+    def __init__(self, count):
+        self.clock = ManualClock()
+        self.timers = TimerQueue(self.clock)
+        self.log = VirtualLog(self.clock, self.timers)
+        self.view = View(tuple(f"entry.{n}" for n in range(count)))
+        self.instances = {name: Instance(name, self) for name in self.view.names}
+        for number, instance in enumerate(self.instances.values()):
+            self.run_to(number * START_STEP_MS)
+            for component in instance.components:
+                if hasattr(component, "_on_started"):
+                    component._on_started()
+            self.flush()
+
+    def flush(self):
+        while any(len(instance) for instance in self.instances.values()):
+            for instance in self.instances.values():
+                while len(instance):
+                    instance.flush()
+
+    def run_to(self, time_ms):
+        """Let the virtual time pass up to `time_ms`, one due timer after the other."""
+        event = SimpleNamespace(reduce_time_left=lambda seconds: None)
+        heap = self.timers._heap
+        while heap and heap[0][0] <= time_ms:
+            due_ms, _, handle = heap[0]
+            if handle.callback is None:
+                heapq.heappop(heap)
+                continue
+            self.clock.monotonic_ms = max(self.clock.monotonic_ms, due_ms)
+            self.timers._on_generate_events(event)
+            self.flush()
+        self.clock.monotonic_ms = max(self.clock.monotonic_ms, time_ms)
+
+    def counted(self):
+        """Return the requests that instances have counted, and those that the log has."""
+        own = sum(i.usage.ledger.counters["w"].requests for i in self.instances.values())
+        newest = {}
+        for record in self.log.streams.get("usage", ()):
+            data = record["data"]
+            count = data["counters"]["w"][0]
+            newest[data["instance_boot"]] = max(count, newest.get(data["instance_boot"], 0))
+        return own, sum(newest.values())
+
+
+def outcomes(instances, kind, begin_ms, end_ms):
+    """Return (began, ended, outcome) of what callers or operators began in a time."""
+    found = [item for i in instances.values() for item in getattr(i, kind)]
+    return sorted((x for x in found if begin_ms <= x[0] < end_ms), key=lambda item: item[:2])
