--- a/packages/bench/src/ibispaddle_bench/engine_model.py
+++ b/packages/bench/src/ibispaddle_bench/engine_model.py
@@ -70,6 +70,8 @@
     used: int = 0
     consumed: dict[str, dict[int, float]] = field(default_factory=dict)
     busy_ms: float = 0.0
+    slowness: float = 1.0  # Factor of every step's time.
+    frozen_until_ms: float = 0.0  # No step ends before this time.
     _waiting: list[tuple[int, int, Job]] = field(default_factory=list)
     _prefilling: list[tuple[int, int, Job]] = field(default_factory=list)
     _finishing: list[tuple[int, int, Job]] = field(default_factory=list)
@@ -214,7 +216,7 @@
         self._stepping = True
         if self._streams:
             time_ms = max(time_ms, DECODE_STEP_MS) + DECODE_STREAM_MS * self._streams
-        end_ms = now_ms + time_ms + STEP_OVERHEAD_MS
+        end_ms = now_ms + time_ms * self.slowness + STEP_OVERHEAD_MS
         self.busy_ms += end_ms - now_ms
         boot = self.boot
         self.schedule(end_ms, lambda: self._end_step(work, end_ms, boot))
@@ -223,6 +225,10 @@
         if not self.alive or boot != self.boot:
             self._stepping = False
             return
+        if now_ms < self.frozen_until_ms:
+            end_ms = self.frozen_until_ms
+            self.schedule(end_ms, lambda: self._end_step(work, end_ms, boot))
+            return
         self._step += 1
         while self._finishing and self._finishing[0][0] <= self._step:
             job = heapq.heappop(self._finishing)[2]
--- a/packages/bench/src/ibispaddle_bench/experiment_fleet.py
+++ b/packages/bench/src/ibispaddle_bench/experiment_fleet.py
@@ -74,6 +74,9 @@
     restart_after_ms: float = 10_000.0
     failing: list[FailingPeriod] = field(default_factory=list)
     resends: int = 0
+    freezes: list[tuple[float, float, int]] = field(default_factory=list)  # From, to, engine.
+    slow: list[tuple[float, float, int, float]] = field(default_factory=list)  # Factor last.
+    report_delay_ms: tuple[float, float] = REPORT_DELAY_MS
 
 
 class Fleet:
@@ -98,6 +101,7 @@
         self.schedulers = [
             Scheduler.from_config(config, seed, f"boot-{n}") for n in range(instances)
         ]
+        self._report_delay_ms = plan.report_delay_ms
         self._failures = Failures(seed, plan.failing, list(self.engines))
         self._resends = Resends(seed, plan.resends)
         if adapt is not None:
@@ -121,6 +125,11 @@
         for at_ms, index in plan.deaths:
             name = names[index]
             self.at(at_ms, lambda e=name: self._die(e, plan.restart_after_ms))  # type: ignore[misc]
+        for from_ms, to_ms, index in plan.freezes:
+            self.at(from_ms, lambda e=names[index], t=to_ms: self._freeze(e, t))  # type: ignore[misc]
+        for from_ms, to_ms, index, factor in plan.slow:
+            for at_ms, value in ((from_ms, factor), (to_ms, 1.0)):
+                self.at(at_ms, lambda e=names[index], f=value: self._slow(e, f))  # type: ignore[misc]
         for at_ms, index in plan.leavings:
             self.at(at_ms, lambda e=names[index]: self._leave(e))  # type: ignore[misc]
 
@@ -317,12 +326,12 @@
 
     def _report(self, engine: Engine) -> None:
         self.at(self.now_ms + REPORT_EVERY_MS, lambda: self._report(engine))
-        if not engine.alive:
+        if not engine.alive or self.now_ms < engine.frozen_until_ms:
             return
         event = LoadReported(engine.load(self.now_ms))
         for number in range(len(self.schedulers)):
             if self._rng.random() >= REPORT_LOSS:
-                delay_ms = self._rng.uniform(*REPORT_DELAY_MS)
+                delay_ms = self._rng.uniform(*self._report_delay_ms)
                 self.at(self.now_ms + delay_ms, lambda n=number: self._handle(n, event))  # type: ignore[misc]
 
     def _gossip(self, number: int) -> None:
@@ -358,6 +367,12 @@
 
         self.at(self.now_ms + restart_after_ms, restart)
 
+    def _freeze(self, engine_id: str, to_ms: float) -> None:
+        self.engines[engine_id].frozen_until_ms = to_ms
+
+    def _slow(self, engine_id: str, factor: float) -> None:
+        self.engines[engine_id].slowness = factor
+
     def _leave(self, engine_id: str) -> None:
         self.engines[engine_id].leaving = True
         self._left_at[engine_id] = self.now_ms
--- a/packages/bench/src/ibispaddle_bench/experiment_scenarios.py
+++ b/packages/bench/src/ibispaddle_bench/experiment_scenarios.py
@@ -30,6 +30,13 @@
 # All engines fail half of their attempts after they have computed the prompt.
 STORM = (FailingPeriod(30_000, 60_000, tuple(range(RUNNERS)), 0.0, 0.5),)
 RESENDS = 3
+# Deaths, engines that freeze for a few seconds, engines at a third of their speed, late reports.
+SLOW_PLAN = Plan(
+    deaths=[(30_000, 3), (45_000, 20), (46_000, 11)],
+    freezes=[(25_000, 28_000, 5), (38_000, 42_000, 13), (58_000, 60_000, 8), (66_000, 70_000, 2)],
+    slow=[(32_000, 44_000, 9, 3.0), (50_000, 62_000, 17, 3.0), (60_000, 75_000, 22, 3.0)],
+    report_delay_ms=(500, 2_000),
+)
 LENGTHS = (1_000, 2_000, 4_000, 8_000, 16_000, 32_000, 100_000, 200_000, 400_000, 1_000_001)
 
 
@@ -46,6 +53,7 @@
     backlog: bool = False
     failing: tuple[FailingPeriod, ...] = ()
     resends: int = 0
+    slow: bool = False
     settings: tuple[tuple[str, float], ...] = ()
 
     @property
@@ -77,9 +85,12 @@
 def failure_scenarios(
     seeds: list[int], settings: tuple[tuple[str, float], ...] = ()
 ) -> list[Scenario]:
-    """Return the runs that compare limits of retries; they are run by name only."""
+    """Return the runs that compare limits of retries, or have slow engines; they are run by name only."""
     result = []
     for seed in seeds:
+        for percent in (80, 150):
+            slow = Scenario(f"slow-{percent}", "ibispaddle", seed, percent / 100, slow=True)
+            result.append(replace(slow, settings=settings))
         for suffix, retries in RETRY_SETTINGS.items():
             for name, periods, resends in (
                 ("failing-150", FAILING, 0),
@@ -122,6 +133,8 @@
     plan = Plan()
     if scenario.faults:
         plan = Plan(deaths=[(30_000, 3), (45_000, 20), (46_000, 11)], leavings=[(35_000, 7)])
+    if scenario.slow:
+        plan = SLOW_PLAN
     if scenario.failing:
         deaths = [(28_000.0, 23), (40_000.0, 20), (41_000.0, 11), (55_000.0, 3)]
         plan = Plan(deaths=deaths, failing=list(scenario.failing), resends=scenario.resends)
