--- a/packages/client/src/ibispaddle_client/__main__.py
+++ b/packages/client/src/ibispaddle_client/__main__.py
@@ -9,6 +9,7 @@
     config_apply,
     config_diff,
     config_history,
+    config_restart,
     config_show,
     config_wait,
     instances,
@@ -17,8 +18,12 @@
     quarantine_list,
     reference,
     schema,
+    trace,
     upstreams,
+    upstreams_drain,
+    upstreams_restore,
     usage,
+    workspaces,
 )
 from .exceptions import ClientError, ExitStatus
 
@@ -32,6 +37,8 @@
 app.add_typer(config_app, name="config")
 quarantine_app = typer.Typer(help="Show and lift quarantined requests.", no_args_is_help=True)
 app.add_typer(quarantine_app, name="quarantine")
+upstreams_app = typer.Typer(help="Show upstreams; take one out of use and back.")
+app.add_typer(upstreams_app, name="upstreams")
 
 app.command("check")(check.command)
 app.command("schema")(schema.command)
@@ -40,11 +47,16 @@
 config_app.command("diff")(config_diff.command)
 config_app.command("apply")(config_apply.command)
 config_app.command("history")(config_history.command)
+config_app.command("restart")(config_restart.command)
 config_app.command("wait")(config_wait.command)
 app.command("instances")(instances.command)
-app.command("upstreams")(upstreams.command)
+upstreams_app.callback(invoke_without_command=True)(upstreams.command)
+upstreams_app.command("drain")(upstreams_drain.command)
+upstreams_app.command("restore")(upstreams_restore.command)
 app.command("order")(order.command)
 app.command("usage")(usage.command)
+app.command("trace")(trace.command)
+app.command("workspaces")(workspaces.command)
 quarantine_app.command("list")(quarantine_list.command)
 quarantine_app.command("lift")(quarantine_lift.command)
 
--- a/packages/daemon/src/ibispaddle_daemon/app.py
+++ b/packages/daemon/src/ibispaddle_daemon/app.py
@@ -1,7 +1,6 @@
 """Wiring of an instance and its life cycle."""
 
 import signal
-import ssl
 from pathlib import Path
 from typing import Any
 
@@ -15,24 +14,30 @@
 from .account import UsageAccount
 from .claims import Claims
 from .configuration import Configuration
+from .configuration_restart import ConfigurationRestart
 from .entry import Entry
 from .events import drain_completed, drain_started
 from .fleet_operations import FleetOperations
 from .http_client import HttpClient
 from .http_server import HttpServer
 from .instance_list import InstanceListReader
-from .logs import log_error, log_event
+from .logs import log_event, log_exception
 from .metrics import Metrics, Status
 from .operators import Operators
 from .orders import Orders
+from .pauses import Pauses
 from .peers import Peers
 from .platform_log import PlatformLog
 from .probes import Probes
 from .quarantine import QuarantineGuard
+from .request_gauges import RequestGauges
+from .request_reader import RequestReader
 from .services import Services
 from .shares import Shares
 from .suspects import Suspects
 from .timers import TimerQueue
+from .tls import call_contexts, listener_context, upstream_scheme
+from .traces import RequestTraces
 from .tracing import Tracing
 from .usage import Usage
 
@@ -64,7 +69,7 @@
         EPoll().register(self)
         self.timers = TimerQueue(self.clock).register(self)
         self.metrics = Metrics()
-        self.http_client = HttpClient(self.clock).register(self)
+        self.http_client = HttpClient(self.clock, call_contexts(settings)).register(self)
         self.tracing = Tracing(
             settings.instance_id,
             settings.data_centre,
@@ -73,10 +78,17 @@
             self.timers,
         ).register(self)
         self.status = Status(self.metrics, ("instance_list", "configuration")).register(self)
+        self.view = MembershipView(settings.instance_id, settings.data_centre)
+        sources = ("instance_list", "configuration")
+        self.pauses = Pauses(sources, self.view, self.clock, self.timers).register(self)
         self.server = HttpServer(
-            settings.listen, self.clock, self.timers, config.limits, _tls(settings)
+            settings.listen,
+            self.clock,
+            self.timers,
+            config.limits,
+            listener_context(settings),
+            self.pauses.is_recovering,
         ).register(self)
-        self.view = MembershipView(settings.instance_id, settings.data_centre)
         self.quarantine = QuarantineGuard(settings, self.view, self.clock, self.timers).register(
             self
         )
@@ -89,11 +101,22 @@
             self.timers,
             self.metrics,
             self.tracing,
-            _fingerprint_key(settings),
             self.suspects,
+            upstream_scheme(settings, Kind.RUNNER),
+        ).register(self)
+        RequestReader(
+            config, _fingerprint_key(settings), self.suspects, self.metrics, self.entry.admit
         ).register(self)
+        self.entry.scheduler.is_held = self.pauses.is_recovering
         self.services = Services(
-            settings.instance_id, config, self.clock, self.timers, self.metrics, self.tracing
+            settings.instance_id,
+            config,
+            self.clock,
+            self.timers,
+            self.metrics,
+            self.tracing,
+            upstream_scheme(settings, Kind.SERVICE),
+            self.pauses.is_recovering,
         ).register(self)
         self._add_fleet_components()
         self._add_log_components(config)
@@ -121,14 +144,21 @@
         ).register(self)
         self.claims = Claims(settings, clock.wall_ms(), clock, timers).register(self)
         self.operators = Operators(settings, self.configuration, clock).register(self)
+        ConfigurationRestart(
+            settings, config, self.operators, self.configuration, self.view, clock, timers
+        ).register(self)
         FleetOperations(self.operators, self.view, self.quarantine, clock).register(self)
+        RequestTraces(
+            settings.instance_id, self.tracing.recent, self.operators, self.view, timers
+        ).register(self)
         Orders(settings, self.operators, self.view, clock.wall_ms(), clock, timers).register(self)
         UsageAccount(
             settings, self.operators, self.configuration, self.view, clock, timers
         ).register(self)
 
     def _add_gauges(self) -> None:
-        add = self.metrics.add_gauge
+        add, count = self.metrics.add_gauge, self.metrics.add_counter
+        RequestGauges(self.entry, self.clock).add_to(self.metrics)
         add(
             "ibispaddle_caller_connections",
             "Open connections of callers.",
@@ -159,14 +189,14 @@
             "Instances with an authenticated connection.",
             lambda: len(self.peers.connected_peers),
         )
-        add(
-            "ibispaddle_peer_sent_bytes",
-            "Bytes sent to other instances since the start.",
+        count(
+            "ibispaddle_peer_sent_bytes_total",
+            "Bytes sent to other instances.",
             lambda: self.peers.transport.traffic.bytes_out,
         )
-        add(
-            "ibispaddle_peer_received_bytes",
-            "Bytes received from other instances since the start.",
+        count(
+            "ibispaddle_peer_received_bytes_total",
+            "Bytes received from other instances.",
             lambda: self.peers.transport.traffic.bytes_in,
         )
         add(
@@ -179,24 +209,27 @@
             "Bytes read from the platform's log since the start.",
             lambda: self.log.bytes_read,
         )
-        add(
-            "ibispaddle_log_appends",
-            "Appends sent to the platform's log since the start.",
-            lambda: self.log.appends_sent,
+        self.metrics.add_labelled_counter(
+            "ibispaddle_log_appends_total",
+            "Appends to the platform's log that ended, by stream and result.",
+            lambda: [
+                ({"stream": stream, "result": result}, count)
+                for (stream, result), count in self.log.append_results.items()
+            ],
         )
         add(
             "ibispaddle_claim_table_keys",
             "Idempotency keys in the claim table.",
             lambda: len(self.claims.book.table),
         )
-        add(
-            "ibispaddle_peer_sent_messages",
-            "Messages sent to other instances since the start.",
+        count(
+            "ibispaddle_peer_sent_messages_total",
+            "Messages sent to other instances.",
             lambda: self.peers.transport.traffic.frames_out,
         )
-        add(
-            "ibispaddle_peer_received_messages",
-            "Messages received from other instances since the start.",
+        count(
+            "ibispaddle_peer_received_messages_total",
+            "Messages received from other instances.",
             lambda: self.peers.transport.traffic.frames_in,
         )
         add(
@@ -222,7 +255,11 @@
 
     @handler("exception", channel="*")
     def _on_exception(self, kind: Any, value: Any, trace: list[str], **kwargs: Any) -> None:
-        log_error(f"{kind.__name__}: {value}\n{''.join(trace)}")
+        # No handler is given when a step of a generator failed.
+        name = getattr(kwargs.get("handler"), "__qualname__", "")
+        event = getattr(kwargs.get("fevent"), "name", "")
+        failed = logevents.HANDLER_FAILED
+        log_exception(failed, value, "".join(trace), handler=name, daemon_event=event)
 
     @handler("signal", channel="*")
     def _on_signal(self, number: int, stack: Any) -> None:
@@ -273,14 +310,6 @@
         self.timers.after(DRAIN_POLL_MS, check)
 
 
-def _tls(settings: InstanceSettings) -> ssl.SSLContext | None:
-    if settings.tls is None:
-        return None
-    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
-    context.load_cert_chain(settings.tls.certificate_file, settings.tls.key_file)
-    return context
-
-
 def _peer_secret(settings: InstanceSettings) -> bytes:
     if not settings.peer_secret_file:
         return b""
--- a/packages/daemon/src/ibispaddle_daemon/events.py
+++ b/packages/daemon/src/ibispaddle_daemon/events.py
@@ -59,7 +59,7 @@
 class HttpCall:
     """Describe one HTTP call.
 
-    `url` is `http://IP:PORT/PATH`. `deadline_ms` is a monotonic time. `Host` and `Content-Length`
+    `url` is `http://IP:PORT/PATH`, or has another scheme that selects TLS. `deadline_ms` is a monotonic time. `Host` and `Content-Length`
     are added by the client. A streamed call with a `sink` is reported by calls of the sink instead
     of events, which saves the relay an event per token.
     """
@@ -157,6 +157,10 @@
     """Report that a runner does not answer: `runner_failed(upstream_id)`."""
 
 
+class runner_boot_ended(Event):
+    """Report that a peer saw a runner's boot end: `runner_boot_ended(upstream_id, boot_id)`."""
+
+
 class peer_send(Event):
     """Send a message to one instance: `peer_send(instance_id, message)`."""
 
@@ -196,6 +200,26 @@
     """Report whether a component is ready: `readiness_changed(component, ready)`."""
 
 
+class process_paused(Event):
+    """Report that the process was paused: `process_paused(number)`, counted from 1."""
+
+
+class source_reread(Event):
+    """Report a source that was read after a pause: `source_reread(source, number)`."""
+
+
+class log_reread(Event):
+    """Report on the tails after a pause: `log_reread(complete, number)`.
+
+    `complete` is true when all tails have reached the end of their streams with reads that began
+    after the pause, and false when the log does not answer.
+    """
+
+
+class pause_ended(Event):
+    """Report that all sources were read after a pause: `pause_ended()`."""
+
+
 class drain_started(Event):
     """Begin a planned stop: `drain_started()`."""
 
--- a/packages/daemon/src/ibispaddle_daemon/platform_log.py
+++ b/packages/daemon/src/ibispaddle_daemon/platform_log.py
@@ -3,6 +3,7 @@
 # ruff: noqa: N801
 
 import random
+from collections import Counter
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Any
@@ -24,9 +25,10 @@
     log_appended,
     log_health,
     log_records,
+    log_reread,
 )
 from .logs import log_event
-from .timers import TimerQueue
+from .timers import TimerHandle, TimerQueue
 
 APPEND_TIMEOUT_MS = 5_000
 LONG_POLL_MS = 20_000
@@ -105,6 +107,8 @@
     call_id: str = ""
     since_ms: int | None = None  # Search for the first record of this time.
     bounds: tuple[int, int] | None = field(default=None)
+    retry: TimerHandle | None = None
+    is_stale: bool = False  # The end of the stream was not reached since the last pause.
 
 
 class PlatformLog(BaseComponent):
@@ -122,7 +126,7 @@
         self._clock = clock
         self._timers = timers
         self._rng = random.Random(seed)
-        self._appends: dict[str, tuple[Any, str]] = {}
+        self._appends: dict[str, tuple[str, Any, str]] = {}
         self._tails: list[_Tail] = []
         self._reads: dict[str, _Tail] = {}
         self._calls = 0
@@ -131,8 +135,9 @@
         self._lost_answers = 0
         self._available: bool | None = None
         self._stopped = False
+        self._pause = 0  # Number of the last pause, 0 once all tails have caught up.
         self.bytes_read = 0
-        self.appends_sent = 0
+        self.append_results: Counter[tuple[str, str]] = Counter()  # By stream and result.
 
     @property
     def is_available(self) -> bool:
@@ -149,13 +154,18 @@
     @handler("log_append", channel="*")
     def _on_log_append(self, stream: str, data: Any, token: Any, channel: str) -> None:
         call_id = self._next_call_id()
-        self._appends[call_id] = (token, channel)
-        self.appends_sent += 1
+        self._appends[call_id] = (stream, token, channel)
         headers = (("Content-Type", "application/json"),)
         self._call(call_id, "POST", stream, "", headers, msgspec.json.encode(data))
 
     def _append_completed(
-        self, token: Any, channel: str, status: int, body: bytes, error: HttpCallError | None
+        self,
+        stream: str,
+        token: Any,
+        channel: str,
+        status: int,
+        body: bytes,
+        error: HttpCallError | None,
     ) -> None:
         offset, failure = None, None
         if error is not None:
@@ -174,6 +184,7 @@
             failure = LogError(LogFailure.INVALID, f"status {status}")
         else:
             failure = LogError(LogFailure.LOST, f"status {status}")
+        self.append_results[stream, str(failure.failure) if failure else "ok"] += 1
         is_lost = failure is not None and failure.failure is LogFailure.LOST
         self._lost_answers = self._lost_answers + 1 if is_lost else 0
         if failure is None:
@@ -199,6 +210,26 @@
         self._tails.append(tail)
         self._read(tail)
 
+    @handler("process_paused", channel="*")
+    def _on_process_paused(self, number: int) -> None:
+        """Begin all reads again; answers on their way may have been given before the pause."""
+        self._pause = number
+        for call_id in list(self._reads):
+            self.fire(http_cancel(call_id), "http_client")
+        self._reads.clear()
+        for tail in self._tails:
+            tail.is_stale, tail.at_end = True, False
+            if tail.retry is not None:
+                tail.retry.cancel()
+            self._read(tail)
+
+    def _note_caught_up(self, tail: _Tail) -> None:
+        if tail.at_end and tail.is_stale:
+            tail.is_stale = False
+            if self._pause and not any(other.is_stale for other in self._tails):
+                self.fire(log_reread(True, self._pause), "*")
+                self._pause = 0
+
     def _read(self, tail: _Tail) -> None:
         if self._stopped:
             return
@@ -238,6 +269,7 @@
             tail.at_end = tail.position >= page.next_offset
             event = log_records(tail.stream, records, page.first_offset, page.next_offset)
             self.fire(event, tail.channel)
+            self._note_caught_up(tail)
         self._read(tail)
 
     def _locate(self, tail: _Tail, page: _Page) -> None:
@@ -271,9 +303,11 @@
         if tail.failures > 1 or error is None or not error.byte_sent:
             self._reads_fail = True
             self._report_health()
+            if self._pause:
+                self.fire(log_reread(False, self._pause), "*")
         longest_ms = min(MAX_BACKOFF_MS, MIN_BACKOFF_MS << min(tail.failures, 10))
         delay_ms = int(longest_ms * self._rng.uniform(0.5, 1.0))
-        self._timers.after(delay_ms, lambda: self._read(tail))
+        tail.retry = self._timers.after(delay_ms, lambda: self._read(tail))
 
     # Calls and health
 
@@ -282,8 +316,7 @@
         self, call_id: str, status: int, headers: Headers, body: bytes, error: HttpCallError | None
     ) -> None:
         if call_id in self._appends:
-            token, channel = self._appends.pop(call_id)
-            self._append_completed(token, channel, status, body, error)
+            self._append_completed(*self._appends.pop(call_id), status, body, error)
         elif call_id in self._reads:
             self._read_completed(self._reads.pop(call_id), status, body, error)
 
--- a/packages/daemon/src/ibispaddle_daemon/probes.py
+++ b/packages/daemon/src/ibispaddle_daemon/probes.py
@@ -13,7 +13,7 @@
 from ibispaddle_core.clock import Clock
 from ibispaddle_core.gossip import RunnerReport
 from ibispaddle_core.logevents import UPSTREAM_DOWN
-from ibispaddle_core.membership import ListEntry, MembershipView
+from ibispaddle_core.membership import Kind, ListEntry, MembershipView
 from ibispaddle_core.settings import InstanceSettings
 
 from .events import (
@@ -29,6 +29,7 @@
 from .logs import log_event
 from .peers import gossip_put, load_of
 from .timers import TimerHandle, TimerQueue
+from .tls import upstream_scheme
 
 # With a probe every 500 ms and a second one right after a failure, a runner that stops answering
 # is down within 500 + 700 + 700 = 1,900 ms.
@@ -74,6 +75,7 @@
     in_flight: bool = False
     failures: int = 0
     is_down: bool = False
+    is_leaving: bool = False
     reported: tuple[str, int] = ("", -1)
 
 
@@ -92,6 +94,7 @@
     ) -> None:
         super().__init__()
         self._interval_ms = settings.probe_interval_ms
+        self._scheme = upstream_scheme(settings, Kind.RUNNER)
         self._view = view
         self._clock = clock
         self._timers = timers
@@ -159,7 +162,7 @@
     def _call(self, purpose: str, runner_id: str, method: str, path: str, timeout_ms: int) -> None:
         call_id = f"probes-{next(self._numbers)}"
         self._calls[call_id] = (purpose, runner_id)
-        url = f"http://{self._runners[runner_id].entry.address}{path}"
+        url = f"{self._scheme}://{self._runners[runner_id].entry.address}{path}"
         deadline_ms = self._clock.now_ms() + timeout_ms
         call = HttpCall(call_id, method, url, (), b"", deadline_ms, self.channel)
         self.fire(http_call(call), "http_client")
@@ -228,7 +231,10 @@
             round(load.prefill_tokens_per_s),
             round(load.decode_tokens_per_s),
         )
-        if was_down or runner.answers % REPORTS_PER_ENTRY[runner.position] == 0:
+        # A departure does not wait for its turn, because the list may show it much later.
+        is_news = was_down or leaving != runner.is_leaving
+        runner.is_leaving = leaving
+        if is_news or runner.answers % REPORTS_PER_ENTRY[runner.position] == 0:
             self.fire(gossip_put(report), "*")
         runner.answers += 1
         # A report that has not changed at the runner is not passed on again.
--- a/packages/daemon/src/ibispaddle_daemon/services.py
+++ b/packages/daemon/src/ibispaddle_daemon/services.py
@@ -3,7 +3,7 @@
 import hashlib
 import itertools
 import secrets
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from circuits import BaseComponent, handler
 from ibispaddle_core import logevents
@@ -82,6 +82,8 @@
         timers: TimerQueue,
         metrics: Metrics,
         tracing: Tracing,
+        scheme: str = "http",
+        is_recovering: Callable[[], bool] = lambda: False,
     ) -> None:
         super().__init__()
         self._boot = f"{instance_id}-{secrets.token_hex(4)}"
@@ -89,11 +91,14 @@
         self._timers = timers
         self._metrics = metrics
         self._tracing = tracing
+        self._scheme = scheme
         self._set_config(config)
         self._entries: tuple[ListEntry, ...] = ()
         self._loads: dict[str, int] = {}
         self._calls: dict[str, ServiceCall] = {}
         self._attempts: dict[str, ServiceCall] = {}
+        self._is_recovering = is_recovering
+        self._held: list[ServiceCall] = []
 
     @property
     def calls_in_flight(self) -> int:
@@ -145,6 +150,8 @@
             return ProtocolError(400, "idempotency_key_required", text, param=KEY_HEADER)
         call_id = f"{self._boot}-s{next(_NUMBERS)}"
         span = self._tracing.start_request(f"{exchange.method} /services/{name}", exchange.headers)
+        span.set_attribute("ibispaddle.request_id", call_id)
+        span.set_attribute("ibispaddle.workspace", caller.name)
         call = ServiceCall(
             call_id=call_id,
             caller=caller,
@@ -227,7 +234,17 @@
             default=None,
         )
 
+    @handler("pause_ended", channel="*")
+    def _on_pause_ended(self) -> None:
+        held, self._held = self._held, []
+        for call in held:
+            if call.call_id in self._calls and self._clock.now_ms() < call.deadline_ms:
+                self._send(call)
+
     def _send(self, call: ServiceCall) -> None:
+        if self._is_recovering():
+            self._held.append(call)  # Its timer ends it if the recovery takes too long.
+            return
         entry = self._choose(call)
         if entry is None:
             text = f"No instance of the service '{call.service}' is available."
@@ -247,7 +264,7 @@
         http = HttpCall(
             call.attempt_id,
             call.exchange.method,
-            f"http://{entry.address}{call.target}",
+            f"{self._scheme}://{entry.address}{call.target}",
             headers,
             call.exchange.body,
             call.deadline_ms + (DEADLINE_MARGIN_MS if call.is_repeatable else 0),
@@ -263,6 +280,8 @@
         if call is None:
             return
         self._loads[call.upstream_id] -= 1
+        outcome = str(error.failure) if error else str(status)
+        call.attempt_span.set_attribute("ibispaddle.outcome", outcome)
         call.attempt_span.end()
         if call.call_id not in self._calls:
             return
@@ -284,6 +303,7 @@
         if error.failure is CallFailure.TIMEOUT:
             self._expire(call)
         elif may_repeat and call.attempts < MAX_ATTEMPTS:
+            self._metrics.retries.inc({"reason": str(error.failure)})
             self._send(call)
         else:
             self._fail(call, 502, "upstream_failed", f"The service '{call.service}' failed.")
@@ -350,6 +370,7 @@
         now_ms = self._clock.now_ms()
         self._metrics.requests.inc({"code": code})
         call.span.set_attribute("ibispaddle.code", code)
+        call.span.set_attribute("ibispaddle.attempts", call.attempts)
         call.span.end()
         log_event(
             logevents.REQUEST_ENDED,
