Spread long prompts over more engines than memory requires

Cause: at 80% load 28% of engine memory is held by short and medium prompts and 40% by long ones, so a prompt of 170 k to 340 k tokens waited for an engine that was nearly empty, and one that spans engines for several of them that were neighbours in id order.

Change: a prompt over 100 k tokens that takes more than a quarter of an engine's memory is cut into segments of that size, or up to twice as many. Its group is any runners with the memory and the shortest predicted wait (GroupChoice), no longer consecutive ones; reservations stay in ascending id, which is what excludes a circle. An instance may reserve for several prompts if the others have the memory, and counts its own reservations that no report shows yet. Suspects stay on one runner.

--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -13,6 +13,7 @@
 from .claims import Claims
 from .cost import CostModel, PromptClass
 from .exceptions import DuplicateRequestError
+from .groups import GroupChoice
 from .homes import PEER_EXPIRY_MS, REFRESH_MS, Homes
 from .large import LargePrompts
 from .messages import (
@@ -47,7 +48,7 @@
 from .retries import RetryBudget
 from .runners import RunnerTable
 from .timers import Timers
-from .waits import LargeWaits, choose_group
+from .waits import LargeWaits
 
 # How often a blocked lane is looked at again; bounds the work per event under overload.
 QUEUE_POLL_MS = 20
@@ -80,8 +81,9 @@
             self.cost, self._prefixes, self._homes, self._claims, self.shares, self._rng
         )
         self._budget = RetryBudget(config.scheduling.retry_budget)
-        self._large = LargePrompts(instance_boot, wall_offset_ms)
+        self._large = LargePrompts(self.runners, instance_boot, wall_offset_ms)
         self._waits = LargeWaits(wall_offset_ms)
+        self._groups = GroupChoice(self.cost, self._rng)
         self._states: dict[str, RequestState] = {}
         self._timers = Timers(self._states)
         self._attempts = Attempts(
@@ -124,7 +126,7 @@
 
     def waiting_prompts(self) -> tuple[WaitingPrompt, ...]:
         """Return the prompts that span engines and wait for memory, for gossip."""
-        return self._waits.own(self._large.reserving)
+        return self._waits.own(self._large.reserving())
 
     def handle(self, event: Event, now_ms: int) -> list[Decision]:
         """Take an event and return the decisions that follow from it, in order.
@@ -239,9 +241,12 @@
             return self._refuse(
                 state, RefusalReason.DEADLINE, self._admission.retry_after_ms(wait_ms)
             )
-        if state.prompt_class is PromptClass.SPANNING:
-            return self._begin_large(state, now_ms)
         allowed = self.restriction(req)
+        if state.prompt_class is PromptClass.SPANNING:
+            # A suspect stays on one runner if it can, and so does a prompt that has no other.
+            single = allowed is not None or len(self.runners.live(req.model)) == 1
+            if not single or self.cost.segments(req) > 1:
+                return self._begin_large(state, now_ms)
         if allowed is not None:
             choice = choose_allowed(req, allowed, self.runners, self.cost)
         else:
@@ -251,22 +256,21 @@
         return [self._dispatch(state, choice, (), now_ms)]
 
     def _begin_large(self, state: RequestState, now_ms: int) -> list[Decision] | None:
-        if self._large.reserving:
-            return None
-        live = self.runners.live(state.req.model)
-        segments = self.cost.segments(state.req)
-        if segments > len(live):
+        req = state.req
+        live = self.runners.live(req.model)
+        if self.cost.segments(req) > len(live):
             return self._refuse(state, RefusalReason.TOO_LARGE, 0)
-        tokens = self.cost.kv_tokens(state.req)
-        wanted = self._waits.older(self._large.waiting(state.req, ()), now_ms)
-        group, may_begin = choose_group(live, segments, tokens, wanted)
-        if not may_begin:
-            names = [view.upstream.upstream_id for view in group]
-            self._waits.hold(self._large.waiting(state.req, names))
+        wanted = self._waits.older(self._large.waiting(req, ()), now_ms)
+        group = self._groups.choose(req, live, wanted, now_ms)
+        if not group.fits and self._large.reserving():
+            return None
+        if group.wanted:
+            names = [view.upstream.upstream_id for view in group.views]
+            self._waits.hold(self._large.waiting(req, names))
             return None
         self._waits.forget(state.req.request_id)
         self._backlog.take(state)
-        self._large.begin(state, group, tokens, now_ms)
+        self._large.begin(state, group.views, self.cost.kv_tokens(req), now_ms)
         return []
 
     def _dispatch(
--- a/packages/core/src/ibispaddle_core/scheduling/cost.py
+++ b/packages/core/src/ibispaddle_core/scheduling/cost.py
@@ -10,6 +10,9 @@
 OUTPUT_SMOOTHING = 0.05
 # Streams that share an engine's decode steps, which divides the engine time of one stream's token.
 DECODE_BATCH = 16
+# Part of an engine's memory above which a prompt is cut into segments. Prompts of half an engine's
+# memory and more otherwise wait for an engine that is nearly empty.
+SEGMENT_PART = 0.25
 
 
 class PromptClass(IntEnum):
@@ -18,7 +21,7 @@
     SHORT = 0
     MEDIUM = 1
     LONG = 2
-    SPANNING = 3  # Larger than one engine's memory.
+    SPANNING = 3  # Cut into segments on several engines.
 
 
 class CostModel:
@@ -44,7 +47,7 @@
 
     def prompt_class(self, req: Request) -> PromptClass:
         """Return the class of a request's prompt."""
-        if self.segments(req) > 1:
+        if self.wide_segments(req) > 1:
             return PromptClass.SPANNING
         if req.prompt_tokens < self._config.scheduling.short_prompt_tokens:
             return PromptClass.SHORT
@@ -56,6 +59,12 @@
         """Return the number of engines whose memory the request needs."""
         return -(-self.kv_tokens(req) // self.segment_limit(req.model))
 
+    def wide_segments(self, req: Request) -> int:
+        """Return the number of engines on which the request is spread if they are there."""
+        kv_tokens = self.model(req.model).engine_kv_tokens
+        part = max(int(SEGMENT_PART * kv_tokens), self._config.scheduling.long_prompt_tokens)
+        return -(-self.kv_tokens(req) // min(part, self.segment_limit(req.model)))
+
     def alone_ms(self, req: Request) -> float:
         """Return the time to first token on an idle fleet."""
         rate = self.model(req.model).prefill_tokens_per_s / 1000
--- /dev/null
+++ b/packages/core/src/ibispaddle_core/scheduling/groups.py
@@ -0,0 +1,70 @@
+"""Choice of the group of runners for a prompt that spans engines."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from random import Random
+
+from .cost import CostModel, PromptClass
+from .messages import Request
+from .runners import RunnerView
+
+# Looks at no more runners than this, so that the decision time does not grow with the fleet.
+MAX_CANDIDATES = 64
+# A prompt may be cut into this multiple of its usual number of segments if it then begins on
+# engines that are free.
+MAX_WIDENING = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Group:
+    """Name the runners in id order; `fits` tells whether they have the memory now."""
+
+    views: list[RunnerView]
+    fits: bool
+    wanted: bool  # An older prompt wants one of the runners.
+
+
+class GroupChoice:
+    """Choose the number of segments and the runners with the lowest predicted time."""
+
+    def __init__(self, cost: CostModel, rng: Random) -> None:
+        self._cost = cost
+        self._rng = rng
+
+    def choose(
+        self, req: Request, live: Sequence[RunnerView], wanted: set[str], now_ms: int
+    ) -> Group:
+        """Return a group with the memory that no older prompt wants, or else the emptiest."""
+        if len(live) > MAX_CANDIDATES:
+            chosen = self._rng.sample(range(len(live)), MAX_CANDIDATES)
+            live = [live[number] for number in sorted(chosen)]
+        tokens = self._cost.kv_tokens(req)
+        max_age_ms = self._cost.scheduling.load_report_max_age_ms
+        priority = self._cost.priority(req)
+        usual = min(self._cost.wide_segments(req), len(live))
+        usable = [
+            (view.wait_ms(PromptClass.LONG, priority, now_ms, max_age_ms), -self._free(view), view)
+            for view in live
+            if view.upstream.upstream_id not in wanted
+        ]
+        usable.sort(key=lambda entry: entry[:2])
+        best: tuple[float, list[RunnerView]] | None = None
+        for size in range(usual, min(usual * MAX_WIDENING, len(live)) + 1):
+            fitting = [entry for entry in usable if -entry[1] >= tokens / size][:size]
+            if len(fitting) == size:
+                slowest_ms = max(e[0] + tokens / size / e[2].prefill_rate for e in fitting)
+                if best is None or slowest_ms < best[0]:
+                    best = (slowest_ms, [entry[2] for entry in fitting])
+        if best is not None:
+            return Group(self._in_id_order(best[1]), True, False)
+        emptiest = self._in_id_order(sorted(live, key=lambda view: -view.kv_free())[:usual])
+        names = {view.upstream.upstream_id for view in emptiest}
+        return Group(emptiest, False, not names.isdisjoint(wanted))
+
+    def _free(self, view: RunnerView) -> int:
+        """Return the free memory without the reserve for short prompts."""
+        return view.kv_free() - int(view.kv_total * self._cost.scheduling.short_memory_reserve)
+
+    @staticmethod
+    def _in_id_order(views: list[RunnerView]) -> list[RunnerView]:
+        return sorted(views, key=lambda view: view.upstream.upstream_id)
--- a/packages/core/src/ibispaddle_core/scheduling/large.py
+++ b/packages/core/src/ibispaddle_core/scheduling/large.py
@@ -1,4 +1,4 @@
-"""Prompts larger than one engine's memory: reserve on several runners, run, free.
+"""Prompts that span engines: reserve on several runners, run, free.
 
 Reservations are taken in ascending runner id. An instance keeps what it has while a runner refuses,
 so the order is total and two instances cannot wait for each other in a circle.
@@ -16,7 +16,7 @@
     WaitingPrompt,
 )
 from .requests import RequestState
-from .runners import RunnerView
+from .runners import RunnerTable, RunnerView
 
 RETRY_MS = 100
 # Bounds the gossip entry. Runners beyond it are not protected from younger prompts.
@@ -57,7 +57,8 @@
 class LargePrompts:
     """Run the reservations of all large prompts of this instance."""
 
-    def __init__(self, instance_boot: str, wall_offset_ms: int) -> None:
+    def __init__(self, runners: RunnerTable, instance_boot: str, wall_offset_ms: int) -> None:
+        self._runners = runners
         self._boot = instance_boot
         self._wall_offset_ms = wall_offset_ms
         self._prompts: dict[str, LargePrompt] = {}
@@ -83,6 +84,8 @@
             )
             for number, view in enumerate(group)
         ]
+        for view, segment in zip(group, segments, strict=True):
+            view.reserved[segment.handle] = (segment.tokens, None)
         self._prompts[state.req.request_id] = LargePrompt(state, segments, now_ms, now_ms)
 
     def unclaimed(self, before_ms: int) -> list[tuple[str, str, int]]:
@@ -130,6 +133,8 @@
             prompt.retry_ms = now_ms + RETRY_MS
             return [], False
         segment.granted = True
+        if (view := self._runners.views.get(segment.upstream_id)) is not None:
+            view.reserved[segment.handle] = (segment.tokens, now_ms)
         prompt.retry_ms = now_ms
         return [], prompt.complete
 
@@ -142,6 +147,9 @@
         prompt = self._prompts.pop(request_id, None)
         if prompt is None:
             return []
+        for segment in prompt.segments:
+            if (view := self._runners.views.get(segment.upstream_id)) is not None:
+                view.reserved.pop(segment.handle, None)
         return [FreeMemory(s.upstream_id, s.handle) for s in prompt.segments if s.requested]
 
     def using(self, unusable: Callable[[str], bool]) -> list[str]:
@@ -152,13 +160,13 @@
             if any(unusable(segment.upstream_id) for segment in prompt.segments)
         ]
 
-    @property
-    def reserving(self) -> WaitingPrompt | None:
-        """Return the prompt of this instance that still waits for memory."""
-        for request_id, prompt in self._prompts.items():
-            if not prompt.complete:
-                return self.waiting(prompt.state.req, self.group(request_id))
-        return None
+    def reserving(self) -> list[WaitingPrompt]:
+        """Return the prompts of this instance that still wait for memory."""
+        return [
+            self.waiting(prompt.state.req, self.group(request_id))
+            for request_id, prompt in self._prompts.items()
+            if not prompt.complete
+        ]
 
     def waiting(self, req: Request, group: Sequence[str]) -> WaitingPrompt:
         """Describe a prompt that waits for a group, for other instances."""
--- a/packages/core/src/ibispaddle_core/scheduling/runners.py
+++ b/packages/core/src/ibispaddle_core/scheduling/runners.py
@@ -33,6 +33,8 @@
     kv_total: int
     load: RunnerLoad | None = None
     sent: dict[str, SentWork] = field(default_factory=dict)
+    # Tokens and time of the grant, or None before it, of this instance's reservations by handle.
+    reserved: dict[str, tuple[int, int | None]] = field(default_factory=dict)
 
     @property
     def live(self) -> bool:
@@ -90,11 +92,14 @@
 
     def kv_free(self) -> int:
         """Return the engine memory that is predicted to be free, in tokens."""
-        load = self.load
-        if load is None:
-            return self.kv_total - sum(work.kv_tokens for work in self.sent.values())
-        unseen = sum(w.kv_tokens for w in self.sent.values() if w.sent_ms > load.observed_ms)
-        return self.kv_total - load.kv_tokens_used - unseen
+        used, seen_ms = 0, -1
+        if self.load is not None:
+            used, seen_ms = self.load.kv_tokens_used, self.load.observed_ms
+        used += sum(w.kv_tokens for w in self.sent.values() if w.sent_ms > seen_ms)
+        for tokens, granted_ms in self.reserved.values():
+            if granted_ms is None or granted_ms > seen_ms:
+                used += tokens
+        return self.kv_total - used
 
 
 class RunnerTable:
--- a/packages/core/src/ibispaddle_core/scheduling/waits.py
+++ b/packages/core/src/ibispaddle_core/scheduling/waits.py
@@ -5,13 +5,12 @@
 renew expires.
 """
 
-from collections.abc import Sequence
-
 from .messages import PeerWaits, WaitingPrompt
-from .runners import RunnerView
 
 # Entries are renewed every 2 s. Gossip may take some seconds, and wall clocks may differ by 5 s.
 EXPIRY_MS = 15_000
+# Bounds the gossip entry. Younger prompts of the instance are not protected.
+MAX_GOSSIPED = 2
 
 
 class LargeWaits:
@@ -50,28 +49,7 @@
         """Forget a prompt that has begun to reserve or has ended."""
         self._held.pop(request_id, None)
 
-    def own(self, reserving: WaitingPrompt | None) -> tuple[WaitingPrompt, ...]:
-        """Return the prompts to gossip: the one that reserves and the oldest that is held."""
-        prompts = [] if reserving is None else [reserving]
-        if self._held:
-            prompts.append(min(self._held.values(), key=lambda prompt: prompt.age))
-        return tuple(prompts)
-
-
-def choose_group(
-    live: Sequence[RunnerView], size: int, tokens: int, wanted: set[str]
-) -> tuple[list[RunnerView], bool]:
-    """Return `size` consecutive runners and whether the prompt may begin to reserve there.
-
-    Prefer the group whose smallest free memory is largest. If older prompts want one of its
-    runners, another group is used that has the memory and that none of them wants.
-    """
-    free = [view.kv_free() for view in live]
-    groups = [(min(free[s : s + size]), live[s : s + size]) for s in range(len(live) - size + 1)]
-    groups.sort(key=lambda group: -group[0])  # Of equals the first in id order.
-    for number, (smallest, group) in enumerate(groups):
-        if number and smallest * size < tokens:
-            break
-        if not any(view.upstream.upstream_id in wanted for view in group):
-            return list(group), True
-    return list(groups[0][1]), False
+    def own(self, reserving: list[WaitingPrompt]) -> tuple[WaitingPrompt, ...]:
+        """Return the prompts to gossip: the oldest that reserve or are held."""
+        prompts = sorted([*reserving, *self._held.values()], key=lambda prompt: prompt.age)
+        return tuple(prompts[:MAX_GOSSIPED])
--- a/tests/scheduling/test_scheduler.py
+++ b/tests/scheduling/test_scheduler.py
@@ -154,7 +154,7 @@
 class LargePromptTest(unittest.TestCase):
     def test_reserves_in_id_order_then_runs_and_frees(self):
         """Guard against a circular wait and against memory that stays reserved."""
-        sched = fakes.scheduler()
+        sched = fakes.scheduler(2)
         req = fakes.request("a", prompt_tokens=600_000, deadline_ms=100_000)
         (reserve,) = sched.handle(RequestArrived(req), 0)
         self.assertIsInstance(reserve, ReserveMemory)
@@ -180,6 +180,31 @@
             ],
         )
 
+    def test_long_prompt_is_spread_over_engines(self):
+        """Guard against a long prompt that waits for one nearly empty engine."""
+        sched = fakes.scheduler()
+        req = fakes.request("a", prompt_tokens=150_000, deadline_ms=100_000)
+        (first,) = sched.handle(RequestArrived(req), 0)
+        (second,) = sched.handle(ReservationAnswered("a", first.upstream_id, first.handle, True), 1)
+        self.assertIsInstance(second, ReserveMemory)
+        # Two segments are usual; with a third engine idle there are three.
+        self.assertEqual((first.tokens, second.tokens), (50_034, 50_033))
+
+    def test_long_prompt_of_a_suspect_stays_on_one_runner(self):
+        """Guard against one suspect request that runs on several engines and takes them down."""
+        sched = fakes.scheduler()
+        sched.restriction = lambda req: {"r001"}
+        req = fakes.request("a", prompt_tokens=150_000, deadline_ms=100_000)
+        (dispatch,) = sched.handle(RequestArrived(req), 0)
+        self.assertEqual((dispatch.upstream_id, dispatch.segments), ("r001", ()))
+
+    def test_only_runner_takes_a_long_prompt_whole(self):
+        """Guard against a reservation where there is nothing to divide."""
+        (dispatch,) = fakes.scheduler(1).handle(
+            RequestArrived(fakes.request("a", prompt_tokens=150_000, deadline_ms=100_000)), 0
+        )
+        self.assertEqual(dispatch.segments, ())
+
     def test_late_grant_is_freed(self):
         """Guard against memory that is granted after its request ended."""
         sched = fakes.scheduler()
