--- a/packages/core/src/ibispaddle_core/scheduling/runners.py
+++ b/packages/core/src/ibispaddle_core/scheduling/runners.py
@@ -33,9 +33,11 @@
     kv_total: int
     load: RunnerLoad | None = None
     sent: dict[str, SentWork] = field(default_factory=dict)
+    # Tokens and time of the grant, or None before it, of this instance's reservations by handle.
+    reserved: dict[str, tuple[int, int | None]] = field(default_factory=dict)
     # The part of `sent` without a first token, which the predictions go through.
     _computing: dict[str, SentWork] = field(default_factory=dict)
-    _kv_free: int | None = None  # Kept until the load or `sent` changes.
+    _kv_free: int | None = None  # Kept until one of the above changes.
 
     def add(self, request_id: str, work: SentWork) -> None:
         """Add a request that was sent to the runner."""
@@ -53,6 +55,16 @@
         self._computing.pop(request_id, None)
         self._kv_free = None
 
+    def reserve(self, handle: str, tokens: int, granted_ms: int | None = None) -> None:
+        """Record a reservation of this instance, or the time at which it was granted."""
+        self.reserved[handle] = (tokens, granted_ms)
+        self._kv_free = None
+
+    def release(self, handle: str) -> None:
+        """Forget a reservation."""
+        self.reserved.pop(handle, None)
+        self._kv_free = None
+
     def report(self, load: RunnerLoad) -> None:
         """Take over a load report."""
         self.load = load
@@ -122,8 +134,11 @@
             used, seen_ms = 0, -1
             if self.load is not None:
                 used, seen_ms = self.load.kv_tokens_used, self.load.observed_ms
-            unseen = sum(w.kv_tokens for w in self.sent.values() if w.sent_ms > seen_ms)
-            self._kv_free = self.kv_total - used - unseen
+            used += sum(w.kv_tokens for w in self.sent.values() if w.sent_ms > seen_ms)
+            for tokens, granted_ms in self.reserved.values():
+                if granted_ms is None or granted_ms > seen_ms:
+                    used += tokens
+            self._kv_free = self.kv_total - used
         return self._kv_free
 
 
