Fetched long recorded answers from the instance that has them

Cause: an answer over 4 KB is kept only by the instance that ran the call; a retry at any other instance was answered `unknown`.

If the body does not come, the answer stays `unknown`.

Measured: with two processes and answers of 20 KB, a retry at the other instance: 409 before (recorded_body_unavailable, by design), the same body after; 409 `unknown` again once the first instance was killed (tests.idempotency.test_processes.LongBodyTest). Conclusion: a retry needs its first instance alive, but no longer the same one.

--- a/packages/core/src/ibispaddle_core/idempotency/__init__.py
+++ b/packages/core/src/ibispaddle_core/idempotency/__init__.py
@@ -14,6 +14,8 @@
     scoped_key,
 )
 from .messages import (
+    BodyReply,
+    BodyRequest,
     ClaimAnswer,
     ClaimAsk,
     ClaimMessage,
@@ -67,6 +69,8 @@
     "AppendOutcome",
     "AppendQueue",
     "AppendRelease",
+    "BodyReply",
+    "BodyRequest",
     "CallCompleted",
     "CallDecision",
     "CallNotSent",
--- a/packages/core/src/ibispaddle_core/idempotency/book.py
+++ b/packages/core/src/ibispaddle_core/idempotency/book.py
@@ -4,11 +4,21 @@
 from dataclasses import dataclass, field
 
 from ..runstate import RunState
+from .bodies import BodyFetches, LongBodies
 from .courier import Courier
 from .keys import KeyAge, hash_key, key_age, key_created_ms
-from .messages import ClaimAnswer, ClaimAsk, ClaimNote, ClaimNoted, CommitterMessage, Verdict
+from .messages import (
+    BodyReply,
+    ClaimAnswer,
+    ClaimAsk,
+    ClaimNote,
+    ClaimNoted,
+    CommitterMessage,
+    Outgoing,
+    Verdict,
+)
 from .partitions import partition_of
-from .records import MAX_LOGGED_BODY_BYTES, Claim, Outcome, Release, Settlement
+from .records import Claim, Release, Settlement
 from .session import (
     AppendClaim,
     AppendOutcome,
@@ -34,9 +44,8 @@
 )
 
 CallDecision = Send | Replay | Refuse
+_NO_BODY = Refuse(RunState.UNKNOWN, Reason.BODY_UNAVAILABLE)
 Result = CallCompleted | CallNotSent | CallUnknown
-# Long bodies that the instance keeps for its own outcomes.
-MAX_LONG_BODY_BYTES = 8_388_608
 
 
 @dataclass(frozen=True)
@@ -52,6 +61,7 @@
     call_id: str
     session: Session
     claims: list[str] = field(default_factory=list)
+    holder: str = ""  # The claim whose outcome was recorded.
     is_contested: bool = False  # A committer has seen another claim that holds the key.
 
 
@@ -60,7 +70,7 @@
 
     `prefix` identifies the instance and its boot, so that claim ids are never used again. The claims
     go to the committers that `choices` returns for a partition, best first; the caller delivers what
-    `courier.due` returns.
+    `due` returns.
     """
 
     def __init__(
@@ -72,8 +82,8 @@
         self._sequence = 0
         self._calls: dict[str, _Call] = {}
         self._by_claim: dict[str, _Call] = {}
-        self._long_bodies: dict[str, Outcome] = {}
-        self._long_body_bytes = 0
+        self.long_bodies = LongBodies()
+        self._fetches = BodyFetches()
 
     def request(
         self,
@@ -111,6 +121,7 @@
         if call is None or call.session.claim_id != message.claim_id:
             return []
         self.courier.heard(message.claim_id, instance_id, now_ms)
+        call.holder = message.holder
         call.is_contested = message.verdict is Verdict.CONTESTED
         decided: list[Decided] = []
         for event in self._events(message, now_ms):
@@ -118,6 +129,17 @@
                 decided += self._feed(call, event, now_ms)
         return decided
 
+    def receive_body(self, instance_id: str, reply: BodyReply) -> list[Decided]:
+        """Answer the calls that waited for a long body."""
+        outcome = reply.outcome
+        is_whole = outcome is not None and outcome.body is not None
+        decision = Replay(outcome) if outcome is not None and is_whole else _NO_BODY
+        return [Decided(call_id, decision) for call_id in self._fetches.receive(instance_id, reply)]
+
+    def due(self, now_ms: int) -> list[Outgoing]:
+        """Return the messages to send now."""
+        return self._fetches.take_outgoing() + self.courier.due(now_ms)
+
     def _events(self, message: ClaimAnswer, now_ms: int) -> tuple[Event, ...]:
         # A claim that was sent more than once may wait in the queue of another committer.
         is_sole = self.courier.sent(message.claim_id) == 1
@@ -148,7 +170,7 @@
 
     def tick(self, now_ms: int) -> list[Decided]:
         """Refuse the calls whose deadline has passed; sent calls are ended by their sender."""
-        decided = []
+        decided = [Decided(call_id, _NO_BODY) for call_id in self._fetches.expire(now_ms)]
         for call in list(self._calls.values()):
             session = call.session
             if now_ms >= session.deadline_ms and session.state is not State.SENDING:
@@ -164,12 +186,13 @@
 
     def next_deadline_ms(self) -> int | None:
         """Return the next deadline of a call that is not being sent."""
-        deadlines = (
+        deadlines = [
             call.session.deadline_ms
             for call in self._calls.values()
             if call.session.state is not State.SENDING
-        )
-        return min(deadlines, default=None)
+        ]
+        fetch_ms = self._fetches.next_due_ms()
+        return min(deadlines if fetch_ms is None else [*deadlines, fetch_ms], default=None)
 
     def _check_key(self, created_ms: int | None, wall_ms: int, required: bool) -> Refuse | None:
         match key_age(created_ms, wall_ms, self._window_ms):
@@ -192,12 +215,13 @@
                 case AppendRelease():
                     self._release(session, event, now_ms)
                 case AppendOutcome(outcome):
-                    self._keep_long_body(session.key_hash, outcome)
+                    self.long_bodies.keep(session.key_hash, session.claim_id, outcome)
                     settlement = Settlement(session.claim_id, session.key_hash, outcome.logged())
                     self._note(ClaimNote(settlement), now_ms)
+                case Refuse(_, Reason.BODY_UNAVAILABLE):
+                    decided += self._find_body(call, now_ms)
                 case Send() | Replay() | Refuse():
-                    reply = self._with_long_body(session.key_hash, decision)
-                    decided.append(Decided(call.call_id, reply))
+                    decided.append(Decided(call.call_id, decision))
         is_noted = any(isinstance(item, AppendRelease | AppendOutcome) for item in decisions)
         has_moved = call.session.claim_id != session.claim_id
         if not is_noted and (has_moved or call.session.state in (State.SENDING, State.DONE)):
@@ -225,6 +249,19 @@
         release = Release(session.claim_id, session.key_hash)
         self._note(ClaimNote(release, sole=is_unread and sent == 1), now_ms)
 
+    def _find_body(self, call: _Call, now_ms: int) -> list[Decided]:
+        """Replay a long body of this instance, or fetch it from the one that ran the call."""
+        session = call.session
+        outcome = self.long_bodies.get(session.key_hash)
+        if outcome is not None:
+            return [Decided(call.call_id, Replay(outcome))]
+        if call.holder.partition("/")[0] in ("", self._prefix.partition("/")[0]):
+            return [Decided(call.call_id, _NO_BODY)]
+        self._fetches.begin(
+            call.call_id, call.holder, session.key_hash, now_ms, session.deadline_ms
+        )
+        return []
+
     def _note(self, note: ClaimNote, now_ms: int) -> None:
         partition = partition_of(note.entry.key_hash)
         self.courier.add(partition, note, now_ms, now_ms + self._window_ms)
@@ -234,23 +271,6 @@
         for claim_id in call.claims:
             del self._by_claim[claim_id]
 
-    def _keep_long_body(self, key_hash: str, outcome: Outcome) -> None:
-        size = len(outcome.body or b"")
-        if not MAX_LOGGED_BODY_BYTES < size <= MAX_LONG_BODY_BYTES:
-            return
-        self._long_bodies[key_hash] = outcome
-        self._long_body_bytes += size
-        while self._long_body_bytes > MAX_LONG_BODY_BYTES:
-            oldest = self._long_bodies.pop(next(iter(self._long_bodies)))
-            self._long_body_bytes -= len(oldest.body or b"")
-
-    def _with_long_body(self, key_hash: str, decision: CallDecision) -> CallDecision:
-        if isinstance(decision, Refuse) and decision.reason is Reason.BODY_UNAVAILABLE:
-            outcome = self._long_bodies.get(key_hash)
-            if outcome is not None:
-                return Replay(outcome)
-        return decision
-
 
 def _claim_of(session: Session) -> Claim:
     return Claim(session.claim_id, session.key_hash, session.request_hash, session.created_ms)
--- a/packages/core/src/ibispaddle_core/idempotency/committer.py
+++ b/packages/core/src/ibispaddle_core/idempotency/committer.py
@@ -206,7 +206,9 @@
         if verdict not in (Verdict.PENDING, Verdict.CONTESTED, Verdict.LOST):
             self._forget(ask.claim.claim_id)
         is_read = self.table.has_read(ask.claim)
-        answer = ClaimAnswer(ask.claim.claim_id, verdict, outcome, is_read)
+        entry = self.table.get(ask.claim.key_hash)
+        holder = entry.holder or "" if entry is not None and outcome is not None else ""
+        answer = ClaimAnswer(ask.claim.claim_id, verdict, outcome, is_read, holder)
         return Outgoing(ask.instance_id, answer)
 
     def _forget(self, claim_id: str) -> None:
--- a/packages/core/src/ibispaddle_core/idempotency/messages.py
+++ b/packages/core/src/ibispaddle_core/idempotency/messages.py
@@ -41,13 +41,15 @@
 class ClaimAnswer:
     """Answer an ask, at once and again when the verdict changes.
 
-    `is_read` tells whether a lost claim was read, so that it can never come first.
+    `is_read` tells whether a lost claim was read, so that it can never come first. `holder` is the
+    claim whose outcome is attached.
     """
 
     claim_id: str
     verdict: Verdict
     outcome: Outcome | None = None
     is_read: bool = False
+    holder: str = ""
 
 
 @dataclass(frozen=True)
@@ -74,7 +76,23 @@
     in_stream: bool
 
 
-ClaimMessage = ClaimAsk | ClaimAnswer | ClaimNote | ClaimNoted
+@dataclass(frozen=True)
+class BodyRequest:
+    """Ask the instance that ran a call for the long body of its outcome."""
+
+    claim_id: str
+    key_hash: str
+
+
+@dataclass(frozen=True)
+class BodyReply:
+    """Return an outcome with its body, or None if it is not kept or too long."""
+
+    claim_id: str
+    outcome: Outcome | None
+
+
+ClaimMessage = ClaimAsk | ClaimAnswer | ClaimNote | ClaimNoted | BodyRequest | BodyReply
 EntryMessage = ClaimAsk | ClaimNote
 CommitterMessage = ClaimAnswer | ClaimNoted
 
--- a/packages/daemon/src/ibispaddle_daemon/claim_codec.py
+++ b/packages/daemon/src/ibispaddle_daemon/claim_codec.py
@@ -3,6 +3,8 @@
 from typing import Any
 
 from ibispaddle_core.idempotency import (
+    BodyReply,
+    BodyRequest,
     Claim,
     ClaimAnswer,
     ClaimAsk,
@@ -33,11 +35,19 @@
                     "isQuery": is_query,
                 }
             }
-        case ClaimAnswer(claim_id, verdict, outcome, is_read):
+        case BodyRequest(claim_id, key_hash):
+            return {"bodyRequest": {"claimId": claim_id, "keyHash": key_hash}}
+        case BodyReply(claim_id, outcome):
+            reply: dict[str, Any] = {"claimId": claim_id}
+            if outcome is not None:
+                reply["outcome"] = _outcome_fields(outcome)
+            return {"bodyReply": reply}
+        case ClaimAnswer(claim_id, verdict, outcome, is_read, holder):
             answer: dict[str, Any] = {
                 "claimId": claim_id,
                 "verdict": verdict.value,
                 "isRead": is_read,
+                "holder": holder,
             }
             if outcome is not None:
                 answer["outcome"] = _outcome_fields(outcome)
@@ -75,7 +85,8 @@
         case "claimAnswer":
             answer = envelope.claimAnswer
             outcome = _read_outcome(answer)
-            return ClaimAnswer(answer.claimId, Verdict(answer.verdict), outcome, answer.isRead)
+            verdict = Verdict(answer.verdict)
+            return ClaimAnswer(answer.claimId, verdict, outcome, answer.isRead, answer.holder)
         case "claimNote":
             note = envelope.claimNote
             outcome = _read_outcome(note)
@@ -84,6 +95,10 @@
             return ClaimNote(Settlement(note.claimId, note.keyHash, outcome), note.sole)
         case "claimNoted":
             return ClaimNoted(envelope.claimNoted.claimId, envelope.claimNoted.inStream)
+        case "bodyRequest":
+            return BodyRequest(envelope.bodyRequest.claimId, envelope.bodyRequest.keyHash)
+        case "bodyReply":
+            return BodyReply(envelope.bodyReply.claimId, _read_outcome(envelope.bodyReply))
     return None
 
 
--- a/packages/daemon/src/ibispaddle_daemon/claims.py
+++ b/packages/daemon/src/ibispaddle_daemon/claims.py
@@ -3,6 +3,8 @@
 from circuits import BaseComponent, handler
 from ibispaddle_core.clock import Clock
 from ibispaddle_core.idempotency import (
+    BodyReply,
+    BodyRequest,
     ClaimAnswer,
     ClaimBook,
     ClaimMessage,
@@ -109,8 +111,13 @@
 
     @handler("peer_received", channel="*")
     def _on_peer_received(self, instance_id: str, message: Message | ClaimMessage) -> None:
-        if isinstance(message, ClaimAnswer | ClaimNoted):
-            self._report(self.book.receive(instance_id, message, self._clock.now_ms()))
+        match message:
+            case ClaimAnswer() | ClaimNoted():
+                self._report(self.book.receive(instance_id, message, self._clock.now_ms()))
+            case BodyReply():
+                self._report(self.book.receive_body(instance_id, message))
+            case BodyRequest():
+                self._peers.send(instance_id, self.book.long_bodies.answer(message))
 
     @handler("peer_lost", channel="*")
     def _on_peer_lost(self, instance_id: str, reason: str) -> None:
@@ -125,7 +132,7 @@
         """Send what is due and set the next wake-up."""
         now_ms = self._clock.now_ms()
         courier = self.book.courier
-        for outgoing in courier.due(now_ms):
+        for outgoing in self.book.due(now_ms):
             if outgoing.instance_id == self._instance_id:
                 self.fire(peer_received(outgoing.instance_id, outgoing.message), "*")
             elif not self._peers.send(outgoing.instance_id, outgoing.message):
--- a/packages/daemon/src/ibispaddle_daemon/peer_codec.py
+++ b/packages/daemon/src/ibispaddle_daemon/peer_codec.py
@@ -6,7 +6,15 @@
 
 import capnp
 from ibispaddle_core.gossip import Digest, Hello, ListSeen, Proof, StateReply, StateRequest
-from ibispaddle_core.idempotency import ClaimAnswer, ClaimAsk, ClaimMessage, ClaimNote, ClaimNoted
+from ibispaddle_core.idempotency import (
+    BodyReply,
+    BodyRequest,
+    ClaimAnswer,
+    ClaimAsk,
+    ClaimMessage,
+    ClaimNote,
+    ClaimNoted,
+)
 from ibispaddle_core.quarantine import Clearance, Death, Notice, NoticeReceived, Suspicion
 from ibispaddle_core.usage import Counts, UsageAck, UsageSync
 from result import Err, Ok, Result
@@ -111,7 +119,7 @@
             return {"noticeReceived": notice_id}
         case ListSeen(version):
             return {"listSeen": version}
-        case ClaimAsk() | ClaimAnswer() | ClaimNote() | ClaimNoted():
+        case ClaimAsk() | ClaimAnswer() | ClaimNote() | ClaimNoted() | BodyRequest() | BodyReply():
             return claim_fields(message)
     raise TypeError(f"{type(message).__name__} is not a message between instances")
 
--- a/packages/daemon/src/ibispaddle_daemon/peers.capnp
+++ b/packages/daemon/src/ibispaddle_daemon/peers.capnp
@@ -17,6 +17,8 @@
     claimAnswer @11 :ClaimAnswer;
     claimNote @12 :ClaimNote;
     claimNoted @13 :ClaimNoted;
+    bodyRequest @14 :BodyRequest;
+    bodyReply @15 :BodyReply;
   }
 }
 
@@ -96,6 +98,7 @@
   verdict @1 :Text;
   outcome @2 :ClaimOutcome;
   isRead @3 :Bool;
+  holder @4 :Text;
 }
 
 struct ClaimNote {
@@ -109,3 +112,13 @@
   claimId @0 :Text;
   inStream @1 :Bool;
 }
+
+struct BodyRequest {
+  claimId @0 :Text;
+  keyHash @1 :Text;
+}
+
+struct BodyReply {
+  claimId @0 :Text;
+  outcome @1 :ClaimOutcome;  # Null: the body is not kept.
+}
--- a/tests/idempotency/fleet.py
+++ b/tests/idempotency/fleet.py
@@ -4,6 +4,8 @@
 
 from ibispaddle_core.configuration import LogRecord
 from ibispaddle_core.idempotency import (
+    BodyReply,
+    BodyRequest,
     CallCompleted,
     CallNotSent,
     CallUnknown,
@@ -12,6 +14,7 @@
     ClaimNoted,
     Committer,
     Outcome,
+    Outgoing,
     Refuse,
     Replay,
     Send,
@@ -53,6 +56,7 @@
     """
 
     table_type = None
+    padding = b""  # Makes the bodies of answers longer.
 
     def __init__(self, skews_ms=(0, 20_000, -20_000)):
         self.now_ms = 0
@@ -90,6 +94,10 @@
     def receive(self, instance, sender, message):
         if isinstance(message, ClaimAnswer | ClaimNoted):
             self.take(instance, instance.book.receive(sender, message, self.now_ms))
+        elif isinstance(message, BodyReply):
+            self.take(instance, instance.book.receive_body(sender, message))
+        elif isinstance(message, BodyRequest):
+            self.post(instance, [Outgoing(sender, instance.book.long_bodies.answer(message))])
         else:
             committer = instance.committer
             self.post(instance, committer.receive(sender, message, self.now_ms, self.available))
@@ -112,7 +120,7 @@
 
     def pump(self, instance):
         """Send what the instance's courier has to send."""
-        self.post(instance, instance.book.courier.due(self.now_ms))
+        self.post(instance, instance.book.due(self.now_ms))
 
     def wall_ms(self, skew_ms=0):
         return EPOCH_MS + self.now_ms + skew_ms
@@ -151,7 +159,8 @@
         assert call_id not in self.answers, "two answers to one call"
         self.answers[call_id] = decision
         if isinstance(decision, Replay):
-            assert decision.outcome.body.decode() in self.runs[self.calls[call_id]]
+            body = decision.outcome.body.removesuffix(self.padding)
+            assert body.decode() in self.runs[self.calls[call_id]]
 
     def start_append(self, number):
         instance = self.instances[number]
@@ -231,7 +240,7 @@
     def finish(self, number, known=True):
         instance = self.instances[number]
         for call_id in instance.written:
-            outcome = Outcome(200, "text/plain", call_id.encode())
+            outcome = Outcome(200, "text/plain", call_id.encode() + self.padding)
             result = CallCompleted(outcome) if known else CallUnknown()
             self.finished(instance, call_id, result)
             decision = Replay(outcome) if known else Refuse(RunState.UNKNOWN, "closed")
--- a/tests/idempotency/test_fleet.py
+++ b/tests/idempotency/test_fleet.py
@@ -372,5 +372,37 @@
         self.assertGreater(fleet.answers[call].retry_after_ms, 0)
 
 
+class LongBodyTest(unittest.TestCase):
+    def setUp(self):
+        self.fleet = Fleet((0, 0))
+        self.fleet.padding = b"x" * 5_000
+        for number in (0, 1):
+            self.fleet.read(number)
+        self.key = f"{self.fleet.wall_ms()}-k"
+        self.fleet.request(0, self.key)
+        self.fleet.settle()
+
+    def test_retry_elsewhere_receives_the_long_body(self):
+        """Guard against a long answer that only the first instance can repeat."""
+        retry = self.fleet.request(1, self.key)
+        self.fleet.deliver_messages()
+        self.assertIsInstance(self.fleet.answers[retry], Replay)
+        self.fleet.check()
+
+    def test_lost_body_stays_unknown(self):
+        """Guard against a retry that waits or runs when the first instance is gone."""
+        for reply_is_lost in (True, False):
+            retry = self.fleet.request(1, self.key)
+            self.assertNotIn(retry, self.fleet.answers)
+            if reply_is_lost:
+                self.fleet.messages.clear()
+                self.fleet.advance(1_000)
+                self.fleet.tick(1)
+                self.fleet.crash(0)
+            self.fleet.deliver_messages()
+            self.assertIs(self.fleet.answers[retry].run_state, RunState.UNKNOWN)
+        self.fleet.check()
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/idempotency/test_processes.py
+++ b/tests/idempotency/test_processes.py
@@ -273,5 +273,21 @@
         self.end_committer(signal.SIGSTOP)
 
 
+class LongBodyTest(unittest.TestCase):
+    def test_long_answer_is_fetched_from_the_instance_that_has_it(self):
+        """Guard against a retry elsewhere that loses a long answer, or waits for one that is gone."""
+        options = ("--body-bytes", "20000")
+        with Fleet(FleetSpec(entries=2, runners=0, services=1, service_options=options)) as fleet:
+            first, second = fleet.entries
+            key = new_key()
+            answers = [Call(entry, key).done() for entry in (first, second, second)]
+            self.assertEqual([call.status for call in answers], [200] * 3)
+            self.assertEqual([call.body for call in answers], [answers[0].body] * 3)
+            first.kill()
+            last = Call(second, key).done()
+            self.assertEqual((last.status, last.run_state), (409, "unknown"))
+            self.assertEqual(fleet.services[0].state()["total_runs"], 1)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/peers/test_codec.py
+++ b/tests/peers/test_codec.py
@@ -16,6 +16,8 @@
     StateRequest,
 )
 from ibispaddle_core.idempotency import (
+    BodyReply,
+    BodyRequest,
     Claim,
     ClaimAnswer,
     ClaimAsk,
@@ -60,7 +62,11 @@
     st.builds(NoticeReceived, NUMBER),
     st.builds(ListSeen, NUMBER),
     st.builds(ClaimAsk, st.builds(Claim, TEXT, TEXT, TEXT, st.none() | NUMBER), st.booleans()),
-    st.builds(ClaimAnswer, TEXT, st.sampled_from(Verdict), st.none() | OUTCOME, st.booleans()),
+    st.builds(
+        ClaimAnswer, TEXT, st.sampled_from(Verdict), st.none() | OUTCOME, st.booleans(), TEXT
+    ),
+    st.builds(BodyRequest, TEXT, TEXT),
+    st.builds(BodyReply, TEXT, st.none() | OUTCOME),
     st.builds(
         ClaimNote,
         st.builds(Release, TEXT, TEXT) | st.builds(Settlement, TEXT, TEXT, OUTCOME),
