--- a/packages/daemon/src/ibispaddle_daemon/app.py
+++ b/packages/daemon/src/ibispaddle_daemon/app.py
@@ -13,6 +13,7 @@
 
 from .account import UsageAccount
 from .claims import Claims
+from .committers import Committers
 from .configuration import Configuration
 from .configuration_restart import ConfigurationRestart
 from .entry import Entry
@@ -142,7 +143,9 @@
         self.configuration = Configuration(
             settings, config, self.view, clock, timers, clock.wall_ms()
         ).register(self)
-        self.claims = Claims(settings, clock.wall_ms(), clock, timers).register(self)
+        boot = clock.wall_ms()
+        self.committers = Committers(settings, boot, self.view, clock, timers).register(self)
+        self.claims = Claims(settings, boot, self.view, self.peers, clock, timers).register(self)
         self.operators = Operators(settings, self.configuration, clock).register(self)
         ConfigurationRestart(
             settings, config, self.operators, self.configuration, self.view, clock, timers
@@ -219,8 +222,13 @@
         )
         add(
             "ibispaddle_claim_table_keys",
-            "Idempotency keys in the claim table.",
-            lambda: len(self.claims.book.table),
+            "Idempotency keys in the claim tables of the followed partitions.",
+            lambda: self.committers.keys,
+        )
+        add(
+            "ibispaddle_claim_partitions",
+            "Partitions of the claims that this instance follows as committer.",
+            lambda: self.committers.partitions,
         )
         count(
             "ibispaddle_peer_sent_messages_total",
--- a/packages/daemon/src/ibispaddle_daemon/platform_log.py
+++ b/packages/daemon/src/ibispaddle_daemon/platform_log.py
@@ -50,6 +50,13 @@
     """
 
 
+class log_unfollow(Event):
+    """End the tail of a stream: `log_unfollow(stream, channel)`.
+
+    Records of a read that has been answered may still arrive.
+    """
+
+
 class log_located(Event):
     """Report where a tail starts: `log_located(stream, offset, since_ms)`.
 
@@ -105,6 +112,7 @@
     at_end: bool = False
     failures: int = 0
     call_id: str = ""
+    ended: bool = False
     since_ms: int | None = None  # Search for the first record of this time.
     bounds: tuple[int, int] | None = field(default=None)
     retry: TimerHandle | None = None
@@ -226,12 +234,25 @@
     def _note_caught_up(self, tail: _Tail) -> None:
         if tail.at_end and tail.is_stale:
             tail.is_stale = False
-            if self._pause and not any(other.is_stale for other in self._tails):
-                self.fire(log_reread(True, self._pause), "*")
-                self._pause = 0
+            self._end_pause()
+
+    def _end_pause(self) -> None:
+        if self._pause and not any(tail.is_stale for tail in self._tails):
+            self.fire(log_reread(True, self._pause), "*")
+            self._pause = 0
+
+    @handler("log_unfollow", channel="*")
+    def _on_log_unfollow(self, stream: str, channel: str) -> None:
+        for tail in [t for t in self._tails if (t.stream, t.channel) == (stream, channel)]:
+            self._tails.remove(tail)
+            tail.ended = True
+            if self._reads.pop(tail.call_id, None) is not None:
+                self.fire(http_cancel(tail.call_id), "http_client")
+            if tail.is_stale:
+                self._end_pause()
 
     def _read(self, tail: _Tail) -> None:
-        if self._stopped:
+        if self._stopped or tail.ended:
             return
         tail.call_id = self._next_call_id()
         self._reads[tail.call_id] = tail
--- a/tests/failures/virtual_fleet.py
+++ b/tests/failures/virtual_fleet.py
@@ -12,6 +12,7 @@
 from ibispaddle_core.idempotency import CallCompleted, Outcome, Send, scoped_key
 from ibispaddle_core.settings import FleetConfig, InstanceSettings
 from ibispaddle_daemon.claims import Claims
+from ibispaddle_daemon.committers import Committers
 from ibispaddle_daemon.configuration import Configuration
 from ibispaddle_daemon.events import (
     CallFailure,
@@ -158,7 +159,10 @@
             settings, FleetConfig(), fleet.view, clock, timers, seed
         ).register(self)
         self.usage = Usage(settings, fleet.view, 1, clock, timers).register(self)
-        self.claims = Claims(settings, 1, clock, timers).register(self)
+        peers = SimpleNamespace(send=self.send)
+        self.claims = Claims(settings, 1, fleet.view, peers, clock, timers).register(self)
+        self.committers = Committers(settings, 1, fleet.view, clock, timers).register(self)
+        self.committers._on_list_changed(())
 
     @handler("http_call", channel="*")
     def _on_http_call(self, call):
@@ -166,7 +170,11 @@
 
     @handler("peer_send", channel="*")
     def _on_peer_send(self, instance_id, message):
+        self.send(instance_id, message)
+
+    def send(self, instance_id, message):
         self.fleet.instances[instance_id].fire(peer_received(self.own_id, message), "*")
+        return True
 
     def request(self, timeout_ms=5_000):
         """Ask for a claim as the component of services does, and count a finished request."""
@@ -199,7 +207,13 @@
         return {
             "calls": self.log.calls_in_flight,
             "events": len(self),
-            "claims": len(self.claims.book.queue) + len(self.began_ms) + len(self.claims._channels),
+            "claims": len(self.claims.book.courier)
+            + len(self.began_ms)
+            + len(self.claims._channels),
+            "committers": sum(
+                len(duty.committer.queue) + len(duty.committer._asks) + len(duty.committer._notes)
+                for duty in self.committers._duties.values()
+            ),
             "usage": len(self.usage.ledger._tokens) + len(self.usage.ledger.held()),
             "changes": len(self.configuration._applications),
             "peer states": len(self.configuration._requests),
