Kept the order between neighbours when long prompts are spread

Change: a prompt that fits one engine stays in its lane and is spread only onto engines that have the memory now and while no neighbour is kept waiting; else it goes to one engine as before. Of several reservations of an instance only the first may be for a neighbour above its share. The wait at home that sends a short prompt to other runners is 20 ms again.

--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -1,6 +1,7 @@
 """The scheduler of one instance: state, event, time and seed in, decisions out."""
 
 from collections.abc import Callable, Collection
+from math import inf
 from random import Random
 from typing import assert_never
 
@@ -13,7 +14,7 @@
 from .claims import Claims
 from .cost import CostModel, PromptClass
 from .exceptions import DuplicateRequestError
-from .groups import GroupChoice
+from .groups import Group, GroupChoice
 from .homes import PEER_EXPIRY_MS, REFRESH_MS, Homes
 from .large import LargePrompts
 from .messages import (
@@ -223,13 +224,17 @@
 
     def _pump_lane(self, lane: Lane, floor: float, now_ms: int) -> list[Decision] | None:
         """Start one request of the lane, or return None if all that were tried must wait."""
+        # While a neighbour is kept waiting, engines are left to the order between neighbours.
+        may_spread = floor == inf
         for state, spare_only in self._backlog.candidates(lane, floor):
-            started = self._start(state, spare_only, now_ms)
+            started = self._start(state, spare_only, may_spread, now_ms)
             if started is not None:
                 return started
         return None
 
-    def _start(self, state: RequestState, spare_only: bool, now_ms: int) -> list[Decision] | None:
+    def _start(
+        self, state: RequestState, spare_only: bool, may_spread: bool, now_ms: int
+    ) -> list[Decision] | None:
         """Dispatch, reserve for or refuse a waiting request; None if it must wait."""
         req = state.req
         if not self.runners.live(req.model):
@@ -241,36 +246,51 @@
             return self._refuse(
                 state, RefusalReason.DEADLINE, self._admission.retry_after_ms(wait_ms)
             )
-        allowed = self.restriction(req)
         if state.prompt_class is PromptClass.SPANNING:
-            # A suspect stays on one runner if it can, and so does a prompt that has no other.
-            single = allowed is not None or len(self.runners.live(req.model)) == 1
-            if not single or self.cost.segments(req) > 1:
-                return self._begin_large(state, now_ms)
+            return self._begin_large(state, spare_only, now_ms)
+        allowed = self.restriction(req)
         if allowed is not None:
             choice = choose_allowed(req, allowed, self.runners, self.cost)
+        elif state.prompt_class is PromptClass.LONG and may_spread and self._spread(state, now_ms):
+            return []
         else:
             choice = self.placement.choose(req, state.tried, spare_only, self.runners, now_ms)
         if choice is None:
             return None
         return [self._dispatch(state, choice, (), now_ms)]
 
-    def _begin_large(self, state: RequestState, now_ms: int) -> list[Decision] | None:
+    def _spread(self, state: RequestState, now_ms: int) -> bool:
+        """Begin to reserve for a prompt that fits one engine if several have the memory now."""
+        live = self.runners.live(state.req.model)
+        if min(self.cost.wide_segments(state.req), len(live)) < 2:
+            return False
+        wanted = self._waits.older(self._large.waiting(state.req, ()), now_ms)
+        group = self._groups.choose(state.req, live, wanted, now_ms)
+        if group.fits:
+            self._reserve(state, group, now_ms)
+        return group.fits
+
+    def _reserve(self, state: RequestState, group: Group, now_ms: int) -> None:
+        self._waits.forget(state.req.request_id)
+        self._backlog.take(state)
+        self._large.begin(state, group.views, self.cost.kv_tokens(state.req), now_ms)
+
+    def _begin_large(
+        self, state: RequestState, spare_only: bool, now_ms: int
+    ) -> list[Decision] | None:
         req = state.req
         live = self.runners.live(req.model)
         if self.cost.segments(req) > len(live):
             return self._refuse(state, RefusalReason.TOO_LARGE, 0)
         wanted = self._waits.older(self._large.waiting(req, ()), now_ms)
         group = self._groups.choose(req, live, wanted, now_ms)
-        if not group.fits and self._large.reserving():
+        if self._large.reserving() and (spare_only or not group.fits):
             return None
         if group.wanted:
             names = [view.upstream.upstream_id for view in group.views]
             self._waits.hold(self._large.waiting(req, names))
             return None
-        self._waits.forget(state.req.request_id)
-        self._backlog.take(state)
-        self._large.begin(state, group.views, self.cost.kv_tokens(req), now_ms)
+        self._reserve(state, group, now_ms)
         return []
 
     def _dispatch(
--- a/packages/core/src/ibispaddle_core/scheduling/cost.py
+++ b/packages/core/src/ibispaddle_core/scheduling/cost.py
@@ -21,7 +21,7 @@
     SHORT = 0
     MEDIUM = 1
     LONG = 2
-    SPANNING = 3  # Cut into segments on several engines.
+    SPANNING = 3  # Larger than one engine's memory.
 
 
 class CostModel:
@@ -47,7 +47,7 @@
 
     def prompt_class(self, req: Request) -> PromptClass:
         """Return the class of a request's prompt."""
-        if self.wide_segments(req) > 1:
+        if self.segments(req) > 1:
             return PromptClass.SPANNING
         if req.prompt_tokens < self._config.scheduling.short_prompt_tokens:
             return PromptClass.SHORT
--- a/packages/core/src/ibispaddle_core/scheduling/placement.py
+++ b/packages/core/src/ibispaddle_core/scheduling/placement.py
@@ -29,7 +29,7 @@
 CLAIM_MARGIN = 0.15
 LATE_CLAIM_AFTER_MS = 100_000
 # Other runners are looked at only if the wait at each home runner is longer.
-MAX_HOME_WAIT_MS = 60.0
+MAX_HOME_WAIT_MS = 20.0
 # A request stays in the instance's queue while every runner's predicted wait is longer. This keeps
 # the engines busy and leaves the order between neighbours to the queue.
 MAX_ENGINE_WAIT_MS = {
