Kept the share error within its bound with shorter waits of long prompts

Cause: with 100 ms between two looks at the queue of long prompts the share error rose above the target of 5%.

Change: the queue is looked at every 40 ms; for prompts that span engines every 100 ms.

--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -49,11 +49,15 @@
 from .timers import Timers
 from .waits import LargeWaits, choose_group
 
-# How often a blocked lane is looked at again; bounds the work per event under overload.
-QUEUE_POLL_MS = 20
-# The same for long prompts. They wait seconds for engine memory; looked at as often as the others,
-# they take most of the decision time under overload.
-LONG_POLL_MS = 100
+# How often a blocked lane is looked at again; bounds the work per event under overload. Long prompts
+# wait seconds for engine memory; looked at as often as the others, they take most of the decision
+# time under overload. At 100 ms for `LONG` the share error exceeds 5%.
+QUEUE_POLL_MS = {
+    PromptClass.SHORT: 20,
+    PromptClass.MEDIUM: 20,
+    PromptClass.LONG: 40,
+    PromptClass.SPANNING: 100,
+}
 
 
 class Scheduler:
@@ -218,7 +222,9 @@
         """Dispatch waiting requests, the neighbour with the lowest consumption first."""
         decisions: list[Decision] = []
         if self.queue.lanes() and self.is_held():
-            self._blocked_until = dict.fromkeys(self.queue.lanes(), now_ms + QUEUE_POLL_MS)
+            self._blocked_until = {
+                lane: now_ms + QUEUE_POLL_MS[lane[0]] for lane in self.queue.lanes()
+            }
             return []
         floor: float | None = None
         for lane in self.queue.lanes():
@@ -229,8 +235,7 @@
             while (started := self._pump_lane(lane, floor, now_ms)) is not None:
                 decisions += started
             if self.queue.neighbours(lane):
-                poll_ms = QUEUE_POLL_MS if lane[0] < PromptClass.LONG else LONG_POLL_MS
-                self._blocked_until[lane] = now_ms + poll_ms
+                self._blocked_until[lane] = now_ms + QUEUE_POLL_MS[lane[0]]
         return decisions
 
     def _pump_lane(self, lane: Lane, floor: float, now_ms: int) -> list[Decision] | None:
