--- a/packages/bench/src/ibispaddle_bench/experiment.py
+++ b/packages/bench/src/ibispaddle_bench/experiment.py
@@ -86,7 +86,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", default="1,2,3")
     parser.add_argument("--out", type=pathlib.Path, default=pathlib.Path("out/bench"))
-    parser.add_argument("--quick", action="store_true", help="one seed, 80% load, no baselines")
+    parser.add_argument("--quick", action="store_true", help="80%% load, no baselines")
     parser.add_argument("--only", default="", help="comma-separated scenario names")
     parser.add_argument("--policy", default="", help="run only this policy")
     parser.add_argument(
