--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -43,6 +43,7 @@
     WaitingPrompt,
 )
 from .placement import CLAIM_AFTER_MS, Choice, Placement, PredictedPlacement, choose_allowed
+from .polls import LanePolls
 from .prefixes import PrefixIndex
 from .queue import FairQueue, Lane
 from .requests import RequestState
@@ -51,16 +52,6 @@
 from .timers import Timers
 from .waits import LargeWaits
 
-# How often a blocked lane is looked at again; bounds the work per event under overload. Long prompts
-# wait seconds for engine memory; looked at as often as the others, they take most of the decision
-# time under overload. At 100 ms for `LONG` the share error exceeds 5%.
-QUEUE_POLL_MS = {
-    PromptClass.SHORT: 20,
-    PromptClass.MEDIUM: 20,
-    PromptClass.LONG: 40,
-    PromptClass.SPANNING: 100,
-}
-
 
 class Scheduler:
     """Decide admission, order, placement, deadlines, retries and large prompts.
@@ -108,7 +99,7 @@
             self._budget,
             self._timers,
         )
-        self._blocked_until: dict[Lane, int] = {}
+        self._polls = LanePolls()
 
     @classmethod
     def from_config(
@@ -200,7 +191,7 @@
 
     def next_wakeup_ms(self, now_ms: int) -> int | None:
         """Return when `Tick` is needed at the latest, or None while nothing waits."""
-        times = [self._blocked_until.get(lane, now_ms) for lane in self.queue.lanes()]
+        times = [self._polls.due_ms(lane) for lane in self.queue.lanes()]
         for next_ms in (self._timers.next_ms(), self._large.next_wakeup_ms()):
             if next_ms is not None:
                 times.append(next_ms)
@@ -225,20 +216,19 @@
         """Dispatch waiting requests, the neighbour with the lowest consumption first."""
         decisions: list[Decision] = []
         if self.queue.lanes() and self.is_held():
-            self._blocked_until = {
-                lane: now_ms + QUEUE_POLL_MS[lane[0]] for lane in self.queue.lanes()
-            }
+            for lane in self.queue.lanes():
+                self._polls.block(lane, now_ms)
             return []
         floor: float | None = None
         for lane in self.queue.lanes():
-            if now_ms < self._blocked_until.get(lane, 0):
+            if now_ms < self._polls.due_ms(lane):
                 continue
             if floor is None:
                 floor = self._backlog.floor(now_ms)
             while (started := self._pump_lane(lane, floor, now_ms)) is not None:
                 decisions += started
             if self.queue.neighbours(lane):
-                self._blocked_until[lane] = now_ms + QUEUE_POLL_MS[lane[0]]
+                self._polls.block(lane, now_ms)
         return decisions
 
     def _pump_lane(self, lane: Lane, floor: float, now_ms: int) -> list[Decision] | None:
