Moved the handling of log pages and gaps into one module

Cause: the readers of the streams `config` and `usage` kept position, block start and first retained offset in the same way, each with its own code.

Change: both derive from `log_pages.PageReader`.

--- a/packages/core/src/ibispaddle_core/configuration/reader.py
+++ b/packages/core/src/ibispaddle_core/configuration/reader.py
@@ -3,6 +3,7 @@
 from collections import deque
 from collections.abc import Iterable
 
+from ..log_pages import PageReader
 from .base import RECENT_CHANGES, ConfigState, LogRecord
 from .exceptions import RecordError
 from .fold import Verdict, fold, is_snapshot
@@ -13,7 +14,7 @@
 _KNOWN_TIMES = 4_096
 
 
-class ConfigReader:
+class ConfigReader(PageReader):
     """Fold pages of the stream into a state.
 
     The reader has no state until the pages read without a gap either begin at offset 0 or contain a
@@ -23,14 +24,12 @@
     """
 
     def __init__(self, recent_changes: int = RECENT_CHANGES) -> None:
+        super().__init__()
         self.state: ConfigState | None = None
-        self.position = 0
-        self._block_start = 0
         self._unfolded: list[LogRecord] = []
         self._recent_changes = recent_changes
         self._times: deque[tuple[int, int]] = deque(maxlen=_KNOWN_TIMES)
         self._snapshots: list[tuple[int, int]] = []  # as_of, offset of the snapshot record
-        self._first_offset = 0
         self._pages = 0
 
     @property
@@ -50,15 +49,7 @@
     def read_page(self, first_offset: int, records: Iterable[LogRecord]) -> list[Verdict]:
         """Take a page that was read from `position` on; return the verdicts it led to."""
         self._pages += 1
-        self._first_offset = max(self._first_offset, first_offset)
-        if first_offset > self.position:
-            self._start_block(first_offset)
-        for record in records:
-            if record.offset < self.position:
-                continue
-            if record.offset > self.position:
-                self._start_block(record.offset)
-            self.position = record.offset + 1
+        for record in self._new_records(first_offset, records):
             self._times.append((record.offset, record.time_ms))
             self._unfolded.append(record)
             self._note_snapshot(record)
@@ -81,7 +72,7 @@
         usable = [
             times[as_of + 1]
             for as_of, _ in self._snapshots
-            if as_of + 1 >= self._first_offset and as_of + 1 in times
+            if self._is_retained_after(as_of) and as_of + 1 in times
         ]
         return max(usable, default=None)
 
@@ -91,7 +82,7 @@
         return next(known, None)
 
     def _start_block(self, offset: int) -> None:
-        self._block_start = self.position = offset
+        super()._start_block(offset)
         self._unfolded.clear()
 
     def _note_snapshot(self, record: LogRecord) -> None:
--- a/packages/core/src/ibispaddle_core/usage/account.py
+++ b/packages/core/src/ibispaddle_core/usage/account.py
@@ -11,6 +11,7 @@
 import msgspec
 from result import Ok
 
+from ..log_pages import PageReader
 from .counters import Counts, split_instance_boot
 from .rollups import RollupCollector, RollupPart, Values, is_rollup, join, read_part
 
@@ -134,7 +135,7 @@
         totals[workspace] = (a + e, b + f, c + g, d + h)
 
 
-class AccountReader:
+class AccountReader(PageReader):
     """Read the stream page by page, from `position` on.
 
     `complete` tells whether the account includes every record since offset 0. If the beginning is
@@ -144,30 +145,20 @@
     """
 
     def __init__(self) -> None:
+        super().__init__()
         self.account = Account()
         self.complete = True
-        self.position = 0
-        self._block_start = 0
         # Time up to which each usable rollup covers the stream, by `as_of`.
         self._covered: dict[int, int] = {}
         # Time of each record that is a part of a rollup and the first after the rollup's `as_of`.
         self._follows: dict[int, int] = {}
         self._collector = RollupCollector()
-        self._first_offset = 0
 
     def read_page(self, first_offset: int, records: Iterable[UsageRecord]) -> None:
         """Take a page that was read from `position` on."""
-        self._first_offset = max(self._first_offset, first_offset)
-        if first_offset > self.position:
-            self._start_block(first_offset)
-        for record in records:
-            if record.offset < self.position:
-                continue
-            if record.offset > self.position:
-                self._start_block(record.offset)
+        for record in self._new_records(first_offset, records):
             if is_rollup(record.data) and self._take_rollup(record):
                 return
-            self.position = record.offset + 1
             self.account.fold(record)
 
     def is_rollup_due(self, now_ms: int, retention_ms: int) -> bool:
@@ -179,7 +170,7 @@
         """
         if not self.complete or self.account.as_of < 0:
             return False
-        covered = [time for as_of, time in self._covered.items() if as_of + 1 >= self._first_offset]
+        covered = [time for as_of, time in self._covered.items() if self._is_retained_after(as_of)]
         return now_ms - max(covered, default=0) > retention_ms // RETENTION_PARTS
 
     def _start_block(self, offset: int) -> None:
@@ -188,7 +179,7 @@
         # No rollup whose parts were read before is usable, since its `as_of` lies before the gap.
         self._collector.clear()
         self.complete = False
-        self._block_start = self.position = offset
+        super()._start_block(offset)
 
     def _take_rollup(self, record: UsageRecord) -> bool:
         """Take a part of a rollup; return whether the account continues from the rollup."""
