Gave each attempt of the experiment jobs of its own

When an engine died under one segment of a prompt, the other segments went on, and the next attempt used the same job ids: its job replaced an old one that still ran. Change: the id of a job contains the number of the attempt, and a failed or cancelled attempt stops all its jobs, as the daemon does by deleting the handles.

--- a/packages/bench/src/ibispaddle_bench/experiment_fleet.py
+++ b/packages/bench/src/ibispaddle_bench/experiment_fleet.py
@@ -64,6 +64,13 @@
     called_ms: float = 0.0  # When the caller sent the first copy.
     copy: int = 0
     resent: bool = False
+    jobs: list[tuple[Engine, str]] = field(default_factory=list)  # Of the last attempt.
+
+    def cancel_jobs(self) -> None:
+        """Stop what engines still compute for the last attempt."""
+        for engine, job_id in self.jobs:
+            engine.cancel(job_id)
+        self.jobs = []
 
 
 @dataclass
@@ -209,16 +216,10 @@
                 self.at(at_ms, lambda: self.engines[upstream_id].free(handle))
 
     def _cancel(self, number: int, request_id: str, upstream_id: str) -> None:
-        for engine in self.engines.values():
-            for job_id in (f"{request_id}@{number}", *self._segment_ids(request_id)):
-                engine.cancel(job_id)
+        self.records[request_id].cancel_jobs()
         event = AttemptEnded(request_id, upstream_id, Outcome.CANCELLED)
         self.at(self.now_ms + NETWORK_MS, lambda: self._handle(number, event))
 
-    def _segment_ids(self, request_id: str) -> list[str]:
-        segments = self.records[request_id].segments
-        return [f"{request_id}#{n}" for n in range(segments)] if segments > 1 else []
-
     def _close(self, request_id: str, outcome: str) -> None:
         record = self.records[request_id]
         record.end_ms = self.now_ms
@@ -258,11 +259,12 @@
         def failed() -> None:
             if not ended[0]:
                 ended[0] = True
+                record.cancel_jobs()
                 relayed = record.first_ms is not None
                 tell(AttemptEnded(name, upstream_id, Outcome.FAILED, relayed))
 
         job = Job(
-            f"{name}@{number}",
+            f"{name}.{record.dispatches}",
             arrival.request.neighbour,
             arrival.request.prompt_tokens,
             arrival.output_tokens,
@@ -285,6 +287,7 @@
 
             job.on_first = fail
         if not dispatch.segments:
+            record.jobs = [(engine, job.job_id)]
             self.at(self.now_ms + NETWORK_MS, lambda: engine.submit(job, self.now_ms))
             return
         self._dispatch_segments(record, dispatch, job)
@@ -312,7 +315,7 @@
         for number, engine in enumerate(holders):
             job = replace(
                 whole,
-                job_id=f"{record.arrival.request.request_id}#{number}",
+                job_id=f"{whole.job_id}#{number}",
                 prompt_tokens=part,
                 offset=number * part,
                 prefix="",
@@ -321,6 +324,7 @@
                 on_first=first,
             )
             jobs.append((engine, job))
+        record.jobs = [(engine, job.job_id) for engine, job in jobs]
         for engine, job in jobs:
             self.at(
                 self.now_ms + NETWORK_MS,
