--- a/packages/bench/src/ibispaddle_bench/experiment_fleet.py
+++ b/packages/bench/src/ibispaddle_bench/experiment_fleet.py
@@ -253,6 +253,7 @@
 
         def done() -> None:
             self._close(name, "completed")
+            record.cancel_jobs()
             tell(TokensRelayed(name, arrival.output_tokens))
             tell(AttemptEnded(name, upstream_id, Outcome.COMPLETED, True))
 
--- a/tests/scheduling/test_experiment.py
+++ b/tests/scheduling/test_experiment.py
@@ -21,6 +21,15 @@
         self.assertEqual(row["late_dispatches"], 0)
         self.assertTrue(all(record.end_ms for record in fleet.records.values()))
 
+    def test_failed_attempts_leave_no_jobs(self):
+        """Guard against segments that run on after their attempt and meet those of the next one."""
+        traffic = [a for a in arrivals(21, 2.0, 20_000) if a.request.prompt_tokens > 100_000]
+        plan = Plan(deaths=[(2_000 + 700 * n, n) for n in range(24)], restart_after_ms=2_000)
+        fleet = Fleet(fleet_config({}), 21, 3, 25, traffic, plan)
+        fleet.run()
+        self.assertTrue(any(r.dispatches > 1 and r.segments > 1 for r in fleet.records.values()))
+        self.assertEqual([e.engine_id for e in fleet.engines.values() if e.jobs], [])
+
     def test_every_call_with_failing_attempts_and_resends_ends_once(self):
         """Guard against copies of a call that are lost, or sent after an answer."""
         failing = [FailingPeriod(3_000, 8_000, tuple(range(25)), 0.3, 0.3)]
