Moved the end of an attempt into a module of its own

Change: attempt_ends.py holds the answer, the resume decision, the proof that nothing ran and the suspicion of a crash. Sending, relay and flow control stay in attempts.py. The code that answers the caller is a function of its own. No behaviour was changed.

--- a/packages/daemon/src/ibispaddle_daemon/attempts.py
+++ b/packages/daemon/src/ibispaddle_daemon/attempts.py
@@ -1,11 +1,10 @@
-"""Attempts at runners: HTTP calls, relay, flow control, resume and proof that nothing ran."""
+"""Attempts at runners: HTTP calls, relay and flow control."""
 
 import itertools
 from typing import TYPE_CHECKING
 
 import msgspec
 from circuits import BaseComponent
-from ibispaddle_core import logevents
 from ibispaddle_core.chat import Kind
 from ibispaddle_core.clock import Clock
 from ibispaddle_core.relay import (
@@ -26,8 +25,7 @@
 from ibispaddle_core.scheduling import Dispatch, Outcome
 from opentelemetry.trace import Status, StatusCode
 
-from .calls import CallResult, Calls
-from .engine_answers import is_unreachable, may_have_died, proves_not_run, refusal_of
+from .attempt_ends import AttemptEnds
 from .events import (
     CallFailure,
     Headers,
@@ -39,20 +37,16 @@
     runner_failed,
 )
 from .http_client import HttpClient
-from .logs import log_event
 from .metrics import Metrics
 from .model_request import ModelRequest, RunningAttempt
 from .responses import JSON
-from .suspects import LostAttempt, Suspects
+from .suspects import Suspects
 from .timers import TimerQueue
 from .tracing import Tracing
 
 if TYPE_CHECKING:
     from .entry import Entry
 
-# Time for the engine to state whether a failed attempt ran.
-PROOF_TIMEOUT_MS = 500
-MAX_RESUMES = 2
 # The entry ends a request at its deadline; the HTTP call only follows, so that the caller's error
 # states the deadline and no retry begins at that moment.
 DEADLINE_MARGIN_MS = 250
@@ -85,8 +79,9 @@
         self._timers = timers
         self._metrics = metrics
         self._tracing = tracing
-        self._calls = Calls("attempt_calls", clock).register(self)
         self._running: dict[str, tuple[ModelRequest, RunningAttempt]] = {}
+        ends = AttemptEnds(entry, clock, suspects, self._resume, self.fingerprints)
+        self._ends = ends.register(self)
 
     # Start, cancel, resume
 
@@ -188,7 +183,7 @@
             running = request.attempt
             running.machine.handle(CancelRequested(), self._clock.now_ms())
             self._release(request, running)
-            self._ask_to_stop(request, running, is_awaited=False)
+            self._ends.ask_to_stop(request, running, is_awaited=False)
 
     def _watch(self, request: ModelRequest, running: RunningAttempt) -> None:
         """Wait until the attempt may have stalled."""
@@ -250,7 +245,7 @@
                     self._watch(request, running)
                 case AttemptFinished():
                     self._release(request, running)
-                    self._finished(request, running, effect)
+                    self._ends.finished(request, running, effect)
 
     # Flow control
 
@@ -296,104 +291,6 @@
         running.span.set_attribute("ibispaddle.outcome", str(end.outcome))
         running.span.end()
 
-    def _finished(
-        self, request: ModelRequest, running: RunningAttempt, end: AttemptFinished
-    ) -> None:
-        usage = running.machine.usage
-        if end.outcome is Outcome.COMPLETED:
-            if usage is not None:
-                request.prompt_tokens = usage.prompt_tokens
-            if end.answer is FinalAnswer.STREAM:
-                request.exchange.end()
-            else:
-                request.answer(200, end.body)
-                request.tokens = usage.completion_tokens if usage else 0
-                request.unreported_tokens = request.tokens
-            self._entry.finish(request, "ok")
-            self._entry.attempt_ended(request, running.upstream_id, end.outcome)
-            return
-        log_event(
-            logevents.ATTEMPT_FAILED,
-            request=request.request_id,
-            upstream=running.upstream_id,
-            outcome=str(end.outcome),
-            reason=end.text,
-        )
-        if end.answer is FinalAnswer.WHOLE:
-            self._answer_refusal(request, end)
-            self._entry.attempt_ended(request, running.upstream_id, end.outcome)
-        elif self._can_resume(request, running, end):
-            self._resume(request, running)
-        elif running.may_run_on and end.outcome is not Outcome.REJECTED:
-            self._ask_to_stop(request, running)
-        else:
-            self._entry.attempt_ended(request, running.upstream_id, end.outcome)
-
-    def _can_resume(
-        self, request: ModelRequest, running: RunningAttempt, end: AttemptFinished
-    ) -> bool:
-        return (
-            request.parsed.stream
-            and running.machine.next_index > 0
-            and running.machine.boot_id != ""
-            and request.resumes < MAX_RESUMES
-            and self._clock.now_ms() < request.req.deadline_ms
-            and end.outcome in (Outcome.FAILED, Outcome.STALLED)
-        )
-
-    def _answer_refusal(self, request: ModelRequest, end: AttemptFinished) -> None:
-        """Pass on a refusal whose cause is the caller's request."""
-        error = refusal_of(end, request.run_state)
-        request.fail(error)
-        self._entry.finish(request, error.code)
-
-    def _ask_to_stop(
-        self, request: ModelRequest, running: RunningAttempt, is_awaited: bool = True
-    ) -> None:
-        """Stop the engine's work on an attempt; `ran` false in its answer proves that none ran.
-
-        If it is awaited, the attempt is reported after the answer or a timeout.
-        """
-        if not running.may_run_on:
-            return
-        if is_awaited:
-            request.unproved_attempts += 1
-
-        def done(result: CallResult) -> None:
-            assert running.machine.finished is not None
-            outcome = running.machine.finished.outcome
-            if not running.machine.next_index and proves_not_run(result):
-                outcome = Outcome.REJECTED
-                if is_awaited:
-                    request.unproved_attempts -= 1
-            elif running.is_resumed:
-                outcome = Outcome.FAILED
-
-            def report() -> None:
-                if is_awaited:
-                    self._entry.attempt_ended(request, running.upstream_id, outcome)
-
-            if may_have_died(outcome, result):
-                self._suspects.examine(self._lost_attempt(request, running, result), report)
-            else:
-                report()
-
-        body = msgspec.json.encode({"request_id": running.engine_request_id})
-        url = f"{running.base_url}/v1/cancel"
-        self._calls.send("POST", url, body, PROOF_TIMEOUT_MS, done)
-
-    def _lost_attempt(
-        self, request: ModelRequest, running: RunningAttempt, result: CallResult
-    ) -> LostAttempt:
-        beside = self.fingerprints().get(running.upstream_id, ())
-        return LostAttempt(
-            running.upstream_id,
-            running.base_url,
-            running.machine.boot_id or running.upstream_boot,
-            frozenset((request.req.fingerprint, *beside)),
-            is_unreachable(result),
-        )
-
     def fingerprints(self) -> dict[str, set[str]]:
         """Return the fingerprints in flight, by upstream."""
         found: dict[str, set[str]] = {}
