Split the HTTP interface of the engine stand-in

Change: load reports are in load.py, the paths below /kv in memory_api.py and the error response in responses.py. No behaviour was changed.

--- a/packages/standins/src/ibispaddle_standins/engine/app.py
+++ b/packages/standins/src/ibispaddle_standins/engine/app.py
@@ -14,8 +14,11 @@
 from ..answers import estimate_tokens, prompt_hash, prompt_text
 from ..server import Handler, StandIn, abort_connection
 from .batching import Batcher, Sequence
+from .load import LoadReports
 from .memory import Memory, prefix_hashes
+from .memory_api import MemoryApi
 from .orders import Orders
+from .responses import error_response
 from .streams import ChunkWriter, usage_event, whole_answer
 
 CRASH_STATUS = 70
@@ -27,12 +30,6 @@
 DEFAULT_PRIORITY = 5
 
 
-def error_response(status: int, code: str, message: str) -> web.Response:
-    """Return an error in the form of the chat-completions protocol."""
-    error = {"message": message, "type": "engine_error", "code": code, "param": None}
-    return web.json_response({"error": error}, status=status)
-
-
 class Engine(StandIn):
     """Serve prompts with a simulated engine."""
 
@@ -71,8 +68,8 @@
         self.sequences: dict[str, Sequence] = {}
         self.forgotten: OrderedDict[str, bool] = OrderedDict()  # Request id and whether it ran.
         self.arrivals = self.accepted = self.rejected = self.cancels = self.resumes = 0
-        self.load_seq = 0
-        self.reports: list[tuple[float, dict[str, Any]]] = []
+        self.load = LoadReports(self.boot_id, self.batcher, self.memory, self.orders, self.faults)
+        self.memory_api = MemoryApi(self.boot_id, self.batcher, self.memory, self.faults)
         self.tasks: list[asyncio.Task[None]] = []
         self.faults.update(
             {
@@ -113,11 +110,9 @@
         router.add_get("/v1/models", self.list_models)
         router.add_post("/v1/cancel", self.cancel)
         router.add_post("/v1/resume", self.resume)
-        router.add_get("/load", self.report_load)
+        router.add_get("/load", self.load.answer)
         router.add_get("/cache/events", self.read_cache_events)
-        router.add_post("/kv/{action:reserve|import|export}", self.hold_memory)
-        router.add_delete("/kv/{handle}", self.delete_memory)
-        router.add_get("/kv", self.list_memory)
+        self.memory_api.add_routes(router)
         router.add_post("/orders", self.receive_order)
 
     def state(self) -> dict[str, Any]:
@@ -145,7 +140,7 @@
         self.tasks += [
             asyncio.create_task(self.batcher.run()),
             asyncio.create_task(self.sweep()),
-            asyncio.create_task(self.record_load()),
+            asyncio.create_task(self.load.record()),
         ]
 
     def faults_changed(self) -> None:
@@ -330,73 +325,10 @@
         models = [{"id": model, "object": "model", "created": 0} for model in self.orders.models]
         return web.json_response({"object": "list", "data": models})
 
-    def load_report(self) -> dict[str, Any]:
-        """Return the load of this moment."""
-        self.load_seq += 1
-        return {
-            "boot_id": self.boot_id,
-            "seq": self.load_seq,
-            "time_ms": int(time.time() * 1000),
-            "running": self.batcher.running,
-            "waiting": len(self.batcher.waiting),
-            "queued_prefill_tokens": self.batcher.queued_prefill_tokens,
-            "kv_tokens_used": self.memory.used,
-            "kv_tokens_total": self.memory.total,
-            "prefill_tokens_per_s": self.batcher.prefill_rate,
-            "decode_tokens_per_s": self.batcher.decode_rate,
-            "models": list(self.orders.models),
-            "role": self.orders.role,
-            "state": "leaving" if self.faults.get("leaving") else "live",
-        }
-
-    async def record_load(self) -> None:
-        """Record load reports from which the lagging one is chosen."""
-        while True:
-            lag_s = self.faults.get("load_lag_ms", 0) / 1000
-            now = time.monotonic()
-            self.reports.append((now, self.load_report()))
-            while len(self.reports) > 1 and self.reports[1][0] <= now - lag_s:
-                self.reports.pop(0)
-            await asyncio.sleep(max(0.02, lag_s / 4))
-
-    async def report_load(self, request: web.Request) -> web.Response:
-        """Answer with the load of some time ago."""
-        if not self.faults.get("load_lag_ms") or not self.reports:
-            return web.json_response(self.load_report())
-        return web.json_response(self.reports[0][1])
-
     async def read_cache_events(self, request: web.Request) -> web.Response:
         """Answer with the visible cache events."""
         return web.json_response(self.memory.events.read(int(request.query.get("from", "0"))))
 
-    # Memory and orders
-
-    async def hold_memory(self, request: web.Request) -> web.Response:
-        """Reserve, import or export the memory of a handle; the source is not contacted."""
-        body = await request.json()
-        handle, action = body["handle"], request.match_info["action"]
-        if action == "export" and handle not in self.memory.handles:
-            return error_response(404, "unknown_handle", f"the handle {handle!r} is not held")
-        if action == "reserve" and self.faults.take("reject_reservations"):
-            return error_response(409, "insufficient_memory", "refused by a fault")
-        state = {"reserve": "reserved", "import": "imported", "export": "exported"}[action]
-        source = str(body.get("source", ""))
-        if not self.memory.hold(handle, int(body.get("tokens", 0)), state, source):
-            return error_response(409, "insufficient_memory", "the tokens do not fit")
-        tokens = self.memory.handles[handle].tokens
-        return web.json_response({"handle": handle, "tokens": tokens, "state": state})
-
-    async def delete_memory(self, request: web.Request) -> web.Response:
-        """Free the memory of a handle."""
-        held = self.memory.handles.pop(request.match_info["handle"], None)
-        self.batcher.release()
-        return web.json_response({"deleted": held is not None, "boot_id": self.boot_id})
-
-    async def list_memory(self, request: web.Request) -> web.Response:
-        """List all handles with their tokens."""
-        handles = {name: handle.tokens for name, handle in self.memory.handles.items()}
-        return web.json_response({"boot_id": self.boot_id, "handles": handles})
-
     async def receive_order(self, request: web.Request) -> web.Response:
         """Apply an order."""
         status, body = self.orders.apply(await request.json(), bool(self.faults.get("fencing")))
