Made the list reader and the probes use the component for whole calls

Cause: instance_list.py and probes.py each numbered their HTTP calls, kept them by id and handled their completion, as calls.py does for other components. Change: both send through Calls, which can now cancel a call. The probes bind what follows a call by a function instead of a purpose's name. Reading and merging the list is a function of its own.

--- a/packages/daemon/src/ibispaddle_daemon/calls.py
+++ b/packages/daemon/src/ibispaddle_daemon/calls.py
@@ -7,7 +7,7 @@
 from circuits import BaseComponent, handler
 from ibispaddle_core.clock import Clock
 
-from .events import Headers, HttpCall, HttpCallError, http_call
+from .events import Headers, HttpCall, HttpCallError, http_call, http_cancel
 from .responses import JSON
 
 _NUMBERS = itertools.count(1)
@@ -38,8 +38,8 @@
         body: bytes,
         timeout_ms: int,
         callback: Callable[[CallResult], None],
-    ) -> None:
-        """Make a call; the callback gets its only result by the end of `timeout_ms`."""
+    ) -> str:
+        """Make a call and return its id; the callback gets its only result within `timeout_ms`."""
         call_id = f"{self.channel}-{next(_NUMBERS)}"
         self._callbacks[call_id] = callback
         call = HttpCall(
@@ -52,6 +52,12 @@
             channel=self.channel,
         )
         self.fire(http_call(call), "http_client")
+        return call_id
+
+    def cancel(self, call_id: str) -> None:
+        """Close the call's connection; its callback is not called any more."""
+        if self._callbacks.pop(call_id, None) is not None:
+            self.fire(http_cancel(call_id), "http_client")
 
     @handler("call_completed")
     def _on_call_completed(
--- a/packages/daemon/src/ibispaddle_daemon/instance_list.py
+++ b/packages/daemon/src/ibispaddle_daemon/instance_list.py
@@ -2,7 +2,6 @@
 
 # ruff: noqa: N801
 
-import itertools
 import random
 
 import msgspec
@@ -22,13 +21,8 @@
 )
 from ibispaddle_core.settings import FleetConfig, InstanceSettings
 
+from .calls import CallResult, Calls
 from .events import (
-    Headers,
-    HttpCall,
-    HttpCallError,
-    call_completed,
-    http_call,
-    http_cancel,
     list_changed,
     peer_send,
     readiness_changed,
@@ -93,7 +87,7 @@
         self._clock = clock
         self._timers = timers
         self._rng = random.Random(seed)
-        self._numbers = itertools.count(1)
+        self._calls = Calls("instance_list_calls", clock).register(self)
         self._members: tuple[Member, ...] = ()
         self._is_read = False
         self._held_readings = 0
@@ -110,17 +104,13 @@
 
     def _poll(self) -> None:
         # One call at a time: the next poll is scheduled when this one has ended.
-        self._call_id = f"instance_list-{next(self._numbers)}"
-        deadline_ms = self._clock.now_ms() + POLL_TIMEOUT_MS
-        call = HttpCall(self._call_id, "GET", self._url, (), b"", deadline_ms, self.channel)
-        self.fire(http_call(call), "http_client")
+        self._call_id = self._calls.send("GET", self._url, b"", POLL_TIMEOUT_MS, self._take_answer)
 
     @handler("process_paused", channel="*")
     def _on_process_paused(self, number: int) -> None:
         """Read the list at once; an answer on its way may have been given before the pause."""
         self._pause = number
-        if self._call_id:
-            self.fire(http_cancel(self._call_id), "http_client")
+        self._calls.cancel(self._call_id)
         if self._poll_timer is not None:
             self._poll_timer.cancel()
         self._poll()
@@ -153,15 +143,10 @@
         if not self._call_id:
             self._schedule(self._rng.randrange(NEWS_SPREAD_MS))
 
-    @handler(call_completed.__name__)
-    def _on_call_completed(
-        self, call_id: str, status: int, headers: Headers, body: bytes, error: HttpCallError | None
-    ) -> None:
-        if call_id != self._call_id:
-            return  # Cancelled after a pause.
+    def _take_answer(self, result: CallResult) -> None:
         self._call_id = ""
         known_version = self._view.version
-        self._note_answer(status, body, error)
+        self._note_answer(result)
         self._schedule(self._delay_ms())
         if self._view.version > known_version and known_version >= 0:
             now_ms = self._clock.now_ms()
@@ -169,21 +154,8 @@
                 if peer_id != self._settings.instance_id:
                     self.fire(peer_send(peer_id, ListSeen(self._view.version)), "*")
 
-    def _note_answer(self, status: int, body: bytes, error: HttpCallError | None) -> None:
-        problem = error.text if error else f"status {status}" if status != 200 else ""
-        if not problem:
-            parsed = parse_list(body)
-            if parsed.is_err():
-                problem = str(parsed.unwrap_err())
-            else:
-                listing = parsed.unwrap()
-                self._list_bytes = len(body)
-                outcome = self._view.apply_list(listing, self._clock.now_ms())
-                self._held_readings += 1
-                if outcome is not ListOutcome.HELD:
-                    self._held_readings = 0
-                if outcome is ListOutcome.STALE:
-                    problem = f"version {listing.version} is older than {self._view.version}"
+    def _note_answer(self, result: CallResult) -> None:
+        problem = self._apply_list(result)
         if problem:
             self.failures += 1
             if self.failures == 1:
@@ -199,6 +171,23 @@
         if is_first:
             self.fire(readiness_changed(self.channel, True), "*")
 
+    def _apply_list(self, result: CallResult) -> str:
+        """Merge the list into the view; return why it cannot be used, empty if it can."""
+        if result.error:
+            return result.error.text
+        if result.status != 200:
+            return f"status {result.status}"
+        parsed = parse_list(result.body)
+        if parsed.is_err():
+            return str(parsed.unwrap_err())
+        listing = parsed.unwrap()
+        self._list_bytes = len(result.body)
+        outcome = self._view.apply_list(listing, self._clock.now_ms())
+        self._held_readings = self._held_readings + 1 if outcome is ListOutcome.HELD else 0
+        if outcome is ListOutcome.STALE:
+            return f"version {listing.version} is older than {self._view.version}"
+        return ""
+
     def _review(self) -> None:
         self._timers.after(REVIEW_INTERVAL_MS, self._review)
         self._report()
--- a/packages/daemon/src/ibispaddle_daemon/probes.py
+++ b/packages/daemon/src/ibispaddle_daemon/probes.py
@@ -1,9 +1,8 @@
 """Probes of this instance's runners: load, failures and expired KV handles."""
 
-import itertools
 import json
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from urllib.parse import quote
 
@@ -16,13 +15,9 @@
 from ibispaddle_core.membership import Kind, ListEntry, MembershipView
 from ibispaddle_core.settings import InstanceSettings
 
+from .calls import CallResult, Calls
 from .events import (
     CallFailure,
-    Headers,
-    HttpCall,
-    HttpCallError,
-    call_completed,
-    http_call,
     load_reported,
     runner_failed,
 )
@@ -99,9 +94,8 @@
         self._clock = clock
         self._timers = timers
         self._rng = random.Random(seed)
-        self._numbers = itertools.count(1)
         self._runners: dict[str, _Runner] = {}
-        self._calls: dict[str, tuple[str, str]] = {}  # Purpose and runner id by call id.
+        self._calls = Calls("probe_calls", clock).register(self)
         # Computed again after changes of the view only: it hashes each runner with each instance.
         self._is_assigned = False
         self._timer: TimerHandle | None = None
@@ -134,7 +128,7 @@
             if now_ms >= runner.next_kv_ms:
                 runner.next_kv_ms = now_ms + KV_INTERVAL_MS
                 if not runner.is_down:
-                    self._call("kv", runner_id, "GET", "/kv", KV_TIMEOUT_MS)
+                    self._call(runner_id, "GET", "/kv", KV_TIMEOUT_MS, self._delete_expired)
             due_ms = min(due_ms, max(runner.next_probe_ms, now_ms + MIN_TICK_MS))
         self._timer = self._timers.at(due_ms, self._tick)
 
@@ -157,43 +151,39 @@
     def _probe(self, runner_id: str, runner: _Runner, now_ms: int) -> None:
         runner.in_flight = True
         runner.next_probe_ms = now_ms + self._interval_ms
-        self._call("load", runner_id, "GET", "/load", PROBE_TIMEOUT_MS)
+        self._call(runner_id, "GET", "/load", PROBE_TIMEOUT_MS, self._note_load)
+
+    def _call(
+        self,
+        runner_id: str,
+        method: str,
+        path: str,
+        timeout_ms: int,
+        note: Callable[[str, _Runner, CallResult], None],
+    ) -> None:
+        """Call a runner; `note` gets the result if this instance still probes the runner."""
+
+        def done(result: CallResult) -> None:
+            runner = self._runners.get(runner_id)
+            if runner is not None:
+                note(runner_id, runner, result)
 
-    def _call(self, purpose: str, runner_id: str, method: str, path: str, timeout_ms: int) -> None:
-        call_id = f"probes-{next(self._numbers)}"
-        self._calls[call_id] = (purpose, runner_id)
         url = f"{self._scheme}://{self._runners[runner_id].entry.address}{path}"
-        deadline_ms = self._clock.now_ms() + timeout_ms
-        call = HttpCall(call_id, method, url, (), b"", deadline_ms, self.channel)
-        self.fire(http_call(call), "http_client")
+        self._calls.send(method, url, b"", timeout_ms, done)
 
-    @handler(call_completed.__name__)
-    def _on_call_completed(
-        self, call_id: str, status: int, headers: Headers, body: bytes, error: HttpCallError | None
-    ) -> None:
-        purpose, runner_id = self._calls.pop(call_id, ("", ""))
-        runner = self._runners.get(runner_id)
-        if runner is None:
+    def _delete_expired(self, runner_id: str, runner: _Runner, result: CallResult) -> None:
+        if result.error is not None or result.status != 200:
             return
-        if purpose == "kv" and error is None and status == 200:
-            for handle in expired_handles(body, self._clock.wall_ms()):
-                path = f"/kv/{quote(handle, safe='')}"
-                self._call("delete", runner_id, "DELETE", path, KV_TIMEOUT_MS)
-        elif purpose == "load":
-            runner.in_flight = False
-            self._note_load(runner_id, runner, status, body, error)
+        for handle in expired_handles(result.body, self._clock.wall_ms()):
+            path = f"/kv/{quote(handle, safe='')}"
+            self._call(runner_id, "DELETE", path, KV_TIMEOUT_MS, lambda *_: None)
 
-    def _note_load(
-        self,
-        runner_id: str,
-        runner: _Runner,
-        status: int,
-        body: bytes,
-        error: HttpCallError | None,
-    ) -> None:
+    def _note_load(self, runner_id: str, runner: _Runner, result: CallResult) -> None:
+        runner.in_flight = False
+        error, status = result.error, result.status
         if error is None and status == 200:
             try:
-                self._note_answer(runner_id, runner, _LOAD_DECODER.decode(body))
+                self._note_answer(runner_id, runner, _LOAD_DECODER.decode(result.body))
                 return
             except (msgspec.DecodeError, UnicodeDecodeError, ValueError, OverflowError) as exc:
                 logging.debug("load report of '%s' cannot be read: %s", runner_id, exc)
