--- a/packages/bench/src/ibispaddle_bench/processes.py
+++ b/packages/bench/src/ibispaddle_bench/processes.py
@@ -33,13 +33,14 @@
 
 @dataclass
 class ManagedProcess:
-    """A process with one HTTP port."""
+    """A process with one HTTP port, and a stand-in with a certificate has a port for TLS too."""
 
     name: str
     popen: subprocess.Popen[bytes]
     port: int
     command: list[str] = field(default_factory=list)
     log_file: Path | None = None
+    tls_port: int = 0
 
     @property
     def pid(self) -> int:
@@ -115,7 +116,8 @@
         popen.kill()
         popen.wait()
         raise ProcessError(f"{name or kind}: {exc}") from exc
-    return ManagedProcess(name or kind, popen, json.loads(line)["port"], command)
+    ports = json.loads(line)
+    return ManagedProcess(name or kind, popen, ports["port"], command, tls_port=ports["tls_port"])
 
 
 def start_stand_ins(specs: Sequence[tuple[str, str, Sequence[str]]]) -> list[ManagedProcess]:
--- a/tests/client/test_against_instance.py
+++ b/tests/client/test_against_instance.py
@@ -7,11 +7,13 @@
 import unittest
 
 import requests
-from ibispaddle_bench.fleet import MODEL, OPERATOR_KEY, SERVICE, WORKSPACE_KEYS, Fleet, FleetSpec
+from ibispaddle_bench.fleet import MODEL, SERVICE, WORKSPACE_KEYS, Fleet, FleetSpec
 from ibispaddle_client.__main__ import app
 from ibispaddle_client.exceptions import ConflictError
 from typer.testing import CliRunner
 
+from tests.support.operators import invoke, invoke_json
+
 MARKER = "crash-the-engine"
 PROPAGATION_S = 4.0
 FLUSH_S = 5.0  # More than two flush intervals.
@@ -32,14 +34,10 @@
         cls.addClassCleanup(cls.fleet.__exit__, None, None, None)
 
     def invoke(self, *args, entry=0):
-        server = self.fleet.entries[entry].url
-        env = {"IBISPADDLE_SERVER": server, "IBISPADDLE_KEY": OPERATOR_KEY}
-        return CliRunner(env=env).invoke(app, list(args))
+        return invoke(self.fleet.entries[entry], *args)
 
     def read(self, *args, entry=0):
-        outcome = self.invoke(*args, "--json", entry=entry)
-        self.assertIsNone(outcome.exception, outcome.output)
-        return json.loads(outcome.output)
+        return invoke_json(self.fleet.entries[entry], *args)
 
     def test_upstreams_are_listed_with_their_state(self):
         """Guard against an operator who cannot see which upstreams take work."""
--- a/tests/configuration/test_processes.py
+++ b/tests/configuration/test_processes.py
@@ -1,35 +1,15 @@
 """Tests with real processes: changes by operators, outages of the log, starts of instances."""
 
-import json
 import threading
 import time
 import unittest
-import urllib.error
-import urllib.request
 
-from ibispaddle_bench.fleet import OPERATOR_KEY, Fleet, FleetSpec
-
-IN_FORCE_S = 4.0
+from ibispaddle_bench.fleet import Fleet, FleetSpec
 
+from tests.support.http import is_ready
+from tests.support.operators import operator
 
-def operator(entry, path, body=None, key=OPERATOR_KEY):
-    """Return the status and the JSON answer of the operator API."""
-    data = None if body is None else json.dumps(body).encode()
-    headers = {"Authorization": f"Bearer {key}"}
-    request = urllib.request.Request(f"{entry.url}/operator/{path}", data, headers)
-    try:
-        with urllib.request.urlopen(request, timeout=15) as response:
-            return response.status, json.loads(response.read())
-    except urllib.error.HTTPError as exc:
-        return exc.code, json.loads(exc.read())
-
-
-def is_ready(entry):
-    try:
-        with urllib.request.urlopen(f"{entry.url}/readyz", timeout=2):
-            return True
-    except OSError:
-        return False
+IN_FORCE_S = 4.0
 
 
 class ConfigurationTest(unittest.TestCase):
--- a/tests/configuration/test_restart_processes.py
+++ b/tests/configuration/test_restart_processes.py
@@ -13,7 +13,9 @@
 from ibispaddle_client.api import OperatorApi
 from ibispaddle_client.exceptions import ClientError, ExitStatus
 
-from .test_processes import is_ready
+from tests.support.http import is_ready
+from tests.support.operators import environment
+from tests.support.waiting import wait_until
 
 WAIT_S = 15.0
 
@@ -48,7 +50,7 @@
 
     def invoke(self, entry, *args):
         """Start the command and return its process."""
-        env = {"IBISPADDLE_SERVER": self.fleet.entries[entry].url, "IBISPADDLE_KEY": OPERATOR_KEY}
+        env = environment(self.fleet.entries[entry])
         command = [sys.executable, "-m", "ibispaddle_client", "config", "restart", *args, "--json"]
         return subprocess.Popen(
             command, env=os.environ | env, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True
@@ -62,12 +64,6 @@
         self.fleet.log.set_faults(retention_ms=0)
         self.assertEqual((page["first_offset"], page["records"]), (page["next_offset"], []))
 
-    def wait_for(self, condition, what):
-        limit = time.monotonic() + WAIT_S
-        while not condition():
-            self.assertLess(time.monotonic(), limit, what)
-            time.sleep(0.05)
-
     def start_all(self):
         for index, entry in enumerate(self.fleet.entries):
             self.fleet.entries[index] = self.fleet.start_entry(entry.name)
@@ -91,7 +87,7 @@
         answer = json.loads(outputs[winner][0])
         revision = answer["revision"]
         self.assertIn(answer["restart_id"], outputs[1 - winner][1])
-        self.wait_for(lambda: all(is_ready(entry) for entry in self.fleet.entries), "ready")
+        wait_until(lambda: all(is_ready(entry) for entry in self.fleet.entries), "ready", WAIT_S)
         print(f"ready {time.monotonic() - started:.2f} s after the command")
         for number in range(3):
             shown = self.api(number).get("config")
@@ -126,14 +122,14 @@
         self.drop_log()
         self.fleet.entries[0].kill()
         self.fleet.entries[0] = self.fleet.start_entry(self.fleet.entries[0].name)
-        self.wait_for(lambda: self.answers(0), "listen")
+        wait_until(lambda: self.answers(0), "listen", WAIT_S)
         base = self.file("base.json", self.document(2.0))
         command = self.invoke(0, base)
         _, text = command.communicate(timeout=60)
         self.assertEqual(command.returncode, ExitStatus.CONFLICT)
         self.assertRegex(text, "'entry.[23]' has the configuration at revision 0")
         # The inquiry made an instance with a state append a snapshot, from which this one starts.
-        self.wait_for(lambda: is_ready(self.fleet.entries[0]), "ready")
+        wait_until(lambda: is_ready(self.fleet.entries[0]), "ready", WAIT_S)
         self.assertEqual(self.api(0).get("config")["revision"], 0)
 
     def answers(self, entry):
--- a/tests/daemon/processes.py
+++ b/tests/daemon/processes.py
@@ -9,73 +9,19 @@
 import sys
 import tempfile
 import threading
-import urllib.request
 from pathlib import Path
 from typing import Any
 
-from .support import wait_until
+from ibispaddle_bench.processes import ManagedProcess, call_json, start_stand_in
+
+from tests.support.entries import runner_entry
+from tests.support.http import metric
+from tests.support.waiting import wait_until
 
 KEY = "key-of-the-workspace"
 STOP_S = 15
 
 
-def http(method: str, url: str, body: Any = None, timeout_s: float = 10) -> Any:
-    """Return the JSON answer to a request that has to succeed."""
-    data = None if body is None else json.dumps(body).encode()
-    request = urllib.request.Request(url, data, {"Content-Type": "application/json"}, method=method)
-    with urllib.request.urlopen(request, timeout=timeout_s) as response:
-        return json.loads(response.read())
-
-
-class StandIn:
-    """One stand-in process, which ends with this process at the latest."""
-
-    def __init__(self, module: str, *args: str) -> None:
-        self.proc = subprocess.Popen(
-            [sys.executable, "-m", f"ibispaddle_standins.{module}", "--end-with-stdin", *args],
-            stdin=subprocess.PIPE,
-            stdout=subprocess.PIPE,
-        )
-        ports = json.loads(self.proc.stdout.readline())
-        self.address = f"127.0.0.1:{ports['port']}"
-        self.tls_address = f"127.0.0.1:{ports['tls_port']}"
-        self.url = f"http://{self.address}"
-
-    def faults(self, **faults: Any) -> None:
-        """Switch faults on or off."""
-        http("POST", f"{self.url}/admin/faults", faults)
-
-    def state(self) -> dict[str, Any]:
-        """Return the counters."""
-        return http("GET", f"{self.url}/admin/state")
-
-    def close(self) -> None:
-        """End the process."""
-        with contextlib.suppress(ProcessLookupError):
-            self.proc.send_signal(signal.SIGCONT)
-        self.proc.stdin.close()
-        try:
-            self.proc.wait(STOP_S)
-        except subprocess.TimeoutExpired:
-            self.proc.kill()
-            self.proc.wait()
-        self.proc.stdout.close()
-
-
-def runner_entry(name: str, address: str, state: str = "live", model: str = "m") -> dict:
-    """Return a runner's entry of the instance list."""
-    return {
-        "id": name,
-        "kind": "runner",
-        "address": address,
-        "data_centre": "dc1",
-        "state": state,
-        "models": [model],
-        "service": None,
-        "fenced": False,
-    }
-
-
 def service_entry(name: str, address: str, service: str = "shop") -> dict:
     """Return a service's entry of the instance list."""
     return runner_entry(name, address) | {"kind": "service", "models": [], "service": service}
@@ -155,11 +101,7 @@
 
     def metric(self, name: str) -> float:
         """Return the sum of a metric's values."""
-        with urllib.request.urlopen(f"{self.url}/metrics", timeout=10) as response:
-            lines = response.read().decode().splitlines()
-        return sum(
-            float(line.split()[-1]) for line in lines if line.split("{")[0].split()[0] == name
-        )
+        return metric(self, name)
 
     def stop(self, timeout_s: float = STOP_S) -> int:
         """Send SIGTERM and return the exit status."""
@@ -190,11 +132,11 @@
         self.stack = contextlib.ExitStack()
         try:
             folder = self.stack.enter_context(tempfile.TemporaryDirectory())
-            self.list = self.add(StandIn("instances"))
-            self.log = self.add(StandIn("log"))
+            self.list = self.add("instances")
+            self.log = self.add("log")
             settings = {"log_url": self.log.url} | settings
-            self.runners = [self.add(StandIn("engine", *runner_args)) for _ in range(runners)]
-            self.services = [self.add(StandIn("service", *service_args)) for _ in range(services)]
+            self.runners = [self.add("engine", *runner_args) for _ in range(runners)]
+            self.services = [self.add("service", *service_args) for _ in range(services)]
             self.publish()
             document = document or fleet_document()
             self.instance = Instance(folder, self.list.url, document, **settings)
@@ -210,20 +152,27 @@
         """Return the number of runners that the instance keeps a connection to."""
         return int(self.instance.metric("ibispaddle_upstream_connections")) - 1
 
-    def add(self, stand_in: StandIn) -> StandIn:
-        """Close a stand-in with the fleet."""
-        self.stack.callback(stand_in.close)
+    def add(self, kind: str, *options: str) -> ManagedProcess:
+        """Start a stand-in that ends with the fleet."""
+        stand_in = start_stand_in(kind, *options)
+        self.stack.callback(stand_in.end)
         return stand_in
 
+    def listed_address(self, upstream: ManagedProcess) -> str:
+        """Return the address of an upstream in the instance list."""
+        return upstream.address
+
     def publish(self, states: dict[int, str] | None = None) -> None:
         """Write the instance list."""
         states = states or {}
         entries = [
-            runner_entry(f"runner.{i}", runner.address, states.get(i, "live"))
+            runner_entry(f"runner.{i}", self.listed_address(runner), states.get(i, "live"))
             for i, runner in enumerate(self.runners)
         ]
-        entries += [service_entry(f"shop.{i}", s.address) for i, s in enumerate(self.services)]
-        http("PUT", f"{self.list.url}/admin/entries", {"entries": entries})
+        entries += [
+            service_entry(f"shop.{i}", self.listed_address(s)) for i, s in enumerate(self.services)
+        ]
+        call_json(f"{self.list.url}/admin/entries", {"entries": entries}, method="PUT")
 
     def __enter__(self) -> "Fleet":
         return self
--- a/tests/daemon/test_bad_callers.py
+++ b/tests/daemon/test_bad_callers.py
@@ -8,49 +8,12 @@
 
 from ibispaddle_standins.answers import find_fault
 
-from .processes import KEY, Fleet, fleet_document
-from .support import wait_until
+from tests.support.waiting import wait_until
 
-LIMITS = {"max_body_bytes": 20_000, "max_header_bytes": 4_096, "max_unsent_bytes": 65_536}
-AUTH = f"Authorization: Bearer {KEY}\r\n"
-PROMPT = "x"
-
-
-def post(path: str, body: bytes, headers: str = AUTH) -> bytes:
-    """Return the bytes of a request."""
-    head = f"POST {path} HTTP/1.1\r\nHost: a\r\n{headers}Content-Length: {len(body)}\r\n\r\n"
-    return head.encode() + body
-
-
-def chat_body(**fields) -> bytes:
-    """Return the body of a chat request."""
-    document = {"model": "m", "messages": [{"role": "user", "content": PROMPT}], "max_tokens": 4}
-    return json.dumps(document | fields).encode()
+from .processes import Fleet, fleet_document
+from .raw_http import AUTH, PROMPT, chat_body, connect, post, read_all, read_response
 
-
-def read_response(sock: socket.socket) -> tuple[int, dict[str, str], bytes]:
-    """Return the next response with a Content-Length."""
-    data = b""
-    while b"\r\n\r\n" not in data:
-        piece = sock.recv(1)
-        if not piece:
-            raise AssertionError(f"the connection ended after {data!r}")
-        data += piece
-    head, _, _ = data.partition(b"\r\n\r\n")
-    lines = head.decode().split("\r\n")
-    headers = dict(line.lower().split(": ", 1) for line in lines[1:])
-    body = b""
-    while len(body) < int(headers["content-length"]):
-        body += sock.recv(int(headers["content-length"]) - len(body))
-    return int(lines[0].split()[1]), headers, body
-
-
-def read_all(sock: socket.socket) -> bytes:
-    """Return all bytes up to the end of the connection."""
-    parts = []
-    while piece := sock.recv(65_536):
-        parts.append(piece)
-    return b"".join(parts)
+LIMITS = {"max_body_bytes": 20_000, "max_header_bytes": 4_096, "max_unsent_bytes": 65_536}
 
 
 class BadCallerTest(unittest.TestCase):
@@ -66,8 +29,7 @@
         self.assertEqual(self.fleet.instance.problems(), [])
 
     def connect(self) -> socket.socket:
-        host, port = self.fleet.instance.address.split(":")
-        return self.enterContext(socket.create_connection((host, int(port)), timeout=10))
+        return self.enterContext(connect(self.fleet.instance.address))
 
     def answer(self, request: bytes) -> tuple[int, dict[str, str], dict]:
         with self.connect() as sock:
--- a/tests/daemon/test_bad_upstreams.py
+++ b/tests/daemon/test_bad_upstreams.py
@@ -7,9 +7,13 @@
 import unittest
 
 import openai
+from ibispaddle_bench.processes import call_json
 
-from .processes import KEY, Fleet, fleet_document, http, runner_entry
-from .support import RawUpstream, read_request, wait_until
+from tests.support.entries import runner_entry
+from tests.support.upstreams import RawUpstream, read_request
+from tests.support.waiting import wait_until
+
+from .processes import KEY, Fleet, fleet_document
 
 LOAD = {
     "boot_id": "b",
@@ -79,7 +83,7 @@
         cls.runner = BadRunner()
         cls.addClassCleanup(cls.runner.upstream.close)
         entries = [runner_entry("bad", cls.runner.upstream.address)]
-        http("PUT", f"{cls.fleet.list.url}/admin/entries", {"entries": entries})
+        call_json(f"{cls.fleet.list.url}/admin/entries", {"entries": entries}, method="PUT")
         wait_until(lambda: cls.runner.upstream.connections, "probe")
         cls.client = openai.OpenAI(
             api_key=KEY, base_url=f"{cls.fleet.instance.url}/v1", max_retries=0, timeout=10
--- a/tests/daemon/test_faults_under_load.py
+++ b/tests/daemon/test_faults_under_load.py
@@ -10,9 +10,10 @@
 
 from ibispaddle_standins.answers import find_fault
 
+from tests.support.waiting import wait_until
+
 from .processes import Fleet, fleet_document
-from .support import wait_until
-from .test_bad_callers import AUTH, post, read_all
+from .raw_http import AUTH, post, read_all
 
 CALLERS = 40
 DURATION_S = 4.0
@@ -96,9 +97,9 @@
                 caller.start()
             while time.monotonic() < ends - 0.5:
                 runner, fault = rnd.choice(fleet.runners), rnd.choice(FAULTS)
-                runner.faults(**fault)
+                runner.set_faults(**fault)
                 time.sleep(0.4)
-                runner.faults(**dict.fromkeys(fault))
+                runner.set_faults(**dict.fromkeys(fault))
             for caller in callers:
                 caller.join(40)
                 self.assertFalse(caller.is_alive(), "a request did not end")
--- a/tests/daemon/test_http_client.py
+++ b/tests/daemon/test_http_client.py
@@ -16,7 +16,11 @@
 )
 from ibispaddle_daemon.http_client import HttpClient
 
-from .support import RawUpstream, Recorder, Root, read_request, wait_until
+from tests.support.event_loop import Root
+from tests.support.upstreams import RawUpstream, read_request
+from tests.support.waiting import wait_until
+
+from .support import Recorder
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/tests/daemon/test_metrics.py
+++ b/tests/daemon/test_metrics.py
@@ -10,7 +10,9 @@
 from ibispaddle_daemon.metrics import Metrics
 from ibispaddle_daemon.request_gauges import MAX_NEIGHBOURS, OTHERS, RequestGauges
 
-from tests.failures.support import Call, FleetTest, metric, wait_until
+from tests.failures.support import Call, FleetTest
+from tests.support.http import metric
+from tests.support.waiting import wait_until
 
 
 class RequestGaugesTest(unittest.TestCase):
--- a/tests/daemon/test_request_path.py
+++ b/tests/daemon/test_request_path.py
@@ -3,10 +3,12 @@
 import unittest
 
 import openai
+from ibispaddle_bench.processes import start_stand_in
 from ibispaddle_standins.answers import find_fault
 
-from .processes import KEY, Fleet, StandIn, fleet_document
-from .support import wait_until
+from tests.support.waiting import wait_until
+
+from .processes import KEY, Fleet, fleet_document
 
 PROMPT = "Draft a motif with lilies."
 
@@ -125,7 +127,7 @@
 
     def tearDown(self):
         known = self.fleet.runners[0].state()["faults"]
-        self.fleet.runners[0].faults(**dict.fromkeys(known))
+        self.fleet.runners[0].set_faults(**dict.fromkeys(known))
         super().tearDown()
 
     def stream(self, tokens=40, **kwargs):
@@ -134,40 +136,40 @@
 
     def test_repeated_and_foreign_tokens_are_not_passed_on(self):
         """Guard against tokens of another answer or tokens that occur twice."""
-        self.fleet.runners[0].faults(duplicate_every=3, foreign_every=4)
+        self.fleet.runners[0].set_faults(duplicate_every=3, foreign_every=4)
         self.assertEqual(find_fault(self.stream(), PROMPT, 40), "")
         self.assertGreater(self.fleet.instance.metric("ibispaddle_dropped_events_total"), 0)
 
     def test_cut_stream_is_resumed_at_the_next_token(self):
         """Guard against a cut connection that loses or repeats tokens."""
-        self.fleet.runners[0].faults(cut_after_tokens=10)
+        self.fleet.runners[0].set_faults(cut_after_tokens=10)
         self.assertEqual(find_fault(self.stream(), PROMPT, 40), "")
         self.assertGreater(self.fleet.runners[0].state()["resumes"], 0)
 
     def test_skipped_token_is_not_hidden(self):
         """Guard against a gap in the answer: it is filled by a resume or ends with an error."""
-        self.fleet.runners[0].faults(skip_every=30)
+        self.fleet.runners[0].set_faults(skip_every=30)
         with self.assertRaises(openai.APIError) as caught:
             self.stream()
         self.assertEqual(caught.exception.body["run_state"], "unknown")
 
     def test_foreign_answer_is_not_passed_on(self):
         """Guard against an answer to another request."""
-        self.fleet.runners[0].faults(foreign_answer=True)
+        self.fleet.runners[0].set_faults(foreign_answer=True)
         with self.assertRaises(openai.APIStatusError) as caught:
             self.stream()
         self.assertEqual(caught.exception.body["run_state"], "unknown")
 
     def test_refusal_of_the_engine_is_not_run(self):
         """Guard against an unknown run state after the engine proved that nothing ran."""
-        self.fleet.runners[0].faults(reject=True)
+        self.fleet.runners[0].set_faults(reject=True)
         with self.assertRaises(openai.APIStatusError) as caught:
             self.stream()
         self.assertEqual(caught.exception.body["run_state"], "not_run")
 
     def test_frozen_engine_ends_at_the_deadline(self):
         """Guard against a request that waits for an engine that never answers."""
-        self.fleet.runners[0].faults(freeze="tokens")
+        self.fleet.runners[0].set_faults(freeze="tokens")
         for stream in (True, False):
             with self.assertRaises(openai.APIStatusError) as caught:
                 self.chat(stream=stream, extra_headers={"X-Request-Timeout-Ms": "400"})
@@ -194,8 +196,8 @@
             for chunk in self.chat(tokens=100_000, stream=True):
                 received.append(chunk)
                 if len(received) == 5:
-                    self.fleet.runners[0].faults(freeze="tokens")
-        self.fleet.runners[0].faults(freeze=None)
+                    self.fleet.runners[0].set_faults(freeze="tokens")
+        self.fleet.runners[0].set_faults(freeze=None)
         self.assertEqual(caught.exception.body["code"], "upstream_failed")
 
 
@@ -205,8 +207,7 @@
 
     def test_dead_engine_is_replaced_by_another(self):
         """Guard against an error while another engine can answer."""
-        self.fleet.runners[0].proc.kill()
-        self.fleet.runners[0].proc.wait()
+        self.fleet.runners[0].kill()
         try:
             for _ in range(4):
                 answer = self.chat(tokens=5)
@@ -218,8 +219,8 @@
 class TraceTest(unittest.TestCase):
     def test_spans_follow_the_callers_trace(self):
         """Guard against spans that are lost or do not belong to the caller's trace."""
-        collector = StandIn("collector")
-        self.addCleanup(collector.close)
+        collector = start_stand_in("collector")
+        self.addCleanup(collector.end)
         fleet = self.enterContext(Fleet(1, trace_url=collector.url))
         trace = "0af7651916cd43dd8448eb211c80319c"
         headers = {"traceparent": f"00-{trace}-b7ad6b7169203331-01"}
--- a/tests/daemon/test_services.py
+++ b/tests/daemon/test_services.py
@@ -69,23 +69,23 @@
 
     def test_dead_service_instance_is_replaced(self):
         """Guard against an error while another instance of the service can answer."""
-        self.fleet.services[0].faults(lose_answers=True)
+        self.fleet.services[0].set_faults(lose_answers=True)
         try:
             for _ in range(4):
                 self.assertEqual(self.call("/x")[0], 200)
         finally:
-            self.fleet.services[0].faults(lose_answers=None)
+            self.fleet.services[0].set_faults(lose_answers=None)
 
     def test_frozen_service_ends_at_the_deadline(self):
         """Guard against a call that waits for ever."""
         headers = {"X-Request-Timeout-Ms": "300"}
         for service in self.fleet.services:
-            service.faults(freeze=True)
+            service.set_faults(freeze=True)
         try:
             status, _, error = self.call("/x", **headers)
         finally:
             for service in self.fleet.services:
-                service.faults(freeze=None)
+                service.set_faults(freeze=None)
         self.assertEqual((status, error["code"], error["run_state"]), (504, "deadline", "unknown"))
 
     def test_call_that_is_not_repeatable_needs_a_key(self):
--- a/tests/daemon/test_stop.py
+++ b/tests/daemon/test_stop.py
@@ -1,8 +1,6 @@
 """Tests of the planned stop and of TLS with real processes."""
 
-import contextlib
 import json
-import socket
 import ssl
 import tempfile
 import threading
@@ -14,10 +12,10 @@
 from ibispaddle_standins.answers import find_fault
 
 from tests.support.certificates import Authority
+from tests.support.waiting import wait_until
 
 from .processes import KEY, Fleet
-from .support import wait_until
-from .test_bad_callers import AUTH, chat_body, post, read_response
+from .raw_http import AUTH, chat_body, connect, post, read_all, read_response
 
 
 class LoadThread(threading.Thread):
@@ -79,12 +77,8 @@
     def test_draining_instance_is_not_ready_and_takes_no_new_connections(self):
         """Guard against new work at an instance that is being stopped."""
         with Fleet(1, ("--time-scale", "1")) as fleet:
-            host, port = fleet.instance.address.split(":")
-
-            def connect():
-                return contextlib.closing(socket.create_connection((host, int(port)), timeout=10))
-
-            with connect() as running, connect() as idle:
+            address = fleet.instance.address
+            with connect(address) as running, connect(address) as idle:
                 body = chat_body(stream=True, max_tokens=90)
                 running.sendall(post("/v1/chat/completions", body))
                 idle.sendall(post("/v1/completions", b"{"))
@@ -92,10 +86,10 @@
                 self.assertIn(b"200 OK", running.recv(4_096))
                 fleet.instance.proc.terminate()
                 wait_until(lambda: fleet.instance.events("instance_draining"), "drain")
-                with connect() as new:
+                with connect(address) as new:
                     new.sendall(b"GET /readyz HTTP/1.1\r\nHost: a\r\n\r\n")
                     self.assertEqual(read_response(new)[0], 503)
-                with connect() as new:
+                with connect(address) as new:
                     new.sendall(post("/v1/chat/completions", chat_body()))
                     status, headers, answer = read_response(new)
                     self.assertEqual((status, headers["retry-after"]), (503, "1"))
@@ -104,17 +98,13 @@
                 idle.sendall(post("/v1/chat/completions", chat_body()))
                 status, headers, _ = read_response(idle)
                 self.assertEqual((status, headers["connection"]), (200, "close"))
-                rest = b""
-                while piece := running.recv(65_536):
-                    rest += piece
-                self.assertIn(b"data: [DONE]", rest)
+                self.assertIn(b"data: [DONE]", read_all(running))
             self.assertEqual(fleet.instance.proc.wait(10), 0)
 
     def test_stop_lasts_until_the_deadline_of_the_last_request(self):
         """Guard against a request that is cut because it outlasts the drain timeout."""
         with Fleet(1, ("--time-scale", "1"), drain_timeout_ms=100) as fleet:
-            host, port = fleet.instance.address.split(":")
-            with socket.create_connection((host, int(port)), timeout=10) as sock:
+            with connect(fleet.instance.address) as sock:
                 sock.sendall(post("/v1/chat/completions", chat_body(max_tokens=60)))
                 wait_until(lambda: fleet.runners[0].state()["running"], "start")
                 self.assertIsNone(fleet.instance.proc.poll())
@@ -131,19 +121,17 @@
             cert, key = authority.sign("localhost")
             tls = {"certificate_file": cert, "key_file": key}
             with TlsFleet(1, tls=tls) as fleet:
-                host, port = fleet.instance.address.split(":")
-                silent = [socket.create_connection((host, int(port))) for _ in range(3)]
+                address = fleet.instance.address
+                silent = [connect(address) for _ in range(3)]
                 context = ssl.create_default_context(cafile=authority.file)
                 with (
-                    socket.create_connection((host, int(port)), timeout=10) as plain,
+                    connect(address) as plain,
                     context.wrap_socket(plain, server_hostname="127.0.0.1") as sock,
                 ):
                     body = chat_body(stream=True, max_tokens=500)
                     head = AUTH + "Connection: close\r\nX-Padding: " + "y" * 30_000 + "\r\n"
                     sock.sendall(post("/v1/chat/completions", body, head))
-                    answer = b""
-                    while piece := sock.recv(65_536):
-                        answer += piece
+                    answer = read_all(sock)
                 self.assertIn(b"data: [DONE]", answer)
                 self.assertIn(b'"token_index": 499', answer)
                 for sock in silent:
--- a/tests/daemon/test_tls.py
+++ b/tests/daemon/test_tls.py
@@ -10,11 +10,11 @@
 from ibispaddle_bench.fleet import FleetSpec
 from ibispaddle_standins.answers import find_fault
 
-from tests.failures.support import metric
 from tests.support.certificates import Authority
+from tests.support.http import metric
+from tests.support.waiting import wait_until
 
 from . import processes
-from .support import wait_until
 
 HEADERS = {"Authorization": f"Bearer {processes.KEY}"}
 MODEL = {"context_tokens": 2_000_000, "engine_kv_tokens": 2_000_000}
@@ -24,10 +24,8 @@
 class TlsFleet(processes.Fleet):
     """A fleet whose list has the TLS ports of its upstreams, reachable or not."""
 
-    def publish(self, states=None):
-        for upstream in (*self.runners, *self.services):
-            upstream.address = upstream.tls_address
-        super().publish(states)
+    def listed_address(self, upstream):
+        return f"127.0.0.1:{upstream.tls_port}"
 
     def reachable(self):
         return len(self.runners)
--- a/tests/daemon/test_traces.py
+++ b/tests/daemon/test_traces.py
@@ -4,16 +4,15 @@
 import unittest
 from dataclasses import replace
 
-from ibispaddle_bench.fleet import OPERATOR_KEY
-from ibispaddle_client.__main__ import app
 from ibispaddle_core.clock import ManualClock
 from ibispaddle_daemon.timers import TimerQueue
 from ibispaddle_daemon.traces import RecentTraces
 from ibispaddle_daemon.tracing import Tracing
 from opentelemetry.trace import Status, StatusCode
-from typer.testing import CliRunner
 
-from tests.failures.support import KEY, FleetTest, wait_until
+from tests.failures.support import KEY, FleetTest
+from tests.support.operators import invoke
+from tests.support.waiting import wait_until
 
 
 class RecentTracesTest(unittest.TestCase):
@@ -65,8 +64,7 @@
     SPEC = replace(FleetTest.SPEC, entries=2, runners=2)
 
     def trace(self, request_id, entry, *options):
-        env = {"IBISPADDLE_SERVER": entry.url, "IBISPADDLE_KEY": OPERATOR_KEY}
-        return CliRunner(env=env).invoke(app, ["trace", request_id, *options])
+        return invoke(entry, "trace", request_id, *options)
 
     def test_retried_request_is_shown_by_every_instance(self):
         """Guard against an operator who must know which instance had a request, and why it waited."""
--- a/tests/failures/engine_memory.py
+++ b/tests/failures/engine_memory.py
@@ -6,7 +6,9 @@
 from ibispaddle_bench.fleet import MODEL
 from ibispaddle_bench.processes import ManagedProcess
 
-from .support import Call, FleetTest, long_prompt, wait_until
+from tests.support.waiting import wait_until
+
+from .support import Call, FleetTest, long_prompt
 
 # A living instance repeats a lost deletion after at most 2 s; a call takes 1 s at most.
 FREED_S = 3.5
--- a/tests/failures/scripted_engine.py
+++ b/tests/failures/scripted_engine.py
@@ -3,18 +3,19 @@
 It shows behaviour that a correct engine does not have, and counts which prompts it ran.
 """
 
-import contextlib
 import json
 import re
 import socket
 import struct
-import threading
 import time
 from collections.abc import Callable
 
 from ibispaddle_bench.fleet import MODEL, Fleet
 from ibispaddle_bench.processes import call_json
 
+from tests.support.entries import runner_entry
+from tests.support.upstreams import RawUpstream
+
 Script = Callable[["ScriptedEngine", socket.socket, str, str, bytes], bool]
 
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER with a time of 0: close sends a reset.
@@ -58,7 +59,7 @@
     return b"data: " + json.dumps({"id": completion_id, "choices": [choice]}).encode() + b"\n\n"
 
 
-class ScriptedEngine:
+class ScriptedEngine(RawUpstream):
     """Answer probes like an idle engine and leave all else to a script.
 
     The script gets the engine, the connection, the path, the request id and the body; it returns
@@ -71,24 +72,13 @@
         self.requests: list[str] = []  # Paths in the order of arrival.
         self.runs = 0
         self._sequence = 0
-        self._listener = socket.create_server(("127.0.0.1", 0), backlog=64)
-        self._open: list[socket.socket] = []
-        self.address = "{}:{}".format(*self._listener.getsockname())
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def _accept(self) -> None:
-        with contextlib.suppress(OSError):
-            while True:
-                conn, _ = self._listener.accept()
-                self._open.append(conn)
-                threading.Thread(target=self._serve, args=(conn,), daemon=True).start()
-
-    def _serve(self, conn: socket.socket) -> None:
-        with contextlib.suppress(OSError), conn:
-            reader = conn.makefile("rb")
-            while self._answer(conn, reader):
-                pass
-            reader.close()
+        super().__init__(self._answer_all)
+
+    def _answer_all(self, conn: socket.socket, number: int) -> None:
+        reader = conn.makefile("rb")
+        while self._answer(conn, reader):
+            pass
+        reader.close()
 
     def _answer(self, conn: socket.socket, reader) -> bool:
         head = b""
@@ -126,30 +116,9 @@
             "state": "live",
         }
 
-    def close(self, keep: socket.socket | None = None) -> None:
-        """Stop listening and close all connections but one."""
-        for sock in (self._listener, *self._open):
-            if sock is keep:
-                continue
-            with contextlib.suppress(OSError):
-                sock.shutdown(socket.SHUT_RDWR)
-            sock.close()
-
 
 def publish_with(fleet: Fleet, *engines: ScriptedEngine) -> None:
     """Write the fleet's instance list with scripted engines added."""
     entries = fleet.listed_entries()
-    for engine in engines:
-        entries.append(
-            {
-                "id": engine.name,
-                "kind": "runner",
-                "address": engine.address,
-                "data_centre": "dc.1",
-                "state": "live",
-                "models": [MODEL],
-                "service": None,
-                "fenced": False,
-            }
-        )
+    entries += [runner_entry(e.name, e.address, "live", MODEL, "dc.1") for e in engines]
     call_json(f"{fleet.instances.url}/admin/entries", {"entries": entries}, method="PUT")
--- a/tests/failures/support.py
+++ b/tests/failures/support.py
@@ -10,13 +10,15 @@
 import threading
 import time
 import unittest
-from collections.abc import Callable
-from typing import Any
+from typing import Any, Self
 
 from ibispaddle_bench.fleet import MODEL, SERVICE, WORKSPACE_KEYS, Fleet, FleetSpec
 from ibispaddle_bench.processes import ManagedProcess, call_json
 from ibispaddle_standins.answers import prompt_hash, token_text
 
+from tests.support.http import metric
+from tests.support.waiting import wait_until
+
 MARGIN_S = 0.5
 KEY = WORKSPACE_KEYS["large"]
 PROMPT = "Draft a motif with lilies."
@@ -24,16 +26,6 @@
 FAST_SETTINGS = {"list_poll_interval_ms": 200, "probe_interval_ms": 200}
 
 
-def wait_until(condition: Callable[[], object], text: str, timeout_s: float = 10.0) -> float:
-    """Return the seconds until the condition held; fail at the time limit."""
-    started = time.monotonic()
-    while not condition():
-        if time.monotonic() - started > timeout_s:
-            raise AssertionError(f"{text}: not within {timeout_s} s")
-        time.sleep(0.01)
-    return time.monotonic() - started
-
-
 def expected_text(prompt: str, tokens: int) -> str:
     """Return the answer of an engine to a prompt."""
     hashed = prompt_hash(prompt)
@@ -45,30 +37,18 @@
     return (f"{name} " * (4 * tokens))[: 4 * tokens]
 
 
-class Call(threading.Thread):
-    """A request for a model from a caller of its own, with everything that the caller receives.
+class CallerThread(threading.Thread):
+    """A caller of its own, which sends one request.
 
     `seconds` is the time from sending to the end of the answer. `broken` tells why an answer ended
-    without its regular end.
+    without its regular end. Subclasses set what they send before they call this constructor.
     """
 
-    def __init__(
-        self,
-        entry: ManagedProcess,
-        prompt: str = PROMPT,
-        tokens: int = 8,
-        timeout_ms: int = 5_000,
-        stream: bool = True,
-        key: str = KEY,
-    ) -> None:
+    def __init__(self, entry: ManagedProcess, timeout_ms: int) -> None:
         super().__init__(daemon=True)
-        self.key = key
-        self.prompt, self.tokens, self.timeout_ms, self.stream = prompt, tokens, timeout_ms, stream
+        self.timeout_ms = timeout_ms
         self.status = 0
         self.headers: dict[str, str] = {}
-        self.parts: list[str] = []
-        self.error: dict[str, Any] = {}
-        self.is_done = False
         self.broken = ""
         self.seconds = 0.0
         self._conn = http.client.HTTPConnection("127.0.0.1", entry.port, timeout=60)
@@ -85,6 +65,51 @@
             self.seconds = time.monotonic() - started
             self._conn.close()
 
+    def _exchange(self) -> None:
+        raise NotImplementedError
+
+    def _send(
+        self, method: str, path: str, body: bytes | str, key: str, **headers: str
+    ) -> http.client.HTTPResponse:
+        """Return the response, of which the head was read."""
+        headers |= {"Authorization": f"Bearer {key}", "X-Request-Timeout-Ms": str(self.timeout_ms)}
+        self._conn.request(method, path, body, headers)
+        response = self._conn.getresponse()
+        self.status = response.status
+        self.headers = {name.lower(): value for name, value in response.getheaders()}
+        return response
+
+    def ended(self, timeout_s: float = 30.0) -> Self:
+        """Return the call after its end."""
+        self.join(timeout_s)
+        if self.is_alive():
+            raise AssertionError(f"no end within {timeout_s} s: {self.describe()}")
+        return self
+
+    def describe(self) -> str:
+        """Return what a failed test prints."""
+        return f"status {self.status}, broken {self.broken!r}, {self.seconds:.3f} s"
+
+
+class Call(CallerThread):
+    """A request for a model, with everything that the caller receives."""
+
+    def __init__(
+        self,
+        entry: ManagedProcess,
+        prompt: str = PROMPT,
+        tokens: int = 8,
+        timeout_ms: int = 5_000,
+        stream: bool = True,
+        key: str = KEY,
+    ) -> None:
+        self.key = key
+        self.prompt, self.tokens, self.stream = prompt, tokens, stream
+        self.parts: list[str] = []
+        self.error: dict[str, Any] = {}
+        self.is_done = False
+        super().__init__(entry, timeout_ms)
+
     def _exchange(self) -> None:
         body = {
             "model": MODEL,
@@ -92,15 +117,8 @@
             "max_tokens": self.tokens,
             "stream": self.stream,
         }
-        headers = {
-            "Authorization": f"Bearer {self.key}",
-            "Content-Type": "application/json",
-            "X-Request-Timeout-Ms": str(self.timeout_ms),
-        }
-        self._conn.request("POST", "/v1/chat/completions", json.dumps(body), headers)
-        response = self._conn.getresponse()
-        self.status = response.status
-        self.headers = {name.lower(): value for name, value in response.getheaders()}
+        path, media_type = "/v1/chat/completions", {"Content-Type": "application/json"}
+        response = self._send("POST", path, json.dumps(body), self.key, **media_type)
         if response.status != 200:
             self.error = json.loads(response.read())["error"]
         elif self.stream:
@@ -139,19 +157,10 @@
         wait_until(lambda: len(self.parts) >= count, f"{count} tokens of {self.describe()}")
         return self
 
-    def ended(self, timeout_s: float = 30.0) -> "Call":
-        """Return the call after its end."""
-        self.join(timeout_s)
-        if self.is_alive():
-            raise AssertionError(f"no end within {timeout_s} s: {self.describe()}")
-        return self
-
     def describe(self) -> str:
         """Return what a failed test prints."""
-        return (
-            f"status {self.status}, {len(self.parts)} parts, done {self.is_done},"
-            f" error {self.error}, broken {self.broken!r}, {self.seconds:.3f} s"
-        )
+        received = f"{len(self.parts)} parts, done {self.is_done}, error {self.error}"
+        return f"{received}, {super().describe()}"
 
     def fault(self) -> str:
         """Return what is wrong with the answer as such, or an empty string.
@@ -174,8 +183,8 @@
         return self.is_done and not self.fault()
 
 
-class ServiceCall(threading.Thread):
-    """A call of a service from a caller of its own."""
+class ServiceCall(CallerThread):
+    """A call of a service."""
 
     def __init__(
         self,
@@ -186,57 +195,23 @@
         timeout_ms: int = 5_000,
         key: str = "",
     ) -> None:
-        super().__init__(daemon=True)
-        self.method, self.path, self.body, self.timeout_ms, self.key = (
-            *(method, path, body, timeout_ms, key),
-        )
-        self.status = 0
+        self.method, self.path, self.body, self.key = method, path, body, key
         self.answer: dict[str, Any] = {}
-        self.broken = ""
-        self.seconds = 0.0
-        self._conn = http.client.HTTPConnection("127.0.0.1", entry.port, timeout=60)
-        self.start()
+        super().__init__(entry, timeout_ms)
 
-    def run(self) -> None:
-        started = time.monotonic()
-        headers = {
-            "Authorization": f"Bearer {KEY}",
-            "X-Request-Timeout-Ms": str(self.timeout_ms),
-        }
-        if self.key:
-            headers["Idempotency-Key"] = self.key
-        try:
-            target = f"/services/{SERVICE}/{self.path}"
-            self._conn.request(self.method, target, self.body, headers)
-            response = self._conn.getresponse()
-            self.status = response.status
-            self.answer = json.loads(response.read())
-        except (OSError, http.client.HTTPException, ValueError) as exc:
-            self.broken = repr(exc)
-        finally:
-            self.seconds = time.monotonic() - started
-            self._conn.close()
+    def _exchange(self) -> None:
+        headers = {"Idempotency-Key": self.key} if self.key else {}
+        path = f"/services/{SERVICE}/{self.path}"
+        self.answer = json.loads(self._send(self.method, path, self.body, KEY, **headers).read())
 
     @property
     def run_state(self) -> str:
         """Return what the caller was told about the run of a call that failed."""
         return self.answer.get("error", {}).get("run_state", "")
 
-    def ended(self, timeout_s: float = 30.0) -> "ServiceCall":
-        """Return the call after its end."""
-        self.join(timeout_s)
-        if self.is_alive():
-            raise AssertionError(f"no end within {timeout_s} s: {self.path}")
-        return self
-
-
-def metric(entry: ManagedProcess, name: str) -> float:
-    """Return the sum of a metric's values at an instance."""
-    conn = http.client.HTTPConnection("127.0.0.1", entry.port, timeout=10)
-    with contextlib.closing(conn):
-        conn.request("GET", "/metrics")
-        lines = conn.getresponse().read().decode().splitlines()
-    return sum(float(line.split()[-1]) for line in lines if line.split("{")[0].split()[0] == name)
+    def describe(self) -> str:
+        """Return what a failed test prints."""
+        return f"{self.path}, answer {self.answer}, {super().describe()}"
 
 
 class FleetTest(unittest.TestCase):
@@ -300,7 +275,7 @@
         """Check that a caller's request ended within its allotted time."""
         call.ended()
         limit_s = call.timeout_ms / 1000 + MARGIN_S
-        self.assertLessEqual(call.seconds, limit_s, getattr(call, "describe", str)())
+        self.assertLessEqual(call.seconds, limit_s, call.describe())
 
     def assert_no_fault(self, call: Call) -> None:
         """Check that an answer is the own one: whole, or cut and marked as such."""
--- a/tests/failures/test_crashing_requests.py
+++ b/tests/failures/test_crashing_requests.py
@@ -3,8 +3,11 @@
 import time
 from dataclasses import replace
 
+from tests.support.http import metric
+from tests.support.waiting import wait_until
+
 from .scripted_engine import ScriptedEngine, publish_with
-from .support import FAST_SETTINGS, Call, FleetTest, metric, wait_until
+from .support import FAST_SETTINGS, Call, FleetTest
 
 MARKER = "kraschar-motorn"
 MOST_DEATHS = 2
--- a/tests/failures/test_deadlines.py
+++ b/tests/failures/test_deadlines.py
@@ -8,16 +8,10 @@
 
 from ibispaddle_bench.fleet import MODEL
 
-from .support import (
-    KEY,
-    MARGIN_S,
-    PROMPT,
-    FleetTest,
-    ServiceCall,
-    long_prompt,
-    metric,
-    wait_until,
-)
+from tests.support.http import metric
+from tests.support.waiting import wait_until
+
+from .support import KEY, MARGIN_S, PROMPT, FleetTest, ServiceCall, long_prompt
 
 TIMEOUT_MS = 1_200
 # Lets requests pass the admission that would not end before the deadline.
--- a/tests/failures/test_leaving_upstreams.py
+++ b/tests/failures/test_leaving_upstreams.py
@@ -5,13 +5,13 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from ibispaddle_bench.fleet import OPERATOR_KEY
 from ibispaddle_bench.processes import ManagedProcess
-from ibispaddle_client.__main__ import app
 from ibispaddle_core.logevents import UPSTREAM_LEAVING
-from typer.testing import CliRunner
 
-from .support import Call, FleetTest, ServiceCall, wait_until
+from tests.support.operators import invoke
+from tests.support.waiting import wait_until
+
+from .support import Call, FleetTest, ServiceCall
 
 # From the moment at which the list shows the change.
 NO_NEW_WORK_S = 2.0
@@ -99,8 +99,7 @@
 
     def operate(self, *args: str) -> None:
         """Run a command of the operators' client."""
-        env = {"IBISPADDLE_SERVER": self.entry.url, "IBISPADDLE_KEY": OPERATOR_KEY}
-        outcome = CliRunner(env=env).invoke(app, list(args))
+        outcome = invoke(self.entry, *args)
         self.assertIsNone(outcome.exception, f"{outcome.output} {outcome.exception}")
 
     def drain(self, process: ManagedProcess) -> None:
--- a/tests/failures/test_not_run.py
+++ b/tests/failures/test_not_run.py
@@ -5,8 +5,11 @@
 import time
 from dataclasses import replace
 
+from tests.support.http import metric
+from tests.support.waiting import wait_until
+
 from .scripted_engine import ScriptedEngine, error_body, publish_with, reset, respond, stream_head
-from .support import Call, FleetTest, ServiceCall, metric, wait_until
+from .support import Call, FleetTest, ServiceCall
 
 # Long enough for an engine to compute whatever it still holds.
 LATE_WORK_S = 0.5
--- a/tests/failures/test_pauses.py
+++ b/tests/failures/test_pauses.py
@@ -2,13 +2,15 @@
 
 import signal
 import time
-import urllib.request
 from dataclasses import replace
 
 from ibispaddle_bench.fleet import OPERATOR_KEY, WORKSPACE_KEYS, sha256_hex
 from ibispaddle_client.api import OperatorApi
 
-from .support import Call, FleetTest, wait_until
+from tests.support.http import is_ready
+from tests.support.waiting import wait_until
+
+from .support import Call, FleetTest
 
 OLD_KEY, KEPT_KEY = WORKSPACE_KEYS["large"], WORKSPACE_KEYS["small"]
 # Time in which the log ends the reads that wait, so that a stopped process gets no new records.
@@ -57,13 +59,6 @@
             for index, key in enumerate(keys)
         ]
 
-    def is_ready(self) -> bool:
-        try:
-            with urllib.request.urlopen(f"{self.entry.url}/readyz", timeout=2):
-                return True
-        except OSError:
-            return False
-
     def check_continued(self) -> float:
         """Continue the instance under load; return the seconds until it was ready again."""
         leaving = self.fleet.runners[1:]
@@ -75,10 +70,10 @@
         ready_s = 0.0
         while (passed_s := time.monotonic() - started) < LOAD_S:
             calls += self.calls(len(calls))
-            if not ready_s and self.is_ready():
+            if not ready_s and is_ready(self.entry):
                 ready_s = passed_s
             time.sleep(0.02)
-        ready_s = ready_s or wait_until(self.is_ready, "readiness") + LOAD_S
+        ready_s = ready_s or wait_until(lambda: is_ready(self.entry), "readiness") + LOAD_S
         outcomes = {(call.key, call.ended().status, call.error.get("code")) for call in calls}
         refused, served = (503, "recovering"), (200, None)
         expected = {(OLD_KEY, *refused), (OLD_KEY, 401, "invalid_api_key"), (KEPT_KEY, *refused)}
--- a/tests/failures/test_whole_answers.py
+++ b/tests/failures/test_whole_answers.py
@@ -9,17 +9,11 @@
 
 from ibispaddle_bench.fleet import MODEL
 
+from tests.support.http import metric
+from tests.support.waiting import wait_until
+
 from .scripted_engine import ScriptedEngine, chunk, publish_with, respond, stream_head
-from .support import (
-    FAST_SETTINGS,
-    KEY,
-    Call,
-    FleetTest,
-    ServiceCall,
-    expected_text,
-    metric,
-    wait_until,
-)
+from .support import FAST_SETTINGS, KEY, Call, FleetTest, ServiceCall, expected_text
 
 # Time limit of the call by which an instance asks an engine to stop a request, and a little more.
 STOP_CALL_S = 0.6
--- a/tests/orders/test_agreement.py
+++ b/tests/orders/test_agreement.py
@@ -26,6 +26,8 @@
 
 from tests.state_machines import run
 
+from .variants import SendOnce
+
 EXECUTORS = 2
 RUNNERS = ("checks", "ignores")
 ARGUMENTS = {Action.SET_ROLE: "role", Action.LOAD_MODEL: "model", Action.LOAD_ADAPTER: "adapter"}
@@ -217,15 +219,6 @@
                 self.decide(process, name)
 
 
-class SendOnce(Reconciler):
-    """Send each order once, as a command."""
-
-    def reconcile(self, state, upstream_id, report, now_ms):
-        sent = set(self._sent_ms)
-        sends = super().reconcile(state, upstream_id, report, now_ms)
-        return tuple(send for send in sends if send.order.order_id not in sent)
-
-
 class UntilAccepted(Reconciler):
     """Repeat an order until the runner accepts it, and never afterwards."""
 
--- a/tests/orders/test_orders.py
+++ b/tests/orders/test_orders.py
@@ -18,6 +18,8 @@
     takeover_record,
 )
 
+from .variants import SendOnce
+
 FIXED = settings(derandomize=True, max_examples=300, deadline=None, database=None)
 RUNNER = "r1"
 EXECUTORS = 3
@@ -44,15 +46,6 @@
         return takeover[0] if takeover else None
 
 
-class SendOnce(Reconciler):
-    """Send each order once, as a command."""
-
-    def reconcile(self, state, upstream_id, report, now_ms):
-        sent = set(self._sent_ms)
-        sends = super().reconcile(state, upstream_id, report, now_ms)
-        return tuple(send for send in sends if send.order.order_id not in sent)
-
-
 class Fleet:
     """Run executors that read, decide and send at different times, and one runner."""
 
--- a/tests/orders/test_processes.py
+++ b/tests/orders/test_processes.py
@@ -1,18 +1,18 @@
 """Tests of orders with real processes, one of which is stopped and continued."""
 
-import json
 import signal
 import time
 import unittest
 
 from ibispaddle_bench.fleet import OPERATOR_KEY, Fleet, FleetSpec
 from ibispaddle_bench.processes import call_json
-from ibispaddle_client.__main__ import app
 from ibispaddle_client.api import OperatorApi
 from ibispaddle_client.exceptions import ClientError
 from ibispaddle_core.membership import choose
 from ibispaddle_core.orders import Action, Order, order_record
-from typer.testing import CliRunner
+
+from tests.support.operators import invoke_json
+from tests.support.waiting import wait_until
 
 WAIT_S = 15.0
 # Time in which the log ends the reads that wait, so that a stopped process gets no new records.
@@ -27,23 +27,13 @@
         cls.addClassCleanup(cls.fleet.__exit__, None, None, None)
 
     def invoke(self, *args, entry):
-        env = {"IBISPADDLE_SERVER": self.fleet.entries[entry].url, "IBISPADDLE_KEY": OPERATOR_KEY}
-        outcome = CliRunner(env=env).invoke(app, [*args, "--json"])
-        self.assertIsNone(outcome.exception, outcome.output + str(outcome.exception))
-        return json.loads(outcome.output)
-
-    def wait_for(self, condition, what):
-        limit = time.monotonic() + WAIT_S
-        while not condition():
-            self.assertLess(time.monotonic(), limit, what)
-            time.sleep(0.05)
+        return invoke_json(self.fleet.entries[entry], *args)
 
     def wait_for_role(self, runners, role):
         for runner in runners:
             load = f"{runner.url}/load"
-            self.wait_for(
-                lambda load=load: call_json(load)["role"] == role, f"{runner.name} {role}"
-            )
+            text = f"{runner.name} {role}"
+            wait_until(lambda load=load: call_json(load)["role"] == role, text, WAIT_S)
 
     def test_late_order_of_a_stopped_executor_is_refused_or_repaired(self):
         """Guard against a continued executor that puts an older order into effect for good."""
@@ -64,7 +54,7 @@
         with self.assertRaisesRegex(ClientError, "unknown_runner"):
             api.post("orders", order_record(unknown_runner_order()))
         for runner in runners:
-            self.wait_for(lambda r=runner: "other" in r.state()["models"], "model")
+            wait_until(lambda r=runner: "other" in r.state()["models"], "model", WAIT_S)
         stopped = self.fleet.entries[0]
         stopped.signal(signal.SIGSTOP)
         self.fleet.log.set_faults(read_outage=True)
@@ -76,8 +66,8 @@
         # Without the log, the continued executor cannot learn that it was replaced.
         self.fleet.log.set_faults(outage=True)
         stopped.signal(signal.SIGCONT)
-        self.wait_for(lambda: refused(checking), "late order at the checking runner")
-        self.wait_for(lambda: roles(ignoring).count("prefill") > 1, "late order")
+        wait_until(lambda: refused(checking), "late order at the checking runner", WAIT_S)
+        wait_until(lambda: roles(ignoring).count("prefill") > 1, "late order", WAIT_S)
         self.fleet.log.set_faults(outage=False)
         self.wait_for_role(runners, "decode")
         time.sleep(3.0)  # More than one reconciliation, after which nothing may change.
--- a/tests/peers/test_fleet.py
+++ b/tests/peers/test_fleet.py
@@ -2,17 +2,12 @@
 
 import time
 import unittest
-import urllib.request
 
 from ibispaddle_bench.fleet import Fleet, FleetSpec
 
-WAIT_S = 20.0
-
+from tests.support.http import metric
 
-def gauge(entry, name):
-    with urllib.request.urlopen(f"{entry.url}/metrics", timeout=5) as response:
-        lines = response.read().decode().splitlines()
-    return next(float(line.split()[-1]) for line in lines if line.startswith(f"{name} "))
+WAIT_S = 20.0
 
 
 class FleetTest(unittest.TestCase):
@@ -25,7 +20,7 @@
     def wait_for(self, name, *values, entries=None):
         started = time.monotonic()
         for entry in entries or self.fleet.entries:
-            while (seen := gauge(entry, name)) not in values:
+            while (seen := metric(entry, name)) not in values:
                 self.assertLess(time.monotonic() - started, WAIT_S, f"{entry.name}: {seen}")
                 time.sleep(0.02)
         return time.monotonic() - started
--- a/tests/peers/test_peers.py
+++ b/tests/peers/test_peers.py
@@ -14,6 +14,8 @@
 from ibispaddle_daemon.peers import Peers, gossip_put
 from ibispaddle_daemon.timers import TimerQueue
 
+from tests.support.waiting import wait_until
+
 from .support import instance, listing, make_settings, runner
 from .test_codec import side
 
@@ -67,14 +69,6 @@
         self.peers.transport.close_all()
 
 
-def wait_until(condition, text):
-    limit = time.monotonic() + WAIT_S
-    while not condition():
-        if time.monotonic() > limit:
-            raise AssertionError(f"not within {WAIT_S} s: {text}")
-        time.sleep(0.005)
-
-
 class PeersTest(unittest.TestCase):
     def start(self, *nodes, extra=()):
         for node in nodes:
--- a/tests/platform_log/test_platform_log.py
+++ b/tests/platform_log/test_platform_log.py
@@ -6,7 +6,9 @@
 from ibispaddle_daemon.events import drain_completed, log_append, log_follow
 from ibispaddle_daemon.platform_log import LogFailure, log_follow_since
 
-from .support import FakeLog, Root, wait_until
+from tests.support.waiting import wait_until
+
+from .support import FakeLog, FollowerRoot
 
 
 class LogTest(unittest.TestCase):
@@ -15,7 +17,7 @@
     def setUp(self):
         self.fake = FakeLog(self.times_ms)
         self.addCleanup(self.fake.close)
-        self.root = Root(self.fake.url)
+        self.root = FollowerRoot(self.fake.url)
         self.follower = self.root.follower
         self.root.__enter__()
         self.addCleanup(self.root.__exit__)
@@ -47,7 +49,7 @@
 
     def test_unreachable_log_is_an_outage(self):
         """Guard against an uncertain outcome when no connection was made."""
-        with Root("http://127.0.0.1:1") as root:
+        with FollowerRoot("http://127.0.0.1:1") as root:
             root.fire(log_append("s", {}, "t", "follower"), "*")
             wait_until(lambda: "t" in root.follower.appended, "answer")
             self.assertIs(root.follower.appended["t"][1].failure, LogFailure.OUTAGE)
@@ -150,7 +152,7 @@
         ):
             fake = FakeLog([now - 1000 * age for age in ages_s])
             self.addCleanup(fake.close)
-            with Root(fake.url) as root:
+            with FollowerRoot(fake.url) as root:
                 root.fire(log_follow_since("s", 100_000, "follower"), "*")
                 wait_until(lambda: root.follower.located and root.follower.pages, "start")
                 self.assertEqual(root.follower.located, [first], ages_s)
--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -10,20 +10,11 @@
 from ibispaddle_standins.answers import find_fault
 
 from ..support.http import EventStream, call
+from ..support.waiting import wait_until
 
 COMPLETIONS = "/v1/completions"
 
 
-def wait_for(condition, timeout_s=10.0):
-    """Return whether the condition becomes true in time."""
-    ends = time.monotonic() + timeout_s
-    while time.monotonic() < ends:
-        if condition():
-            return True
-        time.sleep(0.01)
-    return False
-
-
 class EngineCase(unittest.TestCase):
     options: tuple[str, ...] = ()
 
@@ -98,7 +89,7 @@
         conn = http.client.HTTPConnection("127.0.0.1", self.port)
         self.addCleanup(conn.close)
         conn.request("POST", COMPLETIONS, b'{"model":"m","prompt":"p"}', {"X-Request-Id": "a"})
-        self.assertTrue(wait_for(lambda: self.engine.state()["accepted"] == 1))
+        wait_until(lambda: self.engine.state()["accepted"] == 1)
         cancelled = call(self.port, "POST", "/v1/cancel", {"request_id": "a"}).json
         self.assertEqual(cancelled, {"cancelled": True, "ran": False})
         self.assertEqual(conn.getresponse().status, 409)
@@ -134,7 +125,7 @@
         with EventStream(self.port, COMPLETIONS, self.body("abc", 100_000, stream=True)) as stream:
             next(iter(stream))
             self.assertEqual(self.engine.state()["kv_tokens_used"], 100_001)
-        self.assertTrue(wait_for(lambda: self.engine.state()["kv_tokens_used"] == 0))
+        wait_until(lambda: self.engine.state()["kv_tokens_used"] == 0)
         self.assertEqual(self.engine.state()["running"], 0)
 
     def test_marked_prompt_crashes_the_engine_after_its_tokens(self):
@@ -187,7 +178,7 @@
             accepted = self.engine.state()["accepted"]
             threads.append(threading.Thread(target=read))
             threads[-1].start()
-            self.assertTrue(wait_for(lambda seen=accepted: self.engine.state()["accepted"] > seen))
+            wait_until(lambda seen=accepted: self.engine.state()["accepted"] > seen)
         for thread in threads:
             thread.join(20)
         return order
--- a/tests/standins/test_platform.py
+++ b/tests/standins/test_platform.py
@@ -8,6 +8,7 @@
 from ibispaddle_bench.processes import start_stand_in
 
 from ..support.http import call
+from ..support.waiting import wait_until
 
 
 class StandInCase(unittest.TestCase):
@@ -103,9 +104,7 @@
         self.process.set_faults(delay_ms=300)
         with self.assertRaises(TimeoutError):
             call(self.port, "POST", "/holds/7", b"{}", timeout_s=0.1)
-        ends = time.monotonic() + 5
-        while not self.process.state()["total_runs"] and time.monotonic() < ends:
-            time.sleep(0.02)
+        wait_until(lambda: self.process.state()["total_runs"], "the run", timeout_s=5)
         self.assertEqual(self.process.state()["total_runs"], 1)
 
 
--- /dev/null
+++ b/tests/support/event_loop.py
@@ -0,0 +1,29 @@
+"""Components in an event loop with real sockets and time."""
+
+from circuits import BaseComponent
+from circuits.core.pollers import EPoll
+
+from .waiting import wait_until
+
+STOP_S = 10.0
+
+
+class Root(BaseComponent):
+    """Run components in a thread of its own."""
+
+    channel = "root"
+
+    def __init__(self, *components: BaseComponent) -> None:
+        super().__init__()
+        EPoll().register(self)
+        for component in components:
+            component.register(self)
+
+    def __enter__(self) -> "Root":
+        self.thread, _ = self.start()
+        wait_until(lambda: self.running, "start")
+        return self
+
+    def __exit__(self, *exc: object) -> None:
+        self.stop()
+        self.thread.join(STOP_S)
--- a/tests/support/http.py
+++ b/tests/support/http.py
@@ -2,9 +2,10 @@
 
 import http.client
 import json
+import urllib.request
 from collections.abc import Iterator
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Protocol
 
 
 @dataclass
@@ -41,6 +42,30 @@
         conn.close()
 
 
+class Process(Protocol):
+    """A process with one HTTP port."""
+
+    @property
+    def url(self) -> str:
+        """Return the base URL."""
+
+
+def metric(process: Process, name: str) -> float:
+    """Return the sum of a metric's values at an instance; 0 if it has none."""
+    with urllib.request.urlopen(f"{process.url}/metrics", timeout=10) as response:
+        lines = response.read().decode().splitlines()
+    return sum(float(line.split()[-1]) for line in lines if line.split("{")[0].split()[0] == name)
+
+
+def is_ready(process: Process) -> bool:
+    """Return whether an instance accepts requests."""
+    try:
+        with urllib.request.urlopen(f"{process.url}/readyz", timeout=2):
+            return True
+    except OSError:
+        return False
+
+
 class EventStream:
     """Read a streamed completion; usable as a context manager and iterator of JSON events."""
 
--- /dev/null
+++ b/tests/support/upstreams.py
@@ -0,0 +1,62 @@
+"""Upstreams in the test's process whose bytes a test decides."""
+
+import contextlib
+import socket
+import threading
+from collections.abc import Callable
+
+
+class RawUpstream:
+    """Accept connections and let a test script the bytes of each.
+
+    The script gets the connection and its number, which starts at 0.
+    """
+
+    def __init__(self, script: Callable[[socket.socket, int], None]) -> None:
+        self._sock = socket.create_server(("127.0.0.1", 0), backlog=64)
+        self._script = script
+        self._open: list[socket.socket] = []
+        self.connections = 0
+        self.address = "{}:{}".format(*self._sock.getsockname())
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                conn, _ = self._sock.accept()
+                number = self.connections
+                self.connections += 1
+                self._open.append(conn)
+                threading.Thread(target=self._serve, args=(conn, number), daemon=True).start()
+
+    def _serve(self, conn: socket.socket, number: int) -> None:
+        with contextlib.suppress(OSError), conn:
+            self._script(conn, number)
+
+    def close(self, keep: socket.socket | None = None) -> None:
+        """Stop listening and close all connections but one."""
+        for sock in (self._sock, *self._open):
+            if sock is keep:
+                continue
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+            sock.close()
+
+
+def read_request(conn: socket.socket) -> tuple[bytes, bytes]:
+    """Return the head and the body of one request; both are empty at the connection's end."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        piece = conn.recv(65_536)
+        if not piece:
+            return b"", b""
+        data += piece
+    head, _, body = data.partition(b"\r\n\r\n")
+    length = 0
+    for line in head.split(b"\r\n")[1:]:
+        name, _, value = line.partition(b":")
+        if name.lower() == b"content-length":
+            length = int(value)
+    while len(body) < length:
+        body += conn.recv(65_536)
+    return head, body
