Separated the outcome of a stopped attempt from its report

Cause: the callback of AttemptEnds.ask_to_stop judged the engine's answer, changed the request and reported the attempt in one nested function. Change: _outcome_after_stop decides the outcome to report. No behaviour was changed.

--- a/packages/daemon/src/ibispaddle_daemon/attempt_ends.py
+++ b/packages/daemon/src/ibispaddle_daemon/attempt_ends.py
@@ -121,14 +121,10 @@
             request.unproved_attempts += 1
 
         def done(result: CallResult) -> None:
-            assert running.machine.finished is not None
-            outcome = running.machine.finished.outcome
-            if not running.machine.next_index and proves_not_run(result):
-                outcome = Outcome.REJECTED
-                if is_awaited:
-                    request.unproved_attempts -= 1
-            elif running.is_resumed:
-                outcome = Outcome.FAILED
+            is_proved = not running.machine.next_index and proves_not_run(result)
+            if is_proved and is_awaited:
+                request.unproved_attempts -= 1
+            outcome = _outcome_after_stop(running, is_proved)
 
             def report() -> None:
                 if is_awaited:
@@ -154,3 +150,16 @@
             frozenset((request.req.fingerprint, *beside)),
             is_unreachable(result),
         )
+
+
+def _outcome_after_stop(running: RunningAttempt, is_proved: bool) -> Outcome:
+    """Return the outcome to report for an attempt that the engine was asked to stop.
+
+    `is_proved` tells that the engine proved that nothing ran.
+    """
+    if is_proved:
+        return Outcome.REJECTED
+    if running.is_resumed:
+        return Outcome.FAILED
+    assert running.machine.finished is not None
+    return running.machine.finished.outcome
