Charged the attention of long prompts, and held no memory for a neighbour above its share

Two reasons were found: engine time was charged in proportion to the length of a prompt, although later tokens cost more; and a neighbour above its share could reserve memory for a prompt that spans engines and keep it from others while it waited for the rest. Change: the setting attention_tokens of a model; engine time is charged and accounted with it. A neighbour above its share begins only on engines that have the memory now.

--- a/packages/bench/src/ibispaddle_bench/experiment_scenarios.py
+++ b/packages/bench/src/ibispaddle_bench/experiment_scenarios.py
@@ -5,7 +5,13 @@
 
 from ibispaddle_core.settings.fleet import FleetConfig
 
-from .engine_model import DECODE_STEP_MS, KV_TOKENS, PREFILL_TOKENS_PER_MS, alone_ttft_ms
+from .engine_model import (
+    ATTENTION_TOKENS,
+    DECODE_STEP_MS,
+    KV_TOKENS,
+    PREFILL_TOKENS_PER_MS,
+    alone_ttft_ms,
+)
 from .experiment_baselines import POLICIES
 from .experiment_failures import FailingPeriod
 from .experiment_fleet import NETWORK_MS, Fleet, Plan, Record
@@ -113,6 +119,7 @@
                     "context_tokens": 1_100_000,
                     "engine_kv_tokens": KV_TOKENS,
                     "prefill_tokens_per_s": PREFILL_TOKENS_PER_MS * 1000,
+                    "attention_tokens": ATTENTION_TOKENS,
                     "decode_tokens_per_s": 1000 / DECODE_STEP_MS,
                 }
             },
--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -293,7 +293,11 @@
             return self._refuse(state, RefusalReason.TOO_LARGE, 0)
         wanted = self._waits.older(self._large.waiting(req, ()), now_ms)
         group = self._groups.choose(req, live, wanted, now_ms)
-        if self._large.reserving() and (spare_only or not group.fits):
+        # Reservations that wait for memory keep it from others, which a neighbour above its share
+        # must not do.
+        if not group.fits and (spare_only or self._large.reserving()):
+            return None
+        if spare_only and self._large.reserving():
             return None
         if group.wanted:
             names = [view.upstream.upstream_id for view in group.views]
--- a/packages/core/src/ibispaddle_core/scheduling/cost.py
+++ b/packages/core/src/ibispaddle_core/scheduling/cost.py
@@ -95,10 +95,19 @@
 
     def engine_ms(self, req: Request) -> float:
         """Return the engine time that the request is expected to consume."""
-        model = self.model(req.model)
-        prefill_ms = 1000 * req.prompt_tokens / model.prefill_tokens_per_s
+        prefill_ms = self.prefill_engine_ms(req.model, req.prompt_tokens)
         return prefill_ms + self.decode_engine_ms(req.model, self.expected_output(req))
 
+    def prefill_engine_ms(self, model: str, tokens: int) -> float:
+        """Return the engine time of computing a prompt, on however many engines it is divided.
+
+        Later tokens attend to more earlier ones. Without that part a neighbour with longer prompts
+        than the others would be charged too little.
+        """
+        cfg = self.model(model)
+        attention = tokens / (2 * cfg.attention_tokens) if cfg.attention_tokens else 0.0
+        return 1000 * tokens / cfg.prefill_tokens_per_s * (1 + attention)
+
     def decode_engine_ms(self, model: str, tokens: int) -> float:
         """Return the engine time of generated tokens, which share their steps with others."""
         return 1000 * tokens / (self.model(model).decode_tokens_per_s * DECODE_BATCH)
--- a/packages/core/src/ibispaddle_core/settings/fleet.py
+++ b/packages/core/src/ibispaddle_core/settings/fleet.py
@@ -45,6 +45,12 @@
     prefill_tokens_per_s: float = Field(
         25_000.0, gt=0, description="Initial estimate of an engine's prefill rate, tokens/s."
     )
+    attention_tokens: int | None = Field(
+        None,
+        ge=1,
+        le=100_000_000,
+        description="Position at which a prompt token takes twice as long to compute; null: never.",
+    )
     decode_tokens_per_s: float = Field(
         60.0, gt=0, description="Initial estimate of one stream's decode rate, tokens/s."
     )
--- a/packages/daemon/src/ibispaddle_daemon/entry.py
+++ b/packages/daemon/src/ibispaddle_daemon/entry.py
@@ -253,7 +253,7 @@
     def _count_usage(self, request: ModelRequest) -> None:
         req, cost = request.req, self.scheduler.cost
         prompt_tokens = request.prompt_tokens or req.prompt_tokens
-        prefill_ms = 1000 * prompt_tokens / cost.model(req.model).prefill_tokens_per_s
+        prefill_ms = cost.prefill_engine_ms(req.model, prompt_tokens)
         engine_ms = prefill_ms + cost.decode_engine_ms(req.model, request.tokens)
         self.fire(
             usage_counted(req.workspace, req.neighbour, prompt_tokens, request.tokens, engine_ms),
--- a/tests/scheduling/test_scheduler.py
+++ b/tests/scheduling/test_scheduler.py
@@ -20,6 +20,8 @@
     Tick,
     UpstreamsChanged,
 )
+from ibispaddle_core.scheduling.cost import CostModel
+from ibispaddle_core.settings.fleet import FleetConfig
 
 from . import fakes
 
@@ -220,6 +222,25 @@
         )
         self.assertEqual(dispatch.segments, ())
 
+    def test_neighbour_above_its_share_holds_no_memory_that_it_waits_for(self):
+        """Guard against a large prompt that keeps memory from neighbours below their share."""
+        sched = fakes.scheduler(2)
+        for number in range(2):
+            sched.handle(LoadReported(fakes.load(f"r{number:03}", 1, kv_tokens_used=300_000)), 0)
+        sched.shares.charge("north", 1_000_000.0, 59_000)
+        waiting = fakes.request("s", neighbour="south", prompt_tokens=150_000, deadline_ms=300_000)
+        sched.handle(RequestArrived(waiting), 0)
+        large = fakes.request("n", prompt_tokens=600_000, deadline_ms=300_000, arrived_ms=60_000)
+        decisions = sched.handle(RequestArrived(large), 60_000)
+        self.assertEqual([d for d in decisions if isinstance(d, ReserveMemory)], [])
+
+    def test_engine_time_grows_with_the_position_in_the_prompt(self):
+        """Guard against a charge that favours the neighbour with the longest prompts."""
+        models = {"m": {"prefill_tokens_per_s": 50_000.0, "attention_tokens": 500_000}}
+        cost = CostModel(FleetConfig.model_validate({"models": models}))
+        self.assertAlmostEqual(cost.prefill_engine_ms("m", 1_000), 20.0, delta=0.1)
+        self.assertEqual(cost.prefill_engine_ms("m", 1_000_000), 40_000.0)
+
     def test_late_grant_is_freed(self):
         """Guard against memory that is granted after its request ended."""
         sched = fakes.scheduler()
