Checked for an own reservation before a group of runners is chosen

Cause: a prompt of a neighbour above its share was refused a reservation only after the group had been computed, although an own reservation that waits decides that before. Change: the check comes first and is made once; an export of the chat package that nothing used is gone.

--- a/packages/core/src/ibispaddle_core/chat/__init__.py
+++ b/packages/core/src/ibispaddle_core/chat/__init__.py
@@ -5,7 +5,7 @@
 from .hashes import content_fingerprint, fingerprint_steps, prefix_hashes
 from .models import models_body
 from .requests import CompletionRequest, Kind, parse_request, parse_steps
-from .steps import Steps, finish
+from .steps import Steps
 from .tokens import estimate_tokens
 
 __all__ = [
@@ -19,7 +19,6 @@
     "error_event",
     "estimate_tokens",
     "fingerprint_steps",
-    "finish",
     "models_body",
     "parse_request",
     "parse_steps",
--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -291,13 +291,14 @@
         live = self.runners.live(req.model)
         if self.cost.segments(req) > len(live):
             return self._refuse(state, RefusalReason.TOO_LARGE, 0)
+        is_reserving = self._large.reserving()
+        if spare_only and is_reserving:
+            return None
         wanted = self._waits.older(self._large.waiting(req, ()), now_ms)
         group = self._groups.choose(req, live, wanted, now_ms)
         # Reservations that wait for memory keep it from others, which a neighbour above its share
         # must not do.
-        if not group.fits and (spare_only or self._large.reserving()):
-            return None
-        if spare_only and self._large.reserving():
+        if not group.fits and (spare_only or is_reserving):
             return None
         if group.wanted:
             names = [view.upstream.upstream_id for view in group.views]
