--- a/packages/core/src/ibispaddle_core/routing/base.py
+++ b/packages/core/src/ibispaddle_core/routing/base.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from ..scheduling import Repeat
-from ..settings.fleet import LimitSettings, ModelConfig
+from ..settings.fleet import LimitSettings
 
 # Callers keep idle connections for up to this time unless the configuration states another one.
 DEFAULT_IDLE_TIMEOUT_MS = 120_000
@@ -37,11 +37,10 @@
 
 @dataclass(frozen=True)
 class RoutedService:
-    """Describe a service: its upstreams' limits and the way its requests are estimated."""
+    """Describe a service."""
 
     name: str
-    model: ModelConfig
-    max_connections: int
+    max_connections: int  # Of all callers to one of its upstreams.
 
 
 @dataclass(frozen=True)
--- a/packages/core/src/ibispaddle_core/scheduling/attempts.py
+++ b/packages/core/src/ibispaddle_core/scheduling/attempts.py
@@ -64,7 +64,8 @@
         state.tokens = 0
         timeout_ms = self._cost.first_token_timeout_ms(req.model)
         state.first_token_due_ms = now_ms + int(choice.ttft_ms) + timeout_ms
-        if req.repeat is not Repeat.PROVED_NOT_RUN:
+        max_runs = self._cost.scheduling.max_attempts if req.max_runs is None else req.max_runs
+        if req.repeat is not Repeat.PROVED_NOT_RUN and state.runs + 1 < max_runs:
             # Nothing is gained by ending an attempt that no other one may follow.
             self._timers.add_first_token(state)
         state.helper_ids = tuple(view.upstream.upstream_id for view in choice.helpers)
@@ -89,7 +90,15 @@
         self._dispatched.count(self._backlog.lane(state), state.cost_ms, now_ms)
         self._prefixes.record(req, upstream_id)
         members = tuple(group) if handles else ()
-        return Dispatch(req.request_id, upstream_id, priority, handles, members, state.helper_ids)
+        return Dispatch(
+            req.request_id,
+            upstream_id,
+            priority,
+            handles,
+            members,
+            state.helper_ids,
+            choice.ttft_ms,
+        )
 
     def first_token(self, state: RequestState) -> None:
         """Record that the prompt of the attempt in flight is computed."""
--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -54,7 +54,7 @@
 from .queue import FairQueue, Lane
 from .requests import RequestState
 from .retries import RetryBudget
-from .runners import RunnerTable
+from .runners import RunnerTable, RunnerView
 from .timers import Timers
 from .waits import LargeWaits
 
@@ -302,6 +302,14 @@
             self._reserve(state, group, now_ms)
         return group.fits
 
+    def _choose_group(
+        self, req: Request, live: list[RunnerView], wanted: set[str], now_ms: int
+    ) -> Group:
+        group = None
+        if isinstance(self.placement, least_work.LeastWorkPlacement):
+            group = self.placement.choose_group(req, live, wanted, now_ms)
+        return group or self._groups.choose(req, live, wanted, now_ms)
+
     def _reserve(self, state: RequestState, group: Group, now_ms: int) -> None:
         self._waits.forget(state.req.request_id)
         self._backlog.take(state)
@@ -318,7 +326,7 @@
         if spare_only and is_reserving:
             return None
         wanted = self._waits.older(self._large.waiting(req, ()), now_ms)
-        group = self._groups.choose(req, live, wanted, now_ms)
+        group = self._choose_group(req, live, wanted, now_ms)
         # Reservations that wait for memory keep it from others, which a neighbour above its share
         # must not do.
         if not group.fits and (spare_only or is_reserving):
--- a/packages/core/src/ibispaddle_core/scheduling/messages.py
+++ b/packages/core/src/ibispaddle_core/scheduling/messages.py
@@ -66,6 +66,7 @@
     fingerprint: str = ""
     prefix_hashes: tuple[str, ...] = ()  # One hash per block of the prompt, longest prefix last.
     repeat: Repeat = Repeat.BEFORE_OUTPUT
+    objective_ms: int | None = None  # Time to the first token from which the answer is late.
     max_runs: int | None = None  # Upstreams that may run it; None: the configured attempts.
 
 
@@ -178,6 +179,7 @@
     reading_ms: float = 0.0  # Predicted engine time of prompts whose reading has not ended.
     requests: int = 0
     kv_tokens: int = 0
+    parts: int = 0  # Parts of prompts that it reads for other upstreams.
 
 
 @dataclass(frozen=True)
@@ -269,6 +271,7 @@
     segments: tuple[str, ...] = ()
     segment_ids: tuple[str, ...] = ()
     helper_ids: tuple[str, ...] = ()
+    first_token_ms: float = 0.0  # Predicted time from now to the first token.
 
 
 @dataclass(frozen=True)
--- a/packages/core/src/ibispaddle_core/scheduling/peer_work.py
+++ b/packages/core/src/ibispaddle_core/scheduling/peer_work.py
@@ -32,5 +32,6 @@
                     known.reading_ms + max(0.0, work.reading_ms - age_ms),
                     known.requests + work.requests,
                     known.kv_tokens + work.kv_tokens,
+                    known.parts + work.parts,
                 )
         return totals
--- a/packages/core/src/ibispaddle_core/scheduling/runners.py
+++ b/packages/core/src/ibispaddle_core/scheduling/runners.py
@@ -102,6 +102,16 @@
         """Return the requests of this instance at the runner."""
         return sum(not work.is_part for work in self.sent.values())
 
+    @property
+    def own_parts(self) -> int:
+        """Return the parts of prompts that the runner reads for this instance."""
+        return sum(work.is_part for work in self._computing.values())
+
+    @property
+    def parts(self) -> int:
+        """Return the parts that the runner reads for others, as far as is known."""
+        return self.own_parts + self.peers.parts
+
     @property
     def requests(self) -> int:
         """Return the requests of all instances at the runner, as far as is known."""
@@ -119,6 +129,7 @@
             self.own_requests,
             sum(work.kv_tokens for work in self.sent.values())
             + sum(tokens for tokens, _ in self.reserved.values()),
+            self.own_parts,
         )
 
     @property
--- a/packages/core/src/ibispaddle_core/settings/fleet.py
+++ b/packages/core/src/ibispaddle_core/settings/fleet.py
@@ -68,6 +68,17 @@
     max_helpers: int = Field(
         0, ge=0, le=64, description="Further engines that may read one prompt together."
     )
+    pass_ms: float = Field(
+        20.0, gt=0, description="Time of an engine's pass that reads nothing, milliseconds."
+    )
+    harmless_reading_ms: float = Field(
+        200.0,
+        gt=0,
+        description="Reading in one pass of an engine that makes no stream pause too long.",
+    )
+    usual_prompt_tokens: int = Field(
+        10_000, ge=1, description="Mean prompt; a late request counts by its size against it."
+    )
     first_token_timeout_ms: int | None = Field(
         None,
         ge=10,
@@ -122,11 +133,6 @@
         "predicted",
         description="How upstreams are chosen: by predicted first token, by the least work in flight of all instances, or by the fewest own requests (a baseline for measurements).",
     )
-    joint_part_ms: float = Field(
-        60.0,
-        gt=0,
-        description="Reading time of one part when several engines read a prompt together.",
-    )
     stall_timeout_ms: int = Field(
         5_000, ge=10, description="Longest silence of an upstream between tokens."
     )
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
@@ -2,7 +2,7 @@
 
 import random
 import secrets
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import msgspec
 from circuits import BaseComponent, handler
@@ -87,6 +87,8 @@
         self._loop = SchedulingLoop(self.scheduler, self._carry_out, clock, timers)
         self._requests: dict[str, ForwardedRequest] = {}
         self._addresses: dict[str, str] = {}
+        # Told when work was sent to an upstream.
+        self.on_work_added: Callable[[], None] = lambda: None
         self._memory = EngineMemory(clock, timers, memory_codec).register(self)
         self._attempts = ForwardedAttempts(
             client, codec, clock, timers, self._on_output, self._on_attempt_over
@@ -170,6 +172,7 @@
             arrived_ms=exchange.arrived_ms,
             deadline_ms=exchange.arrived_ms + left_ms,
             repeat=route.repeat,
+            objective_ms=route.objective_ms,
             max_runs=route.max_runs,
         )
         request = ForwardedRequest(req, route, caller, exchange)
@@ -259,8 +262,10 @@
             left_ms=call.time_left_ms,
             helpers=len(helpers),
             handles=len(decision.segments),
+            expected_ms=round(decision.first_token_ms),
         )
         self._attempts.start(request, self._addresses.get(decision.upstream_id, ""), call)
+        self.on_work_added()
 
     def _cancel(self, request: ForwardedRequest, upstream_id: str) -> None:
         """End the attempt in flight and report it."""
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/peer_work.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/peer_work.py
@@ -9,8 +9,10 @@
 from ..timers import TimerQueue
 from .forwarder import Forwarder
 
-# A draft is read in tens of milliseconds; older news than that would not spread load any better.
-INTERVAL_MS = 100
+# News of added work goes out at once, but for messages about work that is added together.
+GATHER_MS = 5
+# Work that has ended is told at this interval.
+INTERVAL_MS = 150
 # Instances with which the interval is kept. Beyond, it grows with their number, so that the messages
 # that an instance takes stay constant.
 PEERS_AT_INTERVAL = 10
@@ -36,17 +38,30 @@
         self._clock, self._timers = clock, timers
         self._told: PeerWork | None = None
         self._told_ms = 0
+        self._interval_ms = INTERVAL_MS
+        self._is_gathering = False
+        forwarder.on_work_added = self._gather
 
     @handler("started", channel="*")
     def _on_started(self, *_: object) -> None:
         self._tick()
 
     def _tick(self) -> None:
-        now_ms = self._clock.now_ms()
-        members = self._view.members(now_ms, Kind.ENTRY)
+        members = self._view.members(self._clock.now_ms(), Kind.ENTRY)
         peers = sum(member.state is MemberState.LIVE for member in members)
-        interval_ms = INTERVAL_MS * max(1, peers // PEERS_AT_INTERVAL)
-        self._timers.after(interval_ms, self._tick)
+        self._interval_ms = INTERVAL_MS * max(1, peers // PEERS_AT_INTERVAL)
+        self._timers.after(self._interval_ms, self._tick)
+        self._tell()
+
+    def _gather(self) -> None:
+        if not self._is_gathering:
+            self._is_gathering = True
+            # With many peers the messages are spaced like the regular ones.
+            self._timers.after(GATHER_MS * self._interval_ms // INTERVAL_MS, self._tell)
+
+    def _tell(self) -> None:
+        self._is_gathering = False
+        now_ms = self._clock.now_ms()
         work = PeerWork(self._instance_id, self._forwarder.scheduler.own_work(now_ms))
         if work != self._told or (work.work and now_ms - self._told_ms >= REPEAT_MS):
             self._told, self._told_ms = work, now_ms
--- a/packages/daemon/src/ibispaddle_daemon/peer_codec.py
+++ b/packages/daemon/src/ibispaddle_daemon/peer_codec.py
@@ -128,6 +128,7 @@
                     "readingMs": item.reading_ms,
                     "requests": item.requests,
                     "kvTokens": max(0, item.kv_tokens),
+                    "parts": item.parts,
                 }
                 for upstream_id, item in work.items()
             ]
@@ -185,7 +186,9 @@
             return NoticeReceived(envelope.noticeReceived)
         case "peerWork":
             work = {
-                item.upstreamId: UpstreamWork(item.readingMs, item.requests, item.kvTokens)
+                item.upstreamId: UpstreamWork(
+                    item.readingMs, item.requests, item.kvTokens, item.parts
+                )
                 for item in envelope.peerWork.work
             }
             return PeerWork(envelope.peerWork.instance, work)
--- a/packages/daemon/src/ibispaddle_daemon/peers.capnp
+++ b/packages/daemon/src/ibispaddle_daemon/peers.capnp
@@ -78,6 +78,7 @@
   readingMs @1 :Float32;
   requests @2 :UInt32;
   kvTokens @3 :UInt64;
+  parts @4 :UInt32;
 }
 
 struct PeerWork {
