--- a/packages/core/src/ibispaddle_core/scheduling/least_work.py
+++ b/packages/core/src/ibispaddle_core/scheduling/least_work.py
@@ -28,6 +28,9 @@
 SAFE_PART = 0.5
 # Harm, in late streams, of a second by which a pause exceeds the harmless one.
 HARM_PER_S = 1.0
+# Harm of using up the whole time to the first token without being late. It makes a prompt that can be
+# read by many engines without harm begin soon.
+URGENCY = 0.03
 # Harm of one millisecond of work in flight at an engine; it decides between harmless choices.
 HARM_PER_WORK_MS = 0.0005
 # Work that one more stream at an engine stands for; mostly its part in filling slots and memory.
@@ -153,21 +156,28 @@
         used = first_token_ms / left_ms
         size = max(1.0, req.prompt_tokens / cfg.usual_prompt_tokens)
         risk = min(1.0, max(0.0, (used - SAFE_PART) / (1 - SAFE_PART)))
-        return size * (risk + HARM_PER_S * max(0.0, first_token_ms - left_ms) / 1000)
+        return size * (
+            URGENCY * used + risk + HARM_PER_S * max(0.0, first_token_ms - left_ms) / 1000
+        )
 
     def _harm(self, view: RunnerView, part_ms: float, cfg: ModelConfig, now_ms: int) -> float:
         """Return the harm that reading a part does at an engine, in late streams."""
         unread_ms = view.unread_ms(now_ms)
         added = _pause_harm(unread_ms + part_ms, cfg) - _pause_harm(unread_ms, cfg)
+        return view.requests * added
+
+    def _rank(self, view: RunnerView, part_ms: float, cfg: ModelConfig, now_ms: int) -> float:
+        """Return the order in which engines are taken: the least harm, then the least work."""
         failure_rate = self._health.failure_rate(view.upstream.upstream_id, now_ms)
-        work_ms = unread_ms + REQUEST_WORK_MS * view.requests + FAILURE_WORK_MS * failure_rate
-        return view.requests * added + HARM_PER_WORK_MS * work_ms
+        work_ms = view.unread_ms(now_ms) + REQUEST_WORK_MS * view.requests
+        work_ms += FAILURE_WORK_MS * failure_rate
+        return self._harm(view, part_ms, cfg, now_ms) + HARM_PER_WORK_MS * work_ms
 
     def _least(
         self, views: list[RunnerView], count: int, part_ms: float, cfg: ModelConfig, now_ms: int
     ) -> list[RunnerView]:
         ranked = [
-            (self._harm(view, part_ms, cfg, now_ms) + NEAR_EQUAL_HARM * self._rng.random(), view)
+            (self._rank(view, part_ms, cfg, now_ms) + NEAR_EQUAL_HARM * self._rng.random(), view)
             for view in views
         ]
         ranked.sort(key=lambda item: item[0])
@@ -205,7 +215,7 @@
         """Return 1: each prompt is read by the engine that answers it."""
         return [1]
 
-    def _harm(self, view: RunnerView, part_ms: float, cfg: ModelConfig, now_ms: int) -> float:
+    def _rank(self, view: RunnerView, part_ms: float, cfg: ModelConfig, now_ms: int) -> float:
         return float(view.own_requests)
 
 
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
@@ -301,9 +301,14 @@
     # Reports of the attempts
 
     def _on_output(self, request: ForwardedRequest, events: int) -> None:
+        now_ms = self._clock.now_ms()
         request.events += events
         if request.first_output_ms is None:
-            request.first_output_ms = self._clock.now_ms()
+            request.first_output_ms = now_ms
+        if request.last_output_ms is not None:
+            gap_ms = now_ms - request.last_output_ms
+            request.longest_gap_ms = max(request.longest_gap_ms, gap_ms)
+        request.last_output_ms = now_ms
         if request.events == events or request.attempts > 1:
             self.tell(FirstToken(request.request_id))
 
@@ -383,6 +388,7 @@
             attempts=request.attempts,
             first_ms=first_ms,
             duration_ms=now_ms - arrived_ms,
+            longest_gap_ms=request.longest_gap_ms,
             events=request.events,
             failures=request.failures,
         )
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/requests.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/requests.py
@@ -23,6 +23,8 @@
     attempts: int = 0
     upstream_id: str = ""  # Of the last attempt.
     first_output_ms: int | None = None
+    last_output_ms: int | None = None
+    longest_gap_ms: int = 0  # Between two parts of the answer.
     events: int = 0  # Events passed on.
     last_event_id: int | None = None
     # Given to the caller if no further attempt follows.
--- /dev/null
+++ b/tests/forwarding/test_attempt.py
@@ -0,0 +1,131 @@
+"""Judgement of the responses to a forwarded attempt."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+from ibispaddle_core.forwarding import (
+    AnswerWhole,
+    AttemptOver,
+    BodyReceived,
+    CallEnded,
+    Effect,
+    ForwardedAttempt,
+    HeadReceived,
+    PassData,
+    PassHead,
+    UpstreamHead,
+)
+from ibispaddle_core.relay.event_blocks import EventBlocks
+from ibispaddle_core.scheduling import Outcome
+
+OK = UpstreamHead(200, (("Server-Stamp", "x"),), has_receipt=True)
+STREAM = b"".join(b"id: %d\ndata: t%d\n\n" % (n, n) for n in range(1, 6))
+
+
+def run(attempt: ForwardedAttempt, *events: object) -> list[Effect]:
+    """Return all effects of the events."""
+    return [effect for event in events for effect in attempt.handle(event)]
+
+
+def over(effects: list[Effect]) -> AttemptOver:
+    """Return the only end of the attempt."""
+    (end,) = [effect for effect in effects if isinstance(effect, AttemptOver)]
+    return end
+
+
+class WholeAnswerTest(unittest.TestCase):
+    def outcome(self, head: UpstreamHead, *events: object) -> AttemptOver:
+        return over(run(ForwardedAttempt(streams=False), HeadReceived(head), *events))
+
+    def test_complete_answer(self) -> None:
+        end = self.outcome(OK, BodyReceived(b"a"), BodyReceived(b"b"), CallEnded(True))
+        self.assertEqual(end.outcome, Outcome.COMPLETED)
+        self.assertEqual(end.answer, AnswerWhole(200, OK.headers, b"ab"))
+
+    def test_cut_answer_is_not_passed_on(self) -> None:
+        """Guards against a body that ends early and looks complete to the caller."""
+        end = self.outcome(OK, BodyReceived(b"a"), CallEnded(False, True, "reset"))
+        self.assertEqual((end.outcome, end.answer), (Outcome.FAILED, None))
+
+    def test_success_without_a_receipt_is_no_answer(self) -> None:
+        """Guards against bytes of a faulty upstream that are passed on as a success."""
+        end = self.outcome(UpstreamHead(200, ()), BodyReceived(b"a"), CallEnded(True))
+        self.assertEqual((end.outcome, end.answer), (Outcome.FAILED, None))
+
+    def test_answer_to_another_request(self) -> None:
+        """Guards against a late second answer that reaches the wrong caller."""
+        end = self.outcome(UpstreamHead(200, (), is_foreign=True, has_receipt=True))
+        self.assertEqual((end.outcome, end.answer), (Outcome.FAILED, None))
+
+    def test_only_a_proof_counts_as_not_run(self) -> None:
+        """Guards against a 503 to the caller for a request that may have run."""
+        proved = self.outcome(UpstreamHead(503, (), not_run=True, culprit_address="h:1"))
+        self.assertEqual((proved.outcome, proved.culprit_address), (Outcome.REJECTED, "h:1"))
+        for status in (408, 421, 429, 503):
+            claimed = self.outcome(UpstreamHead(status, (), has_receipt=True), CallEnded(True))
+            self.assertEqual((claimed.outcome, claimed.answer), (Outcome.FAILED, None), status)
+
+    def test_errors_of_the_upstream_are_kept_for_the_caller(self) -> None:
+        """Guards against a failure that bears another status than the upstream gave."""
+        head = UpstreamHead(500, (("Server-Stamp", "x"),), has_receipt=True)
+        end = self.outcome(head, BodyReceived(b"no"), CallEnded(True))
+        self.assertEqual(end.outcome, Outcome.ERROR)
+        self.assertEqual(end.answer, AnswerWhole(500, head.headers, b"no"))
+
+    def test_unsent_and_unanswered_requests(self) -> None:
+        """Guards against a repeated call whose bytes may have reached the upstream."""
+        unsent = over(run(ForwardedAttempt(False), CallEnded(False, False, "refused")))
+        sent = over(run(ForwardedAttempt(False), CallEnded(False, True, "reset")))
+        self.assertEqual(unsent.outcome, Outcome.NOT_SENT)
+        self.assertEqual(sent.outcome, Outcome.FAILED)
+
+
+class StreamTest(unittest.TestCase):
+    def test_head_waits_for_the_first_event(self) -> None:
+        """Guards against a stream that cannot be repeated since only its head was sent."""
+        attempt = ForwardedAttempt(streams=True)
+        self.assertEqual(run(attempt, HeadReceived(OK), BodyReceived(b"id: 1\nda")), [])
+        end = over(run(attempt, CallEnded(False, True, "reset")))
+        self.assertEqual(end.outcome, Outcome.FAILED)
+
+    def test_stream_that_ends_within_an_event(self) -> None:
+        """Guards against a stream that is ended as complete before its last event."""
+        attempt = ForwardedAttempt(streams=True)
+        effects = run(attempt, HeadReceived(OK), BodyReceived(STREAM + b"id: 6"), CallEnded(True))
+        self.assertEqual(over(effects).outcome, Outcome.FAILED)
+        self.assertEqual(attempt.last_event_id, 5)
+
+    @given(st.lists(st.integers(0, len(STREAM)), max_size=8), st.integers(0, 5))
+    def test_any_cut_and_resume_gives_each_event_once(self, cuts: list[int], seen: int) -> None:
+        """Guards against events that are missing or come twice when a stream moves."""
+        attempt = ForwardedAttempt(True, is_resumed=seen > 0, last_event_id=seen or None)
+        bounds = sorted({0, *cuts, len(STREAM)})
+        parts = [STREAM[a:b] for a, b in zip(bounds, bounds[1:], strict=False)]
+        effects = run(attempt, HeadReceived(OK), *map(BodyReceived, parts), CallEnded(True))
+        passed = b"".join(effect.data for effect in effects if isinstance(effect, PassData))
+        expected = b"".join(b"id: %d\ndata: t%d\n\n" % (n, n) for n in range(seen + 1, 6))
+        self.assertEqual(passed, expected)
+        heads = sum(isinstance(effect, PassHead) for effect in effects)
+        self.assertEqual(heads, 0 if seen else 1)
+        self.assertEqual(over(effects).outcome, Outcome.COMPLETED)
+
+    def test_nothing_follows_the_end(self) -> None:
+        """Guards against bytes of an ended attempt that reach the caller."""
+        attempt = ForwardedAttempt(streams=True)
+        run(attempt, HeadReceived(UpstreamHead(503, (), not_run=True)))
+        self.assertEqual(run(attempt, HeadReceived(OK), BodyReceived(STREAM)), [])
+
+
+class EventBlocksTest(unittest.TestCase):
+    @given(st.lists(st.sampled_from([b"\r\n\r\n", b"\n\n", b"data: a", b"\n", b"id: 4"])))
+    def test_blocks_are_the_bytes_of_the_stream(self, pieces: list[bytes]) -> None:
+        """Guards against bytes that are changed on the way."""
+        blocks, data = EventBlocks(), b"".join(pieces)
+        found = b"".join(block.data for piece in pieces for block in blocks.feed(piece))
+        self.assertTrue(data.startswith(found))
+        self.assertEqual(blocks.has_rest, found != data)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/membership/test_registrations.py
@@ -0,0 +1,54 @@
+"""Upstreams that register themselves in the store."""
+
+import unittest
+
+from ibispaddle_core.membership import ListedState, Registration, RegistrationTable
+from ibispaddle_core.membership.registrations import HOLD_MS, RETURN_MS
+
+
+def registration(name: str, leaving: bool = False) -> Registration:
+    return Registration(name, "s", f"10.0.0.1:{len(name)}", "dc", leaving)
+
+
+class RegistrationTableTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.table = RegistrationTable()
+        self.table.apply({n: registration(n) for n in ("a", "b")}, True, now_ms=0)
+
+    def ids(self) -> list[str]:
+        return [entry.id for entry in self.table.entries()]
+
+    def test_removed_and_missing_entries_go(self) -> None:
+        """Guards against work for an upstream whose entry is gone."""
+        self.table.apply({"a": None}, False, 100)
+        self.assertEqual(self.ids(), ["b"])
+        self.table.apply({}, True, 200)
+        self.assertEqual(self.ids(), [])
+
+    def test_leaving_entries_stay_listed_as_leaving(self) -> None:
+        """Guards against new work for an upstream that leaves."""
+        self.table.apply({"a": registration("a", True)}, False, 100)
+        self.assertEqual(self.table.entries()[0].state, ListedState.LEAVING)
+
+    def test_entries_that_lapsed_in_an_outage_are_held(self) -> None:
+        """Guards against an empty fleet when the store returns before the heartbeats."""
+        self.table.apply({}, True, 10_000, store_returned_ms=10_000)
+        self.assertEqual(self.ids(), ["a", "b"])
+        self.table.apply({"a": registration("a")}, False, 11_000, store_returned_ms=10_000)
+        self.table.expire(10_000 + HOLD_MS)
+        self.assertEqual(self.ids(), ["a"])
+
+    def test_leaving_entries_are_not_held(self) -> None:
+        """Guards against work for an upstream that left during an outage."""
+        self.table.apply({"a": registration("a", True)}, False, 9_000)
+        self.table.apply({"a": None}, False, 10_000, store_returned_ms=10_000)
+        self.assertEqual(self.ids(), ["b"])
+
+    def test_later_removals_count_at_once(self) -> None:
+        """Guards against upstreams that are kept long after an outage."""
+        self.table.apply({"a": None}, False, 10_000 + RETURN_MS, store_returned_ms=10_000)
+        self.assertEqual(self.ids(), ["b"])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/scheduling/test_least_work.py
@@ -0,0 +1,220 @@
+"""Placement by the least work: short prompts among long ones, and several instances at once.
+
+The load pattern is the one of a platform whose engines read a prompt together: mixes that swing
+between short prompts and prompts of a few hundred thousand tokens.
+"""
+
+import unittest
+
+from ibispaddle_core.runstate import RunState
+from ibispaddle_core.scheduling import (
+    AttemptEnded,
+    Dispatch,
+    FirstToken,
+    Outcome,
+    PeerWork,
+    Refuse,
+    Repeat,
+    RequestArrived,
+    ReservationAnswered,
+    ReserveMemory,
+    Scheduler,
+    Tick,
+    UpstreamsChanged,
+    UpstreamWork,
+)
+from ibispaddle_core.settings.fleet import FleetConfig
+
+from . import fakes
+
+MODEL = {
+    "engine_kv_tokens": 232_000,
+    "prefill_tokens_per_s": 206_000.0,
+    "attention_tokens": 35_000,
+    "decode_tokens_per_s": 900.0,
+    "upstream_slots": 8,
+    "max_helpers": 16,
+    "pass_ms": 44.0,
+    "harmless_reading_ms": 180.0,
+    "usual_prompt_tokens": 12_000,
+}
+SERVICE = {"call_ms": 20.0, "first_token_timeout_ms": 180}
+
+
+def config(**scheduling: object) -> FleetConfig:
+    values = {"placement": "least_work", "short_memory_reserve": 0.02, "max_attempts": 4}
+    return FleetConfig.model_validate(
+        {
+            "neighbours": {"north": {}},
+            "models": {"m": MODEL, "s": SERVICE},
+            "scheduling": {**values, **scheduling},
+        }
+    )
+
+
+def scheduler(runners: int = 23, seed: int = 1, **scheduling: object) -> Scheduler:
+    result = Scheduler.from_config(config(**scheduling), seed, f"boot-{seed}")
+    result.handle(UpstreamsChanged(tuple(fakes.upstream(n) for n in range(runners))), 0)
+    return result
+
+
+def arrive(sched: Scheduler, name: str, tokens: int, now_ms: int = 0, **values: object) -> list:
+    defaults: dict = {"objective_ms": 300 if tokens < 20_000 else 2_500, "arrived_ms": now_ms}
+    defaults |= {"deadline_ms": now_ms + 15_000, "prompt_tokens": tokens, **values}
+    return sched.handle(RequestArrived(fakes.request(name, **defaults)), now_ms)
+
+
+class JointReadingTest(unittest.TestCase):
+    def test_short_prompt_is_read_by_one_engine(self) -> None:
+        """Guards against messages to helpers that save less than they cost."""
+        (decision,) = arrive(scheduler(), "a", 3_000)
+        self.assertEqual(decision.helper_ids, ())
+
+    def test_long_prompt_is_cut_into_harmless_parts(self) -> None:
+        """Guards against a prompt whose reading makes the streams of its engines pause too long."""
+        sched = scheduler()
+        for number in range(46):  # Two streams at each engine.
+            arrive(sched, f"d{number}", 3_000)
+            sched.handle(FirstToken(f"d{number}"), 0)
+        (decision,) = arrive(sched, "long", 100_000, 1_000)
+        reading_ms = sched.cost.prefill_engine_ms("m", 100_000)
+        part_ms = reading_ms / (len(decision.helper_ids) + 1)
+        self.assertLessEqual(part_ms, MODEL["harmless_reading_ms"])
+        self.assertEqual(
+            len({decision.upstream_id, *decision.helper_ids}), 1 + len(decision.helper_ids)
+        )
+
+    def test_prompt_that_harms_anyway_is_read_by_few_engines(self) -> None:
+        """Guards against the longest prompts that make all streams of the fleet pause."""
+        sched = scheduler()
+        for number in range(46):
+            arrive(sched, f"d{number}", 3_000)
+            sched.handle(FirstToken(f"d{number}"), 0)
+        (decision,) = arrive(sched, "long", 220_000, 1_000)
+        reading_ms = sched.cost.prefill_engine_ms("m", 220_000)
+        self.assertGreater(reading_ms / 17, MODEL["harmless_reading_ms"])
+        self.assertLess(len(decision.helper_ids), 8)
+
+    def test_short_prompts_avoid_engines_that_read_long_ones(self) -> None:
+        """Guards against short prompts that wait for the end of a long one's reading."""
+        sched = scheduler()
+        (long,) = arrive(sched, "long", 220_000)
+        used = {long.upstream_id, *long.helper_ids}
+        for number in range(30):
+            (short,) = arrive(sched, f"d{number}", 3_000, 10 + number)
+            self.assertNotIn(short.upstream_id, used)
+
+    def test_parts_of_an_engine_are_bounded(self) -> None:
+        """Guards against helpers that refuse since they help as many others as they can."""
+        sched = scheduler(runners=4)
+        for number in range(12):
+            arrive(sched, f"l{number}", 100_000, 0)
+        for view in sched.runners.views.values():
+            self.assertLessEqual(view.parts, 8)
+
+    def test_first_token_ends_the_parts(self) -> None:
+        """Guards against engines that count as busy after their part is read."""
+        sched = scheduler()
+        arrive(sched, "long", 100_000)
+        sched.handle(FirstToken("long"), 300)
+        self.assertEqual(sum(view.unread_ms(300) for view in sched.runners.views.values()), 0)
+
+
+class SeveralInstancesTest(unittest.TestCase):
+    def test_work_of_others_is_avoided(self) -> None:
+        """Guards against instances that all send their prompts to one engine."""
+        sched = scheduler(runners=3)
+        work = {"r000": UpstreamWork(500.0, 2, 50_000), "r001": UpstreamWork(400.0, 2, 0)}
+        sched.handle(PeerWork("other", work), 0)
+        (decision,) = arrive(sched, "a", 3_000)
+        self.assertEqual(decision.upstream_id, "r002")
+
+    def test_slots_and_memory_of_others_are_counted(self) -> None:
+        """Guards against requests that an engine must refuse for want of a slot or of memory."""
+        sched = scheduler(runners=2)
+        work = {"r000": UpstreamWork(0.0, 8, 0), "r001": UpstreamWork(0.0, 1, 231_000)}
+        sched.handle(PeerWork("other", work), 0)
+        self.assertEqual(arrive(sched, "a", 3_000), [])
+        (decision,) = sched.handle(PeerWork("other", {}), 50)
+        self.assertIsInstance(decision, Dispatch)
+
+    def test_work_of_a_silent_instance_expires(self) -> None:
+        """Guards against engines that stay unused after an instance died."""
+        sched = scheduler(runners=1)
+        sched.handle(PeerWork("dead", {"r000": UpstreamWork(0.0, 8, 0)}), 0)
+        sched.handle(PeerWork("alive", {}), 2_000)
+        self.assertEqual(len(arrive(sched, "a", 3_000, 2_000)), 1)
+
+
+class SpanningTest(unittest.TestCase):
+    def test_prompt_beyond_one_engine_reserves_on_several(self) -> None:
+        """Guards against a prompt that no engine can hold and that is refused although several can."""
+        sched = scheduler()
+        decisions, now_ms = arrive(sched, "huge", 500_000), 0
+        handles = []
+        while decisions and isinstance(decisions[0], ReserveMemory):
+            (order,) = decisions
+            handles.append(order.handle)
+            now_ms += 3
+            event = ReservationAnswered("huge", order.upstream_id, order.handle, True)
+            decisions = sched.handle(event, now_ms)
+        (dispatch,) = decisions
+        self.assertIsInstance(dispatch, Dispatch)
+        self.assertEqual(dispatch.segments, tuple(handles))
+        self.assertEqual(len(dispatch.segment_ids), len(handles))
+        self.assertLessEqual(len(handles), 16)
+
+    def test_prompt_beyond_the_fleet_is_refused_at_once(self) -> None:
+        """Guards against a wait for memory that does not exist."""
+        (refusal,) = arrive(scheduler(runners=2), "huge", 900_000)
+        self.assertEqual(refusal.run_state, RunState.NOT_RUN)
+
+
+class RepeatTest(unittest.TestCase):
+    def end(self, repeat: Repeat, outcome: Outcome, relayed: bool = False, **values: object):
+        sched = scheduler(runners=3, retry_floor=10)
+        (first,) = arrive(sched, "a", 3_000, repeat=repeat, **values)
+        if relayed:
+            sched.handle(FirstToken("a"), 10)
+        event = AttemptEnded("a", first.upstream_id, outcome, bytes_relayed=relayed)
+        return sched.handle(event, 20)[0]
+
+    def test_calls_that_may_have_run_are_not_repeated(self) -> None:
+        """Guards against a call that must not run twice and is sent to a second upstream."""
+        for outcome in (Outcome.FAILED, Outcome.ERROR, Outcome.STALLED, Outcome.CANCELLED):
+            refusal = self.end(Repeat.PROVED_NOT_RUN, outcome)
+            self.assertIsInstance(refusal, Refuse)
+            self.assertEqual(refusal.run_state, RunState.UNKNOWN)
+        for outcome in (Outcome.REJECTED, Outcome.NOT_SENT):
+            self.assertIsInstance(self.end(Repeat.PROVED_NOT_RUN, outcome), Dispatch)
+
+    def test_streams_go_on_only_where_they_can_be_resumed(self) -> None:
+        """Guards against events that come twice, and against broken streams that could go on."""
+        self.assertIsInstance(self.end(Repeat.BEFORE_OUTPUT, Outcome.FAILED, relayed=True), Refuse)
+        self.assertIsInstance(self.end(Repeat.ANY_TIME, Outcome.FAILED, relayed=True), Dispatch)
+
+    def test_runs_are_bounded_by_the_request(self) -> None:
+        """Guards against a request that runs at more upstreams than its route allows."""
+        last = self.end(Repeat.ANY_TIME, Outcome.FAILED, max_runs=1)
+        self.assertIsInstance(last, Refuse)
+        not_run = self.end(Repeat.ANY_TIME, Outcome.REJECTED, max_runs=1)
+        self.assertIsInstance(not_run, Dispatch)
+
+    def test_the_last_allowed_attempt_is_not_cut(self) -> None:
+        """Guards against an attempt that is ended early although no other one may follow."""
+        sched = scheduler(runners=3)
+        arrive(sched, "a", 0, model="m", max_runs=1, repeat=Repeat.BEFORE_OUTPUT)
+        self.assertEqual(sched.handle(Tick(), 14_000), [])
+
+    def test_helper_at_fault_is_not_used_again(self) -> None:
+        """Guards against retries that fail at the same helper as the attempt before."""
+        sched = scheduler(retry_floor=10)
+        (first,) = arrive(sched, "long", 100_000)
+        culprit = first.helper_ids[0]
+        event = AttemptEnded("long", first.upstream_id, Outcome.REJECTED, culprit_id=culprit)
+        (second,) = sched.handle(event, 10)
+        self.assertNotIn(culprit, (second.upstream_id, *second.helper_ids))
+
+
+if __name__ == "__main__":
+    unittest.main()
