--- a/packages/core/src/ibispaddle_core/scheduling/attempts.py
+++ b/packages/core/src/ibispaddle_core/scheduling/attempts.py
@@ -57,6 +57,7 @@
         if state.attempts == 0:
             self._budget.count_first_attempt(now_ms)
         state.attempts += 1
+        state.sent_ms = now_ms
         upstream_id = choice.view.upstream.upstream_id
         state.tried.add(upstream_id)
         state.upstream_id = upstream_id
@@ -79,11 +80,15 @@
                 now_ms,
                 choice.reading_ms,
                 is_part=member != upstream_id,
+                wait_ms=_wait_ms(self._runners.views[member], choice, now_ms),
             )
             self._runners.views[member].add(req.request_id, work)
+        for member, handle in zip(group, handles, strict=False):
+            self._runners.views[member].begin_reading(handle)
         for view in choice.helpers:
             tokens, part_ms = choice.prefill_tokens, choice.reading_ms
-            part = SentWork(state.prompt_class, priority, tokens, 0, now_ms, part_ms, is_part=True)
+            wait_ms = _wait_ms(view, choice, now_ms)
+            part = SentWork(state.prompt_class, priority, tokens, 0, now_ms, part_ms, True, wait_ms)
             view.add(req.request_id, part)
         state.charged_ms = state.cost_ms
         self._shares.charge(req.neighbour, state.charged_ms, now_ms)
@@ -133,3 +138,8 @@
         state.upstream_id = None
         state.helper_ids = ()
         state.cancelling = False
+
+
+def _wait_ms(view: RunnerView, choice: Choice, now_ms: int) -> float:
+    """Return the predicted time until the runner begins to read: half a pass on average."""
+    return view.unread_ms(now_ms) + choice.pass_ms / 2
--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -44,7 +44,6 @@
     Upstream,
     UpstreamsChanged,
     UpstreamState,
-    UpstreamWork,
     WaitingPrompt,
 )
 from .peer_work import PeerWorkTable
@@ -177,7 +176,8 @@
                     self._homes.refresh(self.shares.recent_peers(now_ms - PEER_EXPIRY_MS), now_ms)
             case PeerClaims(instance_boot, claimed):
                 self._claims.merge(instance_boot, claimed, now_ms)
-            case PeerWork(instance, work):
+            case PeerWork(instance, work, avoided):
+                self.health.take_told(avoided, len(self.runners.views), now_ms)
                 self._peer_work.merge(instance, work, now_ms)
                 self.runners.replace_peers(self._peer_work.totals(now_ms))
             case PeerWaits():
@@ -311,9 +311,21 @@
         return group or self._groups.choose(req, live, wanted, now_ms)
 
     def _reserve(self, state: RequestState, group: Group, now_ms: int) -> None:
-        self._waits.forget(state.req.request_id)
+        req = state.req
+        self._waits.forget(req.request_id)
         self._backlog.take(state)
-        self._large.begin(state, group.views, self.cost.kv_tokens(state.req), now_ms)
+        at_once = self.cost.reads_jointly(req.model)
+        reading_ms = 0.0
+        if at_once:
+            reading_ms = self.cost.prefill_engine_ms(req.model, req.prompt_tokens)
+        self._large.begin(
+            state,
+            group.views,
+            self.cost.kv_tokens(req),
+            now_ms,
+            reading_ms / len(group.views),
+            at_once,
+        )
 
     def _begin_large(
         self, state: RequestState, spare_only: bool, now_ms: int
@@ -346,22 +358,45 @@
 
     def _reservation(self, event: ReservationAnswered, now_ms: int) -> list[Decision]:
         decisions, ready = self._large.answer(event, now_ms)
+        state = self._states.get(event.request_id)
+        if state is not None and not event.granted and self.cost.reads_jointly(state.req.model):
+            return decisions + self._regroup(state, event, now_ms)
         if event.granted:
             self._claims.remove(event.request_id, event.upstream_id)
         if not ready:
             return decisions
-        state = self._states[event.request_id]
+        assert state is not None
         views = [self.runners.views[u] for u in self._large.group(event.request_id)]
         tokens = state.req.prompt_tokens // len(views)
         reading_ms = self.cost.prefill_engine_ms(state.req.model, state.req.prompt_tokens)
         ttft_ms = max(tokens / views[0].prefill_rate, reading_ms / len(views))
-        choice = Choice(views[0], 0.0, ttft_ms, tokens, reading_ms / len(views))
+        pass_ms = self.cost.model(state.req.model).pass_ms
+        choice = Choice(views[0], 0.0, ttft_ms, tokens, reading_ms / len(views), pass_ms=pass_ms)
         handles = self._large.handles(event.request_id)
         return [*decisions, self._dispatch(state, choice, handles, now_ms)]
 
+    def _regroup(
+        self, state: RequestState, refusal: ReservationAnswered, now_ms: int
+    ) -> list[Decision]:
+        """Free what a prompt has reserved and let it choose other engines than the refusing one."""
+        request_id = state.req.request_id
+        if request_id not in self._large or state.upstream_id is not None:
+            return []
+        if refusal.handle not in self._large.handles(request_id):
+            return []  # Refused for a group that was given up before.
+        self.health.observe(refusal.upstream_id, Outcome.REJECTED, now_ms)
+        decisions = self._large.release(request_id)
+        self._claims.remove(request_id)
+        self._backlog.remove(state)
+        self._backlog.add(state)
+        return decisions
+
     def _attempt_ended(self, event: AttemptEnded, now_ms: int) -> list[Decision]:
-        self.health.observe(event.culprit_id or event.upstream_id, event.outcome, now_ms)
         state = self._states.get(event.request_id)
+        if event.culprit_id is None:
+            self.health.observe(event.upstream_id, event.outcome, now_ms)
+        elif state is not None:
+            self.health.observe_culprit(event.culprit_id, now_ms - state.sent_ms, now_ms)
         if state is None or state.upstream_id != event.upstream_id:
             return []
         first_token = state.first_token
@@ -407,9 +442,9 @@
             case Repeat.ANY_TIME:
                 return True
 
-    def own_work(self, now_ms: int) -> dict[str, UpstreamWork]:
-        """Return what this instance has in flight, for the other instances."""
-        return self.runners.own_work(now_ms)
+    def own_work(self, instance: str, now_ms: int) -> PeerWork:
+        """Return what this instance has in flight and avoids, for the other instances."""
+        return PeerWork(instance, self.runners.own_work(now_ms), self.health.own_avoided(now_ms))
 
     def _placement_of_config(self) -> Placement:
         return least_work.from_config(self.cost, self.health, self._rng, self._predicted)
--- a/packages/core/src/ibispaddle_core/scheduling/health.py
+++ b/packages/core/src/ibispaddle_core/scheduling/health.py
@@ -4,6 +4,7 @@
 within a few requests that an upstream is unreachable, fails a part of its requests or sheds them.
 """
 
+from collections.abc import Collection
 from dataclasses import dataclass
 
 from .messages import Outcome
@@ -18,6 +19,14 @@
 MAX_PAUSE_MS = 4_000
 # An upstream that rejects a request is full for about as long as a short request takes.
 REJECTED_PAUSE_MS = 100
+# An upstream for which another one rejects a request is leaving, gone or helps many others.
+CULPRIT_PAUSE_MS = 1_000
+# An upstream that waited this long for another one was waiting for one that is dead.
+DEAD_AFTER_MS = 1_000
+# Time for which the failures that another instance tells of count.
+TOLD_PAUSE_MS = 800
+# An instance for which a larger part of all upstreams fails has a fault of its own.
+MAX_TOLD_PART = 0.25
 # The failure rate halves in this time, so that an avoided upstream is tried again.
 RATE_HALF_LIFE_MS = 4_000
 
@@ -28,6 +37,7 @@
     at_ms: int = 0
     failures: int = 0  # In a row.
     paused_until_ms: int = 0
+    told_until_ms: int = 0  # Avoided because other instances avoid it.
 
 
 class UpstreamHealth:
@@ -65,6 +75,29 @@
                 record.failures += 1
                 record.paused_until_ms = now_ms + pause_ms
 
+    def observe_culprit(self, upstream_id: str, waited_ms: int, now_ms: int) -> None:
+        """Take the news that another upstream rejected a request because of this one."""
+        if waited_ms >= DEAD_AFTER_MS:
+            self.observe(upstream_id, Outcome.FAILED, now_ms)
+        record = self._records.setdefault(upstream_id, _Record())
+        record.paused_until_ms = max(record.paused_until_ms, now_ms + CULPRIT_PAUSE_MS)
+
+    def take_told(self, upstream_ids: Collection[str], known: int, now_ms: int) -> None:
+        """Take over which upstreams another instance avoids, out of so many known ones."""
+        if len(upstream_ids) > MAX_TOLD_PART * known:
+            return
+        for upstream_id in upstream_ids:
+            record = self._records.setdefault(upstream_id, _Record())
+            record.told_until_ms = now_ms + TOLD_PAUSE_MS
+
+    def own_avoided(self, now_ms: int) -> tuple[str, ...]:
+        """Return the upstreams that failed for this instance, for the other instances."""
+        return tuple(
+            upstream_id
+            for upstream_id, record in sorted(self._records.items())
+            if now_ms < record.paused_until_ms and record.failures
+        )
+
     def failure_rate(self, upstream_id: str, now_ms: int) -> float:
         """Return the smoothed part of failed attempts, from 0 to 1."""
         record = self._records.get(upstream_id)
@@ -77,7 +110,7 @@
         record = self._records.get(upstream_id)
         if record is None:
             return False
-        is_paused = now_ms < record.paused_until_ms
+        is_paused = now_ms < max(record.paused_until_ms, record.told_until_ms)
         return is_paused or self.failure_rate(upstream_id, now_ms) > AVOIDED_RATE
 
     def forget_missing(self, upstream_ids: set[str]) -> None:
--- a/packages/core/src/ibispaddle_core/scheduling/large.py
+++ b/packages/core/src/ibispaddle_core/scheduling/large.py
@@ -47,6 +47,7 @@
     segments: list[Segment]
     retry_ms: int
     began_ms: int
+    at_once: bool = False
 
     @property
     def complete(self) -> bool:
@@ -71,8 +72,21 @@
         """Return the runners of the request's group in id order."""
         return [segment.upstream_id for segment in self._prompts[request_id].segments]
 
-    def begin(self, state: RequestState, group: list[RunnerView], tokens: int, now_ms: int) -> None:
-        """Start to reserve memory for a prompt on the runners of a group, given in id order."""
+    def begin(
+        self,
+        state: RequestState,
+        group: list[RunnerView],
+        tokens: int,
+        now_ms: int,
+        reading_ms: float = 0.0,
+        at_once: bool = False,
+    ) -> None:
+        """Start to reserve memory for a prompt on the runners of a group, given in id order.
+
+        `reading_ms` is announced at each runner. With `at_once` all reservations are sent together;
+        then the caller has to give up the whole group when one is refused, because two instances
+        could otherwise wait for each other.
+        """
         expiry_ms = state.req.deadline_ms + self._wall_offset_ms + HANDLE_GRACE_MS
         self._generation += 1
         part, rest = divmod(tokens, len(group))
@@ -86,7 +100,9 @@
         ]
         for view, segment in zip(group, segments, strict=True):
             view.reserve(segment.handle, segment.tokens)
-        self._prompts[state.req.request_id] = LargePrompt(state, segments, now_ms, now_ms)
+            view.announce(segment.handle, reading_ms)
+        prompt = LargePrompt(state, segments, now_ms, now_ms, at_once)
+        self._prompts[state.req.request_id] = prompt
 
     def unclaimed(self, before_ms: int) -> list[tuple[str, str, int]]:
         """Return request, runner and tokens of segments that have waited since before a time.
@@ -108,12 +124,13 @@
         for request_id, prompt in self._prompts.items():
             if prompt.complete or prompt.retry_ms > now_ms:
                 continue
-            segment = next(s for s in prompt.segments if not s.granted)
-            segment.requested = True
+            due = [segment for segment in prompt.segments if not segment.granted]
+            for segment in due if prompt.at_once else due[:1]:
+                segment.requested = True
+                decisions.append(
+                    ReserveMemory(request_id, segment.upstream_id, segment.handle, segment.tokens)
+                )
             prompt.retry_ms = now_ms + ANSWER_TIMEOUT_MS
-            decisions.append(
-                ReserveMemory(request_id, segment.upstream_id, segment.handle, segment.tokens)
-            )
         return decisions
 
     def answer(self, event: ReservationAnswered, now_ms: int) -> tuple[list[Decision], bool]:
@@ -135,7 +152,8 @@
         segment.granted = True
         if (view := self._runners.views.get(segment.upstream_id)) is not None:
             view.reserve(segment.handle, segment.tokens, now_ms)
-        prompt.retry_ms = now_ms
+        if not prompt.at_once:
+            prompt.retry_ms = now_ms
         return [], prompt.complete
 
     def handles(self, request_id: str) -> tuple[str, ...]:
--- a/packages/core/src/ibispaddle_core/scheduling/least_work.py
+++ b/packages/core/src/ibispaddle_core/scheduling/least_work.py
@@ -22,12 +22,18 @@
 
 # Numbers of engines that are compared for one prompt.
 JOINT_SIZES = (1, 2, 3, 4, 6, 8, 10, 12, 14, 17)
+# Upstreams that have failed a prompt, counting helpers, from which it gets few engines or one.
+TRIED_FOR_FEW_HELPERS = 4
+TRIED_FOR_NO_HELPER = 6
+FEW_ENGINES = 4
 # A shorter part is not worth the message to another engine.
 MIN_PART_MS = 20.0
 # Part of the objective for the first token that a prediction may use up before it counts as risky.
 SAFE_PART = 0.5
 # Harm, in late streams, of a second by which a pause exceeds the harmless one.
 HARM_PER_S = 1.0
+# Harm of a second by which an answer begins late; it is little, because what is late is late.
+LATE_HARM_PER_S = 0.02
 # Harm of using up the whole time to the first token without being late. It makes a prompt that can be
 # read by many engines without harm begin soon.
 URGENCY = 0.03
@@ -86,13 +92,14 @@
         reading_ms = self._cost.prefill_engine_ms(req.model, req.prompt_tokens)
         plans = [
             self._plan(req, room, helpers, reading_ms, size, now_ms)
-            for size in self.sizes(req, reading_ms)
+            for size in self.sizes(req, reading_ms, len(tried))
         ]
         plan = min((plan for plan in plans if plan is not None), key=lambda plan: plan.harm)
         tokens = req.prompt_tokens // len(plan.views)
-        ttft_ms = plan.wait_ms + plan.part_ms + cfg.pass_ms
         first, *others = plan.views
-        return Choice(first, plan.wait_ms, ttft_ms, tokens, plan.part_ms, tuple(others))
+        ttft_ms = _first_token_ms(plan.wait_ms, plan.part_ms, cfg)
+        helpers = tuple(others)
+        return Choice(first, plan.wait_ms, ttft_ms, tokens, plan.part_ms, helpers, cfg.pass_ms)
 
     def choose_group(
         self, req: Request, live: list[RunnerView], wanted: set[str], now_ms: int
@@ -118,9 +125,14 @@
         views = sorted(best.views, key=lambda view: view.upstream.upstream_id)
         return Group(views, fits=True, wanted=False)
 
-    def sizes(self, req: Request, reading_ms: float) -> list[int]:
-        """Return the numbers of engines that are worth comparing."""
+    def sizes(self, req: Request, reading_ms: float, tried: int) -> list[int]:
+        """Return the numbers of engines that are worth comparing.
+
+        Each helper is one more that may fail, so a prompt that has failed gets fewer of them.
+        """
         most = self._cost.model(req.model).max_helpers + 1
+        if tried >= TRIED_FOR_FEW_HELPERS:
+            most = FEW_ENGINES if tried < TRIED_FOR_NO_HELPER else 1
         return [s for s in JOINT_SIZES if s == 1 or (s <= most and reading_ms / s >= MIN_PART_MS)]
 
     def _plan(
@@ -143,7 +155,7 @@
             return None
         wait_ms = max(view.unread_ms(now_ms) for view in views)
         harm = sum(self._harm(view, part_ms, cfg, now_ms) for view in views)
-        harm += self._lateness(req, wait_ms + part_ms + cfg.pass_ms, cfg, now_ms)
+        harm += self._lateness(req, _first_token_ms(wait_ms, part_ms, cfg), cfg, now_ms)
         return _Plan(views, part_ms, wait_ms, harm)
 
     def _lateness(
@@ -156,9 +168,8 @@
         used = first_token_ms / left_ms
         size = max(1.0, req.prompt_tokens / cfg.usual_prompt_tokens)
         risk = min(1.0, max(0.0, (used - SAFE_PART) / (1 - SAFE_PART)))
-        return size * (
-            URGENCY * used + risk + HARM_PER_S * max(0.0, first_token_ms - left_ms) / 1000
-        )
+        late_s = max(0.0, first_token_ms - left_ms) / 1000
+        return size * (URGENCY * min(used, 1.0) + risk + LATE_HARM_PER_S * late_s)
 
     def _harm(self, view: RunnerView, part_ms: float, cfg: ModelConfig, now_ms: int) -> float:
         """Return the harm that reading a part does at an engine, in late streams."""
@@ -211,7 +222,7 @@
 class FewestRequestsPlacement(LeastWorkPlacement):
     """Choose the upstream with the fewest requests of this instance; a baseline."""
 
-    def sizes(self, req: Request, reading_ms: float) -> list[int]:
+    def sizes(self, req: Request, reading_ms: float, tried: int) -> list[int]:
         """Return 1: each prompt is read by the engine that answers it."""
         return [1]
 
@@ -219,6 +230,11 @@
         return float(view.own_requests)
 
 
+def _first_token_ms(wait_ms: float, part_ms: float, cfg: ModelConfig) -> float:
+    """Return the time to the first token: half a pass, the reading, and the pass that writes."""
+    return wait_ms + part_ms + 1.5 * cfg.pass_ms
+
+
 def _pause_harm(reading_ms: float, cfg: ModelConfig) -> float:
     """Return the harm to each stream of an engine that reads so much in its next passes."""
     excess_ms = reading_ms - cfg.harmless_reading_ms
--- a/packages/core/src/ibispaddle_core/scheduling/messages.py
+++ b/packages/core/src/ibispaddle_core/scheduling/messages.py
@@ -184,10 +184,14 @@
 
 @dataclass(frozen=True)
 class PeerWork:
-    """Replace what another instance has in flight, by upstream; idle upstreams are left out."""
+    """Replace what another instance has in flight, by upstream; idle upstreams are left out.
+
+    `avoided` names the upstreams that failed for the instance a short time ago.
+    """
 
     instance: str
     work: Mapping[str, UpstreamWork] = field(default_factory=dict)
+    avoided: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/packages/core/src/ibispaddle_core/scheduling/peer_work.py
+++ b/packages/core/src/ibispaddle_core/scheduling/peer_work.py
@@ -19,17 +19,16 @@
         self._told[instance] = (now_ms, work)
 
     def totals(self, now_ms: int) -> dict[str, UpstreamWork]:
-        """Return the sums; prompts are read on since they were told."""
+        """Return the sums of what was told last."""
         totals: dict[str, UpstreamWork] = {}
         for instance, (told_ms, works) in list(self._told.items()):
-            age_ms = now_ms - told_ms
-            if age_ms > EXPIRY_MS:
+            if now_ms - told_ms > EXPIRY_MS:
                 del self._told[instance]
                 continue
             for upstream_id, work in works.items():
                 known = totals.get(upstream_id, UpstreamWork())
                 totals[upstream_id] = UpstreamWork(
-                    known.reading_ms + max(0.0, work.reading_ms - age_ms),
+                    known.reading_ms + work.reading_ms,
                     known.requests + work.requests,
                     known.kv_tokens + work.kv_tokens,
                     known.parts + work.parts,
--- a/packages/core/src/ibispaddle_core/scheduling/placement.py
+++ b/packages/core/src/ibispaddle_core/scheduling/placement.py
@@ -50,6 +50,7 @@
     prefill_tokens: int
     reading_ms: float = 0.0  # Engine time of reading the prompt, or its part with helpers.
     helpers: tuple[RunnerView, ...] = ()
+    pass_ms: float = 0.0  # Of the engine, if its passes are known.
 
 
 class Placement(Protocol):
--- a/packages/core/src/ibispaddle_core/scheduling/requests.py
+++ b/packages/core/src/ibispaddle_core/scheduling/requests.py
@@ -22,6 +22,7 @@
     cancelling: bool = False  # The attempt was cancelled; its end has not been reported.
     first_token: bool = False
     first_token_due_ms: int = 0
+    sent_ms: int = 0  # Begin of the attempt in flight.
     may_have_run: bool = False  # A past attempt ended without proof that nothing ran.
     queued: bool = False
     reserving: bool = False  # Waits for memory; keeps its place in the neighbour's bound.
--- a/packages/core/src/ibispaddle_core/scheduling/runners.py
+++ b/packages/core/src/ibispaddle_core/scheduling/runners.py
@@ -25,13 +25,15 @@
     sent_ms: int
     reading_ms: float = 0.0  # Predicted engine time of reading the prompt, or its part.
     is_part: bool = False  # The upstream only reads a part for another one.
+    wait_ms: float = 0.0  # Predicted time from sending to the begin of the reading.
 
     def unread_ms(self, now_ms: int) -> float:
         """Return the predicted engine time that is left of reading the prompt.
 
         A prompt whose first token has not come is not read, however late it is.
         """
-        return max(MIN_LONG_REST * self.reading_ms, self.reading_ms - (now_ms - self.sent_ms))
+        read_ms = max(0.0, now_ms - self.sent_ms - self.wait_ms)
+        return max(MIN_LONG_REST * self.reading_ms, self.reading_ms - read_ms)
 
 
 @dataclass(slots=True)
@@ -45,6 +47,8 @@
     sent: dict[str, SentWork] = field(default_factory=dict)
     # Tokens and time of the grant, or None before it, of this instance's reservations by handle.
     reserved: dict[str, tuple[int, int | None]] = field(default_factory=dict)
+    # Predicted reading time of prompts that wait for reservations, by handle.
+    _announced_ms: dict[str, float] = field(default_factory=dict)
     # The part of `sent` without a first token, which the predictions go through.
     _computing: dict[str, SentWork] = field(default_factory=dict)
     # Work of the other instances, summed up, as they last told.
@@ -67,6 +71,14 @@
         self._computing.pop(request_id, None)
         self._kv_free = None
 
+    def announce(self, handle: str, reading_ms: float) -> None:
+        """Count the reading of a prompt from its reservation on, until `begin_reading`."""
+        self._announced_ms[handle] = reading_ms
+
+    def begin_reading(self, handle: str) -> None:
+        """Forget an announcement; the prompt is sent."""
+        self._announced_ms.pop(handle, None)
+
     def reserve(self, handle: str, tokens: int, granted_ms: int | None = None) -> None:
         """Record a reservation of this instance, or the time at which it was granted."""
         self.reserved[handle] = (tokens, granted_ms)
@@ -75,6 +87,7 @@
     def release(self, handle: str) -> None:
         """Forget a reservation."""
         self.reserved.pop(handle, None)
+        self._announced_ms.pop(handle, None)
         self._kv_free = None
 
     def report(self, load: RunnerLoad) -> None:
@@ -119,13 +132,16 @@
 
     def unread_ms(self, now_ms: int) -> float:
         """Return the engine time of the prompts that the runner still has to read."""
-        own = sum(work.unread_ms(now_ms) for work in self._computing.values())
-        return own + self.peers.reading_ms
+        return self._own_unread_ms(now_ms) + self.peers.reading_ms
+
+    def _own_unread_ms(self, now_ms: int) -> float:
+        computing = sum(work.unread_ms(now_ms) for work in self._computing.values())
+        return computing + sum(self._announced_ms.values())
 
     def own_work(self, now_ms: int) -> UpstreamWork:
         """Sum up what this instance has in flight at the runner."""
         return UpstreamWork(
-            sum(work.unread_ms(now_ms) for work in self._computing.values()),
+            self._own_unread_ms(now_ms),
             self.own_requests,
             sum(work.kv_tokens for work in self.sent.values())
             + sum(tokens for tokens, _ in self.reserved.values()),
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/peer_work.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/peer_work.py
@@ -62,8 +62,9 @@
     def _tell(self) -> None:
         self._is_gathering = False
         now_ms = self._clock.now_ms()
-        work = PeerWork(self._instance_id, self._forwarder.scheduler.own_work(now_ms))
-        if work != self._told or (work.work and now_ms - self._told_ms >= REPEAT_MS):
+        work = self._forwarder.scheduler.own_work(self._instance_id, now_ms)
+        has_news = work.work or work.avoided
+        if work != self._told or (has_news and now_ms - self._told_ms >= REPEAT_MS):
             self._told, self._told_ms = work, now_ms
             self.fire(peer_broadcast(work), "*")
 
--- a/packages/daemon/src/ibispaddle_daemon/peer_codec.py
+++ b/packages/daemon/src/ibispaddle_daemon/peer_codec.py
@@ -121,7 +121,7 @@
             return {"noticeReceived": notice_id}
         case ListSeen(version):
             return {"listSeen": version}
-        case PeerWork(instance, work):
+        case PeerWork(instance, work, avoided):
             items = [
                 {
                     "upstreamId": upstream_id,
@@ -132,7 +132,7 @@
                 }
                 for upstream_id, item in work.items()
             ]
-            return {"peerWork": {"instance": instance, "work": items}}
+            return {"peerWork": {"instance": instance, "work": items, "avoided": list(avoided)}}
         case ClaimAsk() | ClaimAnswer() | ClaimNote() | ClaimNoted() | BodyRequest() | BodyReply():
             return claim_fields(message)
     raise TypeError(f"{type(message).__name__} is not a message between instances")
@@ -191,7 +191,7 @@
                 )
                 for item in envelope.peerWork.work
             }
-            return PeerWork(envelope.peerWork.instance, work)
+            return PeerWork(envelope.peerWork.instance, work, tuple(envelope.peerWork.avoided))
         case "listSeen":
             return ListSeen(envelope.listSeen)
     claim_message = read_claim_message(str(kind), envelope)
--- a/packages/daemon/src/ibispaddle_daemon/peers.capnp
+++ b/packages/daemon/src/ibispaddle_daemon/peers.capnp
@@ -84,6 +84,7 @@
 struct PeerWork {
   instance @0 :Text;
   work @1 :List(UpstreamWork);
+  avoided @2 :List(Text);
 }
 
 struct Notice {
--- a/tests/scheduling/test_least_work.py
+++ b/tests/scheduling/test_least_work.py
@@ -11,6 +11,7 @@
     AttemptEnded,
     Dispatch,
     FirstToken,
+    FreeMemory,
     Outcome,
     PeerWork,
     Refuse,
@@ -152,8 +153,8 @@
         sched = scheduler()
         decisions, now_ms = arrive(sched, "huge", 500_000), 0
         handles = []
-        while decisions and isinstance(decisions[0], ReserveMemory):
-            (order,) = decisions
+        orders = [order for order in decisions if isinstance(order, ReserveMemory)]
+        for order in orders:
             handles.append(order.handle)
             now_ms += 3
             event = ReservationAnswered("huge", order.upstream_id, order.handle, True)
@@ -164,6 +165,28 @@
         self.assertEqual(len(dispatch.segment_ids), len(handles))
         self.assertLessEqual(len(handles), 16)
 
+    def test_refused_reservation_moves_the_prompt(self) -> None:
+        """Guards against a prompt that waits for one full engine until its caller has left."""
+        sched = scheduler()
+        orders = arrive(sched, "huge", 500_000)
+        refuser = orders[0].upstream_id
+        decisions = sched.handle(ReservationAnswered("huge", refuser, orders[0].handle, False), 5)
+        freed = {d.handle for d in decisions if isinstance(d, FreeMemory)}
+        self.assertEqual(freed, {order.handle for order in orders})
+        again = decisions + sched.handle(Tick(), 120)
+        group = {d.upstream_id for d in again if isinstance(d, ReserveMemory)}
+        self.assertGreater(len(group), 1)
+        self.assertNotIn(refuser, group)
+
+    def test_late_answer_to_a_group_that_was_given_up(self) -> None:
+        """Guards against memory that stays reserved for nobody."""
+        sched = scheduler()
+        orders = arrive(sched, "huge", 500_000)
+        first, second = orders[:2]
+        sched.handle(ReservationAnswered("huge", first.upstream_id, first.handle, False), 5)
+        late = sched.handle(ReservationAnswered("huge", second.upstream_id, second.handle, True), 6)
+        self.assertIn(FreeMemory(second.upstream_id, second.handle), late)
+
     def test_prompt_beyond_the_fleet_is_refused_at_once(self) -> None:
         """Guards against a wait for memory that does not exist."""
         (refusal,) = arrive(scheduler(runners=2), "huge", 900_000)
