--- a/packages/core/src/ibispaddle_core/logevents.py
+++ b/packages/core/src/ibispaddle_core/logevents.py
@@ -43,6 +43,9 @@
     1007, "handler_failed", Level.ERROR, "A part of the daemon failed on an event and goes on."
 )
 DAEMON_FAILED = LogEvent(1008, "daemon_failed", Level.ERROR, "The daemon failed and ends.")
+INSTANCE_UNREADY = LogEvent(
+    1009, "instance_unready", Level.WARNING, "The instance asks for no new callers."
+)
 INSTANCE_PAUSED = LogEvent(
     1010,
     "instance_paused",
--- a/packages/core/src/ibispaddle_core/routing/freshness.py
+++ b/packages/core/src/ibispaddle_core/routing/freshness.py
@@ -7,6 +7,9 @@
 UNSURE_AFTER_MS = 1_900
 # Left between the last use of a key and the time by which a revoked one must not be used.
 REVOCATION_MARGIN_MS = 250
+# Part of the revocation time after which an instance asks for no more callers. The balancer needs two
+# seconds to notice; callers that it sends elsewhere meanwhile need not be refused.
+UNREADY_PART = 0.5
 
 
 @dataclass(frozen=True)
@@ -29,6 +32,13 @@
         age_ms = self.age_ms(now_ms)
         return age_ms is not None and age_ms <= UNSURE_AFTER_MS
 
+    def is_serviceable(self, now_ms: int) -> bool:
+        """Return whether keys will be accepted for long enough to take new callers."""
+        age_ms = self.age_ms(now_ms)
+        if age_ms is None:
+            return False
+        return self.revocation_ms is None or age_ms < self.revocation_ms * UNREADY_PART
+
     def may_trust_keys(self, now_ms: int) -> bool:
         """Return whether a known key can still be accepted."""
         age_ms = self.age_ms(now_ms)
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
@@ -56,6 +56,7 @@
 MAX_RETRY_PART = 0.3
 # Statuses of answers of the instance's own. Only 503 states that the request has not run.
 NOT_RUN, FAILED, TOO_LATE = 503, 502, 504
+OUTDATED = "outdated_configuration"
 
 
 class Forwarder(BaseComponent):
@@ -150,7 +151,7 @@
                 self._deny(exchange, caller, 401 if may_deny else NOT_RUN, "unknown_key")
                 return
             if not self.freshness.may_trust_keys(now_ms):
-                self._deny(exchange, caller, NOT_RUN, "outdated_configuration")
+                self._deny(exchange, caller, NOT_RUN, OUTDATED)
                 return
             workspace = known
         self._admit(exchange, caller, route, workspace)
@@ -195,7 +196,11 @@
             config_age_ms=self.freshness.age_ms(self._clock.now_ms()),
         )
         retry_after_ms = RETRY_AFTER_MS if status == NOT_RUN else 0
-        exchange.respond(status, (*JSON, *self._codec.refusal_headers(retry_after_ms)), _body(code))
+        headers = (*JSON, *self._codec.refusal_headers(retry_after_ms))
+        if code == OUTDATED:
+            # A kept connection would bring the caller's next request here again.
+            headers = (*headers, ("Connection", "close"))
+        exchange.respond(status, headers, _body(code))
 
     def _on_caller_left(self, request: ForwardedRequest) -> None:
         if request.request_id in self._requests:
--- a/packages/daemon/src/ibispaddle_daemon/gateway.py
+++ b/packages/daemon/src/ibispaddle_daemon/gateway.py
@@ -26,6 +26,8 @@
 from .timers import TimerQueue
 
 DRAIN_POLL_MS = 20
+# Interval at which the age of the configuration is judged.
+REVIEW_INTERVAL_MS = 100
 # Time without a request after which callers have moved on to other instances.
 DRAIN_QUIET_MS = 300
 # How long the store holds a reading of the configuration back. The configuration is known to be in
@@ -65,7 +67,7 @@
         self._version: int | None = None
         self._drain_began_ms: int | None = None
         self._quiet_since_ms: int | None = None
-        self._was_ready = False
+        self._was_ready = self._is_fresh = False
         EPoll().register(self)
         self.timers = TimerQueue(self.clock).register(self)
         self.metrics = Metrics()
@@ -153,6 +155,14 @@
 
     # Configuration
 
+    def _review(self) -> None:
+        """Report that the instance is not ready while its configuration is outdated."""
+        self.timers.after(REVIEW_INTERVAL_MS, self._review)
+        is_fresh = self.forwarder.freshness.is_serviceable(self.clock.now_ms())
+        if is_fresh is not self._is_fresh:
+            self._is_fresh = is_fresh
+            self.fire(readiness_changed("configuration", is_fresh), "*")
+
     def _take_config(self, update: TopicUpdate) -> None:
         value = update.values.get(self._codecs.config_key)
         if value is not None:
@@ -179,7 +189,7 @@
             keys=len(routing.workspaces),
         )
         if is_first:
-            self.fire(readiness_changed("configuration", True), "*")
+            self.timers.after(0, self._review)
 
     # Life cycle
 
@@ -193,6 +203,9 @@
     def _on_readiness_changed(self, component: str, ready: bool) -> None:
         if self.status.is_ready and not self._was_ready:
             log_event(logevents.INSTANCE_READY)
+        elif self._was_ready and not self.status.is_ready:
+            age_ms = self.forwarder.freshness.age_ms(self.clock.now_ms())
+            log_event(logevents.INSTANCE_UNREADY, component=component, config_age_ms=age_ms)
         self._was_ready = self.status.is_ready
 
     @handler("exception", channel="*")
--- a/tests/platform_adapter/test_instance.py
+++ b/tests/platform_adapter/test_instance.py
@@ -191,6 +191,15 @@
             wait_until(lambda: versions("config_in_force")[-1]["revision"] == 9, "version")
             self.assertEqual(platform.instance.stream().status, 200)
 
+    def test_instance_that_is_cut_off_asks_for_no_callers(self) -> None:
+        """Guards against callers that the balancer sends to an instance which must refuse them."""
+        with Platform(revoke_ms=5_000) as platform:
+            platform.store.set_faults(outage=True)
+            wait_until(lambda: not platform.instance.is_ready(), "not ready")
+            self.assertEqual(platform.instance.call("GET", "/read/x").status, 200)
+            platform.store.set_faults(outage=False)
+            wait_until(platform.instance.is_ready, "ready")
+
     def test_keys_are_refused_when_the_store_is_away_too_long(self) -> None:
         """Guards against a revoked key that a cut-off instance accepts, and against a false 401."""
         with Platform(revoke_ms=2_500) as platform:
