--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -280,6 +280,10 @@
         else:
             choice = self.placement.choose(req, state.tried, spare_only, self.runners, now_ms)
         if choice is None:
+            is_long = state.prompt_class is PromptClass.LONG
+            if is_long and allowed is None and self.cost.reads_jointly(req.model):
+                # No engine has the memory for all of it, but several may have it together.
+                return self._begin_large(state, spare_only, now_ms)
             return None
         return [self._dispatch(state, choice, (), now_ms)]
 
@@ -303,12 +307,12 @@
         return group.fits
 
     def _choose_group(
-        self, req: Request, live: list[RunnerView], wanted: set[str], now_ms: int
+        self, state: RequestState, live: list[RunnerView], wanted: set[str], now_ms: int
     ) -> Group:
-        group = None
         if isinstance(self.placement, least_work.LeastWorkPlacement):
-            group = self.placement.choose_group(req, live, wanted, now_ms)
-        return group or self._groups.choose(req, live, wanted, now_ms)
+            group = self.placement.choose_group(state.req, live, wanted, now_ms)
+            return group or Group([], fits=False, wanted=False)
+        return self._groups.choose(state.req, live, wanted, now_ms)
 
     def _reserve(self, state: RequestState, group: Group, now_ms: int) -> None:
         req = state.req
@@ -338,10 +342,10 @@
         if spare_only and is_reserving:
             return None
         wanted = self._waits.older(self._large.waiting(req, ()), now_ms)
-        group = self._choose_group(req, live, wanted, now_ms)
+        group = self._choose_group(state, live, wanted, now_ms)
         # Reservations that wait for memory keep it from others, which a neighbour above its share
         # must not do.
-        if not group.fits and (spare_only or is_reserving):
+        if not group.fits and (spare_only or is_reserving or not group.views):
             return None
         if group.wanted:
             names = [view.upstream.upstream_id for view in group.views]
--- a/packages/core/src/ibispaddle_core/scheduling/least_work.py
+++ b/packages/core/src/ibispaddle_core/scheduling/least_work.py
@@ -85,6 +85,7 @@
         room = [view for view in live if _has_room(view, cfg, needed)]
         if spare_only:
             room = [view for view in room if view.idle]
+        room = [view for view in room if not self._must_rest(view, tried, now_ms)]
         room = self._preferred(room, tried, now_ms)
         if not room:
             return None
@@ -108,7 +109,7 @@
         reading_ms = self._cost.prefill_engine_ms(req.model, req.prompt_tokens)
         tokens = self._cost.kv_tokens(req)
         best: _Plan | None = None
-        for size in range(self._cost.segments(req), cfg.max_helpers + 1):
+        for size in range(max(2, self._cost.segments(req)), cfg.max_helpers + 1):
             fitting = [
                 view
                 for view in self._preferred(live, set(), now_ms)
@@ -193,6 +194,11 @@
         ranked.sort(key=lambda item: item[0])
         return [view for _, view in ranked[:count]]
 
+    def _must_rest(self, view: RunnerView, tried: set[str], now_ms: int) -> bool:
+        """Return whether the upstream has just failed this very request."""
+        upstream_id = view.upstream.upstream_id
+        return upstream_id in tried and self._health.is_avoided(upstream_id, now_ms)
+
     def _preferred(
         self, views: Iterable[RunnerView], tried: set[str], now_ms: int
     ) -> list[RunnerView]:
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
@@ -54,6 +54,9 @@
 RETRY_AFTER_MS = 500
 # Callers do not wait longer than this part of the time they have left.
 MAX_RETRY_PART = 0.3
+# An instance that has just started reads the configuration and the upstreams in tens of milliseconds.
+# Requests wait for them no longer than this.
+START_WAIT_MS = 300
 # Statuses of answers of the instance's own. Only 503 states that the request has not run.
 NOT_RUN, FAILED, TOO_LATE = 503, 502, 504
 OUTDATED = "outdated_configuration"
@@ -87,6 +90,8 @@
         self.scheduler = Scheduler.from_config(FleetConfig(), seed, self._boot, offset_ms)
         self._loop = SchedulingLoop(self.scheduler, self._carry_out, clock, timers)
         self._requests: dict[str, ForwardedRequest] = {}
+        self._early: list[Exchange] = []  # Arrived before the configuration and the upstreams.
+        self._has_upstreams = False
         self._addresses: dict[str, str] = {}
         # Told when work was sent to an upstream.
         self.on_work_added: Callable[[], None] = lambda: None
@@ -113,6 +118,7 @@
         self._attempts.max_unsent_bytes = config.limits.max_unsent_bytes
         self._attempts.stall_timeout_ms = fleet.scheduling.stall_timeout_ms
         self.tell(ConfigurationReplaced(fleet))
+        self._admit_early()
 
     @handler("list_changed", channel="*")
     def _on_list_changed(self, entries: Sequence[ListEntry]) -> None:
@@ -124,6 +130,8 @@
             for entry in entries
         )
         self.tell(UpstreamsChanged(upstreams))
+        self._has_upstreams = True
+        self._admit_early()
 
     def take_peer_work(self, work: PeerWork) -> None:
         """Take over what another instance has in flight."""
@@ -133,6 +141,27 @@
 
     @handler("exchange_started")
     def _on_exchange_started(self, exchange: Exchange) -> None:
+        if self._config is not None and self._has_upstreams:
+            self._take(exchange)
+            return
+        self._early.append(exchange)
+        self._timers.after(START_WAIT_MS, lambda: self._give_up_waiting(exchange))
+
+    def _admit_early(self) -> None:
+        """Admit what has waited for the configuration and the upstreams, if both are known."""
+        if self._config is None or not self._has_upstreams:
+            return
+        waiting, self._early = self._early, []
+        for exchange in waiting:
+            if not exchange.is_closed:
+                self._take(exchange)
+
+    def _give_up_waiting(self, exchange: Exchange) -> None:
+        if exchange in self._early:
+            self._early.remove(exchange)
+            self._take(exchange)
+
+    def _take(self, exchange: Exchange) -> None:
         caller = self._codec.read_request(exchange.headers)
         now_ms = self._clock.now_ms()
         config = self._config
--- a/packages/daemon/src/ibispaddle_daemon/gateway.py
+++ b/packages/daemon/src/ibispaddle_daemon/gateway.py
@@ -164,13 +164,13 @@
             self.fire(readiness_changed("configuration", is_fresh), "*")
 
     def _take_config(self, update: TopicUpdate) -> None:
+        # Known before the configuration, which admits the requests that wait for it.
+        self.forwarder.freshness = Freshness(
+            self.config_topic.confirmed_ms, self.settings.revocation_ms
+        )
         value = update.values.get(self._codecs.config_key)
         if value is not None:
             self._apply_config(value)
-        if self._version is not None:
-            self.forwarder.freshness = Freshness(
-                self.config_topic.confirmed_ms, self.settings.revocation_ms
-            )
 
     def _apply_config(self, value: bytes) -> None:
         decoded = self._codecs.config(value)
--- a/tests/platform_adapter/test_instance.py
+++ b/tests/platform_adapter/test_instance.py
@@ -1,5 +1,6 @@
 """Instances on the adapter: what consumers and runners see, also when things fail."""
 
+import contextlib
 import json
 import socket
 import time
@@ -248,6 +249,21 @@
 
             wait_until(lambda: peers() >= 1, "connection")
 
+    def test_requests_wait_for_the_first_reading_of_the_store(self) -> None:
+        """Guards against refusals by an instance that has only just started."""
+        from .processes import Instance
+
+        with Platform() as platform:
+            for _ in range(3):
+                late = Instance(platform.folder, 7, platform.store)
+                self.addCleanup(late.close)
+                statuses = []
+                while not statuses:
+                    with contextlib.suppress(ConnectionRefusedError):
+                        statuses.append(late.call("GET", "/read/x").status)
+                self.assertEqual(statuses, [200])
+                late.close()
+
     def test_instance_without_a_configuration_refuses(self) -> None:
         """Guards against a 404 or 401 from an instance that knows nothing yet."""
         from .processes import Instance
--- a/tests/scheduling/test_least_work.py
+++ b/tests/scheduling/test_least_work.py
@@ -165,6 +165,15 @@
         self.assertEqual(len(dispatch.segment_ids), len(handles))
         self.assertLessEqual(len(handles), 16)
 
+    def test_prompt_for_which_no_engine_has_the_memory_spans_several(self) -> None:
+        """Guards against a prompt of nearly an engine's memory that waits for an empty engine."""
+        sched = scheduler()
+        work = {f"r{n:03}": UpstreamWork(0.0, 2, 60_000) for n in range(23)}
+        sched.handle(PeerWork("other", work), 0)
+        orders = arrive(sched, "long", 200_000)
+        self.assertGreaterEqual(len(orders), 2)
+        self.assertTrue(all(isinstance(order, ReserveMemory) for order in orders))
+
     def test_refused_reservation_moves_the_prompt(self) -> None:
         """Guards against a prompt that waits for one full engine until its caller has left."""
         sched = scheduler()
@@ -229,6 +238,15 @@
         arrive(sched, "a", 0, model="m", max_runs=1, repeat=Repeat.BEFORE_OUTPUT)
         self.assertEqual(sched.handle(Tick(), 14_000), [])
 
+    def test_the_only_engine_that_rejects_is_not_asked_again_at_once(self) -> None:
+        """Guards against attempts that are used up within milliseconds at one full engine."""
+        sched = scheduler(runners=1, retry_floor=10)
+        (first,) = arrive(sched, "a", 3_000)
+        event = AttemptEnded("a", first.upstream_id, Outcome.REJECTED)
+        self.assertEqual(sched.handle(event, 5), [])
+        (again,) = sched.handle(Tick(), 150)
+        self.assertIsInstance(again, Dispatch)
+
     def test_helper_at_fault_is_not_used_again(self) -> None:
         """Guards against retries that fail at the same helper as the attempt before."""
         sched = scheduler(retry_floor=10)
