--- a/packages/core/src/ibispaddle_core/scheduling/least_work.py
+++ b/packages/core/src/ibispaddle_core/scheduling/least_work.py
@@ -48,11 +48,27 @@
 FAILURE_WORK_MS = 400.0
 
 
+@dataclass(frozen=True, slots=True)
+class _Load:
+    """Hold what is needed of an engine for one choice, so that it is worked out only once."""
+
+    view: RunnerView
+    unread_ms: float
+    requests: int
+    work_ms: float  # Decides between engines at which the harm is equal.
+    is_avoided: bool
+
+    @property
+    def upstream_id(self) -> str:
+        """Return the id of the engine."""
+        return self.view.upstream.upstream_id
+
+
 @dataclass(frozen=True, slots=True)
 class _Plan:
     """Hold the engines that could read a prompt, the first one answering, with the harm done."""
 
-    views: list[RunnerView]
+    loads: list[_Load]
     part_ms: float
     wait_ms: float
     harm: float
@@ -80,26 +96,40 @@
     ) -> Choice | None:
         """Return the choice, or None while no upstream has a free slot and the memory."""
         cfg = self._cost.model(req.model)
-        live = runners.live(req.model)
         needed = self._cost.kv_tokens(req)
-        room = [view for view in live if _has_room(view, cfg, needed)]
-        if spare_only:
-            room = [view for view in room if view.idle]
-        room = [view for view in room if not self._must_rest(view, tried, now_ms)]
-        room = self._preferred(room, tried, now_ms)
+        loads = self._loads(runners.live(req.model), now_ms)
+        room = [
+            load
+            for load in loads
+            if _has_room(load.view, cfg, needed) and not (spare_only and not load.view.idle)
+            # The upstream has just failed this very request.
+            and not (load.is_avoided and load.upstream_id in tried)
+        ]
+        room = _preferred(room, tried)
         if not room:
             return None
-        may_help = self._usable_helpers(live, cfg, tried, now_ms)
+        may_help = [
+            load
+            for load in loads
+            if not load.is_avoided and load.upstream_id not in tried and _may_help(load.view, cfg)
+        ]
         reading_ms = self._cost.prefill_engine_ms(req.model, req.prompt_tokens)
         plans = [
             self._plan(req, room, may_help, reading_ms, size, now_ms)
             for size in self.sizes(req, reading_ms, len(tried))
         ]
         plan = min((plan for plan in plans if plan is not None), key=lambda plan: plan.harm)
-        tokens = req.prompt_tokens // len(plan.views)
-        first, helpers = plan.views[0], tuple(plan.views[1:])
-        ttft_ms = _first_token_ms(plan.wait_ms, plan.part_ms, cfg)
-        return Choice(first, plan.wait_ms, ttft_ms, tokens, plan.part_ms, helpers, cfg.pass_ms)
+        tokens = req.prompt_tokens // len(plan.loads)
+        first, *helpers = [load.view for load in plan.loads]
+        return Choice(
+            first,
+            plan.wait_ms,
+            _first_token_ms(plan.wait_ms, plan.part_ms, cfg),
+            tokens,
+            plan.part_ms,
+            tuple(helpers),
+            cfg.pass_ms,
+        )
 
     def choose_group(
         self, req: Request, live: list[RunnerView], wanted: set[str], now_ms: int
@@ -108,21 +138,21 @@
         cfg = self._cost.model(req.model)
         reading_ms = self._cost.prefill_engine_ms(req.model, req.prompt_tokens)
         tokens = self._cost.kv_tokens(req)
+        loads = [
+            load
+            for load in _preferred(self._loads(live, now_ms), set())
+            if load.upstream_id not in wanted and _may_help(load.view, cfg)
+        ]
         best: _Plan | None = None
         for size in range(max(2, self._cost.segments(req)), cfg.max_helpers + 1):
-            fitting = [
-                view
-                for view in self._preferred(live, set(), now_ms)
-                if view.upstream.upstream_id not in wanted
-                and _has_room(view, cfg, -(-tokens // size))
-                and _may_help(view, cfg)
-            ]
+            fitting = [load for load in loads if _has_room(load.view, cfg, -(-tokens // size))]
             plan = self._plan(req, fitting, fitting, reading_ms, size, now_ms)
             if plan is not None and (best is None or plan.harm < best.harm):
                 best = plan
         if best is None:
             return None
-        views = sorted(best.views, key=lambda view: view.upstream.upstream_id)
+        views = [load.view for load in best.loads]
+        views.sort(key=lambda view: view.upstream.upstream_id)
         return Group(views, fits=True, wanted=False)
 
     def sizes(self, req: Request, reading_ms: float, tried: int) -> list[int]:
@@ -135,11 +165,22 @@
             most = FEW_ENGINES if tried < TRIED_FOR_NO_HELPER else 1
         return [s for s in JOINT_SIZES if s == 1 or (s <= most and reading_ms / s >= MIN_PART_MS)]
 
+    def _loads(self, views: Iterable[RunnerView], now_ms: int) -> list[_Load]:
+        return [self._load(view, now_ms) for view in views]
+
+    def _load(self, view: RunnerView, now_ms: int) -> _Load:
+        upstream_id = view.upstream.upstream_id
+        unread_ms, requests = view.unread_ms(now_ms), view.requests
+        failure_rate = self._health.failure_rate(upstream_id, now_ms)
+        work_ms = unread_ms + REQUEST_WORK_MS * requests + FAILURE_WORK_MS * failure_rate
+        is_avoided = self._health.is_avoided(upstream_id, now_ms)
+        return _Load(view, unread_ms, requests, work_ms, is_avoided)
+
     def _plan(
         self,
         req: Request,
-        room: list[RunnerView],
-        helpers: list[RunnerView],
+        room: list[_Load],
+        may_help: list[_Load],
         reading_ms: float,
         size: int,
         now_ms: int,
@@ -147,16 +188,16 @@
         """Return the least harmful way to read the prompt with so many engines, if there is one."""
         cfg = self._cost.model(req.model)
         part_ms = reading_ms / size
-        views = self._least(room, 1, part_ms, cfg, now_ms)
-        if size > 1 and views:
-            others = [view for view in helpers if view is not views[0]]
-            views = [*views, *self._least(others, size - 1, part_ms, cfg, now_ms)]
-        if len(views) < size:
+        loads = self._least(room, 1, part_ms, cfg)
+        if size > 1 and loads:
+            others = [load for load in may_help if load is not loads[0]]
+            loads = [*loads, *self._least(others, size - 1, part_ms, cfg)]
+        if len(loads) < size:
             return None
-        wait_ms = max(view.unread_ms(now_ms) for view in views)
-        harm = sum(self._harm(view, part_ms, cfg, now_ms) for view in views)
+        wait_ms = max(load.unread_ms for load in loads)
+        harm = sum(_harm(load, part_ms, cfg) for load in loads)
         harm += self._lateness(req, _first_token_ms(wait_ms, part_ms, cfg), cfg, now_ms)
-        return _Plan(views, part_ms, wait_ms, harm)
+        return _Plan(loads, part_ms, wait_ms, harm)
 
     def _lateness(
         self, req: Request, first_token_ms: float, cfg: ModelConfig, now_ms: int
@@ -171,57 +212,19 @@
         late_s = max(0.0, first_token_ms - left_ms) / 1000
         return size * (URGENCY * min(used, 1.0) + risk + LATE_HARM_PER_S * late_s)
 
-    def _harm(self, view: RunnerView, part_ms: float, cfg: ModelConfig, now_ms: int) -> float:
-        """Return the harm that reading a part does at an engine, in late streams."""
-        unread_ms = view.unread_ms(now_ms)
-        added = _pause_harm(unread_ms + part_ms, cfg) - _pause_harm(unread_ms, cfg)
-        return view.requests * added
-
-    def _rank(self, view: RunnerView, part_ms: float, cfg: ModelConfig, now_ms: int) -> float:
-        """Return the order in which engines are taken: the least harm, then the least work."""
-        failure_rate = self._health.failure_rate(view.upstream.upstream_id, now_ms)
-        work_ms = view.unread_ms(now_ms) + REQUEST_WORK_MS * view.requests
-        work_ms += FAILURE_WORK_MS * failure_rate
-        return self._harm(view, part_ms, cfg, now_ms) + HARM_PER_WORK_MS * work_ms
-
     def _least(
-        self, views: list[RunnerView], count: int, part_ms: float, cfg: ModelConfig, now_ms: int
-    ) -> list[RunnerView]:
+        self, loads: list[_Load], count: int, part_ms: float, cfg: ModelConfig
+    ) -> list[_Load]:
+        """Return the engines with the least harm, then the least work."""
         ranked = [
-            (self._rank(view, part_ms, cfg, now_ms) + NEAR_EQUAL_HARM * self._rng.random(), view)
-            for view in views
+            (self._rank(load, part_ms, cfg) + NEAR_EQUAL_HARM * self._rng.random(), load)
+            for load in loads
         ]
         ranked.sort(key=lambda item: item[0])
-        return [view for _, view in ranked[:count]]
+        return [load for _, load in ranked[:count]]
 
-    def _must_rest(self, view: RunnerView, tried: set[str], now_ms: int) -> bool:
-        """Return whether the upstream has just failed this very request."""
-        upstream_id = view.upstream.upstream_id
-        return upstream_id in tried and self._health.is_avoided(upstream_id, now_ms)
-
-    def _preferred(
-        self, views: Iterable[RunnerView], tried: set[str], now_ms: int
-    ) -> list[RunnerView]:
-        """Leave out upstreams that failed, as long as others are left."""
-        views = list(views)
-        untried = [view for view in views if view.upstream.upstream_id not in tried] or views
-        sound = [
-            view
-            for view in untried
-            if not self._health.is_avoided(view.upstream.upstream_id, now_ms)
-        ]
-        return sound or untried
-
-    def _usable_helpers(
-        self, live: list[RunnerView], cfg: ModelConfig, tried: set[str], now_ms: int
-    ) -> list[RunnerView]:
-        return [
-            view
-            for view in live
-            if view.upstream.upstream_id not in tried
-            and _may_help(view, cfg)
-            and not self._health.is_avoided(view.upstream.upstream_id, now_ms)
-        ]
+    def _rank(self, load: _Load, part_ms: float, cfg: ModelConfig) -> float:
+        return _harm(load, part_ms, cfg) + HARM_PER_WORK_MS * load.work_ms
 
 
 class FewestRequestsPlacement(LeastWorkPlacement):
@@ -231,8 +234,20 @@
         """Return 1: each prompt is read by the engine that answers it."""
         return [1]
 
-    def _rank(self, view: RunnerView, part_ms: float, cfg: ModelConfig, now_ms: int) -> float:
-        return float(view.own_requests)
+    def _rank(self, load: _Load, part_ms: float, cfg: ModelConfig) -> float:
+        return float(load.view.own_requests)
+
+
+def _preferred(loads: list[_Load], tried: set[str]) -> list[_Load]:
+    """Leave out upstreams that failed, as long as others are left."""
+    untried = [load for load in loads if load.upstream_id not in tried] or loads
+    return [load for load in untried if not load.is_avoided] or untried
+
+
+def _harm(load: _Load, part_ms: float, cfg: ModelConfig) -> float:
+    """Return the harm that reading a part does at an engine, in late streams."""
+    added = _pause_harm(load.unread_ms + part_ms, cfg) - _pause_harm(load.unread_ms, cfg)
+    return load.requests * added
 
 
 def _first_token_ms(wait_ms: float, part_ms: float, cfg: ModelConfig) -> float:
