Counted the time for which a machine is suspended, and never waited for the reader of the log

A suspended machine stops the monotonic clock but not the time after which a revoked key must not be used. A full pipe at standard output stopped the event loop; lines that find no room are dropped and counted now.

--- a/packages/core/src/ibispaddle_core/clock.py
+++ b/packages/core/src/ibispaddle_core/clock.py
@@ -23,8 +23,11 @@
     """Read the clocks of the operating system."""
 
     def now_ms(self) -> int:
-        """Return the monotonic time."""
-        return time.monotonic_ns() // 1_000_000
+        """Return the monotonic time, with the time for which the machine was suspended.
+
+        Leases, keys and deadlines of others run on while this machine stands still.
+        """
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
 
     def wall_ms(self) -> int:
         """Return the time since the Unix epoch."""
--- a/packages/daemon/src/ibispaddle_daemon/logs.py
+++ b/packages/daemon/src/ibispaddle_daemon/logs.py
@@ -1,6 +1,7 @@
 """Log records as JSON lines, written through absl.logging."""
 
 import logging
+import os
 import sys
 from typing import Any, TextIO
 
@@ -20,6 +21,42 @@
 }
 
 
+# Lines that wait for a slow reader of the log; beyond it, lines are dropped and counted.
+MAX_PENDING_BYTES = 262_144
+
+
+class NonBlockingStream:
+    """Write lines to a file descriptor without ever waiting for its reader."""
+
+    def __init__(self, fd: int) -> None:
+        os.set_blocking(fd, False)
+        self._fd = fd
+        self._pending = bytearray()
+        self.dropped = 0
+
+    def write(self, text: str) -> None:
+        """Write a line, or as much as the reader takes now; the rest follows later lines."""
+        data = text.encode()
+        if len(self._pending) + len(data) > MAX_PENDING_BYTES:
+            self.flush()
+        if len(self._pending) + len(data) > MAX_PENDING_BYTES:
+            self.dropped += 1
+            return
+        self._pending += data
+
+    def flush(self) -> None:
+        """Hand over what the reader takes."""
+        try:
+            while self._pending:
+                del self._pending[: os.write(self._fd, self._pending)]
+        except BlockingIOError:
+            return  # The reader is slow; the lines wait.
+        except OSError:
+            # Nobody reads any more, and there is nowhere to report it but the counter.
+            self.dropped += 1
+            self._pending.clear()
+
+
 class JsonFormatter(logging.Formatter):
     """Format a record as one JSON object."""
 
@@ -45,7 +82,7 @@
         return msgspec.json.encode(line, enc_hook=str).decode()
 
 
-def configure(instance_id: str, stream: TextIO = sys.stderr) -> None:
+def configure(instance_id: str, stream: TextIO | NonBlockingStream = sys.stderr) -> None:
     """Write all records of this process as JSON lines to a stream."""
     # The command line is read by typer; absl only has to know that no flags follow.
     flags.FLAGS.mark_as_parsed()
