Removed fields of routes that nothing reads, and shared the report of a failed handler

Routes and the configuration held services, idle timeouts and pauses that no code used, and the gateway repeated the report of the application. Checked: black, ruff, mypy, 50 tests of routes, adapter, log events and reference; the failure and life cycle tests of instances were not run again.

--- a/packages/core/src/ibispaddle_core/routing/__init__.py
+++ b/packages/core/src/ibispaddle_core/routing/__init__.py
@@ -1,6 +1,6 @@
 """Routes from hosts and paths to services, and the workspaces that hold keys for them."""
 
-from .base import Route, RoutedService, RoutingConfig, Target
+from .base import Route, RoutingConfig, Target
 from .freshness import Freshness
 from .table import RouteTable, choose_service
 
@@ -8,7 +8,6 @@
     "Freshness",
     "Route",
     "RouteTable",
-    "RoutedService",
     "RoutingConfig",
     "Target",
     "choose_service",
--- a/packages/core/src/ibispaddle_core/routing/base.py
+++ b/packages/core/src/ibispaddle_core/routing/base.py
@@ -1,4 +1,4 @@
-"""The part of the configuration that names routes, services and keys."""
+"""The part of the configuration that names routes and keys."""
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -6,9 +6,6 @@
 from ..scheduling import Repeat
 from ..settings.fleet import LimitSettings
 
-# Callers keep idle connections for up to this time unless the configuration states another one.
-DEFAULT_IDLE_TIMEOUT_MS = 120_000
-
 
 @dataclass(frozen=True)
 class Target:
@@ -31,29 +28,18 @@
     streams: bool = False
     repeat: Repeat = Repeat.PROVED_NOT_RUN
     max_runs: int = 1
-    max_gap_ms: int | None = None  # Longest pause between two events of a timely stream.
     public: bool = False  # Needs no key.
 
 
-@dataclass(frozen=True)
-class RoutedService:
-    """Describe a service."""
-
-    name: str
-    max_connections: int  # Of all callers to one of its upstreams.
-
-
 @dataclass(frozen=True)
 class RoutingConfig:
-    """Hold one version of the routes, services and keys.
+    """Hold one version of the routes and keys.
 
     `workspaces` has the workspace of each key; without any, requests need no key.
     """
 
     version: int
     routes: tuple[Route, ...] = ()
-    services: Mapping[str, RoutedService] = field(default_factory=dict)
     workspaces: Mapping[str, str] = field(default_factory=dict)
     has_keys: bool = False
     limits: LimitSettings = field(default_factory=LimitSettings)
-    idle_timeout_ms: int = DEFAULT_IDLE_TIMEOUT_MS
--- a/packages/daemon/src/ibispaddle_daemon/app.py
+++ b/packages/daemon/src/ibispaddle_daemon/app.py
@@ -22,7 +22,7 @@
 from .http_client import HttpClient
 from .http_server import HttpServer
 from .instance_list import InstanceListReader
-from .logs import log_event, log_exception
+from .logs import log_event, log_handler_failure
 from .metrics import Metrics, Status
 from .operators import Operators
 from .orders import Orders
@@ -263,11 +263,7 @@
 
     @handler("exception", channel="*")
     def _on_exception(self, kind: Any, value: Any, trace: list[str], **kwargs: Any) -> None:
-        # No handler is given when a step of a generator failed.
-        name = getattr(kwargs.get("handler"), "__qualname__", "")
-        event = getattr(kwargs.get("fevent"), "name", "")
-        failed = logevents.HANDLER_FAILED
-        log_exception(failed, value, "".join(trace), handler=name, daemon_event=event)
+        log_handler_failure(value, trace, kwargs)
 
     @handler("signal", channel="*")
     def _on_signal(self, number: int, stack: Any) -> None:
--- a/packages/daemon/src/ibispaddle_daemon/gateway.py
+++ b/packages/daemon/src/ibispaddle_daemon/gateway.py
@@ -19,7 +19,7 @@
 from .forwarding import Forwarder, ForwardingCodec, PeerWorkExchange
 from .http_client import HttpClient
 from .http_server import HttpServer
-from .logs import log_event, log_exception
+from .logs import log_event, log_handler_failure
 from .metrics import Metrics, Status
 from .peers import Peers
 from .store import InstanceDirectory, StoreCodec, TopicFollower, UpstreamDirectory
@@ -210,10 +210,7 @@
 
     @handler("exception", channel="*")
     def _on_exception(self, kind: Any, value: Any, trace: list[str], **kwargs: Any) -> None:
-        name = getattr(kwargs.get("handler"), "__qualname__", "")
-        event = getattr(kwargs.get("fevent"), "name", "")
-        failed = logevents.HANDLER_FAILED
-        log_exception(failed, value, "".join(trace), handler=name, daemon_event=event)
+        log_handler_failure(value, trace, kwargs)
 
     @handler("signal", channel="*")
     def _on_signal(self, number: int, stack: Any) -> None:
--- a/packages/daemon/src/ibispaddle_daemon/logs.py
+++ b/packages/daemon/src/ibispaddle_daemon/logs.py
@@ -109,3 +109,11 @@
     """Write an unexpected failure with its stack trace."""
     text = str(exc)[:MAX_EXCEPTION_CHARACTERS]
     log_event(event, exception=type(exc).__name__, reason=text, trace=trace, **fields)
+
+
+def log_handler_failure(exc: BaseException, trace: list[str], fields: dict[str, Any]) -> None:
+    """Write the failure of an event's handler, as circuits reports it in an `exception` event."""
+    # No handler is given when a step of a generator failed.
+    name = getattr(fields.get("handler"), "__qualname__", "")
+    event = getattr(fields.get("fevent"), "name", "")
+    log_exception(logevents.HANDLER_FAILED, exc, "".join(trace), handler=name, daemon_event=event)
