Opened the listening sockets before the libraries are loaded

The sockets for callers and for readiness are opened by a module that needs only the standard library; what callers send waits in the system. What remains is late by the time of the imports.

--- a/packages/daemon/src/ibispaddle_daemon/gateway.py
+++ b/packages/daemon/src/ibispaddle_daemon/gateway.py
@@ -1,8 +1,9 @@
 """Wiring and life cycle of an instance that forwards requests by route."""
 
 import signal
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
+from socket import socket
 from typing import Any
 
 from circuits import BaseComponent, handler
@@ -20,6 +21,7 @@
 from .forwarding import Forwarder, ForwardingCodec, PeerWorkExchange
 from .http_client import HttpClient
 from .http_server import HttpServer
+from .listening import Listeners
 from .logs import log_event, log_handler_failure
 from .metrics import Metrics, Status
 from .peers import Peers
@@ -60,10 +62,18 @@
     channel = "gateway"
 
     def __init__(
-        self, settings: GatewaySettings, codecs: GatewayCodecs, clock: Clock | None = None
+        self,
+        settings: GatewaySettings,
+        codecs: GatewayCodecs,
+        clock: Clock | None = None,
+        listeners: Listeners = (),
     ) -> None:
+        """Create the components; `listeners` are open sockets for callers and for readiness."""
         super().__init__()
         self.settings, self._codecs = settings, codecs
+        addresses = (settings.instance.listen, settings.status_listen)
+        binds: Sequence[str | socket] = listeners or addresses
+        self._front_bind, self._status_bind = binds
         self.clock = clock or SystemClock()
         self._version: int | None = None
         self._drain_began_ms: int | None = None
@@ -90,7 +100,7 @@
         ).register(self)
         limits = FleetConfig().limits
         self.server = HttpServer(
-            settings.instance.listen,
+            self._front_bind,
             clock,
             timers,
             limits,
@@ -98,7 +108,7 @@
             channel_of=lambda exchange: self.forwarder.channel,
         ).register(self)
         self.status_server = HttpServer(
-            settings.status_listen,
+            self._status_bind,
             clock,
             timers,
             limits,
--- a/packages/daemon/src/ibispaddle_daemon/http_listener.py
+++ b/packages/daemon/src/ibispaddle_daemon/http_listener.py
@@ -67,7 +67,11 @@
     _poller: Any
 
     def __init__(
-        self, bind: str, on: ConnectionHandler, channel: str, tls: ssl.SSLContext | None = None
+        self,
+        bind: str | socket.socket,
+        on: ConnectionHandler,
+        channel: str,
+        tls: ssl.SSLContext | None = None,
     ) -> None:
         super().__init__(bind, channel=channel)
         self.secure = tls is not None
--- a/packages/daemon/src/ibispaddle_daemon/http_server.py
+++ b/packages/daemon/src/ibispaddle_daemon/http_server.py
@@ -3,6 +3,7 @@
 import ssl
 from collections.abc import Callable
 from io import BytesIO
+from socket import socket
 from typing import Any
 
 from circuits import Event, handler
@@ -58,7 +59,7 @@
 
     def __init__(
         self,
-        bind: str,
+        bind: str | socket,
         clock: Clock,
         timers: TimerQueue,
         limits: LimitSettings,
--- /dev/null
+++ b/packages/daemon/src/ibispaddle_daemon/listening.py
@@ -0,0 +1,52 @@
+"""Sockets that accept connections before the rest of a process is loaded.
+
+This module imports nothing but the standard library, so that a process can use it first.
+"""
+
+import socket
+from collections.abc import Iterable
+
+# Connections that wait while the process starts; the system may cut it to a limit of its own.
+BACKLOG = 4_096
+
+Listeners = tuple[socket.socket, ...]
+
+
+def open_listeners(addresses: Iterable[str]) -> Listeners:
+    """Return a listening socket for each IP:PORT.
+
+    The system accepts connections from now on, and what callers send waits until it is read. Raise
+    `OSError` or `ValueError` if an address cannot be used; no socket is left open then.
+
+    >>> (sock,) = open_listeners(["127.0.0.1:0"])
+    >>> sock.getsockname()[0]
+    '127.0.0.1'
+    >>> sock.close()
+    """
+    listeners: Listeners = ()
+    try:
+        for address in addresses:
+            listeners += (_open(address),)
+    except (OSError, ValueError):
+        for sock in listeners:
+            sock.close()
+        raise
+    return listeners
+
+
+def _open(address: str) -> socket.socket:
+    host, _, port = address.rpartition(":")
+    number = int(port)
+    if not 0 <= number < 65_536:
+        raise ValueError(f"the port of '{address}' is not in 0 to 65535")
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setblocking(False)
+        sock.bind((host, number))
+        sock.listen(BACKLOG)
+    except OSError:
+        sock.close()
+        raise
+    return sock
--- /dev/null
+++ b/tests/platform_adapter/test_starting.py
@@ -0,0 +1,64 @@
+"""Start of an instance: callers that come while it loads its libraries."""
+
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+from ibispaddle_daemon.listening import Listeners
+from ibispaddle_platform.__main__ import open_early
+
+from .processes import free_ports
+
+HEAVY = ("circuits", "pydantic", "capnp", "ibispaddle_daemon.gateway")
+
+
+class OpenListenersTest(unittest.TestCase):
+    def open(self, text: str) -> Listeners:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "node.toml"
+            path.write_text(text)
+            listeners = open_early(path)
+        for sock in listeners:
+            self.addCleanup(sock.close)
+        return listeners
+
+    def test_sockets_listen_before_the_libraries_are_loaded(self) -> None:
+        """Guards against callers that are turned away for half a second after each start.
+
+        The load pattern is the return of a whole fleet that was killed at once.
+        """
+        front, ready = free_ports(2)
+        addresses = f'front = "127.0.0.1:{front}"\nready = "127.0.0.1:{ready}"\n'
+        listeners = self.open(f"[listen]\n{addresses}")
+        self.assertEqual([sock.getsockname()[1] for sock in listeners], [front, ready])
+        loaded = subprocess.run(
+            [
+                sys.executable,
+                "-c",
+                "import sys, ibispaddle_platform.__main__; print(*sys.modules)",
+            ],
+            capture_output=True,
+            text=True,
+            check=True,
+        ).stdout.split()
+        self.assertEqual(set(HEAVY) & set(loaded), set())
+
+    def test_settings_that_cannot_be_used(self) -> None:
+        """Guards against an early failure that hides the message about the settings."""
+        (port,) = free_ports(1)
+        for text in (
+            "[",
+            "x = 1",
+            "listen = 1",
+            "[listen]\nfront = 1",
+            '[listen]\nfront = "nowhere"\nready = "127.0.0.1:0"',
+            f'[listen]\nfront = "127.0.0.1:{port}"\nready = "127.0.0.1:99999"',
+        ):
+            self.assertEqual(self.open(text), (), text)
+        self.assertEqual(open_early(Path("/nonexistent/node.toml")), ())
+
+
+if __name__ == "__main__":
+    unittest.main()
