--- a/packages/core/src/ibispaddle_core/logevents.py
+++ b/packages/core/src/ibispaddle_core/logevents.py
@@ -36,7 +36,7 @@
     1004, "drain_timeout", Level.ERROR, "The drain timeout passed with requests in flight."
 )
 SETTINGS_REJECTED = LogEvent(
-    1005, "settings_rejected", Level.ERROR, "The settings have mistakes; the instance cannot start."
+    1005, "settings_rejected", Level.ERROR, "The settings have mistakes and are not used."
 )
 START_FAILED = LogEvent(1006, "start_failed", Level.ERROR, "The instance cannot start.")
 HANDLER_FAILED = LogEvent(
@@ -52,6 +52,12 @@
     Level.WARNING,
     "The process was stopped or starved; it reads list and log again before it takes requests.",
 )
+SETTINGS_RELOADED = LogEvent(
+    1011,
+    "settings_reloaded",
+    Level.INFO,
+    "The settings were read again; the fields in `in_force` apply from now on, others after a restart.",
+)
 REQUEST_ENDED = LogEvent(2000, "request_ended", Level.INFO, "A request ended.")
 REQUEST_REFUSED = LogEvent(2001, "request_refused", Level.WARNING, "A request was refused.")
 ATTEMPT_FAILED = LogEvent(
--- a/packages/daemon/src/ibispaddle_daemon/gateway.py
+++ b/packages/daemon/src/ibispaddle_daemon/gateway.py
@@ -13,7 +13,7 @@
 from ibispaddle_core.forwarding import PlannedStop
 from ibispaddle_core.membership import MembershipView, Registration
 from ibispaddle_core.routing import Freshness, RoutingConfig
-from ibispaddle_core.settings import FleetConfig, GatewaySettings
+from ibispaddle_core.settings import FleetConfig, GatewaySettings, SettingsError
 from ibispaddle_core.topics import TopicUpdate
 
 from .engine_memory import EngineMemoryCodec
@@ -31,6 +31,8 @@
 DRAIN_POLL_MS = 20
 # Interval at which the age of the configuration is judged.
 REVIEW_INTERVAL_MS = 100
+# Settings that apply without a restart.
+RELOADED_FIELDS = frozenset({"revocation_ms", "unready_ms"})
 # Time without a request after which callers have moved on to other instances.
 DRAIN_QUIET_MS = 300
 # How long the store holds a reading of the configuration back. The configuration is known to be in
@@ -67,8 +69,13 @@
         codecs: GatewayCodecs,
         clock: Clock | None = None,
         listeners: Listeners = (),
+        reload: Callable[[], GatewaySettings] | None = None,
     ) -> None:
-        """Create the components; `listeners` are open sockets for callers and for readiness."""
+        """Create the components.
+
+        `listeners` are open sockets for callers and for readiness. `reload` reads the settings
+        again and raises `SettingsError` or `OSError`.
+        """
         super().__init__()
         self.settings, self._codecs = settings, codecs
         addresses = (settings.instance.listen, settings.status_listen)
@@ -79,6 +86,8 @@
         self._drain_began_ms: int | None = None
         self._quiet_since_ms: int | None = None
         self._was_ready = self._is_fresh = False
+        self._read_settings = reload
+        self._must_reload = False
         EPoll().register(self)
         self.timers = TimerQueue(self.clock).register(self)
         self.metrics = Metrics()
@@ -167,8 +176,11 @@
     # Configuration
 
     def _review(self) -> None:
-        """Report that the instance is not ready while its configuration is outdated."""
+        """Judge the age of the configuration, and read the settings again if it was asked for."""
         self.timers.after(REVIEW_INTERVAL_MS, self._review)
+        if self._must_reload:
+            self._must_reload = False
+            self._reload_settings()
         is_fresh = self.forwarder.freshness.is_serviceable(self.clock.now_ms())
         if is_fresh is not self._is_fresh:
             self._is_fresh = is_fresh
@@ -191,7 +203,8 @@
         routing, fleet = decoded
         if self._version is not None and routing.version <= self._version:
             return
-        is_first, self._version = self._version is None, routing.version
+        self._version = routing.version
+        self.server.replace_limits(routing.limits)
         self.forwarder.replace_config(routing, fleet)
         log_event(
             logevents.CONFIG_IN_FORCE,
@@ -199,17 +212,42 @@
             routes=len(routing.routes),
             keys=len(routing.workspaces),
         )
-        if is_first:
-            self.timers.after(0, self._review)
+
+    def _reload_settings(self) -> None:
+        if self._read_settings is None:
+            return
+        try:
+            settings = self._read_settings()
+        except (SettingsError, OSError) as exc:
+            log_event(logevents.SETTINGS_REJECTED, reason=str(exc))
+            return
+        old = self.settings
+        changed = {
+            name
+            for name in GatewaySettings.model_fields
+            if getattr(settings, name) != getattr(old, name)
+        }
+        in_force = changed & RELOADED_FIELDS
+        self.settings = old.model_copy(update={name: getattr(settings, name) for name in in_force})
+        log_event(
+            logevents.SETTINGS_RELOADED,
+            in_force=sorted(in_force),
+            after_restart=sorted(changed - in_force),
+        )
 
     # Life cycle
 
     @handler("started", channel="*")
     def _on_started(self, *args: Any) -> None:
-        signal.signal(signal.SIGHUP, lambda number, frame: None)
+        signal.signal(signal.SIGHUP, self._on_hangup)
+        self._review()
         address = f"{self.server.host}:{self.server.port}"
         log_event(logevents.INSTANCE_STARTED, listen=address)
 
+    def _on_hangup(self, number: int, frame: object) -> None:
+        # Nothing else may be done between any two steps of the process.
+        self._must_reload = True
+
     @handler("readiness_changed", channel="*", priority=-1)
     def _on_readiness_changed(self, component: str, ready: bool) -> None:
         if self.status.is_ready and not self._was_ready:
--- a/packages/daemon/src/ibispaddle_daemon/http_server.py
+++ b/packages/daemon/src/ibispaddle_daemon/http_server.py
@@ -89,9 +89,13 @@
 
     @handler("configuration_changed", channel="*")
     def _on_configuration_changed(self, config: FleetConfig, revision: int) -> None:
-        self._limits = config.limits
+        self.replace_limits(config.limits)
         self.configured = True
 
+    def replace_limits(self, limits: LimitSettings) -> None:
+        """Use other limits for what callers may send from now on."""
+        self._limits = limits
+
     @handler("drain_started", channel="*")
     def _on_drain_started(self) -> None:
         self.draining = True
--- a/packages/daemon/src/ibispaddle_daemon/process.py
+++ b/packages/daemon/src/ibispaddle_daemon/process.py
@@ -16,8 +16,8 @@
     """Run the event loop until it ends and return the exit status."""
     # Objects of the imported modules live for ever; without them a full collection takes less than a
     # millisecond instead of tens of milliseconds during which no stream moves.
-    gc.collect()
     gc.freeze()
+    gc.enable()
     _raise_file_limit()
     try:
         run()
--- a/tests/platform_adapter/processes.py
+++ b/tests/platform_adapter/processes.py
@@ -75,7 +75,7 @@
         text += f'[listen]\nfront = "127.0.0.1:{front}"\nready = "127.0.0.1:{self.ready_port}"\n'
         text += f'[platform]\naddress = "{store.address}"\n[bounds]\n'
         text += "".join(f"{key} = {json.dumps(value)}\n" for key, value in limits.items())
-        path = Path(folder) / f"node-{number}.toml"
+        self.path = path = Path(folder) / f"node-{number}.toml"
         path.write_text(text)
         self.lines: list[dict[str, Any]] = []
         self.proc = subprocess.Popen(
--- a/tests/platform_adapter/test_instance.py
+++ b/tests/platform_adapter/test_instance.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import signal
 import socket
 import time
 import unittest
@@ -244,14 +245,28 @@
             self.assertEqual(short.status, 200)
             self.assertEqual(platform.instance.proc.wait(10), 0)
 
-    def test_settings_signal_changes_nothing(self) -> None:
-        """Guards against a process that ends by the signal for changed settings."""
-        import signal
-
+    def test_settings_are_read_again(self) -> None:
+        """Guards against a process that ends by the signal, and a reload that cannot be seen."""
         with Platform() as platform:
-            platform.instance.proc.send_signal(signal.SIGHUP)
-            time.sleep(0.3)
-            self.assertEqual(platform.instance.stream().status, 200)
+            instance = platform.instance
+            instance.path.write_text(instance.path.read_text().replace("5000", "4000"))
+            instance.proc.send_signal(signal.SIGHUP)
+            wait_until(lambda: instance.events("settings_reloaded"), "reload")
+            (line,) = instance.events("settings_reloaded")
+            self.assertEqual((line["in_force"], line["after_restart"]), (["revocation_ms"], []))
+            instance.path.write_text("[")
+            instance.proc.send_signal(signal.SIGHUP)
+            wait_until(lambda: instance.events("settings_rejected"), "rejection")
+            self.assertEqual(instance.stream().status, 200)
+
+    def test_limits_of_the_configuration(self) -> None:
+        """Guards against a configured limit that only the routing knows."""
+        with Platform() as platform:
+            limits = {"max_header_bytes": 4_096, "max_body_bytes": 2_048}
+            platform.configure(configuration(2, limits=limits))
+            wait_until(lambda: len(platform.instance.events("config_in_force")) == 2, "version")
+            answer = platform.instance.call("POST", "/once/x", b"x" * 3_000)
+            self.assertEqual(answer.status, 413)
 
     def test_instances_find_each_other(self) -> None:
         """Guards against instances that know only their own work."""
