Read the store through two instances of a data centre where there are many

From six instances in a data centre on, two read the store and the others follow them. A reading that is passed on states its age; the question was asked before, so a revoked key is trusted no longer than before.

--- a/packages/core/src/ibispaddle_core/logevents.py
+++ b/packages/core/src/ibispaddle_core/logevents.py
@@ -91,6 +91,12 @@
     4010, "store_unavailable", Level.WARNING, "A topic of the store cannot be read."
 )
 STORE_AVAILABLE = LogEvent(4011, "store_available", Level.INFO, "The topic can be read again.")
+RELAY_CHANGED = LogEvent(
+    4012, "relay_changed", Level.INFO, "The store is read through another instance, or without one."
+)
+RELAY_FAILED = LogEvent(
+    4013, "relay_failed", Level.WARNING, "An instance did not pass on a reading of the store."
+)
 LOG_UNAVAILABLE = LogEvent(
     4000, "log_unavailable", Level.WARNING, "The platform's log cannot be read or appended to."
 )
--- a/packages/core/src/ibispaddle_core/topics/__init__.py
+++ b/packages/core/src/ibispaddle_core/topics/__init__.py
@@ -11,6 +11,7 @@
     TopicFormatError,
     TopicUpdate,
 )
+from .mirror import TopicMirror
 from .reader import TopicReader
 
 __all__ = [
@@ -22,6 +23,7 @@
     "ReadChanges",
     "ReadNewest",
     "TopicFormatError",
+    "TopicMirror",
     "TopicReader",
     "TopicUpdate",
 ]
--- /dev/null
+++ b/packages/core/src/ibispaddle_core/topics/mirror.py
@@ -0,0 +1,96 @@
+"""Copy of a topic that an instance keeps for others, which then need not read the store."""
+
+from collections import deque
+from collections.abc import Callable
+
+from .messages import (
+    ChangesRead,
+    Gone,
+    KeyedRecord,
+    NewestRead,
+    ReadChanges,
+    ReadNewest,
+    TopicUpdate,
+)
+
+# Changes that are kept for instances that follow; one that is further behind reads all keys again.
+MAX_CHANGES = 1_024
+
+
+class TopicMirror:
+    """Answer the calls of a `TopicReader` from what another one has read.
+
+    Changes that `is_same` calls equal to the known value of the key are not passed on, such as the
+    heartbeats of upstreams that state nothing new.
+
+    >>> mirror = TopicMirror()
+    >>> mirror.apply(TopicUpdate({"a": b"1"}, is_snapshot=True), position=5)
+    >>> mirror.apply(TopicUpdate({"a": b"2"}), position=7)
+    >>> mirror.answer(ReadChanges(offset=5, wait_ms=0)).records[0].value
+    b'2'
+    >>> mirror.answer(ReadChanges(offset=4, wait_ms=0))
+    Gone()
+    """
+
+    def __init__(self, is_same: Callable[[str, bytes, bytes], bool] | None = None) -> None:
+        self._is_same = is_same or (lambda key, old, new: old == new)
+        self._newest: dict[str, bytes] = {}
+        # Each with the position after the reading that brought it.
+        self._changes: deque[tuple[int, str, bytes | None]] = deque(maxlen=MAX_CHANGES)
+        self._first = 0  # Changes after this position are kept.
+        self.position: int | None = None
+
+    def apply(self, update: TopicUpdate, position: int) -> None:
+        """Take over what a reading brought; `position` is the offset of the next record."""
+        if update.is_snapshot or self.position is None or position < self.position:
+            self._changes.clear()
+            self._newest = {k: v for k, v in update.values.items() if v is not None}
+            self._first = self.position = position
+            return
+        for key, value in update.values.items():
+            old = self._newest.get(key)
+            if value is None:
+                if old is None:
+                    continue
+                del self._newest[key]
+            else:
+                if old is not None and self._is_same(key, old, value):
+                    continue
+                self._newest[key] = value
+            if len(self._changes) == MAX_CHANGES:
+                self._first = self._changes[0][0]
+            self._changes.append((position, key, value))
+        self.position = position
+
+    def has_news(self, call: ReadNewest | ReadChanges) -> bool:
+        """Return whether there is something to answer besides that nothing has changed."""
+        match call:
+            case ReadNewest():
+                return True
+            case ReadChanges(offset):
+                is_kept = self.position is not None and self._first <= offset <= self.position
+                return not is_kept or (bool(self._changes) and self._changes[-1][0] > offset)
+
+    def answer(self, call: ReadNewest | ReadChanges) -> NewestRead | ChangesRead | Gone | None:
+        """Return the answer to a call, or None while the caller knows more than this mirror."""
+        if self.position is None:
+            return None
+        match call:
+            case ReadNewest(after):
+                records = tuple(
+                    KeyedRecord(key, value, self.position)
+                    for key, value in sorted(self._newest.items())
+                    if after is None or key > after
+                )
+                return NewestRead(records, has_more=False, end=self.position)
+            case ReadChanges(offset):
+                if offset > self.position:
+                    return None
+                if offset < self._first:
+                    return Gone()
+                records = tuple(
+                    KeyedRecord(key, value, position)
+                    for position, key, value in self._changes
+                    if position > offset
+                )
+                return ChangesRead(records, self.position, self.position)
--- a/packages/core/src/ibispaddle_core/topics/reader.py
+++ b/packages/core/src/ibispaddle_core/topics/reader.py
@@ -34,6 +34,11 @@
         self._pages_end: int | None = None
         self._after: str | None = None
 
+    @property
+    def offset(self) -> int | None:
+        """Return the offset of the next record, or None before all keys are read."""
+        return self._offset
+
     def next_call(self) -> ReadNewest | ReadChanges:
         """Return the call to make, also again after one that failed."""
         if self._offset is None:
--- a/packages/daemon/src/ibispaddle_daemon/gateway.py
+++ b/packages/daemon/src/ibispaddle_daemon/gateway.py
@@ -25,7 +25,7 @@
 from .logs import log_event, log_handler_failure
 from .metrics import Metrics, Status
 from .peers import Peers
-from .store import InstanceDirectory, StoreCodec, TopicFollower, UpstreamDirectory
+from .store import InstanceDirectory, StoreCodec, TopicFollower, TopicRelay, UpstreamDirectory
 from .timers import TimerQueue
 
 DRAIN_POLL_MS = 20
@@ -145,6 +145,9 @@
             clock,
             timers,
         ).register(self)
+        relay = TopicRelay(
+            instance.instance_id, instance.data_centre, self.view, clock, timers
+        ).register(self)
         PeerWorkExchange(instance.instance_id, self.forwarder, self.view, clock, timers).register(
             self
         )
@@ -155,6 +158,7 @@
             self._codecs.registration,
             clock,
             timers,
+            relay,
         ).register(self)
         self.config_topic = TopicFollower(
             self._codecs.config_topic,
@@ -165,6 +169,7 @@
             self._take_config,
             clock,
             timers,
+            relay,
         ).register(self)
 
         self.metrics.add_gauge(
--- a/packages/daemon/src/ibispaddle_daemon/store/__init__.py
+++ b/packages/daemon/src/ibispaddle_daemon/store/__init__.py
@@ -3,6 +3,14 @@
 from .codec import StoreCall, StoreCodec
 from .follower import TopicFollower
 from .instances import InstanceDirectory
+from .relay import TopicRelay
 from .upstreams import UpstreamDirectory
 
-__all__ = ["InstanceDirectory", "StoreCall", "StoreCodec", "TopicFollower", "UpstreamDirectory"]
+__all__ = [
+    "InstanceDirectory",
+    "StoreCall",
+    "StoreCodec",
+    "TopicFollower",
+    "TopicRelay",
+    "UpstreamDirectory",
+]
--- a/packages/daemon/src/ibispaddle_daemon/store/upstreams.py
+++ b/packages/daemon/src/ibispaddle_daemon/store/upstreams.py
@@ -13,6 +13,7 @@
 from ..timers import TimerQueue
 from .codec import StoreCodec
 from .follower import TopicFollower
+from .relay import TopicRelay
 
 # Upstreams that leave report it well before they stop; two readings fit in the time after which
 # they must not get new work.
@@ -36,13 +37,23 @@
         decode: Callable[[str, bytes], Registration | None],
         clock: Clock,
         timers: TimerQueue,
+        relay: TopicRelay | None = None,
     ) -> None:
         super().__init__()
         self._clock, self._timers, self._decode = clock, timers, decode
         self._table = RegistrationTable()
         self._entries: tuple[ListEntry, ...] | None = None
         self._topic = TopicFollower(
-            topic, url, codec, 0, READ_INTERVAL_MS, self._apply, clock, timers
+            topic,
+            url,
+            codec,
+            0,
+            READ_INTERVAL_MS,
+            self._apply,
+            clock,
+            timers,
+            relay,
+            self._states_same,
         ).register(self)
 
     def read_again(self) -> None:
@@ -59,6 +70,10 @@
         self._table.apply(values, update.is_snapshot, self._clock.now_ms(), returned_ms)
         self._report()
 
+    def _states_same(self, key: str, old: bytes, new: bytes) -> bool:
+        """Return whether an entry was only written again, as a sign of life."""
+        return self._decode(key, old) == self._decode(key, new)
+
     def _report(self) -> None:
         entries = self._table.entries()
         if entries == self._entries:
--- /dev/null
+++ b/tests/platform_adapter/test_relays.py
@@ -0,0 +1,80 @@
+"""Many instances of one data centre, most of which read the store through others.
+
+The load pattern is a deployment of dozens of instances, whose calls to the store are the largest
+price of the day.
+"""
+
+import time
+import unittest
+
+from tests.support.waiting import wait_until
+
+from .processes import Instance, Platform, configuration
+
+INSTANCES = 7
+
+
+class RelayTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.platform = Platform(instances=INSTANCES)
+        self.addCleanup(self.platform.__exit__)
+        wait_until(lambda: len(self.followers()) == INSTANCES - 2, "relays", 20)
+
+    def followers(self) -> list[Instance]:
+        """Return the instances that read through another one."""
+        found = []
+        for instance in self.platform.instances:
+            changes = instance.events("relay_changed")
+            if changes and changes[-1]["relay"] is not None:
+                found.append(instance)
+        return found
+
+    def version_everywhere(self, version: int, instances: list[Instance]) -> bool:
+        lines = [instance.events("config_in_force")[-1] for instance in instances]
+        return {line["revision"] for line in lines} == {version}
+
+    def calls_per_s(self) -> float:
+        """Return the store's calls per second, as it counts them."""
+        before, began = self.platform.store.state()["calls"], time.monotonic()
+        time.sleep(4)
+        return (self.platform.store.state()["calls"] - before) / (time.monotonic() - began)
+
+    def test_changes_reach_all_with_the_calls_of_two(self) -> None:
+        """Guards against calls that grow with the instances, and against late configurations."""
+        # Two instances read two topics every 0.4 s, and all read the list of instances now and then.
+        self.assertLess(self.calls_per_s(), 2 * 2 / 0.4 + INSTANCES * 0.4)
+        self.platform.configure(configuration(2, tenants=[{"name": "blue", "api_keys": []}]))
+        everywhere = self.platform.instances
+        wait_until(lambda: self.version_everywhere(2, everywhere), "version", 2)
+        self.assertEqual({i.call("GET", "/read/x").status for i in everywhere}, {401})
+        self.platform.register(self.platform.runners[0], "llm", "draining")
+        wait_until(lambda: all(i.events("upstream_leaving") for i in everywhere), "entry", 2)
+
+    def test_relays_that_die(self) -> None:
+        """Guards against instances that learn nothing any more after their relay is gone."""
+        followers = self.followers()
+        for instance in self.platform.instances:
+            if instance not in followers:
+                instance.close()
+        self.platform.configure(configuration(2))
+        wait_until(lambda: self.version_everywhere(2, followers), "version", 4)
+        self.assertTrue(all(instance.is_ready() for instance in followers))
+
+    def test_revoked_key_during_an_outage(self) -> None:
+        """Guards against a key that is trusted longer because another instance passed it on."""
+        self.platform.store.set_faults(silent=True)
+        began = time.monotonic()
+        for instance in self.followers():
+
+            def is_refused(instance: Instance = instance) -> bool:
+                return instance.call("GET", "/read/x").status == 503
+
+            wait_until(is_refused, "refusal", 6)
+        self.assertLess(time.monotonic() - began, 5.0)
+        self.platform.store.set_faults(silent=False)
+        ready = self.platform.instances
+        wait_until(lambda: all(instance.is_ready() for instance in ready), "ready", 10)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/topics/test_mirror.py
@@ -0,0 +1,88 @@
+"""Copies of topics that instances keep for each other."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+from ibispaddle_core.topics import (
+    ChangesRead,
+    Gone,
+    KeyedRecord,
+    NewestRead,
+    ReadChanges,
+    ReadNewest,
+    TopicMirror,
+    TopicReader,
+    TopicUpdate,
+)
+from ibispaddle_core.topics.mirror import MAX_CHANGES
+
+
+def apply(known: dict, update: TopicUpdate) -> None:
+    """Apply an update as the owner of a reader does."""
+    if update.is_snapshot:
+        known.clear()
+    for key, value in update.values.items():
+        known.pop(key, None)
+        if value is not None:
+            known[key] = value
+
+
+class TopicMirrorTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.mirror = TopicMirror(lambda key, old, new: old[:1] == new[:1])
+        self.mirror.apply(TopicUpdate({"a": b"1"}, is_snapshot=True), 5)
+
+    def test_signs_of_life_are_not_passed_on(self) -> None:
+        """Guards against traffic between instances that grows with the number of upstreams."""
+        self.mirror.apply(TopicUpdate({"a": b"1 again"}), 9)
+        call = ReadChanges(5, 0)
+        self.assertFalse(self.mirror.has_news(call))
+        self.assertEqual(self.mirror.answer(call), ChangesRead((), 9, 9))
+
+    def test_removed_keys_are_passed_on_once(self) -> None:
+        """Guards against an upstream that leaves and stays in use at other instances."""
+        self.mirror.apply(TopicUpdate({"a": None, "b": None}), 7)
+        answer = self.mirror.answer(ReadChanges(5, 0))
+        self.assertEqual(answer, ChangesRead((KeyedRecord("a", None, 7),), 7, 7))
+
+    def test_callers_that_are_ahead_or_too_far_behind(self) -> None:
+        """Guards against a configuration that goes back, and against lost changes."""
+        self.assertIsNone(self.mirror.answer(ReadChanges(6, 0)))
+        self.assertEqual(self.mirror.answer(ReadChanges(4, 0)), Gone())
+        for number in range(MAX_CHANGES + 1):
+            self.mirror.apply(TopicUpdate({"a": b"%d" % (number % 9)}), 6 + number)
+        self.assertEqual(self.mirror.answer(ReadChanges(5, 0)), Gone())
+        self.assertIsInstance(self.mirror.answer(ReadNewest()), NewestRead)
+
+    def test_before_the_first_reading(self) -> None:
+        """Guards against an empty list from an instance that has just started."""
+        self.assertIsNone(TopicMirror().answer(ReadNewest()))
+
+    @given(st.data())
+    def test_follower_knows_what_the_relay_knows(self, data: st.DataObject) -> None:
+        """Guards against a follower that misses a change, whenever it asks."""
+        mirror, reader = TopicMirror(), TopicReader(0)
+        truth: dict[str, bytes] = {}
+        known: dict[str, bytes] = {}
+        position = 0
+        steps = st.tuples(st.sampled_from("abc"), st.sampled_from([None, b"1", b"2"]))
+        mirror.apply(TopicUpdate({}, is_snapshot=True), position)
+        for changes in data.draw(st.lists(st.lists(steps, max_size=4), max_size=12)):
+            update = TopicUpdate(dict(changes), is_snapshot=data.draw(st.booleans()))
+            position += len(changes) + 1
+            apply(truth, update)
+            mirror.apply(update, position)
+            if data.draw(st.booleans()):
+                continue
+            for _ in range(3):
+                answer = mirror.answer(reader.next_call())
+                taken = reader.take(answer).update if answer is not None else None
+                if taken is not None:
+                    apply(known, taken)
+                    break
+            self.assertEqual(known, truth)
+
+
+if __name__ == "__main__":
+    unittest.main()
