--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -88,6 +88,7 @@
         )
         self.health = UpstreamHealth()
         self._peer_work = PeerWorkTable()
+        self._has_peer_news = False  # The sums of the runners are older than the table.
         self._predicted = self.placement
         self.placement = self._placement_of_config()
         self._budget = RetryBudget(config.scheduling.retry_budget, config.scheduling.retry_floor)
@@ -179,7 +180,7 @@
             case PeerWork(instance, work, avoided):
                 self.health.take_told(avoided, len(self.runners.views), now_ms)
                 self._peer_work.merge(instance, work, now_ms)
-                self.runners.replace_peers(self._peer_work.totals(now_ms))
+                self._has_peer_news = True
             case PeerWaits():
                 self._waits.merge(event, now_ms)
             case ReservationAnswered():
@@ -230,6 +231,10 @@
     def _pump(self, now_ms: int) -> list[Decision]:
         """Dispatch waiting requests, the neighbour with the lowest consumption first."""
         decisions: list[Decision] = []
+        if self._has_peer_news and self.queue.lanes():
+            # Summed up for a choice only: many instances tell their work far more often.
+            self._has_peer_news = False
+            self.runners.replace_peers(self._peer_work.totals(now_ms))
         if self.queue.lanes() and self.is_held():
             for lane in self.queue.lanes():
                 self._polls.block(lane, now_ms)
--- a/tests/scheduling/test_least_work.py
+++ b/tests/scheduling/test_least_work.py
@@ -257,5 +257,22 @@
         self.assertNotIn(culprit, (second.upstream_id, *second.helper_ids))
 
 
+class ManyInstancesTest(unittest.TestCase):
+    """The load pattern is 71 instances that each tell the others about their few requests."""
+
+    def test_told_work_is_summed_for_choices_only(self) -> None:
+        """Guards against processor time that grows with instances times upstreams."""
+        sched, sums = scheduler(runners=78), []
+        replace = sched.runners.replace_peers
+        sched.runners.replace_peers = lambda totals: (sums.append(len(totals)), replace(totals))
+        for number in range(71):
+            work = {f"r{number:03}": UpstreamWork(50.0, 2, 9_000, 0)}
+            sched.handle(PeerWork(f"i{number}", work, ()), number)
+        self.assertEqual(sums, [])
+        (decision,) = arrive(sched, "a", 3_000, 100)
+        self.assertEqual(sums, [71])
+        self.assertIn(decision.upstream_id, {f"r{number:03}" for number in range(71, 78)})
+
+
 if __name__ == "__main__":
     unittest.main()
