--- a/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
@@ -313,8 +313,9 @@
             upstream=decision.upstream_id,
             waited_ms=now_ms - request.req.arrived_ms,
             left_ms=call.time_left_ms,
-            helpers=len(helpers),
-            handles=len(decision.segments),
+            prompt_tokens=request.req.prompt_tokens,
+            helpers=decision.helper_ids,
+            holders=decision.segment_ids,
             expected_ms=round(decision.first_token_ms),
         )
         self._attempts.start(request, self._addresses.get(decision.upstream_id, ""), call)
