Avoided engines that make long prompts late, and gave long prompts up later

The time limit of the first token left out the engines' queue for reserved prompts, so ten prompts were given up while they were read, and read again; all engines were busy with it from 6 to 16 s.

--- a/packages/core/src/ibispaddle_core/scheduling/attempts.py
+++ b/packages/core/src/ibispaddle_core/scheduling/attempts.py
@@ -4,7 +4,7 @@
 from .admission import DispatchRate
 from .backlog import Backlog
 from .claims import Claims
-from .cost import CostModel
+from .cost import CostModel, PromptClass
 from .large import LargePrompts
 from .messages import Dispatch, Repeat
 from .placement import Choice
@@ -14,6 +14,10 @@
 from .runners import RunnerTable, RunnerView, SentWork
 from .timers import Timers
 
+# A long prompt that is read by several engines may take so many times as long as predicted: engines
+# read the parts of prompts that come later first. Giving it up means to read all of it again.
+LONG_TIMEOUT_FACTOR = 2
+
 
 class Attempts:
     """Begin and end attempts and keep the views of the runners up to date with them."""
@@ -64,7 +68,10 @@
         state.cancelling = state.first_token = False
         state.tokens = 0
         timeout_ms = self._cost.first_token_timeout_ms(req.model)
-        state.first_token_due_ms = now_ms + int(choice.ttft_ms) + timeout_ms
+        due_ms = choice.ttft_ms + timeout_ms
+        if self._cost.reads_jointly(req.model) and state.prompt_class >= PromptClass.LONG:
+            due_ms += (LONG_TIMEOUT_FACTOR - 1) * choice.ttft_ms
+        state.first_token_due_ms = now_ms + int(due_ms)
         max_runs = self._cost.scheduling.max_attempts if req.max_runs is None else req.max_runs
         if req.repeat is not Repeat.PROVED_NOT_RUN and state.runs + 1 < max_runs:
             # Nothing is gained by ending an attempt that no other one may follow.
--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -378,9 +378,16 @@
         views = [self.runners.views[u] for u in self._large.group(event.request_id)]
         tokens = state.req.prompt_tokens // len(views)
         reading_ms = self.cost.prefill_engine_ms(state.req.model, state.req.prompt_tokens)
-        ttft_ms = max(tokens / views[0].prefill_rate, reading_ms / len(views))
+        part_ms = max(tokens / views[0].prefill_rate, reading_ms / len(views))
         pass_ms = self.cost.model(state.req.model).pass_ms
-        choice = Choice(views[0], 0.0, ttft_ms, tokens, reading_ms / len(views), pass_ms=pass_ms)
+        wait_ms = 0.0
+        if self.cost.reads_jointly(state.req.model):
+            # The part itself was announced with the reservation.
+            wait_ms = max(0.0, max(view.unread_ms(now_ms) for view in views) - part_ms)
+        ttft_ms = wait_ms + part_ms
+        choice = Choice(
+            views[0], wait_ms, ttft_ms, tokens, reading_ms / len(views), pass_ms=pass_ms
+        )
         handles = self._large.handles(event.request_id)
         return [*decisions, self._dispatch(state, choice, handles, now_ms)]
 
--- a/packages/core/src/ibispaddle_core/scheduling/least_work.py
+++ b/packages/core/src/ibispaddle_core/scheduling/least_work.py
@@ -115,7 +115,7 @@
         ]
         reading_ms = self._cost.prefill_engine_ms(req.model, req.prompt_tokens)
         plans = [
-            self._plan(req, room, may_help, reading_ms, size, now_ms)
+            self._best_plan(req, room, may_help, reading_ms, size, now_ms)
             for size in self.sizes(req, reading_ms, len(tried))
         ]
         plan = min((plan for plan in plans if plan is not None), key=lambda plan: plan.harm)
@@ -146,7 +146,7 @@
         best: _Plan | None = None
         for size in range(max(2, self._cost.segments(req)), cfg.max_helpers + 1):
             fitting = [load for load in loads if _has_room(load.view, cfg, -(-tokens // size))]
-            plan = self._plan(req, fitting, fitting, reading_ms, size, now_ms)
+            plan = self._best_plan(req, fitting, fitting, reading_ms, size, now_ms)
             if plan is not None and (best is None or plan.harm < best.harm):
                 best = plan
         if best is None:
@@ -176,6 +176,38 @@
         is_avoided = self._health.is_avoided(upstream_id, now_ms)
         return _Load(view, unread_ms, requests, work_ms, is_avoided)
 
+    def _best_plan(
+        self,
+        req: Request,
+        room: list[_Load],
+        may_help: list[_Load],
+        reading_ms: float,
+        size: int,
+        now_ms: int,
+    ) -> _Plan | None:
+        """Return the less harmful of two ways to read the prompt with so many engines.
+
+        The engines at which the least streams pause may still read other long prompts. The second
+        way leaves out those at which the first token would be late.
+        """
+        plan = self._plan(req, room, may_help, reading_ms, size, now_ms)
+        if plan is None or req.objective_ms is None:
+            return plan
+        cfg = self._cost.model(req.model)
+        left_ms = req.objective_ms - (now_ms - req.arrived_ms)
+        most_ms = left_ms - _first_token_ms(0.0, plan.part_ms, cfg)
+        if plan.wait_ms <= most_ms or most_ms < 0:
+            return plan
+        early = self._plan(
+            req,
+            [load for load in room if load.unread_ms <= most_ms],
+            [load for load in may_help if load.unread_ms <= most_ms],
+            reading_ms,
+            size,
+            now_ms,
+        )
+        return plan if early is None or plan.harm <= early.harm else early
+
     def _plan(
         self,
         req: Request,
--- a/tests/scheduling/test_least_work.py
+++ b/tests/scheduling/test_least_work.py
@@ -257,6 +257,47 @@
         self.assertNotIn(culprit, (second.upstream_id, *second.helper_ids))
 
 
+class LongBurstTest(unittest.TestCase):
+    """The load pattern is ten seconds of long prompts at three times their usual rate.
+
+    Short prompts are few then, and most engines write one stream.
+    """
+
+    def setUp(self) -> None:
+        self.sched = scheduler(runners=18)
+        for number in range(10):
+            arrive(self.sched, f"d{number}", 3_000)
+            self.sched.handle(FirstToken(f"d{number}"), 0)
+
+    def test_long_prompts_do_not_queue_at_the_engines_without_streams(self) -> None:
+        """Guards against long prompts that are late, one behind the other at the same few engines.
+
+        Each of them is worth more than the streams that pause where engines are shared.
+        """
+        for number, tokens in enumerate((160_000, 200_000, 180_000, 220_000, 170_000) * 2):
+            (decision,) = arrive(self.sched, f"l{number}", tokens, 1_000 + 200 * number)
+            self.assertLess(decision.first_token_ms, 2_500, f"prompt {number}")
+
+    def test_time_limit_of_a_reserved_prompt_counts_the_engines_work(self) -> None:
+        """Guards against a prompt that is given up while its engines still read others."""
+        busy = {f"r{number:03}": UpstreamWork(3_000.0, 1, 9_000, 1) for number in range(18)}
+        self.sched.handle(PeerWork("other", busy, ()), 900)
+        wanted = arrive(self.sched, "spanning", 300_000, 1_000, deadline_ms=16_000)
+        self.assertTrue(all(isinstance(item, ReserveMemory) for item in wanted))
+        dispatches = []
+        for item in wanted:
+            granted = ReservationAnswered("spanning", item.upstream_id, item.handle, True)
+            dispatches += self.sched.handle(granted, 1_010)
+        (dispatch,) = [item for item in dispatches if isinstance(item, Dispatch)]
+        self.assertGreater(dispatch.first_token_ms, 3_000)
+
+    def test_time_limit_of_a_long_prompt_leaves_room_for_others_parts(self) -> None:
+        """Guards against reading a prompt twice because parts of later ones were read first."""
+        (decision,) = arrive(self.sched, "long", 220_000, 1_000)
+        due_ms = 1_000 + 2 * decision.first_token_ms + 200
+        self.assertEqual(self.sched.handle(Tick(), int(due_ms)), [])
+
+
 class ManyInstancesTest(unittest.TestCase):
     """The load pattern is 71 instances that each tell the others about their few requests."""
 
