--- a/packages/core/src/ibispaddle_core/logevents.py
+++ b/packages/core/src/ibispaddle_core/logevents.py
@@ -119,6 +119,10 @@
 PEER_REFUSED = LogEvent(
     6000, "peer_refused", Level.WARNING, "A connection between instances was refused or failed."
 )
+PEER_CONNECTED = LogEvent(6002, "peer_connected", Level.INFO, "Another instance can be reached.")
+PEER_LOST = LogEvent(
+    6003, "peer_lost", Level.WARNING, "The last connection to another instance ended."
+)
 SUSPICIONS_UNACKNOWLEDGED = LogEvent(
     6001,
     "suspicions_unacknowledged",
--- a/packages/daemon/src/ibispaddle_daemon/peers.py
+++ b/packages/daemon/src/ibispaddle_daemon/peers.py
@@ -293,6 +293,7 @@
         while peer.pending and not link.closed:
             self.transport.send(link, peer.pending.popleft())
         if is_first:
+            log_event(logevents.PEER_CONNECTED, peer=instance_id)
             self.fire(peer_connected(instance_id), "*")
 
     def message_received(self, link: Link, message: Message) -> None:
@@ -323,6 +324,7 @@
             if reason:
                 self._back_off(peer)
             if not peer.links:
+                log_event(logevents.PEER_LOST, peer=instance_id, reason=reason)
                 self.fire(peer_lost(instance_id, reason), "*")
         if not peer.links and peer.dialling is None and self._view.entry(instance_id) is None:
             del self._peers[instance_id]
