--- a/tests/platform_adapter/test_records.py
+++ b/tests/platform_adapter/test_records.py
@@ -8,6 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from ibispaddle_core.scheduling import Repeat
+from ibispaddle_core.scheduling.cost import CostModel
 from ibispaddle_core.topics import (
     Gone,
     KeyedRecord,
@@ -20,6 +21,8 @@
 from ibispaddle_platform.settings import read_settings
 from ibispaddle_platform.store import LogCodec
 
+from tests.scheduling import fakes
+
 SETTINGS = b"""
 node_name = "edge-a-1"
 ip = "127.0.0.1"
@@ -109,6 +112,14 @@
         self.assertAlmostEqual(model.harmless_reading_ms, 250 - 45.4 - 25, delta=1)
         self.assertIsNotNone(fleet.models["shop"].call_ms)
 
+    def test_prompt_that_leaves_no_memory_for_streams(self) -> None:
+        """Guards against a prompt that waits for its engine's streams to end before it is read."""
+        _, fleet = self.reader.read(json.dumps(CONFIG).encode())
+        cost = CostModel(fleet)
+        for tokens, engines in ((150_000, 1), (200_000, 2)):
+            req = fakes.request("a", model="llm", prompt_tokens=tokens, max_output_tokens=1_300)
+            self.assertEqual(cost.segments(req), engines)
+
     def test_streams_that_cannot_be_resumed_run_once(self) -> None:
         """Guards against a stream that is joined from two runs."""
         route = {**CONFIG["routes"][0], "resumable": False}
