--- a/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
@@ -96,8 +96,8 @@
         self._early: list[Exchange] = []  # Arrived before the configuration and the upstreams.
         self._has_upstreams = False
         self._addresses: dict[str, str] = {}
-        # Told when work was sent to an upstream.
-        self.on_work_added: Callable[[], None] = lambda: None
+        # Told when work was sent, with the number of upstreams that it occupies.
+        self.on_work_added: Callable[[int], None] = lambda engines: None
         self._memory = EngineMemory(clock, timers, memory_codec).register(self)
         self._attempts = ForwardedAttempts(
             client, codec, clock, timers, self._on_output, self._on_attempt_over
@@ -319,7 +319,7 @@
             expected_ms=round(decision.first_token_ms),
         )
         self._attempts.start(request, self._addresses.get(decision.upstream_id, ""), call)
-        self.on_work_added()
+        self.on_work_added(max(1, len(decision.segment_ids)) + len(decision.helper_ids))
 
     def _cancel(self, request: ForwardedRequest, upstream_id: str) -> None:
         """End the attempt in flight and report it."""
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/peer_work.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/peer_work.py
@@ -16,6 +16,9 @@
 # Instances with which the interval is kept. Beyond, it grows with their number, so that the messages
 # that an instance takes stay constant.
 PEERS_AT_INTERVAL = 10
+# Instances from which only prompts that occupy several engines are told at once. Each instance has few
+# requests then, and the others hear of them at the next interval.
+MANY_PEERS = 20
 # Peers forget what was told after 1.5 s; an instance with unchanged work repeats it before.
 REPEAT_MS = 700
 
@@ -39,7 +42,7 @@
         self._told: PeerWork | None = None
         self._told_ms = 0
         self._interval_ms = INTERVAL_MS
-        self._is_gathering = False
+        self._is_gathering = self._has_many_peers = False
         forwarder.on_work_added = self._gather
 
     @handler("started", channel="*")
@@ -49,11 +52,15 @@
     def _tick(self) -> None:
         members = self._view.members(self._clock.now_ms(), Kind.ENTRY)
         peers = sum(member.state is MemberState.LIVE for member in members)
+        self._has_many_peers = peers >= MANY_PEERS
         self._interval_ms = INTERVAL_MS * max(1, peers // PEERS_AT_INTERVAL)
         self._timers.after(self._interval_ms, self._tick)
         self._tell()
 
-    def _gather(self) -> None:
+    def _gather(self, engines: int) -> None:
+        """Tell soon of a request that occupies so many upstreams."""
+        if self._has_many_peers and engines == 1:
+            return
         if not self._is_gathering:
             self._is_gathering = True
             # With many peers the messages are spaced like the regular ones.
