--- a/tests/configuration/test_processes.py
+++ b/tests/configuration/test_processes.py
@@ -6,8 +6,9 @@
 
 from ibispaddle_bench.fleet import Fleet, FleetSpec
 
-from tests.support.http import is_ready
+from tests.support.http import is_ready, listens
 from tests.support.operators import operator
+from tests.support.waiting import wait_until
 
 IN_FORCE_S = 4.0
 
@@ -124,6 +125,7 @@
             entry.kill()
         self.fleet.log.set_faults(outage=True)
         entry = self.fleet.start_entry("entry.1")
+        wait_until(lambda: listens(entry), "listening")
         time.sleep(5)
         self.assertFalse(is_ready(entry))
         self.assertEqual(operator(entry, "config")[0], 401)
--- a/tests/support/http.py
+++ b/tests/support/http.py
@@ -2,6 +2,7 @@
 
 import http.client
 import json
+import urllib.error
 import urllib.request
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -66,6 +67,17 @@
         return False
 
 
+def listens(process: Process) -> bool:
+    """Return whether an instance answers at all."""
+    try:
+        urllib.request.urlopen(f"{process.url}/healthz", timeout=2).close()
+    except urllib.error.HTTPError:
+        return True
+    except OSError:
+        return False
+    return True
+
+
 class EventStream:
     """Read a streamed completion; usable as a context manager and iterator of JSON events."""
 
