--- a/packages/daemon/src/ibispaddle_daemon/store/relay.py
+++ b/packages/daemon/src/ibispaddle_daemon/store/relay.py
@@ -78,12 +78,12 @@
     age_ms: int
 
 
-@dataclass
+@dataclass(frozen=True)
 class _Published:
-    """Hold what this instance passes on of a topic; `confirmed_ms` is None before a reading."""
+    """Hold what this instance passes on of a topic, and when the store confirmed it."""
 
     mirror: TopicMirror
-    confirmed_ms: int | None = None
+    confirmed_ms: int
 
 
 @dataclass(frozen=True)
@@ -111,9 +111,10 @@
         self._instance_id, self._data_centre, self._view = instance_id, data_centre, view
         self._clock, self._timers = clock, timers
         self._topics: dict[str, _Published] = {}
-        self._held: list[_Held] = []
-        self._asked_ms: int | None = None
-        self._asked: dict[int, Callable[[RelayedRead | None], None]] = {}
+        self._held: list[_Held] = []  # Questions that wait for news.
+        self._question_ms: int | None = None  # Time of the last question of another instance.
+        # Own questions by number, with what takes the answer.
+        self._callbacks: dict[int, Callable[[RelayedRead | None], None]] = {}
         self._number = 0
         self._suspected: dict[str, int] = {}
         self._relay_id: str | None = None
@@ -153,12 +154,12 @@
                 question = _Question(topic, offset)
         self._number += 1
         number = self._number
-        self._asked[number] = callback
+        self._callbacks[number] = callback
         message = StateRequest(COMPONENT, number, _ENCODER.encode(question))
         self.fire(peer_send(relay_id, message), "*")
 
         def give_up() -> None:
-            waiting = self._asked.pop(number, None)
+            waiting = self._callbacks.pop(number, None)
             if waiting is not None:
                 self._suspect(relay_id, "no answer")
                 waiting(None)
@@ -170,7 +171,7 @@
         log_event(logevents.RELAY_FAILED, relay=relay_id, reason=reason)
 
     def _take_reply(self, relay_id: str, reply: StateReply) -> None:
-        callback = self._asked.pop(reply.request_id, None)
+        callback = self._callbacks.pop(reply.request_id, None)
         if callback is None:
             return
         try:
@@ -190,7 +191,9 @@
     @property
     def is_asked(self) -> bool:
         """Return whether other instances follow the readings of this one."""
-        return self._asked_ms is not None and self._clock.now_ms() < self._asked_ms + FOLLOWED_MS
+        return (
+            self._question_ms is not None and self._clock.now_ms() < self._question_ms + FOLLOWED_MS
+        )
 
     def publish(self, topic: str, mirror: TopicMirror, confirmed_ms: int) -> None:
         """Pass a reading of the store on to the instances that wait for one."""
@@ -217,7 +220,7 @@
         except msgspec.DecodeError as exc:
             log_event(logevents.RELAY_FAILED, relay=peer_id, reason=str(exc))
             return
-        self._asked_ms = self._clock.now_ms()
+        self._question_ms = self._clock.now_ms()
         answer = self._answer(question)
         published = self._topics.get(question.topic)
         has_news = published is not None and published.mirror.has_news(_call_of(question))
@@ -240,7 +243,7 @@
 
     def _answer(self, question: _Question) -> _Answer:
         published = self._topics.get(question.topic)
-        if published is None or published.confirmed_ms is None:
+        if published is None:
             return _UNAVAILABLE
         age_ms = self._clock.now_ms() - published.confirmed_ms
         if age_ms > MAX_AGE_MS:
