--- a/packages/daemon/src/ibispaddle_daemon/gateway.py
+++ b/packages/daemon/src/ibispaddle_daemon/gateway.py
@@ -250,7 +250,7 @@
         log_event(logevents.INSTANCE_STARTED, listen=address)
 
     def _on_hangup(self, number: int, frame: object) -> None:
-        # Nothing else may be done between any two steps of the process.
+        # The signal may come between any two steps, so the settings are read in the next review.
         self._must_reload = True
 
     @handler("readiness_changed", channel="*", priority=-1)
