Added tests of the hubs: work asked for and told, readings passed on, hubs that die or do not reach the store

Each names the load it stands for: hundreds of instances with about a request a second each. The exchange runs with a clock of the tests and links in one process.

--- /dev/null
+++ b/tests/fleet/test_topics.py
@@ -0,0 +1,164 @@
+"""Readings of the store that one instance makes for all others.
+
+The load pattern is a deployment of hundreds of instances whose calls to the store are the largest
+price of the day, also while hubs die and while the store is away.
+"""
+
+import unittest
+
+from ibispaddle_core.topics import (
+    ChangesRead,
+    NewestRead,
+    TopicMirror,
+    TopicUpdate,
+)
+from ibispaddle_daemon.fleet.topics import (
+    ANSWER_MARGIN_MS,
+    DEAD_MS,
+    HOLD_MS,
+    MAX_AGE_MS,
+    STALE_MS,
+    START_MS,
+    TopicRelay,
+)
+
+from .fakes import Network
+
+
+class Follower:
+    """Stand for the follower of one topic, which passes on what a hub told it."""
+
+    def __init__(self, relay: TopicRelay) -> None:
+        self._relay, self._mirror = relay, TopicMirror()
+        self.offset: int | None = None
+        self.values: dict[str, bytes | None] = {}
+        self.confirmed_ms: int | None = None
+        self.readings = 0
+
+    def read_store(self) -> None:
+        self.readings += 1
+
+    def take_relayed(self, answer, confirmed_ms: int) -> None:
+        match answer:
+            case NewestRead(records, _, end):
+                self.values, self.offset = {r.key: r.value for r in records}, end
+            case ChangesRead(records, next_offset, _):
+                self.values |= {r.key: r.value for r in records}
+                self.offset = next_offset
+        self.confirmed_ms = confirmed_ms
+        is_snapshot = isinstance(answer, NewestRead)
+        self._mirror.apply(TopicUpdate(dict(self.values), is_snapshot), self.offset)
+        self._relay.publish("t", self._mirror, confirmed_ms)
+
+
+class TopicRelayTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.network = Network("abcde")
+        self.clock, self.timers = self.network.clock, self.network.timers
+        self.relays, self.followers = {}, {}
+        for name in "abcde":
+            relay = TopicRelay(
+                self.network.ranking(name), self.network.links[name], self.clock, self.timers
+            )
+            self.followers[name] = Follower(relay)
+            relay.add("t", self.followers[name])
+            self.relays[name] = relay
+        self.mirror = TopicMirror()
+
+    def read(self, hub: str, value: bytes, position: int) -> None:
+        """Let a hub read the store."""
+        is_first = self.mirror.position is None
+        self.mirror.apply(TopicUpdate({"k": value}, is_first), position)
+        self.relays[hub].publish("t", self.mirror, self.clock.now_ms())
+
+    def begin(self) -> None:
+        for relay in self.relays.values():
+            relay.begin()
+
+    def test_only_the_first_hub_reads(self) -> None:
+        """Guards against calls to the store that grow with the fleet."""
+        self.begin()
+        self.read("a", b"1", 5)
+        self.timers.advance(START_MS)
+        self.assertEqual([f.readings for f in self.followers.values()], [2, 0, 0, 0, 0])
+        self.assertEqual({f.values["k"] for n, f in self.followers.items() if n != "a"}, {b"1"})
+
+    def test_change_reaches_all_at_once(self) -> None:
+        """Guards against a configuration that is in force late where hubs pass it on."""
+        self.begin()
+        self.read("a", b"1", 5)
+        self.timers.advance(100)
+        self.read("a", b"2", 6)
+        self.assertEqual(self.followers["e"].values["k"], b"2")
+
+    def test_age_is_never_underestimated(self) -> None:
+        """Guards against a revoked key that is trusted longer because a hub passed it on."""
+        self.begin()
+        self.read("a", b"1", 5)
+        read_ms = self.clock.now_ms()
+        for _ in range(3):
+            self.timers.advance(HOLD_MS)
+            self.assertLessEqual(self.followers["e"].confirmed_ms, read_ms)
+
+    def test_hub_that_dies_is_left_out(self) -> None:
+        """Guards against instances that learn nothing any more after their hub is gone."""
+        self.begin()
+        self.read("a", b"1", 5)
+        self.network.silent.add("a")
+        self.timers.advance(2 * HOLD_MS + ANSWER_MARGIN_MS)
+        self.assertEqual(self.followers["b"].readings, 1)
+        self.read("b", b"2", 6)
+        self.assertEqual(self.followers["e"].values["k"], b"2")
+
+    def test_hub_that_does_not_reach_the_store(self) -> None:
+        """Guards against a fleet that follows the one hub which the store turns away."""
+        self.begin()
+        self.read("a", b"1", 5)
+        self.timers.advance(MAX_AGE_MS + 2 * HOLD_MS)
+        self.assertEqual(self.followers["b"].readings, 1)
+        self.read("b", b"2", 6)
+        self.assertEqual(self.followers["e"].values["k"], b"2")
+
+    def test_outage_of_the_store(self) -> None:
+        """Guards against hundreds of instances that call a store which is away."""
+        self.begin()
+        self.read("a", b"1", 5)
+        self.timers.advance(10_000)
+        self.assertEqual([self.followers[name].readings for name in "cde"], [0, 0, 0])
+        self.read("a", b"2", 6)
+        self.timers.advance(STALE_MS + HOLD_MS)
+        self.assertEqual(self.followers["e"].values["k"], b"2")
+
+    def test_no_hub_at_the_start(self) -> None:
+        """Guards against a fleet that was killed at once and waits for a hub that starts last."""
+        self.network.refusing.update("abcd")
+        self.relays["e"].begin()
+        self.timers.advance(START_MS)
+        self.assertGreaterEqual(self.followers["e"].readings, 1)
+        self.network.refusing.clear()
+        self.timers.advance(DEAD_MS)
+        self.read("a", b"1", 5)
+        self.assertFalse(self.relays["e"].must_read())
+        self.assertEqual(self.followers["e"].values["k"], b"1")
+
+    def test_hub_that_is_starting_answers_when_it_has_read(self) -> None:
+        """Guards against a new instance that gives up a hub which knows everything soon."""
+        self.relays["e"].begin()
+        self.timers.advance(START_MS // 2)
+        self.read("a", b"1", 5)
+        self.assertEqual(self.followers["e"].values, {"k": b"1"})
+        self.assertEqual(self.followers["e"].readings, 0)
+
+    def test_records_are_passed_on_once(self) -> None:
+        """Guards against heartbeats of hundreds of upstreams in each answer."""
+        self.begin()
+        self.read("a", b"1", 5)
+        self.read("a", b"1", 6)
+        self.timers.advance(HOLD_MS)
+        answers = self.network.links["a"].sent
+        self.assertEqual(len([1 for peer, _ in answers if peer == "e"]), 2)
+        self.assertEqual(self.followers["e"].offset, 6)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/fleet/test_work.py
@@ -0,0 +1,165 @@
+"""How an instance learns what all others have in flight before it chooses an upstream.
+
+The load pattern is a deployment of hundreds of instances with about a request a second each, in which
+a mesh of all with all takes more time than the requests.
+"""
+
+import unittest
+from types import SimpleNamespace
+
+from ibispaddle_core.scheduling import PeerWork, UpstreamWork
+from ibispaddle_daemon.fleet.messages import WorkAsked, WorkTold
+from ibispaddle_daemon.fleet.work import (
+    ANSWER_TIMEOUT_MS,
+    GATHER_MS,
+    MAX_MISSES,
+    REPEAT_MS,
+    REVIEW_MS,
+    WorkExchange,
+)
+
+from .fakes import Network
+
+
+class Forwarder:
+    """Stand for the forwarder: it has work, and takes the picture of the others' work."""
+
+    def __init__(self, name: str) -> None:
+        self.work: dict[str, UpstreamWork] = {}
+        self.picture: PeerWork | None = None
+        self.is_choosing = False
+        self.looks = 0
+        own_work = lambda instance, now_ms: PeerWork(name, dict(self.work))  # noqa: E731
+        self.scheduler = SimpleNamespace(own_work=own_work)
+
+    def take_fleet_work(self, work: PeerWork) -> None:
+        self.picture = work
+
+    def look_again(self) -> None:
+        self.looks += 1
+
+
+class WorkExchangeTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.network = Network("abcdef")
+        self.forwarders = {name: Forwarder(name) for name in "abcdef"}
+        self.exchanges = {
+            name: WorkExchange(
+                name,
+                forwarder,
+                self.network.ranking(name),
+                self.network.links[name],
+                self.network.clock,
+                self.network.timers,
+            )
+            for name, forwarder in self.forwarders.items()
+        }
+
+    def choose(self, name: str) -> list[int]:
+        """Ask for the picture and return the times at which the choice is made."""
+        chosen: list[int] = []
+        now_ms = self.network.clock.now_ms
+        self.exchanges[name].refresh(lambda: chosen.append(now_ms()))
+        return chosen
+
+    def dispatch(self, name: str, upstream_id: str) -> None:
+        self.forwarders[name].work = {upstream_id: UpstreamWork(50.0, 1, 5_000)}
+        self.forwarders[name].on_work_changed(True)
+
+    def asked(self, name: str) -> list[str]:
+        sent = self.network.links[name].sent
+        return [hub for hub, message in sent if isinstance(message, WorkAsked)]
+
+    def test_work_of_an_instance_is_known_to_the_next_choice_anywhere(self) -> None:
+        """Guards against two instances that choose one engine in the same second."""
+        self.dispatch("e", "r1")
+        self.assertEqual(len(self.choose("f")), 1)
+        self.assertEqual(self.forwarders["f"].picture.work["r1"].requests, 1)
+        self.assertEqual(len(self.choose("e")), 1)
+        self.assertEqual(self.forwarders["e"].picture.work, {})
+
+    def test_messages_of_a_request_do_not_grow_with_the_fleet(self) -> None:
+        """Guards against messages to hundreds of instances for each request."""
+        self.choose("f")
+        self.dispatch("f", "r1")
+        self.assertEqual([hub for hub, _ in self.network.links["f"].sent], ["a", "a", "b"])
+
+    def test_hub_chooses_by_its_own_board(self) -> None:
+        """Guards against a hub that is blind because it asks nobody."""
+        self.dispatch("f", "r1")
+        for hub in "ab":
+            self.assertEqual(len(self.choose(hub)), 1)
+            self.assertIn("r1", self.forwarders[hub].picture.work)
+
+    def test_silent_hub_delays_a_request_little(self) -> None:
+        """Guards against requests that wait for a hub that is frozen, slow or cut off."""
+        self.network.silent.add("a")
+        chosen = self.choose("f")
+        self.network.timers.advance(ANSWER_TIMEOUT_MS)
+        self.assertEqual(chosen, [ANSWER_TIMEOUT_MS])
+
+    def test_second_hub_knows_the_fleet_when_the_first_one_dies(self) -> None:
+        """Guards against instances that are blind until all have told a new hub their work."""
+        self.dispatch("e", "r1")
+        self.network.silent.add("a")
+        for _ in range(MAX_MISSES):
+            self.choose("f")
+            self.network.timers.advance(ANSWER_TIMEOUT_MS)
+        self.assertEqual(self.network.links["f"].dropped, ["a"])
+        self.assertEqual(len(self.choose("f")), 1)
+        self.assertIn("r1", self.forwarders["f"].picture.work)
+        self.assertEqual(self.asked("f")[-1], "b")
+
+    def test_instance_that_reaches_nobody_decides_by_itself(self) -> None:
+        """Guards against an instance behind a partition that answers nobody."""
+        self.network.refusing.update("abcde")
+        for _ in range(20):
+            self.assertEqual(len(self.choose("f")), 1)
+
+    def test_ended_work_is_told_together(self) -> None:
+        """Guards against a message for each event of each stream."""
+        self.dispatch("f", "r1")
+        self.network.links["f"].sent.clear()
+        self.forwarders["f"].work = {}
+        for _ in range(5):
+            self.forwarders["f"].on_work_changed(False)
+        self.network.timers.advance(GATHER_MS)
+        told = [item for _, item in self.network.links["f"].sent if isinstance(item, WorkTold)]
+        self.assertEqual(len(told), 2)
+        self.choose("e")
+        self.assertEqual(self.forwarders["e"].picture.work, {})
+
+    def test_long_work_is_not_forgotten(self) -> None:
+        """Guards against a long prompt whose engines count as idle after a second."""
+        self.dispatch("f", "r1")
+        for _ in range(5):
+            self.network.timers.advance(REPEAT_MS + REVIEW_MS)
+            self.choose("e")
+            self.assertIn("r1", self.forwarders["e"].picture.work)
+
+    def test_waiting_requests_see_that_there_is_room(self) -> None:
+        """Guards against requests that wait for slots which another instance has freed."""
+        self.forwarders["f"].is_choosing = True
+        self.choose("f")
+        self.network.timers.advance(500)
+        self.assertGreater(self.forwarders["f"].looks, 5)
+        self.forwarders["f"].is_choosing = False
+        self.network.timers.advance(500)
+        looks = self.forwarders["f"].looks
+        self.network.timers.advance(500)
+        self.assertEqual(self.forwarders["f"].looks, looks)
+
+    def test_late_picture_serves_the_next_choice(self) -> None:
+        """Guards against a slow hub whose answers are all thrown away."""
+        self.network.silent.add("a")
+        self.choose("f")
+        number = self.network.links["f"].sent[-1][1].number
+        self.network.timers.advance(ANSWER_TIMEOUT_MS)
+        self.network.silent.clear()
+        self.dispatch("e", "r1")
+        self.network.deliver("f", "a", WorkAsked(number))
+        self.assertIn("r1", self.forwarders["f"].picture.work)
+
+
+if __name__ == "__main__":
+    unittest.main()
