Ignored answers of hubs that are older than what was read meanwhile, and delisted instances that are gone

The store was read directly while a hub had a question; the hub's older answer moved the reader back, and the upstream's last heartbeat brought it back for good. A stale answer also counted as the store's return. A machine that was taken away was asked first by each new process (150 ms of darkness after each start). Change: answers are taken only where the reader still is where it was asked; the store has returned when a hub confirmed it after the own failure; the first hub delists instances after three failures in a row. Tests: test_late_answer_of_a_hub_undoes_nothing (failed first), test_machine_that_was_taken_away_is_delisted.

--- a/packages/core/src/ibispaddle_core/hubs/ranking.py
+++ b/packages/core/src/ibispaddle_core/hubs/ranking.py
@@ -16,6 +16,8 @@
 # Time for which a hub that did not answer is left out, doubled with each further time.
 FIRST_PAUSE_MS = 3_000
 MAX_PAUSE_MS = 48_000
+# An instance that did not answer this often in a row, over about ten seconds, is gone.
+LOST_FAILURES = 3
 
 
 @dataclass(frozen=True)
@@ -75,6 +77,18 @@
         known.until_ms = now_ms + min(MAX_PAUSE_MS, FIRST_PAUSE_MS << min(known.failures, 10))
         known.failures += 1
 
+    def lost(self, now_ms: int) -> tuple[str, ...]:
+        """Return the instances that the first hub takes off the list; other ones take off none.
+
+        Such an instance would be asked again by each process that starts. One that comes back lists
+        itself anew.
+        """
+        if self.hubs(now_ms)[:1] != (self._instance_id,):
+            return ()
+        return tuple(
+            name for name, known in self._suspicions.items() if known.failures >= LOST_FAILURES
+        )
+
     def note_answer(self, instance_id: str) -> None:
         """Trust an instance that answered."""
         self._suspicions.pop(instance_id, None)
--- a/packages/core/src/ibispaddle_core/logevents.py
+++ b/packages/core/src/ibispaddle_core/logevents.py
@@ -119,6 +119,12 @@
 CONFIG_UNREADABLE = LogEvent(
     5003, "config_unreadable", Level.ERROR, "A record of the configuration cannot be read."
 )
+INSTANCE_DELISTED = LogEvent(
+    6012,
+    "instance_delisted",
+    Level.WARNING,
+    "An instance that does not answer is taken off the list.",
+)
 HUB_CHANGED = LogEvent(
     6010, "hub_changed", Level.INFO, "Another instance is asked for the work of the fleet."
 )
--- a/packages/daemon/src/ibispaddle_daemon/fleet/topics.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/topics.py
@@ -8,6 +8,7 @@
 import itertools
 import zlib
 from collections import deque
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -100,6 +101,7 @@
     number: int
     hub_id: str
     asked_ms: int
+    offsets: Mapping[str, int | None]
 
 
 class TopicRelay(BaseComponent):
@@ -213,7 +215,7 @@
                 follower.read_store()
             return
         offsets = {topic: follower.offset for topic, follower in self._followers.items()}
-        asked = _Asked(next(self._numbers), hub_id, self._clock.now_ms())
+        asked = _Asked(next(self._numbers), hub_id, self._clock.now_ms(), offsets)
         self._asked = asked
         self._timer = self._timers.after(
             self._hold_ms + ANSWER_MARGIN_MS, lambda: self._give_up(asked, "no answer")
@@ -255,6 +257,8 @@
             read = _read_of(item) if item is not None else None
             if item is None or read is None:
                 continue  # The hub has not read the topic yet, or is behind this instance.
+            if follower.offset != asked.offsets.get(topic):
+                continue  # The store was read meanwhile; an older answer would undo it.
             follower.take_relayed(read, asked.asked_ms - item.age_ms)
             is_stale = is_stale or (topic in self._urgent and item.age_ms > self._stale_ms)
         if is_stale:
--- a/packages/daemon/src/ibispaddle_daemon/fleet/work.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/work.py
@@ -91,9 +91,11 @@
     def _choose_hub(self, now_ms: int) -> str | None:
         """Return the hub to ask, the same one as long as it answers."""
         hubs = self._ranking.hubs_before(now_ms)
-        if self._hub_id not in hubs:
-            self._hub_id = hubs[0] if hubs else None
-            log_event(logevents.HUB_CHANGED, hub=self._hub_id)
+        if self._hub_id is None or self._hub_id not in hubs:
+            chosen = hubs[0] if hubs else None
+            if chosen != self._hub_id:
+                log_event(logevents.HUB_CHANGED, hub=chosen)
+            self._hub_id = chosen
         return self._hub_id
 
     def _ask(self, hub_id: str) -> None:
--- a/packages/daemon/src/ibispaddle_daemon/store/follower.py
+++ b/packages/daemon/src/ibispaddle_daemon/store/follower.py
@@ -82,6 +82,7 @@
         self._calls = Calls(f"topic-calls-{topic}", clock).register(self)
         self._began_ms = 0
         self._failures = 0
+        self._failed_ms = 0
         self.confirmed_ms: int | None = None
         self.returned_ms: int | None = None
         if relay is not None:
@@ -110,7 +111,8 @@
 
     def take_relayed(self, answer: NewestRead | ChangesRead | Gone, confirmed_ms: int) -> None:
         """Take what a hub answered."""
-        self._note_answer()
+        if confirmed_ms >= self._failed_ms:
+            self._note_answer()  # The hub has reached the store since this instance did not.
         if self._take(answer, confirmed_ms):
             self._publish()
 
@@ -177,6 +179,7 @@
 
     def _fail(self, reason: str) -> None:
         self._failures += 1
+        self._failed_ms = self._clock.now_ms()
         if self._failures == AWAY_FAILURES:
             log_event(logevents.STORE_UNAVAILABLE, topic=self._topic, reason=reason)
             if self._relay is not None:
--- a/packages/daemon/src/ibispaddle_daemon/store/instances.py
+++ b/packages/daemon/src/ibispaddle_daemon/store/instances.py
@@ -23,6 +23,8 @@
 FIRST_START_MS = 600
 # Time after which an instance goes on without the list of the others.
 START_MS = 300
+# Interval at which the first hub takes instances off the list that are gone.
+SWEEP_MS = 5_000
 WRITE_TIMEOUT_MS = 2_000
 WRITE_RETRY_MS = 500
 
@@ -59,9 +61,9 @@
         self._is_first_start = settings.is_first_start
         self._own = _Listed(peer_address, settings.instance.data_centre, settings.capacity)
         self._url, self._codec, self._ranking = settings.store_url, codec, ranking
-        self._timers, self._relay = timers, relay
+        self._clock, self._timers, self._relay = clock, timers, relay
         self._known: dict[str, _Listed] = {}
-        self._is_written = False
+        self._written_ms: int | None = None
         self._calls = Calls("instance_directory_calls", clock).register(self)
         self._topic = TopicFollower(
             TOPIC,
@@ -78,6 +80,7 @@
 
     @handler("started", channel="*")
     def _on_started(self, *_: object) -> None:
+        self._timers.after(SWEEP_MS, self._sweep)
         if self._is_first_start:
             self._write_own()
             self._timers.after(FIRST_START_MS, self._topic.read_store)
@@ -86,9 +89,19 @@
             self._topic.read_store()
             self._timers.after(START_MS, self._relay.begin)
 
+    def _sweep(self) -> None:
+        self._timers.after(SWEEP_MS, self._sweep)
+        for name in self._ranking.lost(self._clock.now_ms()):
+            if name in self._known:
+                log_event(logevents.INSTANCE_DELISTED, delisted=name)
+                self._write(name, None)
+
     def _write_own(self) -> None:
-        self._is_written = True
-        call = self._codec.put(TOPIC, self._instance_id, msgspec.json.encode(self._own))
+        self._written_ms = self._clock.now_ms()
+        self._write(self._instance_id, msgspec.json.encode(self._own))
+
+    def _write(self, name: str, value: bytes | None) -> None:
+        call = self._codec.put(TOPIC, name, value)
 
         def done(result: CallResult) -> None:
             if result.error is None and result.status == 200:
@@ -96,7 +109,7 @@
             reason = result.error.text if result.error is not None else f"status {result.status}"
             log_event(logevents.STORE_UNAVAILABLE, topic=TOPIC, reason=reason)
             # The record is the same at each repetition, so one that was carried out does no harm.
-            self._timers.after(WRITE_RETRY_MS, self._write_own)
+            self._timers.after(WRITE_RETRY_MS, lambda: self._write(name, value))
 
         self._calls.send(call.method, self._url + call.path, call.body, WRITE_TIMEOUT_MS, done)
 
@@ -113,7 +126,8 @@
                 log_event(logevents.ENTRY_UNREADABLE, key=key[:80], size=len(value))
         if update.values or update.is_snapshot:
             self._rank()
-        if not self._is_written and self._known.get(self._instance_id) != self._own:
+        is_due = self._written_ms is None or (self._clock.now_ms() - self._written_ms >= SWEEP_MS)
+        if is_due and self._known.get(self._instance_id) != self._own:
             self._write_own()
         self._relay.begin()
 
--- a/tests/fleet/test_topics.py
+++ b/tests/fleet/test_topics.py
@@ -191,6 +191,19 @@
         self.assertEqual(self.followers["e"].values, {"k": b"1"})
         self.assertEqual(self.followers["e"].readings, 0)
 
+    def test_late_answer_of_a_hub_undoes_nothing(self) -> None:
+        """Guards against an upstream that is used on and on after it left.
+
+        The store was read while a hub had the question; its answer is older than that reading. The
+        instance went back, took the upstream's last heartbeat for news and never saw it leave again.
+        """
+        self.begin()
+        self.read("a", b"1", 5)
+        self.followers["e"].values["k"], self.followers["e"].offset = None, 9
+        self.read("a", b"2", 7)
+        self.assertEqual(self.followers["e"].offset, 9)
+        self.assertIsNone(self.followers["e"].values["k"])
+
     def test_records_are_passed_on_once(self) -> None:
         """Guards against heartbeats of hundreds of upstreams in each answer."""
         self.begin()
--- a/tests/hubs/test_ranking.py
+++ b/tests/hubs/test_ranking.py
@@ -44,6 +44,18 @@
         found.note_answer(first)
         self.assertIn(first, found.hubs(2 * FIRST_PAUSE_MS))
 
+    def test_machine_that_was_taken_away_is_delisted(self) -> None:
+        """Guards against each new process that waits for a machine which is gone for good."""
+        first, second = ranking("w0").hubs(0)
+        now_ms, hub, other = 0, ranking(second), ranking("w0")
+        for pause in (1, 2, 4):
+            for found in (hub, other):
+                self.assertEqual(found.lost(now_ms), ())
+                found.suspect(first, now_ms)
+            now_ms += pause * FIRST_PAUSE_MS
+        self.assertEqual(hub.lost(now_ms - 1), (first,))
+        self.assertEqual(other.lost(now_ms - 1), ())
+
     def test_hubs_do_not_wait_for_each_other(self) -> None:
         """Guards against two hubs that each ask the other one and learn nothing."""
         first, second = ranking("w0").hubs(0)
