Bounded answers that never end, and ended stalled streams that send a byte now and then

Cause: any byte of an upstream counted as progress, so a stream that had stalled and sent a byte now and then, or the same event again and again, went on to its caller's deadline; eight endless bodies at once held 56 MB, of the 200 MB that a small instance has. Change: only an event that is passed on counts as progress; an attempt ends after 512 repeated events; an answer that is passed on whole may have 4 MB. Heads and interim heads without end were bounded already (64 KB; the deadline).

--- a/packages/core/src/ibispaddle_core/forwarding/attempt.py
+++ b/packages/core/src/ibispaddle_core/forwarding/attempt.py
@@ -16,8 +16,11 @@
     UpstreamHead,
 )
 
-# Bounds what is held of an answer that is passed on only when it is complete.
-MAX_WHOLE_BODY_BYTES = 33_554_432
+# Bounds what is held of an answer that is passed on only when it is complete. Answers of services have a
+# few kilobytes, and dozens of this size fit in the memory of a small instance.
+MAX_WHOLE_BODY_BYTES = 4_194_304
+# An upstream that resumes a stream may repeat some events. One that repeats more sends without end.
+MAX_REPEATED_EVENTS = 512
 # These statuses promise the caller that its request did not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -48,6 +51,7 @@
         self._head: UpstreamHead | None = None
         self._blocks: EventBlocks | None = None
         self._body = bytearray()
+        self._repeated = 0
 
     def handle(self, event: ForwardingEvent) -> list[Effect]:
         """Take an event and return what follows from it, in order."""
@@ -94,9 +98,12 @@
         for block in blocks:
             if block.event_id is not None:
                 if self.last_event_id is not None and block.event_id <= self.last_event_id:
+                    self._repeated += 1
                     continue
                 self.last_event_id = block.event_id
             parts.append(block.data)
+        if self._repeated > MAX_REPEATED_EVENTS:
+            return self._over(Outcome.FAILED, "the stream repeats itself")
         if not parts:
             return []
         return [*self._pass_head(), PassData(b"".join(parts), len(parts))]
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/attempts.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/attempts.py
@@ -140,12 +140,13 @@
 
     def _feed(self, running: _Running, event: ForwardingEvent) -> None:
         request, exchange = running.request, running.request.exchange
-        running.heard_ms = self._clock.now_ms()
         for effect in running.machine.handle(event):
             match effect:
                 case PassHead(status, headers):
                     exchange.start(status, headers)
                 case PassData(data, events):
+                    # Only whole events count: a stalled upstream may send a byte now and then.
+                    running.heard_ms = self._clock.now_ms()
                     exchange.write(data)
                     request.last_event_id = running.machine.last_event_id
                     self._limit_unsent(running)
