--- a/tests/platform_adapter/test_endless_upstreams.py
+++ b/tests/platform_adapter/test_endless_upstreams.py
@@ -41,7 +41,7 @@
     def __init__(self, first: bytes, more: bytes, pause_s: float = 0.0) -> None:
         self._first, self._more, self._pause_s = first, more, pause_s
         self._server = socket.create_server(("127.0.0.1", 0))
-        self.address = "127.0.0.1:%d" % self._server.getsockname()[1]
+        self.address = f"127.0.0.1:{self._server.getsockname()[1]}"
         self.open = 0
         self._lock = threading.Lock()
         threading.Thread(target=self._accept, daemon=True).start()
