Stated how long a hub held a question, and set the time to catch up above the usual age of readings

A reading of the configuration that the store holds back is old when it ends, so its usual age also exceeded the limit. Change: hubs state the time for which they held the question; the limit is 0.7 of the time in force. Tests: test_calm_fleet_leaves_the_store_alone (failed first), test_store_that_holds_readings_back_is_left_alone_too.

--- a/packages/daemon/src/ibispaddle_daemon/fleet/messages.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/messages.py
@@ -53,6 +53,7 @@
     """Answer a question with `TopicNews` by topic; topics that the hub does not have are left out."""
 
     number: int
+    held_ms: int  # Time for which the question waited for news.
     is_away: bool  # Whether the hub does not reach the store.
     is_compressed: bool
     body: bytes
--- a/packages/daemon/src/ibispaddle_daemon/fleet/topics.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/topics.py
@@ -35,7 +35,7 @@
 # Parts of the time within which what the store has must be in force everywhere.
 HOLD_PART = 0.25  # How long a hub holds a question back while there is nothing new.
 STALE_PART = 0.5  # Age of a reading from which another hub is asked.
-CATCH_UP_PART = 0.62  # Age of a reading from which an instance reads the store itself.
+CATCH_UP_PART = 0.7  # Age of a reading from which an instance reads the store itself.
 # Added to the time for which a question is held back.
 ANSWER_MARGIN_MS = 350
 # Time to the next reading of the store after one that failed, while a hub is asked as well.
@@ -93,7 +93,7 @@
 class _Held:
     peer_id: str
     question: TopicQuestion
-    due_ms: int
+    received_ms: int
 
 
 @dataclass(frozen=True)
@@ -259,7 +259,9 @@
                 continue  # The hub has not read the topic yet, or is behind this instance.
             if follower.offset != asked.offsets.get(topic):
                 continue  # The store was read meanwhile; an older answer would undo it.
-            follower.take_relayed(read, asked.asked_ms - item.age_ms)
+            # The hub answered no earlier than this; how long the answer was on its way is not known.
+            answered_ms = asked.asked_ms + message.held_ms
+            follower.take_relayed(read, answered_ms - item.age_ms)
             is_stale = is_stale or (topic in self._urgent and item.age_ms > self._stale_ms)
         if is_stale:
             self._stale[instance_id] = self._clock.now_ms() + EXCLUDED_MS
@@ -286,20 +288,25 @@
             key = tuple(item.question.offsets.items())
             if key not in answers:
                 answers[key] = self._answer(item.question)
-            answer = msgspec.structs.replace(answers[key], number=item.question.number)
-            self._links.answer(item.peer_id, answer)
+            self._send(item, answers[key])
 
     def note_away(self) -> None:
         """Tell the instances that wait that this one does not reach the store."""
         held, self._held = self._held, deque()
         for item in held:
-            self._links.answer(item.peer_id, self._answer(item.question))
+            self._send(item, self._answer(item.question))
+
+    def _send(self, held: _Held, answer: TopicAnswer) -> None:
+        held_ms = self._clock.now_ms() - held.received_ms
+        answer = msgspec.structs.replace(answer, number=held.question.number, held_ms=held_ms)
+        self._links.answer(held.peer_id, answer)
 
     def _on_question(self, instance_id: str, question: TopicQuestion) -> None:
+        held = _Held(instance_id, question, self._clock.now_ms())
         if self._has_news(question):
-            self._links.answer(instance_id, self._answer(question))
+            self._send(held, self._answer(question))
             return
-        self._held.append(_Held(instance_id, question, self._clock.now_ms() + self._hold_ms))
+        self._held.append(held)
         if self._hold_timer is None:
             self._hold_timer = self._timers.after(self._hold_ms, self._expire)
 
@@ -319,11 +326,12 @@
     def _expire(self) -> None:
         self._hold_timer = None
         now_ms = self._clock.now_ms()
-        while self._held and self._held[0].due_ms <= now_ms:
+        while self._held and self._held[0].received_ms + self._hold_ms <= now_ms:
             item = self._held.popleft()
-            self._links.answer(item.peer_id, self._answer(item.question))
+            self._send(item, self._answer(item.question))
         if self._held:
-            self._hold_timer = self._timers.at(self._held[0].due_ms, self._expire)
+            due_ms = self._held[0].received_ms + self._hold_ms
+            self._hold_timer = self._timers.at(due_ms, self._expire)
 
     def _answer(self, question: TopicQuestion) -> TopicAnswer:
         news = {}
@@ -335,9 +343,9 @@
                     news[topic] = item
         data = _ENCODER.encode(news)
         if len(data) < MIN_COMPRESSED_BYTES:
-            return TopicAnswer(question.number, self._is_away, False, data)
+            return TopicAnswer(question.number, 0, self._is_away, False, data)
         body = zlib.compress(data, COMPRESSION_LEVEL)
-        return TopicAnswer(question.number, self._is_away, True, body)
+        return TopicAnswer(question.number, 0, self._is_away, True, body)
 
 
 def _news(mirror: TopicMirror, offset: int | None, age_ms: int) -> TopicNews | None:
--- a/tests/fleet/test_topics.py
+++ b/tests/fleet/test_topics.py
@@ -23,6 +23,8 @@
     START_MS,
     TopicRelay,
 )
+from ibispaddle_daemon.gateway import CONFIG_WAIT_PART
+from ibispaddle_daemon.store.upstreams import READ_PART
 
 from .fakes import Network
 
@@ -114,6 +116,27 @@
             self.timers.advance(HOLD_MS)
             self.assertLessEqual(self.followers["e"].confirmed_ms, read_ms)
 
+    def test_calm_fleet_leaves_the_store_alone(self) -> None:
+        """Guards against readings that look old, so that each instance reads the store as well."""
+        self.begin()
+        for number in range(20):
+            self.read("a", b"1", 5 + number)
+            self.timers.advance(round(READ_PART * IN_FORCE_MS))
+        self.assertEqual(sum(f.readings for n, f in self.followers.items() if n != "a"), 0)
+
+    def test_store_that_holds_readings_back_is_left_alone_too(self) -> None:
+        """Guards against the same where a reading is as old as the store held it back."""
+        wait_ms = round(CONFIG_WAIT_PART * IN_FORCE_MS)
+        self.begin()
+        for number in range(20):
+            began_ms = self.clock.now_ms()
+            self.timers.advance(wait_ms)
+            self.mirror.apply(TopicUpdate({"k": b"1"}, number == 0), 5 + number)
+            self.relays["a"].publish("t", self.mirror, began_ms)
+            self.followers["a"].confirmed_ms = began_ms
+        readings = sum(f.readings for n, f in self.followers.items() if n != "a")
+        self.assertLessEqual(readings, len(NAMES))  # Once, at the start.
+
     def test_hub_that_dies_is_left_out(self) -> None:
         """Guards against instances that learn nothing any more after their hub is gone."""
         self.begin()
