--- a/packages/daemon/src/ibispaddle_daemon/gateway.py
+++ b/packages/daemon/src/ibispaddle_daemon/gateway.py
@@ -45,8 +45,7 @@
 class GatewayCodecs:
     """Hold the translations of one platform.
 
-    `config` reads the operators' record and returns None for one that cannot be used; it gets the
-    number of instances, which share what is allowed to all of them together.
+    `config` reads the operators' record and returns None for one that cannot be used.
     """
 
     requests: ForwardingCodec
--- /dev/null
+++ b/tests/fleet/test_messages.py
@@ -0,0 +1,70 @@
+"""Frames between an instance and its hubs."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+from ibispaddle_core.gossip import Hello, Proof
+from ibispaddle_core.scheduling import UpstreamWork
+from ibispaddle_daemon.fleet.messages import (
+    FleetCodec,
+    TopicAnswer,
+    TopicQuestion,
+    WorkAsked,
+    WorkPicture,
+    WorkTold,
+    rows_of,
+    work_of,
+)
+from ibispaddle_daemon.peer_frames import HEADER
+
+CODEC = FleetCodec()
+ROWS = st.lists(st.tuples(st.text(max_size=12), *[st.integers(0, 1_000_000)] * 4), max_size=5).map(
+    tuple
+)
+NAMES = st.lists(st.text(max_size=12), max_size=3).map(tuple)
+NUMBERS = st.integers(0, 2**32)
+MESSAGES = st.one_of(
+    st.builds(WorkTold, ROWS, NAMES),
+    st.builds(WorkAsked, NUMBERS),
+    st.builds(WorkPicture, NUMBERS, ROWS, NAMES),
+    st.builds(
+        TopicQuestion,
+        NUMBERS,
+        st.dictionaries(st.text(max_size=9), st.none() | NUMBERS, max_size=3),
+    ),
+    st.builds(TopicAnswer, NUMBERS, NUMBERS, st.booleans(), st.booleans(), st.binary(max_size=50)),
+    st.builds(Hello, NUMBERS, st.text(max_size=9), NUMBERS, st.binary(max_size=32)),
+    st.builds(Proof, st.binary(max_size=32)),
+)
+
+
+class FleetCodecTest(unittest.TestCase):
+    @given(MESSAGES)
+    def test_message_is_read_as_it_was_written(self, message) -> None:
+        """Guards against a message that another instance takes for a different one."""
+        frame = CODEC.encode(message)
+        (length,) = HEADER.unpack_from(frame)
+        self.assertEqual(length, len(frame) - HEADER.size)
+        self.assertEqual(CODEC.decode(frame[HEADER.size :]).unwrap(), message)
+
+    @given(st.binary(max_size=100))
+    def test_damaged_bytes_are_an_error(self, data: bytes) -> None:
+        """Guards against bytes from a stranger that end the process."""
+        CODEC.decode(data)
+
+    @given(MESSAGES, st.integers(0, 200))
+    def test_cut_message_is_no_message(self, message, end: int) -> None:
+        """Guards against half a message that is taken for a whole one."""
+        data = CODEC.encode(message)[HEADER.size :]
+        if end < len(data):
+            self.assertTrue(CODEC.decode(data[:end]).is_err())
+
+    def test_work_by_upstream(self) -> None:
+        """Guards against columns that change places on their way."""
+        work = {"r1": UpstreamWork(12.0, 3, 4_000, 2)}
+        self.assertEqual(work_of("a", rows_of(work), ("r2",)).work, work)
+
+
+if __name__ == "__main__":
+    unittest.main()
