Ended complete streams before their tokens are reported

Cause: an attempt wrote the end mark of a complete stream, then reported the first tokens to the scheduler and only then ended the answer. If the deadline had passed by then, the scheduler refused the request in between, and an error event followed the end mark. A busy event loop that reads a whole stream at once meets this.

Change: the end of an attempt is carried out first, tokens are reported after it. The forwarder ends an attempt in a call of its own, so it isn't affected; a test guards that.

--- a/packages/daemon/src/ibispaddle_daemon/attempts.py
+++ b/packages/daemon/src/ibispaddle_daemon/attempts.py
@@ -246,6 +246,7 @@
                 case AttemptFinished():
                     self._release(request, running)
                     self._ends.finished(request, running, effect)
+        self._entry.report_tokens(request)
 
     # Flow control
 
--- a/packages/daemon/src/ibispaddle_daemon/entry.py
+++ b/packages/daemon/src/ibispaddle_daemon/entry.py
@@ -300,25 +300,28 @@
     # Reports of the attempts
 
     def count_tokens(self, request: ModelRequest, tokens: int) -> None:
-        """Count generated tokens that were passed on."""
-        if not tokens:
-            return
-        if request.first_token_ms is None:
+        """Count generated tokens that were passed on; `report_tokens` has to follow."""
+        if tokens and request.first_token_ms is None:
             request.first_token_ms = self._clock.now_ms()
-            self.tell(FirstToken(request.request_id))
         request.tokens += tokens
         request.unreported_tokens += tokens
-        if request.unreported_tokens >= TOKENS_PER_REPORT:
-            self._report_tokens(request)
 
-    def _report_tokens(self, request: ModelRequest) -> None:
-        tokens, request.unreported_tokens = request.unreported_tokens, 0
-        if tokens:
+    def report_tokens(self, request: ModelRequest, at_least: int = TOKENS_PER_REPORT) -> None:
+        """Tell the scheduler of counted tokens, the first one at once.
+
+        The scheduler may refuse the request, whose deadline may have passed. An answer that has
+        become complete is therefore ended before its tokens are reported.
+        """
+        if request.first_token_ms is not None and not request.is_first_reported:
+            request.is_first_reported = True
+            self.tell(FirstToken(request.request_id))
+        if request.unreported_tokens >= at_least:
+            tokens, request.unreported_tokens = request.unreported_tokens, 0
             self.tell(TokensRelayed(request.request_id, tokens))
 
     def attempt_ended(self, request: ModelRequest, upstream_id: str, outcome: Outcome) -> None:
         """Report the end of an attempt; the scheduler may retry or refuse."""
-        self._report_tokens(request)
+        self.report_tokens(request, at_least=1)
         request.last_outcome = str(outcome)
         if outcome is Outcome.COMPLETED:
             self._suspects.completed(request.req.fingerprint)
--- a/packages/daemon/src/ibispaddle_daemon/model_request.py
+++ b/packages/daemon/src/ibispaddle_daemon/model_request.py
@@ -60,6 +60,7 @@
     unproved_attempts: int = 0  # Attempts that may have run: bytes were sent and no proof came.
     tokens: int = 0
     unreported_tokens: int = 0
+    is_first_reported: bool = False  # The scheduler knows of the first token.
     prompt_tokens: int = 0
     first_token_ms: int | None = None
     timers: list[TimerHandle] = field(default_factory=list)
--- a/tests/daemon/test_faults_under_load.py
+++ b/tests/daemon/test_faults_under_load.py
@@ -44,7 +44,7 @@
     fault = find_fault(text, prompt, len(choices) if errors else tokens)
     is_done = b"data: [DONE]" in rest
     if not rest.endswith(b"0\r\n\r\n") or is_done == bool(errors):
-        fault = fault or "the end of the stream"
+        fault = fault or f"the end of the stream: {rest[-400:]!r}"
     return f"wrong: {fault}" if fault else (errors or ["ok"])[0]
 
 
--- /dev/null
+++ b/tests/forwarding/fakes.py
@@ -0,0 +1,94 @@
+"""A forwarder with one route, whose calls are recorded."""
+
+from collections.abc import Sequence
+
+from circuits import BaseComponent
+from ibispaddle_core.clock import ManualClock
+from ibispaddle_core.forwarding import UpstreamHead
+from ibispaddle_core.membership import Kind, ListedState, ListEntry
+from ibispaddle_core.routing import Route, RoutingConfig, Target
+from ibispaddle_core.scheduling import Repeat
+from ibispaddle_core.settings import FleetConfig
+from ibispaddle_daemon.engine_memory import HandleCodec
+from ibispaddle_daemon.events import Headers, exchange_started, list_changed
+from ibispaddle_daemon.forwarding import Forwarder
+from ibispaddle_daemon.forwarding.codec import CallerRequest, UpstreamCall
+from ibispaddle_daemon.metrics import Metrics
+from ibispaddle_daemon.timers import TimerQueue
+
+from tests.support.exchanges import FakeClient, FakeExchange
+
+TIMEOUT_MS = 1_000
+HEAD = (("Receipt", "x"),)
+
+
+class FakeCodec:
+    """Translate headers that are named after what they hold."""
+
+    def read_request(self, headers: Headers) -> CallerRequest:
+        values = dict(headers)
+        return CallerRequest(values.get("id", "a1"), "h", prompt_tokens=100, max_output_tokens=5)
+
+    def upstream_headers(self, headers: Headers, call: UpstreamCall) -> Headers:
+        return (("id", call.attempt_id), ("left", str(call.time_left_ms)))
+
+    def read_head(self, status: int, headers: Headers, attempt_id: str) -> UpstreamHead:
+        values = dict(headers)
+        return UpstreamHead(status, headers, not_run="not-run" in values, has_receipt=True)
+
+    def refusal_headers(self, retry_after_ms: int) -> Headers:
+        return (("retry", str(retry_after_ms)),) if retry_after_ms else ()
+
+
+def streams(repeat: Repeat = Repeat.PROVED_NOT_RUN, **values: object) -> Route:
+    """Return a route for streams."""
+    fields: dict = {"timeout_ms": TIMEOUT_MS, "objective_ms": 300, "streams": True}
+    return Route("r", "h", "/", (Target("s"),), repeat=repeat, **fields | values)
+
+
+class ForwarderFixture:
+    """Hold a forwarder with a manual clock, one route and some upstreams."""
+
+    def __init__(self, route: Route, upstreams: Sequence[str] = ("u1", "u2")) -> None:
+        self.clock = ManualClock()
+        self.timers = TimerQueue(self.clock)
+        self.client = FakeClient()
+        self.forwarder = Forwarder(
+            "i", self.client, FakeCodec(), HandleCodec(), self.clock, self.timers, Metrics()
+        )
+        self.root = BaseComponent()
+        for component in (self.timers, self.forwarder):
+            component.register(self.root)
+        self.forwarder.replace_config(RoutingConfig(1, (route,)), FleetConfig())
+        self.list_upstreams(*upstreams)
+
+    def list_upstreams(self, *names: str) -> None:
+        entries = tuple(
+            ListEntry(name, Kind.RUNNER, f"{name}:1", "dc1", ListedState.LIVE, models=("s",))
+            for name in names
+        )
+        self.fire(list_changed(entries), "*")
+
+    def fire(self, event: object, channel: str) -> None:
+        self.root.fire(event, channel)
+        self.flush()
+
+    def flush(self) -> None:
+        while len(self.root):
+            self.root.flush()
+
+    def send(self, attempt_id: str = "a1") -> FakeExchange:
+        """Let a caller send a request."""
+        exchange = FakeExchange("/x", (("id", attempt_id),))
+        exchange.arrived_ms = self.clock.now_ms()
+        self.fire(exchange_started(exchange), "forwarder")
+        return exchange
+
+    def answer(self, data: bytes, *, number: int = -1, is_complete: bool = False) -> None:
+        """Let an upstream answer a call with the head of a success and some bytes."""
+        call = self.client.calls[number]
+        call.sink.call_head(call.call_id, 200, HEAD)
+        call.sink.call_data(call.call_id, data)
+        if is_complete:
+            call.sink.call_ended(call.call_id, None)
+        self.flush()
--- /dev/null
+++ b/tests/forwarding/test_deadlines.py
@@ -0,0 +1,24 @@
+"""Answers of upstreams that arrive while the deadline of their request passes."""
+
+import unittest
+
+from .fakes import TIMEOUT_MS, ForwarderFixture, streams
+
+EVENTS = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+
+
+class DeadlineTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.fixture = ForwarderFixture(streams())
+        self.exchange = self.fixture.send()
+
+    def test_stream_whose_first_events_come_at_the_deadline_breaks_off(self) -> None:
+        """Guards against an incomplete stream that ends like a complete one."""
+        self.fixture.clock.advance(TIMEOUT_MS)
+        self.fixture.answer(EVENTS)
+        self.assertEqual((self.exchange.ended, self.exchange.aborted), (0, 1))
+        self.assertEqual(self.fixture.forwarder.requests_in_flight, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
