Accepted the connections that wait before a planned stop closes its listener

KNOWN-RED listed tests.daemon.test_stop.StopTest.test_stop_under_load_cuts_no_request: once one of 20 clients ended without an answer during a planned stop.

Cause, shown by tests.stopping.test_last_connections, which failed with ConnectionResetError before the change: the system accepts connections for the process, and resets those that the process has not taken when it closes its listening socket, even if their request has arrived. Besides, the process ended with its listener, so that a request on a connection accepted just before was cut.

The test prints the cause now.

One Drain serves both kinds of instance, in place of two copies of the loop.

--- a/packages/daemon/src/ibispaddle_daemon/app.py
+++ b/packages/daemon/src/ibispaddle_daemon/app.py
@@ -34,6 +34,7 @@
 from .request_reader import RequestReader
 from .services import Services
 from .shares import Shares
+from .stopping import DRAIN_POLL_MS, Drain
 from .suspects import Suspects
 from .timers import TimerQueue
 from .tls import call_contexts, listener_context, upstream_scheme
@@ -42,10 +43,6 @@
 from .usage import Usage
 from .web_server import WebServer
 
-DRAIN_POLL_MS = 20
-# Callers may send a last request on a connection that is still open; a pause without any request
-# shows that they have moved on to other instances.
-DRAIN_QUIET_MS = 300
 FLUSH_TIMEOUT_MS = 500
 # Used while instances share no secret. The key only has to be equal at all instances.
 DEFAULT_FINGERPRINT_KEY = b"ibispaddle"
@@ -65,7 +62,6 @@
         self.exit_status = 0
         self._draining = False
         self._drain_limit_ms = 0
-        self._quiet_since_ms: int | None = None
         self._was_ready = False
         EPoll().register(self)
         self.timers = TimerQueue(self.clock).register(self)
@@ -278,34 +274,33 @@
         self._drain_limit_ms = self.clock.now_ms() + self.settings.drain_timeout_ms
         log_event(logevents.INSTANCE_DRAINING, requests=self.server.active)
         self.fire(drain_started(), "*")
-        self.timers.after(DRAIN_POLL_MS, self._check_drain)
+        Drain(
+            self.server,
+            self.clock,
+            self.timers,
+            self._is_busy,
+            self._drain_ends_ms,
+            self._finish_drain,
+        ).begin()
 
-    def _check_drain(self) -> None:
-        now_ms = self.clock.now_ms()
-        deadlines = (self.entry.latest_deadline_ms, self.services.latest_deadline_ms)
-        limit_ms = max(self._drain_limit_ms, *deadlines)
+    def _is_busy(self) -> bool:
         busy = self.server.active + self.server.unsent_connections
-        busy += self.services.calls_in_flight
-        if busy:
-            self._quiet_since_ms = None
-        elif self._quiet_since_ms is None:
-            self._quiet_since_ms = now_ms
-        quiet_ms = 0 if self._quiet_since_ms is None else now_ms - self._quiet_since_ms
-        if quiet_ms >= DRAIN_QUIET_MS or (not busy and now_ms >= limit_ms):
-            self._finish_drain()
-        elif now_ms >= limit_ms:
+        return busy + self.services.calls_in_flight > 0
+
+    def _drain_ends_ms(self) -> int:
+        deadlines = (self.entry.latest_deadline_ms, self.services.latest_deadline_ms)
+        return max(self._drain_limit_ms, *deadlines)
+
+    def _finish_drain(self, is_complete: bool) -> None:
+        if not is_complete:
             log_event(logevents.DRAIN_TIMEOUT, requests=self.server.active)
             self.exit_status = 1
-            self._finish_drain()
-        else:
-            self.timers.after(DRAIN_POLL_MS, self._check_drain)
-
-    def _finish_drain(self) -> None:
         self.fire(drain_completed("requests"), "*")
         limit_ms = self.clock.now_ms() + FLUSH_TIMEOUT_MS
 
         def check() -> None:
-            if self.http_client.calls_in_flight and self.clock.now_ms() < limit_ms:
+            is_unfinished = self.http_client.calls_in_flight or self._is_busy()
+            if is_unfinished and self.clock.now_ms() < limit_ms:
                 self.timers.after(DRAIN_POLL_MS, check)
                 return
             log_event(logevents.INSTANCE_STOPPED, exit_status=self.exit_status)
--- a/packages/daemon/src/ibispaddle_daemon/gateway.py
+++ b/packages/daemon/src/ibispaddle_daemon/gateway.py
@@ -26,16 +26,14 @@
 from .listening import Listeners
 from .logs import log_event, log_handler_failure
 from .metrics import Metrics, Status
+from .stopping import DRAIN_POLL_MS, Drain
 from .store import InstanceDirectory, StoreCodec, TopicFollower, UpstreamDirectory
 from .timers import TimerQueue
 
-DRAIN_POLL_MS = 20
 # Interval at which the age of the configuration is judged.
 REVIEW_INTERVAL_MS = 100
 # Settings that apply without a restart.
 RELOADED_FIELDS = frozenset({"revocation_ms", "unready_ms"})
-# Time without a request after which callers have moved on to other instances.
-DRAIN_QUIET_MS = 300
 # Part of the time within which a configuration must be in force, for which the store holds a reading of
 # it back. The configuration is known to be in force as of the begin of a reading.
 CONFIG_WAIT_PART = 0.2
@@ -83,8 +81,7 @@
         self._front_bind, self._status_bind = binds
         self.clock = clock or SystemClock()
         self._version: int | None = None
-        self._drain_began_ms: int | None = None
-        self._quiet_since_ms: int | None = None
+        self._is_draining = False
         self._was_ready = self._is_fresh = False
         self._read_settings = reload
         self._must_reload = False
@@ -259,37 +256,30 @@
 
     @handler("signal", channel="*")
     def _on_signal(self, number: int, stack: Any) -> None:
-        if number in (signal.SIGTERM, signal.SIGINT) and self._drain_began_ms is None:
-            self._drain_began_ms = now_ms = self.clock.now_ms()
-            self.forwarder.stop_plan = PlannedStop(
-                moved_ms=now_ms + self.settings.unready_ms,
-                ends_ms=now_ms + self.settings.instance.drain_timeout_ms,
-            )
+        if number in (signal.SIGTERM, signal.SIGINT) and not self._is_draining:
+            self._is_draining = True
+            now_ms = self.clock.now_ms()
+            moved_ms = now_ms + self.settings.unready_ms
+            ends_ms = now_ms + self.settings.instance.drain_timeout_ms
+            self.forwarder.stop_plan = PlannedStop(moved_ms, ends_ms)
             log_event(logevents.INSTANCE_DRAINING, requests=self.server.active)
             self.fire(drain_started(), "*")
-            self.timers.after(DRAIN_POLL_MS, self._check_drain)
+            Drain(
+                self.server,
+                self.clock,
+                self.timers,
+                self._is_busy,
+                lambda: ends_ms,
+                self._finish_drain,
+                moved_ms,
+            ).begin()
 
-    def _check_drain(self) -> None:
-        """Stop when callers have moved on, or when the time of a planned stop is used up."""
-        assert self._drain_began_ms is not None
-        now_ms = self.clock.now_ms()
-        drained_ms = now_ms - self._drain_began_ms
-        if self.server.active or self.server.unsent_connections:
-            self._quiet_since_ms = None
-        elif self._quiet_since_ms is None:
-            self._quiet_since_ms = now_ms
-        is_quiet = (
-            self._quiet_since_ms is not None and now_ms - self._quiet_since_ms >= DRAIN_QUIET_MS
-        )
-        if is_quiet and drained_ms >= self.settings.unready_ms:
-            self._stop()
-        elif drained_ms >= self.settings.instance.drain_timeout_ms:
-            log_event(logevents.DRAIN_TIMEOUT, requests=self.server.active)
-            self._stop()
-        else:
-            self.timers.after(DRAIN_POLL_MS, self._check_drain)
+    def _is_busy(self) -> bool:
+        return self.server.active + self.server.unsent_connections > 0
 
-    def _stop(self) -> None:
+    def _finish_drain(self, is_complete: bool) -> None:
+        if not is_complete:
+            log_event(logevents.DRAIN_TIMEOUT, requests=self.server.active)
         self.fire(drain_completed("requests"), "*")
         log_event(logevents.INSTANCE_STOPPED, exit_status=0)
         self.timers.after(DRAIN_POLL_MS, self.stop)
--- a/packages/daemon/src/ibispaddle_daemon/http_listener.py
+++ b/packages/daemon/src/ibispaddle_daemon/http_listener.py
@@ -139,8 +139,14 @@
         self.fire(connection_dropped(conn))
 
     def stop_listening(self) -> None:
-        """Refuse new connections."""
+        """Accept the connections that wait, and refuse new ones from now on.
+
+        The system resets a connection that it has accepted and the process has not when the listening
+        socket closes, also if its request has arrived.
+        """
         if self._sock is not None:
+            while self._accept():
+                pass
             self._poller.discard(self._sock)
             self._sock.close()
             self._sock = None
@@ -201,13 +207,14 @@
                 return
         self._on.bytes_written(conn)
 
-    def _accept(self) -> None:
+    def _accept(self) -> bool:
+        """Accept some connections; return whether others may wait."""
         for _ in range(MAX_ACCEPTS):
             try:
                 sock, _ = self._sock.accept()
             except OSError as exc:
                 if exc.errno in _PASSING:
-                    return
+                    return False
                 raise
             if len(self._connections) >= MAX_CONNECTIONS:
                 sock.close()
@@ -220,6 +227,7 @@
             self._connections[sock] = conn
             self._poller.addReader(self, sock)
             self._on.connection_made(conn)
+        return True
 
     def _continue_handshake(self, conn: CallerConnection) -> None:
         try:
--- a/packages/daemon/src/ibispaddle_daemon/http_server.py
+++ b/packages/daemon/src/ibispaddle_daemon/http_server.py
@@ -74,6 +74,10 @@
     def _on_drain_started(self) -> None:
         self.draining = True
 
+    def stop_accepting(self) -> None:
+        """Accept the connections that wait, and refuse new ones from now on."""
+        self.listener.stop_listening()
+
     @property
     def address(self) -> str:
         """Return the address that the listener is bound to."""
--- a/tests/daemon/test_stop.py
+++ b/tests/daemon/test_stop.py
@@ -51,7 +51,8 @@
                     self.end = f"{exc.code} {exc.body['run_state']}"
                 except openai.APIConnectionError as exc:
                     # Only a refused connection shows that no request was cut.
-                    self.end = "refused" if "refused" in repr(exc.__cause__) else repr(exc)
+                    cause = repr(exc.__cause__)
+                    self.end = "refused" if "refused" in cause else f"{exc!r}: {cause}"
 
 
 class StopTest(unittest.TestCase):
--- /dev/null
+++ b/tests/stopping/test_last_connections.py
@@ -0,0 +1,61 @@
+"""Connections that the system has accepted when the listener of a stopping process closes."""
+
+import socket
+import unittest
+
+from circuits import BaseComponent, handler
+from ibispaddle_core.clock import SystemClock
+from ibispaddle_core.settings import FleetConfig
+from ibispaddle_daemon.http_server import HttpServer
+from ibispaddle_daemon.timers import TimerQueue
+
+from tests.support.event_loop import Root
+from tests.support.waiting import wait_until
+
+CALLERS = 100  # More than are accepted in one turn of the event loop.
+REQUEST = b"GET /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+
+
+class Answers(BaseComponent):
+    """Answer each request."""
+
+    channel = "answers"
+
+    @handler("exchange_started")
+    def _on_exchange_started(self, exchange) -> None:
+        exchange.respond(200, (), b"whole")
+
+
+class LastConnectionsTest(unittest.TestCase):
+    def test_connections_in_the_queue_are_answered(self):
+        """Guard against callers whose connection is reset because it was not accepted yet."""
+        clock = SystemClock()
+        timers = TimerQueue(clock)
+        limits = FleetConfig().limits
+        route = lambda exchange: "answers"  # noqa: E731
+        server = HttpServer("127.0.0.1:0", clock, timers, limits, channel_of=route)
+        address = (server.listener.host, server.listener.port)
+        callers: list[socket.socket] = []
+
+        def call_and_stop() -> None:
+            # The event loop is busy here, so the connections wait in the queue of the system.
+            for _ in range(CALLERS):
+                sock = self.enterContext(socket.create_connection(address, timeout=5))
+                sock.sendall(REQUEST)
+                callers.append(sock)
+            server.stop_accepting()
+
+        with Root(timers, server, Answers()):
+            timers.after(0, call_and_stop)
+            wait_until(lambda: len(callers) == CALLERS, "connections")
+            for sock in callers:
+                answer = b""
+                while piece := sock.recv(4_096):
+                    answer += piece
+                self.assertTrue(answer.endswith(b"whole"), answer)
+            with self.assertRaises(ConnectionRefusedError):
+                socket.create_connection(address, timeout=5)
+
+
+if __name__ == "__main__":
+    unittest.main()
