Shared the retry budget between all instances, and asked a hub before each retry

Retries were also placed by the picture from before the first attempt.

Change: instances tell their totals of attempts with their work; a hub sums those of the last ten seconds and states them in its pictures. An instance without news has its even part of the slack twice, at most the old allowance. A hub states nothing in its first ten seconds.

--- a/packages/core/src/ibispaddle_core/hubs/__init__.py
+++ b/packages/core/src/ibispaddle_core/hubs/__init__.py
@@ -1,6 +1,7 @@
 """Hubs: the few instances through which all others know the fleet."""
 
+from .attempts import AttemptBoard
 from .board import FLEET, WorkBoard
 from .ranking import HUBS, Candidate, HubRanking
 
-__all__ = ["FLEET", "HUBS", "Candidate", "HubRanking", "WorkBoard"]
+__all__ = ["FLEET", "HUBS", "AttemptBoard", "Candidate", "HubRanking", "WorkBoard"]
--- a/packages/core/src/ibispaddle_core/hubs/ranking.py
+++ b/packages/core/src/ibispaddle_core/hubs/ranking.py
@@ -65,6 +65,11 @@
         capacity = round(self._candidates[name].capacity, 1)
         return (-capacity, hashing.score("hub", name), name)
 
+    @property
+    def size(self) -> int:
+        """Return the number of listed instances."""
+        return len(self._order)
+
     def candidate(self, instance_id: str) -> Candidate | None:
         """Return a listed instance."""
         return self._candidates.get(instance_id)
--- a/packages/core/src/ibispaddle_core/scheduling/__init__.py
+++ b/packages/core/src/ibispaddle_core/scheduling/__init__.py
@@ -3,6 +3,7 @@
 from .base import Scheduler
 from .exceptions import DuplicateRequestError, SchedulingError
 from .messages import (
+    AttemptCounts,
     AttemptEnded,
     CallerLeft,
     CancelAttempt,
@@ -11,6 +12,7 @@
     Dispatch,
     Event,
     FirstToken,
+    FleetAttempts,
     FreeMemory,
     LoadReported,
     Outcome,
@@ -36,6 +38,7 @@
 )
 
 __all__ = [
+    "AttemptCounts",
     "AttemptEnded",
     "CallerLeft",
     "CancelAttempt",
@@ -45,6 +48,7 @@
     "DuplicateRequestError",
     "Event",
     "FirstToken",
+    "FleetAttempts",
     "FreeMemory",
     "LoadReported",
     "Outcome",
--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -20,6 +20,7 @@
 from .homes import PEER_EXPIRY_MS, REFRESH_MS, Homes
 from .large import LargePrompts
 from .messages import (
+    AttemptCounts,
     AttemptEnded,
     CallerLeft,
     CancelAttempt,
@@ -27,6 +28,7 @@
     Decision,
     Event,
     FirstToken,
+    FleetAttempts,
     LoadReported,
     Outcome,
     PeerClaims,
@@ -91,7 +93,7 @@
         self._has_peer_news = False  # The sums of the runners are older than the table.
         self._predicted = self.placement
         self.placement = self._placement_of_config()
-        self._budget = RetryBudget(config.scheduling.retry_budget, config.scheduling.retry_floor)
+        self._budget = RetryBudget(*_budget_of(config))
         self._large = LargePrompts(self.runners, instance_boot, wall_offset_ms)
         self._waits = LargeWaits(wall_offset_ms)
         self._groups = GroupChoice(self.cost, self._rng)
@@ -181,6 +183,8 @@
                 self.health.take_told(avoided, len(self.runners.views), now_ms)
                 self._peer_work.merge(instance, work, now_ms)
                 self._has_peer_news = True
+            case FleetAttempts():
+                self._budget.take_fleet(event, now_ms)
             case PeerWaits():
                 self._waits.merge(event, now_ms)
             case ReservationAnswered():
@@ -201,7 +205,7 @@
         self.cost.replace(config)
         self.shares.replace_weights({n: c.weight for n, c in config.neighbours.items()})
         self.queue.replace_bound(config.scheduling.max_queue_per_neighbour)
-        self._budget.replace(config.scheduling.retry_budget, config.scheduling.retry_floor)
+        self._budget.replace(*_budget_of(config))
         self.runners.refresh_models()
         self.placement = self._placement_of_config()
 
@@ -468,6 +472,11 @@
         """Try the requests that wait at the next event, because the fleet's work has changed."""
         self._polls.clear()
 
+    @property
+    def attempt_totals(self) -> AttemptCounts:
+        """Return the attempts of this instance since its start, for the other instances."""
+        return self._budget.totals
+
     def own_work(self, instance: str, now_ms: int) -> PeerWork:
         """Return what this instance has in flight and avoids, for the other instances."""
         return PeerWork(instance, self.runners.own_work(now_ms), self.health.own_avoided(now_ms))
@@ -533,3 +542,8 @@
         self._attempts.forget(state)
         del self._states[state.req.request_id]
         return self._large.release(state.req.request_id)
+
+
+def _budget_of(config: FleetConfig) -> tuple[float, int, int]:
+    cfg = config.scheduling
+    return cfg.retry_budget, cfg.retry_floor, cfg.retry_slack
--- a/packages/core/src/ibispaddle_core/scheduling/messages.py
+++ b/packages/core/src/ibispaddle_core/scheduling/messages.py
@@ -194,6 +194,31 @@
     avoided: tuple[str, ...] = ()
 
 
+@dataclass(frozen=True)
+class AttemptCounts:
+    """Count attempts: the first ones of requests, and those that repeat an earlier one."""
+
+    first: int = 0
+    repeats: int = 0
+
+    def __add__(self, other: "AttemptCounts") -> "AttemptCounts":
+        return AttemptCounts(self.first + other.first, self.repeats + other.repeats)
+
+    def __sub__(self, other: "AttemptCounts") -> "AttemptCounts":
+        return AttemptCounts(self.first - other.first, self.repeats - other.repeats)
+
+
+@dataclass(frozen=True)
+class FleetAttempts:
+    """Replace the attempts of all other instances in the window of the retry budget.
+
+    `counts` is None if nobody knows them; `instances` is the size of the fleet.
+    """
+
+    counts: AttemptCounts | None
+    instances: int = 1
+
+
 @dataclass(frozen=True)
 class WaitingPrompt:
     """Describe a prompt that spans engines and waits for memory of a group of runners."""
@@ -254,6 +279,7 @@
     | PeerClaims
     | PeerWaits
     | PeerWork
+    | FleetAttempts
     | ReservationAnswered
     | ConfigurationReplaced
     | Tick
--- a/packages/core/src/ibispaddle_core/scheduling/retries.py
+++ b/packages/core/src/ibispaddle_core/scheduling/retries.py
@@ -2,41 +2,77 @@
 
 from collections import deque
 
+from .messages import AttemptCounts, FleetAttempts
+
 WINDOW_MS = 10_000
+# News of the other instances is asked for before each retry. Older news is used for a short time when
+# no hub answers.
+FLEET_FRESH_MS = 1_500
+# Part of what all instances may retry that is used up. The rest covers retries that are not known to the
+# others yet.
+FLEET_PART = 0.8
+# An instance without news may use so many times its even part of the slack: few are without news.
+LONE_PARTS = 2
 
 
 class RetryBudget:
     """Allow retries up to a ratio of the first attempts in the last ten seconds.
 
-    `floor` retries are allowed in any case, so that an instance with little traffic can retry.
+    `floor` retries are allowed in any case, so that an instance with little traffic can retry. With a
+    `slack`, the budget is that of all instances: they may make so many retries beyond the ratio together.
+    While the attempts of the others are not known, this instance has its floor, and in a large fleet
+    twice its even part of the slack.
     """
 
-    def __init__(self, ratio: float, floor: int) -> None:
+    def __init__(self, ratio: float, floor: int, slack: int = 0) -> None:
         self._ratio = ratio
         self._floor = floor
+        self._slack = slack
         self._first: deque[int] = deque()
         self._retries: deque[int] = deque()
+        self._fleet = FleetAttempts(None)
+        self._fleet_ms = 0
+        self.totals = AttemptCounts()  # Since the start.
         self.refused = 0  # Retries that were refused since the start.
 
-    def replace(self, ratio: float, floor: int) -> None:
-        """Use another ratio of retries to first attempts and another floor."""
-        self._ratio, self._floor = ratio, floor
+    def replace(self, ratio: float, floor: int, slack: int) -> None:
+        """Use another ratio of retries to first attempts, another floor and another slack."""
+        self._ratio, self._floor, self._slack = ratio, floor, slack
+
+    def take_fleet(self, attempts: FleetAttempts, now_ms: int) -> None:
+        """Take over the attempts of all other instances."""
+        self._fleet, self._fleet_ms = attempts, now_ms
 
     def count_first_attempt(self, now_ms: int) -> None:
         """Count a first attempt."""
         self._first.append(now_ms)
+        self.totals += AttemptCounts(first=1)
         self._expire(now_ms)
 
     def try_take(self, now_ms: int) -> bool:
         """Take one retry from the budget and return whether there was one."""
         self._expire(now_ms)
-        allowed = max(self._floor, self._ratio * len(self._first))
-        if self._ratio <= 0 or len(self._retries) + 1 > allowed:
+        if self._ratio <= 0 or not self._has_room(now_ms):
             self.refused += 1
             return False
         self._retries.append(now_ms)
+        self.totals += AttemptCounts(repeats=1)
         return True
 
+    def _has_room(self, now_ms: int) -> bool:
+        others = self._fleet.counts
+        if not self._slack or others is None or now_ms - self._fleet_ms > FLEET_FRESH_MS:
+            return len(self._retries) + 1 <= max(self._lone(), self._ratio * len(self._first))
+        first = len(self._first) + others.first
+        allowed = FLEET_PART * (self._ratio * first + self._slack)
+        return len(self._retries) + others.repeats + 1 <= allowed
+
+    def _lone(self) -> float:
+        """Return the retries that this instance may make in any case."""
+        if not self._slack:
+            return self._floor
+        return min(self._floor, LONE_PARTS * self._slack / self._fleet.instances)
+
     def _expire(self, now_ms: int) -> None:
         for times in (self._first, self._retries):
             while times and times[0] <= now_ms - WINDOW_MS:
--- a/packages/core/src/ibispaddle_core/settings/fleet.py
+++ b/packages/core/src/ibispaddle_core/settings/fleet.py
@@ -145,6 +145,13 @@
         int,
         Meta(ge=0, description="Retries that one instance may make in ten seconds in any case."),
     ] = 3
+    retry_slack: Annotated[
+        int,
+        Meta(
+            ge=0,
+            description="Retries beyond the ratio that all instances together may make in ten seconds; 0: each instance has a budget of its own.",
+        ),
+    ] = 0
     placement: Annotated[
         Literal["predicted", "least_work", "fewest_requests"],
         Meta(
--- a/packages/core/src/ibispaddle_core/settings/gateway.py
+++ b/packages/core/src/ibispaddle_core/settings/gateway.py
@@ -38,6 +38,7 @@
         int,
         Meta(ge=0, description="Retries that this instance may make in ten seconds in any case."),
     ] = 3
+    retry_slack: Annotated[int, Meta(ge=0, description="As in the fleet's `scheduling`.")] = 0
     in_force_ms: Annotated[
         int,
         Meta(
--- a/packages/daemon/src/ibispaddle_daemon/fleet/messages.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/messages.py
@@ -17,6 +17,8 @@
 
     rows: tuple[WorkRow, ...]
     avoided: tuple[str, ...]
+    first_attempts: int = 0  # Since the start of the sender, like the repeats.
+    repeats: int = 0
 
 
 class WorkAsked(msgspec.Struct, frozen=True, array_like=True, tag="q"):
@@ -31,6 +33,8 @@
     number: int
     rows: tuple[WorkRow, ...]
     avoided: tuple[str, ...]
+    # First attempts and repeats of the others in the window of the retry budget, if the hub knows them.
+    attempts: tuple[int, int] | None = None
 
 
 class TopicQuestion(msgspec.Struct, frozen=True, array_like=True, tag="t"):
--- a/packages/daemon/src/ibispaddle_daemon/fleet/work.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/work.py
@@ -6,8 +6,8 @@
 from circuits import BaseComponent
 from ibispaddle_core import logevents
 from ibispaddle_core.clock import Clock
-from ibispaddle_core.hubs import FLEET, HubRanking, WorkBoard
-from ibispaddle_core.scheduling import PeerWork
+from ibispaddle_core.hubs import FLEET, AttemptBoard, HubRanking, WorkBoard
+from ibispaddle_core.scheduling import AttemptCounts, FleetAttempts, PeerWork
 
 from ..forwarding import Forwarder
 from ..logs import log_event
@@ -51,6 +51,7 @@
         self._ranking, self._links = ranking, links
         self._clock, self._timers = clock, timers
         self._board = WorkBoard()
+        self._attempt_board = AttemptBoard(clock.now_ms())
         self._told: PeerWork | None = None
         self._told_ms = 0
         self._told_to: tuple[str, ...] = ()
@@ -78,7 +79,8 @@
         now_ms = self._clock.now_ms()
         hub_id = self._choose_hub(now_ms)
         if hub_id is None:
-            self._take(self._board.others(self._instance_id, now_ms))
+            counts = self._attempt_board.of_others(self._instance_id, now_ms)
+            self._take(self._board.others(self._instance_id, now_ms), counts)
             then()
             return
         if self._picture_ms is not None and now_ms - self._picture_ms < FRESH_MS:
@@ -130,7 +132,8 @@
 
     def _on_picture(self, instance_id: str, message: WorkPicture) -> None:
         self._ranking.note_answer(instance_id)
-        self._take(work_of(FLEET, message.rows, message.avoided))
+        counts = AttemptCounts(*message.attempts) if message.attempts is not None else None
+        self._take(work_of(FLEET, message.rows, message.avoided), counts)
         if self._asked != (message.number, instance_id):
             return  # Late: the choice was made without this answer.
         if self._ask_timer is not None:
@@ -138,9 +141,10 @@
         self._misses = 0
         self._go_on()
 
-    def _take(self, others: PeerWork) -> None:
+    def _take(self, others: PeerWork, counts: AttemptCounts | None) -> None:
         self._picture_ms = self._clock.now_ms()
-        self._forwarder.take_fleet_work(others)
+        attempts = FleetAttempts(counts, max(1, self._ranking.size))
+        self._forwarder.take_fleet_work(others, attempts)
 
     def _go_on(self) -> None:
         self._asked = self._ask_timer = None
@@ -188,9 +192,12 @@
             return
         self._told, self._told_ms = work, now_ms
         self._told_to = self._ranking.hubs(now_ms)
+        totals = self._forwarder.scheduler.attempt_totals
         self._board.tell(work, now_ms)
+        self._attempt_board.tell(self._instance_id, totals, now_ms)
         self._review_later()
-        frame = self._links.encode(WorkTold(rows_of(work.work), work.avoided))
+        told = WorkTold(rows_of(work.work), work.avoided, totals.first, totals.repeats)
+        frame = self._links.encode(told)
         for hub_id in self._told_to:
             if hub_id != self._instance_id:
                 self._links.send_frame(hub_id, frame)
@@ -198,10 +205,16 @@
     # Answering
 
     def _on_told(self, instance_id: str, message: WorkTold) -> None:
+        now_ms = self._clock.now_ms()
         work = work_of(instance_id, message.rows, message.avoided)
-        self._board.tell(work, self._clock.now_ms())
+        self._board.tell(work, now_ms)
+        totals = AttemptCounts(message.first_attempts, message.repeats)
+        self._attempt_board.tell(instance_id, totals, now_ms)
 
     def _on_asked(self, instance_id: str, message: WorkAsked) -> None:
-        others = self._board.others(instance_id, self._clock.now_ms())
-        picture = WorkPicture(message.number, rows_of(others.work), others.avoided)
+        now_ms = self._clock.now_ms()
+        others = self._board.others(instance_id, now_ms)
+        counts = self._attempt_board.of_others(instance_id, now_ms)
+        attempts = (counts.first, counts.repeats) if counts is not None else None
+        picture = WorkPicture(message.number, rows_of(others.work), others.avoided, attempts)
         self._links.answer(instance_id, picture)
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
@@ -21,6 +21,7 @@
     Dispatch,
     Event,
     FirstToken,
+    FleetAttempts,
     FreeMemory,
     Outcome,
     PeerWork,
@@ -138,8 +139,9 @@
         self._has_upstreams = True
         self._admit_early()
 
-    def take_fleet_work(self, work: PeerWork) -> None:
-        """Take over what all other instances have in flight, before the next choice."""
+    def take_fleet_work(self, work: PeerWork, attempts: FleetAttempts) -> None:
+        """Take over what all other instances have in flight and attempted, before the next choice."""
+        self.tell(attempts)
         self.tell(work)
 
     @property
@@ -406,15 +408,18 @@
             reason=over.text,
             events=request.events,
         )
-        self.tell(
-            AttemptEnded(
-                request.request_id,
-                upstream_id,
-                over.outcome,
-                bytes_relayed=request.is_begun,
-                culprit_id=culprit_id,
-            )
+        ended = AttemptEnded(
+            request.request_id,
+            upstream_id,
+            over.outcome,
+            bytes_relayed=request.is_begun,
+            culprit_id=culprit_id,
         )
+        # A retry uses up the budget of all instances, and needs an upstream like a new request.
+        self.before_choice(lambda: self._report_failure(ended))
+
+    def _report_failure(self, ended: AttemptEnded) -> None:
+        self.tell(ended)
         self.on_work_changed(False)
 
     def _complete(self, request: ForwardedRequest, upstream_id: str, over: AttemptOver) -> None:
--- a/tests/fleet/test_messages.py
+++ b/tests/fleet/test_messages.py
@@ -25,9 +25,9 @@
 NAMES = st.lists(st.text(max_size=12), max_size=3).map(tuple)
 NUMBERS = st.integers(0, 2**32)
 MESSAGES = st.one_of(
-    st.builds(WorkTold, ROWS, NAMES),
+    st.builds(WorkTold, ROWS, NAMES, NUMBERS, NUMBERS),
     st.builds(WorkAsked, NUMBERS),
-    st.builds(WorkPicture, NUMBERS, ROWS, NAMES),
+    st.builds(WorkPicture, NUMBERS, ROWS, NAMES, st.none() | st.tuples(NUMBERS, NUMBERS)),
     st.builds(
         TopicQuestion,
         NUMBERS,
--- a/tests/fleet/test_work.py
+++ b/tests/fleet/test_work.py
@@ -7,7 +7,8 @@
 import unittest
 from types import SimpleNamespace
 
-from ibispaddle_core.scheduling import PeerWork, UpstreamWork
+from ibispaddle_core.scheduling import AttemptCounts, FleetAttempts, PeerWork, UpstreamWork
+from ibispaddle_core.scheduling.retries import WINDOW_MS
 from ibispaddle_daemon.fleet.messages import WorkAsked, WorkTold
 from ibispaddle_daemon.fleet.work import (
     ANSWER_TIMEOUT_MS,
@@ -30,10 +31,11 @@
         self.is_choosing = False
         self.looks = 0
         own_work = lambda instance, now_ms: PeerWork(name, dict(self.work))  # noqa: E731
-        self.scheduler = SimpleNamespace(own_work=own_work)
+        self.scheduler = SimpleNamespace(own_work=own_work, attempt_totals=AttemptCounts())
+        self.attempts: FleetAttempts | None = None
 
-    def take_fleet_work(self, work: PeerWork) -> None:
-        self.picture = work
+    def take_fleet_work(self, work: PeerWork, attempts: FleetAttempts) -> None:
+        self.picture, self.attempts = work, attempts
 
     def look_again(self) -> None:
         self.looks += 1
@@ -160,6 +162,18 @@
         self.network.deliver("f", "a", WorkAsked(number))
         self.assertIn("r1", self.forwarders["f"].picture.work)
 
+    def test_retries_of_the_others_are_known_before_a_retry(self) -> None:
+        """Guards against hundreds of instances that each use the retries of all."""
+        self.dispatch("e", "r1")
+        self.network.timers.advance(WINDOW_MS)
+        self.forwarders["e"].scheduler.attempt_totals = AttemptCounts(4, 3)
+        self.dispatch("e", "r2")
+        for name in "fa":
+            self.choose(name)
+            self.assertEqual(
+                self.forwarders[name].attempts, FleetAttempts(AttemptCounts(4, 3), 6), name
+            )
+
 
 if __name__ == "__main__":
     unittest.main()
