Made the choice of engines cheap in large fleets

Cause: a choice worked out each engine of a service through generator sums and frozen data classes, and ranked all of them again for each of ten numbers of engines. A hub's picture replaced what was known of each engine.

Change: requests and parts of an engine are counted as they change; a rank that no pause changes is worked out once; only engines whose told work has changed are touched; from 256 engines on a choice looks at 256 of them, and at all if none has room.

--- a/packages/core/src/ibispaddle_core/scheduling/health.py
+++ b/packages/core/src/ibispaddle_core/scheduling/health.py
@@ -98,6 +98,10 @@
             if now_ms < record.paused_until_ms and record.failures
         )
 
+    def has_record(self, upstream_id: str) -> bool:
+        """Return whether anything is known of an upstream; most have no failure and no record."""
+        return upstream_id in self._records
+
     def failure_rate(self, upstream_id: str, now_ms: int) -> float:
         """Return the smoothed part of failed attempts, from 0 to 1."""
         record = self._records.get(upstream_id)
--- a/packages/core/src/ibispaddle_core/scheduling/least_work.py
+++ b/packages/core/src/ibispaddle_core/scheduling/least_work.py
@@ -12,6 +12,8 @@
 from dataclasses import dataclass
 from random import Random
 
+import msgspec
+
 from ..settings.fleet import ModelConfig
 from .cost import CostModel
 from .groups import Group
@@ -22,6 +24,9 @@
 
 # Numbers of engines that are compared for one prompt.
 JOINT_SIZES = (1, 2, 3, 4, 6, 8, 10, 12, 14, 17)
+# Engines that are looked at for one prompt, so that a choice costs the same in larger fleets. The best
+# ones of so many are about as good as the best of all; if none of them has room, all are looked at.
+MAX_COMPARED = 256
 # Upstreams that have failed a prompt, counting helpers, from which it gets few engines or one.
 TRIED_FOR_FEW_HELPERS = 4
 TRIED_FOR_NO_HELPER = 6
@@ -48,14 +53,17 @@
 FAILURE_WORK_MS = 400.0
 
 
-@dataclass(frozen=True, slots=True)
-class _Load:
-    """Hold what is needed of an engine for one choice, so that it is worked out only once."""
+class _Load(msgspec.Struct, frozen=True, eq=False, gc=False):
+    """Hold what is needed of an engine for one choice, so that it is worked out only once.
+
+    A struct is created several times as fast as a data class, and a choice needs one for each engine.
+    """
 
     view: RunnerView
     unread_ms: float
     requests: int
-    work_ms: float  # Decides between engines at which the harm is equal.
+    # Decides between engines at which the harm is equal; partly random.
+    base_rank: float
     is_avoided: bool
 
     @property
@@ -95,9 +103,25 @@
         now_ms: int,
     ) -> Choice | None:
         """Return the choice, or None while no upstream has a free slot and the memory."""
+        live = runners.live(req.model)
+        if len(live) > MAX_COMPARED:
+            some = self._rng.sample(live, MAX_COMPARED)
+            choice = self._choose(req, tried, spare_only, some, now_ms)
+            if choice is not None:
+                return choice
+        return self._choose(req, tried, spare_only, live, now_ms)
+
+    def _choose(
+        self,
+        req: Request,
+        tried: set[str],
+        spare_only: bool,
+        views: list[RunnerView],
+        now_ms: int,
+    ) -> Choice | None:
         cfg = self._cost.model(req.model)
         needed = self._cost.kv_tokens(req)
-        loads = self._loads(runners.live(req.model), now_ms)
+        loads = self._loads(views, now_ms)
         room = [
             load
             for load in loads
@@ -135,6 +159,16 @@
         self, req: Request, live: list[RunnerView], wanted: set[str], now_ms: int
     ) -> Group | None:
         """Return the engines that hold a prompt which spans engines, or None while none fit."""
+        if len(live) > MAX_COMPARED:
+            some = self._rng.sample(live, MAX_COMPARED)
+            group = self._choose_group(req, some, wanted, now_ms)
+            if group is not None:
+                return group
+        return self._choose_group(req, live, wanted, now_ms)
+
+    def _choose_group(
+        self, req: Request, live: list[RunnerView], wanted: set[str], now_ms: int
+    ) -> Group | None:
         cfg = self._cost.model(req.model)
         reading_ms = self._cost.prefill_engine_ms(req.model, req.prompt_tokens)
         tokens = self._cost.kv_tokens(req)
@@ -171,10 +205,13 @@
     def _load(self, view: RunnerView, now_ms: int) -> _Load:
         upstream_id = view.upstream.upstream_id
         unread_ms, requests = view.unread_ms(now_ms), view.requests
-        failure_rate = self._health.failure_rate(upstream_id, now_ms)
-        work_ms = unread_ms + REQUEST_WORK_MS * requests + FAILURE_WORK_MS * failure_rate
-        is_avoided = self._health.is_avoided(upstream_id, now_ms)
-        return _Load(view, unread_ms, requests, work_ms, is_avoided)
+        work_ms = unread_ms + REQUEST_WORK_MS * requests
+        is_avoided = False
+        if self._health.has_record(upstream_id):
+            work_ms += FAILURE_WORK_MS * self._health.failure_rate(upstream_id, now_ms)
+            is_avoided = self._health.is_avoided(upstream_id, now_ms)
+        base_rank = HARM_PER_WORK_MS * work_ms + NEAR_EQUAL_HARM * self._rng.random()
+        return _Load(view, unread_ms, requests, base_rank, is_avoided)
 
     def _best_plan(
         self,
@@ -248,15 +285,32 @@
         self, loads: list[_Load], count: int, part_ms: float, cfg: ModelConfig
     ) -> list[_Load]:
         """Return the engines with the least harm, then the least work."""
-        ranked = [
-            (self._rank(load, part_ms, cfg) + NEAR_EQUAL_HARM * self._rng.random(), load)
+        ranks = self._ranks(loads, part_ms, cfg)
+        if count == 1:
+            return [loads[ranks.index(min(ranks))]] if loads else []
+        order = sorted(range(len(loads)), key=ranks.__getitem__)
+        return [loads[index] for index in order[:count]]
+
+    def _ranks(self, loads: list[_Load], part_ms: float, cfg: ModelConfig) -> list[float]:
+        # The same as `_harm`, written out: this runs for each engine and each number of engines.
+        limit_ms = cfg.harmless_reading_ms
+        harmless_ms = limit_ms - part_ms
+        first = 1.0 - HARM_PER_S * harmless_ms / 1000
+        further = HARM_PER_S * part_ms / 1000
+        return [
+            (
+                load.base_rank
+                if load.unread_ms <= harmless_ms
+                else load.base_rank
+                + load.requests
+                * (
+                    further
+                    if load.unread_ms > limit_ms
+                    else first + HARM_PER_S * load.unread_ms / 1000
+                )
+            )
             for load in loads
         ]
-        ranked.sort(key=lambda item: item[0])
-        return [load for _, load in ranked[:count]]
-
-    def _rank(self, load: _Load, part_ms: float, cfg: ModelConfig) -> float:
-        return _harm(load, part_ms, cfg) + HARM_PER_WORK_MS * load.work_ms
 
 
 class FewestRequestsPlacement(LeastWorkPlacement):
@@ -266,8 +320,8 @@
         """Return 1: each prompt is read by the engine that answers it."""
         return [1]
 
-    def _rank(self, load: _Load, part_ms: float, cfg: ModelConfig) -> float:
-        return float(load.view.own_requests)
+    def _ranks(self, loads: list[_Load], part_ms: float, cfg: ModelConfig) -> list[float]:
+        return [load.view.own_requests + NEAR_EQUAL_HARM * self._rng.random() for load in loads]
 
 
 def _preferred(loads: list[_Load], tried: set[str]) -> list[_Load]:
--- a/packages/core/src/ibispaddle_core/scheduling/peer_work.py
+++ b/packages/core/src/ibispaddle_core/scheduling/peer_work.py
@@ -20,11 +20,14 @@
 
     def totals(self, now_ms: int) -> dict[str, UpstreamWork]:
         """Return the sums of what was told last."""
+        self._told = {
+            instance: told for instance, told in self._told.items() if now_ms - told[0] <= EXPIRY_MS
+        }
+        if len(self._told) == 1:  # One sum for all others, as a hub states it.
+            ((_, works),) = self._told.values()
+            return dict(works)
         totals: dict[str, UpstreamWork] = {}
-        for instance, (told_ms, works) in list(self._told.items()):
-            if now_ms - told_ms > EXPIRY_MS:
-                del self._told[instance]
-                continue
+        for _, works in self._told.values():
             for upstream_id, work in works.items():
                 known = totals.get(upstream_id, UpstreamWork())
                 totals[upstream_id] = UpstreamWork(
--- a/packages/core/src/ibispaddle_core/scheduling/runners.py
+++ b/packages/core/src/ibispaddle_core/scheduling/runners.py
@@ -13,6 +13,8 @@
 # A long prompt that has not sent its first token is taken to have this part left at least.
 MIN_LONG_REST = 0.2
 
+IDLE = UpstreamWork()
+
 
 @dataclass(slots=True)
 class SentWork:
@@ -52,23 +54,36 @@
     # The part of `sent` without a first token, which the predictions go through.
     _computing: dict[str, SentWork] = field(default_factory=dict)
     # Work of the other instances, summed up, as they last told.
-    peers: UpstreamWork = UpstreamWork()
+    peers: UpstreamWork = IDLE
     _kv_free: int | None = None  # Kept until one of the above changes.
+    # Requests in `sent`, and parts in `_computing`; counted, because each choice looks at all runners.
+    own_requests: int = 0
+    own_parts: int = 0
 
     def add(self, request_id: str, work: SentWork) -> None:
         """Add a request that was sent to the runner."""
+        self.remove(request_id)
         self.sent[request_id] = self._computing[request_id] = work
+        if work.is_part:
+            self.own_parts += 1
+        else:
+            self.own_requests += 1
         self._kv_free = None
 
     def first_token(self, request_id: str) -> None:
         """Record that the prompt of a request is computed."""
         if (work := self._computing.pop(request_id, None)) is not None:
             work.prefill_tokens = 0
+            self.own_parts -= work.is_part
 
     def remove(self, request_id: str) -> None:
         """Forget a request, if it was sent to the runner."""
-        self.sent.pop(request_id, None)
-        self._computing.pop(request_id, None)
+        work = self.sent.pop(request_id, None)
+        if work is None:
+            return
+        is_computing = self._computing.pop(request_id, None) is not None
+        self.own_parts -= work.is_part and is_computing
+        self.own_requests -= not work.is_part
         self._kv_free = None
 
     def announce(self, handle: str, reading_ms: float) -> None:
@@ -110,16 +125,6 @@
         self.peers = work
         self._kv_free = None
 
-    @property
-    def own_requests(self) -> int:
-        """Return the requests of this instance at the runner."""
-        return sum(not work.is_part for work in self.sent.values())
-
-    @property
-    def own_parts(self) -> int:
-        """Return the parts of prompts that the runner reads for this instance."""
-        return sum(work.is_part for work in self._computing.values())
-
     @property
     def parts(self) -> int:
         """Return the parts that the runner reads for others, as far as is known."""
@@ -132,6 +137,8 @@
 
     def unread_ms(self, now_ms: int) -> float:
         """Return the engine time of the prompts that the runner still has to read."""
+        if not self._computing and not self._announced_ms:
+            return self.peers.reading_ms
         return self._own_unread_ms(now_ms) + self.peers.reading_ms
 
     def _own_unread_ms(self, now_ms: int) -> float:
@@ -223,6 +230,7 @@
         self._cost = cost
         self.views: dict[str, RunnerView] = {}
         self._by_model: dict[str, list[RunnerView]] = {}
+        self._told: set[str] = set()  # Runners at which other instances have work.
 
     def replace(self, upstreams: Iterable[Upstream]) -> list[RunnerView]:
         """Replace the set of runners and return those that are down.
@@ -263,8 +271,14 @@
 
     def replace_peers(self, totals: Mapping[str, UpstreamWork]) -> None:
         """Take over what all other instances have in flight."""
-        for upstream_id, view in self.views.items():
-            view.replace_peers(totals.get(upstream_id, UpstreamWork()))
+        for upstream_id in self._told - totals.keys():
+            if (view := self.views.get(upstream_id)) is not None:
+                view.replace_peers(IDLE)
+        self._told = set(totals)
+        for upstream_id, work in totals.items():
+            view = self.views.get(upstream_id)
+            if view is not None and view.peers != work:
+                view.replace_peers(work)
 
     def own_work(self, now_ms: int) -> dict[str, UpstreamWork]:
         """Return what this instance has in flight, by upstream that has any."""
--- a/tests/scheduling/test_least_work.py
+++ b/tests/scheduling/test_least_work.py
@@ -9,6 +9,7 @@
 from ibispaddle_core.runstate import RunState
 from ibispaddle_core.scheduling import (
     AttemptEnded,
+    CallerLeft,
     Dispatch,
     FirstToken,
     FreeMemory,
@@ -23,6 +24,7 @@
     Tick,
     UpstreamsChanged,
     UpstreamWork,
+    least_work,
 )
 from ibispaddle_core.settings.fleet import FleetConfig
 
@@ -315,5 +317,69 @@
         self.assertIn(decision.upstream_id, {f"r{number:03}" for number in range(71, 78)})
 
 
+class LargeFleetTest(unittest.TestCase):
+    """The load pattern is a fleet of 730 engines, of which a choice cannot look at each."""
+
+    ENGINES = 730
+
+    def test_choice_looks_at_a_bounded_number_of_engines(self) -> None:
+        """Guards against processor time for each request that grows with the fleet."""
+        sched, looked_at = scheduler(runners=self.ENGINES), []
+        load = sched.placement._load
+        sched.placement._load = lambda view, now_ms: (looked_at.append(view), load(view, now_ms))[1]
+        for name, tokens in (("short", 3_000), ("long", 130_000)):
+            arrive(sched, name, tokens)
+            self.assertLessEqual(len(looked_at), least_work.MAX_COMPARED)
+            looked_at.clear()
+
+    def test_last_engine_with_room_is_found(self) -> None:
+        """Guards against requests that wait while an engine that was not looked at is free."""
+        sched = scheduler(runners=self.ENGINES)
+        full = UpstreamWork(0.0, MODEL["upstream_slots"], 0)
+        work = {f"r{number:03}": full for number in range(self.ENGINES) if number != 77}
+        sched.handle(PeerWork("fleet", work), 0)
+        (decision,) = arrive(sched, "a", 3_000)
+        self.assertEqual(decision.upstream_id, "r077")
+
+    def test_work_is_spread_over_all_engines(self) -> None:
+        """Guards against a part of the fleet that is never chosen."""
+        sched = scheduler(runners=self.ENGINES)
+        used = {arrive(sched, f"d{number}", 3_000)[0].upstream_id for number in range(600)}
+        self.assertGreater(len(used), 550)
+
+    def test_sums_of_what_is_known_of_an_engine_do_not_drift(self) -> None:
+        """Guards against counted requests and parts that differ from those in flight."""
+        sched = scheduler(runners=23)
+        for number in range(60):
+            name = f"p{number}"
+            arrive(sched, name, 3_000 if number % 3 else 100_000, number)
+            if number % 2:
+                sched.handle(FirstToken(name), number)
+            if number % 5 == 0:
+                sched.handle(CallerLeft(name), number)
+        for view in sched.runners.views.values():
+            requests = sum(not work.is_part for work in view.sent.values())
+            parts = sum(work.is_part for work in view._computing.values())
+            self.assertEqual((view.own_requests, view.own_parts), (requests, parts))
+        for number in range(60):
+            sched.handle(CallerLeft(f"p{number}"), 100)
+        for view in sched.runners.views.values():
+            self.assertEqual((view.own_requests, view.own_parts, view.unread_ms(100)), (0, 0, 0))
+
+    def test_rank_is_the_harm_of_an_engine(self) -> None:
+        """Guards against a ranking that differs from the harm by which plans are compared."""
+        sched = scheduler(runners=6)
+        work = {f"r{number:03}": UpstreamWork(100.0 * number, number % 4, 0) for number in range(6)}
+        sched.handle(PeerWork("fleet", work), 0)
+        sched.handle(RequestArrived(fakes.request("a", prompt_tokens=3_000)), 0)
+        cfg = sched.cost.model("m")
+        loads = sched.placement._loads(sched.runners.live("m"), 0)
+        for part_ms in (1.0, 50.0, 200.0, 900.0):
+            ranks = sched.placement._ranks(loads, part_ms, cfg)
+            for load, rank in zip(loads, ranks, strict=True):
+                harm = least_work._harm(load, part_ms, cfg)
+                self.assertAlmostEqual(rank - load.base_rank, harm, places=9)
+
+
 if __name__ == "__main__":
     unittest.main()
