Added a fault soak with real processes, and a model of engines that work in passes

The soak (tests/soak, docs/topics/soak.md) plays seeded faults against instances on the adapter: kills, pauses, planned stops, releases, misbehaving runners, links that are delayed, reset, cut one way or silenced, a store that is away or forgets, routes and keys that change.

The model (pass_engine, experiment_hubs) plays the users' large mix in virtual time, with one instance that knows everything, instances that ask a hub, and instances that know only their own work. Test: tests.bench.test_hubs.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 SOURCES := packages platform tests
 REQUIREMENTS := requirements/constraints.txt requirements/runtime.txt requirements/dev.txt
 
-.PHONY: install format docs check test demo bench regression
+.PHONY: install format docs check test soak demo bench regression
 install: $(STAMP)
 
 $(STAMP): $(REQUIREMENTS) $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
@@ -35,6 +35,15 @@
 test: install
 	$(BIN)/python -m tests $(TESTS)
 
+# Plays runs with random faults and real processes: make soak SEEDS=50 FIRST=1 MINUTES=10 SCALE=1 SOAK_JOBS=2
+SEEDS ?= 50
+FIRST ?= 1
+MINUTES ?= 30
+SCALE ?= 1
+SOAK_JOBS ?= 2
+soak: install
+	$(BIN)/python -m tests.soak --first $(FIRST) --seeds $(SEEDS) --minutes $(MINUTES) --scale $(SCALE) --jobs $(SOAK_JOBS)
+
 demo: install
 	$(BIN)/python -m ibispaddle_bench.demo
 
--- /dev/null
+++ b/packages/bench/src/ibispaddle_bench/pass_engine.py
@@ -0,0 +1,166 @@
+"""Model of an engine that computes all its work in passes, in virtual time.
+
+A pass with streams runs `stride` steps; each step generates a token of every stream and reads some prompt
+tokens. A pass without streams is one step. A prompt may be read in parts by several engines; its first token
+follows the last part. All times are milliseconds.
+"""
+
+import math
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+
+@dataclass(frozen=True)
+class PassCosts:
+    """State the costs of an engine, in milliseconds and tokens."""
+
+    slots: int = 8
+    kv_tokens: int = 232_000
+    stride: int = 43
+    chunk: int = 2_048
+    step_ms: float = 1.02
+    per_stream_ms: float = 0.0045
+    read_per_ms: float = 206.0
+    pairs_per_m: float = 0.138
+    event_tokens: int = 43
+
+    def reading_ms(self, tokens: float) -> float:
+        """Return the time of reading a whole prompt."""
+        return tokens / self.read_per_ms + self.pairs_per_m * tokens * tokens / 2e6
+
+
+@dataclass(eq=False)
+class Prompt:
+    """A prompt, its parts and the stream that follows."""
+
+    tokens: int
+    output_tokens: int
+    on_first: Callable[[float], None]
+    on_done: Callable[[float, float], None]  # Time, and the longest pause between events.
+    priority: int = 5
+    parts_left: int = 1
+    is_cancelled: bool = False
+
+
+@dataclass(eq=False)
+class _Part:
+    prompt: Prompt
+    left_ms: float
+    owner: "PassEngine"
+
+
+@dataclass(eq=False)
+class _Stream:
+    prompt: Prompt
+    generated: int = 0
+    events: int = 0
+    last_event_ms: float = 0.0
+    longest_pause_ms: float = 0.0
+
+
+@dataclass
+class PassEngine:
+    """Run prompts and streams; `schedule(at_ms, action)` is the event loop."""
+
+    costs: PassCosts
+    schedule: Callable[[float, Callable[[], None]], None]
+    _reading: list[_Part] = field(default_factory=list)
+    _streams: list[_Stream] = field(default_factory=list)
+    _waiting: list[tuple[int, int, Prompt, list["PassEngine"]]] = field(default_factory=list)
+    _admitted: int = 0
+    _count: int = 0
+    _is_busy: bool = False
+    used_tokens: int = 0
+
+    def submit(self, now_ms: float, prompt: Prompt, helpers: list["PassEngine"]) -> None:
+        """Take a prompt; it waits for a slot if all are in use."""
+        self._count += 1
+        self._waiting.append((prompt.priority, self._count, prompt, helpers))
+        self._waiting.sort(key=lambda item: item[:2])
+        self._admit(now_ms)
+
+    def _admit(self, now_ms: float) -> None:
+        while self._waiting and self._admitted < self.costs.slots:
+            _, _, prompt, helpers = self._waiting.pop(0)
+            if prompt.is_cancelled:
+                continue
+            self._admitted += 1
+            engines = [self, *helpers]
+            prompt.parts_left = len(engines)
+            part_ms = self.costs.reading_ms(prompt.tokens) / len(engines)
+            for engine in engines:
+                engine._read(now_ms, _Part(prompt, part_ms, self))
+
+    def _read(self, now_ms: float, part: _Part) -> None:
+        # Parts of other engines' prompts are read first.
+        key = (part.owner is self, part.prompt.priority)
+        index = len(self._reading)
+        while index and self._key(self._reading[index - 1]) > key:
+            index -= 1
+        self._reading.insert(index, part)
+        self._start(now_ms)
+
+    def _key(self, part: _Part) -> tuple[bool, int]:
+        return (part.owner is self, part.prompt.priority)
+
+    def _start(self, now_ms: float) -> None:
+        if self._is_busy or not (self._reading or self._streams):
+            return
+        self._is_busy = True
+        costs = self.costs
+        steps = costs.stride if self._streams else 1
+        step_ms = costs.step_ms + costs.per_stream_ms * len(self._streams)
+        duration_ms = steps * step_ms
+        left_ms = steps * costs.chunk / costs.read_per_ms
+        read: list[tuple[_Part, float]] = []
+        for part in self._reading:
+            used_ms = min(left_ms, part.left_ms)
+            read.append((part, used_ms))
+            left_ms -= used_ms
+            duration_ms += used_ms
+            if left_ms <= 0:
+                break
+        ends_ms = now_ms + duration_ms
+        streams = list(self._streams)
+        self.schedule(ends_ms, lambda: self._end_pass(ends_ms, steps, read, streams))
+
+    def _end_pass(
+        self, now_ms: float, steps: int, read: list[tuple[_Part, float]], streams: list[_Stream]
+    ) -> None:
+        for part, used_ms in read:
+            part.left_ms -= used_ms
+            if part.left_ms <= 1e-9 or part.prompt.is_cancelled:
+                self._reading.remove(part)
+                part.owner._end_part(now_ms, part.prompt)
+        for stream in streams:
+            self._write(now_ms, steps, stream)
+        self._is_busy = False
+        self._admit(now_ms)
+        self._start(now_ms)
+
+    def _end_part(self, now_ms: float, prompt: Prompt) -> None:
+        prompt.parts_left -= 1
+        if prompt.parts_left:
+            return
+        if prompt.is_cancelled:
+            self._admitted -= 1
+            self._admit(now_ms)
+            return
+        self._streams.append(_Stream(prompt, last_event_ms=now_ms))
+        prompt.on_first(now_ms)
+        self._start(now_ms)
+
+    def _write(self, now_ms: float, steps: int, stream: _Stream) -> None:
+        prompt = stream.prompt
+        stream.generated += steps
+        events = math.floor(stream.generated / self.costs.event_tokens)
+        is_over = stream.generated >= prompt.output_tokens
+        if events > stream.events or is_over:
+            pause_ms = now_ms - stream.last_event_ms
+            stream.longest_pause_ms = max(stream.longest_pause_ms, pause_ms)
+            stream.events, stream.last_event_ms = events, now_ms
+        if is_over or prompt.is_cancelled:
+            self._streams.remove(stream)
+            self._admitted -= 1
+            if not prompt.is_cancelled:
+                prompt.on_done(now_ms, stream.longest_pause_ms)
--- a/packages/standins/src/ibispaddle_standins/platform_runner.py
+++ b/packages/standins/src/ibispaddle_standins/platform_runner.py
@@ -2,6 +2,8 @@
 
 import argparse
 import asyncio
+import json
+import time
 from typing import Any
 
 from aiohttp import web
@@ -25,6 +27,7 @@
         "foreign",  # Answers under another id.
         "unsigned",  # Answers without a receipt.
         "refuse_memory",  # Grants no reservation.
+        "second_answer",  # Sends the answer twice.
     )
 
     def __init__(self, args: argparse.Namespace) -> None:
@@ -38,6 +41,7 @@
         """Add the options of the stand-in."""
         parser.add_argument("--id", required=True)
         parser.add_argument("--events", type=int, default=5)
+        parser.add_argument("--record", help="file that gets a line for each run, at once")
 
     def add_routes(self, router: web.UrlDispatcher) -> None:
         """Register the handlers of the interface."""
@@ -71,7 +75,7 @@
         body = await request.read()
         headers = {name.lower(): value for name, value in request.headers.items()}
         run = {"path": request.path_qs, "method": request.method, "headers": headers}
-        self._runs.append(run | {"body": body.decode()})
+        self._record(run | {"body": body.decode()})
         if self.faults.take("lose_answer"):
             abort_connection(request)
         if self.faults.take("silent"):
@@ -85,9 +89,26 @@
         if self.faults.take("error"):
             return web.Response(status=500, headers=attempt, text="failed")
         if "token-count" not in headers:
+            if self.faults.take("second_answer"):
+                self._send_twice(request, attempt)
             return web.Response(headers=attempt, text=f"answer of {self.args.id}")
         return await self._stream(request, attempt, int(headers.get("last-event-id", "0")))
 
+    def _record(self, run: dict[str, Any]) -> None:
+        self._runs.append(run)
+        if self.args.record:
+            # The file outlives a runner that is killed.
+            with open(self.args.record, "a") as file:
+                file.write(json.dumps(run | {"at_s": time.monotonic()}) + "\n")
+
+    def _send_twice(self, request: web.Request, headers: dict[str, str]) -> None:
+        """Write a whole answer in front of the regular one."""
+        body = f"answer of {self.args.id}"
+        head = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+        first = f"HTTP/1.1 200 OK\r\n{head}Content-Length: {len(body)}\r\n\r\n{body}"
+        if request.transport is not None:
+            request.transport.write(first.encode())
+
     async def _stream(
         self, request: web.Request, headers: dict[str, str], seen: int
     ) -> web.StreamResponse:
@@ -103,6 +124,8 @@
                     abort_connection(request)
                 await asyncio.sleep(EVENT_INTERVAL_S)
             await response.write_eof()
+        except ConnectionResetError:
+            pass  # The caller has left.
         finally:
             self._working -= 1
         return response
--- /dev/null
+++ b/tests/bench/test_hubs.py
@@ -0,0 +1,92 @@
+"""The model of engines that work in passes, and placement through hubs in virtual time."""
+
+import heapq
+import itertools
+import unittest
+
+from ibispaddle_bench.experiment_hubs import Simulation, workload
+from ibispaddle_bench.pass_engine import PassCosts, PassEngine, Prompt
+
+COSTS = PassCosts()
+
+
+class Loop:
+    """Run actions in the order of their times."""
+
+    def __init__(self) -> None:
+        self.events: list = []
+        self.numbers = itertools.count()
+
+    def at(self, at_ms, action) -> None:
+        heapq.heappush(self.events, (at_ms, next(self.numbers), action))
+
+    def run(self) -> None:
+        while self.events:
+            heapq.heappop(self.events)[2]()
+
+
+class PassEngineTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.loop = Loop()
+        self.engines = [PassEngine(COSTS, self.loop.at) for _ in range(4)]
+        self.first: dict[str, float] = {}
+        self.pauses: dict[str, float] = {}
+
+    def prompt(self, name: str, tokens: int, output: int = 430) -> Prompt:
+        return Prompt(
+            tokens,
+            output,
+            lambda at_ms: self.first.setdefault(name, at_ms),
+            lambda at_ms, pause_ms: self.pauses.setdefault(name, pause_ms),
+        )
+
+    def test_prompt_alone(self) -> None:
+        """Guards against a model that reads faster or slower than its costs say."""
+        self.engines[0].submit(0.0, self.prompt("a", 20_600), [])
+        self.loop.run()
+        steps = -(-20_600 // COSTS.chunk)
+        most_ms = COSTS.reading_ms(20_600) + (steps + 1) * (COSTS.step_ms + 1)
+        self.assertGreaterEqual(self.first["a"], COSTS.reading_ms(20_600))
+        self.assertLess(self.first["a"], most_ms)
+        self.assertLess(self.pauses["a"], 60)
+
+    def test_helpers_share_the_reading(self) -> None:
+        """Guards against parts that are read one after the other."""
+        self.engines[0].submit(0.0, self.prompt("a", 100_000), self.engines[1:])
+        self.loop.run()
+        self.assertLess(self.first["a"], COSTS.reading_ms(100_000) / 4 + 80)
+
+    def test_streams_pause_while_a_long_prompt_is_read(self) -> None:
+        """Guards against a model in which long prompts harm nobody."""
+        engine = self.engines[0]
+        engine.submit(0.0, self.prompt("short", 5_000, 4_300), [])
+        self.loop.at(100.0, lambda: engine.submit(100.0, self.prompt("long", 200_000), []))
+        self.loop.run()
+        self.assertGreater(self.pauses["short"], 300)
+
+    def test_slots_bound_what_runs_at_once(self) -> None:
+        """Guards against engines that take any number of requests."""
+        for number in range(COSTS.slots + 1):
+            self.engines[0].submit(0.0, self.prompt(f"p{number}", 5_000), [])
+        self.loop.run()
+        last = max(self.first, key=lambda name: self.first[name])
+        self.assertEqual(last, f"p{COSTS.slots}")
+        others = [at_ms for name, at_ms in self.first.items() if name != last]
+        self.assertGreater(self.first[last], max(others) + 300)
+
+
+class HubsTest(unittest.TestCase):
+    """The load pattern swings every ten seconds between short prompts and long ones."""
+
+    def test_many_instances_place_nearly_as_well_as_one(self) -> None:
+        """Guards against worth that is lost because no instance sees the whole fleet."""
+        arrivals = workload(seed=3, engines=20, duration_ms=12_000, load=1.0)
+        worth = {
+            name: Simulation(3, instances, 20, has_hub).run(arrivals)["worth"]
+            for name, instances, has_hub in (("one", 1, False), ("hub", 20, True))
+        }
+        self.assertGreater(worth["hub"], 0.92 * worth["one"])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/platform_adapter/processes.py
+++ b/tests/platform_adapter/processes.py
@@ -1,5 +1,6 @@
 """Real instances on the adapter, beside stand-ins of the platform's store and runners."""
 
+import contextlib
 import json
 import os
 import signal
@@ -11,7 +12,7 @@
 from collections.abc import Iterator
 from contextlib import ExitStack
 from pathlib import Path
-from typing import Any
+from typing import Any, Protocol
 
 from ibispaddle_bench.processes import ManagedProcess, call_json, start_stand_in
 
@@ -25,6 +26,14 @@
 STOP_S = 12.0
 
 
+class HasAddress(Protocol):
+    """Something that is reached at IP:PORT."""
+
+    @property
+    def address(self) -> str:
+        """Return IP:PORT."""
+
+
 def free_ports(count: int) -> list[int]:
     """Return ports that nothing listens on."""
     with ExitStack() as stack:
@@ -65,7 +74,7 @@
 class Instance:
     """One instance of the system on the adapter."""
 
-    def __init__(self, folder: str, number: int, store: ManagedProcess, **bounds: Any) -> None:
+    def __init__(self, folder: str, number: int, store: HasAddress, **bounds: Any) -> None:
         front, self.ready_port, peers = free_ports(3)
         self.port = front
         limits = {"grace_s": 8, "fail_closed": True, "revoke_ms": 5_000, "stall_ms": 300}
@@ -75,20 +84,26 @@
         text += f'[listen]\nfront = "127.0.0.1:{front}"\nready = "127.0.0.1:{self.ready_port}"\n'
         text += f'[platform]\naddress = "{store.address}"\n[bounds]\n'
         text += "".join(f"{key} = {json.dumps(value)}\n" for key, value in limits.items())
-        self.path = path = Path(folder) / f"node-{number}.toml"
-        path.write_text(text)
+        self.path = Path(folder) / f"node-{number}.toml"
+        self.path.write_text(text)
         self.lines: list[dict[str, Any]] = []
+        self.start()
+
+    def start(self) -> None:
+        """Start the process, also again after its end; it has the same addresses then."""
         self.proc = subprocess.Popen(
             [sys.executable, "-m", "ibispaddle_platform"],
             stdout=subprocess.PIPE,
-            env=dict(os.environ, IBISPADDLE_CONFIG=str(path)),
+            env=dict(os.environ, IBISPADDLE_CONFIG=str(self.path)),
         )
-        threading.Thread(target=self._read, daemon=True).start()
+        threading.Thread(target=self._read, args=(self.proc,), daemon=True).start()
 
-    def _read(self) -> None:
-        assert self.proc.stdout is not None
-        for line in self.proc.stdout:
-            self.lines.append(json.loads(line))
+    def _read(self, proc: subprocess.Popen[bytes]) -> None:
+        assert proc.stdout is not None
+        with contextlib.suppress(ValueError):  # The pipe of a killed process is closed.
+            for line in proc.stdout:
+                with contextlib.suppress(json.JSONDecodeError):  # Cut by the end of the process.
+                    self.lines.append(json.loads(line))
 
     def events(self, name: str) -> list[dict[str, Any]]:
         """Return the log lines of an event."""
@@ -173,8 +188,12 @@
 
     def register(self, process: ManagedProcess, service: str, state: str = "ready") -> None:
         """Write a runner's entry."""
-        entry = {"service": service, "address": process.address, "zone": "a", "state": state}
-        self.put("keyed.servers", process.name, entry)
+        self.register_at(process.name, process.address, service, state)
+
+    def register_at(self, name: str, address: str, service: str, state: str = "ready") -> None:
+        """Write the entry of a runner that is reached at an address."""
+        entry = {"service": service, "address": address, "zone": "a", "state": state}
+        self.put("keyed.servers", name, entry)
 
     def runs(self) -> Iterator[dict[str, Any]]:
         """Return all runs at runners and services."""
--- /dev/null
+++ b/tests/soak/fleet.py
@@ -0,0 +1,347 @@
+"""The processes of a run, and the faults that are brought about from outside of them."""
+
+import asyncio
+import contextlib
+import itertools
+import json
+import signal
+import time
+from dataclasses import dataclass, field
+from math import inf
+from pathlib import Path
+from typing import Any
+
+from ibispaddle_bench.processes import ManagedProcess, call_json, start_stand_in
+
+from tests.platform_adapter.processes import KEY, Instance, configuration, route
+
+from .links import Link, Mode
+from .plan import PLANNED, Fault, Kind, Plan
+
+# Bounds of the platform's page that the instances get in their settings.
+GRACE_S = 8.0
+REVOKE_S = 5.0
+IN_FORCE_S = 2.0
+# The platform starts a process again after a short delay.
+RESTART_S = 0.3
+READY_S = 10.0
+# A runner that has drained serves on for a little longer than its entry lives.
+RELEASE_S = 3.0
+TEMPORARY_KEYS = ("temporary-1", "temporary-2", "temporary-3")
+
+
+@dataclass(frozen=True)
+class Disturbance:
+    """State that a subject was disturbed between two monotonic times."""
+
+    subject: str  # "instance N", "runner NAME" or "store".
+    kind: Kind
+    begin_s: float
+    end_s: float
+
+
+@dataclass
+class Runner:
+    """One runner or service behind its link."""
+
+    name: str
+    service: str
+    process: ManagedProcess
+    link: Link
+    record: Path
+    draining_s: float = inf
+
+
+@dataclass
+class Changes:
+    """Record what the operator wrote, by monotonic time of the confirmation."""
+
+    revoked: dict[str, float] = field(default_factory=dict)
+    # Routes that an instance did not know in time, and planned stops that went wrong.
+    late_routes: list[str] = field(default_factory=list)
+    bad_stops: list[str] = field(default_factory=list)
+
+
+class SoakFleet:
+    """Run the processes of a plan and carry out its faults."""
+
+    def __init__(self, plan: Plan, folder: str) -> None:
+        self.plan, self.folder = plan, Path(folder)
+        self.disturbances: list[Disturbance] = []
+        self.changes = Changes()
+        self.runners: list[Runner] = []
+        self.gone: list[Runner] = []
+        self.instances: list[Instance] = []
+        self._store_links: list[Link] = []
+        self._locks: list[asyncio.Lock] = []
+        self._numbers = itertools.count(1)
+        self._version = 0
+        self._routes: list[dict[str, Any]] = list(configuration(1)["routes"])
+
+    @property
+    def ports(self) -> list[int]:
+        """Return the ports for callers, by instance."""
+        return [instance.port for instance in self.instances]
+
+    @property
+    def keys(self) -> list[str]:
+        """Return the keys that callers use, also after they were revoked."""
+        return [KEY, KEY, *TEMPORARY_KEYS]
+
+    async def start(self) -> None:
+        """Start all processes and wait until the instances are ready."""
+        self.store = await asyncio.to_thread(start_stand_in, "platform_store")
+        await self._configure()
+        for _ in range(self.plan.runners):
+            await self._add_runner("llm")
+        for _ in range(self.plan.services):
+            await self._add_runner("shop")
+        for number in range(self.plan.instances):
+            link = await Link(self.store.address).open()
+            self._store_links.append(link)
+            self._locks.append(asyncio.Lock())
+            bounds = {"grace_s": GRACE_S, "revoke_ms": int(1000 * REVOKE_S)}
+            self.instances.append(Instance(str(self.folder), number, link, **bounds))
+        await asyncio.gather(*(self._wait_ready(instance) for instance in self.instances))
+
+    async def close(self) -> None:
+        """End all processes that the run has started."""
+        for instance in self.instances:
+            await asyncio.to_thread(instance.close)
+        for runner in (*self.runners, *self.gone):
+            runner.link.close()
+            await asyncio.to_thread(runner.process.kill)
+        for link in self._store_links:
+            link.close()
+        await asyncio.to_thread(self.store.kill)
+
+    async def run_faults(self, began_s: float) -> None:
+        """Carry out the faults at their times."""
+        await asyncio.gather(*(self._carry_out(fault, began_s) for fault in self.plan.faults))
+
+    def runs(self) -> list[tuple[str, dict[str, Any]]]:
+        """Return all runs with the name of their runner, also those of dead runners."""
+        found = []
+        for runner in (*self.runners, *self.gone):
+            if runner.record.exists():
+                for line in runner.record.read_text().splitlines():
+                    with contextlib.suppress(
+                        json.JSONDecodeError
+                    ):  # Cut by the end of the process.
+                        found.append((runner.name, json.loads(line)))
+        return found
+
+    # Faults
+
+    async def _carry_out(self, fault: Fault, began_s: float) -> None:
+        await asyncio.sleep(max(0.0, began_s + fault.at_s - time.monotonic()))
+        match fault.kind:
+            case Kind.INSTANCE_KILL:
+                await self._kill(fault.kind, fault.target % len(self.instances))
+            case Kind.ALL_KILL:
+                everyone = range(len(self.instances))
+                await asyncio.gather(*(self._kill(fault.kind, number) for number in everyone))
+            case Kind.INSTANCE_PAUSE:
+                number = fault.target % len(self.instances)
+                await self._pause(f"instance {number}", fault, self.instances[number].proc)
+            case Kind.INSTANCE_STOP:
+                await self._stop(fault.target % len(self.instances))
+            case Kind.RUNNER_KILL:
+                await self._replace(self._runner(fault), fault)
+            case Kind.RUNNER_PAUSE:
+                runner = self._runner(fault)
+                await self._pause(f"runner {runner.name}", fault, runner.process.popen)
+            case Kind.RUNNER_RELEASE:
+                await self._release(self._runner(fault))
+            case Kind.RUNNER_FAULT:
+                await self._misbehave(self._runner(fault), fault)
+            case Kind.RUNNER_LINK:
+                runner = self._runner(fault)
+                await self._disturb_link(f"runner {runner.name}", fault, runner.link)
+            case Kind.STORE_LINK:
+                number = fault.target % len(self.instances)
+                await self._disturb_link(f"instance {number}", fault, self._store_links[number])
+            case Kind.STORE_FAULT:
+                await self._disturb_store(fault)
+            case Kind.STORE_COMPACT:
+                for topic in ("keyed.op", "keyed.servers"):
+                    url = f"{self.store.url}/admin/compact"
+                    await asyncio.to_thread(call_json, url, {"topic": topic})
+            case Kind.ROUTE_ADDED:
+                await self._add_route()
+            case Kind.KEY_REVOKED:
+                await self._revoke()
+
+    def _runner(self, fault: Fault) -> Runner:
+        return self.runners[fault.target % len(self.runners)]
+
+    def _note(self, subject: str, kind: Kind, begin_s: float) -> None:
+        self.disturbances.append(Disturbance(subject, kind, begin_s, time.monotonic()))
+
+    async def _kill(self, kind: Kind, number: int) -> None:
+        begin_s = time.monotonic()
+        async with self._locks[number]:
+            await asyncio.to_thread(self.instances[number].close)
+            await self._start_again(number)
+        self._note(f"instance {number}", kind, begin_s)
+
+    async def _stop(self, number: int) -> None:
+        begin_s = time.monotonic()
+        async with self._locks[number]:
+            proc = self.instances[number].proc
+            proc.send_signal(signal.SIGTERM)
+            status: int | str = "killed"
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(GRACE_S):
+                    while (found := proc.poll()) is None:
+                        await asyncio.sleep(0.02)
+                    status = found
+            stopped_s = time.monotonic()
+            await asyncio.to_thread(self.instances[number].close)
+            await self._start_again(number)
+        self._note(f"instance {number}", Kind.INSTANCE_STOP, begin_s)
+        if status != 0 and not self.is_disturbed(f"instance {number}", begin_s - 3, stopped_s):
+            self.changes.bad_stops.append(f"instance {number}: {status} after a planned stop")
+
+    async def _start_again(self, number: int) -> None:
+        await asyncio.sleep(RESTART_S)
+        instance = self.instances[number]
+        instance.start()
+        await self._wait_ready(instance)
+
+    async def _wait_ready(self, instance: Instance) -> None:
+        # Without the store an instance is not ready; the run goes on all the same.
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(READY_S):
+                while not await asyncio.to_thread(instance.is_ready):
+                    await asyncio.sleep(0.05)
+
+    async def _pause(self, subject: str, fault: Fault, proc: Any) -> None:
+        begin_s = time.monotonic()
+        if proc.poll() is None:
+            proc.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(fault.for_s)
+            if proc.poll() is None:
+                proc.send_signal(signal.SIGCONT)
+        self._note(subject, fault.kind, begin_s)
+
+    async def _disturb_link(self, subject: str, fault: Fault, link: Link) -> None:
+        begin_s = time.monotonic()
+        link.set_mode(Mode(fault.how))
+        await asyncio.sleep(fault.for_s)
+        link.set_mode(Mode.OPEN)
+        self._note(subject, fault.kind, begin_s)
+
+    async def _disturb_store(self, fault: Fault) -> None:
+        begin_s = time.monotonic()
+        await asyncio.to_thread(self.store.set_faults, **{fault.how: True})
+        await asyncio.sleep(fault.for_s)
+        await asyncio.to_thread(self.store.set_faults, **{fault.how: None})
+        self._note("store", fault.kind, begin_s)
+
+    async def _misbehave(self, runner: Runner, fault: Fault) -> None:
+        begin_s = time.monotonic()
+        with contextlib.suppress(OSError):  # The runner may have been killed.
+            await asyncio.to_thread(runner.process.set_faults, **{fault.how: fault.strikes})
+            await asyncio.sleep(fault.for_s)
+            await asyncio.to_thread(runner.process.set_faults, **{fault.how: None})
+        self._note(f"runner {runner.name}", fault.kind, begin_s)
+
+    # Runners
+
+    async def _add_runner(self, service: str) -> Runner:
+        name = f"{service}-{next(self._numbers)}"
+        record = self.folder / f"{name}.runs"
+        options = ("--id", name, "--record", str(record))
+        process = await asyncio.to_thread(start_stand_in, "platform_runner", *options)
+        link = await Link(process.address).open()
+        runner = Runner(name, service, process, link, record)
+        self.runners.append(runner)
+        await self._register(runner, "ready")
+        return runner
+
+    async def _register(self, runner: Runner, state: str) -> None:
+        entry = {"service": runner.service, "address": runner.link.address, "zone": "a"}
+        await self._put("keyed.servers", runner.name, entry | {"state": state})
+
+    async def _replace(self, runner: Runner, fault: Fault) -> None:
+        """Kill a runner for good; its entry lapses later, and another one comes."""
+        begin_s = time.monotonic()
+        self._retire(runner)
+        await asyncio.to_thread(runner.process.kill)
+        runner.link.set_mode(Mode.RESET)
+        await self._add_runner(runner.service)
+        await asyncio.sleep(fault.for_s)
+        await self._put("keyed.servers", runner.name, None)
+        self._note(f"runner {runner.name}", fault.kind, begin_s)
+
+    async def _release(self, runner: Runner) -> None:
+        """Let another runner take the place of one, which drains and ends in good order."""
+        self._retire(runner)
+        await self._add_runner(runner.service)
+        await self._register(runner, "draining")
+        runner.draining_s = time.monotonic()
+        await asyncio.sleep(RELEASE_S)
+        await self._put("keyed.servers", runner.name, None)
+        await asyncio.sleep(1.0)
+        await asyncio.to_thread(runner.process.end)
+
+    def _retire(self, runner: Runner) -> None:
+        if runner in self.runners:
+            self.runners.remove(runner)
+            self.gone.append(runner)
+
+    # Configuration
+
+    async def _put(self, topic: str, key: str, value: Any) -> None:
+        text = None if value is None else json.dumps(value)
+        record = {"topic": topic, "key": key, "value": text}
+        await asyncio.to_thread(call_json, f"{self.store.url}/admin/put", record)
+
+    async def _configure(self) -> None:
+        self._version += 1
+        keys = [KEY, *(key for key in TEMPORARY_KEYS if key not in self.changes.revoked)]
+        tenants = [{"name": "blue", "api_keys": keys}]
+        config = configuration(self._version, routes=self._routes, tenants=tenants)
+        await self._put("keyed.op", "config", config)
+
+    async def _add_route(self) -> None:
+        name = f"added-{next(self._numbers)}"
+        self._routes = [*self._routes, route(name, "idempotent", "shop")]
+        begin_s = time.monotonic()
+        await self._configure()
+        await asyncio.sleep(IN_FORCE_S)
+        for number, instance in enumerate(self.instances):
+            if self.is_disturbed(f"instance {number}", begin_s - 3, time.monotonic()):
+                continue
+            with contextlib.suppress(OSError):
+                answer = await asyncio.to_thread(instance.call, "GET", f"/{name}/x")
+                if answer.status == 404:
+                    self.changes.late_routes.append(f"instance {number}: {name}")
+
+    async def _revoke(self) -> None:
+        left = [key for key in TEMPORARY_KEYS if key not in self.changes.revoked]
+        if left:
+            self.changes.revoked[left[0]] = inf
+            await self._configure()
+            self.changes.revoked[left[0]] = time.monotonic()
+
+    def is_disturbed(self, subject: str, begin_s: float, end_s: float) -> bool:
+        """Return whether a fault beside planned work touched a subject or the store.
+
+        Faults that have not ended yet are found by the plan.
+        """
+        ended = any(
+            item.subject in (subject, "store")
+            and item.kind not in PLANNED
+            and item.begin_s < end_s
+            and item.end_s > begin_s
+            for item in self.disturbances
+        )
+        return ended or self.is_faulty_now(subject)
+
+    def is_faulty_now(self, subject: str) -> bool:
+        """Return whether a link or the process of an instance is disturbed at this moment."""
+        number = int(subject.split()[1])
+        is_locked = self._locks[number].locked()
+        return is_locked or self._store_links[number].mode is not Mode.OPEN
--- /dev/null
+++ b/tests/soak/run.py
@@ -0,0 +1,57 @@
+"""One run of the soak."""
+
+import asyncio
+import tempfile
+import time
+from collections import Counter
+from dataclasses import dataclass
+
+from .callers import Caller
+from .fleet import SoakFleet
+from .judge import Judge
+from .plan import RECOVERY_S, Plan
+
+CALLERS = 6
+# Time for work that callers have left to end at the runners.
+SETTLE_S = 1.0
+
+
+@dataclass(frozen=True)
+class Result:
+    """Hold what a run found."""
+
+    plan: Plan
+    problems: tuple[str, ...]
+    outcomes: Counter[str]
+    logs: dict[int, list[dict]]
+
+
+async def _run(plan: Plan, folder: str) -> Result:
+    fleet = SoakFleet(plan, folder)
+    try:
+        await fleet.start()
+        began_s = time.monotonic()
+        callers = [
+            Caller(number, plan.seed, lambda: fleet.ports, lambda: fleet.keys)
+            for number in range(CALLERS * plan.instances // 2)
+        ]
+        over = asyncio.Event()
+        calling = asyncio.gather(*(caller.run(over.is_set) for caller in callers))
+        await fleet.run_faults(began_s)
+        await asyncio.sleep(RECOVERY_S)
+        ends_s = time.monotonic()
+        over.set()
+        await calling
+        await asyncio.sleep(SETTLE_S)
+        calls = sorted((call for c in callers for call in c.calls), key=lambda call: call.sent_s)
+        problems = tuple(Judge(fleet, calls, ends_s).problems())
+        logs = {n: list(instance.lines) for n, instance in enumerate(fleet.instances)}
+        return Result(plan, problems, Counter(str(call.outcome) for call in calls), logs)
+    finally:
+        await fleet.close()
+
+
+def run(plan: Plan) -> Result:
+    """Play a plan with real processes and judge it."""
+    with tempfile.TemporaryDirectory() as folder:
+        return asyncio.run(_run(plan, folder))
