Let long prompts wait for engines that read others, in place of queueing at them

Cause: engines read the part that came last first.

Change: for each number of engines the placement also compares engines that read nothing now; if the best choice still has to wait, a long prompt waits in the instance and looks again, as long as its time allows.

--- a/packages/core/src/ibispaddle_core/scheduling/least_work.py
+++ b/packages/core/src/ibispaddle_core/scheduling/least_work.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from ..settings.fleet import ModelConfig
-from .cost import CostModel
+from .cost import CostModel, PromptClass
 from .groups import Group
 from .health import UpstreamHealth
 from .messages import Request
@@ -46,6 +46,11 @@
 HARM_PER_WORK_MS = 0.0005
 # Work that one more stream at an engine stands for; mostly its part in filling slots and memory.
 REQUEST_WORK_MS = 6.0
+# Reading that may be left at an engine when it gets a part of a long prompt: less than the time in which a
+# waiting prompt looks again.
+MAX_UNREAD_MS = 100.0
+# Reckoned time of writing an answer, relative to an undisturbed one.
+WRITING_MARGIN = 2.0
 # Work whose harm differs by less is equal. The choice among equals is random, because several
 # instances that see the same work would otherwise all choose the same engine.
 NEAR_EQUAL_HARM = 0.002
@@ -143,6 +148,8 @@
             for size in self.sizes(req, reading_ms, len(tried))
         ]
         plan = min((plan for plan in plans if plan is not None), key=lambda plan: plan.harm)
+        if self._should_wait(req, plan, now_ms):
+            return None
         tokens = req.prompt_tokens // len(plan.loads)
         first, *helpers = [load.view for load in plan.loads]
         return Choice(
@@ -183,12 +190,24 @@
             plan = self._best_plan(req, fitting, fitting, reading_ms, size, now_ms)
             if plan is not None and (best is None or plan.harm < best.harm):
                 best = plan
-        if best is None:
+        if best is None or self._should_wait(req, best, now_ms):
             return None
         views = [load.view for load in best.loads]
         views.sort(key=lambda view: view.upstream.upstream_id)
         return Group(views, fits=True, wanted=False)
 
+    def _should_wait(self, req: Request, plan: _Plan, now_ms: int) -> bool:
+        """Return whether a long prompt waits here until its engines have read the others.
+
+        Engines read the part that came last first. Prompts that are sent one after the other to the same
+        engines would all be late, the first one most.
+        """
+        if plan.wait_ms <= MAX_UNREAD_MS or self._cost.prompt_class(req) < PromptClass.LONG:
+            return False
+        reading_ms = plan.wait_ms + _first_token_ms(0.0, plan.part_ms, self._cost.model(req.model))
+        ends_ms = now_ms + reading_ms + WRITING_MARGIN * self._cost.decode_ms(req)
+        return ends_ms < req.deadline_ms
+
     def sizes(self, req: Request, reading_ms: float, tried: int) -> list[int]:
         """Return the numbers of engines that are worth comparing.
 
@@ -225,7 +244,7 @@
         """Return the less harmful of two ways to read the prompt with so many engines.
 
         The engines at which the least streams pause may still read other long prompts. The second
-        way leaves out those at which the first token would be late.
+        way leaves out those at which the first token would be late, or a long prompt would wait.
         """
         plan = self._plan(req, room, may_help, reading_ms, size, now_ms)
         if plan is None or req.objective_ms is None:
@@ -233,6 +252,8 @@
         cfg = self._cost.model(req.model)
         left_ms = req.objective_ms - (now_ms - req.arrived_ms)
         most_ms = left_ms - _first_token_ms(0.0, plan.part_ms, cfg)
+        if self._cost.prompt_class(req) >= PromptClass.LONG:
+            most_ms = MAX_UNREAD_MS
         if plan.wait_ms <= most_ms or most_ms < 0:
             return plan
         early = self._plan(
