Took an upstream for gone when another one answers at its address, and told callers that unsent requests have not run

Eight engines crashed behind a cut and started again under other ids; the list kept the old ids until 34 s, and took some up again. Each answer 421 counted as a full upstream, so every instance asked the old ids again after 100 ms: 383 of 400 repeats.

Change: a misdirected request, with no other upstream named as the culprit, ends as "absent". Nothing ran, so it may be sent elsewhere; the upstream is avoided like a failing one, 0.5 s doubled each time, and the other instances are told.

Besides, a request whose time ends while a hub is asked gets 503 in place of 504, since it was never sent.

--- a/packages/core/src/ibispaddle_core/forwarding/attempt.py
+++ b/packages/core/src/ibispaddle_core/forwarding/attempt.py
@@ -21,6 +21,8 @@
 MAX_WHOLE_BODY_BYTES = 4_194_304
 # An upstream that resumes a stream may repeat some events. One that repeats more sends without end.
 MAX_REPEATED_EVENTS = 512
+# Status of an upstream that is not the one that was asked for.
+MISDIRECTED = 421
 # These statuses promise the caller that its request did not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -77,7 +79,9 @@
         if head.is_foreign:
             return self._over(Outcome.FAILED, "the answer belongs to another request")
         if head.not_run:
-            return self._over(Outcome.REJECTED, f"status {head.status}, not run")
+            is_absent = head.status == MISDIRECTED and head.culprit_address is None
+            outcome = Outcome.ABSENT if is_absent else Outcome.REJECTED
+            return self._over(outcome, f"status {head.status}, not run")
         if self._streams and 200 <= head.status < 300:
             if not head.has_receipt:
                 return self._over(Outcome.FAILED, f"status {head.status} without a receipt")
--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -427,7 +427,7 @@
             return self._finish(state)
         self._attempts.forget(state)
         decisions = self._large.release(req.request_id)
-        not_run = event.outcome in (Outcome.REJECTED, Outcome.NOT_SENT)
+        not_run = event.outcome in (Outcome.REJECTED, Outcome.ABSENT, Outcome.NOT_SENT)
         if not_run:
             self.shares.refund(req.neighbour, state.charged_ms)
         else:
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
@@ -280,9 +280,8 @@
         self.tell(Tick())
         if request.request_id in self._requests:
             self.tell(CallerLeft(request.request_id))
-            self._refuse(
-                request, Refuse(request.request_id, RefusalReason.DEADLINE, RunState.UNKNOWN)
-            )
+            run_state = RunState.UNKNOWN if request.attempts else RunState.NOT_RUN
+            self._refuse(request, Refuse(request.request_id, RefusalReason.DEADLINE, run_state))
 
     # Decisions
 
--- a/tests/forwarding/test_attempt.py
+++ b/tests/forwarding/test_attempt.py
@@ -66,6 +66,13 @@
             claimed = self.outcome(UpstreamHead(status, (), has_receipt=True), CallEnded(True))
             self.assertEqual((claimed.outcome, claimed.answer), (Outcome.FAILED, None), status)
 
+    def test_another_upstream_at_the_address_is_told_from_a_full_one(self) -> None:
+        """Guards against an upstream that is gone and asked again as if it were full."""
+        absent = self.outcome(UpstreamHead(421, (), not_run=True))
+        self.assertEqual(absent.outcome, Outcome.ABSENT)
+        helper = self.outcome(UpstreamHead(421, (), not_run=True, culprit_address="h:1"))
+        self.assertEqual((helper.outcome, helper.culprit_address), (Outcome.REJECTED, "h:1"))
+
     def test_errors_of_the_upstream_are_kept_for_the_caller(self) -> None:
         """Guards against a failure that bears another status than the upstream gave."""
         head = UpstreamHead(500, (("Server-Stamp", "x"),), has_receipt=True)
--- a/tests/forwarding/test_deadlines.py
+++ b/tests/forwarding/test_deadlines.py
@@ -19,6 +19,14 @@
         self.assertEqual((self.exchange.ended, self.exchange.aborted), (0, 1))
         self.assertEqual(self.fixture.forwarder.requests_in_flight, 0)
 
+    def test_request_that_expires_before_it_is_sent_has_not_run(self) -> None:
+        """Guards against a caller that is left in doubt about a call that was never sent."""
+        self.fixture.forwarder.before_choice = lambda then: None  # No hub answers.
+        exchange = self.fixture.send("a2")
+        self.fixture.advance(TIMEOUT_MS)
+        self.assertEqual((exchange.status, exchange.ended), (503, 1))
+        self.assertEqual(len(self.fixture.client.calls), 1)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/scheduling/test_health.py
+++ b/tests/scheduling/test_health.py
@@ -32,6 +32,18 @@
             health.observe("r", outcome, number * 100)
             self.assertFalse(health.is_avoided("r", number * 100))
 
+    def test_upstream_that_is_gone_is_told_to_the_other_instances(self) -> None:
+        """Guards against each of hundreds of instances that asks for an upstream which another one replaced.
+
+        The load pattern is a part of the engines that crash behind a cut and start again under other
+        ids, while the list still has the old ones for seconds.
+        """
+        health = UpstreamHealth()
+        health.observe("old", Outcome.ABSENT, 0)
+        self.assertEqual(health.own_avoided(400), ("old",))
+        health.observe("old", Outcome.ABSENT, 500)
+        self.assertTrue(health.is_avoided("old", 1_400))
+
     def test_helper_that_made_another_one_wait_is_dead(self) -> None:
         """Guards against a dead helper for which one prompt after the other waits."""
         health = UpstreamHealth()
