Let instances that choose at the same time take different engines

Change: a hub counts the instances that were answered for the same service in the last 8 ms and have not told a choice; an answer states that number, and a prompt that is not long leaves so many of the best engines to the others.

--- a/packages/bench/src/ibispaddle_bench/experiment_hubs.py
+++ b/packages/bench/src/ibispaddle_bench/experiment_hubs.py
@@ -12,11 +12,11 @@
 import json
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
 from random import Random
 
-from ibispaddle_core.hubs import WorkBoard
+from ibispaddle_core.hubs import Turns, WorkBoard
 from ibispaddle_core.scheduling import (
     AttemptEnded,
     CancelAttempt,
@@ -26,6 +26,7 @@
     FirstToken,
     FreeMemory,
     Outcome,
+    PeerWork,
     Refuse,
     Repeat,
     Request,
@@ -166,6 +167,7 @@
         self.engines = {f"r{n:03}": PassEngine(costs, self.at) for n in range(engines)}
         upstreams = tuple(Upstream(name, "dc", ("m",)) for name in self.engines)
         self.board = WorkBoard() if has_hub else None
+        self._turns = Turns()
         self._prompts: dict[str, tuple[Prompt, str]] = {}
         self._kinds: dict[str, Arrival] = {}
         self._first: dict[str, float] = {}
@@ -215,7 +217,10 @@
 
         def answer() -> None:
             assert self.board is not None
-            picture = self.board.others(f"i{number}", int(self.now_ms))
+            name, now_ms = f"i{number}", int(self.now_ms)
+            picture = replace(
+                self.board.others(name, now_ms), turn=self._turns.take(name, "m", now_ms)
+            )
 
             def take() -> None:
                 self.schedulers[number].handle(picture, int(self.now_ms))
@@ -261,12 +266,16 @@
             self._telling[number] = False
             board = self.board
             work = self.schedulers[number].own_work(f"i{number}", int(self.now_ms))
-            self._later(lambda: board.tell(work, int(self.now_ms)))
+            self._later(lambda: self._take_told(board, work))
             if work.work:
                 self._tell_hub(number, REPEAT_MS)
 
         self.at(self.now_ms + delay_ms, tell)
 
+    def _take_told(self, board: WorkBoard, work: PeerWork) -> None:
+        board.tell(work, int(self.now_ms))
+        self._turns.end(work.instance)
+
     def _carry_out(self, number: int, decision: Decision) -> None:
         match decision:
             case Dispatch(request_id, upstream_id):
--- a/packages/core/src/ibispaddle_core/hubs/__init__.py
+++ b/packages/core/src/ibispaddle_core/hubs/__init__.py
@@ -3,5 +3,6 @@
 from .attempts import AttemptBoard
 from .board import FLEET, WorkBoard
 from .ranking import HUBS, Candidate, HubRanking
+from .turns import Turns
 
-__all__ = ["FLEET", "HUBS", "AttemptBoard", "Candidate", "HubRanking", "WorkBoard"]
+__all__ = ["FLEET", "HUBS", "AttemptBoard", "Candidate", "HubRanking", "Turns", "WorkBoard"]
--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -179,7 +179,8 @@
                     self._homes.refresh(self.shares.recent_peers(now_ms - PEER_EXPIRY_MS), now_ms)
             case PeerClaims(instance_boot, claimed):
                 self._claims.merge(instance_boot, claimed, now_ms)
-            case PeerWork(instance, work, avoided):
+            case PeerWork(instance, work, avoided, turn):
+                self.runners.turn = turn
                 self.health.take_told(avoided, len(self.runners.views), now_ms)
                 self._peer_work.merge(instance, work, now_ms)
                 self._has_peer_news = True
--- a/packages/core/src/ibispaddle_core/scheduling/least_work.py
+++ b/packages/core/src/ibispaddle_core/scheduling/least_work.py
@@ -111,10 +111,10 @@
         live = runners.live(req.model)
         if len(live) > MAX_COMPARED:
             some = self._rng.sample(live, MAX_COMPARED)
-            choice = self._choose(req, tried, spare_only, some, now_ms)
+            choice = self._choose(req, tried, spare_only, some, runners.turn, now_ms)
             if choice is not None:
                 return choice
-        return self._choose(req, tried, spare_only, live, now_ms)
+        return self._choose(req, tried, spare_only, live, runners.turn, now_ms)
 
     def _choose(
         self,
@@ -122,6 +122,7 @@
         tried: set[str],
         spare_only: bool,
         views: list[RunnerView],
+        turn: int,
         now_ms: int,
     ) -> Choice | None:
         cfg = self._cost.model(req.model)
@@ -137,6 +138,8 @@
         room = _preferred(room, tried)
         if not room:
             return None
+        if turn and self._cost.prompt_class(req) < PromptClass.LONG:
+            room = self._without_best(room, turn, cfg)
         may_help = [
             load
             for load in loads
@@ -196,6 +199,12 @@
         views.sort(key=lambda view: view.upstream.upstream_id)
         return Group(views, fits=True, wanted=False)
 
+    def _without_best(self, room: list[_Load], turn: int, cfg: ModelConfig) -> list[_Load]:
+        """Leave the upstreams to which others are about to send, as long as one is left."""
+        ranks = self._ranks(room, MIN_PART_MS, cfg)
+        order = sorted(range(len(room)), key=ranks.__getitem__)
+        return [room[index] for index in order[min(turn, len(room) - 1) :]]
+
     def _should_wait(self, req: Request, plan: _Plan, now_ms: int) -> bool:
         """Return whether a long prompt waits here until its engines have read the others.
 
--- a/packages/core/src/ibispaddle_core/scheduling/messages.py
+++ b/packages/core/src/ibispaddle_core/scheduling/messages.py
@@ -194,12 +194,14 @@
 class PeerWork:
     """Replace what another instance has in flight, by upstream; idle upstreams are left out.
 
-    `avoided` names the upstreams that failed for the instance a short time ago.
+    `avoided` names the upstreams that failed for the instance a short time ago, and `turn` is the number of
+    instances that choose at the same time and take the better upstreams.
     """
 
     instance: str
     work: Mapping[str, UpstreamWork] = field(default_factory=dict)
     avoided: tuple[str, ...] = ()
+    turn: int = 0
 
 
 @dataclass(frozen=True)
--- a/packages/core/src/ibispaddle_core/scheduling/runners.py
+++ b/packages/core/src/ibispaddle_core/scheduling/runners.py
@@ -231,6 +231,8 @@
         self.views: dict[str, RunnerView] = {}
         self._by_model: dict[str, list[RunnerView]] = {}
         self._told: set[str] = set()  # Runners at which other instances have work.
+        # Instances that choose at the same time, with the same picture, and go before this one.
+        self.turn = 0
 
     def replace(self, upstreams: Iterable[Upstream]) -> list[RunnerView]:
         """Replace the set of runners and return those that are down.
--- a/packages/daemon/src/ibispaddle_daemon/fleet/messages.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/messages.py
@@ -22,9 +22,10 @@
 
 
 class WorkAsked(msgspec.Struct, frozen=True, array_like=True, tag="q"):
-    """Ask for the work of all others."""
+    """Ask for the work of all others, to choose an upstream of a service."""
 
     number: int
+    service: str = ""
 
 
 class WorkPicture(msgspec.Struct, frozen=True, array_like=True, tag="p"):
@@ -35,6 +36,7 @@
     avoided: tuple[str, ...]
     # First attempts and repeats of the others in the window of the retry budget, if the hub knows them.
     attempts: tuple[int, int] | None = None
+    turn: int = 0  # Instances that choose at the same time and go before the one that asked.
 
 
 class TopicQuestion(msgspec.Struct, frozen=True, array_like=True, tag="t"):
@@ -115,10 +117,12 @@
     )
 
 
-def work_of(instance: str, rows: tuple[WorkRow, ...], avoided: tuple[str, ...]) -> PeerWork:
+def work_of(
+    instance: str, rows: tuple[WorkRow, ...], avoided: tuple[str, ...], turn: int = 0
+) -> PeerWork:
     """Return the work that an instance told, or that a picture holds."""
     work = {
         name: UpstreamWork(float(reading_ms), requests, tokens, parts)
         for name, reading_ms, requests, tokens, parts in rows
     }
-    return PeerWork(instance, work, avoided)
+    return PeerWork(instance, work, avoided, turn)
--- a/packages/daemon/src/ibispaddle_daemon/fleet/work.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/work.py
@@ -6,7 +6,7 @@
 from circuits import BaseComponent
 from ibispaddle_core import logevents
 from ibispaddle_core.clock import Clock
-from ibispaddle_core.hubs import FLEET, AttemptBoard, HubRanking, WorkBoard
+from ibispaddle_core.hubs import FLEET, AttemptBoard, HubRanking, Turns, WorkBoard
 from ibispaddle_core.scheduling import AttemptCounts, FleetAttempts, PeerWork
 
 from ..forwarding import Forwarder
@@ -52,6 +52,7 @@
         self._clock, self._timers = clock, timers
         self._board = WorkBoard()
         self._attempt_board = AttemptBoard(clock.now_ms())
+        self._turns = Turns()
         self._told: PeerWork | None = None
         self._told_ms = 0
         self._told_to: tuple[str, ...] = ()
@@ -74,8 +75,11 @@
 
     # Asking
 
-    def refresh(self, then: Callable[[], None]) -> None:
-        """Call back when the work of the other instances is known, or after a short time."""
+    def refresh(self, then: Callable[[], None], service: str = "") -> None:
+        """Call back when the work of the other instances is known, or after a short time.
+
+        `service` names the service whose upstream is to be chosen.
+        """
         now_ms = self._clock.now_ms()
         hub_id = self._choose_hub(now_ms)
         if hub_id is None:
@@ -88,7 +92,7 @@
             return
         self._waiting.append(then)
         if self._asked is None:
-            self._ask(hub_id)
+            self._ask(hub_id, service)
 
     def _choose_hub(self, now_ms: int) -> str | None:
         """Return the hub to ask, the same one as long as it answers."""
@@ -100,11 +104,11 @@
             self._hub_id = chosen
         return self._hub_id
 
-    def _ask(self, hub_id: str) -> None:
+    def _ask(self, hub_id: str, service: str) -> None:
         number = next(self._numbers)
         self._asked = (number, hub_id)
         self._ask_timer = self._timers.after(ANSWER_TIMEOUT_MS, lambda: self._miss(hub_id))
-        if not self._links.send(hub_id, WorkAsked(number)):
+        if not self._links.send(hub_id, WorkAsked(number, service)):
             self._ask_timer.cancel()
             self._miss(hub_id)
 
@@ -133,7 +137,7 @@
     def _on_picture(self, instance_id: str, message: WorkPicture) -> None:
         self._ranking.note_answer(instance_id)
         counts = AttemptCounts(*message.attempts) if message.attempts is not None else None
-        self._take(work_of(FLEET, message.rows, message.avoided), counts)
+        self._take(work_of(FLEET, message.rows, message.avoided, message.turn), counts)
         if self._asked != (message.number, instance_id):
             return  # Late: the choice was made without this answer.
         if self._ask_timer is not None:
@@ -208,6 +212,7 @@
         now_ms = self._clock.now_ms()
         work = work_of(instance_id, message.rows, message.avoided)
         self._board.tell(work, now_ms)
+        self._turns.end(instance_id)
         totals = AttemptCounts(message.first_attempts, message.repeats)
         self._attempt_board.tell(instance_id, totals, now_ms)
 
@@ -216,5 +221,7 @@
         others = self._board.others(instance_id, now_ms)
         counts = self._attempt_board.of_others(instance_id, now_ms)
         attempts = (counts.first, counts.repeats) if counts is not None else None
-        picture = WorkPicture(message.number, rows_of(others.work), others.avoided, attempts)
+        turn = self._turns.take(instance_id, message.service, now_ms)
+        rows = rows_of(others.work)
+        picture = WorkPicture(message.number, rows, others.avoided, attempts, turn)
         self._links.answer(instance_id, picture)
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
@@ -100,8 +100,9 @@
         self._upstreams: dict[str, tuple[ListEntry, Upstream]] = {}
         # Told when the work in flight has changed, and whether work was added.
         self.on_work_changed: Callable[[bool], None] = lambda is_added: None
-        # Learns what the other instances have in flight, then calls back.
-        self.before_choice: Callable[[Callable[[], None]], None] = lambda then: then()
+        # Learns what the other instances have in flight before an upstream of a service is chosen, then calls
+        # back.
+        self.before_choice: Callable[[Callable[[], None], str], None] = lambda then, service: then()
         self._memory = EngineMemory(clock, timers, memory_codec).register(self)
         self._attempts = ForwardedAttempts(
             client, codec, clock, timers, self._on_output, self._on_attempt_over
@@ -235,7 +236,7 @@
         exchange.on_closed = lambda: self._on_caller_left(request)
         exchange.on_drained = lambda: self._attempts.caller_has_read(request)
         request.expiry = self._timers.at(req.deadline_ms, lambda: self._expire(request))
-        self.before_choice(lambda: self._schedule(request))
+        self.before_choice(lambda: self._schedule(request), req.model)
 
     def _schedule(self, request: ForwardedRequest) -> None:
         if request.request_id in self._requests:
@@ -419,7 +420,7 @@
             culprit_id=culprit_id,
         )
         # A retry uses up the budget of all instances, and needs an upstream like a new request.
-        self.before_choice(lambda: self._report_failure(ended))
+        self.before_choice(lambda: self._report_failure(ended), request.req.model)
 
     def _report_failure(self, ended: AttemptEnded) -> None:
         self.tell(ended)
--- a/tests/fleet/test_messages.py
+++ b/tests/fleet/test_messages.py
@@ -26,8 +26,8 @@
 NUMBERS = st.integers(0, 2**32)
 MESSAGES = st.one_of(
     st.builds(WorkTold, ROWS, NAMES, NUMBERS, NUMBERS),
-    st.builds(WorkAsked, NUMBERS),
-    st.builds(WorkPicture, NUMBERS, ROWS, NAMES, st.none() | st.tuples(NUMBERS, NUMBERS)),
+    st.builds(WorkAsked, NUMBERS, st.text(max_size=9)),
+    st.builds(WorkPicture, NUMBERS, ROWS, NAMES, st.none() | st.tuples(NUMBERS, NUMBERS), NUMBERS),
     st.builds(
         TopicQuestion,
         NUMBERS,
--- a/tests/fleet/test_work.py
+++ b/tests/fleet/test_work.py
@@ -162,6 +162,27 @@
         self.network.deliver("f", "a", WorkAsked(number))
         self.assertIn("r1", self.forwarders["f"].picture.work)
 
+    def test_instances_that_choose_at_the_same_time_know_their_turn(self) -> None:
+        """Guards against all instances that take the one upstream which is best in the same picture."""
+        turns = {}
+        for name in "cdef":
+            self.exchanges[name].refresh(lambda: None, "m")
+            turns[name] = self.forwarders[name].picture.turn
+        self.assertEqual(turns, {"c": 0, "d": 1, "e": 2, "f": 3})
+        self.dispatch("c", "r1")
+        self.network.timers.advance(5)
+        self.exchanges["c"].refresh(lambda: None, "m")
+        self.assertEqual(self.forwarders["c"].picture.turn, 3)
+        self.network.timers.advance(20)
+        self.exchanges["c"].refresh(lambda: None, "m")
+        self.assertEqual(self.forwarders["c"].picture.turn, 0)
+
+    def test_choices_of_another_service_count_for_nothing(self) -> None:
+        """Guards against calls of a plain service that avoid its best upstream for a model's prompts."""
+        self.exchanges["e"].refresh(lambda: None, "m")
+        self.exchanges["f"].refresh(lambda: None, "shop")
+        self.assertEqual(self.forwarders["f"].picture.turn, 0)
+
     def test_retries_of_the_others_are_known_before_a_retry(self) -> None:
         """Guards against hundreds of instances that each use the retries of all."""
         self.dispatch("e", "r1")
--- a/tests/forwarding/test_retries.py
+++ b/tests/forwarding/test_retries.py
@@ -16,7 +16,7 @@
         self.fixture = ForwarderFixture(route, ("u1", "u2", "u3"))
         self.waiting: list = []
         self.exchange = self.fixture.send()
-        self.fixture.forwarder.before_choice = self.waiting.append
+        self.fixture.forwarder.before_choice = lambda then, service: self.waiting.append(then)
 
     def fail(self) -> None:
         call = self.fixture.client.calls[-1]
--- a/tests/scheduling/test_least_work.py
+++ b/tests/scheduling/test_least_work.py
@@ -350,6 +350,33 @@
         self.assertIn(decision.upstream_id, {f"r{number:03}" for number in range(71, 78)})
 
 
+class SimultaneousChoicesTest(unittest.TestCase):
+    """The load pattern is a burst of short prompts at 87 instances.
+
+    Several choose within the few milliseconds that a message takes, all with the same picture.
+    """
+
+    def chosen(self, turn: int, free: int) -> str:
+        """Return the engine that an instance takes at its turn, with one slot left at some engines."""
+        sched = scheduler(runners=12, seed=turn)
+        slots = MODEL["upstream_slots"]
+        work = {
+            f"r{number:03}": UpstreamWork(10.0 * number, slots - (number < free), 5_000)
+            for number in range(12)
+        }
+        sched.handle(PeerWork("fleet", work, (), turn), 0)
+        (decision,) = arrive(sched, "a", 3_000)
+        return decision.upstream_id
+
+    def test_instances_take_different_engines(self) -> None:
+        """Guards against requests that wait for a slot because another instance took the same one."""
+        self.assertEqual(len({self.chosen(turn, free=5) for turn in range(5)}), 5)
+
+    def test_last_engine_is_taken_by_all(self) -> None:
+        """Guards against a request that waits although an engine has a slot."""
+        self.assertEqual({self.chosen(turn, free=1) for turn in range(3)}, {"r000"})
+
+
 class LargeFleetTest(unittest.TestCase):
     """The load pattern is a fleet of 730 engines, of which a choice cannot look at each."""
 
