--- a/packages/core/src/ibispaddle_core/scheduling/least_work.py
+++ b/packages/core/src/ibispaddle_core/scheduling/least_work.py
@@ -39,8 +39,6 @@
 HARM_PER_S = 1.0
 # Harm of a second by which an answer begins late; it is little, because what is late is late.
 LATE_HARM_PER_S = 0.02
-# Part of an answer's worth that is left when it is late, but complete at its deadline.
-LATE_WORTH = 0.25
 # Harm of using up the whole time to the first token without being late. It makes a prompt that can be
 # read by many engines without harm begin soon.
 URGENCY = 0.03
@@ -311,14 +309,7 @@
         size = max(1.0, req.prompt_tokens / cfg.usual_prompt_tokens)
         risk = min(1.0, max(0.0, (used - SAFE_PART) / (1 - SAFE_PART)))
         late_s = max(0.0, first_token_ms - left_ms) / 1000
-        lateness = URGENCY * min(used, 1.0) + risk + LATE_HARM_PER_S * late_s
-        return size * (lateness + LATE_WORTH * self._risk_of_missing(req, first_token_ms, now_ms))
-
-    def _risk_of_missing(self, req: Request, first_token_ms: float, now_ms: int) -> float:
-        """Return the risk, from 0 to 1, that the answer is not complete at the deadline."""
-        ends_ms = first_token_ms + WRITING_MARGIN * self._cost.decode_ms(req)
-        used = ends_ms / max(1.0, req.deadline_ms - now_ms)
-        return min(1.0, max(0.0, (used - SAFE_PART) / (1 - SAFE_PART)))
+        return size * (URGENCY * min(used, 1.0) + risk + LATE_HARM_PER_S * late_s)
 
     def _least(
         self, loads: list[_Load], count: int, part_ms: float, cfg: ModelConfig
