Ranked engines in one place, and shared the set-up of two tests

The choice at an instance's turn sorted engines by rank beside `_least`, which does the same; the two tests of last connections built the same server.

--- a/packages/core/src/ibispaddle_core/scheduling/least_work.py
+++ b/packages/core/src/ibispaddle_core/scheduling/least_work.py
@@ -201,9 +201,7 @@
 
     def _without_best(self, room: list[_Load], turn: int, cfg: ModelConfig) -> list[_Load]:
         """Leave the upstreams to which others are about to send, as long as one is left."""
-        ranks = self._ranks(room, MIN_PART_MS, cfg)
-        order = sorted(range(len(room)), key=ranks.__getitem__)
-        return [room[index] for index in order[min(turn, len(room) - 1) :]]
+        return self._least(room, len(room), MIN_PART_MS, cfg)[min(turn, len(room) - 1) :]
 
     def _should_wait(self, req: Request, plan: _Plan, now_ms: int) -> bool:
         """Return whether a long prompt waits here until its engines have read the others.
--- a/tests/stopping/test_last_connections.py
+++ b/tests/stopping/test_last_connections.py
@@ -26,15 +26,20 @@
         exchange.respond(200, (), b"whole")
 
 
+def listen(channel: str) -> tuple[TimerQueue, HttpServer, tuple[str, int]]:
+    """Return a server whose requests go to a channel, with its timers and its address."""
+    clock = SystemClock()
+    timers = TimerQueue(clock)
+    server = HttpServer(
+        "127.0.0.1:0", clock, timers, FleetConfig().limits, channel_of=lambda exchange: channel
+    )
+    return timers, server, (server.listener.host, server.listener.port)
+
+
 class LastConnectionsTest(unittest.TestCase):
     def test_connections_in_the_queue_are_answered(self):
         """Guard against callers whose connection is reset because it was not accepted yet."""
-        clock = SystemClock()
-        timers = TimerQueue(clock)
-        limits = FleetConfig().limits
-        route = lambda exchange: "answers"  # noqa: E731
-        server = HttpServer("127.0.0.1:0", clock, timers, limits, channel_of=route)
-        address = (server.listener.host, server.listener.port)
+        timers, server, address = listen("answers")
         callers: list[socket.socket] = []
 
         def call_and_stop() -> None:
@@ -58,12 +63,7 @@
 
     def test_only_idle_connections_are_closed(self):
         """Guards against a request that is read from a connection which is about to be cut."""
-        clock = SystemClock()
-        timers = TimerQueue(clock)
-        limits = FleetConfig().limits
-        route = lambda exchange: "nobody"  # noqa: E731
-        server = HttpServer("127.0.0.1:0", clock, timers, limits, channel_of=route)
-        address = (server.listener.host, server.listener.port)
+        timers, server, address = listen("nobody")
         with Root(timers, server):
             idle = self.enterContext(socket.create_connection(address, timeout=5))
             begun = self.enterContext(socket.create_connection(address, timeout=5))
