--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 SOURCES := packages platform tests
 REQUIREMENTS := requirements/constraints.txt requirements/runtime.txt requirements/dev.txt
 
-.PHONY: install format docs check test demo bench
+.PHONY: install format docs check test demo bench regression
 install: $(STAMP)
 
 $(STAMP): $(REQUIREMENTS) $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
@@ -40,3 +40,10 @@
 
 bench: install
 	$(BIN)/python -m ibispaddle_bench.experiment
+
+# Scores the deployments of deploy/regression.txt: make regression FLEETBENCH=program SITES=folder JOBS=2
+JOBS ?= 2
+regression:
+	for site in $$(grep -v '^#' deploy/regression.txt); do \
+		$(FLEETBENCH) score $(SITES)/$$site --jobs $(JOBS) --why "regression" || exit 1; \
+	done
