--- a/packages/daemon/src/ibispaddle_daemon/forwarding/codec.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/codec.py
@@ -14,6 +14,7 @@
 
     `attempt_id` is the caller's own id of the request, which log lines show. `time_left_ms` is None if
     the caller sets no time limit. The token counts are 0 for requests that are not for a model.
+    `prompt_parts` identifies the parts of the prompt that other requests may have as well, in order.
     """
 
     attempt_id: str = ""
@@ -23,6 +24,7 @@
     prompt_tokens: int = 0
     max_output_tokens: int = 0
     last_event_id: int | None = None
+    prompt_parts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
@@ -69,6 +69,8 @@
 # only 503 states that the request did not run.
 STATUS_NOT_RUN, STATUS_FAILED, STATUS_TIMED_OUT = 503, 502, 504
 CODE_OUTDATED = "outdated_configuration"
+# Parts of a prompt in a log line.
+MAX_LOGGED_PARTS = 16
 # Short, since another instance can accept the request at once, on a new connection.
 DRAINING_RETRY_AFTER_MS = 50
 
@@ -368,6 +370,7 @@
             waited_ms=now_ms - request.req.arrived_ms,
             left_ms=call.time_left_ms,
             prompt_tokens=request.req.prompt_tokens,
+            parts=request.caller.prompt_parts[:MAX_LOGGED_PARTS],
             helpers=decision.helper_ids,
             holders=decision.segment_upstream_ids,
             expected_ms=round(decision.first_token_ms),
@@ -455,6 +458,7 @@
             outcome=str(result.outcome),
             reason=result.text,
             events=request.event_count,
+            parts=request.caller.prompt_parts[:MAX_LOGGED_PARTS],
         )
         ended = AttemptEnded(
             request.request_id,
--- a/tests/platform_adapter/test_headers.py
+++ b/tests/platform_adapter/test_headers.py
@@ -28,6 +28,13 @@
         self.assertEqual((read.prompt_tokens, read.max_output_tokens), (1_460, 80))
         self.assertEqual((read.time_left_ms, read.last_event_id), (10_000, 12))
 
+    def test_shared_parts_of_the_prompt(self) -> None:
+        """Guards against a request's own part that is taken for one of other requests, too."""
+        read = CODEC.read_request((("prefix-hash", "5c1e07a2:800, 91bd3f06:410,e4402b7d:250"),))
+        self.assertEqual(read.prompt_parts, ("5c1e07a2", "91bd3f06"))
+        for text in ("", "e4402b7d:250", ",e4402b7d:250"):
+            self.assertEqual(CODEC.read_request((("prefix-hash", text),)).prompt_parts, ())
+
     @given(st.lists(st.tuples(st.sampled_from(["Token-Count", "Deadline-Ms", "Key"]), TEXT)))
     def test_malformed_values_count_as_missing(self, headers: list[tuple[str, str]]) -> None:
         """Guards against malformed headers that make the instance fail."""
