--- a/packages/standins/src/ibispaddle_standins/platform_runner.py
+++ b/packages/standins/src/ibispaddle_standins/platform_runner.py
@@ -3,6 +3,7 @@
 import argparse
 import asyncio
 import json
+import os
 import time
 from typing import Any
 
@@ -31,6 +32,7 @@
         "unsigned",  # Responds without `Server-Stamp`.
         "refuse_memory",  # Refuses reservations with 409.
         "second_answer",  # Sends the response twice.
+        "deadly_part",  # The process exits when it begins to respond to a prompt with this part.
     )
 
     def __init__(self, args: argparse.Namespace) -> None:
@@ -38,6 +40,7 @@
         self._runs: list[dict[str, Any]] = []
         self._reserved: dict[str, int] = {}
         self._active_streams = 0
+        self._started_ms = time.time_ns() // 1_000_000
 
     @classmethod
     def add_arguments(cls, parser: argparse.ArgumentParser) -> None:
@@ -49,12 +52,16 @@
     def add_routes(self, router: web.UrlDispatcher) -> None:
         """Register the handlers of the interface."""
         router.add_post("/ibispaddle/order", self._order)
+        router.add_get("/ibispaddle/report", self._report)
         router.add_route("*", "/{path:.*}", self._run)
 
     def state(self) -> dict[str, Any]:
         """Return the runs, the reservations and the number of streams in progress."""
         return {"runs": self._runs, "reserved": self._reserved, "working": self._active_streams}
 
+    async def _report(self, request: web.Request) -> web.Response:
+        return web.json_response({"stage": "mixed", "born": self._started_ms})
+
     async def _order(self, request: web.Request) -> web.Response:
         order = await request.json()
         match order["op"]:
@@ -97,6 +104,10 @@
             return web.Response(headers=attempt, text=f"answer of {self.args.id}")
         return await self._stream(request, attempt, int(headers.get("last-event-id", "0")))
 
+    def _is_deadly(self, request: web.Request) -> bool:
+        parts = request.headers.get("Prefix-Hash", "").split(",")
+        return self.faults.get("deadly_part") in {part.partition(":")[0] for part in parts}
+
     def _record(self, run: dict[str, Any]) -> None:
         self._runs.append(run)
         if self.args.record:
@@ -120,6 +131,8 @@
         self._active_streams += 1
         try:
             await response.prepare(request)
+            if self._is_deadly(request):
+                os._exit(1)
             for number in range(last_event_id + 1, self.args.events + 1):
                 await response.write(b"id: %d\ndata: token %d\n\n" % (number, number))
                 if cut_after and number - last_event_id >= cut_after:
