Refused requests with a part that crashes upstreams

Cause: forwarded requests had no quarantine at all. That of the own interface compares whole requests, so it would not have stopped requests that have only one part of their prompts in common.

PartQuarantine (core) collects the crashes of all instances by part. A response clears a part of the crashes before it; a part with three crashes by two requests and without a response is quarantined after half a second, or at the fifth crash at once. Its crashes then no longer count against its companions. CrashDetector asks an upstream whose connection broke whether it is the same process; broken connections alone are no evidence. Instances exchange the changes with the queries to the hubs that precede each selection, and push urgent ones; decisions are also kept in the topic keyed.quarantine, so a fleet that is killed at once knows them again. Requests in flight without output are ended as well.

--- a/packages/core/src/ibispaddle_core/chat/errors.py
+++ b/packages/core/src/ibispaddle_core/chat/errors.py
@@ -45,6 +45,11 @@
     RefusalReason.UPSTREAM_FAILED: (502, "upstream_failed", "The engine failed."),
     RefusalReason.CANCELLED: (499, "cancelled", "The caller left."),
     RefusalReason.DRAINING: (503, "draining", "The instance is being stopped."),
+    RefusalReason.QUARANTINED: (
+        422,
+        "quarantined",
+        "Requests with a part of this content crashed the upstreams that ran them.",
+    ),
 }
 
 
--- a/packages/core/src/ibispaddle_core/logevents.py
+++ b/packages/core/src/ibispaddle_core/logevents.py
@@ -75,6 +75,27 @@
     2010, "request_forwarded", Level.INFO, "A request was sent to an upstream."
 )
 FORWARDING_ENDED = LogEvent(2011, "forwarding_ended", Level.INFO, "A forwarded request ended.")
+PART_QUARANTINED = LogEvent(
+    2020,
+    "part_quarantined",
+    Level.ERROR,
+    "Requests with a part that crashed upstreams are refused from now on.",
+)
+PART_RELEASED = LogEvent(
+    2021, "part_released", Level.INFO, "Requests with a part are no longer refused."
+)
+PART_CLEARED = LogEvent(
+    2022,
+    "part_cleared",
+    Level.INFO,
+    "An upstream responded to a request with a part that was suspected of crashes.",
+)
+UPSTREAM_CRASHED = LogEvent(
+    3005,
+    "upstream_crashed",
+    Level.WARNING,
+    "An upstream ended while it was handling a request; the request's parts are suspects.",
+)
 UPSTREAM_DOWN = LogEvent(3000, "upstream_down", Level.WARNING, "An upstream stopped responding.")
 UPSTREAM_LEAVING = LogEvent(
     3001,
--- a/packages/core/src/ibispaddle_core/membership/entries.py
+++ b/packages/core/src/ibispaddle_core/membership/entries.py
@@ -35,6 +35,7 @@
     models: tuple[str, ...] = ()
     service: str | None = None
     fenced: bool = False
+    boot_ms: int | None = None  # Unix time of its start, if the platform reports it.
 
 
 class InstanceList(msgspec.Struct, frozen=True):
--- a/packages/core/src/ibispaddle_core/membership/registrations.py
+++ b/packages/core/src/ibispaddle_core/membership/registrations.py
@@ -97,4 +97,5 @@
         data_centre=item.data_centre,
         state=ListedState.LEAVING if item.is_leaving else ListedState.LIVE,
         models=(item.service,),
+        boot_ms=item.boot_ms,
     )
--- a/packages/core/src/ibispaddle_core/quarantine/__init__.py
+++ b/packages/core/src/ibispaddle_core/quarantine/__init__.py
@@ -2,20 +2,28 @@
 
 from .exceptions import QuarantineError, QuarantineRecordError
 from .messages import Clearance, Death, Notice, NoticeReceived, QuarantineEntry, Suspicion
+from .part_messages import CrashReport, PartChange, PartCleared, PartQuarantined, part_key
+from .parts import PartQuarantine
 from .records import lift_record, parse_record, quarantine_record
 from .registry import Quarantine
 
 __all__ = [
     "Clearance",
+    "CrashReport",
     "Death",
     "Notice",
     "NoticeReceived",
+    "PartChange",
+    "PartCleared",
+    "PartQuarantine",
+    "PartQuarantined",
     "Quarantine",
     "QuarantineEntry",
     "QuarantineError",
     "QuarantineRecordError",
     "Suspicion",
     "lift_record",
+    "part_key",
     "parse_record",
     "quarantine_record",
 ]
--- a/packages/core/src/ibispaddle_core/scheduling/messages.py
+++ b/packages/core/src/ibispaddle_core/scheduling/messages.py
@@ -52,6 +52,7 @@
     UPSTREAM_FAILED = "upstream_failed"
     CANCELLED = "cancelled"
     DRAINING = "draining"
+    QUARANTINED = "quarantined"
 
 
 @dataclass(frozen=True)
--- a/packages/daemon/src/ibispaddle_daemon/events.py
+++ b/packages/daemon/src/ibispaddle_daemon/events.py
@@ -34,11 +34,13 @@
     """A failed HTTP call.
 
     `byte_sent` is true if at least one byte of the request was written to the connected socket.
+    `is_refused` is true if the host answered that no process listens at the address.
     """
 
     failure: CallFailure
     text: str
     byte_sent: bool
+    is_refused: bool = False
 
 
 class CallSink(Protocol):
--- a/packages/daemon/src/ibispaddle_daemon/fleet/__init__.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/__init__.py
@@ -6,7 +6,8 @@
 """
 
 from .links import FleetLinks
+from .quarantine import QuarantineExchange
 from .topics import TopicRelay
 from .work import WorkExchange
 
-__all__ = ["FleetLinks", "TopicRelay", "WorkExchange"]
+__all__ = ["FleetLinks", "QuarantineExchange", "TopicRelay", "WorkExchange"]
--- a/packages/daemon/src/ibispaddle_daemon/fleet/messages.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/messages.py
@@ -4,11 +4,14 @@
 
 import msgspec
 from ibispaddle_core.gossip import Hello, Proof
+from ibispaddle_core.quarantine import PartChange
 from ibispaddle_core.scheduling import PeerWork, UpstreamWork
 from result import Err, Ok, Result
 
 from ..peer_frames import HEADER, PeerFormatError
 
+# Boot of a hub, and the number of its last change of the quarantine that the sender of a query knows.
+Cursor = tuple[int, int]
 WorkRow = tuple[str, int, int, int, int]  # Upstream id, prefill in ms, requests, KV tokens, parts.
 
 
@@ -22,10 +25,16 @@
 
 
 class WorkQuery(msgspec.Struct, frozen=True, array_like=True, tag="q"):
-    """Query for the work of all other instances, to select an upstream of a service."""
+    """Query for the work of all other instances, to select an upstream of a service.
+
+    The other fields are those of a `QuarantineUpdate`.
+    """
 
     query_id: int
     service: str = ""
+    change_query_id: int = 0
+    changes: tuple[PartChange, ...] = ()
+    cursor: Cursor | None = None
 
 
 class WorkSnapshot(msgspec.Struct, frozen=True, array_like=True, tag="p"):
@@ -37,6 +46,29 @@
     # First attempts and retries of the other instances in the retry budget's window, if known to the hub.
     attempts: tuple[int, int] | None = None
     choice_rank: int = 0  # Instances that queried earlier and have not selected yet.
+    # The fields of a `QuarantineReply`.
+    change_query_id: int = 0
+    changes: tuple[PartChange, ...] = ()
+    cursor: Cursor | None = None
+
+
+class QuarantineUpdate(msgspec.Struct, frozen=True, array_like=True, tag="u"):
+    """Changes of the quarantine that a hub may not know.
+
+    `cursor` is that of the hub's last response, or None.
+    """
+
+    query_id: int
+    changes: tuple[PartChange, ...]
+    cursor: Cursor | None = None
+
+
+class QuarantineReply(msgspec.Struct, frozen=True, array_like=True, tag="r"):
+    """Response to a `QuarantineUpdate`: the hub's changes after the cursor, and the new cursor."""
+
+    query_id: int
+    changes: tuple[PartChange, ...]
+    cursor: Cursor
 
 
 class TopicQuery(msgspec.Struct, frozen=True, array_like=True, tag="t"):
@@ -82,7 +114,15 @@
     mac: bytes
 
 
-FleetMessage = WorkUpdate | WorkQuery | WorkSnapshot | TopicQuery | TopicResponse
+FleetMessage = (
+    WorkUpdate
+    | WorkQuery
+    | WorkSnapshot
+    | QuarantineUpdate
+    | QuarantineReply
+    | TopicQuery
+    | TopicResponse
+)
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(FleetMessage | _Hello | _Proof)
 
--- a/packages/daemon/src/ibispaddle_daemon/fleet/work.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/work.py
@@ -6,6 +6,7 @@
 import itertools
 from collections.abc import Callable
 
+import msgspec
 from circuits import BaseComponent
 from ibispaddle_core import logevents
 from ibispaddle_core.clock import Clock
@@ -23,6 +24,7 @@
 from ..timers import TimerHandle, TimerQueue
 from .links import FleetLinks
 from .messages import WorkQuery, WorkSnapshot, WorkUpdate, decode_work_rows, encode_work_rows
+from .quarantine import QuarantineExchange
 
 # Updates about work that has ended are batched for this time.
 BATCH_DELAY_MS = 40
@@ -56,8 +58,13 @@
         links: FleetLinks,
         clock: Clock,
         timers: TimerQueue,
+        quarantine: QuarantineExchange | None = None,
     ) -> None:
+        """Create the exchange; `quarantine` supplies the changes that are sent along."""
         super().__init__()
+        self._quarantine = quarantine
+        if quarantine is not None:
+            quarantine.set_refresh(self._refresh_quarantine)
         self._instance_id, self._forwarder = instance_id, forwarder
         self._ranking, self._links = ranking, links
         self._clock, self._timers = clock, timers
@@ -121,7 +128,10 @@
         self._query_timer = self._timers.after(
             QUERY_TIMEOUT_MS, lambda: self._handle_missing_response(hub_id)
         )
-        if not self._links.send(hub_id, WorkQuery(query_id, service)):
+        query = WorkQuery(query_id, service)
+        if self._quarantine is not None:
+            query = WorkQuery(query_id, service, *self._quarantine.query(hub_id))
+        if not self._links.send(hub_id, query):
             self._query_timer.cancel()
             self._handle_missing_response(hub_id)
 
@@ -149,6 +159,10 @@
 
     def _on_snapshot(self, instance_id: str, message: WorkSnapshot) -> None:
         self._ranking.mark_reachable(instance_id)
+        if self._quarantine is not None:
+            self._quarantine.apply_response(
+                instance_id, message.change_query_id, message.changes, message.cursor
+            )
         counts = AttemptCounts(*message.attempts) if message.attempts is not None else None
         self._apply(
             decode_work_rows(FLEET_INSTANCE_ID, message.rows, message.avoided, message.choice_rank),
@@ -161,6 +175,13 @@
         self._timeouts = 0
         self._run_callbacks()
 
+    # Quarantine
+
+    def _refresh_quarantine(self, callback: Callable[[], None]) -> None:
+        """Call `callback` with the changes that the hub knows now, or after a short timeout."""
+        self._snapshot_ms = None
+        self.refresh(callback)
+
     def _apply(self, others: PeerWork, counts: AttemptCounts | None) -> None:
         self._snapshot_ms = self._clock.now_ms()
         attempts = FleetAttempts(counts, max(1, self._ranking.size))
@@ -248,4 +269,9 @@
         choice_rank = self._pending_choices.begin_choice(instance_id, message.service, now_ms)
         rows = encode_work_rows(others.work)
         snapshot = WorkSnapshot(message.query_id, rows, others.avoided, attempts, choice_rank)
+        if self._quarantine is not None:
+            changes, cursor = self._quarantine.respond(message.changes, message.cursor)
+            snapshot = msgspec.structs.replace(
+                snapshot, change_query_id=message.change_query_id, changes=changes, cursor=cursor
+            )
         self._links.answer(instance_id, snapshot)
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/__init__.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/__init__.py
@@ -7,11 +7,13 @@
     UpstreamCall,
 )
 from .forwarder import Forwarder
+from .part_guard import PartGuard
 
 __all__ = [
     "CallerRequest",
     "Forwarder",
     "ForwardingCodec",
     "Helper",
+    "PartGuard",
     "UpstreamCall",
 ]
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/codec.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/codec.py
@@ -55,7 +55,15 @@
 
 
 class ForwardingCodec(Protocol):
-    """Translate between HTTP headers and the types above."""
+    """Translate between HTTP headers and the types above.
+
+    `liveness_path` is the path at which an upstream reports on itself without using a slot, or None.
+    """
+
+    liveness_path: str | None
+
+    def read_boot(self, body: bytes) -> int | None:
+        """Return the Unix time in ms of the upstream's start from such a report, or None."""
 
     def read_request(self, headers: Headers) -> CallerRequest:
         """Parse a caller's headers; malformed values count as missing."""
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
@@ -36,6 +36,7 @@
     Request,
     RequestArrived,
     ReserveMemory,
+    RetryPolicy,
     Scheduler,
     Tick,
     Upstream,
@@ -54,6 +55,7 @@
 from ..timers import TimerQueue
 from .attempts import ForwardedAttempts
 from .codec import CallerRequest, ForwardingCodec, Helper, UpstreamCall
+from .part_guard import PartGuard
 from .requests import ForwardedRequest
 
 # Retry-After time when the scheduler gives none: about the time it takes to notice changes in the
@@ -117,6 +119,8 @@
             lambda callback, service: callback()
         )
         self._memory = EngineMemory(clock, timers, memory_codec).register(self)
+        self.part_guard = PartGuard(codec, clock, timers).register(self)
+        self.part_guard.on_quarantined = self._refuse_quarantined_requests
         self._attempts = ForwardedAttempts(
             client, codec, clock, timers, self._on_output, self._on_attempt_result
         ).register(self)
@@ -254,6 +258,11 @@
             )
             return
         request = ForwardedRequest(req, route, caller, exchange)
+        blocked_ms = self.part_guard.blocked_ms(request)
+        if blocked_ms:
+            code = str(RefusalReason.QUARANTINED)
+            self._reject(exchange, caller, STATUS_NOT_RUN, code, blocked_ms)
+            return
         request.last_event_id = caller.last_event_id
         self._requests[req.request_id] = request
         exchange.on_closed = lambda: self._on_caller_disconnected(request)
@@ -264,7 +273,7 @@
         self.before_selection(lambda: self._schedule(request), req.model)
 
     def _schedule(self, request: ForwardedRequest) -> None:
-        if request.request_id in self._requests:
+        if request.request_id in self._requests and not self._refuse_if_quarantined(request):
             self.handle_event(RequestArrived(request.req))
 
     def _may_admit(self, req: Request) -> bool:
@@ -319,6 +328,27 @@
             run_state = RunState.UNKNOWN if request.attempts else RunState.NOT_RUN
             self._refuse(request, Refuse(request.request_id, RefusalReason.DEADLINE, run_state))
 
+    # Quarantine
+
+    def _refuse_if_quarantined(self, request: ForwardedRequest) -> bool:
+        """Refuse a request without output that has a part in quarantine; return whether it has one."""
+        blocked_ms = self.part_guard.blocked_ms(request)
+        if not blocked_ms or request.is_response_started:
+            return False
+        if request.cancel_attempt is not None:
+            request.cancel_attempt()
+        self.handle_event(CallerDisconnected(request.request_id))  # The scheduler removes it.
+        run_state = RunState.UNKNOWN if request.attempts else RunState.NOT_RUN
+        reason = RefusalReason.QUARANTINED
+        self._refuse(request, Refuse(request.request_id, reason, run_state, blocked_ms))
+        return True
+
+    def _refuse_quarantined_requests(self) -> None:
+        for request in list(self._requests.values()):
+            if request.request_id in self._requests:
+                self._refuse_if_quarantined(request)
+        self.on_work_changed(False)
+
     # Decisions
 
     def _execute(self, decision: Decision) -> None:
@@ -348,6 +378,8 @@
         now_ms = self._clock.now_ms()
         request.attempts += 1
         request.upstream_id = decision.upstream_id
+        entry, _ = self._upstreams.get(decision.upstream_id, (None, None))
+        self.part_guard.begin_attempt(request, entry.boot_ms if entry is not None else None)
         helpers = tuple(
             Helper(self._addresses.get(member, ""), handle)
             for member, handle in zip(decision.segment_upstream_ids, decision.segments, strict=True)
@@ -414,6 +446,8 @@
         self._finish(request, str(refusal.reason), status)
 
     def _retry_after_ms(self, request: ForwardedRequest, refusal: Refuse) -> int:
+        if refusal.reason is RefusalReason.QUARANTINED:
+            return refusal.retry_after_ms  # An earlier retry would be refused as well.
         left_ms = request.req.deadline_ms - self._clock.now_ms()
         return int(
             min(
@@ -432,6 +466,7 @@
             gap_ms = now_ms - request.last_output_ms
             request.longest_gap_ms = max(request.longest_gap_ms, gap_ms)
         request.last_output_ms = now_ms
+        self.part_guard.record_output(request)
         # The request's counters do not show the first output of a retry, so every output of a retry is
         # reported. Repeated reports have no effect on the scheduler.
         if request.event_count == event_count or request.attempts > 1:
@@ -469,14 +504,35 @@
         )
         # A retry counts against the retry budget of the whole fleet and selects an upstream, so the
         # other instances' counts and work are fetched first.
-        self.before_selection(lambda: self._handle_failed_attempt(ended), request.req.model)
+        proceed = lambda: self.before_selection(  # noqa: E731
+            lambda: self._handle_failed_attempt(request, ended), request.req.model
+        )
+        if not self._may_have_crashed(request, result):
+            proceed()
+            return
+        address = self._addresses[upstream_id]
+        if request.req.retry_policy is RetryPolicy.PROVED_NOT_RUN:
+            # There is no retry that would have to wait for the result.
+            proceed()
+            self.part_guard.check_upstream(request, address, lambda: None)
+        else:
+            self.part_guard.check_upstream(request, address, proceed)
+
+    def _may_have_crashed(self, request: ForwardedRequest, result: AttemptResult) -> bool:
+        """Return whether a listed upstream may have crashed; one that leaves may end at any time."""
+        _, upstream = self._upstreams.get(request.upstream_id, (None, None))
+        is_live = upstream is not None and upstream.state is UpstreamState.LIVE
+        return is_live and self.part_guard.may_have_crashed(request, result)
 
-    def _handle_failed_attempt(self, ended: AttemptEnded) -> None:
+    def _handle_failed_attempt(self, request: ForwardedRequest, ended: AttemptEnded) -> None:
+        if request.request_id in self._requests and self._refuse_if_quarantined(request):
+            return
         self.handle_event(ended)
         self.on_work_changed(False)
 
     def _complete(self, request: ForwardedRequest, upstream_id: str, result: AttemptResult) -> None:
         response, exchange = result.answer, request.exchange
+        self.part_guard.record_completion(request)
         if response is not None:
             exchange.respond(response.status, response.headers, response.body)
         else:
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/requests.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/requests.py
@@ -1,9 +1,12 @@
 """State of one forwarded request."""
 
+import hashlib
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import cached_property
 
 from ibispaddle_core.forwarding import CompleteResponse
+from ibispaddle_core.quarantine import part_key
 from ibispaddle_core.routing import Route
 from ibispaddle_core.scheduling import Request
 
@@ -11,6 +14,8 @@
 from ..timers import TimerHandle
 from .codec import CallerRequest
 
+FINGERPRINT_BYTES = 16
+
 
 @dataclass(eq=False)
 class ForwardedRequest:
@@ -32,12 +37,34 @@
     cancel_attempt: Callable[[], None] | None = None  # Set while an attempt is in flight.
     deadline_timer: TimerHandle | None = None
     failures: tuple[str, ...] = ()  # Reasons of failed attempts, for the log.
+    # State of the last attempt.
+    attempt_boot_ms: int | None = None  # Start of its upstream, if known.
+    attempt_boot_id: str = ""  # Identifies the process of its upstream.
+    attempt_output_ms: int | None = None  # Time of its first output.
+    attempt_output_sequence: int = 0  # Crashes known at that time.
+    is_output_settled: bool = False  # Whether its upstream has survived the start of the output.
 
     @property
     def request_id(self) -> str:
         """Return the request's id."""
         return self.req.request_id
 
+    @cached_property
+    def parts(self) -> tuple[str, ...]:
+        """Return the keys of the parts that other requests may have as well."""
+        return tuple(part_key(part) for part in self.caller.prompt_parts)
+
+    @cached_property
+    def fingerprint(self) -> str:
+        """Return the hash of the whole request; the same request sent again has the same one."""
+        exchange = self.exchange
+        head = (exchange.method, exchange.target, self.req.workspace, *self.parts)
+        digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+        for field in head:
+            digest.update(field.encode("utf-8", "surrogatepass") + b"\0")
+        digest.update(exchange.body)
+        return digest.hexdigest()
+
     @property
     def is_response_started(self) -> bool:
         """Return whether a part of the response was sent to the caller."""
--- a/packages/daemon/src/ibispaddle_daemon/gateway.py
+++ b/packages/daemon/src/ibispaddle_daemon/gateway.py
@@ -19,7 +19,7 @@
 
 from .engine_memory import EngineMemoryCodec
 from .events import drain_completed, drain_started, readiness_changed
-from .fleet import FleetLinks, TopicRelay, WorkExchange
+from .fleet import FleetLinks, QuarantineExchange, TopicRelay, WorkExchange
 from .forwarding import Forwarder, ForwardingCodec
 from .http_client import HttpClient
 from .http_server import HttpServer
@@ -27,7 +27,13 @@
 from .logs import log_event, log_handler_failure
 from .metrics import Metrics, Status
 from .stopping import Drain
-from .store import InstanceDirectory, StoreCodec, TopicFollower, UpstreamDirectory
+from .store import (
+    InstanceDirectory,
+    QuarantineDirectory,
+    StoreCodec,
+    TopicFollower,
+    UpstreamDirectory,
+)
 from .timers import TimerQueue
 
 # Interval at which the age of the configuration is checked, and a requested reload is carried out.
@@ -136,8 +142,27 @@
         InstanceDirectory(
             settings, self.links.transport.address, store, ranking, clock, timers, relay
         ).register(self)
+        guard = self.forwarder.part_guard
+        quarantine = QuarantineExchange(
+            guard, ranking, self.links, clock, timers, instance.instance_id
+        )
         WorkExchange(
-            instance.instance_id, self.forwarder, ranking, self.links, clock, timers
+            instance.instance_id,
+            self.forwarder,
+            ranking,
+            self.links,
+            clock,
+            timers,
+            quarantine,
+        ).register(self)
+        QuarantineDirectory(
+            settings.store_url,
+            store,
+            guard,
+            lambda: not ranking.hubs_before(clock.now_ms()),
+            clock,
+            timers,
+            relay,
         ).register(self)
         self.upstreams = UpstreamDirectory(
             self._codecs.upstream_topic,
@@ -167,6 +192,12 @@
             lambda: self.links.connected_count,
         )
 
+        self.metrics.add_gauge(
+            "ibispaddle_quarantined_parts",
+            "Parts of requests that are refused because they crash upstreams.",
+            lambda: len(self.forwarder.part_guard.registry.quarantined_parts),
+        )
+
     # Configuration
 
     def _check_state(self) -> None:
--- a/packages/daemon/src/ibispaddle_daemon/http_client.py
+++ b/packages/daemon/src/ibispaddle_daemon/http_client.py
@@ -196,18 +196,18 @@
         call, conn = active.call, active.conn
         if self._calls.get(call.call_id) is not active:
             return
-        byte_sent = False
+        byte_sent = is_refused = False
         del self._calls[call.call_id]
         for timer in active.timers:
             timer.cancel()
         if conn is not None:
-            byte_sent = conn.byte_sent
+            byte_sent, is_refused = conn.byte_sent, conn.is_refused
             active.conn = None
             self._call_by_connection.pop(conn, None)
             if failure is not None or not call.may_reuse_connection:
                 conn.close_socket()
             self._release_connection(conn)
-        error = None if failure is None else HttpCallError(failure, text, byte_sent)
+        error = None if failure is None else HttpCallError(failure, text, byte_sent, is_refused)
         event: Event
         if call.sink is not None:
             call.sink.call_ended(call.call_id, error)
--- a/packages/daemon/src/ibispaddle_daemon/http_connection.py
+++ b/packages/daemon/src/ibispaddle_daemon/http_connection.py
@@ -3,7 +3,7 @@
 import os
 import socket
 import ssl
-from errno import EAGAIN, EINPROGRESS, EINTR, EWOULDBLOCK
+from errno import EAGAIN, ECONNREFUSED, EINPROGRESS, EINTR, EWOULDBLOCK
 from typing import Any, Protocol
 
 import h11
@@ -72,6 +72,7 @@
         self.address: Address = ("", 0, "")
         self.idle_since_ms = 0
         self.byte_sent = False
+        self.is_refused = False
 
     def open(self, address: Address, tls: ssl.SSLContext | None = None) -> None:
         """Start to connect; a failure is reported to the listener."""
@@ -80,7 +81,7 @@
         self._output.clear()
         self._paused = False
         self._write_failed = False
-        self.byte_sent = False
+        self.byte_sent = self.is_refused = False
         self._sock = self._create_socket()
         self._uses_tls = tls is not None
         if tls is not None:
@@ -100,7 +101,7 @@
         elif status == EINPROGRESS:
             self._poller.addWriter(self, self._sock)
         else:
-            self._fail(CallFailure.UNREACHABLE, os.strerror(status))
+            self._fail_to_connect(status)
 
     def send_request(self, method: str, target: str, headers: Headers, body: bytes) -> None:
         """Queue a request; it is written as soon as the connection is open.
@@ -165,6 +166,10 @@
         self.close_socket()
         self._listener.connection_failed(self, failure, text)
 
+    def _fail_to_connect(self, status: int) -> None:
+        self.is_refused = status == ECONNREFUSED
+        self._fail(CallFailure.UNREACHABLE, os.strerror(status))
+
     @property
     def sock(self) -> Any:
         """Return the current socket."""
@@ -175,10 +180,11 @@
         sock = self._sock
         if self._connecting:
             status = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-            text = (
-                os.strerror(status) if status else "the connection was closed during the handshake"
-            )
-            self._fail(CallFailure.UNREACHABLE, text)
+            if status:
+                self._fail_to_connect(status)
+            else:
+                text = "the connection was closed during the handshake"
+                self._fail(CallFailure.UNREACHABLE, text)
         else:
             self._fail(CallFailure.CLOSED, "the connection was reset")
 
@@ -188,7 +194,7 @@
         if self._connecting and not self._tcp_open:
             status = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
             if status:
-                self._fail(CallFailure.UNREACHABLE, os.strerror(status))
+                self._fail_to_connect(status)
                 return
             self._tcp_open = True
         if not self._connecting or self._establish():
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -26,6 +26,8 @@
 class FakeCodec:
     """A codec with a separate plain header for each value."""
 
+    liveness_path = None
+
     def read_request(self, headers: Headers) -> CallerRequest:
         values = dict(headers)
         return CallerRequest(values.get("id", "a1"), "h", prompt_tokens=100, max_output_tokens=5)
