Fixed an exception when the connection to a hub fails while a query is written

Callers saw nothing in the plays, but the event handler of the new request ended with an exception ('NoneType' object has no attribute 'cancel').

Cause: the failed write closes the connection, whose callback ends the query and clears its timer before the send returns False; the query was then ended a second time. The query is now ended there only if it is still pending. The new test failed before with the same exception.

--- a/packages/daemon/src/ibispaddle_daemon/fleet/work.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/work.py
@@ -131,7 +131,9 @@
         query = WorkQuery(query_id, service)
         if self._quarantine is not None:
             query = WorkQuery(query_id, service, *self._quarantine.query(hub_id))
-        if not self._links.send(hub_id, query):
+        is_sent = self._links.send(hub_id, query)
+        # If the connection failed while the query was being written, `_on_lost` has ended the query.
+        if not is_sent and self._pending_query == (query_id, hub_id):
             self._query_timer.cancel()
             self._handle_missing_response(hub_id)
 
--- a/tests/fleet/test_work.py
+++ b/tests/fleet/test_work.py
@@ -118,6 +118,21 @@
         for _ in range(20):
             self.assertEqual(len(self.select("f")), 1)
 
+    def test_connection_that_fails_while_a_query_is_written(self) -> None:
+        """Guards against an exception, and a callback that runs twice, if the hub is lost in the call."""
+        links = self.network.links["f"]
+
+        def send(instance_id: str, message: object) -> bool:
+            for callback in links.on_peer_lost:
+                callback(instance_id)
+            return False
+
+        self.network.unresponsive.add("a")
+        links.send = send
+        self.assertEqual(len(self.select("f")), 1)
+        self.network.timers.advance(1_000)
+        self.assertFalse(self.exchanges["f"]._ranking.hubs(self.network.clock.now_ms())[0] == "a")
+
     def test_ended_work_is_reported_in_batches(self) -> None:
         """Guards against a message for each event of each stream."""
         self.dispatch("f", "r1")
