Put parts of chat requests into quarantine on the own interface as well

Found while looking for the same cause elsewhere: the quarantine of the own interface compared whole requests, so a chat whose first message crashes engines ended every engine when each caller's last message differed.

The messages of a chat but for the last are parts; the same PartQuarantine decides for both paths. Reports and clearances travel in the notices between instances, decisions in the stream 'quarantine', and operators list and lift parts like whole requests. Two test doubles got the additional argument; what they check is unchanged.

--- a/packages/core/src/ibispaddle_core/chat/__init__.py
+++ b/packages/core/src/ibispaddle_core/chat/__init__.py
@@ -2,7 +2,7 @@
 
 from .errors import ProtocolError, error_body, error_event, refusal_error
 from .exceptions import ChatError
-from .hashes import content_fingerprint, fingerprint_steps, prefix_hashes
+from .hashes import content_fingerprint, fingerprint_steps, part_steps, prefix_hashes
 from .models import models_body
 from .requests import CompletionRequest, Kind, parse_request, parse_steps
 from .steps import Steps
@@ -22,6 +22,7 @@
     "models_body",
     "parse_request",
     "parse_steps",
+    "part_steps",
     "prefix_hashes",
     "refusal_error",
 ]
--- a/packages/core/src/ibispaddle_core/chat/hashes.py
+++ b/packages/core/src/ibispaddle_core/chat/hashes.py
@@ -47,6 +47,24 @@
     return digest.hexdigest()
 
 
+def part_steps(document: Mapping[str, Any], key: bytes) -> Steps[tuple[str, ...]]:
+    """Compute the keyed hashes of the parts that other requests may have as well, in order.
+
+    These are the messages of a chat but for the last one, which belongs to the request alone. A
+    completion's prompt is one text without parts.
+    """
+    parts = []
+    for message in document.get("messages", ())[:-1]:
+        digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES, key=key)
+        encoded = memoryview(_ENCODER.encode(message))
+        for begin in range(0, len(encoded), STEP_BYTES):
+            if begin:
+                yield
+            digest.update(encoded[begin : begin + STEP_BYTES])
+        parts.append(digest.hexdigest())
+    return tuple(parts)
+
+
 def prefix_hashes(prompt: str) -> tuple[str, ...]:
     """Return one hash per complete block of the prompt, longest prefix last."""
     return finish(prefix_hash_steps(prompt))
--- a/packages/core/src/ibispaddle_core/quarantine/__init__.py
+++ b/packages/core/src/ibispaddle_core/quarantine/__init__.py
@@ -1,10 +1,11 @@
 """Detection and quarantine of requests that crash upstreams."""
 
+from .deaths import Death
 from .exceptions import QuarantineError, QuarantineRecordError
-from .messages import Clearance, Death, Notice, NoticeReceived, QuarantineEntry, Suspicion
+from .messages import Clearance, Notice, NoticeReceived, QuarantineEntry, Suspicion
 from .part_messages import CrashReport, PartChange, PartCleared, PartQuarantined, part_key
 from .parts import PartQuarantine
-from .records import lift_record, parse_record, quarantine_record
+from .records import lift_record, parse_record, part_record, quarantine_record
 from .registry import Quarantine
 
 __all__ = [
@@ -25,5 +26,6 @@
     "lift_record",
     "part_key",
     "parse_record",
+    "part_record",
     "quarantine_record",
 ]
--- a/packages/core/src/ibispaddle_core/quarantine/messages.py
+++ b/packages/core/src/ibispaddle_core/quarantine/messages.py
@@ -2,13 +2,8 @@
 
 from dataclasses import dataclass
 
-
-@dataclass(frozen=True, order=True)
-class Death:
-    """The crash of an upstream process, identified by the boot that it ended."""
-
-    upstream_id: str
-    boot_id: str
+from .deaths import Death
+from .part_messages import PartChange
 
 
 @dataclass(frozen=True)
@@ -31,11 +26,15 @@
 
 @dataclass(frozen=True)
 class Notice:
-    """Notify other instances of suspect requests; acknowledged by `NoticeReceived` with the same id."""
+    """Notify other instances of suspect requests; acknowledged by `NoticeReceived` with the same id.
+
+    `part_changes` are those of the quarantine by part.
+    """
 
     notice_id: int
     suspicions: tuple[Suspicion, ...] = ()
     clearances: tuple[Clearance, ...] = ()
+    part_changes: tuple[PartChange, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/packages/core/src/ibispaddle_core/quarantine/part_messages.py
+++ b/packages/core/src/ibispaddle_core/quarantine/part_messages.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from .messages import Death
+from .deaths import Death
 
 MAX_KEY_LENGTH = 64
 KEY_DIGEST_BYTES = 16
--- a/packages/core/src/ibispaddle_core/quarantine/parts.py
+++ b/packages/core/src/ibispaddle_core/quarantine/parts.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 
-from .messages import Death
+from .deaths import Death
 from .part_messages import CrashReport, PartChange, PartCleared, PartQuarantined
 
 # Suspicions and quarantines end after this time.
--- a/packages/core/src/ibispaddle_core/quarantine/records.py
+++ b/packages/core/src/ibispaddle_core/quarantine/records.py
@@ -6,8 +6,10 @@
 import msgspec
 from result import Err, Ok, Result
 
+from .deaths import Death
 from .exceptions import QuarantineRecordError
-from .messages import Clearance, Death, QuarantineEntry
+from .messages import Clearance, QuarantineEntry
+from .part_messages import PartQuarantined
 
 
 class _Record(msgspec.Struct):
@@ -23,6 +25,12 @@
     return _record("quarantine", entry.fingerprint, entry.deaths, entry.expires_ms)
 
 
+def part_record(entry: PartQuarantined) -> dict[str, Any]:
+    """Return the record that puts a part of requests into quarantine."""
+    op = "quarantine_request" if entry.is_whole_request else "quarantine_part"
+    return _record(op, entry.part, entry.deaths, entry.expires_ms)
+
+
 def lift_record(clearance: Clearance, author: str) -> dict[str, Any]:
     """Return the record with which an operator lifts a quarantine."""
     record = _record("lift", clearance.fingerprint, clearance.deaths, clearance.at_ms)
@@ -36,7 +44,7 @@
 
 def parse_record(
     data: Mapping[str, Any],
-) -> Result[QuarantineEntry | Clearance, QuarantineRecordError]:
+) -> Result[QuarantineEntry | PartQuarantined | Clearance, QuarantineRecordError]:
     """Decode one record."""
     try:
         record = msgspec.convert(data, _Record)
@@ -46,6 +54,9 @@
     match record.op:
         case "quarantine":
             return Ok(QuarantineEntry(record.fingerprint, deaths, record.at_ms))
+        case "quarantine_part" | "quarantine_request":
+            is_whole = record.op == "quarantine_request"
+            return Ok(PartQuarantined(record.fingerprint, deaths, record.at_ms, is_whole))
         case "lift":
             return Ok(Clearance(record.fingerprint, deaths, record.at_ms))
     return Err(QuarantineRecordError(f"unknown operation '{record.op}'"))
--- a/packages/core/src/ibispaddle_core/scheduling/messages.py
+++ b/packages/core/src/ibispaddle_core/scheduling/messages.py
@@ -68,6 +68,7 @@
     arrived_ms: int
     deadline_ms: int
     fingerprint: str = ""
+    parts: tuple[str, ...] = ()  # Hashes of the parts that other requests may have as well.
     prefix_hashes: tuple[str, ...] = ()  # One hash per block of the prompt, longest prefix last.
     retry_policy: RetryPolicy = RetryPolicy.BEFORE_OUTPUT
     ttft_objective_ms: int | None = None  # Time to first token above which the answer is late.
--- a/packages/daemon/src/ibispaddle_daemon/app.py
+++ b/packages/daemon/src/ibispaddle_daemon/app.py
@@ -90,7 +90,9 @@
         self.quarantine = QuarantineManager(settings, self.view, self.clock, self.timers).register(
             self
         )
-        self.suspects = SuspectTracker(self.quarantine.registry, self.clock).register(self)
+        self.suspects = SuspectTracker(
+            self.quarantine.registry, self.quarantine.parts, self.clock
+        ).register(self)
         self.entry = RequestCoordinator(
             settings.instance_id,
             config,
--- a/packages/daemon/src/ibispaddle_daemon/attempt_ends.py
+++ b/packages/daemon/src/ibispaddle_daemon/attempt_ends.py
@@ -1,6 +1,6 @@
 """Handling of ended attempts: response, resumption, cancellation and crash detection."""
 
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -27,8 +27,8 @@
 class AttemptEndHandler(BaseComponent):
     """Respond to the caller, resume the stream or report a failure when an attempt ends.
 
-    `resume` continues a stream on the same engine, and `fingerprints` returns the fingerprints of
-    the requests in flight, by upstream.
+    `resume` continues a stream on the same engine, and `requests_at` returns the requests in flight
+    at an upstream: their parts by fingerprint.
     """
 
     channel = "attempt_ends"
@@ -39,14 +39,14 @@
         clock: Clock,
         suspects: SuspectTracker,
         resume: Callable[[ModelRequest, RunningAttempt], None],
-        fingerprints: Callable[[], Mapping[str, Collection[str]]],
+        requests_at: Callable[[str], Mapping[str, tuple[str, ...]]],
     ) -> None:
         super().__init__()
         self._coordinator = coordinator
         self._clock = clock
         self._suspects = suspects
         self._resume = resume
-        self._fingerprints = fingerprints
+        self._requests_at = requests_at
         self._calls = CallbackHttpClient("attempt_calls", clock).register(self)
 
     def handle_finished(
@@ -144,12 +144,12 @@
     def _lost_attempt(
         self, request: ModelRequest, running: RunningAttempt, result: CallResult
     ) -> LostAttempt:
-        others_in_flight = self._fingerprints().get(running.upstream_id, ())
+        others_in_flight = self._requests_at(running.upstream_id)
         return LostAttempt(
             running.upstream_id,
             running.base_url,
             running.state_machine.boot_id or running.upstream_boot,
-            frozenset((request.req.fingerprint, *others_in_flight)),
+            {**others_in_flight, request.req.fingerprint: request.req.parts},
             is_unreachable(result),
         )
 
--- a/packages/daemon/src/ibispaddle_daemon/attempts.py
+++ b/packages/daemon/src/ibispaddle_daemon/attempts.py
@@ -81,7 +81,7 @@
         self._tracing = tracing
         self._attempts_by_call: dict[str, tuple[ModelRequest, RunningAttempt]] = {}
         end_handler = AttemptEndHandler(
-            coordinator, clock, suspects, self._resume, self.fingerprints
+            coordinator, clock, suspects, self._resume, self.requests_at
         )
         self._end_handler = end_handler.register(self)
 
@@ -309,3 +309,11 @@
         for request, running in self._attempts_by_call.values():
             found.setdefault(running.upstream_id, set()).add(request.req.fingerprint)
         return found
+
+    def requests_at(self, upstream_id: str) -> dict[str, tuple[str, ...]]:
+        """Return the requests in flight at an upstream: their parts by fingerprint."""
+        return {
+            request.req.fingerprint: request.req.parts
+            for request, running in self._attempts_by_call.values()
+            if running.upstream_id == upstream_id
+        }
--- a/packages/daemon/src/ibispaddle_daemon/entry.py
+++ b/packages/daemon/src/ibispaddle_daemon/entry.py
@@ -199,6 +199,7 @@
             arrived_ms=exchange.arrived_ms,
             deadline_ms=exchange.arrived_ms + read.timeout_ms,
             fingerprint=read.fingerprint,
+            parts=read.parts,
             prefix_hashes=parsed.prefix_hashes,
         )
         span = self._tracing.start_request(f"POST {exchange.path}", exchange.headers)
@@ -331,8 +332,10 @@
         self.report_tokens(request, at_least=1)
         request.last_outcome = str(outcome)
         if outcome is Outcome.COMPLETED:
-            self._suspects.clear_suspect(request.req.fingerprint)
-        refusal = self._suspects.quarantine_error(request.req.fingerprint, request.run_state)
+            self._suspects.clear_suspect(request.req.fingerprint, request.req.parts)
+        refusal = self._suspects.quarantine_error(
+            request.req.fingerprint, request.req.parts, request.run_state
+        )
         if refusal is not None and request.request_id in self._requests:
             self.handle_event(CallerDisconnected(request.request_id))
             self._refuse(request, refusal)
--- a/packages/daemon/src/ibispaddle_daemon/fleet_operations.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet_operations.py
@@ -59,14 +59,13 @@
         respond_json(exchange, 200, {"upstreams": upstreams})
 
     def _show_quarantine(self, exchange: Exchange) -> None:
-        wall_ms = self._clock.wall_ms()
         entries = [
             {
                 "fingerprint": entry.fingerprint,
                 "expires_ms": entry.expires_ms,
                 "upstreams": [death.upstream_id for death in entry.deaths],
             }
-            for entry in self._guard.registry.entries(wall_ms)
+            for entry in self._guard.entries()
         ]
         respond_json(exchange, 200, {"quarantine": entries})
 
@@ -77,7 +76,7 @@
             error = ProtocolError(400, "invalid_request", f"The request body is invalid: {exc}.")
             respond_error(exchange, error)
             return
-        if not self._guard.registry.is_quarantined(lift.fingerprint, self._clock.wall_ms()):
+        if lift.fingerprint not in {entry.fingerprint for entry in self._guard.entries()}:
             text = f"The fingerprint '{lift.fingerprint[:100]}' is not in quarantine."
             respond_error(exchange, ProtocolError(404, "not_quarantined", text))
             return
--- a/packages/daemon/src/ibispaddle_daemon/peer_codec.py
+++ b/packages/daemon/src/ibispaddle_daemon/peer_codec.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 import capnp
+import msgspec
 from ibispaddle_core.gossip import Digest, Hello, ListSeen, Proof, StateReply, StateRequest
 from ibispaddle_core.idempotency import (
     BodyReply,
@@ -14,7 +15,14 @@
     ClaimUpdate,
     ClaimUpdateAck,
 )
-from ibispaddle_core.quarantine import Clearance, Death, Notice, NoticeReceived, Suspicion
+from ibispaddle_core.quarantine import (
+    Clearance,
+    Death,
+    Notice,
+    NoticeReceived,
+    PartChange,
+    Suspicion,
+)
 from ibispaddle_core.usage import Counts, UsageAck, UsageSync
 from result import Err, Ok, Result
 
@@ -38,6 +46,9 @@
 # Limits how often a message can be traversed through several pointers to the same bytes.
 MAX_TRAVERSAL_FACTOR = 4
 
+_PART_ENCODER = msgspec.msgpack.Encoder()
+_PART_DECODER = msgspec.msgpack.Decoder(tuple[PartChange, ...])
+
 _schema: Any = capnp.load(str(pathlib.Path(__file__).with_name("peers.capnp")))
 
 
@@ -108,6 +119,7 @@
                         }
                         for c in message.clearances
                     ],
+                    "partChanges": _PART_ENCODER.encode(message.part_changes),
                 }
             }
         case NoticeReceived(notice_id):
@@ -193,7 +205,13 @@
         )
         for item in notice.clearances
     )
-    return Notice(notice.noticeId, suspicions, clearances)
+    data = bytes(notice.partChanges)
+    try:
+        # An instance of the previous version sends none.
+        part_changes = _PART_DECODER.decode(data) if data else ()
+    except msgspec.DecodeError as exc:
+        raise ValueError(str(exc)) from exc
+    return Notice(notice.noticeId, suspicions, clearances, part_changes)
 
 
 class CapnpCodec:
--- a/packages/daemon/src/ibispaddle_daemon/peers.capnp
+++ b/packages/daemon/src/ibispaddle_daemon/peers.capnp
@@ -91,6 +91,7 @@
   noticeId @0 :UInt64;
   suspicions @1 :List(Suspicion);
   clearances @2 :List(Clearance);
+  partChanges @3 :Data;  # In MessagePack.
 }
 
 struct ClaimAsk {
--- a/packages/daemon/src/ibispaddle_daemon/quarantine.py
+++ b/packages/daemon/src/ibispaddle_daemon/quarantine.py
@@ -3,7 +3,7 @@
 # ruff: noqa: N801
 
 import itertools
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 from circuits import BaseComponent, Event, handler
@@ -16,11 +16,16 @@
     Death,
     Notice,
     NoticeReceived,
+    PartChange,
+    PartCleared,
+    PartQuarantine,
+    PartQuarantined,
     Quarantine,
     QuarantineEntry,
     Suspicion,
     lift_record,
     parse_record,
+    part_record,
     quarantine_record,
 )
 from ibispaddle_core.settings import InstanceSettings
@@ -28,7 +33,7 @@
 from .events import log_append, log_follow, peer_send, runner_boot_ended
 from .logs import log_event, log_unreadable_record
 from .peer_codec import Message
-from .timers import TimerQueue
+from .timers import TimerHandle, TimerQueue
 
 STREAM = "quarantine"
 # A caller that waits for an error response gets it after this time even if peers do not acknowledge.
@@ -39,9 +44,9 @@
 
 
 class upstream_died(Event):
-    """Report a crash: `upstream_died(upstream_id, boot_id, fingerprints, token, channel)`.
+    """Report a crash: `upstream_died(upstream_id, boot_id, requests, token, channel)`.
 
-    `fingerprints` are those of the requests that were in flight. Answered by
+    `requests` are those that were in flight: their parts by fingerprint. Answered by
     `suspicions_shared(token)` on `channel`; the callers must not get a response before that.
     """
 
@@ -54,6 +59,10 @@
     """Report that a suspect request was completed: `suspect_completed(fingerprint)`."""
 
 
+class parts_cleared(Event):
+    """Report that a response cleared parts: `parts_cleared(changes)`."""
+
+
 class quarantine_lifted(Event):
     """Request that a quarantine is lifted: `quarantine_lifted(fingerprint, author)`."""
 
@@ -89,6 +98,8 @@
         self._tokens = itertools.count(1)
         self._appends: dict[int, dict[str, object]] = {}
         self.registry = Quarantine()
+        self.parts = PartQuarantine()
+        self._evaluation_timer: TimerHandle | None = None
 
     @handler("started", channel="*")
     def _on_started(self, *_: object) -> None:
@@ -98,6 +109,7 @@
     def _expire(self) -> None:
         self._timers.after(EXPIRY_INTERVAL_MS, self._expire)
         self.registry.expire(self._clock.wall_ms())
+        self.parts.expire(self._clock.now_ms())
 
     # Observations of this instance
 
@@ -106,16 +118,20 @@
         self,
         upstream_id: str,
         boot_id: str,
-        fingerprints: Iterable[str],
+        requests: Mapping[str, tuple[str, ...]],
         token: object,
         channel: str,
     ) -> None:
         death = Death(upstream_id, boot_id)
-        suspicions, entries = self.registry.upstream_died(
-            death, fingerprints, self._clock.wall_ms()
-        )
+        suspicions, entries = self.registry.upstream_died(death, requests, self._clock.wall_ms())
         self._append_entries(entries)
-        self._send_to_peers(suspicions, (), token, channel)
+        reports = tuple(
+            self.parts.crash_report(death, parts, fingerprint)
+            for fingerprint, parts in requests.items()
+            if parts
+        )
+        self._merge_parts(reports)
+        self._send_to_peers(suspicions, (), token, channel, reports)
 
     @handler("suspect_completed", channel="*")
     def _on_suspect_completed(self, fingerprint: str) -> None:
@@ -128,6 +144,49 @@
         clearance = self.registry.lift(fingerprint, self._clock.wall_ms())
         if clearance is not None:
             self._append(lift_record(clearance, author))
+        cleared = self.parts.lift(fingerprint)
+        if cleared is not None:
+            part = Clearance(cleared.part, cleared.deaths, self._clock.wall_ms())
+            self._append(lift_record(part, author))
+
+    # Parts of requests
+
+    def entries(self) -> tuple[QuarantineEntry, ...]:
+        """Return the requests and the parts in quarantine."""
+        now_ms, wall_ms = self._clock.now_ms(), self._clock.wall_ms()
+        parts = (
+            self.parts.entry(part, now_ms, wall_ms) for part in sorted(self.parts.quarantined_parts)
+        )
+        return self.registry.entries(wall_ms) + tuple(
+            QuarantineEntry(entry.part, entry.deaths, entry.expires_ms)
+            for entry in parts
+            if entry is not None
+        )
+
+    def _merge_parts(self, changes: Iterable[PartChange]) -> None:
+        self.parts.merge(changes, self._clock.now_ms(), self._clock.wall_ms())
+        if self._evaluation_timer is not None:
+            self._evaluation_timer.cancel()
+            self._evaluation_timer = None
+        due_ms = self.parts.next_due_ms()
+        if due_ms is not None:
+            self._evaluation_timer = self._timers.at(due_ms, self._evaluate)
+
+    def _evaluate(self) -> None:
+        self._evaluation_timer = None
+        entries = self.parts.evaluate(self._clock.now_ms(), self._clock.wall_ms())
+        for entry in entries:
+            upstreams = [death.upstream_id for death in entry.deaths]
+            log_event(logevents.PART_QUARANTINED, part=entry.part, upstreams=upstreams)
+            self._append(part_record(entry))
+        if entries:
+            self._send_to_peers((), (), part_changes=entries)
+        self._merge_parts(())
+
+    @handler("parts_cleared", channel="*")
+    def _on_parts_cleared(self, changes: tuple[PartCleared, ...]) -> None:
+        self._merge_parts(changes)
+        self._send_to_peers((), (), part_changes=changes)
 
     # Notices
 
@@ -137,6 +196,7 @@
         clearances: tuple[Clearance, ...],
         token: object = None,
         channel: str = "",
+        part_changes: tuple[PartChange, ...] = (),
     ) -> None:
         now_ms = self._clock.now_ms()
         unacknowledged = {
@@ -144,8 +204,8 @@
             for member in self._view.members(now_ms, MemberKind.ENTRY)
             if member.entry.id != self._instance_id and member.state is not MemberState.DOWN
         }
-        notice = Notice(next(self._notice_ids), suspicions, clearances)
-        if not suspicions and not clearances:
+        notice = Notice(next(self._notice_ids), suspicions, clearances, part_changes)
+        if not suspicions and not clearances and not part_changes:
             unacknowledged.clear()
         pending = _PendingNotice(
             notice, unacknowledged, now_ms + NOTICE_ACK_TIMEOUT_MS, token, channel
@@ -179,6 +239,7 @@
                     if not self.registry.has_died(death.upstream_id, death.boot_id):
                         self.fire(runner_boot_ended(death.upstream_id, death.boot_id), "*")
                 self.registry.merge(message.suspicions, message.clearances)
+                self._merge_parts(message.part_changes)
                 self.fire(peer_send(instance_id, NoticeReceived(message.notice_id)), "*")
             case NoticeReceived(notice_id):
                 pending = self._pending_notices.get(notice_id)
@@ -191,8 +252,10 @@
     def _on_peer_connected(self, instance_id: str) -> None:
         """Send the suspicions to an instance that may have just started."""
         suspicions = self.registry.suspicions()
-        if suspicions:
-            self.fire(peer_send(instance_id, Notice(next(self._notice_ids), suspicions)), "*")
+        _, part_changes = self.parts.changes_since(0)
+        if suspicions or part_changes:
+            notice = Notice(next(self._notice_ids), suspicions, (), part_changes)
+            self.fire(peer_send(instance_id, notice), "*")
 
     # Log
 
@@ -220,5 +283,12 @@
             parsed = parse_record(record.data)
             if parsed.is_err():
                 log_unreadable_record(stream, record.offset, parsed.unwrap_err())
-            else:
-                self.registry.fold(parsed.unwrap())
+                continue
+            match parsed.unwrap():
+                case PartQuarantined() as entry:
+                    self._merge_parts([entry])
+                case Clearance(fingerprint, deaths) as clearance:
+                    self.registry.fold(clearance)
+                    self._merge_parts([PartCleared(fingerprint, deaths)])
+                case QuarantineEntry() as request_entry:
+                    self.registry.fold(request_entry)
--- a/packages/daemon/src/ibispaddle_daemon/request_reader.py
+++ b/packages/daemon/src/ibispaddle_daemon/request_reader.py
@@ -15,6 +15,7 @@
     fingerprint_steps,
     models_body,
     parse_steps,
+    part_steps,
 )
 from ibispaddle_core.runstate import RunState
 from ibispaddle_core.settings import FleetConfig
@@ -34,7 +35,7 @@
 
 @dataclass(frozen=True)
 class ValidatedRequest:
-    """Hold a validated request with its caller, limits and fingerprint."""
+    """Hold a validated request with its caller, limits, fingerprint and the hashes of its parts."""
 
     exchange: Exchange
     caller: Caller
@@ -42,6 +43,7 @@
     output_tokens: int
     timeout_ms: int
     fingerprint: str
+    parts: tuple[str, ...] = ()
 
 
 ValidationSteps = Steps[Result[ValidatedRequest, ProtocolError]]
@@ -140,12 +142,19 @@
             return Err(output_tokens.unwrap_err())
         steps = fingerprint_steps(str(kind), parsed.document, self._fingerprint_key)
         fingerprint = yield from steps
-        refusal = self._suspects.quarantine_error(fingerprint, RunState.NOT_RUN)
+        parts = yield from part_steps(parsed.document, self._fingerprint_key)
+        refusal = self._suspects.quarantine_error(fingerprint, parts, RunState.NOT_RUN)
         if refusal is not None:
             return Err(refusal)
         return Ok(
             ValidatedRequest(
-                exchange, caller, parsed, output_tokens.unwrap(), timeout.unwrap(), fingerprint
+                exchange,
+                caller,
+                parsed,
+                output_tokens.unwrap(),
+                timeout.unwrap(),
+                fingerprint,
+                parts,
             )
         )
 
--- a/packages/daemon/src/ibispaddle_daemon/suspects.py
+++ b/packages/daemon/src/ibispaddle_daemon/suspects.py
@@ -12,13 +12,13 @@
 from circuits import BaseComponent, handler
 from ibispaddle_core.chat import ProtocolError
 from ibispaddle_core.clock import Clock
-from ibispaddle_core.quarantine import Quarantine
+from ibispaddle_core.quarantine import PartQuarantine, Quarantine
 from ibispaddle_core.runstate import RunState
 
 from .calls import CallbackHttpClient, CallResult
 from .engine_answers import is_unreachable
 from .events import CallFailure, runner_failed
-from .quarantine import suspect_completed, upstream_died
+from .quarantine import parts_cleared, suspect_completed, upstream_died
 
 # Timeout of the check whether an upstream is still running.
 LIVENESS_TIMEOUT_MS = 500
@@ -40,7 +40,8 @@
     upstream_id: str
     base_url: str
     boot_id: str
-    fingerprints: frozenset[str]  # Of all requests of this instance in flight there.
+    # All requests of this instance that were in flight there: their parts by fingerprint.
+    requests: Mapping[str, tuple[str, ...]]
     unreachable: bool  # The upstream refused a connection after the attempt.
 
 
@@ -49,21 +50,26 @@
 
     channel = "suspects"
 
-    def __init__(self, registry: Quarantine, clock: Clock) -> None:
+    def __init__(self, registry: Quarantine, parts: PartQuarantine, clock: Clock) -> None:
         super().__init__()
-        self._registry = registry
+        self._registry, self._parts = registry, parts
         self._clock = clock
         self._tokens = itertools.count(1)
         self._callbacks: dict[object, Callable[[], None]] = {}
         self._calls = CallbackHttpClient("suspect_calls", clock).register(self)
 
-    def quarantine_error(self, fingerprint: str, run_state: RunState) -> ProtocolError | None:
-        """Return the error for a request in quarantine, or None if it is not in quarantine."""
+    def quarantine_error(
+        self, fingerprint: str, parts: Sequence[str], run_state: RunState
+    ) -> ProtocolError | None:
+        """Return the error for a request that is in quarantine or has such a part, or None."""
+        blocked: str | None = fingerprint
         if not self._registry.is_quarantined(fingerprint, self._clock.wall_ms()):
+            blocked = self._parts.blocked_part(parts, fingerprint, self._clock.now_ms())
+        if blocked is None:
             return None
         text = (
             "Requests with this content crashed the upstreams that ran them; operators can lift the"
-            f" quarantine of fingerprint '{fingerprint}'."
+            f" quarantine of fingerprint '{blocked}'."
         )
         return ProtocolError(422, "quarantined", text, run_state)
 
@@ -105,10 +111,13 @@
         """Return the last boot that was reported when `current_boot_id` returned this one."""
         return boot_id.rstrip(SUCCESSOR_SUFFIX)
 
-    def clear_suspect(self, fingerprint: str) -> None:
-        """Clear the suspicion of a request that was completed."""
+    def clear_suspect(self, fingerprint: str, parts: Sequence[str]) -> None:
+        """Clear the suspicions of a request that was completed, and of its parts."""
         if self.is_suspect(fingerprint):
             self.fire(suspect_completed(fingerprint), "*")
+        cleared = self._parts.record_response(parts, fingerprint, self._parts.sequence)
+        if cleared:
+            self.fire(parts_cleared(cleared), "*")
 
     def check_upstream(self, lost: LostAttempt, callback: Callable[[], None]) -> None:
         """Call `callback` once the upstream proved alive or all reachable instances are notified."""
@@ -134,9 +143,7 @@
     def _report_death(self, lost: LostAttempt, callback: Callable[[], None]) -> None:
         token = f"suspects-{next(self._tokens)}"
         self._callbacks[token] = callback
-        event = upstream_died(
-            lost.upstream_id, lost.boot_id, lost.fingerprints, token, self.channel
-        )
+        event = upstream_died(lost.upstream_id, lost.boot_id, lost.requests, token, self.channel)
         self.fire(event, "*")
 
     @handler("suspicions_shared")
--- a/tests/daemon/test_answers_at_the_deadline.py
+++ b/tests/daemon/test_answers_at_the_deadline.py
@@ -26,8 +26,8 @@
 TIMEOUT_MS = 1_000
 SUSPECTS = SimpleNamespace(
     is_suspect=lambda fingerprint: False,
-    clear_suspect=lambda fingerprint: None,
-    quarantine_error=lambda fingerprint, run_state: None,
+    clear_suspect=lambda fingerprint, parts: None,
+    quarantine_error=lambda fingerprint, parts, run_state: None,
     current_boot_id=lambda upstream_id, reported: reported,
 )
 
--- a/tests/failures/support.py
+++ b/tests/failures/support.py
@@ -104,8 +104,10 @@
         timeout_ms: int = 5_000,
         stream: bool = True,
         key: str = API_KEY,
+        context: str = "",
     ) -> None:
-        self.key = key
+        """Create a call; `context` is the text of a message before the prompt."""
+        self.key, self.context = key, context
         self.prompt, self.tokens, self.stream = prompt, tokens, stream
         self.parts: list[str] = []
         self.error: dict[str, Any] = {}
@@ -113,9 +115,12 @@
         super().__init__(entry, timeout_ms)
 
     def _exchange(self) -> None:
+        messages = [{"role": "user", "content": self.prompt}]
+        if self.context:
+            messages.insert(0, {"role": "system", "content": self.context})
         body = {
             "model": MODEL,
-            "messages": [{"role": "user", "content": self.prompt}],
+            "messages": messages,
             "max_tokens": self.tokens,
             "stream": self.stream,
         }
@@ -174,7 +179,8 @@
         """
         if self.connection_error:
             return f"the connection broke: {self.describe()}"
-        expected = expected_text(self.prompt, self.tokens)
+        text = "\n".join(filter(None, (self.context, self.prompt)))
+        expected = expected_text(text, self.tokens)
         if not expected.startswith(self.text):
             return f"text of another completion: {self.text[-80:]!r}; {self.describe()}"
         if self.is_end_received:
--- a/tests/failures/test_crashing_requests.py
+++ b/tests/failures/test_crashing_requests.py
@@ -109,6 +109,44 @@
             )
 
 
+class CrashingPartTest(FleetTest):
+    """The engines exit when they compute a prompt with one message; no two requests are alike."""
+
+    SPEC = replace(
+        FleetTest.SPEC,
+        entries=3,
+        runners=8,
+        engine_options=("--crash-marker", MARKER),
+        instance_settings=FAST_SETTINGS,
+    )
+    FLEET_PER_TEST = True
+    MAX_CRASHED_ENGINES = 5
+
+    def send(self, number: int, context: str) -> ModelCall:
+        entry = self.fleet.entries[number % len(self.fleet.entries)]
+        return ModelCall(entry, prompt=f"Draft {number}.", context=context, timeout_ms=8_000).wait()
+
+    def test_part_of_different_requests(self):
+        """Guard against requests of one kind that crash one engine after the other."""
+        deadly = f"Use the archive. {MARKER}"
+        calls = []
+        for number in range(12):
+            calls.append(self.send(number, deadly))
+            if calls[-1].status == 422:
+                break
+            time.sleep(0.3)
+        crashed = [runner.name for runner in self.fleet.runners if not runner.running]
+        self.assertLessEqual(len(crashed), self.MAX_CRASHED_ENGINES, crashed)
+        self.assertEqual((calls[-1].status, calls[-1].run_state), (422, "not_run"))
+        for number in range(len(self.fleet.entries)):
+            refused = self.send(100 + number, deadly)
+            self.assertEqual((refused.status, refused.run_state), (422, "not_run"))
+            wait_until(
+                lambda n=number: self.send(200 + n, "Use the catalogue.").is_complete,
+                "response to a prompt with another context",
+            )
+
+
 class SlowCrashTest(FleetTest):
     """Engines stop listening some time before the connection of the crashing request closes."""
 
--- a/tests/peers/test_accounting.py
+++ b/tests/peers/test_accounting.py
@@ -222,7 +222,9 @@
         self.loop.start_components()
 
     def report_crash(self, upstream, *fingerprints, token=1):
-        self.loop.fire(upstream_died(upstream, "x", fingerprints, token, "entry"), "*")
+        self.loop.fire(
+            upstream_died(upstream, "x", dict.fromkeys(fingerprints, ()), token, "entry"), "*"
+        )
         self.loop.process_events()
 
     def shared_tokens(self):
--- a/tests/peers/test_codec.py
+++ b/tests/peers/test_codec.py
@@ -28,7 +28,16 @@
     Release,
     Settlement,
 )
-from ibispaddle_core.quarantine import Clearance, Death, Notice, NoticeReceived, Suspicion
+from ibispaddle_core.quarantine import (
+    Clearance,
+    CrashReport,
+    Death,
+    Notice,
+    NoticeReceived,
+    PartCleared,
+    PartQuarantined,
+    Suspicion,
+)
 from ibispaddle_core.usage import Counts, UsageAck, UsageSync
 from ibispaddle_daemon.peer_codec import HEADER, decode, encode
 
@@ -40,6 +49,11 @@
 COUNTS = st.builds(Counts, NUMBER, NUMBER, NUMBER, NUMBER)
 SUSPICION = st.builds(Suspicion, TEXT, DEATH, NUMBER)
 CLEARANCE = st.builds(Clearance, TEXT, st.lists(DEATH, max_size=3).map(tuple), NUMBER)
+PART_CHANGE = st.one_of(
+    st.builds(CrashReport, DEATH, TEXT, st.lists(TEXT, max_size=3).map(tuple)),
+    st.builds(PartCleared, TEXT, st.lists(DEATH, max_size=3).map(tuple)),
+    st.builds(PartQuarantined, TEXT, st.lists(DEATH, max_size=3).map(tuple), NUMBER, st.booleans()),
+)
 OUTCOME = st.builds(
     Outcome, st.none() | st.integers(100, 599), TEXT, st.none() | st.binary(max_size=100)
 )
@@ -58,6 +72,7 @@
         NUMBER,
         st.lists(SUSPICION, max_size=3).map(tuple),
         st.lists(CLEARANCE, max_size=3).map(tuple),
+        st.lists(PART_CHANGE, max_size=3).map(tuple),
     ),
     st.builds(NoticeReceived, NUMBER),
     st.builds(ListSeen, NUMBER),
