Ended streams whose continuation is not a stream

Reported by other operators: a stream breaks off, and the next upstream answers with an error. Here the caller did not find the error in its stream, but a complete 3xx or 4xx in place of the rest left the stream open until the caller gave up, and a 204 ended it as complete.

Cause: a response that is not a stream completed the attempt, although the head of another response had been sent.

--- a/packages/core/src/ibispaddle_core/forwarding/attempt.py
+++ b/packages/core/src/ibispaddle_core/forwarding/attempt.py
@@ -21,6 +21,7 @@
 MAX_BUFFERED_BODY_BYTES = 4_194_304
 # An upstream that resumes a stream may repeat some events; one that repeats more is looping.
 MAX_REPEATED_EVENTS = 512
+STATUS_OK = 200
 # The address belongs to a different upstream than the requested one.
 STATUS_MISDIRECTED = 421
 # Statuses with which a caller concludes that its request did not run.
@@ -82,12 +83,16 @@
             is_wrong_upstream = head.status == STATUS_MISDIRECTED and head.faulty_address is None
             outcome = Outcome.WRONG_UPSTREAM if is_wrong_upstream else Outcome.REJECTED
             return self._finish(outcome, f"status {head.status}, request not run")
-        if self._streams and 200 <= head.status < 300:
+        if self._streams and self._is_stream(head.status):
             if not head.is_authentic:
                 return self._finish(Outcome.FAILED, f"status {head.status} without proof of origin")
             self._splitter = EventSplitter()
         return []
 
+    def _is_stream(self, status: int) -> bool:
+        """Return whether the response is a stream; a continuation has the status of the beginning."""
+        return status == STATUS_OK if self._head_forwarded else 200 <= status < 300
+
     def _on_body(self, data: bytes) -> list[Effect]:
         if self._splitter is None:
             self._body += data
@@ -129,6 +134,10 @@
             if self._splitter.has_incomplete_event:
                 return self._finish(Outcome.FAILED, "the stream ended with an incomplete event")
             return [*self._forward_head(), *self._finish(Outcome.COMPLETED)]
+        if self._head_forwarded:
+            # The caller has received the head of the stream, so this response is not for it.
+            text = f"status {head.status} in place of the rest of the stream"
+            return self._finish(Outcome.ERROR, text)
         if 200 <= head.status < 300 and not head.is_authentic:
             return self._finish(Outcome.FAILED, f"status {head.status} without proof of origin")
         answer = CompleteResponse(head.status, head.headers, bytes(self._body))
--- a/tests/forwarding/test_attempt.py
+++ b/tests/forwarding/test_attempt.py
@@ -117,6 +117,18 @@
         self.assertEqual(heads, 0 if seen else 1)
         self.assertEqual(result_of(effects).outcome, Outcome.COMPLETED)
 
+    def test_continuation_that_is_no_stream(self) -> None:
+        """Guards against a stream that stays open after another upstream refused to continue it."""
+        for status in (204, 302, 404, 500):
+            attempt = ForwardedAttempt(streams=True, is_resumed=True, last_event_id=1)
+            head = ResponseHead(status, (), is_authentic=True)
+            effects = attempt.handle(HeadReceived(head))
+            effects += attempt.handle(BodyReceived(b"failed"))
+            effects += attempt.handle(CallEnded(is_complete=True))
+            [result] = effects
+            self.assertIn(result.outcome, (Outcome.ERROR, Outcome.FAILED))
+            self.assertIsNone(result.answer)
+
     def test_events_after_the_result_are_ignored(self) -> None:
         """Guards against data of an ended attempt that reaches the caller."""
         attempt = ForwardedAttempt(streams=True)
