Lifted a quarantine without putting its companions in its place

Found by the new test of an operator who lifts a quarantine: the first part of the same prompts was quarantined 3 ms later, so sound requests were refused.

Cause: a part in quarantine explains its crashes; once lifted, they counted against the other parts of the requests. Lifting now clears those of the same crashes as well. test_operator_lifts_a_quarantine (unit) and test_operator_lifts_the_quarantine (three instances) failed before.

--- a/packages/core/src/ibispaddle_core/quarantine/parts.py
+++ b/packages/core/src/ibispaddle_core/quarantine/parts.py
@@ -386,11 +386,18 @@
         is_whole = part not in self._explaining
         return PartQuarantined(part, kept, wall_ms + remaining_ms, is_whole)
 
-    def lift(self, part: str) -> PartCleared | None:
-        """Return the change that lifts a quarantine, to be merged, or None if there is none."""
+    def lift(self, part: str) -> tuple[PartCleared, ...]:
+        """Return the changes that lift a quarantine, to be merged; none if there is no quarantine.
+
+        The crashes that it explained must not count against its companions from then on.
+        """
         if part not in self._quarantined:
-            return None
-        return PartCleared(part, tuple(self._suspects[part].crashes))
+            return ()
+        deaths = self._suspects[part].crashes.keys()
+        return tuple(
+            PartCleared(other, tuple(sorted(deaths & self._suspects[other].crashes.keys())))
+            for other in sorted(self._companions(part), key=lambda other: (other == part, other))
+        )
 
     def expire(self, now_ms: int) -> None:
         """Remove expired crashes, suspicions and quarantines."""
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
@@ -502,11 +502,14 @@
             has_relayed_output=request.is_response_started,
             faulty_upstream_id=faulty_upstream_id,
         )
-        # A retry counts against the retry budget of the whole fleet and selects an upstream, so the
-        # other instances' counts and work are fetched first.
-        proceed = lambda: self.before_selection(  # noqa: E731
-            lambda: self._handle_failed_attempt(request, ended), request.req.model
-        )
+
+        def proceed() -> None:
+            # A retry counts against the retry budget of the whole fleet and selects an upstream, so
+            # the other instances' counts and work are fetched first.
+            self.before_selection(
+                lambda: self._handle_failed_attempt(request, ended), request.req.model
+            )
+
         if not self._may_have_crashed(request, result):
             proceed()
             return
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/part_guard.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/part_guard.py
@@ -159,8 +159,8 @@
     def lift(self, part: str) -> None:
         """Lift the quarantine of a part on all instances."""
         cleared = self.registry.lift(part)
-        if cleared is not None:
-            self._merge_own([cleared])
+        if cleared:
+            self._merge_own(cleared)
 
     def entry(self, part: str) -> PartQuarantined | None:
         """Return the entry of a part in quarantine, to be stored."""
--- a/packages/daemon/src/ibispaddle_daemon/quarantine.py
+++ b/packages/daemon/src/ibispaddle_daemon/quarantine.py
@@ -144,8 +144,7 @@
         clearance = self.registry.lift(fingerprint, self._clock.wall_ms())
         if clearance is not None:
             self._append(lift_record(clearance, author))
-        cleared = self.parts.lift(fingerprint)
-        if cleared is not None:
+        for cleared in self.parts.lift(fingerprint):
             part = Clearance(cleared.part, cleared.deaths, self._clock.wall_ms())
             self._append(lift_record(part, author))
 
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -30,7 +30,14 @@
 
     def read_request(self, headers: Headers) -> CallerRequest:
         values = dict(headers)
-        return CallerRequest(values.get("id", "a1"), "h", prompt_tokens=100, max_output_tokens=5)
+        parts = tuple(filter(None, values.get("parts", "").split(",")))
+        return CallerRequest(
+            values.get("id", "a1"),
+            "h",
+            prompt_tokens=100,
+            max_output_tokens=5,
+            prompt_parts=parts,
+        )
 
     def upstream_headers(self, headers: Headers, call: UpstreamCall) -> Headers:
         return (("id", call.attempt_id), ("left", str(call.time_left_ms)))
@@ -93,9 +100,10 @@
         self.timers._on_generate_events(event)
         self.flush()
 
-    def send(self, attempt_id: str = "a1") -> FakeExchange:
-        """Simulate a request of a caller."""
-        exchange = FakeExchange("/x", (("id", attempt_id),))
+    def send(self, attempt_id: str = "a1", parts: str = "") -> FakeExchange:
+        """Simulate a request of a caller; `parts` are separated by commas."""
+        exchange = FakeExchange("/x", (("id", attempt_id), ("parts", parts)))
+        exchange.body = attempt_id.encode()
         exchange.arrived_ms = self.clock.now_ms()
         self.fire(exchange_started(exchange), "forwarder")
         return exchange
--- a/tests/platform_adapter/test_crashing_parts.py
+++ b/tests/platform_adapter/test_crashing_parts.py
@@ -21,6 +21,7 @@
 KNOWN_S = 3.0
 MAX_LATER_REQUESTS = 3
 LATER_REQUESTS = 12
+TOPIC = "keyed.quarantine"
 SOUND_REQUESTS = 12
 
 
@@ -106,6 +107,24 @@
             wait_until(instance.is_ready, "ready")
         self.check_known()
 
+    def test_operator_lifts_the_quarantine(self) -> None:
+        """Guards against an operator who cannot end a quarantine before it expires."""
+        self.crash_until_known()
+        wait_until(self.is_stored, "stored entry")
+        self.platform.put(TOPIC, DEADLY, None)
+        for instance in self.platform.instances:
+
+            def is_released(instance: Instance = instance) -> bool:
+                return bool(instance.events("part_released"))
+
+            wait_until(is_released, "release")
+        crashes = self.crashes
+        statuses = self.send_in_turn(1, FIRST, DEADLY)
+        self.assertGreater(self.crashes, crashes, statuses)
+
+    def is_stored(self) -> bool:
+        return DEADLY in self.platform.store.state()["keys"].get(TOPIC, [])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/quarantine/test_parts.py
+++ b/tests/quarantine/test_parts.py
@@ -134,14 +134,16 @@
         self.assertIsNone(self.blocked("part"))
 
     def test_operator_lifts_a_quarantine(self) -> None:
-        self.assertIsNone(self.quarantine.lift("part"))
+        """Guards against a companion that is blocked in place of the part that was lifted."""
+        self.assertEqual(self.quarantine.lift("part"), ())
         for number in range(5):
-            self.merge(crash(number, "part"))
+            self.merge(crash(number, "first", "part"))
         self.decide(0)
         entry = self.quarantine.entry("part", self.now_ms, self.now_ms)
-        self.merge(self.quarantine.lift("part"))
+        self.merge(*self.quarantine.lift("part"))
         self.merge(entry)  # A late copy of the stored entry.
-        self.assertIsNone(self.blocked("part"))
+        self.assertEqual(self.decide(10_000), [])
+        self.assertIsNone(self.blocked("first", "part"))
 
     def test_entry_informs_an_instance_that_has_just_started(self) -> None:
         """Guards against a fleet that forgets the part when all instances are restarted."""
