--- a/packages/daemon/src/ibispaddle_daemon/store/instances.py
+++ b/packages/daemon/src/ibispaddle_daemon/store/instances.py
@@ -8,12 +8,12 @@
 from ibispaddle_core.settings import GatewaySettings
 from ibispaddle_core.topics import TopicUpdate
 
-from ..calls import CallbackHttpClient, CallResult
 from ..fleet import TopicRelay
 from ..logs import log_event
 from ..timers import TimerQueue
 from .codec import StoreCodec
 from .follower import TopicFollower
+from .writer import TopicWriter
 
 TOPIC = "keyed.instances"
 # Long-poll wait: maximum time for which the store holds a read while the list has not changed.
@@ -29,7 +29,6 @@
 # Interval at which every instance checks for lost instances, of which only the first hub finds any. Also
 # the minimum time between two writes of the own record.
 SWEEP_INTERVAL_MS = 5_000
-WRITE_TIMEOUT_MS = 2_000
 WRITE_RETRY_MS = 500
 
 
@@ -67,11 +66,11 @@
         self._own_record = _InstanceRecord(
             peer_address, settings.instance.data_centre, settings.capacity
         )
-        self._url, self._codec, self._ranking = settings.store_url, codec, ranking
+        self._ranking = ranking
         self._clock, self._timers, self._relay = clock, timers, relay
         self._records: dict[str, _InstanceRecord] = {}
         self._last_write_ms: int | None = None
-        self._calls = CallbackHttpClient("instance_directory_calls", clock).register(self)
+        self._writer = TopicWriter(TOPIC, settings.store_url, codec, clock).register(self)
         self._topic = TopicFollower(
             TOPIC,
             settings.store_url,
@@ -108,22 +107,12 @@
         self._write(self._instance_id, msgspec.json.encode(self._own_record))
 
     def _write(self, name: str, value: bytes | None) -> None:
-        call = self._codec.put(TOPIC, name, value)
-
-        def done(result: CallResult) -> None:
-            if result.error is None and result.status == 200:
-                return
-            reason = (
-                result.error.text
-                if result.error is not None
-                else f"the store responded with status {result.status}"
-            )
-            log_event(logevents.STORE_UNAVAILABLE, topic=TOPIC, reason=reason)
-            # Repeating a write that did succeed does no harm: the value is the same, and an instance that
-            # is removed although it has returned writes its record again in `_apply`.
+        # Repeating a write that did succeed does no harm: the value is the same, and an instance that
+        # is removed although it has returned writes its record again in `_apply`.
+        def retry() -> None:
             self._timers.after(WRITE_RETRY_MS, lambda: self._write(name, value))
 
-        self._calls.send(call.method, self._url + call.path, call.body, WRITE_TIMEOUT_MS, done)
+        self._writer.write(name, value, retry)
 
     def _apply(self, update: TopicUpdate) -> None:
         if update.is_snapshot:
--- a/packages/daemon/src/ibispaddle_daemon/store/quarantine.py
+++ b/packages/daemon/src/ibispaddle_daemon/store/quarantine.py
@@ -10,13 +10,13 @@
 from ibispaddle_core.quarantine import PartQuarantined
 from ibispaddle_core.topics import TopicUpdate
 
-from ..calls import CallbackHttpClient, CallResult
 from ..fleet import TopicRelay
 from ..forwarding import PartGuard
 from ..logs import log_event
 from ..timers import TimerQueue
 from .codec import StoreCodec
 from .follower import TopicFollower
+from .writer import TopicWriter
 
 TOPIC = "keyed.quarantine"
 # Long-poll wait. A new entry ends it, and the instances also tell each other of new entries.
@@ -25,7 +25,6 @@
 # Delay after which an instance that is not responsible writes an entry that is still missing.
 MIN_FALLBACK_DELAY_MS = 1_500
 MAX_FALLBACK_DELAY_MS = 4_500
-WRITE_TIMEOUT_MS = 2_000
 WRITE_RETRY_MS = 1_000
 
 
@@ -50,11 +49,10 @@
         relay: TopicRelay,
     ) -> None:
         super().__init__()
-        self._url, self._codec, self._guard = url, codec, guard
-        self._is_responsible, self._timers = is_responsible, timers
+        self._guard, self._is_responsible, self._timers = guard, is_responsible, timers
         self._rng = random.Random()
         self._stored: set[str] = set()
-        self._calls = CallbackHttpClient("quarantine_directory_calls", clock).register(self)
+        self._writer = TopicWriter(TOPIC, url, codec, clock).register(self)
         TopicFollower(
             TOPIC,
             url,
@@ -105,18 +103,4 @@
         if (entry is not None) == (part in self._stored):
             return
         value = msgspec.json.encode(entry) if entry is not None else None
-        call = self._codec.put(TOPIC, part, value)
-
-        def done(result: CallResult) -> None:
-            if result.error is None and result.status == 200:
-                return
-            reason = (
-                result.error.text
-                if result.error is not None
-                else f"the store responded with status {result.status}"
-            )
-            log_event(logevents.STORE_UNAVAILABLE, topic=TOPIC, reason=reason)
-            # The entry may have been stored; storing it again has no effect.
-            self._write_after(WRITE_RETRY_MS, part)
-
-        self._calls.send(call.method, self._url + call.path, call.body, WRITE_TIMEOUT_MS, done)
+        self._writer.write(part, value, lambda: self._write_after(WRITE_RETRY_MS, part))
--- a/tests/platform_adapter/processes.py
+++ b/tests/platform_adapter/processes.py
@@ -178,6 +178,15 @@
         wait_until(instance.is_ready, "ready")
         return instance
 
+    def followers(self) -> list[Instance]:
+        """Return the instances that read the store through another one, which is their hub."""
+        found = []
+        for instance in self.instances:
+            changes = instance.events("relay_changed")
+            if changes and changes[-1]["relay"] is not None:
+                found.append(instance)
+        return found
+
     def put(self, topic: str, key: str, value: Any) -> None:
         """Write the newest record of a key; None removes it."""
         text = None if value is None else value if isinstance(value, str) else json.dumps(value)
--- a/tests/platform_adapter/test_crashing_parts.py
+++ b/tests/platform_adapter/test_crashing_parts.py
@@ -30,20 +30,11 @@
         # Otherwise the instances refuse all keys during an outage of the store.
         self.platform = Platform(runners=RUNNERS, instances=INSTANCES, fail_closed=False)
         self.addCleanup(self.platform.__exit__)
-        wait_until(lambda: len(self.followers()) == INSTANCES - 1, "relays", 20)
+        wait_until(lambda: len(self.platform.followers()) == INSTANCES - 1, "relays", 20)
         for runner in self.platform.runners:
             runner.set_faults(deadly_part=DEADLY)
         self.numbers = itertools.count(1)
 
-    def followers(self) -> list[Instance]:
-        """Return the instances that know a hub."""
-        found = []
-        for instance in self.platform.instances:
-            changes = instance.events("relay_changed")
-            if changes and changes[-1]["relay"] is not None:
-                found.append(instance)
-        return found
-
     @property
     def crashes(self) -> int:
         return sum(not runner.running for runner in self.platform.runners)
--- a/tests/platform_adapter/test_endless_upstreams.py
+++ b/tests/platform_adapter/test_endless_upstreams.py
@@ -15,6 +15,7 @@
 from tests.support.waiting import wait_until
 
 from .processes import Platform
+from .raw_server import RawServer
 
 # `ID` is replaced by the request's attempt id.
 RESPONSE_HEAD = b"HTTP/1.1 200 OK\r\nServer-Stamp: x\r\nAttempt-Id: ID\r\n"
@@ -40,28 +41,17 @@
 CALLS = 8
 
 
-class EndlessUpstream:
+class EndlessUpstream(RawServer):
     """A server that sends endlessly on each of its connections."""
 
     def __init__(self, first: bytes, repeated: bytes, pause_s: float = 0.0) -> None:
         self._first, self._repeated, self._pause_s = first, repeated, pause_s
-        self.name = ""
-        self._server = socket.create_server(("127.0.0.1", 0))
-        self.address = f"127.0.0.1:{self._server.getsockname()[1]}"
         self.open = 0
         self.seen: set[str] = set()  # Attempt ids of the requests that were read.
         self._lock = threading.Lock()
-        threading.Thread(target=self._accept, daemon=True).start()
+        super().__init__()
 
-    def _accept(self) -> None:
-        while True:
-            try:
-                sock, _ = self._server.accept()
-            except OSError:
-                return
-            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
-
-    def _serve(self, sock: socket.socket) -> None:
+    def serve(self, sock: socket.socket) -> None:
         with self._lock:
             self.open += 1
         try:
@@ -79,9 +69,6 @@
             with self._lock:
                 self.open -= 1
 
-    def close(self) -> None:
-        self._server.close()
-
 
 def resident_kb(pid: int) -> int:
     """Return the resident set size of a process."""
--- a/tests/platform_adapter/test_faulty_upstreams.py
+++ b/tests/platform_adapter/test_faulty_upstreams.py
@@ -2,7 +2,6 @@
 
 import re
 import socket
-import threading
 import unittest
 from collections.abc import Sequence
 from http.client import HTTPException, IncompleteRead
@@ -11,6 +10,7 @@
 from tests.support.waiting import wait_until
 
 from .processes import Platform
+from .raw_server import RawServer
 
 # `ID` is replaced by the request's attempt id.
 HEAD = b"HTTP/1.1 200 OK\r\nServer-Stamp: x\r\nAttempt-Id: ID\r\n"
@@ -19,7 +19,7 @@
 REPORT = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
 
 
-class ScriptedUpstream:
+class ScriptedUpstream(RawServer):
     """A server that answers the n-th request with the n-th response, and then closes its connection.
 
     A connection is kept for `requests_per_connection` requests.
@@ -28,21 +28,11 @@
     def __init__(self, responses: Sequence[bytes], requests_per_connection: int = 1) -> None:
         self._responses = list(responses)
         self._requests_per_connection = requests_per_connection
-        self._server = socket.create_server(("127.0.0.1", 0))
-        self.address = f"127.0.0.1:{self._server.getsockname()[1]}"
-        self.name = f"scripted-{self.address.rpartition(':')[2]}"
         self.runs = 0
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def _accept(self) -> None:
-        while True:
-            try:
-                sock, _ = self._server.accept()
-            except OSError:
-                return
-            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+        super().__init__()
+        self.name = f"scripted-{self.address.rpartition(':')[2]}"
 
-    def _serve(self, sock: socket.socket) -> None:
+    def serve(self, sock: socket.socket) -> None:
         with sock:
             for _ in range(self._requests_per_connection):
                 request = sock.recv(65_536)
@@ -56,9 +46,6 @@
                 self.runs += 1
                 sock.sendall(response.replace(b"ID", found[1] if found else b""))
 
-    def close(self) -> None:
-        self._server.close()
-
 
 class FaultyUpstreamTest(unittest.TestCase):
     def setUp(self) -> None:
--- a/tests/platform_adapter/test_relays.py
+++ b/tests/platform_adapter/test_relays.py
@@ -19,16 +19,7 @@
     def setUp(self) -> None:
         self.platform = Platform(instances=INSTANCES)
         self.addCleanup(self.platform.__exit__)
-        wait_until(lambda: len(self.followers()) == INSTANCES - 1, "relays", 20)
-
-    def followers(self) -> list[Instance]:
-        """Return the instances that read the store through another one."""
-        found = []
-        for instance in self.platform.instances:
-            changes = instance.events("relay_changed")
-            if changes and changes[-1]["relay"] is not None:
-                found.append(instance)
-        return found
+        wait_until(lambda: len(self.platform.followers()) == INSTANCES - 1, "relays", 20)
 
     def version_everywhere(self, version: int, instances: list[Instance]) -> bool:
         lines = [instance.events("config_in_force")[-1] for instance in instances]
@@ -54,7 +45,7 @@
 
     def test_relays_that_die(self) -> None:
         """Guards against instances that get no more changes after their relay died."""
-        followers = self.followers()
+        followers = self.platform.followers()
         for instance in self.platform.instances:
             if instance not in followers:
                 instance.close()
@@ -66,7 +57,7 @@
         """Guards against a revoked key that is accepted for longer because another instance relayed it."""
         self.platform.store.set_faults(silent=True)
         began = time.monotonic()
-        for instance in self.followers():
+        for instance in self.platform.followers():
 
             def is_refused(instance: Instance = instance) -> bool:
                 return instance.call("GET", "/read/x").status == 503
