Kept parts suspect when an upstream rejects their request

Found on reading the change again: any complete response cleared the parts, also one with status 400, for which the upstream had not run the request. A deadly part could so be cleared. Only 2xx does now; the new test failed before.

--- a/packages/core/src/ibispaddle_core/quarantine/parts.py
+++ b/packages/core/src/ibispaddle_core/quarantine/parts.py
@@ -21,11 +21,12 @@
 REQUESTS_TO_QUARANTINE = 2
 # Time from the last of these crashes to the quarantine, within which a response may clear the part.
 CONFIRMATION_MS = 500
-# A part with this many crashes needs no confirmation.
-CRASHES_WITHOUT_CONFIRMATION = 5
 # The same for a part whose requests were answered before: it is probably only a companion of the part
 # that crashes upstreams, and the next response clears it.
 SOUND_CONFIRMATION_MS = 2_000
+# A part without responses and with this many crashes needs no confirmation.
+CRASHES_WITHOUT_CONFIRMATION = 5
+# Appended to the boot id of an upstream that has crashed and has not reported its new one.
 SUCCESSOR_SUFFIX = "+"
 MAX_SUSPECTS = 5_000
 # Further crashes within the window are not recorded.
@@ -49,6 +50,8 @@
 
 @dataclass(slots=True)
 class _Suspect:
+    """The crashes with a part, and those of which it was cleared."""
+
     position: int  # In the prompt; the whole request comes last.
     changed_ms: int
     crashes: dict[Death, _Crash] = field(default_factory=dict)
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
@@ -535,7 +535,8 @@
 
     def _complete(self, request: ForwardedRequest, upstream_id: str, result: AttemptResult) -> None:
         response, exchange = result.answer, request.exchange
-        self.part_guard.record_completion(request)
+        if response is None or 200 <= response.status < 300:
+            self.part_guard.record_completion(request)
         if response is not None:
             exchange.respond(response.status, response.headers, response.body)
         else:
--- a/tests/forwarding/test_part_guard.py
+++ b/tests/forwarding/test_part_guard.py
@@ -152,6 +152,17 @@
         self.assertEqual(len(suspects["first"].cleared), 1)
         self.assertEqual(len(suspects["p"].cleared), 0)
 
+    def test_rejection_clears_nothing(self) -> None:
+        """Guards against an upstream that rejects a request without running it, and clears its parts."""
+        self.fixture.send("a1", parts="p")
+        self.fail()
+        self.detector.answer(True)
+        call = self.fixture.client.calls[-1]
+        call.sink.call_head(call.call_id, 400, ())
+        call.sink.call_ended(call.call_id, None)
+        self.fixture.flush()
+        self.assertEqual(len(self.guard.registry._suspects["p"].cleared), 0)
+
     def test_same_request_sent_again(self) -> None:
         """Guards against one request without shared parts that crashes upstreams again and again."""
         for _ in range(2):
