Derived the boot that receives a request in one place

Found on reading the change again: PartQuarantine had its own copy of SuspectTracker.current_boot_id and of its suffix. Both now call current_boot_id in quarantine/deaths.py; behaviour is unchanged.

--- a/packages/core/src/ibispaddle_core/quarantine/__init__.py
+++ b/packages/core/src/ibispaddle_core/quarantine/__init__.py
@@ -1,6 +1,6 @@
 """Detection and quarantine of requests that crash upstreams."""
 
-from .deaths import Death
+from .deaths import SUCCESSOR_SUFFIX, Death, current_boot_id
 from .exceptions import QuarantineError, QuarantineRecordError
 from .messages import Clearance, Notice, NoticeReceived, QuarantineEntry, Suspicion
 from .part_messages import CrashReport, PartChange, PartCleared, PartQuarantined, part_key
@@ -9,6 +9,7 @@
 from .registry import Quarantine
 
 __all__ = [
+    "SUCCESSOR_SUFFIX",
     "Clearance",
     "CrashReport",
     "Death",
@@ -23,6 +24,7 @@
     "QuarantineError",
     "QuarantineRecordError",
     "Suspicion",
+    "current_boot_id",
     "lift_record",
     "part_key",
     "parse_record",
--- a/packages/core/src/ibispaddle_core/quarantine/deaths.py
+++ b/packages/core/src/ibispaddle_core/quarantine/deaths.py
@@ -1,7 +1,11 @@
 """Identity of the crash of an upstream."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
+# Appended to the boot id of an upstream that has crashed and has not reported its new one.
+SUCCESSOR_SUFFIX = "+"
+
 
 @dataclass(frozen=True, order=True)
 class Death:
@@ -9,3 +13,15 @@
 
     upstream_id: str
     boot_id: str
+
+
+def current_boot_id(has_died: Callable[[Death], bool], upstream_id: str, reported_boot: str) -> str:
+    """Return the boot that receives a request, given the last reported one.
+
+    Reports lag behind: a boot that is known to have died is replaced by a placeholder id for its
+    successor, so that a crash of the successor is not mistaken for the known one.
+    """
+    boot_id = reported_boot
+    while has_died(Death(upstream_id, boot_id)):
+        boot_id += SUCCESSOR_SUFFIX
+    return boot_id
--- a/packages/core/src/ibispaddle_core/quarantine/parts.py
+++ b/packages/core/src/ibispaddle_core/quarantine/parts.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 
-from .deaths import Death
+from .deaths import Death, current_boot_id
 from .part_messages import CrashReport, PartChange, PartCleared, PartQuarantined
 
 # Suspicions and quarantines end after this time.
@@ -26,8 +26,6 @@
 SOUND_CONFIRMATION_MS = 2_000
 # A part without responses and with this many crashes needs no confirmation.
 CRASHES_WITHOUT_CONFIRMATION = 5
-# Appended to the boot id of an upstream that has crashed and has not reported its new one.
-SUCCESSOR_SUFFIX = "+"
 MAX_SUSPECTS = 5_000
 # Further crashes within the window are not recorded.
 MAX_CRASHES_PER_PART = 256
@@ -135,15 +133,8 @@
         return bool(self._suspects)
 
     def current_boot_id(self, upstream_id: str, reported_boot: str) -> str:
-        """Return the boot that receives a request, given the last reported one.
-
-        Reports lag behind: a boot that is known to have died stands for its successor, so that a crash
-        of the successor is not mistaken for the known one.
-        """
-        boot_id = reported_boot
-        while Death(upstream_id, boot_id) in self._parts_by_death:
-            boot_id += SUCCESSOR_SUFFIX
-        return boot_id
+        """Return the boot that receives a request, given the last reported one."""
+        return current_boot_id(self._parts_by_death.__contains__, upstream_id, reported_boot)
 
     # Exchange with other instances
 
--- a/packages/daemon/src/ibispaddle_daemon/suspects.py
+++ b/packages/daemon/src/ibispaddle_daemon/suspects.py
@@ -12,7 +12,13 @@
 from circuits import BaseComponent, handler
 from ibispaddle_core.chat import ProtocolError
 from ibispaddle_core.clock import Clock
-from ibispaddle_core.quarantine import PartQuarantine, Quarantine
+from ibispaddle_core.quarantine import (
+    SUCCESSOR_SUFFIX,
+    Death,
+    PartQuarantine,
+    Quarantine,
+    current_boot_id,
+)
 from ibispaddle_core.runstate import RunState
 
 from .calls import CallbackHttpClient, CallResult
@@ -23,8 +29,6 @@
 # Timeout of the check whether an upstream is still running.
 LIVENESS_TIMEOUT_MS = 500
 
-SUCCESSOR_SUFFIX = "+"
-
 
 class _BootReport(msgspec.Struct):
     boot_id: str
@@ -92,15 +96,12 @@
         )
 
     def current_boot_id(self, upstream_id: str, reported_boot: str) -> str:
-        """Return the boot that receives an attempt, given the last reported one.
+        """Return the boot that receives an attempt, given the last reported one."""
 
-        Load reports lag behind: a boot that is known to have died is replaced by a placeholder id
-        for its successor, so that a crash of the successor is not mistaken for the known one.
-        """
-        boot_id = reported_boot
-        while self._registry.has_died(upstream_id, boot_id):
-            boot_id += SUCCESSOR_SUFFIX
-        return boot_id
+        def has_died(death: Death) -> bool:
+            return self._registry.has_died(death.upstream_id, death.boot_id)
+
+        return current_boot_id(has_died, upstream_id, reported_boot)
 
     def has_boot_ended(self, upstream_id: str, boot_id: str) -> bool:
         """Return whether a boot of an upstream is known to have died."""
