--- a/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
@@ -398,6 +398,7 @@
             request=request.caller.attempt_id,
             id=request.request_id,
             attempt=request.attempts,
+            service=request.req.model,
             upstream=decision.upstream_id,
             waited_ms=now_ms - request.req.arrived_ms,
             left_ms=call.time_left_ms,
