Gave each service a retry budget of its own

Cause: the scheduler had one retry budget for all services, and so had the hub's counts of the fleet. Class of fault: a bound that is kept over a larger domain than it is promised for. The allowance without counts of the others had the same kind of slip: twice the even share each, which is twice the slack when no instance has counts, as in the ten seconds after a hub's start.

Change: attempts are counted, exchanged and bounded by service. Updates carry only the services whose counts are new to the hub. The old fields stay filled for instances of the release before, during a rolling update.

Tests, with real processes: test_retry_budget sends 300 streams and 40 reads while the service of the reads turns all away. Without processes: test_requests_for_another_service_do_not_count; the bound of test_fleet_whose_hub_has_just_started_keeps_the_budget is the slack now instead of twice the slack, which the rule never allowed.

--- a/packages/core/src/ibispaddle_core/hubs/attempts.py
+++ b/packages/core/src/ibispaddle_core/hubs/attempts.py
@@ -1,60 +1,73 @@
 """Aggregation on a hub of all instances' attempts within the retry budget's window."""
 
 from collections import deque
+from collections.abc import Mapping
 
 from ..scheduling import AttemptCounts
 from ..scheduling.retries import WINDOW_MS
 
+_Counts = dict[str, AttemptCounts]  # By service.
+
 
 class AttemptAggregator:
-    """Sum the recent attempts of all instances except the requesting one.
+    """Sum the recent attempts at each service of all instances except the requesting one.
 
     Instances report cumulative totals since their start, so a lost message loses no attempts. Until
     the aggregator has counted for a full window it returns None, because its sum is incomplete.
 
     >>> attempts = AttemptAggregator(started_ms=0)
-    >>> attempts.update("a", AttemptCounts(5, 0), now_ms=0)
-    >>> attempts.update("a", AttemptCounts(9, 2), now_ms=9_000)
-    >>> attempts.total_excluding("b", now_ms=9_999), attempts.total_excluding("b", now_ms=10_000)
-    (None, AttemptCounts(first=4, retries=2))
+    >>> attempts.update("a", {"llm": AttemptCounts(5, 0)}, now_ms=0)
+    >>> attempts.update("a", {"llm": AttemptCounts(9, 2)}, now_ms=9_000)
+    >>> attempts.total_excluding("b", now_ms=9_999)
+    >>> attempts.total_excluding("b", now_ms=10_000)
+    {'llm': AttemptCounts(first=4, retries=2)}
     """
 
     def __init__(self, started_ms: int) -> None:
         self._started_ms = started_ms
-        self._totals: dict[str, AttemptCounts] = {}
-        self._recent: deque[tuple[int, str, AttemptCounts]] = deque()
-        self._window_sums: dict[str, AttemptCounts] = {}  # By instance.
-        self._window_sum = AttemptCounts()
-
-    def update(self, instance: str, totals: AttemptCounts, now_ms: int) -> None:
-        """Record the cumulative totals of an instance since its start."""
-        previous = self._totals.get(instance)
-        self._totals[instance] = totals
-        if previous is None:
-            return
-        # Totals that decrease come from a restarted process.
-        is_restarted = totals.first < previous.first or totals.retries < previous.retries
-        added = totals if is_restarted else totals - previous
-        if added != AttemptCounts():
-            self._recent.append((now_ms, instance, added))
-            self._add(instance, added)
-
-    def total_excluding(self, instance: str, now_ms: int) -> AttemptCounts | None:
+        self._totals: dict[str, _Counts] = {}
+        self._recent: deque[tuple[int, str, str, AttemptCounts]] = deque()
+        self._window_sums: dict[str, _Counts] = {}  # By instance.
+        self._window_sum: _Counts = {}
+
+    def update(self, instance: str, totals: Mapping[str, AttemptCounts], now_ms: int) -> None:
+        """Record the cumulative totals of an instance since its start, for some or all services."""
+        is_first = instance not in self._totals
+        known = self._totals.setdefault(instance, {})
+        for service, counts in totals.items():
+            previous = known.get(service, AttemptCounts())
+            known[service] = counts
+            if is_first:
+                continue
+            # Totals that decrease come from a restarted process.
+            is_restarted = counts.first < previous.first or counts.retries < previous.retries
+            added = counts if is_restarted else counts - previous
+            if added != AttemptCounts():
+                self._recent.append((now_ms, instance, service, added))
+                self._add(instance, service, added)
+
+    def total_excluding(self, instance: str, now_ms: int) -> dict[str, AttemptCounts] | None:
         """Return the attempts of all other instances in the window, or None if they are unknown."""
         self._expire(now_ms)
         if now_ms - self._started_ms < WINDOW_MS:
             return None
-        return self._window_sum - self._window_sums.get(instance, AttemptCounts())
+        own = self._window_sums.get(instance, {})
+        others = {
+            service: counts - own.get(service, AttemptCounts())
+            for service, counts in self._window_sum.items()
+        }
+        return {service: counts for service, counts in others.items() if counts != AttemptCounts()}
 
     def _expire(self, now_ms: int) -> None:
         while self._recent and self._recent[0][0] <= now_ms - WINDOW_MS:
-            _, instance, counts = self._recent.popleft()
-            self._add(instance, AttemptCounts() - counts)
+            _, instance, service, counts = self._recent.popleft()
+            self._add(instance, service, AttemptCounts() - counts)
 
-    def _add(self, instance: str, counts: AttemptCounts) -> None:
-        self._window_sum += counts
-        instance_sum = self._window_sums.get(instance, AttemptCounts()) + counts
-        if instance_sum == AttemptCounts():
+    def _add(self, instance: str, service: str, counts: AttemptCounts) -> None:
+        instance_sums = self._window_sums.setdefault(instance, {})
+        for sums in (self._window_sum, instance_sums):
+            sums[service] = sums.get(service, AttemptCounts()) + counts
+            if sums[service] == AttemptCounts():
+                del sums[service]
+        if not instance_sums:
             del self._window_sums[instance]
-        else:
-            self._window_sums[instance] = instance_sum
--- a/packages/core/src/ibispaddle_core/scheduling/attempts.py
+++ b/packages/core/src/ibispaddle_core/scheduling/attempts.py
@@ -59,7 +59,7 @@
         self._backlog.remove(state)
         self._claims.remove(req.request_id)
         if state.attempts == 0:
-            self._retry_budget.count_first_attempt(now_ms)
+            self._retry_budget.count_first_attempt(req.model, now_ms)
         state.attempts += 1
         state.sent_ms = now_ms
         upstream_id = choice.view.upstream.upstream_id
--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -1,6 +1,6 @@
 """The scheduler of one instance, which turns events into decisions without any I/O."""
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
 from math import inf
 from random import Random
 from typing import assert_never
@@ -467,7 +467,10 @@
             and not self.queue.is_full(req.neighbour)
             and bool(self.runners.live(req.model))
             # An attempt that reached no upstream added no load, so its retry is not budgeted.
-            and (event.outcome is Outcome.NOT_SENT or self._retry_budget.try_acquire(now_ms))
+            and (
+                event.outcome is Outcome.NOT_SENT
+                or self._retry_budget.try_acquire(req.model, now_ms)
+            )
         )
         if not retry:
             return decisions + self._refuse(
@@ -504,8 +507,8 @@
         self._lane_backoff.clear()
 
     @property
-    def attempt_totals(self) -> AttemptCounts:
-        """Return the attempt counts of this instance since its start, for the other instances."""
+    def attempt_totals(self) -> Mapping[str, AttemptCounts]:
+        """Return the attempts of this instance since its start by service, for the other instances."""
         return self._retry_budget.totals
 
     def own_work(self, instance: str, now_ms: int) -> PeerWork:
--- a/packages/core/src/ibispaddle_core/scheduling/messages.py
+++ b/packages/core/src/ibispaddle_core/scheduling/messages.py
@@ -225,10 +225,11 @@
 class FleetAttempts:
     """Replace the attempt counts of all other instances in the window of the retry budget.
 
-    `counts` is None if they are unknown. `instances` is the number of instances in the fleet.
+    `counts` holds them by service, or is None if they are unknown. `instances` is the number of
+    instances in the fleet.
     """
 
-    counts: AttemptCounts | None
+    counts: Mapping[str, AttemptCounts] | None
     instances: int = 1
 
 
--- a/packages/daemon/src/ibispaddle_daemon/fleet/messages.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/messages.py
@@ -5,7 +5,7 @@
 import msgspec
 from ibispaddle_core.gossip import Hello, Proof
 from ibispaddle_core.quarantine import PartChange
-from ibispaddle_core.scheduling import PeerWork, UpstreamWork
+from ibispaddle_core.scheduling import AttemptCounts, PeerWork, UpstreamWork
 from result import Err, Ok, Result
 
 from ..peer_frames import HEADER, PeerFormatError
@@ -13,6 +13,7 @@
 # Boot of a hub, and the number of its last change of the quarantine that the sender of a query knows.
 Cursor = tuple[int, int]
 WorkRow = tuple[str, int, int, int, int]  # Upstream id, prefill in ms, requests, KV tokens, parts.
+AttemptRow = tuple[str, int, int]  # Service, first attempts, retries.
 
 
 class WorkUpdate(msgspec.Struct, frozen=True, array_like=True, tag="w"):
@@ -20,8 +21,10 @@
 
     rows: tuple[WorkRow, ...]
     avoided: tuple[str, ...]
-    first_attempts: int = 0  # Counted since the start of the sender, as are the retries.
+    # Counted since the start of the sender; of all services, for hubs that run an earlier release.
+    first_attempts: int = 0
     retries: int = 0
+    attempts: tuple[AttemptRow, ...] = ()  # Of the services whose counts may be new to the hub.
 
 
 class WorkQuery(msgspec.Struct, frozen=True, array_like=True, tag="q"):
@@ -43,13 +46,15 @@
     query_id: int
     rows: tuple[WorkRow, ...]
     avoided: tuple[str, ...]
-    # First attempts and retries of the other instances in the retry budget's window, if known to the hub.
+    # First attempts and retries of the other instances in the retry budget's window, if known to the hub;
+    # of all services, for instances that run an earlier release.
     attempts: tuple[int, int] | None = None
     choice_rank: int = 0  # Instances that queried earlier and have not selected yet.
     # The fields of a `QuarantineReply`.
     change_query_id: int = 0
     changes: tuple[PartChange, ...] = ()
     cursor: Cursor | None = None
+    service_attempts: tuple[AttemptRow, ...] | None = None  # The same counts by service.
 
 
 class QuarantineUpdate(msgspec.Struct, frozen=True, array_like=True, tag="u"):
@@ -172,3 +177,13 @@
         for name, prefill_ms, requests, tokens, parts in rows
     }
     return PeerWork(instance, work, avoided, choice_rank)
+
+
+def encode_attempt_rows(counts: Mapping[str, AttemptCounts]) -> tuple[AttemptRow, ...]:
+    """Encode attempts by service as rows of a message."""
+    return tuple((service, item.first, item.retries) for service, item in counts.items())
+
+
+def decode_attempt_rows(rows: tuple[AttemptRow, ...]) -> dict[str, AttemptCounts]:
+    """Decode attempts by service."""
+    return {service: AttemptCounts(first, retries) for service, first, retries in rows}
--- a/packages/daemon/src/ibispaddle_daemon/fleet/work.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/work.py
@@ -4,7 +4,7 @@
 """
 
 import itertools
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import msgspec
 from circuits import BaseComponent
@@ -23,7 +23,15 @@
 from ..logs import log_event
 from ..timers import TimerHandle, TimerQueue
 from .links import FleetLinks
-from .messages import WorkQuery, WorkSnapshot, WorkUpdate, decode_work_rows, encode_work_rows
+from .messages import (
+    WorkQuery,
+    WorkSnapshot,
+    WorkUpdate,
+    decode_attempt_rows,
+    decode_work_rows,
+    encode_attempt_rows,
+    encode_work_rows,
+)
 from .quarantine import QuarantineExchange
 
 # Updates about work that has ended are batched for this time.
@@ -74,6 +82,7 @@
         self._sent_work: PeerWork | None = None
         self._sent_ms = 0
         self._sent_to: tuple[str, ...] = ()
+        self._sent_totals: Mapping[str, AttemptCounts] = {}
         self._send_timer: TimerHandle | None = None
         self._send_due_ms = 0
         self._callbacks: list[Callable[[], None]] = []  # Called after the next snapshot.
@@ -165,7 +174,8 @@
             self._quarantine.apply_response(
                 instance_id, message.change_query_id, message.changes, message.cursor
             )
-        counts = AttemptCounts(*message.attempts) if message.attempts is not None else None
+        rows = message.service_attempts
+        counts = decode_attempt_rows(rows) if rows is not None else None
         self._apply(
             decode_work_rows(FLEET_INSTANCE_ID, message.rows, message.avoided, message.choice_rank),
             counts,
@@ -184,7 +194,7 @@
         self._snapshot_ms = None
         self.refresh(callback)
 
-    def _apply(self, others: PeerWork, counts: AttemptCounts | None) -> None:
+    def _apply(self, others: PeerWork, counts: Mapping[str, AttemptCounts] | None) -> None:
         self._snapshot_ms = self._clock.now_ms()
         attempts = FleetAttempts(counts, max(1, self._ranking.size))
         self._forwarder.update_fleet_work(others, attempts)
@@ -240,12 +250,23 @@
         if work == self._sent_work and not force:
             return
         self._sent_work, self._sent_ms = work, now_ms
-        self._sent_to = self._ranking.hubs(now_ms)
+        previous_hubs, self._sent_to = self._sent_to, self._ranking.hubs(now_ms)
         totals = self._forwarder.scheduler.attempt_totals
         self._work_aggregator.update(work, now_ms)
         self._attempt_aggregator.update(self._instance_id, totals, now_ms)
         self._schedule_check()
-        update = WorkUpdate(encode_work_rows(work.work), work.avoided, totals.first, totals.retries)
+        # A message is lost only with its connection, after which the hubs change.
+        known = self._sent_totals if self._sent_to == previous_hubs and not force else {}
+        new = {name: item for name, item in totals.items() if item != known.get(name)}
+        self._sent_totals = totals
+        total = sum(totals.values(), AttemptCounts())
+        update = WorkUpdate(
+            encode_work_rows(work.work),
+            work.avoided,
+            total.first,
+            total.retries,
+            encode_attempt_rows(new),
+        )
         frame = self._links.encode(update)
         for hub_id in self._sent_to:
             if hub_id != self._instance_id:
@@ -258,19 +279,30 @@
         work = decode_work_rows(instance_id, message.rows, message.avoided)
         self._work_aggregator.update(work, now_ms)
         self._pending_choices.end_choice(instance_id)
-        totals = AttemptCounts(message.first_attempts, message.retries)
+        totals = decode_attempt_rows(message.attempts)
         self._attempt_aggregator.update(instance_id, totals, now_ms)
 
     def _on_query(self, instance_id: str, message: WorkQuery) -> None:
         now_ms = self._clock.now_ms()
         others = self._work_aggregator.total_excluding(instance_id, now_ms)
         counts = self._attempt_aggregator.total_excluding(instance_id, now_ms)
-        attempts = (counts.first, counts.retries) if counts is not None else None
+        attempts = service_attempts = None
+        if counts is not None:
+            total = sum(counts.values(), AttemptCounts())
+            attempts = (total.first, total.retries)
+            service_attempts = encode_attempt_rows(counts)
         # The number of instances that queried earlier for the same service and have not reported their
         # selection yet.
         choice_rank = self._pending_choices.begin_choice(instance_id, message.service, now_ms)
         rows = encode_work_rows(others.work)
-        snapshot = WorkSnapshot(message.query_id, rows, others.avoided, attempts, choice_rank)
+        snapshot = WorkSnapshot(
+            message.query_id,
+            rows,
+            others.avoided,
+            attempts,
+            choice_rank,
+            service_attempts=service_attempts,
+        )
         if self._quarantine is not None:
             changes, cursor = self._quarantine.respond(message.changes, message.cursor)
             snapshot = msgspec.structs.replace(
--- a/packages/standins/src/ibispaddle_standins/platform_runner.py
+++ b/packages/standins/src/ibispaddle_standins/platform_runner.py
@@ -5,6 +5,7 @@
 import json
 import os
 import time
+from collections import Counter
 from typing import Any
 
 from aiohttp import web
@@ -33,6 +34,7 @@
         "refuse_memory",  # Refuses reservations with 409.
         "second_answer",  # Sends the response twice.
         "deadly_part",  # The process exits when it begins to respond to a prompt with this part.
+        "deadly_body",  # The process exits when it begins to run a request with this text.
     )
 
     def __init__(self, args: argparse.Namespace) -> None:
@@ -40,6 +42,7 @@
         self._runs: list[dict[str, Any]] = []
         self._reserved: dict[str, int] = {}
         self._active_streams = 0
+        self._arrivals: Counter[str] = Counter()  # By attempt id.
         self._started_ms = time.time_ns() // 1_000_000
 
     @classmethod
@@ -56,8 +59,13 @@
         router.add_route("*", "/{path:.*}", self._run)
 
     def state(self) -> dict[str, Any]:
-        """Return the runs, the reservations and the number of streams in progress."""
-        return {"runs": self._runs, "reserved": self._reserved, "working": self._active_streams}
+        """Return the runs, arrivals, reservations and the number of streams in progress."""
+        return {
+            "runs": self._runs,
+            "arrivals": self._arrivals,
+            "reserved": self._reserved,
+            "working": self._active_streams,
+        }
 
     async def _report(self, request: web.Request) -> web.Response:
         return web.json_response({"stage": "mixed", "born": self._started_ms})
@@ -80,12 +88,15 @@
         attempt = {"Attempt-Id": request.headers.get("Attempt-Id", "")}
         if expected_instance not in (None, self.args.id):
             return web.Response(status=421, headers=attempt)
+        self._arrivals[attempt["Attempt-Id"]] += 1
         if self.faults.consume("shed"):
             return web.Response(status=503, headers={**attempt, "Not-Executed": "1"})
         body = await request.read()
         headers = {name.lower(): value for name, value in request.headers.items()}
         run = {"path": request.path_qs, "method": request.method, "headers": headers}
         self._record(run | {"body": body.decode()})
+        if str(self.faults.get("deadly_body", "\0")).encode() in body:
+            os._exit(1)
         if self.faults.consume("lose_answer"):
             abort_connection(request)
         if self.faults.consume("silent"):
--- a/tests/fleet/test_work.py
+++ b/tests/fleet/test_work.py
@@ -31,7 +31,7 @@
         self.has_waiting_requests = False
         self.schedule_calls = 0
         own_work = lambda instance, now_ms: PeerWork(name, dict(self.work))  # noqa: E731
-        self.scheduler = SimpleNamespace(own_work=own_work, attempt_totals=AttemptCounts())
+        self.scheduler = SimpleNamespace(own_work=own_work, attempt_totals={})
         self.attempts: FleetAttempts | None = None
 
     def update_fleet_work(self, work: PeerWork, attempts: FleetAttempts) -> None:
@@ -202,12 +202,12 @@
         """Guards against hundreds of instances that each use the whole fleet's retry budget."""
         self.dispatch("e", "r1")
         self.network.timers.advance(WINDOW_MS)
-        self.forwarders["e"].scheduler.attempt_totals = AttemptCounts(4, 3)
+        self.forwarders["e"].scheduler.attempt_totals = {"llm": AttemptCounts(4, 3)}
         self.dispatch("e", "r2")
         for name in "fa":
             self.select(name)
             self.assertEqual(
-                self.forwarders[name].attempts, FleetAttempts(AttemptCounts(4, 3), 6), name
+                self.forwarders[name].attempts, FleetAttempts({"llm": AttemptCounts(4, 3)}, 6), name
             )
 
 
--- a/tests/scheduling/test_fleet_retries.py
+++ b/tests/scheduling/test_fleet_retries.py
@@ -15,6 +15,7 @@
 INSTANCES = 195
 REQUESTS_PER_S = 150
 RATIO, SLACK, FLOOR = 0.2, 460, 55
+SERVICE = "llm"
 # One-way delay between an instance and a hub, including the processing time of the hub.
 MESSAGE_MS = 2
 DURATION_MS = 20_000
@@ -55,7 +56,7 @@
         match action:
             case "send":
                 if attempt == 1:
-                    instance.budget.count_first_attempt(now_ms)
+                    instance.budget.count_first_attempt(SERVICE, now_ms)
                 heapq.heappush(due, (now_ms + MESSAGE_MS, number, "reported", instance, attempt))
                 if attempt < attempts:
                     heapq.heappush(due, (now_ms + 100, number, "failed", instance, attempt))
@@ -63,7 +64,7 @@
                 instance.update(now_ms)
             case "failed":
                 instance.request_fleet_counts(now_ms + MESSAGE_MS)
-                if instance.budget.try_acquire(now_ms + 2 * MESSAGE_MS):
+                if instance.budget.try_acquire(SERVICE, now_ms + 2 * MESSAGE_MS):
                     times.append(now_ms + 2 * MESSAGE_MS)
                     heapq.heappush(due, (times[-1], number, "send", instance, attempt + 1))
     return sorted(times)
@@ -92,32 +93,53 @@
             budget.set_fleet_attempts(
                 FleetAttempts(aggregator.total_excluding("a", 100), INSTANCES), 100
             )
-            taken += sum(budget.try_acquire(200) for _ in range(20))
-        self.assertLessEqual(taken, 2 * SLACK)
+            taken += sum(budget.try_acquire(SERVICE, 200) for _ in range(20))
+        self.assertLessEqual(taken, SLACK)
 
     def test_retries_of_other_instances_count(self) -> None:
         """Guards against a retry although the other instances have used up the budget."""
         budget = RetryBudget(RATIO, FLOOR, SLACK)
-        budget.set_fleet_attempts(FleetAttempts(AttemptCounts(0, SLACK)), 0)
-        self.assertFalse(budget.try_acquire(1))
-        budget.set_fleet_attempts(FleetAttempts(AttemptCounts(0, 0)), 2)
-        self.assertTrue(budget.try_acquire(3))
+        budget.set_fleet_attempts(FleetAttempts({SERVICE: AttemptCounts(0, SLACK)}), 0)
+        self.assertFalse(budget.try_acquire(SERVICE, 1))
+        budget.set_fleet_attempts(FleetAttempts({}), 2)
+        self.assertTrue(budget.try_acquire(SERVICE, 3))
 
     def test_instance_without_fleet_counts_has_a_local_allowance(self) -> None:
         """Guards against no retries, or unbounded ones, while an instance reaches no hub."""
         budget = RetryBudget(RATIO, 3, SLACK)
-        budget.set_fleet_attempts(FleetAttempts(AttemptCounts(0, SLACK)), 0)
+        budget.set_fleet_attempts(FleetAttempts({SERVICE: AttemptCounts(0, SLACK)}), 0)
         now_ms = FLEET_COUNTS_MAX_AGE_MS + 1
-        self.assertEqual(sum(budget.try_acquire(now_ms) for _ in range(10)), 3)
+        self.assertEqual(sum(budget.try_acquire(SERVICE, now_ms) for _ in range(10)), 3)
+
+    def test_requests_for_another_service_do_not_count(self) -> None:
+        """Guards against retries at a service in proportion to the requests for another one."""
+        for counts in (None, {"other": AttemptCounts(10_000, 0)}):
+            budget = RetryBudget(RATIO, FLOOR, SLACK)
+            budget.set_fleet_attempts(FleetAttempts(counts, INSTANCES), 0)
+            for _ in range(5_000):
+                budget.count_first_attempt("other", 0)
+            taken = sum(budget.try_acquire(SERVICE, 1) for _ in range(2_000))
+            self.assertGreater(taken, 0)
+            self.assertLessEqual(taken, SLACK)
+
+    def test_aggregator_counts_each_service_apart(self) -> None:
+        """Guards against a report on one service that hides the counts of another."""
+        aggregator = AttemptAggregator(-WINDOW_MS)
+        aggregator.update("a", {}, 0)
+        aggregator.update("a", {"x": AttemptCounts(3, 1)}, 1)
+        aggregator.update("a", {"y": AttemptCounts(2, 0)}, 2)
+        aggregator.update("a", {"x": AttemptCounts(4, 1)}, 3)
+        expected = {"x": AttemptCounts(4, 1), "y": AttemptCounts(2, 0)}
+        self.assertEqual(aggregator.total_excluding("b", 4), expected)
 
     def test_totals_of_a_restarted_instance_are_counted_from_zero(self) -> None:
         """Guards against negative counts after the totals of an instance restart at zero."""
         aggregator = AttemptAggregator(-WINDOW_MS)
         for now_ms, totals in ((0, (5, 2)), (10, (9, 4)), (20, (1, 1))):
-            aggregator.update("a", AttemptCounts(*totals), now_ms)
-        self.assertEqual(aggregator.total_excluding("b", 30), AttemptCounts(5, 3))
-        self.assertEqual(aggregator.total_excluding("a", 30), AttemptCounts(0, 0))
-        self.assertEqual(aggregator.total_excluding("b", 21 + WINDOW_MS), AttemptCounts(0, 0))
+            aggregator.update("a", {SERVICE: AttemptCounts(*totals)}, now_ms)
+        self.assertEqual(aggregator.total_excluding("b", 30), {SERVICE: AttemptCounts(5, 3)})
+        self.assertEqual(aggregator.total_excluding("a", 30), {})
+        self.assertEqual(aggregator.total_excluding("b", 21 + WINDOW_MS), {})
 
 
 if __name__ == "__main__":
