Counted crashes of upstreams whose socket outlives the process

A request sent again and again crashed runners without end where a supervisor keeps the listening socket and starts the next process behind it: 18 further crashes in nine requests with six real runners, where three are allowed; callers saw 502.

Cause: after a broken connection the only evidence was a refused connection, or a report with another start within 150 ms. Behind such a socket no connection is refused, and the next process answers later, so every crash counted as 'slow or unreachable'. Class of fault: absence of an answer taken for a final answer.

An inconclusive check is now repeated five times within eight seconds, without delaying the retry. A late proof counts only against a request that no upstream has answered since, and against parts that none has answered; an upstream that was silent and is the same process is no evidence, as before.

test_process_restarted_behind_the_same_socket failed before (18, allowed 3) and passes; so do new tests of the detector and of late proofs.

--- a/packages/core/src/ibispaddle_core/quarantine/parts.py
+++ b/packages/core/src/ibispaddle_core/quarantine/parts.py
@@ -127,6 +127,10 @@
             del self._sound[next(iter(self._sound))]
         return tuple(cleared)
 
+    def is_sound(self, part: str) -> bool:
+        """Return whether a request with the part got a response recently."""
+        return part in self._sound
+
     @property
     def has_suspects(self) -> bool:
         """Return whether any part is suspect or in quarantine."""
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/crashes.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/crashes.py
@@ -1,33 +1,58 @@
 """Detection of upstreams that crashed while they were handling a request."""
 
 from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum, auto
 
 from circuits import BaseComponent
 from ibispaddle_core.clock import Clock
 
 from ..calls import CallbackHttpClient, CallResult
+from ..timers import TimerQueue
 from .codec import ForwardingCodec
 
 # Timeout of the check whether an upstream is still running, during which the request's retry waits.
 LIVENESS_TIMEOUT_MS = 150
+# Delays before an upstream that did not respond is checked again. Together they cover the restart of a
+# process whose supervisor keeps accepting connections meanwhile.
+RECHECK_DELAYS_MS = (250, 500, 1_000, 2_000, 4_000)
 
 # Called with whether the upstream has crashed.
 CrashCallback = Callable[[bool], None]
 
 
+class _Verdict(Enum):
+    CRASHED = auto()
+    RUNNING = auto()
+    UNKNOWN = auto()  # No response, or one that does not tell.
+
+
+@dataclass(eq=False)
+class _Check:
+    """The checks of one process, and what to call with their verdict."""
+
+    address: str
+    boot_ms: int | None
+    callbacks: list[CrashCallback] = field(default_factory=list)
+    late_callbacks: list[Callable[[], None]] = field(default_factory=list)
+    rechecks: int = 0
+
+
 class CrashDetector(BaseComponent):
     """Check whether an upstream whose connection broke has crashed.
 
     It has if its host answers that no process listens at the address, or if the process there was started
-    later. An upstream that does not respond may be slow or unreachable and does not count as crashed.
+    later. An upstream that does not respond may be slow or unreachable and does not count as crashed; it
+    is checked again for some seconds, because the next process may be starting behind a socket that
+    already accepts connections.
     """
 
     channel = "crash_detector"
 
-    def __init__(self, codec: ForwardingCodec, clock: Clock) -> None:
+    def __init__(self, codec: ForwardingCodec, clock: Clock, timers: TimerQueue) -> None:
         super().__init__()
-        self._codec = codec
-        self._callbacks: dict[tuple[str, int | None], list[CrashCallback]] = {}
+        self._codec, self._timers = codec, timers
+        self._checks: dict[tuple[str, int | None], _Check] = {}
         self._calls = CallbackHttpClient("crash_detector_calls", clock).register(self)
 
     @property
@@ -35,28 +60,56 @@
         """Return whether upstreams report on themselves."""
         return self._codec.liveness_path is not None
 
-    def check(self, address: str, boot_ms: int | None, callback: CrashCallback) -> None:
-        """Call `callback` within `LIVENESS_TIMEOUT_MS`.
-
-        `boot_ms` is the start of the process that received the request, if known. Concurrent checks of
-        the same process cause a single call.
+    def check(
+        self,
+        address: str,
+        boot_ms: int | None,
+        callback: CrashCallback,
+        late_callback: Callable[[], None] = lambda: None,
+    ) -> None:
+        """Call `callback` within `LIVENESS_TIMEOUT_MS`, with False if it is unknown so far.
+
+        `late_callback` is called if a crash is proved after that. `boot_ms` is the start of the process
+        that received the request, if known. Concurrent checks of the same process cause a single call.
         """
         key = (address, boot_ms)
-        if key in self._callbacks:
-            self._callbacks[key].append(callback)
+        check = self._checks.get(key)
+        if check is not None and check.rechecks:
+            # The first response is known to be missing, so the caller does not wait for the next one.
+            check.late_callbacks.append(late_callback)
+            callback(False)
             return
-        self._callbacks[key] = [callback]
-
-        def done(result: CallResult) -> None:
-            has_crashed = self._proves_crash(result, boot_ms)
-            for waiting in self._callbacks.pop(key):
-                waiting(has_crashed)
-
-        url = f"http://{address}{self._codec.liveness_path}"
-        self._calls.send("GET", url, b"", LIVENESS_TIMEOUT_MS, done)
-
-    def _proves_crash(self, result: CallResult, boot_ms: int | None) -> bool:
+        if check is None:
+            check = self._checks[key] = _Check(address, boot_ms)
+            self._send(check)
+        check.callbacks.append(callback)
+        check.late_callbacks.append(late_callback)
+
+    def _send(self, check: _Check) -> None:
+        url = f"http://{check.address}{self._codec.liveness_path}"
+        self._calls.send(
+            "GET", url, b"", LIVENESS_TIMEOUT_MS, lambda result: self._on_result(check, result)
+        )
+
+    def _on_result(self, check: _Check, result: CallResult) -> None:
+        verdict = self._verdict(result, check.boot_ms)
+        is_late = check.rechecks > 0
+        if verdict is _Verdict.UNKNOWN and check.rechecks < len(RECHECK_DELAYS_MS):
+            self._timers.after(RECHECK_DELAYS_MS[check.rechecks], lambda: self._send(check))
+            check.rechecks += 1
+        else:
+            del self._checks[(check.address, check.boot_ms)]
+        callbacks, check.callbacks = check.callbacks, []
+        for callback in callbacks:
+            callback(verdict is _Verdict.CRASHED)
+        if is_late and verdict is _Verdict.CRASHED:
+            for late_callback in check.late_callbacks:
+                late_callback()
+
+    def _verdict(self, result: CallResult, boot_ms: int | None) -> _Verdict:
         if result.error is not None:
-            return result.error.is_refused
+            return _Verdict.CRASHED if result.error.is_refused else _Verdict.UNKNOWN
         current_ms = self._codec.read_boot(result.body) if result.status == 200 else None
-        return boot_ms is not None and current_ms is not None and current_ms != boot_ms
+        if boot_ms is None or current_ms is None or current_ms == boot_ms:
+            return _Verdict.RUNNING
+        return _Verdict.CRASHED
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/part_guard.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/part_guard.py
@@ -1,6 +1,6 @@
 """Refusal of requests with a part that crashes upstreams, and the evidence for it."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 from circuits import BaseComponent, handler
 from ibispaddle_core import logevents
@@ -35,7 +35,7 @@
         super().__init__()
         self.registry = PartQuarantine()
         self._clock, self._timers = clock, timers
-        self._crashes = CrashDetector(codec, clock).register(self)
+        self._crashes = CrashDetector(codec, clock, timers).register(self)
         self._evaluation_timer: TimerHandle | None = None
         self.before_decision: Callable[[Callable[[], None]], None] = lambda callback: callback()
         self.on_changed: Callable[[], None] = lambda: None
@@ -92,7 +92,7 @@
             self._record_response(request)
 
     def _record_response(self, request: ForwardedRequest) -> None:
-        request.is_output_settled = True
+        request.is_output_settled = request.has_settled_output = True
         fingerprint = request.fingerprint if self.registry.has_suspects else ""
         cleared = self.registry.record_response(
             request.parts, fingerprint, request.attempt_output_sequence
@@ -119,18 +119,28 @@
     def check_upstream(
         self, request: ForwardedRequest, address: str, callback: Callable[[], None]
     ) -> None:
-        """Call `callback` once the upstream proved alive, or the request's parts are suspects."""
+        """Call `callback` once the upstream proved alive, or the request's parts are suspects.
+
+        If the upstream does not respond, `callback` is called soon, and the parts become suspects when
+        it turns out later that the process has ended.
+        """
         death = Death(request.upstream_id, request.attempt_boot_id)
 
         def done(has_crashed: bool) -> None:
             if has_crashed:
-                self._report_crash(request, death)
+                self._report_crash(request, death, request.parts)
             callback()
 
-        self._crashes.check(address, request.attempt_boot_ms, done)
+        def done_late() -> None:
+            # Meanwhile the request or its parts may have proved sound at another upstream.
+            if not request.has_settled_output:
+                parts = tuple(part for part in request.parts if not self.registry.is_sound(part))
+                self._report_crash(request, death, parts)
+
+        self._crashes.check(address, request.attempt_boot_ms, done, done_late)
 
-    def _report_crash(self, request: ForwardedRequest, death: Death) -> None:
-        report = self.registry.crash_report(death, request.parts, request.fingerprint)
+    def _report_crash(self, request: ForwardedRequest, death: Death, parts: Sequence[str]) -> None:
+        report = self.registry.crash_report(death, parts, request.fingerprint)
         log_event(
             logevents.UPSTREAM_CRASHED,
             request=request.caller.attempt_id,
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/requests.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/requests.py
@@ -37,6 +37,7 @@
     cancel_attempt: Callable[[], None] | None = None  # Set while an attempt is in flight.
     deadline_timer: TimerHandle | None = None
     failures: tuple[str, ...] = ()  # Reasons of failed attempts, for the log.
+    has_settled_output: bool = False  # Whether an upstream of any attempt has survived it.
     # State of the last attempt.
     attempt_boot_ms: int | None = None  # Start of its upstream, if known.
     attempt_boot_id: str = ""  # Identifies the process of its upstream.
--- a/tests/forwarding/test_part_guard.py
+++ b/tests/forwarding/test_part_guard.py
@@ -1,14 +1,17 @@
 """Tests of forwarded requests whose upstreams crash: evidence, retries and refusals."""
 
 import unittest
+from types import SimpleNamespace
 
+from ibispaddle_core.clock import ManualClock
 from ibispaddle_core.membership import ListedState, ListEntry, MemberKind
 from ibispaddle_core.quarantine import CrashReport, Death
 from ibispaddle_core.scheduling import RetryPolicy
 from ibispaddle_daemon.calls import CallResult
 from ibispaddle_daemon.events import CallFailure, HttpCallError, list_changed
-from ibispaddle_daemon.forwarding.crashes import CrashDetector
+from ibispaddle_daemon.forwarding.crashes import RECHECK_DELAYS_MS, CrashDetector
 from ibispaddle_daemon.forwarding.part_guard import SETTLED_OUTPUT_MS
+from ibispaddle_daemon.timers import TimerQueue
 
 from .fakes import FakeCodec, ForwarderFixture, streams
 
@@ -23,9 +26,11 @@
 
     def __init__(self) -> None:
         self.callbacks: list = []
+        self.late_callbacks: list = []
 
-    def check(self, address: str, boot_ms: int | None, callback) -> None:
+    def check(self, address: str, boot_ms: int | None, callback, late_callback) -> None:
         self.callbacks.append(callback)
+        self.late_callbacks.append(late_callback)
 
     def answer(self, has_crashed: bool) -> None:
         self.callbacks.pop(0)(has_crashed)
@@ -76,6 +81,27 @@
         self.assertEqual(self.calls, 2)
         self.assertFalse(self.guard.registry.has_suspects)
 
+    def test_late_proof_against_a_request_that_was_answered_elsewhere(self) -> None:
+        """Guards against suspicions of a sound request that was in flight at an unrelated crash."""
+        self.fixture.send(parts="p")
+        self.fail()
+        self.detector.answer(False)
+        self.fixture.answer(b"id: 1\ndata: a\n\n", is_complete=True)
+        self.detector.late_callbacks[0]()
+        self.assertFalse(self.guard.registry.has_suspects)
+
+    def test_late_proof_against_a_request_that_failed(self) -> None:
+        """Guards against a crash that is forgotten because it was proved late, and against
+        suspicions of parts that others proved sound."""
+        self.fixture.send("sound", parts="first")
+        self.fixture.answer(b"id: 1\ndata: a\n\n", is_complete=True)
+        self.fixture.send(parts="first,p")
+        self.fail()
+        self.detector.answer(False)
+        self.detector.late_callbacks[0]()
+        _, [report] = self.guard.registry.changes_since(0)
+        self.assertEqual(report.parts, ("p",))
+
     def test_leaving_upstream_may_end(self) -> None:
         """Guards against suspicions of the requests that a planned stop of an upstream cuts."""
         self.fixture.send(parts="p")
@@ -180,20 +206,64 @@
 
 
 class CrashDetectorTest(unittest.TestCase):
-    def check(self, result: CallResult, boot_ms: int | None = 5) -> bool:
+    def start(self, boot_ms: int | None = 5) -> None:
         codec = FakeCodec()
         codec.liveness_path = "/report"
         codec.read_boot = lambda body: int(body) if body else None
-        detector = CrashDetector(codec, None)
-        answers: list[bool] = []
-        callbacks: list = []
-        detector._calls.send = lambda *arguments: callbacks.append(arguments[-1])
+        self.clock = ManualClock()
+        self.timers = TimerQueue(self.clock)
+        self.detector = CrashDetector(codec, self.clock, self.timers)
+        self.answers: list[bool] = []
+        self.late = 0
+        self.callbacks: list = []
+        self.detector._calls.send = lambda *arguments: self.callbacks.append(arguments[-1])
         for _ in range(2):
-            detector.check("h:1", boot_ms, answers.append)
-        self.assertEqual(len(callbacks), 1)
-        callbacks[0](result)
-        self.assertEqual(len(answers), 2)
-        return answers[0]
+            self.detector.check("h:1", boot_ms, self.answers.append, self.count_late)
+
+    def count_late(self) -> None:
+        self.late += 1
+
+    def check(self, result: CallResult, boot_ms: int | None = 5) -> bool:
+        self.start(boot_ms)
+        self.assertEqual(len(self.callbacks), 1)
+        self.callbacks[0](result)
+        self.assertEqual(len(self.answers), 2)
+        return self.answers[0]
+
+    def advance(self, duration_ms: int) -> None:
+        self.clock.advance(duration_ms)
+        self.timers._on_generate_events(SimpleNamespace(reduce_time_left=lambda left_s: None))
+
+    def test_crash_that_shows_only_once_the_next_process_runs(self) -> None:
+        """Guards against a crash that is not counted because connections are accepted all the time."""
+        unknown = CallResult(0, (), b"", HttpCallError(CallFailure.TIMEOUT, "", False))
+        self.assertFalse(self.check(unknown))
+        self.advance(RECHECK_DELAYS_MS[0])
+        self.callbacks[1](unknown)
+        self.advance(RECHECK_DELAYS_MS[1])
+        self.callbacks[2](CallResult(200, (), b"6", None))
+        self.assertEqual((self.late, len(self.answers)), (2, 2))
+
+    def test_upstream_that_was_only_silent_has_not_crashed(self) -> None:
+        """Guards against suspicions because an upstream was slow or cut off for a while."""
+        unknown = CallResult(0, (), b"", HttpCallError(CallFailure.TIMEOUT, "", False))
+        self.check(unknown)
+        self.advance(RECHECK_DELAYS_MS[0])
+        self.callbacks[1](CallResult(200, (), b"5", None))
+        self.advance(sum(RECHECK_DELAYS_MS))
+        self.assertEqual((self.late, len(self.callbacks)), (0, 2))
+
+    def test_silent_upstream_is_not_checked_for_ever(self) -> None:
+        """Guards against checks without end of an upstream that is gone."""
+        unknown = CallResult(0, (), b"", HttpCallError(CallFailure.TIMEOUT, "", False))
+        self.check(unknown)
+        for number, delay_ms in enumerate(RECHECK_DELAYS_MS, 1):
+            self.advance(delay_ms)
+            self.callbacks[number](unknown)
+        self.advance(60_000)
+        self.assertEqual(len(self.callbacks), 1 + len(RECHECK_DELAYS_MS))
+        self.detector.check("h:1", 5, self.answers.append, self.count_late)
+        self.assertEqual(len(self.callbacks), 2 + len(RECHECK_DELAYS_MS))
 
     def test_only_proof_counts_as_a_crash(self) -> None:
         """Guards against suspicions because an upstream is slow, unreachable or full."""
--- a/tests/platform_adapter/test_crashing_requests.py
+++ b/tests/platform_adapter/test_crashing_requests.py
@@ -77,6 +77,11 @@
         self.start(keeps_socket=False)
         self.check_known(self.send)
 
+    def test_process_restarted_behind_the_same_socket(self) -> None:
+        """Guards against crashes that are not counted because no connection is ever refused."""
+        self.start(keeps_socket=True)
+        self.check_known(self.send)
+
     def test_other_headers_differ(self) -> None:
         """Guards against a request that is not recognised because its prompt is described otherwise."""
         self.start(keeps_socket=False)
