Ignored the retry counts of an instance that has just become a hub

A hub answered with the attempts of the fleet once its process had run for ten seconds, although it may have become a hub, and got its first reports, only then: on the code before, an aggregator of 30 s that got its first report just now (400 retries so far) answers {} in place of None. The fleet then starts with a fresh budget in the middle of a window, so up to twice the bound of BUDGET may reach a service when both hubs end together.

It now counts anew with the first report after a window without any, and instances use their local allowance meanwhile.

--- a/packages/core/src/ibispaddle_core/hubs/attempts.py
+++ b/packages/core/src/ibispaddle_core/hubs/attempts.py
@@ -13,9 +13,11 @@
     """Sum the recent attempts at each service of all instances except the requesting one.
 
     Instances report cumulative totals since their start, so a lost message loses no attempts. Until
-    the aggregator has counted for a full window it returns None, because its sum is incomplete.
+    the aggregator has counted for a full window it returns None, because its sum is incomplete. It
+    starts to count anew with the first report after a window without reports of others, since
+    `instance_id` may have become a hub only then.
 
-    >>> attempts = AttemptAggregator(started_ms=0)
+    >>> attempts = AttemptAggregator("hub", started_ms=0)
     >>> attempts.update("a", {"llm": AttemptCounts(5, 0)}, now_ms=0)
     >>> attempts.update("a", {"llm": AttemptCounts(9, 2)}, now_ms=9_000)
     >>> attempts.total_excluding("b", now_ms=9_999)
@@ -23,8 +25,9 @@
     {'llm': AttemptCounts(first=4, retries=2)}
     """
 
-    def __init__(self, started_ms: int) -> None:
-        self._started_ms = started_ms
+    def __init__(self, instance_id: str, started_ms: int) -> None:
+        self._instance_id = instance_id
+        self._counting_since_ms = self._reported_ms = started_ms
         self._totals: dict[str, _Counts] = {}
         self._recent: deque[tuple[int, str, str, AttemptCounts]] = deque()
         self._window_sums: dict[str, _Counts] = {}  # By instance.
@@ -32,6 +35,10 @@
 
     def update(self, instance: str, totals: Mapping[str, AttemptCounts], now_ms: int) -> None:
         """Record the cumulative totals of an instance since its start, for some or all services."""
+        if instance != self._instance_id:
+            if now_ms - self._reported_ms > WINDOW_MS:
+                self._counting_since_ms = now_ms
+            self._reported_ms = now_ms
         is_first = instance not in self._totals
         known = self._totals.setdefault(instance, {})
         for service, counts in totals.items():
@@ -49,7 +56,7 @@
     def total_excluding(self, instance: str, now_ms: int) -> dict[str, AttemptCounts] | None:
         """Return the attempts of all other instances in the window, or None if they are unknown."""
         self._expire(now_ms)
-        if now_ms - self._started_ms < WINDOW_MS:
+        if now_ms - self._counting_since_ms < WINDOW_MS:
             return None
         own = self._window_sums.get(instance, {})
         others = {
--- a/packages/daemon/src/ibispaddle_daemon/fleet/work.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/work.py
@@ -77,7 +77,7 @@
         self._ranking, self._links = ranking, links
         self._clock, self._timers = clock, timers
         self._work_aggregator = WorkAggregator()
-        self._attempt_aggregator = AttemptAggregator(clock.now_ms())
+        self._attempt_aggregator = AttemptAggregator(instance_id, clock.now_ms())
         self._pending_choices = PendingChoices()
         self._sent_work: PeerWork | None = None
         self._sent_ms = 0
--- a/tests/scheduling/test_fleet_retries.py
+++ b/tests/scheduling/test_fleet_retries.py
@@ -39,7 +39,7 @@
 def retries_of_a_fleet(attempts: int, seed: int) -> list[int]:
     """Return the times of all retries while every attempt fails after 100 ms."""
     rng = random.Random(seed)
-    aggregator = AttemptAggregator(-WINDOW_MS)
+    aggregator = AttemptAggregator("hub", -WINDOW_MS)
     fleet = [Instance(f"i{number}", aggregator) for number in range(INSTANCES)]
     for instance in fleet:
         instance.update(0)
@@ -87,7 +87,7 @@
     def test_fleet_whose_hub_has_just_started_keeps_the_budget(self) -> None:
         """Guards against a restarted hub that counts from zero although instances have retried."""
         budgets = [RetryBudget(RATIO, FLOOR, SLACK) for _ in range(INSTANCES)]
-        aggregator = AttemptAggregator(started_ms=0)
+        aggregator = AttemptAggregator("hub", started_ms=0)
         taken = 0
         for budget in budgets:
             budget.set_fleet_attempts(
@@ -111,6 +111,16 @@
         now_ms = FLEET_COUNTS_MAX_AGE_MS + 1
         self.assertEqual(sum(budget.try_acquire(SERVICE, now_ms) for _ in range(10)), 3)
 
+    def test_instance_that_has_just_become_a_hub_has_no_counts(self) -> None:
+        """Guards against a new hub that takes the retries before its first reports for none."""
+        aggregator = AttemptAggregator("hub", 0)
+        aggregator.update("hub", {SERVICE: AttemptCounts(3, 1)}, 3 * WINDOW_MS - 1)
+        aggregator.update("a", {SERVICE: AttemptCounts(900, 400)}, 3 * WINDOW_MS)
+        self.assertIsNone(aggregator.total_excluding("b", 3 * WINDOW_MS + 10))
+        for now_ms in range(3 * WINDOW_MS + 500, 4 * WINDOW_MS, 500):
+            aggregator.update("a", {SERVICE: AttemptCounts(900, 400)}, now_ms)
+        self.assertIsNotNone(aggregator.total_excluding("b", 4 * WINDOW_MS))
+
     def test_requests_for_another_service_do_not_count(self) -> None:
         """Guards against retries at a service in proportion to the requests for another one."""
         for counts in (None, {"other": AttemptCounts(10_000, 0)}):
@@ -124,7 +134,7 @@
 
     def test_aggregator_counts_each_service_apart(self) -> None:
         """Guards against a report on one service that hides the counts of another."""
-        aggregator = AttemptAggregator(-WINDOW_MS)
+        aggregator = AttemptAggregator("hub", -WINDOW_MS)
         aggregator.update("a", {}, 0)
         aggregator.update("a", {"x": AttemptCounts(3, 1)}, 1)
         aggregator.update("a", {"y": AttemptCounts(2, 0)}, 2)
@@ -134,7 +144,7 @@
 
     def test_totals_of_a_restarted_instance_are_counted_from_zero(self) -> None:
         """Guards against negative counts after the totals of an instance restart at zero."""
-        aggregator = AttemptAggregator(-WINDOW_MS)
+        aggregator = AttemptAggregator("hub", -WINDOW_MS)
         for now_ms, totals in ((0, (5, 2)), (10, (9, 4)), (20, (1, 1))):
             aggregator.update("a", {SERVICE: AttemptCounts(*totals)}, now_ms)
         self.assertEqual(aggregator.total_excluding("b", 30), {SERVICE: AttemptCounts(5, 3)})
