Kept the limits that upstreams name, for all instances together

Cause: nothing read Server-Limit. Class of fault: load that an upstream asks to be spared of is chosen by the work in flight alone, which stays low as long as the upstream answers quickly.

Change: the adapter reads the header into the head of a response. UpstreamPacing (core) holds a limit from the first response that names it to the first that does not. Instances report limits and requests with the work in flight; a hub answers with the last named limit and the requests of all others, so that the fleet counts as one. Without such counts an instance keeps to its even share. While all upstreams of a service are limited, requests that would wait past their deadline are refused at once.

--- a/packages/core/src/ibispaddle_core/forwarding/__init__.py
+++ b/packages/core/src/ibispaddle_core/forwarding/__init__.py
@@ -1,6 +1,6 @@
 """Forwarding of requests, independent of the wire format: attempts, and admission while draining."""
 
-from .attempt import ForwardedAttempt
+from .attempt import STATUS_MISDIRECTED, ForwardedAttempt
 from .messages import (
     AttemptResult,
     BodyReceived,
@@ -16,6 +16,7 @@
 from .stopping import DrainAdmission
 
 __all__ = [
+    "STATUS_MISDIRECTED",
     "CompleteResponse",
     "AttemptResult",
     "BodyReceived",
--- a/packages/core/src/ibispaddle_core/forwarding/messages.py
+++ b/packages/core/src/ibispaddle_core/forwarding/messages.py
@@ -17,6 +17,8 @@
     not_run: bool = False  # Proves that the upstream did not run the request.
     is_authentic: bool = False  # Proves that the upstream itself sent the response.
     faulty_address: str | None = None  # The upstream at fault, if it is another one.
+    # Requests a second that the upstream takes from all instances together, if it states a limit.
+    limit_per_s: float | None = None
 
 
 @dataclass(frozen=True)
--- a/packages/core/src/ibispaddle_core/hubs/__init__.py
+++ b/packages/core/src/ibispaddle_core/hubs/__init__.py
@@ -1,6 +1,7 @@
 """Hubs: the few instances that aggregate the state of the fleet for all others."""
 
 from .attempts import AttemptAggregator
+from .pacing import PaceAggregator
 from .pending_choices import PendingChoices
 from .ranking import HUB_COUNT, Candidate, HubRanking
 from .work import FLEET_INSTANCE_ID, WorkAggregator
@@ -11,6 +12,7 @@
     "AttemptAggregator",
     "Candidate",
     "HubRanking",
+    "PaceAggregator",
     "PendingChoices",
     "WorkAggregator",
 ]
--- a/packages/core/src/ibispaddle_core/scheduling/admission.py
+++ b/packages/core/src/ibispaddle_core/scheduling/admission.py
@@ -5,6 +5,7 @@
 from ..shares import ShareCounters
 from .cost import CostModel
 from .messages import RefusalReason, Request
+from .pacing import UpstreamPacing
 from .queue import FairQueue, Lane
 from .runners import RunnerTable
 from .subsets import RunnerSubsets
@@ -17,6 +18,9 @@
 # The measured rate of long prompts is often zero because few of them start within the window.
 MIN_DISPATCH_RATE = 0.25
 MAX_WAIT_MS = 600_000.0
+# Lower bound of the assumed requests a second to limited upstreams; they get one from time to time
+# whatever their limit is.
+MIN_PACED_RATE_PER_S = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,12 +57,14 @@
         shares: ShareCounters,
         runners: RunnerTable,
         subsets: RunnerSubsets,
+        pacing: UpstreamPacing,
     ) -> None:
         self._cost = cost
         self._queue = queue
         self._shares = shares
         self._runners = runners
         self._subsets = subsets
+        self._pacing = pacing
         self.dispatch_rate = DispatchRate()
 
     def check(self, req: Request, lane: Lane, now_ms: int) -> AdmissionRefusal | None:
@@ -72,6 +78,7 @@
         if self._cost.min_segments(req) > len(live):
             return AdmissionRefusal(RefusalReason.TOO_LARGE)
         wait_ms = self.queue_wait_ms(lane, req.neighbour, now_ms)
+        wait_ms = max(wait_ms, self._paced_wait_ms(req.model))
         if self._queue.is_full(req.neighbour):
             return AdmissionRefusal(RefusalReason.QUEUE_FULL, self.retry_after_ms(wait_ms))
         if now_ms + wait_ms + self.service_ms(req) > req.deadline_ms:
@@ -93,6 +100,17 @@
         share = self._shares.weight(neighbour) / total
         return min(queued_ms / (rate * share), MAX_WAIT_MS) if rate > 0 else 0.0
 
+    def _paced_wait_ms(self, model: str) -> float:
+        """Return the expected time in the queue of a model whose upstreams are all limited."""
+        if not self._pacing.has_limits:
+            return 0.0
+        upstream_ids = [view.upstream.upstream_id for view in self._runners.live(model)]
+        rate_per_s = self._pacing.rate_per_s(upstream_ids)
+        if rate_per_s is None:
+            return 0.0
+        waiting = self._queue.count(model)
+        return min(MAX_WAIT_MS, 1_000 * waiting / max(rate_per_s, MIN_PACED_RATE_PER_S))
+
     @staticmethod
     def retry_after_ms(wait_ms: float) -> int:
         """Return the bounded time after which a retry by the caller may be admitted."""
--- a/packages/core/src/ibispaddle_core/scheduling/attempts.py
+++ b/packages/core/src/ibispaddle_core/scheduling/attempts.py
@@ -6,6 +6,7 @@
 from .claims import MemoryClaimTable
 from .cost import CostModel, PromptClass
 from .messages import Dispatch, RetryPolicy
+from .pacing import UpstreamPacing
 from .placement import Choice
 from .prefixes import PrefixIndex
 from .requests import RequestState
@@ -34,6 +35,7 @@
         dispatch_rate: DispatchRate,
         budget: RetryBudget,
         timers: Timers,
+        pacing: UpstreamPacing,
     ) -> None:
         self._cost = cost
         self._shares = shares
@@ -45,6 +47,7 @@
         self._dispatch_rate = dispatch_rate
         self._retry_budget = budget
         self._timers = timers
+        self._pacing = pacing
 
     def start(
         self,
@@ -58,11 +61,13 @@
         req = state.req
         self._backlog.remove(state)
         self._claims.remove(req.request_id)
+        upstream_id = choice.view.upstream.upstream_id
+        if not handles:  # With reservations, it was counted when the group was chosen.
+            self._pacing.count_sent(upstream_id, now_ms)
         if state.attempts == 0:
             self._retry_budget.count_first_attempt(req.model, now_ms)
         state.attempts += 1
         state.sent_ms = now_ms
-        upstream_id = choice.view.upstream.upstream_id
         state.tried.add(upstream_id)
         state.upstream_id = upstream_id
         state.cancelling = state.first_token = False
--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -28,6 +28,7 @@
     Event,
     FirstToken,
     FleetAttempts,
+    FleetPaces,
     LoadReported,
     Outcome,
     PeerConsumption,
@@ -43,10 +44,12 @@
     Tick,
     TokensRelayed,
     Upstream,
+    UpstreamResponded,
     UpstreamsChanged,
     UpstreamState,
     WaitingPrompt,
 )
+from .pacing import UpstreamPacing
 from .placement import CLAIM_AFTER_MS, Choice, Placement, PredictedPlacement, choose_allowed
 from .prefixes import PrefixIndex
 from .queue import FairQueue, Lane
@@ -72,7 +75,8 @@
     ) -> None:
         self.shares = ShareCounters({n: c.weight for n, c in config.neighbours.items()})
         self.cost = CostModel(config)
-        self.runners = RunnerTable(self.cost)
+        self.pacing = UpstreamPacing()
+        self.runners = RunnerTable(self.cost, self.pacing)
         self.queue = FairQueue(config.scheduling.max_queue_per_neighbour)
         self._backlog = Backlog(self.queue, self.shares, self.cost)
         # Returns the runners that a request may use now, or None if it may use all of them.
@@ -83,7 +87,9 @@
         self._rng = Random(f"{seed}/{instance_boot}")
         self._claims = MemoryClaimTable()
         self._subsets = RunnerSubsets(instance_boot, wall_offset_ms)
-        self._admission = Admission(self.cost, self.queue, self.shares, self.runners, self._subsets)
+        self._admission = Admission(
+            self.cost, self.queue, self.shares, self.runners, self._subsets, self.pacing
+        )
         self.placement: Placement = PredictedPlacement(
             self.cost, self._prefixes, self._subsets, self._claims, self.shares, self._rng
         )
@@ -111,6 +117,7 @@
             self._admission.dispatch_rate,
             self._retry_budget,
             self._timers,
+            self.pacing,
         )
         self._lane_backoff = LaneBackoff()
 
@@ -188,6 +195,12 @@
                 self._has_new_peer_work = True
             case FleetAttempts():
                 self._retry_budget.set_fleet_attempts(event, now_ms)
+            case FleetPaces():
+                self.pacing.set_fleet(event, now_ms)
+                self.pacing.forget_missing(self.runners.views.keys())
+            case UpstreamResponded():
+                if event.upstream_id in self.runners.views:
+                    self.pacing.observe(event.upstream_id, event.limit_per_s, now_ms)
             case PeerWaitingPrompts():
                 self._reservation_order.merge(event, now_ms)
             case ReservationAnswered():
@@ -293,7 +306,7 @@
             return self._begin_reservations(state, idle_only, now_ms)
         allowed = self.allowed_runners(req)
         if allowed is not None:
-            choice = choose_allowed(req, allowed, self.runners, self.cost)
+            choice = choose_allowed(req, allowed, self.runners, self.cost, now_ms)
         elif self._should_divide(state, may_divide) and self._try_divide(state, now_ms):
             return []
         else:
@@ -316,7 +329,7 @@
 
     def _try_divide(self, state: RequestState, now_ms: int) -> bool:
         """Start reservations for a prompt that fits one engine if several have the memory now."""
-        live = self.runners.live(state.req.model)
+        live = self.runners.available(state.req.model, now_ms)
         if min(self.cost.preferred_segments(state.req), len(live)) < 2:
             return False
         contested = self._reservation_order.contested_runners(
@@ -341,6 +354,8 @@
 
     def _reserve(self, state: RequestState, group: Group, now_ms: int) -> None:
         req = state.req
+        # The request will be sent to the first runner of the group.
+        self.pacing.count_sent(group.views[0].upstream.upstream_id, now_ms)
         self._reservation_order.discard(req.request_id)
         self._backlog.move_to_reserving(state)
         is_parallel = self.cost.supports_joint_prefill(req.model)
@@ -360,9 +375,11 @@
         self, state: RequestState, idle_only: bool, now_ms: int
     ) -> list[Decision] | None:
         req = state.req
-        live = self.runners.live(req.model)
-        if self.cost.min_segments(req) > len(live):
+        if self.cost.min_segments(req) > len(self.runners.live(req.model)):
             return self._refuse(state, RefusalReason.TOO_LARGE, 0)
+        live = self.runners.available(req.model, now_ms)
+        if self.cost.min_segments(req) > len(live):
+            return None
         incomplete = self._reservations.reserving()
         if idle_only and incomplete:
             return None
@@ -524,6 +541,7 @@
         decisions: list[Decision] = []
         down = {view.upstream.upstream_id for view in self.runners.replace(upstreams)}
         self.health.forget_missing(set(self.runners.views))
+        self.pacing.forget_missing(self.runners.views.keys())
         for state in list(self._states.values()):
             # A stream that has started is left to the relay, which sees whether data still arrives.
             used = {view.upstream.upstream_id for view in self._attempts.views(state)}
--- a/packages/core/src/ibispaddle_core/scheduling/messages.py
+++ b/packages/core/src/ibispaddle_core/scheduling/messages.py
@@ -233,6 +233,62 @@
     instances: int = 1
 
 
+@dataclass(frozen=True)
+class SentCounts:
+    """Numbers of requests sent to a limited upstream in a short and a long window."""
+
+    short: int = 0
+    long: int = 0
+
+    def __add__(self, other: "SentCounts") -> "SentCounts":
+        return SentCounts(self.short + other.short, self.long + other.long)
+
+
+@dataclass(frozen=True)
+class PaceReport:
+    """What an instance reports about a limited upstream.
+
+    `limit_per_s` is None if the limit has ended. `observations` increases with each response that
+    stated the limit or its end, and `sent` is the number of requests since the limit was known.
+    """
+
+    limit_per_s: float | None
+    observations: int
+    sent: int
+
+
+@dataclass(frozen=True)
+class UpstreamPace:
+    """The last stated limit of an upstream, its age, and the requests of all other instances."""
+
+    limit_per_s: float | None  # None if the limit has ended.
+    age_ms: int
+    sent: SentCounts = SentCounts()
+
+
+@dataclass(frozen=True)
+class FleetPaces:
+    """Replace the limits that the other instances know; `paces` is None if they are unknown.
+
+    `instances` is the number of instances in the fleet.
+    """
+
+    paces: Mapping[str, UpstreamPace] | None
+    instances: int = 1
+
+
+@dataclass(frozen=True)
+class UpstreamResponded:
+    """Report what an upstream states about itself in the head of a response.
+
+    `limit_per_s` is the number of requests a second that it takes from all instances together, or
+    None if it states no limit.
+    """
+
+    upstream_id: str
+    limit_per_s: float | None = None
+
+
 @dataclass(frozen=True)
 class WaitingPrompt:
     """Describe a prompt that waits for memory on a group of runners."""
@@ -294,6 +350,8 @@
     | PeerWaitingPrompts
     | PeerWork
     | FleetAttempts
+    | FleetPaces
+    | UpstreamResponded
     | ReservationAnswered
     | ConfigurationReplaced
     | Tick
--- a/packages/core/src/ibispaddle_core/scheduling/queue.py
+++ b/packages/core/src/ibispaddle_core/scheduling/queue.py
@@ -87,6 +87,11 @@
         """Return the neighbours with waiting requests in the lane."""
         return list(self._lanes.get(lane, {}))
 
+    def count(self, model: str) -> int:
+        """Return the number of waiting requests for a model."""
+        lanes = (lane for key, lane in self._lanes.items() if key[1] == model)
+        return sum(len(entries) for neighbours in lanes for entries in neighbours.values())
+
     def cost_ms(self, lane: Lane, neighbour: str) -> float:
         """Return the engine time of the neighbour's waiting requests in the lane."""
         return self._cost.get((lane, neighbour), 0.0)
--- a/packages/core/src/ibispaddle_core/scheduling/runners.py
+++ b/packages/core/src/ibispaddle_core/scheduling/runners.py
@@ -6,6 +6,7 @@
 from ..settings.fleet import ModelConfig
 from .cost import CostModel, PromptClass
 from .messages import RunnerLoad, Upstream, UpstreamState, UpstreamWork
+from .pacing import UpstreamPacing
 
 # Reports do not contain the lengths of waiting prompts. Tokens above this number per waiting request
 # are attributed to long prompts, which a short prompt overtakes by its priority.
@@ -229,8 +230,9 @@
 class RunnerTable:
     """Hold the views of all runners, by model and in id order."""
 
-    def __init__(self, cost: CostModel) -> None:
+    def __init__(self, cost: CostModel, pacing: UpstreamPacing) -> None:
         self._cost = cost
+        self._pacing = pacing
         self.views: dict[str, RunnerView] = {}
         self._by_model: dict[str, list[RunnerView]] = {}
         self._peer_upstreams: set[str] = set()  # Runners at which other instances have work.
@@ -303,6 +305,13 @@
         """Return the runners that may get new work for the model, in id order."""
         return self._by_model.get(model, [])
 
+    def available(self, model: str, now_ms: int) -> list[RunnerView]:
+        """Return the runners that may get new work now: the live ones that keep their limits."""
+        live = self.live(model)
+        if not self._pacing.has_limits:
+            return live
+        return [view for view in live if self._pacing.has_room(view.upstream.upstream_id, now_ms)]
+
     def apply_load(self, load: RunnerLoad) -> None:
         """Apply a load report unless a newer one of the same boot is known."""
         view = self.views.get(load.upstream_id)
--- a/packages/daemon/src/ibispaddle_daemon/fleet/messages.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/messages.py
@@ -5,7 +5,14 @@
 import msgspec
 from ibispaddle_core.gossip import Hello, Proof
 from ibispaddle_core.quarantine import PartChange
-from ibispaddle_core.scheduling import AttemptCounts, PeerWork, UpstreamWork
+from ibispaddle_core.scheduling import (
+    AttemptCounts,
+    PaceReport,
+    PeerWork,
+    SentCounts,
+    UpstreamPace,
+    UpstreamWork,
+)
 from result import Err, Ok, Result
 
 from ..peer_frames import HEADER, PeerFormatError
@@ -14,6 +21,10 @@
 Cursor = tuple[int, int]
 WorkRow = tuple[str, int, int, int, int]  # Upstream id, prefill in ms, requests, KV tokens, parts.
 AttemptRow = tuple[str, int, int]  # Service, first attempts, retries.
+# Upstream id, limit in requests a second or None, number of observations, requests sent.
+PaceReportRow = tuple[str, float | None, int, int]
+# Upstream id, limit, its age in ms, requests of the other instances in the short and the long window.
+PaceRow = tuple[str, float | None, int, int, int]
 
 
 class WorkUpdate(msgspec.Struct, frozen=True, array_like=True, tag="w"):
@@ -24,7 +35,9 @@
     # Counted since the start of the sender; of all services, for hubs that run an earlier release.
     first_attempts: int = 0
     retries: int = 0
-    attempts: tuple[AttemptRow, ...] = ()  # Of the services whose counts may be new to the hub.
+    # The rest covers only what may be new to the hub.
+    attempts: tuple[AttemptRow, ...] = ()
+    paces: tuple[PaceReportRow, ...] = ()
 
 
 class WorkQuery(msgspec.Struct, frozen=True, array_like=True, tag="q"):
@@ -55,6 +68,7 @@
     changes: tuple[PartChange, ...] = ()
     cursor: Cursor | None = None
     service_attempts: tuple[AttemptRow, ...] | None = None  # The same counts by service.
+    paces: tuple[PaceRow, ...] | None = None  # Of limited upstreams, if known to the hub.
 
 
 class QuarantineUpdate(msgspec.Struct, frozen=True, array_like=True, tag="u"):
@@ -187,3 +201,31 @@
 def decode_attempt_rows(rows: tuple[AttemptRow, ...]) -> dict[str, AttemptCounts]:
     """Decode attempts by service."""
     return {service: AttemptCounts(first, retries) for service, first, retries in rows}
+
+
+def encode_pace_reports(reports: Mapping[str, PaceReport]) -> tuple[PaceReportRow, ...]:
+    """Encode reports on limited upstreams as rows of a message."""
+    return tuple(
+        (name, item.limit_per_s, item.observations, item.sent) for name, item in reports.items()
+    )
+
+
+def decode_pace_reports(rows: tuple[PaceReportRow, ...]) -> dict[str, PaceReport]:
+    """Decode reports on limited upstreams."""
+    return {name: PaceReport(limit, observations, sent) for name, limit, observations, sent in rows}
+
+
+def encode_paces(paces: Mapping[str, UpstreamPace]) -> tuple[PaceRow, ...]:
+    """Encode the paces of limited upstreams as rows of a message."""
+    return tuple(
+        (name, item.limit_per_s, item.age_ms, item.sent.short, item.sent.long)
+        for name, item in paces.items()
+    )
+
+
+def decode_paces(rows: tuple[PaceRow, ...]) -> dict[str, UpstreamPace]:
+    """Decode the paces of limited upstreams."""
+    return {
+        name: UpstreamPace(limit, age_ms, SentCounts(short, long))
+        for name, limit, age_ms, short, long in rows
+    }
--- a/packages/daemon/src/ibispaddle_daemon/fleet/work.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/work.py
@@ -5,6 +5,7 @@
 
 import itertools
 from collections.abc import Callable, Mapping
+from typing import TypeVar
 
 import msgspec
 from circuits import BaseComponent
@@ -14,10 +15,18 @@
     FLEET_INSTANCE_ID,
     AttemptAggregator,
     HubRanking,
+    PaceAggregator,
     PendingChoices,
     WorkAggregator,
 )
-from ibispaddle_core.scheduling import AttemptCounts, FleetAttempts, PeerWork
+from ibispaddle_core.scheduling import (
+    AttemptCounts,
+    FleetAttempts,
+    FleetPaces,
+    PaceReport,
+    PeerWork,
+    UpstreamPace,
+)
 
 from ..forwarding import Forwarder
 from ..logs import log_event
@@ -28,8 +37,12 @@
     WorkSnapshot,
     WorkUpdate,
     decode_attempt_rows,
+    decode_pace_reports,
+    decode_paces,
     decode_work_rows,
     encode_attempt_rows,
+    encode_pace_reports,
+    encode_paces,
     encode_work_rows,
 )
 from .quarantine import QuarantineExchange
@@ -53,6 +66,9 @@
 HUB_CHECK_INTERVAL_MS = 200
 
 
+_T = TypeVar("_T")
+
+
 class WorkExchange(BaseComponent):
     """Keep the forwarder's view of the other instances' work up to date."""
 
@@ -78,11 +94,13 @@
         self._clock, self._timers = clock, timers
         self._work_aggregator = WorkAggregator()
         self._attempt_aggregator = AttemptAggregator(instance_id, clock.now_ms())
+        self._pace_aggregator = PaceAggregator(instance_id, clock.now_ms())
         self._pending_choices = PendingChoices()
         self._sent_work: PeerWork | None = None
         self._sent_ms = 0
         self._sent_to: tuple[str, ...] = ()
         self._sent_totals: Mapping[str, AttemptCounts] = {}
+        self._sent_paces: Mapping[str, PaceReport] = {}
         self._send_timer: TimerHandle | None = None
         self._send_due_ms = 0
         self._callbacks: list[Callable[[], None]] = []  # Called after the next snapshot.
@@ -111,7 +129,9 @@
         hub_id = self._choose_hub(now_ms)
         if hub_id is None:
             counts = self._attempt_aggregator.total_excluding(self._instance_id, now_ms)
-            self._apply(self._work_aggregator.total_excluding(self._instance_id, now_ms), counts)
+            paces = self._pace_aggregator.paces_excluding(self._instance_id, now_ms)
+            others = self._work_aggregator.total_excluding(self._instance_id, now_ms)
+            self._apply(others, counts, paces)
             callback()
             return
         if self._snapshot_ms is not None and now_ms - self._snapshot_ms < SNAPSHOT_MAX_AGE_MS:
@@ -179,6 +199,7 @@
         self._apply(
             decode_work_rows(FLEET_INSTANCE_ID, message.rows, message.avoided, message.choice_rank),
             counts,
+            decode_paces(message.paces) if message.paces is not None else None,
         )
         if self._pending_query != (message.query_id, instance_id):
             return  # The response came late; the callbacks have been called without it.
@@ -194,10 +215,17 @@
         self._snapshot_ms = None
         self.refresh(callback)
 
-    def _apply(self, others: PeerWork, counts: Mapping[str, AttemptCounts] | None) -> None:
+    def _apply(
+        self,
+        others: PeerWork,
+        counts: Mapping[str, AttemptCounts] | None,
+        paces: Mapping[str, UpstreamPace] | None,
+    ) -> None:
         self._snapshot_ms = self._clock.now_ms()
-        attempts = FleetAttempts(counts, max(1, self._ranking.size))
-        self._forwarder.update_fleet_work(others, attempts)
+        instances = max(1, self._ranking.size)
+        self._forwarder.update_fleet_work(
+            others, FleetAttempts(counts, instances), FleetPaces(paces, instances)
+        )
 
     def _run_callbacks(self) -> None:
         self._pending_query = self._query_timer = None
@@ -255,17 +283,22 @@
         self._work_aggregator.update(work, now_ms)
         self._attempt_aggregator.update(self._instance_id, totals, now_ms)
         self._schedule_check()
+        paces = self._forwarder.scheduler.pacing.reports()
+        self._pace_aggregator.update(self._instance_id, paces, now_ms)
         # A message is lost only with its connection, after which the hubs change.
-        known = self._sent_totals if self._sent_to == previous_hubs and not force else {}
-        new = {name: item for name, item in totals.items() if item != known.get(name)}
-        self._sent_totals = totals
+        if force or self._sent_to != previous_hubs:
+            self._sent_totals, self._sent_paces = {}, {}
+        new_totals = _changed(totals, self._sent_totals)
+        new_paces = _changed(paces, self._sent_paces)
+        self._sent_totals, self._sent_paces = totals, paces
         total = sum(totals.values(), AttemptCounts())
         update = WorkUpdate(
             encode_work_rows(work.work),
             work.avoided,
             total.first,
             total.retries,
-            encode_attempt_rows(new),
+            encode_attempt_rows(new_totals),
+            encode_pace_reports(new_paces),
         )
         frame = self._links.encode(update)
         for hub_id in self._sent_to:
@@ -281,11 +314,13 @@
         self._pending_choices.end_choice(instance_id)
         totals = decode_attempt_rows(message.attempts)
         self._attempt_aggregator.update(instance_id, totals, now_ms)
+        self._pace_aggregator.update(instance_id, decode_pace_reports(message.paces), now_ms)
 
     def _on_query(self, instance_id: str, message: WorkQuery) -> None:
         now_ms = self._clock.now_ms()
         others = self._work_aggregator.total_excluding(instance_id, now_ms)
         counts = self._attempt_aggregator.total_excluding(instance_id, now_ms)
+        paces = self._pace_aggregator.paces_excluding(instance_id, now_ms)
         attempts = service_attempts = None
         if counts is not None:
             total = sum(counts.values(), AttemptCounts())
@@ -302,6 +337,7 @@
             attempts,
             choice_rank,
             service_attempts=service_attempts,
+            paces=encode_paces(paces) if paces is not None else None,
         )
         if self._quarantine is not None:
             changes, cursor = self._quarantine.respond(message.changes, message.cursor)
@@ -309,3 +345,7 @@
                 snapshot, change_query_id=message.change_query_id, changes=changes, cursor=cursor
             )
         self._links.answer(instance_id, snapshot)
+
+
+def _changed(values: Mapping[str, _T], sent: Mapping[str, _T]) -> dict[str, _T]:
+    return {name: item for name, item in values.items() if item != sent.get(name)}
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/attempts.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/attempts.py
@@ -15,6 +15,7 @@
     ForwardHead,
     ForwardingEvent,
     HeadReceived,
+    ResponseHead,
 )
 from ibispaddle_core.scheduling import Outcome, RetryPolicy
 
@@ -50,7 +51,7 @@
 class ForwardedAttempts(BaseComponent):
     """Run attempts and report the end of each exactly once.
 
-    `on_output` is called with the number of events sent to the caller since the previous call, and
+    `on_head` is called with the head of each response before it is processed, `on_output` with the number of events sent to the caller since the previous call, and
     `on_result` with the result of an attempt.
     """
 
@@ -62,13 +63,14 @@
         codec: ForwardingCodec,
         clock: Clock,
         timers: TimerQueue,
+        on_head: Callable[[str, ResponseHead], None],
         on_output: Callable[[ForwardedRequest, int], None],
         on_result: Callable[[ForwardedRequest, str, AttemptResult], None],
     ) -> None:
         super().__init__()
         self._client, self._codec = client, codec
         self._clock, self._timers = clock, timers
-        self._on_output, self._on_result = on_output, on_result
+        self._on_head, self._on_output, self._on_result = on_head, on_output, on_result
         self._running: dict[str, _RunningAttempt] = {}
         self.max_unsent_bytes = 262_144
         self.stall_timeout_ms = 5_000
@@ -121,10 +123,9 @@
         """Handle the head of a response."""
         running = self._running.get(call_id)
         if running is not None:
-            attempt_id = running.request.caller.attempt_id
-            self._handle_event(
-                running, HeadReceived(self._codec.read_head(status, headers, attempt_id))
-            )
+            head = self._codec.read_head(status, headers, running.request.caller.attempt_id)
+            self._on_head(running.upstream_id, head)
+            self._handle_event(running, HeadReceived(head))
 
     def call_data(self, call_id: str, data: bytes) -> None:
         """Handle a part of a response's body."""
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
@@ -8,7 +8,12 @@
 from circuits import BaseComponent, handler
 from ibispaddle_core import logevents
 from ibispaddle_core.clock import Clock
-from ibispaddle_core.forwarding import AttemptResult, DrainAdmission
+from ibispaddle_core.forwarding import (
+    STATUS_MISDIRECTED,
+    AttemptResult,
+    DrainAdmission,
+    ResponseHead,
+)
 from ibispaddle_core.membership import ListedState, ListEntry, MemberKind
 from ibispaddle_core.routing import (
     ConfigFreshness,
@@ -28,6 +33,7 @@
     Event,
     FirstToken,
     FleetAttempts,
+    FleetPaces,
     FreeMemory,
     Outcome,
     PeerWork,
@@ -40,6 +46,7 @@
     Scheduler,
     Tick,
     Upstream,
+    UpstreamResponded,
     UpstreamsChanged,
     UpstreamState,
 )
@@ -122,7 +129,13 @@
         self.part_guard = PartGuard(codec, clock, timers).register(self)
         self.part_guard.on_quarantined = self._refuse_quarantined_requests
         self._attempts = ForwardedAttempts(
-            client, codec, clock, timers, self._on_output, self._on_attempt_result
+            client,
+            codec,
+            clock,
+            timers,
+            self._on_head,
+            self._on_output,
+            self._on_attempt_result,
         ).register(self)
 
     @property
@@ -163,9 +176,10 @@
         self._has_upstreams = True
         self._route_startup_exchanges()
 
-    def update_fleet_work(self, work: PeerWork, attempts: FleetAttempts) -> None:
-        """Update the work in flight and the attempt counts of all other instances."""
+    def update_fleet_work(self, work: PeerWork, attempts: FleetAttempts, paces: FleetPaces) -> None:
+        """Update the work in flight, the attempts and the paces of all other instances."""
         self.handle_event(attempts)
+        self.handle_event(paces)
         self.handle_event(work)
 
     @property
@@ -458,6 +472,12 @@
 
     # Callbacks of the attempts
 
+    def _on_head(self, upstream_id: str, head: ResponseHead) -> None:
+        """Apply what an upstream states about itself in the head of any response."""
+        if head.is_for_other_request or head.status == STATUS_MISDIRECTED:
+            return  # Another upstream may have sent it.
+        self.handle_event(UpstreamResponded(upstream_id, head.limit_per_s))
+
     def _on_output(self, request: ForwardedRequest, event_count: int) -> None:
         now_ms = self._clock.now_ms()
         request.event_count += event_count
--- a/packages/standins/src/ibispaddle_standins/platform_runner.py
+++ b/packages/standins/src/ibispaddle_standins/platform_runner.py
@@ -34,6 +34,7 @@
         "refuse_memory",  # Refuses reservations with 409.
         "second_answer",  # Sends the response twice.
         "deadly_part",  # The process exits when it begins to respond to a prompt with this part.
+        "limit",  # Names this number of requests a second as its limit in all responses.
         "deadly_body",  # The process exits when it begins to run a request with this text.
     )
 
@@ -43,6 +44,7 @@
         self._reserved: dict[str, int] = {}
         self._active_streams = 0
         self._arrivals: Counter[str] = Counter()  # By attempt id.
+        self._arrival_times_s: list[float] = []
         self._started_ms = args.born or time.time_ns() // 1_000_000
 
     @classmethod
@@ -64,6 +66,7 @@
         return {
             "runs": self._runs,
             "arrivals": self._arrivals,
+            "arrival_times_s": self._arrival_times_s,
             "reserved": self._reserved,
             "working": self._active_streams,
         }
@@ -90,6 +93,9 @@
         if expected_instance not in (None, self.args.id):
             return web.Response(status=421, headers=attempt)
         self._arrivals[attempt["Attempt-Id"]] += 1
+        self._arrival_times_s.append(time.monotonic())
+        if self.faults.get("limit") is not None:
+            attempt["Server-Limit"] = str(self.faults.get("limit"))
         if self.faults.consume("shed"):
             return web.Response(status=503, headers={**attempt, "Not-Executed": "1"})
         body = await request.read()
--- a/tests/fleet/test_work.py
+++ b/tests/fleet/test_work.py
@@ -7,7 +7,14 @@
 import unittest
 from types import SimpleNamespace
 
-from ibispaddle_core.scheduling import AttemptCounts, FleetAttempts, PeerWork, UpstreamWork
+from ibispaddle_core.scheduling import (
+    AttemptCounts,
+    FleetAttempts,
+    FleetPaces,
+    PeerWork,
+    UpstreamWork,
+)
+from ibispaddle_core.scheduling.pacing import UpstreamPacing
 from ibispaddle_core.scheduling.retries import WINDOW_MS
 from ibispaddle_daemon.fleet.messages import WorkQuery, WorkUpdate
 from ibispaddle_daemon.fleet.work import (
@@ -31,11 +38,13 @@
         self.has_waiting_requests = False
         self.schedule_calls = 0
         own_work = lambda instance, now_ms: PeerWork(name, dict(self.work))  # noqa: E731
-        self.scheduler = SimpleNamespace(own_work=own_work, attempt_totals={})
+        self.scheduler = SimpleNamespace(
+            own_work=own_work, attempt_totals={}, pacing=UpstreamPacing()
+        )
         self.attempts: FleetAttempts | None = None
 
-    def update_fleet_work(self, work: PeerWork, attempts: FleetAttempts) -> None:
-        self.fleet_work, self.attempts = work, attempts
+    def update_fleet_work(self, work: PeerWork, attempts: FleetAttempts, paces: FleetPaces) -> None:
+        self.fleet_work, self.attempts, self.paces = work, attempts, paces
 
     def schedule_waiting(self) -> None:
         self.schedule_calls += 1
--- a/tests/forwarding/test_retries.py
+++ b/tests/forwarding/test_retries.py
@@ -2,7 +2,13 @@
 
 import unittest
 
-from ibispaddle_core.scheduling import FleetAttempts, PeerWork, RetryPolicy, UpstreamWork
+from ibispaddle_core.scheduling import (
+    FleetAttempts,
+    FleetPaces,
+    PeerWork,
+    RetryPolicy,
+    UpstreamWork,
+)
 from ibispaddle_daemon.events import CallFailure, HttpCallError
 
 from .fakes import ForwarderFixture, streams
@@ -34,7 +40,7 @@
         first = self.fixture.client.calls[0].url
         busy = next(name for name in ("u1", "u2", "u3") if name not in first)
         work = PeerWork("fleet", {busy: UpstreamWork(5_000.0, 7, 0)})
-        self.fixture.forwarder.update_fleet_work(work, FleetAttempts(None))
+        self.fixture.forwarder.update_fleet_work(work, FleetAttempts(None), FleetPaces(None))
         self.go_on()
         self.assertEqual(len(self.fixture.client.calls), 2)
         self.assertNotIn(busy, self.fixture.client.calls[1].url)
--- a/tests/platform_adapter/test_headers.py
+++ b/tests/platform_adapter/test_headers.py
@@ -96,6 +96,16 @@
         self.assertTrue(CODEC.read_head(421, (), "a").not_run)
         self.assertFalse(CODEC.read_head(503, (), "a").not_run)
 
+    def test_named_limit(self) -> None:
+        """Guards against a limit that is not read, or read from a value that is none."""
+        for text, expected in (("2", 2.0), ("0.75", 0.75), (" .5 ", 0.5), ("0", 0.0)):
+            head = CODEC.read_head(200, (("Server-Limit", text),), "a")
+            self.assertEqual(head.limit_per_s, expected, text)
+        for text in ("", "-1", "1e3", "inf", "nan", "2;x", "1_0", "٢", "9" * 400):
+            head = CODEC.read_head(200, (("Server-Limit", text),), "a")
+            self.assertIsNone(head.limit_per_s, text)
+        self.assertIsNone(CODEC.read_head(200, (), "a").limit_per_s)
+
     def test_retry_after_header(self) -> None:
         self.assertEqual(CODEC.refusal_headers(250), (("Retry-After", "0.250"),))
         self.assertEqual(CODEC.refusal_headers(0), ())
