Refused requests that wait longer than their callers

A request now knows how long its caller waits for the first output. It is refused as not run at admission if it would wait longer, and when that time leaves no room for its prefill, in place of being held. Nothing changes for requests that were sent.

--- a/packages/core/src/ibispaddle_core/routing/base.py
+++ b/packages/core/src/ibispaddle_core/routing/base.py
@@ -32,6 +32,8 @@
     # Longest gap between events of a stream, and before its first event, that leaves time to retry on
     # another upstream before the caller gives up. 0: the limit configured for all streams.
     max_silence_ms: int = 0
+    # Time without output after which callers leave; None: they wait until their deadline.
+    patience_ms: int | None = None
 
 
 @dataclass(frozen=True)
--- a/packages/core/src/ibispaddle_core/scheduling/admission.py
+++ b/packages/core/src/ibispaddle_core/scheduling/admission.py
@@ -81,10 +81,15 @@
         wait_ms = max(wait_ms, self._paced_wait_ms(req.model))
         if self._queue.is_full(req.neighbour):
             return AdmissionRefusal(RefusalReason.QUEUE_FULL, self.retry_after_ms(wait_ms))
-        if now_ms + wait_ms + self.service_ms(req) > req.deadline_ms:
+        is_late = now_ms + wait_ms + self.service_ms(req) > req.deadline_ms
+        if is_late or now_ms + wait_ms > self.latest_start_ms(req):
             return AdmissionRefusal(RefusalReason.DEADLINE, self.retry_after_ms(wait_ms))
         return None
 
+    def latest_start_ms(self, req: Request) -> float:
+        """Return the time until which a request can be sent so that its caller gets the first output."""
+        return req.start_deadline_ms - self._cost.idle_ttft_ms(req)
+
     def service_ms(self, req: Request) -> float:
         """Return the expected time from dispatch to the last token on an idle engine."""
         return self._cost.idle_ttft_ms(req) + self._cost.decode_ms(req)
--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -247,6 +247,8 @@
         state = RequestState(req, prompt_class, self.cost.engine_ms(req))
         self._states[req.request_id] = state
         self._timers.add_deadline(state)
+        if req.patience_ms is not None:
+            self._timers.add_start_deadline(state, int(self._admission.latest_start_ms(req)))
         self._backlog.add(state)
         return []
 
@@ -571,6 +573,12 @@
         decisions: list[Decision] = []
         for state in self._timers.past_deadline(now_ms):
             decisions += self._refuse(state, RefusalReason.DEADLINE, 0)
+        for state in self._timers.past_start_deadline(now_ms):
+            wait_ms = self._admission.queue_wait_ms(
+                self._backlog.lane(state), state.req.neighbour, now_ms
+            )
+            retry_after_ms = self._admission.retry_after_ms(wait_ms)
+            decisions += self._refuse(state, RefusalReason.DEADLINE, retry_after_ms)
         for state in self._timers.without_first_token(now_ms):
             state.cancelling = True
             decisions.append(CancelAttempt(state.req.request_id, state.upstream_id or ""))
--- a/packages/core/src/ibispaddle_core/scheduling/messages.py
+++ b/packages/core/src/ibispaddle_core/scheduling/messages.py
@@ -75,6 +75,15 @@
     max_runs: int | None = None  # Upstreams that may run it; None means the configured attempts.
     # Time from arrival for which the caller waits without output while an engine is busy.
     max_silence_ms: int = 0
+    # Time from the arrival after which the caller leaves without output; None: it waits until its deadline.
+    patience_ms: int | None = None
+
+    @property
+    def start_deadline_ms(self) -> int:
+        """Return the time until which the caller waits for the first output."""
+        if self.patience_ms is None:
+            return self.deadline_ms
+        return min(self.deadline_ms, self.arrived_ms + self.patience_ms)
 
 
 @dataclass(frozen=True)
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
@@ -261,6 +261,7 @@
             ttft_objective_ms=route.ttft_objective_ms,
             max_runs=route.max_runs,
             max_silence_ms=route.max_silence_ms,
+            patience_ms=route.patience_ms,
         )
         if not self._may_admit(req):
             self._reject(
--- a/tests/platform_adapter/test_records.py
+++ b/tests/platform_adapter/test_records.py
@@ -105,6 +105,7 @@
         self.assertEqual((drafts.retry_policy, drafts.max_runs), (RetryPolicy.ANY_TIME, 2))
         self.assertEqual([t.weight for t in drafts.targets], [90, 10])
         self.assertEqual((drafts.max_silence_ms, once.max_silence_ms), (720, 0))
+        self.assertEqual((drafts.patience_ms, once.patience_ms), (2_000, None))
         self.assertEqual((once.retry_policy, once.max_runs), (RetryPolicy.PROVED_NOT_RUN, 1))
         self.assertEqual(routing.workspaces, {"k1": "blue", "k2": "blue"})
         model = fleet.models["llm"]
