Left responses without a limit out of the scheduler's events

Every head of a response became an event since the limits are kept, which also ended a stream that starts at its deadline with a 504 in place of the head. Only responses that name a limit, or come from an upstream with a known limit, are events now.

--- a/packages/core/src/ibispaddle_core/scheduling/pacing.py
+++ b/packages/core/src/ibispaddle_core/scheduling/pacing.py
@@ -94,6 +94,10 @@
         """Return whether any upstream is limited."""
         return bool(self._paces)
 
+    def is_limited(self, upstream_id: str) -> bool:
+        """Return whether a limit of the upstream is known."""
+        return upstream_id in self._paces
+
     def observe(self, upstream_id: str, limit_per_s: float | None, now_ms: int) -> None:
         """Apply what a response of an upstream states."""
         pace = self._paces.get(upstream_id)
@@ -173,16 +177,16 @@
         return pace.count_since(now_ms - window_ms) + 1 <= max_sent
 
     def rate_per_s(self, upstream_ids: Collection[str]) -> float | None:
-        """Return the requests a second that this instance can expect to send to some upstreams.
+        """Return the requests a second that this instance can expect to send to limited upstreams.
 
-        That is what the other instances leave of the limits, but at least an even share. None if at
-        least one of the upstreams is not limited.
+        That is what the other instances leave of the limits, but at least an even share. None if none
+        of the upstreams is limited.
         """
         total = others = 0.0
-        for upstream_id in upstream_ids:
-            pace = self._paces.get(upstream_id)
-            if pace is None:
-                return None
+        paces = [self._paces[name] for name in upstream_ids if name in self._paces]
+        if not paces:
+            return None
+        for pace in paces:
             total += pace.limit_per_s
             if pace.others is not None:
                 others += 1_000 * pace.others.long / long_window_ms(pace.limit_per_s)
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
@@ -477,7 +477,8 @@
         """Apply what an upstream states about itself in the head of any response."""
         if head.is_for_other_request or head.status == STATUS_MISDIRECTED:
             return  # Another upstream may have sent it.
-        self.handle_event(UpstreamResponded(upstream_id, head.limit_per_s))
+        if head.limit_per_s is not None or self.scheduler.pacing.is_limited(upstream_id):
+            self.handle_event(UpstreamResponded(upstream_id, head.limit_per_s))
 
     def _on_output(self, request: ForwardedRequest, event_count: int) -> None:
         now_ms = self._clock.now_ms()
