Kept the queue short before limited upstreams

While most upstreams of a service are limited, more requests come than they take, and those that wait fill the queue: all that are served are late, and the others are refused only after two seconds. The admission assumed a lower bound of what a lane dispatches that ignores the limits.

--- a/packages/core/src/ibispaddle_core/scheduling/admission.py
+++ b/packages/core/src/ibispaddle_core/scheduling/admission.py
@@ -1,5 +1,6 @@
 """Admission control, which refuses requests that cannot be served in time."""
 
+from collections import deque
 from dataclasses import dataclass
 
 from ..shares import ShareCounters
@@ -14,6 +15,9 @@
 MAX_RETRY_AFTER_MS = 30_000
 # Window over which the measured dispatch rate of a lane decays to zero.
 RATE_WINDOW_MS = 5_000.0
+# Window over which the dispatched requests of a model are counted, and the number that is remembered.
+REQUEST_WINDOW_MS = 2_000
+MAX_RATE_SAMPLES = 256
 # Lower bound of a lane's dispatch rate, in engine time per millisecond and runner of this instance.
 # The measured rate of long prompts is often zero because few of them start within the window.
 MIN_DISPATCH_RATE = 0.25
@@ -36,16 +40,24 @@
 
     def __init__(self) -> None:
         self._rates: dict[Lane, tuple[float, int]] = {}
+        self._sent_ms: dict[str, deque[int]] = {}  # Times of dispatches by model.
 
     def count(self, lane: Lane, cost_ms: float, now_ms: int) -> None:
         """Count a dispatched request."""
         self._rates[lane] = (self.rate(lane, now_ms) + cost_ms / RATE_WINDOW_MS, now_ms)
+        self._sent_ms.setdefault(lane[1], deque(maxlen=MAX_RATE_SAMPLES)).append(now_ms)
 
     def rate(self, lane: Lane, now_ms: int) -> float:
         """Return the decayed rate."""
         value, at_ms = self._rates.get(lane, (0.0, now_ms))
         return value * max(0.0, 1 - (now_ms - at_ms) / RATE_WINDOW_MS)
 
+    def requests_per_s(self, model: str, now_ms: int) -> float:
+        """Return the number of requests dispatched per second within the last seconds."""
+        times = self._sent_ms.get(model, ())
+        recent = sum(sent_ms > now_ms - REQUEST_WINDOW_MS for sent_ms in times)
+        return recent * 1_000 / REQUEST_WINDOW_MS
+
 
 class Admission:
     """Decide whether a request may enter the queue."""
@@ -78,12 +90,16 @@
         if self._cost.min_segments(req) > len(live):
             return AdmissionRefusal(RefusalReason.TOO_LARGE)
         wait_ms = self.queue_wait_ms(lane, req.neighbour, now_ms)
-        wait_ms = max(wait_ms, self._paced_wait_ms(req.model))
+        paced_wait_ms = self._paced_wait_ms(req.model, now_ms)
+        wait_ms = max(wait_ms, paced_wait_ms)
         if self._queue.is_full(req.neighbour):
             return AdmissionRefusal(RefusalReason.QUEUE_FULL, self.retry_after_ms(wait_ms))
         is_late = now_ms + wait_ms + self.service_ms(req) > req.deadline_ms
         if is_late or now_ms + wait_ms > self.latest_start_ms(req):
             return AdmissionRefusal(RefusalReason.DEADLINE, self.retry_after_ms(wait_ms))
+        objective_ms = req.ttft_objective_ms
+        if objective_ms is not None and paced_wait_ms > objective_ms:
+            return AdmissionRefusal(RefusalReason.DEADLINE, self.retry_after_ms(wait_ms))
         return None
 
     def latest_start_ms(self, req: Request) -> float:
@@ -105,15 +121,20 @@
         share = self._shares.weight(neighbour) / total
         return min(queued_ms / (rate * share), MAX_WAIT_MS) if rate > 0 else 0.0
 
-    def _paced_wait_ms(self, model: str) -> float:
-        """Return the expected time in the queue of a model whose upstreams are all limited."""
-        if not self._pacing.has_limits:
+    def _paced_wait_ms(self, model: str, now_ms: int) -> float:
+        """Return the expected time in the queue of a model with limited upstreams.
+
+        While requests wait, this instance sends as many as the upstreams take from it, so that the
+        rate of the last seconds is what it can expect.
+        """
+        waiting = self._queue.count(model) if self._pacing.has_limits else 0
+        if not waiting:
             return 0.0
         upstream_ids = [view.upstream.upstream_id for view in self._runners.live(model)]
-        rate_per_s = self._pacing.rate_per_s(upstream_ids)
-        if rate_per_s is None:
+        limited_per_s = self._pacing.rate_per_s(upstream_ids)
+        if limited_per_s is None:
             return 0.0
-        waiting = self._queue.count(model)
+        rate_per_s = max(limited_per_s, self.dispatch_rate.requests_per_s(model, now_ms))
         return min(MAX_WAIT_MS, 1_000 * waiting / max(rate_per_s, MIN_PACED_RATE_PER_S))
 
     @staticmethod
--- a/tests/scheduling/test_pacing.py
+++ b/tests/scheduling/test_pacing.py
@@ -167,6 +167,20 @@
         self.assertEqual(refusal.reason, RefusalReason.DEADLINE)
         self.assertGreater(refusal.retry_after_ms, 0)
 
+    def test_queue_stays_short_before_limited_upstreams(self) -> None:
+        """Guards against requests that are all late because those before them fill the queue."""
+        longest = refused = 0
+        # The upstreams take three requests a second, and eight arrive.
+        for number in range(80):
+            now_ms = 5_000 + 125 * number
+            values = {"ttft_objective_ms": 1_000, "deadline_ms": now_ms + 10_000}
+            decisions = self.arrive(number, now_ms, **values)
+            refused += any(isinstance(item, Refuse) for item in decisions)
+            longest = max(longest, len(self.scheduler.queue))
+        self.assertLessEqual(longest, 6)
+        self.assertGreater(refused, 30)
+        self.assertLess(refused, 60)
+
     def test_upstream_that_restarts_under_its_id(self) -> None:
         """Guards against a limit that is kept although responses no longer name it."""
         self.scheduler.handle(FleetPaces({}), 1_001)
