Sent nothing to runners that state in their responses that they leave

A runner that leaves says so in its responses before the list of upstreams shows it, or without ever being listed as draining; instances went on sending to it until its entry changed, and callers lost the requests that it did not finish.

Cause: nothing read Server-Leaving. The adapter reads it into the head of a response; the scheduler marks that process as leaving, as if the list did, frees reservations there, and keeps the mark while its entry is missing or unchanged. Another start under the same id ends it. A connection that such a runner cuts is no evidence of a crash, as with listed ones.

--- a/packages/core/src/ibispaddle_core/forwarding/messages.py
+++ b/packages/core/src/ibispaddle_core/forwarding/messages.py
@@ -19,6 +19,7 @@
     faulty_address: str | None = None  # The upstream at fault, if it is another one.
     # Requests a second that the upstream takes from all instances together, if it states a limit.
     limit_per_s: float | None = None
+    is_leaving: bool = False  # The upstream is about to end and wants no new work.
 
 
 @dataclass(frozen=True)
--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -14,6 +14,7 @@
 from .backlog import Backlog
 from .claims import MemoryClaimTable
 from .cost import CostModel, PromptClass
+from .departures import DepartureTable
 from .exceptions import DuplicateRequestError
 from .groups import Group, GroupSelector
 from .health import UpstreamHealth
@@ -120,6 +121,8 @@
             self.pacing,
         )
         self._lane_backoff = LaneBackoff()
+        self._listed: tuple[Upstream, ...] = ()
+        self._departures = DepartureTable()
 
     @classmethod
     def from_config(
@@ -170,7 +173,8 @@
                     self._prefixes.remove_runner(load.upstream_id)
                 self.runners.apply_load(load)
             case UpstreamsChanged(upstreams):
-                decisions += self._change_upstreams(upstreams, now_ms)
+                self._listed = upstreams
+                decisions += self._change_upstreams(now_ms)
             case FirstToken(request_id):
                 if (state := self._states.get(request_id)) is not None:
                     self._attempts.record_first_token(state)
@@ -199,8 +203,7 @@
                 self.pacing.set_fleet(event, now_ms)
                 self.pacing.forget_missing(self.runners.views.keys())
             case UpstreamResponded():
-                if event.upstream_id in self.runners.views:
-                    self.pacing.observe(event.upstream_id, event.limit_per_s, now_ms)
+                decisions += self._handle_response(event, now_ms)
             case PeerWaitingPrompts():
                 self._reservation_order.merge(event, now_ms)
             case ReservationAnswered():
@@ -539,8 +542,21 @@
             self.cost, self.health, self._rng, self._predicted_placement
         )
 
-    def _change_upstreams(self, upstreams: tuple[Upstream, ...], now_ms: int) -> list[Decision]:
+    def _handle_response(self, event: UpstreamResponded, now_ms: int) -> list[Decision]:
+        """Apply what an upstream states about itself in a response."""
+        view = self.runners.views.get(event.upstream_id)
+        if view is None:
+            return []
+        self.pacing.observe(event.upstream_id, event.limit_per_s, now_ms)
+        if not event.is_leaving or not view.live:
+            return []
+        self._departures.add(view.upstream)
+        return self._change_upstreams(now_ms)
+
+    def _change_upstreams(self, now_ms: int) -> list[Decision]:
+        """Apply the list of upstreams, and what they stated since."""
         decisions: list[Decision] = []
+        upstreams = self._departures.apply(self._listed)
         down = {view.upstream.upstream_id for view in self.runners.replace(upstreams)}
         self.health.forget_missing(set(self.runners.views))
         self.pacing.forget_missing(self.runners.views.keys())
--- a/packages/core/src/ibispaddle_core/scheduling/messages.py
+++ b/packages/core/src/ibispaddle_core/scheduling/messages.py
@@ -111,6 +111,7 @@
     data_centre: str
     models: tuple[str, ...]
     state: UpstreamState = UpstreamState.LIVE
+    boot_ms: int | None = None  # Unix time of its start, if known.
 
 
 @dataclass(frozen=True)
@@ -291,11 +292,12 @@
     """Report what an upstream states about itself in the head of a response.
 
     `limit_per_s` is the number of requests a second that it takes from all instances together, or
-    None if it states no limit.
+    None if it states no limit. With `is_leaving`, it is about to end and wants no new work.
     """
 
     upstream_id: str
     limit_per_s: float | None = None
+    is_leaving: bool = False
 
 
 @dataclass(frozen=True)
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
@@ -477,8 +477,15 @@
         """Apply what an upstream states about itself in the head of any response."""
         if head.is_for_other_request or head.status == STATUS_MISDIRECTED:
             return  # Another upstream may have sent it.
-        if head.limit_per_s is not None or self.scheduler.pacing.is_limited(upstream_id):
-            self.handle_event(UpstreamResponded(upstream_id, head.limit_per_s))
+        has_statement = head.limit_per_s is not None or head.is_leaving
+        if has_statement or self.scheduler.pacing.is_limited(upstream_id):
+            self._log_leaving(upstream_id, head)
+            self.handle_event(UpstreamResponded(upstream_id, head.limit_per_s, head.is_leaving))
+
+    def _log_leaving(self, upstream_id: str, head: ResponseHead) -> None:
+        view = self.scheduler.runners.views.get(upstream_id)
+        if head.is_leaving and view is not None and view.live:
+            log_event(logevents.UPSTREAM_LEAVING, upstream=upstream_id, state="stated")
 
     def _on_output(self, request: ForwardedRequest, event_count: int) -> None:
         now_ms = self._clock.now_ms()
@@ -546,9 +553,8 @@
 
     def _may_have_crashed(self, request: ForwardedRequest, result: AttemptResult) -> bool:
         """Return whether a listed upstream may have crashed; one that leaves may end at any time."""
-        _, upstream = self._upstreams.get(request.upstream_id, (None, None))
-        is_live = upstream is not None and upstream.state is UpstreamState.LIVE
-        return is_live and self.part_guard.may_have_crashed(request, result)
+        view = self.scheduler.runners.views.get(request.upstream_id)
+        return view is not None and view.live and self.part_guard.may_have_crashed(request, result)
 
     def _handle_failed_attempt(self, request: ForwardedRequest, ended: AttemptEnded) -> None:
         if request.request_id in self._requests and self._refuse_if_quarantined(request):
@@ -613,7 +619,7 @@
 def _upstream(entry: ListEntry) -> Upstream:
     is_live = entry.state is ListedState.LIVE
     state = UpstreamState.LIVE if is_live else UpstreamState.LEAVING
-    return Upstream(entry.id, entry.data_centre, entry.models, state)
+    return Upstream(entry.id, entry.data_centre, entry.models, state, entry.boot_ms)
 
 
 def _status_code(refusal: Refuse) -> int:
--- a/packages/standins/src/ibispaddle_standins/platform_runner.py
+++ b/packages/standins/src/ibispaddle_standins/platform_runner.py
@@ -35,6 +35,7 @@
         "second_answer",  # Sends the response twice.
         "deadly_part",  # The process exits when it begins to respond to a prompt with this part.
         "limit",  # Names this number of requests a second as its limit in all responses.
+        "leaving",  # States in all responses that it is about to end.
         "deadly_body",  # The process exits when it begins to run a request with this text.
     )
 
@@ -94,6 +95,8 @@
             return web.Response(status=421, headers=attempt)
         self._arrivals[attempt["Attempt-Id"]] += 1
         self._arrival_times_s.append(time.monotonic())
+        if self.faults.get("leaving"):
+            attempt["Server-Leaving"] = "1"
         if self.faults.get("limit") is not None:
             attempt["Server-Limit"] = str(self.faults.get("limit"))
         if self.faults.consume("shed"):
--- a/tests/platform_adapter/test_headers.py
+++ b/tests/platform_adapter/test_headers.py
@@ -106,6 +106,12 @@
             self.assertIsNone(head.limit_per_s, text)
         self.assertIsNone(CODEC.read_head(200, (), "a").limit_per_s)
 
+    def test_leaving_runner(self) -> None:
+        """Guards against a runner that leaves and is not recognised, or one that stays and is."""
+        self.assertTrue(CODEC.read_head(200, (("Server-Leaving", "1"),), "a").is_leaving)
+        for headers in ((), (("Server-Leaving", "0"),), (("Server-Leaving", ""),)):
+            self.assertFalse(CODEC.read_head(200, headers, "a").is_leaving)
+
     def test_retry_after_header(self) -> None:
         self.assertEqual(CODEC.refusal_headers(250), (("Retry-After", "0.250"),))
         self.assertEqual(CODEC.refusal_headers(0), ())
