Granted the pauses that upstreams ask for with a refusal

Upstreams that turned requests away with 503 and Retry-After got requests of the same instance throughout: with two upstreams that both pause for three seconds, 64 between half a second after the first refusal and the end of the pause; BUDGET allows two. While another upstream was free, it took the requests and the rule held.

Cause: Retry-After of an upstream was not read; a refusal only made others preferred for 100 ms. Now the upstream gets nothing from this instance until the time has passed: neither first attempts nor retries nor parts of prompts. While all upstreams of a service pause for longer than a request can wait, it is refused at once as not run, in place of being held until its deadline.

--- a/packages/core/src/ibispaddle_core/forwarding/messages.py
+++ b/packages/core/src/ibispaddle_core/forwarding/messages.py
@@ -19,6 +19,8 @@
     faulty_address: str | None = None  # The upstream at fault, if it is another one.
     # Requests a second that the upstream takes from all instances together, if it states a limit.
     limit_per_s: float | None = None
+    # Time for which an upstream that refused the request wants no other one from this instance.
+    retry_after_ms: int = 0
     is_leaving: bool = False  # The upstream is about to end and wants no new work.
 
 
--- a/packages/core/src/ibispaddle_core/scheduling/admission.py
+++ b/packages/core/src/ibispaddle_core/scheduling/admission.py
@@ -91,7 +91,7 @@
             return AdmissionRefusal(RefusalReason.TOO_LARGE)
         wait_ms = self.queue_wait_ms(lane, req.neighbour, now_ms)
         paced_wait_ms = self._paced_wait_ms(req.model, now_ms)
-        wait_ms = max(wait_ms, paced_wait_ms)
+        wait_ms = max(wait_ms, paced_wait_ms, self.held_ms(req.model, now_ms))
         if self._queue.is_full(req.neighbour):
             return AdmissionRefusal(RefusalReason.QUEUE_FULL, self.retry_after_ms(wait_ms))
         is_late = now_ms + wait_ms + self.service_ms(req) > req.deadline_ms
@@ -121,6 +121,13 @@
         share = self._shares.weight(neighbour) / total
         return min(queued_ms / (rate * share), MAX_WAIT_MS) if rate > 0 else 0.0
 
+    def held_ms(self, model: str, now_ms: int) -> int:
+        """Return the time until the first upstream of a model ends the pause that it asked for."""
+        if self._pacing.is_idle:
+            return 0
+        upstream_ids = [view.upstream.upstream_id for view in self._runners.live(model)]
+        return self._pacing.held_ms(upstream_ids, now_ms)
+
     def _paced_wait_ms(self, model: str, now_ms: int) -> float:
         """Return the expected time in the queue of a model with limited upstreams.
 
--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -300,10 +300,12 @@
         req = state.req
         if not self.runners.live(req.model):
             return self._refuse(state, RefusalReason.NO_UPSTREAM, MIN_RETRY_AFTER_MS)
-        if now_ms + self._admission.service_ms(req) > req.deadline_ms:
+        held_ms = self._admission.held_ms(req.model, now_ms)
+        if now_ms + held_ms + self._admission.service_ms(req) > req.deadline_ms:
             wait_ms = self._admission.queue_wait_ms(
                 self._backlog.lane(state), req.neighbour, now_ms
             )
+            wait_ms = max(wait_ms, held_ms)
             return self._refuse(
                 state, RefusalReason.DEADLINE, self._admission.retry_after_ms(wait_ms)
             )
@@ -548,6 +550,8 @@
         if view is None:
             return []
         self.pacing.observe(event.upstream_id, event.limit_per_s, now_ms)
+        if event.retry_after_ms > 0:
+            self.pacing.hold(event.upstream_id, now_ms + event.retry_after_ms)
         if not event.is_leaving or not view.live:
             return []
         self._departures.add(view.upstream)
--- a/packages/core/src/ibispaddle_core/scheduling/messages.py
+++ b/packages/core/src/ibispaddle_core/scheduling/messages.py
@@ -292,12 +292,14 @@
     """Report what an upstream states about itself in the head of a response.
 
     `limit_per_s` is the number of requests a second that it takes from all instances together, or
-    None if it states no limit. With `is_leaving`, it is about to end and wants no new work.
+    None if it states no limit. With `is_leaving`, it is about to end and wants no new work. It wants no
+    request from this instance for `retry_after_ms`.
     """
 
     upstream_id: str
     limit_per_s: float | None = None
     is_leaving: bool = False
+    retry_after_ms: int = 0
 
 
 @dataclass(frozen=True)
--- a/packages/core/src/ibispaddle_core/scheduling/pacing.py
+++ b/packages/core/src/ibispaddle_core/scheduling/pacing.py
@@ -1,4 +1,4 @@
-"""Pacing of upstreams that limit the requests they take from all instances together."""
+"""Pacing of upstreams that limit the requests they take, or ask for a pause."""
 
 from collections import deque
 from collections.abc import Collection
@@ -63,7 +63,7 @@
 
 
 class UpstreamPacing:
-    """Hold requests back from upstreams whose limit the fleet has reached.
+    """Hold requests back from upstreams whose limit the fleet has reached, or that asked for a pause.
 
     A limit applies from the first response that states it, at this or another instance, until a
     response that does not. Without recent counts of the other instances, this instance keeps to its
@@ -83,6 +83,7 @@
 
     def __init__(self) -> None:
         self._paces: dict[str, _Pace] = {}
+        self._held_until_ms: dict[str, int] = {}
         # Observations of limits that ended, to be reported to the other instances.
         self._ended: dict[str, int] = {}
         self._fleet_ms: int | None = None
@@ -94,6 +95,21 @@
         """Return whether any upstream is limited."""
         return bool(self._paces)
 
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no upstream is limited or has asked for a pause."""
+        return not (self._paces or self._held_until_ms)
+
+    def hold(self, upstream_id: str, until_ms: int) -> None:
+        """Send nothing to an upstream until a time, which never becomes earlier."""
+        known_ms = self._held_until_ms.get(upstream_id, until_ms)
+        self._held_until_ms[upstream_id] = max(known_ms, until_ms)
+
+    def held_ms(self, upstream_ids: Collection[str], now_ms: int) -> int:
+        """Return the time until the first of some upstreams may get a request, as far as they asked."""
+        times = (self._held_until_ms.get(name, now_ms) for name in upstream_ids)
+        return max(0, min(times, default=now_ms) - now_ms)
+
     def is_limited(self, upstream_id: str) -> bool:
         """Return whether a limit of the upstream is known."""
         return upstream_id in self._paces
@@ -154,6 +170,8 @@
 
     def has_room(self, upstream_id: str, now_ms: int) -> bool:
         """Return whether the upstream may be sent one more request now."""
+        if self._is_held(upstream_id, now_ms):
+            return False
         pace = self._paces.get(upstream_id)
         if pace is None:
             return True
@@ -168,6 +186,15 @@
         )
         return has_room(pace.limit_per_s, own + pace.others)
 
+    def _is_held(self, upstream_id: str, now_ms: int) -> bool:
+        until_ms = self._held_until_ms.get(upstream_id)
+        if until_ms is None:
+            return False
+        if now_ms < until_ms:
+            return True
+        del self._held_until_ms[upstream_id]
+        return False
+
     def _has_room_in_share(self, pace: _Pace, now_ms: int) -> bool:
         share_per_s = pace.limit_per_s / self._instances
         window_ms = MAX_SHARE_WINDOW_MS
--- a/packages/core/src/ibispaddle_core/scheduling/runners.py
+++ b/packages/core/src/ibispaddle_core/scheduling/runners.py
@@ -306,9 +306,9 @@
         return self._by_model.get(model, [])
 
     def available(self, model: str, now_ms: int) -> list[RunnerView]:
-        """Return the runners that may get new work now: the live ones that keep their limits."""
+        """Return the runners that may get new work now: live ones that are not held back."""
         live = self.live(model)
-        if not self._pacing.has_limits:
+        if self._pacing.is_idle:
             return live
         return [view for view in live if self._pacing.has_room(view.upstream.upstream_id, now_ms)]
 
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
@@ -477,10 +477,14 @@
         """Apply what an upstream states about itself in the head of any response."""
         if head.is_for_other_request or head.status == STATUS_MISDIRECTED:
             return  # Another upstream may have sent it.
-        has_statement = head.limit_per_s is not None or head.is_leaving
+        has_statement = head.limit_per_s is not None or head.is_leaving or head.retry_after_ms > 0
         if has_statement or self.scheduler.pacing.is_limited(upstream_id):
             self._log_leaving(upstream_id, head)
-            self.handle_event(UpstreamResponded(upstream_id, head.limit_per_s, head.is_leaving))
+            self.handle_event(
+                UpstreamResponded(
+                    upstream_id, head.limit_per_s, head.is_leaving, head.retry_after_ms
+                )
+            )
 
     def _log_leaving(self, upstream_id: str, head: ResponseHead) -> None:
         view = self.scheduler.runners.views.get(upstream_id)
--- a/packages/standins/src/ibispaddle_standins/platform_runner.py
+++ b/packages/standins/src/ibispaddle_standins/platform_runner.py
@@ -24,6 +24,7 @@
     name = "platform_runner"
     known_faults = (
         "shed",  # Responds 503 with `Not-Executed` and doesn't run the request.
+        "retry_after",  # `Retry-After` of these responses, in seconds.
         "false_refusal",  # Runs the request and responds 503 without `Not-Executed`.
         "error",  # Runs the request and responds 500.
         "cut_after",  # Aborts the connection after this number of events.
@@ -100,6 +101,8 @@
         if self.faults.get("limit") is not None:
             attempt["Server-Limit"] = str(self.faults.get("limit"))
         if self.faults.consume("shed"):
+            if self.faults.get("retry_after") is not None:
+                attempt["Retry-After"] = str(self.faults.get("retry_after"))
             return web.Response(status=503, headers={**attempt, "Not-Executed": "1"})
         body = await request.read()
         headers = {name.lower(): value for name, value in request.headers.items()}
--- a/tests/platform_adapter/test_headers.py
+++ b/tests/platform_adapter/test_headers.py
@@ -112,6 +112,15 @@
         for headers in ((), (("Server-Leaving", "0"),), (("Server-Leaving", ""),)):
             self.assertFalse(CODEC.read_head(200, headers, "a").is_leaving)
 
+    def test_pause_of_a_runner(self) -> None:
+        """Guards against a pause that is not read, or read from a response that asks for none."""
+        for text, expected in (("3", 3_000), ("0.25", 250), ("-1", 0), ("soon", 0), ("9e9", 0)):
+            head = CODEC.read_head(503, (("Retry-After", text),), "a")
+            self.assertEqual(head.retry_after_ms, expected, text)
+        self.assertEqual(CODEC.read_head(200, (("Retry-After", "3"),), "a").retry_after_ms, 0)
+        endless = CODEC.read_head(503, (("Retry-After", "9" * 12),), "a")
+        self.assertEqual(endless.retry_after_ms, 3_600_000)
+
     def test_retry_after_header(self) -> None:
         self.assertEqual(CODEC.refusal_headers(250), (("Retry-After", "0.250"),))
         self.assertEqual(CODEC.refusal_headers(0), ())
