Kept following lists in which another writer left odd entries

One entry that is nested 50,000 levels deep among those of the runners made instances stop following the list: a runner that registered later was not listed within eight seconds, on two of two instances. One with a port out of range among those of the instances raised an exception for each connection to it.

Ports were only checked to be digits, so an address could raise ValueError, OverflowError or a failed name lookup when it was used.

All places now catch DECODE_ERRORS. Entries of runners and instances need an IP address and a port from 1 to 65535 (is_endpoint), and a connection to a name that does not resolve fails like any other.

--- a/packages/core/src/ibispaddle_core/chat/requests.py
+++ b/packages/core/src/ibispaddle_core/chat/requests.py
@@ -9,6 +9,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from ..decoding import DECODE_ERRORS
 from .errors import ProtocolError
 from .hashes import prefix_hash_steps
 from .steps import Steps, finish
@@ -91,7 +92,7 @@
     """Compute `parse_request`, yielding between short steps; decoding the JSON is a single step."""
     try:
         document = msgspec.json.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
+    except DECODE_ERRORS as exc:
         return Err(_invalid("invalid_json", f"The body is not valid JSON: {exc}."))
     if not isinstance(document, dict):
         return Err(_invalid("invalid_json", "The body is not a JSON object."))
--- a/packages/core/src/ibispaddle_core/gossip/table.py
+++ b/packages/core/src/ibispaddle_core/gossip/table.py
@@ -11,6 +11,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from ..decoding import DECODE_ERRORS
 from .entries import (
     DIGEST_DECODER,
     ENTRY_DECODER,
@@ -149,7 +150,7 @@
         try:
             raws = [bytes(raw) for raw in DIGEST_DECODER.decode(_decompress(digest))]
             entries = [ENTRY_DECODER.decode(raw) for raw in raws]
-        except (msgspec.DecodeError, UnicodeDecodeError, zlib.error) as exc:
+        except (*DECODE_ERRORS, zlib.error) as exc:
             return Err(DigestFormatError(str(exc)))
         fresh = []
         for entry, raw in zip(entries, raws, strict=True):
--- a/packages/core/src/ibispaddle_core/membership/entries.py
+++ b/packages/core/src/ibispaddle_core/membership/entries.py
@@ -5,6 +5,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from ..decoding import DECODE_ERRORS
 from .exceptions import ListFormatError
 
 
@@ -66,14 +67,14 @@
     """
     try:
         raw = _LIST_DECODER.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+    except DECODE_ERRORS as exc:
         return Err(ListFormatError(str(exc)))
     entries: dict[str, ListEntry] = {}
     rejected = 0
     for item in raw.entries:
         try:
             entry = _ENTRY_DECODER.decode(item)
-        except (msgspec.DecodeError, UnicodeDecodeError):
+        except DECODE_ERRORS:
             rejected += 1
             continue
         entries.setdefault(entry.id, entry)
--- a/packages/core/src/ibispaddle_core/relay/attempt.py
+++ b/packages/core/src/ibispaddle_core/relay/attempt.py
@@ -2,8 +2,7 @@
 
 from collections.abc import Callable
 
-import msgspec
-
+from ..decoding import DECODE_ERRORS
 from ..runstate import RunState
 from ..scheduling.messages import Outcome
 from .chunks import (
@@ -173,7 +172,7 @@
             return self._finish(Outcome.COMPLETED, "", FinalAnswer.STREAM)
         try:
             chunk = decode_chunk(payload)
-        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        except DECODE_ERRORS as exc:
             return self._fail(f"an event is not a valid completion chunk: {exc}")
         if self.completion_id and chunk.id != self.completion_id:
             self.dropped_events += 1
@@ -221,7 +220,7 @@
             return self._fail("the stream ended before its end marker")
         try:
             completion = decode_completion(body)
-        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        except DECODE_ERRORS as exc:
             return self._fail(f"the response is not a valid completion: {exc}")
         if not completion.choices or completion.choices[0].finish_reason in (None, CANCELLED):
             return self._fail("the completion is not finished")
--- a/packages/core/src/ibispaddle_core/relay/chunks.py
+++ b/packages/core/src/ibispaddle_core/relay/chunks.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from ..decoding import DECODE_ERRORS
+
 DONE = b"[DONE]"
 CANCELLED = "cancelled"
 
@@ -77,7 +79,7 @@
     """Return whether the response is a refusal that proves that the request did not run."""
     try:
         code = _decode_error(body).error.code
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except DECODE_ERRORS:
         return False
     return status in _REFUSAL_STATUSES or (status in (409, 503) and code in _REFUSAL_CODES)
 
--- a/packages/core/src/ibispaddle_core/usage/account.py
+++ b/packages/core/src/ibispaddle_core/usage/account.py
@@ -12,6 +12,7 @@
 import msgspec
 from result import Ok
 
+from ..decoding import DECODE_ERRORS
 from ..log_pages import LogPageReader
 from .counters import Counts, split_instance_boot
 from .rollups import CounterValues, RollupCollector, RollupPart, is_rollup, join_parts, read_part
@@ -72,7 +73,7 @@
         try:
             flush = msgspec.convert(record.data, _Flush)
             instance_id, boot = split_instance_boot(flush.instance_boot)
-        except (msgspec.ValidationError, ValueError):
+        except (*DECODE_ERRORS, ValueError):
             return
         name = flush.instance_boot
         if name not in self._open_boots and boot <= self._last_closed_boot.get(instance_id, -1):
--- a/packages/core/src/ibispaddle_core/usage/rollups.py
+++ b/packages/core/src/ibispaddle_core/usage/rollups.py
@@ -10,6 +10,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from ..decoding import DECODE_ERRORS
 from .counters import split_instance_boot
 from .exceptions import UsageRecordError
 
@@ -56,7 +57,7 @@
         part = msgspec.convert(data.get("rollup_part", data.get("rollup")), RollupPart)
         for name in part.boots:
             split_instance_boot(name)
-    except (msgspec.ValidationError, ValueError) as exc:
+    except (*DECODE_ERRORS, ValueError) as exc:
         return Err(UsageRecordError(str(exc)))
     if not 0 <= part.number < part.count:
         return Err(UsageRecordError(f"part {part.number} of {part.count} does not exist"))
--- a/packages/daemon/src/ibispaddle_daemon/account.py
+++ b/packages/daemon/src/ibispaddle_daemon/account.py
@@ -7,6 +7,7 @@
 from circuits import BaseComponent, handler
 from ibispaddle_core.chat import ProtocolError
 from ibispaddle_core.clock import Clock
+from ibispaddle_core.decoding import DECODE_ERRORS
 from ibispaddle_core.membership import MembershipView
 from ibispaddle_core.settings import InstanceSettings
 from ibispaddle_core.usage import Counts, UsageAggregateReader, UsageRecord, instance_boot
@@ -144,7 +145,7 @@
         started_ms = self._clock.now_ms()
         try:
             page = _DECODER.decode(result.body)
-        except msgspec.DecodeError as exc:
+        except DECODE_ERRORS as exc:
             self._finish_read(f"the log's response is not a valid page of records: {exc}")
             return
         self.reader.read_page(page.first_offset, page.records)
--- a/packages/daemon/src/ibispaddle_daemon/configuration.py
+++ b/packages/daemon/src/ibispaddle_daemon/configuration.py
@@ -22,6 +22,7 @@
     Unavailable,
     snapshot_due_ms,
 )
+from ibispaddle_core.decoding import DECODE_ERRORS
 from ibispaddle_core.gossip import Heartbeat, StateReply, StateRequest
 from ibispaddle_core.membership import MemberKind, MembershipView
 from ibispaddle_core.settings import FleetConfig, InstanceSettings, SettingsError, load_fleet
@@ -277,7 +278,7 @@
         if body:
             try:
                 state = ConfigState.from_record(msgspec.json.decode(body))
-            except (msgspec.DecodeError, RecordError) as exc:
+            except (*DECODE_ERRORS, RecordError) as exc:
                 log_event(logevents.CONFIG_STATE_INVALID, instance_id=instance_id, reason=str(exc))
         if self._peer_selection is not None:
             self._peer_selection.add_response(instance_id, state)
--- a/packages/daemon/src/ibispaddle_daemon/configuration_restart.py
+++ b/packages/daemon/src/ibispaddle_daemon/configuration_restart.py
@@ -20,6 +20,7 @@
     check_layers,
     inquiry_id,
 )
+from ibispaddle_core.decoding import DECODE_ERRORS
 from ibispaddle_core.gossip import StateReply, StateRequest
 from ibispaddle_core.membership import MemberKind, MembershipView
 from ibispaddle_core.settings import FleetConfig, InstanceSettings, SettingsError, parse_json
@@ -186,7 +187,7 @@
             return
         try:
             state = ConfigState.from_record(msgspec.json.decode(message.body))
-        except (msgspec.DecodeError, RecordError):
+        except (*DECODE_ERRORS, RecordError):
             return
         if self._active is not None:
             self._active[0].add_peer_state(instance_id, state)
--- a/packages/daemon/src/ibispaddle_daemon/engine_answers.py
+++ b/packages/daemon/src/ibispaddle_daemon/engine_answers.py
@@ -2,6 +2,7 @@
 
 import msgspec
 from ibispaddle_core.chat import ProtocolError
+from ibispaddle_core.decoding import DECODE_ERRORS
 from ibispaddle_core.relay import AttemptFinished
 from ibispaddle_core.runstate import RunState
 from ibispaddle_core.scheduling import Outcome
@@ -30,7 +31,7 @@
         return False
     try:
         return not msgspec.json.decode(result.body, type=_CancelResponse).ran
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except DECODE_ERRORS:
         return False
 
 
@@ -56,7 +57,7 @@
     """Return the error for the caller of a request that the engine rejected as invalid."""
     try:
         fields = msgspec.json.decode(end.body, type=_ErrorBody).error
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except DECODE_ERRORS:
         fields = _ErrorFields()
     code = fields.code or "invalid_request"
     return ProtocolError(end.status, code, fields.message, run_state, fields.param)
--- a/packages/daemon/src/ibispaddle_daemon/fleet/messages.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/messages.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 
 import msgspec
+from ibispaddle_core.decoding import DECODE_ERRORS
 from ibispaddle_core.gossip import Hello, Proof
 from ibispaddle_core.quarantine import PartChange
 from ibispaddle_core.scheduling import (
@@ -164,7 +165,7 @@
         """Decode the content of one frame."""
         try:
             message = _DECODER.decode(data)
-        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        except DECODE_ERRORS as exc:
             return Err(PeerFormatError(str(exc)))
         match message:
             case _Hello(protocol, instance_id, boot, nonce):
--- a/packages/daemon/src/ibispaddle_daemon/fleet/topics.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/topics.py
@@ -16,6 +16,7 @@
 from circuits import BaseComponent
 from ibispaddle_core import logevents
 from ibispaddle_core.clock import Clock
+from ibispaddle_core.decoding import DECODE_ERRORS
 from ibispaddle_core.hubs import HubRanking
 from ibispaddle_core.topics import (
     ChangesPage,
@@ -250,7 +251,7 @@
             return  # Another hub has been queried since.
         try:
             deltas = _decode(message)
-        except (msgspec.DecodeError, zlib.error) as exc:
+        except (*DECODE_ERRORS, zlib.error) as exc:
             self._abandon_query(query, f"invalid response: {exc}")
             return
         self._clear_query()
--- a/packages/daemon/src/ibispaddle_daemon/fleet_operations.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet_operations.py
@@ -6,6 +6,7 @@
 from circuits import BaseComponent
 from ibispaddle_core.chat import ProtocolError
 from ibispaddle_core.clock import Clock
+from ibispaddle_core.decoding import DECODE_ERRORS
 from ibispaddle_core.membership import MemberKind, MembershipView
 
 from .http_exchange import Exchange
@@ -72,7 +73,7 @@
     def _lift(self, exchange: Exchange) -> None:
         try:
             lift = msgspec.json.decode(exchange.body, type=_LiftRequest)
-        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        except DECODE_ERRORS as exc:
             error = ProtocolError(400, "invalid_request", f"The request body is invalid: {exc}.")
             respond_error(exchange, error)
             return
--- a/packages/daemon/src/ibispaddle_daemon/http_connection.py
+++ b/packages/daemon/src/ibispaddle_daemon/http_connection.py
@@ -3,7 +3,7 @@
 import os
 import socket
 import ssl
-from errno import EAGAIN, ECONNREFUSED, EINPROGRESS, EINTR, EWOULDBLOCK
+from errno import EAGAIN, ECONNREFUSED, EINPROGRESS, EINTR, EINVAL, EWOULDBLOCK
 from typing import Any, Protocol
 
 import h11
@@ -94,7 +94,10 @@
             )
         self._connecting, self._tcp_open = True, False
         self._listener.socket_opened(self)
-        status = self._sock.connect_ex(address[:2])
+        try:
+            status = self._sock.connect_ex(address[:2])
+        except OSError as exc:  # The host name cannot be resolved.
+            status = exc.errno or EINVAL
         if status == 0:
             self._tcp_open = True
             self._establish()
--- a/packages/daemon/src/ibispaddle_daemon/orders.py
+++ b/packages/daemon/src/ibispaddle_daemon/orders.py
@@ -10,6 +10,7 @@
 from ibispaddle_core.chat import ProtocolError
 from ibispaddle_core.clock import Clock
 from ibispaddle_core.configuration import LogRecord
+from ibispaddle_core.decoding import DECODE_ERRORS
 from ibispaddle_core.membership import MemberKind, MembershipView, MemberState, rendezvous_select
 from ibispaddle_core.orders import (
     RECONCILE_INTERVAL_MS,
@@ -161,7 +162,7 @@
                 return
             try:
                 load = msgspec.json.decode(result.body, type=_LoadReport)
-            except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+            except DECODE_ERRORS as exc:
                 log_event(logevents.LOAD_UNREADABLE, upstream=upstream_id, reason=str(exc))
                 return
             report = ObservedRunnerState(load.boot_id, load.models, load.role)
@@ -221,7 +222,7 @@
     def _submit_order(self, exchange: Exchange) -> None:
         try:
             data = msgspec.json.decode(exchange.body, type=dict[str, Any])
-        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        except DECODE_ERRORS as exc:
             text = f"The request cannot be decoded: {exc}."
             respond_error(exchange, ProtocolError(400, "invalid_request", text))
             return
--- a/packages/daemon/src/ibispaddle_daemon/peer_codec.py
+++ b/packages/daemon/src/ibispaddle_daemon/peer_codec.py
@@ -5,6 +5,7 @@
 
 import capnp
 import msgspec
+from ibispaddle_core.decoding import DECODE_ERRORS
 from ibispaddle_core.gossip import Digest, Hello, ListSeen, Proof, StateReply, StateRequest
 from ibispaddle_core.idempotency import (
     BodyReply,
@@ -209,7 +210,7 @@
     try:
         # An instance of the previous version sends none.
         part_changes = _PART_DECODER.decode(data) if data else ()
-    except msgspec.DecodeError as exc:
+    except DECODE_ERRORS as exc:
         raise ValueError(str(exc)) from exc
     return Notice(notice.noticeId, suspicions, clearances, part_changes)
 
--- a/packages/daemon/src/ibispaddle_daemon/peer_transport.py
+++ b/packages/daemon/src/ibispaddle_daemon/peer_transport.py
@@ -13,6 +13,7 @@
 from circuits.core.pollers import BasePoller
 from circuits.core.utils import findcmp
 from ibispaddle_core.clock import Clock
+from ibispaddle_core.decoding import is_endpoint
 from ibispaddle_core.gossip import NONCE_BYTES, PROTOCOL, Handshake, HandshakeError, Hello, Proof
 
 from .peer_frames import HEADER, MAX_FRAME_BYTES, MAX_HANDSHAKE_FRAME_BYTES, FrameCodec
@@ -141,7 +142,7 @@
     def dial(self, peer_id: str, address: str) -> Link | None:
         """Start to connect; return `None` if no attempt can be made."""
         host, _, port = address.rpartition(":")
-        if self._poller is None or len(self._links) >= MAX_LINKS or not port.isdigit():
+        if self._poller is None or len(self._links) >= MAX_LINKS or not is_endpoint(address):
             return None
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
--- a/packages/daemon/src/ibispaddle_daemon/platform_log.py
+++ b/packages/daemon/src/ibispaddle_daemon/platform_log.py
@@ -14,6 +14,7 @@
 from ibispaddle_core import logevents
 from ibispaddle_core.clock import Clock
 from ibispaddle_core.configuration import LogRecord
+from ibispaddle_core.decoding import DECODE_ERRORS
 
 from .events import (
     CallFailure,
@@ -184,7 +185,7 @@
         elif status == 200:
             try:
                 offset = int(msgspec.json.decode(body)["offset"])
-            except (msgspec.DecodeError, KeyError, TypeError, ValueError) as exc:
+            except (*DECODE_ERRORS, KeyError, TypeError, ValueError) as exc:
                 failure = LogError(LogFailure.LOST, f"the response cannot be decoded: {exc}")
         elif status == 429:
             failure = LogError(LogFailure.RATE, "the log's rate cap was exceeded (status 429)")
@@ -277,7 +278,7 @@
         if error is None and status == 200:
             try:
                 page = _PAGE_DECODER.decode(body)
-            except msgspec.DecodeError:
+            except DECODE_ERRORS:
                 page = None
         if page is None:
             self._read_failed(tail, error)
--- a/packages/daemon/src/ibispaddle_daemon/probes.py
+++ b/packages/daemon/src/ibispaddle_daemon/probes.py
@@ -10,6 +10,7 @@
 from absl import logging
 from circuits import BaseComponent, handler
 from ibispaddle_core.clock import Clock
+from ibispaddle_core.decoding import DECODE_ERRORS
 from ibispaddle_core.gossip import RunnerReport
 from ibispaddle_core.logevents import UPSTREAM_DOWN
 from ibispaddle_core.membership import ListEntry, MemberKind, MembershipView
@@ -189,7 +190,7 @@
             try:
                 self._handle_load(runner_id, runner, _LOAD_DECODER.decode(result.body))
                 return
-            except (msgspec.DecodeError, UnicodeDecodeError, ValueError, OverflowError) as exc:
+            except (*DECODE_ERRORS, ValueError, OverflowError) as exc:
                 logging.debug("invalid load report of '%s': %s", runner_id, exc)
         refused = error is not None and error.failure is CallFailure.UNREACHABLE
         runner.failures += DOWN_AFTER_FAILURES if refused else 1
--- a/packages/daemon/src/ibispaddle_daemon/store/instances.py
+++ b/packages/daemon/src/ibispaddle_daemon/store/instances.py
@@ -4,6 +4,7 @@
 from circuits import BaseComponent, handler
 from ibispaddle_core import logevents
 from ibispaddle_core.clock import Clock
+from ibispaddle_core.decoding import DECODE_ERRORS, is_endpoint
 from ibispaddle_core.hubs import Candidate, HubRanking
 from ibispaddle_core.settings import GatewaySettings
 from ibispaddle_core.topics import TopicUpdate
@@ -122,9 +123,13 @@
             if value is None:
                 continue
             try:
-                self._records[key] = msgspec.json.decode(value, type=_InstanceRecord)
-            except (msgspec.DecodeError, UnicodeDecodeError):
+                record = msgspec.json.decode(value, type=_InstanceRecord)
+            except DECODE_ERRORS:
+                record = None
+            if record is None or not is_endpoint(record.peer_address):
                 log_event(logevents.ENTRY_UNREADABLE, key=key[:80], size=len(value))
+            else:
+                self._records[key] = record
         if update.values or update.is_snapshot:
             self._rank()
         is_due = self._last_write_ms is None or (
--- a/packages/daemon/src/ibispaddle_daemon/store/quarantine.py
+++ b/packages/daemon/src/ibispaddle_daemon/store/quarantine.py
@@ -7,6 +7,7 @@
 from circuits import BaseComponent
 from ibispaddle_core import logevents
 from ibispaddle_core.clock import Clock
+from ibispaddle_core.decoding import DECODE_ERRORS
 from ibispaddle_core.quarantine import PartQuarantined
 from ibispaddle_core.topics import TopicUpdate
 
@@ -78,7 +79,7 @@
                 continue
             try:
                 entry = msgspec.json.decode(value, type=PartQuarantined)
-            except (msgspec.DecodeError, UnicodeDecodeError):
+            except DECODE_ERRORS:
                 log_event(logevents.ENTRY_UNREADABLE, key=key[:80], size=len(value))
                 continue
             self._stored.add(key)
--- a/packages/daemon/src/ibispaddle_daemon/suspects.py
+++ b/packages/daemon/src/ibispaddle_daemon/suspects.py
@@ -12,6 +12,7 @@
 from circuits import BaseComponent, handler
 from ibispaddle_core.chat import ProtocolError
 from ibispaddle_core.clock import Clock
+from ibispaddle_core.decoding import DECODE_ERRORS
 from ibispaddle_core.quarantine import (
     SUCCESSOR_SUFFIX,
     Death,
@@ -165,6 +166,6 @@
         return result.error.failure is not CallFailure.TIMEOUT
     try:
         current = msgspec.json.decode(result.body, type=_BootReport).boot_id
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except DECODE_ERRORS:
         return False
     return bool(boot_id) and current != boot_id
