Answered all requests in a planned stop, and sent none late that outlasts it

In a planned stop in calm, calls that came just over three seconds after the signal were passed on to services that took six seconds, and cut with no answer at the end of the grace time, among them calls that may not be repeated; so were calls that had been in flight since the beginning.

Cause: everything was admitted for 3.2 s after the signal, whatever its length; later on, streams that may not be repeated counted with a predicted time. And the process ended on its requests. Now everything is admitted for 3.0 s; after that a request must end in time by its deadline if it may not be repeated, and by its predicted time otherwise. When the grace time is over, requests that no upstream received are refused as not run, and the others get a 502.

--- a/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
@@ -292,11 +292,27 @@
             self.handle_event(RequestArrived(request.req))
 
     def _may_admit(self, req: Request) -> bool:
-        """Return whether the request can be admitted; during a drain it must end in time."""
+        """Return whether the request can be admitted; during a drain it must end in time.
+
+        A request that may not be repeated could not be sent again if it took longer than predicted.
+        """
         if self.drain_admission is None:
             return True
-        max_duration_ms = self.scheduler.cost.max_duration_ms(req)
-        return self.drain_admission.may_admit(self._clock.now_ms(), max_duration_ms)
+        now_ms = self._clock.now_ms()
+        max_duration_ms = float(req.deadline_ms - now_ms)
+        if req.retry_policy is not RetryPolicy.PROVED_NOT_RUN:
+            max_duration_ms = min(max_duration_ms, self.scheduler.cost.max_duration_ms(req))
+        return self.drain_admission.may_admit(now_ms, max_duration_ms)
+
+    def end_requests(self) -> None:
+        """Respond to all requests, because the process is about to end.
+
+        Those that no upstream has received are refused as not run; streams are cut.
+        """
+        for request in list(self._requests.values()):
+            run_state = RunState.UNKNOWN if request.attempts else RunState.NOT_RUN
+            self.handle_event(CallerDisconnected(request.request_id))  # The scheduler removes it.
+            self._refuse(request, Refuse(request.request_id, RefusalReason.DRAINING, run_state))
 
     def _reject(
         self,
--- a/packages/daemon/src/ibispaddle_daemon/gateway.py
+++ b/packages/daemon/src/ibispaddle_daemon/gateway.py
@@ -40,6 +40,11 @@
 CHECK_INTERVAL_MS = 100
 # Settings that apply without a restart.
 RELOADABLE_FIELDS = frozenset({"revocation_ms", "unready_ms"})
+# Time after the signal to stop within which requests are admitted even if they may take longer than the
+# rest of the grace time. Callers may still be routed here.
+MAX_ADMIT_ALL_MS = 3_000
+# Time at the end of a drain in which the last responses are written.
+FLUSH_MS = 150
 # Long-poll wait for the configuration, as a fraction of the time within which it must be in force. A read
 # confirms the configuration only as of the start of the read, so a long wait makes it appear older.
 CONFIG_WAIT_FRACTION = 0.2
@@ -292,7 +297,8 @@
             now_ms = self.clock.now_ms()
             redirected_ms = now_ms + self.settings.unready_ms
             ends_ms = now_ms + self.settings.instance.drain_timeout_ms
-            self.forwarder.drain_admission = DrainAdmission(redirected_ms, ends_ms)
+            admits_all_ms = now_ms + min(self.settings.unready_ms, MAX_ADMIT_ALL_MS)
+            self.forwarder.drain_admission = DrainAdmission(admits_all_ms, ends_ms)
             log_event(logevents.INSTANCE_DRAINING, requests=self.server.active_requests)
             self.fire(drain_started(), "*")
             Drain(
@@ -309,8 +315,14 @@
         return self.server.active_requests + self.server.unsent_connections > 0
 
     def _finish_drain(self, is_complete: bool) -> None:
-        if not is_complete:
-            log_event(logevents.DRAIN_TIMEOUT, requests=self.server.active_requests)
+        if is_complete:
+            self._stop()
+            return
+        log_event(logevents.DRAIN_TIMEOUT, requests=self.server.active_requests)
+        self.forwarder.end_requests()
+        self.timers.after(FLUSH_MS, self._stop)
+
+    def _stop(self) -> None:
         self.fire(drain_completed("requests"), "*")
         log_event(logevents.INSTANCE_STOPPED, exit_status=0)
         self.stop()
--- a/packages/standins/src/ibispaddle_standins/platform_runner.py
+++ b/packages/standins/src/ibispaddle_standins/platform_runner.py
@@ -29,6 +29,7 @@
         "error",  # Runs the request and responds 500.
         "cut_after",  # Aborts the connection after this number of events.
         "lose_answer",  # Runs the request and aborts the connection.
+        "delay_s",  # Runs the request and responds after this time.
         "silent",  # Runs the request and doesn't respond for a minute.
         "foreign",  # Responds with the `Attempt-Id` of another request.
         "unsigned",  # Responds without `Server-Stamp`.
@@ -112,6 +113,8 @@
             os._exit(1)
         if self.faults.consume("lose_answer"):
             abort_connection(request)
+        if self.faults.get("delay_s"):
+            await asyncio.sleep(self.faults.get("delay_s"))
         if self.faults.consume("silent"):
             await asyncio.sleep(60)
         if not self.faults.consume("unsigned"):
--- a/tests/forwarding/test_stopping.py
+++ b/tests/forwarding/test_stopping.py
@@ -13,7 +13,7 @@
     """The load pattern is a rolling restart of all instances of a fleet."""
 
     def setUp(self) -> None:
-        self.stop = DrainAdmission(redirected_ms=3_200, ends_ms=7_600)
+        self.stop = DrainAdmission(admits_all_ms=3_200, ends_ms=7_600)
         self.cost = CostModel(config())
 
     def may_admit(self, now_ms: int, **values: object) -> bool:
