Ended marks of leaving upstreams and pauses that nobody needs any more

Found on reading the change again: an upstream without a known start stayed marked as leaving for ever, and an upstream that was gone before its pause ended stayed in memory and kept the filter of choices on.

--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -551,7 +551,7 @@
             return []
         self.pacing.observe(event.upstream_id, event.limit_per_s, now_ms)
         if event.retry_after_ms > 0:
-            self.pacing.hold(event.upstream_id, now_ms + event.retry_after_ms)
+            self.pacing.hold(event.upstream_id, event.retry_after_ms, now_ms)
         if not event.is_leaving or not view.live:
             return []
         self._departures.add(view.upstream)
--- a/packages/core/src/ibispaddle_core/scheduling/departures.py
+++ b/packages/core/src/ibispaddle_core/scheduling/departures.py
@@ -13,7 +13,8 @@
     """Mark upstreams as leaving although the list still has them as live.
 
     The mark applies to one process: a process that starts later under the same id gets new work. It is
-    kept while the upstream is missing in the list, because entries expire in outages of the platform.
+    kept while the upstream is missing in the list, because entries expire in outages of the platform;
+    only if the start of the process is unknown does the entry's removal end it.
 
     >>> departures = DepartureTable()
     >>> departures.add(Upstream("r1", "dc1", ("m",), boot_ms=5))
@@ -38,7 +39,12 @@
         """Return the listed upstreams, with those marked that are known to leave."""
         if not self._boots_ms:
             return tuple(upstreams)
-        return tuple(self._apply(upstream) for upstream in upstreams)
+        applied = tuple(self._apply(upstream) for upstream in upstreams)
+        listed = {upstream.upstream_id for upstream in applied}
+        for upstream_id, boot_ms in list(self._boots_ms.items()):
+            if boot_ms is None and upstream_id not in listed:
+                del self._boots_ms[upstream_id]
+        return applied
 
     def _apply(self, upstream: Upstream) -> Upstream:
         upstream_id = upstream.upstream_id
--- a/packages/core/src/ibispaddle_core/scheduling/pacing.py
+++ b/packages/core/src/ibispaddle_core/scheduling/pacing.py
@@ -100,10 +100,11 @@
         """Return whether no upstream is limited or has asked for a pause."""
         return not (self._paces or self._held_until_ms)
 
-    def hold(self, upstream_id: str, until_ms: int) -> None:
-        """Send nothing to an upstream until a time, which never becomes earlier."""
-        known_ms = self._held_until_ms.get(upstream_id, until_ms)
-        self._held_until_ms[upstream_id] = max(known_ms, until_ms)
+    def hold(self, upstream_id: str, duration_ms: int, now_ms: int) -> None:
+        """Send nothing to an upstream for a time; an earlier and longer hold stays in force."""
+        held = {name: ms for name, ms in self._held_until_ms.items() if ms > now_ms}
+        held[upstream_id] = max(held.get(upstream_id, 0), now_ms + duration_ms)
+        self._held_until_ms = held
 
     def held_ms(self, upstream_ids: Collection[str], now_ms: int) -> int:
         """Return the time until the first of some upstreams may get a request, as far as they asked."""
--- a/tests/scheduling/test_pacing.py
+++ b/tests/scheduling/test_pacing.py
@@ -13,9 +13,12 @@
     Refuse,
     RequestArrived,
     SentCounts,
+    Upstream,
     UpstreamPace,
     UpstreamResponded,
+    UpstreamState,
 )
+from ibispaddle_core.scheduling.departures import DepartureTable
 from ibispaddle_core.scheduling.messages import AttemptEnded, Dispatch, Outcome
 from ibispaddle_core.scheduling.pacing import (
     FLEET_COUNTS_MAX_AGE_MS,
@@ -137,6 +140,40 @@
         pacing.count_sent("r", 4)
         self.assertFalse(pacing.has_room("r", FLEET_COUNTS_MAX_AGE_MS + 1))
 
+    def test_longer_pause_stays_in_force(self) -> None:
+        """Guards against a short pause that ends a longer one, and pauses that are kept for ever."""
+        pacing = UpstreamPacing()
+        pacing.hold("r", 5_000, 0)
+        pacing.hold("r", 100, 1_000)
+        self.assertEqual(pacing.held_ms(["r"], 1_100), 3_900)
+        self.assertEqual(pacing.held_ms(["r", "other"], 1_100), 0)
+        self.assertFalse(pacing.has_room("r", 4_999))
+        pacing.hold("other", 10, 6_000)
+        self.assertTrue(pacing.has_room("other", 6_010))
+        self.assertTrue(pacing.is_idle)
+
+
+class DepartureTableTest(unittest.TestCase):
+    def state(self, table: DepartureTable, *boots_ms: int | None) -> list[UpstreamState]:
+        upstreams = [Upstream(f"r{n}", "dc1", ("m",), boot_ms=ms) for n, ms in enumerate(boots_ms)]
+        return [upstream.state for upstream in table.apply(upstreams)]
+
+    def test_mark_outlasts_a_missing_entry(self) -> None:
+        """Guards against work for a leaving upstream whose entry expired in an outage."""
+        table = DepartureTable()
+        table.add(Upstream("r0", "dc1", ("m",), boot_ms=7))
+        self.state(table)
+        self.assertEqual(self.state(table, 7), [UpstreamState.LEAVING])
+        self.assertEqual(self.state(table, 8), [UpstreamState.LIVE])
+
+    def test_mark_of_an_unknown_process_ends_with_its_entry(self) -> None:
+        """Guards against an upstream that gets no work for ever, because its start is not known."""
+        table = DepartureTable()
+        table.add(Upstream("r0", "dc1", ("m",)))
+        self.assertEqual(self.state(table, None), [UpstreamState.LEAVING])
+        self.state(table)
+        self.assertEqual(self.state(table, None), [UpstreamState.LIVE])
+
 
 class LimitedSchedulerTest(unittest.TestCase):
     """A scheduler whose three runners are all limited."""
