Ended the stand-in of a runner only for the text that a test names

Its new fault 'deadly_body' looked for a NUL byte while no text was set, so a body with one ended the process: test_request_is_forwarded_unchanged got 502.

--- a/packages/standins/src/ibispaddle_standins/platform_runner.py
+++ b/packages/standins/src/ibispaddle_standins/platform_runner.py
@@ -109,7 +109,8 @@
         headers = {name.lower(): value for name, value in request.headers.items()}
         run = {"path": request.path_qs, "method": request.method, "headers": headers}
         self._record(run | {"body": body.decode()})
-        if str(self.faults.get("deadly_body", "\0")).encode() in body:
+        deadly = self.faults.get("deadly_body")
+        if deadly is not None and deadly.encode() in body:
             os._exit(1)
         if self.faults.consume("lose_answer"):
             abort_connection(request)
