Took no late end of an upstream as a crash after a response that was none

Cause: a late proof counted whatever ended the attempt, and whether or not the upstream was still listed. It counts now only if the connection was closed before the response was complete, and the upstream is listed as live when the proof comes. A check that gets bytes that are no HTTP shows a running process.

--- a/packages/core/src/ibispaddle_core/forwarding/attempt.py
+++ b/packages/core/src/ibispaddle_core/forwarding/attempt.py
@@ -126,7 +126,9 @@
     def _on_end(self, event: CallEnded) -> list[Effect]:
         if not event.is_complete:
             outcome = Outcome.FAILED if event.byte_sent else Outcome.NOT_SENT
-            return self._finish(outcome, event.text)
+            self.is_ended = True
+            closed = event.connection_closed
+            return [AttemptResult(outcome, event.text, connection_closed=closed)]
         head = self._head
         if head is None:
             return self._finish(Outcome.FAILED, "the call ended without a response head")
--- a/packages/core/src/ibispaddle_core/forwarding/messages.py
+++ b/packages/core/src/ibispaddle_core/forwarding/messages.py
@@ -40,11 +40,15 @@
 
 @dataclass(frozen=True)
 class CallEnded:
-    """The call ended; `byte_sent` is true if the upstream may have received the request."""
+    """The call ended; `byte_sent` is true if the upstream may have received the request.
+
+    `connection_closed` is true if the upstream's end of the connection ended an incomplete response.
+    """
 
     is_complete: bool
     byte_sent: bool = True
     text: str = ""
+    connection_closed: bool = False
 
 
 ForwardingEvent = HeadReceived | BodyReceived | CallEnded
@@ -87,6 +91,7 @@
     text: str = ""
     answer: CompleteResponse | None = None
     faulty_address: str | None = None
+    connection_closed: bool = False  # The connection broke before the response was complete.
 
 
 Effect = ForwardHead | ForwardData | AttemptResult
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/attempts.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/attempts.py
@@ -142,9 +142,9 @@
             self._handle_event(running, CallEnded(is_complete=True))
             return
         request_sent = error.byte_sent and error.failure is not CallFailure.UNREACHABLE
-        self._handle_event(
-            running, CallEnded(False, request_sent, f"{error.failure}: {error.text}")
-        )
+        is_closed = error.failure is CallFailure.CLOSED
+        text = f"{error.failure}: {error.text}"
+        self._handle_event(running, CallEnded(False, request_sent, text, is_closed))
 
     def _handle_event(self, running: _RunningAttempt, event: ForwardingEvent) -> None:
         request, exchange = running.request, running.request.exchange
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/crashes.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/crashes.py
@@ -8,6 +8,7 @@
 from ibispaddle_core.clock import Clock
 
 from ..calls import CallbackHttpClient, CallResult
+from ..events import CallFailure
 from ..timers import TimerQueue
 from .codec import ForwardingCodec
 
@@ -108,6 +109,8 @@
 
     def _verdict(self, result: CallResult, boot_ms: int | None) -> _Verdict:
         if result.error is not None:
+            if result.error.failure is CallFailure.PROTOCOL:
+                return _Verdict.RUNNING
             return _Verdict.CRASHED if result.error.is_refused else _Verdict.UNKNOWN
         current_ms = self._codec.read_boot(result.body) if result.status == 200 else None
         if boot_ms is None or current_ms is None or current_ms == boot_ms:
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
@@ -564,17 +564,27 @@
             proceed()
             return
         address = self._addresses[upstream_id]
+
+        def accepts_late_proof() -> bool:
+            # An upstream that was removed meanwhile may have ended as planned, and one that sent
+            # something else than a response was running.
+            return result.connection_closed and self._is_live(upstream_id)
+
+        callback = proceed
         if request.req.retry_policy is RetryPolicy.PROVED_NOT_RUN:
             # There is no retry that would have to wait for the result.
             proceed()
-            self.part_guard.check_upstream(request, address, lambda: None)
-        else:
-            self.part_guard.check_upstream(request, address, proceed)
+            callback = _do_nothing
+        self.part_guard.check_upstream(request, address, callback, accepts_late_proof)
 
     def _may_have_crashed(self, request: ForwardedRequest, result: AttemptResult) -> bool:
         """Return whether a listed upstream may have crashed; one that leaves may end at any time."""
-        view = self.scheduler.runners.views.get(request.upstream_id)
-        return view is not None and view.live and self.part_guard.may_have_crashed(request, result)
+        is_live = self._is_live(request.upstream_id)
+        return is_live and self.part_guard.may_have_crashed(request, result)
+
+    def _is_live(self, upstream_id: str) -> bool:
+        view = self.scheduler.runners.views.get(upstream_id)
+        return view is not None and view.live
 
     def _handle_failed_attempt(self, request: ForwardedRequest, ended: AttemptEnded) -> None:
         if request.request_id in self._requests and self._refuse_if_quarantined(request):
@@ -636,6 +646,10 @@
         )
 
 
+def _do_nothing() -> None:
+    pass
+
+
 def _upstream(entry: ListEntry) -> Upstream:
     is_live = entry.state is ListedState.LIVE
     state = UpstreamState.LIVE if is_live else UpstreamState.LEAVING
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/part_guard.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/part_guard.py
@@ -117,12 +117,16 @@
         )
 
     def check_upstream(
-        self, request: ForwardedRequest, address: str, callback: Callable[[], None]
+        self,
+        request: ForwardedRequest,
+        address: str,
+        callback: Callable[[], None],
+        accepts_late_proof: Callable[[], bool],
     ) -> None:
         """Call `callback` once the upstream proved alive, or the request's parts are suspects.
 
         If the upstream does not respond, `callback` is called soon, and the parts become suspects when
-        it turns out later that the process has ended.
+        it turns out later that the process has ended, if `accepts_late_proof` returns true then.
         """
         death = Death(request.upstream_id, request.attempt_boot_id)
 
@@ -133,7 +137,7 @@
 
         def done_late() -> None:
             # Meanwhile the request or its parts may have proved sound at another upstream.
-            if not request.has_settled_output:
+            if not request.has_settled_output and accepts_late_proof():
                 parts = tuple(part for part in request.parts if not self.registry.is_sound(part))
                 self._report_crash(request, death, parts)
 
--- a/tests/forwarding/test_part_guard.py
+++ b/tests/forwarding/test_part_guard.py
@@ -102,6 +102,26 @@
         _, [report] = self.guard.registry.changes_since(0)
         self.assertEqual(report.parts, ("p",))
 
+    def test_late_end_of_an_upstream_that_was_removed(self) -> None:
+        """Guards against suspicions because a faulty upstream was taken away after a request failed."""
+        self.fixture.send(parts="p")
+        self.fail()
+        self.detector.answer(False)
+        self.fixture.list_upstreams()
+        self.detector.late_callbacks[0]()
+        self.assertFalse(self.guard.registry.has_suspects)
+
+    def test_late_end_of_an_upstream_that_sent_no_response(self) -> None:
+        """Guards against suspicions of requests at an upstream that sent bytes that are no response."""
+        self.fixture.send(parts="p")
+        call = self.fixture.client.calls[-1]
+        garbage = HttpCallError(CallFailure.PROTOCOL, "no HTTP", byte_sent=True)
+        call.sink.call_ended(call.call_id, garbage)
+        self.fixture.flush()
+        self.detector.answer(False)
+        self.detector.late_callbacks[0]()
+        self.assertFalse(self.guard.registry.has_suspects)
+
     def test_leaving_upstream_may_end(self) -> None:
         """Guards against suspicions of the requests that a planned stop of an upstream cuts."""
         self.fixture.send(parts="p")
@@ -274,6 +294,9 @@
         self.assertTrue(self.check(failed(CallFailure.UNREACHABLE, is_refused=True)))
         for failure in (CallFailure.UNREACHABLE, CallFailure.TIMEOUT, CallFailure.CLOSED):
             self.assertFalse(self.check(failed(failure)), failure)
+        self.assertFalse(self.check(failed(CallFailure.PROTOCOL)))
+        self.advance(10_000)
+        self.assertEqual(len(self.callbacks), 1)  # Its process is running.
         self.assertFalse(self.check(CallResult(200, (), b"5", None)))
         self.assertTrue(self.check(CallResult(200, (), b"6", None)))
         for unknown in (CallResult(200, (), b"", None), CallResult(503, (), b"6", None)):
