Ended waiting requests first when a planned stop runs out of time

Found on reading the change again: end_requests ended requests in the order of their arrival. Each end makes room at an upstream, so a request that still waited could be sent in the last moment and get a 502 in place of 'not run'. Waiting ones are refused first now, and a request that has ended meanwhile is left out. Shown on the code, not by a run; no test of its own.

Three places removed a request from the scheduler and refused it; they share _end_request.

--- a/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
@@ -309,10 +309,18 @@
 
         Those that no upstream has received are refused as not run; streams are cut.
         """
-        for request in list(self._requests.values()):
-            run_state = RunState.UNKNOWN if request.attempts else RunState.NOT_RUN
-            self.handle_event(CallerDisconnected(request.request_id))  # The scheduler removes it.
-            self._refuse(request, Refuse(request.request_id, RefusalReason.DRAINING, run_state))
+        # Those that wait come first, so that none of them is sent when others make room.
+        for request in sorted(self._requests.values(), key=lambda request: request.attempts > 0):
+            if request.request_id in self._requests:
+                self._end_request(request, RefusalReason.DRAINING)
+
+    def _end_request(
+        self, request: ForwardedRequest, reason: RefusalReason, retry_after_ms: int = 0
+    ) -> None:
+        """Remove a request from the scheduler and refuse it."""
+        run_state = RunState.UNKNOWN if request.attempts else RunState.NOT_RUN
+        self.handle_event(CallerDisconnected(request.request_id))
+        self._refuse(request, Refuse(request.request_id, reason, run_state, retry_after_ms))
 
     def _reject(
         self,
@@ -354,10 +362,7 @@
         """
         self.handle_event(Tick())
         if request.request_id in self._requests:
-            # The caller is still connected; the event makes the scheduler remove the request.
-            self.handle_event(CallerDisconnected(request.request_id))
-            run_state = RunState.UNKNOWN if request.attempts else RunState.NOT_RUN
-            self._refuse(request, Refuse(request.request_id, RefusalReason.DEADLINE, run_state))
+            self._end_request(request, RefusalReason.DEADLINE)
 
     # Quarantine
 
@@ -368,10 +373,7 @@
             return False
         if request.cancel_attempt is not None:
             request.cancel_attempt()
-        self.handle_event(CallerDisconnected(request.request_id))  # The scheduler removes it.
-        run_state = RunState.UNKNOWN if request.attempts else RunState.NOT_RUN
-        reason = RefusalReason.QUARANTINED
-        self._refuse(request, Refuse(request.request_id, reason, run_state, blocked_ms))
+        self._end_request(request, RefusalReason.QUARANTINED, blocked_ms)
         return True
 
     def _refuse_quarantined_requests(self) -> None:
