--- a/packages/core/src/ibispaddle_core/forwarding/attempt.py
+++ b/packages/core/src/ibispaddle_core/forwarding/attempt.py
@@ -1,7 +1,7 @@
 """State machine of a forwarded attempt: data for the caller, and the outcome."""
 
 from ..relay.event_blocks import EventSplitter
-from ..relay.exceptions import EventTooLargeError
+from ..relay.exceptions import RelayError
 from ..scheduling import Outcome
 from .messages import (
     AttemptResult,
@@ -101,7 +101,7 @@
             return []
         try:
             events = self._splitter.feed(data)
-        except EventTooLargeError as exc:
+        except RelayError as exc:
             return self._finish(Outcome.FAILED, str(exc))
         parts = []
         for event in events:
--- a/packages/core/src/ibispaddle_core/relay/__init__.py
+++ b/packages/core/src/ibispaddle_core/relay/__init__.py
@@ -1,7 +1,7 @@
 """State machine of an attempt: data sent, data to relay to the caller, and the outcome."""
 
 from .attempt import Attempt
-from .exceptions import EventTooLargeError, RelayError
+from .exceptions import EventTooLargeError, RelayError, TooManyEmptyEventsError
 from .messages import (
     AttemptEvent,
     AttemptFinished,
@@ -37,4 +37,5 @@
     "ResponseEnded",
     "SseParser",
     "TimePassed",
+    "TooManyEmptyEventsError",
 ]
--- a/packages/core/src/ibispaddle_core/relay/attempt.py
+++ b/packages/core/src/ibispaddle_core/relay/attempt.py
@@ -15,7 +15,7 @@
     is_invalid_request,
     is_refusal,
 )
-from .exceptions import EventTooLargeError
+from .exceptions import RelayError
 from .messages import (
     AttemptEvent,
     AttemptFinished,
@@ -147,7 +147,7 @@
             return []
         try:
             events = self._parser.feed(data)
-        except EventTooLargeError as exc:
+        except RelayError as exc:
             return self._fail(str(exc))
         relayed: list[bytes] = []
         tokens_before = self._tokens
--- a/packages/core/src/ibispaddle_core/relay/event_blocks.py
+++ b/packages/core/src/ibispaddle_core/relay/event_blocks.py
@@ -1,25 +1,35 @@
 """Splitting of an event stream into complete events without changing any byte."""
 
+import re
 from dataclasses import dataclass
 
-from .exceptions import EventTooLargeError
-from .sse import MAX_EVENT_BYTES
+from .exceptions import EventTooLargeError, TooManyEmptyEventsError
+from .sse import MAX_EMPTY_EVENTS, MAX_EVENT_BYTES
+
+# The empty line that ends an event, with the empty lines that follow it.
+_END = re.compile(rb"\n\r?\n[\r\n]*")
 
 
 @dataclass(frozen=True)
 class RawEvent:
-    """The bytes of one event with its terminating empty line, and its id if it has one."""
+    """The bytes of one event with its terminating empty lines, and its id if it has one.
+
+    An event that consists of comments only, or of nothing, is empty.
+    """
 
     data: bytes
     event_id: int | None
+    is_empty: bool = False
 
 
 class EventSplitter:
     r"""Split a byte stream after each event, so that only complete events are forwarded.
 
+    The time that it takes is proportional to the number of bytes.
+
     >>> blocks = EventSplitter()
     >>> blocks.feed(b"id: 7\ndata: a\n\nid: 8\nda")
-    [RawEvent(data=b'id: 7\ndata: a\n\n', event_id=7)]
+    [RawEvent(data=b'id: 7\ndata: a\n\n', event_id=7, is_empty=False)]
     >>> blocks.has_incomplete_event
     True
     """
@@ -27,21 +37,27 @@
     def __init__(self) -> None:
         self._pending = bytearray()
         self._searched = 0
+        self._empty_events = 0  # Since the last event that was not empty.
 
     def feed(self, data: bytes) -> list[RawEvent]:
         """Return the events that `data` completes.
 
-        Raises `EventTooLargeError` if an incomplete event exceeds `MAX_EVENT_BYTES`.
+        Raises `EventTooLargeError` if an incomplete event exceeds `MAX_EVENT_BYTES`, and
+        `TooManyEmptyEventsError` after `MAX_EMPTY_EVENTS` empty events in a row.
         """
         self._pending += data
         blocks: list[RawEvent] = []
         begin = 0
-        while (end := self._end(begin)) is not None:
-            raw = bytes(self._pending[begin:end])
-            blocks.append(RawEvent(raw, _event_id(raw)))
+        while (match := _END.search(self._pending, max(begin, self._searched))) is not None:
+            end = match.end()
+            event = _parse(bytes(self._pending[begin:end]))
             begin = self._searched = end
+            blocks.append(event)
+            self._empty_events = self._empty_events + 1 if event.is_empty else 0
+            if self._empty_events > MAX_EMPTY_EVENTS:
+                raise TooManyEmptyEventsError(f"more than {MAX_EMPTY_EVENTS} empty events in a row")
         del self._pending[:begin]
-        self._searched = max(0, len(self._pending) - 3)
+        self._searched = max(0, len(self._pending) - 2)
         if len(self._pending) > MAX_EVENT_BYTES:
             raise EventTooLargeError(f"an event exceeds {MAX_EVENT_BYTES} bytes")
         return blocks
@@ -51,20 +67,12 @@
         """Return whether an event is buffered whose end has not been received."""
         return bool(self._pending)
 
-    def _end(self, begin: int) -> int | None:
-        """Return the end position of the first event after `begin`, or None."""
-        start = max(begin, self._searched)
-        ends = [
-            found + len(mark)
-            for mark in (b"\n\n", b"\r\n\r\n")
-            if (found := self._pending.find(mark, start)) >= 0
-        ]
-        return min(ends, default=None)
-
 
-def _event_id(block: bytes) -> int | None:
-    for line in block.splitlines():
+def _parse(block: bytes) -> RawEvent:
+    is_empty = True
+    for line in block.strip(b"\r\n").splitlines():
         name, _, value = line.partition(b":")
+        is_empty = is_empty and not name
         if name == b"id" and value.strip().isdigit():
-            return int(value)
-    return None
+            return RawEvent(block, int(value))
+    return RawEvent(block, None, is_empty)
--- a/packages/core/src/ibispaddle_core/relay/exceptions.py
+++ b/packages/core/src/ibispaddle_core/relay/exceptions.py
@@ -7,3 +7,7 @@
 
 class EventTooLargeError(RelayError):
     """An event exceeds the parser's size limit."""
+
+
+class TooManyEmptyEventsError(RelayError):
+    """A stream consists of comments or empty lines instead of events."""
--- a/packages/core/src/ibispaddle_core/relay/sse.py
+++ b/packages/core/src/ibispaddle_core/relay/sse.py
@@ -1,9 +1,16 @@
 """Incremental parser of server-sent events."""
 
-from .exceptions import EventTooLargeError
+import re
+
+from .exceptions import EventTooLargeError, TooManyEmptyEventsError
 
 MAX_EVENT_BYTES = 1_048_576
+# Upstreams send single comments to keep a connection open. One that sends more than this without an
+# event in between does not answer.
+MAX_EMPTY_EVENTS = 4_096
 _BOM = b"\xef\xbb\xbf"
+# The empty line that ends an event, with the empty lines that follow it.
+_END = re.compile(rb"\n\n+")
 
 
 class SseParser:
@@ -23,11 +30,13 @@
         self._searched = 0
         self._after_cr = False
         self._at_start = True
+        self._empty_events = 0  # Since the last event with data.
 
     def feed(self, data: bytes) -> list[bytes]:
         """Return the data of the events that `data` completes.
 
-        Raises `EventTooLargeError` if an incomplete event exceeds `MAX_EVENT_BYTES`.
+        Raises `EventTooLargeError` if an incomplete event exceeds `MAX_EVENT_BYTES`, and
+        `TooManyEmptyEventsError` after `MAX_EMPTY_EVENTS` events without data in a row.
         """
         if not data:
             return []
@@ -37,11 +46,15 @@
         pending = self._pending
         events: list[bytes] = []
         begin = 0
-        while (end := pending.find(b"\n\n", max(begin, self._searched))) >= 0:
-            if (value := _event_data(bytes(pending[begin:end]))) is not None:
+        while (match := _END.search(pending, max(begin, self._searched))) is not None:
+            value = _event_data(bytes(pending[begin : match.start()]))
+            if value is not None:
                 events.append(value)
-            # The second line feed is kept; it acts as an empty line before the next event.
-            begin = self._searched = end + 1
+            self._empty_events = self._empty_events + 1 if value is None else 0
+            if self._empty_events > MAX_EMPTY_EVENTS:
+                raise TooManyEmptyEventsError(f"more than {MAX_EMPTY_EVENTS} empty events in a row")
+            # The last line feed is kept; it acts as an empty line before the next event.
+            begin = self._searched = match.end() - 1
         del pending[:begin]
         self._searched = max(0, len(pending) - 1)
         if len(pending) > MAX_EVENT_BYTES:
--- a/tests/platform_adapter/processes.py
+++ b/tests/platform_adapter/processes.py
@@ -148,8 +148,8 @@
         self._stack = ExitStack()
         self.folder = self._stack.enter_context(tempfile.TemporaryDirectory())
         self.store = self._stand_in("platform_store")
-        self.runners = [self._runner(f"llm-{n}", "llm") for n in range(runners)]
-        self.services = [self._runner(f"shop-{n}", "shop") for n in range(services)]
+        self.runners = [self.start_runner(f"llm-{n}", "llm") for n in range(runners)]
+        self.services = [self.start_runner(f"shop-{n}", "shop") for n in range(services)]
         self.configure(configuration(1))
         self.instances = [self.start_instance(n, **bounds) for n in range(instances)]
         self.instance = self.instances[0]
@@ -165,7 +165,7 @@
         self._stack.callback(process.kill)
         return process
 
-    def _runner(self, name: str, service: str) -> ManagedProcess:
+    def start_runner(self, name: str, service: str) -> ManagedProcess:
         process = self._stand_in("platform_runner", "--id", name)
         process.name = name
         self.register(process, service)
--- a/tests/platform_adapter/test_endless_upstreams.py
+++ b/tests/platform_adapter/test_endless_upstreams.py
@@ -33,12 +33,17 @@
 }
 STREAM_RESPONSES = {
     "event": (STREAM_HEAD, b"data: " + b"z" * 4_096),
+    "empty lines": (STREAM_HEAD, b"\n" * 65_536),
+    "comments": (STREAM_HEAD, b":\n\n" * 16_384),
     "repeated event": (STREAM_HEAD + b"id: 1\ndata: a\n\n", b"id: 1\ndata: a\n\n" * 50),
 }
 # Maximum memory growth of an instance that may use 200 MB, relative to its idle state.
 MAX_GROWTH_KB = 40_000
 CLOSE_TIMEOUT_S = 4.0
 CALLS = 8
+STREAMS = 4
+# Time that calls to a sound service may take beside endless streams: the users' timeout of such a call.
+SOUND_CALL_S = 0.6
 
 
 class EndlessUpstream(RawServer):
@@ -159,6 +164,28 @@
                 self.assert_bounded(upstream, self.stream_status)
                 self.remove(upstream)
 
+    def test_calls_to_sound_services_beside_endless_streams(self) -> None:
+        """Guards against an instance that answers nobody while one upstream sends empty lines (review/3)."""
+        self.platform.services.append(self.platform.start_runner("shop-sound", "shop"))
+        for name in ("empty lines", "comments"):
+            with self.subTest(name):
+                upstream = self.register("llm", STREAM_RESPONSES[name])
+                threads = [
+                    threading.Thread(target=self.stream_status, args=(f"s{number}",))
+                    for number in range(STREAMS)
+                ]
+                for thread in threads:
+                    thread.start()
+                wait_until(lambda upstream=upstream: upstream.seen, "a stream at the upstream")
+                for number in range(10):
+                    started_s = time.monotonic()
+                    self.assertEqual(self.call_status(f"c{number}"), 200)
+                    self.assertLess(time.monotonic() - started_s, SOUND_CALL_S)
+                    time.sleep(0.05)
+                for thread in threads:
+                    thread.join(10)
+                self.remove(upstream)
+
     def test_stream_of_single_bytes(self) -> None:
         """Guards against a stalled stream that never ends because it sends single bytes."""
         self.register("llm", (STREAM_HEAD + b"id: 1\ndata: a\n\n", b":"), pause_s=0.05)
--- a/tests/platform_adapter/test_odd_entries.py
+++ b/tests/platform_adapter/test_odd_entries.py
@@ -59,7 +59,7 @@
 
     def check_followed(self, number: int) -> None:
         """Check that a runner that registers now gets work from all instances."""
-        runner = self.platform._runner(f"late-{number}", "llm")
+        runner = self.platform.start_runner(f"late-{number}", "llm")
 
         def is_listed() -> bool:
             lists = [instance.events("upstream_added") for instance in self.platform.instances]
