--- a/packages/daemon/src/ibispaddle_daemon/configuration.py
+++ b/packages/daemon/src/ibispaddle_daemon/configuration.py
@@ -147,7 +147,9 @@
         self._published = state
         if is_new:
             self._activate(state)
-        self.fire(config_position(state.as_of, state.revision), "*")
+        if self.revision is not None:
+            # A revision that cannot be applied does not count as in force.
+            self.fire(config_position(state.as_of, self.revision), "*")
 
     def _activate(self, state: ConfigState) -> None:
         config = self._file_config
--- a/packages/daemon/src/ibispaddle_daemon/gateway.py
+++ b/packages/daemon/src/ibispaddle_daemon/gateway.py
@@ -92,6 +92,7 @@
         self._listen_bind, self._status_bind = binds
         self.clock = clock or SystemClock()
         self._config_version: int | None = None
+        self._is_newest_config_usable = True
         self._is_draining = False
         self._was_ready = self._is_config_fresh = False
         self._read_settings = reload
@@ -217,20 +218,24 @@
             self.fire(readiness_changed("configuration", is_fresh), "*")
 
     def _on_config_update(self, update: TopicUpdate) -> None:
+        value = update.values.get(self._codecs.config_key)
+        decoded = None
+        if value is not None:
+            decoded = self._codecs.config(value)
+            self._is_newest_config_usable = decoded is not None
+        if not self._is_newest_config_usable:
+            # The configuration in force is outdated and may contain revoked keys, so it is not confirmed.
+            if value is not None:
+                log_event(logevents.CONFIG_UNUSABLE, size=len(value))
+            return
         # Set before the configuration is applied, because that admits the waiting requests.
         self.forwarder.freshness = ConfigFreshness(
             self.config_topic.confirmed_ms, self.settings.revocation_ms
         )
-        value = update.values.get(self._codecs.config_key)
-        if value is not None:
-            self._apply_config(value)
+        if decoded is not None:
+            self._apply_config(*decoded)
 
-    def _apply_config(self, value: bytes) -> None:
-        decoded = self._codecs.config(value)
-        if decoded is None:
-            log_event(logevents.CONFIG_UNUSABLE, size=len(value))
-            return
-        routing, fleet = decoded
+    def _apply_config(self, routing: RoutingConfig, fleet: FleetConfig) -> None:
         if self._config_version is not None and routing.version <= self._config_version:
             return
         self._config_version = routing.version
--- a/tests/configuration/test_component.py
+++ b/tests/configuration/test_component.py
@@ -71,6 +71,11 @@
         self.in_force = []
         self.ready = []
         self.reread = []
+        self.positions = []
+
+    @handler("config_position", channel="*")
+    def _on_config_position(self, offset, revision):
+        self.positions.append((offset, revision))
 
     @handler("source_reread", channel="*")
     def _on_source_reread(self, source, number):
@@ -234,6 +239,14 @@
         self.page(change("c", 1, 3.0).to_record(), start=2)
         self.assertEqual(self.revisions(), [0, 2])
 
+    def test_unusable_configuration_is_not_reported_as_in_force(self):
+        """Guard against an operator who is told that a revoked key no longer works (review/4)."""
+        bad = Change("b", 0, "base", {"modles": {}}, "ann").to_record()
+        self.page(bad, start=1)
+        self.assertEqual(self.recorder.positions[-1], (1, 0))
+        self.page(change("c", 1, 3.0).to_record(), start=2)
+        self.assertEqual(self.recorder.positions[-1], (2, 2))
+
     def test_change_whose_append_response_is_lost(self):
         """Guard against a response to the operator that contradicts the log."""
         outcomes = []
--- a/tests/platform_adapter/test_records.py
+++ b/tests/platform_adapter/test_records.py
@@ -7,8 +7,10 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+from ibispaddle_core.routing import RoutingConfig
 from ibispaddle_core.scheduling import RetryPolicy
 from ibispaddle_core.scheduling.cost import CostModel
+from ibispaddle_core.settings import FleetConfig
 from ibispaddle_core.topics import (
     KeyedRecord,
     OffsetExpired,
@@ -134,6 +136,36 @@
         for value in (b"", b"{}", b"\xff", b'{"version":"x"}', json.dumps(no_service).encode()):
             self.assertIsNone(self.reader.read(value))
 
+    def read_with(self, name: str, value: object) -> tuple[RoutingConfig, FleetConfig] | None:
+        """Return the configuration with another value of a field of its routes, engine or limits."""
+        routes = [{**route, name: value} for route in CONFIG["routes"]]
+        engine = {**ENGINE, name: value}
+        services = [{"name": "llm", "engine": engine}, {"name": "shop"}]
+        config = {**CONFIG, "routes": routes, "services": services, "limits": {name: value}}
+        return self.reader.read(json.dumps(config).encode())
+
+    def test_fractions_are_accepted_in_all_numbers(self) -> None:
+        """Guards against a version that is dropped as a whole because of one value (review/4)."""
+        routing, _ = self.read_with("timeout_ms", 562.5)
+        self.assertIn(routing.routes[0].timeout_ms, (562, 563))
+        names = ("timeout_ms", "slo_ms", "attempts", "gap_aim_ms", *ENGINE, "max_body_bytes")
+        for name in (name for name in names if name != "usual"):
+            with self.subTest(name):
+                self.assertIsNotNone(self.read_with(name, 1.5))
+
+    def test_engine_with_cheap_attention(self) -> None:
+        """Guards against a version that is dropped because an estimate exceeds a limit (review/4)."""
+        _, fleet = self.read_with("pairs_per_m", 1e-6)
+        self.assertEqual(fleet.models["llm"].attention_tokens, 100_000_000)
+
+    @given(
+        st.sampled_from(("timeout_ms", "slo_ms", "attempts", "gap_aim_ms", "weight", *ENGINE)),
+        st.floats() | st.integers() | st.sampled_from(("nan", "inf", "-inf", None, [], {})),
+    )
+    def test_arbitrary_values_do_not_raise(self, name: str, value: object) -> None:
+        """Guards against an update of the configuration that is aborted by an exception (review/4)."""
+        self.read_with(name, value)
+
     @given(st.binary(max_size=200))
     def test_arbitrary_bytes_do_not_raise(self, value: bytes) -> None:
         """Guards against a record that crashes an instance."""
