Took comments of a stream for no progress

Cause: each complete block of a forwarded stream counted as an event, so a runner that sends only a comment each second never stalled, on routes that may resume elsewhere. Blocks without content are forwarded, but neither end a stall nor count as first output. The own interface counts tokens and is not affected.

Evidence: test_stream_of_comments_is_resumed_on_another_upstream fails on (no second call) and passes here.

--- a/packages/core/src/ibispaddle_core/forwarding/attempt.py
+++ b/packages/core/src/ibispaddle_core/forwarding/attempt.py
@@ -104,6 +104,7 @@
         except RelayError as exc:
             return self._finish(Outcome.FAILED, str(exc))
         parts = []
+        count = 0
         for event in events:
             if event.event_id is not None:
                 if self.last_event_id is not None and event.event_id <= self.last_event_id:
@@ -111,11 +112,12 @@
                     continue
                 self.last_event_id = event.event_id
             parts.append(event.data)
+            count += not event.is_empty
         if self._repeated_events > MAX_REPEATED_EVENTS:
             return self._finish(Outcome.FAILED, "the stream repeats too many events")
         if not parts:
             return []
-        return [*self._forward_head(), ForwardData(b"".join(parts), len(parts))]
+        return [*self._forward_head(), ForwardData(b"".join(parts), count)]
 
     def _forward_head(self) -> list[Effect]:
         if self._head_forwarded or self._head is None:
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/attempts.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/attempts.py
@@ -153,13 +153,14 @@
                 case ForwardHead(status, headers):
                     exchange.start(status, headers)
                 case ForwardData(data, events):
-                    # Only complete events count as progress: a stalled upstream may still send
-                    # single bytes.
-                    running.last_event_ms = self._clock.now_ms()
                     exchange.write(data)
                     request.last_event_id = running.state_machine.last_event_id
                     self._limit_unsent_bytes(running)
-                    self._on_output(request, events)
+                    # Only complete events with content count as progress: a stalled upstream may
+                    # still send single bytes or comments.
+                    if events:
+                        running.last_event_ms = self._clock.now_ms()
+                        self._on_output(request, events)
                     self._schedule_stall_check(running)
                 case AttemptResult():
                     self._release(running)
--- a/tests/forwarding/test_silence.py
+++ b/tests/forwarding/test_silence.py
@@ -46,6 +46,14 @@
         self.assertEqual(self.calls_after(STALL_MS - 1), 1)
         self.assertEqual(self.calls_after(1), 2)
 
+    def test_stream_of_comments_is_resumed_on_another_upstream(self) -> None:
+        """Guards against a stalled stream that never ends because it sends a comment now and then."""
+        self.start(max_silence_ms=720)
+        for _ in range(4):
+            self.fixture.advance(STALL_MS // 4 - 1)
+            self.fixture.answer(b": ping\n\n")
+        self.assertEqual(self.calls_after(4), 2)
+
 
 if __name__ == "__main__":
     unittest.main()
