--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -25,6 +25,7 @@
     CallerDisconnected,
     CancelAttempt,
     ConfigurationReplaced,
+    ConfirmListing,
     Decision,
     Event,
     FirstToken,
@@ -41,6 +42,7 @@
     Request,
     RequestArrived,
     ReservationAnswered,
+    ReservationRenewed,
     RetryPolicy,
     Tick,
     TokensRelayed,
@@ -62,6 +64,12 @@
 from .subsets import PEER_EXPIRY_MS, REFRESH_MS, RunnerSubsets
 from .timers import Timers
 
+# Consecutive renewals of a reservation without a response after which a runner counts as silent. A single
+# response may be lost.
+SILENT_AFTER_RENEWALS = 2
+# Number of such renewals after which the list is no longer read more often for a runner that stays in it.
+MAX_LIST_CHECKS_AFTER_RENEWALS = 4
+
 
 class Scheduler:
     """Decide admission, order, placement, deadlines, retries and memory reservations.
@@ -208,6 +216,10 @@
                 self._reservation_order.merge(event, now_ms)
             case ReservationAnswered():
                 decisions += self._handle_reservation_answer(event, now_ms)
+            case ReservationRenewed(request_id):
+                self._reservations.record_renewal(event)
+                if (state := self._states.get(request_id)) is not None:
+                    decisions += self._check_silence(state)
             case ConfigurationReplaced(config):
                 self._replace_configuration(config)
             case Tick():
@@ -572,6 +584,8 @@
             if used & down:
                 state.cancelling = True
                 decisions.append(CancelAttempt(state.req.request_id, state.upstream_id))
+        for state in list(self._states.values()):
+            decisions += self._check_silence(state, is_list_new=True)
 
         def unusable(upstream_id: str) -> bool:
             view = self.runners.views.get(upstream_id)
@@ -589,6 +603,24 @@
                     self._backlog.add(state)
         return decisions
 
+    def _check_silence(self, state: RequestState, is_list_new: bool = False) -> list[Decision]:
+        """Cancel an attempt whose runner has left the list and does not respond, and free its memory.
+
+        A runner that has left the list may still serve, and one that does not respond may only be slow.
+        The other runners of its group keep memory for the attempt, so that it cannot wait for a timeout.
+        """
+        request_id, upstream_id = state.req.request_id, state.upstream_id
+        if upstream_id is None or state.cancelling:
+            return []
+        unanswered = self._reservations.unanswered_renewals(request_id, upstream_id)
+        if unanswered < SILENT_AFTER_RENEWALS:
+            return []
+        if any(upstream.upstream_id == upstream_id for upstream in self._listed):
+            is_recheck_due = not is_list_new and unanswered <= MAX_LIST_CHECKS_AFTER_RENEWALS
+            return [ConfirmListing(request_id, upstream_id)] if is_recheck_due else []
+        state.cancelling = True
+        return [*self._reservations.free(request_id), CancelAttempt(request_id, upstream_id)]
+
     def _expire(self, now_ms: int) -> list[Decision]:
         decisions: list[Decision] = []
         for state in self._timers.past_deadline(now_ms):
--- a/packages/core/src/ibispaddle_core/scheduling/messages.py
+++ b/packages/core/src/ibispaddle_core/scheduling/messages.py
@@ -338,6 +338,19 @@
     granted: bool
 
 
+@dataclass(frozen=True)
+class ReservationRenewed:
+    """Report the end of a call that renews a granted reservation.
+
+    `is_answered` is false if the runner did not respond in time.
+    """
+
+    request_id: str
+    upstream_id: str
+    handle: str
+    is_answered: bool
+
+
 @dataclass(frozen=True)
 class ConfigurationReplaced:
     """Replace the configuration. Requests that were admitted before continue."""
@@ -366,6 +379,7 @@
     | FleetPaces
     | UpstreamResponded
     | ReservationAnswered
+    | ReservationRenewed
     | ConfigurationReplaced
     | Tick
 )
@@ -425,4 +439,12 @@
     handle: str
 
 
-Decision = Dispatch | Refuse | CancelAttempt | ReserveMemory | FreeMemory
+@dataclass(frozen=True)
+class ConfirmListing:
+    """Read the list of upstreams soon, because an upstream with the request's attempt is silent."""
+
+    request_id: str
+    upstream_id: str
+
+
+Decision = Dispatch | Refuse | CancelAttempt | ReserveMemory | FreeMemory | ConfirmListing
--- a/packages/core/src/ibispaddle_core/scheduling/reservations.py
+++ b/packages/core/src/ibispaddle_core/scheduling/reservations.py
@@ -12,6 +12,7 @@
     FreeMemory,
     Request,
     ReservationAnswered,
+    ReservationRenewed,
     ReserveMemory,
     WaitingPrompt,
 )
@@ -36,6 +37,7 @@
     tokens: int
     requested: bool = False
     granted: bool = False
+    unanswered_renewals: int = 0  # Since the last response of the runner.
     claimed: bool = False  # Returned by `take_unclaimed`, for a claim on the runner's memory.
 
 
@@ -157,19 +159,48 @@
             prompt.retry_ms = now_ms
         return [], prompt.complete
 
+    def record_renewal(self, event: ReservationRenewed) -> None:
+        """Record whether a runner responded to the renewal of a reservation."""
+        prompt = self._prompts.get(event.request_id)
+        for segment in prompt.segments if prompt is not None else ():
+            if segment.handle == event.handle:
+                count = segment.unanswered_renewals + 1
+                segment.unanswered_renewals = 0 if event.is_answered else count
+
+    def unanswered_renewals(self, request_id: str, upstream_id: str) -> int:
+        """Return how many renewals a runner of the request's group has left unanswered since the last."""
+        prompt = self._prompts.get(request_id)
+        for segment in prompt.segments if prompt is not None else ():
+            if segment.upstream_id == upstream_id:
+                return segment.unanswered_renewals
+        return 0
+
     def handles(self, request_id: str) -> tuple[str, ...]:
         """Return the handles of the request in prompt order."""
         return tuple(segment.handle for segment in self._prompts[request_id].segments)
 
-    def release(self, request_id: str) -> list[Decision]:
-        """Free every reservation that was requested, whether answered or not."""
-        prompt = self._prompts.pop(request_id, None)
+    def free(self, request_id: str) -> list[Decision]:
+        """Free every reservation that was requested, whether answered or not.
+
+        The group is kept until `release`, because the end of the request's attempt refers to it.
+        """
+        prompt = self._prompts.get(request_id)
         if prompt is None:
             return []
+        decisions: list[Decision] = []
         for segment in prompt.segments:
             if (view := self._runners.views.get(segment.upstream_id)) is not None:
                 view.release(segment.handle)
-        return [FreeMemory(s.upstream_id, s.handle) for s in prompt.segments if s.requested]
+            if segment.requested:
+                segment.requested = False
+                decisions.append(FreeMemory(segment.upstream_id, segment.handle))
+        return decisions
+
+    def release(self, request_id: str) -> list[Decision]:
+        """Free the request's reservations and remove its group."""
+        decisions = self.free(request_id)
+        self._prompts.pop(request_id, None)
+        return decisions
 
     def requests_using(self, unusable: Callable[[str], bool]) -> list[str]:
         """Return the requests with a segment on a runner for which `unusable` returns true."""
--- a/packages/daemon/src/ibispaddle_daemon/engine_memory.py
+++ b/packages/daemon/src/ibispaddle_daemon/engine_memory.py
@@ -7,9 +7,15 @@
 import msgspec
 from circuits import BaseComponent
 from ibispaddle_core.clock import Clock
-from ibispaddle_core.scheduling import FreeMemory, ReservationAnswered, ReserveMemory
+from ibispaddle_core.scheduling import (
+    FreeMemory,
+    ReservationAnswered,
+    ReservationRenewed,
+    ReserveMemory,
+)
 
 from .calls import CallbackHttpClient, CallResult
+from .events import CallFailure
 from .timers import TimerHandle, TimerQueue
 
 CALL_TIMEOUT_MS = 1_000
@@ -96,14 +102,17 @@
         self,
         base_url: str,
         decision: ReserveMemory,
-        callback: Callable[[ReservationAnswered], None],
+        callback: Callable[[ReservationAnswered | ReservationRenewed], None],
     ) -> None:
-        """Request memory; a lost response counts as a refusal, which the scheduler retries."""
+        """Request memory; a lost response counts as a refusal, which the scheduler retries.
+
+        `callback` also gets the result of each renewal.
+        """
 
         def on_result(result: CallResult) -> None:
             granted = result.error is None and self._codec.is_granted(result.status)
             if granted and decision.handle in self._active_handles:
-                self._schedule_renewal(base_url, decision)
+                self._schedule_renewal(base_url, decision, callback)
             callback(
                 ReservationAnswered(
                     decision.request_id, decision.upstream_id, decision.handle, granted
@@ -128,16 +137,32 @@
             return self._codec.hold_ms
         return max(1, (_expiry_ms(decision.handle) or 0) - self._clock.wall_ms())
 
-    def _schedule_renewal(self, base_url: str, decision: ReserveMemory) -> None:
+    def _schedule_renewal(
+        self,
+        base_url: str,
+        decision: ReserveMemory,
+        callback: Callable[[ReservationRenewed], None],
+    ) -> None:
         if self._codec.hold_ms is None or decision.handle in self._renewals:
             return
 
+        def on_result(result: CallResult) -> None:
+            if decision.handle in self._active_handles:
+                callback(
+                    ReservationRenewed(
+                        decision.request_id,
+                        decision.upstream_id,
+                        decision.handle,
+                        _is_answered(result),
+                    )
+                )
+
         def renew() -> None:
             self._renewals.pop(decision.handle, None)
             call = self._codec.reserve(decision.handle, decision.tokens, self._hold_ms(decision))
             url = base_url + call.path
-            self._calls.send(call.method, url, call.body, CALL_TIMEOUT_MS, lambda result: None)
-            self._schedule_renewal(base_url, decision)
+            self._calls.send(call.method, url, call.body, CALL_TIMEOUT_MS, on_result)
+            self._schedule_renewal(base_url, decision, callback)
 
         # At least one renewal can be lost before the reservation expires.
         interval_ms = self._codec.hold_ms // 3
@@ -162,6 +187,14 @@
         return expiry_ms is None or self._clock.wall_ms() > expiry_ms
 
 
+def _is_answered(result: CallResult) -> bool:
+    """Return whether the engine responded, or the call never left this instance."""
+    if result.error is None:
+        return True
+    silence = (CallFailure.UNREACHABLE, CallFailure.CLOSED, CallFailure.TIMEOUT)
+    return result.error.failure not in silence
+
+
 def _expiry_ms(handle: str) -> int | None:
     """Return the expiry time (wall clock) in the handle, or None if it has none."""
     expiry = handle.rpartition("-")[2]
--- a/packages/daemon/src/ibispaddle_daemon/events.py
+++ b/packages/daemon/src/ibispaddle_daemon/events.py
@@ -160,6 +160,10 @@
     """Report a new instance list: `list_changed(entries)`."""
 
 
+class list_questioned(Event):
+    """Report that an upstream in the list does not respond: `list_questioned()`."""
+
+
 class load_reported(Event):
     """Report a runner's load: `load_reported(load)`."""
 
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
@@ -28,6 +28,7 @@
     CallerDisconnected,
     CancelAttempt,
     ConfigurationReplaced,
+    ConfirmListing,
     Decision,
     Dispatch,
     Event,
@@ -53,6 +54,7 @@
 from ibispaddle_core.settings import FleetConfig
 
 from ..engine_memory import EngineMemory, EngineMemoryCodec
+from ..events import list_questioned
 from ..http_client import HttpClient
 from ..http_exchange import Exchange
 from ..logs import log_event
@@ -393,6 +395,9 @@
                 self._memory.reserve(self._base_url(upstream_id), decision, self.handle_event)
                 self.on_work_changed(True)
                 return
+            case ConfirmListing():
+                self.fire(list_questioned(), "*")
+                return
         request = self._requests.get(decision.request_id)
         if request is None:
             return
--- a/packages/daemon/src/ibispaddle_daemon/store/follower.py
+++ b/packages/daemon/src/ibispaddle_daemon/store/follower.py
@@ -18,7 +18,7 @@
 
 from ..calls import CallbackHttpClient, CallResult
 from ..logs import log_event
-from ..timers import TimerQueue
+from ..timers import TimerHandle, TimerQueue
 from .codec import StoreCodec
 
 # Added to the long-poll wait to get the timeout of a call. Longer than the response time of a slow
@@ -29,6 +29,8 @@
 MAX_RETRY_MS = 400
 # Consecutive failures after which the store counts as unavailable; a single one can be a lost response.
 UNAVAILABLE_AFTER_FAILURES = 2
+# Interval between reads after `read_often`.
+OFTEN_INTERVAL_MS = 100
 
 
 class Relay(Protocol):
@@ -80,6 +82,8 @@
         self._relay = relay
         self._mirror = TopicMirror(is_same)
         self._is_reading = False
+        self._read_often_until_ms = 0
+        self._next_read: TimerHandle | None = None
         self._calls = CallbackHttpClient(f"topic-calls-{topic}", clock).register(self)
         self._call_started_ms = 0
         self._failures = 0
@@ -110,6 +114,14 @@
             self._is_reading = True
             self._read()
 
+    def read_often(self, duration_ms: int) -> None:
+        """Read the store itself and more often than usual for a time."""
+        self._read_often_until_ms = self._clock.now_ms() + duration_ms
+        if self._next_read is not None:
+            self._schedule(0)
+        else:
+            self.read_store()
+
     def apply_relayed(
         self, answer: NewestPage | ChangesPage | OffsetExpired, confirmed_ms: int
     ) -> None:
@@ -138,7 +150,8 @@
                 self._schedule(0)  # A hub has responded since, with newer data.
             elif self._apply(answer, self._call_started_ms):
                 self._publish()
-                self._schedule(self._call_started_ms + self._interval_ms - self._clock.now_ms())
+                interval_ms = OFTEN_INTERVAL_MS if self._is_read_often else self._interval_ms
+                self._schedule(self._call_started_ms + interval_ms - self._clock.now_ms())
             else:
                 self._schedule(0)
 
@@ -165,11 +178,18 @@
         self._on_update(update)
         return True
 
+    @property
+    def _is_read_often(self) -> bool:
+        return self._clock.now_ms() < self._read_often_until_ms
+
     def _schedule(self, delay_ms: int) -> None:
-        self._timers.after(max(0, delay_ms), self._read_next)
+        if self._next_read is not None:
+            self._next_read.cancel()
+        self._next_read = self._timers.after(max(0, delay_ms), self._read_next)
 
     def _read_next(self) -> None:
-        if self._relay is None or self._relay.must_read_store():
+        self._next_read = None
+        if self._relay is None or self._is_read_often or self._relay.must_read_store():
             self._read()
         else:
             self._is_reading = False  # A hub is queried instead.
--- a/packages/daemon/src/ibispaddle_daemon/store/upstreams.py
+++ b/packages/daemon/src/ibispaddle_daemon/store/upstreams.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from circuits import BaseComponent
+from circuits import BaseComponent, handler
 from ibispaddle_core import logevents
 from ibispaddle_core.clock import Clock
 from ibispaddle_core.membership import ListEntry, Registration, RegistrationTable
@@ -21,6 +21,9 @@
 EXPIRY_CHECK_INTERVAL_MS = 200
 # Maximum number of upstreams logged by name for one change. The first read of a large list has thousands.
 MAX_LOGGED_UPSTREAMS = 200
+# Time for which the list is read more often while an upstream does not respond: until the next attempt to
+# reach it has failed.
+QUESTIONED_MS = 1_200
 
 
 class UpstreamDirectory(BaseComponent):
@@ -69,6 +72,10 @@
         self._table.apply(values, update.is_snapshot, self._clock.now_ms(), recovered_ms)
         self._report()
 
+    @handler("list_questioned", channel="*")
+    def _on_list_questioned(self) -> None:
+        self._topic.read_often(QUESTIONED_MS)
+
     def _is_same_registration(self, key: str, old: bytes, new: bytes) -> bool:
         """Return whether two values of an entry are equivalent, as with a mere heartbeat."""
         return self._decode(key, old) == self._decode(key, new)
--- a/tests/scheduling/test_least_work.py
+++ b/tests/scheduling/test_least_work.py
@@ -10,6 +10,9 @@
 from ibispaddle_core.scheduling import (
     AttemptEnded,
     CallerDisconnected,
+    CancelAttempt,
+    ConfirmListing,
+    Decision,
     Dispatch,
     FirstToken,
     FreeMemory,
@@ -18,6 +21,7 @@
     Refuse,
     RequestArrived,
     ReservationAnswered,
+    ReservationRenewed,
     ReserveMemory,
     RetryPolicy,
     Scheduler,
@@ -200,6 +204,72 @@
         late = sched.handle(ReservationAnswered("huge", second.upstream_id, second.handle, True), 6)
         self.assertIn(FreeMemory(second.upstream_id, second.handle), late)
 
+    def start_spanning(self) -> tuple[Scheduler, list[ReserveMemory], Dispatch]:
+        """Start a prompt that several engines hold together."""
+        sched = scheduler()
+        orders = [o for o in arrive(sched, "huge", 500_000) if isinstance(o, ReserveMemory)]
+        decisions = []
+        for order in orders:
+            granted = ReservationAnswered("huge", order.upstream_id, order.handle, True)
+            decisions = sched.handle(granted, 5)
+        (dispatch,) = decisions
+        return sched, orders, dispatch
+
+    def renew(
+        self, sched: Scheduler, order: ReserveMemory, now_ms: int, *answers: bool
+    ) -> list[Decision]:
+        """Report the results of renewals of a reservation and return the decisions."""
+        return [
+            decision
+            for answered in answers
+            for decision in sched.handle(
+                ReservationRenewed("huge", order.upstream_id, order.handle, answered), now_ms
+            )
+        ]
+
+    def delist(self, sched: Scheduler, upstream_id: str, now_ms: int) -> list[Decision]:
+        listed = (fakes.upstream(number) for number in range(23))
+        others = tuple(upstream for upstream in listed if upstream.upstream_id != upstream_id)
+        return sched.handle(UpstreamsChanged(others), now_ms)
+
+    def test_memory_is_freed_when_the_first_engine_is_lost(self) -> None:
+        """Guards against memory that is kept for an engine that crashed in silence (review/5)."""
+        for is_started in (False, True):
+            for is_delisted_first in (False, True):
+                with self.subTest(is_started=is_started, is_delisted_first=is_delisted_first):
+                    sched, orders, dispatch = self.start_spanning()
+                    if is_started:
+                        sched.handle(FirstToken("huge"), 100)
+                    if is_delisted_first:
+                        self.assertEqual(self.delist(sched, dispatch.upstream_id, 3_100), [])
+                        decisions = self.renew(sched, orders[0], 3_200, False, False)
+                    else:
+                        decisions = self.renew(sched, orders[0], 2_100, False, False)
+                        self.assertEqual(decisions, [ConfirmListing("huge", dispatch.upstream_id)])
+                        decisions = self.delist(sched, dispatch.upstream_id, 3_100)
+                    freed = [d.handle for d in decisions if isinstance(d, FreeMemory)]
+                    self.assertEqual(freed, list(dispatch.segments))
+                    self.assertIn(CancelAttempt("huge", dispatch.upstream_id), decisions)
+                    ended = AttemptEnded("huge", dispatch.upstream_id, Outcome.STALLED)
+                    retried = sched.handle(ended, 3_300)
+                    self.assertFalse(any(isinstance(d, FreeMemory) for d in retried))
+                    self.assertFalse(any(view.sent for view in sched.runners.views.values()))
+
+    def test_engine_that_is_only_silent_or_only_unlisted_keeps_its_work(self) -> None:
+        """Guards against running work that is given up because an engine is slow to report."""
+        sched, orders, dispatch = self.start_spanning()
+        listed = ConfirmListing("huge", dispatch.upstream_id)
+        self.assertEqual(self.renew(sched, orders[0], 2_000, *[False] * 8), [listed] * 3)
+        self.assertEqual(self.renew(sched, orders[0], 2_100, True), [])
+        self.assertEqual(self.delist(sched, dispatch.upstream_id, 2_200), [])
+        self.assertEqual(self.renew(sched, orders[0], 2_300, False, True, False, True), [])
+
+    def test_silent_holder_does_not_end_the_attempt(self) -> None:
+        """Guards against a prompt that ends for a silent holder, which its first engine reports."""
+        sched, orders, _ = self.start_spanning()
+        self.delist(sched, orders[1].upstream_id, 3_000)
+        self.assertEqual(self.renew(sched, orders[1], 3_100, False, False, False), [])
+
     def test_prompt_larger_than_the_fleet_is_refused_at_once(self) -> None:
         """Guards against a wait for memory that does not exist."""
         (refusal,) = arrive(scheduler(runners=2), "huge", 900_000)
