--- a/packages/core/src/ibispaddle_core/forwarding/attempt.py
+++ b/packages/core/src/ibispaddle_core/forwarding/attempt.py
@@ -56,6 +56,12 @@
         self._body = bytearray()
         self._repeated_events = 0
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Return the size of the received data that has not been forwarded."""
+        pending = self._splitter.buffered_bytes if self._splitter is not None else 0
+        return len(self._body) + pending
+
     def handle(self, event: ForwardingEvent) -> list[Effect]:
         """Return the effects of an event, in order."""
         if self.is_ended:
@@ -72,6 +78,7 @@
         self, outcome: Outcome, text: str = "", answer: CompleteResponse | None = None
     ) -> list[Effect]:
         self.is_ended = True
+        self._body, self._splitter = bytearray(), None
         address = self._head.faulty_address if self._head is not None else None
         return [AttemptResult(outcome, text, answer, address)]
 
--- a/packages/core/src/ibispaddle_core/relay/attempt.py
+++ b/packages/core/src/ibispaddle_core/relay/attempt.py
@@ -117,6 +117,11 @@
         limit_ms = self._stall_ms if self._tokens else self._first_token_ms
         return self._last_progress_ms + limit_ms
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Return the size of the received data that has not been relayed."""
+        return len(self._body) + self._parser.buffered_bytes
+
     @property
     def run_state(self) -> RunState:
         """Return whether the request may have run, as far as known."""
--- a/packages/core/src/ibispaddle_core/relay/event_blocks.py
+++ b/packages/core/src/ibispaddle_core/relay/event_blocks.py
@@ -62,6 +62,11 @@
             raise EventTooLargeError(f"an event exceeds {MAX_EVENT_BYTES} bytes")
         return blocks
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Return the size of the incomplete event."""
+        return len(self._pending)
+
     @property
     def has_incomplete_event(self) -> bool:
         """Return whether an event is buffered whose end has not been received."""
--- a/packages/core/src/ibispaddle_core/relay/sse.py
+++ b/packages/core/src/ibispaddle_core/relay/sse.py
@@ -61,6 +61,11 @@
             raise EventTooLargeError(f"an event exceeds {MAX_EVENT_BYTES} bytes")
         return events
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Return the size of the incomplete event."""
+        return len(self._pending)
+
     @property
     def has_incomplete_event(self) -> bool:
         """Return whether an event is buffered whose end has not been received."""
--- a/packages/daemon/src/ibispaddle_daemon/account.py
+++ b/packages/daemon/src/ibispaddle_daemon/account.py
@@ -14,7 +14,7 @@
 
 from .calls import CallbackHttpClient, CallResult
 from .configuration import Configuration
-from .events import CallFailure
+from .events import MAX_BUFFERED_BODY_BYTES, CallFailure
 from .http_exchange import Exchange
 from .operators import RETRY_AFTER_MS, OperatorEndpoints, respond_json
 from .responses import respond_error
@@ -129,7 +129,8 @@
             self._finish_read(f"the end was not reached within {READ_TIMEOUT_MS} ms")
             return
         url = f"{self._url}?from={self.reader.position}&limit={self._page_records}"
-        self._calls.send("GET", url, b"", min(remaining_ms, PAGE_TIMEOUT_MS), self._process_page)
+        timeout_ms = min(remaining_ms, PAGE_TIMEOUT_MS)
+        self._calls.send("GET", url, b"", timeout_ms, self._process_page, MAX_BUFFERED_BODY_BYTES)
 
     def _process_page(self, result: CallResult) -> None:
         is_too_large = result.error and result.error.failure is CallFailure.TOO_LARGE
--- a/packages/daemon/src/ibispaddle_daemon/attempts.py
+++ b/packages/daemon/src/ibispaddle_daemon/attempts.py
@@ -26,6 +26,7 @@
 from opentelemetry.trace import Status, StatusCode
 
 from .attempt_ends import CANCEL_TIMEOUT_MS, AttemptEndHandler
+from .buffer_limit import BufferLimit
 from .events import (
     CallFailure,
     Headers,
@@ -54,6 +55,8 @@
 RESPONSE_END_TIMEOUT_MS = 1_000
 # Interval at which a stalled attempt that nothing can replace is checked again.
 STALL_RECHECK_MS = 500
+# Maximum size of the data that all attempts together buffer until a response or an event is complete.
+MAX_TOTAL_BUFFERED_BYTES = 50_331_648
 # Time before the deadline at which an attempt that is still silent is cancelled on its engine, whose response
 # states whether the request has run.
 LAST_CANCEL_MS = CANCEL_TIMEOUT_MS + 100
@@ -84,6 +87,7 @@
         self._timers = timers
         self._metrics = metrics
         self._tracing = tracing
+        self._buffered = BufferLimit(MAX_TOTAL_BUFFERED_BYTES)
         self._attempts_by_call: dict[str, tuple[ModelRequest, RunningAttempt]] = {}
         end_handler = AttemptEndHandler(
             coordinator, clock, suspects, self._resume, self.requests_at
@@ -266,6 +270,12 @@
     def call_data(self, call_id: str, data: bytes) -> None:
         """Handle a part of a response's body."""
         self._handle_call_event(call_id, DataReceived(data))
+        found = self._attempts_by_call.get(call_id)
+        if found is None:
+            return
+        if not self._buffered.update(call_id, found[1].state_machine.buffered_bytes):
+            text = f"the responses of all attempts exceed {self._buffered.max_bytes} bytes"
+            self._handle_event(*found, ResponseEnded(False, True, text))
 
     def call_ended(self, call_id: str, error: HttpCallError | None) -> None:
         """Handle the end of a call."""
@@ -329,6 +339,7 @@
         end = running.state_machine.finished
         assert end is not None
         self._attempts_by_call.pop(running.call_id, None)
+        self._buffered.release(running.call_id)
         request.attempt = None
         for timer in (running.timer, running.last_cancel_timer):
             if timer is not None:
--- a/packages/daemon/src/ibispaddle_daemon/calls.py
+++ b/packages/daemon/src/ibispaddle_daemon/calls.py
@@ -10,6 +10,8 @@
 from .events import Headers, HttpCall, HttpCallError, http_call, http_cancel
 from .responses import JSON
 
+# Maximum size of the response to an order, a status check or a report, which have some hundred bytes.
+MAX_STATUS_BYTES = 65_536
 _CALL_NUMBERS = itertools.count(1)
 
 
@@ -38,8 +40,12 @@
         body: bytes,
         timeout_ms: int,
         callback: Callable[[CallResult], None],
+        max_body_bytes: int = MAX_STATUS_BYTES,
     ) -> str:
-        """Make a call and return its id; the callback is called once, within `timeout_ms`."""
+        """Make a call and return its id; the callback is called once, within `timeout_ms`.
+
+        A response of more than `max_body_bytes` fails as `TOO_LARGE`.
+        """
         call_id = f"{self.channel}-{next(_CALL_NUMBERS)}"
         self._callbacks[call_id] = callback
         call = HttpCall(
@@ -50,6 +56,7 @@
             body=body,
             deadline_ms=self._clock.now_ms() + timeout_ms,
             channel=self.channel,
+            max_body_bytes=max_body_bytes,
         )
         self.fire(http_call(call), "http_client")
         return call_id
--- a/packages/daemon/src/ibispaddle_daemon/events.py
+++ b/packages/daemon/src/ibispaddle_daemon/events.py
@@ -16,6 +16,9 @@
 
 CONNECT_TIMEOUT_MS = 2_000
 
+# Maximum size of a buffered response. A page of the platform's log has a few megabytes.
+MAX_BUFFERED_BODY_BYTES = 33_554_432
+
 
 class CallFailure(StrEnum):
     """The reason why an HTTP call did not complete."""
@@ -81,6 +84,7 @@
     # On a new connection, a call cannot receive bytes of an earlier call and cannot hit an idle
     # connection that the upstream has dropped without closing it.
     may_reuse_connection: bool = True
+    max_body_bytes: int = MAX_BUFFERED_BODY_BYTES  # Limit of a response that is not streamed.
 
 
 def find_header(headers: Iterable[tuple[str, str]], name: str) -> str | None:
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/attempts.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/attempts.py
@@ -19,6 +19,7 @@
 )
 from ibispaddle_core.scheduling import RetryPolicy
 
+from ..buffer_limit import BufferLimit
 from ..events import CallFailure, Headers, HttpCall, HttpCallError, http_pause, http_resume
 from ..http_client import HttpClient
 from ..timers import TimerHandle, TimerQueue
@@ -33,6 +34,9 @@
 # Fractions of `max_unsent_bytes` at which reading from the upstream is paused and resumed.
 PAUSE_FRACTION = 0.5
 RESUME_FRACTION = 0.25
+# Maximum size of the data that all attempts together buffer until a response or an event is complete.
+# Complete responses have kilobytes, and an instance has at least 200 MB.
+MAX_TOTAL_BUFFERED_BYTES = 33_554_432
 # Interval at which a stalled stream that no other upstream can resume is checked again.
 STALL_RECHECK_MS = 500
 _NUMBERS = itertools.count(1)
@@ -77,6 +81,7 @@
         self._on_head, self._on_output = on_head, on_output
         self._on_stall, self._on_result = on_stall, on_result
         self._running: dict[str, _RunningAttempt] = {}
+        self._buffered = BufferLimit(MAX_TOTAL_BUFFERED_BYTES)
         self.max_unsent_bytes = 262_144
         self.stall_timeout_ms = 5_000
 
@@ -114,6 +119,7 @@
 
     def _release(self, running: _RunningAttempt) -> None:
         self._running.pop(running.call_id, None)
+        self._buffered.release(running.call_id)
         running.state_machine.is_ended = True
         running.request.cancel_attempt = None
         if running.stall_timer is not None:
@@ -135,8 +141,14 @@
     def call_data(self, call_id: str, data: bytes) -> None:
         """Handle a part of a response's body."""
         running = self._running.get(call_id)
-        if running is not None:
-            self._handle_event(running, BodyReceived(data))
+        if running is None:
+            return
+        self._handle_event(running, BodyReceived(data))
+        if self._running.get(call_id) is not running:
+            return
+        if not self._buffered.update(call_id, running.state_machine.buffered_bytes):
+            text = f"the responses of all attempts exceed {self._buffered.max_bytes} bytes"
+            self._handle_event(running, CallEnded(False, True, text))
 
     def call_ended(self, call_id: str, error: HttpCallError | None) -> None:
         """Handle the end of a call."""
--- a/packages/daemon/src/ibispaddle_daemon/http_client.py
+++ b/packages/daemon/src/ibispaddle_daemon/http_client.py
@@ -13,6 +13,7 @@
 from circuits.core.utils import findcmp
 from ibispaddle_core.clock import Clock, SystemClock
 
+from .buffer_limit import BufferLimit
 from .events import (
     CallFailure,
     Headers,
@@ -32,7 +33,9 @@
 IDLE_TIMEOUT_MS = 30_000
 MAX_IDLE_CONNECTIONS_PER_ADDRESS = 64
 MAX_CONNECTIONS = 8_000
-MAX_BUFFERED_BODY_BYTES = 33_554_432
+# Maximum size of the buffered responses of all calls together. With it, an instance whose upstreams all
+# respond without end stays within the memory of the smallest machines, 200 MB.
+MAX_TOTAL_BUFFERED_BYTES = 50_331_648
 
 
 @dataclass
@@ -71,6 +74,7 @@
         self._addresses_with_timer: set[Address] = set()
         self._closed_connections: list[HttpConnection] = []
         self._connection_count = 0
+        self._buffered = BufferLimit(MAX_TOTAL_BUFFERED_BYTES)  # Of calls that are not streamed.
         self._poller: Any = None
         self._connection_by_socket: dict[Any, HttpConnection] = {}
 
@@ -198,6 +202,7 @@
             return
         byte_sent = is_refused = False
         del self._calls[call.call_id]
+        self._buffered.release(call.call_id)
         for timer in active.timers:
             timer.cancel()
         if conn is not None:
@@ -314,9 +319,17 @@
             return
         active.parts.append(data)
         active.size += len(data)
-        if active.size > MAX_BUFFERED_BODY_BYTES:
-            text = f"the response exceeds {MAX_BUFFERED_BODY_BYTES} bytes"
-            self._finish_call(active, CallFailure.TOO_LARGE, text)
+        is_within_total = self._buffered.update(active.call.call_id, active.size)
+        limit = active.call.max_body_bytes
+        if active.size > limit:
+            self._abort_response(active, f"the response exceeds {limit} bytes")
+        elif not is_within_total:
+            text = f"the responses of all calls exceed {self._buffered.max_bytes} bytes"
+            self._abort_response(active, text)
+
+    def _abort_response(self, active: _ActiveCall, text: str) -> None:
+        active.parts.clear()
+        self._finish_call(active, CallFailure.TOO_LARGE, text)
 
     def response_completed(self, conn: HttpConnection) -> None:
         """Finish the call after its complete response."""
--- a/packages/daemon/src/ibispaddle_daemon/instance_list.py
+++ b/packages/daemon/src/ibispaddle_daemon/instance_list.py
@@ -23,6 +23,7 @@
 
 from .calls import CallbackHttpClient, CallResult
 from .events import (
+    MAX_BUFFERED_BODY_BYTES,
     list_changed,
     peer_send,
     readiness_changed,
@@ -106,7 +107,9 @@
 
     def _poll(self) -> None:
         # Only one call at a time: the next poll is scheduled when this one has completed.
-        self._call_id = self._http.send("GET", self._url, b"", POLL_TIMEOUT_MS, self._on_response)
+        self._call_id = self._http.send(
+            "GET", self._url, b"", POLL_TIMEOUT_MS, self._on_response, MAX_BUFFERED_BODY_BYTES
+        )
 
     @handler("process_paused", channel="*")
     def _on_process_paused(self, number: int) -> None:
--- a/packages/daemon/src/ibispaddle_daemon/probes.py
+++ b/packages/daemon/src/ibispaddle_daemon/probes.py
@@ -16,7 +16,7 @@
 from ibispaddle_core.membership import ListEntry, MemberKind, MembershipView
 from ibispaddle_core.settings import InstanceSettings
 
-from .calls import CallbackHttpClient, CallResult
+from .calls import MAX_STATUS_BYTES, CallbackHttpClient, CallResult
 from .events import (
     CallFailure,
     load_reported,
@@ -40,6 +40,8 @@
 KV_CLEANUP_INTERVAL_MS = 5_000
 FIRST_KV_CLEANUP_MAX_DELAY_MS = 1_000
 KV_TIMEOUT_MS = 2_000
+# Maximum size of the list of an engine's handles, which has about a hundred bytes for each.
+MAX_HANDLES_BYTES = 1_048_576
 OWN_HANDLE_PREFIX = "ir-"
 
 
@@ -130,7 +132,14 @@
             if now_ms >= runner.next_kv_cleanup_ms:
                 runner.next_kv_cleanup_ms = now_ms + KV_CLEANUP_INTERVAL_MS
                 if not runner.is_down:
-                    self._call(runner_id, "GET", "/kv", KV_TIMEOUT_MS, self._delete_expired_handles)
+                    self._call(
+                        runner_id,
+                        "GET",
+                        "/kv",
+                        KV_TIMEOUT_MS,
+                        self._delete_expired_handles,
+                        MAX_HANDLES_BYTES,
+                    )
             due_ms = min(due_ms, max(runner.next_probe_ms, now_ms + MIN_TICK_INTERVAL_MS))
         self._timer = self._timers.at(due_ms, self._tick)
 
@@ -165,6 +174,7 @@
         path: str,
         timeout_ms: int,
         handle_result: Callable[[str, _Runner, CallResult], None],
+        max_body_bytes: int = MAX_STATUS_BYTES,
     ) -> None:
         """Call a runner; its result is ignored if this instance no longer probes the runner."""
 
@@ -174,7 +184,7 @@
                 handle_result(runner_id, runner, result)
 
         url = f"{self._scheme}://{self._runners[runner_id].entry.address}{path}"
-        self._calls.send(method, url, b"", timeout_ms, on_result)
+        self._calls.send(method, url, b"", timeout_ms, on_result, max_body_bytes)
 
     def _delete_expired_handles(self, runner_id: str, runner: _Runner, result: CallResult) -> None:
         if result.error is not None or result.status != 200:
--- a/packages/daemon/src/ibispaddle_daemon/store/follower.py
+++ b/packages/daemon/src/ibispaddle_daemon/store/follower.py
@@ -17,6 +17,7 @@
 )
 
 from ..calls import CallbackHttpClient, CallResult
+from ..events import MAX_BUFFERED_BODY_BYTES
 from ..logs import log_event
 from ..timers import TimerHandle, TimerQueue
 from .codec import StoreCodec
@@ -161,6 +162,7 @@
             request.body,
             self._wait_ms + RESPONSE_MARGIN_MS,
             done,
+            MAX_BUFFERED_BODY_BYTES,
         )
 
     def _publish(self) -> None:
--- a/tests/daemon/test_http_client.py
+++ b/tests/daemon/test_http_client.py
@@ -37,10 +37,21 @@
         self.addCleanup(upstream.close)
         return upstream
 
-    def call(self, address, call_id, *, stream=False, timeout_ms=8_000, body=b"", method="POST"):
+    def call(
+        self,
+        address,
+        call_id,
+        *,
+        stream=False,
+        timeout_ms=8_000,
+        body=b"",
+        method="POST",
+        **values,
+    ):
         deadline = SystemClock().now_ms() + timeout_ms
         url = f"http://{address}/path?x=1"
-        call = HttpCall(call_id, method, url, (("X-A", "b"),), body, deadline, "test", stream)
+        headers = (("X-A", "b"),)
+        call = HttpCall(call_id, method, url, headers, body, deadline, "test", stream, **values)
         self.root.fire(http_call(call), "http_client")
 
     def final_event(self, call_id):
@@ -122,6 +133,39 @@
         self.assertEqual(self.final_event("a")[1].failure, CallFailure.CLOSED)
         self.assertIn(("call_data", b"abc"), self.recorder.events_of("a"))
 
+    def endless_upstream(self, head=b"HTTP/1.1 200 OK\r\n\r\n"):
+        """Return an upstream that sends a body until the connection is closed."""
+
+        def script(conn, number):
+            read_request(conn)
+            conn.sendall(head)
+            while True:
+                conn.sendall(b"z" * 65_536)
+
+        return self.upstream(script)
+
+    def test_response_larger_than_the_limit_of_the_call(self):
+        """Guard against a response without end that is kept until the deadline (review/2)."""
+        for head in (
+            b"HTTP/1.1 200 OK\r\n\r\n",
+            b"HTTP/1.1 500 X\r\nContent-Length: 9999999\r\n\r\n",
+        ):
+            with self.subTest(head):
+                call_id = head.decode()
+                self.call(self.endless_upstream(head).address, call_id, max_body_bytes=100_000)
+                _, _, _, body, error = self.final_event(call_id)
+                self.assertEqual((error.failure, body), (CallFailure.TOO_LARGE, b""))
+
+    def test_total_size_of_the_responses_of_all_calls(self):
+        """Guard against many calls that together exceed the memory of the process (review/2)."""
+        upstream = self.endless_upstream()
+        names = [f"c{number}" for number in range(12)]
+        for name in names:
+            self.call(upstream.address, name)
+        errors = [self.final_event(name)[4] for name in names]
+        self.assertEqual({error.failure for error in errors}, {CallFailure.TOO_LARGE})
+        self.assertTrue(any("all calls" in error.text for error in errors), errors)
+
     def test_invalid_response_is_a_protocol_error(self):
         """Guard against an unhandled error when an upstream does not speak HTTP."""
 
--- a/tests/platform_adapter/processes.py
+++ b/tests/platform_adapter/processes.py
@@ -126,7 +126,7 @@
 
     def stream(self, **headers: str) -> HttpResponse:
         """Send a request for a stream."""
-        return self.call("POST", "/stream/x", b"prompt", Token_Count="1000,200", **headers)
+        return self.call("POST", "/stream/x", b"prompt", **{"Token_Count": "1000,200"} | headers)
 
     def end(self) -> int:
         """Terminate the process gracefully and return its exit status."""
--- a/tests/platform_adapter/test_endless_upstreams.py
+++ b/tests/platform_adapter/test_endless_upstreams.py
@@ -41,6 +41,7 @@
 MAX_GROWTH_KB = 40_000
 CLOSE_TIMEOUT_S = 4.0
 CALLS = 8
+LONG_TOKENS = "400000,700"  # Needs memory that is reserved at several runners.
 STREAM_DEADLINE_S = 2.5
 # Time within which a request ends after its deadline, by the users' rules.
 DEADLINE_SLACK_S = 0.5
@@ -153,10 +154,12 @@
     def call_status(self, attempt_id: str) -> int:
         return self.instance.call("POST", "/once/x", Attempt_Id=attempt_id).status
 
-    def stream_status(self, attempt_id: str) -> int:
+    def stream_status(self, attempt_id: str, tokens: str = "1000,200") -> int:
         try:
             return self.instance.stream(
-                Deadline_Ms=str(round(1000 * STREAM_DEADLINE_S)), Attempt_Id=attempt_id
+                Token_Count=tokens,
+                Deadline_Ms=str(round(1000 * STREAM_DEADLINE_S)),
+                Attempt_Id=attempt_id,
             ).status
         except (OSError, HTTPException):
             return 0  # The connection closed during the response, so it is seen as incomplete.
@@ -191,6 +194,23 @@
                     thread.join(10)
                 self.remove(upstream)
 
+    def test_endless_responses_to_status_checks_and_orders(self) -> None:
+        """Guards against memory that grows with each order, status check and report (review/2)."""
+        for _ in range(4):
+            self.register("llm", (b"HTTP/1.1 200 OK\r\n\r\n", b"z" * 65_536))
+        before = resident_kb(self.instance.proc.pid)
+        threads = [
+            threading.Thread(target=self.stream_status, args=(f"l{number}", LONG_TOKENS))
+            for number in range(CALLS)
+        ]
+        for thread in threads:
+            thread.start()
+        peak = 0
+        while any(thread.is_alive() for thread in threads):
+            peak = max(peak, resident_kb(self.instance.proc.pid))
+            time.sleep(0.02)
+        self.assertLess(peak - before, MAX_GROWTH_KB)
+
     def test_stream_of_single_bytes(self) -> None:
         """Guards against a stalled stream that never ends because it sends single bytes.
 
