--- a/packages/daemon/src/ibispaddle_daemon/forwarding/attempts.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/attempts.py
@@ -199,7 +199,9 @@
 
         def check() -> None:
             running.stall_timer = None
-            if running.is_paused or self._idle_ms(running) < limit_ms:
+            if running.is_paused:
+                return  # Scheduled again when reading is resumed.
+            if self._idle_ms(running) < limit_ms:
                 self._schedule_stall_check(running)
                 return
             running.stall_timer = self._timers.after(STALL_RECHECK_MS, check)
@@ -234,4 +236,5 @@
             if request.exchange.unsent_bytes <= self.max_unsent_bytes * RESUME_FRACTION:
                 running.is_paused = False
                 running.last_event_ms = self._clock.now_ms()
+                self._schedule_stall_check(running)
                 self.fire(http_resume(running.call_id), "http_client")
--- a/packages/daemon/src/ibispaddle_daemon/timers.py
+++ b/packages/daemon/src/ibispaddle_daemon/timers.py
@@ -2,6 +2,7 @@
 
 import heapq
 import itertools
+from collections import deque
 from collections.abc import Callable
 
 from circuits import BaseComponent, handler
@@ -21,6 +22,9 @@
         self.callback = None
 
 
+_Entry = tuple[int, int, TimerHandle]  # Time, number in the order of addition, handle.
+
+
 class TimerQueue(BaseComponent):
     """Run callbacks at monotonic times.
 
@@ -33,7 +37,7 @@
     def __init__(self, clock: Clock) -> None:
         super().__init__()
         self._clock = clock
-        self._heap: list[tuple[int, int, TimerHandle]] = []
+        self._heap: list[_Entry] = []
         self._numbers = itertools.count()
 
     def at(self, time_ms: int, callback: Callable[[], None]) -> TimerHandle:
@@ -49,14 +53,27 @@
     @handler("generate_events", priority=10)
     def _on_generate_events(self, event):  # type: ignore[no-untyped-def]
         now_ms = self._clock.now_ms()
+        # Callbacks that are added meanwhile run in the next turn, even if their time has passed.
+        due = self._pop_due(now_ms)
+        if due:
+            event.reduce_time_left(0)
+        try:
+            while due:
+                handle = due.popleft()[2]
+                callback, handle.callback = handle.callback, None
+                if callback is not None:
+                    callback()
+        finally:
+            # If a callback raises, circuits reports the exception, and the others run in the next turn.
+            for entry in due:
+                heapq.heappush(self._heap, entry)
+        if self._heap:
+            event.reduce_time_left(max(0, self._heap[0][0] - now_ms) / 1000)
+
+    def _pop_due(self, now_ms: int) -> deque[_Entry]:
+        """Remove the entries that are due, and cancelled ones before them, and return them in order."""
+        due: deque[_Entry] = deque()
         heap = self._heap
         while heap and (heap[0][0] <= now_ms or heap[0][2].callback is None):
-            handle = heapq.heappop(heap)[2]
-            callback, handle.callback = handle.callback, None
-            if callback is not None:
-                # If a callback raises, circuits reports the exception, and the callbacks due after it
-                # run in the next turn.
-                event.reduce_time_left(0)
-                callback()
-        if heap:
-            event.reduce_time_left((heap[0][0] - now_ms) / 1000)
+            due.append(heapq.heappop(heap))
+        return due
--- a/tests/forwarding/test_silence.py
+++ b/tests/forwarding/test_silence.py
@@ -81,6 +81,18 @@
         self.fixture.list_upstreams("u1", "u2")
         self.assertEqual(self.calls_after(500), 2)
 
+    def test_silence_while_the_caller_does_not_read(self) -> None:
+        """Guards against a stall check that repeats for ever while reading is paused (review/1)."""
+        self.start(max_silence_ms=720)
+        self.exchange.unsent_bytes = 1_000_000
+        self.answer_resumed(2)
+        self.assertEqual(self.calls_after(STALL_MS + 60), 1)
+        self.assertEqual(self.calls_after(60), 1)
+        self.exchange.unsent_bytes = 0
+        self.exchange.on_drained()
+        self.assertEqual(self.calls_after(STALL_MS - 1), 1)
+        self.assertEqual(self.calls_after(1), 2)
+
     def test_stall_timeout_applies_if_the_caller_waits_less(self) -> None:
         """Guards against a stream of a short prompt that is resumed after its caller disconnected."""
         self.start(max_silence_ms=720)
--- a/tests/platform_adapter/test_endless_upstreams.py
+++ b/tests/platform_adapter/test_endless_upstreams.py
@@ -14,7 +14,7 @@
 
 from tests.support.waiting import wait_until
 
-from .processes import Platform
+from .processes import KEY, Platform
 from .raw_server import RawServer
 
 # `ID` is replaced by the request's attempt id.
@@ -211,6 +211,26 @@
             time.sleep(0.02)
         self.assertLess(peak - before, MAX_GROWTH_KB)
 
+    def test_consumer_that_stops_reading_an_endless_stream(self) -> None:
+        """Guards against an instance that hangs while reading from an upstream is paused (review/1)."""
+        self.platform.services.append(self.platform.start_runner("shop-sound", "shop"))
+        text = b"data: " + b"z" * 1_000 + b"\n\n"
+        self.register("llm", (STREAM_HEAD, text * 64))
+        conn = socket.create_connection(("127.0.0.1", self.instance.port))
+        self.addCleanup(conn.close)
+        head = f"POST /stream/x HTTP/1.1\r\nHost: a.example\r\nKey: {KEY}\r\nAttempt-Id: p1\r\n"
+        head += "Token-Count: 1000,200\r\nDeadline-Ms: 3000\r\nContent-Length: 0\r\n\r\n"
+        conn.sendall(head.encode())
+        ends_s = time.monotonic() + 2.5
+        number = 0
+        while time.monotonic() < ends_s:
+            number += 1
+            started_s = time.monotonic()
+            self.assertEqual(self.call_status(f"c{number}"), 200)
+            self.assertLess(time.monotonic() - started_s, SOUND_CALL_S)
+            time.sleep(0.1)
+        self.assertTrue(self.instance.is_ready())
+
     def test_stream_of_single_bytes(self) -> None:
         """Guards against a stalled stream that never ends because it sends single bytes.
 
