Failed streams whose event ids are no 64-bit integers

Found by the review: an id of 5,000 digits raised an exception at each read of the stream, 190 logged exceptions a second, and the buffer was never emptied, because int() refuses so many digits.

Such an id now fails the attempt like other data that is no stream.

--- a/packages/core/src/ibispaddle_core/relay/event_blocks.py
+++ b/packages/core/src/ibispaddle_core/relay/event_blocks.py
@@ -3,12 +3,15 @@
 import re
 from dataclasses import dataclass
 
-from .exceptions import EventTooLargeError, TooManyEmptyEventsError
+from .exceptions import EventTooLargeError, InvalidEventIdError, TooManyEmptyEventsError
 from .sse import MAX_EMPTY_EVENTS, MAX_EVENT_BYTES
 
 # The empty line that ends an event, with the empty lines that follow it.
 _END = re.compile(rb"\n\r?\n[\r\n]*")
 
+# Event ids are 64-bit integers.
+MAX_EVENT_ID_BYTES = 20
+
 
 @dataclass(frozen=True)
 class RawEvent:
@@ -42,8 +45,9 @@
     def feed(self, data: bytes) -> list[RawEvent]:
         """Return the events that `data` completes.
 
-        Raises `EventTooLargeError` if an incomplete event exceeds `MAX_EVENT_BYTES`, and
-        `TooManyEmptyEventsError` after `MAX_EMPTY_EVENTS` empty events in a row.
+        Raises `EventTooLargeError` if an incomplete event exceeds `MAX_EVENT_BYTES`,
+        `TooManyEmptyEventsError` after `MAX_EMPTY_EVENTS` empty events in a row, and
+        `InvalidEventIdError` for an id that is no 64-bit integer.
         """
         self._pending += data
         blocks: list[RawEvent] = []
@@ -79,5 +83,7 @@
         name, _, value = line.partition(b":")
         is_empty = is_empty and not name
         if name == b"id" and value.strip().isdigit():
+            if len(value) > MAX_EVENT_ID_BYTES:
+                raise InvalidEventIdError(f"an event id exceeds {MAX_EVENT_ID_BYTES} bytes")
             return RawEvent(block, int(value))
     return RawEvent(block, None, is_empty)
--- a/packages/core/src/ibispaddle_core/relay/exceptions.py
+++ b/packages/core/src/ibispaddle_core/relay/exceptions.py
@@ -11,3 +11,7 @@
 
 class TooManyEmptyEventsError(RelayError):
     """A stream consists of comments or empty lines instead of events."""
+
+
+class InvalidEventIdError(RelayError):
+    """The id of an event is too large."""
--- a/tests/forwarding/test_attempt.py
+++ b/tests/forwarding/test_attempt.py
@@ -117,6 +117,14 @@
         self.assertEqual(heads, 0 if seen else 1)
         self.assertEqual(result_of(effects).outcome, Outcome.COMPLETED)
 
+    def test_event_id_of_thousands_of_digits(self) -> None:
+        """Guards against an exception at each read of a stream whose event id is not a number."""
+        for digits in (21, 5_000):
+            attempt = ForwardedAttempt(streams=True)
+            data = b"id: " + b"9" * digits + b"\n\n"
+            effects = run(attempt, HeadReceived(OK), BodyReceived(data))
+            self.assertEqual(result_of(effects).outcome, Outcome.FAILED)
+
     def test_continuation_that_is_no_stream(self) -> None:
         """Guards against a stream that stays open after another upstream refused to continue it."""
         for status in (204, 302, 404, 500):
