Served other connections between parts of a response that has many

Callers of sound services waited while an upstream sent chunks of one byte (0.5 s for each read of 64 KiB, 2.4 s beside four such streams) or interim heads (0.24 s a read, until the deadline).

Cause: all that a read contains was parsed at once, and h11 takes some 45 us a part whatever its size; interim responses had no limit.

After 512 parts the connection goes on in the next turn of the event loop, and reads nothing more until then; more than 16 interim responses are a protocol error.

--- a/packages/daemon/src/ibispaddle_daemon/http_client.py
+++ b/packages/daemon/src/ibispaddle_daemon/http_client.py
@@ -336,6 +336,10 @@
         if active := self._call_by_connection.get(conn):
             self._finish_call(active)
 
+    def processing_deferred(self, conn: HttpConnection) -> None:
+        """Let the connection go on in the next turn of the event loop."""
+        self._timers.after(0, conn.continue_processing)
+
     def connection_failed(self, conn: HttpConnection, failure: CallFailure, text: str) -> None:
         """Finish the call with an error, or remove an idle connection that the upstream closed."""
         if active := self._call_by_connection.get(conn):
--- a/packages/daemon/src/ibispaddle_daemon/http_connection.py
+++ b/packages/daemon/src/ibispaddle_daemon/http_connection.py
@@ -17,6 +17,10 @@
 _RETRY_ERRNOS = (EAGAIN, EWOULDBLOCK, EINTR)
 # Maximum size of a response head; the listener has the same limit for requests.
 MAX_HEAD_BYTES = 65_536
+# Maximum number of interim responses (1xx) before a response. Upstreams send one at most.
+MAX_INTERIM_RESPONSES = 16
+# Parts of a response, for example chunks, that are processed before other connections are served: about 20 ms.
+MAX_EVENTS_PER_TURN = 512
 
 
 class ConnectionListener(Protocol):
@@ -40,6 +44,9 @@
     def response_completed(self, conn: "HttpConnection") -> None:
         """Report a complete response."""
 
+    def processing_deferred(self, conn: "HttpConnection") -> None:
+        """Report that `continue_processing` must be called in the next turn of the event loop."""
+
     def connection_failed(self, conn: "HttpConnection", failure: CallFailure, text: str) -> None:
         """Report that the connection failed before the response was complete, or while idle."""
 
@@ -65,6 +72,8 @@
         self._output = bytearray()
         self._connecting = False
         self._paused = False
+        self._is_deferred = False  # Received data waits for `continue_processing`.
+        self._interim_responses = 0
         self._write_failed = False
         self._http: Any = None
         self._uses_tls = False
@@ -79,7 +88,7 @@
         self.address = address
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._output.clear()
-        self._paused = False
+        self._paused = self._is_deferred = False
         self._write_failed = False
         self.byte_sent = self.is_refused = False
         self._sock = self._create_socket()
@@ -112,6 +121,7 @@
         Raises `h11.LocalProtocolError` or `UnicodeError` if the request is not valid HTTP.
         """
         self.byte_sent = False
+        self._interim_responses = 0
         encoded = [(name.encode("ascii"), value.encode("latin-1")) for name, value in headers]
         head = self._http.send(h11.Request(method=method, target=target, headers=encoded))
         self._output += head
@@ -141,14 +151,14 @@
         """Stop reading."""
         if not self._paused and self.is_open:
             self._paused = True
-            if not self._connecting:
+            if not self._connecting and not self._is_deferred:
                 self._poller.removeReader(self._sock)
 
     def resume(self) -> None:
         """Continue reading."""
         if self._paused and self.is_open:
             self._paused = False
-            if not self._connecting:
+            if not self._connecting and not self._is_deferred:
                 self._poller.addReader(self, self._sock)
 
     @property
@@ -161,7 +171,7 @@
         if self.is_open:
             self._listener.socket_closed(self)
             self._poller.discard(self._sock)
-            self._connecting = self._connected = False
+            self._connecting = self._connected = self._is_deferred = False
             self._sock.close()
         self._output.clear()
 
@@ -284,7 +294,7 @@
         """Read from the socket."""
         if self._connecting and self._tcp_open:
             self.handle_writable()
-        elif self._connected and not self._paused:
+        elif self._connected and not self._paused and not self._is_deferred:
             self._receive()
 
     def _receive(self) -> None:
@@ -302,15 +312,30 @@
             return
         try:
             self._http.receive_data(data)
+        except h11.RemoteProtocolError as exc:
+            self._fail(CallFailure.PROTOCOL, str(exc))
+            return
+        self._process_received(is_closed=not data)
+
+    def continue_processing(self) -> None:
+        """Process received data that was deferred."""
+        if not self._is_deferred:
+            return
+        self._is_deferred = False
+        if not self._paused:
+            self._poller.addReader(self, self._sock)
+        self._process_received()
+
+    def _process_received(self, is_closed: bool = False) -> None:
+        try:
             self._process_events()
         except h11.RemoteProtocolError as exc:
             # h11 also reports a connection that is closed within a message as a protocol error.
-            failure = CallFailure.PROTOCOL if data else CallFailure.CLOSED
-            self._fail(failure, str(exc))
+            self._fail(CallFailure.CLOSED if is_closed else CallFailure.PROTOCOL, str(exc))
 
     def _process_events(self) -> None:
         parts: list[bytes] = []
-        while True:
+        for _ in range(MAX_EVENTS_PER_TURN):
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError:
@@ -325,16 +350,25 @@
                     )
                     self._listener.head_received(self, event.status_code, headers)
                 case h11.InformationalResponse():
-                    pass
+                    self._interim_responses += 1
+                    if self._interim_responses > MAX_INTERIM_RESPONSES:
+                        text = f"more than {MAX_INTERIM_RESPONSES} interim responses"
+                        raise h11.RemoteProtocolError(text)
                 case h11.EndOfMessage():
                     self._report_data(parts)
                     self._complete_response()
                     return
                 case _:
-                    break
+                    self._report_data(parts)
+                    return
             if not self._connected:
                 return
         self._report_data(parts)
+        if self._connected:
+            self._is_deferred = True
+            if not self._paused:
+                self._poller.removeReader(self._sock)
+            self._listener.processing_deferred(self)
 
     def _report_data(self, parts: list[bytes]) -> None:
         if parts and self._connected:
--- a/tests/daemon/test_http_client.py
+++ b/tests/daemon/test_http_client.py
@@ -166,6 +166,66 @@
         self.assertEqual({error.failure for error in errors}, {CallFailure.TOO_LARGE})
         self.assertTrue(any("all calls" in error.text for error in errors), errors)
 
+    def test_endless_interim_responses_are_a_protocol_error(self):
+        """Guard against a call that processes interim responses until its deadline."""
+
+        def script(conn, number):
+            read_request(conn)
+            while True:
+                conn.sendall(b"HTTP/1.1 100 Continue\r\n\r\n" * 100)
+
+        self.call(self.upstream(script).address, "a")
+        self.assertEqual(self.final_event("a")[4].failure, CallFailure.PROTOCOL)
+
+    def test_response_of_many_small_chunks(self):
+        """Guard against bytes that are lost or reordered when processing is interrupted, also by a pause."""
+        content = bytes(range(256)) * 40
+        chunks = b"".join(b"1\r\n%c\r\n" % byte for byte in content)
+
+        def script(conn, number):
+            read_request(conn)
+            conn.sendall(CHUNKED + chunks + b"0\r\n\r\n")
+
+        address = self.upstream(script).address
+        self.call(address, "plain")
+        self.assertEqual(self.final_event("plain")[3], content)
+        self.call(address, "paused", stream=True)
+        wait_until(lambda: self.recorder.events_of("paused"), "data")
+        self.root.fire(http_pause("paused"), "http_client")
+        time.sleep(0.2)
+        self.root.fire(http_resume("paused"), "http_client")
+        self.assertEqual(self.final_event("paused"), ("call_ended", None))
+        data = [e[1] for e in self.recorder.events_of("paused") if e[0] == "call_data"]
+        self.assertEqual(b"".join(data), content)
+        self.assertGreater(len(data), 1)
+
+    def test_many_small_chunks_do_not_delay_other_calls(self):
+        """Guard against a process that is held by one upstream's chunks of a single byte."""
+
+        def endless(conn, number):
+            read_request(conn)
+            conn.sendall(CHUNKED)
+            while True:
+                conn.sendall(b"1\r\nx\r\n" * 10_922)
+
+        def sound(conn, number):
+            while read_request(conn)[0]:
+                conn.sendall(OK)
+
+        upstream = self.upstream(endless)
+        for number in range(4):
+            self.call(upstream.address, f"e{number}", stream=True)
+        wait_until(lambda: self.recorder.events_of("e3"), "data")
+        address = self.upstream(sound).address
+        for number in range(5):
+            started_s = time.monotonic()
+            self.call(address, f"s{number}")
+            self.final_event(f"s{number}")
+            # Three turns of the event loop, each with a part of all four streams.
+            self.assertLess(time.monotonic() - started_s, 0.6)
+        for number in range(4):
+            self.root.fire(http_cancel(f"e{number}"), "http_client")
+
     def test_invalid_response_is_a_protocol_error(self):
         """Guard against an unhandled error when an upstream does not speak HTTP."""
 
--- a/tests/platform_adapter/test_endless_upstreams.py
+++ b/tests/platform_adapter/test_endless_upstreams.py
@@ -20,6 +20,7 @@
 # `ID` is replaced by the request's attempt id.
 RESPONSE_HEAD = b"HTTP/1.1 200 OK\r\nServer-Stamp: x\r\nAttempt-Id: ID\r\n"
 STREAM_HEAD = RESPONSE_HEAD + b"Content-Type: text/event-stream\r\n\r\n"
+CHUNKED_STREAM_HEAD = STREAM_HEAD[:-2] + b"Transfer-Encoding: chunked\r\n\r\n"
 CALL_RESPONSES = {
     "head": (b"HTTP/1.1 200 OK\r\n", b"X-More: " + b"y" * 200 + b"\r\n"),
     "interim heads": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
@@ -35,6 +36,8 @@
     "event": (STREAM_HEAD, b"data: " + b"z" * 4_096),
     "empty lines": (STREAM_HEAD, b"\n" * 65_536),
     "comments": (STREAM_HEAD, b":\n\n" * 16_384),
+    "chunks of one byte": (CHUNKED_STREAM_HEAD, b"1\r\n:\r\n" * 8_192),
+    "interim heads": (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 2_048),
     "repeated event": (STREAM_HEAD + b"id: 1\ndata: a\n\n", b"id: 1\ndata: a\n\n" * 50),
 }
 # Maximum memory growth of an instance that may use 200 MB, relative to its idle state.
@@ -173,9 +176,9 @@
                 self.remove(upstream)
 
     def test_calls_to_sound_services_beside_endless_streams(self) -> None:
-        """Guards against an instance that answers nobody while one upstream sends empty lines (review/3)."""
+        """Guards against an instance that answers nobody while one upstream sends without end (review/3)."""
         self.platform.services.append(self.platform.start_runner("shop-sound", "shop"))
-        for name in ("empty lines", "comments"):
+        for name in ("empty lines", "comments", "chunks of one byte", "interim heads"):
             with self.subTest(name):
                 upstream = self.register("llm", STREAM_RESPONSES[name])
                 threads = [
