Gave responses that are not streamed time to be complete

It can happen here: on the own interface a completion that is not streamed ran three times ("accepted 3"), as its first output is the whole response, and the check of an overdue first token knew only the time of the prefill.

The check now allows for the longest time of the decoding too, for each request that is not streamed, on both request paths.

--- a/packages/core/src/ibispaddle_core/scheduling/attempts.py
+++ b/packages/core/src/ibispaddle_core/scheduling/attempts.py
@@ -76,6 +76,8 @@
         due_ms = choice.ttft_ms + timeout_ms
         if self._cost.supports_joint_prefill(req.model) and state.prompt_class >= PromptClass.LONG:
             due_ms += (LONG_TIMEOUT_FACTOR - 1) * choice.ttft_ms
+        if not req.streams:
+            due_ms += self._cost.max_decode_ms(req)
         # A late engine is busy with the prefill of other prompts, and another engine would start this
         # prefill over. The attempt is therefore cancelled only when the caller is about to time out.
         silence_deadline_ms = req.arrived_ms + req.max_silence_ms
--- a/packages/core/src/ibispaddle_core/scheduling/cost.py
+++ b/packages/core/src/ibispaddle_core/scheduling/cost.py
@@ -137,19 +137,23 @@
             return 0.0
         return 1000 * self.expected_output(req) / cfg.decode_tokens_per_s
 
+    def max_decode_ms(self, req: Request) -> float:
+        """Return the longest time from the first to the last token if the engine is not idle."""
+        cfg = self.model(req.model)
+        if cfg.call_ms is not None:
+            return 0.0
+        return MAX_STREAM_TIME_FACTOR * 1000 * req.max_output_tokens / cfg.decode_tokens_per_s
+
     def max_duration_ms(self, req: Request) -> float:
         """Return the longest duration of the request if no upstream fails.
 
         A stream may fall silent once, for as long as its caller waits.
         """
         left_ms = float(req.deadline_ms - req.arrived_ms)
-        cfg = self.model(req.model)
-        if cfg.call_ms is not None:
+        if self.model(req.model).call_ms is not None:
             return left_ms
-        tokens_ms = 1000 * req.max_output_tokens / cfg.decode_tokens_per_s
-        silence_ms = req.patience_ms or 0
-        first_ms = req.ttft_objective_ms or 0
-        return min(left_ms, first_ms + silence_ms + MAX_STREAM_TIME_FACTOR * tokens_ms)
+        first_ms, silence_ms = req.ttft_objective_ms or 0, req.patience_ms or 0
+        return min(left_ms, first_ms + silence_ms + self.max_decode_ms(req))
 
     def first_token_timeout_ms(self, model: str) -> int:
         """Return the timeout of the first token, counted from its predicted time."""
--- a/packages/core/src/ibispaddle_core/scheduling/messages.py
+++ b/packages/core/src/ibispaddle_core/scheduling/messages.py
@@ -77,6 +77,7 @@
     max_silence_ms: int = 0
     # Time from the arrival after which the caller leaves without output; None: it waits until its deadline.
     patience_ms: int | None = None
+    streams: bool = True  # Otherwise the first output is the complete response.
 
     @property
     def start_deadline_ms(self) -> int:
--- a/packages/daemon/src/ibispaddle_daemon/entry.py
+++ b/packages/daemon/src/ibispaddle_daemon/entry.py
@@ -202,6 +202,7 @@
             fingerprint=read.fingerprint,
             parts=read.parts,
             prefix_hashes=parsed.prefix_hashes,
+            streams=parsed.stream,
         )
         span = self._tracing.start_request(f"POST {exchange.path}", exchange.headers)
         span.set_attribute("ibispaddle.request_id", req.request_id)
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
@@ -267,6 +267,7 @@
             max_runs=route.max_runs,
             max_silence_ms=route.max_silence_ms,
             patience_ms=route.patience_ms,
+            streams=route.streams,
         )
         if not self._may_admit(req):
             self._reject(
--- a/tests/daemon/test_request_path.py
+++ b/tests/daemon/test_request_path.py
@@ -240,6 +240,35 @@
         self.assertEqual(self.fleet.runners[0].state()["accepted"], before + 2)
 
 
+class CompleteResponseTest(FleetTest):
+    """Responses that are not streamed arrive only when the last token is computed."""
+
+    RUNNERS = 2
+    DOCUMENT = fleet_document(
+        models={"m": {"decode_tokens_per_s": 100.0}}, scheduling={"first_token_timeout_ms": 200}
+    )
+    TOKENS = 100
+    DECODE_S = 1.0
+
+    def test_long_response_is_not_started_again_elsewhere(self):
+        """Guard against running work that is started again because its engine sends nothing until the end."""
+
+        def accepted() -> int:
+            return sum(runner.state()["accepted"] for runner in self.fleet.runners)
+
+        before = accepted()
+        for runner in self.fleet.runners:
+            runner.set_faults(freeze="tokens")
+        timer = threading.Timer(
+            self.DECODE_S, lambda: [r.set_faults(freeze=None) for r in self.fleet.runners]
+        )
+        timer.start()
+        answer = self.chat(tokens=self.TOKENS)
+        text = answer.choices[0].message.content
+        self.assertEqual(find_answer_error(text, PROMPT, self.TOKENS), "")
+        self.assertEqual(accepted() - before, 1)
+
+
 class RetryTest(FleetTest):
     RUNNERS = 2
     DOCUMENT = fleet_document(scheduling={"retry_budget": 1.0})
