Used no connection to an upstream again whose responses state nothing

Reported by other operators: a server sent a second copy of an answer, late, on a connection in use again, and the next caller got an answer that wasn't its own. It can happen here: a caller of a plain service on the own interface got the response to another request, and an order counted as granted by the response to an earlier one.

Cause: the client keeps connections after complete responses and checks that nothing has arrived since, which can't see a copy that arrives after the next request was sent. Requests on the platform and prompts compare ids; plain services and calls whose response is read as a whole don't.

These calls use new connections now; kept ones remain for the platform's own services and for load reports, which state their engine, boot and sequence number.

--- a/packages/daemon/src/ibispaddle_daemon/account.py
+++ b/packages/daemon/src/ibispaddle_daemon/account.py
@@ -130,7 +130,9 @@
             return
         url = f"{self._url}?from={self.reader.position}&limit={self._page_records}"
         timeout_ms = min(remaining_ms, PAGE_TIMEOUT_MS)
-        self._calls.send("GET", url, b"", timeout_ms, self._process_page, MAX_BUFFERED_BODY_BYTES)
+        self._calls.send(
+            "GET", url, b"", timeout_ms, self._process_page, MAX_BUFFERED_BODY_BYTES, True
+        )
 
     def _process_page(self, result: CallResult) -> None:
         is_too_large = result.error and result.error.failure is CallFailure.TOO_LARGE
--- a/packages/daemon/src/ibispaddle_daemon/calls.py
+++ b/packages/daemon/src/ibispaddle_daemon/calls.py
@@ -41,10 +41,13 @@
         timeout_ms: int,
         callback: Callable[[CallResult], None],
         max_body_bytes: int = MAX_STATUS_BYTES,
+        may_reuse_connection: bool = False,
     ) -> str:
         """Make a call and return its id; the callback is called once, within `timeout_ms`.
 
-        A response of more than `max_body_bytes` fails as `TOO_LARGE`.
+        A response of more than `max_body_bytes` fails as `TOO_LARGE`. On a connection that is used again, a
+        faulty upstream may repeat an earlier response; only calls to the platform may use one, and
+        calls whose responses state what they belong to.
         """
         call_id = f"{self.channel}-{next(_CALL_NUMBERS)}"
         self._callbacks[call_id] = callback
@@ -57,6 +60,7 @@
             deadline_ms=self._clock.now_ms() + timeout_ms,
             channel=self.channel,
             max_body_bytes=max_body_bytes,
+            may_reuse_connection=may_reuse_connection,
         )
         self.fire(http_call(call), "http_client")
         return call_id
--- a/packages/daemon/src/ibispaddle_daemon/instance_list.py
+++ b/packages/daemon/src/ibispaddle_daemon/instance_list.py
@@ -108,7 +108,7 @@
     def _poll(self) -> None:
         # Only one call at a time: the next poll is scheduled when this one has completed.
         self._call_id = self._http.send(
-            "GET", self._url, b"", POLL_TIMEOUT_MS, self._on_response, MAX_BUFFERED_BODY_BYTES
+            "GET", self._url, b"", POLL_TIMEOUT_MS, self._on_response, MAX_BUFFERED_BODY_BYTES, True
         )
 
     @handler("process_paused", channel="*")
--- a/packages/daemon/src/ibispaddle_daemon/probes.py
+++ b/packages/daemon/src/ibispaddle_daemon/probes.py
@@ -165,7 +165,15 @@
     def _probe(self, runner_id: str, runner: _Runner, now_ms: int) -> None:
         runner.in_flight = True
         runner.next_probe_ms = now_ms + self._interval_ms
-        self._call(runner_id, "GET", "/load", PROBE_TIMEOUT_MS, self._handle_load_result)
+        # A load report states its engine, boot and sequence number.
+        self._call(
+            runner_id,
+            "GET",
+            "/load",
+            PROBE_TIMEOUT_MS,
+            self._handle_load_result,
+            may_reuse_connection=True,
+        )
 
     def _call(
         self,
@@ -175,6 +183,7 @@
         timeout_ms: int,
         handle_result: Callable[[str, _Runner, CallResult], None],
         max_body_bytes: int = MAX_STATUS_BYTES,
+        may_reuse_connection: bool = False,
     ) -> None:
         """Call a runner; its result is ignored if this instance no longer probes the runner."""
 
@@ -184,7 +193,9 @@
                 handle_result(runner_id, runner, result)
 
         url = f"{self._scheme}://{self._runners[runner_id].entry.address}{path}"
-        self._calls.send(method, url, b"", timeout_ms, on_result, max_body_bytes)
+        self._calls.send(
+            method, url, b"", timeout_ms, on_result, max_body_bytes, may_reuse_connection
+        )
 
     def _delete_expired_handles(self, runner_id: str, runner: _Runner, result: CallResult) -> None:
         if result.error is not None or result.status != 200:
--- a/packages/daemon/src/ibispaddle_daemon/services.py
+++ b/packages/daemon/src/ibispaddle_daemon/services.py
@@ -292,6 +292,8 @@
             call.exchange.body,
             call.deadline_ms + (DEADLINE_MARGIN_MS if call.is_repeatable else 0),
             self.channel,
+            # The response of a plain service does not state to which request it belongs.
+            may_reuse_connection=False,
         )
         self.fire(http_call(http), "http_client")
 
--- a/packages/daemon/src/ibispaddle_daemon/store/follower.py
+++ b/packages/daemon/src/ibispaddle_daemon/store/follower.py
@@ -163,6 +163,7 @@
             self._wait_ms + RESPONSE_MARGIN_MS,
             done,
             MAX_BUFFERED_BODY_BYTES,
+            may_reuse_connection=True,
         )
 
     def _publish(self) -> None:
--- a/packages/daemon/src/ibispaddle_daemon/store/writer.py
+++ b/packages/daemon/src/ibispaddle_daemon/store/writer.py
@@ -40,4 +40,11 @@
             log_event(logevents.STORE_UNAVAILABLE, topic=self._topic, reason=reason)
             on_failed()
 
-        self._calls.send(call.method, self._url + call.path, call.body, WRITE_TIMEOUT_MS, done)
+        self._calls.send(
+            call.method,
+            self._url + call.path,
+            call.body,
+            WRITE_TIMEOUT_MS,
+            done,
+            may_reuse_connection=True,
+        )
