Kept a stalled stream whose next event arrives while its silence is reported

Found on reading the change: the counts of the other instances are fetched, for up to 25 ms, before the scheduler decides on a silent attempt, and it can't see events of a stream that arrive meanwhile. The report is dropped then.

--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -69,10 +69,10 @@
 # Consecutive renewals of a reservation without a response after which a runner counts as silent. A single
 # response may be lost.
 SILENT_AFTER_RENEWALS = 2
-# Interval at which an overdue attempt that no other upstream can replace is checked again.
-SILENCE_RECHECK_MS = 500
 # Number of such renewals after which the list is no longer read more often for a runner that stays in it.
 MAX_LIST_CHECKS_AFTER_RENEWALS = 4
+# Interval at which an overdue attempt that no other upstream can replace is checked again.
+SILENCE_RECHECK_MS = 500
 
 
 class Scheduler:
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
@@ -475,7 +475,13 @@
     ) -> None:
         """Report a silent attempt once the attempt counts of the other instances are recent."""
         event = AttemptSilent(request.request_id, upstream_id, has_output)
-        self.before_selection(lambda: self.handle_event(event), request.req.model)
+        idle_ms = self._attempts.idle_ms(request)
+
+        def report() -> None:
+            if self._attempts.idle_ms(request) >= idle_ms:  # No event has arrived meanwhile.
+                self.handle_event(event)
+
+        self.before_selection(report, request.req.model)
 
     def _refuse(self, request: ForwardedRequest, refusal: Refuse) -> None:
         """Respond to a request that gets no further attempt."""
--- a/tests/forwarding/test_silence.py
+++ b/tests/forwarding/test_silence.py
@@ -5,6 +5,7 @@
 """
 
 import unittest
+from collections.abc import Callable
 
 from ibispaddle_core.scheduling import ConfigurationReplaced, RetryPolicy
 from ibispaddle_core.settings import FleetConfig
@@ -71,6 +72,20 @@
                 self.answer_resumed(2, is_complete=True)
                 self.assertEqual((self.exchange.ended, self.exchange.aborted), (1, 0))
 
+    def test_stream_that_goes_on_while_its_silence_is_reported(self) -> None:
+        """Guards against a stream that is sent elsewhere although its next event has arrived."""
+        self.start(max_silence_ms=720)
+        callbacks: list[Callable[[], None]] = []
+        self.fixture.forwarder.before_selection = lambda callback, service: callbacks.append(
+            callback
+        )
+        self.fixture.advance(STALL_MS)
+        self.answer_resumed(2)
+        for callback in callbacks:
+            callback()
+        self.assertEqual(len(callbacks), 1)
+        self.assertEqual(self.calls_after(0), 1)
+
     def test_upstream_that_appears_later_takes_over(self) -> None:
         """Guards against a stalled stream that is never resumed after no upstream had room at first."""
         self.start(max_silence_ms=720)
