--- a/tests/daemon/test_endless_engines.py
+++ b/tests/daemon/test_endless_engines.py
@@ -8,6 +8,7 @@
 from ibispaddle_bench.processes import call_json
 
 from tests.support.entries import runner_entry
+from tests.support.memory import resident_kb
 from tests.support.upstreams import RawUpstream, read_request
 from tests.support.waiting import wait_until
 
@@ -21,13 +22,6 @@
 PROBES_S = 5.0
 
 
-def resident_kb(pid: int) -> int:
-    """Return the resident set size of a process."""
-    with open(f"/proc/{pid}/status") as file:
-        line = next(line for line in file if line.startswith("VmRSS"))
-    return int(line.split()[1])
-
-
 class EndlessEngineTest(unittest.TestCase):
     def test_memory_stays_bounded(self) -> None:
         """Guards against memory that grows with each status check, report and prompt (review/2)."""
--- a/tests/platform_adapter/test_endless_upstreams.py
+++ b/tests/platform_adapter/test_endless_upstreams.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 from http.client import HTTPException
 
+from tests.support.memory import resident_kb
 from tests.support.waiting import wait_until
 
 from .processes import KEY, Platform
@@ -82,13 +83,6 @@
                 self.open -= 1
 
 
-def resident_kb(pid: int) -> int:
-    """Return the resident set size of a process."""
-    with open(f"/proc/{pid}/status") as file:
-        line = next(line for line in file if line.startswith("VmRSS"))
-    return int(line.split()[1])
-
-
 class EndlessUpstreamTest(unittest.TestCase):
     def setUp(self) -> None:
         self.platform = Platform(runners=0, services=0)
