Kept the ports of stopped processes reserved during a test run

Cause: `free_ports` released an instance's ports before the instance listened, and between a stop and the restart nobody held them. Another process of a concurrent test module got the port, the instance ended with status 2, and the callers got the other server's responses. Shown in a scratch copy in which a stand-in listens at the port of instance 1 during its first restart: "STOP: instance 1: 2 after a planned stop" twice and 186 responses 404. Ruled out: the product, which reports the address and ends with status 2 as specified, and load, which isn't needed for the failure.

Stand-ins had the same fault: the port of a killed one was free while lists and links still named it, so that requests for it could reach a process of another fleet, and so had runners that a supervisor restarts.

Change: ports are reserved as those of `Fleet` already were, for as long as the object that describes the process exists. `free_ports` is gone. The soak names an instance that ends while it starts (START).

Before: test_ports_of_a_stopped_instance_stay_reserved and test_port_of_a_killed_stand_in_stays_reserved fail. After: both pass, and tests.soak.test_soak, test_starting, test_odd_entries, test_crashing_requests and test_fleet pass (one run each). No test of the product changed.

--- a/packages/bench/src/ibispaddle_bench/fleet.py
+++ b/packages/bench/src/ibispaddle_bench/fleet.py
@@ -24,6 +24,7 @@
     ManagedProcess,
     ProcessError,
     call_json,
+    reserve_ports,
     start_stand_in,
     start_stand_ins,
     wait_until_ready,
@@ -43,19 +44,6 @@
     return hashlib.sha256(key.encode()).hexdigest()
 
 
-def reserve_ports(count: int) -> list[socket.socket]:
-    """Reserve free ports of 127.0.0.1 and return the sockets that are bound to them.
-
-    While such a socket is open, the operating system doesn't assign its port to outgoing connections
-    or to sockets that bind to port 0. A process that sets `SO_REUSEADDR` can still listen on it.
-    """
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind(("127.0.0.1", 0))
-    return sockets
-
-
 def merge_documents(base: Mapping[str, Any], changes: Mapping[str, Any]) -> dict[str, Any]:
     """Return a copy of `base` into which `changes` are merged recursively."""
     merged = dict(base)
--- a/packages/bench/src/ibispaddle_bench/processes.py
+++ b/packages/bench/src/ibispaddle_bench/processes.py
@@ -4,11 +4,13 @@
 import os
 import selectors
 import signal
+import socket
 import subprocess
 import sys
 import time
 import urllib.error
 import urllib.request
+import weakref
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -31,6 +33,19 @@
         return json.loads(response.read())
 
 
+def reserve_ports(count: int) -> list[socket.socket]:
+    """Reserve free ports of 127.0.0.1 and return the sockets that are bound to them.
+
+    While such a socket is open, the operating system doesn't assign its port to outgoing connections
+    or to sockets that bind to port 0. A process that sets `SO_REUSEADDR` can still listen on it.
+    """
+    sockets = [socket.socket() for _ in range(count)]
+    for sock in sockets:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(("127.0.0.1", 0))
+    return sockets
+
+
 @dataclass
 class ManagedProcess:
     """A process with an HTTP port; stand-ins with a certificate also have a port for TLS."""
@@ -103,8 +118,12 @@
 def start_stand_in(kind: str, *options: str, port: int = 0, name: str = "") -> ManagedProcess:
     """Start a stand-in and return it once it is listening.
 
-    The stand-in also ends when this process ends, because its standard input is then closed.
+    The stand-in also ends when this process ends, because its standard input is then closed. Without
+    `port`, a free one is used, which stays reserved until the returned object is garbage-collected.
     """
+    reserved = [] if port else reserve_ports(1)
+    for sock in reserved:
+        port = sock.getsockname()[1]
     command = [sys.executable, "-m", f"ibispaddle_standins.{kind}", "--end-with-stdin"]
     command += ["--port", str(port), *options]
     popen = subprocess.Popen(
@@ -113,11 +132,16 @@
     try:
         line = _read_first_line(popen, START_TIMEOUT_S)
     except ProcessError as exc:
-        popen.kill()
-        popen.wait()
+        with popen:
+            popen.kill()
+        for sock in reserved:
+            sock.close()
         raise ProcessError(f"{name or kind}: {exc}") from exc
     ports = json.loads(line)
-    return ManagedProcess(name or kind, popen, ports["port"], command, tls_port=ports["tls_port"])
+    process = ManagedProcess(name or kind, popen, port, command, tls_port=ports["tls_port"])
+    for sock in reserved:
+        weakref.finalize(process, sock.close)
+    return process
 
 
 def start_stand_ins(specs: Sequence[tuple[str, str, Sequence[str]]]) -> list[ManagedProcess]:
--- a/tests/bench/test_fleet.py
+++ b/tests/bench/test_fleet.py
@@ -4,8 +4,14 @@
 import socket
 import unittest
 
-from ibispaddle_bench.fleet import Fleet, FleetSpec, merge_documents, reserve_ports
-from ibispaddle_bench.processes import ProcessError, call_json, start_stand_in, wait_until_ready
+from ibispaddle_bench.fleet import Fleet, FleetSpec, merge_documents
+from ibispaddle_bench.processes import (
+    ProcessError,
+    call_json,
+    reserve_ports,
+    start_stand_in,
+    wait_until_ready,
+)
 from ibispaddle_core.settings import load_fleet, load_instance
 
 
@@ -82,6 +88,16 @@
             for conn in conns:
                 conn.close()
 
+    def test_port_of_a_killed_stand_in_stays_reserved(self):
+        """Guard against calls to a killed stand-in that reach another process on the machine."""
+        stand_in = start_stand_in("service")
+        stand_in.kill()
+        with socket.socket() as sock, self.assertRaisesRegex(OSError, "in use"):
+            sock.bind(("127.0.0.1", stand_in.port))
+        again = start_stand_in("service", port=stand_in.port)
+        self.addCleanup(again.kill)
+        self.assertEqual(call_json(f"{again.url}/admin/state")["runs"], [])
+
 
 class MergeTest(unittest.TestCase):
     def test_nested_objects_are_merged(self):
--- a/tests/platform_adapter/processes.py
+++ b/tests/platform_adapter/processes.py
@@ -4,7 +4,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -17,6 +16,7 @@
 from ibispaddle_bench.processes import ManagedProcess, call_json, start_stand_in
 
 from tests.support.http import HttpResponse, call
+from tests.support.ports import reserve_ports_for
 from tests.support.waiting import wait_until
 
 from .test_records import ENGINE
@@ -34,15 +34,6 @@
         """Return the address as IP:PORT."""
 
 
-def free_ports(count: int) -> list[int]:
-    """Return unused ports."""
-    with ExitStack() as stack:
-        socks = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for sock in socks:
-            sock.bind(("127.0.0.1", 0))
-        return [sock.getsockname()[1] for sock in socks]
-
-
 def route(name: str, kind: str, service: str, **changes: Any) -> dict[str, Any]:
     """Return a route whose path prefix is its name."""
     return {
@@ -75,8 +66,8 @@
     """An instance process with the adapter."""
 
     def __init__(self, folder: str, number: int, store: HasAddress, **bounds: Any) -> None:
-        front, self.ready_port, peers = free_ports(3)
-        self.port = front
+        front, self.ready_port, peers = reserve_ports_for(self, 3)
+        self.port, self.peer_port = front, peers
         limits = {"grace_s": 8, "fail_closed": True, "revoke_ms": 5_000, "stall_ms": 300}
         limits |= {"retry_budget_ratio": 0.2, "budget_slack": 100} | bounds
         text = f'node_name = "edge-{number}"\nip = "127.0.0.1"\nzone = "a"\n'
--- a/tests/platform_adapter/supervised_runner.py
+++ b/tests/platform_adapter/supervised_runner.py
@@ -8,6 +8,8 @@
 import threading
 import time
 
+from tests.support.ports import reserve_ports_for
+
 from .processes import Platform
 
 POLL_S = 0.005
@@ -33,8 +35,10 @@
 
     def _start(self) -> None:
         if not self._keeps_socket:
+            # The port stays reserved, because the entry in the store names it until it changes.
+            (port,) = reserve_ports_for(self, 1)
             self._listener.close()
-            self._listener = socket.create_server(("127.0.0.1", 0), backlog=128)
+            self._listener = socket.create_server(("127.0.0.1", port), backlog=128)
         self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
         born = time.time_ns() // 1_000_000
         fd = self._listener.fileno()
--- a/tests/platform_adapter/test_odd_entries.py
+++ b/tests/platform_adapter/test_odd_entries.py
@@ -5,9 +5,10 @@
 import unittest
 from collections.abc import Iterator
 
+from tests.support.ports import reserve_ports_for
 from tests.support.waiting import wait_until
 
-from .processes import Platform, free_ports
+from .processes import Platform
 
 DEPTH = 50_000
 DIGITS = 5_000
@@ -88,7 +89,9 @@
         """Guards against an instance that loses its hubs because of an entry in the own topic."""
         record = {"peer_address": "127.0.0.1:99999", "data_centre": "a", "capacity": 1e300}
         values = ["[" * DEPTH, json.dumps(record), json.dumps(record | {"peer_address": "h:²"})]
-        values.append(json.dumps(record | {"peer_address": f"127.0.0.1:{free_ports(1)[0]}"}))
+        values.append(
+            json.dumps(record | {"peer_address": f"127.0.0.1:{reserve_ports_for(self, 1)[0]}"})
+        )
         for number, value in enumerate(values):
             self.platform.put("keyed.instances", f"odd-{number}", value)
         time.sleep(3.0)
--- a/tests/platform_adapter/test_starting.py
+++ b/tests/platform_adapter/test_starting.py
@@ -1,5 +1,6 @@
 """Tests of an instance's start, when callers connect while it loads its libraries."""
 
+import socket
 import subprocess
 import sys
 import tempfile
@@ -9,7 +10,10 @@
 from ibispaddle_daemon.listening import Listeners
 from ibispaddle_platform.__main__ import open_listeners_early
 
-from .processes import free_ports
+from tests.support.ports import reserve_ports_for
+from tests.support.waiting import wait_until
+
+from .processes import Platform
 
 SLOW_IMPORTS = ("circuits", "h11", "msgspec", "ibispaddle_daemon.gateway")
 
@@ -48,7 +52,7 @@
 
         The load pattern is the restart of a whole fleet whose instances were killed at the same time.
         """
-        front, ready = free_ports(2)
+        front, ready = reserve_ports_for(self, 2)
         addresses = f'front = "127.0.0.1:{front}"\nready = "127.0.0.1:{ready}"\n'
         listeners = self.open(f"[listen]\n{addresses}")
         self.assertEqual([sock.getsockname()[1] for sock in listeners], [front, ready])
@@ -79,7 +83,7 @@
 
     def test_invalid_settings_open_no_sockets(self) -> None:
         """Guards against an early failure that hides the error message about the settings."""
-        (port,) = free_ports(1)
+        (port,) = reserve_ports_for(self, 1)
         for text in (
             "[",
             "x = 1",
@@ -92,5 +96,23 @@
         self.assertEqual(open_listeners_early(Path("/nonexistent/node.toml")), ())
 
 
+class RestartTest(unittest.TestCase):
+    def test_ports_of_a_stopped_instance_stay_reserved(self) -> None:
+        """Guards against failures of tests because another process takes the port of an instance.
+
+        An instance ends with status 2 if it can't listen at its address, and its callers get the
+        responses of the other process.
+        """
+        with Platform(runners=0) as platform:
+            instance = platform.instance
+            self.assertEqual(instance.end(), 0)
+            for port in (instance.port, instance.ready_port, instance.peer_port):
+                with socket.socket() as sock, self.assertRaisesRegex(OSError, "in use"):
+                    sock.bind(("127.0.0.1", port))
+            instance.close()
+            instance.start()
+            wait_until(instance.is_ready, "ready")
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -60,9 +60,10 @@
     """
 
     revoked: dict[str, float] = field(default_factory=dict)
-    # Routes that an instance didn't serve in time, and planned stops that failed.
+    # Routes that an instance didn't serve in time, and planned stops and restarts that failed.
     late_routes: list[str] = field(default_factory=list)
     bad_stops: list[str] = field(default_factory=list)
+    bad_starts: list[str] = field(default_factory=list)
 
 
 class SoakFleet:
@@ -213,6 +214,8 @@
         instance = self.instances[number]
         instance.start()
         await self._wait_ready(instance)
+        if (status := instance.proc.poll()) is not None:
+            self.changes.bad_starts.append(f"instance {number}: ended with {status} at its start")
 
     async def _wait_ready(self, instance: Instance) -> None:
         # An instance may not become ready while the store is down; the run continues nevertheless.
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -34,6 +34,7 @@
     - DENIED: a valid key was rejected.
     - CONFIG: a change of the configuration wasn't in force in time.
     - STOP: a planned stop of an instance failed.
+    - START: an instance ended while it was starting.
     - UNASKED: a runner ran a request that no caller sent in this form.
     - DRAIN: a draining runner got a new request.
     - LOG: an instance logged an internal failure.
@@ -54,6 +55,7 @@
         found += self._check_runs()
         found += [f"CONFIG: {late}" for late in self.fleet.changes.late_routes]
         found += [f"STOP: {stop}" for stop in self.fleet.changes.bad_stops]
+        found += [f"START: {start}" for start in self.fleet.changes.bad_starts]
         found += self._check_logs()
         found += self._check_recovery()
         return found
