Let each repeated check of a silent upstream wait until the next one is due

What callers saw: with a supervisor that keeps accepting connections, a request that crashes upstreams reached further ones although the process that proves the crash was already running.

Cause: a repeated check had a timeout of 150 ms, and the next one followed 250 ms to 4 s later. A process that started in between answered no check. Traced while twelve copies of test_process_restarted_behind_the_same_socket ran at once: the upstream ran again 2.50 s after its crash, 0.16 s after a check had timed out, and the crash was proved 1.87 s later, at the next check.

Change: a repeated check waits for a response until the next one is due, so that the next process answers the check that is waiting. The times at which checks begin hardly change (the first delay counts from the first check).

Before: test_crash_shows_as_soon_as_the_next_process_responds fails ("150 not less than or equal to 20 : 250"). After: it passes, as do the other tests of the part guard.

--- a/packages/daemon/src/ibispaddle_daemon/forwarding/crashes.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/crashes.py
@@ -14,8 +14,9 @@
 
 # Timeout of the check whether an upstream is still running, during which the request's retry waits.
 LIVENESS_TIMEOUT_MS = 150
-# Delays before an upstream that did not respond is checked again. Together they cover the restart of a
-# process whose supervisor keeps accepting connections meanwhile.
+# Times from one check of an upstream that does not respond to the next. Each check waits for a response
+# until the next one is due. Together they cover the restart of a process whose supervisor keeps
+# accepting connections meanwhile: the next process answers the check that is waiting.
 RECHECK_DELAYS_MS = (250, 500, 1_000, 2_000, 4_000)
 
 # Called with whether the upstream has crashed.
@@ -37,6 +38,7 @@
     callbacks: list[CrashCallback] = field(default_factory=list)
     late_callbacks: list[Callable[[], None]] = field(default_factory=list)
     rechecks: int = 0
+    sent_ms: int = 0
 
 
 class CrashDetector(BaseComponent):
@@ -52,7 +54,7 @@
 
     def __init__(self, codec: ForwardingCodec, clock: Clock, timers: TimerQueue) -> None:
         super().__init__()
-        self._codec, self._timers = codec, timers
+        self._codec, self._clock, self._timers = codec, clock, timers
         self._checks: dict[tuple[str, int | None], _Check] = {}
         self._calls = CallbackHttpClient("crash_detector_calls", clock).register(self)
 
@@ -82,21 +84,25 @@
             return
         if check is None:
             check = self._checks[key] = _Check(address, boot_ms)
-            self._send(check)
+            self._send(check, LIVENESS_TIMEOUT_MS)
         check.callbacks.append(callback)
         check.late_callbacks.append(late_callback)
 
-    def _send(self, check: _Check) -> None:
+    def _send(self, check: _Check, timeout_ms: int) -> None:
+        check.sent_ms = self._clock.now_ms()
         url = f"http://{check.address}{self._codec.liveness_path}"
-        self._calls.send(
-            "GET", url, b"", LIVENESS_TIMEOUT_MS, lambda result: self._on_result(check, result)
-        )
+        self._calls.send("GET", url, b"", timeout_ms, lambda result: self._on_result(check, result))
+
+    def _send_again(self, check: _Check) -> None:
+        following = RECHECK_DELAYS_MS[check.rechecks :] or RECHECK_DELAYS_MS[-1:]
+        self._send(check, following[0])
 
     def _on_result(self, check: _Check, result: CallResult) -> None:
         verdict = self._verdict(result, check.boot_ms)
         is_late = check.rechecks > 0
         if verdict is _Verdict.UNKNOWN and check.rechecks < len(RECHECK_DELAYS_MS):
-            self._timers.after(RECHECK_DELAYS_MS[check.rechecks], lambda: self._send(check))
+            due_ms = check.sent_ms + RECHECK_DELAYS_MS[check.rechecks]
+            self._timers.at(due_ms, lambda: self._send_again(check))
             check.rechecks += 1
         else:
             del self._checks[(check.address, check.boot_ms)]
--- a/tests/forwarding/test_part_guard.py
+++ b/tests/forwarding/test_part_guard.py
@@ -1,6 +1,7 @@
 """Tests of forwarded requests whose upstreams crash: evidence, retries and refusals."""
 
 import unittest
+from collections.abc import Callable
 from types import SimpleNamespace
 
 from ibispaddle_core.clock import ManualClock
@@ -9,7 +10,11 @@
 from ibispaddle_core.scheduling import RetryPolicy
 from ibispaddle_daemon.calls import CallResult
 from ibispaddle_daemon.events import CallFailure, HttpCallError, list_changed
-from ibispaddle_daemon.forwarding.crashes import RECHECK_DELAYS_MS, CrashDetector
+from ibispaddle_daemon.forwarding.crashes import (
+    LIVENESS_TIMEOUT_MS,
+    RECHECK_DELAYS_MS,
+    CrashDetector,
+)
 from ibispaddle_daemon.forwarding.part_guard import SETTLED_OUTPUT_MS
 from ibispaddle_daemon.timers import TimerQueue
 
@@ -264,6 +269,33 @@
         self.callbacks[2](CallResult(200, (), b"6", None))
         self.assertEqual((self.late, len(self.answers)), (2, 2))
 
+    def test_crash_shows_as_soon_as_the_next_process_responds(self) -> None:
+        """Guards against requests that crash more upstreams while the next check is not due yet.
+
+        The load pattern is a supervisor that keeps accepting connections, and a process that takes
+        some time to start.
+        """
+        timeout = CallResult(0, (), b"", HttpCallError(CallFailure.TIMEOUT, "", False))
+        for started_ms in range(RECHECK_DELAYS_MS[0], sum(RECHECK_DELAYS_MS), 50):
+            self.start()
+            pending: dict[int, Callable[[CallResult], None]] = {}
+
+            def send(method, url, body, timeout_ms, callback, pending=pending) -> None:
+                pending[self.clock.now_ms() + timeout_ms] = callback
+
+            self.detector._calls.send = send
+            begin_ms = self.clock.now_ms()
+            pending[begin_ms + LIVENESS_TIMEOUT_MS] = self.callbacks[0]
+            while not self.late and self.clock.now_ms() - begin_ms < 10_000:
+                self.advance(10)
+                now_ms = self.clock.now_ms()
+                for deadline_ms in list(pending):
+                    if now_ms - begin_ms >= started_ms:
+                        pending.pop(deadline_ms)(CallResult(200, (), b"6", None))
+                    elif now_ms >= deadline_ms:
+                        pending.pop(deadline_ms)(timeout)
+            self.assertLessEqual(self.clock.now_ms() - begin_ms - started_ms, 20, started_ms)
+
     def test_upstream_that_was_only_silent_has_not_crashed(self) -> None:
         """Guards against suspicions because an upstream was slow or cut off for a while."""
         unknown = CallResult(0, (), b"", HttpCallError(CallFailure.TIMEOUT, "", False))
