Counted crashes of engines whose next process starts late

What callers saw, on the own interface: a request that crashes engines crashed further ones each time it was sent again, if a supervisor keeps the listening socket and the next process takes longer than half a second to start. It was never refused as quarantined.

Cause: the check whether the engine still runs timed out, a timeout proves nothing, and nothing looked again.

Change: `SuspectTracker` remembers such lost attempts for eight seconds. When another boot of the upstream is reported, it asks the upstream itself, because a report that another instance passed on may be old, and reports the crash late. A request that was answered meanwhile isn't reported.

--- a/packages/daemon/src/ibispaddle_daemon/suspects.py
+++ b/packages/daemon/src/ibispaddle_daemon/suspects.py
@@ -6,7 +6,7 @@
 
 import itertools
 from collections.abc import Callable, Collection, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import msgspec
 from circuits import BaseComponent, handler
@@ -21,6 +21,7 @@
     current_boot_id,
 )
 from ibispaddle_core.runstate import RunState
+from ibispaddle_core.scheduling import RunnerLoad
 
 from .calls import CallbackHttpClient, CallResult
 from .engine_answers import is_unreachable
@@ -29,6 +30,9 @@
 
 # Timeout of the check whether an upstream is still running.
 LIVENESS_TIMEOUT_MS = 500
+# Time for which a new boot of an upstream that did not respond still proves that the old one crashed. It
+# covers the restart of a process whose supervisor keeps accepting connections meanwhile.
+LATE_PROOF_MS = 8_000
 
 
 class _BootReport(msgspec.Struct):
@@ -61,6 +65,8 @@
         self._clock = clock
         self._tokens = itertools.count(1)
         self._callbacks: dict[object, Callable[[], None]] = {}
+        # Lost attempts at upstreams that did not respond, with the times at which they are forgotten.
+        self._unresolved: list[tuple[int, LostAttempt]] = []
         self._calls = CallbackHttpClient("suspect_calls", clock).register(self)
 
     def quarantine_error(
@@ -115,6 +121,10 @@
 
     def clear_suspect(self, fingerprint: str, parts: Sequence[str]) -> None:
         """Clear the suspicions of a request that was completed, and of its parts."""
+        self._unresolved = [
+            (expires_ms, _without_request(lost, fingerprint))
+            for expires_ms, lost in self._unresolved
+        ]
         if self.is_suspect(fingerprint):
             self.fire(suspect_completed(fingerprint), "*")
         cleared = self._parts.record_response(parts, fingerprint, self._parts.sequence)
@@ -122,21 +132,45 @@
             self.fire(parts_cleared(cleared), "*")
 
     def check_upstream(self, lost: LostAttempt, callback: Callable[[], None]) -> None:
-        """Call `callback` once the upstream proved alive or all reachable instances are notified."""
+        """Call `callback` once the upstream proved alive or all reachable instances are notified.
+
+        If the upstream does not respond, `callback` is called after a timeout, and the crash is reported
+        when a later boot shows it.
+        """
         if lost.unreachable:
             self._report_unreachable(lost, callback)
-            return
+        else:
+            self._check_boot(lost, callback, self._clock.now_ms() + LATE_PROOF_MS)
 
+    def _check_boot(self, lost: LostAttempt, callback: Callable[[], None], expires_ms: int) -> None:
         def on_response(result: CallResult) -> None:
             if is_unreachable(result):
                 self._report_unreachable(lost, callback)
             elif _proves_death(result, lost.boot_id):
                 self._report_death(lost, callback)
             else:
+                if lost.boot_id and _is_timeout(result):
+                    self._unresolved.append((expires_ms, lost))
                 callback()
 
         self._calls.send("GET", f"{lost.base_url}/load", b"", LIVENESS_TIMEOUT_MS, on_response)
 
+    @handler("load_reported", channel="*")
+    def _on_load_reported(self, load: RunnerLoad) -> None:
+        """Check upstreams that did not respond again when another boot was reported."""
+        if not self._unresolved:
+            return
+        now_ms = self._clock.now_ms()
+        unresolved, self._unresolved = self._unresolved, []
+        for expires_ms, lost in unresolved:
+            if expires_ms <= now_ms or not lost.requests:
+                continue
+            if lost.upstream_id == load.upstream_id and lost.boot_id != load.boot_id:
+                # Reports of other instances may be older than the lost attempt, so they prove nothing.
+                self._check_boot(lost, lambda: None, expires_ms)
+            else:
+                self._unresolved.append((expires_ms, lost))
+
     def _report_unreachable(self, lost: LostAttempt, callback: Callable[[], None]) -> None:
         # Mark the upstream as down now, so that a retry does not choose it before the next probe.
         self.fire(runner_failed(lost.upstream_id), "*")
@@ -155,6 +189,17 @@
             callback()
 
 
+def _without_request(lost: LostAttempt, fingerprint: str) -> LostAttempt:
+    if fingerprint not in lost.requests:
+        return lost
+    requests = {key: parts for key, parts in lost.requests.items() if key != fingerprint}
+    return replace(lost, requests=requests)
+
+
+def _is_timeout(result: CallResult) -> bool:
+    return result.error is not None and result.error.failure is CallFailure.TIMEOUT
+
+
 def _proves_death(result: CallResult, boot_id: str) -> bool:
     """Return whether the result of `GET /load` proves that the boot has ended.
 
@@ -163,7 +208,7 @@
     connection of the attempt broke.
     """
     if result.error is not None:
-        return result.error.failure is not CallFailure.TIMEOUT
+        return not _is_timeout(result)
     try:
         current = msgspec.json.decode(result.body, type=_BootReport).boot_id
     except DECODE_ERRORS:
--- a/tests/failures/test_crashing_requests.py
+++ b/tests/failures/test_crashing_requests.py
@@ -3,7 +3,12 @@
 import time
 from dataclasses import replace
 
+from ibispaddle_bench.fleet import MODEL
+from ibispaddle_bench.processes import call_json
+
+from tests.support.entries import runner_entry
 from tests.support.http import metric
+from tests.support.supervised import SupervisedStandIn
 from tests.support.waiting import wait_until
 
 from .scripted_engine import ScriptedEngine, publish_scripted_engines
@@ -180,6 +185,50 @@
         self.assertEqual((call.status, call.run_state), (422, "not_run"), call.describe())
 
 
+class SlowlyRestartedEngine(SupervisedStandIn):
+    """An engine whose next process starts later than a check of whether it is running waits."""
+
+    RESTART_DELAY_S = 1.0
+
+
+class SupervisedEnginesTest(FleetTest):
+    """A supervisor accepts connections while no engine process runs, and the next one serves them."""
+
+    SPEC = replace(FleetTest.SPEC, entries=2, runners=0, instance_settings=FAST_SETTINGS)
+    FLEET_PER_TEST = True
+    RUNNERS = 4
+
+    def test_crash_without_a_refused_connection(self):
+        """Guard against crashes that aren't counted because no connection is ever refused."""
+        engines = []
+        for _ in range(self.RUNNERS):
+            engines.append(SlowlyRestartedEngine("engine", True, crash_marker=MARKER))
+            self.addCleanup(engines[-1].close)
+        entries = [
+            runner_entry(f"runner.{n}", engine.address, model=MODEL, data_centre="dc.1")
+            for n, engine in enumerate(engines)
+        ]
+        url = f"{self.fleet.instance_list.url}/admin/entries"
+        call_json(url, {"entries": entries}, method="PUT")
+        for entry in self.fleet.entries:
+            wait_until(
+                lambda e=entry: metric(e, "ibispaddle_runners_live") == self.RUNNERS, "live engines"
+            )
+        crashes: list[int] = []
+        for number in range(1 + RESEND_COUNT):
+            entry = self.fleet.entries[number % 2]
+            prompt = f"Draft a motif. {MARKER}"
+            call = ModelCall(entry, prompt=prompt, timeout_ms=8_000, stream=False).wait()
+            self.assert_answer_valid(call)
+            time.sleep(3.0)
+            crashes.append(sum(engine.crashes for engine in engines))
+            # The attempts of the first request end before the first crash is proved.
+            bound = max(crashes[0], MAX_CRASHED_ENGINES)
+            self.assertLessEqual(crashes[-1], bound, crashes)
+        self.assertEqual((call.status, call.run_state), (422, "not_run"), call.describe())
+        wait_until(lambda: ModelCall(self.entry).wait().is_complete, "response to another prompt")
+
+
 class PeerCrashReportTest(FleetTest):
     """The instances hardly probe, so that they learn of a crash only from another instance."""
 
