Bounded what the tracker of suspects remembers of silent engines

A silent engine with many requests would have caused as many checks and reports of the same crash, and memory that grows with their square.

Before: test_attempts_at_one_upstream_are_reported_together fails. After: it passes, as do the other tests of test_suspects, SupervisedEnginesTest and test_fleet.

--- a/packages/bench/src/ibispaddle_bench/processes.py
+++ b/packages/bench/src/ibispaddle_bench/processes.py
@@ -121,9 +121,10 @@
     The stand-in also ends when this process ends, because its standard input is then closed. Without
     `port`, a free one is used, which stays reserved until the returned object is garbage-collected.
     """
-    reserved = [] if port else reserve_ports(1)
-    for sock in reserved:
-        port = sock.getsockname()[1]
+    reserved = None
+    if not port:
+        (reserved,) = reserve_ports(1)
+        port = reserved.getsockname()[1]
     command = [sys.executable, "-m", f"ibispaddle_standins.{kind}", "--end-with-stdin"]
     command += ["--port", str(port), *options]
     popen = subprocess.Popen(
@@ -134,13 +135,13 @@
     except ProcessError as exc:
         with popen:
             popen.kill()
-        for sock in reserved:
-            sock.close()
+        if reserved is not None:
+            reserved.close()
         raise ProcessError(f"{name or kind}: {exc}") from exc
     ports = json.loads(line)
     process = ManagedProcess(name or kind, popen, port, command, tls_port=ports["tls_port"])
-    for sock in reserved:
-        weakref.finalize(process, sock.close)
+    if reserved is not None:
+        weakref.finalize(process, reserved.close)
     return process
 
 
--- a/packages/daemon/src/ibispaddle_daemon/suspects.py
+++ b/packages/daemon/src/ibispaddle_daemon/suspects.py
@@ -65,8 +65,9 @@
         self._clock = clock
         self._tokens = itertools.count(1)
         self._callbacks: dict[object, Callable[[], None]] = {}
-        # Lost attempts at upstreams that did not respond, with the times at which they are forgotten.
-        self._unresolved: list[tuple[int, LostAttempt]] = []
+        # Lost attempts at upstreams that did not respond, by upstream and boot, with the times at which
+        # they are forgotten.
+        self._unresolved: dict[tuple[str, str], tuple[int, LostAttempt]] = {}
         self._calls = CallbackHttpClient("suspect_calls", clock).register(self)
 
     def quarantine_error(
@@ -121,10 +122,8 @@
 
     def clear_suspect(self, fingerprint: str, parts: Sequence[str]) -> None:
         """Clear the suspicions of a request that was completed, and of its parts."""
-        self._unresolved = [
-            (expires_ms, _without_request(lost, fingerprint))
-            for expires_ms, lost in self._unresolved
-        ]
+        for key, (expires_ms, lost) in self._unresolved.items():
+            self._unresolved[key] = expires_ms, _without_request(lost, fingerprint)
         if self.is_suspect(fingerprint):
             self.fire(suspect_completed(fingerprint), "*")
         cleared = self._parts.record_response(parts, fingerprint, self._parts.sequence)
@@ -150,26 +149,30 @@
                 self._report_death(lost, callback)
             else:
                 if lost.boot_id and _is_timeout(result):
-                    self._unresolved.append((expires_ms, lost))
+                    self._remember(lost, expires_ms)
                 callback()
 
         self._calls.send("GET", f"{lost.base_url}/load", b"", LIVENESS_TIMEOUT_MS, on_response)
 
+    def _remember(self, lost: LostAttempt, expires_ms: int) -> None:
+        key = lost.upstream_id, lost.boot_id
+        known_expires_ms, known = self._unresolved.get(key, (0, lost))
+        if self._clock.now_ms() < known_expires_ms:
+            lost = replace(lost, requests={**known.requests, **lost.requests})
+            expires_ms = known_expires_ms
+        self._unresolved[key] = expires_ms, lost
+
     @handler("load_reported", channel="*")
     def _on_load_reported(self, load: RunnerLoad) -> None:
-        """Check upstreams that did not respond again when another boot was reported."""
-        if not self._unresolved:
-            return
+        """Check an upstream that did not respond again when another boot of it was reported."""
         now_ms = self._clock.now_ms()
-        unresolved, self._unresolved = self._unresolved, []
-        for expires_ms, lost in unresolved:
+        for key, (expires_ms, lost) in list(self._unresolved.items()):
             if expires_ms <= now_ms or not lost.requests:
-                continue
-            if lost.upstream_id == load.upstream_id and lost.boot_id != load.boot_id:
+                del self._unresolved[key]
+            elif lost.upstream_id == load.upstream_id and lost.boot_id != load.boot_id:
+                del self._unresolved[key]
                 # Reports of other instances may be older than the lost attempt, so they prove nothing.
                 self._check_boot(lost, lambda: None, expires_ms)
-            else:
-                self._unresolved.append((expires_ms, lost))
 
     def _report_unreachable(self, lost: LostAttempt, callback: Callable[[], None]) -> None:
         # Mark the upstream as down now, so that a retry does not choose it before the next probe.
--- a/tests/daemon/test_suspects.py
+++ b/tests/daemon/test_suspects.py
@@ -70,6 +70,19 @@
         self.callbacks.pop()(boot("boot 2"))
         self.assertEqual(self.deaths(), [("r1", "boot 1", ["f1"])])
 
+    def test_attempts_at_one_upstream_are_reported_together(self) -> None:
+        """Guards against memory and reports for each pair of requests that were in flight at a crash."""
+        for number in range(50):
+            requests = {f"g{n}": () for n in range(number)}
+            lost = LostAttempt("r1", "http://r1", "boot 1", requests, unreachable=False)
+            self.tracker.check_upstream(lost, self.count_answer)
+            self.callbacks.pop()(TIMEOUT)
+        self.report("r1", "boot 2")
+        self.callbacks.pop()(boot("boot 2"))
+        self.assertEqual(self.callbacks, [])
+        [(_, _, requests)] = self.deaths()
+        self.assertEqual(len(requests), 51)
+
     def test_upstream_that_stays_silent(self) -> None:
         """Guards against a crash that is forgotten at a second timeout, or remembered for ever."""
         self.report("r1", "boot 2")
