Listed memory that is kept when the address of a lost runner is used again

Cause: the renewal of the reservation at the lost runner gets a response of the process that has its address now, and any response counts as an answer.

--- a/tests/platform_adapter/supervised_runner.py
+++ b/tests/platform_adapter/supervised_runner.py
@@ -1,5 +1,7 @@
 """Runner stand-ins that a supervisor restarts as soon as they end."""
 
+from typing import Any
+
 from tests.support.supervised import SupervisedStandIn
 
 from .processes import Platform
@@ -8,7 +10,7 @@
 class SupervisedRunner(SupervisedStandIn):
     """A runner whose processes have the same id; its entry in the store changes once one runs."""
 
-    def __init__(self, platform: Platform, name: str, keeps_socket: bool, **faults: str) -> None:
+    def __init__(self, platform: Platform, name: str, keeps_socket: bool, **faults: Any) -> None:
         self._platform, self.name = platform, name
         super().__init__("platform_runner", keeps_socket, **faults)
 
--- a/tests/support/supervised.py
+++ b/tests/support/supervised.py
@@ -1,7 +1,9 @@
 """Stand-ins that a supervisor restarts as soon as they end."""
 
+import contextlib
 import json
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -10,6 +12,7 @@
 from typing import Any
 
 from .ports import reserve_ports_for
+from .upstreams import read_request
 
 POLL_S = 0.005
 
@@ -73,6 +76,24 @@
                 self._start()
             time.sleep(POLL_S)
 
+    def stop_and_answer(self, response: bytes) -> None:
+        """Stop the process in silence and send `response` on each new connection, as another process.
+
+        Connections that are open stay open. The process must have been started with `keeps_socket`.
+        """
+        self._popen.send_signal(signal.SIGSTOP)
+        self._listener.setblocking(True)  # The process has changed the mode of the shared socket.
+
+        def answer() -> None:
+            with contextlib.suppress(OSError):  # The listener was closed.
+                while True:
+                    conn, _ = self._listener.accept()
+                    with contextlib.suppress(OSError), conn:
+                        read_request(conn)
+                        conn.sendall(response)
+
+        threading.Thread(target=answer, daemon=True).start()
+
     def close(self) -> None:
         """Stop the supervisor and end the process."""
         self._is_stopping = True
