Shared the cancellation for a retry between silent attempts and upstreams that are down

Both ask whether another upstream can take over, count the retry and mark the attempt. No change of behaviour; tests.scheduling and tests.forwarding pass.

--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -531,12 +531,20 @@
         state = self._states.get(event.request_id)
         if state is None or state.upstream_id != event.upstream_id or state.cancelling:
             return []
-        if state.first_token is not event.has_output or not self._can_replace(state, now_ms):
+        if state.first_token is not event.has_output:
+            return []
+        return self._cancel_for_retry(state, event.upstream_id, now_ms, is_silent=True)
+
+    def _cancel_for_retry(
+        self, state: RequestState, upstream_id: str, now_ms: int, is_silent: bool
+    ) -> list[Decision]:
+        """Cancel the attempt in flight if a retry can follow, which is counted at once."""
+        if not self._can_replace(state, now_ms):
             return []
         if not self._retry_budget.try_acquire(state.req.model, now_ms):
             return []
         state.cancelling = state.is_retry_granted = True
-        return [CancelAttempt(event.request_id, event.upstream_id, is_silent=True)]
+        return [CancelAttempt(state.req.request_id, upstream_id, is_silent)]
 
     def _can_replace(self, state: RequestState, now_ms: int) -> bool:
         """Return whether a retry may follow the attempt in flight and other upstreams have room for it."""
@@ -621,13 +629,10 @@
             if state.upstream_id is None or state.first_token or state.cancelling:
                 continue
             # Runners also count as down that are only slow to respond, so without a retry the attempt goes on.
-            if (
-                used & down
-                and self._can_replace(state, now_ms)
-                and self._retry_budget.try_acquire(state.req.model, now_ms)
-            ):
-                state.cancelling = state.is_retry_granted = True
-                decisions.append(CancelAttempt(state.req.request_id, state.upstream_id))
+            if used & down:
+                decisions += self._cancel_for_retry(
+                    state, state.upstream_id, now_ms, is_silent=False
+                )
         for state in list(self._states.values()):
             decisions += self._check_silence(state, is_list_new=True)
 
