Let the result of a call state its failure

SuspectTracker, EngineMemory and the interpretation of engines' answers each asked for the error and then for its failure. No change of behaviour; the tests of these parts pass.

--- a/packages/daemon/src/ibispaddle_daemon/account.py
+++ b/packages/daemon/src/ibispaddle_daemon/account.py
@@ -135,7 +135,7 @@
         )
 
     def _process_page(self, result: CallResult) -> None:
-        is_too_large = result.error and result.error.failure is CallFailure.TOO_LARGE
+        is_too_large = result.failure is CallFailure.TOO_LARGE
         if is_too_large and self._page_records > MIN_PAGE_RECORDS:
             self._page_records //= 2
             self._read_page()
--- a/packages/daemon/src/ibispaddle_daemon/calls.py
+++ b/packages/daemon/src/ibispaddle_daemon/calls.py
@@ -7,7 +7,7 @@
 from circuits import BaseComponent, handler
 from ibispaddle_core.clock import Clock
 
-from .events import Headers, HttpCall, HttpCallError, http_call, http_cancel
+from .events import CallFailure, Headers, HttpCall, HttpCallError, http_call, http_cancel
 from .responses import JSON
 
 # Maximum size of the response to an order, a status check or a report, which have some hundred bytes.
@@ -24,6 +24,11 @@
     body: bytes
     error: HttpCallError | None
 
+    @property
+    def failure(self) -> CallFailure | None:
+        """Return the reason why the call did not complete, or None."""
+        return self.error.failure if self.error is not None else None
+
 
 class CallbackHttpClient(BaseComponent):
     """Make calls through the HTTP client and pass each result to the call's callback."""
--- a/packages/daemon/src/ibispaddle_daemon/engine_answers.py
+++ b/packages/daemon/src/ibispaddle_daemon/engine_answers.py
@@ -37,7 +37,7 @@
 
 def is_unreachable(result: CallResult) -> bool:
     """Return whether no connection to the engine could be made."""
-    return result.error is not None and result.error.failure is CallFailure.UNREACHABLE
+    return result.failure is CallFailure.UNREACHABLE
 
 
 def may_have_crashed(outcome: Outcome, cancel: CallResult) -> bool:
@@ -49,7 +49,7 @@
     """
     if outcome is Outcome.FAILED:
         return True
-    is_broken = cancel.error is not None and cancel.error.failure is not CallFailure.TIMEOUT
+    is_broken = cancel.failure not in (None, CallFailure.TIMEOUT)
     return is_broken and outcome is not Outcome.REJECTED
 
 
--- a/packages/daemon/src/ibispaddle_daemon/engine_memory.py
+++ b/packages/daemon/src/ibispaddle_daemon/engine_memory.py
@@ -189,10 +189,8 @@
 
 def _is_answered(result: CallResult) -> bool:
     """Return whether the engine responded, or the call never left this instance."""
-    if result.error is None:
-        return True
     silence = (CallFailure.UNREACHABLE, CallFailure.CLOSED, CallFailure.TIMEOUT)
-    return result.error.failure not in silence
+    return result.failure not in silence
 
 
 def _expiry_ms(handle: str) -> int | None:
--- a/packages/daemon/src/ibispaddle_daemon/suspects.py
+++ b/packages/daemon/src/ibispaddle_daemon/suspects.py
@@ -148,7 +148,7 @@
             elif _proves_death(result, lost.boot_id):
                 self._report_death(lost, callback)
             else:
-                if lost.boot_id and _is_timeout(result):
+                if lost.boot_id and result.failure is CallFailure.TIMEOUT:
                     self._remember(lost, expires_ms)
                 callback()
 
@@ -199,10 +199,6 @@
     return replace(lost, requests=requests)
 
 
-def _is_timeout(result: CallResult) -> bool:
-    return result.error is not None and result.error.failure is CallFailure.TIMEOUT
-
-
 def _proves_death(result: CallResult, boot_id: str) -> bool:
     """Return whether the result of `GET /load` proves that the boot has ended.
 
@@ -211,7 +207,7 @@
     connection of the attempt broke.
     """
     if result.error is not None:
-        return not _is_timeout(result)
+        return result.failure is not CallFailure.TIMEOUT
     try:
         current = msgspec.json.decode(result.body, type=_BootReport).boot_id
     except DECODE_ERRORS:
