Kept the time of the last event with the request

The forwarder searched all attempts of the instance for that of one request, at each cancellation and report of a silence. The time now stands with the other state of the last attempt. The field sent_ms, which nothing read, is gone. No change of behaviour; tests.forwarding and test_silent_streams pass.

--- a/packages/daemon/src/ibispaddle_daemon/forwarding/attempts.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/attempts.py
@@ -48,8 +48,6 @@
     call_id: str
     upstream_id: str
     state_machine: ForwardedAttempt
-    sent_ms: int
-    last_event_ms: int
     is_paused: bool = False
     stall_timer: TimerHandle | None = None
 
@@ -87,12 +85,12 @@
 
     def start(self, request: ForwardedRequest, address: str, call: UpstreamCall) -> None:
         """Start an attempt at an upstream."""
-        now_ms = self._clock.now_ms()
         call_id = f"forward-{next(_NUMBERS)}"
         state_machine = ForwardedAttempt(
             request.route.streams, request.is_response_started, request.last_event_id
         )
-        running = _RunningAttempt(request, call_id, call.upstream_id, state_machine, now_ms, now_ms)
+        running = _RunningAttempt(request, call_id, call.upstream_id, state_machine)
+        request.last_event_ms = self._clock.now_ms()
         self._running[call_id] = running
         request.cancel_attempt = lambda: self._cancel(running)
         exchange = request.exchange
@@ -176,7 +174,7 @@
                     # Only complete events with content count as progress: a stalled upstream may
                     # still send single bytes or comments.
                     if events:
-                        running.last_event_ms = self._clock.now_ms()
+                        request.last_event_ms = self._clock.now_ms()
                         self._on_output(request, events)
                     self._schedule_stall_check(running)
                 case AttemptResult():
@@ -201,25 +199,15 @@
             running.stall_timer = None
             if running.is_paused:
                 return  # Scheduled again when reading is resumed.
-            if self._idle_ms(running) < limit_ms:
+            if self._clock.now_ms() - running.request.last_event_ms < limit_ms:
                 self._schedule_stall_check(running)
                 return
             running.stall_timer = self._timers.after(STALL_RECHECK_MS, check)
             self._on_stall(running.request, running.upstream_id)
 
-        due_ms = running.last_event_ms + limit_ms
+        due_ms = running.request.last_event_ms + limit_ms
         running.stall_timer = self._timers.at(due_ms, check)
 
-    def _idle_ms(self, running: _RunningAttempt) -> int:
-        return self._clock.now_ms() - running.last_event_ms
-
-    def idle_ms(self, request: ForwardedRequest) -> int:
-        """Return the time since the last event of the request's attempt, or since its start."""
-        for running in self._running.values():
-            if running.request is request:
-                return self._idle_ms(running)
-        return 0
-
     # Flow control
 
     def _limit_unsent_bytes(self, running: _RunningAttempt) -> None:
@@ -235,6 +223,6 @@
                 continue
             if request.exchange.unsent_bytes <= self.max_unsent_bytes * RESUME_FRACTION:
                 running.is_paused = False
-                running.last_event_ms = self._clock.now_ms()
+                request.last_event_ms = self._clock.now_ms()
                 self._schedule_stall_check(running)
                 self.fire(http_resume(running.call_id), "http_client")
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
@@ -462,8 +462,8 @@
         """
         if request.cancel_attempt is None:
             return
-        idle_ms = self._attempts.idle_ms(request)
         request.cancel_attempt()
+        idle_ms = self._clock.now_ms() - request.last_event_ms
         text = f"no event for {idle_ms} ms" if decision.is_silent else "cancelled by the scheduler"
         # The upstream also counts as stalled if it has not started to respond.
         is_stalled = decision.is_silent or not request.is_response_started
@@ -475,10 +475,10 @@
     ) -> None:
         """Report a silent attempt once the attempt counts of the other instances are recent."""
         event = AttemptSilent(request.request_id, upstream_id, has_output)
-        idle_ms = self._attempts.idle_ms(request)
+        last_event_ms = request.last_event_ms
 
         def report() -> None:
-            if self._attempts.idle_ms(request) >= idle_ms:  # No event has arrived meanwhile.
+            if request.last_event_ms == last_event_ms:  # No event has arrived meanwhile.
                 self.handle_event(event)
 
         self.before_selection(report, request.req.model)
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/requests.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/requests.py
@@ -39,6 +39,7 @@
     failures: tuple[str, ...] = ()  # Reasons of failed attempts, for the log.
     has_settled_output: bool = False  # Whether an upstream of any attempt has survived it.
     # State of the last attempt.
+    last_event_ms: int = 0  # Time of its last event, or of its start.
     attempt_boot_ms: int | None = None  # Start of its upstream, if known.
     attempt_boot_id: str = ""  # Identifies the process of its upstream.
     attempt_output_ms: int | None = None  # Time of its first output.
