--- a/packages/core/src/ibispaddle_core/relay/event_blocks.py
+++ b/packages/core/src/ibispaddle_core/relay/event_blocks.py
@@ -3,8 +3,8 @@
 import re
 from dataclasses import dataclass
 
-from .exceptions import EventTooLargeError, InvalidEventIdError, TooManyEmptyEventsError
-from .sse import MAX_EMPTY_EVENTS, MAX_EVENT_BYTES
+from .exceptions import EventTooLargeError, InvalidEventIdError
+from .sse import MAX_EVENT_BYTES, EmptyEventLimit
 
 # The empty line that ends an event, with the empty lines that follow it.
 _END = re.compile(rb"\n\r?\n[\r\n]*")
@@ -40,7 +40,7 @@
     def __init__(self) -> None:
         self._pending = bytearray()
         self._searched = 0
-        self._empty_events = 0  # Since the last event that was not empty.
+        self._empty_events = EmptyEventLimit()
 
     def feed(self, data: bytes) -> list[RawEvent]:
         """Return the events that `data` completes.
@@ -57,9 +57,7 @@
             event = _parse(bytes(self._pending[begin:end]))
             begin = self._searched = end
             blocks.append(event)
-            self._empty_events = self._empty_events + 1 if event.is_empty else 0
-            if self._empty_events > MAX_EMPTY_EVENTS:
-                raise TooManyEmptyEventsError(f"more than {MAX_EMPTY_EVENTS} empty events in a row")
+            self._empty_events.record(event.is_empty)
         del self._pending[:begin]
         self._searched = max(0, len(self._pending) - 2)
         if len(self._pending) > MAX_EVENT_BYTES:
--- a/packages/core/src/ibispaddle_core/relay/sse.py
+++ b/packages/core/src/ibispaddle_core/relay/sse.py
@@ -13,6 +13,19 @@
 _END = re.compile(rb"\n\n+")
 
 
+class EmptyEventLimit:
+    """Count the empty events of a stream since the last one that was not empty."""
+
+    def __init__(self) -> None:
+        self._count = 0
+
+    def record(self, is_empty: bool) -> None:
+        """Count an event; raise `TooManyEmptyEventsError` after `MAX_EMPTY_EVENTS` in a row."""
+        self._count = self._count + 1 if is_empty else 0
+        if self._count > MAX_EMPTY_EVENTS:
+            raise TooManyEmptyEventsError(f"more than {MAX_EMPTY_EVENTS} empty events in a row")
+
+
 class SseParser:
     """Parse a byte stream into the data of its events.
 
@@ -30,7 +43,7 @@
         self._searched = 0
         self._after_cr = False
         self._at_start = True
-        self._empty_events = 0  # Since the last event with data.
+        self._empty_events = EmptyEventLimit()  # Those without data.
 
     def feed(self, data: bytes) -> list[bytes]:
         """Return the data of the events that `data` completes.
@@ -50,9 +63,7 @@
             value = _event_data(bytes(pending[begin : match.start()]))
             if value is not None:
                 events.append(value)
-            self._empty_events = self._empty_events + 1 if value is None else 0
-            if self._empty_events > MAX_EMPTY_EVENTS:
-                raise TooManyEmptyEventsError(f"more than {MAX_EMPTY_EVENTS} empty events in a row")
+            self._empty_events.record(value is None)
             # The last line feed is kept; it acts as an empty line before the next event.
             begin = self._searched = match.end() - 1
         del pending[:begin]
