--- a/packages/daemon/src/ibispaddle_daemon/account.py
+++ b/packages/daemon/src/ibispaddle_daemon/account.py
@@ -131,7 +131,13 @@
         url = f"{self._url}?from={self.reader.position}&limit={self._page_records}"
         timeout_ms = min(remaining_ms, PAGE_TIMEOUT_MS)
         self._calls.send(
-            "GET", url, b"", timeout_ms, self._process_page, MAX_BUFFERED_BODY_BYTES, True
+            "GET",
+            url,
+            b"",
+            timeout_ms,
+            self._process_page,
+            MAX_BUFFERED_BODY_BYTES,
+            may_reuse_connection=True,
         )
 
     def _process_page(self, result: CallResult) -> None:
--- a/packages/daemon/src/ibispaddle_daemon/instance_list.py
+++ b/packages/daemon/src/ibispaddle_daemon/instance_list.py
@@ -108,7 +108,13 @@
     def _poll(self) -> None:
         # Only one call at a time: the next poll is scheduled when this one has completed.
         self._call_id = self._http.send(
-            "GET", self._url, b"", POLL_TIMEOUT_MS, self._on_response, MAX_BUFFERED_BODY_BYTES, True
+            "GET",
+            self._url,
+            b"",
+            POLL_TIMEOUT_MS,
+            self._on_response,
+            MAX_BUFFERED_BODY_BYTES,
+            may_reuse_connection=True,
         )
 
     @handler("process_paused", channel="*")
--- a/tests/support/supervised.py
+++ b/tests/support/supervised.py
@@ -1,6 +1,5 @@
 """Stand-ins that a supervisor restarts as soon as they end."""
 
-import contextlib
 import json
 import os
 import signal
@@ -11,8 +10,10 @@
 import time
 from typing import Any
 
+from ibispaddle_bench.processes import call_json
+
 from .ports import reserve_ports_for
-from .upstreams import read_request
+from .upstreams import RawUpstream, read_request
 
 POLL_S = 0.005
 
@@ -32,6 +33,7 @@
         self._faults = json.dumps(faults)
         self._listener = socket.create_server(("127.0.0.1", 0), backlog=128)
         self.crashes = 0
+        self._successor: RawUpstream | None = None
         self._is_stopping = False
         self._start()
         self._thread = threading.Thread(target=self._supervise, daemon=True)
@@ -76,6 +78,10 @@
                 self._start()
             time.sleep(POLL_S)
 
+    def state(self) -> Any:
+        """Return the state and the counters of the running process."""
+        return call_json(f"http://{self.address}/admin/state")
+
     def stop_and_answer(self, response: bytes) -> None:
         """Stop the process in silence and send `response` on each new connection, as another process.
 
@@ -84,15 +90,11 @@
         self._popen.send_signal(signal.SIGSTOP)
         self._listener.setblocking(True)  # The process has changed the mode of the shared socket.
 
-        def answer() -> None:
-            with contextlib.suppress(OSError):  # The listener was closed.
-                while True:
-                    conn, _ = self._listener.accept()
-                    with contextlib.suppress(OSError), conn:
-                        read_request(conn)
-                        conn.sendall(response)
+        def answer(conn: socket.socket, number: int) -> None:
+            read_request(conn)
+            conn.sendall(response)
 
-        threading.Thread(target=answer, daemon=True).start()
+        self._successor = RawUpstream(answer, self._listener)
 
     def close(self) -> None:
         """Stop the supervisor and end the process."""
@@ -101,6 +103,8 @@
         self._popen.kill()
         self._popen.wait()
         self._close_pipes()
+        if self._successor is not None:
+            self._successor.close()
         self._listener.close()
 
     def _close_pipes(self) -> None:
--- a/tests/support/upstreams.py
+++ b/tests/support/upstreams.py
@@ -9,11 +9,16 @@
 class RawUpstream:
     """Accept connections and run a script of the test for each of them.
 
-    The script receives the connection and its number, which starts at 0.
+    The script receives the connection and its number, which starts at 0. With `listener`, its connections
+    are accepted instead of those of a new socket.
     """
 
-    def __init__(self, script: Callable[[socket.socket, int], None]) -> None:
-        self._sock = socket.create_server(("127.0.0.1", 0), backlog=64)
+    def __init__(
+        self,
+        script: Callable[[socket.socket, int], None],
+        listener: socket.socket | None = None,
+    ) -> None:
+        self._sock = listener or socket.create_server(("127.0.0.1", 0), backlog=64)
         self._script = script
         self._open: list[socket.socket] = []
         self.connections = 0
