Counted only grants as confirmations of a reservation

What callers saw: memory at other runners was kept for 5.7 s, where 4 s are allowed (LEAK), after a runner that shared a prompt had crashed in silence and another process had taken its address. Cause: any response to a renewal counted as the runner's, so the removal of the runner from the list alone did not end the attempt. Fix: a renewal is confirmed only by a grant. The runner must also have left the list, as before.

--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -66,7 +66,7 @@
 from .subsets import PEER_EXPIRY_MS, REFRESH_MS, RunnerSubsets
 from .timers import Timers
 
-# Consecutive renewals of a reservation without a response after which a runner counts as silent. A single
+# Consecutive renewals of a reservation that were not granted, after which a runner counts as silent. A single
 # response may be lost.
 SILENT_AFTER_RENEWALS = 2
 # Number of such renewals after which the list is no longer read more often for a runner that stays in it.
@@ -661,11 +661,11 @@
         request_id, upstream_id = state.req.request_id, state.upstream_id
         if upstream_id is None or state.cancelling:
             return []
-        unanswered = self._reservations.unanswered_renewals(request_id, upstream_id)
-        if unanswered < SILENT_AFTER_RENEWALS:
+        unconfirmed = self._reservations.unconfirmed_renewals(request_id, upstream_id)
+        if unconfirmed < SILENT_AFTER_RENEWALS:
             return []
         if any(upstream.upstream_id == upstream_id for upstream in self._listed):
-            is_recheck_due = not is_list_new and unanswered <= MAX_LIST_CHECKS_AFTER_RENEWALS
+            is_recheck_due = not is_list_new and unconfirmed <= MAX_LIST_CHECKS_AFTER_RENEWALS
             return [ConfirmListing(request_id, upstream_id)] if is_recheck_due else []
         state.cancelling = True
         cancel = CancelAttempt(request_id, upstream_id, is_silent=True)
--- a/packages/core/src/ibispaddle_core/scheduling/messages.py
+++ b/packages/core/src/ibispaddle_core/scheduling/messages.py
@@ -356,13 +356,14 @@
 class ReservationRenewed:
     """Report the end of a call that renews a granted reservation.
 
-    `is_answered` is false if the runner did not respond in time.
+    `is_confirmed` is false if the runner did not grant the memory again: it did not respond, or another
+    process answers at its address.
     """
 
     request_id: str
     upstream_id: str
     handle: str
-    is_answered: bool
+    is_confirmed: bool
 
 
 @dataclass(frozen=True)
--- a/packages/core/src/ibispaddle_core/scheduling/reservations.py
+++ b/packages/core/src/ibispaddle_core/scheduling/reservations.py
@@ -37,7 +37,7 @@
     tokens: int
     requested: bool = False
     granted: bool = False
-    unanswered_renewals: int = 0  # Since the last response of the runner.
+    unconfirmed_renewals: int = 0  # Since the runner last granted the memory.
     claimed: bool = False  # Returned by `take_unclaimed`, for a claim on the runner's memory.
 
 
@@ -160,19 +160,19 @@
         return [], prompt.complete
 
     def record_renewal(self, event: ReservationRenewed) -> None:
-        """Record whether a runner responded to the renewal of a reservation."""
+        """Record whether a runner granted the renewal of a reservation."""
         prompt = self._prompts.get(event.request_id)
         for segment in prompt.segments if prompt is not None else ():
             if segment.handle == event.handle:
-                count = segment.unanswered_renewals + 1
-                segment.unanswered_renewals = 0 if event.is_answered else count
+                count = segment.unconfirmed_renewals + 1
+                segment.unconfirmed_renewals = 0 if event.is_confirmed else count
 
-    def unanswered_renewals(self, request_id: str, upstream_id: str) -> int:
-        """Return how many renewals a runner of the request's group has left unanswered since the last."""
+    def unconfirmed_renewals(self, request_id: str, upstream_id: str) -> int:
+        """Return how many renewals a runner of the request's group has not granted since the last."""
         prompt = self._prompts.get(request_id)
         for segment in prompt.segments if prompt is not None else ():
             if segment.upstream_id == upstream_id:
-                return segment.unanswered_renewals
+                return segment.unconfirmed_renewals
         return 0
 
     def handles(self, request_id: str) -> tuple[str, ...]:
--- a/packages/daemon/src/ibispaddle_daemon/engine_memory.py
+++ b/packages/daemon/src/ibispaddle_daemon/engine_memory.py
@@ -153,7 +153,7 @@
                         decision.request_id,
                         decision.upstream_id,
                         decision.handle,
-                        _is_answered(result),
+                        self._is_confirmed(result),
                     )
                 )
 
@@ -168,6 +168,15 @@
         interval_ms = self._codec.hold_ms // 3
         self._renewals[decision.handle] = self._timers.after(interval_ms, renew)
 
+    def _is_confirmed(self, result: CallResult) -> bool:
+        """Return whether the engine has renewed a reservation, or the call never left this instance.
+
+        After a crash, another process may answer at the engine's address.
+        """
+        if result.error is None:
+            return self._codec.is_granted(result.status)
+        return result.failure in (CallFailure.BUSY, CallFailure.CANCELLED)
+
     def _send_free(self, base_url: str, handle: str, retry_delay_ms: int) -> None:
         def on_result(result: CallResult) -> None:
             is_freed = result.error is None and self._codec.is_freed(result.status)
@@ -187,12 +196,6 @@
         return expiry_ms is None or self._clock.wall_ms() > expiry_ms
 
 
-def _is_answered(result: CallResult) -> bool:
-    """Return whether the engine responded, or the call never left this instance."""
-    silence = (CallFailure.UNREACHABLE, CallFailure.CLOSED, CallFailure.TIMEOUT)
-    return result.failure not in silence
-
-
 def _expiry_ms(handle: str) -> int | None:
     """Return the expiry time (wall clock) in the handle, or None if it has none."""
     expiry = handle.rpartition("-")[2]
