Bounded the length of handles and instance ids

Cause: a handle contained the instance's id twice, so its length depended on the names of machines, and the runners refuse long ones. Each refusal was repeated. Fix: digests of fixed length stand for the process and the request. Tests: the length of handles with short and long names; settings with long names.

--- a/packages/core/src/ibispaddle_core/scheduling/__init__.py
+++ b/packages/core/src/ibispaddle_core/scheduling/__init__.py
@@ -57,6 +57,7 @@
     UpstreamWork,
     WaitingPrompt,
 )
+from .reservations import HANDLE_PREFIX
 
 __all__ = [
     "AttemptCounts",
@@ -75,6 +76,7 @@
     "FleetAttempts",
     "FleetPaces",
     "FreeMemory",
+    "HANDLE_PREFIX",
     "LoadReported",
     "Outcome",
     "PaceReport",
--- a/packages/core/src/ibispaddle_core/scheduling/reservations.py
+++ b/packages/core/src/ibispaddle_core/scheduling/reservations.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
+from ..identifiers import digest
 from .messages import (
     Decision,
     FreeMemory,
@@ -20,6 +21,8 @@
 from .runners import RunnerTable, RunnerView
 
 RETRY_MS = 100  # Time after a refusal until the reservation is sent again.
+# Begins the handles of all instances.
+HANDLE_PREFIX = "ir-"
 # Bounds the gossip entry. Runners beyond the bound are not protected from younger prompts.
 MAX_GOSSIPED = 5
 # Covers the difference between the wall clocks of instances; see the design page.
@@ -62,7 +65,8 @@
 
     def __init__(self, runners: RunnerTable, instance_boot: str, wall_offset_ms: int) -> None:
         self._runners = runners
-        self._boot = instance_boot
+        # Engines bound the length of handles, and instances have names of any length.
+        self._owner = f"{HANDLE_PREFIX}{digest(instance_boot)}"
         self._wall_offset_ms = wall_offset_ms
         self._prompts: dict[str, PromptReservation] = {}
         # Part of each handle, so that a repeated free of an old one cannot free a retry's memory.
@@ -92,11 +96,12 @@
         """
         expiry_ms = state.req.deadline_ms + self._wall_offset_ms + HANDLE_GRACE_MS
         self._generation += 1
+        prefix = f"{self._owner}-{digest(state.req.request_id)}-{self._generation}"
         segment_tokens, rest = divmod(tokens, len(group))
         segments = [
             Segment(
                 view.upstream.upstream_id,
-                f"ir-{self._boot}-{state.req.request_id}-{self._generation}.{number}-{expiry_ms}",
+                f"{prefix}.{number}-{expiry_ms}",
                 segment_tokens + (number < rest),
             )
             for number, view in enumerate(group)
--- a/packages/core/src/ibispaddle_core/settings/__init__.py
+++ b/packages/core/src/ibispaddle_core/settings/__init__.py
@@ -12,7 +12,13 @@
     WorkspaceConfig,
 )
 from .gateway import GatewaySettings
-from .instance import InstanceSettings, PeerTlsSettings, TlsSettings, UpstreamTlsSettings
+from .instance import (
+    MAX_INSTANCE_ID_LENGTH,
+    InstanceSettings,
+    PeerTlsSettings,
+    TlsSettings,
+    UpstreamTlsSettings,
+)
 from .loading import check_fleet, load_fleet, load_instance, parse_json
 from .overlay import Origin, merge_layers
 
@@ -21,6 +27,7 @@
     "GatewaySettings",
     "InstanceSettings",
     "LimitSettings",
+    "MAX_INSTANCE_ID_LENGTH",
     "ModelConfig",
     "NeighbourConfig",
     "Origin",
--- a/packages/core/src/ibispaddle_core/settings/instance.py
+++ b/packages/core/src/ibispaddle_core/settings/instance.py
@@ -6,6 +6,8 @@
 
 from .base import SettingsModel
 
+MAX_INSTANCE_ID_LENGTH = 64
+
 
 class TlsSettings(SettingsModel, frozen=True, kw_only=True):
     """Certificate and key files of a listener."""
@@ -37,7 +39,10 @@
 class InstanceSettings(SettingsModel, frozen=True, kw_only=True):
     """Settings that an instance needs before it can read the log."""
 
-    instance_id: Annotated[str, Meta(pattern=r"^[A-Za-z0-9_.]{1,64}$", description="Unique id.")]
+    instance_id: Annotated[
+        str,
+        Meta(pattern=rf"^[A-Za-z0-9_.]{{1,{MAX_INSTANCE_ID_LENGTH}}}$", description="Unique id."),
+    ]
     data_centre: Annotated[str, Meta(min_length=1, description="Data centre the instance runs in.")]
     site: Annotated[
         str, Meta(description="Site whose overlay applies; empty: the data centre's name.")
--- a/packages/daemon/src/ibispaddle_daemon/probes.py
+++ b/packages/daemon/src/ibispaddle_daemon/probes.py
@@ -14,6 +14,7 @@
 from ibispaddle_core.gossip import RunnerReport
 from ibispaddle_core.logevents import UPSTREAM_DOWN
 from ibispaddle_core.membership import ListEntry, MemberKind, MembershipView
+from ibispaddle_core.scheduling import HANDLE_PREFIX
 from ibispaddle_core.settings import InstanceSettings
 
 from .calls import MAX_STATUS_BYTES, CallbackHttpClient, CallResult
@@ -42,7 +43,6 @@
 KV_TIMEOUT_MS = 2_000
 # Maximum size of the list of an engine's handles, which has about a hundred bytes for each.
 MAX_HANDLES_BYTES = 1_048_576
-OWN_HANDLE_PREFIX = "ir-"
 
 
 class _Load(msgspec.Struct):
@@ -282,7 +282,7 @@
         names.append(item.get("handle") if isinstance(item, dict) else item)
     expired = []
     for name in names:
-        if isinstance(name, str) and name.startswith(OWN_HANDLE_PREFIX):
+        if isinstance(name, str) and name.startswith(HANDLE_PREFIX):
             expiry = name.rpartition("-")[2]
             if expiry.isdigit() and int(expiry) < wall_ms:
                 expired.append(name)
--- a/tests/platform_adapter/test_records.py
+++ b/tests/platform_adapter/test_records.py
@@ -91,6 +91,16 @@
         self.assertEqual((read.store_url, read.revocation_ms), ("http://127.0.0.1:8003", 5_000))
         self.assertLess(read.instance.drain_timeout_ms, 8_000)
 
+    def test_any_machine_name_gives_an_instance_id(self) -> None:
+        """Guards against an instance that does not start because of its machine's name."""
+        ids = set()
+        for name in (b"edge-a/1", b"e" * 100, b"e" * 101):
+            data = SETTINGS.replace(b"edge-a-1", name)
+            ids.add(read_settings(data, "node.toml").gateway.instance.instance_id)
+        self.assertEqual(len(ids), 3)
+        self.assertIn("edge_a_1", ids)
+        self.assertTrue(all(len(item) <= 64 for item in ids))
+
     def test_invalid_settings_are_reported(self) -> None:
         """Guards against an instance that starts with invalid settings."""
         for data in (b"node_name = 1", b"[", b"\xff", SETTINGS.replace(b"[7000, 7015]", b"7000")):
--- a/tests/scheduling/test_least_work.py
+++ b/tests/scheduling/test_least_work.py
@@ -227,6 +227,19 @@
             )
         ]
 
+    def test_length_of_handles_does_not_depend_on_names(self) -> None:
+        """Guards against reservations that are refused because instances have long names."""
+        lengths = set()
+        for name in ("i", "edge_hu_central_a_10-61078cff" * 4):
+            sched = Scheduler.from_config(config(), 1, name)
+            sched.handle(UpstreamsChanged(tuple(fakes.upstream(n) for n in range(23))), 0)
+            decisions = arrive(sched, f"{name}-2", 600_000)
+            orders = [item for item in decisions if isinstance(item, ReserveMemory)]
+            self.assertTrue(orders)
+            lengths |= {len(order.handle) for order in orders}
+        self.assertLessEqual(max(lengths), 64)
+        self.assertLessEqual(max(lengths) - min(lengths), 1)  # The number of a part has two digits.
+
     def delist(self, sched: Scheduler, upstream_id: str, now_ms: int) -> list[Decision]:
         listed = (fakes.upstream(number) for number in range(23))
         others = tuple(upstream for upstream in listed if upstream.upstream_id != upstream_id)
--- a/tests/scheduling/test_waits.py
+++ b/tests/scheduling/test_waits.py
@@ -4,7 +4,9 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from ibispaddle_core.identifiers import digest
 from ibispaddle_core.scheduling import (
+    HANDLE_PREFIX,
     AttemptEnded,
     Dispatch,
     FreeMemory,
@@ -83,7 +85,9 @@
         self.waiting = {r for r in self.waiting if not r.startswith(f"{number}/")}
         self.running = [run for run in self.running if run[1] != number]
         for held in self.memory.values():
-            for handle in [h for h in held if h.startswith(f"ir-b{number}-")]:
+            for handle in [
+                h for h in held if h.startswith(f"{HANDLE_PREFIX}{digest(f'b{number}')}-")
+            ]:
                 del held[handle]
 
     def pass_time(self, duration_ms, gossip=True):
