--- a/packages/core/src/ibispaddle_core/scheduling/admission.py
+++ b/packages/core/src/ibispaddle_core/scheduling/admission.py
@@ -84,7 +84,7 @@
         model = self._cost.model(req.model)
         if self._cost.kv_tokens(req) > model.context_tokens:
             return AdmissionRefusal(RefusalReason.TOO_LARGE)
-        live = self._runners.live(req.model)
+        live = self._runners.live_for(req)
         if not live:
             return AdmissionRefusal(RefusalReason.NO_UPSTREAM, MIN_RETRY_AFTER_MS)
         if self._cost.min_segments(req) > len(live):
--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -316,7 +316,7 @@
     ) -> list[Decision] | None:
         """Dispatch, refuse or reserve memory for a request, or return None if it must wait."""
         req = state.req
-        if not self.runners.live(req.model):
+        if not self.runners.live_for(req):
             return self._refuse(state, RefusalReason.NO_UPSTREAM, MIN_RETRY_AFTER_MS)
         held_ms = self._admission.held_ms(req.model, now_ms)
         if now_ms + held_ms + self._admission.service_ms(req) > req.deadline_ms:
@@ -354,7 +354,7 @@
 
     def _try_divide(self, state: RequestState, now_ms: int) -> bool:
         """Start reservations for a prompt that fits one engine if several have the memory now."""
-        live = self.runners.available(state.req.model, now_ms)
+        live = self.runners.available_for(state.req, now_ms)
         if min(self.cost.preferred_segments(state.req), len(live)) < 2:
             return False
         contested = self._reservation_order.contested_runners(
@@ -400,9 +400,9 @@
         self, state: RequestState, idle_only: bool, now_ms: int
     ) -> list[Decision] | None:
         req = state.req
-        if self.cost.min_segments(req) > len(self.runners.live(req.model)):
+        if self.cost.min_segments(req) > len(self.runners.live_for(req)):
             return self._refuse(state, RefusalReason.TOO_LARGE, 0)
-        live = self.runners.available(req.model, now_ms)
+        live = self.runners.available_for(req, now_ms)
         if self.cost.min_segments(req) > len(live):
             return None
         incomplete = self._reservations.reserving()
@@ -507,7 +507,7 @@
         retry = (
             self._may_retry(state, not_run, has_output, state.runs)
             and not self.queue.is_full(req.neighbour)
-            and bool(self.runners.live(req.model))
+            and bool(self.runners.live_for(req))
             # An attempt that reached no upstream added no load, so its retry is not budgeted.
             and (
                 event.outcome is Outcome.NOT_SENT
@@ -551,7 +551,7 @@
         req = state.req
         others = [
             view
-            for view in self.runners.available(req.model, now_ms)
+            for view in self.runners.available_for(req, now_ms)
             if view.upstream.upstream_id != state.upstream_id
         ]
         needed = self.cost.min_segments(req) if state.prompt_class is PromptClass.SPANNING else 1
--- a/packages/core/src/ibispaddle_core/scheduling/least_work.py
+++ b/packages/core/src/ibispaddle_core/scheduling/least_work.py
@@ -112,7 +112,7 @@
         now_ms: int,
     ) -> Choice | None:
         """Return the choice, or None while no upstream has a free slot and enough memory."""
-        live = runners.available(req.model, now_ms)
+        live = runners.available_for(req, now_ms)
         if len(live) > MAX_CANDIDATES:
             sampled = self._rng.sample(live, MAX_CANDIDATES)
             choice = self._choose(req, tried, idle_only, sampled, runners.choice_rank, now_ms)
--- a/packages/core/src/ibispaddle_core/scheduling/messages.py
+++ b/packages/core/src/ibispaddle_core/scheduling/messages.py
@@ -78,6 +78,8 @@
     # Time from the arrival after which the caller leaves without output; None: it waits until its deadline.
     patience_ms: int | None = None
     streams: bool = True  # Otherwise the first output is the complete response.
+    # Data centres whose upstreams may run it; None means all.
+    data_centres: frozenset[str] | None = None
 
     @property
     def start_deadline_ms(self) -> int:
--- a/packages/core/src/ibispaddle_core/scheduling/placement.py
+++ b/packages/core/src/ibispaddle_core/scheduling/placement.py
@@ -108,7 +108,7 @@
     ) -> Choice | None:
         """Return the choice, or None while every runner is too busy or lacks memory."""
         prompt_class = self._cost.prompt_class(req)
-        views = runners.available(req.model, now_ms)
+        views = runners.available_for(req, now_ms)
         preferred = self._subsets.own_subset(views)
         if len(preferred) > MAX_CANDIDATES:
             preferred = self._rng.sample(preferred, MAX_CANDIDATES)
@@ -195,7 +195,7 @@
     req: Request, allowed: Collection[str], runners: RunnerTable, cost: CostModel, now_ms: int
 ) -> Choice | None:
     """Return the first allowed runner with enough memory, or None while there is none."""
-    for view in runners.available(req.model, now_ms):
+    for view in runners.available_for(req, now_ms):
         if view.upstream.upstream_id in allowed and view.kv_free() >= cost.kv_tokens(req):
             ttft_ms = req.prompt_tokens / view.prefill_rate
             return Choice(view, 0.0, ttft_ms, req.prompt_tokens)
--- a/packages/core/src/ibispaddle_core/scheduling/runners.py
+++ b/packages/core/src/ibispaddle_core/scheduling/runners.py
@@ -5,7 +5,7 @@
 
 from ..settings.fleet import ModelConfig
 from .cost import CostModel, PromptClass
-from .messages import RunnerLoad, Upstream, UpstreamState, UpstreamWork
+from .messages import Request, RunnerLoad, Upstream, UpstreamState, UpstreamWork
 from .pacing import UpstreamPacing
 
 # Reports do not contain the lengths of waiting prompts. Tokens above this number per waiting request
@@ -305,9 +305,16 @@
         """Return the runners that may get new work for the model, in id order."""
         return self._by_model.get(model, [])
 
-    def available(self, model: str, now_ms: int) -> list[RunnerView]:
-        """Return the runners that may get new work now: live ones that are not held back."""
-        live = self.live(model)
+    def live_for(self, req: Request) -> list[RunnerView]:
+        """Return the runners that may get the request, in id order."""
+        live = self.live(req.model)
+        if req.data_centres is None:
+            return live
+        return [view for view in live if view.upstream.data_centre in req.data_centres]
+
+    def available_for(self, req: Request, now_ms: int) -> list[RunnerView]:
+        """Return the runners that may get the request now: those that are not held back."""
+        live = self.live_for(req)
         if self._pacing.is_idle:
             return live
         return [view for view in live if self._pacing.has_room(view.upstream.upstream_id, now_ms)]
--- a/tests/scheduling/test_least_work.py
+++ b/tests/scheduling/test_least_work.py
@@ -26,7 +26,9 @@
     RetryPolicy,
     Scheduler,
     Tick,
+    Upstream,
     UpstreamsChanged,
+    UpstreamState,
     UpstreamWork,
     least_work,
 )
@@ -71,6 +73,35 @@
     return sched.handle(RequestArrived(fakes.request(name, **defaults)), now_ms)
 
 
+class DataCentreTest(unittest.TestCase):
+    def test_prompts_stay_in_their_data_centres(self) -> None:
+        """Guards against work, parts and reservations outside the data centres of a request."""
+        sched = scheduler(8)
+        others = (
+            Upstream(f"x{number:03}", "dc2", ("m",), UpstreamState.LIVE) for number in range(20)
+        )
+        own = tuple(fakes.upstream(number) for number in range(8))
+        sched.handle(UpstreamsChanged((*own, *others)), 0)
+        allowed = frozenset({"dc1"})
+        for number, tokens in enumerate((5_000, 133_000, 600_000)):
+            used = set()
+            now_ms = 5_000 * number  # Each prompt finds idle engines.
+            for item in arrive(sched, f"p{number}", tokens, now_ms, data_centres=allowed):
+                match item:
+                    case Dispatch(_, upstream_id):
+                        used |= {upstream_id, *item.helper_ids}
+                    case ReserveMemory(_, upstream_id):
+                        used.add(upstream_id)
+            sched.handle(CallerDisconnected(f"p{number}"), now_ms)
+            self.assertTrue(used)
+            self.assertEqual({name[0] for name in used}, {"r"})
+
+    def test_request_is_refused_at_once_without_an_upstream_in_its_data_centres(self) -> None:
+        (decision,) = arrive(scheduler(4), "p", 5_000, data_centres=frozenset({"dc2"}))
+        self.assertIsInstance(decision, Refuse)
+        self.assertEqual(decision.run_state, RunState.NOT_RUN)
+
+
 class JointPrefillTest(unittest.TestCase):
     def test_short_prompt_is_prefilled_by_one_engine(self) -> None:
         """Guards against helpers that save less time than the messages to them cost."""
