Let reports of up to four failing upstreams count in small fleets

A request that crashes each runner was sent to the same runner again 0.4 s after it had broken the connection of another instance: two of seven upstreams are more than the fraction from which reports of other instances are ignored, which is meant for an instance that cannot reach anything itself. Test: failed before (the reports were ignored).

--- a/packages/core/src/ibispaddle_core/scheduling/health.py
+++ b/packages/core/src/ibispaddle_core/scheduling/health.py
@@ -28,6 +28,9 @@
 # Reports of an instance that avoids a larger fraction of all upstreams are ignored, because the fault
 # is then likely its own.
 MAX_PEER_AVOIDED_FRACTION = 0.25
+# Up to this number, reports count whatever their fraction: in a small fleet, a few requests that crash
+# upstreams account for so many.
+MIN_PEER_AVOIDED = 4
 # The failure rate decays with this half-life, so that an avoided upstream is tried again.
 RATE_HALF_LIFE_MS = 4_000
 
@@ -85,7 +88,7 @@
 
     def merge_peer_avoided(self, upstream_ids: Collection[str], known: int, now_ms: int) -> None:
         """Avoid the upstreams that another instance avoids; `known` is the number of all upstreams."""
-        if len(upstream_ids) > MAX_PEER_AVOIDED_FRACTION * known:
+        if len(upstream_ids) > max(MIN_PEER_AVOIDED, MAX_PEER_AVOIDED_FRACTION * known):
             return
         for upstream_id in upstream_ids:
             record = self._records.setdefault(upstream_id, _Record())
--- a/tests/scheduling/test_health.py
+++ b/tests/scheduling/test_health.py
@@ -61,6 +61,15 @@
         self.assertFalse(health.is_avoided("r", 1_000))
         self.assertEqual(health.own_avoided(500), ())
 
+    def test_reports_of_few_upstreams_count_in_a_small_fleet(self) -> None:
+        """Guards against a second crash of an upstream that another instance has just seen crash.
+
+        The load is a request that crashes two of seven upstreams and is sent again to another instance.
+        """
+        health = UpstreamHealth()
+        health.merge_peer_avoided(("r1", "r2"), known=7, now_ms=0)
+        self.assertTrue(health.is_avoided("r1", 400))
+
     def test_report_of_an_instance_with_too_many_failures_is_ignored(self) -> None:
         """Guards against a partitioned instance that makes the others avoid all upstreams."""
         health = UpstreamHealth()
