Counted the crash of a successor that starts before the first crash is proved

What callers saw: a request that crashes runners reached more of them than allowed (4 later crashes, allowed 3) when a supervisor keeps the listening socket. Cause: the next process accepts a request before the crash of the first one is proved, and both crashes were reported with the start of the first process. Fix: an attempt that begins shortly after a failed one at the same upstream, of any instance, belongs to the successor if the process turns out to have crashed. Evidence: tests of the registry and of the health table.

--- a/packages/core/src/ibispaddle_core/quarantine/parts.py
+++ b/packages/core/src/ibispaddle_core/quarantine/parts.py
@@ -136,9 +136,12 @@
         """Return whether any part is suspect or in quarantine."""
         return bool(self._suspects)
 
-    def current_boot_id(self, upstream_id: str, reported_boot: str) -> str:
+    def current_boot_id(
+        self, upstream_id: str, reported_boot: str, may_have_died: bool = False
+    ) -> str:
         """Return the boot that receives a request, given the last reported one."""
-        return current_boot_id(self._parts_by_death.__contains__, upstream_id, reported_boot)
+        has_died = self._parts_by_death.__contains__
+        return current_boot_id(has_died, upstream_id, reported_boot, may_have_died)
 
     # Exchange with other instances
 
--- a/packages/core/src/ibispaddle_core/scheduling/health.py
+++ b/packages/core/src/ibispaddle_core/scheduling/health.py
@@ -121,6 +121,14 @@
         is_paused = now_ms < max(record.paused_until_ms, record.peer_avoided_until_ms)
         return is_paused or self.failure_rate(upstream_id, now_ms) > AVOID_FAILURE_RATE
 
+    def has_failed_recently(self, upstream_id: str, now_ms: int) -> bool:
+        """Return whether an attempt at the upstream has just failed, at this or another instance."""
+        record = self._records.get(upstream_id)
+        if record is None:
+            return False
+        has_own = bool(record.failures) and now_ms < record.paused_until_ms
+        return has_own or now_ms < record.peer_avoided_until_ms
+
     def forget_missing(self, upstream_ids: set[str]) -> None:
         """Remove the records of upstreams that no longer exist."""
         for upstream_id in self._records.keys() - upstream_ids:
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
@@ -423,7 +423,10 @@
         request.attempts += 1
         request.upstream_id = decision.upstream_id
         entry, _ = self._upstreams.get(decision.upstream_id, (None, None))
-        self.part_guard.begin_attempt(request, entry.boot_ms if entry is not None else None)
+        has_failed = self.scheduler.health.has_failed_recently(decision.upstream_id, now_ms)
+        self.part_guard.begin_attempt(
+            request, entry.boot_ms if entry is not None else None, has_failed
+        )
         helpers = tuple(
             Helper(self._addresses.get(member, ""), handle)
             for member, handle in zip(decision.segment_upstream_ids, decision.segments, strict=True)
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/part_guard.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/part_guard.py
@@ -64,11 +64,16 @@
             return None  # Computing the fingerprint reads the whole body.
         return self.registry.blocked_part(request.parts, request.fingerprint, self._clock.now_ms())
 
-    def begin_attempt(self, request: ForwardedRequest, boot_ms: int | None) -> None:
-        """Reset the state of the request's attempt; `boot_ms` is the start of its upstream."""
+    def begin_attempt(
+        self, request: ForwardedRequest, boot_ms: int | None, may_have_died: bool
+    ) -> None:
+        """Reset the state of the request's attempt; `boot_ms` is the start of its upstream.
+
+        `may_have_died` is true if an attempt at the upstream has just failed, at any instance.
+        """
         request.attempt_boot_ms = boot_ms
         request.attempt_boot_id = self.registry.current_boot_id(
-            request.upstream_id, str(boot_ms or "")
+            request.upstream_id, str(boot_ms or ""), may_have_died
         )
         request.attempt_output_ms = None
         request.is_output_settled = False
--- a/tests/quarantine/test_parts.py
+++ b/tests/quarantine/test_parts.py
@@ -218,6 +218,17 @@
         self.assertEqual(self.quarantine.current_boot_id("r0", "boot"), "boot+")
         self.assertEqual(self.quarantine.current_boot_id("r0", "later"), "later")
 
+    def test_second_crash_before_the_first_is_proved(self) -> None:
+        """Guards against crashes that count as one, as the supervisor accepts the next request at once."""
+        boots = [
+            self.quarantine.current_boot_id("r0", "boot", is_late) for is_late in (False, True)
+        ]
+        for number, boot in enumerate(boots):
+            report = CrashReport(Death("r0", boot), f"request {number}", ("a",))
+            self.quarantine.merge([report], number, number)
+        self.assertEqual(len(set(boots)), 2)
+        self.assertEqual(self.quarantine.current_boot_id("r0", "boot", True), "boot++")
+
 
 class Fleet:
     """Simulate instances that exchange their changes with a delay, and callers that retry once."""
--- a/tests/scheduling/test_health.py
+++ b/tests/scheduling/test_health.py
@@ -70,6 +70,15 @@
         health.merge_peer_avoided(("r1", "r2"), known=7, now_ms=0)
         self.assertTrue(health.is_avoided("r1", 400))
 
+    def test_failed_attempts_of_any_instance_are_recent_for_a_while(self) -> None:
+        health = UpstreamHealth()
+        health.merge_peer_avoided(("r1",), 20, 0)
+        health.observe("r2", Outcome.FAILED, 0)
+        health.observe("r3", Outcome.REJECTED, 0)
+        recent = [health.has_failed_recently(name, 50) for name in ("r1", "r2", "r3", "r4")]
+        self.assertEqual(recent, [True, True, False, False])
+        self.assertFalse(health.has_failed_recently("r1", 5_000))
+
     def test_report_of_an_instance_with_too_many_failures_is_ignored(self) -> None:
         """Guards against a partitioned instance that makes the others avoid all upstreams."""
         health = UpstreamHealth()
