--- a/packages/core/src/ibispaddle_core/chat/errors.py
+++ b/packages/core/src/ibispaddle_core/chat/errors.py
@@ -41,6 +41,11 @@
     RefusalReason.DEADLINE: (504, "deadline", "The request cannot end within its allotted time."),
     RefusalReason.QUEUE_FULL: (429, "queue_full", "Too many requests are queued."),
     RefusalReason.NO_UPSTREAM: (503, "no_upstream", "No engine for this model is available."),
+    RefusalReason.NO_UPSTREAM_IN_HOME: (
+        503,
+        "no_upstream_in_home",
+        "No engine for this model is available in the regions where the request may run.",
+    ),
     RefusalReason.TOO_LARGE: (400, "context_length_exceeded", "The prompt is too long."),
     RefusalReason.UPSTREAM_FAILED: (502, "upstream_failed", "The engine failed."),
     RefusalReason.CANCELLED: (499, "cancelled", "The caller left."),
--- a/packages/core/src/ibispaddle_core/logevents.py
+++ b/packages/core/src/ibispaddle_core/logevents.py
@@ -178,6 +178,12 @@
 CONFIG_UNREADABLE = LogEvent(
     5003, "config_unreadable", Level.ERROR, "A record of the configuration cannot be decoded."
 )
+CONFIG_WARNING = LogEvent(
+    5004,
+    "config_warning",
+    Level.WARNING,
+    "The configuration in force has parts that do not fit together.",
+)
 INSTANCE_DELISTED = LogEvent(
     6012,
     "instance_delisted",
--- a/packages/core/src/ibispaddle_core/routing/base.py
+++ b/packages/core/src/ibispaddle_core/routing/base.py
@@ -34,17 +34,20 @@
     max_silence_ms: int = 0
     # Time without output after which callers leave; None: they wait until their deadline.
     patience_ms: int | None = None
+    regions: frozenset[str] | None = None  # Where its requests may run; None: anywhere.
 
 
 @dataclass(frozen=True)
 class RoutingConfig:
     """One version of the routes and API keys.
 
-    `workspaces` maps each key to its workspace; if it is empty, requests need no key.
+    `workspaces` maps each key to its workspace; if it is empty, requests need no key. `homes` holds the
+    regions in which the requests of a workspace may run; without an entry they may run anywhere.
     """
 
     version: int
     routes: tuple[Route, ...] = ()
     workspaces: Mapping[str, str] = field(default_factory=dict)
     has_keys: bool = False
+    homes: Mapping[str, frozenset[str]] = field(default_factory=dict)
     limits: LimitSettings = field(default_factory=LimitSettings)
--- /dev/null
+++ b/packages/core/src/ibispaddle_core/routing/checks.py
@@ -0,0 +1,39 @@
+"""Validation that involves several routes and workspaces."""
+
+from collections.abc import Collection, Iterator
+
+from ..checks import CheckMessage, Severity
+from .base import RoutingConfig
+from .homes import DataCentreRegions, Home, common_regions
+
+_HINT = "Requests that have no region in which they may run are refused."
+
+
+def check_homes(config: RoutingConfig, regions: DataCentreRegions) -> Iterator[CheckMessage]:
+    """Yield a warning for each route or workspace whose requests can run nowhere."""
+    homes = [("routes", route.name, route.regions) for route in config.routes]
+    homes += [("workspaces", name, allowed) for name, allowed in config.homes.items()]
+    for kind, name, allowed in homes:
+        if allowed is not None and regions.data_centres(allowed) == frozenset():
+            names = ", ".join(repr(region) for region in sorted(allowed)) or "no region"
+            text = f"The home {names} has no data centre."
+            yield _warning("routing.W001", text, f"$.{kind}.{name}")
+    # Routes and workspaces outnumber the different homes that they name.
+    by_route = {route.regions for route in config.routes if not route.public}
+    by_workspace = {config.homes.get(name) for name in config.workspaces.values()}
+    for route in config.routes:
+        if not route.public and not _meets_any(route.regions, by_workspace):
+            text = "The route shares no region with any workspace."
+            yield _warning("routing.W002", text, f"$.routes.{route.name}")
+    for name, allowed in config.homes.items():
+        if not _meets_any(allowed, by_route):
+            text = "The workspace shares no region with any route."
+            yield _warning("routing.W002", text, f"$.workspaces.{name}")
+
+
+def _meets_any(home: Home, others: Collection[Home]) -> bool:
+    return not others or any(common_regions(home, other) != frozenset() for other in others)
+
+
+def _warning(check_id: str, text: str, path: str) -> CheckMessage:
+    return CheckMessage(check_id, Severity.WARNING, text, _HINT, "", path)
--- a/packages/core/src/ibispaddle_core/scheduling/admission.py
+++ b/packages/core/src/ibispaddle_core/scheduling/admission.py
@@ -86,7 +86,7 @@
             return AdmissionRefusal(RefusalReason.TOO_LARGE)
         live = self._runners.live_for(req)
         if not live:
-            return AdmissionRefusal(RefusalReason.NO_UPSTREAM, MIN_RETRY_AFTER_MS)
+            return AdmissionRefusal(req.no_upstream_reason, MIN_RETRY_AFTER_MS)
         if self._cost.min_segments(req) > len(live):
             return AdmissionRefusal(RefusalReason.TOO_LARGE)
         wait_ms = self.queue_wait_ms(lane, req.neighbour, now_ms)
--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -317,7 +317,7 @@
         """Dispatch, refuse or reserve memory for a request, or return None if it must wait."""
         req = state.req
         if not self.runners.live_for(req):
-            return self._refuse(state, RefusalReason.NO_UPSTREAM, MIN_RETRY_AFTER_MS)
+            return self._refuse(state, req.no_upstream_reason, MIN_RETRY_AFTER_MS)
         held_ms = self._admission.held_ms(req.model, now_ms)
         if now_ms + held_ms + self._admission.service_ms(req) > req.deadline_ms:
             wait_ms = self._admission.queue_wait_ms(
--- a/packages/core/src/ibispaddle_core/scheduling/messages.py
+++ b/packages/core/src/ibispaddle_core/scheduling/messages.py
@@ -48,6 +48,7 @@
     DEADLINE = "deadline"
     QUEUE_FULL = "queue_full"
     NO_UPSTREAM = "no_upstream"
+    NO_UPSTREAM_IN_HOME = "no_upstream_in_home"
     TOO_LARGE = "too_large"
     UPSTREAM_FAILED = "upstream_failed"
     CANCELLED = "cancelled"
@@ -81,6 +82,13 @@
     # Data centres whose upstreams may run it; None means all.
     data_centres: frozenset[str] | None = None
 
+    @property
+    def no_upstream_reason(self) -> RefusalReason:
+        """Return the reason of a refusal because no upstream may run the request."""
+        if self.data_centres is None:
+            return RefusalReason.NO_UPSTREAM
+        return RefusalReason.NO_UPSTREAM_IN_HOME
+
     @property
     def start_deadline_ms(self) -> int:
         """Return the time until which the caller waits for the first output."""
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
@@ -17,9 +17,11 @@
 from ibispaddle_core.membership import ListedState, ListEntry, MemberKind
 from ibispaddle_core.routing import (
     ConfigFreshness,
+    DataCentreRegions,
     Route,
     RouteTable,
     RoutingConfig,
+    check_homes,
     choose_service,
 )
 from ibispaddle_core.runstate import RunState
@@ -111,6 +113,7 @@
         self._rng = random.Random(seed)
         self._config: RoutingConfig | None = None
         self._table = RouteTable({})
+        self._regions = DataCentreRegions({})
         self.freshness = ConfigFreshness()
         self.drain_admission: DrainAdmission | None = None
         offset_ms = clock.wall_ms() - clock.now_ms()
@@ -158,9 +161,12 @@
         """Apply a version of the routing configuration and of the scheduler's configuration."""
         self._config = config
         self._table = RouteTable.from_config(config)
+        self._regions = DataCentreRegions(fleet.region_by_data_centre)
         self._attempts.max_unsent_bytes = config.limits.max_unsent_bytes
         self._attempts.stall_timeout_ms = fleet.scheduling.stall_timeout_ms
         self.handle_event(ConfigurationReplaced(fleet))
+        for message in check_homes(config, self._regions):
+            log_event(logevents.CONFIG_WARNING, id=message.id, path=message.path, text=message.text)
         self._route_startup_exchanges()
 
     @handler("list_changed", channel="*")
@@ -268,7 +274,12 @@
             max_silence_ms=route.max_silence_ms,
             patience_ms=route.patience_ms,
             streams=route.streams,
+            data_centres=self._home(route, caller.key),
         )
+        if not self._has_home(req):
+            code = str(RefusalReason.NO_UPSTREAM_IN_HOME)
+            self._reject(exchange, caller, STATUS_NOT_RUN, code)
+            return
         if not self._may_admit(req):
             self._reject(
                 exchange,
@@ -297,6 +308,19 @@
         if request.request_id in self._requests and not self._refuse_if_quarantined(request):
             self.handle_event(RequestArrived(request.req))
 
+    def _home(self, route: Route, key: str) -> frozenset[str] | None:
+        """Return the data centres in which a request may run, or None for all.
+
+        The home of the key's workspace also holds on public routes.
+        """
+        assert self._config is not None
+        workspace = self._config.workspaces.get(key, "")
+        return self._regions.data_centres(route.regions, self._config.homes.get(workspace))
+
+    def _has_home(self, req: Request) -> bool:
+        """Return whether an upstream may run the request; checked only for requests with a home."""
+        return req.data_centres is None or bool(self.scheduler.runners.live_for(req))
+
     def _may_admit(self, req: Request) -> bool:
         """Return whether the request can be admitted; during a drain it must end in time.
 
--- a/tests/platform_adapter/processes.py
+++ b/tests/platform_adapter/processes.py
@@ -75,6 +75,7 @@
         text += f'[listen]\nfront = "127.0.0.1:{front}"\nready = "127.0.0.1:{self.ready_port}"\n'
         text += f'[platform]\naddress = "{store.address}"\n[bounds]\n'
         text += "".join(f"{key} = {json.dumps(value)}\n" for key, value in limits.items())
+        text += '[zones]\na = "north"\nb = "south"\n'
         self.path = Path(folder) / f"node-{number}.toml"
         self.path.write_text(text)
         self.lines: list[dict[str, Any]] = []
--- a/tests/platform_adapter/test_records.py
+++ b/tests/platform_adapter/test_records.py
@@ -126,6 +126,20 @@
         self.assertAlmostEqual(model.harmless_reading_ms, 250 - 45.4 - 25, delta=1)
         self.assertIsNotNone(fleet.models["shop"].call_ms)
 
+    def test_homes(self) -> None:
+        settings = read_settings(SETTINGS + b'[zones]\na = "north"\nb = "south"\n', "node.toml")
+        reader = ConfigurationReader(settings)
+        routes = [{**CONFIG["routes"][0], "allowed_regions": ["south"]}, CONFIG["routes"][1]]
+        tenants = [
+            {"name": "blue", "allowed_regions": ["north", "south"]},
+            {"name": "red", "allowed_regions": []},
+        ]
+        config = {**CONFIG, "routes": routes, "tenants": tenants}
+        routing, fleet = reader.read(json.dumps(config).encode())
+        self.assertEqual([route.regions for route in routing.routes], [{"south"}, None])
+        self.assertEqual(routing.homes, {"blue": {"north", "south"}})
+        self.assertEqual(fleet.region_by_data_centre, {"a": "north", "b": "south"})
+
     def test_large_prompts_are_split_to_leave_memory_for_streams(self) -> None:
         """Guards against a prompt that must wait for streams of its engine to end before its prefill."""
         _, fleet = self.reader.read(json.dumps(CONFIG).encode())
