--- a/packages/core/src/ibispaddle_core/settings/__init__.py
+++ b/packages/core/src/ibispaddle_core/settings/__init__.py
@@ -3,6 +3,7 @@
 from .base import SettingsModel
 from .exceptions import SettingsError
 from .fleet import (
+    DataCentreConfig,
     FleetConfig,
     LimitSettings,
     ModelConfig,
@@ -23,6 +24,7 @@
 from .overlay import Origin, merge_layers
 
 __all__ = [
+    "DataCentreConfig",
     "FleetConfig",
     "GatewaySettings",
     "InstanceSettings",
--- a/packages/core/src/ibispaddle_core/settings/checks.py
+++ b/packages/core/src/ibispaddle_core/settings/checks.py
@@ -1,6 +1,7 @@
 """Validation that involves several settings."""
 
 from collections.abc import Collection, Iterator, Mapping
+from typing import Protocol
 
 from ..checks import CheckMessage, Severity
 from .fleet import FleetConfig
@@ -11,6 +12,11 @@
 CLOCK_TOLERANCE_MS = 60_000
 
 
+class _HasRegions(Protocol):
+    @property
+    def regions(self) -> tuple[str, ...] | None: ...
+
+
 def run_instance_checks(settings: InstanceSettings, source: str) -> list[CheckMessage]:
     """Return messages about inconsistent values in one instance's settings."""
     messages = []
@@ -45,7 +51,13 @@
 
 def run_fleet_checks(config: FleetConfig, origins: Mapping[str, Origin]) -> list[CheckMessage]:
     """Return messages about inconsistent parts of the fleet configuration."""
-    return [*_check_references(config, origins), *_check_keys(config), *_check_services(config)]
+    return [
+        *_check_references(config, origins),
+        *_check_keys(config),
+        *_check_services(config),
+        *_check_regions(config, origins),
+        *_check_homes(config),
+    ]
 
 
 def _check_references(config: FleetConfig, origins: Mapping[str, Origin]) -> Iterator[CheckMessage]:
@@ -98,3 +110,49 @@
                 "",
                 f"$.services.{name}.key_time",
             )
+
+
+def _check_regions(config: FleetConfig, origins: Mapping[str, Origin]) -> Iterator[CheckMessage]:
+    known = set(config.region_by_data_centre.values())
+    kinds: tuple[tuple[str, Mapping[str, _HasRegions]], ...] = (
+        ("workspaces", config.workspaces),
+        ("models", config.models),
+        ("services", config.services),
+    )
+    for kind, items in kinds:
+        for name, item in items.items():
+            path = f"$.{kind}.{name}.regions"
+            origin = origins.get(path)
+            for region in sorted(set(item.regions or ()) - known):
+                yield CheckMessage(
+                    "settings.E014",
+                    Severity.ERROR,
+                    f"The region '{region}' has no data centre.",
+                    f"Regions of 'data_centres': {', '.join(sorted(known)) or 'none'}.",
+                    origin.layer if origin else "",
+                    path,
+                )
+
+
+def _check_homes(config: FleetConfig) -> Iterator[CheckMessage]:
+    """Yield a warning for each model or service that a workspace names but may not use anywhere."""
+    for name, workspace in config.workspaces.items():
+        if workspace.regions is None:
+            continue
+        kinds: tuple[tuple[str, tuple[str, ...], Mapping[str, _HasRegions]], ...] = (
+            ("models", workspace.models, config.models),
+            ("services", workspace.services, config.services),
+        )
+        for kind, used, items in kinds:
+            for other in used:
+                regions = items[other].regions if other in items else None
+                if regions is not None and not set(regions) & set(workspace.regions):
+                    yield CheckMessage(
+                        "settings.W002",
+                        Severity.WARNING,
+                        f"The workspace '{name}' and '{other}' have no region in common, so its"
+                        " requests are refused.",
+                        "Add a common region to 'regions' of both.",
+                        "",
+                        f"$.workspaces.{name}.{kind}",
+                    )
--- a/packages/core/src/ibispaddle_core/settings/fleet.py
+++ b/packages/core/src/ibispaddle_core/settings/fleet.py
@@ -31,6 +31,10 @@
     ] = ()
     models: Annotated[tuple[str, ...], Meta(description="Models the workspace may use.")] = ()
     services: Annotated[tuple[str, ...], Meta(description="Services the workspace may call.")] = ()
+    regions: Annotated[
+        Annotated[tuple[str, ...], Meta(min_length=1)] | None,
+        Meta(description="Regions in which its requests may run; null: anywhere."),
+    ] = None
     request_timeout_ms: Annotated[
         int, Meta(ge=100, le=86_400_000, description="Request timeout if the caller sets none.")
     ] = 120_000
@@ -71,6 +75,10 @@
         Annotated[int, Meta(ge=1)] | None,
         Meta(description="Maximum number of concurrent requests of one upstream; null: unlimited."),
     ] = None
+    regions: Annotated[
+        Annotated[tuple[str, ...], Meta(min_length=1)] | None,
+        Meta(description="Regions in which its requests may run; null: anywhere."),
+    ] = None
     call_ms: Annotated[
         Annotated[float, Meta(gt=0)] | None,
         Meta(
@@ -121,11 +129,21 @@
         Literal["required", "optional"],
         Meta(description="Whether an Idempotency-Key must contain its creation time."),
     ] = "required"
+    regions: Annotated[
+        Annotated[tuple[str, ...], Meta(min_length=1)] | None,
+        Meta(description="Regions in which its calls may run; null: anywhere."),
+    ] = None
     request_timeout_ms: Annotated[
         int, Meta(ge=10, le=86_400_000, description="Request timeout if the caller sets none.")
     ] = 10_000
 
 
+class DataCentreConfig(SettingsModel, frozen=True, kw_only=True):
+    """A data centre of the fleet."""
+
+    region: Annotated[str, Meta(min_length=1, description="Region of the data centre.")]
+
+
 class LimitSettings(SettingsModel, frozen=True, kw_only=True):
     """Limits on requests of callers and on what an instance buffers for them."""
 
@@ -208,6 +226,12 @@
     workspaces: Annotated[dict[str, WorkspaceConfig], Meta(description="Tenants, by id.")] = {}
     models: Annotated[dict[str, ModelConfig], Meta(description="Models, by id.")] = {}
     services: Annotated[dict[str, ServiceConfig], Meta(description="Plain services, by id.")] = {}
+    data_centres: Annotated[
+        dict[str, DataCentreConfig],
+        Meta(
+            description="Data centres with their regions, by id; those that are missing are in no region."
+        ),
+    ] = {}
     drained_upstreams: Annotated[
         dict[str, DrainConfig], Meta(description="Upstreams that get no new work, by id.")
     ] = {}
@@ -218,3 +242,8 @@
     scheduling: Annotated[
         SchedulingConfig, Meta(description="Admission, queueing, placement and retries.")
     ] = SchedulingConfig()
+
+    @property
+    def region_by_data_centre(self) -> dict[str, str]:
+        """Return the region of each data centre."""
+        return {name: data_centre.region for name, data_centre in self.data_centres.items()}
--- a/packages/daemon/src/ibispaddle_daemon/entry.py
+++ b/packages/daemon/src/ibispaddle_daemon/entry.py
@@ -8,6 +8,7 @@
 from ibispaddle_core.chat import ProtocolError, refusal_error
 from ibispaddle_core.clock import Clock
 from ibispaddle_core.membership import ListedState, ListEntry, MemberKind
+from ibispaddle_core.routing import DataCentreRegions
 from ibispaddle_core.scheduling import (
     AttemptEnded,
     CallerDisconnected,
@@ -34,7 +35,7 @@
     UpstreamsChanged,
     UpstreamState,
 )
-from ibispaddle_core.settings import FleetConfig
+from ibispaddle_core.settings import FleetConfig, WorkspaceConfig
 
 from .attempts import AttemptExecutor
 from .engine_memory import EngineMemory
@@ -80,6 +81,7 @@
         self._boot_id = f"{instance_id}-{secrets.token_hex(4)}"
         self._request_count = 0
         self._config = config
+        self._regions = DataCentreRegions(config.region_by_data_centre)
         offset_ms = clock.wall_ms() - clock.now_ms()
         seed = secrets.randbits(64)
         self.scheduler = Scheduler.from_config(config, seed, self._boot_id, offset_ms)
@@ -137,6 +139,7 @@
     @handler("configuration_changed", channel="*")
     def _on_configuration_changed(self, config: FleetConfig, revision: int) -> None:
         self._config = config
+        self._regions = DataCentreRegions(config.region_by_data_centre)
         self.handle_event(ConfigurationReplaced(config))
 
     @handler("list_changed", channel="*")
@@ -203,6 +206,7 @@
             parts=read.parts,
             prefix_hashes=parsed.prefix_hashes,
             streams=parsed.stream,
+            data_centres=self._home(caller.workspace, parsed.model),
         )
         span = self._tracing.start_request(f"POST {exchange.path}", exchange.headers)
         span.set_attribute("ibispaddle.request_id", req.request_id)
@@ -214,6 +218,10 @@
         request.timers.append(self._timers.at(req.deadline_ms, lambda: self._on_deadline(request)))
         self.handle_event(RequestArrived(req))
 
+    def _home(self, workspace: WorkspaceConfig, model: str) -> frozenset[str] | None:
+        """Return the data centres in which a request may run, or None for all."""
+        return self._regions.data_centres(workspace.regions, self._config.models[model].regions)
+
     def _on_caller_disconnected(self, request: ModelRequest) -> None:
         if request.request_id in self._requests:
             self.handle_event(CallerDisconnected(request.request_id))
--- a/packages/daemon/src/ibispaddle_daemon/service_call.py
+++ b/packages/daemon/src/ibispaddle_daemon/service_call.py
@@ -64,6 +64,7 @@
     deadline_ms: int
     key: str
     span: Any
+    data_centres: frozenset[str] | None = None  # Where the call may run; None: anywhere.
     tried_ids: set[str] = field(default_factory=set)
     attempts: int = 0
     attempt_id: str = ""
--- a/packages/daemon/src/ibispaddle_daemon/services.py
+++ b/packages/daemon/src/ibispaddle_daemon/services.py
@@ -21,6 +21,7 @@
     scoped_key,
 )
 from ibispaddle_core.membership import ListedState, ListEntry, MemberKind
+from ibispaddle_core.routing import DataCentreRegions
 from ibispaddle_core.runstate import RunState
 from ibispaddle_core.settings import FleetConfig
 
@@ -116,6 +117,7 @@
     def _set_config(self, config: FleetConfig) -> None:
         self._config = config
         self._callers = CallerDirectory(config)
+        self._regions = DataCentreRegions(config.region_by_data_centre)
 
     @handler("configuration_changed", channel="*")
     def _on_configuration_changed(self, config: FleetConfig, revision: int) -> None:
@@ -172,6 +174,7 @@
             deadline_ms=exchange.arrived_ms + timeout.unwrap(),
             key=key,
             span=span,
+            data_centres=self._regions.data_centres(caller.workspace.regions, config.regions),
         )
         self._calls[call_id] = call
         exchange.on_closed = lambda: self._on_caller_disconnected(call)
@@ -242,7 +245,9 @@
         live = [
             entry
             for entry in self._service_entries
-            if entry.service == call.service and entry.state is ListedState.LIVE
+            if entry.service == call.service
+            and entry.state is ListedState.LIVE
+            and (call.data_centres is None or entry.data_centre in call.data_centres)
         ]
         return min(
             live,
@@ -271,7 +276,11 @@
         entry = self._select_upstream(call)
         if entry is None:
             text = f"No upstream of the service '{call.service}' is available."
-            self._fail(call, 503, "no_upstream", text, RETRY_AFTER_MS)
+            code = "no_upstream"
+            if call.data_centres is not None:
+                text = text[:-1] + " in the regions where the call may run."
+                code = "no_upstream_in_home"
+            self._fail(call, 503, code, text, RETRY_AFTER_MS)
             return
         call.attempts += 1
         call.tried_ids.add(entry.id)
--- a/tests/daemon/test_request_path.py
+++ b/tests/daemon/test_request_path.py
@@ -52,6 +52,28 @@
         )
 
 
+def home_document() -> dict:
+    """Return a configuration whose model may run only in a region without runners."""
+    document = fleet_document(
+        data_centres={"dc1": {"region": "north"}, "dc2": {"region": "south"}},
+    )
+    document["workspaces"]["w"]["regions"] = ["north", "south"]
+    document["models"]["m"]["regions"] = ["south"]
+    return document
+
+
+class HomeTest(FleetTest):
+    DOCUMENT = home_document()
+
+    def test_request_without_a_runner_in_its_home_is_refused_at_once(self):
+        """Guard against a prompt that runs in a region that its model doesn't allow."""
+        with self.assertRaises(openai.APIStatusError) as caught:
+            self.chat()
+        self.assertEqual(caught.exception.status_code, 503)
+        self.assertEqual(caught.exception.code, "no_upstream_in_home")
+        self.assertEqual(caught.exception.response.headers["X-Run-State"], "not_run")
+
+
 class ClientLibraryTest(FleetTest):
     def test_streamed_chat(self):
         """Guard against a stream that the client library cannot parse."""
--- a/tests/daemon/test_services.py
+++ b/tests/daemon/test_services.py
@@ -25,6 +25,7 @@
     HttpCallError,
     call_completed,
     claim_decided,
+    configuration_changed,
     exchange_started,
     find_header,
     list_changed,
@@ -233,6 +234,31 @@
         self.assertEqual(self.recorder.sent, [])
         self.assertEqual(self.recorder.outcomes, [CallNotSent()])
 
+    def test_calls_stay_in_the_home_of_their_workspace(self):
+        """Guard against a call that is retried outside of the regions where it may run."""
+        document = fleet_document(
+            data_centres={"dc1": {"region": "north"}, "dc2": {"region": "south"}}
+        )
+        document["workspaces"]["w"]["regions"] = ["south"]
+        config = load_fleet({"base": document})
+        self.fire(configuration_changed(config, 1), "*")
+        entries = tuple(
+            ListEntry(name, MemberKind.SERVICE, f"{name}:9", centre, service="shop")
+            for name, centre in (("n1", "dc1"), ("s1", "dc2"), ("x1", "dc3"))
+        )
+        self.fire(list_changed(entries), "*")
+        exchange = FakeExchange("GET")
+        self.fire(exchange_started(exchange), "services")
+        for _ in range(2):
+            self.complete(HttpCallError(CallFailure.CLOSED, "reset", True))
+        self.assertEqual({call.url.split("/")[2] for call in self.recorder.sent}, {"s1:9"})
+        self.fire(list_changed(entries[::2]), "*")
+        exchange = FakeExchange("GET")
+        self.fire(exchange_started(exchange), "services")
+        status, headers, body = exchange.answers[0]
+        self.assertEqual((status, headers["X-Run-State"]), (503, "not_run"))
+        self.assertEqual(json.loads(body)["error"]["code"], "no_upstream_in_home")
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/settings/test_loading.py
+++ b/tests/settings/test_loading.py
@@ -72,6 +72,29 @@
         self.assertEqual(caught.exception.messages[0].id, "settings.E013")
 
 
+class RegionTest(unittest.TestCase):
+    def check(self, workspace: list[str], model: list[str]) -> list[tuple[str, str]]:
+        document = {
+            "neighbours": {"n": {}},
+            "data_centres": {"a": {"region": "north"}, "b": {"region": "south"}},
+            "workspaces": {"w": {"neighbour": "n", "models": ["m"], "regions": workspace}},
+            "models": {"m": {"regions": model}},
+        }
+        _, messages = check_fleet({"base": document})
+        return [(message.id, message.path) for message in messages]
+
+    def test_region_without_a_data_centre_is_an_error(self):
+        """Guard against a misspelt region, in which nothing can run."""
+        found = self.check(["noth"], ["north", "noth"])
+        self.assertIn(("settings.E014", "$.workspaces.w.regions"), found)
+        self.assertIn(("settings.E014", "$.models.m.regions"), found)
+
+    def test_workspace_and_model_without_a_common_region(self):
+        self.assertEqual(self.check(["north"], ["north", "south"]), [])
+        found = self.check(["north"], ["south"])
+        self.assertEqual(found, [("settings.W002", "$.workspaces.w.models")])
+
+
 class OverlayTest(unittest.TestCase):
     def test_null_removes_a_value_and_its_origin(self):
         """Guard against a base value that a site cannot remove."""
