Told permanent refusals of reservations from temporary ones

A reservation that an engine can never grant was repeated every 100 ms until the deadline, by all instances together. The outcome of a reservation is now one of six, a prompt waits longer after each group that it did not get, and an instance has a budget of reservations that are not granted.

--- a/packages/bench/src/ibispaddle_bench/experiment_fleet.py
+++ b/packages/bench/src/ibispaddle_bench/experiment_fleet.py
@@ -28,6 +28,7 @@
     Refuse,
     RequestArrived,
     ReservationAnswered,
+    ReservationOutcome,
     ReserveMemory,
     Scheduler,
     Tick,
@@ -219,7 +220,8 @@
 
                 def respond() -> None:
                     granted = self.engines[upstream_id].reserve(handle, tokens)
-                    event = ReservationAnswered(request_id, upstream_id, handle, granted)
+                    outcome = ReservationOutcome.GRANTED if granted else ReservationOutcome.NO_ROOM
+                    event = ReservationAnswered(request_id, upstream_id, handle, outcome)
                     self.schedule(self.now_ms + NETWORK_MS, lambda: self._handle(number, event))
 
                 self.schedule(at_ms, respond)
--- a/packages/bench/src/ibispaddle_bench/experiment_hubs.py
+++ b/packages/bench/src/ibispaddle_bench/experiment_hubs.py
@@ -34,6 +34,7 @@
     Request,
     RequestArrived,
     ReservationAnswered,
+    ReservationOutcome,
     ReserveMemory,
     RetryPolicy,
     Scheduler,
@@ -314,7 +315,9 @@
                 silent = AttemptSilent(request_id, upstream_id, has_output=False)
                 self.schedule(self.now_ms, lambda: self._handle_event(number, silent))
             case ReserveMemory(request_id, upstream_id, handle):
-                granted = ReservationAnswered(request_id, upstream_id, handle, True)
+                granted = ReservationAnswered(
+                    request_id, upstream_id, handle, ReservationOutcome.GRANTED
+                )
                 self._update_hub(number)
                 self._schedule_message(
                     lambda: self._schedule_message(lambda: self._handle_event(number, granted))
--- a/packages/core/src/ibispaddle_core/logevents.py
+++ b/packages/core/src/ibispaddle_core/logevents.py
@@ -90,6 +90,36 @@
     Level.INFO,
     "An upstream responded to a request with a part that was suspected of crashes.",
 )
+RESERVATION_REFUSED = LogEvent(
+    2030,
+    "reservation_refused",
+    Level.INFO,
+    "A runner has no room for a part of a prompt now; the prompt chooses other runners after a pause.",
+)
+RESERVATION_INVALID = LogEvent(
+    2031,
+    "reservation_invalid",
+    Level.ERROR,
+    "A runner can never grant the reservation; it is not repeated there for this prompt.",
+)
+RESERVATION_MISDIRECTED = LogEvent(
+    2032,
+    "reservation_misdirected",
+    Level.WARNING,
+    "Another runner answers at the address to which a reservation was sent.",
+)
+RESERVATION_UNANSWERED = LogEvent(
+    2033,
+    "reservation_unanswered",
+    Level.WARNING,
+    "A runner gave no valid answer to a reservation; the memory is freed there in case it was set aside.",
+)
+RESERVATION_NOT_SENT = LogEvent(
+    2034,
+    "reservation_not_sent",
+    Level.WARNING,
+    "A reservation was not sent because the instance has no free connection.",
+)
 UPSTREAM_CRASHED = LogEvent(
     3005,
     "upstream_crashed",
--- /dev/null
+++ b/packages/core/src/ibispaddle_core/scheduling/group_reservations.py
@@ -0,0 +1,240 @@
+"""Memory of several engines for the prompts of one instance that need it.
+
+The scheduler calls one method for each step: a prompt begins to reserve, a runner answers, a runner
+leaves, a prompt ends. The decision which prompt begins, and on which group, is made here.
+"""
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from . import least_work
+from .admission import MIN_RETRY_AFTER_MS, AdmissionRefusal
+from .backlog import Backlog
+from .claims import MemoryClaimTable
+from .cost import CostModel
+from .groups import Group, GroupSelector
+from .health import UpstreamHealth
+from .messages import (
+    Decision,
+    Outcome,
+    RefusalReason,
+    ReservationAnswered,
+    ReservationOutcome,
+)
+from .pacing import UpstreamPacing
+from .placement import CLAIM_AFTER_MS, Choice, Placement
+from .requests import RequestState
+from .reservation_order import ReservationOrder
+from .reservation_pace import ReservationPace
+from .reservations import PromptReservations
+from .runners import RunnerTable, RunnerView
+
+# What the health of a runner learns from its answer.
+_HEALTH_OUTCOMES = {
+    ReservationOutcome.NO_ROOM: Outcome.REJECTED,
+    ReservationOutcome.WRONG_UPSTREAM: Outcome.WRONG_UPSTREAM,
+    ReservationOutcome.UNREACHABLE: Outcome.FAILED,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class GroupAnswer:
+    """Hold what follows from a runner's answer: at most one of a choice and a refusal."""
+
+    decisions: list[Decision]
+    choice: Choice | None = None  # The complete group's first runner; the prompt can be sent.
+    refusal: AdmissionRefusal | None = None
+
+
+class GroupReservations:
+    """Decide which waiting prompts reserve memory, and on which runners."""
+
+    def __init__(
+        self,
+        cost: CostModel,
+        runners: RunnerTable,
+        backlog: Backlog,
+        claims: MemoryClaimTable,
+        health: UpstreamHealth,
+        pacing: UpstreamPacing,
+        reservations: PromptReservations,
+        order: ReservationOrder,
+        groups: GroupSelector,
+        placement: Callable[[], Placement],
+    ) -> None:
+        self._cost, self._runners, self._backlog = cost, runners, backlog
+        self._claims, self._health, self._pacing = claims, health, pacing
+        self._reservations, self._order, self._groups = reservations, order, groups
+        self._placement = placement
+        self.pace = ReservationPace()
+        self.counts: Counter[str] = Counter()  # Groups that were started, granted and refused.
+
+    def try_divide(self, state: RequestState, now_ms: int) -> bool:
+        """Start reservations for a prompt that fits one engine if several have the memory now."""
+        if not self.pace.may_start(state.req.request_id, now_ms):
+            return False
+        live = self._usable(state, now_ms)
+        if min(self._cost.preferred_segments(state.req), len(live)) < 2:
+            return False
+        contested = self._order.contested_runners(
+            self._reservations.describe_waiting(state.req, ()), now_ms
+        )
+        group = self._groups.choose(state.req, live, contested, now_ms)
+        return group.fits and self._reserve(state, group, now_ms)
+
+    def begin(self, state: RequestState, idle_only: bool, now_ms: int) -> AdmissionRefusal | bool:
+        """Start reservations for a waiting prompt and return whether it did, or a refusal."""
+        req = state.req
+        if self._cost.min_segments(req) > len(self._runners.live_for(req)):
+            return AdmissionRefusal(RefusalReason.TOO_LARGE)
+        if not self.pace.may_start(req.request_id, now_ms):
+            return False
+        incomplete = self._reservations.reserving()
+        if idle_only and incomplete:
+            return False
+        contested = self._order.contested_runners(
+            self._reservations.describe_waiting(req, ()), now_ms
+        )
+        group = self._choose_group(state, self._usable(state, now_ms), contested, now_ms)
+        # Reservations that wait for memory block other neighbours, so a neighbour above its share
+        # must not make them.
+        if not group.fits and (idle_only or incomplete or not group.views):
+            return False
+        if group.contested:
+            names = [view.upstream.upstream_id for view in group.views]
+            self._order.add_waiting(self._reservations.describe_waiting(req, names))
+            return False
+        return self._reserve(state, group, now_ms)
+
+    def handle_answer(
+        self, event: ReservationAnswered, state: RequestState | None, now_ms: int
+    ) -> GroupAnswer:
+        """Process a runner's answer to a reservation."""
+        is_current = self._reservations.is_waiting_for(event.request_id, event.handle)
+        decisions, ready = self._reservations.handle_answer(event, now_ms)
+        if event.granted:
+            self.pace.give_back()
+            if is_current:
+                self._claims.remove(event.request_id, event.upstream_id)
+        if state is None or not is_current:
+            return GroupAnswer(decisions)
+        if not event.granted:
+            return self._handle_refusal(event, state, decisions, now_ms)
+        if not ready:
+            return GroupAnswer(decisions)
+        self.counts["granted"] += 1
+        return GroupAnswer(decisions, self._choice(state, now_ms))
+
+    def requeue(self, state: RequestState) -> list[Decision]:
+        """Free the reservations of a prompt and queue it again for another group."""
+        decisions = self._reservations.release(state.req.request_id)
+        self._claims.remove(state.req.request_id)
+        self._backlog.remove(state)
+        self._backlog.add(state)
+        return decisions
+
+    def claim_waiting(self, now_ms: int) -> None:
+        """Claim the memory that prompts have waited for at their runners for long."""
+        for request_id, upstream_id, tokens in self._reservations.take_unclaimed(
+            now_ms - CLAIM_AFTER_MS
+        ):
+            self._claims.add(request_id, upstream_id, tokens)
+
+    def send_due(self, now_ms: int) -> list[Decision]:
+        """Send the reservations that are due."""
+        return self._reservations.send_due(now_ms, lambda: self.pace.try_take(1, now_ms))
+
+    def discard(self, request_id: str) -> None:
+        """Remove a prompt that has ended."""
+        self._order.discard(request_id)
+        self.pace.discard(request_id)
+
+    def _usable(self, state: RequestState, now_ms: int) -> list[RunnerView]:
+        live = self._runners.available_for(state.req, now_ms)
+        invalid = self.pace.invalid_at(state.req.request_id)
+        if not invalid:
+            return live
+        return [view for view in live if view.upstream.upstream_id not in invalid]
+
+    def _choose_group(
+        self, state: RequestState, live: list[RunnerView], contested: set[str], now_ms: int
+    ) -> Group:
+        """Return the group for a prompt.
+
+        `contested` are the runners that a prompt of another instance waits for which comes first.
+        """
+        placement = self._placement()
+        if isinstance(placement, least_work.LeastWorkPlacement):
+            group = placement.choose_group(state.req, live, contested, now_ms)
+            return group or Group([], fits=False, contested=False)
+        return self._groups.choose(state.req, live, contested, now_ms)
+
+    def _reserve(self, state: RequestState, group: Group, now_ms: int) -> bool:
+        req = state.req
+        is_parallel = self._cost.supports_joint_prefill(req.model)
+        if is_parallel and not self.pace.try_take(len(group.views), now_ms):
+            return False
+        # The request will be sent to the first runner of the group.
+        self._pacing.count_sent(group.views[0].upstream.upstream_id, now_ms)
+        self._order.discard(req.request_id)
+        self._backlog.move_to_reserving(state)
+        prefill_ms = 0.0
+        if is_parallel:
+            prefill_ms = self._cost.prefill_engine_ms(req.model, req.prompt_tokens)
+        self._reservations.start(
+            state,
+            group.views,
+            self._cost.kv_tokens(req),
+            now_ms,
+            prefill_ms / len(group.views),
+            is_parallel,
+        )
+        self.counts["started"] += 1
+        return True
+
+    def _handle_refusal(
+        self,
+        event: ReservationAnswered,
+        state: RequestState,
+        decisions: list[Decision],
+        now_ms: int,
+    ) -> GroupAnswer:
+        """Decide whether a prompt waits for the runner, for another group, or is refused.
+
+        Without joint prefill, reservations are sent one after the other, and a prompt keeps those that
+        it has while a runner has no room.
+        """
+        is_joint = self._cost.supports_joint_prefill(state.req.model)
+        outcome = _HEALTH_OUTCOMES.get(event.outcome)
+        if outcome is not None and (is_joint or event.outcome is not ReservationOutcome.NO_ROOM):
+            self._health.observe(event.upstream_id, outcome, now_ms)
+        if not is_joint and event.outcome is not ReservationOutcome.INVALID:
+            return GroupAnswer(decisions)
+        self.counts["refused"] += 1
+        reason = self.pace.record_refusal(
+            event.request_id, event.upstream_id, event.outcome, now_ms
+        )
+        if reason is not None:
+            return GroupAnswer(decisions, refusal=AdmissionRefusal(reason, MIN_RETRY_AFTER_MS))
+        return GroupAnswer(decisions + self.requeue(state))
+
+    def _choice(self, state: RequestState, now_ms: int) -> Choice:
+        """Return the prediction for a prompt whose memory has been granted."""
+        req = state.req
+        views = [self._runners.views[u] for u in self._reservations.group(req.request_id)]
+        tokens = req.prompt_tokens // len(views)
+        prefill_ms = self._cost.prefill_engine_ms(req.model, req.prompt_tokens)
+        part_ms = max(tokens / views[0].prefill_rate, prefill_ms / len(views))
+        wait_ms = 0.0
+        if self._cost.supports_joint_prefill(req.model):
+            # The pending prefill includes this prompt's part, which was announced with the reservation.
+            wait_ms = max(0.0, max(view.pending_prefill_ms(now_ms) for view in views) - part_ms)
+        return Choice(
+            views[0],
+            wait_ms,
+            wait_ms + part_ms,
+            tokens,
+            prefill_ms / len(views),
+            pass_ms=self._cost.model(req.model).pass_ms,
+        )
--- a/packages/core/src/ibispaddle_core/scheduling/messages.py
+++ b/packages/core/src/ibispaddle_core/scheduling/messages.py
@@ -54,6 +54,19 @@
     CANCELLED = "cancelled"
     DRAINING = "draining"
     QUARANTINED = "quarantined"
+    NO_MEMORY = "no_memory"  # No group of engines had the memory in time.
+    MEMORY_INVALID = "memory_invalid"  # Engines can never reserve the memory.
+
+
+class ReservationOutcome(StrEnum):
+    """A runner's answer to a reservation of memory."""
+
+    GRANTED = "granted"
+    NO_ROOM = "no_room"  # The memory is not free now.
+    INVALID = "invalid"  # The runner can never grant the reservation.
+    WRONG_UPSTREAM = "wrong_upstream"  # Another upstream answers at the address.
+    UNREACHABLE = "unreachable"  # No valid answer; the memory may be reserved.
+    NOT_SENT = "not_sent"  # The reservation did not leave this instance.
 
 
 @dataclass(frozen=True)
@@ -359,7 +372,12 @@
     request_id: str
     upstream_id: str
     handle: str
-    granted: bool
+    outcome: ReservationOutcome
+
+    @property
+    def granted(self) -> bool:
+        """Return whether the memory is reserved."""
+        return self.outcome is ReservationOutcome.GRANTED
 
 
 @dataclass(frozen=True)
--- a/packages/core/src/ibispaddle_core/scheduling/reservations.py
+++ b/packages/core/src/ibispaddle_core/scheduling/reservations.py
@@ -13,14 +13,15 @@
     FreeMemory,
     Request,
     ReservationAnswered,
+    ReservationOutcome,
     ReservationRenewed,
     ReserveMemory,
     WaitingPrompt,
 )
 from .requests import RequestState
+from .reservation_pace import pause_ms
 from .runners import RunnerTable, RunnerView
 
-RETRY_MS = 100  # Time after a refusal until the reservation is sent again.
 # Begins the handles of all instances.
 HANDLE_PREFIX = "ir-"
 # Bounds the gossip entry. Runners beyond the bound are not protected from younger prompts.
@@ -29,6 +30,15 @@
 HANDLE_GRACE_MS = 5_000
 # A reservation without an answer is sent again. The request is idempotent by handle.
 ANSWER_TIMEOUT_MS = 1_000
+# Time until a reservation that the instance's budget delayed is tried again.
+BUDGET_RETRY_MS = 500
+# A runner that answers so has reserved nothing.
+_PROVED_NOT_RESERVED = (
+    ReservationOutcome.NO_ROOM,
+    ReservationOutcome.INVALID,
+    ReservationOutcome.WRONG_UPSTREAM,
+    ReservationOutcome.NOT_SENT,
+)
 
 
 @dataclass(slots=True)
@@ -38,7 +48,9 @@
     upstream_id: str
     handle: str
     tokens: int
-    requested: bool = False
+    requested: bool = False  # The runner may have reserved the memory.
+    unanswered: int = 0  # Reservations that were sent and have no answer.
+    refusals: int = 0  # In a row.
     granted: bool = False
     unconfirmed_renewals: int = 0  # Since the runner last granted the memory.
     claimed: bool = False  # Returned by `take_unclaimed`, for a claim on the runner's memory.
@@ -126,21 +138,38 @@
                         result.append((request_id, segment.upstream_id, segment.tokens))
         return result
 
-    def send_due(self, now_ms: int) -> list[Decision]:
-        """Send the reservations that are due."""
+    def send_due(
+        self, now_ms: int, may_repeat: Callable[[], bool] = lambda: True
+    ) -> list[Decision]:
+        """Send the reservations that are due.
+
+        `may_repeat` is called before each reservation that is sent by itself, not with its group.
+        """
         decisions: list[Decision] = []
         for request_id, prompt in self._prompts.items():
             if prompt.complete or prompt.retry_ms > now_ms:
                 continue
+            sent = len(decisions)
             due = [segment for segment in prompt.segments if not segment.granted]
             for segment in due if prompt.is_parallel else due[:1]:
+                is_first = prompt.is_parallel and not segment.requested
+                if not is_first and not may_repeat():
+                    continue
                 segment.requested = True
+                segment.unanswered += 1
                 decisions.append(
                     ReserveMemory(request_id, segment.upstream_id, segment.handle, segment.tokens)
                 )
-            prompt.retry_ms = now_ms + ANSWER_TIMEOUT_MS
+            is_sent = len(decisions) > sent
+            prompt.retry_ms = now_ms + (ANSWER_TIMEOUT_MS if is_sent else BUDGET_RETRY_MS)
         return decisions
 
+    def is_waiting_for(self, request_id: str, handle: str) -> bool:
+        """Return whether the request's present group waits for the grant of a handle."""
+        prompt = self._prompts.get(request_id)
+        segments = prompt.segments if prompt is not None else ()
+        return any(item.handle == handle and not item.granted for item in segments)
+
     def handle_answer(self, event: ReservationAnswered, now_ms: int) -> tuple[list[Decision], bool]:
         """Process an answer and return decisions and whether the prompt is ready to run."""
         prompt = self._prompts.get(event.request_id)
@@ -155,9 +184,13 @@
         if segment.granted:
             return [], False
         if not event.granted:
-            prompt.retry_ms = now_ms + RETRY_MS
+            segment.refusals += 1
+            prompt.retry_ms = now_ms + pause_ms(segment.refusals)
+            if event.outcome in _PROVED_NOT_RESERVED and segment.unanswered > 0:
+                segment.unanswered -= 1
+                segment.requested = segment.unanswered > 0
             return [], False
-        segment.granted = True
+        segment.granted, segment.refusals = True, 0
         if (view := self._runners.views.get(segment.upstream_id)) is not None:
             view.reserve(segment.handle, segment.tokens, now_ms)
         if not prompt.is_parallel:
--- a/packages/daemon/src/ibispaddle_daemon/entry.py
+++ b/packages/daemon/src/ibispaddle_daemon/entry.py
@@ -93,6 +93,7 @@
         self._runner_entries: tuple[ListEntry, ...] = ()
         self._down_runners: set[str] = set()
         self._engine_memory = EngineMemory(clock, timers).register(self)
+        self._engine_memory.add_to(metrics, self.scheduler)
         self.attempts = AttemptExecutor(
             self, client, clock, timers, metrics, tracing, suspects
         ).register(self)
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
@@ -133,6 +133,7 @@
             lambda callback, service: callback()
         )
         self._memory = EngineMemory(clock, timers, memory_codec).register(self)
+        self._memory.add_to(metrics, self.scheduler)
         self.part_guard = PartGuard(codec, clock, timers).register(self)
         self.part_guard.on_quarantined = self._refuse_quarantined_requests
         self._attempts = ForwardedAttempts(
--- a/tests/scheduling/fakes.py
+++ b/tests/scheduling/fakes.py
@@ -2,6 +2,7 @@
 
 from ibispaddle_core.scheduling import (
     Request,
+    ReservationOutcome,
     RunnerLoad,
     Scheduler,
     Upstream,
@@ -61,3 +62,8 @@
         "decode_tokens_per_s": 60.0,
     }
     return RunnerLoad(upstream_id, seq=seq, **{**defaults, **values})
+
+
+def reservation_outcome(is_granted: bool) -> ReservationOutcome:
+    """Return the answer of a runner that has the memory or has no room for it."""
+    return ReservationOutcome.GRANTED if is_granted else ReservationOutcome.NO_ROOM
