--- a/packages/core/src/ibispaddle_core/hubs/work.py
+++ b/packages/core/src/ibispaddle_core/hubs/work.py
@@ -1,8 +1,10 @@
 """Aggregation on a hub of the work that all instances have in flight."""
 
+from collections import Counter
 from collections.abc import Mapping
 
-from ..scheduling import PeerWork, UpstreamWork
+from ..scheduling import PeerWork, UpstreamWork, WaitingPrompt
+from ..scheduling.reservation_order import MAX_FLEET_REPORTED, in_turn
 
 # Instance id in a sum over all instances but one.
 FLEET_INSTANCE_ID = "fleet"
@@ -36,7 +38,7 @@
         previous = self._reports.pop(work.instance, None)
         if previous is not None:
             self._add(previous[1].work, -1)
-        if work.work or work.avoided:
+        if work.work or work.avoided or work.waiting:
             self._reports[work.instance] = (now_ms, work)
             self._add(work.work, 1)
 
@@ -50,13 +52,31 @@
             remaining = _add_signed(work.pop(upstream_id, item), item, -1)
             if not _is_idle(remaining):
                 work[upstream_id] = remaining
-        return PeerWork(FLEET_INSTANCE_ID, work, self._avoided(instance))
+        waiting, holders = self._waiting(instance, now_ms)
+        return PeerWork(
+            FLEET_INSTANCE_ID, work, self._avoided(instance), waiting=waiting, holders=holders
+        )
 
     def _avoided(self, instance: str) -> tuple[str, ...]:
         """Return the upstreams that instances other than this one avoid, by id."""
         reported = (work.avoided for name, (_, work) in self._reports.items() if name != instance)
         return tuple(sorted({upstream_id for avoided in reported for upstream_id in avoided}))
 
+    def _waiting(
+        self, instance: str, now_ms: int
+    ) -> tuple[tuple[WaitingPrompt, ...], dict[str, int]]:
+        """Return the others' first waiting prompts, and the holders of memory while there are any."""
+        others = [work for name, (_, work) in self._reports.items() if name != instance]
+        waiting = [
+            prompt for work in others for prompt in work.waiting if prompt.latest_start_ms >= now_ms
+        ]
+        if not waiting:
+            return (), {}
+        holders: Counter[str] = Counter()
+        for work in others:
+            holders.update(work.holders)
+        return tuple(in_turn(waiting, holders)[:MAX_FLEET_REPORTED]), dict(holders)
+
     def _expire(self, now_ms: int) -> None:
         if now_ms < self._last_expiry_ms + EXPIRY_CHECK_INTERVAL_MS:
             return
--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -117,6 +117,7 @@
         self._retry_budget = RetryBudget(*_retry_budget_settings(config))
         self._reservations = PromptReservations(self.runners, instance_boot, wall_offset_ms)
         self._reservation_order = ReservationOrder(wall_offset_ms)
+        self._states: dict[str, RequestState] = {}
         self._groups = GroupReservations(
             self.cost,
             self.runners,
@@ -128,8 +129,8 @@
             self._reservation_order,
             GroupSelector(self.cost, self._rng),
             lambda: self.placement,
+            self._states,
         )
-        self._states: dict[str, RequestState] = {}
         self._timers = Timers(self._states)
         self._attempts = Attempts(
             self.cost,
@@ -223,10 +224,11 @@
                     self._subsets.refresh(self.shares.recent_peers(now_ms - PEER_EXPIRY_MS), now_ms)
             case PeerMemoryClaims(instance_boot, claimed):
                 self._claims.merge(instance_boot, claimed, now_ms)
-            case PeerWork(instance, work, avoided, choice_rank):
+            case PeerWork(instance, work, avoided, choice_rank, waiting, holders):
                 self.runners.choice_rank = choice_rank
                 self.health.merge_peer_avoided(avoided, len(self.runners.views), now_ms)
                 self._peer_work.merge(instance, work, now_ms)
+                self._reservation_order.replace_fleet(waiting, holders, now_ms)
                 self._has_new_peer_work = True
             case FleetAttempts():
                 self._retry_budget.set_fleet_attempts(event, now_ms)
@@ -348,6 +350,8 @@
             choice = choose_allowed(req, allowed, self.runners, self.cost, now_ms)
         elif self._should_divide(state, may_divide) and self._groups.try_divide(state, now_ms):
             return []
+        elif self._groups.must_yield(state, now_ms):
+            return None
         else:
             choice = self.placement.choose(req, state.tried, idle_only, self.runners, now_ms)
         if choice is None:
@@ -370,6 +374,7 @@
         self, state: RequestState, choice: Choice, handles: tuple[str, ...], now_ms: int
     ) -> Decision:
         priority = self.placement.priority(state.req)
+        self._reservation_order.discard(state.req.request_id)
         return self._attempts.start(state, choice, priority, handles, now_ms)
 
     def _begin_group(
@@ -511,7 +516,13 @@
 
     def own_work(self, instance: str, now_ms: int) -> PeerWork:
         """Return this instance's work in flight and avoided upstreams, for the other instances."""
-        return PeerWork(instance, self.runners.own_work(now_ms), self.health.own_avoided(now_ms))
+        return PeerWork(
+            instance,
+            self.runners.own_work(now_ms),
+            self.health.own_avoided(now_ms),
+            waiting=self._groups.waiting(),
+            holders=self._groups.holders(),
+        )
 
     def _configured_placement(self) -> Placement:
         return least_work.placement_from_config(
--- a/packages/core/src/ibispaddle_core/scheduling/group_reservations.py
+++ b/packages/core/src/ibispaddle_core/scheduling/group_reservations.py
@@ -5,14 +5,14 @@
 """
 
 from collections import Counter
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, replace
 
 from . import least_work
 from .admission import MIN_RETRY_AFTER_MS, AdmissionRefusal
 from .backlog import Backlog
 from .claims import MemoryClaimTable
-from .cost import CostModel
+from .cost import CostModel, PromptClass
 from .groups import Group, GroupSelector
 from .health import UpstreamHealth
 from .messages import (
@@ -21,6 +21,7 @@
     RefusalReason,
     ReservationAnswered,
     ReservationOutcome,
+    WaitingPrompt,
 )
 from .pacing import UpstreamPacing
 from .placement import CLAIM_AFTER_MS, Choice, Placement
@@ -62,11 +63,12 @@
         order: ReservationOrder,
         groups: GroupSelector,
         placement: Callable[[], Placement],
+        states: Mapping[str, RequestState],
     ) -> None:
         self._cost, self._runners, self._backlog = cost, runners, backlog
         self._claims, self._health, self._pacing = claims, health, pacing
         self._reservations, self._order, self._groups = reservations, order, groups
-        self._placement = placement
+        self._placement, self._states = placement, states
         self.pace = ReservationPace()
         self.counts: Counter[str] = Counter()  # Groups that were started, granted and refused.
 
@@ -93,6 +95,8 @@
         incomplete = self._reservations.reserving()
         if idle_only and incomplete:
             return False
+        if self.must_yield(state, now_ms):
+            return False
         contested = self._order.contested_runners(
             self._reservations.describe_waiting(req, ()), now_ms
         )
@@ -100,6 +104,7 @@
         # Reservations that wait for memory block other neighbours, so a neighbour above its share
         # must not make them.
         if not group.fits and (idle_only or incomplete or not group.views):
+            self._record_waiting(state)
             return False
         if group.contested:
             names = [view.upstream.upstream_id for view in group.views]
@@ -107,6 +112,36 @@
             return False
         return self._reserve(state, group, now_ms)
 
+    def must_yield(self, state: RequestState, now_ms: int) -> bool:
+        """Return whether a long prompt leaves the free memory to prompts of other instances.
+
+        The free memory must be enough for the prompts that come before it and for itself.
+        """
+        req = state.req
+        if state.prompt_class < PromptClass.LONG or not self._is_joint(req.model):
+            return False
+        own = self._describe(state)
+        before = self._order.tokens_before(own, self.holders(), now_ms)
+        if before == 0 or before + own.tokens <= self._room(state, now_ms):
+            return False
+        self._order.add_waiting(own)
+        return True
+
+    def holders(self) -> dict[str, int]:
+        """Return the number of this instance's long prompts that hold memory, by workspace."""
+        return dict(
+            Counter(
+                state.req.neighbour
+                for state in self._states.values()
+                if state.prompt_class >= PromptClass.LONG
+                and (state.upstream_id is not None or state.reserving)
+            )
+        )
+
+    def waiting(self) -> tuple[WaitingPrompt, ...]:
+        """Return this instance's waiting prompts for the hubs."""
+        return self._order.own_waiting()
+
     def handle_answer(
         self, event: ReservationAnswered, state: RequestState | None, now_ms: int
     ) -> GroupAnswer:
@@ -150,6 +185,39 @@
         self._order.discard(request_id)
         self.pace.discard(request_id)
 
+    def _is_joint(self, model: str) -> bool:
+        return self._cost.supports_joint_prefill(model)
+
+    def _describe(self, state: RequestState) -> WaitingPrompt:
+        req = state.req
+        start_ms = min(
+            req.deadline_ms - self._cost.idle_ttft_ms(req) - self._cost.decode_ms(req),
+            req.start_deadline_ms - self._cost.idle_ttft_ms(req),
+        )
+        described = self._reservations.describe_waiting(req, ())
+        return replace(
+            described,
+            model=req.model,
+            workspace=req.neighbour,
+            tokens=self._cost.kv_tokens(req),
+            latest_start_ms=int(start_ms),
+        )
+
+    def _record_waiting(self, state: RequestState) -> None:
+        """Report a prompt that found no memory to the other instances."""
+        if self._is_joint(state.req.model):
+            self._order.add_waiting(self._describe(state))
+
+    def _room(self, state: RequestState, now_ms: int) -> int:
+        """Return the free memory of the runners that may take a part of a prompt."""
+        cfg = self._cost.model(state.req.model)
+        free = (
+            view.kv_free()
+            for view in self._usable(state, now_ms)
+            if cfg.upstream_slots is None or view.parts < cfg.upstream_slots
+        )
+        return sum(tokens for tokens in free if tokens > 0)
+
     def _usable(self, state: RequestState, now_ms: int) -> list[RunnerView]:
         live = self._runners.available_for(state.req, now_ms)
         invalid = self.pace.invalid_at(state.req.request_id)
@@ -172,7 +240,7 @@
 
     def _reserve(self, state: RequestState, group: Group, now_ms: int) -> bool:
         req = state.req
-        is_parallel = self._cost.supports_joint_prefill(req.model)
+        is_parallel = self._is_joint(req.model)
         if is_parallel and not self.pace.try_take(len(group.views), now_ms):
             return False
         # The request will be sent to the first runner of the group.
@@ -205,7 +273,7 @@
         Without joint prefill, reservations are sent one after the other, and a prompt keeps those that
         it has while a runner has no room.
         """
-        is_joint = self._cost.supports_joint_prefill(state.req.model)
+        is_joint = self._is_joint(state.req.model)
         outcome = _HEALTH_OUTCOMES.get(event.outcome)
         if outcome is not None and (is_joint or event.outcome is not ReservationOutcome.NO_ROOM):
             self._health.observe(event.upstream_id, outcome, now_ms)
@@ -217,6 +285,7 @@
         )
         if reason is not None:
             return GroupAnswer(decisions, refusal=AdmissionRefusal(reason, MIN_RETRY_AFTER_MS))
+        self._record_waiting(state)
         return GroupAnswer(decisions + self.requeue(state))
 
     def _choice(self, state: RequestState, now_ms: int) -> Choice:
@@ -227,7 +296,7 @@
         prefill_ms = self._cost.prefill_engine_ms(req.model, req.prompt_tokens)
         part_ms = max(tokens / views[0].prefill_rate, prefill_ms / len(views))
         wait_ms = 0.0
-        if self._cost.supports_joint_prefill(req.model):
+        if self._is_joint(req.model):
             # The pending prefill includes this prompt's part, which was announced with the reservation.
             wait_ms = max(0.0, max(view.pending_prefill_ms(now_ms) for view in views) - part_ms)
         return Choice(
--- a/packages/core/src/ibispaddle_core/scheduling/messages.py
+++ b/packages/core/src/ibispaddle_core/scheduling/messages.py
@@ -238,6 +238,27 @@
     parts: int = 0  # Parts of prompts that it prefills for other upstreams.
 
 
+@dataclass(frozen=True)
+class WaitingPrompt:
+    """Describe a prompt that waits for engine memory.
+
+    The fields with a default are known only of prompts that the hubs report.
+    """
+
+    arrived_wall_ms: int
+    request_id: str
+    upstream_ids: tuple[str, ...] = ()  # The group that it waits for, if it has chosen one.
+    model: str = ""
+    workspace: str = ""
+    tokens: int = 0
+    latest_start_ms: int = 0  # Time until which it can be sent and end in time.
+
+    @property
+    def sort_key(self) -> tuple[int, str]:
+        """Return the key that sorts prompts from oldest to youngest."""
+        return (self.arrived_wall_ms, self.request_id)
+
+
 @dataclass(frozen=True)
 class PeerWork:
     """Replace the work in flight of another instance by upstream, without idle upstreams.
@@ -245,13 +266,16 @@
     An instance reports its own work with the same class, and a hub the total of all other instances.
     `avoided` lists the upstreams that failed for the instance recently. `choice_rank` is the number of
     other instances that choose at the same time and are ranked first: this instance leaves that many
-    of the best upstreams to them.
+    of the best upstreams to them. `waiting` lists the prompts that wait for memory, the first ones in the
+    fleet's order, and `holders` the number of long prompts that hold memory, by workspace.
     """
 
     instance: str
     work: Mapping[str, UpstreamWork] = field(default_factory=dict)
     avoided: tuple[str, ...] = ()
     choice_rank: int = 0
+    waiting: tuple[WaitingPrompt, ...] = ()
+    holders: Mapping[str, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True)
@@ -339,20 +363,6 @@
     retry_after_ms: int = 0
 
 
-@dataclass(frozen=True)
-class WaitingPrompt:
-    """Describe a prompt that waits for memory on a group of runners."""
-
-    arrived_wall_ms: int
-    request_id: str
-    upstream_ids: tuple[str, ...]
-
-    @property
-    def sort_key(self) -> tuple[int, str]:
-        """Return the key that sorts prompts from oldest to youngest."""
-        return (self.arrived_wall_ms, self.request_id)
-
-
 @dataclass(frozen=True)
 class PeerWaitingPrompts:
     """Replace the prompts of another instance that wait for memory on several engines.
--- a/packages/daemon/src/ibispaddle_daemon/fleet/messages.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/messages.py
@@ -13,6 +13,7 @@
     SentCounts,
     UpstreamPace,
     UpstreamWork,
+    WaitingPrompt,
 )
 from result import Err, Ok, Result
 
@@ -26,6 +27,9 @@
 PaceReportRow = tuple[str, float | None, int, int]
 # Upstream id, limit, its age in ms, requests of the other instances in the short and the long window.
 PaceRow = tuple[str, float | None, int, int, int]
+# Request id, service, workspace, tokens, time until which it can start, counted from the message.
+WaitingRow = tuple[str, str, str, int, int]
+HolderRow = tuple[str, int]  # Workspace, its long prompts that hold memory.
 
 
 class WorkUpdate(msgspec.Struct, frozen=True, array_like=True, tag="w"):
@@ -39,6 +43,8 @@
     # The rest covers only what may be new to the hub.
     attempts: tuple[AttemptRow, ...] = ()
     paces: tuple[PaceReportRow, ...] = ()
+    waiting: tuple[WaitingRow, ...] = ()  # The sender's first prompts that wait for memory.
+    holders: tuple[HolderRow, ...] = ()
 
 
 class WorkQuery(msgspec.Struct, frozen=True, array_like=True, tag="q"):
@@ -70,6 +76,8 @@
     cursor: Cursor | None = None
     service_attempts: tuple[AttemptRow, ...] | None = None  # The same counts by service.
     paces: tuple[PaceRow, ...] | None = None  # Of limited upstreams, if known to the hub.
+    waiting: tuple[WaitingRow, ...] = ()  # The first prompts of the others that wait for memory.
+    holders: tuple[HolderRow, ...] = ()  # Only while prompts wait.
 
 
 class QuarantineUpdate(msgspec.Struct, frozen=True, array_like=True, tag="u"):
@@ -183,15 +191,49 @@
     )
 
 
-def decode_work_rows(
-    instance: str, rows: tuple[WorkRow, ...], avoided: tuple[str, ...], choice_rank: int = 0
-) -> PeerWork:
-    """Decode the work in a `WorkUpdate` of an instance or in a `WorkSnapshot`."""
-    work = {
+def decode_work_rows(rows: tuple[WorkRow, ...]) -> dict[str, UpstreamWork]:
+    """Decode work by upstream."""
+    return {
         name: UpstreamWork(float(prefill_ms), requests, tokens, parts)
         for name, prefill_ms, requests, tokens, parts in rows
     }
-    return PeerWork(instance, work, avoided, choice_rank)
+
+
+def decode_work(
+    instance: str, message: WorkUpdate | WorkSnapshot, now_ms: int, choice_rank: int = 0
+) -> PeerWork:
+    """Decode the work in an instance's update or in a hub's snapshot."""
+    return PeerWork(
+        instance,
+        decode_work_rows(message.rows),
+        message.avoided,
+        choice_rank,
+        decode_waiting(message.waiting, now_ms),
+        dict(message.holders),
+    )
+
+
+def encode_waiting(prompts: tuple[WaitingPrompt, ...], now_ms: int) -> tuple[WaitingRow, ...]:
+    """Encode waiting prompts. Their times count from the message, as clocks differ."""
+    return tuple(
+        (item.request_id, item.model, item.workspace, item.tokens, item.latest_start_ms - now_ms)
+        for item in prompts
+    )
+
+
+def decode_waiting(rows: tuple[WaitingRow, ...], now_ms: int) -> tuple[WaitingPrompt, ...]:
+    """Decode waiting prompts, with times of this instance's clock."""
+    return tuple(
+        WaitingPrompt(
+            0,
+            request_id,
+            model=model,
+            workspace=workspace,
+            tokens=tokens,
+            latest_start_ms=now_ms + slack_ms,
+        )
+        for request_id, model, workspace, tokens, slack_ms in rows
+    )
 
 
 def encode_attempt_rows(counts: Mapping[str, AttemptCounts]) -> tuple[AttemptRow, ...]:
--- a/packages/daemon/src/ibispaddle_daemon/fleet/work.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/work.py
@@ -39,10 +39,11 @@
     decode_attempt_rows,
     decode_pace_reports,
     decode_paces,
-    decode_work_rows,
+    decode_work,
     encode_attempt_rows,
     encode_pace_reports,
     encode_paces,
+    encode_waiting,
     encode_work_rows,
 )
 from .quarantine import QuarantineExchange
@@ -197,7 +198,7 @@
         rows = message.service_attempts
         counts = decode_attempt_rows(rows) if rows is not None else None
         self._apply(
-            decode_work_rows(FLEET_INSTANCE_ID, message.rows, message.avoided, message.choice_rank),
+            decode_work(FLEET_INSTANCE_ID, message, self._clock.now_ms(), message.choice_rank),
             counts,
             decode_paces(message.paces) if message.paces is not None else None,
         )
@@ -240,9 +241,10 @@
         self._check_timer = None
         now_ms = self._clock.now_ms()
         if self._forwarder.has_waiting_requests:
+            self._send_update()  # Prompts that wait for memory, if they have changed.
             self.refresh(self._forwarder.schedule_waiting)
         has_work = self._sent_work is not None and bool(
-            self._sent_work.work or self._sent_work.avoided
+            self._sent_work.work or self._sent_work.avoided or self._sent_work.waiting
         )
         is_old = now_ms - self._sent_ms >= RESEND_INTERVAL_MS
         if has_work and (is_old or self._ranking.hubs(now_ms) != self._sent_to):
@@ -299,6 +301,8 @@
             total.retries,
             encode_attempt_rows(new_totals),
             encode_pace_reports(new_paces),
+            encode_waiting(work.waiting, now_ms),
+            tuple(work.holders.items()),
         )
         frame = self._links.encode(update)
         for hub_id in self._sent_to:
@@ -309,7 +313,7 @@
 
     def _on_update(self, instance_id: str, message: WorkUpdate) -> None:
         now_ms = self._clock.now_ms()
-        work = decode_work_rows(instance_id, message.rows, message.avoided)
+        work = decode_work(instance_id, message, now_ms)
         self._work_aggregator.update(work, now_ms)
         self._pending_choices.end_choice(instance_id)
         totals = decode_attempt_rows(message.attempts)
@@ -338,6 +342,8 @@
             choice_rank,
             service_attempts=service_attempts,
             paces=encode_paces(paces) if paces is not None else None,
+            waiting=encode_waiting(others.waiting, now_ms),
+            holders=tuple(others.holders.items()),
         )
         if self._quarantine is not None:
             changes, cursor = self._quarantine.respond(message.changes, message.cursor)
--- a/tests/fleet/test_messages.py
+++ b/tests/fleet/test_messages.py
@@ -24,10 +24,14 @@
 )
 NAMES = st.lists(st.text(max_size=12), max_size=3).map(tuple)
 NUMBERS = st.integers(0, 2**32)
+TEXT = st.text(max_size=9)
+WAITING = st.lists(st.tuples(TEXT, TEXT, TEXT, NUMBERS, st.integers(-9, 9)), max_size=3).map(tuple)
+HOLDERS = st.lists(st.tuples(TEXT, NUMBERS), max_size=3).map(tuple)
 MESSAGES = st.one_of(
-    st.builds(WorkUpdate, ROWS, NAMES, NUMBERS, NUMBERS),
+    st.builds(WorkUpdate, ROWS, NAMES, NUMBERS, NUMBERS, waiting=WAITING, holders=HOLDERS),
     st.builds(WorkQuery, NUMBERS, st.text(max_size=9)),
     st.builds(WorkSnapshot, NUMBERS, ROWS, NAMES, st.none() | st.tuples(NUMBERS, NUMBERS), NUMBERS),
+    st.builds(WorkSnapshot, NUMBERS, ROWS, NAMES, waiting=WAITING, holders=HOLDERS),
     st.builds(
         TopicQuery,
         NUMBERS,
@@ -65,7 +69,7 @@
     def test_work_rows_are_decoded_unchanged(self) -> None:
         """Guards against columns that are swapped by encoding and decoding."""
         work = {"r1": UpstreamWork(12.0, 3, 4_000, 2)}
-        self.assertEqual(decode_work_rows("a", encode_work_rows(work), ("r2",)).work, work)
+        self.assertEqual(decode_work_rows(encode_work_rows(work)), work)
 
 
 if __name__ == "__main__":
