--- a/packages/core/src/ibispaddle_core/chat/errors.py
+++ b/packages/core/src/ibispaddle_core/chat/errors.py
@@ -50,6 +50,11 @@
     RefusalReason.UPSTREAM_FAILED: (502, "upstream_failed", "The engine failed."),
     RefusalReason.CANCELLED: (499, "cancelled", "The caller left."),
     RefusalReason.DRAINING: (503, "draining", "The instance is being stopped."),
+    RefusalReason.EVACUATED: (
+        503,
+        "evacuated",
+        "All engines for this model are in data centres that are being evacuated.",
+    ),
     RefusalReason.NO_MEMORY: (503, "no_memory", "No engines have the memory for the prompt now."),
     RefusalReason.MEMORY_INVALID: (
         503,
--- a/packages/core/src/ibispaddle_core/logevents.py
+++ b/packages/core/src/ibispaddle_core/logevents.py
@@ -133,6 +133,36 @@
     Level.INFO,
     "An upstream is leaving or drained and receives no new requests.",
 )
+EVACUATION_STARTED = LogEvent(
+    3020,
+    "evacuation_started",
+    Level.WARNING,
+    "A data centre is evacuated; its upstreams receive no new requests.",
+)
+EVACUATION_ENDED = LogEvent(
+    3021,
+    "evacuation_ended",
+    Level.WARNING,
+    "The evacuation of a data centre has ended; its upstreams receive new requests.",
+)
+EVACUATION_DRAINED = LogEvent(
+    3022,
+    "evacuation_drained",
+    Level.INFO,
+    "No request of this instance is left at the upstreams of an evacuated data centre.",
+)
+EVACUATION_UNREADABLE = LogEvent(
+    3023,
+    "evacuation_unreadable",
+    Level.ERROR,
+    "The record of an evacuation cannot be read; the data centre in its key is evacuated.",
+)
+EVACUATION_UNKNOWN = LogEvent(
+    3024,
+    "evacuation_unknown",
+    Level.WARNING,
+    "An evacuated data centre has no listed upstream; its name may be misspelt.",
+)
 LIST_UNAVAILABLE = LogEvent(
     3002, "list_unavailable", Level.WARNING, "The instance list cannot be read."
 )
--- a/packages/core/src/ibispaddle_core/membership/view.py
+++ b/packages/core/src/ibispaddle_core/membership/view.py
@@ -115,6 +115,7 @@
         self._unconfirmed: dict[MemberKind, tuple[int, int]] = {}
         self._missing: set[str] = set()
         self._drained: frozenset[str] = frozenset()
+        self._evacuated: frozenset[str] = frozenset()
         self._sorted_ids: list[str] = []
         self._instances = 1
         self.version = -1
@@ -246,13 +247,18 @@
         """Replace the set of drained upstreams; it may contain ids that are not known yet."""
         self._drained = frozenset(upstream_ids)
 
+    def set_evacuated(self, data_centres: Iterable[str]) -> None:
+        """Replace the set of evacuated data centres, whose upstreams count as drained."""
+        self._evacuated = frozenset(data_centres)
+
     def is_drained(self, member_id: str) -> bool:
-        """Return whether an operator drained an upstream, whatever its state is."""
+        """Return whether an operator drained an upstream or its data centre, whatever its state is."""
         record = self._records.get(member_id)
         # Instances drain during a planned stop; the configuration cannot exclude them from shared
         # tasks.
-        is_upstream = record is not None and record.entry.kind is not MemberKind.ENTRY
-        return is_upstream and member_id in self._drained
+        if record is None or record.entry.kind is MemberKind.ENTRY:
+            return False
+        return member_id in self._drained or record.entry.data_centre in self._evacuated
 
     def exclude_pause(self, length_ms: int) -> None:
         """Do not count a pause of the local process, in which no heartbeat could be received."""
--- a/packages/core/src/ibispaddle_core/scheduling/admission.py
+++ b/packages/core/src/ibispaddle_core/scheduling/admission.py
@@ -5,6 +5,7 @@
 
 from ..shares import ShareCounters
 from .cost import CostModel
+from .evacuations import EVACUATED_RETRY_AFTER_MS, EvacuationTable
 from .messages import RefusalReason, Request
 from .pacing import UpstreamPacing
 from .queue import FairQueue, Lane
@@ -70,6 +71,7 @@
         runners: RunnerTable,
         subsets: RunnerSubsets,
         pacing: UpstreamPacing,
+        evacuations: EvacuationTable,
     ) -> None:
         self._cost = cost
         self._queue = queue
@@ -77,6 +79,7 @@
         self._runners = runners
         self._subsets = subsets
         self._pacing = pacing
+        self._evacuations = evacuations
         self.dispatch_rate = DispatchRate()
 
     def check(self, req: Request, lane: Lane, now_ms: int) -> AdmissionRefusal | None:
@@ -84,11 +87,9 @@
         model = self._cost.model(req.model)
         if self._cost.kv_tokens(req) > model.context_tokens:
             return AdmissionRefusal(RefusalReason.TOO_LARGE)
-        live = self._runners.live_for(req)
-        if not live:
-            return AdmissionRefusal(req.no_upstream_reason, MIN_RETRY_AFTER_MS)
-        if self._cost.min_segments(req) > len(live):
-            return AdmissionRefusal(RefusalReason.TOO_LARGE)
+        refusal = self.check_upstreams(req)
+        if refusal is not None:
+            return refusal
         wait_ms = self.queue_wait_ms(lane, req.neighbour, now_ms)
         paced_wait_ms = self._paced_wait_ms(req.model, now_ms)
         wait_ms = max(wait_ms, paced_wait_ms, self.held_ms(req.model, now_ms))
@@ -102,6 +103,17 @@
             return AdmissionRefusal(RefusalReason.DEADLINE, self.retry_after_ms(wait_ms))
         return None
 
+    def check_upstreams(self, req: Request) -> AdmissionRefusal | None:
+        """Return why the request cannot be served however long it waits, or None if it can."""
+        live, needed = len(self._runners.live_for(req)), max(1, self._cost.min_segments(req))
+        if needed <= live:
+            return None
+        if needed <= live + self._evacuations.count_withheld(req):
+            return AdmissionRefusal(RefusalReason.EVACUATED, EVACUATED_RETRY_AFTER_MS)
+        if not live:
+            return AdmissionRefusal(req.no_upstream_reason, MIN_RETRY_AFTER_MS)
+        return AdmissionRefusal(RefusalReason.TOO_LARGE)
+
     def latest_start_ms(self, req: Request) -> float:
         """Return the time until which a request can be sent so that its caller gets the first output."""
         return req.start_deadline_ms - self._cost.idle_ttft_ms(req)
--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -15,6 +15,7 @@
 from .claims import MemoryClaimTable
 from .cost import CostModel, PromptClass
 from .departures import DepartureTable
+from .evacuations import EvacuationTable
 from .exceptions import DuplicateRequestError
 from .group_reservations import GroupReservations
 from .groups import GroupSelector
@@ -30,6 +31,7 @@
     ConfirmListing,
     ConfirmSilence,
     Decision,
+    EvacuationsChanged,
     Event,
     FirstToken,
     FleetAttempts,
@@ -101,8 +103,15 @@
         self._rng = Random(f"{seed}/{instance_boot}")
         self._claims = MemoryClaimTable()
         self._subsets = RunnerSubsets(instance_boot, wall_offset_ms)
+        self.evacuations = EvacuationTable()
         self._admission = Admission(
-            self.cost, self.queue, self.shares, self.runners, self._subsets, self.pacing
+            self.cost,
+            self.queue,
+            self.shares,
+            self.runners,
+            self._subsets,
+            self.pacing,
+            self.evacuations,
         )
         self.placement: Placement = PredictedPlacement(
             self.cost, self._prefixes, self._subsets, self._claims, self.shares, self._rng
@@ -205,6 +214,8 @@
             case UpstreamsChanged(upstreams):
                 self._listed = upstreams
                 decisions += self._change_upstreams(now_ms)
+            case EvacuationsChanged(data_centres):
+                decisions += self._evacuate(data_centres, now_ms)
             case FirstToken(request_id):
                 if (state := self._states.get(request_id)) is not None:
                     self._attempts.record_first_token(state)
@@ -332,8 +343,9 @@
     ) -> list[Decision] | None:
         """Dispatch, refuse or reserve memory for a request, or return None if it must wait."""
         req = state.req
-        if not self.runners.live_for(req):
-            return self._refuse(state, req.no_upstream_reason, MIN_RETRY_AFTER_MS)
+        refusal = self._admission.check_upstreams(req)
+        if refusal is not None:
+            return self._refuse(state, refusal.reason, refusal.retry_after_ms)
         held_ms = self._admission.held_ms(req.model, now_ms)
         if now_ms + held_ms + self._admission.service_ms(req) > req.deadline_ms:
             wait_ms = self._admission.queue_wait_ms(
@@ -537,15 +549,22 @@
         self.pacing.observe(event.upstream_id, event.limit_per_s, now_ms)
         if event.retry_after_ms > 0:
             self.pacing.hold(event.upstream_id, event.retry_after_ms, now_ms)
-        if not event.is_leaving or not view.live:
+        is_in_use = view.live or self.evacuations.is_marked(event.upstream_id)
+        if not event.is_leaving or not is_in_use:
             return []
         self._departures.add(view.upstream)
         return self._change_upstreams(now_ms)
 
+    def _evacuate(self, data_centres: frozenset[str], now_ms: int) -> list[Decision]:
+        if not self.evacuations.replace(data_centres):
+            return []
+        self.try_waiting_at_next_event()  # They may have to be refused, or may be served again.
+        return self._change_upstreams(now_ms)
+
     def _change_upstreams(self, now_ms: int) -> list[Decision]:
-        """Apply the list of upstreams, and what they stated since."""
+        """Apply the list of upstreams, what they stated since, and the evacuations."""
         decisions: list[Decision] = []
-        upstreams = self._departures.apply(self._listed)
+        upstreams = self.evacuations.apply(self._departures.apply(self._listed))
         down = {view.upstream.upstream_id for view in self.runners.replace(upstreams)}
         self.health.forget_missing(set(self.runners.views))
         self.pacing.forget_missing(self.runners.views.keys())
--- a/packages/core/src/ibispaddle_core/scheduling/messages.py
+++ b/packages/core/src/ibispaddle_core/scheduling/messages.py
@@ -54,6 +54,7 @@
     CANCELLED = "cancelled"
     DRAINING = "draining"
     QUARANTINED = "quarantined"
+    EVACUATED = "evacuated"
     NO_MEMORY = "no_memory"  # No group of engines had the memory in time.
     MEMORY_INVALID = "memory_invalid"  # Engines can never reserve the memory.
 
@@ -159,6 +160,13 @@
     upstreams: tuple[Upstream, ...]
 
 
+@dataclass(frozen=True)
+class EvacuationsChanged:
+    """Replace the set of evacuated data centres, whose upstreams get no new work."""
+
+    data_centres: frozenset[str]
+
+
 @dataclass(frozen=True)
 class FirstToken:
     """Report the first token of a request's current attempt."""
@@ -420,6 +428,7 @@
     RequestArrived
     | LoadReported
     | UpstreamsChanged
+    | EvacuationsChanged
     | FirstToken
     | TokensRelayed
     | AttemptEnded
--- a/packages/core/src/ibispaddle_core/settings/fleet.py
+++ b/packages/core/src/ibispaddle_core/settings/fleet.py
@@ -216,6 +216,16 @@
     author: Annotated[str, Meta(description="Operator who drained the upstream.")] = ""
 
 
+class EvacuationConfig(SettingsModel, frozen=True, kw_only=True):
+    """A data centre that an operator evacuates."""
+
+    reason: Annotated[str, Meta(max_length=1_000, description="Why it is evacuated.")] = ""
+    author: Annotated[str, Meta(description="Operator who evacuated the data centre.")] = ""
+    time_ms: Annotated[
+        int, Meta(ge=0, description="Unix time of the operator's command, milliseconds.")
+    ] = 0
+
+
 class FleetConfig(SettingsModel, frozen=True, kw_only=True):
     """The complete configuration of the fleet as used at one site."""
 
@@ -235,6 +245,10 @@
     drained_upstreams: Annotated[
         dict[str, DrainConfig], Meta(description="Upstreams that get no new work, by id.")
     ] = {}
+    evacuated_data_centres: Annotated[
+        dict[str, EvacuationConfig],
+        Meta(description="Data centres whose upstreams get no new work, by id."),
+    ] = {}
     operator_key_sha256: Annotated[
         tuple[Sha256Hex, ...], Meta(description="SHA-256 of each operator key.")
     ] = ()
--- a/packages/daemon/src/ibispaddle_daemon/app.py
+++ b/packages/daemon/src/ibispaddle_daemon/app.py
@@ -17,6 +17,7 @@
 from .configuration import Configuration
 from .configuration_restart import ConfigurationRestart
 from .entry import RequestCoordinator
+from .evacuations import EvacuationMonitor
 from .events import drain_completed, drain_started
 from .fleet_operations import FleetEndpoints
 from .http_client import HttpClient
@@ -134,6 +135,22 @@
             settings, self.entry.scheduler, self.entry.handle_event, boot, clock, timers
         ).register(self)
         self.instance_list = InstanceListReader(settings, self.view, clock, timers).register(self)
+        self.evacuations = EvacuationMonitor(
+            self.entry.scheduler,
+            self.entry.handle_event,
+            self._upstream_data_centres,
+            clock,
+            timers,
+            self.metrics,
+        )
+
+    def _upstream_data_centres(self) -> set[str]:
+        members = self.view.members(self.clock.now_ms())
+        return {m.entry.data_centre for m in members if m.entry.kind is not MemberKind.ENTRY}
+
+    @handler("configuration_changed", channel="*")
+    def _on_configuration_changed(self, config: FleetConfig, revision: int) -> None:
+        self.evacuations.replace(config.evacuated_data_centres.keys())
 
     def _add_log_components(self, config: FleetConfig) -> None:
         """Register the components that use the platform log and the operator endpoints.
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
@@ -188,6 +188,10 @@
         self._has_upstreams = True
         self._route_startup_exchanges()
 
+    def listed_data_centres(self) -> set[str]:
+        """Return the data centres of the listed upstreams."""
+        return {upstream.data_centre for _, upstream in self._upstreams.values()}
+
     def update_fleet_work(self, work: PeerWork, attempts: FleetAttempts, paces: FleetPaces) -> None:
         """Update the work in flight, the attempts and the paces of all other instances."""
         self.handle_event(attempts)
@@ -558,8 +562,7 @@
             )
 
     def _log_leaving(self, upstream_id: str, head: ResponseHead) -> None:
-        view = self.scheduler.runners.views.get(upstream_id)
-        if head.is_leaving and view is not None and view.live:
+        if head.is_leaving and self._is_live(upstream_id):
             log_event(logevents.UPSTREAM_LEAVING, upstream=upstream_id, state="stated")
 
     def _on_output(self, request: ForwardedRequest, event_count: int) -> None:
@@ -641,8 +644,10 @@
         return is_live and self.part_guard.may_have_crashed(request, result)
 
     def _is_live(self, upstream_id: str) -> bool:
+        """Return whether an upstream is not about to end; an evacuation does not end its process."""
         view = self.scheduler.runners.views.get(upstream_id)
-        return view is not None and view.live
+        is_evacuated = self.scheduler.evacuations.is_marked(upstream_id)
+        return view is not None and (view.live or is_evacuated)
 
     def _handle_failed_attempt(self, request: ForwardedRequest, ended: AttemptEnded) -> None:
         if request.request_id in self._requests and self._refuse_if_quarantined(request):
--- a/packages/daemon/src/ibispaddle_daemon/gateway.py
+++ b/packages/daemon/src/ibispaddle_daemon/gateway.py
@@ -10,6 +10,7 @@
 from circuits.core.pollers import EPoll
 from ibispaddle_core import logevents
 from ibispaddle_core.clock import Clock, SystemClock
+from ibispaddle_core.evacuations import Evacuation, EvacuationRecords
 from ibispaddle_core.forwarding import DrainAdmission
 from ibispaddle_core.hubs import HubRanking
 from ibispaddle_core.membership import Registration
@@ -18,6 +19,7 @@
 from ibispaddle_core.topics import TopicUpdate
 
 from .engine_memory import EngineMemoryCodec
+from .evacuations import EvacuationMonitor
 from .events import drain_completed, drain_started, readiness_changed
 from .fleet import FleetLinks, QuarantineExchange, TopicRelay, WorkExchange
 from .forwarding import Forwarder, ForwardingCodec
@@ -54,7 +56,8 @@
 class GatewayCodecs:
     """The codecs of one platform.
 
-    `config` parses the operators' configuration record and returns None if it is unusable.
+    `config` parses the operators' configuration record and returns None if it is unusable. `evacuation`
+    parses any other record of the same topic and returns None if it asks for no evacuation.
     """
 
     requests: ForwardingCodec
@@ -62,6 +65,7 @@
     store: StoreCodec
     registration: Callable[[str, bytes], Registration | None]
     config: Callable[[bytes], tuple[RoutingConfig, FleetConfig] | None]
+    evacuation: Callable[[str, bytes], Evacuation | None]
     upstream_topic: str
     config_topic: str
     config_key: str
@@ -180,13 +184,22 @@
             relay,
             settings.in_force_ms,
         ).register(self)
+        self._evacuation_records = EvacuationRecords(self._codecs.evacuation)
+        self.evacuations = EvacuationMonitor(
+            self.forwarder.scheduler,
+            self.forwarder.handle_event,
+            self.forwarder.listed_data_centres,
+            clock,
+            timers,
+            self.metrics,
+        )
         self.config_topic = TopicFollower(
             self._codecs.config_topic,
             settings.store_url,
             store,
             round(CONFIG_WAIT_FRACTION * settings.in_force_ms),
             0,
-            self._on_config_update,
+            self._on_operator_update,
             clock,
             timers,
             relay,
@@ -204,7 +217,7 @@
             lambda: len(self.forwarder.part_guard.registry.quarantined_parts),
         )
 
-    # Configuration
+    # Configuration and evacuations
 
     def _check_state(self) -> None:
         """Check the age of the configuration, and reload the settings if requested."""
@@ -217,6 +230,13 @@
             self._is_config_fresh = is_fresh
             self.fire(readiness_changed("configuration", is_fresh), "*")
 
+    def _on_operator_update(self, update: TopicUpdate) -> None:
+        # Evacuations apply whether or not the configuration beside them is usable.
+        for key in self._evacuation_records.apply(update):
+            log_event(logevents.EVACUATION_UNREADABLE, key=key)
+        self.evacuations.replace(self._evacuation_records.data_centres)
+        self._on_config_update(update)
+
     def _on_config_update(self, update: TopicUpdate) -> None:
         value = update.values.get(self._codecs.config_key)
         decoded = None
--- a/packages/daemon/src/ibispaddle_daemon/instance_list.py
+++ b/packages/daemon/src/ibispaddle_daemon/instance_list.py
@@ -209,6 +209,7 @@
     @handler("configuration_changed", channel="*")
     def _on_configuration_changed(self, config: FleetConfig, revision: int) -> None:
         self._view.set_drained(config.drained_upstreams)
+        self._view.set_evacuated(config.evacuated_data_centres)
         self._report_changes()
 
     @handler("runner_failed", channel="*", priority=-1)
