--- a/packages/client/src/ibispaddle_client/__main__.py
+++ b/packages/client/src/ibispaddle_client/__main__.py
@@ -12,11 +12,14 @@
     config_restart,
     config_show,
     config_wait,
+    evacuate,
+    evacuations,
     instances,
     order,
     quarantine_lift,
     quarantine_list,
     reference,
+    restore,
     schema,
     trace,
     upstreams,
@@ -53,6 +56,9 @@
 upstreams_app.callback(invoke_without_command=True)(upstreams.command)
 upstreams_app.command("drain")(upstreams_drain.command)
 upstreams_app.command("restore")(upstreams_restore.command)
+app.command("evacuate")(evacuate.command)
+app.command("restore")(restore.command)
+app.command("evacuations")(evacuations.command)
 app.command("order")(order.command)
 app.command("usage")(usage.command)
 app.command("trace")(trace.command)
--- a/packages/client/src/ibispaddle_client/commands/config_apply.py
+++ b/packages/client/src/ibispaddle_client/commands/config_apply.py
@@ -8,6 +8,8 @@
 from ..api import OperatorApi
 from ..changes import apply_change, new_change
 from ..documents import read_document
+from ..drains import DRAINED_FIELD
+from ..evacuations import EVACUATED_FIELD
 from ..exceptions import UsageError
 from ..output import print_json
 from .config_wait import WaitSeconds, wait_until_in_force
@@ -22,16 +24,18 @@
 
 
 def refuse_implicit_restore(current: dict[str, Any], layer: str, document: dict[str, Any]) -> None:
-    """Raise `UsageError` if the document omits the drained upstreams of the layer that it replaces.
+    """Raise `UsageError` if the document omits the drains or evacuations of the layer it replaces.
 
-    Documents are usually kept in files, which lack the later changes of `upstreams drain`.
+    Documents are usually kept in files, which lack the later changes of `upstreams drain` and
+    `evacuate`.
     """
-    drained = current.get("layers", {}).get(layer, {}).get("drained_upstreams")
-    if drained and "drained_upstreams" not in document:
-        raise UsageError(
-            f"the document would restore {', '.join(sorted(drained))}; add 'drained_upstreams' to"
-            " it, as 'ibispaddle upstreams' shows them, or as {} to restore all"
-        )
+    for field, shown_by in ((DRAINED_FIELD, "upstreams"), (EVACUATED_FIELD, "evacuations")):
+        names = current.get("layers", {}).get(layer, {}).get(field)
+        if names and field not in document:
+            raise UsageError(
+                f"the document would restore {', '.join(sorted(names))}; add '{field}' to it,"
+                f" as 'ibispaddle {shown_by}' shows them, or as {{}} to restore all"
+            )
 
 
 def command(
--- a/packages/client/src/ibispaddle_client/commands/options.py
+++ b/packages/client/src/ibispaddle_client/commands/options.py
@@ -27,5 +27,6 @@
     str, typer.Option("--key", envvar="IBISPADDLE_KEY", help="Operator key.")
 ]
 Upstream = Annotated[str, typer.Argument(help="Id of the upstream, from 'upstreams'.")]
+DataCentre = Annotated[str, typer.Argument(help="Id of the data centre, from 'upstreams'.")]
 Wait = Annotated[bool, typer.Option("--wait", help="Wait until it is in force at all instances.")]
 DEFAULT_SERVER = "http://127.0.0.1:8080"
--- a/tests/client/test_online_commands.py
+++ b/tests/client/test_online_commands.py
@@ -1,49 +1,22 @@
 """Tests of the commands that send requests to an instance."""
 
 import json
-import pathlib
-import tempfile
 import unittest
 
-from ibispaddle_client.__main__ import app
 from ibispaddle_client.exceptions import (
     ConflictError,
     UnreachableError,
     UsageError,
     WaitTimeoutError,
 )
-from typer.testing import CliRunner
 
-from .fakes import FakeInstance
+from .fakes import ACCEPTED, CommandTestCase, instances
 
-ACCEPTED = (200, {"change_id": "x", "revision": 7, "warnings": []})
 UNDETERMINED = (504, {"error": {"code": "undetermined", "message": "not known yet"}})
 CURRENT = (200, {"revision": 4})
 
 
-def instances(*revisions):
-    return 200, {
-        "instances": [{"id": f"i{n}", "revision": r, "as_of": r} for n, r in enumerate(revisions)]
-    }
-
-
-class OnlineCommandTest(unittest.TestCase):
-    def start(self, responses):
-        fake = FakeInstance(responses)
-        self.addCleanup(fake.close)
-        return fake
-
-    def invoke(self, fake, *args):
-        env = {"IBISPADDLE_SERVER": fake.url, "IBISPADDLE_KEY": "operator-key"}
-        return CliRunner(env=env).invoke(app, list(args))
-
-    def write_document(self):
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        path = pathlib.Path(folder.name) / "base.json"
-        path.write_text("{}")
-        return str(path)
-
+class OnlineCommandTest(CommandTestCase):
     def test_unknown_outcome_is_resolved_with_the_same_change_id(self):
         """Guard against a change that is applied twice after a lost response."""
         fake = self.start(
@@ -66,9 +39,6 @@
         self.assertIsInstance(outcome.exception, ConflictError)
         self.assertIn("'berg'", str(outcome.exception))
 
-    def base_response(self, revision, **fields):
-        return 200, {"revision": revision, "layers": {"base": fields}}
-
     def test_drain_is_retried_on_top_of_an_unrelated_change(self):
         """Guard against a drain that is lost after another operator's change, or overwrites it."""
         listed = (200, {"upstreams": [{"id": "r.1"}]})
--- a/tests/membership/test_view.py
+++ b/tests/membership/test_view.py
@@ -211,6 +211,18 @@
         view.observe("r0", False, 1)
         self.assertEqual((view.state("r0", 1), view.is_drained("r0")), (MemberState.DOWN, True))
 
+    def test_evacuation_applies_to_upstreams_of_the_data_centre(self):
+        """Guard against upstreams that get work, or instances that do not, in an evacuation."""
+        view = MembershipView("a")
+        view.apply_list(listing(1, ("r0", "r1")), 0)
+        data_centre = next(m.entry.data_centre for m in view.members(0) if m.entry.id == "r0")
+        view.set_evacuated((data_centre,))
+        states = {m.entry.kind: view.state(m.entry.id, 0) for m in view.members(0)}
+        self.assertEqual(states[MemberKind.RUNNER], MemberState.DRAINED)
+        self.assertEqual(states[MemberKind.ENTRY], MemberState.LIVE)
+        view.set_evacuated(())
+        self.assertEqual(view.state("r0", 0), MemberState.LIVE)
+
 
 class LeavingPropertyTest(unittest.TestCase):
     @FIXED
