--- a/tests/client/test_against_instance.py
+++ b/tests/client/test_against_instance.py
@@ -45,6 +45,30 @@
         self.assertEqual(sorted(u["kind"] for u in upstreams), ["runner"] * 4 + ["service"])
         self.assertEqual({u["drained"] for u in upstreams}, {False})
 
+    def test_evacuated_data_centre_gets_no_requests_until_it_is_restored(self):
+        """Guard against an evacuation that is confirmed before it is in force at all instances."""
+        self.addCleanup(self.invoke, "restore", "dc.1", "--wait")
+        outcome = self.invoke("evacuate", "dc.1", "--reason", "power", "--wait")
+        self.assertIsNone(outcome.exception, outcome.output)
+        for entry in range(2):
+            states = {
+                (u["data_centre"], u["drained"]) for u in self.read_json("upstreams", entry=entry)
+            }
+            self.assertEqual({drained for name, drained in states if name == "dc.1"}, {True})
+            self.assertEqual({drained for name, drained in states if name != "dc.1"}, {False})
+            [row] = self.read_json("evacuations", entry=entry)
+            self.assertEqual((row["data_centre"], row["reason"]), ("dc.1", "power"))
+            metrics = requests.get(self.fleet.entries[entry].url + "/metrics", timeout=30).text
+            self.assertIn("ibispaddle_evacuated_data_centres 1", metrics)
+        self.addCleanup(self.invoke, "restore", "dc.2", "--wait")
+        self.assertIsNone(self.invoke("evacuate", "dc.2", "--wait").exception)
+        refused = self.invoke("evacuate", "dc.3")
+        self.assertIn("evacuations.E001", str(refused.exception))
+        for name in ("dc.1", "dc.2"):
+            self.assertIsNone(self.invoke("restore", name, "--wait").exception)
+        self.assertEqual(self.read_json("evacuations"), [])
+        self.assertEqual({u["drained"] for u in self.read_json("upstreams")}, {False})
+
     def test_workspaces_are_listed_with_the_shares_of_their_neighbours(self):
         """Guard against shares that do not match the weights, and against keys in the output."""
         outcome = self.invoke("workspaces")
