--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -27,6 +27,7 @@
 READY_TIMEOUT_S = 10.0
 # Period for which a runner is listed as draining; it serves for another second after that.
 DRAIN_PERIOD_S = 3.0
+EVACUATED = "b"  # The data centre that is evacuated; the other one is "a".
 TEMPORARY_KEYS = ("temporary-1", "temporary-2", "temporary-3")
 
 
@@ -60,12 +61,23 @@
     """
 
     revoked: dict[str, float] = field(default_factory=dict)
+    # Times at which EVACUATED was evacuated and restored.
+    evacuations: list[tuple[float, float]] = field(default_factory=list)
     # Routes that an instance didn't serve in time, and planned stops and restarts that failed.
     late_routes: list[str] = field(default_factory=list)
     bad_stops: list[str] = field(default_factory=list)
     bad_starts: list[str] = field(default_factory=list)
 
 
+def data_centre(runner_name: str) -> str:
+    """Return the data centre of a runner: every second one is in EVACUATED.
+
+    >>> data_centre("llm-1"), data_centre("llm-2")
+    ('a', 'b')
+    """
+    return EVACUATED if int(runner_name.rpartition("-")[2]) % 2 == 0 else "a"
+
+
 class SoakFleet:
     """The processes of a plan, with the injection of its faults."""
 
@@ -177,6 +189,8 @@
                 await self._add_route()
             case FaultKind.KEY_REVOKED:
                 await self._revoke()
+            case FaultKind.EVACUATION:
+                await self._evacuate(fault.duration_s)
 
     def _target_runner(self, fault: Fault) -> Runner:
         return self.runners[fault.target % len(self.runners)]
@@ -269,7 +283,8 @@
         return runner
 
     async def _register(self, runner: Runner, state: str) -> None:
-        entry = {"service": runner.service, "address": runner.link.address, "zone": "a"}
+        entry = {"service": runner.service, "address": runner.link.address}
+        entry["zone"] = data_centre(runner.name)
         await self._put_in_store("keyed.servers", runner.name, entry | {"state": state})
 
     async def _kill_and_replace(self, runner: Runner, fault: Fault) -> None:
@@ -334,6 +349,18 @@
             await self._publish_configuration()
             self.changes.revoked[left[0]] = time.monotonic()
 
+    async def _evacuate(self, duration_s: float) -> None:
+        evacuations = self.changes.evacuations
+        if evacuations and evacuations[-1][1] == inf:
+            return  # It is evacuated already.
+        await self._put_in_store("keyed.op", f"evacuate/{EVACUATED}", {})
+        begin_s = time.monotonic()
+        evacuations.append((begin_s, inf))
+        # Long enough for the check of what runs once it has to be in force.
+        await asyncio.sleep(2 * CONFIGURATION_LIMIT_S + duration_s)
+        evacuations[-1] = (begin_s, time.monotonic())
+        await self._put_in_store("keyed.op", f"evacuate/{EVACUATED}", None)
+
     def is_disturbed(self, subject: str, begin_s: float, end_s: float) -> bool:
         """Return whether an unplanned fault affected a subject or the store in a period.
 
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -4,7 +4,14 @@
 from collections.abc import Iterable
 
 from .callers import EVENT_COUNT, TIME_LIMIT_S, Call
-from .fleet import CONFIGURATION_LIMIT_S, REVOCATION_LIMIT_S, Disturbance, SoakFleet
+from .fleet import (
+    CONFIGURATION_LIMIT_S,
+    EVACUATED,
+    REVOCATION_LIMIT_S,
+    Disturbance,
+    SoakFleet,
+    data_centre,
+)
 from .plan import PLANNED
 
 NOT_RUN = (408, 421, 429, 503)
@@ -37,6 +44,7 @@
     - START: an instance ended while it was starting.
     - UNASKED: a runner ran a request that no caller sent in this form.
     - DRAIN: a draining runner got a new request.
+    - EVAC: a runner of an evacuated data centre got a new request.
     - LOG: an instance logged an internal failure.
     - RECOVER: too few requests succeeded at the end of the run.
     - LEAK: a runner has reserved memory or running requests at the end of the run.
@@ -150,6 +158,14 @@
                     call
                 ):
                     yield f"DRAIN: {name} ran {attempt_id} {delay_s:.1f} s after it began to drain"
+                if self._is_evacuated(name, run["at_s"]) and self._is_undisturbed(call):
+                    yield f"EVAC: {name} ran {attempt_id} in an evacuated data centre"
+
+    def _is_evacuated(self, runner_name: str, at_s: float) -> bool:
+        return data_centre(runner_name) == EVACUATED and any(
+            begin_s + CONFIGURATION_LIMIT_S + SCHEDULING_MARGIN_S < at_s < end_s
+            for begin_s, end_s in self.fleet.changes.evacuations
+        )
 
     # Entire run
 
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -31,6 +31,7 @@
     STORE_COMPACT = "store_compact"
     ROUTE_ADDED = "route_added"
     KEY_REVOKED = "key_revoked"
+    EVACUATION = "evacuation"  # Of one of two data centres.
 
 
 PLANNED = (
@@ -38,6 +39,7 @@
     FaultKind.RUNNER_RELEASE,
     FaultKind.ROUTE_ADDED,
     FaultKind.KEY_REVOKED,
+    FaultKind.EVACUATION,
 )
 _WEIGHTS = {
     FaultKind.INSTANCE_KILL: 3,
@@ -54,6 +56,7 @@
     FaultKind.STORE_COMPACT: 1,
     FaultKind.ROUTE_ADDED: 2,
     FaultKind.KEY_REVOKED: 1,
+    FaultKind.EVACUATION: 2,
 }
 _LINK_MODES = ("delay", "reset", "silent", "one_way")
 _RUNNER_FAULTS = (
