--- a/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
@@ -323,8 +323,13 @@
         return self._regions.data_centres(route.regions, self._config.homes.get(workspace))
 
     def _has_home(self, req: Request) -> bool:
-        """Return whether an upstream may run the request; checked only for requests with a home."""
-        return req.data_centres is None or bool(self.scheduler.runners.live_for(req))
+        """Return whether an upstream may run the request; checked only for requests with a home.
+
+        An evacuation of the home is left to the scheduler, which knows when the caller may return.
+        """
+        if req.data_centres is None or self.scheduler.runners.live_for(req):
+            return True
+        return self.scheduler.evacuations.count_withheld(req) > 0
 
     def _may_admit(self, req: Request) -> bool:
         """Return whether the request can be admitted; during a drain it must end in time.
