--- a/tests/scheduling/test_evacuations.py
+++ b/tests/scheduling/test_evacuations.py
@@ -15,6 +15,7 @@
     Refuse,
     RequestArrived,
     ReservationAnswered,
+    ReservationOutcome,
     ReserveMemory,
     RetryPolicy,
     Scheduler,
@@ -180,7 +181,9 @@
         self.start("a", "b", "c", "d")
         decisions = self.send("long", prompt_tokens=600_000)
         first = next(d for d in decisions if isinstance(d, ReserveMemory))
-        granted = ReservationAnswered("long", first.upstream_id, first.handle, True)
+        granted = ReservationAnswered(
+            "long", first.upstream_id, first.handle, ReservationOutcome.GRANTED
+        )
         decisions += self.handle(granted)
         group = self.used(decisions)
         left = sorted(group)[0]
