--- a/packages/core/src/ibispaddle_core/hubs/ranking.py
+++ b/packages/core/src/ibispaddle_core/hubs/ranking.py
@@ -52,12 +52,14 @@
         self._instance_id = instance_id
         self._candidates: dict[str, Candidate] = {}
         self._ranked: tuple[str, ...] = ()
+        self._position = 0
         self._backoffs: dict[str, _Backoff] = {}
 
     def replace_candidates(self, candidates: Iterable[Candidate]) -> None:
         """Replace the list of instances."""
         self._candidates = {candidate.instance_id: candidate for candidate in candidates}
         self._ranked = tuple(sorted(self._candidates, key=self._sort_key))
+        self._position = sum(name < self._instance_id for name in self._candidates)
         for name in self._backoffs.keys() - self._candidates.keys():
             del self._backoffs[name]
 
@@ -70,6 +72,11 @@
         """Return the number of listed instances."""
         return len(self._ranked)
 
+    @property
+    def position(self) -> int:
+        """Return the position of this instance among the listed ones by id, or 0 if it is not listed."""
+        return self._position
+
     def candidate(self, instance_id: str) -> Candidate | None:
         """Return the listed instance with this id, or None."""
         return self._candidates.get(instance_id)
--- a/packages/core/src/ibispaddle_core/logevents.py
+++ b/packages/core/src/ibispaddle_core/logevents.py
@@ -133,6 +133,15 @@
     Level.INFO,
     "An upstream is leaving or drained and receives no new requests.",
 )
+UPSTREAMS_COLD = LogEvent(
+    3030,
+    "upstreams_cold",
+    Level.INFO,
+    "Upstreams have started or become cold and get fewer requests for a time.",
+)
+UPSTREAMS_WARM = LogEvent(
+    3031, "upstreams_warm", Level.INFO, "Upstreams that were cold are warm again."
+)
 LIST_UNAVAILABLE = LogEvent(
     3002, "list_unavailable", Level.WARNING, "The instance list cannot be read."
 )
--- a/packages/core/src/ibispaddle_core/membership/__init__.py
+++ b/packages/core/src/ibispaddle_core/membership/__init__.py
@@ -10,10 +10,11 @@
     representative,
     successors,
 )
-from .registrations import Registration, RegistrationTable
+from .registrations import ColdCountdowns, Registration, RegistrationTable
 from .view import ListOutcome, Member, MembershipView, MemberState
 
 __all__ = [
+    "ColdCountdowns",
     "PROBERS_PER_RUNNER",
     "InstanceList",
     "MemberKind",
--- a/packages/core/src/ibispaddle_core/membership/entries.py
+++ b/packages/core/src/ibispaddle_core/membership/entries.py
@@ -37,6 +37,8 @@
     service: str | None = None
     fenced: bool = False
     boot_ms: int | None = None  # Unix time of its start, if the platform reports it.
+    # End of its cold time by the clock of this instance, if the platform reports it.
+    cold_until_ms: int | None = None
 
 
 class InstanceList(msgspec.Struct, frozen=True):
--- a/packages/core/src/ibispaddle_core/membership/registrations.py
+++ b/packages/core/src/ibispaddle_core/membership/registrations.py
@@ -1,13 +1,16 @@
 """Upstreams that register themselves in the platform's store."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from .entries import ListedState, ListEntry, MemberKind
 
 # Upstreams whose entries expired during a store outage register again within about two seconds
 # after the store has recovered. Entries that are still missing after that are removed.
 STORE_RECOVERY_GRACE_MS = 1_900
+# Difference between two statements of the end of an upstream's cold time that does not count as a
+# change: entries are read with a delay.
+COUNTDOWN_TOLERANCE_MS = 500
 
 
 @dataclass(frozen=True)
@@ -20,6 +23,32 @@
     data_centre: str
     is_leaving: bool = False
     boot_ms: int | None = None  # Unix time of its start; identifies the process.
+    # Time for which it stays cold, if it states that. It decreases with each heartbeat, so that it is
+    # compared by `ColdCountdowns`.
+    cold_left_ms: int | None = field(default=None, compare=False)
+
+
+class ColdCountdowns:
+    """Tell whether the cold times that upstreams state are those of a countdown that is known.
+
+    >>> countdowns = ColdCountdowns()
+    >>> countdowns.apply("r1", 3_000, now_ms=0), countdowns.apply("r1", 1_800, now_ms=1_250)
+    (True, False)
+    >>> countdowns.apply("r1", 2_900, now_ms=2_400), countdowns.apply("r1", 0, now_ms=5_400)
+    (True, False)
+    """
+
+    def __init__(self) -> None:
+        self.until_ms: dict[str, int] = {}  # Without upstreams that never were cold.
+
+    def apply(self, name: str, left_ms: int, now_ms: int) -> bool:
+        """Apply a statement, and return whether it differs from the known countdown."""
+        known_ms = self.until_ms.get(name, now_ms)
+        until_ms = now_ms + left_ms
+        if abs(max(known_ms, now_ms) - until_ms) <= COUNTDOWN_TOLERANCE_MS:
+            return False
+        self.until_ms[name] = until_ms
+        return True
 
 
 class RegistrationTable:
@@ -35,6 +64,7 @@
         self._grace_until_ms: dict[str, int] = {}
         self._listed: dict[str, ListEntry] = {}
         self._entries: tuple[ListEntry, ...] | None = None  # Cached until an entry changes.
+        self._countdowns = ColdCountdowns()
 
     def apply(
         self,
@@ -63,9 +93,14 @@
             if value is None:
                 continue
             self._grace_until_ms.pop(name, None)
-            if self._registrations.get(name) != value:
+            is_changed = self._registrations.get(name) != value
+            left_ms = value.cold_left_ms
+            if left_ms is not None and self._countdowns.apply(name, left_ms, now_ms):
+                is_changed = True
+            if is_changed:
                 self._registrations[name] = value
-                self._listed[name] = _entry(value)
+                cold_until_ms = self._countdowns.until_ms.get(name, 0)
+                self._listed[name] = _entry(value, None if left_ms is None else cold_until_ms)
                 self._entries = None
 
     def expire(self, now_ms: int) -> None:
@@ -77,6 +112,7 @@
 
     def _remove(self, name: str) -> None:
         del self._registrations[name], self._listed[name]
+        self._countdowns.until_ms.pop(name, None)
         self._entries = None
 
     def entries(self) -> tuple[ListEntry, ...]:
@@ -89,7 +125,7 @@
         return self._entries
 
 
-def _entry(item: Registration) -> ListEntry:
+def _entry(item: Registration, cold_until_ms: int | None) -> ListEntry:
     return ListEntry(
         id=item.upstream_id,
         kind=MemberKind.RUNNER,
@@ -98,4 +134,5 @@
         state=ListedState.LEAVING if item.is_leaving else ListedState.LIVE,
         models=(item.service,),
         boot_ms=item.boot_ms,
+        cold_until_ms=cold_until_ms,
     )
--- a/packages/core/src/ibispaddle_core/scheduling/attempts.py
+++ b/packages/core/src/ibispaddle_core/scheduling/attempts.py
@@ -64,6 +64,8 @@
         upstream_id = choice.view.upstream.upstream_id
         if not handles:  # With reservations, it was counted when the group was chosen.
             self._pacing.count_sent(upstream_id, now_ms)
+        for view in choice.helpers:
+            self._pacing.count_part(view.upstream.upstream_id, now_ms)
         if state.attempts == 0:
             self._retry_budget.count_first_attempt(req.model, now_ms)
         state.attempts += 1
@@ -89,6 +91,8 @@
         state.helper_ids = tuple(view.upstream.upstream_id for view in choice.helpers)
         group = self._reservations.group(req.request_id) if handles else [upstream_id]
         for member in group:
+            if handles:
+                self._pacing.count_part(member, now_ms)
             work = SentRequest(
                 state.prompt_class,
                 priority,
--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -246,7 +246,7 @@
                 if (state := self._states.get(request_id)) is not None:
                     decisions += self._check_silence(state)
             case ConfigurationReplaced(config):
-                self._replace_configuration(config)
+                self._replace_configuration(config, now_ms)
             case Tick():
                 pass
             case _:
@@ -256,12 +256,13 @@
         decisions += self._groups.send_due(now_ms)
         return decisions
 
-    def _replace_configuration(self, config: FleetConfig) -> None:
+    def _replace_configuration(self, config: FleetConfig, now_ms: int) -> None:
         self.cost.replace(config)
         self.shares.replace_weights({n: c.weight for n, c in config.neighbours.items()})
         self.queue.replace_bound(config.scheduling.max_queue_per_neighbour)
         self._retry_budget.replace(*_retry_budget_settings(config))
         self.runners.refresh_models()
+        self.pacing.cold.replace_upstreams(self._listed, self.cost, now_ms)
         self.placement = self._configured_placement()
 
     def next_wakeup_ms(self, now_ms: int) -> int | None:
@@ -526,7 +527,7 @@
 
     def _configured_placement(self) -> Placement:
         return least_work.placement_from_config(
-            self.cost, self.health, self._rng, self._predicted_placement
+            self.cost, self.health, self._rng, self._predicted_placement, self.pacing.cold
         )
 
     def _handle_response(self, event: UpstreamResponded, now_ms: int) -> list[Decision]:
@@ -535,6 +536,8 @@
         if view is None:
             return []
         self.pacing.observe(event.upstream_id, event.limit_per_s, now_ms)
+        if event.cold_left_ms is not None:
+            self.pacing.cold.observe(event.upstream_id, event.cold_left_ms, now_ms)
         if event.retry_after_ms > 0:
             self.pacing.hold(event.upstream_id, event.retry_after_ms, now_ms)
         if not event.is_leaving or not view.live:
@@ -547,6 +550,7 @@
         decisions: list[Decision] = []
         upstreams = self._departures.apply(self._listed)
         down = {view.upstream.upstream_id for view in self.runners.replace(upstreams)}
+        self.pacing.cold.replace_upstreams(upstreams, self.cost, now_ms)
         self.health.forget_missing(set(self.runners.views))
         self.pacing.forget_missing(self.runners.views.keys())
         for state in list(self._states.values()):
--- a/packages/core/src/ibispaddle_core/scheduling/group_reservations.py
+++ b/packages/core/src/ibispaddle_core/scheduling/group_reservations.py
@@ -245,6 +245,8 @@
             return False
         # The request will be sent to the first runner of the group.
         self._pacing.count_sent(group.views[0].upstream.upstream_id, now_ms)
+        for view in group.views[1:]:
+            self._pacing.count_part(view.upstream.upstream_id, now_ms)
         self._order.discard(req.request_id)
         self._backlog.move_to_reserving(state)
         prefill_ms = 0.0
--- a/packages/core/src/ibispaddle_core/scheduling/least_work.py
+++ b/packages/core/src/ibispaddle_core/scheduling/least_work.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from ..settings.fleet import ModelConfig
+from .cold import ColdUpstreams
 from .cost import CostModel, PromptClass
 from .groups import Group
 from .health import UpstreamHealth
@@ -57,6 +58,8 @@
 # Penalties that differ by less are equal. The choice among equals is random, because several
 # instances that see the same work would otherwise all choose the same engine.
 NEAR_EQUAL_PENALTY = 0.002
+# Work equivalent of being cold: a cold upstream is used when the warm ones have this much more work.
+COLD_WORK_MS = 200.0
 # Work equivalent of a failure rate of 1, so that an upstream with recent failures is used last.
 FAILURE_WORK_MS = 400.0
 
@@ -94,7 +97,14 @@
 class LeastWorkPlacement:
     """Choose the upstreams at which a request has the lowest penalty."""
 
-    def __init__(self, cost: CostModel, health: UpstreamHealth, rng: Random) -> None:
+    def __init__(
+        self,
+        cost: CostModel,
+        health: UpstreamHealth,
+        rng: Random,
+        cold: ColdUpstreams | None = None,
+    ) -> None:
+        self._cold = cold or ColdUpstreams()
         self._cost = cost
         self._health = health
         self._rng = rng
@@ -252,6 +262,8 @@
         if self._health.has_record(upstream_id):
             work_ms += FAILURE_WORK_MS * self._health.failure_rate(upstream_id, now_ms)
             is_avoided = self._health.is_avoided(upstream_id, now_ms)
+        if self._cold.has_any and self._cold.is_cold(upstream_id, now_ms):
+            work_ms += COLD_WORK_MS
         base_rank = PENALTY_PER_WORK_MS * work_ms + NEAR_EQUAL_PENALTY * self._rng.random()
         return _Candidate(view, pending_prefill_ms, requests, base_rank, is_avoided)
 
@@ -407,13 +419,17 @@
 
 
 def placement_from_config(
-    cost: CostModel, health: UpstreamHealth, rng: Random, default: Placement
+    cost: CostModel,
+    health: UpstreamHealth,
+    rng: Random,
+    default: Placement,
+    cold: ColdUpstreams | None = None,
 ) -> Placement:
     """Return the configured placement."""
     match cost.scheduling.placement:
         case "least_work":
-            return LeastWorkPlacement(cost, health, rng)
+            return LeastWorkPlacement(cost, health, rng, cold)
         case "fewest_requests":
-            return FewestRequestsPlacement(cost, health, rng)
+            return FewestRequestsPlacement(cost, health, rng, cold)
         case _:
             return default
--- a/packages/core/src/ibispaddle_core/scheduling/messages.py
+++ b/packages/core/src/ibispaddle_core/scheduling/messages.py
@@ -136,6 +136,8 @@
     models: tuple[str, ...]
     state: UpstreamState = UpstreamState.LIVE
     boot_ms: int | None = None  # Unix time of its start, if known.
+    # End of its cold time; in the past if it is warm, None if the list does not state it.
+    cold_until_ms: int | None = None
 
 
 @dataclass(frozen=True)
@@ -337,15 +339,28 @@
     sent: SentCounts = SentCounts()
 
 
+@dataclass(frozen=True)
+class ColdOffer:
+    """The time for which an upstream stays cold, and the requests that may be sent to it now."""
+
+    left_ms: int
+    room: int = 0
+
+
 @dataclass(frozen=True)
 class FleetPaces:
     """Replace the limits that the other instances know; `paces` is None if they are unknown.
 
-    `instances` is the number of instances in the fleet.
+    `instances` is the number of instances in the fleet, and `rank` the position of this one among them.
+    `cold` is None unless a hub that knows the requests of the last second has answered a question that
+    was asked at `asked_ms`.
     """
 
     paces: Mapping[str, UpstreamPace] | None
     instances: int = 1
+    rank: int = 0
+    cold: Mapping[str, ColdOffer] | None = None
+    asked_ms: int = 0
 
 
 @dataclass(frozen=True)
@@ -354,13 +369,15 @@
 
     `limit_per_s` is the number of requests a second that it takes from all instances together, or
     None if it states no limit. With `is_leaving`, it is about to end and wants no new work. It wants no
-    request from this instance for `retry_after_ms`.
+    request from this instance for `retry_after_ms`. It stays cold for `cold_left_ms`, or states nothing
+    about that.
     """
 
     upstream_id: str
     limit_per_s: float | None = None
     is_leaving: bool = False
     retry_after_ms: int = 0
+    cold_left_ms: int | None = None
 
 
 @dataclass(frozen=True)
--- a/packages/core/src/ibispaddle_core/scheduling/pacing.py
+++ b/packages/core/src/ibispaddle_core/scheduling/pacing.py
@@ -1,10 +1,11 @@
-"""Pacing of upstreams that limit the requests they take, or ask for a pause."""
+"""Pacing of upstreams that limit the requests they take, are cold, or ask for a pause."""
 
 from collections import deque
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 
-from .messages import FleetPaces, PaceReport, SentCounts
+from .cold import ColdUpstreams, out_of_touch_share
+from .messages import ColdOffer, FleetPaces, PaceReport, SentCounts
 
 # Requests to a limited upstream are counted over a short and a long window.
 SHORT_WINDOW_MS = 1_000
@@ -16,6 +17,9 @@
 FLEET_COUNTS_MAX_AGE_MS = 500
 # Upper limit of the interval at which an instance without such counts sends to a limited upstream.
 MAX_SHARE_WINDOW_MS = 300_000
+# Age up to which a hub's offers for cold upstreams are used, from the question on. The hub keeps an offer
+# longer (`OFFER_RETENTION_MS`), until the report of the request has arrived.
+OFFER_MAX_AGE_MS = 50
 
 
 def long_window_ms(limit_per_s: float) -> int:
@@ -43,9 +47,9 @@
 
 @dataclass(slots=True)
 class _Pace:
-    """A limited upstream as known to this instance."""
+    """A limited or cold upstream as known to this instance."""
 
-    limit_per_s: float
+    limit_per_s: float | None  # None while the upstream names no limit.
     observed_ms: int
     observations: int = 0  # Responses of the upstream that stated the limit.
     sent_total: int = 0
@@ -67,7 +71,8 @@
 
     A limit applies from the first response that states it, at this or another instance, until a
     response that does not. Without recent counts of the other instances, this instance keeps to its
-    even share of the limit.
+    even share of the limit. An upstream that is cold gets a request only if a hub has just offered room
+    for it, or within the share of instances out of touch; limit and coldness apply side by side.
 
     >>> pacing = UpstreamPacing()
     >>> pacing.observe("r1", 2.0, now_ms=0)
@@ -82,8 +87,17 @@
     """
 
     def __init__(self) -> None:
+        self.cold = ColdUpstreams()
         self._paces: dict[str, _Pace] = {}
         self._held_until_ms: dict[str, int] = {}
+        # Room at cold upstreams that a hub has offered, until it is used.
+        self._offered: dict[str, int] = {}
+        self._offered_ms: int | None = None
+        # Numbers of requests to upstreams that are no longer limited or cold. A number that starts
+        # again would hide as many requests from the hubs.
+        self._past_sent: dict[str, int] = {}
+        self._rank: int | None = None  # None until the fleet is known.
+        self.cold_skips = 0  # Times that a cold upstream was left out of a choice.
         # Observations of limits that ended, to be reported to the other instances.
         self._ended: dict[str, int] = {}
         self._fleet_ms: int | None = None
@@ -92,13 +106,13 @@
 
     @property
     def has_limits(self) -> bool:
-        """Return whether any upstream is limited."""
-        return bool(self._paces)
+        """Return whether any upstream is limited or cold."""
+        return bool(self._paces) or self.cold.has_any
 
     @property
     def is_idle(self) -> bool:
-        """Return whether no upstream is limited or has asked for a pause."""
-        return not (self._paces or self._held_until_ms)
+        """Return whether no upstream is limited, cold or has asked for a pause."""
+        return not (self._paces or self._held_until_ms or self.cold.has_any)
 
     def hold(self, upstream_id: str, duration_ms: int, now_ms: int) -> None:
         """Send nothing to an upstream for a time; an earlier and longer hold stays in force."""
@@ -112,35 +126,54 @@
         return max(0, min(times, default=now_ms) - now_ms)
 
     def is_limited(self, upstream_id: str) -> bool:
-        """Return whether a limit of the upstream is known."""
-        return upstream_id in self._paces
+        """Return whether a limit that the upstream names is known."""
+        pace = self._paces.get(upstream_id)
+        return pace is not None and pace.limit_per_s is not None
 
     def observe(self, upstream_id: str, limit_per_s: float | None, now_ms: int) -> None:
         """Apply what a response of an upstream states."""
         pace = self._paces.get(upstream_id)
-        if pace is None and limit_per_s is None:
+        if limit_per_s is None and (pace is None or pace.limit_per_s is None):
             return
         self._observations += 1
         if limit_per_s is None:
-            del self._paces[upstream_id]
-            self._ended[upstream_id] = self._observations
+            assert pace is not None
+            pace.limit_per_s, pace.observations = None, self._observations
+            self._remove_if_unlimited(upstream_id, now_ms)
             return
-        if pace is None:
-            pace = self._add(upstream_id, limit_per_s, now_ms)
-        pace.limit_per_s, pace.observed_ms = limit_per_s, now_ms
+        pace = self._limit(upstream_id, limit_per_s, now_ms)
         pace.observations = self._observations
 
-    def _add(self, upstream_id: str, limit_per_s: float, now_ms: int) -> _Pace:
-        # The number must not decrease, which would look like a restart to the hubs.
+    def _limit(self, upstream_id: str, limit_per_s: float, observed_ms: int) -> _Pace:
+        """Apply a limit that the upstream named at a time."""
+        pace = self._paces.get(upstream_id) or self._add(upstream_id, observed_ms)
+        if pace.limit_per_s is None:
+            # The request whose response stated the limit, or an allowance for one of another instance.
+            last_ms = pace.sent_ms[0] if pace.sent_ms else observed_ms
+            pace.sent_ms.appendleft(max(observed_ms, last_ms))
+        pace.limit_per_s, pace.observed_ms = limit_per_s, observed_ms
+        return pace
+
+    def _add(self, upstream_id: str, now_ms: int) -> _Pace:
+        # The numbers must not decrease, which would look like a restart to the hubs.
         observations = self._ended.pop(upstream_id, 0)
-        pace = self._paces[upstream_id] = _Pace(limit_per_s, now_ms, observations)
-        # The request whose response stated the limit, or an allowance for one of another instance.
-        pace.sent_ms.appendleft(now_ms)
+        sent_total = self._past_sent.pop(upstream_id, 0)
+        pace = self._paces[upstream_id] = _Pace(None, now_ms, observations, sent_total)
         return pace
 
+    def _remove_if_unlimited(self, upstream_id: str, now_ms: int) -> None:
+        pace = self._paces.get(upstream_id)
+        if pace is None or pace.limit_per_s is not None or self.cold.is_cold(upstream_id, now_ms):
+            return
+        del self._paces[upstream_id]
+        self._past_sent[upstream_id] = pace.sent_total
+        if pace.observations:
+            self._ended[upstream_id] = pace.observations
+
     def set_fleet(self, fleet: FleetPaces, now_ms: int) -> None:
         """Apply the limits that the other instances know, and their requests."""
-        self._instances = max(1, fleet.instances)
+        self._instances, self._rank = max(1, fleet.instances), fleet.rank
+        self._set_offers(fleet.cold, fleet.asked_ms, now_ms)
         if fleet.paces is None:
             return
         self._fleet_ms = now_ms
@@ -151,19 +184,45 @@
             pace = self._paces.get(upstream_id)
             if row.limit_per_s is None:
                 if pace is not None and pace.observed_ms < observed_ms:
-                    del self._paces[upstream_id]
+                    pace.limit_per_s = None
+                    self._remove_if_unlimited(upstream_id, now_ms)
                 continue
-            if pace is None:
-                pace = self._add(upstream_id, row.limit_per_s, observed_ms)
-            elif pace.observed_ms < observed_ms:
-                pace.limit_per_s, pace.observed_ms = row.limit_per_s, observed_ms
+            if pace is None or pace.limit_per_s is None or pace.observed_ms < observed_ms:
+                pace = self._limit(upstream_id, row.limit_per_s, observed_ms)
             pace.others = row.sent
 
+    def _set_offers(
+        self, offers: Mapping[str, ColdOffer] | None, asked_ms: int, now_ms: int
+    ) -> None:
+        """Apply the offers of a hub, or keep to the share of instances out of touch."""
+        self.expire_cold(now_ms)
+        self._offered, self._offered_ms = {}, None
+        if offers is None:
+            return
+        self._offered_ms = asked_ms
+        for upstream_id, offer in offers.items():
+            self.cold.merge(upstream_id, offer.left_ms, now_ms)
+            self._offered[upstream_id] = offer.room
+
+    def expire_cold(self, now_ms: int) -> None:
+        """Forget the upstreams that are no longer cold."""
+        for upstream_id in self.cold.expire(now_ms):
+            self._remove_if_unlimited(upstream_id, now_ms)
+
+    def count_part(self, upstream_id: str, now_ms: int) -> None:
+        """Count a part of a prompt, or a reservation, that only a cold upstream counts as a request."""
+        if self.cold.has_any and self.cold.is_cold(upstream_id, now_ms):
+            self.count_sent(upstream_id, now_ms)
+
     def count_sent(self, upstream_id: str, now_ms: int) -> None:
         """Count a request that is sent to an upstream."""
         pace = self._paces.get(upstream_id)
         if pace is None:
-            return
+            if not self.cold.has_any or not self.cold.is_cold(upstream_id, now_ms):
+                return
+            pace = self._add(upstream_id, now_ms)
+        if upstream_id in self._offered:
+            self._offered[upstream_id] -= 1
         pace.sent_total += 1
         pace.sent_ms.appendleft(now_ms)
         while pace.sent_ms[-1] <= now_ms - MAX_SHARE_WINDOW_MS:
@@ -173,8 +232,12 @@
         """Return whether the upstream may be sent one more request now."""
         if self._is_held(upstream_id, now_ms):
             return False
+        is_cold = self.cold.has_any and self.cold.is_cold(upstream_id, now_ms)
+        if is_cold and not self._has_cold_room(upstream_id, now_ms):
+            self.cold_skips += 1
+            return False
         pace = self._paces.get(upstream_id)
-        if pace is None:
+        if pace is None or pace.limit_per_s is None:
             return True
         is_recent = (
             self._fleet_ms is not None and now_ms - self._fleet_ms <= FLEET_COUNTS_MAX_AGE_MS
@@ -187,6 +250,22 @@
         )
         return has_room(pace.limit_per_s, own + pace.others)
 
+    def _has_cold_room(self, upstream_id: str, now_ms: int) -> bool:
+        """Return whether a hub has offered room, or the share of instances out of touch has some."""
+        offered_ms = self._offered_ms
+        if offered_ms is not None and now_ms - offered_ms <= OFFER_MAX_AGE_MS:
+            room = self._offered.get(upstream_id)
+            if room is not None:
+                return room > 0
+        if self._rank is None:
+            return False
+        share = out_of_touch_share(
+            self.cold.per_s(upstream_id), upstream_id, self._instances, self._rank
+        )
+        pace = self._paces.get(upstream_id)
+        sent = 0 if pace is None else pace.count_since(now_ms - SHORT_WINDOW_MS)
+        return sent < share
+
     def _is_held(self, upstream_id: str, now_ms: int) -> bool:
         until_ms = self._held_until_ms.get(upstream_id)
         if until_ms is None:
@@ -197,6 +276,7 @@
         return False
 
     def _has_room_in_share(self, pace: _Pace, now_ms: int) -> bool:
+        assert pace.limit_per_s is not None
         share_per_s = pace.limit_per_s / self._instances
         window_ms = MAX_SHARE_WINDOW_MS
         if share_per_s * MAX_SHARE_WINDOW_MS > 1_000:
@@ -208,17 +288,33 @@
         """Return the requests a second that this instance can expect to send to limited upstreams.
 
         That is what the other instances leave of the limits, but at least an even share. None if none
-        of the upstreams is limited.
+        of the upstreams is limited. Cold upstreams count only while there are no warm ones, which take
+        the requests otherwise.
         """
         total = others = 0.0
-        paces = [self._paces[name] for name in upstream_ids if name in self._paces]
+        paces = [
+            (pace, pace.limit_per_s)
+            for name in upstream_ids
+            if (pace := self._paces.get(name)) is not None and pace.limit_per_s is not None
+        ]
+        cold_per_s = self._cold_rate_per_s(upstream_ids)
         if not paces:
-            return None
-        for pace in paces:
-            total += pace.limit_per_s
+            return cold_per_s
+        for pace, limit_per_s in paces:
+            total += limit_per_s
             if pace.others is not None:
-                others += 1_000 * pace.others.long / long_window_ms(pace.limit_per_s)
-        return max(total / self._instances, total - others)
+                others += 1_000 * pace.others.long / long_window_ms(limit_per_s)
+        return max(total / self._instances, total - others) + (cold_per_s or 0.0)
+
+    def _cold_rate_per_s(self, upstream_ids: Collection[str]) -> float | None:
+        """Return the even share of cold upstreams that name no limit, or None if others are warm."""
+        if not self.cold.has_any:
+            return None
+        unlimited = [name for name in upstream_ids if not self.is_limited(name)]
+        until_ms = self.cold.until_ms()
+        if not unlimited or any(name not in until_ms for name in unlimited):
+            return None
+        return sum(self.cold.per_s(name) for name in unlimited) / self._instances
 
     def reports(self) -> dict[str, PaceReport]:
         """Return what this instance knows and sent, for the other instances."""
@@ -227,11 +323,12 @@
             for upstream_id, pace in self._paces.items()
         }
         for upstream_id, observations in self._ended.items():
-            reports[upstream_id] = PaceReport(None, observations, 0)
+            sent = self._past_sent.get(upstream_id, 0)
+            reports[upstream_id] = PaceReport(None, observations, sent)
         return reports
 
     def forget_missing(self, upstream_ids: Collection[str]) -> None:
         """Remove the upstreams that no longer exist."""
-        for known in (self._paces, self._ended):
+        for known in (self._paces, self._ended, self._past_sent):
             for upstream_id in known.keys() - upstream_ids:
                 del known[upstream_id]
--- a/packages/core/src/ibispaddle_core/settings/fleet.py
+++ b/packages/core/src/ibispaddle_core/settings/fleet.py
@@ -114,6 +114,22 @@
             description="Maximum time to the first token beyond the estimate; null: the value of `scheduling`."
         ),
     ] = None
+    cold_requests_per_s: Annotated[
+        float,
+        Meta(
+            ge=0,
+            le=1_000_000,
+            description="Requests a second that an upstream bears while it is cold, from all instances together; 0: no limit.",
+        ),
+    ] = 0.0
+    cold_ms: Annotated[
+        int,
+        Meta(
+            ge=0,
+            le=3_600_000,
+            description="Time for which an upstream is cold after a start, if it does not state it, milliseconds.",
+        ),
+    ] = 0
 
 
 class ServiceConfig(SettingsModel, frozen=True, kw_only=True):
--- a/packages/daemon/src/ibispaddle_daemon/fleet/links.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/links.py
@@ -34,6 +34,7 @@
     links: list[Link] = field(default_factory=list)
     dialling_link: Link | None = None
     pending: deque[bytes] = field(default_factory=deque)
+    heard_ms: int = 0  # Time of the last message from it.
     failures: int = 0
     retry_ms: int = 0
 
@@ -81,6 +82,10 @@
         """Return the number of connected instances."""
         return sum(1 for peer in self._peers.values() if peer.links)
 
+    def count_heard(self, since_ms: int) -> int:
+        """Return the number of instances that have sent a message since a time."""
+        return sum(1 for peer in self._peers.values() if peer.links and peer.heard_ms >= since_ms)
+
     def encode(self, message: FleetMessage) -> bytes:
         """Return the frame of a message that is sent to several instances."""
         return self._codec.encode(message)
@@ -139,12 +144,16 @@
         if not peer.links:
             log_event(logevents.PEER_CONNECTED, peer=instance_id)
         peer.links.append(link)
+        peer.heard_ms = self._clock.now_ms()
         peer.failures = peer.retry_ms = 0
         while peer.pending and not link.closed:
             self.transport.send(link, peer.pending.popleft())
 
     def message_received(self, link: Link, message: FleetMessage) -> None:
         """Call the handler of the message's type."""
+        peer = self._peers.get(link.peer_id or "")
+        if peer is not None:
+            peer.heard_ms = self._clock.now_ms()
         message_handler = self.receivers.get(type(message))
         if message_handler is not None and link.peer_id is not None:
             message_handler(link.peer_id, message)
--- a/packages/daemon/src/ibispaddle_daemon/fleet/messages.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/messages.py
@@ -8,6 +8,7 @@
 from ibispaddle_core.quarantine import PartChange
 from ibispaddle_core.scheduling import (
     AttemptCounts,
+    ColdOffer,
     PaceReport,
     PeerWork,
     SentCounts,
@@ -31,6 +32,11 @@
 WaitingRow = tuple[str, str, str, int, int]
 HolderRow = tuple[str, int]  # Workspace, its long prompts that hold memory.
 
+# Upstream id, and the time for which it stays cold.
+ColdRow = tuple[str, int]
+# The same, and the requests that the receiver may send to it now.
+ColdOfferRow = tuple[str, int, int]
+
 
 class WorkUpdate(msgspec.Struct, frozen=True, array_like=True, tag="w"):
     """The sender's work in flight, which replaces its previous update."""
@@ -45,6 +51,7 @@
     paces: tuple[PaceReportRow, ...] = ()
     waiting: tuple[WaitingRow, ...] = ()  # The sender's first prompts that wait for memory.
     holders: tuple[HolderRow, ...] = ()
+    cold: tuple[ColdRow, ...] = ()
 
 
 class WorkQuery(msgspec.Struct, frozen=True, array_like=True, tag="q"):
@@ -78,6 +85,8 @@
     paces: tuple[PaceRow, ...] | None = None  # Of limited upstreams, if known to the hub.
     waiting: tuple[WaitingRow, ...] = ()  # The first prompts of the others that wait for memory.
     holders: tuple[HolderRow, ...] = ()  # Only while prompts wait.
+    # Of cold upstreams, if the hub knows the requests of the last second.
+    cold: tuple[ColdOfferRow, ...] | None = None
 
 
 class QuarantineUpdate(msgspec.Struct, frozen=True, array_like=True, tag="u"):
@@ -272,3 +281,22 @@
         name: UpstreamPace(limit, age_ms, SentCounts(short, long))
         for name, limit, age_ms, short, long in rows
     }
+
+
+def encode_cold(until_ms: Mapping[str, int], now_ms: int) -> tuple[ColdRow, ...]:
+    """Encode the ends of cold times as rows of a message."""
+    return tuple((name, end_ms - now_ms) for name, end_ms in until_ms.items() if end_ms > now_ms)
+
+
+def encode_cold_offers(offers: Mapping[str, ColdOffer] | None) -> tuple[ColdOfferRow, ...] | None:
+    """Encode what a hub offers for cold upstreams as rows of a message."""
+    if offers is None:
+        return None
+    return tuple((name, offer.left_ms, offer.room) for name, offer in offers.items())
+
+
+def decode_cold_offers(rows: tuple[ColdOfferRow, ...] | None) -> dict[str, ColdOffer] | None:
+    """Decode what a hub offers for cold upstreams."""
+    if rows is None:
+        return None
+    return {name: ColdOffer(left_ms, room) for name, left_ms, room in rows}
--- a/packages/daemon/src/ibispaddle_daemon/fleet/work.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/work.py
@@ -21,12 +21,14 @@
 )
 from ibispaddle_core.scheduling import (
     AttemptCounts,
+    ColdOffer,
     FleetAttempts,
     FleetPaces,
     PaceReport,
     PeerWork,
     UpstreamPace,
 )
+from ibispaddle_core.scheduling.cold import OUT_OF_TOUCH_FRACTION
 
 from ..forwarding import Forwarder
 from ..logs import log_event
@@ -37,10 +39,13 @@
     WorkSnapshot,
     WorkUpdate,
     decode_attempt_rows,
+    decode_cold_offers,
     decode_pace_reports,
     decode_paces,
     decode_work,
     encode_attempt_rows,
+    encode_cold,
+    encode_cold_offers,
     encode_pace_reports,
     encode_paces,
     encode_waiting,
@@ -65,6 +70,9 @@
 # Interval at which an instance with work in flight checks whether the hubs have changed or its work must
 # be sent again.
 HUB_CHECK_INTERVAL_MS = 200
+# Time without a message after which an instance may use another hub. Idle instances query the topics
+# more often than that.
+CONTACT_MS = 1_500
 
 
 _T = TypeVar("_T")
@@ -102,11 +110,13 @@
         self._sent_to: tuple[str, ...] = ()
         self._sent_totals: Mapping[str, AttemptCounts] = {}
         self._sent_paces: Mapping[str, PaceReport] = {}
+        self._sent_cold: Mapping[str, int] = {}
         self._send_timer: TimerHandle | None = None
         self._send_due_ms = 0
         self._callbacks: list[Callable[[], None]] = []  # Called after the next snapshot.
         self._query_ids = itertools.count(1)
         self._pending_query: tuple[int, str] | None = None  # Query id and hub id.
+        self._query_ms = 0  # Time of the last query.
         self._query_timer: TimerHandle | None = None
         self._hub_id: str | None = None
         self._timeouts = 0
@@ -132,7 +142,7 @@
             counts = self._attempt_aggregator.total_excluding(self._instance_id, now_ms)
             paces = self._pace_aggregator.paces_excluding(self._instance_id, now_ms)
             others = self._work_aggregator.total_excluding(self._instance_id, now_ms)
-            self._apply(others, counts, paces)
+            self._apply(others, counts, paces, self._offers(self._instance_id), now_ms)
             callback()
             return
         if self._snapshot_ms is not None and now_ms - self._snapshot_ms < SNAPSHOT_MAX_AGE_MS:
@@ -154,7 +164,7 @@
 
     def _send_query(self, hub_id: str, service: str) -> None:
         query_id = next(self._query_ids)
-        self._pending_query = (query_id, hub_id)
+        self._pending_query, self._query_ms = (query_id, hub_id), self._clock.now_ms()
         self._query_timer = self._timers.after(
             QUERY_TIMEOUT_MS, lambda: self._handle_missing_response(hub_id)
         )
@@ -172,6 +182,8 @@
         self._timeouts += 1
         if self._timeouts >= MAX_CONSECUTIVE_TIMEOUTS:
             self._drop_hub(hub_id, "no response to consecutive queries")
+        if self._snapshot_ms is None:
+            self._forwarder.update_paces(self._paces(None, None, 0))  # The size of the fleet.
         self._run_callbacks()
 
     def _drop_hub(self, hub_id: str, reason: str) -> None:
@@ -197,12 +209,16 @@
             )
         rows = message.service_attempts
         counts = decode_attempt_rows(rows) if rows is not None else None
+        # The offers of a late response may have been given to other instances since.
+        is_late = self._pending_query != (message.query_id, instance_id)
         self._apply(
             decode_work(FLEET_INSTANCE_ID, message, self._clock.now_ms(), message.choice_rank),
             counts,
             decode_paces(message.paces) if message.paces is not None else None,
+            None if is_late else decode_cold_offers(message.cold),
+            self._query_ms,
         )
-        if self._pending_query != (message.query_id, instance_id):
+        if is_late:
             return  # The response came late; the callbacks have been called without it.
         if self._query_timer is not None:
             self._query_timer.cancel()
@@ -221,13 +237,24 @@
         others: PeerWork,
         counts: Mapping[str, AttemptCounts] | None,
         paces: Mapping[str, UpstreamPace] | None,
+        offers: Mapping[str, ColdOffer] | None,
+        asked_ms: int,
     ) -> None:
         self._snapshot_ms = self._clock.now_ms()
         instances = max(1, self._ranking.size)
         self._forwarder.update_fleet_work(
-            others, FleetAttempts(counts, instances), FleetPaces(paces, instances)
+            others, FleetAttempts(counts, instances), self._paces(paces, offers, asked_ms)
         )
 
+    def _paces(
+        self,
+        paces: Mapping[str, UpstreamPace] | None,
+        offers: Mapping[str, ColdOffer] | None,
+        asked_ms: int,
+    ) -> FleetPaces:
+        instances = max(1, self._ranking.size)
+        return FleetPaces(paces, instances, self._ranking.position, offers, asked_ms)
+
     def _run_callbacks(self) -> None:
         self._pending_query = self._query_timer = None
         callbacks, self._callbacks = self._callbacks, []
@@ -289,10 +316,12 @@
         self._pace_aggregator.update(self._instance_id, paces, now_ms)
         # A message is lost only with its connection, after which the hubs change.
         if force or self._sent_to != previous_hubs:
-            self._sent_totals, self._sent_paces = {}, {}
+            self._sent_totals, self._sent_paces, self._sent_cold = {}, {}, {}
         new_totals = _changed(totals, self._sent_totals)
         new_paces = _changed(paces, self._sent_paces)
-        self._sent_totals, self._sent_paces = totals, paces
+        cold = self._forwarder.scheduler.pacing.cold.until_ms()
+        new_cold = _changed(cold, self._sent_cold)
+        self._sent_totals, self._sent_paces, self._sent_cold = totals, paces, cold
         total = sum(totals.values(), AttemptCounts())
         update = WorkUpdate(
             encode_work_rows(work.work),
@@ -303,6 +332,7 @@
             encode_pace_reports(new_paces),
             encode_waiting(work.waiting, now_ms),
             tuple(work.holders.items()),
+            encode_cold(new_cold, now_ms),
         )
         frame = self._links.encode(update)
         for hub_id in self._sent_to:
@@ -319,6 +349,27 @@
         totals = decode_attempt_rows(message.attempts)
         self._attempt_aggregator.update(instance_id, totals, now_ms)
         self._pace_aggregator.update(instance_id, decode_pace_reports(message.paces), now_ms)
+        cold = self._forwarder.scheduler.pacing.cold
+        for upstream_id, left_ms in message.cold:
+            cold.merge(upstream_id, left_ms, now_ms)
+
+    def _offers(self, instance_id: str) -> dict[str, ColdOffer] | None:
+        """Return what this hub offers an instance for cold upstreams, or None if that is unknown."""
+        now_ms = self._clock.now_ms()
+        pacing = self._forwarder.scheduler.pacing
+        pacing.expire_cold(now_ms)
+        until_ms = pacing.cold.until_ms()
+        if not until_ms:
+            return {}
+        instances = max(1, self._ranking.size)
+        contacts = 1 + self._links.count_heard(now_ms - CONTACT_MS)
+        # Of several hubs that do not reach each other's instances, only one has the majority.
+        part = 1.0 if 2 * contacts > instances else OUT_OF_TOUCH_FRACTION * contacts / instances
+        cold_per_s = {name: pacing.cold.per_s(name) for name in until_ms}
+        room = self._pace_aggregator.offers(instance_id, cold_per_s, part, now_ms)
+        if room is None:
+            return None
+        return {name: ColdOffer(until_ms[name] - now_ms, room[name]) for name in until_ms}
 
     def _on_query(self, instance_id: str, message: WorkQuery) -> None:
         now_ms = self._clock.now_ms()
@@ -344,6 +395,7 @@
             paces=encode_paces(paces) if paces is not None else None,
             waiting=encode_waiting(others.waiting, now_ms),
             holders=tuple(others.holders.items()),
+            cold=encode_cold_offers(self._offers(instance_id)),
         )
         if self._quarantine is not None:
             changes, cursor = self._quarantine.respond(message.changes, message.cursor)
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
@@ -68,6 +68,7 @@
 from ..timers import TimerQueue
 from .attempts import ForwardedAttempts
 from .codec import CallerRequest, ForwardingCodec, Helper, UpstreamCall
+from .cold_log import ColdLog
 from .part_guard import PartGuard
 from .requests import ForwardedRequest
 
@@ -118,6 +119,7 @@
         self.drain_admission: DrainAdmission | None = None
         offset_ms = clock.wall_ms() - clock.now_ms()
         self.scheduler = Scheduler.from_config(FleetConfig(), seed, self._boot_id, offset_ms)
+        self._cold_log = ColdLog(clock, self.scheduler.pacing.cold)
         self._loop = SchedulingLoop(self.scheduler, self._execute, clock, timers)
         self._requests: dict[str, ForwardedRequest] = {}
         # Exchanges that arrived before the configuration or the upstreams were known.
@@ -191,9 +193,14 @@
     def update_fleet_work(self, work: PeerWork, attempts: FleetAttempts, paces: FleetPaces) -> None:
         """Update the work in flight, the attempts and the paces of all other instances."""
         self.handle_event(attempts)
-        self.handle_event(paces)
+        self.update_paces(paces)
         self.handle_event(work)
 
+    def update_paces(self, paces: FleetPaces) -> None:
+        """Update the paces of all other instances."""
+        self.handle_event(paces)
+        self._cold_log.write()
+
     @property
     def has_waiting_requests(self) -> bool:
         """Return whether requests known to the scheduler are waiting for an upstream."""
@@ -549,11 +556,16 @@
         if head.is_for_other_request or head.status == STATUS_MISDIRECTED:
             return  # Another upstream may have sent it.
         has_statement = head.limit_per_s is not None or head.is_leaving or head.retry_after_ms > 0
+        has_statement |= head.cold_left_ms is not None
         if has_statement or self.scheduler.pacing.is_limited(upstream_id):
             self._log_leaving(upstream_id, head)
             self.handle_event(
                 UpstreamResponded(
-                    upstream_id, head.limit_per_s, head.is_leaving, head.retry_after_ms
+                    upstream_id,
+                    head.limit_per_s,
+                    head.is_leaving,
+                    head.retry_after_ms,
+                    head.cold_left_ms,
                 )
             )
 
@@ -711,7 +723,9 @@
 def _upstream(entry: ListEntry) -> Upstream:
     is_live = entry.state is ListedState.LIVE
     state = UpstreamState.LIVE if is_live else UpstreamState.LEAVING
-    return Upstream(entry.id, entry.data_centre, entry.models, state, entry.boot_ms)
+    return Upstream(
+        entry.id, entry.data_centre, entry.models, state, entry.boot_ms, entry.cold_until_ms
+    )
 
 
 def _status_code(refusal: Refuse) -> int:
--- a/packages/daemon/src/ibispaddle_daemon/gateway.py
+++ b/packages/daemon/src/ibispaddle_daemon/gateway.py
@@ -203,6 +203,17 @@
             "Parts of requests that are refused because they crash upstreams.",
             lambda: len(self.forwarder.part_guard.registry.quarantined_parts),
         )
+        pacing = self.forwarder.scheduler.pacing
+        self.metrics.add_gauge(
+            "ibispaddle_cold_upstreams",
+            "Upstreams that are cold and get a limited number of requests.",
+            lambda: pacing.cold.count(self.clock.now_ms()),
+        )
+        self.metrics.add_counter(
+            "ibispaddle_cold_upstream_skips_total",
+            "Times that a cold upstream without room was left out of a choice.",
+            lambda: pacing.cold_skips,
+        )
 
     # Configuration
 
--- a/packages/daemon/src/ibispaddle_daemon/store/upstreams.py
+++ b/packages/daemon/src/ibispaddle_daemon/store/upstreams.py
@@ -5,7 +5,7 @@
 from circuits import BaseComponent, handler
 from ibispaddle_core import logevents
 from ibispaddle_core.clock import Clock
-from ibispaddle_core.membership import ListEntry, Registration, RegistrationTable
+from ibispaddle_core.membership import ColdCountdowns, ListEntry, Registration, RegistrationTable
 from ibispaddle_core.topics import TopicUpdate
 
 from ..events import list_changed, readiness_changed
@@ -48,6 +48,7 @@
         super().__init__()
         self._clock, self._timers, self._decode = clock, timers, decode
         self._table = RegistrationTable()
+        self._relayed_countdowns = ColdCountdowns()
         self._entries: tuple[ListEntry, ...] | None = None
         self._topic = TopicFollower(
             topic,
@@ -78,7 +79,14 @@
 
     def _is_same_registration(self, key: str, old: bytes, new: bytes) -> bool:
         """Return whether two values of an entry are equivalent, as with a mere heartbeat."""
-        return self._decode(key, old) == self._decode(key, new)
+        known, registration = self._decode(key, old), self._decode(key, new)
+        if known != registration or known is None or registration is None:
+            return known == registration
+        left_ms = registration.cold_left_ms or 0
+        if self._relayed_countdowns.apply(key, left_ms, self._clock.now_ms()):
+            return False
+        # Instances that read the entry later must not take it for cold because of an old countdown.
+        return (known.cold_left_ms or 0) == 0 or left_ms > 0
 
     def _report(self) -> None:
         entries = self._table.entries()
--- a/tests/fleet/fakes.py
+++ b/tests/fleet/fakes.py
@@ -64,6 +64,13 @@
 
     send_frame = send
 
+    def count_heard(self, since_ms: int) -> int:
+        """Return the number of the other instances that can reach this one."""
+        if self.instance_id in self._network.unresponsive:
+            return 0
+        gone = self._network.unresponsive | self._network.unreachable
+        return len(self._network.links.keys() - gone - {self.instance_id})
+
     def answer(self, instance_id: str, message) -> None:
         self.send(instance_id, message)
 
--- a/tests/fleet/test_work.py
+++ b/tests/fleet/test_work.py
@@ -46,6 +46,9 @@
     def update_fleet_work(self, work: PeerWork, attempts: FleetAttempts, paces: FleetPaces) -> None:
         self.fleet_work, self.attempts, self.paces = work, attempts, paces
 
+    def update_paces(self, paces: FleetPaces) -> None:
+        self.paces = paces
+
     def schedule_waiting(self) -> None:
         self.schedule_calls += 1
 
--- a/tests/hubs/test_pacing.py
+++ b/tests/hubs/test_pacing.py
@@ -57,7 +57,7 @@
         self.paces.update("a", {"s": PaceReport(None, 2, 0)}, 1)
         self.assertEqual(set(self.paces.paces_excluding("b", ENDED_RETENTION_MS + 2)), {"r"})
         self.assertEqual(self.paces.paces_excluding("b", IDLE_RETENTION_MS + 2), {})
-        self.assertEqual(len(self.paces._reports), 0)
+        self.assertEqual(len(self.paces._upstreams), 0)
         # An instance that still knows the limit reports it again.
         self.report("a", 3.0, 1, 2, 70_000)
         self.report("b", 3.0, 0, 1, 70_001)
