--- a/packages/core/src/ibispaddle_core/scheduling/pacing.py
+++ b/packages/core/src/ibispaddle_core/scheduling/pacing.py
@@ -204,6 +204,13 @@
             self.cold.merge(upstream_id, offer.left_ms, now_ms)
             self._offered[upstream_id] = offer.room
 
+    def cold_without_offer(self) -> dict[str, int]:
+        """Return the ends of the cold times that the hub did not know when it answered last."""
+        if not self.cold.has_any:
+            return {}
+        until_ms = self.cold.until_ms()
+        return {name: end_ms for name, end_ms in until_ms.items() if name not in self._offered}
+
     def expire_cold(self, now_ms: int) -> None:
         """Forget the upstreams that are no longer cold."""
         for upstream_id in self.cold.expire(now_ms):
--- a/packages/daemon/src/ibispaddle_daemon/fleet/messages.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/messages.py
@@ -57,7 +57,7 @@
 class WorkQuery(msgspec.Struct, frozen=True, array_like=True, tag="q"):
     """Query for the work of all other instances, to select an upstream of a service.
 
-    The other fields are those of a `QuarantineUpdate`.
+    The fields after the service are those of a `QuarantineUpdate`.
     """
 
     query_id: int
@@ -65,6 +65,7 @@
     change_query_id: int = 0
     changes: tuple[PartChange, ...] = ()
     cursor: Cursor | None = None
+    cold: tuple[ColdRow, ...] = ()  # Cold upstreams that were missing from the hub's last answer.
 
 
 class WorkSnapshot(msgspec.Struct, frozen=True, array_like=True, tag="p"):
--- a/packages/daemon/src/ibispaddle_daemon/fleet/work.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/work.py
@@ -35,6 +35,7 @@
 from ..timers import TimerHandle, TimerQueue
 from .links import FleetLinks
 from .messages import (
+    ColdRow,
     WorkQuery,
     WorkSnapshot,
     WorkUpdate,
@@ -171,6 +172,8 @@
         query = WorkQuery(query_id, service)
         if self._quarantine is not None:
             query = WorkQuery(query_id, service, *self._quarantine.query(hub_id))
+        if unknown := self._forwarder.scheduler.pacing.cold_without_offer():
+            query = msgspec.structs.replace(query, cold=encode_cold(unknown, self._query_ms))
         is_sent = self._links.send(hub_id, query)
         # If the connection failed while the query was being written, `_on_lost` has ended the query.
         if not is_sent and self._pending_query == (query_id, hub_id):
@@ -349,9 +352,12 @@
         totals = decode_attempt_rows(message.attempts)
         self._attempt_aggregator.update(instance_id, totals, now_ms)
         self._pace_aggregator.update(instance_id, decode_pace_reports(message.paces), now_ms)
-        cold = self._forwarder.scheduler.pacing.cold
-        for upstream_id, left_ms in message.cold:
-            cold.merge(upstream_id, left_ms, now_ms)
+        self._merge_cold(message.cold)
+
+    def _merge_cold(self, rows: tuple[ColdRow, ...]) -> None:
+        for upstream_id, left_ms in rows:
+            cold = self._forwarder.scheduler.pacing.cold
+            cold.merge(upstream_id, left_ms, self._clock.now_ms())
 
     def _offers(self, instance_id: str) -> dict[str, ColdOffer] | None:
         """Return what this hub offers an instance for cold upstreams, or None if that is unknown."""
@@ -373,6 +379,7 @@
 
     def _on_query(self, instance_id: str, message: WorkQuery) -> None:
         now_ms = self._clock.now_ms()
+        self._merge_cold(message.cold)
         others = self._work_aggregator.total_excluding(instance_id, now_ms)
         counts = self._attempt_aggregator.total_excluding(instance_id, now_ms)
         paces = self._pace_aggregator.paces_excluding(instance_id, now_ms)
--- a/tests/fleet/test_work.py
+++ b/tests/fleet/test_work.py
@@ -14,7 +14,8 @@
     PeerWork,
     UpstreamWork,
 )
-from ibispaddle_core.scheduling.pacing import UpstreamPacing
+from ibispaddle_core.scheduling.cold import ColdLimit
+from ibispaddle_core.scheduling.pacing import LONG_WINDOW_MS, UpstreamPacing
 from ibispaddle_core.scheduling.retries import WINDOW_MS
 from ibispaddle_daemon.fleet.messages import WorkQuery, WorkUpdate
 from ibispaddle_daemon.fleet.work import (
@@ -42,18 +43,22 @@
             own_work=own_work, attempt_totals={}, pacing=UpstreamPacing()
         )
         self.attempts: FleetAttempts | None = None
+        self.now_ms = lambda: 0
 
     def update_fleet_work(self, work: PeerWork, attempts: FleetAttempts, paces: FleetPaces) -> None:
-        self.fleet_work, self.attempts, self.paces = work, attempts, paces
+        self.fleet_work, self.attempts = work, attempts
+        self.update_paces(paces)
 
     def update_paces(self, paces: FleetPaces) -> None:
-        self.paces = paces
+        self.scheduler.pacing.set_fleet(paces, self.now_ms())
 
     def schedule_waiting(self) -> None:
         self.schedule_calls += 1
 
 
-class WorkExchangeTest(unittest.TestCase):
+class ExchangeFixture(unittest.TestCase):
+    """Six instances with their exchanges, without tests of its own."""
+
     def setUp(self) -> None:
         self.network = FakeNetwork("abcdef")
         self.forwarders = {name: FakeForwarder(name) for name in "abcdef"}
@@ -84,6 +89,8 @@
         sent = self.network.links[name].sent
         return [hub for hub, message in sent if isinstance(message, WorkQuery)]
 
+
+class WorkExchangeTest(ExchangeFixture):
     def test_work_is_known_to_the_next_selection_of_any_instance(self) -> None:
         """Guards against two instances that select the same engine within a second."""
         self.dispatch("e", "r1")
@@ -223,5 +230,88 @@
             )
 
 
+class ColdOffersTest(ExchangeFixture):
+    """Six instances, of which `a` and `b` are hubs, and a cold upstream that bears 3 requests a second."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.pacings = {name: item.scheduler.pacing for name, item in self.forwarders.items()}
+        for name, forwarder in self.forwarders.items():
+            pacing = self.pacings[name]
+            pacing.cold.replace_limits({"r1": ColdLimit(3.0, 0)})
+            forwarder.now_ms = self.network.clock.now_ms
+        # The hubs know the counts from here on.
+        self.network.timers.advance(LONG_WINDOW_MS + 1)
+        self.dispatch("f", "r2")
+        self.network.timers.advance(LONG_WINDOW_MS)
+
+    def make_cold(self, *names: str) -> None:
+        for name in names:
+            self.pacings[name].cold.observe("r1", 3_000, self.network.clock.now_ms())
+
+    def try_to_send(self, name: str) -> bool:
+        """Choose an upstream, and send a request to the cold one if it has room."""
+        now_ms = self.network.clock.now_ms()
+        self.select(name)
+        has_room = self.pacings[name].has_room("r1", now_ms)
+        if has_room:
+            self.pacings[name].count_sent("r1", now_ms)
+            self.forwarders[name].work = {"r1": UpstreamWork(50.0, now_ms, 0)}
+            self.forwarders[name].on_work_changed(True)
+        return has_room
+
+    def test_all_instances_keep_the_limit_together(self) -> None:
+        """All instances send to a cold upstream at once, hubs included."""
+        self.make_cold(*"abcdef")
+        self.assertEqual([self.try_to_send(name) for name in "abcdef"], [True] * 3 + [False] * 3)
+        self.network.timers.advance(1_001)
+        self.assertEqual([self.try_to_send(name) for name in "fedcba"], [True] * 3 + [False] * 3)
+
+    def test_instances_that_choose_at_once(self) -> None:
+        """All instances ask before any of them has reported its choice."""
+        self.make_cold(*"abcdef")
+        for name in "cdef":
+            self.select(name)
+        now_ms = self.network.clock.now_ms()
+        have_room = [self.pacings[name].has_room("r1", now_ms) for name in "cdef"]
+        self.assertEqual(have_room, [True, True, True, False])
+
+    def test_knowledge_of_one_instance(self) -> None:
+        """Only one instance has read that the upstream is cold; the others learn it from the hub."""
+        self.make_cold("e")
+        self.assertTrue(self.try_to_send("e"))
+        self.assertTrue(self.try_to_send("d"))
+        self.assertTrue(self.pacings["d"].cold.is_cold("r1", self.network.clock.now_ms()))
+
+    def test_second_hub_keeps_the_limit(self) -> None:
+        """The first hub dies while a cold upstream has had most of its requests."""
+        self.make_cold(*"abcdef")
+        self.assertTrue(self.try_to_send("c") and self.try_to_send("d"))
+        self.assertTrue(self.select("e") and self.select("f"))
+        self.network.unreachable.add("a")
+        for exchange in self.exchanges.values():
+            exchange._on_lost("a")
+        self.assertEqual([self.try_to_send(name) for name in "ef"], [True, False])
+
+    def test_hub_without_the_majority(self) -> None:
+        """The hubs are cut off from the others, and only offer their own part of the limit."""
+        self.make_cold(*"abcdef")
+        self.network.unreachable.update("cdef")
+        self.network.timers.advance(1_600)
+        offers = [self.exchanges["a"]._offers(name)["r1"].room for name in "abab"]
+        self.assertEqual(offers, [1, 0, 1, 0])
+
+    def test_instance_that_is_cut_off(self) -> None:
+        """An instance reaches no hub and keeps to its part, whatever its own counts say."""
+        self.make_cold(*"abcdef")
+        sent = 0
+        for name in "cdef":
+            self.network.unresponsive.add(name)
+            for _ in range(3):
+                sent += self.try_to_send(name)
+                self.network.timers.advance(QUERY_TIMEOUT_MS)
+        self.assertLessEqual(sent, 1)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/forwarding/test_large_lists.py
+++ b/tests/forwarding/test_large_lists.py
@@ -3,11 +3,14 @@
 import unittest
 from unittest import mock
 
+from ibispaddle_core.clock import ManualClock
 from ibispaddle_core.membership import Registration
 from ibispaddle_core.scheduling import UpstreamsChanged
-from ibispaddle_core.topics import TopicUpdate
+from ibispaddle_core.topics import ReadChanges, TopicUpdate
 from ibispaddle_daemon.store import UpstreamDirectory, upstreams
 
+from tests.fleet.fakes import FakeTimers
+
 from .fakes import ForwarderFixture, streams
 
 UPSTREAMS = 3_000
@@ -54,5 +57,40 @@
         self.assertLessEqual(self.log.call_count, upstreams.MAX_LOGGED_UPSTREAMS + 1)
 
 
+class ColdEntryTest(unittest.TestCase):
+    """Entries of an upstream whose cold time counts down, as a hub passes them on."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+
+        def decode(key: str, value: bytes) -> Registration:
+            return Registration(key, "s", "x:1", "dc", cold_left_ms=int(value))
+
+        timers = FakeTimers(self.clock)
+        self.directory = UpstreamDirectory("t", "http://x", None, decode, self.clock, timers)
+        self.mirror = self.directory._topic._mirror
+        self.position = 0
+        self.beat(b"0", is_snapshot=True)
+
+    def beat(self, value: bytes, is_snapshot: bool = False) -> int:
+        """Read a heartbeat after 1.2 s, and return the number of changes for the others."""
+        self.clock.advance(1_200)
+        self.position += 1
+        self.mirror.apply(TopicUpdate({"r1": value}, is_snapshot), self.position)
+        answer = self.mirror.answer(ReadChanges(self.position - 1, 0))
+        return 0 if is_snapshot else len(answer.records)
+
+    def test_countdown_is_passed_on_twice(self) -> None:
+        """A data centre returns cold: its countdowns must not be passed on with each heartbeat, but an
+        instance that starts later must not take the upstreams for cold."""
+        self.assertEqual(
+            [self.beat(value) for value in (b"3000", b"1800", b"600", b"0", b"0")], [1, 0, 0, 1, 0]
+        )
+
+    def test_upstream_that_is_cold_again(self) -> None:
+        """Guards against instances that do not learn of an upstream that is cold without a restart."""
+        self.assertEqual([self.beat(value) for value in (b"3000", b"2900", b"1700")], [1, 1, 0])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/membership/test_registrations.py
+++ b/tests/membership/test_registrations.py
@@ -71,6 +71,38 @@
         self.assertEqual(after[0].state, ListedState.LEAVING)
         self.assertIs(after[1], before[1])
 
+    def cold(self, name: str, left_ms: int | None, now_ms: int) -> int | None:
+        """Apply a heartbeat, and return the end of the cold time in the list."""
+        item = registration(name)
+        item = Registration(name, item.service, item.address, "dc", cold_left_ms=left_ms)
+        self.table.apply({name: item}, False, now_ms)
+        return {entry.id: entry.cold_until_ms for entry in self.table.entries()}[name]
+
+    def test_countdown_of_a_cold_upstream_does_not_change_the_list(self) -> None:
+        """A data centre returns cold, and each of its upstreams repeats its entry every 1.2 s."""
+        self.assertEqual(self.cold("a", 3_000, 1_000), 4_000)
+        before = self.table.entries()
+        for left_ms, now_ms in ((1_800, 2_300), (600, 3_400), (0, 4_700), (0, 5_900)):
+            self.assertEqual(self.cold("a", left_ms, now_ms), 4_000)
+            self.assertIs(self.table.entries(), before)
+
+    def test_upstream_that_is_cold_again(self) -> None:
+        """An upstream becomes cold again without a restart, while it is cold and after that."""
+        self.cold("a", 3_000, 1_000)
+        self.assertEqual(self.cold("a", 2_800, 2_200), 5_000)
+        self.assertEqual(self.cold("a", 0, 6_000), 5_000)
+        self.assertEqual(self.cold("a", 2_500, 20_000), 22_500)
+
+    def test_upstream_that_is_warm_earlier_than_it_stated(self) -> None:
+        """Guards against a limit that stays in force for an upstream which is warm again."""
+        self.cold("a", 30_000, 1_000)
+        self.assertEqual(self.cold("a", 0, 2_200), 2_200)
+
+    def test_entry_without_a_cold_time(self) -> None:
+        """Guards against an entry that states nothing and is taken for a warm one."""
+        self.assertIsNone(self.cold("a", None, 1_000))
+        self.assertEqual(self.cold("c", 0, 1_000), 0)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform_adapter/test_headers.py
+++ b/tests/platform_adapter/test_headers.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 from ibispaddle_daemon.forwarding import Helper, UpstreamCall
 from ibispaddle_platform.headers import HeaderCodec
+from ibispaddle_platform.registrations import MAX_COLD_MS
 
 CODEC = HeaderCodec()
 CALL = UpstreamCall("a1", "i-1", "blue", 1_234, 4)
@@ -106,6 +107,15 @@
             self.assertIsNone(head.limit_per_s, text)
         self.assertIsNone(CODEC.read_head(200, (), "a").limit_per_s)
 
+    def test_cold_runner(self) -> None:
+        """Guards against a cold time that is not read, or read from a value that is none."""
+        for text, expected in (("1200", 1_200), ("0", 0), ("12.6", 13), ("9" * 15, MAX_COLD_MS)):
+            head = CODEC.read_head(200, (("Cold-Ms", text),), "a")
+            self.assertEqual(head.cold_left_ms, expected, text)
+        for text in ("", "-1", "soon", "inf", "nan"):
+            self.assertIsNone(CODEC.read_head(200, (("Cold-Ms", text),), "a").cold_left_ms, text)
+        self.assertIsNone(CODEC.read_head(200, (), "a").cold_left_ms)
+
     def test_leaving_runner(self) -> None:
         """Guards against a runner that leaves and is not recognised, or one that stays and is."""
         self.assertTrue(CODEC.read_head(200, (("Server-Leaving", "1"),), "a").is_leaving)
--- a/tests/platform_adapter/test_records.py
+++ b/tests/platform_adapter/test_records.py
@@ -19,7 +19,7 @@
     TopicFormatError,
 )
 from ibispaddle_platform.configuration import ConfigurationReader
-from ibispaddle_platform.registrations import read_registration
+from ibispaddle_platform.registrations import MAX_COLD_MS, read_registration
 from ibispaddle_platform.settings import read_settings
 from ibispaddle_platform.store import TopicCodec
 
@@ -148,6 +148,15 @@
             req = fakes.request("a", model="llm", prompt_tokens=tokens, max_output_tokens=1_300)
             self.assertEqual(cost.min_segments(req), engines)
 
+    def test_limit_for_cold_upstreams(self) -> None:
+        """Guards against a limit that is not read, or that a service without one gets."""
+        cold = {"cold_s": 3.0, "cold_per_s": 15}
+        services = [{"name": "llm", "engine": ENGINE, **cold}, {"name": "shop", **cold}]
+        for changed, expected in ((services, (15.0, 3_000)), (CONFIG["services"], (0.0, 0))):
+            _, fleet = self.reader.read(json.dumps({**CONFIG, "services": changed}).encode())
+            for model in fleet.models.values():
+                self.assertEqual((model.cold_requests_per_s, model.cold_ms), expected)
+
     def test_streams_that_cannot_be_resumed_run_once(self) -> None:
         """Guards against a stream that is assembled from two runs."""
         route = {**CONFIG["routes"][0], "resumable": False}
@@ -205,6 +214,17 @@
         leaving = read_registration("i-1", json.dumps({**self.ENTRY, "state": "draining"}).encode())
         self.assertTrue(leaving.is_leaving)
 
+    def test_cold_time(self) -> None:
+        """Guards against a countdown that makes each heartbeat look like a change."""
+        read = {}
+        for left_ms in (None, 0, 1_800.4, -5, 1e300):
+            value = json.dumps({**self.ENTRY, "cold_left_ms": left_ms}).encode()
+            read[left_ms] = read_registration("i-1", value)
+        self.assertEqual(
+            [item.cold_left_ms for item in read.values()], [None, 0, 1_800, 0, MAX_COLD_MS]
+        )
+        self.assertEqual(len({*read.values()}), 1)
+
     def test_invalid_entries_are_ignored(self) -> None:
         """Guards against requests to an entry that does not describe a runner."""
         for change in ({"state": "odd"}, {"address": 5}, {"address": "x"}, {"service": ""}):
