--- a/packages/core/src/ibispaddle_core/hubs/pacing.py
+++ b/packages/core/src/ibispaddle_core/hubs/pacing.py
@@ -3,6 +3,7 @@
 from collections import deque
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from heapq import nsmallest
 from zlib import crc32
 
 from ..scheduling import PaceReport, SentCounts, UpstreamPace
@@ -32,7 +33,8 @@
     sent: deque[tuple[int, str, int]] = field(default_factory=deque)  # Time, instance, number.
     has_named_limit: bool = False  # False if it is known only because it is cold.
     reports: dict[str, PaceReport] = field(default_factory=dict)  # The last one by instance.
-    offered_ms: dict[str, int] = field(default_factory=dict)  # Times of open offers by instance.
+    # Times of open offers by instance, the earliest one first.
+    offered_ms: dict[str, int] = field(default_factory=dict)
 
     def expire_sent(self, now_ms: int) -> None:
         window_ms = SHORT_WINDOW_MS
@@ -50,11 +52,22 @@
                     short += number
         return SentCounts(short, long)
 
+    def count_taken(self, now_ms: int) -> int:
+        """Return the number of requests of the last second and of open offers."""
+        taken = self.count_offered(now_ms)
+        for sent_ms, _, number in reversed(self.sent):
+            if sent_ms <= now_ms - SHORT_WINDOW_MS:
+                break
+            taken += number
+        return taken
+
     def count_offered(self, now_ms: int) -> int:
         """Return the number of open offers."""
-        for instance, offered_ms in list(self.offered_ms.items()):
-            if now_ms - offered_ms >= OFFER_RETENTION_MS:
-                del self.offered_ms[instance]
+        while self.offered_ms:
+            instance, offered_ms = next(iter(self.offered_ms.items()))
+            if now_ms - offered_ms < OFFER_RETENTION_MS:
+                break
+            del self.offered_ms[instance]
         return len(self.offered_ms)
 
 
@@ -142,17 +155,15 @@
             upstream.offered_ms.pop(instance, None)
         if now_ms - self._counting_since_ms < LONG_WINDOW_MS:
             return None
-        ranked = []
+        ranked, seed = [], crc32(instance.encode())
         for upstream_id, per_s in cold_per_s.items():
             known = self._upstreams.get(upstream_id)
-            count = 0
-            if known is not None:
-                count = known.counts_excluding("", now_ms).short + known.count_offered(now_ms)
-            if count + 1 <= max(1.0, per_s * part):
-                # Instances with equal counts are offered different upstreams.
-                ranked.append((count, crc32(f"{instance}/{upstream_id}".encode()), upstream_id))
+            taken = 0 if known is None else known.count_taken(now_ms)
+            if taken + 1 <= max(1.0, per_s * part):
+                # Where the counts are equal, instances are offered different upstreams.
+                ranked.append((taken, crc32(upstream_id.encode(), seed), upstream_id))
         offers = dict.fromkeys(cold_per_s, 0)
-        for _, _, upstream_id in sorted(ranked)[:MAX_OFFERS]:
+        for _, _, upstream_id in nsmallest(MAX_OFFERS, ranked):
             known = self._upstreams.get(upstream_id) or self._add(upstream_id, None, now_ms)
             known.offered_ms[instance] = now_ms
             offers[upstream_id] = 1
