--- a/packages/core/src/ibispaddle_core/logevents.py
+++ b/packages/core/src/ibispaddle_core/logevents.py
@@ -163,6 +163,15 @@
     Level.WARNING,
     "An evacuated data centre has no listed upstream; its name may be misspelt.",
 )
+UPSTREAMS_COLD = LogEvent(
+    3030,
+    "upstreams_cold",
+    Level.INFO,
+    "Upstreams have started or become cold and get fewer requests for a time.",
+)
+UPSTREAMS_WARM = LogEvent(
+    3031, "upstreams_warm", Level.INFO, "Upstreams that were cold are warm again."
+)
 LIST_UNAVAILABLE = LogEvent(
     3002, "list_unavailable", Level.WARNING, "The instance list cannot be read."
 )
