Bounded what an instance holds for slow callers and upstreams

Budgets by kind are shares of the instance's memory. The pause limit of a caller shrinks with the room that is left; callers that read nothing are given up after five seconds while an upstream waits, or first when a total is reached. A cut during a pause is no failure of the upstream.

--- a/packages/core/src/ibispaddle_core/logevents.py
+++ b/packages/core/src/ibispaddle_core/logevents.py
@@ -120,6 +120,30 @@
     Level.WARNING,
     "A reservation was not sent because the instance has no free connection.",
 )
+CALLER_GIVEN_UP = LogEvent(
+    2050,
+    "caller_given_up",
+    Level.WARNING,
+    "A caller that did not read its response was disconnected.",
+)
+RESPONSE_CUT_WHILE_PAUSED = LogEvent(
+    2051,
+    "response_cut_while_paused",
+    Level.INFO,
+    "An upstream cut off a response that its caller read too slowly; this is no fault of the upstream.",
+)
+REQUEST_GIVEN_UP = LogEvent(
+    2052,
+    "request_given_up",
+    Level.WARNING,
+    "A caller that had stopped sending its request was refused to make room for others.",
+)
+REQUEST_NOT_TAKEN = LogEvent(
+    2053,
+    "request_not_taken",
+    Level.WARNING,
+    "A request was refused because the instance holds too many requests.",
+)
 UPSTREAM_CRASHED = LogEvent(
     3005,
     "upstream_crashed",
--- a/packages/core/src/ibispaddle_core/settings/instance.py
+++ b/packages/core/src/ibispaddle_core/settings/instance.py
@@ -103,6 +103,24 @@
     drain_timeout_ms: Annotated[
         int, Meta(ge=0, description="Maximum duration of a planned stop.")
     ] = 30_000
+    memory_mb: Annotated[
+        Annotated[int, Meta(ge=64)] | None,
+        Meta(
+            description="Memory that the process may use, MB; bounds what is held for slow callers and upstreams. null: 1,600."
+        ),
+    ] = None
+    max_unread_response_bytes: Annotated[
+        Annotated[int, Meta(ge=1_048_576)] | None,
+        Meta(
+            description="Response data held for all callers together, bytes; null: 0.14 of the memory."
+        ),
+    ] = None
+    max_request_body_bytes: Annotated[
+        Annotated[int, Meta(ge=1_048_576)] | None,
+        Meta(
+            description="Request bodies held for all callers together, bytes; null: 0.16 of the memory."
+        ),
+    ] = None
     tls: Annotated[
         TlsSettings | None, Meta(description="TLS of the HTTP listener; null: none.")
     ] = None
--- a/packages/daemon/src/ibispaddle_daemon/app.py
+++ b/packages/daemon/src/ibispaddle_daemon/app.py
@@ -8,6 +8,7 @@
 from circuits.core.pollers import EPoll
 from ibispaddle_core import logevents
 from ibispaddle_core.clock import Clock, SystemClock
+from ibispaddle_core.forwarding import MemoryBudget
 from ibispaddle_core.membership import MemberKind, MembershipView, MemberState
 from ibispaddle_core.settings import FleetConfig, InstanceSettings
 
@@ -22,6 +23,7 @@
 from .http_client import HttpClient
 from .instance_list import InstanceListReader
 from .logs import log_event, log_handler_failure
+from .memory_metrics import add_memory_metrics
 from .metrics import Metrics, Status
 from .operators import OperatorEndpoints
 from .orders import OrderDispatcher
@@ -67,7 +69,10 @@
         EPoll().register(self)
         self.timers = TimerQueue(self.clock).register(self)
         self.metrics = Metrics()
-        self.http_client = HttpClient(self.clock, call_contexts(settings)).register(self)
+        budget = MemoryBudget.from_settings(settings)
+        self.http_client = HttpClient(
+            self.clock, call_contexts(settings), budget.buffered_calls
+        ).register(self)
         self.tracing = Tracing(
             settings.instance_id,
             settings.data_centre,
@@ -86,6 +91,8 @@
             config.limits,
             listener_context(settings),
             self.pauses.is_recovering,
+            budget=budget,
+            paused_calls=lambda: self.http_client.paused_calls,
         ).register(self)
         self.quarantine = QuarantineManager(settings, self.view, self.clock, self.timers).register(
             self
@@ -103,6 +110,7 @@
             self.tracing,
             self.suspects,
             upstream_scheme(settings, MemberKind.RUNNER),
+            budget,
         ).register(self)
         RequestReader(
             config, _fingerprint_key(settings), self.suspects, self.metrics, self.entry.admit
@@ -168,6 +176,12 @@
     def _add_gauges(self) -> None:
         add_gauge, add_counter = self.metrics.add_gauge, self.metrics.add_counter
         RequestGauges(self.entry, self.clock).add_to(self.metrics)
+        add_memory_metrics(
+            self.metrics,
+            self.server,
+            self.http_client,
+            lambda: self.entry.attempts.buffered_bytes,
+        )
         add_gauge(
             "ibispaddle_caller_connections",
             "Open caller connections.",
--- a/packages/daemon/src/ibispaddle_daemon/attempts.py
+++ b/packages/daemon/src/ibispaddle_daemon/attempts.py
@@ -7,6 +7,7 @@
 from circuits import BaseComponent
 from ibispaddle_core.chat import Kind
 from ibispaddle_core.clock import Clock
+from ibispaddle_core.forwarding.memory_budget import MAX_INCOMPLETE_RESPONSES_BYTES
 from ibispaddle_core.relay import (
     Attempt,
     AttemptEvent,
@@ -33,8 +34,6 @@
     HttpCall,
     HttpCallError,
     http_cancel,
-    http_pause,
-    http_resume,
     runner_failed,
 )
 from .http_client import HttpClient
@@ -55,8 +54,6 @@
 RESPONSE_END_TIMEOUT_MS = 1_000
 # Interval at which a stalled attempt that nothing can replace is checked again.
 STALL_RECHECK_MS = 500
-# Maximum size of the data that all attempts together buffer until a response or an event is complete.
-MAX_TOTAL_BUFFERED_BYTES = 50_331_648
 # Time before the deadline at which an attempt that is still silent is cancelled on its engine, whose response
 # states whether the request has run.
 LAST_CANCEL_MS = CANCEL_TIMEOUT_MS + 100
@@ -78,6 +75,7 @@
         metrics: Metrics,
         tracing: Tracing,
         suspects: SuspectTracker,
+        max_buffered_bytes: int = MAX_INCOMPLETE_RESPONSES_BYTES,
     ) -> None:
         super().__init__()
         self._suspects = suspects
@@ -87,13 +85,18 @@
         self._timers = timers
         self._metrics = metrics
         self._tracing = tracing
-        self._buffered = BufferLimit(MAX_TOTAL_BUFFERED_BYTES)
+        self._buffered = BufferLimit(max_buffered_bytes)
         self._attempts_by_call: dict[str, tuple[ModelRequest, RunningAttempt]] = {}
         end_handler = AttemptEndHandler(
             coordinator, clock, suspects, self._resume, self.requests_at
         )
         self._end_handler = end_handler.register(self)
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Return the size of the responses and events that are not complete."""
+        return self._buffered.total_bytes
+
     # Start, cancel, resume
 
     def start(self, request: ModelRequest, decision: Dispatch) -> None:
@@ -315,21 +318,21 @@
     # Flow control
 
     def _pause_if_caller_is_slow(self, request: ModelRequest, running: RunningAttempt) -> None:
-        limit = self._coordinator.config.limits.max_unsent_bytes // 2
-        if not running.is_paused and request.exchange.unsent_bytes > limit:
-            running.is_paused = True
+        limit = self._coordinator.config.limits.max_unsent_bytes
+        if not running.is_paused and request.exchange.must_pause(limit):
+            running.is_paused = request.exchange.is_upstream_waiting = True
             running.state_machine.handle(ReadingPaused(), self._clock.now_ms())
-            self.fire(http_pause(running.call_id), "http_client")
+            self._client.pause_call(running.call_id)
 
     def resume_reading(self, request: ModelRequest) -> None:
         """Resume reading from the runner once the caller has read most of the buffered output."""
         running = request.attempt
         if running is None or not running.is_paused:
             return
-        if request.exchange.unsent_bytes <= self._coordinator.config.limits.max_unsent_bytes // 4:
-            running.is_paused = False
+        if request.exchange.may_resume(self._coordinator.config.limits.max_unsent_bytes):
+            running.is_paused = request.exchange.is_upstream_waiting = False
             running.state_machine.handle(ReadingResumed(), self._clock.now_ms())
-            self.fire(http_resume(running.call_id), "http_client")
+            self._client.resume_call(running.call_id)
             self._schedule_stall_check(request, running)
 
     # End of an attempt
@@ -341,6 +344,7 @@
         self._attempts_by_call.pop(running.call_id, None)
         self._buffered.release(running.call_id)
         request.attempt = None
+        request.exchange.is_upstream_waiting = False
         for timer in (running.timer, running.last_cancel_timer):
             if timer is not None:
                 timer.cancel()
--- a/packages/daemon/src/ibispaddle_daemon/entry.py
+++ b/packages/daemon/src/ibispaddle_daemon/entry.py
@@ -7,6 +7,7 @@
 from ibispaddle_core import logevents
 from ibispaddle_core.chat import ProtocolError, refusal_error
 from ibispaddle_core.clock import Clock
+from ibispaddle_core.forwarding import MemoryBudget
 from ibispaddle_core.membership import ListedState, ListEntry, MemberKind
 from ibispaddle_core.routing import DataCentreRegions
 from ibispaddle_core.scheduling import (
@@ -70,6 +71,7 @@
         tracing: Tracing,
         suspects: SuspectTracker,
         runner_scheme: str = "http",
+        budget: MemoryBudget | None = None,
     ) -> None:
         super().__init__()
         self._suspects, self._runner_scheme = suspects, runner_scheme
@@ -95,7 +97,14 @@
         self._engine_memory = EngineMemory(clock, timers).register(self)
         self._engine_memory.add_to(metrics, self.scheduler)
         self.attempts = AttemptExecutor(
-            self, client, clock, timers, metrics, tracing, suspects
+            self,
+            client,
+            clock,
+            timers,
+            metrics,
+            tracing,
+            suspects,
+            (budget or MemoryBudget.from_memory()).incomplete_responses,
         ).register(self)
         self.scheduler.allowed_runners = self._allowed_runners
         metrics.add_gauge(
@@ -226,7 +235,7 @@
     def _on_caller_disconnected(self, request: ModelRequest) -> None:
         if request.request_id in self._requests:
             self.handle_event(CallerDisconnected(request.request_id))
-            self.finish(request, "cancelled")
+            self.finish(request, request.exchange.close_reason or "cancelled")
 
     def _on_deadline(self, request: ModelRequest) -> None:
         """End a request at its deadline, even if the scheduler no longer tracks it."""
--- a/packages/daemon/src/ibispaddle_daemon/events.py
+++ b/packages/daemon/src/ibispaddle_daemon/events.py
@@ -85,6 +85,8 @@
     # connection that the upstream has dropped without closing it.
     may_reuse_connection: bool = True
     max_body_bytes: int = MAX_BUFFERED_BODY_BYTES  # Limit of a response that is not streamed.
+    # Time after which a call fails whose upstream reads nothing of the request; None: its deadline.
+    write_timeout_ms: int | None = None
 
 
 def find_header(headers: Iterable[tuple[str, str]], name: str) -> str | None:
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/attempts.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/attempts.py
@@ -2,9 +2,10 @@
 
 import itertools
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from circuits import BaseComponent
+from ibispaddle_core import logevents
 from ibispaddle_core.clock import Clock
 from ibispaddle_core.forwarding import (
     AttemptResult,
@@ -17,11 +18,13 @@
     HeadReceived,
     ResponseHead,
 )
-from ibispaddle_core.scheduling import RetryPolicy
+from ibispaddle_core.forwarding.memory_budget import MAX_INCOMPLETE_RESPONSES_BYTES, Pauses
+from ibispaddle_core.scheduling import Outcome, RetryPolicy
 
 from ..buffer_limit import BufferLimit
-from ..events import CallFailure, Headers, HttpCall, HttpCallError, http_pause, http_resume
+from ..events import CallFailure, Headers, HttpCall, HttpCallError
 from ..http_client import HttpClient
+from ..logs import log_event
 from ..timers import TimerHandle, TimerQueue
 from .codec import ForwardingCodec, UpstreamCall
 from .requests import ForwardedRequest
@@ -31,12 +34,8 @@
 CONNECT_TIMEOUT_MS = 250
 # The forwarder enforces the request's deadline. The HTTP call's own deadline is later, as a backstop.
 DEADLINE_MARGIN_MS = 250
-# Fractions of `max_unsent_bytes` at which reading from the upstream is paused and resumed.
-PAUSE_FRACTION = 0.5
-RESUME_FRACTION = 0.25
-# Maximum size of the data that all attempts together buffer until a response or an event is complete.
-# Complete responses have kilobytes, and an instance has at least 200 MB.
-MAX_TOTAL_BUFFERED_BYTES = 33_554_432
+# Upstreams read a request within milliseconds; one that reads nothing for so long can't be waiting for memory.
+WRITE_TIMEOUT_MS = 3_000
 # Interval at which a stalled stream that no other upstream can resume is checked again.
 STALL_RECHECK_MS = 500
 _NUMBERS = itertools.count(1)
@@ -49,6 +48,7 @@
     upstream_id: str
     state_machine: ForwardedAttempt
     is_paused: bool = False
+    pauses: Pauses = Pauses()
     stall_timer: TimerHandle | None = None
 
 
@@ -57,7 +57,8 @@
 
     `on_head` is called with the head of each response before it is processed, `on_output` with the
     number of events sent to the caller since the previous call, `on_stall` while a stream that may be
-    resumed has stalled, and `on_result` with the result of an attempt.
+    resumed has stalled, and `on_result` with the result of an attempt. `max_buffered_bytes` is the size of
+    what all attempts together hold until a response or an event is complete.
     """
 
     channel = "forwarded_attempts"
@@ -72,6 +73,7 @@
         on_output: Callable[[ForwardedRequest, int], None],
         on_stall: Callable[[ForwardedRequest, str], None],
         on_result: Callable[[ForwardedRequest, str, AttemptResult], None],
+        max_buffered_bytes: int = MAX_INCOMPLETE_RESPONSES_BYTES,
     ) -> None:
         super().__init__()
         self._client, self._codec = client, codec
@@ -79,7 +81,7 @@
         self._on_head, self._on_output = on_head, on_output
         self._on_stall, self._on_result = on_stall, on_result
         self._running: dict[str, _RunningAttempt] = {}
-        self._buffered = BufferLimit(MAX_TOTAL_BUFFERED_BYTES)
+        self._buffered = BufferLimit(max_buffered_bytes)
         self.max_unsent_bytes = 262_144
         self.stall_timeout_ms = 5_000
 
@@ -107,6 +109,7 @@
                 sink=self,
                 connect_timeout_ms=CONNECT_TIMEOUT_MS,
                 may_reuse_connection=False,
+                write_timeout_ms=WRITE_TIMEOUT_MS,
             )
         )
 
@@ -120,6 +123,7 @@
         self._buffered.release(running.call_id)
         running.state_machine.is_ended = True
         running.request.cancel_attempt = None
+        running.request.exchange.is_upstream_waiting = False
         if running.stall_timer is not None:
             running.stall_timer.cancel()
 
@@ -180,7 +184,43 @@
                 case AttemptResult():
                     self._release(running)
                     self._client.cancel_call(running.call_id)
-                    self._on_result(request, running.upstream_id, effect)
+                    result = self._without_blame(running, effect)
+                    self._on_result(
+                        request, running.upstream_id, self._keep_answer(request, result)
+                    )
+
+    def _without_blame(self, running: _RunningAttempt, result: AttemptResult) -> AttemptResult:
+        """Return the result of an attempt; a cut because of a pause is no failure of the upstream."""
+        now_ms = self._clock.now_ms()
+        if result.outcome is not Outcome.FAILED or not running.pauses.may_have_caused_cut(now_ms):
+            return result
+        log_event(
+            logevents.RESPONSE_CUT_WHILE_PAUSED,
+            request=running.request.caller.attempt_id,
+            id=running.request.request_id,
+            upstream=running.upstream_id,
+            reason=result.text,
+            events=running.request.event_count,
+        )
+        return replace(result, outcome=Outcome.CANCELLED, connection_closed=False)
+
+    def _keep_answer(self, request: ForwardedRequest, result: AttemptResult) -> AttemptResult:
+        """Count the response of a failed attempt, which is kept for the caller, as buffered data."""
+        if result.answer is None or result.outcome is Outcome.COMPLETED:
+            return result
+        if self._buffered.update(request.request_id, len(result.answer.body)):
+            return result
+        self._buffered.release(request.request_id)
+        return replace(result, answer=None)
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Return the size of the responses and events that are not complete."""
+        return self._buffered.total_bytes
+
+    def forget(self, request: ForwardedRequest) -> None:
+        """Remove what is kept for an ended request."""
+        self._buffered.release(request.request_id)
 
     # Stall detection
 
@@ -211,18 +251,23 @@
     # Flow control
 
     def _limit_unsent_bytes(self, running: _RunningAttempt) -> None:
-        limit = self.max_unsent_bytes * PAUSE_FRACTION
-        if not running.is_paused and running.request.exchange.unsent_bytes > limit:
-            running.is_paused = True
-            self.fire(http_pause(running.call_id), "http_client")
+        exchange = running.request.exchange
+        if not running.is_paused and exchange.must_pause(self.max_unsent_bytes):
+            running.is_paused = exchange.is_upstream_waiting = True
+            running.pauses = running.pauses.paused(self._clock.now_ms())
+            self._client.pause_call(running.call_id)
 
     def resume_reading(self, request: ForwardedRequest) -> None:
         """Resume reading from the upstream once most of the buffered response was sent."""
+        exchange = request.exchange
+        if not exchange.is_upstream_waiting or not exchange.may_resume(self.max_unsent_bytes):
+            return
+        exchange.is_upstream_waiting = False
+        now_ms = self._clock.now_ms()
         for running in self._running.values():
-            if running.request is not request or not running.is_paused:
-                continue
-            if request.exchange.unsent_bytes <= self.max_unsent_bytes * RESUME_FRACTION:
+            if running.request is request and running.is_paused:
                 running.is_paused = False
-                request.last_event_ms = self._clock.now_ms()
+                running.pauses = running.pauses.resumed(now_ms)
+                request.last_event_ms = now_ms
                 self._schedule_stall_check(running)
-                self.fire(http_resume(running.call_id), "http_client")
+                self._client.resume_call(running.call_id)
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
@@ -12,6 +12,7 @@
     STATUS_MISDIRECTED,
     AttemptResult,
     DrainAdmission,
+    MemoryBudget,
     ResponseHead,
 )
 from ibispaddle_core.membership import ListedState, ListEntry, MemberKind
@@ -104,8 +105,10 @@
         clock: Clock,
         timers: TimerQueue,
         metrics: Metrics,
+        budget: MemoryBudget | None = None,
     ) -> None:
         super().__init__()
+        budget = budget or MemoryBudget.from_memory()
         self._codec, self._clock, self._timers, self._metrics = codec, clock, timers, metrics
         self._boot_id = f"{instance_id}-{secrets.token_hex(4)}"
         self._request_number = 0
@@ -145,8 +148,14 @@
             self._on_output,
             self._on_stall,
             self._on_attempt_result,
+            budget.incomplete_responses,
         ).register(self)
 
+    @property
+    def incomplete_response_bytes(self) -> int:
+        """Return the size of the responses and events that are not complete."""
+        return self._attempts.buffered_bytes
+
     @property
     def requests_in_flight(self) -> int:
         """Return the number of requests that have not ended."""
@@ -382,7 +391,7 @@
 
     def _on_caller_disconnected(self, request: ForwardedRequest) -> None:
         if request.request_id in self._requests:
-            self._finish(request, "cancelled")
+            self._finish(request, request.exchange.close_reason or "cancelled")
             self.handle_event(CallerDisconnected(request.request_id))
             self.on_work_changed(False)
 
@@ -676,6 +685,7 @@
         if request.cancel_attempt is not None:
             request.cancel_attempt()
         request.exchange.on_closed = request.exchange.on_drained = None
+        self._attempts.forget(request)
         now_ms, arrived_ms = self._clock.now_ms(), request.req.arrived_ms
         self._metrics.requests.inc({"code": code})
         self._metrics.duration.observe({}, (now_ms - arrived_ms) / 1000)
--- a/packages/daemon/src/ibispaddle_daemon/gateway.py
+++ b/packages/daemon/src/ibispaddle_daemon/gateway.py
@@ -10,7 +10,7 @@
 from circuits.core.pollers import EPoll
 from ibispaddle_core import logevents
 from ibispaddle_core.clock import Clock, SystemClock
-from ibispaddle_core.forwarding import DrainAdmission
+from ibispaddle_core.forwarding import DrainAdmission, MemoryBudget
 from ibispaddle_core.hubs import HubRanking
 from ibispaddle_core.membership import Registration
 from ibispaddle_core.routing import ConfigFreshness, RoutingConfig
@@ -25,6 +25,7 @@
 from .http_server import HttpServer
 from .listening import Listeners
 from .logs import log_event, log_handler_failure
+from .memory_metrics import add_memory_metrics
 from .metrics import Metrics, Status
 from .stopping import Drain
 from .store import (
@@ -100,7 +101,10 @@
         EPoll().register(self)
         self.timers = TimerQueue(self.clock).register(self)
         self.metrics = Metrics()
-        self.http_client = HttpClient(self.clock).register(self)
+        self._budget = MemoryBudget.from_settings(settings.instance)
+        self.http_client = HttpClient(
+            self.clock, max_buffered_bytes=self._budget.buffered_calls
+        ).register(self)
         self.status = Status(self.metrics, ("instance_list", "configuration")).register(self)
         self._add_request_components()
         self._add_fleet_components()
@@ -115,6 +119,7 @@
             clock,
             timers,
             self.metrics,
+            self._budget,
         ).register(self)
         limits = FleetConfig().limits
         self.server = HttpServer(
@@ -124,6 +129,8 @@
             limits,
             channel="front",
             channel_of=lambda exchange: self.forwarder.channel,
+            budget=self._budget,
+            paused_calls=lambda: self.http_client.paused_calls,
         ).register(self)
         self.status_server = HttpServer(
             self._status_bind,
@@ -133,6 +140,12 @@
             channel="status_front",
             channel_of=lambda exchange: self.status.channel,
         ).register(self)
+        add_memory_metrics(
+            self.metrics,
+            self.server,
+            self.http_client,
+            lambda: self.forwarder.incomplete_response_bytes,
+        )
         self.metrics.add_gauge(
             "ibispaddle_requests_in_flight",
             "Requests in flight.",
--- a/packages/daemon/src/ibispaddle_daemon/http_client.py
+++ b/packages/daemon/src/ibispaddle_daemon/http_client.py
@@ -12,6 +12,7 @@
 from circuits.core.pollers import BasePoller
 from circuits.core.utils import findcmp
 from ibispaddle_core.clock import Clock, SystemClock
+from ibispaddle_core.forwarding.memory_budget import MAX_BUFFERED_CALLS_BYTES
 
 from .buffer_limit import BufferLimit
 from .events import (
@@ -33,9 +34,6 @@
 IDLE_TIMEOUT_MS = 30_000
 MAX_IDLE_CONNECTIONS_PER_ADDRESS = 64
 MAX_CONNECTIONS = 8_000
-# Maximum size of the buffered responses of all calls together. With it, an instance whose upstreams all
-# respond without end stays within the memory of the smallest machines, 200 MB.
-MAX_TOTAL_BUFFERED_BYTES = 50_331_648
 
 
 @dataclass
@@ -56,13 +54,16 @@
 
     Every call gets exactly one final event, `call_completed` or `call_ended`, no later than its
     deadline. A connection is reused only after a complete response. `contexts` maps URL schemes to
-    TLS contexts.
+    TLS contexts, and `max_buffered_bytes` is the size of the buffered responses of all calls together.
     """
 
     channel = "http_client"
 
     def __init__(
-        self, clock: Clock | None = None, contexts: Mapping[str, ssl.SSLContext] | None = None
+        self,
+        clock: Clock | None = None,
+        contexts: Mapping[str, ssl.SSLContext] | None = None,
+        max_buffered_bytes: int = MAX_BUFFERED_CALLS_BYTES,
     ) -> None:
         super().__init__()
         self._contexts: dict[str, ssl.SSLContext | None] = {"http": None, **(contexts or {})}
@@ -74,7 +75,9 @@
         self._addresses_with_timer: set[Address] = set()
         self._closed_connections: list[HttpConnection] = []
         self._connection_count = 0
-        self._buffered = BufferLimit(MAX_TOTAL_BUFFERED_BYTES)  # Of calls that are not streamed.
+        self._buffered = BufferLimit(max_buffered_bytes)  # Of calls that are not streamed.
+        self._paused_calls: set[str] = set()
+        self.pause_count = 0  # Since the start.
         self._poller: Any = None
         self._connection_by_socket: dict[Any, HttpConnection] = {}
 
@@ -88,6 +91,16 @@
         """Return the number of open connections, in use or idle."""
         return self._connection_count - len(self._closed_connections)
 
+    @property
+    def paused_calls(self) -> int:
+        """Return the number of calls whose responses are not being read."""
+        return len(self._paused_calls)
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Return the size of the buffered responses of calls that are not streamed."""
+        return self._buffered.total_bytes
+
     @handler("http_call")
     def _on_http_call(self, call: HttpCall) -> None:
         self.start_call(call)
@@ -143,6 +156,26 @@
                 conn.send_request(call.method, target, headers, call.body)
             except (h11.LocalProtocolError, UnicodeError) as exc:
                 self._finish_call(active, CallFailure.PROTOCOL, f"the request is not valid: {exc}")
+                return
+        if call.write_timeout_ms is not None and conn.has_unsent_data:
+            self._schedule_write_check(active, conn, call.write_timeout_ms)
+
+    def _schedule_write_check(
+        self, active: _ActiveCall, conn: HttpConnection, timeout_ms: int
+    ) -> None:
+        """End the call if its upstream reads nothing of the request within the timeout."""
+        written = conn.written_bytes
+
+        def check() -> None:
+            if active.conn is not conn or not conn.has_unsent_data:
+                return
+            if conn.written_bytes > written:
+                self._schedule_write_check(active, conn, timeout_ms)
+                return
+            text = f"the upstream read nothing of the request for {timeout_ms} ms"
+            self._finish_call(active, CallFailure.TIMEOUT, text)
+
+        active.timers.append(self._timers.after(timeout_ms, check))
 
     @handler("http_cancel")
     def _on_http_cancel(self, call_id: str) -> None:
@@ -155,14 +188,25 @@
 
     @handler("http_pause")
     def _on_http_pause(self, call_id: str) -> None:
+        self.pause_call(call_id)
+
+    def pause_call(self, call_id: str) -> None:
+        """Stop reading a call's response immediately."""
         active = self._calls.get(call_id)
         if active is not None and active.conn is not None:
             active.conn.pause()
+            self._paused_calls.add(call_id)
+            self.pause_count += 1
 
     @handler("http_resume")
     def _on_http_resume(self, call_id: str) -> None:
+        self.resume_call(call_id)
+
+    def resume_call(self, call_id: str) -> None:
+        """Continue to read a call's response."""
         active = self._calls.get(call_id)
         if active is not None and active.conn is not None:
+            self._paused_calls.discard(call_id)
             active.conn.resume()
 
     def _acquire_connection(
@@ -203,6 +247,7 @@
         byte_sent = is_refused = False
         del self._calls[call.call_id]
         self._buffered.release(call.call_id)
+        self._paused_calls.discard(call.call_id)
         for timer in active.timers:
             timer.cancel()
         if conn is not None:
--- a/packages/daemon/src/ibispaddle_daemon/http_connection.py
+++ b/packages/daemon/src/ibispaddle_daemon/http_connection.py
@@ -1,8 +1,10 @@
 """Client connection: a circuits `TCPClient` that uses h11 for HTTP/1.1."""
 
+import contextlib
 import os
 import socket
 import ssl
+from collections import deque
 from errno import EAGAIN, ECONNREFUSED, EINPROGRESS, EINTR, EINVAL, EWOULDBLOCK
 from typing import Any, Protocol
 
@@ -15,6 +17,10 @@
 READ_BYTES = 65_536
 Address = tuple[str, int, str]  # Host, port and URL scheme.
 _RETRY_ERRNOS = (EAGAIN, EWOULDBLOCK, EINTR)
+# Bodies up to this size are written together with the head.
+MAX_COPIED_BODY_BYTES = 65_536
+# Receive buffer that the kernel keeps for a response whose reading is paused.
+PAUSED_RECEIVE_BUFFER_BYTES = 32_768
 # Maximum size of a response head; the listener has the same limit for requests.
 MAX_HEAD_BYTES = 65_536
 # Maximum number of interim responses (1xx) before a response. Upstreams send one at most.
@@ -69,7 +75,7 @@
         self._poller = poller
         self._sock.close()
         self._listener = listener
-        self._output = bytearray()
+        self._output: deque[memoryview] = deque()
         self._connecting = False
         self._paused = False
         self._is_deferred = False  # Received data waits for `continue_processing`.
@@ -81,6 +87,7 @@
         self.address: Address = ("", 0, "")
         self.idle_since_ms = 0
         self.byte_sent = False
+        self.written_bytes = 0
         self.is_refused = False
 
     def open(self, address: Address, tls: ssl.SSLContext | None = None) -> None:
@@ -121,13 +128,17 @@
         Raises `h11.LocalProtocolError` or `UnicodeError` if the request is not valid HTTP.
         """
         self.byte_sent = False
+        self.written_bytes = 0
         self._interim_responses = 0
         encoded = [(name.encode("ascii"), value.encode("latin-1")) for name, value in headers]
         head = self._http.send(h11.Request(method=method, target=target, headers=encoded))
-        self._output += head
         if body:
-            self._output += self._http.send(h11.Data(data=body))
-        self._output += self._http.send(h11.EndOfMessage())
+            self._http.send_with_data_passthrough(h11.Data(data=body))  # Has a Content-Length.
+        self._http.send(h11.EndOfMessage())
+        if len(body) <= MAX_COPIED_BODY_BYTES:
+            self._output.append(memoryview(head + body))
+        else:
+            self._output.extend((memoryview(head), memoryview(body)))
         if not self._connecting:
             self._write_output()
 
@@ -151,6 +162,10 @@
         """Stop reading."""
         if not self._paused and self.is_open:
             self._paused = True
+            with contextlib.suppress(OSError):  # Not every system lets the buffer be changed.
+                self._sock.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_RCVBUF, PAUSED_RECEIVE_BUFFER_BYTES
+                )
             if not self._connecting and not self._is_deferred:
                 self._poller.removeReader(self._sock)
 
@@ -161,6 +176,11 @@
             if not self._connecting and not self._is_deferred:
                 self._poller.addReader(self, self._sock)
 
+    @property
+    def has_unsent_data(self) -> bool:
+        """Return whether a part of the request is still to be written."""
+        return bool(self._output)
+
     @property
     def is_open(self) -> bool:
         """Return whether the connection has a socket."""
@@ -255,7 +275,7 @@
                 return
         while self._output:
             # At most 1 MiB per write, so that a long prompt does not delay other connections.
-            piece = memoryview(self._output)[:1_048_576]
+            piece = self._output[0][:1_048_576]
             try:
                 count = self._sock.send(piece)
             except TLS_WANT_ERRORS:
@@ -266,18 +286,19 @@
                 # The upstream may have responded before it closed the connection, so its response
                 # is read first.
                 self._write_failed = True
-                self._output = bytearray()
+                self._output.clear()
                 self._receive()
                 if self._connected:
                     self._fail(CallFailure.CLOSED, str(exc))
                 return
-            finally:
-                piece.release()
-            del self._output[:count]
+            self.written_bytes += count
+            self._output[0] = self._output[0][count:]
+            if not self._output[0]:
+                self._output.popleft()
             self._report_first_byte()
             if not self._connected:
                 return
-            if count < 1_048_576 and self._output:
+            if count < len(piece):
                 break
         writing = self._poller.isWriting(self._sock)
         if self._output and not writing:
--- a/packages/daemon/src/ibispaddle_daemon/http_exchange.py
+++ b/packages/daemon/src/ibispaddle_daemon/http_exchange.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 import h11
+from ibispaddle_core.forwarding.memory_budget import pause_limit, resume_limit
 
 from .events import Headers, find_header
 
@@ -41,6 +42,10 @@
         self.status = 0
         self.is_closed = False
         self.is_counted = False
+        self.close_reason = ""  # Set if this instance has given up the caller.
+        self.is_upstream_waiting = (
+            False  # Reading from the upstream is paused because of the caller.
+        )
         self.accepted_while_draining = http.accepted_while_draining
         self.is_complete = False
         self.on_closed: Callable[[], None] | None = None
@@ -56,6 +61,14 @@
         """Return the number of buffered response bytes that are not sent yet."""
         return self._http.conn.unsent_bytes
 
+    def must_pause(self, max_unsent_bytes: int) -> bool:
+        """Return whether the caller is so slow that reading from the upstream has to be paused."""
+        return self.unsent_bytes > pause_limit(max_unsent_bytes, self._http.response_room())
+
+    def may_resume(self, max_unsent_bytes: int) -> bool:
+        """Return whether the caller has read so much that reading from the upstream may be resumed."""
+        return self.unsent_bytes <= resume_limit(max_unsent_bytes, self._http.response_room())
+
     @property
     def is_response_started(self) -> bool:
         """Return whether the response's head was written."""
--- a/packages/daemon/src/ibispaddle_daemon/http_listener.py
+++ b/packages/daemon/src/ibispaddle_daemon/http_listener.py
@@ -1,8 +1,12 @@
 """TCP listener for callers with immediate writes, output buffering and non-blocking TLS."""
 
 import contextlib
+import fcntl
 import socket
 import ssl
+import struct
+import sys
+import termios
 from errno import EAGAIN, ECONNABORTED, EINTR, EMFILE, ENFILE, EPROTO, EWOULDBLOCK
 from typing import Any, Protocol
 
@@ -12,6 +16,9 @@
 READ_BYTES = 65_536
 MAX_ACCEPTS_PER_EVENT = 64  # A higher number would delay running streams.
 MAX_CONNECTIONS = 10_000
+# Send buffer that the kernel keeps for a caller.
+SEND_BUFFER_BYTES = 131_072
+_NO_LINGER = struct.pack("ii", 1, 0)
 _TRANSIENT_ERRNOS = (EAGAIN, EWOULDBLOCK, EINTR, ECONNABORTED, EMFILE, ENFILE, EPROTO)
 _WOULD_BLOCK_ERRORS = (
     BlockingIOError,
@@ -30,6 +37,9 @@
     def bytes_received(self, conn: "CallerConnection", data: bytes) -> None:
         """Report received bytes; empty bytes mean that the caller closed its sending side."""
 
+    def bytes_buffered(self, conn: "CallerConnection") -> None:
+        """Report that bytes were buffered because the caller does not read them."""
+
     def bytes_written(self, conn: "CallerConnection") -> None:
         """Report that a part of the unsent bytes was written."""
 
@@ -37,6 +47,15 @@
         """Report a closed connection."""
 
 
+def kernel_unsent_bytes(sock: Any) -> int:
+    """Return the bytes in the kernel that the caller has not received yet, or 0 if that is unknown."""
+    try:
+        data = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, b"\0" * 4)
+    except OSError:
+        return 0
+    return int.from_bytes(data, sys.byteorder)
+
+
 class connection_dropped(Event):  # noqa: N801
     """Report a closed connection after the method that closed it has returned."""
 
@@ -52,6 +71,7 @@
         "handshaking",
         "is_reading",
         "http",
+        "has_written",
     )
 
     def __init__(self, sock: Any, handshaking: bool) -> None:
@@ -62,6 +82,7 @@
         self.handshaking = handshaking
         self.is_reading = True
         self.http: Any = None  # Protocol state, set by the connection handler.
+        self.has_written = False  # Whether buffered bytes were written since the last observation.
 
     @property
     def unsent_bytes(self) -> int:
@@ -91,6 +112,7 @@
         self._tls = tls
         self._handler = connection_handler
         self._connections: dict[Any, CallerConnection] = {}
+        self.unsent_bytes = 0  # Of all connections.
 
     @property
     def open_connections(self) -> int:
@@ -113,8 +135,10 @@
                 return
             data = data[count:]
         conn.output += data
+        self.unsent_bytes += len(data)
         if not self._poller.isWriting(conn.sock):
             self._poller.addWriter(self, conn.sock)
+        self._handler.bytes_buffered(conn)
 
     def close_after_output(self, conn: CallerConnection) -> None:
         """Close the connection once all buffered bytes are sent."""
@@ -146,11 +170,19 @@
         conn.is_closed = True
         self._poller.discard(conn.sock)
         del self._connections[conn.sock]
+        self.unsent_bytes -= len(conn.output)
         conn.output.clear()
         with contextlib.suppress(OSError):
             conn.sock.close()
         self.fire(connection_dropped(conn))
 
+    def reset(self, conn: CallerConnection) -> None:
+        """Close the connection with a reset, so that the kernel keeps nothing for the caller."""
+        if not conn.is_closed:
+            with contextlib.suppress(OSError):  # The caller has closed the connection already.
+                conn.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+        self.drop(conn)
+
     def stop_listening(self) -> None:
         """Accept the pending connections and close the listening socket.
 
@@ -213,6 +245,8 @@
             finally:
                 piece.release()
             del conn.output[:count]
+            self.unsent_bytes -= count
+            conn.has_written = True
         if not conn.output:
             self._poller.removeWriter(sock)
             if conn.close_after_output:
@@ -234,6 +268,7 @@
                 continue
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
             if self._tls is not None:
                 sock = self._tls.wrap_socket(sock, server_side=True, do_handshake_on_connect=False)
             conn = CallerConnection(sock, self._tls is not None)
--- a/packages/daemon/src/ibispaddle_daemon/http_protocol.py
+++ b/packages/daemon/src/ibispaddle_daemon/http_protocol.py
@@ -29,11 +29,17 @@
     def max_body_bytes(self) -> int:
         """Return the maximum size of a request body."""
 
-    def reserve_body(self, size: int) -> bool:
+    def reserve_body(self, conn: CallerConnection, size: int) -> bool:
         """Reserve memory for request bodies; return False if the limit would be exceeded."""
 
-    def release_body(self, size: int) -> None:
-        """Release memory that was reserved by `reserve_body`."""
+    def reserve_head(self, conn: CallerConnection, size: int) -> bool:
+        """Replace the memory for a connection's unprocessed bytes; return False if there is none."""
+
+    def response_room(self) -> int:
+        """Return the number of bytes of unread responses for which there is room."""
+
+    def release_body(self, conn: CallerConnection) -> None:
+        """Release the memory that was reserved by `reserve_body`."""
 
     def request_received(self, exchange: Exchange) -> None:
         """Report a complete request."""
@@ -61,6 +67,7 @@
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=max_header_bytes)
         self._body_parts: list[bytes] = []
         self._body_size = 0
+        self._head_size = 0  # Bytes of an incomplete head or of pipelined requests.
         self._is_open = True  # Whether the exchange has no complete response yet.
         self._is_discarding = False
         self._is_dispatched = False
@@ -81,13 +88,23 @@
         self._h11.receive_data(data)
         if self.exchange is not None and self._is_dispatched:
             # h11 buffers pipelined requests; the size of its buffer is limited here.
-            if len(self._h11.trailing_data[0]) > MAX_PIPELINED_BYTES:
+            pipelined = len(self._h11.trailing_data[0])
+            if not self._reserve_head(pipelined):
+                self._server.listener.drop(self.conn)
+            elif pipelined > MAX_PIPELINED_BYTES:
                 self._server.listener.set_reading(self.conn, False)
             return
         if not self._is_request_started:
             self._is_request_started = True
             self._wait_started_ms = self._server.clock.now_ms()
         self._process_events()
+        is_head_incomplete = self.exchange is None and not self._is_discarding
+        if (
+            is_head_incomplete
+            and not self.conn.is_closed
+            and not self._reserve_head(len(self._h11.trailing_data[0]))
+        ):
+            self._refuse_overload()
 
     def is_timed_out(self, now_ms: int) -> bool:
         """Return whether the caller took too long to send a request."""
@@ -105,6 +122,7 @@
         """Handle the end of the connection."""
         exchange, self.exchange = self.exchange, None
         self._release_body()
+        self._reserve_head(0)
         if exchange is not None and not exchange.is_complete:
             exchange.is_closed = True
             if exchange.on_closed is not None:
@@ -191,6 +209,7 @@
         )
         method, target = request.method.decode("ascii"), request.target.decode("ascii", "replace")
         self._is_request_started = True
+        self._reserve_head(0)
         self.exchange = Exchange(self, method, target, headers, self._server.clock.now_ms())
         length = self.exchange.header("content-length")
         if length is not None and int(length) > self._server.max_body_bytes():
@@ -204,13 +223,33 @@
             return
         if self._body_size + len(data) > self._server.max_body_bytes():
             self._refuse_large_body()
-        elif not self._server.reserve_body(len(data)):
-            text = "The instance holds too many request bodies."
-            self._server.request_refused(exchange, 503, "overloaded", text)
+        elif not self._server.reserve_body(self.conn, len(data)):
+            self._refuse_overload()
         else:
             self._body_size += len(data)
             self._body_parts.append(data)
 
+    @property
+    def incomplete_body_bytes(self) -> int:
+        """Return the received part of a body that is not complete yet."""
+        return 0 if self._is_dispatched else self._body_size
+
+    def give_up_request(self) -> None:
+        """Refuse a request whose caller has stopped sending it."""
+        self._refuse_overload()
+
+    def response_room(self) -> int:
+        """Return the number of bytes of unread responses for which there is room."""
+        return self._server.response_room()
+
+    def _refuse_overload(self) -> None:
+        """Refuse a request for which the instance has no memory."""
+        exchange = self.exchange or Exchange(self, "", "", (), self._server.clock.now_ms())
+        self.exchange = exchange
+        self._release_body()
+        text = "The instance holds too many requests."
+        self._server.request_refused(exchange, 503, "overloaded", text)
+
     def _dispatch(self) -> None:
         exchange = self.exchange
         if exchange is None:
@@ -239,8 +278,15 @@
             exchange, status, code, f"The request is not valid HTTP: {exc}."
         )
 
+    def _reserve_head(self, size: int) -> bool:
+        """Replace the memory for unprocessed bytes; return False if there is none."""
+        if size == self._head_size:
+            return True
+        self._head_size = size
+        return self._server.reserve_head(self.conn, size)
+
     def _release_body(self) -> None:
         if self._body_size:
-            self._server.release_body(self._body_size)
+            self._server.release_body(self.conn)
         self._body_size = 0
         self._body_parts.clear()
--- a/packages/daemon/src/ibispaddle_daemon/http_server.py
+++ b/packages/daemon/src/ibispaddle_daemon/http_server.py
@@ -5,22 +5,28 @@
 from socket import socket
 
 from circuits import BaseComponent, handler
+from ibispaddle_core import logevents
 from ibispaddle_core.chat import ProtocolError
 from ibispaddle_core.clock import Clock
+from ibispaddle_core.forwarding.memory_budget import (
+    RECLAIM_FRACTION,
+    MemoryBudget,
+    SlowPeer,
+    senders_to_give_up,
+)
 from ibispaddle_core.settings import FleetConfig, LimitSettings
 
+from .buffer_limit import BufferLimit
 from .events import exchange_started
 from .http_exchange import Exchange
 from .http_listener import CallerConnection, Listener
 from .http_protocol import HttpServerProtocol
+from .logs import log_event
 from .responses import respond_error, respond_not_found
+from .slow_readers import SlowReaders
 from .timers import TimerHandle, TimerQueue
 
 SWEEP_INTERVAL_MS = 1_000
-# Time after which a caller that does not read its response is disconnected.
-WRITE_STALL_MS = 30_000
-# Limit of the total size of the request bodies in memory, for all callers together.
-MAX_TOTAL_BODY_BYTES = 268_435_456
 RETRY_AFTER_MS = 1_000
 
 _CHANNELS_WITH_ADMISSION = ("request_reader", "services")
@@ -29,7 +35,8 @@
 class HttpServer(BaseComponent):
     """Receive requests, limit their memory use and pass them to other components.
 
-    `channel_of` returns the channel of the component that handles an exchange.
+    `channel_of` returns the channel of the component that handles an exchange. `paused_calls` returns the
+    number of upstream responses whose reading is paused, which take memory in the kernel.
     """
 
     channel = "web"
@@ -44,6 +51,8 @@
         is_recovering: Callable[[], bool] = lambda: False,
         channel: str = "web",
         channel_of: Callable[[Exchange], str | None] = lambda exchange: None,
+        budget: MemoryBudget | None = None,
+        paused_calls: Callable[[], int] = lambda: 0,
     ) -> None:
         super().__init__(channel=channel)
         self._channel_of = channel_of
@@ -55,8 +64,12 @@
         self._timers = timers
         self._limits = limits
         self._protocols: dict[CallerConnection, HttpServerProtocol] = {}
-        self._write_progress: dict[CallerConnection, tuple[int, int]] = {}
-        self._reserved_body_bytes = 0
+        self._budget = budget or MemoryBudget.from_memory()
+        self._paused_calls = paused_calls
+        self._bodies = BufferLimit(self._budget.request_bodies)
+        self._heads = BufferLimit(self._budget.request_heads)
+        self._slow_readers = SlowReaders(clock)
+        self._body_progress_ms: dict[CallerConnection, int] = {}
         self.active_requests = 0
         self.listener = Listener(bind, self, self.channel, tls).register(self)
         timers.after(SWEEP_INTERVAL_MS, self._sweep)
@@ -97,7 +110,22 @@
     @property
     def unsent_bytes(self) -> int:
         """Return the number of unsent bytes of all connections."""
-        return sum(conn.unsent_bytes for conn in self._protocols)
+        return self.listener.unsent_bytes
+
+    @property
+    def request_body_bytes(self) -> int:
+        """Return the size of the request bodies in memory."""
+        return self._bodies.total_bytes
+
+    @property
+    def request_head_bytes(self) -> int:
+        """Return the size of the incomplete heads and pipelined requests in memory."""
+        return self._heads.total_bytes
+
+    @property
+    def given_up_callers(self) -> int:
+        """Return the number of callers that were given up since the start."""
+        return self._slow_readers.given_up
 
     # Limits
 
@@ -105,16 +133,56 @@
         """Return the maximum size of a request body."""
         return self._limits.max_body_bytes
 
-    def reserve_body(self, size: int) -> bool:
-        """Reserve memory for request bodies; return False if the limit would be exceeded."""
-        if self._reserved_body_bytes + size > MAX_TOTAL_BODY_BYTES:
+    def reserve_body(self, conn: CallerConnection, size: int) -> bool:
+        """Reserve memory for a request body; return False if there is none.
+
+        Callers that have stopped sending their requests are given up for it.
+        """
+        self._body_progress_ms[conn] = self.clock.now_ms()
+        excess = self._bodies.total_bytes + size - self._bodies.max_bytes
+        if excess > 0 and not self._give_up_senders(excess):
+            log_event(logevents.REQUEST_NOT_TAKEN, bytes=size, held=self._bodies.total_bytes)
             return False
-        self._reserved_body_bytes += size
+        self._bodies.add(conn, size)
         return True
 
-    def release_body(self, size: int) -> None:
-        """Release memory that was reserved by `reserve_body`."""
-        self._reserved_body_bytes -= size
+    def release_body(self, conn: CallerConnection) -> None:
+        """Release the memory that was reserved by `reserve_body`."""
+        self._bodies.release(conn)
+        self._body_progress_ms.pop(conn, None)
+
+    def reserve_head(self, conn: CallerConnection, size: int) -> bool:
+        """Replace the memory for a connection's unprocessed bytes; return False if there is none."""
+        if not size:
+            self._heads.release(conn)
+            return True
+        if self._heads.update(conn, size):
+            return True
+        self._heads.release(conn)
+        log_event(logevents.REQUEST_NOT_TAKEN, bytes=size, held=self._heads.total_bytes)
+        return False
+
+    def _give_up_senders(self, needed_bytes: int) -> bool:
+        """Refuse callers that have stopped sending; return whether that made enough room."""
+        now_ms = self.clock.now_ms()
+        conns = list(self._body_progress_ms)
+        senders = (
+            SlowPeer(number, conn.http.incomplete_body_bytes, self._body_progress_ms[conn])
+            for number, conn in enumerate(conns)
+            if conn.http.incomplete_body_bytes
+        )
+        chosen = senders_to_give_up(senders, needed_bytes, now_ms)
+        for conn in (conns[number] for number in chosen):
+            idle_ms = now_ms - self._body_progress_ms[conn]
+            held = conn.http.incomplete_body_bytes
+            log_event(logevents.REQUEST_GIVEN_UP, held=held, idle_ms=idle_ms)
+            self._slow_readers.given_up += 1
+            conn.http.give_up_request()
+        return bool(chosen)
+
+    def response_room(self) -> int:
+        """Return the number of bytes of unread responses for which there is room."""
+        return self._budget.room(self.listener.unsent_bytes, self._paused_calls())
 
     def after(self, delay_ms: int, callback: Callable[[], None]) -> TimerHandle:
         """Run `callback` after `delay_ms`."""
@@ -124,17 +192,29 @@
         """Close the connections of callers that do not send a complete request or read a response."""
         self._timers.after(SWEEP_INTERVAL_MS, self._sweep)
         now_ms = self.clock.now_ms()
+        self._slow_readers.observe(self._protocols)
         for conn, protocol in list(self._protocols.items()):
             if protocol.is_timed_out(now_ms):
                 self.listener.drop(conn)
-            elif conn.unsent_bytes:
-                unsent, since_ms = self._write_progress.get(conn, (-1, now_ms))
-                if unsent != conn.unsent_bytes:
-                    self._write_progress[conn] = (conn.unsent_bytes, now_ms)
-                elif now_ms - since_ms > WRITE_STALL_MS:
-                    self.listener.drop(conn)
-            else:
-                self._write_progress.pop(conn, None)
+            elif protocol.exchange is not None and protocol.exchange.is_upstream_waiting:
+                protocol.output_drained()  # Others may have made room.
+        for conn in self._slow_readers.stopped(now_ms):
+            self._give_up(conn, "not_reading")
+
+    def _give_up(self, conn: CallerConnection, reason: str) -> None:
+        exchange = conn.http.exchange
+        if exchange is not None:
+            exchange.close_reason = "caller_not_reading"
+        log_event(
+            logevents.CALLER_GIVEN_UP,
+            reason=reason,
+            path=exchange.path[:200] if exchange is not None else None,
+            held=conn.unsent_bytes,
+            idle_ms=self._slow_readers.idle_ms(conn),
+            unread_bytes=self.listener.unsent_bytes,
+        )
+        self._slow_readers.given_up += 1
+        self.listener.reset(conn)
 
     # Callbacks of the listener
 
@@ -148,6 +228,16 @@
         """Pass received bytes to the connection's protocol."""
         conn.http.receive_data(data)
 
+    def bytes_buffered(self, conn: CallerConnection) -> None:
+        """Give up callers if the unread responses of all exceed the budget."""
+        room = self.response_room()
+        if room >= 0:
+            return
+        self._slow_readers.observe(self._protocols)
+        reclaimed = int((1 - RECLAIM_FRACTION) * self._budget.unread_responses) - room
+        for chosen in self._slow_readers.to_give_up(reclaimed):
+            self._give_up(chosen, "memory")
+
     def bytes_written(self, conn: CallerConnection) -> None:
         """Notify the connection's protocol that unsent bytes were written."""
         conn.http.output_drained()
@@ -155,7 +245,7 @@
     def connection_lost(self, conn: CallerConnection) -> None:
         """Remove a closed connection and end its exchange."""
         self._protocols.pop(conn, None)
-        self._write_progress.pop(conn, None)
+        self._slow_readers.forget(conn)
         conn.http.connection_lost()
 
     # Callbacks of the HTTP protocol
@@ -199,7 +289,8 @@
 
     def request_refused(self, exchange: Exchange, status: int, code: str, text: str) -> None:
         """Respond to a request that is malformed or exceeds a limit."""
-        respond_error(exchange, ProtocolError(status, code, text))
+        retry_after_ms = RETRY_AFTER_MS if status == 503 else 0
+        respond_error(exchange, ProtocolError(status, code, text, retry_after_ms=retry_after_ms))
 
     def exchange_ended(self, exchange: Exchange) -> None:
         """Remove an ended exchange from the number of active requests."""
--- a/tests/daemon/test_http_protocol.py
+++ b/tests/daemon/test_http_protocol.py
@@ -26,12 +26,18 @@
     def max_body_bytes(self):
         return 10
 
-    def reserve_body(self, size):
+    def reserve_body(self, conn, size):
         self.reserved += size
         return self.reserved <= 15
 
-    def release_body(self, size):
-        self.reserved -= size
+    def release_body(self, conn):
+        self.reserved = 0
+
+    def reserve_head(self, conn, size):
+        return True
+
+    def response_room(self):
+        return 1_000_000
 
     def request_received(self, exchange):
         self.received.append(exchange)
--- a/tests/support/exchanges.py
+++ b/tests/support/exchanges.py
@@ -1,5 +1,6 @@
 """Fakes of a caller's exchange and of the HTTP client."""
 
+from ibispaddle_core.forwarding import pause_limit, resume_limit
 from ibispaddle_daemon.events import Headers, HttpCall, find_header
 
 
@@ -9,6 +10,7 @@
     def __init__(self) -> None:
         self.calls: list[HttpCall] = []
         self.cancelled: list[str] = []
+        self.paused: list[str] = []
 
     def start_call(self, call: HttpCall) -> None:
         self.calls.append(call)
@@ -16,6 +18,12 @@
     def cancel_call(self, call_id: str) -> None:
         self.cancelled.append(call_id)
 
+    def pause_call(self, call_id: str) -> None:
+        self.paused.append(call_id)
+
+    def resume_call(self, call_id: str) -> None:
+        self.paused.remove(call_id)
+
 
 class FakeExchange:
     """Records what is written to a caller; like a real exchange, it ignores writes after its end."""
@@ -23,6 +31,9 @@
     arrived_ms = 0
     unsent_bytes = 0
     is_closed = False
+    is_upstream_waiting = False
+    close_reason = ""
+    room = 100_000_000
 
     def __init__(self, path: str, headers: Headers = (), method: str = "POST") -> None:
         self.method, self.target, self.path, self.headers = method, path, path, headers
@@ -40,6 +51,12 @@
     def header(self, name: str) -> str | None:
         return find_header(self.headers, name)
 
+    def must_pause(self, max_unsent_bytes: int) -> bool:
+        return self.unsent_bytes > pause_limit(max_unsent_bytes, self.room)
+
+    def may_resume(self, max_unsent_bytes: int) -> bool:
+        return self.unsent_bytes <= resume_limit(max_unsent_bytes, self.room)
+
     def start(self, status: int, headers: Headers) -> None:
         if not self.is_response_started:
             self.status, self.answer_headers = status, headers
