--- a/packages/core/src/ibispaddle_core/forwarding/memory_budget.py
+++ b/packages/core/src/ibispaddle_core/forwarding/memory_budget.py
@@ -9,10 +9,10 @@
 # Memory of an instance whose settings state none.
 DEFAULT_MEMORY_BYTES = 1_600 * MEGABYTE
 # Fractions of an instance's memory. The rest is for the process itself, its tables and what the kernel holds.
-UNREAD_RESPONSES_FRACTION = 0.14
-REQUEST_BODIES_FRACTION = 0.16
+UNREAD_RESPONSES_FRACTION = 0.18
+REQUEST_BODIES_FRACTION = 0.14
 REQUEST_HEADS_FRACTION = 0.04
-INCOMPLETE_RESPONSES_FRACTION = 0.12
+INCOMPLETE_RESPONSES_FRACTION = 0.10
 BUFFERED_CALLS_FRACTION = 0.20
 # More is of no use, whatever the memory: the largest call is a page of the store, and responses that are
 # buffered until they are complete have kilobytes.
@@ -20,15 +20,17 @@
 MAX_BUFFERED_CALLS_BYTES = 50_331_648
 
 # What the kernel may hold of a response whose reading is paused.
-PAUSED_CALL_BYTES = 65_536
-# Fraction of the room that is left which one response may take before reading from its upstream is paused. N
-# slow callers get equal parts of N / (N + 8) of the budget.
-ROOM_FRACTION = 0.125
+PAUSED_CALL_BYTES = 32_768
+# What is read from an upstream at once.
+READ_BYTES = 65_536
+# Fraction of the room that is left which one response may take before reading from its upstream is paused. The
+# fraction leaves two reads of its response to each of 200 slow callers of an instance with 200 MB.
+ROOM_FRACTION = 1 / 128
 # Fractions of a caller's limit of unread data at which reading is paused and resumed.
 PAUSE_FRACTION = 0.5
 RESUME_FRACTION = 0.25
-# Callers are given up until the unread responses are below this fraction of the budget.
-RECLAIM_FRACTION = 0.9
+# Fraction of the budget that is freed beyond the excess by giving up further callers that do not read.
+SPARE_FRACTION = 0.1
 # A caller that has read something within this time is a reading one.
 READING_MS = 1_000
 # Time without reading after which a caller is given up while its upstream waits for it. Upstreams cut off responses
@@ -47,7 +49,7 @@
     """Maximum number of bytes that an instance holds, by kind.
 
     >>> MemoryBudget.from_memory(200 * MEGABYTE).request_bodies
-    32000000
+    28000000
     """
 
     unread_responses: int
@@ -97,10 +99,12 @@
 def pause_limit(max_unsent_bytes: int, room: int) -> float:
     """Return the unread bytes of a caller above which reading from its upstream is paused.
 
-    >>> pause_limit(262_144, room=28_000_000), pause_limit(262_144, room=800_000)
-    (131072.0, 100000.0)
+    A read may exceed the limit, so the room for one is subtracted.
+
+    >>> pause_limit(262_144, room=36_000_000), pause_limit(262_144, room=12_000_000)
+    (131072.0, 28214.0)
     """
-    return min(PAUSE_FRACTION * max_unsent_bytes, ROOM_FRACTION * max(0, room))
+    return min(PAUSE_FRACTION * max_unsent_bytes, max(0.0, ROOM_FRACTION * room - READ_BYTES))
 
 
 def resume_limit(max_unsent_bytes: int, room: int) -> float:
@@ -118,11 +122,14 @@
     is_upstream_waiting: bool = False  # Reading from the upstream is paused because of it.
 
 
-def callers_to_give_up(callers: Iterable[SlowPeer], excess_bytes: int, now_ms: int) -> list[int]:
+def callers_to_give_up(
+    callers: Iterable[SlowPeer], excess_bytes: int, now_ms: int, spare_bytes: int = 0
+) -> list[int]:
     """Return the callers to give up, in order, so that at least `excess_bytes` become free.
 
     Those that have read nothing for the longest time go first, of equal ones those that hold most. Callers
-    that read are given up only if that isn't enough; then those that hold most go first.
+    that read are given up only if that isn't enough; then those that hold most go first. `spare_bytes` more
+    are freed as far as callers that do not read hold them.
 
     >>> callers = [SlowPeer(1, 50, 9_900), SlowPeer(2, 20, 4_000), SlowPeer(3, 30, 4_100)]
     >>> callers_to_give_up(callers, 20, now_ms=10_000), callers_to_give_up(callers, 60, now_ms=10_000)
@@ -135,7 +142,8 @@
 
     chosen = []
     for caller in sorted(callers, key=rank):
-        if excess_bytes <= 0:
+        is_reading = now_ms - caller.progress_ms < READING_MS
+        if excess_bytes <= (0 if is_reading else -spare_bytes):
             break
         chosen.append(caller.name)
         excess_bytes -= caller.held_bytes
--- a/packages/core/src/ibispaddle_core/settings/instance.py
+++ b/packages/core/src/ibispaddle_core/settings/instance.py
@@ -112,13 +112,13 @@
     max_unread_response_bytes: Annotated[
         Annotated[int, Meta(ge=1_048_576)] | None,
         Meta(
-            description="Response data held for all callers together, bytes; null: 0.14 of the memory."
+            description="Response data held for all callers together, bytes; null: 0.18 of the memory."
         ),
     ] = None
     max_request_body_bytes: Annotated[
         Annotated[int, Meta(ge=1_048_576)] | None,
         Meta(
-            description="Request bodies held for all callers together, bytes; null: 0.16 of the memory."
+            description="Request bodies held for all callers together, bytes; null: 0.14 of the memory."
         ),
     ] = None
     tls: Annotated[
--- a/packages/daemon/src/ibispaddle_daemon/http_connection.py
+++ b/packages/daemon/src/ibispaddle_daemon/http_connection.py
@@ -1,6 +1,5 @@
 """Client connection: a circuits `TCPClient` that uses h11 for HTTP/1.1."""
 
-import contextlib
 import os
 import socket
 import ssl
@@ -10,17 +9,15 @@
 
 import h11
 from circuits.net.sockets import TCPClient
+from ibispaddle_core.forwarding.memory_budget import READ_BYTES
 
 from .events import CallFailure, Headers
 from .tls import TLS_WANT_ERRORS
 
-READ_BYTES = 65_536
 Address = tuple[str, int, str]  # Host, port and URL scheme.
 _RETRY_ERRNOS = (EAGAIN, EWOULDBLOCK, EINTR)
 # Bodies up to this size are written together with the head.
 MAX_COPIED_BODY_BYTES = 65_536
-# Receive buffer that the kernel keeps for a response whose reading is paused.
-PAUSED_RECEIVE_BUFFER_BYTES = 32_768
 # Maximum size of a response head; the listener has the same limit for requests.
 MAX_HEAD_BYTES = 65_536
 # Maximum number of interim responses (1xx) before a response. Upstreams send one at most.
@@ -162,10 +159,6 @@
         """Stop reading."""
         if not self._paused and self.is_open:
             self._paused = True
-            with contextlib.suppress(OSError):  # Not every system lets the buffer be changed.
-                self._sock.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_RCVBUF, PAUSED_RECEIVE_BUFFER_BYTES
-                )
             if not self._connecting and not self._is_deferred:
                 self._poller.removeReader(self._sock)
 
--- a/packages/daemon/src/ibispaddle_daemon/http_server.py
+++ b/packages/daemon/src/ibispaddle_daemon/http_server.py
@@ -9,7 +9,7 @@
 from ibispaddle_core.chat import ProtocolError
 from ibispaddle_core.clock import Clock
 from ibispaddle_core.forwarding.memory_budget import (
-    RECLAIM_FRACTION,
+    SPARE_FRACTION,
     MemoryBudget,
     SlowPeer,
     senders_to_give_up,
@@ -230,12 +230,13 @@
 
     def bytes_buffered(self, conn: CallerConnection) -> None:
         """Give up callers if the unread responses of all exceed the budget."""
+        self._slow_readers.buffered(conn)
         room = self.response_room()
         if room >= 0:
             return
         self._slow_readers.observe(self._protocols)
-        reclaimed = int((1 - RECLAIM_FRACTION) * self._budget.unread_responses) - room
-        for chosen in self._slow_readers.to_give_up(reclaimed):
+        spare = int(SPARE_FRACTION * self._budget.unread_responses)
+        for chosen in self._slow_readers.to_give_up(-room, spare):
             self._give_up(chosen, "memory")
 
     def bytes_written(self, conn: CallerConnection) -> None:
--- a/packages/daemon/src/ibispaddle_daemon/slow_readers.py
+++ b/packages/daemon/src/ibispaddle_daemon/slow_readers.py
@@ -35,6 +35,12 @@
         self._observed_ms = clock.now_ms()
         self.given_up = 0
 
+    def buffered(self, conn: CallerConnection) -> None:
+        """Begin to track a caller for which bytes were buffered."""
+        if conn not in self._progress:
+            unread = conn.unsent_bytes + kernel_unsent_bytes(conn.sock)
+            self._progress[conn] = _Progress(unread, self._clock.now_ms())
+
     def observe(self, conns: Iterable[CallerConnection]) -> None:
         """Update the progress of all callers with buffered bytes."""
         now_ms = self._clock.now_ms()
@@ -70,11 +76,11 @@
             if has_stopped_reading(self._peer(0, conn), now_ms) and not conn.is_closed
         ]
 
-    def to_give_up(self, excess_bytes: int) -> list[CallerConnection]:
-        """Return the callers to give up so that `excess_bytes` become free."""
+    def to_give_up(self, excess_bytes: int, spare_bytes: int) -> list[CallerConnection]:
+        """Return the callers to give up so that `excess_bytes`, or somewhat more, become free."""
         conns = [conn for conn in self._progress if not conn.is_closed]
         peers = (self._peer(number, conn) for number, conn in enumerate(conns))
-        chosen = callers_to_give_up(peers, excess_bytes, self._clock.now_ms())
+        chosen = callers_to_give_up(peers, excess_bytes, self._clock.now_ms(), spare_bytes)
         return [conns[number] for number in chosen]
 
     def _peer(self, number: int, conn: CallerConnection) -> SlowPeer:
--- a/tests/daemon/test_http_client.py
+++ b/tests/daemon/test_http_client.py
@@ -324,6 +324,34 @@
         self.root.fire(http_resume("a"), "http_client")
         wait_until(lambda: len(self.recorder.events_of("a")) > before, "data after resume")
 
+    def test_upstream_that_does_not_read_the_request(self):
+        """Guard against a body that is held until the deadline because its upstream does not read it."""
+
+        def script(conn, number):
+            time.sleep(10)
+
+        address = self.upstream(script).address
+        body = b"x" * 30_000_000
+        started = time.monotonic()
+        self.call(address, "a", body=body, write_timeout_ms=300)
+        error = self.final_event("a")[-1]
+        self.assertEqual((error.failure, error.byte_sent), (CallFailure.TIMEOUT, True))
+        self.assertLess(time.monotonic() - started, 3)
+
+    def test_upstream_that_reads_the_request_slowly(self):
+        """Guard against a sound call that fails because its upstream takes the body bit by bit."""
+
+        def script(conn, number):
+            left = 20_000_000
+            while left > 0:
+                left -= len(conn.recv(1_000_000))
+                time.sleep(0.01)
+            conn.sendall(OK)
+
+        body = bytes(range(256)) * 80_000
+        self.call(self.upstream(script).address, "a", body=body, write_timeout_ms=400)
+        self.assertIsNone(self.final_event("a")[-1])
+
     def test_concurrent_calls_get_their_own_responses(self):
         """Guard against responses that are delivered to the wrong call."""
 
--- a/tests/platform_adapter/processes.py
+++ b/tests/platform_adapter/processes.py
@@ -65,7 +65,14 @@
 class Instance:
     """An instance process with the adapter."""
 
-    def __init__(self, folder: str, number: int, store: HasAddress, **bounds: Any) -> None:
+    def __init__(
+        self,
+        folder: str,
+        number: int,
+        store: HasAddress,
+        memory_mb: int | None = None,
+        **bounds: Any,
+    ) -> None:
         front, self.ready_port, peers = reserve_ports_for(self, 3)
         self.port, self.peer_port = front, peers
         limits = {"grace_s": 8, "fail_closed": True, "revoke_ms": 5_000, "stall_ms": 300}
@@ -75,6 +82,8 @@
         text += f'[listen]\nfront = "127.0.0.1:{front}"\nready = "127.0.0.1:{self.ready_port}"\n'
         text += f'[platform]\naddress = "{store.address}"\n[bounds]\n'
         text += "".join(f"{key} = {json.dumps(value)}\n" for key, value in limits.items())
+        if memory_mb is not None:
+            text += f"[limits]\nmemory_mb = {memory_mb}\n"
         text += '[zones]\na = "north"\nb = "south"\n'
         self.path = Path(folder) / f"node-{number}.toml"
         self.path.write_text(text)
--- a/tests/platform_adapter/test_records.py
+++ b/tests/platform_adapter/test_records.py
@@ -91,6 +91,11 @@
         self.assertEqual((read.store_url, read.revocation_ms), ("http://127.0.0.1:8003", 5_000))
         self.assertLess(read.instance.drain_timeout_ms, 8_000)
 
+    def test_memory_of_the_machine(self) -> None:
+        read = read_settings(SETTINGS + b"[limits]\nmemory_mb = 200\n", "node.toml").gateway
+        self.assertEqual(read.instance.memory_mb, 200)
+        self.assertIsNone(read_settings(SETTINGS, "node.toml").gateway.instance.memory_mb)
+
     def test_any_machine_name_gives_an_instance_id(self) -> None:
         """Guards against an instance that does not start because of its machine's name."""
         ids = set()
--- a/tests/support/http.py
+++ b/tests/support/http.py
@@ -53,7 +53,16 @@
 
 def metric(process: HttpProcess, name: str) -> float:
     """Return the sum of a metric's values at an instance; 0 if it has none."""
-    with urllib.request.urlopen(f"{process.url}/metrics", timeout=10) as response:
+    return _sum_of_metric(process.url, name)
+
+
+def metric_at(port: int, name: str) -> float:
+    """Return the sum of a metric's values at a port; 0 if it has none."""
+    return _sum_of_metric(f"http://127.0.0.1:{port}", name)
+
+
+def _sum_of_metric(url: str, name: str) -> float:
+    with urllib.request.urlopen(f"{url}/metrics", timeout=10) as response:
         lines = response.read().decode().splitlines()
     return sum(float(line.split()[-1]) for line in lines if line.split("{")[0].split()[0] == name)
 
