--- a/packages/daemon/src/ibispaddle_daemon/http_listener.py
+++ b/packages/daemon/src/ibispaddle_daemon/http_listener.py
@@ -108,6 +108,8 @@
         tls: ssl.SSLContext | None = None,
     ) -> None:
         super().__init__(bind, channel=channel)
+        # Accepted sockets inherit the size.
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         self.secure = tls is not None
         self._tls = tls
         self._handler = connection_handler
@@ -268,7 +270,6 @@
                 continue
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
             if self._tls is not None:
                 sock = self._tls.wrap_socket(sock, server_side=True, do_handshake_on_connect=False)
             conn = CallerConnection(sock, self._tls is not None)
