Cut the import circles of the daemon

Log lines have a module of their own, attempts know the coordinator by a protocol, and exchanges the connection's protocol likewise.

--- a/packages/daemon/src/ibispaddle_daemon/absl_logs.py
+++ b/packages/daemon/src/ibispaddle_daemon/absl_logs.py
@@ -8,7 +8,7 @@
 from absl import logging as absl_logging
 from ibispaddle_core.logevents import Level, LogEvent
 
-from .logs import NonBlockingStream, build_log_line, encode_log_line
+from .log_lines import NonBlockingStream, build_log_line, encode_log_line
 
 _LEVELS = {
     Level.INFO: absl_logging.INFO,
--- a/packages/daemon/src/ibispaddle_daemon/attempt_ends.py
+++ b/packages/daemon/src/ibispaddle_daemon/attempt_ends.py
@@ -1,7 +1,6 @@
 """Handling of ended attempts: response, resumption, cancellation and crash detection."""
 
 from collections.abc import Callable, Mapping
-from typing import TYPE_CHECKING
 
 import msgspec
 from circuits import BaseComponent
@@ -10,15 +9,13 @@
 from ibispaddle_core.relay import AttemptFinished, FinalAnswer
 from ibispaddle_core.scheduling import Outcome
 
+from .attempt_coordinator import AttemptCoordinator
 from .calls import CallbackHttpClient, CallResult
 from .engine_answers import confirms_not_run, engine_error, is_unreachable, may_have_crashed
 from .logs import log_event
 from .model_request import ModelRequest, RunningAttempt
 from .suspects import LostAttempt, SuspectTracker
 
-if TYPE_CHECKING:
-    from .entry import RequestCoordinator
-
 # Time for the engine to respond to a cancel request; the response states whether a failed attempt ran.
 CANCEL_TIMEOUT_MS = 500
 MAX_RESUMES = 2
@@ -35,7 +32,7 @@
 
     def __init__(
         self,
-        coordinator: "RequestCoordinator",
+        coordinator: AttemptCoordinator,
         clock: Clock,
         suspects: SuspectTracker,
         resume: Callable[[ModelRequest, RunningAttempt], None],
--- a/packages/daemon/src/ibispaddle_daemon/attempts.py
+++ b/packages/daemon/src/ibispaddle_daemon/attempts.py
@@ -1,7 +1,6 @@
 """Execution of attempts on runners: HTTP calls, relay of responses and flow control."""
 
 import itertools
-from typing import TYPE_CHECKING
 
 import msgspec
 from circuits import BaseComponent
@@ -26,6 +25,7 @@
 from ibispaddle_core.scheduling import AttemptSilent, Dispatch, Outcome
 from opentelemetry.trace import Status, StatusCode
 
+from .attempt_coordinator import AttemptCoordinator
 from .attempt_ends import CANCEL_TIMEOUT_MS, AttemptEndHandler
 from .buffer_limit import BufferLimit
 from .events import (
@@ -44,9 +44,6 @@
 from .timers import TimerQueue
 from .tracing import Tracing
 
-if TYPE_CHECKING:
-    from .entry import RequestCoordinator
-
 # The HTTP call times out this long after the deadline of its request. The coordinator ends the
 # request first, so that the caller's error has the code `deadline` and no retry starts then.
 DEADLINE_MARGIN_MS = 250
@@ -68,7 +65,7 @@
 
     def __init__(
         self,
-        coordinator: "RequestCoordinator",
+        coordinator: AttemptCoordinator,
         client: HttpClient,
         clock: Clock,
         timers: TimerQueue,
--- a/packages/daemon/src/ibispaddle_daemon/http_exchange.py
+++ b/packages/daemon/src/ibispaddle_daemon/http_exchange.py
@@ -2,18 +2,37 @@
 
 from collections.abc import Callable
 from http import HTTPStatus
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 import h11
 from ibispaddle_core.forwarding.memory_budget import pause_limit, resume_limit
 
 from .events import Headers, find_header
+from .http_listener import CallerConnection
 
-if TYPE_CHECKING:
-    from .http_protocol import HttpServerProtocol
+_REASONS = {status.value: status.phrase.encode("ascii") for status in HTTPStatus}
 
 
-_REASONS = {status.value: status.phrase.encode("ascii") for status in HTTPStatus}
+class ResponseWriter(Protocol):
+    """The connection's protocol, as seen by an exchange."""
+
+    conn: CallerConnection
+    accepted_while_draining: bool
+
+    def send(self, event: Any, data: Any = None) -> None:
+        """Serialize h11 events of the response and write them."""
+
+    def end_response(self) -> None:
+        """Complete the response."""
+
+    def abort(self) -> None:
+        """Close the connection without completing the response."""
+
+    def closes_after_response(self) -> bool:
+        """Return whether the response must have the header `Connection: close`."""
+
+    def response_room(self) -> int:
+        """Return the number of bytes of unread responses for which there is room."""
 
 
 class Exchange:
@@ -26,7 +45,7 @@
 
     def __init__(
         self,
-        http: "HttpServerProtocol",
+        http: ResponseWriter,
         method: str,
         target: str,
         headers: Headers,
--- a/tests/daemon/test_log_stream.py
+++ b/tests/daemon/test_log_stream.py
@@ -3,7 +3,7 @@
 import os
 import unittest
 
-from ibispaddle_daemon.logs import MAX_PENDING_BYTES, NonBlockingStream
+from ibispaddle_daemon.log_lines import MAX_PENDING_BYTES, NonBlockingStream
 
 
 class NonBlockingStreamTest(unittest.TestCase):
