Checked proposed configurations before they are sent

'config check-change' finds entries that can never match, limits that contradict each other and what differs from the version in force. Instances log routes that no request can match.

--- a/packages/client/src/ibispaddle_client/__main__.py
+++ b/packages/client/src/ibispaddle_client/__main__.py
@@ -7,6 +7,7 @@
 from .commands import (
     check,
     config_apply,
+    config_check_change,
     config_diff,
     config_history,
     config_restart,
@@ -48,6 +49,7 @@
 app.command("reference", hidden=True)(reference.command)
 config_app.command("show")(config_show.command)
 config_app.command("diff")(config_diff.command)
+config_app.command("check-change")(config_check_change.command)
 config_app.command("apply")(config_apply.command)
 config_app.command("history")(config_history.command)
 config_app.command("restart")(config_restart.command)
--- a/packages/core/src/ibispaddle_core/routing/checks.py
+++ b/packages/core/src/ibispaddle_core/routing/checks.py
@@ -31,9 +31,29 @@
             yield _warning("routing.W002", text, f"$.workspaces.{name}")
 
 
+def check_routes(config: RoutingConfig) -> Iterator[CheckMessage]:
+    """Yield a warning for each route that no request can match, or that can never be served."""
+    newest = {(route.host.lower(), route.path_prefix): route for route in config.routes}
+    for route in config.routes:
+        path = f"$.routes.{route.name}"
+        other = newest[route.host.lower(), route.path_prefix]
+        if other is not route:
+            text = f"The route is hidden by '{other.name}', which has the same host and prefix."
+            yield _warning("routing.W003", text, path, "Give them different prefixes.")
+        if not route.path_prefix.startswith("/") or not route.path_prefix.endswith("/"):
+            text = f"No path matches the prefix '{route.path_prefix}'."
+            yield _warning("routing.W004", text, path, "Prefixes begin and end with '/'.")
+        if route.max_silence_ms >= route.timeout_ms:
+            text = (
+                f"Requests end after {route.timeout_ms} ms, so a silence of {route.max_silence_ms} ms"
+                " is never noticed."
+            )
+            yield _warning("routing.W005", text, path, "Raise the time-out.")
+
+
 def _meets_any(home: Home, others: Collection[Home]) -> bool:
     return not others or any(common_regions(home, other) != frozenset() for other in others)
 
 
-def _warning(check_id: str, text: str, path: str) -> CheckMessage:
-    return CheckMessage(check_id, Severity.WARNING, text, _HINT, "", path)
+def _warning(check_id: str, text: str, path: str, hint: str = _HINT) -> CheckMessage:
+    return CheckMessage(check_id, Severity.WARNING, text, hint, "", path)
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
@@ -23,6 +23,7 @@
     RouteTable,
     RoutingConfig,
     check_homes,
+    check_routes,
     choose_service,
 )
 from ibispaddle_core.runstate import RunState
@@ -177,7 +178,7 @@
         self._attempts.max_unsent_bytes = config.limits.max_unsent_bytes
         self._attempts.stall_timeout_ms = fleet.scheduling.stall_timeout_ms
         self.handle_event(ConfigurationReplaced(fleet))
-        for message in check_homes(config, self._regions):
+        for message in (*check_routes(config), *check_homes(config, self._regions)):
             log_event(logevents.CONFIG_WARNING, id=message.id, path=message.path, text=message.text)
         self._route_startup_exchanges()
 
--- a/tests/client/test_against_instance.py
+++ b/tests/client/test_against_instance.py
@@ -7,7 +7,7 @@
 import unittest
 
 import requests
-from ibispaddle_bench.fleet import MODEL, SERVICE, WORKSPACE_KEYS, Fleet, FleetSpec
+from ibispaddle_bench.fleet import MODEL, OPERATOR_KEY, SERVICE, WORKSPACE_KEYS, Fleet, FleetSpec
 from ibispaddle_client.__main__ import app
 from ibispaddle_client.exceptions import ConflictError
 from typer.testing import CliRunner
@@ -69,6 +69,21 @@
         self.assertEqual(self.read_json("evacuations"), [])
         self.assertEqual({u["drained"] for u in self.read_json("upstreams")}, {False})
 
+    def test_document_in_force_has_nothing_to_change(self):
+        """Guard against a review that objects to what the instances have accepted."""
+        url = self.fleet.entries[0].url + "/operator/config"
+        headers = {"Authorization": f"Bearer {OPERATOR_KEY}"}
+        base = requests.get(url, headers=headers, timeout=30).json()["layers"]["base"]
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder, "base.json")
+            path.write_text(json.dumps(base))
+            found = self.read_json("config", "check-change", str(path))
+            self.assertEqual((found["errors"], found["differences"]), (0, []))
+            path.write_text(json.dumps({**base, "limits": {"max_requests": 100}}))
+            found = self.read_json("config", "check-change", str(path), entry=1)
+            self.assertIn("change.W030", [message["id"] for message in found["messages"]])
+            self.assertIn("$.limits.max_requests", [row["path"] for row in found["differences"]])
+
     def test_workspaces_are_listed_with_the_shares_of_their_neighbours(self):
         """Guard against shares that do not match the weights, and against keys in the output."""
         outcome = self.invoke("workspaces")
