--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -75,7 +75,7 @@
     >>> data_centre("llm-1"), data_centre("llm-2")
     ('a', 'b')
     """
-    return EVACUATED if int(runner_name.rpartition("-")[2]) % 2 == 0 else "a"
+    return EVACUATED if runner_name[-1] in "02468" else "a"
 
 
 class SoakFleet:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -104,7 +104,9 @@
         fleet = SimpleNamespace(
             runs=lambda: [(name, run_record) for name in runs],
             disturbances=changes.get("disturbances", []),
-            changes=Changes(revoked=changes.get("revoked", {})),
+            changes=Changes(
+                revoked=changes.get("revoked", {}), evacuations=changes.get("evacuations", [])
+            ),
             retired=[retired],
             runners=[idle],
             instances=[SimpleNamespace(events=lambda name: changes.get(name, []))],
@@ -140,6 +142,19 @@
             self.assertEqual(self.find_broken_invariants(call, "s"), {"MIXED"}, call)
         self.assertIn("MIXED", self.find_broken_invariants(self.call()))
 
+    def test_evacuations(self) -> None:
+        """Guards against undetected runs in an evacuated data centre."""
+        cases = {(5.0, 12.0): {"EVAC"}, (8.0, 12.0): set(), (2.0, 9.9): set()}
+        for period, expected in cases.items():
+            call = self.call(
+                body=b"answer of llm-2", headers={"server-stamp": "llm-2", "attempt-id": "a1"}
+            )
+            found = self.find_broken_invariants(call, "llm-2", evacuations=[period])
+            self.assertEqual(found, expected, period)
+        self.assertEqual(
+            self.find_broken_invariants(self.call(), "s", evacuations=[(5.0, 12.0)]), set()
+        )
+
     def test_runs(self) -> None:
         """Guards against undetected runs: twice, unrequested, too many or despite a refusal."""
         self.assertEqual(self.find_broken_invariants(self.call(route="once"), "s", "t"), {"TWICE"})
