--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -177,7 +177,11 @@
 
     @property
     def group_counts(self) -> Mapping[str, int]:
-        """Return the groups of engines that were started, granted and refused since the start."""
+        """Return the groups of engines since the start by what happened to them.
+
+        `started` ones were requested, `granted` and `refused` ones answered; for a prompt that was
+        `too_late` no group was requested, and `held_back` counts delays by the instance's budget.
+        """
         return {**self._groups.counts, "held_back": self._groups.pace.held_back}
 
     @property
@@ -364,7 +368,7 @@
         elif self._should_divide(state, may_divide) and self._groups.try_divide(state, now_ms):
             return []
         elif self._groups.must_yield(state, now_ms):
-            return None
+            return self._begin_group(state, idle_only, now_ms)
         else:
             choice = self.placement.choose(req, state.tried, idle_only, self.runners, now_ms)
         if choice is None:
--- a/packages/core/src/ibispaddle_core/scheduling/group_reservations.py
+++ b/packages/core/src/ibispaddle_core/scheduling/group_reservations.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, replace
 
 from . import least_work
-from .admission import MIN_RETRY_AFTER_MS, AdmissionRefusal
+from .admission import MIN_RETRY_AFTER_MS, Admission, AdmissionRefusal
 from .backlog import Backlog
 from .claims import MemoryClaimTable
 from .cost import CostModel, PromptClass
@@ -70,7 +70,7 @@
         self._reservations, self._order, self._groups = reservations, order, groups
         self._placement, self._states = placement, states
         self.pace = ReservationPace()
-        self.counts: Counter[str] = Counter()  # Groups that were started, granted and refused.
+        self.counts: Counter[str] = Counter()  # Groups by step, see `Scheduler.group_counts`.
 
     def try_divide(self, state: RequestState, now_ms: int) -> bool:
         """Start reservations for a prompt that fits one engine if several have the memory now."""
@@ -96,7 +96,7 @@
         if idle_only and incomplete:
             return False
         if self.must_yield(state, now_ms):
-            return False
+            return self._check_wait(state, now_ms)
         contested = self._order.contested_runners(
             self._reservations.describe_waiting(req, ()), now_ms
         )
@@ -105,7 +105,7 @@
         # must not make them.
         if not group.fits and (idle_only or incomplete or not group.views):
             self._record_waiting(state)
-            return False
+            return self._check_wait(state, now_ms)
         if group.contested:
             names = [view.upstream.upstream_id for view in group.views]
             self._order.add_waiting(self._reservations.describe_waiting(req, names))
@@ -122,7 +122,7 @@
             return False
         own = self._describe(state)
         before = self._order.tokens_before(own, self.holders(), now_ms)
-        if before == 0 or before + own.tokens <= self._room(state, now_ms):
+        if before == 0 or before + own.tokens <= self._room(state):
             return False
         self._order.add_waiting(own)
         return True
@@ -208,12 +208,34 @@
         if self._is_joint(state.req.model):
             self._order.add_waiting(self._describe(state))
 
-    def _room(self, state: RequestState, now_ms: int) -> int:
-        """Return the free memory of the runners that may take a part of a prompt."""
+    def _check_wait(self, state: RequestState, now_ms: int) -> AdmissionRefusal | bool:
+        """Return a refusal if memory becomes free too late for a waiting prompt, or else false.
+
+        The memory in use is expected to become free evenly over the time that the prompt itself would
+        take. Work that takes longer makes the wait longer, so that no prompt is refused too early.
+        """
+        if not self._is_joint(state.req.model):
+            return False
+        own = self._describe(state)
+        before = self._order.tokens_before(own, self.holders(), now_ms)
+        missing = before + own.tokens - self._room(state)
+        live = self._runners.live_for(state.req)
+        used = sum(view.kv_total - view.kv_free() for view in live)
+        if missing <= 0 or used <= 0:
+            return False
+        service_ms = self._cost.idle_ttft_ms(state.req) + self._cost.decode_ms(state.req)
+        wait_ms = missing / used * service_ms
+        if now_ms + wait_ms <= own.latest_start_ms:
+            return False
+        self.counts["too_late"] += 1
+        return AdmissionRefusal(RefusalReason.NO_MEMORY, Admission.retry_after_ms(wait_ms))
+
+    def _room(self, state: RequestState) -> int:
+        """Return the free memory of the runners that may take a part of a prompt, now or soon."""
         cfg = self._cost.model(state.req.model)
         free = (
             view.kv_free()
-            for view in self._usable(state, now_ms)
+            for view in self._runners.live_for(state.req)
             if cfg.upstream_slots is None or view.parts < cfg.upstream_slots
         )
         return sum(tokens for tokens in free if tokens > 0)
--- a/tests/scheduling/test_memory_order.py
+++ b/tests/scheduling/test_memory_order.py
@@ -8,6 +8,7 @@
 from collections import Counter
 
 from ibispaddle_core.hubs import WorkAggregator
+from ibispaddle_core.runstate import RunState
 from ibispaddle_core.scheduling import (
     AttemptEnded,
     Decision,
@@ -16,6 +17,8 @@
     FirstToken,
     FreeMemory,
     Outcome,
+    PeerWork,
+    RefusalReason,
     Refuse,
     RequestArrived,
     ReservationAnswered,
@@ -23,6 +26,8 @@
     Scheduler,
     Tick,
     UpstreamsChanged,
+    UpstreamWork,
+    WaitingPrompt,
 )
 from ibispaddle_core.settings.fleet import FleetConfig
 
@@ -203,6 +208,46 @@
         self.assertEqual([held for held in fleet.memory.values() if held], [])
 
 
+class RefusedAtOnceTest(unittest.TestCase):
+    def arrive(self, before: int, used: int = KV_TOKENS) -> list[Decision]:
+        """Return the decisions about a prompt that can wait 0.9 s, with other prompts before it."""
+        fleet = Fleet(1)
+        sched = fleet.schedulers[0]
+        waiting = tuple(
+            WaitingPrompt(
+                0,
+                f"w{number}",
+                model="m",
+                workspace=f"w{number}",
+                tokens=900_000,
+                latest_start_ms=500,
+            )
+            for number in range(before)
+        )
+        work = {name: UpstreamWork(0.0, 2, used) for name in fleet.memory}
+        sched.handle(PeerWork("fleet", work, waiting=waiting), 0)
+        req = fakes.request("late", prompt_tokens=990_000, deadline_ms=2_000)
+        return sched.handle(RequestArrived(req), 0)
+
+    def test_prompt_is_refused_at_once_if_memory_becomes_free_too_late(self) -> None:
+        """Guards against a prompt that waits until its deadline while it cannot be served.
+
+        All memory is in use, and eight prompts that must start earlier wait for it.
+        """
+        (refusal,) = self.arrive(before=8)
+        assert isinstance(refusal, Refuse)
+        self.assertEqual(refusal.reason, RefusalReason.NO_MEMORY)
+        self.assertIs(refusal.run_state, RunState.NOT_RUN)
+        # The time in which 8.2 million tokens become free, of which there are 1.9 million.
+        self.assertGreater(refusal.retry_after_ms, 3_000)
+        self.assertLess(refusal.retry_after_ms, 6_000)
+
+    def test_prompt_that_may_be_served_waits(self) -> None:
+        """Guards against a refusal although the memory may become free in time."""
+        self.assertEqual(self.arrive(before=0), [])
+        self.assertEqual(self.arrive(before=0, used=KV_TOKENS // 2 + 1), [])
+
+
 class InertTest(unittest.TestCase):
     def test_nothing_is_reported_while_prompts_find_memory(self) -> None:
         """Guards against messages and decisions that change for deployments without such load."""
