--- a/packages/daemon/src/ibispaddle_daemon/engine_memory.py
+++ b/packages/daemon/src/ibispaddle_daemon/engine_memory.py
@@ -30,7 +30,7 @@
 RENEWAL_TIMEOUT_MS = 400
 # Renewals that are repeated before the reservation expires, and the interval of later ones.
 REPEATED_RENEWALS = 2
-LATE_RENEWAL_INTERVAL_MS = 1_500
+LATE_RENEWAL_INTERVAL_MS = 2_000
 # Time between the last repeated renewal and the expiry, for its way to the engine.
 RENEWAL_MARGIN_MS = 400
 INITIAL_RETRY_DELAY_MS = 100
--- a/tests/fleet/test_work.py
+++ b/tests/fleet/test_work.py
@@ -13,6 +13,7 @@
     FleetPaces,
     PeerWork,
     UpstreamWork,
+    WaitingPrompt,
 )
 from ibispaddle_core.scheduling.cold import ColdLimit
 from ibispaddle_core.scheduling.pacing import LONG_WINDOW_MS, UpstreamPacing
@@ -38,7 +39,10 @@
         self.fleet_work: PeerWork | None = None
         self.has_waiting_requests = False
         self.schedule_calls = 0
-        own_work = lambda instance, now_ms: PeerWork(name, dict(self.work))  # noqa: E731
+        self.waiting: tuple[WaitingPrompt, ...] = ()
+        own_work = lambda instance, now_ms: PeerWork(  # noqa: E731
+            name, dict(self.work), waiting=self.waiting
+        )
         self.scheduler = SimpleNamespace(
             own_work=own_work, attempt_totals={}, pacing=UpstreamPacing()
         )
@@ -112,6 +116,35 @@
             self.assertEqual(len(self.select(hub)), 1)
             self.assertIn("r1", self.forwarders[hub].fleet_work.work)
 
+    def test_waiting_prompts_are_known_to_the_next_selection_of_any_instance(self) -> None:
+        """Guards against instances that take memory for which prompts of others wait.
+
+        The times count from the messages, since the clocks of machines differ.
+        """
+        now_ms = self.network.clock.now_ms()
+        prompt = WaitingPrompt(
+            0, "p", model="m", workspace="w", tokens=9, latest_start_ms=now_ms + 700
+        )
+        self.forwarders["e"].waiting = (prompt,)
+        self.forwarders["e"].on_work_changed(True)
+        self.select("f")
+        self.assertEqual(self.forwarders["f"].fleet_work.waiting, (prompt,))
+        self.network.timers.advance(100)
+        self.select("f")
+        self.assertEqual(self.forwarders["f"].fleet_work.waiting, (prompt,))
+
+    def test_waiting_prompts_are_reported_while_nothing_runs(self) -> None:
+        """Guards against a prompt that others forget while it waits at an instance without work."""
+        now_ms = self.network.clock.now_ms()
+        prompt = WaitingPrompt(0, "p", model="m", workspace="w", latest_start_ms=now_ms + 9_000)
+        forwarder = self.forwarders["e"]
+        forwarder.has_waiting_requests = True
+        self.select("e")  # The check for waiting requests starts with the first query.
+        forwarder.waiting = (prompt,)
+        self.network.timers.advance(3 * RESEND_INTERVAL_MS)
+        self.select("f")
+        self.assertEqual(self.forwarders["f"].fleet_work.waiting, (prompt,))
+
     def test_unresponsive_hub_delays_a_request_only_by_the_timeout(self) -> None:
         """Guards against requests that wait for a hub that is frozen, slow or unreachable."""
         self.network.unresponsive.add("a")
--- a/tests/hubs/test_work.py
+++ b/tests/hubs/test_work.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 from ibispaddle_core.hubs import WorkAggregator
 from ibispaddle_core.hubs.work import REPORT_EXPIRY_MS
-from ibispaddle_core.scheduling import PeerWork, UpstreamWork
+from ibispaddle_core.scheduling import PeerWork, UpstreamWork, WaitingPrompt
 
 WORKS = st.dictionaries(
     st.sampled_from(["r1", "r2", "r3"]),
@@ -68,6 +68,42 @@
         self.assertEqual(aggregator.total_excluding("b", 1).avoided, ("r1",))
         self.assertEqual(aggregator.total_excluding("c", 1).avoided, ("r1", "r2"))
 
+    def test_waiting_prompts_of_the_others_are_returned_in_turn(self) -> None:
+        """Guards against late arrivals that take memory for which other instances' prompts wait."""
+        aggregator = WorkAggregator()
+        many = tuple(waiting(f"n{number}", "north", 10 + number) for number in range(3))
+        work = {"r1": UpstreamWork(0.0, 1, 9_000)}
+        aggregator.update(PeerWork("a", work, waiting=many, holders={"north": 1}), 0)
+        aggregator.update(PeerWork("b", {}, waiting=(waiting("s0", "south", 90),)), 0)
+        total = aggregator.total_excluding("c", 1)
+        self.assertEqual([item.request_id for item in total.waiting], ["s0", "n0", "n1", "n2"])
+        self.assertEqual(total.holders, {"north": 1})
+        self.assertEqual(aggregator.total_excluding("b", 1).waiting, many)
+        self.assertEqual(aggregator.total_excluding("c", 11).waiting[-1].request_id, "n2")
+        self.assertNotIn(many[0], aggregator.total_excluding("c", 11).waiting)  # Too late to start.
+
+    def test_waiting_prompts_of_an_unresponsive_instance_expire(self) -> None:
+        """Guards against memory that is kept for the prompts of an instance that crashed."""
+        aggregator = WorkAggregator()
+        prompt = waiting("lost", "north", 9_000)
+        aggregator.update(PeerWork("dead", {}, waiting=(prompt,)), 0)
+        self.assertEqual(aggregator.total_excluding("c", REPORT_EXPIRY_MS).waiting, (prompt,))
+        self.assertEqual(aggregator.total_excluding("c", REPORT_EXPIRY_MS + 101).waiting, ())
+
+    def test_holders_are_returned_only_while_prompts_wait(self) -> None:
+        """Guards against larger messages in fleets where no prompt waits."""
+        aggregator = WorkAggregator()
+        work = {"r1": UpstreamWork(0.0, 1, 9_000)}
+        aggregator.update(PeerWork("a", work, holders={"north": 1}), 0)
+        self.assertEqual(aggregator.total_excluding("c", 1).holders, {})
+
+
+def waiting(name: str, workspace: str, latest_start_ms: int) -> WaitingPrompt:
+    """Return a prompt that waits for memory."""
+    return WaitingPrompt(
+        0, name, workspace=workspace, tokens=400_000, latest_start_ms=latest_start_ms
+    )
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/scheduling/test_memory_order.py
+++ b/tests/scheduling/test_memory_order.py
@@ -6,6 +6,7 @@
 
 import unittest
 from collections import Counter
+from dataclasses import replace
 
 from ibispaddle_core.hubs import WorkAggregator
 from ibispaddle_core.runstate import RunState
@@ -29,6 +30,7 @@
     UpstreamWork,
     WaitingPrompt,
 )
+from ibispaddle_core.scheduling.reservation_order import FLEET_EXPIRY_MS, ReservationOrder
 from ibispaddle_core.settings.fleet import FleetConfig
 
 from . import fakes
@@ -208,6 +210,25 @@
         self.assertEqual([held for held in fleet.memory.values() if held], [])
 
 
+class LostHubTest(unittest.TestCase):
+    def test_last_report_of_a_lost_hub_holds_prompts_back_for_a_short_time(self) -> None:
+        """Guards against memory that is kept for prompts of a report that is no longer renewed."""
+        order = ReservationOrder(0)
+        peer = WaitingPrompt(0, "peer", model="m", workspace="w", tokens=9, latest_start_ms=90_000)
+        own = replace(peer, request_id="own", latest_start_ms=91_000)
+        order.replace_fleet((peer,), {}, 0)
+        self.assertEqual(order.tokens_before(own, {}, FLEET_EXPIRY_MS - 1), 9)
+        self.assertEqual(order.tokens_before(own, {}, FLEET_EXPIRY_MS), 0)
+
+    def test_prompts_of_other_models_do_not_compete(self) -> None:
+        """Guards against prompts that wait for memory of engines that they cannot use."""
+        order = ReservationOrder(0)
+        peer = WaitingPrompt(0, "peer", model="m", workspace="w", tokens=9, latest_start_ms=90_000)
+        order.replace_fleet((peer,), {}, 0)
+        own = replace(peer, request_id="own", model="other", latest_start_ms=91_000)
+        self.assertEqual(order.tokens_before(own, {}, 1), 0)
+
+
 class RefusedAtOnceTest(unittest.TestCase):
     def arrive(self, before: int, used: int = KV_TOKENS) -> list[Decision]:
         """Return the decisions about a prompt that can wait 0.9 s, with other prompts before it."""
