--- a/packages/core/src/ibispaddle_core/hubs/work.py
+++ b/packages/core/src/ibispaddle_core/hubs/work.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Mapping
+from itertools import islice
 
 from ..scheduling import PeerWork, UpstreamWork, WaitingPrompt
 from ..scheduling.reservation_order import MAX_FLEET_REPORTED, in_turn
@@ -12,6 +13,8 @@
 # along with the connections of its requests.
 REPORT_EXPIRY_MS = 1_500
 EXPIRY_CHECK_INTERVAL_MS = 100
+# Age up to which the order of all waiting prompts is reused; instances ask each 50 ms while one waits.
+ORDER_MAX_AGE_MS = 25
 # A smaller remaining prefill time is a rounding error.
 MIN_PREFILL_MS = 0.5
 
@@ -32,15 +35,22 @@
         self._reports: dict[str, tuple[int, PeerWork]] = {}  # With the time of receipt.
         self._totals: dict[str, UpstreamWork] = {}
         self._last_expiry_ms = 0
+        self._holders: Counter[str] = Counter()
+        # The waiting prompts of all instances in the fleet's order, with their instances.
+        self._waiting: list[tuple[str, WaitingPrompt]] = []
+        self._waiting_ms: int | None = None  # Time at which the order was computed.
+        self._has_new_waiting = False
 
     def update(self, work: PeerWork, now_ms: int) -> None:
         """Replace the work that an instance has in flight."""
         previous = self._reports.pop(work.instance, None)
         if previous is not None:
-            self._add(previous[1].work, -1)
+            self._remove(previous[1])
         if work.work or work.avoided or work.waiting:
             self._reports[work.instance] = (now_ms, work)
             self._add(work.work, 1)
+            self._holders.update(work.holders)
+            self._has_new_waiting |= bool(work.waiting)
 
     def total_excluding(self, instance: str, now_ms: int) -> PeerWork:
         """Return the total work of all other instances and the upstreams that they avoid."""
@@ -52,7 +62,11 @@
             remaining = _add_signed(work.pop(upstream_id, item), item, -1)
             if not _is_idle(remaining):
                 work[upstream_id] = remaining
-        waiting, holders = self._waiting(instance, now_ms)
+        waiting = self._first_waiting(instance, now_ms)
+        holders: Mapping[str, int] = {}
+        if waiting:
+            own_holders = report[1].holders if report is not None else {}
+            holders = dict(self._holders - Counter(own_holders))
         return PeerWork(
             FLEET_INSTANCE_ID, work, self._avoided(instance), waiting=waiting, holders=holders
         )
@@ -62,20 +76,22 @@
         reported = (work.avoided for name, (_, work) in self._reports.items() if name != instance)
         return tuple(sorted({upstream_id for avoided in reported for upstream_id in avoided}))
 
-    def _waiting(
-        self, instance: str, now_ms: int
-    ) -> tuple[tuple[WaitingPrompt, ...], dict[str, int]]:
-        """Return the others' first waiting prompts, and the holders of memory while there are any."""
-        others = [work for name, (_, work) in self._reports.items() if name != instance]
-        waiting = [
-            prompt for work in others for prompt in work.waiting if prompt.latest_start_ms >= now_ms
-        ]
-        if not waiting:
-            return (), {}
-        holders: Counter[str] = Counter()
-        for work in others:
-            holders.update(work.holders)
-        return tuple(in_turn(waiting, holders)[:MAX_FLEET_REPORTED]), dict(holders)
+    def _first_waiting(self, instance: str, now_ms: int) -> tuple[WaitingPrompt, ...]:
+        """Return the first waiting prompts of all other instances in the fleet's order."""
+        is_old = self._waiting_ms is None or now_ms - self._waiting_ms >= ORDER_MAX_AGE_MS
+        if self._has_new_waiting and is_old:
+            self._has_new_waiting, self._waiting_ms = False, now_ms
+            instances = {
+                prompt: name for name, (_, work) in self._reports.items() for prompt in work.waiting
+            }
+            ordered = in_turn(instances, self._holders)
+            self._waiting = [(instances[prompt], prompt) for prompt in ordered]
+        others = (
+            prompt
+            for name, prompt in self._waiting
+            if name != instance and prompt.latest_start_ms >= now_ms
+        )
+        return tuple(islice(others, MAX_FLEET_REPORTED))
 
     def _expire(self, now_ms: int) -> None:
         if now_ms < self._last_expiry_ms + EXPIRY_CHECK_INTERVAL_MS:
@@ -84,7 +100,12 @@
         for name, (received_ms, work) in list(self._reports.items()):
             if now_ms - received_ms > REPORT_EXPIRY_MS:
                 del self._reports[name]
-                self._add(work.work, -1)
+                self._remove(work)
+
+    def _remove(self, work: PeerWork) -> None:
+        self._add(work.work, -1)
+        self._holders.subtract(work.holders)
+        self._has_new_waiting |= bool(work.waiting)
 
     def _add(self, works: Mapping[str, UpstreamWork], sign: int) -> None:
         for upstream_id, work in works.items():
--- a/packages/core/src/ibispaddle_core/scheduling/reservation_order.py
+++ b/packages/core/src/ibispaddle_core/scheduling/reservation_order.py
@@ -24,7 +24,7 @@
 # Bounds the gossip entry. Younger prompts of the instance beyond the bound are not protected.
 MAX_GOSSIPED = 2
 # Bounds the prompts that an instance reports to its hubs, and those that a hub reports to it.
-MAX_REPORTED = 4
+MAX_REPORTED = 2
 MAX_FLEET_REPORTED = 8
 
 TurnKey = tuple[int, int, str]
