--- a/packages/core/src/ibispaddle_core/scheduling/group_reservations.py
+++ b/packages/core/src/ibispaddle_core/scheduling/group_reservations.py
@@ -35,6 +35,7 @@
 _HEALTH_OUTCOMES = {
     ReservationOutcome.NO_ROOM: Outcome.REJECTED,
     ReservationOutcome.WRONG_UPSTREAM: Outcome.WRONG_UPSTREAM,
+    ReservationOutcome.ANSWER_LOST: Outcome.FAILED,
     ReservationOutcome.UNREACHABLE: Outcome.FAILED,
 }
 
@@ -147,6 +148,10 @@
     ) -> GroupAnswer:
         """Process a runner's answer to a reservation."""
         is_current = self._reservations.is_waiting_for(event.request_id, event.handle)
+        if is_current and event.outcome is ReservationOutcome.ANSWER_LOST:
+            repeat = self._reservations.repeat(event.request_id, event.handle)
+            if repeat is not None and self.pace.try_take(1, now_ms):
+                return GroupAnswer([repeat])
         decisions, ready = self._reservations.handle_answer(event, now_ms)
         if event.granted:
             self.pace.give_back()
--- a/packages/core/src/ibispaddle_core/scheduling/messages.py
+++ b/packages/core/src/ibispaddle_core/scheduling/messages.py
@@ -66,7 +66,10 @@
     NO_ROOM = "no_room"  # The memory is not free now.
     INVALID = "invalid"  # The runner can never grant the reservation.
     WRONG_UPSTREAM = "wrong_upstream"  # Another upstream answers at the address.
-    UNREACHABLE = "unreachable"  # No valid answer; the memory may be reserved.
+    ANSWER_LOST = "answer_lost"  # The connection broke; the memory may be reserved.
+    UNREACHABLE = (
+        "unreachable"  # No connection, no answer in time, or an error; it may be reserved.
+    )
     NOT_SENT = "not_sent"  # The reservation did not leave this instance.
 
 
--- a/packages/core/src/ibispaddle_core/scheduling/reservations.py
+++ b/packages/core/src/ibispaddle_core/scheduling/reservations.py
@@ -51,6 +51,7 @@
     requested: bool = False  # The runner may have reserved the memory.
     unanswered: int = 0  # Reservations that were sent and have no answer.
     refusals: int = 0  # In a row.
+    is_repeated: bool = False  # Sent again because the answer was lost.
     granted: bool = False
     unconfirmed_renewals: int = 0  # Since the runner last granted the memory.
     claimed: bool = False  # Returned by `take_unclaimed`, for a claim on the runner's memory.
@@ -170,6 +171,18 @@
         segments = prompt.segments if prompt is not None else ()
         return any(item.handle == handle and not item.granted for item in segments)
 
+    def repeat(self, request_id: str, handle: str) -> ReserveMemory | None:
+        """Return a reservation whose answer was lost, or None if it has been repeated before.
+
+        The same handle reserves nothing twice, and the other runners of the group keep their memory.
+        """
+        for segment in self._prompts[request_id].segments:
+            if segment.handle == handle and not segment.is_repeated:
+                segment.is_repeated = True
+                segment.unanswered += 1
+                return ReserveMemory(request_id, segment.upstream_id, handle, segment.tokens)
+        return None
+
     def handle_answer(self, event: ReservationAnswered, now_ms: int) -> tuple[list[Decision], bool]:
         """Process an answer and return decisions and whether the prompt is ready to run."""
         prompt = self._prompts.get(event.request_id)
--- a/packages/daemon/src/ibispaddle_daemon/engine_memory.py
+++ b/packages/daemon/src/ibispaddle_daemon/engine_memory.py
@@ -25,9 +25,9 @@
 from .timers import TimerHandle, TimerQueue
 
 CALL_TIMEOUT_MS = 1_000
-# Timeout of a renewal, and time until one that was not confirmed is repeated. Engines answer renewals
-# within some milliseconds also under load.
-RENEWAL_TIMEOUT_MS = 400
+# Timeout of a call about memory that is reserved for a limited time, and time until a renewal that was
+# not confirmed is repeated. Engines answer within some milliseconds also under load.
+LEASE_CALL_TIMEOUT_MS = 400
 # Renewals that are repeated before the reservation expires, and the interval of later ones.
 REPEATED_RENEWALS = 2
 LATE_RENEWAL_INTERVAL_MS = 2_000
@@ -116,6 +116,7 @@
     ReservationOutcome.NO_ROOM: logevents.RESERVATION_REFUSED,
     ReservationOutcome.INVALID: logevents.RESERVATION_INVALID,
     ReservationOutcome.WRONG_UPSTREAM: logevents.RESERVATION_MISDIRECTED,
+    ReservationOutcome.ANSWER_LOST: logevents.RESERVATION_UNANSWERED,
     ReservationOutcome.UNREACHABLE: logevents.RESERVATION_UNANSWERED,
     ReservationOutcome.NOT_SENT: logevents.RESERVATION_NOT_SENT,
 }
@@ -197,7 +198,8 @@
         self._active_handles.add(decision.handle)
         self._orders["reserve"] += 1
         call = self._codec.reserve(decision.handle, decision.tokens, self._hold_ms(decision))
-        self._calls.send(call.method, base_url + call.path, call.body, CALL_TIMEOUT_MS, on_result)
+        timeout_ms = CALL_TIMEOUT_MS if self._codec.hold_ms is None else LEASE_CALL_TIMEOUT_MS
+        self._calls.send(call.method, base_url + call.path, call.body, timeout_ms, on_result)
 
     def free(self, base_url: str, decision: FreeMemory) -> None:
         """Free the memory of a handle."""
@@ -223,7 +225,7 @@
     ) -> None:
         """Renew a reservation at a time, and again while it is active.
 
-        A renewal that the engine did not confirm is repeated after `RENEWAL_TIMEOUT_MS`, so that two
+        A renewal that the engine did not confirm is repeated after `LEASE_CALL_TIMEOUT_MS`, so that two
         more are sent before the reservation expires, and the scheduler soon learns of a silent engine.
         `failures` is the number of renewals since the last one that was confirmed.
         """
@@ -253,7 +255,7 @@
             call = self._codec.reserve(decision.handle, decision.tokens, self._hold_ms(decision))
             url = base_url + call.path
             self._orders["renew"] += 1
-            self._calls.send(call.method, url, call.body, RENEWAL_TIMEOUT_MS, on_result)
+            self._calls.send(call.method, url, call.body, LEASE_CALL_TIMEOUT_MS, on_result)
 
         self._renewals[decision.handle] = self._timers.at(due_ms, renew)
 
@@ -262,9 +264,9 @@
         if failures > REPEATED_RENEWALS:
             return LATE_RENEWAL_INTERVAL_MS
         if failures > 0:
-            return RENEWAL_TIMEOUT_MS
+            return LEASE_CALL_TIMEOUT_MS
         hold_ms = self._codec.hold_ms or 0
-        repeats_ms = REPEATED_RENEWALS * RENEWAL_TIMEOUT_MS
+        repeats_ms = REPEATED_RENEWALS * LEASE_CALL_TIMEOUT_MS
         return max(hold_ms // 3, hold_ms - repeats_ms - RENEWAL_MARGIN_MS)
 
     def _is_confirmed(self, result: CallResult) -> bool:
@@ -280,6 +282,8 @@
             return self._codec.outcome(result.status)
         if result.failure in (CallFailure.BUSY, CallFailure.CANCELLED):
             return ReservationOutcome.NOT_SENT
+        if result.failure is CallFailure.CLOSED:
+            return ReservationOutcome.ANSWER_LOST
         return ReservationOutcome.UNREACHABLE
 
     def _count_outcome(
--- a/tests/scheduling/test_group_reservations.py
+++ b/tests/scheduling/test_group_reservations.py
@@ -176,6 +176,45 @@
             self.assertEqual(runners.freed[first.handle], count, outcome)
 
 
+class LostAnswerTest(unittest.TestCase):
+    def test_reservation_whose_answer_is_lost_is_repeated_once(self) -> None:
+        """Guards against groups that give up all parts because one answer is lost.
+
+        The connections of many runners are reset after they have carried out a call.
+        """
+        lost: set[str] = set()
+
+        def answer(order: ReserveMemory) -> ReservationOutcome:
+            is_first = order.handle not in lost
+            lost.add(order.handle)
+            return ReservationOutcome.ANSWER_LOST if is_first else ReservationOutcome.GRANTED
+
+        runners = Runners(scheduler(), answer)
+        runners.arrive("huge")
+        runners.run(100)
+        counts = runners.sched.group_counts
+        self.assertEqual((counts["started"], counts["granted"]), (1, 1))
+        self.assertEqual(len(runners.sent), 2 * len(lost))
+
+    def test_runner_that_loses_each_answer_is_given_up(self) -> None:
+        """Guards against a prompt that repeats a reservation at one faulty runner for ever."""
+        faulty: list[str] = []
+
+        def answer(order: ReserveMemory) -> ReservationOutcome:
+            if not faulty:
+                faulty.append(order.upstream_id)
+            is_faulty = order.upstream_id in faulty
+            return ReservationOutcome.ANSWER_LOST if is_faulty else ReservationOutcome.GRANTED
+
+        runners = Runners(scheduler(), answer)
+        runners.arrive("huge")
+        runners.run(500)
+        self.assertEqual(runners.sched.group_counts["granted"], 1)
+        sent = [order for _, order in runners.sent if order.upstream_id in faulty]
+        self.assertEqual(len(sent), 2)
+        self.assertEqual(runners.freed[sent[0].handle], 1)
+
+
 class UnreachableRunnerTest(unittest.TestCase):
     def test_unreachable_runner_is_avoided(self) -> None:
         """Guards against further prompts for a runner that does not answer reservations."""
