--- a/packages/core/src/ibispaddle_core/scheduling/group_reservations.py
+++ b/packages/core/src/ibispaddle_core/scheduling/group_reservations.py
@@ -118,8 +118,9 @@
 
         The free memory must be enough for the prompts that come before it and for itself.
         """
-        req = state.req
-        if state.prompt_class < PromptClass.LONG or not self._is_joint(req.model):
+        if not self._order.has_fleet_prompts(now_ms):
+            return False
+        if state.prompt_class < PromptClass.LONG or not self._is_joint(state.req.model):
             return False
         own = self._describe(state)
         before = self._order.tokens_before(own, self.holders(), now_ms)
--- a/packages/core/src/ibispaddle_core/scheduling/reservation_order.py
+++ b/packages/core/src/ibispaddle_core/scheduling/reservation_order.py
@@ -76,11 +76,15 @@
         self._fleet, self._fleet_holders = prompts, holders
         self._fleet_until_ms = now_ms + FLEET_EXPIRY_MS
 
+    def has_fleet_prompts(self, now_ms: int) -> bool:
+        """Return whether prompts of other instances wait for memory."""
+        return bool(self._fleet) and now_ms < self._fleet_until_ms
+
     def tokens_before(
         self, prompt: WaitingPrompt, own_holders: Mapping[str, int], now_ms: int
     ) -> int:
         """Return the memory of the other instances' prompts that come before one of this instance."""
-        if not self._fleet or now_ms >= self._fleet_until_ms:
+        if not self.has_fleet_prompts(now_ms):
             return 0
         # A prompt that can no longer end in time is about to be refused.
         others = [
