Left engines without prefill to waiting prompts that come first

Prompts of a burst waited up to six seconds for engines that had finished their prefill, while later arrivals at other instances got them. A prompt does not ask a crashed runner twice, and a failure that is reported after its group was given up counts as well.

--- a/packages/bench/src/ibispaddle_bench/waiting_costs.py
+++ b/packages/bench/src/ibispaddle_bench/waiting_costs.py
@@ -64,7 +64,7 @@
     order = ReservationOrder(0)
     order.replace_fleet(others.waiting, others.holders, 0)
     own = replace(waiting_prompt(7, 0), latest_start_ms=2_000_000)
-    decision_us = processor_us(lambda now_ms: order.tokens_before(own, {"workspace-7": 1}, now_ms))
+    decision_us = processor_us(lambda now_ms: order.prompts_before(own, {"workspace-7": 1}, now_ms))
     codec = FleetCodec()
     rows = encode_waiting(others.waiting, 0)
     snapshot = WorkSnapshot(1, (), (), waiting=rows, holders=tuple(others.holders.items()))
--- a/packages/core/src/ibispaddle_core/scheduling/group_reservations.py
+++ b/packages/core/src/ibispaddle_core/scheduling/group_reservations.py
@@ -31,9 +31,8 @@
 from .reservations import PromptReservations
 from .runners import RunnerTable, RunnerView
 
-# What the health of a runner learns from its answer.
-_HEALTH_OUTCOMES = {
-    ReservationOutcome.NO_ROOM: Outcome.REJECTED,
+# What the health of a runner learns from reservations that it did not answer itself.
+_FAILURES = {
     ReservationOutcome.WRONG_UPSTREAM: Outcome.WRONG_UPSTREAM,
     ReservationOutcome.ANSWER_LOST: Outcome.FAILED,
     ReservationOutcome.UNREACHABLE: Outcome.FAILED,
@@ -114,17 +113,22 @@
         return self._reserve(state, group, now_ms)
 
     def must_yield(self, state: RequestState, now_ms: int) -> bool:
-        """Return whether a long prompt leaves the free memory to prompts of other instances.
+        """Return whether a long prompt leaves its place to prompts of other instances.
 
-        The free memory must be enough for the prompts that come before it and for itself.
+        The free memory, and the engines that have little left to prefill, must be enough for the prompts
+        that come before it and for itself.
         """
         if not self._order.has_fleet_prompts(now_ms):
             return False
         if state.prompt_class < PromptClass.LONG or not self._is_joint(state.req.model):
             return False
         own = self._describe(state)
-        before = self._order.tokens_before(own, self.holders(), now_ms)
-        if before == 0 or before + own.tokens <= self._room(state):
+        before = self._order.prompts_before(own, self.holders(), now_ms)
+        if not before:
+            return False
+        tokens = [own.tokens, *(prompt.tokens for prompt in before)]
+        needed = sum(self._cost.engines_for(state.req.model, count) for count in tokens)
+        if sum(tokens) <= self._room(state) and needed <= self._ready_engines(state, now_ms):
             return False
         self._order.add_waiting(own)
         return True
@@ -154,6 +158,7 @@
             if repeat is not None and self.pace.try_take(1, now_ms):
                 return GroupAnswer([repeat])
         decisions, ready = self._reservations.handle_answer(event, now_ms)
+        self._observe(event, now_ms)
         if event.granted:
             self.pace.give_back()
             if is_current:
@@ -223,8 +228,8 @@
         if not self._is_joint(state.req.model):
             return False
         own = self._describe(state)
-        before = self._order.tokens_before(own, self.holders(), now_ms)
-        missing = before + own.tokens - self._room(state)
+        before = self._order.prompts_before(own, self.holders(), now_ms)
+        missing = sum(prompt.tokens for prompt in before) + own.tokens - self._room(state)
         live = self._runners.live_for(state.req)
         used = sum(view.kv_total - view.kv_free() for view in live)
         if missing <= 0 or used <= 0:
@@ -246,12 +251,25 @@
         )
         return sum(tokens for tokens in free if tokens > 0)
 
+    def _ready_engines(self, state: RequestState, now_ms: int) -> int:
+        """Return the number of runners that can begin with a part of a long prompt at once."""
+        return sum(
+            view.pending_prefill_ms(now_ms) <= least_work.MAX_PENDING_PREFILL_MS
+            for view in self._runners.live_for(state.req)
+        )
+
     def _usable(self, state: RequestState, now_ms: int) -> list[RunnerView]:
-        live = self._runners.available_for(state.req, now_ms)
-        invalid = self.pace.invalid_at(state.req.request_id)
-        if not invalid:
+        """Return the runners for a prompt's group, without those that failed it if others suffice."""
+        req = state.req
+        live = self._runners.available_for(req, now_ms)
+        invalid, failed = self.pace.invalid_at(req.request_id), self.pace.failed_at(req.request_id)
+        if invalid:
+            live = [view for view in live if view.upstream.upstream_id not in invalid]
+        if not failed and not state.tried:
             return live
-        return [view for view in live if view.upstream.upstream_id not in invalid]
+        left_out = state.tried.union(failed)
+        others = [view for view in live if view.upstream.upstream_id not in left_out]
+        return others if len(others) >= self._cost.preferred_segments(req) else live
 
     def _choose_group(
         self, state: RequestState, live: list[RunnerView], contested: set[str], now_ms: int
@@ -291,6 +309,12 @@
         self.counts["started"] += 1
         return True
 
+    def _observe(self, event: ReservationAnswered, now_ms: int) -> None:
+        """Record that a runner could not be asked, also for a group that has been given up."""
+        outcome = _FAILURES.get(event.outcome)
+        if outcome is not None and event.upstream_id in self._runners.views:
+            self._health.observe(event.upstream_id, outcome, now_ms)
+
     def _handle_refusal(
         self,
         event: ReservationAnswered,
@@ -304,9 +328,8 @@
         it has while a runner has no room.
         """
         is_joint = self._is_joint(state.req.model)
-        outcome = _HEALTH_OUTCOMES.get(event.outcome)
-        if outcome is not None and (is_joint or event.outcome is not ReservationOutcome.NO_ROOM):
-            self._health.observe(event.upstream_id, outcome, now_ms)
+        if is_joint and event.outcome is ReservationOutcome.NO_ROOM:
+            self._health.observe(event.upstream_id, Outcome.REJECTED, now_ms)
         if not is_joint and event.outcome is not ReservationOutcome.INVALID:
             return GroupAnswer(decisions)
         self.counts["refused"] += 1
--- a/packages/core/src/ibispaddle_core/scheduling/reservation_order.py
+++ b/packages/core/src/ibispaddle_core/scheduling/reservation_order.py
@@ -80,12 +80,12 @@
         """Return whether prompts of other instances wait for memory."""
         return bool(self._fleet) and now_ms < self._fleet_until_ms
 
-    def tokens_before(
+    def prompts_before(
         self, prompt: WaitingPrompt, own_holders: Mapping[str, int], now_ms: int
-    ) -> int:
-        """Return the memory of the other instances' prompts that come before one of this instance."""
+    ) -> list[WaitingPrompt]:
+        """Return the other instances' prompts that come before one of this instance."""
         if not self.has_fleet_prompts(now_ms):
-            return 0
+            return []
         # A prompt that can no longer end in time is about to be refused.
         others = [
             peer
@@ -93,14 +93,14 @@
             if peer.model == prompt.model and peer.latest_start_ms >= now_ms
         ]
         if not others:
-            return 0
+            return []
         own = {**self._waiting, prompt.request_id: prompt}.values()
         holders = Counter(self._fleet_holders) + Counter(own_holders)
         same_model = [item for item in own if item.model == prompt.model]
         ordered = in_turn([*others, *same_model], holders)
         before = ordered[: ordered.index(prompt)]
         own_ids = {item.request_id for item in same_model}
-        return sum(item.tokens for item in before if item.request_id not in own_ids)
+        return [item for item in before if item.request_id not in own_ids]
 
     def contested_runners(self, prompt: WaitingPrompt, now_ms: int) -> set[str]:
         """Return the runners that an older prompt of another instance waits for."""
--- a/packages/core/src/ibispaddle_core/scheduling/reservation_pace.py
+++ b/packages/core/src/ibispaddle_core/scheduling/reservation_pace.py
@@ -37,6 +37,7 @@
     groups: int = 0  # Groups that were not granted.
     not_before_ms: int = 0
     invalid_at: set[str] = field(default_factory=set)
+    failed_at: set[str] = field(default_factory=set)
 
 
 class ReservationPace:
@@ -62,6 +63,11 @@
         record = self._prompts.get(request_id)
         return record.invalid_at if record is not None else ()
 
+    def failed_at(self, request_id: str) -> Collection[str]:
+        """Return the upstreams that could not be asked for the prompt's memory."""
+        record = self._prompts.get(request_id)
+        return record.failed_at if record is not None else ()
+
     def try_take(self, count: int, now_ms: int) -> bool:
         """Take reservations from the budget, or return false if it has too few."""
         added = max(0, now_ms - self._budget_ms) * BUDGET_PER_S / 1_000
@@ -90,6 +96,8 @@
                 return RefusalReason.MEMORY_INVALID
         else:
             record.not_before_ms = now_ms + pause_ms(record.groups)
+            if outcome is not ReservationOutcome.NO_ROOM:
+                record.failed_at.add(upstream_id)
         return RefusalReason.NO_MEMORY if record.groups >= MAX_GROUPS else None
 
     def discard(self, request_id: str) -> None:
--- a/tests/scheduling/test_group_reservations.py
+++ b/tests/scheduling/test_group_reservations.py
@@ -233,6 +233,25 @@
         self.assertTrue(runners.sched.health.is_avoided(dark[0], 300))
         self.assertEqual(sum(order.upstream_id in dark for _, order in runners.sent), 1)
 
+    def test_crashed_runners_are_asked_once_by_a_prompt(self) -> None:
+        """Guards against groups that are given up one after the other for the same crashed runners.
+
+        Two runners of the group are down, so that one failure is reported after the group was given up.
+        """
+        down: list[str] = []
+
+        def answer(order: ReserveMemory) -> ReservationOutcome:
+            if len(down) < 2:
+                down.append(order.upstream_id)
+            is_down = order.upstream_id in down
+            return ReservationOutcome.UNREACHABLE if is_down else ReservationOutcome.GRANTED
+
+        runners = Runners(scheduler(), answer)
+        runners.arrive("huge")
+        runners.run(3_000)
+        self.assertEqual(runners.sched.group_counts["started"], 2)
+        self.assertTrue(runners.sched.health.is_avoided(down[1], 300))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/scheduling/test_memory_order.py
+++ b/tests/scheduling/test_memory_order.py
@@ -172,6 +172,27 @@
         self.assertEqual(set(fleet.dispatched), {"large", "small"})
 
 
+class PrefillTest(unittest.TestCase):
+    def test_prompt_that_must_start_first_gets_the_engines_that_become_ready(self) -> None:
+        """Guards against late arrivals that start while a prompt waits for seconds elsewhere.
+
+        The memory is enough for all, but the engines are busy with the prefill of a burst.
+        """
+        fleet = Fleet(6)
+        for number in range(4):
+            fleet.arrive(0, f"burst-{number}", tokens=240_000)
+        fleet.arrive(1, "early", tokens=240_000, deadline_ms=fleet.now_ms + 8_000)
+        self.assertNotIn("early", fleet.dispatched)
+        for number in range(2, 6):
+            fleet.run(40)
+            fleet.arrive(number, f"late-{number}", tokens=240_000)
+        fleet.run(6_000)
+        waited = [name for name in fleet.dispatched if not name.startswith("burst")]
+        self.assertEqual(waited[0], "early")
+        self.assertEqual(len(waited), 5)
+        self.assertEqual(fleet.refused, {})
+
+
 class ContentionTest(unittest.TestCase):
     def test_orders_are_bounded_while_many_prompts_wait_for_little_memory(self) -> None:
         """Guards against groups that take parts and give them back while others do the same.
@@ -217,8 +238,8 @@
         peer = WaitingPrompt(0, "peer", model="m", workspace="w", tokens=9, latest_start_ms=90_000)
         own = replace(peer, request_id="own", latest_start_ms=91_000)
         order.replace_fleet((peer,), {}, 0)
-        self.assertEqual(order.tokens_before(own, {}, FLEET_EXPIRY_MS - 1), 9)
-        self.assertEqual(order.tokens_before(own, {}, FLEET_EXPIRY_MS), 0)
+        self.assertEqual(order.prompts_before(own, {}, FLEET_EXPIRY_MS - 1), [peer])
+        self.assertEqual(order.prompts_before(own, {}, FLEET_EXPIRY_MS), [])
 
     def test_prompts_of_other_models_do_not_compete(self) -> None:
         """Guards against prompts that wait for memory of engines that they cannot use."""
@@ -226,7 +247,7 @@
         peer = WaitingPrompt(0, "peer", model="m", workspace="w", tokens=9, latest_start_ms=90_000)
         order.replace_fleet((peer,), {}, 0)
         own = replace(peer, request_id="own", model="other", latest_start_ms=91_000)
-        self.assertEqual(order.tokens_before(own, {}, 1), 0)
+        self.assertEqual(order.prompts_before(own, {}, 1), [])
 
 
 class RefusedAtOnceTest(unittest.TestCase):
