--- a/packages/core/src/ibispaddle_core/scheduling/group_reservations.py
+++ b/packages/core/src/ibispaddle_core/scheduling/group_reservations.py
@@ -19,6 +19,7 @@
     Decision,
     Outcome,
     RefusalReason,
+    Request,
     ReservationAnswered,
     ReservationOutcome,
     WaitingPrompt,
@@ -104,7 +105,7 @@
         # Reservations that wait for memory block other neighbours, so a neighbour above its share
         # must not make them.
         if not group.fits and (idle_only or incomplete or not group.views):
-            self._record_waiting(state)
+            self._record_waiting(state, now_ms)
             return self._check_wait(state, now_ms)
         if group.contested:
             names = [view.upstream.upstream_id for view in group.views]
@@ -122,7 +123,7 @@
             return False
         if state.prompt_class < PromptClass.LONG or not self._is_joint(state.req.model):
             return False
-        own = self._describe(state)
+        own = self._describe(state, now_ms)
         before = self._order.prompts_before(own, self.holders(), now_ms)
         if not before:
             return False
@@ -199,25 +200,36 @@
     def _is_joint(self, model: str) -> bool:
         return self._cost.supports_joint_prefill(model)
 
-    def _describe(self, state: RequestState) -> WaitingPrompt:
+    def _describe(self, state: RequestState, now_ms: int) -> WaitingPrompt:
         req = state.req
-        start_ms = min(
-            req.deadline_ms - self._cost.idle_ttft_ms(req) - self._cost.decode_ms(req),
-            req.start_deadline_ms - self._cost.idle_ttft_ms(req),
-        )
-        described = self._reservations.describe_waiting(req, ())
         return replace(
-            described,
+            self._reservations.describe_waiting(req, ()),
             model=req.model,
             workspace=req.neighbour,
             tokens=self._cost.kv_tokens(req),
-            latest_start_ms=int(start_ms),
+            latest_start_ms=self._next_bound_ms(req, now_ms),
         )
 
-    def _record_waiting(self, state: RequestState) -> None:
+    def _next_bound_ms(self, req: Request, now_ms: int) -> int:
+        """Return the latest start with which a prompt is in time, or ends at all if it is late.
+
+        Further delay of a prompt that is late costs its caller less, until it could not end any more.
+        """
+        if req.ttft_objective_ms is not None:
+            in_time_ms = req.arrived_ms + req.ttft_objective_ms - self._cost.idle_ttft_ms(req)
+            if in_time_ms >= now_ms:
+                return int(in_time_ms)
+        return self._latest_start_ms(req)
+
+    def _latest_start_ms(self, req: Request) -> int:
+        first_ms = self._cost.idle_ttft_ms(req)
+        ends_ms = req.deadline_ms - self._cost.decode_ms(req)
+        return int(min(ends_ms, req.start_deadline_ms) - first_ms)
+
+    def _record_waiting(self, state: RequestState, now_ms: int) -> None:
         """Report a prompt that found no memory to the other instances."""
         if self._is_joint(state.req.model):
-            self._order.add_waiting(self._describe(state))
+            self._order.add_waiting(self._describe(state, now_ms))
 
     def _check_wait(self, state: RequestState, now_ms: int) -> AdmissionRefusal | bool:
         """Return a refusal if memory becomes free too late for a waiting prompt, or else false.
@@ -227,7 +239,7 @@
         """
         if not self._is_joint(state.req.model):
             return False
-        own = self._describe(state)
+        own = self._describe(state, now_ms)
         before = self._order.prompts_before(own, self.holders(), now_ms)
         missing = sum(prompt.tokens for prompt in before) + own.tokens - self._room(state)
         live = self._runners.live_for(state.req)
@@ -236,7 +248,7 @@
             return False
         service_ms = self._cost.idle_ttft_ms(state.req) + self._cost.decode_ms(state.req)
         wait_ms = missing / used * service_ms
-        if now_ms + wait_ms <= own.latest_start_ms:
+        if now_ms + wait_ms <= self._latest_start_ms(state.req):
             return False
         self.counts["too_late"] += 1
         return AdmissionRefusal(RefusalReason.NO_MEMORY, Admission.retry_after_ms(wait_ms))
@@ -338,7 +350,7 @@
         )
         if reason is not None:
             return GroupAnswer(decisions, refusal=AdmissionRefusal(reason, MIN_RETRY_AFTER_MS))
-        self._record_waiting(state)
+        self._record_waiting(state, now_ms)
         return GroupAnswer(decisions + self.requeue(state))
 
     def _choice(self, state: RequestState, now_ms: int) -> Choice:
--- a/packages/core/src/ibispaddle_core/scheduling/messages.py
+++ b/packages/core/src/ibispaddle_core/scheduling/messages.py
@@ -264,7 +264,7 @@
     model: str = ""
     workspace: str = ""
     tokens: int = 0
-    latest_start_ms: int = 0  # Time until which it can be sent and end in time.
+    latest_start_ms: int = 0  # Latest start to be in time, or to end at all if it is late.
 
     @property
     def sort_key(self) -> tuple[int, str]:
