--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -15,6 +15,7 @@
 from .claims import MemoryClaimTable
 from .cost import CostModel, PromptClass
 from .departures import DepartureTable
+from .distance import Distances
 from .evacuations import EvacuationTable
 from .exceptions import DuplicateRequestError
 from .group_reservations import GroupReservations
@@ -87,11 +88,17 @@
     """
 
     def __init__(
-        self, config: FleetConfig, seed: int, instance_boot: str, wall_offset_ms: int = 0
+        self,
+        config: FleetConfig,
+        seed: int,
+        instance_boot: str,
+        wall_offset_ms: int = 0,
+        data_centre: str = "",
     ) -> None:
         self.shares = ShareCounters({n: c.weight for n, c in config.neighbours.items()})
         self.cost = CostModel(config)
         self.pacing = UpstreamPacing()
+        self._distances = Distances(data_centre)
         self.runners = RunnerTable(self.cost, self.pacing)
         self.queue = FairQueue(config.scheduling.max_queue_per_neighbour)
         self._backlog = Backlog(self.queue, self.shares, self.cost)
@@ -160,15 +167,21 @@
 
     @classmethod
     def from_config(
-        cls, config: FleetConfig, seed: int, instance_boot: str, wall_offset_ms: int = 0
+        cls,
+        config: FleetConfig,
+        seed: int,
+        instance_boot: str,
+        wall_offset_ms: int = 0,
+        data_centre: str = "",
     ) -> "Scheduler":
         """Create a scheduler.
 
         `wall_offset_ms` is the wall-clock time minus the monotonic time. It converts the times that
         instances and runners have in common: the expiry in KV handles, the arrival of waiting prompts
-        and the periods of the secondary subsets.
+        and the periods of the secondary subsets. `data_centre` is the instance's own, from which
+        distances count.
         """
-        return cls(config, seed, instance_boot, wall_offset_ms)
+        return cls(config, seed, instance_boot, wall_offset_ms, data_centre)
 
     @property
     def active(self) -> int:
@@ -539,7 +552,12 @@
 
     def _configured_placement(self) -> Placement:
         return least_work.placement_from_config(
-            self.cost, self.health, self._rng, self._predicted_placement, self.pacing.cold
+            self.cost,
+            self.health,
+            self._rng,
+            self._predicted_placement,
+            self.pacing.cold,
+            self._distances,
         )
 
     def _handle_response(self, event: UpstreamResponded, now_ms: int) -> list[Decision]:
--- a/packages/core/src/ibispaddle_core/scheduling/least_work.py
+++ b/packages/core/src/ibispaddle_core/scheduling/least_work.py
@@ -8,7 +8,7 @@
 work, so that placement follows mixes of requests that change within seconds.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from random import Random
 
@@ -17,6 +17,7 @@
 from ..settings.fleet import ModelConfig
 from .cold import ColdUpstreams
 from .cost import CostModel, PromptClass
+from .distance import NEAR, Distances
 from .groups import Group
 from .health import UpstreamHealth
 from .messages import Request
@@ -103,7 +104,9 @@
         health: UpstreamHealth,
         rng: Random,
         cold: ColdUpstreams | None = None,
+        distances: Distances | None = None,
     ) -> None:
+        self._distances = distances or Distances("")
         self._cold = cold or ColdUpstreams()
         self._cost = cost
         self._health = health
@@ -141,7 +144,7 @@
     ) -> Choice | None:
         cfg = self._cost.model(req.model)
         needed = self._cost.kv_tokens(req)
-        candidates = self._candidates(views, now_ms)
+        candidates = self._candidates(views, now_ms, self._distances.work_ms(cfg))
         with_capacity = [
             c
             for c in candidates
@@ -199,9 +202,10 @@
         cfg = self._cost.model(req.model)
         prefill_ms = self._cost.prefill_engine_ms(req.model, req.prompt_tokens)
         tokens = self._cost.kv_tokens(req)
+        far_ms = self._distances.work_ms(cfg)
         candidates = [
             c
-            for c in _preferred(self._candidates(live, now_ms), set())
+            for c in _preferred(self._candidates(live, now_ms, far_ms), set())
             if c.upstream_id not in contested and _can_help(c.view, cfg)
         ]
         best: _Plan | None = None
@@ -251,13 +255,20 @@
             s for s in GROUP_SIZES if s == 1 or (s <= max_size and prefill_ms / s >= MIN_PART_MS)
         ]
 
-    def _candidates(self, views: Iterable[RunnerView], now_ms: int) -> list[_Candidate]:
-        return [self._candidate(view, now_ms) for view in views]
+    def _candidates(
+        self, views: Iterable[RunnerView], now_ms: int, far_ms: Mapping[str, float] = NEAR
+    ) -> list[_Candidate]:
+        if not far_ms:
+            return [self._candidate(view, now_ms) for view in views]
+        return [
+            self._candidate(view, now_ms, far_ms.get(view.upstream.data_centre, 0.0))
+            for view in views
+        ]
 
-    def _candidate(self, view: RunnerView, now_ms: int) -> _Candidate:
+    def _candidate(self, view: RunnerView, now_ms: int, far_ms: float = 0.0) -> _Candidate:
         upstream_id = view.upstream.upstream_id
         pending_prefill_ms, requests = view.pending_prefill_ms(now_ms), view.requests
-        work_ms = pending_prefill_ms + REQUEST_WORK_MS * requests
+        work_ms = pending_prefill_ms + REQUEST_WORK_MS * requests + far_ms
         is_avoided = False
         if self._health.has_record(upstream_id):
             work_ms += FAILURE_WORK_MS * self._health.failure_rate(upstream_id, now_ms)
@@ -424,12 +435,13 @@
     rng: Random,
     default: Placement,
     cold: ColdUpstreams | None = None,
+    distances: Distances | None = None,
 ) -> Placement:
     """Return the configured placement."""
     match cost.scheduling.placement:
         case "least_work":
-            return LeastWorkPlacement(cost, health, rng, cold)
+            return LeastWorkPlacement(cost, health, rng, cold, distances)
         case "fewest_requests":
-            return FewestRequestsPlacement(cost, health, rng, cold)
+            return FewestRequestsPlacement(cost, health, rng, cold, distances)
         case _:
             return default
--- a/packages/core/src/ibispaddle_core/settings/__init__.py
+++ b/packages/core/src/ibispaddle_core/settings/__init__.py
@@ -4,6 +4,7 @@
 from .exceptions import SettingsError
 from .fleet import (
     DataCentreConfig,
+    DelayConfig,
     FleetConfig,
     LimitSettings,
     ModelConfig,
@@ -25,6 +26,7 @@
 
 __all__ = [
     "DataCentreConfig",
+    "DelayConfig",
     "FleetConfig",
     "GatewaySettings",
     "InstanceSettings",
--- a/packages/core/src/ibispaddle_core/settings/fleet.py
+++ b/packages/core/src/ibispaddle_core/settings/fleet.py
@@ -40,6 +40,16 @@
     ] = 120_000
 
 
+class DelayConfig(SettingsModel, frozen=True, kw_only=True):
+    """The delay of messages between two data centres."""
+
+    first: Annotated[str, Meta(description="One of the data centres.")]
+    second: Annotated[str, Meta(description="The other data centre.")]
+    delay_ms: Annotated[
+        float, Meta(ge=0, le=60_000, description="Delay in one direction, milliseconds.")
+    ]
+
+
 class ModelConfig(SettingsModel, frozen=True, kw_only=True):
     """A model and the capacity of the engines that run it."""
 
@@ -114,6 +124,12 @@
             description="Maximum time to the first token beyond the estimate; null: the value of `scheduling`."
         ),
     ] = None
+    delays: Annotated[
+        tuple[DelayConfig, ...],
+        Meta(
+            description="Delays between data centres; without them, the placement takes all upstreams for near."
+        ),
+    ] = ()
     cold_requests_per_s: Annotated[
         float,
         Meta(
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
@@ -107,6 +107,7 @@
         timers: TimerQueue,
         metrics: Metrics,
         budget: MemoryBudget | None = None,
+        data_centre: str = "",
     ) -> None:
         super().__init__()
         budget = budget or MemoryBudget.from_memory()
@@ -121,7 +122,9 @@
         self.freshness = ConfigFreshness()
         self.drain_admission: DrainAdmission | None = None
         offset_ms = clock.wall_ms() - clock.now_ms()
-        self.scheduler = Scheduler.from_config(FleetConfig(), seed, self._boot_id, offset_ms)
+        self.scheduler = Scheduler.from_config(
+            FleetConfig(), seed, self._boot_id, offset_ms, data_centre
+        )
         self._cold_log = ColdLog(clock, self.scheduler.pacing.cold)
         self._loop = SchedulingLoop(self.scheduler, self._execute, clock, timers)
         self._requests: dict[str, ForwardedRequest] = {}
--- a/packages/daemon/src/ibispaddle_daemon/gateway.py
+++ b/packages/daemon/src/ibispaddle_daemon/gateway.py
@@ -124,6 +124,7 @@
             timers,
             self.metrics,
             self._budget,
+            settings.instance.data_centre,
         ).register(self)
         limits = FleetConfig().limits
         self.server = HttpServer(
