--- a/tests/platform_adapter/test_records.py
+++ b/tests/platform_adapter/test_records.py
@@ -162,6 +162,15 @@
             for model in fleet.models.values():
                 self.assertEqual((model.cold_requests_per_s, model.cold_ms), expected)
 
+    def test_delays_between_data_centres(self) -> None:
+        """Guards against delays that are not read, and a configuration that is unusable without them."""
+        entry = {"from": "a", "target_version": "b", "delay_ms": 0.9}
+        for delays, expected in (([entry], [("a", "b", 0.9)]), ([{}], [("", "", 0.0)]), ([], [])):
+            services = [{"name": "llm", "engine": {**ENGINE, "delays": delays}}]
+            _, fleet = self.reader.read(json.dumps({**CONFIG, "services": services}).encode())
+            read = [(item.first, item.second, item.delay_ms) for item in fleet.models["llm"].delays]
+            self.assertEqual(read, expected)
+
     def test_streams_that_cannot_be_resumed_run_once(self) -> None:
         """Guards against a stream that is assembled from two runs."""
         route = {**CONFIG["routes"][0], "resumable": False}
