Let the tests' upstreams keep all connections that a test opens at once

test_concurrent_calls_get_their_own_responses opens 200 connections to a server with a backlog of 64.

--- a/tests/support/upstreams.py
+++ b/tests/support/upstreams.py
@@ -5,6 +5,9 @@
 import threading
 from collections.abc import Callable
 
+# More than any test opens at once: the kernel drops what exceeds it, and the client repeats it after a second.
+MAX_PENDING_CONNECTIONS = 512
+
 
 class RawUpstream:
     """Accept connections and run a script of the test for each of them.
@@ -18,7 +21,9 @@
         script: Callable[[socket.socket, int], None],
         listener: socket.socket | None = None,
     ) -> None:
-        self._sock = listener or socket.create_server(("127.0.0.1", 0), backlog=64)
+        self._sock = listener or socket.create_server(
+            ("127.0.0.1", 0), backlog=MAX_PENDING_CONNECTIONS
+        )
         self._script = script
         self._open: list[socket.socket] = []
         self.connections = 0
