--- a/packages/client/src/ibispaddle_client/change_review.py
+++ b/packages/client/src/ibispaddle_client/change_review.py
@@ -4,9 +4,13 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
-from ibispaddle_core.change_checks import ListedUpstream, run_change_checks
+from ibispaddle_core.change_checks import (
+    ListedUpstream,
+    check_against_instance,
+    run_change_checks,
+)
 from ibispaddle_core.checks import CheckMessage, Severity
-from ibispaddle_core.settings import FleetConfig, check_fleet
+from ibispaddle_core.settings import FleetConfig, InstanceSettings, check_fleet
 
 from .changes import Document
 from .commands.config_diff import compare
@@ -43,12 +47,16 @@
 
 
 def review_change(
-    proposed: Layers, in_force: Layers, upstreams: Collection[ListedUpstream] | None = None
+    proposed: Layers,
+    in_force: Layers,
+    upstreams: Collection[ListedUpstream] | None = None,
+    instance: InstanceSettings | None = None,
 ) -> Review:
     """Compare the layers of a proposed configuration with those in force.
 
     The base and each overlay on top of it are checked. A message about the base is given once, however
-    many sites it concerns. `upstreams` are the listed ones, or None if they are not known.
+    many sites it concerns. `upstreams` are the listed ones, or None if they are not known. With the settings of an
+    `instance`, the limits for callers are compared with its memory.
 
     >>> review_change({"base": {"limits": {"max_requests": 5}}}, {"base": {}}).differences
     (Difference(layer='base', path='$.limits.max_requests', old=2000, new=5),)
@@ -56,7 +64,7 @@
     messages = list(_find_restored(proposed, in_force))
     differences: list[Difference] = []
     for layer in (BASE, *sorted(proposed.keys() - {BASE})):
-        config, found = _check_layer(proposed, layer, upstreams)
+        config, found = _check_layer(proposed, layer, upstreams, instance)
         known = {_identity(message) for message in messages}
         messages += [message for message in found if _identity(message) not in known]
         old, _ = check_fleet(_effective(in_force, layer))
@@ -75,11 +83,16 @@
 
 
 def _check_layer(
-    layers: Layers, layer: str, upstreams: Collection[ListedUpstream] | None
+    layers: Layers,
+    layer: str,
+    upstreams: Collection[ListedUpstream] | None,
+    instance: InstanceSettings | None,
 ) -> tuple[FleetConfig | None, list[CheckMessage]]:
     config, messages = check_fleet(_effective(layers, layer))
     if config is not None:
         messages += run_change_checks(config, upstreams)
+        if instance is not None:
+            messages += check_against_instance(config, instance)
     return config, [
         message if message.source else replace(message, source=layer) for message in messages
     ]
--- a/packages/client/src/ibispaddle_client/commands/config_check_change.py
+++ b/packages/client/src/ibispaddle_client/commands/config_check_change.py
@@ -5,7 +5,7 @@
 
 import typer
 from ibispaddle_core.change_checks import ListedUpstream
-from ibispaddle_core.settings import SettingsError
+from ibispaddle_core.settings import SettingsError, load_instance
 
 from ..api import OperatorApi
 from ..change_review import BASE, Review, review_change
@@ -13,6 +13,7 @@
 from ..documents import read_document
 from ..exceptions import ClientError, UsageError
 from ..output import print_json, print_table
+from .check import InstanceFile
 from .config_restart import SiteFiles, read_restart_layers
 from .options import DEFAULT_SERVER, AsJson, OptionalOperatorKey, Server
 
@@ -65,6 +66,7 @@
     layer: Layer = BASE,
     site: SiteFiles = None,
     against: Against = None,
+    instance: InstanceFile = None,
     key: OptionalOperatorKey = "",
     server: Server = DEFAULT_SERVER,
     as_json: AsJson = False,
@@ -83,10 +85,13 @@
             raise UsageError(
                 "an operator key in '--key' or IBISPADDLE_KEY, or '--against' is required"
             )
+        settings = None
+        if instance is not None:
+            settings = load_instance(read_document(instance), str(instance))
         layers = proposed_layers(proposed, layer, site or [], in_force)
     except SettingsError as exc:
         raise ClientError(str(exc)) from exc
-    review = review_change(layers, in_force, upstreams)
+    review = review_change(layers, in_force, upstreams, settings)
     if as_json:
         print_json(encode(review))
     else:
--- a/packages/core/src/ibispaddle_core/change_checks.py
+++ b/packages/core/src/ibispaddle_core/change_checks.py
@@ -10,7 +10,8 @@
 from .chat.tokens import CHARACTERS_PER_TOKEN
 from .checks import CheckMessage, Severity
 from .evacuations import check_evacuations
-from .settings import FleetConfig
+from .forwarding.memory_budget import MemoryBudget
+from .settings import FleetConfig, InstanceSettings
 
 
 @dataclass(frozen=True)
@@ -53,6 +54,26 @@
     return messages
 
 
+def check_against_instance(config: FleetConfig, settings: InstanceSettings) -> list[CheckMessage]:
+    """Return messages about limits for callers that exceed what an instance may hold for all."""
+    budget, limits = MemoryBudget.from_settings(settings), config.limits
+    held = (
+        (60, "max_body_bytes", limits.max_body_bytes, "request bodies", budget.request_bodies),
+        (61, "max_unsent_bytes", limits.max_unsent_bytes, "responses", budget.unread_responses),
+    )
+    return [
+        _warning(
+            number,
+            f"One caller may use {limit} bytes, but the instance '{settings.instance_id}' holds"
+            f" {most} bytes of {what} for all callers together.",
+            f"Lower '{name}', or raise the instance's memory.",
+            f"$.limits.{name}",
+        )
+        for number, name, limit, what, most in held
+        if limit > most
+    ]
+
+
 def _warning(number: int, text: str, hint: str, path: str) -> CheckMessage:
     return CheckMessage(f"change.W{number:03}", Severity.WARNING, text, hint, path=path)
 
@@ -104,6 +125,9 @@
         yield _error(10, text, hint, "$.scheduling.short_prompt_tokens")
     for name, model in config.models.items():
         path = f"$.models.{name}"
+        if model.cold_ms > 0 and model.cold_requests_per_s == 0:
+            text = f"The model '{name}' is cold for {model.cold_ms} ms, but has no limit for that time."
+            yield _warning(13, text, "Set 'cold_requests_per_s'.", f"{path}.cold_ms")
         if model.call_ms is not None:
             continue  # A plain service has no prompts.
         if model.default_max_output_tokens >= model.context_tokens:
--- a/tests/client/test_change_review.py
+++ b/tests/client/test_change_review.py
@@ -8,6 +8,7 @@
 from ibispaddle_client.exceptions import ClientError, ExitStatus, UsageError
 
 from tests.settings.test_change_checks import KEY, OTHER_KEY, document, workspace
+from tests.settings.test_loading import INSTANCE
 
 from .fakes import CommandTestCase
 
@@ -142,3 +143,7 @@
         outcome = self.check(self.write("broken", "{"), "--against", old)
         self.assertIn("settings.E005", str(outcome.exception))
         self.assertIn("nothing would change", self.check(old, "--against", old).output)
+        settings = self.write("instance", {**INSTANCE, "memory_mb": 64})
+        outcome = self.check(old, "--against", old, "--instance", settings)
+        self.assertIsNone(outcome.exception)
+        self.assertIn("change.W060", outcome.output)
--- a/tests/settings/test_change_checks.py
+++ b/tests/settings/test_change_checks.py
@@ -2,9 +2,15 @@
 
 import unittest
 
-from ibispaddle_core.change_checks import ListedUpstream, run_change_checks
+from ibispaddle_core.change_checks import (
+    ListedUpstream,
+    check_against_instance,
+    run_change_checks,
+)
 from ibispaddle_core.checks import Severity
-from ibispaddle_core.settings import load_fleet
+from ibispaddle_core.settings import load_fleet, load_instance
+
+from .test_loading import INSTANCE
 
 KEY, OTHER_KEY = "a" * 64, "b" * 64
 
@@ -69,6 +75,7 @@
                 {"models": {"m": {"context_tokens": 500, "default_max_output_tokens": 500}}},
             ),
             "body": ("change.W012", {"limits": {"max_body_bytes": 400_000}}),
+            "cold": ("change.W013", {"models": {"m": {"cold_ms": 5_000}}}),
             "stall": ("change.W020", {"workspaces": workspace(request_timeout_ms=5_000)}),
             "queue": ("change.W030", {"limits": {"max_requests": 100}}),
             "retries": ("change.W031", {"scheduling": no_retries}),
@@ -79,6 +86,15 @@
         self.assertEqual(self.ids(scheduling={**no_retries, "max_attempts": 1}), [])
         self.assertEqual(self.ids(scheduling={**no_retries, "retry_slack": 5}), [])
 
+    def test_limits_beyond_the_memory_of_an_instance(self) -> None:
+        """Guards against a body that is within its limit and never fits into an instance."""
+        config = load_fleet({"b": document(limits={"max_unsent_bytes": 15_000_000})})
+        cases: dict = {500: [], 100: ["change.W060"], 64: ["change.W060", "change.W061"]}
+        for memory_mb, expected in cases.items():
+            settings = load_instance({**INSTANCE, "memory_mb": memory_mb})
+            found = [message.id for message in check_against_instance(config, settings)]
+            self.assertEqual(found, expected, memory_mb)
+
     def test_usual_requests_that_time_out(self) -> None:
         """Guards against a time-out below the time in which any engine can respond."""
         slow = {"m": {"usual_prompt_tokens": 100_000, "prefill_tokens_per_s": 1_000.0}}
