Left runners that refused a prompt's memory out of its next groups

A runner that leaves refuses reservations as if it had no room; prompts asked the same ones up to three times.

--- a/packages/core/src/ibispaddle_core/scheduling/cost.py
+++ b/packages/core/src/ibispaddle_core/scheduling/cost.py
@@ -69,15 +69,11 @@
 
     def preferred_segments(self, req: Request) -> int:
         """Return the number of engines among which the request is divided if enough exist."""
-        return self.engines_for(req.model, self.kv_tokens(req))
-
-    def engines_for(self, model: str, tokens: int) -> int:
-        """Return the usual number of engines among which a long prompt with this memory is divided."""
-        kv_tokens = self.model(model).engine_kv_tokens
+        kv_tokens = self.model(req.model).engine_kv_tokens
         preferred_tokens = max(
             int(MAX_SEGMENT_FRACTION * kv_tokens), self._config.scheduling.long_prompt_tokens
         )
-        return -(-tokens // min(preferred_tokens, self.segment_limit(model)))
+        return -(-self.kv_tokens(req) // min(preferred_tokens, self.segment_limit(req.model)))
 
     def idle_ttft_ms(self, req: Request) -> float:
         """Return the time to first token on an idle fleet."""
--- a/packages/core/src/ibispaddle_core/scheduling/group_reservations.py
+++ b/packages/core/src/ibispaddle_core/scheduling/group_reservations.py
@@ -114,10 +114,9 @@
         return self._reserve(state, group, now_ms)
 
     def must_yield(self, state: RequestState, now_ms: int) -> bool:
-        """Return whether a long prompt leaves its place to prompts of other instances.
+        """Return whether a long prompt leaves the free memory to prompts of other instances.
 
-        The free memory, and the engines that have little left to prefill, must be enough for the prompts
-        that come before it and for itself.
+        The free memory must be enough for the prompts that come before it and for itself.
         """
         if not self._order.has_fleet_prompts(now_ms):
             return False
@@ -128,8 +127,7 @@
         if not before:
             return False
         tokens = [own.tokens, *(prompt.tokens for prompt in before)]
-        needed = sum(self._cost.engines_for(state.req.model, count) for count in tokens)
-        if sum(tokens) <= self._room(state) and needed <= self._ready_engines(state, now_ms):
+        if sum(tokens) <= self._room(state):
             return False
         self._order.add_waiting(own)
         return True
@@ -164,7 +162,11 @@
             self.pace.give_back()
             if is_current:
                 self._claims.remove(event.request_id, event.upstream_id)
-        if state is None or not is_current:
+        if state is None:
+            return GroupAnswer(decisions)
+        if not event.granted:
+            self.pace.record_failure(event.request_id, event.upstream_id)
+        if not is_current:
             return GroupAnswer(decisions)
         if not event.granted:
             return self._handle_refusal(event, state, decisions, now_ms)
@@ -263,13 +265,6 @@
         )
         return sum(tokens for tokens in free if tokens > 0)
 
-    def _ready_engines(self, state: RequestState, now_ms: int) -> int:
-        """Return the number of runners that can begin with a part of a long prompt at once."""
-        return sum(
-            view.pending_prefill_ms(now_ms) <= least_work.MAX_PENDING_PREFILL_MS
-            for view in self._runners.live_for(state.req)
-        )
-
     def _usable(self, state: RequestState, now_ms: int) -> list[RunnerView]:
         """Return the runners for a prompt's group, without those that failed it if others suffice."""
         req = state.req
--- a/packages/core/src/ibispaddle_core/scheduling/reservation_pace.py
+++ b/packages/core/src/ibispaddle_core/scheduling/reservation_pace.py
@@ -64,7 +64,7 @@
         return record.invalid_at if record is not None else ()
 
     def failed_at(self, request_id: str) -> Collection[str]:
-        """Return the upstreams that could not be asked for the prompt's memory."""
+        """Return the upstreams that did not grant the prompt's memory."""
         record = self._prompts.get(request_id)
         return record.failed_at if record is not None else ()
 
@@ -83,6 +83,14 @@
         """Return the reservation of a grant to the budget."""
         self._budget = min(float(BUDGET), self._budget + 1)
 
+    def record_failure(self, request_id: str, upstream_id: str) -> None:
+        """Record that an upstream did not grant memory for a prompt, whatever the reason.
+
+        Groups are chosen among runners that should have room. One that refuses is leaving, or is not
+        known well enough, and is likely to refuse again.
+        """
+        self._prompts.setdefault(request_id, _PromptRecord()).failed_at.add(upstream_id)
+
     def record_refusal(
         self, request_id: str, upstream_id: str, outcome: ReservationOutcome, now_ms: int
     ) -> RefusalReason | None:
@@ -96,8 +104,6 @@
                 return RefusalReason.MEMORY_INVALID
         else:
             record.not_before_ms = now_ms + pause_ms(record.groups)
-            if outcome is not ReservationOutcome.NO_ROOM:
-                record.failed_at.add(upstream_id)
         return RefusalReason.NO_MEMORY if record.groups >= MAX_GROUPS else None
 
     def discard(self, request_id: str) -> None:
