--- a/packages/core/src/ibispaddle_core/logevents.py
+++ b/packages/core/src/ibispaddle_core/logevents.py
@@ -120,6 +120,27 @@
     Level.WARNING,
     "A reservation was not sent because the instance has no free connection.",
 )
+HEDGE_STARTED = LogEvent(
+    2040,
+    "hedge_started",
+    Level.INFO,
+    "A second attempt of a request was started beside the first one, which is late.",
+)
+HEDGE_WON = LogEvent(
+    2041, "hedge_won", Level.INFO, "A second attempt had the first output; the first was cancelled."
+)
+HEDGE_LOST = LogEvent(
+    2042,
+    "hedge_lost",
+    Level.INFO,
+    "A first attempt had the first output; the second was cancelled.",
+)
+HEDGE_DECLINED = LogEvent(
+    2043,
+    "hedge_declined",
+    Level.INFO,
+    "A request with a late attempt got no second one because of the limit in `limit`.",
+)
 UPSTREAM_CRASHED = LogEvent(
     3005,
     "upstream_crashed",
--- a/packages/core/src/ibispaddle_core/quarantine/parts.py
+++ b/packages/core/src/ibispaddle_core/quarantine/parts.py
@@ -136,6 +136,12 @@
         """Return whether any part is suspect or in quarantine."""
         return bool(self._suspects)
 
+    def is_suspected(self, parts: Iterable[str], request: str) -> bool:
+        """Return whether a crash for which a part or the request may be the cause is unexplained."""
+        return any(
+            part in self._suspects and bool(self._open_deaths(part)) for part in (*parts, request)
+        )
+
     def current_boot_id(
         self, upstream_id: str, reported_boot: str, may_have_died: bool = False
     ) -> str:
--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -19,23 +19,27 @@
 from .group_reservations import GroupReservations
 from .groups import GroupSelector
 from .health import UpstreamHealth
+from .hedging import Hedging
 from .lane_backoff import LaneBackoff
 from .messages import (
     AttemptCounts,
+    AttemptDelayed,
     AttemptEnded,
     AttemptSilent,
     CallerDisconnected,
     CancelAttempt,
     ConfigurationReplaced,
-    ConfirmListing,
+    ConfirmDelay,
     ConfirmSilence,
     Decision,
+    DeclineHedge,
     Event,
     FirstToken,
     FleetAttempts,
+    FleetFirstOutputs,
     FleetPaces,
+    HedgeLimit,
     LoadReported,
-    Outcome,
     PeerConsumption,
     PeerMemoryClaims,
     PeerWaitingPrompts,
@@ -46,7 +50,6 @@
     RequestArrived,
     ReservationAnswered,
     ReservationRenewed,
-    RetryPolicy,
     Tick,
     TokensRelayed,
     Upstream,
@@ -63,15 +66,11 @@
 from .reservation_order import ReservationOrder
 from .reservations import PromptReservations
 from .retries import RetryBudget
+from .retry_rules import NextStep, RetryRules
 from .runners import RunnerTable
 from .subsets import PEER_EXPIRY_MS, REFRESH_MS, RunnerSubsets
 from .timers import Timers
 
-# Consecutive renewals of a reservation that were not granted, after which a runner counts as silent. A single
-# response may be lost.
-SILENT_AFTER_RENEWALS = 2
-# Number of such renewals after which the list is no longer read more often for a runner that stays in it.
-MAX_LIST_CHECKS_AFTER_RENEWALS = 4
 # Interval at which an overdue attempt that no other upstream can replace is checked again.
 SILENCE_RECHECK_MS = 500
 
@@ -145,8 +144,31 @@
             self._timers,
             self.pacing,
         )
+        self.hedging = Hedging(
+            config.scheduling.hedge_fraction,
+            self.cost,
+            self.runners,
+            self.queue,
+            self.health,
+            self.pacing,
+            self._admission,
+            self._retry_budget,
+        )
+        self._retry_rules = RetryRules(
+            self.cost,
+            self.shares,
+            self.runners,
+            self.queue,
+            self.health,
+            self._admission,
+            self._reservations,
+            self._attempts,
+            self._retry_budget,
+            self.hedging,
+        )
         self._lane_backoff = LaneBackoff()
         self._listed: tuple[Upstream, ...] = ()
+        self._listed_ids: set[str] = set()
         self._departures = DepartureTable()
 
     @classmethod
@@ -204,17 +226,21 @@
                 self.runners.apply_load(load)
             case UpstreamsChanged(upstreams):
                 self._listed = upstreams
+                self._listed_ids = {upstream.upstream_id for upstream in upstreams}
                 decisions += self._change_upstreams(now_ms)
-            case FirstToken(request_id):
+            case FirstToken(request_id, upstream_id):
                 if (state := self._states.get(request_id)) is not None:
-                    self._attempts.record_first_token(state)
+                    self._retry_rules.record_first_token(state, upstream_id, now_ms)
             case TokensRelayed(request_id, tokens):
                 if (state := self._states.get(request_id)) is not None:
                     state.tokens += tokens
             case AttemptEnded():
                 decisions += self._handle_attempt_end(event, now_ms)
-            case AttemptSilent():
-                decisions += self._replace_silent_attempt(event, now_ms)
+            case AttemptSilent(request_id):
+                if (state := self._states.get(request_id)) is not None:
+                    decisions += self._retry_rules.replace_silent(state, event, now_ms)
+            case AttemptDelayed():
+                decisions += self._try_hedge(event, now_ms)
             case CallerDisconnected(request_id):
                 if (state := self._states.get(request_id)) is not None:
                     decisions += self._end(state)
@@ -232,6 +258,8 @@
                 self._has_new_peer_work = True
             case FleetAttempts():
                 self._retry_budget.set_fleet_attempts(event, now_ms)
+            case FleetFirstOutputs():
+                self.hedging.set_fleet_quantiles(event, now_ms)
             case FleetPaces():
                 self.pacing.set_fleet(event, now_ms)
                 self.pacing.forget_missing(self.runners.views.keys())
@@ -244,7 +272,7 @@
             case ReservationRenewed(request_id):
                 self._reservations.record_renewal(event)
                 if (state := self._states.get(request_id)) is not None:
-                    decisions += self._check_silence(state)
+                    decisions += self._retry_rules.check_renewals(state, self._listed_ids)
             case ConfigurationReplaced(config):
                 self._replace_configuration(config)
             case Tick():
@@ -261,6 +289,7 @@
         self.shares.replace_weights({n: c.weight for n, c in config.neighbours.items()})
         self.queue.replace_bound(config.scheduling.max_queue_per_neighbour)
         self._retry_budget.replace(*_retry_budget_settings(config))
+        self.hedging.replace_fraction(config.scheduling.hedge_fraction)
         self.runners.refresh_models()
         self.placement = self._configured_placement()
 
@@ -375,7 +404,13 @@
     ) -> Decision:
         priority = self.placement.priority(state.req)
         self._reservation_order.discard(state.req.request_id)
-        return self._attempts.start(state, choice, priority, handles, now_ms)
+        dispatch = self._attempts.start(state, choice, priority, handles, now_ms)
+        if state.attempts == 1 and not handles:
+            due_ms = self.hedging.due_ms(state, now_ms)
+            if due_ms is not None:
+                state.hedge_due_ms = due_ms
+                self._timers.add_hedge(state)
+        return dispatch
 
     def _begin_group(
         self, state: RequestState, idle_only: bool, now_ms: int
@@ -400,102 +435,30 @@
 
     def _handle_attempt_end(self, event: AttemptEnded, now_ms: int) -> list[Decision]:
         state = self._states.get(event.request_id)
-        if event.faulty_upstream_id is None:
-            self.health.observe(event.upstream_id, event.outcome, now_ms)
-        elif state is not None:
-            self.health.observe_indirect_failure(
-                event.faulty_upstream_id, now_ms - state.sent_ms, now_ms
-            )
-        if state is None or state.upstream_id != event.upstream_id:
+        step = self._retry_rules.end_attempt(state, event, now_ms)
+        if state is None or step is NextStep.NOTHING:
             return []
-        first_token = state.first_token
-        req = state.req
-        if event.outcome is Outcome.COMPLETED:
-            self._attempts.settle(state, now_ms)
+        if step is NextStep.FINISH:
             return self._finish(state)
-        self._attempts.clear(state)
-        decisions = self._reservations.release(req.request_id)
-        not_run = event.outcome in (Outcome.REJECTED, Outcome.WRONG_UPSTREAM, Outcome.NOT_SENT)
-        if not_run:
-            self.shares.refund(req.neighbour, state.charged_ms)
-        else:
-            state.may_have_run = True
-            state.runs += 1
-        if event.faulty_upstream_id is not None:
-            state.tried.add(event.faulty_upstream_id)
-        has_output = event.has_relayed_output or first_token
-        retry = (
-            self._may_retry(state, not_run, has_output, state.runs)
-            and not self.queue.is_full(req.neighbour)
-            and bool(self.runners.live_for(req))
-            # An attempt that reached no upstream added no load, so its retry is not budgeted.
-            and (
-                event.outcome is Outcome.NOT_SENT
-                or state.is_retry_granted
-                or self._retry_budget.try_acquire(req.model, now_ms)
-            )
-        )
-        if not retry:
+        decisions = self._reservations.release(event.request_id)
+        if step is NextStep.REFUSE:
             return decisions + self._refuse(
                 state, RefusalReason.UPSTREAM_FAILED, MIN_RETRY_AFTER_MS
             )
         self._backlog.add(state)
         return decisions
 
-    def _replace_silent_attempt(self, event: AttemptSilent, now_ms: int) -> list[Decision]:
-        """Cancel a silent attempt if another upstream can take over at once.
-
-        Silence alone is no reason to end an answer: without a retry, the attempt goes on until the
-        deadline.
-        """
+    def _try_hedge(self, event: AttemptDelayed, now_ms: int) -> list[Decision]:
         state = self._states.get(event.request_id)
-        if state is None or state.upstream_id != event.upstream_id or state.cancelling:
+        if state is None or state.upstream_id != event.upstream_id or not state.may_be_hedged:
             return []
-        if state.first_token is not event.has_output:
-            return []
-        return self._cancel_for_retry(state, event.upstream_id, now_ms, is_silent=True)
-
-    def _cancel_for_retry(
-        self, state: RequestState, upstream_id: str, now_ms: int, is_silent: bool
-    ) -> list[Decision]:
-        """Cancel the attempt in flight if a retry can follow, which is counted at once."""
-        if not self._can_replace(state, now_ms):
-            return []
-        if not self._retry_budget.try_acquire(state.req.model, now_ms):
-            return []
-        state.cancelling = state.is_retry_granted = True
-        return [CancelAttempt(state.req.request_id, upstream_id, is_silent)]
-
-    def _can_replace(self, state: RequestState, now_ms: int) -> bool:
-        """Return whether a retry may follow the attempt in flight and other upstreams have room for it."""
-        req = state.req
-        others = [
-            view
-            for view in self.runners.available_for(req, now_ms)
-            if view.upstream.upstream_id != state.upstream_id
-        ]
-        needed = self.cost.min_segments(req) if state.prompt_class is PromptClass.SPANNING else 1
-        return (
-            self._may_retry(state, False, state.first_token, state.runs + 1)
-            and len(others) >= needed
-            and not self.queue.is_full(req.neighbour)
-            and now_ms + self._admission.service_ms(req) <= req.deadline_ms
-        )
-
-    def _may_retry(self, state: RequestState, not_run: bool, has_output: bool, runs: int) -> bool:
-        """Return whether the request may be retried after a failed attempt, with its number of runs."""
-        limit = self.cost.scheduling.max_attempts
-        max_runs = limit if state.req.max_runs is None else state.req.max_runs
-        # Attempts that did not run do not count as runs but are still bounded.
-        if runs >= max_runs or state.attempts >= max(limit, max_runs):
-            return False
-        match state.req.retry_policy:
-            case RetryPolicy.PROVED_NOT_RUN:
-                return not_run
-            case RetryPolicy.BEFORE_OUTPUT:
-                return not has_output
-            case RetryPolicy.ANY_TIME:
-                return True
+        choice: Choice | HedgeLimit = HedgeLimit.NO_UPSTREAM
+        if not self.is_dispatch_paused() and self.allowed_runners(state.req) is None:
+            choice = self.hedging.choose(state, self.placement, now_ms)
+        if isinstance(choice, HedgeLimit):
+            return [DeclineHedge(event.request_id, event.upstream_id, choice)]
+        priority = self.placement.priority(state.req)
+        return [self._attempts.start_hedge(state, choice, priority, now_ms)]
 
     @property
     def is_waiting(self) -> bool:
@@ -556,11 +519,11 @@
                 continue
             # Runners also count as down that are only slow to respond, so without a retry the attempt goes on.
             if used & down:
-                decisions += self._cancel_for_retry(
+                decisions += self._retry_rules.cancel_for_retry(
                     state, state.upstream_id, now_ms, is_silent=False
                 )
         for state in list(self._states.values()):
-            decisions += self._check_silence(state, is_list_new=True)
+            decisions += self._retry_rules.check_renewals(state, self._listed_ids, is_list_new=True)
 
         def unusable(upstream_id: str) -> bool:
             view = self.runners.views.get(upstream_id)
@@ -578,25 +541,6 @@
                     self._backlog.add(state)
         return decisions
 
-    def _check_silence(self, state: RequestState, is_list_new: bool = False) -> list[Decision]:
-        """Cancel an attempt whose runner has left the list and does not respond, and free its memory.
-
-        A runner that has left the list may still serve, and one that does not respond may only be slow.
-        The other runners of its group keep memory for the attempt, so that it cannot wait for a timeout.
-        """
-        request_id, upstream_id = state.req.request_id, state.upstream_id
-        if upstream_id is None or state.cancelling:
-            return []
-        unconfirmed = self._reservations.unconfirmed_renewals(request_id, upstream_id)
-        if unconfirmed < SILENT_AFTER_RENEWALS:
-            return []
-        if any(upstream.upstream_id == upstream_id for upstream in self._listed):
-            is_recheck_due = not is_list_new and unconfirmed <= MAX_LIST_CHECKS_AFTER_RENEWALS
-            return [ConfirmListing(request_id, upstream_id)] if is_recheck_due else []
-        state.cancelling = True
-        cancel = CancelAttempt(request_id, upstream_id, is_silent=True)
-        return [*self._reservations.free(request_id), cancel]
-
     def _expire(self, now_ms: int) -> list[Decision]:
         decisions: list[Decision] = []
         for state in self._timers.past_deadline(now_ms):
@@ -611,6 +555,8 @@
             state.first_token_due_ms = now_ms + SILENCE_RECHECK_MS
             self._timers.add_first_token(state)
             decisions.append(ConfirmSilence(state.req.request_id, state.upstream_id or ""))
+        for state in self._timers.past_hedge_delay(now_ms):
+            decisions.append(ConfirmDelay(state.req.request_id, state.upstream_id or ""))
         return decisions
 
     def _refuse(
@@ -620,8 +566,10 @@
         return [*self._end(state), refusal]
 
     def _end(self, state: RequestState) -> list[Decision]:
-        """Cancel the attempt in flight, if any, and remove the request."""
+        """Cancel the attempts in flight, if any, and remove the request."""
         decisions: list[Decision] = []
+        if state.hedge is not None:
+            decisions.append(CancelAttempt(state.req.request_id, state.hedge.upstream_id))
         if state.upstream_id is not None and not state.cancelling:
             decisions.append(CancelAttempt(state.req.request_id, state.upstream_id))
         return decisions + self._finish(state)
@@ -631,6 +579,7 @@
         self._claims.remove(state.req.request_id)
         self._groups.discard(state.req.request_id)
         self._attempts.clear(state)
+        self._attempts.clear_hedge(state)
         del self._states[state.req.request_id]
         return self._reservations.release(state.req.request_id)
 
--- a/packages/core/src/ibispaddle_core/scheduling/messages.py
+++ b/packages/core/src/ibispaddle_core/scheduling/messages.py
@@ -69,6 +69,19 @@
     NOT_SENT = "not_sent"  # The reservation did not leave this instance.
 
 
+class HedgeLimit(StrEnum):
+    """Limit that rules out a hedge."""
+
+    FRACTION = "fraction"  # The operator's limit of extra attempts.
+    RETRY_BUDGET = "retry_budget"
+    RUNS = "runs"  # The route's attempts.
+    DEADLINE = "deadline"  # A new attempt would end too late.
+    OVERLOAD = "overload"
+    NO_UPSTREAM = "no_upstream"  # No sound upstream without a limit has room.
+    DRAINING = "draining"
+    SUSPECTED = "suspected"  # Upstreams may crash because of the request.
+
+
 @dataclass(frozen=True)
 class Request:
     """Describe a validated request for a model."""
@@ -94,6 +107,7 @@
     streams: bool = True  # Otherwise the first output is the complete response.
     # Data centres whose upstreams may run it; None means all.
     data_centres: frozenset[str] | None = None
+    may_hedge: bool = False  # Whether the executor of the decisions can run two attempts at once.
 
     @property
     def no_upstream_reason(self) -> RefusalReason:
@@ -161,9 +175,10 @@
 
 @dataclass(frozen=True)
 class FirstToken:
-    """Report the first token of a request's current attempt."""
+    """Report the first token of an attempt, of the request's only one if it names no upstream."""
 
     request_id: str
+    upstream_id: str | None = None
 
 
 @dataclass(frozen=True)
@@ -203,6 +218,17 @@
     has_output: bool
 
 
+@dataclass(frozen=True)
+class AttemptDelayed:
+    """Report that an attempt is still without output after the delay of a hedge.
+
+    The attempt counts of the other instances must be recent, because a hedge is counted.
+    """
+
+    request_id: str
+    upstream_id: str
+
+
 @dataclass(frozen=True)
 class CallerDisconnected:
     """Report that the caller closed its connection."""
@@ -280,16 +306,21 @@
 
 @dataclass(frozen=True)
 class AttemptCounts:
-    """Numbers of first attempts and of retries."""
+    """Numbers of first attempts, of all further ones, and of the hedges among these."""
 
     first: int = 0
     retries: int = 0
+    hedges: int = 0
 
     def __add__(self, other: "AttemptCounts") -> "AttemptCounts":
-        return AttemptCounts(self.first + other.first, self.retries + other.retries)
+        return AttemptCounts(
+            self.first + other.first, self.retries + other.retries, self.hedges + other.hedges
+        )
 
     def __sub__(self, other: "AttemptCounts") -> "AttemptCounts":
-        return AttemptCounts(self.first - other.first, self.retries - other.retries)
+        return AttemptCounts(
+            self.first - other.first, self.retries - other.retries, self.hedges - other.hedges
+        )
 
 
 @dataclass(frozen=True)
@@ -297,11 +328,31 @@
     """Replace the attempt counts of all other instances in the window of the retry budget.
 
     `counts` holds them by service, or is None if they are unknown. `instances` is the number of
-    instances in the fleet.
+    instances in the fleet. A hub of an earlier release does not count hedges.
     """
 
     counts: Mapping[str, AttemptCounts] | None
     instances: int = 1
+    has_hedges: bool = True
+
+
+@dataclass(frozen=True)
+class FirstOutputQuantiles:
+    """Quantiles of the times to first output of one class, as multiples of their predictions.
+
+    `tail` is the quantile that a fraction of requests equal to the limit of hedges exceeds.
+    """
+
+    count: int
+    upper_quartile: float
+    tail: float
+
+
+@dataclass(frozen=True)
+class FleetFirstOutputs:
+    """Deliver the times to first output of all instances, as measured by a hub, by class."""
+
+    quantiles: Mapping[str, FirstOutputQuantiles]
 
 
 @dataclass(frozen=True)
@@ -424,12 +475,14 @@
     | TokensRelayed
     | AttemptEnded
     | AttemptSilent
+    | AttemptDelayed
     | CallerDisconnected
     | PeerConsumption
     | PeerMemoryClaims
     | PeerWaitingPrompts
     | PeerWork
     | FleetAttempts
+    | FleetFirstOutputs
     | FleetPaces
     | UpstreamResponded
     | ReservationAnswered
@@ -455,6 +508,7 @@
     segment_upstream_ids: tuple[str, ...] = ()
     helper_ids: tuple[str, ...] = ()
     first_token_ms: float = 0.0  # Predicted time from now to the first token.
+    is_hedge: bool = False  # Sent beside the attempt in flight, which goes on.
 
 
 @dataclass(frozen=True)
@@ -484,6 +538,23 @@
     upstream_id: str
 
 
+@dataclass(frozen=True)
+class ConfirmDelay:
+    """Send `AttemptDelayed` for an attempt without output, once the fleet's attempt counts are recent."""
+
+    request_id: str
+    upstream_id: str
+
+
+@dataclass(frozen=True)
+class DeclineHedge:
+    """State which limit rules out a hedge of a request, for logs and metrics."""
+
+    request_id: str
+    upstream_id: str
+    limit: HedgeLimit
+
+
 @dataclass(frozen=True)
 class ReserveMemory:
     """Reserve KV memory at a runner; answered by `ReservationAnswered`."""
@@ -511,5 +582,13 @@
 
 
 Decision = (
-    Dispatch | Refuse | CancelAttempt | ConfirmSilence | ReserveMemory | FreeMemory | ConfirmListing
+    Dispatch
+    | Refuse
+    | CancelAttempt
+    | ConfirmSilence
+    | ConfirmDelay
+    | DeclineHedge
+    | ReserveMemory
+    | FreeMemory
+    | ConfirmListing
 )
--- a/packages/core/src/ibispaddle_core/scheduling/runners.py
+++ b/packages/core/src/ibispaddle_core/scheduling/runners.py
@@ -1,6 +1,7 @@
 """Views of the runners: the reported load, corrected by the work sent since the report."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
+from copy import copy
 from dataclasses import dataclass, field
 
 from ..settings.fleet import ModelConfig
@@ -235,6 +236,7 @@
         self._pacing = pacing
         self.views: dict[str, RunnerView] = {}
         self._by_model: dict[str, list[RunnerView]] = {}
+        self._excluded: frozenset[str] = frozenset()
         self._peer_upstreams: set[str] = set()  # Runners at which other instances have work.
         # Number of instances ranked before this one among those that choose at the same time from
         # the same snapshot of the fleet's work.
@@ -312,9 +314,17 @@
             return live
         return [view for view in live if view.upstream.data_centre in req.data_centres]
 
+    def without(self, upstream_ids: Collection[str]) -> "RunnerTable":
+        """Return a table that shares the views, in which some runners are not available."""
+        table = copy(self)
+        table._excluded = frozenset(upstream_ids)
+        return table
+
     def available_for(self, req: Request, now_ms: int) -> list[RunnerView]:
         """Return the runners that may get the request now: those that are not held back."""
         live = self.live_for(req)
+        if self._excluded:
+            live = [view for view in live if view.upstream.upstream_id not in self._excluded]
         if self._pacing.is_idle:
             return live
         return [view for view in live if self._pacing.has_room(view.upstream.upstream_id, now_ms)]
--- a/packages/core/src/ibispaddle_core/scheduling/timers.py
+++ b/packages/core/src/ibispaddle_core/scheduling/timers.py
@@ -17,6 +17,7 @@
         self._deadlines: list[tuple[int, str]] = []
         self._start_deadlines: list[tuple[int, str]] = []
         self._first_tokens: list[tuple[int, str]] = []
+        self._hedges: list[tuple[int, str]] = []
 
     def add_deadline(self, state: RequestState) -> None:
         """Add a timer for the deadline of a request."""
@@ -30,6 +31,10 @@
         """Add a timer for the first token of the attempt that has just started."""
         heapq.heappush(self._first_tokens, (state.first_token_due_ms, state.req.request_id))
 
+    def add_hedge(self, state: RequestState) -> None:
+        """Add a timer for the hedge of the attempt that has just started."""
+        heapq.heappush(self._hedges, (state.hedge_due_ms, state.req.request_id))
+
     def past_deadline(self, now_ms: int) -> Iterator[RequestState]:
         """Yield the requests whose deadline has passed; the caller must end each of them."""
         while self._deadlines and self._deadlines[0][0] <= now_ms:
@@ -52,6 +57,14 @@
             if state is not None and self._waits_for_first_token(state, due_ms):
                 yield state
 
+    def past_hedge_delay(self, now_ms: int) -> Iterator[RequestState]:
+        """Yield the requests that may be hedged now."""
+        while self._hedges and self._hedges[0][0] <= now_ms:
+            due_ms, request_id = heapq.heappop(self._hedges)
+            state = self._states.get(request_id)
+            if state is not None and self._waits_for_hedge(state, due_ms):
+                yield state
+
     def next_ms(self) -> int | None:
         """Return the time of the next timer, or None if there is none."""
         while self._deadlines and self._deadlines[0][1] not in self._states:
@@ -67,10 +80,20 @@
             if state is not None and self._waits_for_first_token(state, due_ms):
                 break
             heapq.heappop(self._first_tokens)
-        heaps = (self._deadlines, self._start_deadlines, self._first_tokens)
+        while self._hedges:
+            due_ms, request_id = self._hedges[0]
+            state = self._states.get(request_id)
+            if state is not None and self._waits_for_hedge(state, due_ms):
+                break
+            heapq.heappop(self._hedges)
+        heaps = (self._deadlines, self._start_deadlines, self._first_tokens, self._hedges)
         return min((heap[0][0] for heap in heaps if heap), default=None)
 
     @staticmethod
     def _waits_for_first_token(state: RequestState, due_ms: int) -> bool:
         in_flight = state.upstream_id is not None and state.first_token_due_ms == due_ms
         return in_flight and not state.first_token and not state.cancelling
+
+    @staticmethod
+    def _waits_for_hedge(state: RequestState, due_ms: int) -> bool:
+        return state.hedge_due_ms == due_ms and state.may_be_hedged
--- a/packages/core/src/ibispaddle_core/settings/fleet.py
+++ b/packages/core/src/ibispaddle_core/settings/fleet.py
@@ -193,6 +193,14 @@
             description="Retries beyond the ratio that all instances together may make in ten seconds; 0: each instance has its own budget.",
         ),
     ] = 0
+    hedge_fraction: Annotated[
+        float,
+        Meta(
+            ge=0,
+            le=0.5,
+            description="Second attempts, of requests that may be repeated, that all instances together may start for slow first ones, per first attempt; also limited by the retry budget; 0: none. Requires an instance that forwards requests by route.",
+        ),
+    ] = 0.0
     placement: Annotated[
         Literal["predicted", "least_work", "fewest_requests"],
         Meta(
--- a/packages/core/src/ibispaddle_core/settings/gateway.py
+++ b/packages/core/src/ibispaddle_core/settings/gateway.py
@@ -41,6 +41,9 @@
     retry_slack: Annotated[
         int, Meta(ge=0, description="Same as in `scheduling` of the fleet configuration.")
     ] = 0
+    hedge_fraction: Annotated[
+        float, Meta(ge=0, le=0.5, description="Same as in `scheduling` of the fleet configuration.")
+    ] = 0.0
     in_force_ms: Annotated[
         int,
         Meta(
--- a/packages/daemon/src/ibispaddle_daemon/fleet/messages.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/messages.py
@@ -8,6 +8,7 @@
 from ibispaddle_core.quarantine import PartChange
 from ibispaddle_core.scheduling import (
     AttemptCounts,
+    FirstOutputQuantiles,
     PaceReport,
     PeerWork,
     SentCounts,
@@ -31,6 +32,12 @@
 WaitingRow = tuple[str, str, str, int, int]
 HolderRow = tuple[str, int]  # Workspace, its long prompts that hold memory.
 
+HedgeRow = tuple[str, int]  # Service, hedges; these are among its retries.
+# Class, time to first output as a multiple of its prediction.
+FirstOutputRow = tuple[str, float]
+# Class, number of samples, upper quartile, tail.
+QuantilesRow = tuple[str, int, float, float]
+
 
 class WorkUpdate(msgspec.Struct, frozen=True, array_like=True, tag="w"):
     """The sender's work in flight, which replaces its previous update."""
@@ -45,6 +52,9 @@
     paces: tuple[PaceReportRow, ...] = ()
     waiting: tuple[WaitingRow, ...] = ()  # The sender's first prompts that wait for memory.
     holders: tuple[HolderRow, ...] = ()
+    # Hedges since the start of the sender, and times to first output since its last update.
+    hedges: tuple[HedgeRow, ...] = ()
+    first_outputs: tuple[FirstOutputRow, ...] = ()
 
 
 class WorkQuery(msgspec.Struct, frozen=True, array_like=True, tag="q"):
@@ -78,6 +88,9 @@
     paces: tuple[PaceRow, ...] | None = None  # Of limited upstreams, if known to the hub.
     waiting: tuple[WaitingRow, ...] = ()  # The first prompts of the others that wait for memory.
     holders: tuple[HolderRow, ...] = ()  # Only while prompts wait.
+    # Hedges among the retries, or None if the hub runs an earlier release.
+    hedges: tuple[HedgeRow, ...] | None = None
+    first_outputs: tuple[QuantilesRow, ...] = ()
 
 
 class QuarantineUpdate(msgspec.Struct, frozen=True, array_like=True, tag="u"):
@@ -241,9 +254,34 @@
     return tuple((service, item.first, item.retries) for service, item in counts.items())
 
 
-def decode_attempt_rows(rows: tuple[AttemptRow, ...]) -> dict[str, AttemptCounts]:
+def encode_hedge_rows(counts: Mapping[str, AttemptCounts]) -> tuple[HedgeRow, ...]:
+    """Encode the hedges of services that have any as rows of a message."""
+    return tuple((service, item.hedges) for service, item in counts.items() if item.hedges)
+
+
+def decode_attempt_rows(
+    rows: tuple[AttemptRow, ...], hedge_rows: tuple[HedgeRow, ...] = ()
+) -> dict[str, AttemptCounts]:
     """Decode attempts by service."""
-    return {service: AttemptCounts(first, retries) for service, first, retries in rows}
+    hedges = dict(hedge_rows)
+    return {
+        service: AttemptCounts(first, retries, hedges.get(service, 0))
+        for service, first, retries in rows
+    }
+
+
+def encode_quantiles(
+    quantiles: Mapping[str, FirstOutputQuantiles],
+) -> tuple[QuantilesRow, ...]:
+    """Encode the distribution of times to first output by class as rows of a message."""
+    return tuple(
+        (name, item.count, item.upper_quartile, item.tail) for name, item in quantiles.items()
+    )
+
+
+def decode_quantiles(rows: tuple[QuantilesRow, ...]) -> dict[str, FirstOutputQuantiles]:
+    """Decode the distribution of times to first output by class."""
+    return {name: FirstOutputQuantiles(count, *values) for name, count, *values in rows}
 
 
 def encode_pace_reports(reports: Mapping[str, PaceReport]) -> tuple[PaceReportRow, ...]:
--- a/packages/daemon/src/ibispaddle_daemon/fleet/work.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/work.py
@@ -22,6 +22,7 @@
 from ibispaddle_core.scheduling import (
     AttemptCounts,
     FleetAttempts,
+    FleetFirstOutputs,
     FleetPaces,
     PaceReport,
     PeerWork,
@@ -39,10 +40,13 @@
     decode_attempt_rows,
     decode_pace_reports,
     decode_paces,
+    decode_quantiles,
     decode_work,
     encode_attempt_rows,
+    encode_hedge_rows,
     encode_pace_reports,
     encode_paces,
+    encode_quantiles,
     encode_waiting,
     encode_work_rows,
 )
@@ -196,11 +200,15 @@
                 instance_id, message.change_query_id, message.changes, message.cursor
             )
         rows = message.service_attempts
-        counts = decode_attempt_rows(rows) if rows is not None else None
+        counts = decode_attempt_rows(rows, message.hedges or ()) if rows is not None else None
+        if message.first_outputs:
+            quantiles = decode_quantiles(message.first_outputs)
+            self._forwarder.handle_event(FleetFirstOutputs(quantiles))
         self._apply(
             decode_work(FLEET_INSTANCE_ID, message, self._clock.now_ms(), message.choice_rank),
             counts,
             decode_paces(message.paces) if message.paces is not None else None,
+            has_hedges=message.hedges is not None,
         )
         if self._pending_query != (message.query_id, instance_id):
             return  # The response came late; the callbacks have been called without it.
@@ -221,11 +229,12 @@
         others: PeerWork,
         counts: Mapping[str, AttemptCounts] | None,
         paces: Mapping[str, UpstreamPace] | None,
+        has_hedges: bool = True,
     ) -> None:
         self._snapshot_ms = self._clock.now_ms()
         instances = max(1, self._ranking.size)
         self._forwarder.update_fleet_work(
-            others, FleetAttempts(counts, instances), FleetPaces(paces, instances)
+            others, FleetAttempts(counts, instances, has_hedges), FleetPaces(paces, instances)
         )
 
     def _run_callbacks(self) -> None:
@@ -303,6 +312,8 @@
             encode_pace_reports(new_paces),
             encode_waiting(work.waiting, now_ms),
             tuple(work.holders.items()),
+            encode_hedge_rows(new_totals),
+            tuple(self._forwarder.scheduler.hedging.take_samples()),
         )
         frame = self._links.encode(update)
         for hub_id in self._sent_to:
@@ -316,20 +327,23 @@
         work = decode_work(instance_id, message, now_ms)
         self._work_aggregator.update(work, now_ms)
         self._pending_choices.end_choice(instance_id)
-        totals = decode_attempt_rows(message.attempts)
+        totals = decode_attempt_rows(message.attempts, message.hedges)
         self._attempt_aggregator.update(instance_id, totals, now_ms)
         self._pace_aggregator.update(instance_id, decode_pace_reports(message.paces), now_ms)
+        if message.first_outputs:
+            self._forwarder.scheduler.hedging.merge_samples(message.first_outputs, now_ms)
 
     def _on_query(self, instance_id: str, message: WorkQuery) -> None:
         now_ms = self._clock.now_ms()
         others = self._work_aggregator.total_excluding(instance_id, now_ms)
         counts = self._attempt_aggregator.total_excluding(instance_id, now_ms)
         paces = self._pace_aggregator.paces_excluding(instance_id, now_ms)
-        attempts = service_attempts = None
+        attempts = service_attempts = hedges = None
         if counts is not None:
             total = sum(counts.values(), AttemptCounts())
             attempts = (total.first, total.retries)
             service_attempts = encode_attempt_rows(counts)
+            hedges = encode_hedge_rows(counts)
         # The number of instances that queried earlier for the same service and have not reported their
         # selection yet.
         choice_rank = self._pending_choices.begin_choice(instance_id, message.service, now_ms)
@@ -344,6 +358,8 @@
             paces=encode_paces(paces) if paces is not None else None,
             waiting=encode_waiting(others.waiting, now_ms),
             holders=tuple(others.holders.items()),
+            hedges=hedges,
+            first_outputs=encode_quantiles(self._forwarder.scheduler.hedging.own_quantiles(now_ms)),
         )
         if self._quarantine is not None:
             changes, cursor = self._quarantine.respond(message.changes, message.cursor)
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/attempts.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/attempts.py
@@ -17,14 +17,14 @@
     HeadReceived,
     ResponseHead,
 )
-from ibispaddle_core.scheduling import RetryPolicy
+from ibispaddle_core.scheduling import Outcome, RetryPolicy
 
 from ..buffer_limit import BufferLimit
 from ..events import CallFailure, Headers, HttpCall, HttpCallError, http_pause, http_resume
 from ..http_client import HttpClient
 from ..timers import TimerHandle, TimerQueue
 from .codec import ForwardingCodec, UpstreamCall
-from .requests import ForwardedRequest
+from .requests import AttemptState, ForwardedRequest
 
 # Upstreams accept a connection within a few milliseconds. TCP retransmits a lost SYN only after a
 # second, so it is faster to try another upstream.
@@ -45,8 +45,8 @@
 @dataclass(eq=False)
 class _RunningAttempt:
     request: ForwardedRequest
+    attempt: AttemptState
     call_id: str
-    upstream_id: str
     state_machine: ForwardedAttempt
     is_paused: bool = False
     stall_timer: TimerHandle | None = None
@@ -55,7 +55,8 @@
 class ForwardedAttempts(BaseComponent):
     """Run attempts and report the end of each exactly once.
 
-    `on_head` is called with the head of each response before it is processed, `on_output` with the
+    If two attempts of a request are in flight, the first output of either ends the other at once, so that
+    outputs are never joined. `on_race` is called with the winner and the loser then. `on_head` is called with the head of each response before it is processed, `on_output` with the
     number of events sent to the caller since the previous call, `on_stall` while a stream that may be
     resumed has stalled, and `on_result` with the result of an attempt.
     """
@@ -69,30 +70,34 @@
         clock: Clock,
         timers: TimerQueue,
         on_head: Callable[[str, ResponseHead], None],
-        on_output: Callable[[ForwardedRequest, int], None],
-        on_stall: Callable[[ForwardedRequest, str], None],
-        on_result: Callable[[ForwardedRequest, str, AttemptResult], None],
+        on_race: Callable[[ForwardedRequest, AttemptState, AttemptState], None],
+        on_output: Callable[[ForwardedRequest, AttemptState, int], None],
+        on_stall: Callable[[ForwardedRequest, AttemptState], None],
+        on_result: Callable[[ForwardedRequest, AttemptState, AttemptResult], None],
     ) -> None:
         super().__init__()
         self._client, self._codec = client, codec
         self._clock, self._timers = clock, timers
-        self._on_head, self._on_output = on_head, on_output
+        self._on_head, self._on_race, self._on_output = on_head, on_race, on_output
         self._on_stall, self._on_result = on_stall, on_result
         self._running: dict[str, _RunningAttempt] = {}
         self._buffered = BufferLimit(MAX_TOTAL_BUFFERED_BYTES)
         self.max_unsent_bytes = 262_144
         self.stall_timeout_ms = 5_000
 
-    def start(self, request: ForwardedRequest, address: str, call: UpstreamCall) -> None:
+    def start(
+        self, request: ForwardedRequest, attempt: AttemptState, address: str, call: UpstreamCall
+    ) -> None:
         """Start an attempt at an upstream."""
         call_id = f"forward-{next(_NUMBERS)}"
         state_machine = ForwardedAttempt(
             request.route.streams, request.is_response_started, request.last_event_id
         )
-        running = _RunningAttempt(request, call_id, call.upstream_id, state_machine)
-        request.last_event_ms = self._clock.now_ms()
+        running = _RunningAttempt(request, attempt, call_id, state_machine)
+        attempt.last_event_ms = self._clock.now_ms()
         self._running[call_id] = running
-        request.cancel_attempt = lambda: self._cancel(running)
+        attempt.cancel = lambda: self._cancel(running)
+        request.in_flight[attempt.upstream_id] = attempt
         exchange = request.exchange
         self._client.start_call(
             HttpCall(
@@ -119,7 +124,8 @@
         self._running.pop(running.call_id, None)
         self._buffered.release(running.call_id)
         running.state_machine.is_ended = True
-        running.request.cancel_attempt = None
+        running.attempt.cancel = None
+        running.request.in_flight.pop(running.attempt.upstream_id, None)
         if running.stall_timer is not None:
             running.stall_timer.cancel()
 
@@ -133,7 +139,7 @@
         running = self._running.get(call_id)
         if running is not None:
             head = self._codec.read_head(status, headers, running.request.caller.attempt_id)
-            self._on_head(running.upstream_id, head)
+            self._on_head(running.attempt.upstream_id, head)
             self._handle_event(running, HeadReceived(head))
 
     def call_data(self, call_id: str, data: bytes) -> None:
@@ -167,6 +173,7 @@
             match effect:
                 case ForwardHead(status, headers):
                     exchange.start(status, headers)
+                    self._end_rivals(running)
                 case ForwardData(data, events):
                     exchange.write(data)
                     request.last_event_id = running.state_machine.last_event_id
@@ -174,13 +181,22 @@
                     # Only complete events with content count as progress: a stalled upstream may
                     # still send single bytes or comments.
                     if events:
-                        request.last_event_ms = self._clock.now_ms()
-                        self._on_output(request, events)
+                        running.attempt.last_event_ms = self._clock.now_ms()
+                        self._on_output(request, running.attempt, events)
                     self._schedule_stall_check(running)
                 case AttemptResult():
                     self._release(running)
                     self._client.cancel_call(running.call_id)
-                    self._on_result(request, running.upstream_id, effect)
+                    if effect.outcome is Outcome.COMPLETED:
+                        self._end_rivals(running)
+                    self._on_result(request, running.attempt, effect)
+
+    def _end_rivals(self, running: _RunningAttempt) -> None:
+        """Cancel the other attempt of the request, because this one has the first output."""
+        for rival in list(running.request.in_flight.values()):
+            if rival is not running.attempt and rival.cancel is not None:
+                rival.cancel()
+                self._on_race(running.request, running.attempt, rival)
 
     # Stall detection
 
@@ -199,13 +215,13 @@
             running.stall_timer = None
             if running.is_paused:
                 return  # Scheduled again when reading is resumed.
-            if self._clock.now_ms() - running.request.last_event_ms < limit_ms:
+            if self._clock.now_ms() - running.attempt.last_event_ms < limit_ms:
                 self._schedule_stall_check(running)
                 return
             running.stall_timer = self._timers.after(STALL_RECHECK_MS, check)
-            self._on_stall(running.request, running.upstream_id)
+            self._on_stall(running.request, running.attempt)
 
-        due_ms = running.request.last_event_ms + limit_ms
+        due_ms = running.attempt.last_event_ms + limit_ms
         running.stall_timer = self._timers.at(due_ms, check)
 
     # Flow control
@@ -223,6 +239,6 @@
                 continue
             if request.exchange.unsent_bytes <= self.max_unsent_bytes * RESUME_FRACTION:
                 running.is_paused = False
-                request.last_event_ms = self._clock.now_ms()
+                running.attempt.last_event_ms = self._clock.now_ms()
                 self._schedule_stall_check(running)
                 self.fire(http_resume(running.call_id), "http_client")
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
@@ -4,17 +4,15 @@
 import secrets
 from collections.abc import Callable, Sequence
 
-import msgspec
 from circuits import BaseComponent, handler
 from ibispaddle_core import logevents
 from ibispaddle_core.clock import Clock
 from ibispaddle_core.forwarding import (
-    STATUS_MISDIRECTED,
     AttemptResult,
     DrainAdmission,
     ResponseHead,
 )
-from ibispaddle_core.membership import ListedState, ListEntry, MemberKind
+from ibispaddle_core.membership import ListEntry
 from ibispaddle_core.routing import (
     ConfigFreshness,
     DataCentreRegions,
@@ -26,20 +24,24 @@
 )
 from ibispaddle_core.runstate import RunState
 from ibispaddle_core.scheduling import (
+    AttemptDelayed,
     AttemptEnded,
     AttemptSilent,
     CallerDisconnected,
     CancelAttempt,
     ConfigurationReplaced,
+    ConfirmDelay,
     ConfirmListing,
     ConfirmSilence,
     Decision,
+    DeclineHedge,
     Dispatch,
     Event,
     FirstToken,
     FleetAttempts,
     FleetPaces,
     FreeMemory,
+    HedgeLimit,
     Outcome,
     PeerWork,
     RefusalReason,
@@ -50,10 +52,7 @@
     RetryPolicy,
     Scheduler,
     Tick,
-    Upstream,
-    UpstreamResponded,
     UpstreamsChanged,
-    UpstreamState,
 )
 from ibispaddle_core.settings import FleetConfig
 
@@ -63,29 +62,24 @@
 from ..http_exchange import Exchange
 from ..logs import log_event
 from ..metrics import Metrics, prompt_length_class
-from ..responses import JSON
 from ..scheduling_loop import SchedulingLoop
 from ..timers import TimerQueue
 from .attempts import ForwardedAttempts
-from .codec import CallerRequest, ForwardingCodec, Helper, UpstreamCall
+from .codec import CallerRequest, ForwardingCodec, UpstreamCall
+from .hedges import HedgeReports
 from .part_guard import PartGuard
-from .requests import ForwardedRequest
-
-# Retry-After time when the scheduler gives none: about the time it takes to notice changes in the
-# fleet.
-DEFAULT_RETRY_AFTER_MS = 500
-# Upper limit of the Retry-After time, as a fraction of the time left until the caller's deadline. The
-# rest of the time is left for the retry.
-MAX_RETRY_AFTER_FRACTION = 0.3
-# Maximum time for which requests wait for the configuration and the list of upstreams after a start.
-# Reading them takes tens of milliseconds.
-STARTUP_WAIT_MS = 300
-# Status codes of responses that the instance generates, besides 401 and 404 at admission. Of these three,
-# only 503 states that the request did not run.
-STATUS_NOT_RUN, STATUS_FAILED, STATUS_TIMED_OUT = 503, 502, 504
-CODE_OUTDATED = "outdated_configuration"
-# Parts of a prompt in a log line.
-MAX_LOGGED_PARTS = 16
+from .refusals import (
+    CODE_OUTDATED,
+    DEFAULT_RETRY_AFTER_MS,
+    STATUS_NOT_RUN,
+    refuse,
+    reject,
+)
+from .request_log import log_ended, log_failed, log_forwarded
+from .requests import AttemptState, ForwardedRequest
+from .startup import StartupExchanges
+from .upstreams import ListedUpstreams, read_statement
+
 # Short, since another instance can accept the request at once, on a new connection.
 DRAINING_RETRY_AFTER_MS = 50
 
@@ -118,13 +112,12 @@
         self.drain_admission: DrainAdmission | None = None
         offset_ms = clock.wall_ms() - clock.now_ms()
         self.scheduler = Scheduler.from_config(FleetConfig(), seed, self._boot_id, offset_ms)
+        self._hedge_reports = HedgeReports(self.scheduler, metrics, clock)
         self._loop = SchedulingLoop(self.scheduler, self._execute, clock, timers)
         self._requests: dict[str, ForwardedRequest] = {}
-        # Exchanges that arrived before the configuration or the upstreams were known.
-        self._startup_exchanges: list[Exchange] = []
+        self._startup_exchanges = StartupExchanges(timers, self._route_exchange)
         self._has_upstreams = False
-        self._addresses: dict[str, str] = {}
-        self._upstreams: dict[str, tuple[ListEntry, Upstream]] = {}
+        self._upstreams = ListedUpstreams()
         # Called when the work in flight has changed, with whether work was added.
         self.on_work_changed: Callable[[bool], None] = lambda is_added: None
         # Called before an upstream of a service is selected. Fetches the other instances' work in flight
@@ -142,6 +135,7 @@
             clock,
             timers,
             self._on_head,
+            self._on_race,
             self._on_output,
             self._on_stall,
             self._on_attempt_result,
@@ -172,19 +166,7 @@
 
     @handler("list_changed", channel="*")
     def _on_list_changed(self, entries: Sequence[ListEntry]) -> None:
-        entries = [entry for entry in entries if entry.kind is not MemberKind.ENTRY]
-        self._addresses = {entry.id: entry.address for entry in entries}
-        # The `Upstream` objects of unchanged entries are reused: a list has up to thousands of entries, and
-        # few of them change.
-        old, self._upstreams = self._upstreams, {}
-        for entry in entries:
-            cached = old.get(entry.id)
-            if cached is None or cached[0] is not entry:
-                cached = (entry, _upstream(entry))
-            self._upstreams[entry.id] = cached
-        self.handle_event(
-            UpstreamsChanged(tuple(upstream for _, upstream in self._upstreams.values()))
-        )
+        self.handle_event(UpstreamsChanged(self._upstreams.replace(entries)))
         self._has_upstreams = True
         self._route_startup_exchanges()
 
@@ -211,22 +193,12 @@
         if self._config is not None and self._has_upstreams:
             self._route_exchange(exchange)
             return
-        self._startup_exchanges.append(exchange)
-        self._timers.after(STARTUP_WAIT_MS, lambda: self._end_startup_wait(exchange))
+        self._startup_exchanges.add(exchange)
 
     def _route_startup_exchanges(self) -> None:
         """Route the exchanges that arrived early, once configuration and upstreams are known."""
-        if self._config is None or not self._has_upstreams:
-            return
-        waiting, self._startup_exchanges = self._startup_exchanges, []
-        for exchange in waiting:
-            if not exchange.is_closed:
-                self._route_exchange(exchange)
-
-    def _end_startup_wait(self, exchange: Exchange) -> None:
-        if exchange in self._startup_exchanges:
-            self._startup_exchanges.remove(exchange)
-            self._route_exchange(exchange)
+        if self._config is not None and self._has_upstreams:
+            self._startup_exchanges.release()
 
     def _route_exchange(self, exchange: Exchange) -> None:
         caller = self._codec.read_request(exchange.headers)
@@ -276,6 +248,7 @@
             patience_ms=route.patience_ms,
             streams=route.streams,
             data_centres=self._home(route, caller.key),
+            may_hedge=True,
         )
         if not self._has_home(req):
             code = str(RefusalReason.NO_UPSTREAM_IN_HOME)
@@ -363,22 +336,9 @@
     ) -> None:
         """Respond to a request that is not admitted."""
         self._metrics.requests.inc({"code": code})
-        log_event(
-            logevents.REQUEST_REFUSED,
-            request=caller.attempt_id,
-            code=code,
-            status=status,
-            version=self._config.version if self._config is not None else None,
-            config_age_ms=self.freshness.age_ms(self._clock.now_ms()),
-        )
-        headers = (
-            *JSON,
-            *self._codec.refusal_headers(retry_after_ms if status == STATUS_NOT_RUN else 0),
-        )
-        if code == CODE_OUTDATED:
-            # On a persistent connection, the caller's next request would reach this instance again.
-            headers = (*headers, ("Connection", "close"))
-        exchange.respond(status, headers, _error_body(code))
+        version = self._config.version if self._config is not None else None
+        age_ms = self.freshness.age_ms(self._clock.now_ms())
+        reject(exchange, caller, self._codec, status, code, retry_after_ms, version, age_ms)
 
     def _on_caller_disconnected(self, request: ForwardedRequest) -> None:
         if request.request_id in self._requests:
@@ -402,8 +362,7 @@
         blocked_ms = self.part_guard.blocked_ms(request)
         if not blocked_ms or request.is_response_started:
             return False
-        if request.cancel_attempt is not None:
-            request.cancel_attempt()
+        request.cancel_attempts()
         self._end_request(request, RefusalReason.QUARANTINED, blocked_ms)
         return True
 
@@ -418,10 +377,12 @@
     def _execute(self, decision: Decision) -> None:
         match decision:
             case FreeMemory(upstream_id):
-                self._memory.free(self._base_url(upstream_id), decision)
+                self._memory.free(self._upstreams.base_url(upstream_id), decision)
                 return
             case ReserveMemory(_, upstream_id):
-                self._memory.reserve(self._base_url(upstream_id), decision, self.handle_event)
+                self._memory.reserve(
+                    self._upstreams.base_url(upstream_id), decision, self.handle_event
+                )
                 self.on_work_changed(True)
                 return
             case ConfirmListing():
@@ -436,26 +397,22 @@
             case CancelAttempt():
                 self._cancel(request, decision)
             case ConfirmSilence(_, upstream_id):
-                self._report_silence(request, upstream_id, has_output=False)
+                self._report_silence(request, request.in_flight.get(upstream_id), has_output=False)
+            case ConfirmDelay(_, upstream_id):
+                self._report_delay(request, upstream_id)
+            case DeclineHedge(_, upstream_id, limit):
+                self._hedge_reports.record_decline(request, upstream_id, limit)
             case Refuse():
                 self._refuse(request, decision)
 
-    def _base_url(self, upstream_id: str) -> str:
-        return f"http://{self._addresses.get(upstream_id, '')}"
-
     def _start_attempt(self, request: ForwardedRequest, decision: Dispatch) -> None:
         now_ms = self._clock.now_ms()
         request.attempts += 1
         request.upstream_id = decision.upstream_id
-        entry, _ = self._upstreams.get(decision.upstream_id, (None, None))
+        attempt = AttemptState(decision.upstream_id, request.attempts, decision.is_hedge)
         has_failed = self.scheduler.health.has_failed_recently(decision.upstream_id, now_ms)
-        self.part_guard.begin_attempt(
-            request, entry.boot_ms if entry is not None else None, has_failed
-        )
-        helpers = tuple(
-            Helper(self._addresses.get(member, ""), handle)
-            for member, handle in zip(decision.segment_upstream_ids, decision.segments, strict=True)
-        ) + tuple(Helper(self._addresses.get(name, "")) for name in decision.helper_ids)
+        boot_ms = self._upstreams.boot_ms(decision.upstream_id)
+        self.part_guard.begin_attempt(attempt, boot_ms, has_failed)
         call = UpstreamCall(
             attempt_id=request.caller.attempt_id,
             upstream_id=decision.upstream_id,
@@ -463,106 +420,93 @@
             time_left_ms=max(1, request.req.deadline_ms - now_ms),
             priority=decision.priority,
             last_event_id=request.last_event_id,
-            helpers=helpers,
+            helpers=self._upstreams.helpers(decision),
         )
-        log_event(
-            logevents.REQUEST_FORWARDED,
-            request=request.caller.attempt_id,
-            id=request.request_id,
-            attempt=request.attempts,
-            service=request.req.model,
-            upstream=decision.upstream_id,
-            waited_ms=now_ms - request.req.arrived_ms,
-            left_ms=call.time_left_ms,
-            prompt_tokens=request.req.prompt_tokens,
-            parts=request.caller.prompt_parts[:MAX_LOGGED_PARTS],
-            helpers=decision.helper_ids,
-            holders=decision.segment_upstream_ids,
-            expected_ms=round(decision.first_token_ms),
-        )
-        self._attempts.start(request, self._addresses.get(decision.upstream_id, ""), call)
+        log_forwarded(request, decision, call, now_ms)
+        if decision.is_hedge:
+            self._hedge_reports.record_start(request, attempt, now_ms)
+        address = self._upstreams.address(decision.upstream_id)
+        self._attempts.start(request, attempt, address, call)
         self.on_work_changed(True)
 
     def _cancel(self, request: ForwardedRequest, decision: CancelAttempt) -> None:
-        """Cancel the attempt in flight, as decided by the scheduler, and report its end.
+        """Cancel an attempt in flight, as decided by the scheduler, and report its end.
 
         Reasons are, for example, a silent attempt or an upstream that is down.
         """
-        if request.cancel_attempt is None:
+        attempt = request.in_flight.get(decision.upstream_id)
+        if attempt is None or attempt.cancel is None:
             return
-        request.cancel_attempt()
-        idle_ms = self._clock.now_ms() - request.last_event_ms
+        attempt.cancel()
+        idle_ms = self._clock.now_ms() - attempt.last_event_ms
         text = f"no event for {idle_ms} ms" if decision.is_silent else "cancelled by the scheduler"
         # The upstream also counts as stalled if it has not started to respond.
         is_stalled = decision.is_silent or not request.is_response_started
         outcome = Outcome.STALLED if is_stalled else Outcome.CANCELLED
-        self._on_attempt_result(request, decision.upstream_id, AttemptResult(outcome, text))
+        self._on_attempt_result(request, attempt, AttemptResult(outcome, text))
 
     def _report_silence(
-        self, request: ForwardedRequest, upstream_id: str, has_output: bool
+        self, request: ForwardedRequest, attempt: AttemptState | None, has_output: bool
     ) -> None:
         """Report a silent attempt once the attempt counts of the other instances are recent."""
-        event = AttemptSilent(request.request_id, upstream_id, has_output)
-        last_event_ms = request.last_event_ms
+        if attempt is None:
+            return
+        event = AttemptSilent(request.request_id, attempt.upstream_id, has_output)
+        last_event_ms = attempt.last_event_ms
 
         def report() -> None:
-            if request.last_event_ms == last_event_ms:  # No event has arrived meanwhile.
+            if attempt.last_event_ms == last_event_ms:  # No event has arrived meanwhile.
                 self.handle_event(event)
 
         self.before_selection(report, request.req.model)
 
+    def _report_delay(self, request: ForwardedRequest, upstream_id: str) -> None:
+        """Report an attempt that may be hedged once the other instances' counts are recent."""
+        if upstream_id not in request.in_flight:
+            return
+        limit = None
+        if self.drain_admission is not None:
+            limit = HedgeLimit.DRAINING
+        elif self.part_guard.is_suspected(request):
+            limit = HedgeLimit.SUSPECTED
+        if limit is not None:
+            self._hedge_reports.record_decline(request, upstream_id, limit)
+            return
+
+        def report() -> None:
+            if upstream_id in request.in_flight and not request.is_response_started:
+                self.handle_event(AttemptDelayed(request.request_id, upstream_id))
+
+        self.before_selection(report, request.req.model)
+
     def _refuse(self, request: ForwardedRequest, refusal: Refuse) -> None:
         """Respond to a request that gets no further attempt."""
-        if request.cancel_attempt is not None:
-            request.cancel_attempt()
-        exchange, response = request.exchange, request.failed_response
-        if request.is_response_started:
-            # Only a closed connection can show the caller that the response is incomplete.
-            exchange.abort()
-            status = exchange.status
-        elif response is not None:
-            exchange.respond(response.status, response.headers, response.body)
-            status = response.status
-        else:
-            status = _status_code(refusal)
-            retry_after_ms = (
-                self._retry_after_ms(request, refusal) if status == STATUS_NOT_RUN else 0
-            )
-            headers = (*JSON, *self._codec.refusal_headers(retry_after_ms))
-            exchange.respond(status, headers, _error_body(str(refusal.reason)))
+        request.cancel_attempts()
+        status = refuse(request, refusal, self._codec, self._clock)
         self._finish(request, str(refusal.reason), status)
 
-    def _retry_after_ms(self, request: ForwardedRequest, refusal: Refuse) -> int:
-        if refusal.reason is RefusalReason.QUARANTINED:
-            return refusal.retry_after_ms  # An earlier retry would be refused as well.
-        left_ms = request.req.deadline_ms - self._clock.now_ms()
-        return int(
-            min(
-                refusal.retry_after_ms or DEFAULT_RETRY_AFTER_MS, left_ms * MAX_RETRY_AFTER_FRACTION
-            )
-        )
-
     # Callbacks of the attempts
 
     def _on_head(self, upstream_id: str, head: ResponseHead) -> None:
         """Apply what an upstream states about itself in the head of any response."""
-        if head.is_for_other_request or head.status == STATUS_MISDIRECTED:
-            return  # Another upstream may have sent it.
-        has_statement = head.limit_per_s is not None or head.is_leaving or head.retry_after_ms > 0
-        if has_statement or self.scheduler.pacing.is_limited(upstream_id):
-            self._log_leaving(upstream_id, head)
-            self.handle_event(
-                UpstreamResponded(
-                    upstream_id, head.limit_per_s, head.is_leaving, head.retry_after_ms
-                )
-            )
+        statement = read_statement(self.scheduler, upstream_id, head)
+        if statement is not None:
+            self.handle_event(statement)
 
-    def _log_leaving(self, upstream_id: str, head: ResponseHead) -> None:
-        view = self.scheduler.runners.views.get(upstream_id)
-        if head.is_leaving and view is not None and view.live:
-            log_event(logevents.UPSTREAM_LEAVING, upstream=upstream_id, state="stated")
+    def _on_race(
+        self, request: ForwardedRequest, winner: AttemptState, loser: AttemptState
+    ) -> None:
+        """Handle the first output of one of two attempts; the other one has been cancelled."""
+        request.upstream_id = winner.upstream_id
+        self._metrics.attempts.inc({"outcome": str(Outcome.CANCELLED)})
+        self._hedge_reports.record_race(request, winner, loser)
+        if request.route.streams:
+            self.handle_event(FirstToken(request.request_id, winner.upstream_id))
+            self.on_work_changed(False)
 
-    def _on_output(self, request: ForwardedRequest, event_count: int) -> None:
+    def _on_output(
+        self, request: ForwardedRequest, attempt: AttemptState, event_count: int
+    ) -> None:
         now_ms = self._clock.now_ms()
         request.event_count += event_count
         if request.first_output_ms is None:
@@ -571,38 +515,28 @@
             gap_ms = now_ms - request.last_output_ms
             request.longest_gap_ms = max(request.longest_gap_ms, gap_ms)
         request.last_output_ms = now_ms
-        self.part_guard.record_output(request)
+        self.part_guard.record_output(request, attempt)
         # The request's counters do not show the first output of a retry, so every output of a retry is
         # reported. Repeated reports have no effect on the scheduler.
         if request.event_count == event_count or request.attempts > 1:
-            self.handle_event(FirstToken(request.request_id))
+            self.handle_event(FirstToken(request.request_id, attempt.upstream_id))
             self.on_work_changed(False)
 
-    def _on_stall(self, request: ForwardedRequest, upstream_id: str) -> None:
-        self._report_silence(request, upstream_id, has_output=True)
+    def _on_stall(self, request: ForwardedRequest, attempt: AttemptState) -> None:
+        self._report_silence(request, attempt, has_output=True)
 
     def _on_attempt_result(
-        self, request: ForwardedRequest, upstream_id: str, result: AttemptResult
+        self, request: ForwardedRequest, attempt: AttemptState, result: AttemptResult
     ) -> None:
+        upstream_id = attempt.upstream_id
         self._metrics.attempts.inc({"outcome": str(result.outcome)})
         if result.outcome is Outcome.COMPLETED:
-            self._complete(request, upstream_id, result)
+            self._complete(request, attempt, result)
             return
         request.failures += (f"{upstream_id}: {result.outcome}: {result.text}",)
         request.failed_response = result.answer
-        faulty_upstream_id = self._upstream_at(result.faulty_address)
-        log_event(
-            logevents.ATTEMPT_FAILED,
-            request=request.caller.attempt_id,
-            id=request.request_id,
-            attempt=request.attempts,
-            upstream=upstream_id,
-            culprit=faulty_upstream_id,
-            outcome=str(result.outcome),
-            reason=result.text,
-            events=request.event_count,
-            parts=request.caller.prompt_parts[:MAX_LOGGED_PARTS],
-        )
+        faulty_upstream_id = self._upstreams.upstream_at(result.faulty_address)
+        log_failed(request, attempt, result, faulty_upstream_id)
         ended = AttemptEnded(
             request.request_id,
             upstream_id,
@@ -618,10 +552,10 @@
                 lambda: self._handle_failed_attempt(request, ended), request.req.model
             )
 
-        if not self._may_have_crashed(request, result):
+        if not self._may_have_crashed(attempt, result):
             proceed()
             return
-        address = self._addresses[upstream_id]
+        address = self._upstreams.address(upstream_id)
 
         def accepts_late_proof() -> bool:
             # An upstream that was removed meanwhile may have ended as planned, and one that sent
@@ -633,12 +567,12 @@
             # There is no retry that would have to wait for the result.
             proceed()
             callback = _do_nothing
-        self.part_guard.check_upstream(request, address, callback, accepts_late_proof)
+        self.part_guard.check_upstream(request, attempt, address, callback, accepts_late_proof)
 
-    def _may_have_crashed(self, request: ForwardedRequest, result: AttemptResult) -> bool:
+    def _may_have_crashed(self, attempt: AttemptState, result: AttemptResult) -> bool:
         """Return whether a listed upstream may have crashed; one that leaves may end at any time."""
-        is_live = self._is_live(request.upstream_id)
-        return is_live and self.part_guard.may_have_crashed(request, result)
+        is_live = self._is_live(attempt.upstream_id)
+        return is_live and self.part_guard.may_have_crashed(attempt, result)
 
     def _is_live(self, upstream_id: str) -> bool:
         view = self.scheduler.runners.views.get(upstream_id)
@@ -650,31 +584,27 @@
         self.handle_event(ended)
         self.on_work_changed(False)
 
-    def _complete(self, request: ForwardedRequest, upstream_id: str, result: AttemptResult) -> None:
+    def _complete(
+        self, request: ForwardedRequest, attempt: AttemptState, result: AttemptResult
+    ) -> None:
         response, exchange = result.answer, request.exchange
         if response is None or 200 <= response.status < 300:
-            self.part_guard.record_completion(request)
+            self.part_guard.record_completion(request, attempt)
         if response is not None:
             exchange.respond(response.status, response.headers, response.body)
         else:
             exchange.end()
         self._finish(request, "ok", exchange.status)
-        self.handle_event(AttemptEnded(request.request_id, upstream_id, result.outcome))
+        self.handle_event(AttemptEnded(request.request_id, attempt.upstream_id, result.outcome))
         self.on_work_changed(False)
 
-    def _upstream_at(self, address: str | None) -> str | None:
-        if address is None:
-            return None
-        return next((name for name, other in self._addresses.items() if other == address), None)
-
     def _finish(self, request: ForwardedRequest, code: str, status: int = 0) -> None:
         """Remove a request whose caller got a response or disconnected, and log its end."""
         if self._requests.pop(request.request_id, None) is None:
             return
         if request.deadline_timer is not None:
             request.deadline_timer.cancel()
-        if request.cancel_attempt is not None:
-            request.cancel_attempt()
+        request.cancel_attempts()
         request.exchange.on_closed = request.exchange.on_drained = None
         now_ms, arrived_ms = self._clock.now_ms(), request.req.arrived_ms
         self._metrics.requests.inc({"code": code})
@@ -684,41 +614,8 @@
             first_ms = request.first_output_ms - arrived_ms
             labels = {"prompt": prompt_length_class(request.req.prompt_tokens)}
             self._metrics.first_token.observe(labels, first_ms / 1000)
-        log_event(
-            logevents.FORWARDING_ENDED,
-            request=request.caller.attempt_id,
-            id=request.request_id,
-            route=request.route.name,
-            service=request.req.model,
-            workspace=request.req.workspace,
-            prompt_tokens=request.req.prompt_tokens,
-            code=code,
-            status=status,
-            upstream=request.upstream_id,
-            attempts=request.attempts,
-            first_ms=first_ms,
-            duration_ms=now_ms - arrived_ms,
-            longest_gap_ms=request.longest_gap_ms,
-            events=request.event_count,
-            failures=request.failures,
-        )
+        log_ended(request, code, status, first_ms, now_ms - arrived_ms)
 
 
 def _do_nothing() -> None:
     pass
-
-
-def _upstream(entry: ListEntry) -> Upstream:
-    is_live = entry.state is ListedState.LIVE
-    state = UpstreamState.LIVE if is_live else UpstreamState.LEAVING
-    return Upstream(entry.id, entry.data_centre, entry.models, state, entry.boot_ms)
-
-
-def _status_code(refusal: Refuse) -> int:
-    if refusal.run_state is RunState.NOT_RUN:
-        return STATUS_NOT_RUN
-    return STATUS_TIMED_OUT if refusal.reason is RefusalReason.DEADLINE else STATUS_FAILED
-
-
-def _error_body(code: str) -> bytes:
-    return msgspec.json.encode({"error": {"code": code}})
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/part_guard.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/part_guard.py
@@ -13,7 +13,7 @@
 from ..timers import TimerHandle, TimerQueue
 from .codec import ForwardingCodec
 from .crashes import CrashDetector
-from .requests import ForwardedRequest
+from .requests import AttemptState, ForwardedRequest
 
 # An upstream that continues to respond for this time has not crashed because of the request.
 SETTLED_OUTPUT_MS = 200
@@ -64,66 +64,69 @@
             return None  # Computing the fingerprint reads the whole body.
         return self.registry.blocked_part(request.parts, request.fingerprint, self._clock.now_ms())
 
+    def is_suspected(self, request: ForwardedRequest) -> bool:
+        """Return whether upstreams may crash because of the request or a part of it."""
+        if not self.registry.has_suspects:
+            return False
+        return self.registry.is_suspected(request.parts, request.fingerprint)
+
     def begin_attempt(
-        self, request: ForwardedRequest, boot_ms: int | None, may_have_died: bool
+        self, attempt: AttemptState, boot_ms: int | None, may_have_died: bool
     ) -> None:
-        """Reset the state of the request's attempt; `boot_ms` is the start of its upstream.
+        """Set the process of an attempt's upstream; `boot_ms` is the start of the upstream.
 
         `may_have_died` is true if an attempt at the upstream has just failed, at any instance.
         """
-        request.attempt_boot_ms = boot_ms
-        request.attempt_boot_id = self.registry.current_boot_id(
-            request.upstream_id, str(boot_ms or ""), may_have_died
+        attempt.boot_ms = boot_ms
+        attempt.boot_id = self.registry.current_boot_id(
+            attempt.upstream_id, str(boot_ms or ""), may_have_died
         )
-        request.attempt_output_ms = None
-        request.is_output_settled = False
 
-    def record_output(self, request: ForwardedRequest) -> None:
+    def record_output(self, request: ForwardedRequest, attempt: AttemptState) -> None:
         """Record that an upstream has sent a part of its response."""
-        if request.is_output_settled:
+        if attempt.is_output_settled:
             return
         now_ms = self._clock.now_ms()
-        if request.attempt_output_ms is None:
-            request.attempt_output_ms = now_ms
-            request.attempt_output_sequence = self.registry.sequence
-        elif now_ms - request.attempt_output_ms >= SETTLED_OUTPUT_MS:
-            self._record_response(request)
+        if attempt.output_ms is None:
+            attempt.output_ms = now_ms
+            attempt.output_sequence = self.registry.sequence
+        elif now_ms - attempt.output_ms >= SETTLED_OUTPUT_MS:
+            self._record_response(request, attempt)
 
-    def record_completion(self, request: ForwardedRequest) -> None:
+    def record_completion(self, request: ForwardedRequest, attempt: AttemptState) -> None:
         """Record that an upstream has completed its response."""
-        if request.attempt_output_ms is None:
-            request.attempt_output_sequence = self.registry.sequence
-        if not request.is_output_settled:
-            self._record_response(request)
+        if attempt.output_ms is None:
+            attempt.output_sequence = self.registry.sequence
+        if not attempt.is_output_settled:
+            self._record_response(request, attempt)
 
-    def _record_response(self, request: ForwardedRequest) -> None:
-        request.is_output_settled = request.has_settled_output = True
+    def _record_response(self, request: ForwardedRequest, attempt: AttemptState) -> None:
+        attempt.is_output_settled = request.has_settled_output = True
         fingerprint = request.fingerprint if self.registry.has_suspects else ""
-        cleared = self.registry.record_response(
-            request.parts, fingerprint, request.attempt_output_sequence
-        )
+        cleared = self.registry.record_response(request.parts, fingerprint, attempt.output_sequence)
         if cleared:
             log_event(
                 logevents.PART_CLEARED,
                 request=request.caller.attempt_id,
-                upstream=request.upstream_id,
+                upstream=attempt.upstream_id,
                 parts=[item.part for item in cleared],
             )
             self._merge_own(cleared)
 
     # Crashes
 
-    def may_have_crashed(self, request: ForwardedRequest, result: AttemptResult) -> bool:
-        """Return whether the upstream of an attempt may have crashed because of the request."""
+    def may_have_crashed(self, attempt: AttemptState, result: AttemptResult) -> bool:
+        """Return whether the upstream of an attempt may have crashed because of its request."""
         return (
             self._crashes.is_supported
             and result.outcome is Outcome.FAILED
-            and not request.is_output_settled
+            and not attempt.is_output_settled
         )
 
     def check_upstream(
         self,
         request: ForwardedRequest,
+        attempt: AttemptState,
         address: str,
         callback: Callable[[], None],
         accepts_late_proof: Callable[[], bool],
@@ -133,7 +136,7 @@
         If the upstream does not respond, `callback` is called soon, and the parts become suspects when
         it turns out later that the process has ended, if `accepts_late_proof` returns true then.
         """
-        death = Death(request.upstream_id, request.attempt_boot_id)
+        death = Death(attempt.upstream_id, attempt.boot_id)
 
         def done(has_crashed: bool) -> None:
             if has_crashed:
@@ -146,7 +149,7 @@
                 parts = tuple(part for part in request.parts if not self.registry.is_sound(part))
                 self._report_crash(request, death, parts)
 
-        self._crashes.check(address, request.attempt_boot_ms, done, done_late)
+        self._crashes.check(address, attempt.boot_ms, done, done_late)
 
     def _report_crash(self, request: ForwardedRequest, death: Death, parts: Sequence[str]) -> None:
         report = self.registry.crash_report(death, parts, request.fingerprint)
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/requests.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/requests.py
@@ -2,7 +2,7 @@
 
 import hashlib
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import cached_property
 
 from ibispaddle_core.forwarding import CompleteResponse
@@ -17,6 +17,22 @@
 FINGERPRINT_BYTES = 16
 
 
+@dataclass(eq=False)
+class AttemptState:
+    """The state of one attempt; two may be in flight until the first output of either."""
+
+    upstream_id: str
+    number: int = 1  # Counted from 1 within the request.
+    is_hedge: bool = False
+    cancel: Callable[[], None] | None = None  # Set while the attempt is in flight.
+    last_event_ms: int = 0  # Time of its last event, or of its start.
+    boot_ms: int | None = None  # Start of its upstream, if known.
+    boot_id: str = ""  # Identifies the process of its upstream.
+    output_ms: int | None = None  # Time of its first output.
+    output_sequence: int = 0  # Crashes known at that time.
+    is_output_settled: bool = False  # Whether its upstream has survived the start of the output.
+
+
 @dataclass(eq=False)
 class ForwardedRequest:
     """A forwarded request, from its admission to its end."""
@@ -34,17 +50,10 @@
     last_event_id: int | None = None
     # Response of the last failed attempt; sent to the caller if there is no further attempt.
     failed_response: CompleteResponse | None = None
-    cancel_attempt: Callable[[], None] | None = None  # Set while an attempt is in flight.
     deadline_timer: TimerHandle | None = None
     failures: tuple[str, ...] = ()  # Reasons of failed attempts, for the log.
     has_settled_output: bool = False  # Whether an upstream of any attempt has survived it.
-    # State of the last attempt.
-    last_event_ms: int = 0  # Time of its last event, or of its start.
-    attempt_boot_ms: int | None = None  # Start of its upstream, if known.
-    attempt_boot_id: str = ""  # Identifies the process of its upstream.
-    attempt_output_ms: int | None = None  # Time of its first output.
-    attempt_output_sequence: int = 0  # Crashes known at that time.
-    is_output_settled: bool = False  # Whether its upstream has survived the start of the output.
+    in_flight: dict[str, AttemptState] = field(default_factory=dict)  # By upstream.
 
     @property
     def request_id(self) -> str:
@@ -66,8 +75,8 @@
         parts = () if exchange.body else self.parts
         head = (exchange.method, exchange.target, self.req.workspace, *parts)
         digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
-        for field in head:
-            digest.update(field.encode("utf-8", "surrogatepass") + b"\0")
+        for text in head:
+            digest.update(text.encode("utf-8", "surrogatepass") + b"\0")
         digest.update(exchange.body)
         return digest.hexdigest()
 
@@ -75,3 +84,9 @@
     def is_response_started(self) -> bool:
         """Return whether a part of the response was sent to the caller."""
         return self.exchange.is_response_started
+
+    def cancel_attempts(self) -> None:
+        """Cancel the attempts in flight without reporting their ends."""
+        for attempt in list(self.in_flight.values()):
+            if attempt.cancel is not None:
+                attempt.cancel()
--- a/packages/daemon/src/ibispaddle_daemon/metrics.py
+++ b/packages/daemon/src/ibispaddle_daemon/metrics.py
@@ -95,6 +95,16 @@
             "ibispaddle_retries_total",
             "Further attempts of a request, by the reason that the one before ended.",
         )
+        self.hedges = self._defer(
+            "Counter",
+            "ibispaddle_hedges_total",
+            "Second attempts beside a late first one, by result: started, won, lost.",
+        )
+        self.declined_hedges = self._defer(
+            "Counter",
+            "ibispaddle_hedges_declined_total",
+            "Requests with a late attempt that were not hedged, by the limit that ruled it out.",
+        )
         self.tokens = self._defer(
             "Counter",
             "ibispaddle_relayed_tokens_total",
--- a/tests/fleet/test_work.py
+++ b/tests/fleet/test_work.py
@@ -9,13 +9,16 @@
 
 from ibispaddle_core.scheduling import (
     AttemptCounts,
+    Event,
     FleetAttempts,
     FleetPaces,
     PeerWork,
+    Scheduler,
     UpstreamWork,
 )
 from ibispaddle_core.scheduling.pacing import UpstreamPacing
 from ibispaddle_core.scheduling.retries import WINDOW_MS
+from ibispaddle_core.settings import FleetConfig
 from ibispaddle_daemon.fleet.messages import WorkQuery, WorkUpdate
 from ibispaddle_daemon.fleet.work import (
     BATCH_DELAY_MS,
@@ -32,20 +35,29 @@
 class FakeForwarder:
     """Fake of the forwarder, with its own work and the last view of the others' work."""
 
-    def __init__(self, name: str) -> None:
+    def __init__(self, name: str, hedge_fraction: float = 0.0) -> None:
+        scheduling = {"hedge_fraction": hedge_fraction}
+        fleet = FleetConfig.from_document({"scheduling": scheduling})
         self.work: dict[str, UpstreamWork] = {}
         self.fleet_work: PeerWork | None = None
         self.has_waiting_requests = False
         self.schedule_calls = 0
         own_work = lambda instance, now_ms: PeerWork(name, dict(self.work))  # noqa: E731
         self.scheduler = SimpleNamespace(
-            own_work=own_work, attempt_totals={}, pacing=UpstreamPacing()
+            own_work=own_work,
+            attempt_totals={},
+            pacing=UpstreamPacing(),
+            hedging=Scheduler.from_config(fleet, 1, name).hedging,
         )
         self.attempts: FleetAttempts | None = None
+        self.events: list[Event] = []
 
     def update_fleet_work(self, work: PeerWork, attempts: FleetAttempts, paces: FleetPaces) -> None:
         self.fleet_work, self.attempts, self.paces = work, attempts, paces
 
+    def handle_event(self, event: Event) -> None:
+        self.events.append(event)
+
     def schedule_waiting(self) -> None:
         self.schedule_calls += 1
 
