--- a/packages/core/src/ibispaddle_core/scheduling/hedging.py
+++ b/packages/core/src/ibispaddle_core/scheduling/hedging.py
@@ -152,6 +152,7 @@
             or not req.may_hedge
             or req.retry_policy is RetryPolicy.PROVED_NOT_RUN
             or state.prompt_class is PromptClass.SPANNING
+            or not self._has_runs_left(state)
         ):
             return None
         ratio = self.delay_ratio(class_name(req, state.prompt_class), now_ms)
@@ -176,10 +177,7 @@
 
     def _exhausted_limit(self, state: RequestState, now_ms: int) -> HedgeLimit | None:
         req = state.req
-        max_attempts = self._cost.scheduling.max_attempts
-        max_runs = max_attempts if req.max_runs is None else req.max_runs
-        # Both attempts may run.
-        if state.runs + 2 > max_runs or state.attempts >= max(max_attempts, max_runs):
+        if not self._has_runs_left(state):
             return HedgeLimit.RUNS
         if now_ms + self._admission.service_ms(req) > req.deadline_ms:
             return HedgeLimit.DEADLINE
@@ -187,6 +185,12 @@
             return HedgeLimit.OVERLOAD
         return None
 
+    def _has_runs_left(self, state: RequestState) -> bool:
+        """Return whether the route allows two attempts that both run."""
+        max_attempts = self._cost.scheduling.max_attempts
+        max_runs = max_attempts if state.req.max_runs is None else state.req.max_runs
+        return state.runs + 2 <= max_runs and state.attempts < max(max_attempts, max_runs)
+
     def _has_free_slots(self, req: Request, now_ms: int) -> bool:
         """Return whether enough slots are free, so that a hedge takes none from a first attempt."""
         slots = self._cost.model(req.model).upstream_slots
