--- a/tests/fleet/test_work.py
+++ b/tests/fleet/test_work.py
@@ -19,7 +19,12 @@
 from ibispaddle_core.scheduling.pacing import UpstreamPacing
 from ibispaddle_core.scheduling.retries import WINDOW_MS
 from ibispaddle_core.settings import FleetConfig
-from ibispaddle_daemon.fleet.messages import WorkQuery, WorkUpdate
+from ibispaddle_daemon.fleet.messages import (
+    WorkQuery,
+    WorkSnapshot,
+    WorkUpdate,
+    encode_hedge_rows,
+)
 from ibispaddle_daemon.fleet.work import (
     BATCH_DELAY_MS,
     HUB_CHECK_INTERVAL_MS,
@@ -232,5 +237,72 @@
             )
 
 
+class HedgesTest(unittest.TestCase):
+    """Two instances and a hub whose upstreams turn slow, so that they hedge."""
+
+    def setUp(self) -> None:
+        self.network = FakeNetwork("abc")
+        self.forwarders = {name: FakeForwarder(name, hedge_fraction=0.02) for name in "abc"}
+        self.exchanges = {
+            name: WorkExchange(
+                name,
+                forwarder,
+                self.network.ranking(name),
+                self.network.links[name],
+                self.network.clock,
+                self.network.timers,
+            )
+            for name, forwarder in self.forwarders.items()
+        }
+
+    def report(self, name: str, **counts: int) -> None:
+        forwarder = self.forwarders[name]
+        forwarder.scheduler.attempt_totals = {"llm": AttemptCounts(**counts)}
+        forwarder.work = {f"r{len(forwarder.events)}{counts}": UpstreamWork(50.0, 1, 0)}
+        forwarder.on_work_changed(True)
+
+    def test_hedges_of_others_are_known_before_a_hedge(self) -> None:
+        """Guards against a fraction that each of 72 instances uses for itself."""
+        for name in "bc":
+            self.report(name, first=0)
+        for _ in range(WINDOW_MS // RESEND_INTERVAL_MS + 2):
+            self.network.timers.advance(RESEND_INTERVAL_MS)
+            self.report("b", first=0)
+        self.report("b", first=100, retries=3, hedges=2)
+        self.exchanges["c"].refresh(lambda: None)
+        attempts = self.forwarders["c"].attempts
+        self.assertEqual(attempts.counts, {"llm": AttemptCounts(100, 3, 2)})
+        self.assertTrue(attempts.has_hedges)
+
+    def test_times_of_all_instances_reach_each(self) -> None:
+        """Guards against instances that see too few requests to know which attempt is late."""
+        hedging = self.forwarders["b"].scheduler.hedging
+        for _ in range(60):
+            hedging._pending_samples.append(("llm/stream/short", 2.0))
+        self.report("b", first=60)
+        self.exchanges["c"].refresh(lambda: None)
+        (event,) = self.forwarders["c"].events
+        quantiles = event.quantiles["llm/stream/short"]
+        self.assertEqual(quantiles.count, 60)
+        self.assertAlmostEqual(quantiles.tail, 2.0, delta=0.05)
+
+    def test_hub_of_an_earlier_release(self) -> None:
+        """Guards against hedges that are taken for counted while a fleet is updated."""
+        self.exchanges["c"].refresh(lambda: None)
+        snapshot = WorkSnapshot(0, (), (), service_attempts=(("llm", 5, 1),))
+        self.exchanges["c"]._on_snapshot("a", snapshot)
+        attempts = self.forwarders["c"].attempts
+        self.assertEqual(
+            (attempts.counts, attempts.has_hedges), ({"llm": AttemptCounts(5, 1)}, False)
+        )
+
+    def test_messages_without_hedges(self) -> None:
+        """Guards against more traffic between instances that do not hedge."""
+        forwarder = FakeForwarder("d")
+        forwarder.scheduler.hedging.merge_samples([("c", 1.0)], 0)
+        self.assertEqual(forwarder.scheduler.hedging.own_quantiles(0), {})
+        self.assertEqual(encode_hedge_rows({"llm": AttemptCounts(5, 1)}), ())
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform_adapter/processes.py
+++ b/tests/platform_adapter/processes.py
@@ -8,7 +8,7 @@
 import sys
 import tempfile
 import threading
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from contextlib import ExitStack
 from pathlib import Path
 from typing import Any, Protocol
@@ -65,7 +65,15 @@
 class Instance:
     """An instance process with the adapter."""
 
-    def __init__(self, folder: str, number: int, store: HasAddress, **bounds: Any) -> None:
+    def __init__(
+        self,
+        folder: str,
+        number: int,
+        store: HasAddress,
+        arguments: Sequence[str] = (),
+        **bounds: Any,
+    ) -> None:
+        self.arguments = arguments
         front, self.ready_port, peers = reserve_ports_for(self, 3)
         self.port, self.peer_port = front, peers
         limits = {"grace_s": 8, "fail_closed": True, "revoke_ms": 5_000, "stall_ms": 300}
@@ -84,7 +92,7 @@
     def start(self) -> None:
         """Start the process, or restart it with the same addresses after its end."""
         self.proc = subprocess.Popen(
-            [sys.executable, "-m", "ibispaddle_platform"],
+            [sys.executable, "-m", "ibispaddle_platform", *self.arguments],
             stdout=subprocess.PIPE,
             env=dict(os.environ, IBISPADDLE_CONFIG=str(self.path)),
         )
--- a/tests/platform_adapter/test_records.py
+++ b/tests/platform_adapter/test_records.py
@@ -10,7 +10,7 @@
 from ibispaddle_core.routing import RoutingConfig
 from ibispaddle_core.scheduling import RetryPolicy
 from ibispaddle_core.scheduling.cost import CostModel
-from ibispaddle_core.settings import FleetConfig
+from ibispaddle_core.settings import FleetConfig, SettingsError
 from ibispaddle_core.topics import (
     KeyedRecord,
     OffsetExpired,
@@ -19,6 +19,7 @@
     TopicFormatError,
 )
 from ibispaddle_platform.configuration import ConfigurationReader
+from ibispaddle_platform.options import read_options
 from ibispaddle_platform.registrations import read_registration
 from ibispaddle_platform.settings import read_settings
 from ibispaddle_platform.store import TopicCodec
@@ -108,6 +109,31 @@
                 read_settings(data, "node.toml")
 
 
+class OptionsTest(unittest.TestCase):
+    def test_limit_of_hedges(self) -> None:
+        """Guards against an operator's limit that does not reach the scheduler."""
+        for arguments in (["--hedge-fraction", "0.02"], ["--hedge-fraction=0.02"]):
+            settings = read_settings(SETTINGS, "node.toml", read_options(arguments))
+            _, fleet = ConfigurationReader(settings).read(json.dumps(CONFIG).encode())
+            self.assertEqual(fleet.scheduling.hedge_fraction, 0.02)
+        self.assertEqual(read_settings(SETTINGS, "node.toml").gateway.hedge_fraction, 0.0)
+
+    def test_mistakes_are_reported_with_the_value(self) -> None:
+        """Guards against instances of a deployment that start with a limit nobody meant."""
+        for arguments, check_id in (
+            (["--hedge-fraction", "2"], "platform.E003"),
+            (["--hedge-fraction", "nan"], "platform.E003"),
+            (["--hedge-fraction", "2%"], "platform.E003"),
+            (["--hedge-fraction"], "platform.E003"),
+            (["--hedge-fractoin", "0.02"], "platform.E002"),
+        ):
+            with self.assertRaises(SettingsError) as raised:
+                read_options(arguments)
+            text = str(raised.exception)
+            self.assertIn(check_id, text)
+            self.assertIn(arguments[-1], text)
+
+
 class ConfigurationTest(unittest.TestCase):
     reader = ConfigurationReader(read_settings(SETTINGS, "node.toml"))
 
