--- a/packages/core/src/ibispaddle_core/settings/checks.py
+++ b/packages/core/src/ibispaddle_core/settings/checks.py
@@ -57,6 +57,7 @@
         *_check_services(config),
         *_check_regions(config, origins),
         *_check_homes(config),
+        *_check_hedges(config),
     ]
 
 
@@ -156,3 +157,17 @@
                         "",
                         f"$.workspaces.{name}.{kind}",
                     )
+
+
+def _check_hedges(config: FleetConfig) -> Iterator[CheckMessage]:
+    scheduling = config.scheduling
+    if scheduling.hedge_fraction > scheduling.retry_budget:
+        yield CheckMessage(
+            "settings.W003",
+            Severity.WARNING,
+            f"The limit of hedges {scheduling.hedge_fraction} is above the retry budget"
+            f" {scheduling.retry_budget}, which bounds them as well.",
+            "Lower 'hedge_fraction' or raise 'retry_budget'.",
+            "",
+            "$.scheduling.hedge_fraction",
+        )
--- a/tests/settings/test_loading.py
+++ b/tests/settings/test_loading.py
@@ -3,6 +3,7 @@
 import unittest
 
 from ibispaddle_core.settings import (
+    FleetConfig,
     SettingsError,
     check_fleet,
     load_fleet,
@@ -10,6 +11,7 @@
     merge_layers,
     parse_json,
 )
+from ibispaddle_core.settings.checks import run_fleet_checks
 
 INSTANCE = {
     "instance_id": "entry.1",
@@ -95,6 +97,21 @@
         self.assertEqual(found, [("settings.W002", "$.workspaces.w.models")])
 
 
+class HedgesTest(unittest.TestCase):
+    def test_limit_above_the_retry_budget(self):
+        """Guard against a limit of hedges that can never be reached."""
+        for fraction, expected in ((0.1, []), (0.2, ["settings.W003"])):
+            scheduling = {"hedge_fraction": fraction, "retry_budget": 0.1}
+            config = FleetConfig.from_document({"scheduling": scheduling})
+            self.assertEqual([message.id for message in run_fleet_checks(config, {})], expected)
+
+    def test_limit_out_of_range_is_an_error(self):
+        """Guard against a limit in percent that would hedge every request."""
+        with self.assertRaises(SettingsError) as caught:
+            load_fleet({"base": {"scheduling": {"hedge_fraction": 2}}})
+        self.assertEqual(caught.exception.messages[0].id, "settings.E003")
+
+
 class OverlayTest(unittest.TestCase):
     def test_null_removes_a_value_and_its_origin(self):
         """Guard against a base value that a site cannot remove."""
