--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -452,8 +452,15 @@
         state = self._states.get(event.request_id)
         if state is None or state.upstream_id != event.upstream_id or not state.may_be_hedged:
             return []
-        choice: Choice | HedgeLimit = HedgeLimit.NO_UPSTREAM
-        if not self.is_dispatch_paused() and self.allowed_runners(state.req) is None:
+        choice: Choice | HedgeLimit
+        if self.is_dispatch_paused() or self.allowed_runners(state.req) is not None:
+            choice = HedgeLimit.NO_UPSTREAM
+        elif self._groups.must_yield(state, now_ms):
+            self._reservation_order.discard(
+                state.req.request_id
+            )  # The prompt itself does not wait.
+            choice = HedgeLimit.OVERLOAD
+        else:
             choice = self.hedging.choose(state, self.placement, now_ms)
         if isinstance(choice, HedgeLimit):
             return [DeclineHedge(event.request_id, event.upstream_id, choice)]
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
@@ -24,9 +24,7 @@
 )
 from ibispaddle_core.runstate import RunState
 from ibispaddle_core.scheduling import (
-    AttemptDelayed,
     AttemptEnded,
-    AttemptSilent,
     CallerDisconnected,
     CancelAttempt,
     ConfigurationReplaced,
@@ -41,7 +39,6 @@
     FleetAttempts,
     FleetPaces,
     FreeMemory,
-    HedgeLimit,
     Outcome,
     PeerWork,
     RefusalReason,
@@ -67,6 +64,7 @@
 from .attempts import ForwardedAttempts
 from .codec import CallerRequest, ForwardingCodec, UpstreamCall
 from .hedges import HedgeReports
+from .late_attempts import LateAttempts
 from .part_guard import PartGuard
 from .refusals import (
     CODE_OUTDATED,
@@ -129,6 +127,13 @@
         self._memory.add_to(metrics, self.scheduler)
         self.part_guard = PartGuard(codec, clock, timers).register(self)
         self.part_guard.on_quarantined = self._refuse_quarantined_requests
+        self._late_attempts = LateAttempts(
+            lambda callback, service: self.before_selection(callback, service),
+            self.handle_event,
+            self.part_guard,
+            self._hedge_reports,
+            lambda: self.drain_admission is not None,
+        )
         self._attempts = ForwardedAttempts(
             client,
             codec,
@@ -397,9 +402,11 @@
             case CancelAttempt():
                 self._cancel(request, decision)
             case ConfirmSilence(_, upstream_id):
-                self._report_silence(request, request.in_flight.get(upstream_id), has_output=False)
+                if (attempt := request.in_flight.get(upstream_id)) is not None:
+                    self._late_attempts.report_silence(request, attempt, has_output=False)
             case ConfirmDelay(_, upstream_id):
-                self._report_delay(request, upstream_id)
+                if (attempt := request.in_flight.get(upstream_id)) is not None:
+                    self._late_attempts.report_delay(request, attempt)
             case DeclineHedge(_, upstream_id, limit):
                 self._hedge_reports.record_decline(request, upstream_id, limit)
             case Refuse():
@@ -445,40 +452,6 @@
         outcome = Outcome.STALLED if is_stalled else Outcome.CANCELLED
         self._on_attempt_result(request, attempt, AttemptResult(outcome, text))
 
-    def _report_silence(
-        self, request: ForwardedRequest, attempt: AttemptState | None, has_output: bool
-    ) -> None:
-        """Report a silent attempt once the attempt counts of the other instances are recent."""
-        if attempt is None:
-            return
-        event = AttemptSilent(request.request_id, attempt.upstream_id, has_output)
-        last_event_ms = attempt.last_event_ms
-
-        def report() -> None:
-            if attempt.last_event_ms == last_event_ms:  # No event has arrived meanwhile.
-                self.handle_event(event)
-
-        self.before_selection(report, request.req.model)
-
-    def _report_delay(self, request: ForwardedRequest, upstream_id: str) -> None:
-        """Report an attempt that may be hedged once the other instances' counts are recent."""
-        if upstream_id not in request.in_flight:
-            return
-        limit = None
-        if self.drain_admission is not None:
-            limit = HedgeLimit.DRAINING
-        elif self.part_guard.is_suspected(request):
-            limit = HedgeLimit.SUSPECTED
-        if limit is not None:
-            self._hedge_reports.record_decline(request, upstream_id, limit)
-            return
-
-        def report() -> None:
-            if upstream_id in request.in_flight and not request.is_response_started:
-                self.handle_event(AttemptDelayed(request.request_id, upstream_id))
-
-        self.before_selection(report, request.req.model)
-
     def _refuse(self, request: ForwardedRequest, refusal: Refuse) -> None:
         """Respond to a request that gets no further attempt."""
         request.cancel_attempts()
@@ -523,7 +496,7 @@
             self.on_work_changed(False)
 
     def _on_stall(self, request: ForwardedRequest, attempt: AttemptState) -> None:
-        self._report_silence(request, attempt, has_output=True)
+        self._late_attempts.report_silence(request, attempt, has_output=True)
 
     def _on_attempt_result(
         self, request: ForwardedRequest, attempt: AttemptState, result: AttemptResult
