--- a/packages/core/src/ibispaddle_core/hubs/attempts.py
+++ b/packages/core/src/ibispaddle_core/hubs/attempts.py
@@ -25,8 +25,9 @@
     {'llm': AttemptCounts(first=4, retries=2)}
     """
 
-    def __init__(self, instance_id: str, started_ms: int) -> None:
+    def __init__(self, instance_id: str, started_ms: int, window_ms: int = WINDOW_MS) -> None:
         self._instance_id = instance_id
+        self._window_ms = window_ms
         self._counting_since_ms = self._reported_ms = started_ms
         self._totals: dict[str, _Counts] = {}
         self._recent: deque[tuple[int, str, str, AttemptCounts]] = deque()
@@ -36,7 +37,7 @@
     def update(self, instance: str, totals: Mapping[str, AttemptCounts], now_ms: int) -> None:
         """Record the cumulative totals of an instance since its start, for some or all services."""
         if instance != self._instance_id:
-            if now_ms - self._reported_ms > WINDOW_MS:
+            if now_ms - self._reported_ms > self._window_ms:
                 self._counting_since_ms = now_ms
             self._reported_ms = now_ms
         is_first = instance not in self._totals
@@ -55,9 +56,13 @@
 
     def total_excluding(self, instance: str, now_ms: int) -> dict[str, AttemptCounts] | None:
         """Return the attempts of all other instances in the window, or None if they are unknown."""
-        self._expire(now_ms)
-        if now_ms - self._counting_since_ms < WINDOW_MS:
+        if now_ms - self._counting_since_ms < self._window_ms:
             return None
+        return self.known_excluding(instance, now_ms)
+
+    def known_excluding(self, instance: str, now_ms: int) -> dict[str, AttemptCounts]:
+        """Return the attempts of all other instances that were counted in the window."""
+        self._expire(now_ms)
         own = self._window_sums.get(instance, {})
         others = {
             service: counts - own.get(service, AttemptCounts())
@@ -66,7 +71,7 @@
         return {service: counts for service, counts in others.items() if counts != AttemptCounts()}
 
     def _expire(self, now_ms: int) -> None:
-        while self._recent and self._recent[0][0] <= now_ms - WINDOW_MS:
+        while self._recent and self._recent[0][0] <= now_ms - self._window_ms:
             _, instance, service, counts = self._recent.popleft()
             self._add(instance, service, AttemptCounts() - counts)
 
--- a/packages/core/src/ibispaddle_core/scheduling/__init__.py
+++ b/packages/core/src/ibispaddle_core/scheduling/__init__.py
@@ -14,6 +14,7 @@
 
 from .base import Scheduler
 from .exceptions import DuplicateRequestError, SchedulingError
+from .hedge_budget import HEDGE_WINDOW_MS
 from .messages import (
     AttemptCounts,
     AttemptDelayed,
@@ -90,6 +91,7 @@
     "FreeMemory",
     "HedgeLimit",
     "HANDLE_PREFIX",
+    "HEDGE_WINDOW_MS",
     "LoadReported",
     "Outcome",
     "PaceReport",
--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -258,6 +258,7 @@
                 self._has_new_peer_work = True
             case FleetAttempts():
                 self._retry_budget.set_fleet_attempts(event, now_ms)
+                self.hedging.set_fleet_attempts(event, now_ms)
             case FleetFirstOutputs():
                 self.hedging.set_fleet_quantiles(event, now_ms)
             case FleetPaces():
--- a/packages/core/src/ibispaddle_core/scheduling/hedging.py
+++ b/packages/core/src/ibispaddle_core/scheduling/hedging.py
@@ -10,8 +10,11 @@
 from .cost import CostModel, PromptClass
 from .first_outputs import FirstOutputTimes
 from .health import UpstreamHealth
+from .hedge_budget import HedgeBudget
+from .least_work import FEW_ENGINES_AFTER_ATTEMPTS
 from .messages import (
     FirstOutputQuantiles,
+    FleetAttempts,
     FleetFirstOutputs,
     HedgeLimit,
     Outcome,
@@ -70,7 +73,7 @@
         self._cost, self._runners, self._queue = cost, runners, queue
         self._health, self._pacing = health, pacing
         self._admission, self._budget = admission, budget
-        self._fraction = 0.0
+        self._hedge_budget = HedgeBudget(0.0)
         self._times: FirstOutputTimes | None = None
         self._fleet: dict[str, tuple[int, FirstOutputQuantiles]] = {}
         self._pending_samples: list[Sample] = []
@@ -83,9 +86,9 @@
 
     def replace_fraction(self, fraction: float) -> None:
         """Replace the fraction of requests that may be hedged."""
-        if fraction == self._fraction:
+        if fraction == self._hedge_budget.fraction:
             return
-        self._fraction = fraction
+        self._hedge_budget = HedgeBudget(fraction)
         self._times = FirstOutputTimes(fraction) if fraction > 0 else None
         self._fleet.clear()
         self._pending_samples.clear()
@@ -124,6 +127,10 @@
 
     # Delay
 
+    def set_fleet_attempts(self, event: FleetAttempts, now_ms: int) -> None:
+        """Replace the first attempts and hedges of all other instances."""
+        self._hedge_budget.set_fleet(event, now_ms)
+
     def delay_ratio(self, name: str, now_ms: int) -> float | None:
         """Return the delay of hedges of a class as a multiple of the prediction, if it is known."""
         if self._times is None:
@@ -142,14 +149,16 @@
         return {name: ratio for name, ratio in ratios if ratio is not None}
 
     def due_ms(self, state: RequestState, now_ms: int) -> int | None:
-        """Return the time at which a first attempt that starts now may be hedged, or None for never.
+        """Count a first attempt that starts now; return when it may be hedged, or None for never.
 
         A hedge is no use if the attempt would be replaced before.
         """
         req = state.req
+        if self._times is None:
+            return None
+        self._hedge_budget.count_first_attempt(now_ms)
         if (
-            self._times is None
-            or not req.may_hedge
+            not req.may_hedge
             or req.retry_policy is RetryPolicy.PROVED_NOT_RUN
             or state.prompt_class is PromptClass.SPANNING
             or not self._has_runs_left(state)
@@ -172,8 +181,13 @@
         choice = self._find_upstream(state, placement, now_ms)
         if choice is None:
             return HedgeLimit.NO_UPSTREAM
-        limit = self._budget.try_acquire_hedge(state.req.model, self._fraction, now_ms)
-        return choice if limit is None else limit
+        if not self._hedge_budget.has_room(now_ms):
+            return HedgeLimit.FRACTION
+        if not self._budget.try_acquire(state.req.model, now_ms):
+            return HedgeLimit.RETRY_BUDGET
+        self._hedge_budget.count_hedge(now_ms)
+        self._budget.count_hedge(state.req.model)
+        return choice
 
     def _exhausted_limit(self, state: RequestState, now_ms: int) -> HedgeLimit | None:
         req = state.req
@@ -206,12 +220,14 @@
         """Return an idle upstream that is sound, not limited and has no part in the first attempt."""
         assert state.upstream_id is not None
         excluded = {*state.tried, state.upstream_id, *state.helper_ids}
+        # The engines of the late attempt count as tried, so that the hedge depends on few others.
+        tried = set(sorted(excluded)[:FEW_ENGINES_AFTER_ATTEMPTS])
         for view in self._runners.live_for(state.req):
             upstream_id = view.upstream.upstream_id
             if self._pacing.is_limited(upstream_id) or self._health.is_avoided(upstream_id, now_ms):
                 excluded.add(upstream_id)
         runners = self._runners.without(excluded)
-        choice = placement.choose(state.req, set(state.tried), True, runners, now_ms)
+        choice = placement.choose(state.req, tried, True, runners, now_ms)
         if choice is None or now_ms + choice.ttft_ms > state.req.start_deadline_ms:
             return None
         return choice
--- a/packages/core/src/ibispaddle_core/scheduling/messages.py
+++ b/packages/core/src/ibispaddle_core/scheduling/messages.py
@@ -328,12 +328,13 @@
     """Replace the attempt counts of all other instances in the window of the retry budget.
 
     `counts` holds them by service, or is None if they are unknown. `instances` is the number of
-    instances in the fleet. A hub of an earlier release does not count hedges.
+    instances in the fleet. `hedging` has the first attempts and the hedges at all services in the longer
+    window of hedges; it is None if no hub counts them.
     """
 
     counts: Mapping[str, AttemptCounts] | None
     instances: int = 1
-    has_hedges: bool = True
+    hedging: AttemptCounts | None = None
 
 
 @dataclass(frozen=True)
--- a/packages/core/src/ibispaddle_core/scheduling/retries.py
+++ b/packages/core/src/ibispaddle_core/scheduling/retries.py
@@ -1,11 +1,10 @@
 """Retry budgets, which bound the retries at each service in proportion to its first attempts."""
 
-import math
 from collections import deque
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from .messages import AttemptCounts, FleetAttempts, HedgeLimit
+from .messages import AttemptCounts, FleetAttempts
 
 WINDOW_MS = 10_000
 # The counts of the other instances are requested before each retry. Older counts are used for up to
@@ -22,11 +21,10 @@
 
     first: deque[int] = field(default_factory=deque)  # Times within the window.
     retries: deque[int] = field(default_factory=deque)
-    hedges: deque[int] = field(default_factory=deque)  # Those among the retries.
     totals: AttemptCounts = AttemptCounts()  # Since the start.
 
     def expire(self, now_ms: int) -> None:
-        for times in (self.first, self.retries, self.hedges):
+        for times in (self.first, self.retries):
             while times and times[0] <= now_ms - WINDOW_MS:
                 times.popleft()
 
@@ -55,9 +53,6 @@
         self._fleet = FleetAttempts(None)
         self._fleet_ms = 0
         self.refused = 0  # Retries that were refused since the start.
-        # First attempts since the counts of the other instances became unknown, less those that hedges
-        # have used.
-        self._first_alone = 0
 
     def replace(self, ratio: float, floor: int, slack: int) -> None:
         """Replace the ratio of retries to first attempts, the floor and the slack."""
@@ -78,7 +73,6 @@
         attempts.first.append(now_ms)
         attempts.totals += AttemptCounts(first=1)
         attempts.expire(now_ms)
-        self._first_alone = 0 if self._has_fleet_hedges(now_ms) else self._first_alone + 1
 
     def try_acquire(self, service: str, now_ms: int) -> bool:
         """Return whether the service's budget allows a retry, and count the retry if so."""
@@ -91,35 +85,9 @@
         attempts.totals += AttemptCounts(retries=1)
         return True
 
-    def try_acquire_hedge(self, service: str, fraction: float, now_ms: int) -> HedgeLimit | None:
-        """Count a hedge, which is a retry as well, or return the limit that rules it out.
-
-        All instances together may hedge `fraction` of the first attempts at all services. While the
-        counts of the others are unknown, this instance may hedge that fraction of its own ones.
-        """
-        if not self._has_hedge_room(fraction, now_ms):
-            return HedgeLimit.FRACTION
-        if not self.try_acquire(service, now_ms):
-            return HedgeLimit.RETRY_BUDGET
-        attempts = self._services[service]
-        attempts.hedges.append(now_ms)
-        attempts.totals += AttemptCounts(hedges=1)
-        self._first_alone = max(0, self._first_alone - math.ceil(1 / fraction))
-        return None
-
-    def _has_hedge_room(self, fraction: float, now_ms: int) -> bool:
-        if not self._has_fleet_hedges(now_ms):
-            return fraction * self._first_alone >= 1
-        for attempts in self._services.values():
-            attempts.expire(now_ms)
-        others = sum((self._fleet.counts or {}).values(), AttemptCounts())
-        first = others.first + sum(len(a.first) for a in self._services.values())
-        hedges = others.hedges + sum(len(a.hedges) for a in self._services.values())
-        return hedges + 1 <= FLEET_BUDGET_FRACTION * fraction * first
-
-    def _has_fleet_hedges(self, now_ms: int) -> bool:
-        is_recent = now_ms - self._fleet_ms <= FLEET_COUNTS_MAX_AGE_MS
-        return self._fleet.counts is not None and self._fleet.has_hedges and is_recent
+    def count_hedge(self, service: str) -> None:
+        """Count a retry that has just been acquired as a hedge."""
+        self._services[service].totals += AttemptCounts(hedges=1)
 
     def _is_within_budget(self, service: str, attempts: _ServiceAttempts, now_ms: int) -> bool:
         fleet = self._fleet.counts
--- a/packages/daemon/src/ibispaddle_daemon/fleet/messages.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/messages.py
@@ -88,8 +88,9 @@
     paces: tuple[PaceRow, ...] | None = None  # Of limited upstreams, if known to the hub.
     waiting: tuple[WaitingRow, ...] = ()  # The first prompts of the others that wait for memory.
     holders: tuple[HolderRow, ...] = ()  # Only while prompts wait.
-    # Hedges among the retries, or None if the hub runs an earlier release.
-    hedges: tuple[HedgeRow, ...] | None = None
+    # First attempts and hedges of the other instances at all services in the window of hedges, or None if
+    # the hub runs an earlier release.
+    hedging: tuple[int, int] | None = None
     first_outputs: tuple[QuantilesRow, ...] = ()
 
 
--- a/packages/daemon/src/ibispaddle_daemon/fleet/work.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/work.py
@@ -20,6 +20,7 @@
     WorkAggregator,
 )
 from ibispaddle_core.scheduling import (
+    HEDGE_WINDOW_MS,
     AttemptCounts,
     FleetAttempts,
     FleetFirstOutputs,
@@ -99,6 +100,7 @@
         self._clock, self._timers = clock, timers
         self._work_aggregator = WorkAggregator()
         self._attempt_aggregator = AttemptAggregator(instance_id, clock.now_ms())
+        self._hedge_aggregator = AttemptAggregator(instance_id, clock.now_ms(), HEDGE_WINDOW_MS)
         self._pace_aggregator = PaceAggregator(instance_id, clock.now_ms())
         self._pending_choices = PendingChoices()
         self._sent_work: PeerWork | None = None
@@ -136,7 +138,7 @@
             counts = self._attempt_aggregator.total_excluding(self._instance_id, now_ms)
             paces = self._pace_aggregator.paces_excluding(self._instance_id, now_ms)
             others = self._work_aggregator.total_excluding(self._instance_id, now_ms)
-            self._apply(others, counts, paces)
+            self._apply(others, counts, paces, self._hedging_of_others(self._instance_id, now_ms))
             callback()
             return
         if self._snapshot_ms is not None and now_ms - self._snapshot_ms < SNAPSHOT_MAX_AGE_MS:
@@ -200,7 +202,7 @@
                 instance_id, message.change_query_id, message.changes, message.cursor
             )
         rows = message.service_attempts
-        counts = decode_attempt_rows(rows, message.hedges or ()) if rows is not None else None
+        counts = decode_attempt_rows(rows) if rows is not None else None
         if message.first_outputs:
             quantiles = decode_quantiles(message.first_outputs)
             self._forwarder.handle_event(FleetFirstOutputs(quantiles))
@@ -208,7 +210,11 @@
             decode_work(FLEET_INSTANCE_ID, message, self._clock.now_ms(), message.choice_rank),
             counts,
             decode_paces(message.paces) if message.paces is not None else None,
-            has_hedges=message.hedges is not None,
+            (
+                AttemptCounts(message.hedging[0], hedges=message.hedging[1])
+                if message.hedging
+                else None
+            ),
         )
         if self._pending_query != (message.query_id, instance_id):
             return  # The response came late; the callbacks have been called without it.
@@ -229,14 +235,21 @@
         others: PeerWork,
         counts: Mapping[str, AttemptCounts] | None,
         paces: Mapping[str, UpstreamPace] | None,
-        has_hedges: bool = True,
+        hedging: AttemptCounts | None,
     ) -> None:
         self._snapshot_ms = self._clock.now_ms()
         instances = max(1, self._ranking.size)
         self._forwarder.update_fleet_work(
-            others, FleetAttempts(counts, instances, has_hedges), FleetPaces(paces, instances)
+            others, FleetAttempts(counts, instances, hedging), FleetPaces(paces, instances)
         )
 
+    def _hedging_of_others(self, instance_id: str, now_ms: int) -> AttemptCounts | None:
+        """Return the first attempts and hedges that this hub has counted, if hedging is on."""
+        if not self._forwarder.scheduler.hedging.is_enabled:
+            return None
+        counts = self._hedge_aggregator.known_excluding(instance_id, now_ms)
+        return sum(counts.values(), AttemptCounts())
+
     def _run_callbacks(self) -> None:
         self._pending_query = self._query_timer = None
         callbacks, self._callbacks = self._callbacks, []
@@ -293,6 +306,8 @@
         totals = self._forwarder.scheduler.attempt_totals
         self._work_aggregator.update(work, now_ms)
         self._attempt_aggregator.update(self._instance_id, totals, now_ms)
+        if self._forwarder.scheduler.hedging.is_enabled:
+            self._hedge_aggregator.update(self._instance_id, totals, now_ms)
         self._schedule_check()
         paces = self._forwarder.scheduler.pacing.reports()
         self._pace_aggregator.update(self._instance_id, paces, now_ms)
@@ -329,6 +344,8 @@
         self._pending_choices.end_choice(instance_id)
         totals = decode_attempt_rows(message.attempts, message.hedges)
         self._attempt_aggregator.update(instance_id, totals, now_ms)
+        if self._forwarder.scheduler.hedging.is_enabled:
+            self._hedge_aggregator.update(instance_id, totals, now_ms)
         self._pace_aggregator.update(instance_id, decode_pace_reports(message.paces), now_ms)
         if message.first_outputs:
             self._forwarder.scheduler.hedging.merge_samples(message.first_outputs, now_ms)
@@ -338,12 +355,12 @@
         others = self._work_aggregator.total_excluding(instance_id, now_ms)
         counts = self._attempt_aggregator.total_excluding(instance_id, now_ms)
         paces = self._pace_aggregator.paces_excluding(instance_id, now_ms)
-        attempts = service_attempts = hedges = None
+        attempts = service_attempts = None
         if counts is not None:
             total = sum(counts.values(), AttemptCounts())
             attempts = (total.first, total.retries)
             service_attempts = encode_attempt_rows(counts)
-            hedges = encode_hedge_rows(counts)
+        hedging = self._hedging_of_others(instance_id, now_ms)
         # The number of instances that queried earlier for the same service and have not reported their
         # selection yet.
         choice_rank = self._pending_choices.begin_choice(instance_id, message.service, now_ms)
@@ -358,7 +375,7 @@
             paces=encode_paces(paces) if paces is not None else None,
             waiting=encode_waiting(others.waiting, now_ms),
             holders=tuple(others.holders.items()),
-            hedges=hedges,
+            hedging=(hedging.first, hedging.hedges) if hedging is not None else None,
             first_outputs=encode_quantiles(self._forwarder.scheduler.hedging.own_quantiles(now_ms)),
         )
         if self._quarantine is not None:
--- a/tests/fleet/test_work.py
+++ b/tests/fleet/test_work.py
@@ -265,14 +265,12 @@
         """Guards against a fraction that each of 72 instances uses for itself."""
         for name in "bc":
             self.report(name, first=0)
-        for _ in range(WINDOW_MS // RESEND_INTERVAL_MS + 2):
-            self.network.timers.advance(RESEND_INTERVAL_MS)
-            self.report("b", first=0)
         self.report("b", first=100, retries=3, hedges=2)
         self.exchanges["c"].refresh(lambda: None)
-        attempts = self.forwarders["c"].attempts
-        self.assertEqual(attempts.counts, {"llm": AttemptCounts(100, 3, 2)})
-        self.assertTrue(attempts.has_hedges)
+        self.assertEqual(self.forwarders["c"].attempts.hedging, AttemptCounts(100, hedges=2))
+        # The hub itself uses its own counts.
+        self.exchanges["a"].refresh(lambda: None)
+        self.assertEqual(self.forwarders["a"].attempts.hedging, AttemptCounts(100, 3, 2))
 
     def test_times_of_all_instances_reach_each(self) -> None:
         """Guards against instances that see too few requests to know which attempt is late."""
@@ -292,9 +290,8 @@
         snapshot = WorkSnapshot(0, (), (), service_attempts=(("llm", 5, 1),))
         self.exchanges["c"]._on_snapshot("a", snapshot)
         attempts = self.forwarders["c"].attempts
-        self.assertEqual(
-            (attempts.counts, attempts.has_hedges), ({"llm": AttemptCounts(5, 1)}, False)
-        )
+        self.assertEqual(attempts.counts, {"llm": AttemptCounts(5, 1)})
+        self.assertIsNone(attempts.hedging)
 
     def test_messages_without_hedges(self) -> None:
         """Guards against more traffic between instances that do not hedge."""
--- a/tests/forwarding/test_hedges.py
+++ b/tests/forwarding/test_hedges.py
@@ -51,7 +51,7 @@
         self.forwarder.scheduler.hedging.merge_samples(samples, self.fixture.clock.now_ms())
         # The instance works alone, and has sent some requests before.
         for _ in range(10):
-            self.forwarder.scheduler._retry_budget.count_first_attempt("s", 0)
+            self.forwarder.scheduler.hedging._hedge_budget.count_first_attempt(0)
         self.exchange = self.fixture.send()
 
     def hedge(self, route: Route | None = None) -> None:
@@ -245,7 +245,7 @@
     def test_others_have_used_the_fraction(self) -> None:
         """Guards against hedges of an instance whose hub knows that the fleet has had enough."""
         self.start()
-        used = FleetAttempts({"s": AttemptCounts(first=100, retries=60, hedges=60)}, 2)
+        used = FleetAttempts({}, 2, hedging=AttemptCounts(first=100, hedges=60))
         self.forwarder.update_fleet_work(PeerWork("fleet"), used, FleetPaces(None))
         self.fixture.advance(LATE_MS)
         self.assertEqual(len(self.calls), 1)
--- a/tests/scheduling/test_hedging.py
+++ b/tests/scheduling/test_hedging.py
@@ -38,9 +38,10 @@
 )
 from ibispaddle_core.scheduling.cost import PromptClass
 from ibispaddle_core.scheduling.first_outputs import FirstOutputTimes
+from ibispaddle_core.scheduling.hedge_budget import HEDGE_WINDOW_MS, HedgeBudget
 from ibispaddle_core.scheduling.hedging import LATE_FACTOR, MIN_SAMPLES
 from ibispaddle_core.scheduling.requests import RequestState
-from ibispaddle_core.scheduling.retries import FLEET_COUNTS_MAX_AGE_MS, WINDOW_MS, RetryBudget
+from ibispaddle_core.scheduling.retries import FLEET_COUNTS_MAX_AGE_MS, RetryBudget
 
 from . import fakes
 
@@ -51,7 +52,9 @@
 # The measured times are equal, so that an attempt is late soon after.
 LATE_MS = 56
 # Attempts of the other instances, which leave room for hedges.
-QUIET_FLEET = FleetAttempts({SERVICE: AttemptCounts(first=1_000)}, instances=3)
+QUIET_FLEET = FleetAttempts(
+    {SERVICE: AttemptCounts(first=1_000)}, instances=3, hedging=AttemptCounts(first=6_000)
+)
 
 
 def request(request_id: str, **values: object) -> Request:
@@ -184,7 +187,7 @@
 
     def test_all_upstreams_slow(self) -> None:
         """Guards against a storm of second attempts when every upstream turns slow at once."""
-        self.start(runners=400, fleet=FleetAttempts({}, instances=3))
+        self.start(runners=400, fleet=FleetAttempts({}, 3, hedging=AttemptCounts()))
         for number in range(200):
             self.send(f"slow {number}")
         decisions = self.wait()
@@ -196,13 +199,13 @@
 
     def test_fraction_used_by_other_instances(self) -> None:
         """Guards against an instance that hedges although the others have used up the fraction."""
-        self.start(fleet=FleetAttempts({SERVICE: AttemptCounts(1_000, 120, hedges=101)}))
+        self.start(fleet=replace(QUIET_FLEET, hedging=AttemptCounts(1_000, hedges=101)))
         self.send()
         self.assertEqual(self.declined(), [HedgeLimit.FRACTION])
 
     def test_retry_budget_used_by_other_instances(self) -> None:
         """Guards against hedges that add to the retries of a service whose upstreams fail."""
-        self.start(fleet=FleetAttempts({SERVICE: AttemptCounts(1_000, 700)}))
+        self.start(fleet=replace(QUIET_FLEET, counts={SERVICE: AttemptCounts(1_000, 700)}))
         self.send()
         self.assertEqual(self.declined(), [HedgeLimit.RETRY_BUDGET])
 
@@ -292,31 +295,48 @@
 
     def test_hub_lost(self) -> None:
         """Guards against instances that each use the whole fraction while no hub answers."""
-        budget = RetryBudget(ratio=0.5, floor=50, slack=100)
-        budget.set_fleet_attempts(FleetAttempts({SERVICE: AttemptCounts(10_000)}, 72), 0)
+        budget = HedgeBudget(0.02)
+        budget.set_fleet(QUIET_FLEET, 0)
         now_ms = FLEET_COUNTS_MAX_AGE_MS + 1
-        limits = []
+        hedges = 0
         for number in range(100):
-            budget.count_first_attempt(SERVICE, now_ms + number)
-            limits.append(budget.try_acquire_hedge(SERVICE, 0.02, now_ms + number))
-        self.assertEqual(limits.count(None), 2)  # Its even part: one in fifty.
+            budget.count_first_attempt(now_ms + number)
+            if budget.has_room(now_ms + number):
+                budget.count_hedge(now_ms + number)
+                hedges += 1
+        self.assertEqual(hedges, 2)  # Its even part: one in fifty.
 
     def test_hub_of_an_earlier_release(self) -> None:
         """Guards against hedges beyond the fraction while the hubs do not count them yet."""
-        budget = RetryBudget(ratio=0.5, floor=50, slack=100)
-        counts = {SERVICE: AttemptCounts(10_000)}
-        budget.set_fleet_attempts(FleetAttempts(counts, 72, has_hedges=False), 0)
-        budget.count_first_attempt(SERVICE, 1)
-        self.assertEqual(budget.try_acquire_hedge(SERVICE, 0.02, 1), HedgeLimit.FRACTION)
-
-    def test_hedges_expire_with_the_window(self) -> None:
-        """Guards against a fraction that is used up for good after one bad spell."""
-        budget = RetryBudget(ratio=0.5, floor=50, slack=100)
-        for now_ms in (0, WINDOW_MS + 1):
-            budget.set_fleet_attempts(FleetAttempts({SERVICE: AttemptCounts(100)}), now_ms)
-            self.assertIsNone(budget.try_acquire_hedge(SERVICE, 0.02, now_ms))
-            self.assertIsNotNone(budget.try_acquire_hedge(SERVICE, 0.02, now_ms))
-        self.assertEqual(budget.totals[SERVICE], AttemptCounts(0, 2, 2))
+        budget = HedgeBudget(0.02)
+        budget.set_fleet(FleetAttempts({SERVICE: AttemptCounts(10_000)}, 72), 0)
+        budget.count_first_attempt(1)
+        self.assertFalse(budget.has_room(1))
+
+    def test_quiet_times_leave_room_for_bad_ones(self) -> None:
+        """Guards against a fraction of ten seconds' requests when all of a minute's hedges are needed at once."""
+        budget = HedgeBudget(0.02)
+        now_ms = 0
+        for now_ms in range(0, HEDGE_WINDOW_MS, 20):  # 50 requests a second.
+            budget.count_first_attempt(now_ms)
+        budget.set_fleet(FleetAttempts({}, hedging=AttemptCounts()), now_ms)
+        hedges = 0
+        while budget.has_room(now_ms):
+            budget.count_hedge(now_ms)
+            hedges += 1
+        self.assertEqual(hedges, 48)
+        now_ms += HEDGE_WINDOW_MS
+        budget.set_fleet(FleetAttempts({}, hedging=AttemptCounts(first=100)), now_ms)
+        self.assertTrue(budget.has_room(now_ms))  # Old hedges do not count any more.
+
+    def test_hedges_are_retries(self) -> None:
+        """Guards against hedges and retries that together exceed the retry budget."""
+        budget = RetryBudget(ratio=0.0, floor=50, slack=100)
+        self.assertFalse(budget.try_acquire(SERVICE, 0))
+        self.start()
+        self.hedge()
+        self.assertEqual(self.sched.attempt_totals[SERVICE].retries, 1)
+        self.assertEqual(self.sched.attempt_totals[SERVICE].hedges, 1)
 
 
 class RaceTest(HedgingTestCase):
--- a/tests/scheduling/test_hedging_properties.py
+++ b/tests/scheduling/test_hedging_properties.py
@@ -31,7 +31,7 @@
 
 RUNNERS = 4
 PROVED = (Outcome.NOT_SENT, Outcome.REJECTED, Outcome.WRONG_UPSTREAM)
-FLEET = FleetAttempts({"m": AttemptCounts(first=100_000)}, instances=3)
+FLEET = FleetAttempts({}, instances=3, hedging=AttemptCounts(first=100_000))
 
 
 class HedgingMachine(RuleBasedStateMachine):
