--- a/packages/core/src/ibispaddle_core/logevents.py
+++ b/packages/core/src/ibispaddle_core/logevents.py
@@ -141,6 +141,30 @@
     Level.INFO,
     "A request with a late attempt got no second one because of the limit in `limit`.",
 )
+CALLER_GIVEN_UP = LogEvent(
+    2050,
+    "caller_given_up",
+    Level.WARNING,
+    "A caller that did not read its response was disconnected.",
+)
+RESPONSE_CUT_WHILE_PAUSED = LogEvent(
+    2051,
+    "response_cut_while_paused",
+    Level.INFO,
+    "An upstream cut off a response that its caller read too slowly; this is no fault of the upstream.",
+)
+REQUEST_GIVEN_UP = LogEvent(
+    2052,
+    "request_given_up",
+    Level.WARNING,
+    "A caller that had stopped sending its request was refused to make room for others.",
+)
+REQUEST_NOT_TAKEN = LogEvent(
+    2053,
+    "request_not_taken",
+    Level.WARNING,
+    "A request was refused because the instance holds too many requests.",
+)
 UPSTREAM_CRASHED = LogEvent(
     3005,
     "upstream_crashed",
@@ -154,6 +178,45 @@
     Level.INFO,
     "An upstream is leaving or drained and receives no new requests.",
 )
+EVACUATION_STARTED = LogEvent(
+    3020,
+    "evacuation_started",
+    Level.WARNING,
+    "A data centre is evacuated; its upstreams receive no new requests.",
+)
+EVACUATION_ENDED = LogEvent(
+    3021,
+    "evacuation_ended",
+    Level.WARNING,
+    "The evacuation of a data centre has ended; its upstreams receive new requests.",
+)
+EVACUATION_DRAINED = LogEvent(
+    3022,
+    "evacuation_drained",
+    Level.INFO,
+    "No request of this instance is left at the upstreams of an evacuated data centre.",
+)
+EVACUATION_UNREADABLE = LogEvent(
+    3023,
+    "evacuation_unreadable",
+    Level.ERROR,
+    "The record of an evacuation cannot be read; the data centre in its key is evacuated.",
+)
+EVACUATION_UNKNOWN = LogEvent(
+    3024,
+    "evacuation_unknown",
+    Level.WARNING,
+    "An evacuated data centre has no listed upstream; its name may be misspelt.",
+)
+UPSTREAMS_COLD = LogEvent(
+    3030,
+    "upstreams_cold",
+    Level.INFO,
+    "Upstreams have started or become cold and get fewer requests for a time.",
+)
+UPSTREAMS_WARM = LogEvent(
+    3031, "upstreams_warm", Level.INFO, "Upstreams that were cold are warm again."
+)
 LIST_UNAVAILABLE = LogEvent(
     3002, "list_unavailable", Level.WARNING, "The instance list cannot be read."
 )
--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -15,6 +15,7 @@
 from .claims import MemoryClaimTable
 from .cost import CostModel, PromptClass
 from .departures import DepartureTable
+from .evacuations import EvacuationTable
 from .exceptions import DuplicateRequestError
 from .group_reservations import GroupReservations
 from .groups import GroupSelector
@@ -33,6 +34,7 @@
     ConfirmSilence,
     Decision,
     DeclineHedge,
+    EvacuationsChanged,
     Event,
     FirstToken,
     FleetAttempts,
@@ -100,8 +102,15 @@
         self._rng = Random(f"{seed}/{instance_boot}")
         self._claims = MemoryClaimTable()
         self._subsets = RunnerSubsets(instance_boot, wall_offset_ms)
+        self.evacuations = EvacuationTable()
         self._admission = Admission(
-            self.cost, self.queue, self.shares, self.runners, self._subsets, self.pacing
+            self.cost,
+            self.queue,
+            self.shares,
+            self.runners,
+            self._subsets,
+            self.pacing,
+            self.evacuations,
         )
         self.placement: Placement = PredictedPlacement(
             self.cost, self._prefixes, self._subsets, self._claims, self.shares, self._rng
@@ -228,6 +237,8 @@
                 self._listed = upstreams
                 self._listed_ids = {upstream.upstream_id for upstream in upstreams}
                 decisions += self._change_upstreams(now_ms)
+            case EvacuationsChanged(data_centres):
+                decisions += self._evacuate(data_centres, now_ms)
             case FirstToken(request_id, upstream_id):
                 if (state := self._states.get(request_id)) is not None:
                     self._retry_rules.record_first_token(state, upstream_id, now_ms)
@@ -275,7 +286,7 @@
                 if (state := self._states.get(request_id)) is not None:
                     decisions += self._retry_rules.check_renewals(state, self._listed_ids)
             case ConfigurationReplaced(config):
-                self._replace_configuration(config)
+                self._replace_configuration(config, now_ms)
             case Tick():
                 pass
             case _:
@@ -285,13 +296,14 @@
         decisions += self._groups.send_due(now_ms)
         return decisions
 
-    def _replace_configuration(self, config: FleetConfig) -> None:
+    def _replace_configuration(self, config: FleetConfig, now_ms: int) -> None:
         self.cost.replace(config)
         self.shares.replace_weights({n: c.weight for n, c in config.neighbours.items()})
         self.queue.replace_bound(config.scheduling.max_queue_per_neighbour)
         self._retry_budget.replace(*_retry_budget_settings(config))
         self.hedging.replace_fraction(config.scheduling.hedge_fraction)
         self.runners.refresh_models()
+        self.pacing.cold.replace_upstreams(self._listed, self.cost, now_ms)
         self.placement = self._configured_placement()
 
     def next_wakeup_ms(self, now_ms: int) -> int | None:
@@ -362,8 +374,9 @@
     ) -> list[Decision] | None:
         """Dispatch, refuse or reserve memory for a request, or return None if it must wait."""
         req = state.req
-        if not self.runners.live_for(req):
-            return self._refuse(state, req.no_upstream_reason, MIN_RETRY_AFTER_MS)
+        refusal = self._admission.check_upstreams(req)
+        if refusal is not None:
+            return self._refuse(state, refusal.reason, refusal.retry_after_ms)
         held_ms = self._admission.held_ms(req.model, now_ms)
         if now_ms + held_ms + self._admission.service_ms(req) > req.deadline_ms:
             wait_ms = self._admission.queue_wait_ms(
@@ -497,7 +510,7 @@
 
     def _configured_placement(self) -> Placement:
         return least_work.placement_from_config(
-            self.cost, self.health, self._rng, self._predicted_placement
+            self.cost, self.health, self._rng, self._predicted_placement, self.pacing.cold
         )
 
     def _handle_response(self, event: UpstreamResponded, now_ms: int) -> list[Decision]:
@@ -506,18 +519,28 @@
         if view is None:
             return []
         self.pacing.observe(event.upstream_id, event.limit_per_s, now_ms)
+        if event.cold_left_ms is not None:
+            self.pacing.cold.observe(event.upstream_id, event.cold_left_ms, now_ms)
         if event.retry_after_ms > 0:
             self.pacing.hold(event.upstream_id, event.retry_after_ms, now_ms)
-        if not event.is_leaving or not view.live:
+        is_in_use = view.live or self.evacuations.is_marked(event.upstream_id)
+        if not event.is_leaving or not is_in_use:
             return []
         self._departures.add(view.upstream)
         return self._change_upstreams(now_ms)
 
+    def _evacuate(self, data_centres: frozenset[str], now_ms: int) -> list[Decision]:
+        if not self.evacuations.replace(data_centres):
+            return []
+        self.try_waiting_at_next_event()  # They may have to be refused, or may be served again.
+        return self._change_upstreams(now_ms)
+
     def _change_upstreams(self, now_ms: int) -> list[Decision]:
-        """Apply the list of upstreams, and what they stated since."""
+        """Apply the list of upstreams, what they stated since, and the evacuations."""
         decisions: list[Decision] = []
-        upstreams = self._departures.apply(self._listed)
+        upstreams = self.evacuations.apply(self._departures.apply(self._listed))
         down = {view.upstream.upstream_id for view in self.runners.replace(upstreams)}
+        self.pacing.cold.replace_upstreams(upstreams, self.cost, now_ms)
         self.health.forget_missing(set(self.runners.views))
         self.pacing.forget_missing(self.runners.views.keys())
         for state in list(self._states.values()):
--- a/packages/core/src/ibispaddle_core/scheduling/hedging.py
+++ b/packages/core/src/ibispaddle_core/scheduling/hedging.py
@@ -224,7 +224,11 @@
         tried = set(sorted(excluded)[:FEW_ENGINES_AFTER_ATTEMPTS])
         for view in self._runners.live_for(state.req):
             upstream_id = view.upstream.upstream_id
-            if self._pacing.is_limited(upstream_id) or self._health.is_avoided(upstream_id, now_ms):
+            if (
+                self._pacing.is_limited(upstream_id)
+                or self._pacing.cold.is_cold(upstream_id, now_ms)
+                or self._health.is_avoided(upstream_id, now_ms)
+            ):
                 excluded.add(upstream_id)
         runners = self._runners.without(excluded)
         choice = placement.choose(state.req, tried, True, runners, now_ms)
--- a/packages/core/src/ibispaddle_core/settings/fleet.py
+++ b/packages/core/src/ibispaddle_core/settings/fleet.py
@@ -114,6 +114,22 @@
             description="Maximum time to the first token beyond the estimate; null: the value of `scheduling`."
         ),
     ] = None
+    cold_requests_per_s: Annotated[
+        float,
+        Meta(
+            ge=0,
+            le=1_000_000,
+            description="Requests a second that an upstream bears while it is cold, from all instances together; 0: no limit.",
+        ),
+    ] = 0.0
+    cold_ms: Annotated[
+        int,
+        Meta(
+            ge=0,
+            le=3_600_000,
+            description="Time for which an upstream is cold after a start, if it does not state it, milliseconds.",
+        ),
+    ] = 0
 
 
 class ServiceConfig(SettingsModel, frozen=True, kw_only=True):
@@ -224,6 +240,16 @@
     author: Annotated[str, Meta(description="Operator who drained the upstream.")] = ""
 
 
+class EvacuationConfig(SettingsModel, frozen=True, kw_only=True):
+    """A data centre that an operator evacuates."""
+
+    reason: Annotated[str, Meta(max_length=1_000, description="Why it is evacuated.")] = ""
+    author: Annotated[str, Meta(description="Operator who evacuated the data centre.")] = ""
+    time_ms: Annotated[
+        int, Meta(ge=0, description="Unix time of the operator's command, milliseconds.")
+    ] = 0
+
+
 class FleetConfig(SettingsModel, frozen=True, kw_only=True):
     """The complete configuration of the fleet as used at one site."""
 
@@ -243,6 +269,10 @@
     drained_upstreams: Annotated[
         dict[str, DrainConfig], Meta(description="Upstreams that get no new work, by id.")
     ] = {}
+    evacuated_data_centres: Annotated[
+        dict[str, EvacuationConfig],
+        Meta(description="Data centres whose upstreams get no new work, by id."),
+    ] = {}
     operator_key_sha256: Annotated[
         tuple[Sha256Hex, ...], Meta(description="SHA-256 of each operator key.")
     ] = ()
--- a/packages/daemon/src/ibispaddle_daemon/fleet/messages.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/messages.py
@@ -8,6 +8,7 @@
 from ibispaddle_core.quarantine import PartChange
 from ibispaddle_core.scheduling import (
     AttemptCounts,
+    ColdOffer,
     FirstOutputQuantiles,
     PaceReport,
     PeerWork,
@@ -37,6 +38,10 @@
 FirstOutputRow = tuple[str, float]
 # Class, number of samples, upper quartile, tail.
 QuantilesRow = tuple[str, int, float, float]
+# Upstream id, and the time for which it stays cold.
+ColdRow = tuple[str, int]
+# The same, and the requests that the receiver may send to it now.
+ColdOfferRow = tuple[str, int, int]
 
 
 class WorkUpdate(msgspec.Struct, frozen=True, array_like=True, tag="w"):
@@ -55,12 +60,13 @@
     # Hedges since the start of the sender, and times to first output since its last update.
     hedges: tuple[HedgeRow, ...] = ()
     first_outputs: tuple[FirstOutputRow, ...] = ()
+    cold: tuple[ColdRow, ...] = ()
 
 
 class WorkQuery(msgspec.Struct, frozen=True, array_like=True, tag="q"):
     """Query for the work of all other instances, to select an upstream of a service.
 
-    The other fields are those of a `QuarantineUpdate`.
+    The fields after the service are those of a `QuarantineUpdate`.
     """
 
     query_id: int
@@ -68,6 +74,7 @@
     change_query_id: int = 0
     changes: tuple[PartChange, ...] = ()
     cursor: Cursor | None = None
+    cold: tuple[ColdRow, ...] = ()  # Cold upstreams that were missing from the hub's last answer.
 
 
 class WorkSnapshot(msgspec.Struct, frozen=True, array_like=True, tag="p"):
@@ -92,6 +99,8 @@
     # the hub runs an earlier release.
     hedging: tuple[int, int] | None = None
     first_outputs: tuple[QuantilesRow, ...] = ()
+    # Of cold upstreams, if the hub knows the requests of the last second.
+    cold: tuple[ColdOfferRow, ...] | None = None
 
 
 class QuarantineUpdate(msgspec.Struct, frozen=True, array_like=True, tag="u"):
@@ -311,3 +320,22 @@
         name: UpstreamPace(limit, age_ms, SentCounts(short, long))
         for name, limit, age_ms, short, long in rows
     }
+
+
+def encode_cold(until_ms: Mapping[str, int], now_ms: int) -> tuple[ColdRow, ...]:
+    """Encode the ends of cold times as rows of a message."""
+    return tuple((name, end_ms - now_ms) for name, end_ms in until_ms.items() if end_ms > now_ms)
+
+
+def encode_cold_offers(offers: Mapping[str, ColdOffer] | None) -> tuple[ColdOfferRow, ...] | None:
+    """Encode what a hub offers for cold upstreams as rows of a message."""
+    if offers is None:
+        return None
+    return tuple((name, offer.left_ms, offer.room) for name, offer in offers.items())
+
+
+def decode_cold_offers(rows: tuple[ColdOfferRow, ...] | None) -> dict[str, ColdOffer] | None:
+    """Decode what a hub offers for cold upstreams."""
+    if rows is None:
+        return None
+    return {name: ColdOffer(left_ms, room) for name, left_ms, room in rows}
--- a/packages/daemon/src/ibispaddle_daemon/fleet/work.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/work.py
@@ -22,6 +22,7 @@
 from ibispaddle_core.scheduling import (
     HEDGE_WINDOW_MS,
     AttemptCounts,
+    ColdOffer,
     FleetAttempts,
     FleetFirstOutputs,
     FleetPaces,
@@ -29,21 +30,26 @@
     PeerWork,
     UpstreamPace,
 )
+from ibispaddle_core.scheduling.cold import OUT_OF_TOUCH_FRACTION
 
 from ..forwarding import Forwarder
 from ..logs import log_event
 from ..timers import TimerHandle, TimerQueue
 from .links import FleetLinks
 from .messages import (
+    ColdRow,
     WorkQuery,
     WorkSnapshot,
     WorkUpdate,
     decode_attempt_rows,
+    decode_cold_offers,
     decode_pace_reports,
     decode_paces,
     decode_quantiles,
     decode_work,
     encode_attempt_rows,
+    encode_cold,
+    encode_cold_offers,
     encode_hedge_rows,
     encode_pace_reports,
     encode_paces,
@@ -70,6 +76,9 @@
 # Interval at which an instance with work in flight checks whether the hubs have changed or its work must
 # be sent again.
 HUB_CHECK_INTERVAL_MS = 200
+# Time without a message after which an instance may use another hub. Idle instances query the topics
+# more often than that.
+CONTACT_MS = 1_500
 
 
 _T = TypeVar("_T")
@@ -108,11 +117,13 @@
         self._sent_to: tuple[str, ...] = ()
         self._sent_totals: Mapping[str, AttemptCounts] = {}
         self._sent_paces: Mapping[str, PaceReport] = {}
+        self._sent_cold: Mapping[str, int] = {}
         self._send_timer: TimerHandle | None = None
         self._send_due_ms = 0
         self._callbacks: list[Callable[[], None]] = []  # Called after the next snapshot.
         self._query_ids = itertools.count(1)
         self._pending_query: tuple[int, str] | None = None  # Query id and hub id.
+        self._query_ms = 0  # Time of the last query.
         self._query_timer: TimerHandle | None = None
         self._hub_id: str | None = None
         self._timeouts = 0
@@ -138,7 +149,8 @@
             counts = self._attempt_aggregator.total_excluding(self._instance_id, now_ms)
             paces = self._pace_aggregator.paces_excluding(self._instance_id, now_ms)
             others = self._work_aggregator.total_excluding(self._instance_id, now_ms)
-            self._apply(others, counts, paces, self._hedging_of_others(self._instance_id, now_ms))
+            hedging = self._hedging_of_others(self._instance_id, now_ms)
+            self._apply(others, counts, paces, hedging, self._offers(self._instance_id), now_ms)
             callback()
             return
         if self._snapshot_ms is not None and now_ms - self._snapshot_ms < SNAPSHOT_MAX_AGE_MS:
@@ -160,13 +172,15 @@
 
     def _send_query(self, hub_id: str, service: str) -> None:
         query_id = next(self._query_ids)
-        self._pending_query = (query_id, hub_id)
+        self._pending_query, self._query_ms = (query_id, hub_id), self._clock.now_ms()
         self._query_timer = self._timers.after(
             QUERY_TIMEOUT_MS, lambda: self._handle_missing_response(hub_id)
         )
         query = WorkQuery(query_id, service)
         if self._quarantine is not None:
             query = WorkQuery(query_id, service, *self._quarantine.query(hub_id))
+        if unknown := self._forwarder.scheduler.pacing.cold_without_offer():
+            query = msgspec.structs.replace(query, cold=encode_cold(unknown, self._query_ms))
         is_sent = self._links.send(hub_id, query)
         # If the connection failed while the query was being written, `_on_lost` has ended the query.
         if not is_sent and self._pending_query == (query_id, hub_id):
@@ -178,6 +192,8 @@
         self._timeouts += 1
         if self._timeouts >= MAX_CONSECUTIVE_TIMEOUTS:
             self._drop_hub(hub_id, "no response to consecutive queries")
+        if self._snapshot_ms is None:
+            self._forwarder.update_paces(self._paces(None, None, 0))  # The size of the fleet.
         self._run_callbacks()
 
     def _drop_hub(self, hub_id: str, reason: str) -> None:
@@ -206,6 +222,8 @@
         if message.first_outputs:
             quantiles = decode_quantiles(message.first_outputs)
             self._forwarder.handle_event(FleetFirstOutputs(quantiles))
+        # The offers of a late response may have been given to other instances since.
+        is_late = self._pending_query != (message.query_id, instance_id)
         self._apply(
             decode_work(FLEET_INSTANCE_ID, message, self._clock.now_ms(), message.choice_rank),
             counts,
@@ -215,8 +233,10 @@
                 if message.hedging
                 else None
             ),
+            None if is_late else decode_cold_offers(message.cold),
+            self._query_ms,
         )
-        if self._pending_query != (message.query_id, instance_id):
+        if is_late:
             return  # The response came late; the callbacks have been called without it.
         if self._query_timer is not None:
             self._query_timer.cancel()
@@ -236,13 +256,24 @@
         counts: Mapping[str, AttemptCounts] | None,
         paces: Mapping[str, UpstreamPace] | None,
         hedging: AttemptCounts | None,
+        offers: Mapping[str, ColdOffer] | None,
+        asked_ms: int,
     ) -> None:
         self._snapshot_ms = self._clock.now_ms()
         instances = max(1, self._ranking.size)
         self._forwarder.update_fleet_work(
-            others, FleetAttempts(counts, instances, hedging), FleetPaces(paces, instances)
+            others, FleetAttempts(counts, instances, hedging), self._paces(paces, offers, asked_ms)
         )
 
+    def _paces(
+        self,
+        paces: Mapping[str, UpstreamPace] | None,
+        offers: Mapping[str, ColdOffer] | None,
+        asked_ms: int,
+    ) -> FleetPaces:
+        instances = max(1, self._ranking.size)
+        return FleetPaces(paces, instances, self._ranking.position, offers, asked_ms)
+
     def _hedging_of_others(self, instance_id: str, now_ms: int) -> AttemptCounts | None:
         """Return the first attempts and hedges that this hub has counted, if hedging is on."""
         if not self._forwarder.scheduler.hedging.is_enabled:
@@ -313,10 +344,12 @@
         self._pace_aggregator.update(self._instance_id, paces, now_ms)
         # A message is lost only with its connection, after which the hubs change.
         if force or self._sent_to != previous_hubs:
-            self._sent_totals, self._sent_paces = {}, {}
+            self._sent_totals, self._sent_paces, self._sent_cold = {}, {}, {}
         new_totals = _changed(totals, self._sent_totals)
         new_paces = _changed(paces, self._sent_paces)
-        self._sent_totals, self._sent_paces = totals, paces
+        cold = self._forwarder.scheduler.pacing.cold.until_ms()
+        new_cold = _changed(cold, self._sent_cold)
+        self._sent_totals, self._sent_paces, self._sent_cold = totals, paces, cold
         total = sum(totals.values(), AttemptCounts())
         update = WorkUpdate(
             encode_work_rows(work.work),
@@ -329,6 +362,7 @@
             tuple(work.holders.items()),
             encode_hedge_rows(new_totals),
             tuple(self._forwarder.scheduler.hedging.take_samples()),
+            encode_cold(new_cold, now_ms),
         )
         frame = self._links.encode(update)
         for hub_id in self._sent_to:
@@ -349,9 +383,34 @@
         self._pace_aggregator.update(instance_id, decode_pace_reports(message.paces), now_ms)
         if message.first_outputs:
             self._forwarder.scheduler.hedging.merge_samples(message.first_outputs, now_ms)
+        self._merge_cold(message.cold)
+
+    def _merge_cold(self, rows: tuple[ColdRow, ...]) -> None:
+        for upstream_id, left_ms in rows:
+            cold = self._forwarder.scheduler.pacing.cold
+            cold.merge(upstream_id, left_ms, self._clock.now_ms())
+
+    def _offers(self, instance_id: str) -> dict[str, ColdOffer] | None:
+        """Return what this hub offers an instance for cold upstreams, or None if that is unknown."""
+        now_ms = self._clock.now_ms()
+        pacing = self._forwarder.scheduler.pacing
+        pacing.expire_cold(now_ms)
+        until_ms = pacing.cold.until_ms()
+        if not until_ms:
+            return {}
+        instances = max(1, self._ranking.size)
+        contacts = 1 + self._links.count_heard(now_ms - CONTACT_MS)
+        # Of several hubs that do not reach each other's instances, only one has the majority.
+        part = 1.0 if 2 * contacts > instances else OUT_OF_TOUCH_FRACTION * contacts / instances
+        cold_per_s = {name: pacing.cold.per_s(name) for name in until_ms}
+        room = self._pace_aggregator.offers(instance_id, cold_per_s, part, now_ms)
+        if room is None:
+            return None
+        return {name: ColdOffer(until_ms[name] - now_ms, room[name]) for name in until_ms}
 
     def _on_query(self, instance_id: str, message: WorkQuery) -> None:
         now_ms = self._clock.now_ms()
+        self._merge_cold(message.cold)
         others = self._work_aggregator.total_excluding(instance_id, now_ms)
         counts = self._attempt_aggregator.total_excluding(instance_id, now_ms)
         paces = self._pace_aggregator.paces_excluding(instance_id, now_ms)
@@ -377,6 +436,7 @@
             holders=tuple(others.holders.items()),
             hedging=(hedging.first, hedging.hedges) if hedging is not None else None,
             first_outputs=encode_quantiles(self._forwarder.scheduler.hedging.own_quantiles(now_ms)),
+            cold=encode_cold_offers(self._offers(instance_id)),
         )
         if self._quarantine is not None:
             changes, cursor = self._quarantine.respond(message.changes, message.cursor)
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
@@ -10,6 +10,7 @@
 from ibispaddle_core.forwarding import (
     AttemptResult,
     DrainAdmission,
+    MemoryBudget,
     ResponseHead,
 )
 from ibispaddle_core.membership import ListEntry
@@ -63,6 +64,7 @@
 from ..timers import TimerQueue
 from .attempts import ForwardedAttempts
 from .codec import CallerRequest, ForwardingCodec, UpstreamCall
+from .cold_log import ColdLog
 from .hedges import HedgeReports
 from .late_attempts import LateAttempts
 from .part_guard import PartGuard
@@ -76,7 +78,7 @@
 from .request_log import log_ended, log_failed, log_forwarded
 from .requests import AttemptState, ForwardedRequest
 from .startup import StartupExchanges
-from .upstreams import ListedUpstreams, read_statement
+from .upstreams import ListedUpstreams, is_in_use, read_statement
 
 # Short, since another instance can accept the request at once, on a new connection.
 DRAINING_RETRY_AFTER_MS = 50
@@ -96,8 +98,10 @@
         clock: Clock,
         timers: TimerQueue,
         metrics: Metrics,
+        budget: MemoryBudget | None = None,
     ) -> None:
         super().__init__()
+        budget = budget or MemoryBudget.from_memory()
         self._codec, self._clock, self._timers, self._metrics = codec, clock, timers, metrics
         self._boot_id = f"{instance_id}-{secrets.token_hex(4)}"
         self._request_number = 0
@@ -111,6 +115,7 @@
         offset_ms = clock.wall_ms() - clock.now_ms()
         self.scheduler = Scheduler.from_config(FleetConfig(), seed, self._boot_id, offset_ms)
         self._hedge_reports = HedgeReports(self.scheduler, metrics, clock)
+        self._cold_log = ColdLog(clock, self.scheduler.pacing.cold)
         self._loop = SchedulingLoop(self.scheduler, self._execute, clock, timers)
         self._requests: dict[str, ForwardedRequest] = {}
         self._startup_exchanges = StartupExchanges(timers, self._route_exchange)
@@ -144,8 +149,14 @@
             self._on_output,
             self._on_stall,
             self._on_attempt_result,
+            budget.incomplete_responses,
         ).register(self)
 
+    @property
+    def incomplete_response_bytes(self) -> int:
+        """Return the size of the responses and events that are not complete."""
+        return self._attempts.buffered_bytes
+
     @property
     def requests_in_flight(self) -> int:
         """Return the number of requests that have not ended."""
@@ -175,12 +186,21 @@
         self._has_upstreams = True
         self._route_startup_exchanges()
 
+    def listed_data_centres(self) -> set[str]:
+        """Return the data centres of the listed upstreams."""
+        return self._upstreams.data_centres()
+
     def update_fleet_work(self, work: PeerWork, attempts: FleetAttempts, paces: FleetPaces) -> None:
         """Update the work in flight, the attempts and the paces of all other instances."""
         self.handle_event(attempts)
-        self.handle_event(paces)
+        self.update_paces(paces)
         self.handle_event(work)
 
+    def update_paces(self, paces: FleetPaces) -> None:
+        """Update the paces of all other instances."""
+        self.handle_event(paces)
+        self._cold_log.write()
+
     @property
     def has_waiting_requests(self) -> bool:
         """Return whether requests known to the scheduler are waiting for an upstream."""
@@ -297,8 +317,13 @@
         return self._regions.data_centres(route.regions, self._config.homes.get(workspace))
 
     def _has_home(self, req: Request) -> bool:
-        """Return whether an upstream may run the request; checked only for requests with a home."""
-        return req.data_centres is None or bool(self.scheduler.runners.live_for(req))
+        """Return whether an upstream may run the request; checked only for requests with a home.
+
+        An evacuation of the home is left to the scheduler, which knows when the caller may return.
+        """
+        if req.data_centres is None or self.scheduler.runners.live_for(req):
+            return True
+        return self.scheduler.evacuations.count_withheld(req) > 0
 
     def _may_admit(self, req: Request) -> bool:
         """Return whether the request can be admitted; during a drain it must end in time.
@@ -347,7 +372,7 @@
 
     def _on_caller_disconnected(self, request: ForwardedRequest) -> None:
         if request.request_id in self._requests:
-            self._finish(request, "cancelled")
+            self._finish(request, request.exchange.close_reason or "cancelled")
             self.handle_event(CallerDisconnected(request.request_id))
             self.on_work_changed(False)
 
@@ -533,7 +558,7 @@
         def accepts_late_proof() -> bool:
             # An upstream that was removed meanwhile may have ended as planned, and one that sent
             # something else than a response was running.
-            return result.connection_closed and self._is_live(upstream_id)
+            return result.connection_closed and is_in_use(self.scheduler, upstream_id)
 
         callback = proceed
         if request.req.retry_policy is RetryPolicy.PROVED_NOT_RUN:
@@ -544,13 +569,9 @@
 
     def _may_have_crashed(self, attempt: AttemptState, result: AttemptResult) -> bool:
         """Return whether a listed upstream may have crashed; one that leaves may end at any time."""
-        is_live = self._is_live(attempt.upstream_id)
+        is_live = is_in_use(self.scheduler, attempt.upstream_id)
         return is_live and self.part_guard.may_have_crashed(attempt, result)
 
-    def _is_live(self, upstream_id: str) -> bool:
-        view = self.scheduler.runners.views.get(upstream_id)
-        return view is not None and view.live
-
     def _handle_failed_attempt(self, request: ForwardedRequest, ended: AttemptEnded) -> None:
         if request.request_id in self._requests and self._refuse_if_quarantined(request):
             return
@@ -579,6 +600,7 @@
             request.deadline_timer.cancel()
         request.cancel_attempts()
         request.exchange.on_closed = request.exchange.on_drained = None
+        self._attempts.forget(request)
         now_ms, arrived_ms = self._clock.now_ms(), request.req.arrived_ms
         self._metrics.requests.inc({"code": code})
         self._metrics.duration.observe({}, (now_ms - arrived_ms) / 1000)
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/upstreams.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/upstreams.py
@@ -39,6 +39,10 @@
             self._entries[entry.id] = cached
         return tuple(upstream for _, upstream in self._entries.values())
 
+    def data_centres(self) -> set[str]:
+        """Return the data centres of the listed upstreams."""
+        return {upstream.data_centre for _, upstream in self._entries.values()}
+
     def address(self, upstream_id: str) -> str:
         """Return the address of an upstream, or an empty string if it is not listed."""
         item = self._entries.get(upstream_id)
@@ -76,15 +80,30 @@
     if head.is_for_other_request or head.status == STATUS_MISDIRECTED:
         return None  # Another upstream may have sent it.
     has_statement = head.limit_per_s is not None or head.is_leaving or head.retry_after_ms > 0
+    has_statement |= head.cold_left_ms is not None
     if not has_statement and not scheduler.pacing.is_limited(upstream_id):
         return None
-    view = scheduler.runners.views.get(upstream_id)
-    if head.is_leaving and view is not None and view.live:
+    if head.is_leaving and is_in_use(scheduler, upstream_id):
         log_event(logevents.UPSTREAM_LEAVING, upstream=upstream_id, state="stated")
-    return UpstreamResponded(upstream_id, head.limit_per_s, head.is_leaving, head.retry_after_ms)
+    return UpstreamResponded(
+        upstream_id,
+        head.limit_per_s,
+        head.is_leaving,
+        head.retry_after_ms,
+        head.cold_left_ms,
+    )
+
+
+def is_in_use(scheduler: Scheduler, upstream_id: str) -> bool:
+    """Return whether an upstream is not about to end; an evacuation does not end its process."""
+    view = scheduler.runners.views.get(upstream_id)
+    is_evacuated = scheduler.evacuations.is_marked(upstream_id)
+    return view is not None and (view.live or is_evacuated)
 
 
 def _upstream(entry: ListEntry) -> Upstream:
     is_live = entry.state is ListedState.LIVE
     state = UpstreamState.LIVE if is_live else UpstreamState.LEAVING
-    return Upstream(entry.id, entry.data_centre, entry.models, state, entry.boot_ms)
+    return Upstream(
+        entry.id, entry.data_centre, entry.models, state, entry.boot_ms, entry.cold_until_ms
+    )
--- a/packages/daemon/src/ibispaddle_daemon/gateway.py
+++ b/packages/daemon/src/ibispaddle_daemon/gateway.py
@@ -10,7 +10,8 @@
 from circuits.core.pollers import EPoll
 from ibispaddle_core import logevents
 from ibispaddle_core.clock import Clock, SystemClock
-from ibispaddle_core.forwarding import DrainAdmission
+from ibispaddle_core.evacuations import Evacuation, EvacuationRecords
+from ibispaddle_core.forwarding import DrainAdmission, MemoryBudget
 from ibispaddle_core.hubs import HubRanking
 from ibispaddle_core.membership import Registration
 from ibispaddle_core.routing import ConfigFreshness, RoutingConfig
@@ -18,6 +19,7 @@
 from ibispaddle_core.topics import TopicUpdate
 
 from .engine_memory import EngineMemoryCodec
+from .evacuations import EvacuationMonitor
 from .events import drain_completed, drain_started, readiness_changed
 from .fleet import FleetLinks, QuarantineExchange, TopicRelay, WorkExchange
 from .forwarding import Forwarder, ForwardingCodec
@@ -25,6 +27,7 @@
 from .http_server import HttpServer
 from .listening import Listeners
 from .logs import log_event, log_handler_failure
+from .memory_metrics import add_memory_metrics
 from .metrics import Metrics, Status
 from .stopping import Drain
 from .store import (
@@ -54,7 +57,8 @@
 class GatewayCodecs:
     """The codecs of one platform.
 
-    `config` parses the operators' configuration record and returns None if it is unusable.
+    `config` parses the operators' configuration record and returns None if it is unusable. `evacuation`
+    parses any other record of the same topic and returns None if it asks for no evacuation.
     """
 
     requests: ForwardingCodec
@@ -62,6 +66,7 @@
     store: StoreCodec
     registration: Callable[[str, bytes], Registration | None]
     config: Callable[[bytes], tuple[RoutingConfig, FleetConfig] | None]
+    evacuation: Callable[[str, bytes], Evacuation | None]
     upstream_topic: str
     config_topic: str
     config_key: str
@@ -100,7 +105,10 @@
         EPoll().register(self)
         self.timers = TimerQueue(self.clock).register(self)
         self.metrics = Metrics()
-        self.http_client = HttpClient(self.clock).register(self)
+        self._budget = MemoryBudget.from_settings(settings.instance)
+        self.http_client = HttpClient(
+            self.clock, max_buffered_bytes=self._budget.buffered_calls
+        ).register(self)
         self.status = Status(self.metrics, ("instance_list", "configuration")).register(self)
         self._add_request_components()
         self._add_fleet_components()
@@ -115,6 +123,7 @@
             clock,
             timers,
             self.metrics,
+            self._budget,
         ).register(self)
         limits = FleetConfig().limits
         self.server = HttpServer(
@@ -124,6 +133,8 @@
             limits,
             channel="front",
             channel_of=lambda exchange: self.forwarder.channel,
+            budget=self._budget,
+            paused_calls=lambda: self.http_client.paused_calls,
         ).register(self)
         self.status_server = HttpServer(
             self._status_bind,
@@ -133,6 +144,12 @@
             channel="status_front",
             channel_of=lambda exchange: self.status.channel,
         ).register(self)
+        add_memory_metrics(
+            self.metrics,
+            self.server,
+            self.http_client,
+            lambda: self.forwarder.incomplete_response_bytes,
+        )
         self.metrics.add_gauge(
             "ibispaddle_requests_in_flight",
             "Requests in flight.",
@@ -180,13 +197,22 @@
             relay,
             settings.in_force_ms,
         ).register(self)
+        self._evacuation_records = EvacuationRecords(self._codecs.evacuation)
+        self.evacuations = EvacuationMonitor(
+            self.forwarder.scheduler,
+            self.forwarder.handle_event,
+            self.forwarder.listed_data_centres,
+            clock,
+            timers,
+            self.metrics,
+        )
         self.config_topic = TopicFollower(
             self._codecs.config_topic,
             settings.store_url,
             store,
             round(CONFIG_WAIT_FRACTION * settings.in_force_ms),
             0,
-            self._on_config_update,
+            self._on_operator_update,
             clock,
             timers,
             relay,
@@ -203,8 +229,19 @@
             "Parts of requests that are refused because they crash upstreams.",
             lambda: len(self.forwarder.part_guard.registry.quarantined_parts),
         )
+        pacing = self.forwarder.scheduler.pacing
+        self.metrics.add_gauge(
+            "ibispaddle_cold_upstreams",
+            "Upstreams that are cold and get a limited number of requests.",
+            lambda: pacing.cold.count(self.clock.now_ms()),
+        )
+        self.metrics.add_counter(
+            "ibispaddle_cold_upstream_skips_total",
+            "Times that a cold upstream without room was left out of a choice.",
+            lambda: pacing.cold_skips,
+        )
 
-    # Configuration
+    # Configuration and evacuations
 
     def _check_state(self) -> None:
         """Check the age of the configuration, and reload the settings if requested."""
@@ -217,6 +254,13 @@
             self._is_config_fresh = is_fresh
             self.fire(readiness_changed("configuration", is_fresh), "*")
 
+    def _on_operator_update(self, update: TopicUpdate) -> None:
+        # Evacuations apply whether or not the configuration beside them is usable.
+        for key in self._evacuation_records.apply(update):
+            log_event(logevents.EVACUATION_UNREADABLE, key=key)
+        self.evacuations.replace(self._evacuation_records.data_centres)
+        self._on_config_update(update)
+
     def _on_config_update(self, update: TopicUpdate) -> None:
         value = update.values.get(self._codecs.config_key)
         decoded = None
--- a/tests/platform_adapter/processes.py
+++ b/tests/platform_adapter/processes.py
@@ -71,6 +71,7 @@
         number: int,
         store: HasAddress,
         arguments: Sequence[str] = (),
+        memory_mb: int | None = None,
         **bounds: Any,
     ) -> None:
         self.arguments = arguments
@@ -83,6 +84,8 @@
         text += f'[listen]\nfront = "127.0.0.1:{front}"\nready = "127.0.0.1:{self.ready_port}"\n'
         text += f'[platform]\naddress = "{store.address}"\n[bounds]\n'
         text += "".join(f"{key} = {json.dumps(value)}\n" for key, value in limits.items())
+        if memory_mb is not None:
+            text += f"[limits]\nmemory_mb = {memory_mb}\n"
         text += '[zones]\na = "north"\nb = "south"\n'
         self.path = Path(folder) / f"node-{number}.toml"
         self.path.write_text(text)
--- a/tests/scheduling/test_hedging.py
+++ b/tests/scheduling/test_hedging.py
@@ -16,9 +16,11 @@
     AttemptSilent,
     CallerDisconnected,
     CancelAttempt,
+    ConfigurationReplaced,
     ConfirmDelay,
     DeclineHedge,
     Dispatch,
+    EvacuationsChanged,
     FirstOutputQuantiles,
     FirstToken,
     FleetAttempts,
@@ -36,12 +38,14 @@
     UpstreamsChanged,
     UpstreamWork,
 )
+from ibispaddle_core.scheduling.cold import ColdLimit
 from ibispaddle_core.scheduling.cost import PromptClass
 from ibispaddle_core.scheduling.first_outputs import FirstOutputTimes
 from ibispaddle_core.scheduling.hedge_budget import HEDGE_WINDOW_MS, HedgeBudget
 from ibispaddle_core.scheduling.hedging import LATE_FACTOR, MIN_SAMPLES
 from ibispaddle_core.scheduling.requests import RequestState
 from ibispaddle_core.scheduling.retries import FLEET_COUNTS_MAX_AGE_MS, RetryBudget
+from ibispaddle_core.settings import FleetConfig
 
 from . import fakes
 
@@ -232,7 +236,7 @@
         }
         for busy, limit in ((6, None), (7, HedgeLimit.OVERLOAD)):
             self.start()
-            self.sched._replace_configuration(type(fakes.fleet()).from_document(document))
+            self.handle(ConfigurationReplaced(FleetConfig.from_document(document)))
             work = {f"r{n:03}": UpstreamWork(0.0, busy, 0) for n in range(4)}
             self.send()
             self.handle(PeerWork("fleet", work))
@@ -267,7 +271,7 @@
 
     def test_only_sound_unlimited_upstreams_get_hedges(self) -> None:
         """Guards against hedges at upstreams that failed, named a limit or are leaving."""
-        for case in ("avoided", "limited", "leaving", "busy"):
+        for case in ("avoided", "limited", "leaving", "cold", "evacuated", "busy"):
             with self.subTest(case):
                 self.start(runners=2)
                 first = self.send()
@@ -279,6 +283,11 @@
                         self.handle(UpstreamResponded(other, limit_per_s=100.0))
                     case "leaving":
                         self.handle(UpstreamResponded(other, is_leaving=True))
+                    case "cold":
+                        self.sched.pacing.cold.replace_limits({other: ColdLimit(3.0, 0)})
+                        self.sched.pacing.cold.observe(other, 3_000, self.now_ms)
+                    case "evacuated":
+                        self.handle(EvacuationsChanged(frozenset({"dc1"})))
                     case "busy":
                         self.send("b", retry_policy=RetryPolicy.PROVED_NOT_RUN)
                 self.assertEqual(self.declined(), [HedgeLimit.NO_UPSTREAM])
