--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -15,6 +15,7 @@
 from .claims import MemoryClaimTable
 from .cost import CostModel, PromptClass
 from .departures import DepartureTable
+from .distance import Distances
 from .evacuations import EvacuationTable
 from .exceptions import DuplicateRequestError
 from .group_reservations import GroupReservations
@@ -86,11 +87,17 @@
     """
 
     def __init__(
-        self, config: FleetConfig, seed: int, instance_boot: str, wall_offset_ms: int = 0
+        self,
+        config: FleetConfig,
+        seed: int,
+        instance_boot: str,
+        wall_offset_ms: int = 0,
+        data_centre: str = "",
     ) -> None:
         self.shares = ShareCounters({n: c.weight for n, c in config.neighbours.items()})
         self.cost = CostModel(config)
         self.pacing = UpstreamPacing()
+        self._distances = Distances(data_centre)
         self.runners = RunnerTable(self.cost, self.pacing)
         self.queue = FairQueue(config.scheduling.max_queue_per_neighbour)
         self._backlog = Backlog(self.queue, self.shares, self.cost)
@@ -182,15 +189,21 @@
 
     @classmethod
     def from_config(
-        cls, config: FleetConfig, seed: int, instance_boot: str, wall_offset_ms: int = 0
+        cls,
+        config: FleetConfig,
+        seed: int,
+        instance_boot: str,
+        wall_offset_ms: int = 0,
+        data_centre: str = "",
     ) -> "Scheduler":
         """Create a scheduler.
 
         `wall_offset_ms` is the wall-clock time minus the monotonic time. It converts the times that
         instances and runners have in common: the expiry in KV handles, the arrival of waiting prompts
-        and the periods of the secondary subsets.
+        and the periods of the secondary subsets. `data_centre` is the instance's own, from which
+        distances count.
         """
-        return cls(config, seed, instance_boot, wall_offset_ms)
+        return cls(config, seed, instance_boot, wall_offset_ms, data_centre)
 
     @property
     def active(self) -> int:
@@ -199,7 +212,11 @@
 
     @property
     def group_counts(self) -> Mapping[str, int]:
-        """Return the groups of engines that were started, granted and refused since the start."""
+        """Return the groups of engines since the start by what happened to them.
+
+        `started` ones were requested, `granted` and `refused` ones answered; for a prompt that was
+        `too_late` no group was requested, and `held_back` counts delays by the instance's budget.
+        """
         return {**self._groups.counts, "held_back": self._groups.pace.held_back}
 
     @property
@@ -394,7 +411,7 @@
         elif self._should_divide(state, may_divide) and self._groups.try_divide(state, now_ms):
             return []
         elif self._groups.must_yield(state, now_ms):
-            return None
+            return self._begin_group(state, idle_only, now_ms)
         else:
             choice = self.placement.choose(req, state.tried, idle_only, self.runners, now_ms)
         if choice is None:
@@ -510,7 +527,12 @@
 
     def _configured_placement(self) -> Placement:
         return least_work.placement_from_config(
-            self.cost, self.health, self._rng, self._predicted_placement, self.pacing.cold
+            self.cost,
+            self.health,
+            self._rng,
+            self._predicted_placement,
+            self.pacing.cold,
+            self._distances,
         )
 
     def _handle_response(self, event: UpstreamResponded, now_ms: int) -> list[Decision]:
--- a/packages/core/src/ibispaddle_core/scheduling/group_reservations.py
+++ b/packages/core/src/ibispaddle_core/scheduling/group_reservations.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, replace
 
 from . import least_work
-from .admission import MIN_RETRY_AFTER_MS, AdmissionRefusal
+from .admission import MIN_RETRY_AFTER_MS, Admission, AdmissionRefusal
 from .backlog import Backlog
 from .claims import MemoryClaimTable
 from .cost import CostModel, PromptClass
@@ -19,6 +19,7 @@
     Decision,
     Outcome,
     RefusalReason,
+    Request,
     ReservationAnswered,
     ReservationOutcome,
     WaitingPrompt,
@@ -31,10 +32,10 @@
 from .reservations import PromptReservations
 from .runners import RunnerTable, RunnerView
 
-# What the health of a runner learns from its answer.
-_HEALTH_OUTCOMES = {
-    ReservationOutcome.NO_ROOM: Outcome.REJECTED,
+# What the health of a runner learns from reservations that it did not answer itself.
+_FAILURES = {
     ReservationOutcome.WRONG_UPSTREAM: Outcome.WRONG_UPSTREAM,
+    ReservationOutcome.ANSWER_LOST: Outcome.FAILED,
     ReservationOutcome.UNREACHABLE: Outcome.FAILED,
 }
 
@@ -70,7 +71,7 @@
         self._reservations, self._order, self._groups = reservations, order, groups
         self._placement, self._states = placement, states
         self.pace = ReservationPace()
-        self.counts: Counter[str] = Counter()  # Groups that were started, granted and refused.
+        self.counts: Counter[str] = Counter()  # Groups by step, see `Scheduler.group_counts`.
 
     def try_divide(self, state: RequestState, now_ms: int) -> bool:
         """Start reservations for a prompt that fits one engine if several have the memory now."""
@@ -96,7 +97,7 @@
         if idle_only and incomplete:
             return False
         if self.must_yield(state, now_ms):
-            return False
+            return self._check_wait(state, now_ms)
         contested = self._order.contested_runners(
             self._reservations.describe_waiting(req, ()), now_ms
         )
@@ -104,8 +105,8 @@
         # Reservations that wait for memory block other neighbours, so a neighbour above its share
         # must not make them.
         if not group.fits and (idle_only or incomplete or not group.views):
-            self._record_waiting(state)
-            return False
+            self._record_waiting(state, now_ms)
+            return self._check_wait(state, now_ms)
         if group.contested:
             names = [view.upstream.upstream_id for view in group.views]
             self._order.add_waiting(self._reservations.describe_waiting(req, names))
@@ -113,16 +114,22 @@
         return self._reserve(state, group, now_ms)
 
     def must_yield(self, state: RequestState, now_ms: int) -> bool:
-        """Return whether a long prompt leaves the free memory to prompts of other instances.
+        """Return whether a long prompt leaves its place to prompts of other instances.
 
-        The free memory must be enough for the prompts that come before it and for itself.
+        The free memory, and the engines that have little left to prefill, must be enough for the prompts
+        that come before it and for itself.
         """
-        req = state.req
-        if state.prompt_class < PromptClass.LONG or not self._is_joint(req.model):
+        if not self._order.has_fleet_prompts(now_ms):
+            return False
+        if state.prompt_class < PromptClass.LONG or not self._is_joint(state.req.model):
+            return False
+        own = self._describe(state, now_ms)
+        before = self._order.prompts_before(own, self.holders(), now_ms)
+        if not before:
             return False
-        own = self._describe(state)
-        before = self._order.tokens_before(own, self.holders(), now_ms)
-        if before == 0 or before + own.tokens <= self._room(state, now_ms):
+        tokens = [own.tokens, *(prompt.tokens for prompt in before)]
+        needed = sum(self._cost.engines_for(state.req.model, count) for count in tokens)
+        if sum(tokens) <= self._room(state) and needed <= self._ready_engines(state, now_ms):
             return False
         self._order.add_waiting(own)
         return True
@@ -147,7 +154,12 @@
     ) -> GroupAnswer:
         """Process a runner's answer to a reservation."""
         is_current = self._reservations.is_waiting_for(event.request_id, event.handle)
+        if is_current and event.outcome is ReservationOutcome.ANSWER_LOST:
+            repeat = self._reservations.repeat(event.request_id, event.handle)
+            if repeat is not None and self.pace.try_take(1, now_ms):
+                return GroupAnswer([repeat])
         decisions, ready = self._reservations.handle_answer(event, now_ms)
+        self._observe(event, now_ms)
         if event.granted:
             self.pace.give_back()
             if is_current:
@@ -188,42 +200,88 @@
     def _is_joint(self, model: str) -> bool:
         return self._cost.supports_joint_prefill(model)
 
-    def _describe(self, state: RequestState) -> WaitingPrompt:
+    def _describe(self, state: RequestState, now_ms: int) -> WaitingPrompt:
         req = state.req
-        start_ms = min(
-            req.deadline_ms - self._cost.idle_ttft_ms(req) - self._cost.decode_ms(req),
-            req.start_deadline_ms - self._cost.idle_ttft_ms(req),
-        )
-        described = self._reservations.describe_waiting(req, ())
         return replace(
-            described,
+            self._reservations.describe_waiting(req, ()),
             model=req.model,
             workspace=req.neighbour,
             tokens=self._cost.kv_tokens(req),
-            latest_start_ms=int(start_ms),
+            latest_start_ms=self._next_bound_ms(req, now_ms),
         )
 
-    def _record_waiting(self, state: RequestState) -> None:
+    def _next_bound_ms(self, req: Request, now_ms: int) -> int:
+        """Return the latest start with which a prompt is in time, or ends at all if it is late.
+
+        Further delay of a prompt that is late costs its caller less, until it could not end any more.
+        """
+        if req.ttft_objective_ms is not None:
+            in_time_ms = req.arrived_ms + req.ttft_objective_ms - self._cost.idle_ttft_ms(req)
+            if in_time_ms >= now_ms:
+                return int(in_time_ms)
+        return self._latest_start_ms(req)
+
+    def _latest_start_ms(self, req: Request) -> int:
+        first_ms = self._cost.idle_ttft_ms(req)
+        ends_ms = req.deadline_ms - self._cost.decode_ms(req)
+        return int(min(ends_ms, req.start_deadline_ms) - first_ms)
+
+    def _record_waiting(self, state: RequestState, now_ms: int) -> None:
         """Report a prompt that found no memory to the other instances."""
         if self._is_joint(state.req.model):
-            self._order.add_waiting(self._describe(state))
+            self._order.add_waiting(self._describe(state, now_ms))
+
+    def _check_wait(self, state: RequestState, now_ms: int) -> AdmissionRefusal | bool:
+        """Return a refusal if memory becomes free too late for a waiting prompt, or else false.
+
+        The memory in use is expected to become free evenly over the time that the prompt itself would
+        take. Work that takes longer makes the wait longer, so that no prompt is refused too early.
+        """
+        if not self._is_joint(state.req.model):
+            return False
+        own = self._describe(state, now_ms)
+        before = self._order.prompts_before(own, self.holders(), now_ms)
+        missing = sum(prompt.tokens for prompt in before) + own.tokens - self._room(state)
+        live = self._runners.live_for(state.req)
+        used = sum(view.kv_total - view.kv_free() for view in live)
+        if missing <= 0 or used <= 0:
+            return False
+        service_ms = self._cost.idle_ttft_ms(state.req) + self._cost.decode_ms(state.req)
+        wait_ms = missing / used * service_ms
+        if now_ms + wait_ms <= self._latest_start_ms(state.req):
+            return False
+        self.counts["too_late"] += 1
+        return AdmissionRefusal(RefusalReason.NO_MEMORY, Admission.retry_after_ms(wait_ms))
 
-    def _room(self, state: RequestState, now_ms: int) -> int:
-        """Return the free memory of the runners that may take a part of a prompt."""
+    def _room(self, state: RequestState) -> int:
+        """Return the free memory of the runners that may take a part of a prompt, now or soon."""
         cfg = self._cost.model(state.req.model)
         free = (
             view.kv_free()
-            for view in self._usable(state, now_ms)
+            for view in self._runners.live_for(state.req)
             if cfg.upstream_slots is None or view.parts < cfg.upstream_slots
         )
         return sum(tokens for tokens in free if tokens > 0)
 
+    def _ready_engines(self, state: RequestState, now_ms: int) -> int:
+        """Return the number of runners that can begin with a part of a long prompt at once."""
+        return sum(
+            view.pending_prefill_ms(now_ms) <= least_work.MAX_PENDING_PREFILL_MS
+            for view in self._runners.live_for(state.req)
+        )
+
     def _usable(self, state: RequestState, now_ms: int) -> list[RunnerView]:
-        live = self._runners.available_for(state.req, now_ms)
-        invalid = self.pace.invalid_at(state.req.request_id)
-        if not invalid:
+        """Return the runners for a prompt's group, without those that failed it if others suffice."""
+        req = state.req
+        live = self._runners.available_for(req, now_ms)
+        invalid, failed = self.pace.invalid_at(req.request_id), self.pace.failed_at(req.request_id)
+        if invalid:
+            live = [view for view in live if view.upstream.upstream_id not in invalid]
+        if not failed and not state.tried:
             return live
-        return [view for view in live if view.upstream.upstream_id not in invalid]
+        left_out = state.tried.union(failed)
+        others = [view for view in live if view.upstream.upstream_id not in left_out]
+        return others if len(others) >= self._cost.preferred_segments(req) else live
 
     def _choose_group(
         self, state: RequestState, live: list[RunnerView], contested: set[str], now_ms: int
@@ -263,6 +321,12 @@
         self.counts["started"] += 1
         return True
 
+    def _observe(self, event: ReservationAnswered, now_ms: int) -> None:
+        """Record that a runner could not be asked, also for a group that has been given up."""
+        outcome = _FAILURES.get(event.outcome)
+        if outcome is not None and event.upstream_id in self._runners.views:
+            self._health.observe(event.upstream_id, outcome, now_ms)
+
     def _handle_refusal(
         self,
         event: ReservationAnswered,
@@ -276,9 +340,8 @@
         it has while a runner has no room.
         """
         is_joint = self._is_joint(state.req.model)
-        outcome = _HEALTH_OUTCOMES.get(event.outcome)
-        if outcome is not None and (is_joint or event.outcome is not ReservationOutcome.NO_ROOM):
-            self._health.observe(event.upstream_id, outcome, now_ms)
+        if is_joint and event.outcome is ReservationOutcome.NO_ROOM:
+            self._health.observe(event.upstream_id, Outcome.REJECTED, now_ms)
         if not is_joint and event.outcome is not ReservationOutcome.INVALID:
             return GroupAnswer(decisions)
         self.counts["refused"] += 1
@@ -287,7 +350,7 @@
         )
         if reason is not None:
             return GroupAnswer(decisions, refusal=AdmissionRefusal(reason, MIN_RETRY_AFTER_MS))
-        self._record_waiting(state)
+        self._record_waiting(state, now_ms)
         return GroupAnswer(decisions + self.requeue(state))
 
     def _choice(self, state: RequestState, now_ms: int) -> Choice:
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
@@ -21,6 +21,7 @@
     RouteTable,
     RoutingConfig,
     check_homes,
+    check_routes,
     choose_service,
 )
 from ibispaddle_core.runstate import RunState
@@ -68,13 +69,7 @@
 from .hedges import HedgeReports
 from .late_attempts import LateAttempts
 from .part_guard import PartGuard
-from .refusals import (
-    CODE_OUTDATED,
-    DEFAULT_RETRY_AFTER_MS,
-    STATUS_NOT_RUN,
-    refuse,
-    reject,
-)
+from .refusals import CODE_OUTDATED, DEFAULT_RETRY_AFTER_MS, STATUS_NOT_RUN, refuse, reject
 from .request_log import log_ended, log_failed, log_forwarded
 from .requests import AttemptState, ForwardedRequest
 from .startup import StartupExchanges
@@ -99,6 +94,7 @@
         timers: TimerQueue,
         metrics: Metrics,
         budget: MemoryBudget | None = None,
+        data_centre: str = "",
     ) -> None:
         super().__init__()
         budget = budget or MemoryBudget.from_memory()
@@ -113,7 +109,9 @@
         self.freshness = ConfigFreshness()
         self.drain_admission: DrainAdmission | None = None
         offset_ms = clock.wall_ms() - clock.now_ms()
-        self.scheduler = Scheduler.from_config(FleetConfig(), seed, self._boot_id, offset_ms)
+        self.scheduler = Scheduler.from_config(
+            FleetConfig(), seed, self._boot_id, offset_ms, data_centre
+        )
         self._hedge_reports = HedgeReports(self.scheduler, metrics, clock)
         self._cold_log = ColdLog(clock, self.scheduler.pacing.cold)
         self._loop = SchedulingLoop(self.scheduler, self._execute, clock, timers)
@@ -176,7 +174,7 @@
         self._attempts.max_unsent_bytes = config.limits.max_unsent_bytes
         self._attempts.stall_timeout_ms = fleet.scheduling.stall_timeout_ms
         self.handle_event(ConfigurationReplaced(fleet))
-        for message in check_homes(config, self._regions):
+        for message in (*check_routes(config), *check_homes(config, self._regions)):
             log_event(logevents.CONFIG_WARNING, id=message.id, path=message.path, text=message.text)
         self._route_startup_exchanges()
 
@@ -550,27 +548,14 @@
                 lambda: self._handle_failed_attempt(request, ended), request.req.model
             )
 
-        if not self._may_have_crashed(attempt, result):
-            proceed()
-            return
-        address = self._upstreams.address(upstream_id)
-
-        def accepts_late_proof() -> bool:
-            # An upstream that was removed meanwhile may have ended as planned, and one that sent
-            # something else than a response was running.
-            return result.connection_closed and is_in_use(self.scheduler, upstream_id)
-
-        callback = proceed
-        if request.req.retry_policy is RetryPolicy.PROVED_NOT_RUN:
-            # There is no retry that would have to wait for the result.
-            proceed()
-            callback = _do_nothing
-        self.part_guard.check_upstream(request, attempt, address, callback, accepts_late_proof)
-
-    def _may_have_crashed(self, attempt: AttemptState, result: AttemptResult) -> bool:
-        """Return whether a listed upstream may have crashed; one that leaves may end at any time."""
-        is_live = is_in_use(self.scheduler, attempt.upstream_id)
-        return is_live and self.part_guard.may_have_crashed(attempt, result)
+        self.part_guard.check_failed_attempt(
+            request,
+            attempt,
+            result,
+            self._upstreams.address(upstream_id),
+            lambda: is_in_use(self.scheduler, upstream_id),
+            proceed,
+        )
 
     def _handle_failed_attempt(self, request: ForwardedRequest, ended: AttemptEnded) -> None:
         if request.request_id in self._requests and self._refuse_if_quarantined(request):
@@ -610,7 +595,3 @@
             labels = {"prompt": prompt_length_class(request.req.prompt_tokens)}
             self._metrics.first_token.observe(labels, first_ms / 1000)
         log_ended(request, code, status, first_ms, now_ms - arrived_ms)
-
-
-def _do_nothing() -> None:
-    pass
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/part_guard.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/part_guard.py
@@ -7,7 +7,7 @@
 from ibispaddle_core.clock import Clock
 from ibispaddle_core.forwarding import AttemptResult
 from ibispaddle_core.quarantine import Death, PartChange, PartQuarantine, PartQuarantined
-from ibispaddle_core.scheduling import Outcome
+from ibispaddle_core.scheduling import Outcome, RetryPolicy
 
 from ..logs import log_event
 from ..timers import TimerHandle, TimerQueue
@@ -115,6 +115,35 @@
 
     # Crashes
 
+    def check_failed_attempt(
+        self,
+        request: ForwardedRequest,
+        attempt: AttemptState,
+        result: AttemptResult,
+        address: str,
+        is_in_use: Callable[[], bool],
+        proceed: Callable[[], None],
+    ) -> None:
+        """Call `proceed` once it is known whether a failed attempt has crashed its upstream.
+
+        `is_in_use` returns whether the upstream is listed; one that leaves may end at any time.
+        """
+        if not is_in_use() or not self.may_have_crashed(attempt, result):
+            proceed()
+            return
+
+        def accepts_late_proof() -> bool:
+            # An upstream that was removed meanwhile may have ended as planned, and one that sent
+            # something else than a response was running.
+            return result.connection_closed and is_in_use()
+
+        callback = proceed
+        if request.req.retry_policy is RetryPolicy.PROVED_NOT_RUN:
+            # There is no retry that would have to wait for the result.
+            proceed()
+            callback = _do_nothing
+        self.check_upstream(request, attempt, address, callback, accepts_late_proof)
+
     def may_have_crashed(self, attempt: AttemptState, result: AttemptResult) -> bool:
         """Return whether the upstream of an attempt may have crashed because of its request."""
         return (
@@ -224,3 +253,7 @@
             callback(added, released)
         if added:
             self.on_quarantined()
+
+
+def _do_nothing() -> None:
+    pass
--- a/tests/scheduling/test_group_reservations.py
+++ b/tests/scheduling/test_group_reservations.py
@@ -176,6 +176,45 @@
             self.assertEqual(runners.freed[first.handle], count, outcome)
 
 
+class LostAnswerTest(unittest.TestCase):
+    def test_reservation_whose_answer_is_lost_is_repeated_once(self) -> None:
+        """Guards against groups that give up all parts because one answer is lost.
+
+        The connections of many runners are reset after they have carried out a call.
+        """
+        lost: set[str] = set()
+
+        def answer(order: ReserveMemory) -> ReservationOutcome:
+            is_first = order.handle not in lost
+            lost.add(order.handle)
+            return ReservationOutcome.ANSWER_LOST if is_first else ReservationOutcome.GRANTED
+
+        runners = Runners(scheduler(), answer)
+        runners.arrive("huge")
+        runners.run(100)
+        counts = runners.sched.group_counts
+        self.assertEqual((counts["started"], counts["granted"]), (1, 1))
+        self.assertEqual(len(runners.sent), 2 * len(lost))
+
+    def test_runner_that_loses_each_answer_is_given_up(self) -> None:
+        """Guards against a prompt that repeats a reservation at one faulty runner for ever."""
+        faulty: list[str] = []
+
+        def answer(order: ReserveMemory) -> ReservationOutcome:
+            if not faulty:
+                faulty.append(order.upstream_id)
+            is_faulty = order.upstream_id in faulty
+            return ReservationOutcome.ANSWER_LOST if is_faulty else ReservationOutcome.GRANTED
+
+        runners = Runners(scheduler(), answer)
+        runners.arrive("huge")
+        runners.run(500)
+        self.assertEqual(runners.sched.group_counts["granted"], 1)
+        sent = [order for _, order in runners.sent if order.upstream_id in faulty]
+        self.assertEqual(len(sent), 2)
+        self.assertEqual(runners.freed[sent[0].handle], 1)
+
+
 class UnreachableRunnerTest(unittest.TestCase):
     def test_unreachable_runner_is_avoided(self) -> None:
         """Guards against further prompts for a runner that does not answer reservations."""
@@ -194,6 +233,25 @@
         self.assertTrue(runners.sched.health.is_avoided(dark[0], 300))
         self.assertEqual(sum(order.upstream_id in dark for _, order in runners.sent), 1)
 
+    def test_crashed_runners_are_asked_once_by_a_prompt(self) -> None:
+        """Guards against groups that are given up one after the other for the same crashed runners.
+
+        Two runners of the group are down, so that one failure is reported after the group was given up.
+        """
+        down: list[str] = []
+
+        def answer(order: ReserveMemory) -> ReservationOutcome:
+            if len(down) < 2:
+                down.append(order.upstream_id)
+            is_down = order.upstream_id in down
+            return ReservationOutcome.UNREACHABLE if is_down else ReservationOutcome.GRANTED
+
+        runners = Runners(scheduler(), answer)
+        runners.arrive("huge")
+        runners.run(3_000)
+        self.assertEqual(runners.sched.group_counts["started"], 2)
+        self.assertTrue(runners.sched.health.is_avoided(down[1], 300))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/scheduling/test_memory_order.py
+++ b/tests/scheduling/test_memory_order.py
@@ -6,8 +6,10 @@
 
 import unittest
 from collections import Counter
+from dataclasses import replace
 
 from ibispaddle_core.hubs import WorkAggregator
+from ibispaddle_core.runstate import RunState
 from ibispaddle_core.scheduling import (
     AttemptEnded,
     Decision,
@@ -16,6 +18,8 @@
     FirstToken,
     FreeMemory,
     Outcome,
+    PeerWork,
+    RefusalReason,
     Refuse,
     RequestArrived,
     ReservationAnswered,
@@ -23,7 +27,10 @@
     Scheduler,
     Tick,
     UpstreamsChanged,
+    UpstreamWork,
+    WaitingPrompt,
 )
+from ibispaddle_core.scheduling.reservation_order import FLEET_EXPIRY_MS, ReservationOrder
 from ibispaddle_core.settings.fleet import FleetConfig
 
 from . import fakes
@@ -165,6 +172,50 @@
         self.assertEqual(set(fleet.dispatched), {"large", "small"})
 
 
+class PrefillTest(unittest.TestCase):
+    def test_prompt_that_must_start_first_gets_the_engines_that_become_ready(self) -> None:
+        """Guards against late arrivals that start while a prompt waits for seconds elsewhere.
+
+        The memory is enough for all, but the engines are busy with the prefill of a burst.
+        """
+        fleet = Fleet(6)
+        for number in range(4):
+            fleet.arrive(0, f"burst-{number}", tokens=240_000)
+        fleet.arrive(1, "early", tokens=240_000, deadline_ms=fleet.now_ms + 8_000)
+        self.assertNotIn("early", fleet.dispatched)
+        for number in range(2, 6):
+            fleet.run(40)
+            fleet.arrive(number, f"late-{number}", tokens=240_000)
+        fleet.run(6_000)
+        waited = [name for name in fleet.dispatched if not name.startswith("burst")]
+        self.assertEqual(waited[0], "early")
+        self.assertEqual(len(waited), 5)
+        self.assertEqual(fleet.refused, {})
+
+
+class LatePromptTest(unittest.TestCase):
+    def setUp(self) -> None:
+        """Start a prompt that is late after 1.5 s and must start 8 s after its arrival."""
+        self.fleet = Fleet(4)
+        for number in range(2):
+            self.fleet.arrive(0, f"running-{number}", tokens=900_000)
+        self.fleet.arrive(1, "late", ttft_objective_ms=1_200, deadline_ms=9_000)
+
+    def test_prompt_that_is_late_leaves_its_place_to_one_that_can_be_in_time(self) -> None:
+        """Guards against a burst after which each prompt is late because the one before was."""
+        self.fleet.run(1_000)
+        self.fleet.arrive(2, "fresh", ttft_objective_ms=2_500)
+        self.fleet.run(4_000)
+        self.assertLess(self.fleet.position("fresh"), self.fleet.position("late"))
+
+    def test_prompt_that_is_late_comes_first_before_it_could_not_end(self) -> None:
+        """Guards against late prompts that are never served while others arrive."""
+        for number in range(12):
+            self.fleet.arrive(2 + number % 2, f"fresh-{number}", ttft_objective_ms=2_500)
+            self.fleet.run(800)
+        self.assertIn("late", self.fleet.dispatched)
+
+
 class ContentionTest(unittest.TestCase):
     def test_orders_are_bounded_while_many_prompts_wait_for_little_memory(self) -> None:
         """Guards against groups that take parts and give them back while others do the same.
@@ -203,6 +254,65 @@
         self.assertEqual([held for held in fleet.memory.values() if held], [])
 
 
+class LostHubTest(unittest.TestCase):
+    def test_last_report_of_a_lost_hub_holds_prompts_back_for_a_short_time(self) -> None:
+        """Guards against memory that is kept for prompts of a report that is no longer renewed."""
+        order = ReservationOrder(0)
+        peer = WaitingPrompt(0, "peer", model="m", workspace="w", tokens=9, latest_start_ms=90_000)
+        own = replace(peer, request_id="own", latest_start_ms=91_000)
+        order.replace_fleet((peer,), {}, 0)
+        self.assertEqual(order.prompts_before(own, {}, FLEET_EXPIRY_MS - 1), [peer])
+        self.assertEqual(order.prompts_before(own, {}, FLEET_EXPIRY_MS), [])
+
+    def test_prompts_of_other_models_do_not_compete(self) -> None:
+        """Guards against prompts that wait for memory of engines that they cannot use."""
+        order = ReservationOrder(0)
+        peer = WaitingPrompt(0, "peer", model="m", workspace="w", tokens=9, latest_start_ms=90_000)
+        order.replace_fleet((peer,), {}, 0)
+        own = replace(peer, request_id="own", model="other", latest_start_ms=91_000)
+        self.assertEqual(order.prompts_before(own, {}, 1), [])
+
+
+class RefusedAtOnceTest(unittest.TestCase):
+    def arrive(self, before: int, used: int = KV_TOKENS) -> list[Decision]:
+        """Return the decisions about a prompt that can wait 0.9 s, with other prompts before it."""
+        fleet = Fleet(1)
+        sched = fleet.schedulers[0]
+        waiting = tuple(
+            WaitingPrompt(
+                0,
+                f"w{number}",
+                model="m",
+                workspace=f"w{number}",
+                tokens=900_000,
+                latest_start_ms=500,
+            )
+            for number in range(before)
+        )
+        work = {name: UpstreamWork(0.0, 2, used) for name in fleet.memory}
+        sched.handle(PeerWork("fleet", work, waiting=waiting), 0)
+        req = fakes.request("late", prompt_tokens=990_000, deadline_ms=2_000)
+        return sched.handle(RequestArrived(req), 0)
+
+    def test_prompt_is_refused_at_once_if_memory_becomes_free_too_late(self) -> None:
+        """Guards against a prompt that waits until its deadline while it cannot be served.
+
+        All memory is in use, and eight prompts that must start earlier wait for it.
+        """
+        (refusal,) = self.arrive(before=8)
+        assert isinstance(refusal, Refuse)
+        self.assertEqual(refusal.reason, RefusalReason.NO_MEMORY)
+        self.assertIs(refusal.run_state, RunState.NOT_RUN)
+        # The time in which 8.2 million tokens become free, of which there are 1.9 million.
+        self.assertGreater(refusal.retry_after_ms, 3_000)
+        self.assertLess(refusal.retry_after_ms, 6_000)
+
+    def test_prompt_that_may_be_served_waits(self) -> None:
+        """Guards against a refusal although the memory may become free in time."""
+        self.assertEqual(self.arrive(before=0), [])
+        self.assertEqual(self.arrive(before=0, used=KV_TOKENS // 2 + 1), [])
+
+
 class InertTest(unittest.TestCase):
     def test_nothing_is_reported_while_prompts_find_memory(self) -> None:
         """Guards against messages and decisions that change for deployments without such load."""
