--- a/packages/core/src/ibispaddle_core/scheduling/retries.py
+++ b/packages/core/src/ibispaddle_core/scheduling/retries.py
@@ -85,6 +85,10 @@
         attempts.totals += AttemptCounts(retries=1)
         return True
 
+    def count_hedge(self, service: str) -> None:
+        """Count a retry that has just been acquired as a hedge."""
+        self._services[service].totals += AttemptCounts(hedges=1)
+
     def _is_within_budget(self, service: str, attempts: _ServiceAttempts, now_ms: int) -> bool:
         fleet = self._fleet.counts
         if not self._slack or fleet is None or now_ms - self._fleet_ms > FLEET_COUNTS_MAX_AGE_MS:
--- a/packages/daemon/src/ibispaddle_daemon/fleet/messages.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/messages.py
@@ -9,6 +9,7 @@
 from ibispaddle_core.scheduling import (
     AttemptCounts,
     ColdOffer,
+    FirstOutputQuantiles,
     PaceReport,
     PeerWork,
     SentCounts,
@@ -32,6 +33,11 @@
 WaitingRow = tuple[str, str, str, int, int]
 HolderRow = tuple[str, int]  # Workspace, its long prompts that hold memory.
 
+HedgeRow = tuple[str, int]  # Service, hedges; these are among its retries.
+# Class, time to first output as a multiple of its prediction.
+FirstOutputRow = tuple[str, float]
+# Class, number of samples, upper quartile, tail.
+QuantilesRow = tuple[str, int, float, float]
 # Upstream id, and the time for which it stays cold.
 ColdRow = tuple[str, int]
 # The same, and the requests that the receiver may send to it now.
@@ -51,6 +57,9 @@
     paces: tuple[PaceReportRow, ...] = ()
     waiting: tuple[WaitingRow, ...] = ()  # The sender's first prompts that wait for memory.
     holders: tuple[HolderRow, ...] = ()
+    # Hedges since the start of the sender, and times to first output since its last update.
+    hedges: tuple[HedgeRow, ...] = ()
+    first_outputs: tuple[FirstOutputRow, ...] = ()
     cold: tuple[ColdRow, ...] = ()
 
 
@@ -86,6 +95,10 @@
     paces: tuple[PaceRow, ...] | None = None  # Of limited upstreams, if known to the hub.
     waiting: tuple[WaitingRow, ...] = ()  # The first prompts of the others that wait for memory.
     holders: tuple[HolderRow, ...] = ()  # Only while prompts wait.
+    # First attempts and hedges of the other instances at all services in the window of hedges, or None if
+    # the hub runs an earlier release.
+    hedging: tuple[int, int] | None = None
+    first_outputs: tuple[QuantilesRow, ...] = ()
     # Of cold upstreams, if the hub knows the requests of the last second.
     cold: tuple[ColdOfferRow, ...] | None = None
 
@@ -251,9 +264,34 @@
     return tuple((service, item.first, item.retries) for service, item in counts.items())
 
 
-def decode_attempt_rows(rows: tuple[AttemptRow, ...]) -> dict[str, AttemptCounts]:
+def encode_hedge_rows(counts: Mapping[str, AttemptCounts]) -> tuple[HedgeRow, ...]:
+    """Encode the hedges of services that have any as rows of a message."""
+    return tuple((service, item.hedges) for service, item in counts.items() if item.hedges)
+
+
+def decode_attempt_rows(
+    rows: tuple[AttemptRow, ...], hedge_rows: tuple[HedgeRow, ...] = ()
+) -> dict[str, AttemptCounts]:
     """Decode attempts by service."""
-    return {service: AttemptCounts(first, retries) for service, first, retries in rows}
+    hedges = dict(hedge_rows)
+    return {
+        service: AttemptCounts(first, retries, hedges.get(service, 0))
+        for service, first, retries in rows
+    }
+
+
+def encode_quantiles(
+    quantiles: Mapping[str, FirstOutputQuantiles],
+) -> tuple[QuantilesRow, ...]:
+    """Encode the distribution of times to first output by class as rows of a message."""
+    return tuple(
+        (name, item.count, item.upper_quartile, item.tail) for name, item in quantiles.items()
+    )
+
+
+def decode_quantiles(rows: tuple[QuantilesRow, ...]) -> dict[str, FirstOutputQuantiles]:
+    """Decode the distribution of times to first output by class."""
+    return {name: FirstOutputQuantiles(count, *values) for name, count, *values in rows}
 
 
 def encode_pace_reports(reports: Mapping[str, PaceReport]) -> tuple[PaceReportRow, ...]:
--- a/packages/daemon/src/ibispaddle_daemon/fleet/work.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/work.py
@@ -20,9 +20,11 @@
     WorkAggregator,
 )
 from ibispaddle_core.scheduling import (
+    HEDGE_WINDOW_MS,
     AttemptCounts,
     ColdOffer,
     FleetAttempts,
+    FleetFirstOutputs,
     FleetPaces,
     PaceReport,
     PeerWork,
@@ -43,12 +45,15 @@
     decode_cold_offers,
     decode_pace_reports,
     decode_paces,
+    decode_quantiles,
     decode_work,
     encode_attempt_rows,
     encode_cold,
     encode_cold_offers,
+    encode_hedge_rows,
     encode_pace_reports,
     encode_paces,
+    encode_quantiles,
     encode_waiting,
     encode_work_rows,
 )
@@ -104,6 +109,7 @@
         self._clock, self._timers = clock, timers
         self._work_aggregator = WorkAggregator()
         self._attempt_aggregator = AttemptAggregator(instance_id, clock.now_ms())
+        self._hedge_aggregator = AttemptAggregator(instance_id, clock.now_ms(), HEDGE_WINDOW_MS)
         self._pace_aggregator = PaceAggregator(instance_id, clock.now_ms())
         self._pending_choices = PendingChoices()
         self._sent_work: PeerWork | None = None
@@ -143,7 +149,8 @@
             counts = self._attempt_aggregator.total_excluding(self._instance_id, now_ms)
             paces = self._pace_aggregator.paces_excluding(self._instance_id, now_ms)
             others = self._work_aggregator.total_excluding(self._instance_id, now_ms)
-            self._apply(others, counts, paces, self._offers(self._instance_id), now_ms)
+            hedging = self._hedging_of_others(self._instance_id, now_ms)
+            self._apply(others, counts, paces, hedging, self._offers(self._instance_id), now_ms)
             callback()
             return
         if self._snapshot_ms is not None and now_ms - self._snapshot_ms < SNAPSHOT_MAX_AGE_MS:
@@ -212,12 +219,20 @@
             )
         rows = message.service_attempts
         counts = decode_attempt_rows(rows) if rows is not None else None
+        if message.first_outputs:
+            quantiles = decode_quantiles(message.first_outputs)
+            self._forwarder.handle_event(FleetFirstOutputs(quantiles))
         # The offers of a late response may have been given to other instances since.
         is_late = self._pending_query != (message.query_id, instance_id)
         self._apply(
             decode_work(FLEET_INSTANCE_ID, message, self._clock.now_ms(), message.choice_rank),
             counts,
             decode_paces(message.paces) if message.paces is not None else None,
+            (
+                AttemptCounts(message.hedging[0], hedges=message.hedging[1])
+                if message.hedging
+                else None
+            ),
             None if is_late else decode_cold_offers(message.cold),
             self._query_ms,
         )
@@ -240,13 +255,14 @@
         others: PeerWork,
         counts: Mapping[str, AttemptCounts] | None,
         paces: Mapping[str, UpstreamPace] | None,
+        hedging: AttemptCounts | None,
         offers: Mapping[str, ColdOffer] | None,
         asked_ms: int,
     ) -> None:
         self._snapshot_ms = self._clock.now_ms()
         instances = max(1, self._ranking.size)
         self._forwarder.update_fleet_work(
-            others, FleetAttempts(counts, instances), self._paces(paces, offers, asked_ms)
+            others, FleetAttempts(counts, instances, hedging), self._paces(paces, offers, asked_ms)
         )
 
     def _paces(
@@ -258,6 +274,13 @@
         instances = max(1, self._ranking.size)
         return FleetPaces(paces, instances, self._ranking.position, offers, asked_ms)
 
+    def _hedging_of_others(self, instance_id: str, now_ms: int) -> AttemptCounts | None:
+        """Return the first attempts and hedges that this hub has counted, if hedging is on."""
+        if not self._forwarder.scheduler.hedging.is_enabled:
+            return None
+        counts = self._hedge_aggregator.known_excluding(instance_id, now_ms)
+        return sum(counts.values(), AttemptCounts())
+
     def _run_callbacks(self) -> None:
         self._pending_query = self._query_timer = None
         callbacks, self._callbacks = self._callbacks, []
@@ -314,6 +337,8 @@
         totals = self._forwarder.scheduler.attempt_totals
         self._work_aggregator.update(work, now_ms)
         self._attempt_aggregator.update(self._instance_id, totals, now_ms)
+        if self._forwarder.scheduler.hedging.is_enabled:
+            self._hedge_aggregator.update(self._instance_id, totals, now_ms)
         self._schedule_check()
         paces = self._forwarder.scheduler.pacing.reports()
         self._pace_aggregator.update(self._instance_id, paces, now_ms)
@@ -335,6 +360,8 @@
             encode_pace_reports(new_paces),
             encode_waiting(work.waiting, now_ms),
             tuple(work.holders.items()),
+            encode_hedge_rows(new_totals),
+            tuple(self._forwarder.scheduler.hedging.take_samples()),
             encode_cold(new_cold, now_ms),
         )
         frame = self._links.encode(update)
@@ -349,9 +376,13 @@
         work = decode_work(instance_id, message, now_ms)
         self._work_aggregator.update(work, now_ms)
         self._pending_choices.end_choice(instance_id)
-        totals = decode_attempt_rows(message.attempts)
+        totals = decode_attempt_rows(message.attempts, message.hedges)
         self._attempt_aggregator.update(instance_id, totals, now_ms)
+        if self._forwarder.scheduler.hedging.is_enabled:
+            self._hedge_aggregator.update(instance_id, totals, now_ms)
         self._pace_aggregator.update(instance_id, decode_pace_reports(message.paces), now_ms)
+        if message.first_outputs:
+            self._forwarder.scheduler.hedging.merge_samples(message.first_outputs, now_ms)
         self._merge_cold(message.cold)
 
     def _merge_cold(self, rows: tuple[ColdRow, ...]) -> None:
@@ -388,6 +419,7 @@
             total = sum(counts.values(), AttemptCounts())
             attempts = (total.first, total.retries)
             service_attempts = encode_attempt_rows(counts)
+        hedging = self._hedging_of_others(instance_id, now_ms)
         # The number of instances that queried earlier for the same service and have not reported their
         # selection yet.
         choice_rank = self._pending_choices.begin_choice(instance_id, message.service, now_ms)
@@ -402,6 +434,8 @@
             paces=encode_paces(paces) if paces is not None else None,
             waiting=encode_waiting(others.waiting, now_ms),
             holders=tuple(others.holders.items()),
+            hedging=(hedging.first, hedging.hedges) if hedging is not None else None,
+            first_outputs=encode_quantiles(self._forwarder.scheduler.hedging.own_quantiles(now_ms)),
             cold=encode_cold_offers(self._offers(instance_id)),
         )
         if self._quarantine is not None:
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/attempts.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/attempts.py
@@ -27,7 +27,7 @@
 from ..logs import log_event
 from ..timers import TimerHandle, TimerQueue
 from .codec import ForwardingCodec, UpstreamCall
-from .requests import ForwardedRequest
+from .requests import AttemptState, ForwardedRequest
 
 # Upstreams accept a connection within a few milliseconds. TCP retransmits a lost SYN only after a
 # second, so it is faster to try another upstream.
@@ -44,8 +44,8 @@
 @dataclass(eq=False)
 class _RunningAttempt:
     request: ForwardedRequest
+    attempt: AttemptState
     call_id: str
-    upstream_id: str
     state_machine: ForwardedAttempt
     is_paused: bool = False
     pauses: Pauses = Pauses()
@@ -55,7 +55,8 @@
 class ForwardedAttempts(BaseComponent):
     """Run attempts and report the end of each exactly once.
 
-    `on_head` is called with the head of each response before it is processed, `on_output` with the
+    If two attempts of a request are in flight, the first output of either ends the other at once, so that
+    outputs are never joined. `on_race` is called with the winner and the loser then. `on_head` is called with the head of each response before it is processed, `on_output` with the
     number of events sent to the caller since the previous call, `on_stall` while a stream that may be
     resumed has stalled, and `on_result` with the result of an attempt. `max_buffered_bytes` is the size of
     what all attempts together hold until a response or an event is complete.
@@ -70,31 +71,35 @@
         clock: Clock,
         timers: TimerQueue,
         on_head: Callable[[str, ResponseHead], None],
-        on_output: Callable[[ForwardedRequest, int], None],
-        on_stall: Callable[[ForwardedRequest, str], None],
-        on_result: Callable[[ForwardedRequest, str, AttemptResult], None],
+        on_race: Callable[[ForwardedRequest, AttemptState, AttemptState], None],
+        on_output: Callable[[ForwardedRequest, AttemptState, int], None],
+        on_stall: Callable[[ForwardedRequest, AttemptState], None],
+        on_result: Callable[[ForwardedRequest, AttemptState, AttemptResult], None],
         max_buffered_bytes: int = MAX_INCOMPLETE_RESPONSES_BYTES,
     ) -> None:
         super().__init__()
         self._client, self._codec = client, codec
         self._clock, self._timers = clock, timers
-        self._on_head, self._on_output = on_head, on_output
+        self._on_head, self._on_race, self._on_output = on_head, on_race, on_output
         self._on_stall, self._on_result = on_stall, on_result
         self._running: dict[str, _RunningAttempt] = {}
         self._buffered = BufferLimit(max_buffered_bytes)
         self.max_unsent_bytes = 262_144
         self.stall_timeout_ms = 5_000
 
-    def start(self, request: ForwardedRequest, address: str, call: UpstreamCall) -> None:
+    def start(
+        self, request: ForwardedRequest, attempt: AttemptState, address: str, call: UpstreamCall
+    ) -> None:
         """Start an attempt at an upstream."""
         call_id = f"forward-{next(_NUMBERS)}"
         state_machine = ForwardedAttempt(
             request.route.streams, request.is_response_started, request.last_event_id
         )
-        running = _RunningAttempt(request, call_id, call.upstream_id, state_machine)
-        request.last_event_ms = self._clock.now_ms()
+        running = _RunningAttempt(request, attempt, call_id, state_machine)
+        attempt.last_event_ms = self._clock.now_ms()
         self._running[call_id] = running
-        request.cancel_attempt = lambda: self._cancel(running)
+        attempt.cancel = lambda: self._cancel(running)
+        request.in_flight[attempt.upstream_id] = attempt
         exchange = request.exchange
         self._client.start_call(
             HttpCall(
@@ -122,7 +127,8 @@
         self._running.pop(running.call_id, None)
         self._buffered.release(running.call_id)
         running.state_machine.is_ended = True
-        running.request.cancel_attempt = None
+        running.attempt.cancel = None
+        running.request.in_flight.pop(running.attempt.upstream_id, None)
         running.request.exchange.is_upstream_waiting = False
         if running.stall_timer is not None:
             running.stall_timer.cancel()
@@ -137,7 +143,7 @@
         running = self._running.get(call_id)
         if running is not None:
             head = self._codec.read_head(status, headers, running.request.caller.attempt_id)
-            self._on_head(running.upstream_id, head)
+            self._on_head(running.attempt.upstream_id, head)
             self._handle_event(running, HeadReceived(head))
 
     def call_data(self, call_id: str, data: bytes) -> None:
@@ -171,6 +177,7 @@
             match effect:
                 case ForwardHead(status, headers):
                     exchange.start(status, headers)
+                    self._end_rivals(running)
                 case ForwardData(data, events):
                     exchange.write(data)
                     request.last_event_id = running.state_machine.last_event_id
@@ -178,16 +185,23 @@
                     # Only complete events with content count as progress: a stalled upstream may
                     # still send single bytes or comments.
                     if events:
-                        request.last_event_ms = self._clock.now_ms()
-                        self._on_output(request, events)
+                        running.attempt.last_event_ms = self._clock.now_ms()
+                        self._on_output(request, running.attempt, events)
                     self._schedule_stall_check(running)
                 case AttemptResult():
                     self._release(running)
                     self._client.cancel_call(running.call_id)
-                    result = self._without_blame(running, effect)
-                    self._on_result(
-                        request, running.upstream_id, self._keep_answer(request, result)
-                    )
+                    result = self._keep_answer(request, self._without_blame(running, effect))
+                    if result.outcome is Outcome.COMPLETED:
+                        self._end_rivals(running)
+                    self._on_result(request, running.attempt, result)
+
+    def _end_rivals(self, running: _RunningAttempt) -> None:
+        """Cancel the other attempt of the request, because this one has the first output."""
+        for rival in list(running.request.in_flight.values()):
+            if rival is not running.attempt and rival.cancel is not None:
+                rival.cancel()
+                self._on_race(running.request, running.attempt, rival)
 
     def _without_blame(self, running: _RunningAttempt, result: AttemptResult) -> AttemptResult:
         """Return the result of an attempt; a cut because of a pause is no failure of the upstream."""
@@ -198,7 +212,7 @@
             logevents.RESPONSE_CUT_WHILE_PAUSED,
             request=running.request.caller.attempt_id,
             id=running.request.request_id,
-            upstream=running.upstream_id,
+            upstream=running.attempt.upstream_id,
             reason=result.text,
             events=running.request.event_count,
         )
@@ -239,13 +253,13 @@
             running.stall_timer = None
             if running.is_paused:
                 return  # Scheduled again when reading is resumed.
-            if self._clock.now_ms() - running.request.last_event_ms < limit_ms:
+            if self._clock.now_ms() - running.attempt.last_event_ms < limit_ms:
                 self._schedule_stall_check(running)
                 return
             running.stall_timer = self._timers.after(STALL_RECHECK_MS, check)
-            self._on_stall(running.request, running.upstream_id)
+            self._on_stall(running.request, running.attempt)
 
-        due_ms = running.request.last_event_ms + limit_ms
+        due_ms = running.attempt.last_event_ms + limit_ms
         running.stall_timer = self._timers.at(due_ms, check)
 
     # Flow control
@@ -268,6 +282,6 @@
             if running.request is request and running.is_paused:
                 running.is_paused = False
                 running.pauses = running.pauses.resumed(now_ms)
-                request.last_event_ms = now_ms
+                running.attempt.last_event_ms = now_ms
                 self._schedule_stall_check(running)
                 self._client.resume_call(running.call_id)
--- a/tests/fleet/test_work.py
+++ b/tests/fleet/test_work.py
@@ -9,16 +9,24 @@
 
 from ibispaddle_core.scheduling import (
     AttemptCounts,
+    Event,
     FleetAttempts,
     FleetPaces,
     PeerWork,
+    Scheduler,
     UpstreamWork,
     WaitingPrompt,
 )
 from ibispaddle_core.scheduling.cold import ColdLimit
 from ibispaddle_core.scheduling.pacing import LONG_WINDOW_MS, UpstreamPacing
 from ibispaddle_core.scheduling.retries import WINDOW_MS
-from ibispaddle_daemon.fleet.messages import WorkQuery, WorkUpdate
+from ibispaddle_core.settings import FleetConfig
+from ibispaddle_daemon.fleet.messages import (
+    WorkQuery,
+    WorkSnapshot,
+    WorkUpdate,
+    encode_hedge_rows,
+)
 from ibispaddle_daemon.fleet.work import (
     BATCH_DELAY_MS,
     HUB_CHECK_INTERVAL_MS,
@@ -34,7 +42,9 @@
 class FakeForwarder:
     """Fake of the forwarder, with its own work and the last view of the others' work."""
 
-    def __init__(self, name: str) -> None:
+    def __init__(self, name: str, hedge_fraction: float = 0.0) -> None:
+        scheduling = {"hedge_fraction": hedge_fraction}
+        fleet = FleetConfig.from_document({"scheduling": scheduling})
         self.work: dict[str, UpstreamWork] = {}
         self.fleet_work: PeerWork | None = None
         self.has_waiting_requests = False
@@ -44,9 +54,13 @@
             name, dict(self.work), waiting=self.waiting
         )
         self.scheduler = SimpleNamespace(
-            own_work=own_work, attempt_totals={}, pacing=UpstreamPacing()
+            own_work=own_work,
+            attempt_totals={},
+            pacing=UpstreamPacing(),
+            hedging=Scheduler.from_config(fleet, 1, name).hedging,
         )
         self.attempts: FleetAttempts | None = None
+        self.events: list[Event] = []
         self.now_ms = lambda: 0
 
     def update_fleet_work(self, work: PeerWork, attempts: FleetAttempts, paces: FleetPaces) -> None:
@@ -56,6 +70,9 @@
     def update_paces(self, paces: FleetPaces) -> None:
         self.scheduler.pacing.set_fleet(paces, self.now_ms())
 
+    def handle_event(self, event: Event) -> None:
+        self.events.append(event)
+
     def schedule_waiting(self) -> None:
         self.schedule_calls += 1
 
@@ -263,6 +280,70 @@
             )
 
 
+class HedgesTest(unittest.TestCase):
+    """Two instances and a hub whose upstreams turn slow, so that they hedge."""
+
+    def setUp(self) -> None:
+        self.network = FakeNetwork("abc")
+        self.forwarders = {name: FakeForwarder(name, hedge_fraction=0.02) for name in "abc"}
+        self.exchanges = {
+            name: WorkExchange(
+                name,
+                forwarder,
+                self.network.ranking(name),
+                self.network.links[name],
+                self.network.clock,
+                self.network.timers,
+            )
+            for name, forwarder in self.forwarders.items()
+        }
+
+    def report(self, name: str, **counts: int) -> None:
+        forwarder = self.forwarders[name]
+        forwarder.scheduler.attempt_totals = {"llm": AttemptCounts(**counts)}
+        forwarder.work = {f"r{len(forwarder.events)}{counts}": UpstreamWork(50.0, 1, 0)}
+        forwarder.on_work_changed(True)
+
+    def test_hedges_of_others_are_known_before_a_hedge(self) -> None:
+        """Guards against a fraction that each of 72 instances uses for itself."""
+        for name in "bc":
+            self.report(name, first=0)
+        self.report("b", first=100, retries=3, hedges=2)
+        self.exchanges["c"].refresh(lambda: None)
+        self.assertEqual(self.forwarders["c"].attempts.hedging, AttemptCounts(100, hedges=2))
+        # The hub itself uses its own counts.
+        self.exchanges["a"].refresh(lambda: None)
+        self.assertEqual(self.forwarders["a"].attempts.hedging, AttemptCounts(100, 3, 2))
+
+    def test_times_of_all_instances_reach_each(self) -> None:
+        """Guards against instances that see too few requests to know which attempt is late."""
+        hedging = self.forwarders["b"].scheduler.hedging
+        for _ in range(60):
+            hedging._pending_samples.append(("llm/stream/short", 2.0))
+        self.report("b", first=60)
+        self.exchanges["c"].refresh(lambda: None)
+        (event,) = self.forwarders["c"].events
+        quantiles = event.quantiles["llm/stream/short"]
+        self.assertEqual(quantiles.count, 60)
+        self.assertAlmostEqual(quantiles.tail, 2.0, delta=0.05)
+
+    def test_hub_of_an_earlier_release(self) -> None:
+        """Guards against hedges that are taken for counted while a fleet is updated."""
+        self.exchanges["c"].refresh(lambda: None)
+        snapshot = WorkSnapshot(0, (), (), service_attempts=(("llm", 5, 1),))
+        self.exchanges["c"]._on_snapshot("a", snapshot)
+        attempts = self.forwarders["c"].attempts
+        self.assertEqual(attempts.counts, {"llm": AttemptCounts(5, 1)})
+        self.assertIsNone(attempts.hedging)
+
+    def test_messages_without_hedges(self) -> None:
+        """Guards against more traffic between instances that do not hedge."""
+        forwarder = FakeForwarder("d")
+        forwarder.scheduler.hedging.merge_samples([("c", 1.0)], 0)
+        self.assertEqual(forwarder.scheduler.hedging.own_quantiles(0), {})
+        self.assertEqual(encode_hedge_rows({"llm": AttemptCounts(5, 1)}), ())
+
+
 class ColdOffersTest(ExchangeFixture):
     """Six instances, of which `a` and `b` are hubs, and a cold upstream that bears 3 requests a second."""
 
--- a/tests/forwarding/test_evacuations.py
+++ b/tests/forwarding/test_evacuations.py
@@ -6,6 +6,7 @@
 from ibispaddle_core.scheduling import EvacuationsChanged
 from ibispaddle_daemon import evacuations
 from ibispaddle_daemon.evacuations import CHECK_INTERVAL_MS, EvacuationMonitor
+from ibispaddle_daemon.forwarding.upstreams import is_in_use
 from ibispaddle_daemon.metrics import Metrics
 
 from .fakes import ForwarderFixture, streams
@@ -74,12 +75,12 @@
         """Guards against a request that crashes one upstream after the other in an evacuation."""
         fixture = ForwarderFixture(streams())
         forwarder = fixture.forwarder
-        self.assertTrue(forwarder._is_live("u1"))
+        self.assertTrue(is_in_use(forwarder.scheduler, "u1"))
         forwarder.handle_event(EvacuationsChanged(frozenset({"dc1"})))
         self.assertEqual(forwarder.scheduler.runners.live("s"), [])
-        self.assertTrue(forwarder._is_live("u1"))
+        self.assertTrue(is_in_use(forwarder.scheduler, "u1"))
         fixture.list_upstreams("u2")
-        self.assertFalse(forwarder._is_live("u1"))
+        self.assertFalse(is_in_use(forwarder.scheduler, "u1"))
 
 
 if __name__ == "__main__":
