--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -14,7 +14,6 @@
 from .backlog import Backlog
 from .claims import MemoryClaimTable
 from .cost import CostModel, PromptClass
-from .departures import DepartureTable
 from .distance import Distances
 from .evacuations import EvacuationTable
 from .exceptions import DuplicateRequestError
@@ -23,6 +22,7 @@
 from .health import UpstreamHealth
 from .hedging import Hedging
 from .lane_backoff import LaneBackoff
+from .listed_upstreams import ListedUpstreams
 from .messages import (
     AttemptCounts,
     AttemptDelayed,
@@ -55,10 +55,8 @@
     ReservationRenewed,
     Tick,
     TokensRelayed,
-    Upstream,
     UpstreamResponded,
     UpstreamsChanged,
-    UpstreamState,
     WaitingPrompt,
 )
 from .pacing import UpstreamPacing
@@ -124,9 +122,6 @@
         )
         self.health = UpstreamHealth()
         self._peer_work = peer_work.PeerWorkTable()
-        self._peers_summed_ms = 0
-        # True while the totals in `runners` are older than the reports in `_peer_work`.
-        self._has_new_peer_work = False
         self._predicted_placement = self.placement
         self.placement = self._configured_placement()
         self._retry_budget = RetryBudget(*_retry_budget_settings(config))
@@ -183,9 +178,9 @@
             self.hedging,
         )
         self._lane_backoff = LaneBackoff()
-        self._listed: tuple[Upstream, ...] = ()
-        self._listed_ids: set[str] = set()
-        self._departures = DepartureTable()
+        self._listed = ListedUpstreams(
+            self.cost, self.runners, self.health, self.pacing, self.evacuations
+        )
 
     @classmethod
     def from_config(
@@ -251,8 +246,7 @@
                     self._prefixes.remove_runner(load.upstream_id)
                 self.runners.apply_load(load)
             case UpstreamsChanged(upstreams):
-                self._listed = upstreams
-                self._listed_ids = {upstream.upstream_id for upstream in upstreams}
+                self._listed.replace(upstreams)
                 decisions += self._change_upstreams(now_ms)
             case EvacuationsChanged(data_centres):
                 decisions += self._evacuate(data_centres, now_ms)
@@ -283,7 +277,6 @@
                 self.health.merge_peer_avoided(avoided, len(self.runners.views), now_ms)
                 self._peer_work.merge(instance, work, now_ms)
                 self._reservation_order.replace_fleet(waiting, holders, now_ms)
-                self._has_new_peer_work = True
             case FleetAttempts():
                 self._retry_budget.set_fleet_attempts(event, now_ms)
                 self.hedging.set_fleet_attempts(event, now_ms)
@@ -293,7 +286,8 @@
                 self.pacing.set_fleet(event, now_ms)
                 self.pacing.forget_missing(self.runners.views.keys())
             case UpstreamResponded():
-                decisions += self._handle_response(event, now_ms)
+                if self._listed.record_response(event, now_ms):
+                    decisions += self._change_upstreams(now_ms)
             case PeerWaitingPrompts():
                 self._reservation_order.merge(event, now_ms)
             case ReservationAnswered():
@@ -301,7 +295,7 @@
             case ReservationRenewed(request_id):
                 self._reservations.record_renewal(event)
                 if (state := self._states.get(request_id)) is not None:
-                    decisions += self._retry_rules.check_renewals(state, self._listed_ids)
+                    decisions += self._retry_rules.check_renewals(state, self._listed.ids)
             case ConfigurationReplaced(config):
                 self._replace_configuration(config, now_ms)
             case Tick():
@@ -320,7 +314,7 @@
         self._retry_budget.replace(*_retry_budget_settings(config))
         self.hedging.replace_fraction(config.scheduling.hedge_fraction)
         self.runners.refresh_models()
-        self.pacing.cold.replace_upstreams(self._listed, self.cost, now_ms)
+        self._listed.apply_limits(now_ms)
         self.placement = self._configured_placement()
 
     def next_wakeup_ms(self, now_ms: int) -> int | None:
@@ -351,11 +345,8 @@
     def _dispatch_waiting(self, now_ms: int) -> list[Decision]:
         """Dispatch waiting requests, the neighbour with the lowest consumption first."""
         decisions: list[Decision] = []
-        are_totals_expired = now_ms - self._peers_summed_ms > peer_work.EXPIRY_MS
-        if (self._has_new_peer_work or are_totals_expired) and self.queue.lanes():
-            # Totals are computed only before a choice, because reports of many instances arrive far
-            # more often.
-            self._has_new_peer_work, self._peers_summed_ms = False, now_ms
+        # Totals are computed only before a choice, because reports of many instances arrive far more often.
+        if self.queue.lanes() and self._peer_work.has_news(now_ms):
             self.runners.replace_peers(self._peer_work.totals(now_ms))
         if self.queue.lanes() and self.is_dispatch_paused():
             for lane in self.queue.lanes():
@@ -535,22 +526,6 @@
             self._distances,
         )
 
-    def _handle_response(self, event: UpstreamResponded, now_ms: int) -> list[Decision]:
-        """Apply what an upstream states about itself in a response."""
-        view = self.runners.views.get(event.upstream_id)
-        if view is None:
-            return []
-        self.pacing.observe(event.upstream_id, event.limit_per_s, now_ms)
-        if event.cold_left_ms is not None:
-            self.pacing.cold.observe(event.upstream_id, event.cold_left_ms, now_ms)
-        if event.retry_after_ms > 0:
-            self.pacing.hold(event.upstream_id, event.retry_after_ms, now_ms)
-        is_in_use = view.live or self.evacuations.is_marked(event.upstream_id)
-        if not event.is_leaving or not is_in_use:
-            return []
-        self._departures.add(view.upstream)
-        return self._change_upstreams(now_ms)
-
     def _evacuate(self, data_centres: frozenset[str], now_ms: int) -> list[Decision]:
         if not self.evacuations.replace(data_centres):
             return []
@@ -560,38 +535,14 @@
     def _change_upstreams(self, now_ms: int) -> list[Decision]:
         """Apply the list of upstreams, what they stated since, and the evacuations."""
         decisions: list[Decision] = []
-        upstreams = self.evacuations.apply(self._departures.apply(self._listed))
-        down = {view.upstream.upstream_id for view in self.runners.replace(upstreams)}
-        self.pacing.cold.replace_upstreams(upstreams, self.cost, now_ms)
-        self.health.forget_missing(set(self.runners.views))
-        self.pacing.forget_missing(self.runners.views.keys())
-        for state in list(self._states.values()):
-            # A stream that has started is left to the relay, which sees whether data still arrives.
-            used = {view.upstream.upstream_id for view in self._attempts.views(state)}
-            if state.upstream_id is None or state.first_token or state.cancelling:
-                continue
-            # Runners also count as down that are only slow to respond, so without a retry the attempt goes on.
-            if used & down:
-                decisions += self._retry_rules.cancel_for_retry(
-                    state, state.upstream_id, now_ms, is_silent=False
-                )
-        for state in list(self._states.values()):
-            decisions += self._retry_rules.check_renewals(state, self._listed_ids, is_list_new=True)
-
-        def unusable(upstream_id: str) -> bool:
-            view = self.runners.views.get(upstream_id)
-            return view is None or view.upstream.state is not UpstreamState.LIVE
-
-        for request_id in self._reservations.requests_using(unusable):
-            state = self._states[request_id]
-            if state.upstream_id is None:
-                decisions += self._reservations.release(request_id)
-                self._claims.remove(request_id)
-                self._backlog.remove(state)
-                if self.queue.is_full(state.req.neighbour):
-                    decisions += self._refuse(state, RefusalReason.NO_UPSTREAM, MIN_RETRY_AFTER_MS)
-                else:
-                    self._backlog.add(state)
+        down = self._listed.apply(now_ms)
+        states = list(self._states.values())
+        decisions += self._retry_rules.replace_down(states, down, self._listed.ids, now_ms)
+        for state in self._groups.requeue_lost(decisions):
+            if self.queue.is_full(state.req.neighbour):
+                decisions += self._refuse(state, RefusalReason.NO_UPSTREAM, MIN_RETRY_AFTER_MS)
+            else:
+                self._backlog.add(state)
         return decisions
 
     def _expire(self, now_ms: int) -> list[Decision]:
--- a/packages/core/src/ibispaddle_core/scheduling/group_reservations.py
+++ b/packages/core/src/ibispaddle_core/scheduling/group_reservations.py
@@ -183,6 +183,25 @@
         self._backlog.add(state)
         return decisions
 
+    def requeue_lost(self, decisions: list[Decision]) -> list[RequestState]:
+        """Free the reservations of prompts that wait for a runner which gets no more work.
+
+        The decisions are appended, and the prompts are returned, to be queued again or refused.
+        """
+        lost = []
+        for request_id in self._reservations.requests_using(self._is_lost):
+            state = self._states[request_id]
+            if state.upstream_id is None:
+                decisions += self._reservations.release(request_id)
+                self._claims.remove(request_id)
+                self._backlog.remove(state)
+                lost.append(state)
+        return lost
+
+    def _is_lost(self, upstream_id: str) -> bool:
+        view = self._runners.views.get(upstream_id)
+        return view is None or not view.live
+
     def claim_waiting(self, now_ms: int) -> None:
         """Claim the memory that prompts have waited for at their runners for long."""
         for request_id, upstream_id, tokens in self._reservations.take_unclaimed(
--- a/packages/core/src/ibispaddle_core/scheduling/peer_work.py
+++ b/packages/core/src/ibispaddle_core/scheduling/peer_work.py
@@ -13,13 +13,21 @@
 
     def __init__(self) -> None:
         self._reports: dict[str, tuple[int, Mapping[str, UpstreamWork]]] = {}
+        self._has_new_reports = False  # Since the last totals.
+        self._summed_ms = 0
 
     def merge(self, instance: str, work: Mapping[str, UpstreamWork], now_ms: int) -> None:
         """Replace the work of an instance."""
         self._reports[instance] = (now_ms, work)
+        self._has_new_reports = True
+
+    def has_news(self, now_ms: int) -> bool:
+        """Return whether reports have arrived or expired since the last totals."""
+        return self._has_new_reports or now_ms - self._summed_ms > EXPIRY_MS
 
     def totals(self, now_ms: int) -> dict[str, UpstreamWork]:
         """Return the totals of the latest reports by upstream."""
+        self._has_new_reports, self._summed_ms = False, now_ms
         self._reports = {
             instance: report
             for instance, report in self._reports.items()
--- a/packages/core/src/ibispaddle_core/scheduling/retry_rules.py
+++ b/packages/core/src/ibispaddle_core/scheduling/retry_rules.py
@@ -1,6 +1,6 @@
 """Rules for attempts that fail, are silent or compete: what follows, and what they count as."""
 
-from collections.abc import Collection
+from collections.abc import Collection, Sequence
 from enum import Enum, auto
 
 from ..shares import ShareCounters
@@ -230,6 +230,30 @@
             and now_ms + self._admission.service_ms(req) <= req.deadline_ms
         )
 
+    def replace_down(
+        self,
+        states: Sequence[RequestState],
+        down: Collection[str],
+        listed: Collection[str],
+        now_ms: int,
+    ) -> list[Decision]:
+        """Cancel the attempts whose runners are down, or have left the list and do not respond.
+
+        Runners also count as down that are only slow to respond, so without a retry an attempt goes on. A
+        stream that has started is left to the relay, which sees whether data still arrives.
+        """
+        decisions: list[Decision] = []
+        for state in states:
+            if state.upstream_id is None or state.first_token or state.cancelling:
+                continue
+            used = {view.upstream.upstream_id for view in self._attempts.views(state)}
+            if not used.isdisjoint(down):
+                upstream_id = state.upstream_id
+                decisions += self.cancel_for_retry(state, upstream_id, now_ms, is_silent=False)
+        for state in states:
+            decisions += self.check_renewals(state, listed, is_list_new=True)
+        return decisions
+
     def check_renewals(
         self, state: RequestState, listed: Collection[str], is_list_new: bool = False
     ) -> list[Decision]:
