--- a/packages/core/src/ibispaddle_core/hubs/work.py
+++ b/packages/core/src/ibispaddle_core/hubs/work.py
@@ -86,11 +86,7 @@
             }
             ordered = in_turn(instances, self._holders)
             self._waiting = [(instances[prompt], prompt) for prompt in ordered]
-        others = (
-            prompt
-            for name, prompt in self._waiting
-            if name != instance and prompt.latest_start_ms >= now_ms
-        )
+        others = (prompt for name, prompt in self._waiting if name != instance)
         return tuple(islice(others, MAX_FLEET_REPORTED))
 
     def _expire(self, now_ms: int) -> None:
--- a/packages/core/src/ibispaddle_core/scheduling/group_reservations.py
+++ b/packages/core/src/ibispaddle_core/scheduling/group_reservations.py
@@ -217,11 +217,20 @@
 
         Further delay of a prompt that is late costs its caller less, until it could not end any more.
         """
-        if req.ttft_objective_ms is not None:
-            in_time_ms = req.arrived_ms + req.ttft_objective_ms - self._cost.idle_ttft_ms(req)
-            if in_time_ms >= now_ms:
-                return int(in_time_ms)
-        return self._latest_start_ms(req)
+        if req.ttft_objective_ms is None:
+            return self._latest_start_ms(req)
+        if self._is_late(req, now_ms):
+            # Leaves time for one more prompt that may hold the memory.
+            service_ms = self._cost.idle_ttft_ms(req) + self._cost.decode_ms(req)
+            return self._latest_start_ms(req) - int(service_ms)
+        return int(req.arrived_ms + req.ttft_objective_ms - self._cost.idle_ttft_ms(req))
+
+    def _is_late(self, req: Request, now_ms: int) -> bool:
+        """Return whether a prompt has an objective that it can no longer reach."""
+        if req.ttft_objective_ms is None:
+            return False
+        first_ms = now_ms + self._cost.idle_ttft_ms(req)
+        return first_ms > req.arrived_ms + req.ttft_objective_ms
 
     def _latest_start_ms(self, req: Request) -> int:
         first_ms = self._cost.idle_ttft_ms(req)
@@ -243,6 +252,8 @@
             return False
         own = self._describe(state, now_ms)
         before = self._order.prompts_before(own, self.holders(), now_ms)
+        if self._is_late(state.req, now_ms):
+            before = []  # They come first only until its deadline is near.
         missing = sum(prompt.tokens for prompt in before) + own.tokens - self._room(state)
         live = self._runners.live_for(state.req)
         used = sum(view.kv_total - view.kv_free() for view in live)
--- a/packages/core/src/ibispaddle_core/scheduling/reservation_order.py
+++ b/packages/core/src/ibispaddle_core/scheduling/reservation_order.py
@@ -86,12 +86,7 @@
         """Return the other instances' prompts that come before one of this instance."""
         if not self.has_fleet_prompts(now_ms):
             return []
-        # A prompt that can no longer end in time is about to be refused.
-        others = [
-            peer
-            for peer in self._fleet
-            if peer.model == prompt.model and peer.latest_start_ms >= now_ms
-        ]
+        others = [peer for peer in self._fleet if peer.model == prompt.model]
         if not others:
             return []
         own = {**self._waiting, prompt.request_id: prompt}.values()
