--- a/packages/core/src/ibispaddle_core/scheduling/backlog.py
+++ b/packages/core/src/ibispaddle_core/scheduling/backlog.py
@@ -56,6 +56,10 @@
         self._states[req.request_id] = state
         state.queued = True
 
+    def is_full(self, neighbour: str) -> bool:
+        """Return whether the neighbour's queue has no place."""
+        return self._queue.is_full(neighbour)
+
     def remove(self, state: RequestState) -> None:
         """Remove a request and release its place in the neighbour's queue, if it has one."""
         req = state.req
--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -58,7 +58,6 @@
     Upstream,
     UpstreamResponded,
     UpstreamsChanged,
-    UpstreamState,
     WaitingPrompt,
 )
 from .pacing import UpstreamPacing
@@ -578,20 +577,10 @@
         for state in list(self._states.values()):
             decisions += self._retry_rules.check_renewals(state, self._listed_ids, is_list_new=True)
 
-        def unusable(upstream_id: str) -> bool:
-            view = self.runners.views.get(upstream_id)
-            return view is None or view.upstream.state is not UpstreamState.LIVE
-
-        for request_id in self._reservations.requests_using(unusable):
-            state = self._states[request_id]
-            if state.upstream_id is None:
-                decisions += self._reservations.release(request_id)
-                self._claims.remove(request_id)
-                self._backlog.remove(state)
-                if self.queue.is_full(state.req.neighbour):
-                    decisions += self._refuse(state, RefusalReason.NO_UPSTREAM, MIN_RETRY_AFTER_MS)
-                else:
-                    self._backlog.add(state)
+        released, refused = self._groups.release_unusable()
+        decisions += released
+        for state in refused:
+            decisions += self._refuse(state, RefusalReason.NO_UPSTREAM, MIN_RETRY_AFTER_MS)
         return decisions
 
     def _expire(self, now_ms: int) -> list[Decision]:
--- a/packages/core/src/ibispaddle_core/scheduling/group_reservations.py
+++ b/packages/core/src/ibispaddle_core/scheduling/group_reservations.py
@@ -22,6 +22,7 @@
     Request,
     ReservationAnswered,
     ReservationOutcome,
+    UpstreamState,
     WaitingPrompt,
 )
 from .pacing import UpstreamPacing
@@ -183,6 +184,31 @@
         self._backlog.add(state)
         return decisions
 
+    def release_unusable(self) -> tuple[list[Decision], list[RequestState]]:
+        """Give up groups with a runner that takes no new work.
+
+        Return the decisions, and the prompts that must be refused because their neighbour's queue is full.
+        """
+
+        def is_unusable(upstream_id: str) -> bool:
+            view = self._runners.views.get(upstream_id)
+            return view is None or view.upstream.state is not UpstreamState.LIVE
+
+        decisions: list[Decision] = []
+        refused = []
+        for request_id in self._reservations.requests_using(is_unusable):
+            state = self._states[request_id]
+            if state.upstream_id is not None:
+                continue
+            decisions += self._reservations.release(request_id)
+            self._claims.remove(request_id)
+            self._backlog.remove(state)
+            if self._backlog.is_full(state.req.neighbour):
+                refused.append(state)
+            else:
+                self._backlog.add(state)
+        return decisions, refused
+
     def claim_waiting(self, now_ms: int) -> None:
         """Claim the memory that prompts have waited for at their runners for long."""
         for request_id, upstream_id, tokens in self._reservations.take_unclaimed(
