--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -538,11 +538,10 @@
         down = self._listed.apply(now_ms)
         states = list(self._states.values())
         decisions += self._retry_rules.replace_down(states, down, self._listed.ids, now_ms)
-        for state in self._groups.requeue_lost(decisions):
-            if self.queue.is_full(state.req.neighbour):
-                decisions += self._refuse(state, RefusalReason.NO_UPSTREAM, MIN_RETRY_AFTER_MS)
-            else:
-                self._backlog.add(state)
+        released, refused = self._groups.release_unusable()
+        decisions += released
+        for state in refused:
+            decisions += self._refuse(state, RefusalReason.NO_UPSTREAM, MIN_RETRY_AFTER_MS)
         return decisions
 
     def _expire(self, now_ms: int) -> list[Decision]:
--- a/packages/core/src/ibispaddle_core/scheduling/group_reservations.py
+++ b/packages/core/src/ibispaddle_core/scheduling/group_reservations.py
@@ -22,6 +22,7 @@
     Request,
     ReservationAnswered,
     ReservationOutcome,
+    UpstreamState,
     WaitingPrompt,
 )
 from .pacing import UpstreamPacing
@@ -183,24 +184,30 @@
         self._backlog.add(state)
         return decisions
 
-    def requeue_lost(self, decisions: list[Decision]) -> list[RequestState]:
-        """Free the reservations of prompts that wait for a runner which gets no more work.
+    def release_unusable(self) -> tuple[list[Decision], list[RequestState]]:
+        """Give up groups with a runner that takes no new work.
 
-        The decisions are appended, and the prompts are returned, to be queued again or refused.
+        Return the decisions, and the prompts that must be refused because their neighbour's queue is full.
         """
-        lost = []
-        for request_id in self._reservations.requests_using(self._is_lost):
-            state = self._states[request_id]
-            if state.upstream_id is None:
-                decisions += self._reservations.release(request_id)
-                self._claims.remove(request_id)
-                self._backlog.remove(state)
-                lost.append(state)
-        return lost
 
-    def _is_lost(self, upstream_id: str) -> bool:
-        view = self._runners.views.get(upstream_id)
-        return view is None or not view.live
+        def is_unusable(upstream_id: str) -> bool:
+            view = self._runners.views.get(upstream_id)
+            return view is None or view.upstream.state is not UpstreamState.LIVE
+
+        decisions: list[Decision] = []
+        refused = []
+        for request_id in self._reservations.requests_using(is_unusable):
+            state = self._states[request_id]
+            if state.upstream_id is not None:
+                continue
+            decisions += self._reservations.release(request_id)
+            self._claims.remove(request_id)
+            self._backlog.remove(state)
+            if self._backlog.is_full(state.req.neighbour):
+                refused.append(state)
+            else:
+                self._backlog.add(state)
+        return decisions, refused
 
     def claim_waiting(self, now_ms: int) -> None:
         """Claim the memory that prompts have waited for at their runners for long."""
@@ -236,11 +243,20 @@
 
         Further delay of a prompt that is late costs its caller less, until it could not end any more.
         """
-        if req.ttft_objective_ms is not None:
-            in_time_ms = req.arrived_ms + req.ttft_objective_ms - self._cost.idle_ttft_ms(req)
-            if in_time_ms >= now_ms:
-                return int(in_time_ms)
-        return self._latest_start_ms(req)
+        if req.ttft_objective_ms is None:
+            return self._latest_start_ms(req)
+        if self._is_late(req, now_ms):
+            # Leaves time for one more prompt that may hold the memory.
+            service_ms = self._cost.idle_ttft_ms(req) + self._cost.decode_ms(req)
+            return self._latest_start_ms(req) - int(service_ms)
+        return int(req.arrived_ms + req.ttft_objective_ms - self._cost.idle_ttft_ms(req))
+
+    def _is_late(self, req: Request, now_ms: int) -> bool:
+        """Return whether a prompt has an objective that it can no longer reach."""
+        if req.ttft_objective_ms is None:
+            return False
+        first_ms = now_ms + self._cost.idle_ttft_ms(req)
+        return first_ms > req.arrived_ms + req.ttft_objective_ms
 
     def _latest_start_ms(self, req: Request) -> int:
         first_ms = self._cost.idle_ttft_ms(req)
@@ -262,6 +278,8 @@
             return False
         own = self._describe(state, now_ms)
         before = self._order.prompts_before(own, self.holders(), now_ms)
+        if self._is_late(state.req, now_ms):
+            before = []  # They come first only until its deadline is near.
         missing = sum(prompt.tokens for prompt in before) + own.tokens - self._room(state)
         live = self._runners.live_for(state.req)
         used = sum(view.kv_total - view.kv_free() for view in live)
