--- a/packages/bench/src/ibispaddle_bench/waiting_costs.py
+++ b/packages/bench/src/ibispaddle_bench/waiting_costs.py
@@ -28,7 +28,7 @@
     return WaitingPrompt(
         0,
         f"edge_hu_central_a_{instance}-61078cff-{number}",
-        model="bid-llm",
+        model="llm",
         workspace=f"workspace-{(instance + number) % WORKSPACES}",
         tokens=400_000,
         latest_start_ms=1_000_000 + 7 * instance + number,
--- a/packages/client/src/ibispaddle_client/commands/evacuate.py
+++ b/packages/client/src/ibispaddle_client/commands/evacuate.py
@@ -32,7 +32,7 @@
 
     The evacuation lasts until the data centre is restored, also when instances or upstreams restart.
 
-    Example: ibispaddle evacuate kayseri --reason "power maintenance" --wait
+    Example: ibispaddle evacuate dc1 --reason "power maintenance" --wait
     """
     api = OperatorApi(server, key)
     known = known_data_centres(api)
--- a/packages/client/src/ibispaddle_client/commands/restore.py
+++ b/packages/client/src/ibispaddle_client/commands/restore.py
@@ -18,7 +18,7 @@
 ) -> None:
     """Restore an evacuated data centre: its upstreams get new requests again.
 
-    Example: ibispaddle restore kayseri --wait
+    Example: ibispaddle restore dc1 --wait
     """
     api = OperatorApi(server, key)
     refuse_overlay_conflict(api, data_centre)
--- a/packages/core/src/ibispaddle_core/forwarding/messages.py
+++ b/packages/core/src/ibispaddle_core/forwarding/messages.py
@@ -22,7 +22,7 @@
     # Time for which an upstream that refused the request wants no other one from this instance.
     retry_after_ms: int = 0
     is_leaving: bool = False  # The upstream is about to end and wants no new work.
-    cold_left_ms: int | None = None  # Time for which it stays cold, if it states that.
+    cold_remaining_ms: int | None = None  # Time for which it stays cold, if it states that.
 
 
 @dataclass(frozen=True)
--- a/packages/core/src/ibispaddle_core/membership/registrations.py
+++ b/packages/core/src/ibispaddle_core/membership/registrations.py
@@ -25,7 +25,7 @@
     boot_ms: int | None = None  # Unix time of its start; identifies the process.
     # Time for which it stays cold, if it states that. It decreases with each heartbeat, so that it is
     # compared by `ColdCountdowns`.
-    cold_left_ms: int | None = field(default=None, compare=False)
+    cold_remaining_ms: int | None = field(default=None, compare=False)
 
 
 class ColdCountdowns:
@@ -94,7 +94,7 @@
                 continue
             self._grace_until_ms.pop(name, None)
             is_changed = self._registrations.get(name) != value
-            left_ms = value.cold_left_ms
+            left_ms = value.cold_remaining_ms
             if left_ms is not None and self._countdowns.apply(name, left_ms, now_ms):
                 is_changed = True
             if is_changed:
--- a/packages/core/src/ibispaddle_core/scheduling/base.py
+++ b/packages/core/src/ibispaddle_core/scheduling/base.py
@@ -22,7 +22,6 @@
 from .health import UpstreamHealth
 from .hedging import Hedging
 from .lane_backoff import LaneBackoff
-from .listed_upstreams import ListedUpstreams
 from .messages import (
     AttemptCounts,
     AttemptDelayed,
@@ -71,6 +70,7 @@
 from .runners import RunnerTable
 from .subsets import PEER_EXPIRY_MS, REFRESH_MS, RunnerSubsets
 from .timers import Timers
+from .upstream_list import UpstreamList
 
 # Interval at which an overdue attempt that no other upstream can replace is checked again.
 SILENCE_RECHECK_MS = 500
@@ -178,7 +178,7 @@
             self.hedging,
         )
         self._lane_backoff = LaneBackoff()
-        self._listed = ListedUpstreams(
+        self._upstream_list = UpstreamList(
             self.cost, self.runners, self.health, self.pacing, self.evacuations
         )
 
@@ -246,7 +246,7 @@
                     self._prefixes.remove_runner(load.upstream_id)
                 self.runners.apply_load(load)
             case UpstreamsChanged(upstreams):
-                self._listed.replace(upstreams)
+                self._upstream_list.replace(upstreams)
                 decisions += self._change_upstreams(now_ms)
             case EvacuationsChanged(data_centres):
                 decisions += self._evacuate(data_centres, now_ms)
@@ -286,7 +286,7 @@
                 self.pacing.set_fleet(event, now_ms)
                 self.pacing.forget_missing(self.runners.views.keys())
             case UpstreamResponded():
-                if self._listed.record_response(event, now_ms):
+                if self._upstream_list.record_response(event, now_ms):
                     decisions += self._change_upstreams(now_ms)
             case PeerWaitingPrompts():
                 self._reservation_order.merge(event, now_ms)
@@ -295,7 +295,7 @@
             case ReservationRenewed(request_id):
                 self._reservations.record_renewal(event)
                 if (state := self._states.get(request_id)) is not None:
-                    decisions += self._retry_rules.check_renewals(state, self._listed.ids)
+                    decisions += self._retry_rules.check_renewals(state, self._upstream_list.ids)
             case ConfigurationReplaced(config):
                 self._replace_configuration(config, now_ms)
             case Tick():
@@ -314,7 +314,7 @@
         self._retry_budget.replace(*_retry_budget_settings(config))
         self.hedging.replace_fraction(config.scheduling.hedge_fraction)
         self.runners.refresh_models()
-        self._listed.apply_limits(now_ms)
+        self._upstream_list.apply_limits(now_ms)
         self.placement = self._configured_placement()
 
     def next_wakeup_ms(self, now_ms: int) -> int | None:
@@ -535,9 +535,9 @@
     def _change_upstreams(self, now_ms: int) -> list[Decision]:
         """Apply the list of upstreams, what they stated since, and the evacuations."""
         decisions: list[Decision] = []
-        down = self._listed.apply(now_ms)
+        down = self._upstream_list.apply(now_ms)
         states = list(self._states.values())
-        decisions += self._retry_rules.replace_down(states, down, self._listed.ids, now_ms)
+        decisions += self._retry_rules.replace_down(states, down, self._upstream_list.ids, now_ms)
         released, refused = self._groups.release_unusable()
         decisions += released
         for state in refused:
--- a/packages/core/src/ibispaddle_core/scheduling/messages.py
+++ b/packages/core/src/ibispaddle_core/scheduling/messages.py
@@ -432,7 +432,7 @@
 
     `limit_per_s` is the number of requests a second that it takes from all instances together, or
     None if it states no limit. With `is_leaving`, it is about to end and wants no new work. It wants no
-    request from this instance for `retry_after_ms`. It stays cold for `cold_left_ms`, or states nothing
+    request from this instance for `retry_after_ms`. It stays cold for `cold_remaining_ms`, or states nothing
     about that.
     """
 
@@ -440,7 +440,7 @@
     limit_per_s: float | None = None
     is_leaving: bool = False
     retry_after_ms: int = 0
-    cold_left_ms: int | None = None
+    cold_remaining_ms: int | None = None
 
 
 @dataclass(frozen=True)
--- a/packages/core/src/ibispaddle_core/scheduling/listed_upstreams.py
+++ b/packages/core/src/ibispaddle_core/scheduling/upstream_list.py
@@ -11,7 +11,7 @@
 from .runners import RunnerTable
 
 
-class ListedUpstreams:
+class UpstreamList:
     """Apply the list of upstreams, and what changes it, to the tables of the scheduler."""
 
     def __init__(
@@ -52,8 +52,8 @@
         if view is None:
             return False
         self._pacing.observe(event.upstream_id, event.limit_per_s, now_ms)
-        if event.cold_left_ms is not None:
-            self._pacing.cold.observe(event.upstream_id, event.cold_left_ms, now_ms)
+        if event.cold_remaining_ms is not None:
+            self._pacing.cold.observe(event.upstream_id, event.cold_remaining_ms, now_ms)
         if event.retry_after_ms > 0:
             self._pacing.hold(event.upstream_id, event.retry_after_ms, now_ms)
         is_in_use = view.live or self._evacuations.is_marked(event.upstream_id)
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/upstreams.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/upstreams.py
@@ -80,7 +80,7 @@
     if head.is_for_other_request or head.status == STATUS_MISDIRECTED:
         return None  # Another upstream may have sent it.
     has_statement = head.limit_per_s is not None or head.is_leaving or head.retry_after_ms > 0
-    has_statement |= head.cold_left_ms is not None
+    has_statement |= head.cold_remaining_ms is not None
     if not has_statement and not scheduler.pacing.is_limited(upstream_id):
         return None
     if head.is_leaving and is_in_use(scheduler, upstream_id):
@@ -90,7 +90,7 @@
         head.limit_per_s,
         head.is_leaving,
         head.retry_after_ms,
-        head.cold_left_ms,
+        head.cold_remaining_ms,
     )
 
 
--- a/packages/daemon/src/ibispaddle_daemon/store/upstreams.py
+++ b/packages/daemon/src/ibispaddle_daemon/store/upstreams.py
@@ -82,11 +82,11 @@
         known, registration = self._decode(key, old), self._decode(key, new)
         if known != registration or known is None or registration is None:
             return known == registration
-        left_ms = registration.cold_left_ms or 0
+        left_ms = registration.cold_remaining_ms or 0
         if self._relayed_countdowns.apply(key, left_ms, self._clock.now_ms()):
             return False
         # Instances that read the entry later must not take it for cold because of an old countdown.
-        return (known.cold_left_ms or 0) == 0 or left_ms > 0
+        return (known.cold_remaining_ms or 0) == 0 or left_ms > 0
 
     def _report(self) -> None:
         entries = self._table.entries()
--- a/tests/forwarding/test_large_lists.py
+++ b/tests/forwarding/test_large_lists.py
@@ -64,7 +64,7 @@
         self.clock = ManualClock()
 
         def decode(key: str, value: bytes) -> Registration:
-            return Registration(key, "s", "x:1", "dc", cold_left_ms=int(value))
+            return Registration(key, "s", "x:1", "dc", cold_remaining_ms=int(value))
 
         timers = FakeTimers(self.clock)
         self.directory = UpstreamDirectory("t", "http://x", None, decode, self.clock, timers)
--- a/tests/membership/test_registrations.py
+++ b/tests/membership/test_registrations.py
@@ -74,7 +74,7 @@
     def cold(self, name: str, left_ms: int | None, now_ms: int) -> int | None:
         """Apply a heartbeat, and return the end of the cold time in the list."""
         item = registration(name)
-        item = Registration(name, item.service, item.address, "dc", cold_left_ms=left_ms)
+        item = Registration(name, item.service, item.address, "dc", cold_remaining_ms=left_ms)
         self.table.apply({name: item}, False, now_ms)
         return {entry.id: entry.cold_until_ms for entry in self.table.entries()}[name]
 
--- a/tests/platform_adapter/test_headers.py
+++ b/tests/platform_adapter/test_headers.py
@@ -111,10 +111,12 @@
         """Guards against a cold time that is not read, or read from a value that is none."""
         for text, expected in (("1200", 1_200), ("0", 0), ("12.6", 13), ("9" * 15, MAX_COLD_MS)):
             head = CODEC.read_head(200, (("Cold-Ms", text),), "a")
-            self.assertEqual(head.cold_left_ms, expected, text)
+            self.assertEqual(head.cold_remaining_ms, expected, text)
         for text in ("", "-1", "soon", "inf", "nan"):
-            self.assertIsNone(CODEC.read_head(200, (("Cold-Ms", text),), "a").cold_left_ms, text)
-        self.assertIsNone(CODEC.read_head(200, (), "a").cold_left_ms)
+            self.assertIsNone(
+                CODEC.read_head(200, (("Cold-Ms", text),), "a").cold_remaining_ms, text
+            )
+        self.assertIsNone(CODEC.read_head(200, (), "a").cold_remaining_ms)
 
     def test_leaving_runner(self) -> None:
         """Guards against a runner that leaves and is not recognised, or one that stays and is."""
--- a/tests/platform_adapter/test_records.py
+++ b/tests/platform_adapter/test_records.py
@@ -261,7 +261,7 @@
             value = json.dumps({**self.ENTRY, "cold_left_ms": left_ms}).encode()
             read[left_ms] = read_registration("i-1", value)
         self.assertEqual(
-            [item.cold_left_ms for item in read.values()], [None, 0, 1_800, 0, MAX_COLD_MS]
+            [item.cold_remaining_ms for item in read.values()], [None, 0, 1_800, 0, MAX_COLD_MS]
         )
         self.assertEqual(len({*read.values()}), 1)
 
--- a/tests/scheduling/test_cold_upstreams.py
+++ b/tests/scheduling/test_cold_upstreams.py
@@ -368,9 +368,9 @@
         self.list(0, upstream(0, 3_000))
         self.list(5_000, upstream(0, 8_000))
         self.assertTrue(self.is_cold(7_999))
-        self.scheduler.handle(UpstreamResponded("r0", cold_left_ms=2_000), 9_000)
+        self.scheduler.handle(UpstreamResponded("r0", cold_remaining_ms=2_000), 9_000)
         self.assertTrue(self.is_cold(10_999))
-        self.scheduler.handle(UpstreamResponded("r0", cold_left_ms=0), 10_000)
+        self.scheduler.handle(UpstreamResponded("r0", cold_remaining_ms=0), 10_000)
         self.assertFalse(self.is_cold(10_001))
 
     def test_another_instance_knows_first(self) -> None:
@@ -385,7 +385,7 @@
         """The others still announce a cold time that the upstream itself has ended."""
         self.list(0, upstream(0, 3_000))
         self.offer(100, r0=0)
-        self.scheduler.handle(UpstreamResponded("r0", cold_left_ms=0), 200)
+        self.scheduler.handle(UpstreamResponded("r0", cold_remaining_ms=0), 200)
         self.offer(300, r0=0)
         self.assertFalse(self.is_cold(300))
 
