Freed a group's memory in one step, and checked the size of a prompt once

No change of behaviour: two copies of the step that frees a group are one, a definition of RunnerView.live that stood twice is called, and a check of the size is left to Admission.check_upstreams, which runs before it.

--- a/packages/core/src/ibispaddle_core/scheduling/group_reservations.py
+++ b/packages/core/src/ibispaddle_core/scheduling/group_reservations.py
@@ -22,7 +22,6 @@
     Request,
     ReservationAnswered,
     ReservationOutcome,
-    UpstreamState,
     WaitingPrompt,
 )
 from .pacing import UpstreamPacing
@@ -90,8 +89,6 @@
     def begin(self, state: RequestState, idle_only: bool, now_ms: int) -> AdmissionRefusal | bool:
         """Start reservations for a waiting prompt and return whether it did, or a refusal."""
         req = state.req
-        if self._cost.min_segments(req) > len(self._runners.live_for(req)):
-            return AdmissionRefusal(RefusalReason.TOO_LARGE)
         if not self.pace.may_start(req.request_id, now_ms):
             return False
         incomplete = self._reservations.reserving()
@@ -178,10 +175,15 @@
 
     def requeue(self, state: RequestState) -> list[Decision]:
         """Free the reservations of a prompt and queue it again for another group."""
+        decisions = self._give_up(state)
+        self._backlog.add(state)
+        return decisions
+
+    def _give_up(self, state: RequestState) -> list[Decision]:
+        """Free the reservations of a prompt and remove it from the backlog."""
         decisions = self._reservations.release(state.req.request_id)
         self._claims.remove(state.req.request_id)
         self._backlog.remove(state)
-        self._backlog.add(state)
         return decisions
 
     def release_unusable(self) -> tuple[list[Decision], list[RequestState]]:
@@ -192,7 +194,7 @@
 
         def is_unusable(upstream_id: str) -> bool:
             view = self._runners.views.get(upstream_id)
-            return view is None or view.upstream.state is not UpstreamState.LIVE
+            return view is None or not view.live
 
         decisions: list[Decision] = []
         refused = []
@@ -200,9 +202,7 @@
             state = self._states[request_id]
             if state.upstream_id is not None:
                 continue
-            decisions += self._reservations.release(request_id)
-            self._claims.remove(request_id)
-            self._backlog.remove(state)
+            decisions += self._give_up(state)
             if self._backlog.is_full(state.req.neighbour):
                 refused.append(state)
             else:
