Kept responses without a length from ending with a reset that a write reports

What callers saw: a runner answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got the part as a complete 200, a stream that was cut after a whole event as a complete stream.

Cause: the system reports a reset once. `HttpConnection._write_output` got it from `send` and then read what was left; `recv` returned no data, as at a regular end, and h11 completed the response.

Why it works: after a failed write, a read without data only ends a response if the write failed with a broken pipe: the system reports that if the upstream's regular end came before the reset. Over TLS a read without data is the authenticated end, so nothing changes there; its tests passed before. A completion of an engine through the own interface was never taken for complete, because it lacks its last event.

--- a/packages/daemon/src/ibispaddle_daemon/http_connection.py
+++ b/packages/daemon/src/ibispaddle_daemon/http_connection.py
@@ -77,7 +77,7 @@
         self._paused = False
         self._is_deferred = False  # Received data waits for `continue_processing`.
         self._interim_responses = 0
-        self._write_failed = False
+        self._write_error: OSError | None = None
         self._http: Any = None
         self._uses_tls = False
         self._tcp_open = False
@@ -93,7 +93,7 @@
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._output.clear()
         self._paused = self._is_deferred = False
-        self._write_failed = False
+        self._write_error = None
         self.byte_sent = self.is_refused = False
         self._sock = self._create_socket()
         self._uses_tls = tls is not None
@@ -278,7 +278,7 @@
                     break
                 # The upstream may have responded before it closed the connection, so its response
                 # is read first.
-                self._write_failed = True
+                self._write_error = exc
                 self._output.clear()
                 self._receive()
                 if self._connected:
@@ -324,6 +324,9 @@
         if self._http.our_state is h11.IDLE:
             self._fail(CallFailure.CLOSED, "the idle connection was closed")
             return
+        if not data and self._is_reset_by_write():
+            self._fail(CallFailure.CLOSED, str(self._write_error))
+            return
         try:
             self._http.receive_data(data)
         except h11.RemoteProtocolError as exc:
@@ -331,6 +334,20 @@
             return
         self._process_received(is_closed=not data)
 
+    def _is_reset_by_write(self) -> bool:
+        """Return whether a write has failed because the upstream reset the connection.
+
+        The system reports a reset only once. If a write gets the error, reads then return no data, as
+        after a regular end, which would complete a response without a length. A write fails with a
+        broken pipe instead if the upstream had ended its side before the reset. With TLS, reads
+        return no data only after a close_notify.
+        """
+        return not (
+            self._uses_tls
+            or self._write_error is None
+            or isinstance(self._write_error, BrokenPipeError)
+        )
+
     def continue_processing(self) -> None:
         """Process received data that was deferred."""
         if not self._is_deferred:
@@ -395,7 +412,7 @@
         http = self._http
         reusable = (
             not self._output
-            and not self._write_failed
+            and self._write_error is None
             and not self._paused
             and http.our_state is h11.DONE
             and http.their_state is h11.DONE
