Rejected responses with a status above 599

What callers saw: a response with the status 600 or 999 of a runner in trouble came as an answer, with that status and body.

Cause: h11 accepts any status from 100 to 999; 100 to 599 are valid (RFC 9110, section 15).

Why it works: `HttpConnection` reads all responses of upstreams and of the store. It checks the status before it reports the head, and a response without a valid one is a protocol error, as is one with the status 000.

--- a/packages/daemon/src/ibispaddle_daemon/http_connection.py
+++ b/packages/daemon/src/ibispaddle_daemon/http_connection.py
@@ -22,6 +22,8 @@
 MAX_HEAD_BYTES = 65_536
 # Maximum number of interim responses (1xx) before a response. Upstreams send one at most.
 MAX_INTERIM_RESPONSES = 16
+# Larger status codes are invalid (RFC 9110, section 15).
+MAX_STATUS = 599
 # Parts of a response, for example chunks, that are processed before other connections are served: about 20 ms.
 MAX_EVENTS_PER_TURN = 512
 
@@ -376,6 +378,7 @@
                 case h11.Data():
                     parts.append(bytes(event.data))
                 case h11.Response():
+                    self._check_status_line(event)
                     headers = tuple(
                         (k.decode("ascii"), v.decode("latin-1")) for k, v in event.headers
                     )
@@ -401,6 +404,12 @@
                 self._poller.removeReader(self._sock)
             self._listener.processing_deferred(self)
 
+    def _check_status_line(self, response: h11.Response) -> None:
+        """Raise `h11.RemoteProtocolError` for a status line that h11 accepts although it is invalid."""
+        if response.status_code > MAX_STATUS:
+            text = f"the status {response.status_code} is not between 100 and {MAX_STATUS}"
+            raise h11.RemoteProtocolError(text)
+
     def _report_data(self, parts: list[bytes]) -> None:
         if parts and self._connected:
             self._listener.data_received(self, parts[0] if len(parts) == 1 else b"".join(parts))
--- a/tests/platform_adapter/test_faulty_upstreams.py
+++ b/tests/platform_adapter/test_faulty_upstreams.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 from http.client import HTTPException, IncompleteRead
 
+from tests.support.broken_heads import INVALID_STATUS_HEADS
 from tests.support.http import HttpResponse
 from tests.support.waiting import wait_until
 
@@ -117,6 +118,35 @@
                 self.assertEqual(upstream.runs, 1)
                 self.remove(upstream)
 
+    def assert_rejected(self, heads: Sequence[bytes]) -> None:
+        """Check that callers get none of the responses, which look like a success or a failure."""
+        fields = b"Server-Stamp: x\r\nAttempt-Id: ID\r\n"
+        responses = [head + fields + b"\r\nwhole" for head in heads]
+        upstream = self.register("shop", *responses)
+        for number, head in enumerate(heads):
+            with self.subTest(head):
+                response = self.instance.call("POST", "/once/x")
+                self.assertEqual((response.status, upstream.runs), (502, number + 1))
+                self.assertNotIn("server-stamp", response.headers)
+                self.assertNotIn(b"whole", response.body)
+        self.remove(upstream)
+        # Repeatable requests are sent more than once, so a call is not one response of the upstream.
+        upstream = self.register("shop", *responses)
+        while upstream.runs < len(heads):
+            response = self.instance.call("GET", "/read/x", Deadline_Ms="300")
+            self.assertGreaterEqual(response.status, 500)
+            self.assertNotIn(b"whole", response.body)
+        fields += b"Content-Type: text/event-stream\r\n"
+        upstream = self.register("llm", *(h + fields + b"\r\nid: 1\ndata: a\n\n" for h in heads))
+        while upstream.runs < len(heads):
+            response = self.instance.stream(Deadline_Ms="300")
+            self.assertGreaterEqual(response.status, 500)
+            self.assertNotIn(b"data: a", response.body)
+
+    def test_invalid_status(self) -> None:
+        """Guards against a response with a status that is none."""
+        self.assert_rejected(INVALID_STATUS_HEADS)
+
     def test_stream_that_ends_with_its_connection(self) -> None:
         """Guards against a stream without a length that is cut within an event and looks complete."""
         whole = STREAM_HEAD + b"\r\nid: 1\ndata: a\n\n"
--- /dev/null
+++ b/tests/support/broken_heads.py
@@ -0,0 +1,11 @@
+"""Heads of responses that are not valid HTTP/1.1.
+
+A test adds the header lines that it needs, an empty line, and a body that ends with the connection, so
+that the response would be complete if its head were accepted.
+"""
+
+# Outside of the range of valid status codes, 100 to 599, or not of three digits.
+INVALID_STATUS_HEADS = tuple(
+    b"HTTP/1.1 " + status + b" X\r\n"
+    for status in (b"000", b"001", b"099", b"600", b"999", b"20", b"2000", b"-20", b"2 0")
+)
