Rejected responses in other versions of HTTP

What callers saw: a response whose status line names HTTP/2.0 or HTTP/0.9 came as a 200.

Cause: h11 accepts any version of the form DIGIT.DIGIT, so a status line that is none of HTTP/1 passed, as a status above 599 did. Neither is an answer in the protocol.

Why it works: the version is checked where the status is, for all responses that the instance reads.

--- a/packages/daemon/src/ibispaddle_daemon/http_connection.py
+++ b/packages/daemon/src/ibispaddle_daemon/http_connection.py
@@ -409,6 +409,9 @@
         if response.status_code > MAX_STATUS:
             text = f"the status {response.status_code} is not between 100 and {MAX_STATUS}"
             raise h11.RemoteProtocolError(text)
+        if not response.http_version.startswith(b"1."):
+            version = response.http_version.decode("ascii")
+            raise h11.RemoteProtocolError(f"the response has the version {version} of HTTP")
 
     def _report_data(self, parts: list[bytes]) -> None:
         if parts and self._connected:
--- a/tests/daemon/test_broken_heads.py
+++ b/tests/daemon/test_broken_heads.py
@@ -14,7 +14,7 @@
 from ibispaddle_daemon.events import CallFailure, HttpCall, http_call
 from ibispaddle_daemon.http_client import HttpClient
 
-from tests.support.broken_heads import INVALID_STATUS_HEADS
+from tests.support.broken_heads import FOREIGN_VERSION_HEADS, INVALID_STATUS_HEADS
 from tests.support.certificates import CertificateAuthority
 from tests.support.event_loop import RootComponent
 from tests.support.upstreams import RawUpstream, read_request
@@ -79,6 +79,10 @@
         """Guard against a response with a status that is none."""
         self.assert_rejected(INVALID_STATUS_HEADS)
 
+    def test_foreign_version(self) -> None:
+        """Guard against a response in a protocol that the client does not speak."""
+        self.assert_rejected(FOREIGN_VERSION_HEADS)
+
     def test_valid_head(self) -> None:
         """Guard against the rejection of a response with the same bytes where they are allowed."""
         head = b"HTTP/1.1 599 X\r\nX-First: a  b\t c\r\nX-Empty:\r\nX-Blank:  a \t\r\n"
--- a/tests/support/broken_heads.py
+++ b/tests/support/broken_heads.py
@@ -9,3 +9,7 @@
     b"HTTP/1.1 " + status + b" X\r\n"
     for status in (b"000", b"001", b"099", b"600", b"999", b"20", b"2000", b"-20", b"2 0")
 )
+FOREIGN_VERSION_HEADS = tuple(
+    version + b" 200 OK\r\n"
+    for version in (b"HTTP/2.0", b"HTTP/0.9", b"HTTP/11", b"HTTP/1.1.1", b"HTTPS/1.1")
+)
