Rejected responses whose heads have folded lines

What callers saw: a response in whose head the name of a field began with a blank or a tab came as an answer. The line was passed on as a part of the field before. If it stated the length or the chunks, the body was not the runner's: with " Transfer-Encoding: chunked" the caller got the bytes of the chunks' sizes in a complete 200.

Cause: h11 takes a line that begins with a blank for a continuation of the line before and joins both. A blank, a tab, a control byte, NUL or DEL anywhere else in a name, also before the colon, was rejected before; those tests stay.

Evidence, on the code before: `test_invalid_field` of `tests.daemon.test_broken_heads` failed for all four such lines, whole and streamed, plain and over TLS, and passed for the twelve others; that of `tests.platform_adapter.test_faulty_upstreams` failed for calls (200 in place of 502 for the same four), and for streams or repeatable calls. Both pass now.

Why it works: the head is checked before h11 parses it, and a folded line is a protocol error, as RFC 9112, section 5.2, allows gateways. Only the bytes up to the empty line are looked at, so bodies may have such lines.

--- a/packages/daemon/src/ibispaddle_daemon/http_connection.py
+++ b/packages/daemon/src/ibispaddle_daemon/http_connection.py
@@ -1,6 +1,7 @@
 """Client connection: a circuits `TCPClient` that uses h11 for HTTP/1.1."""
 
 import os
+import re
 import socket
 import ssl
 from collections import deque
@@ -24,6 +25,8 @@
 MAX_INTERIM_RESPONSES = 16
 # Larger status codes are invalid (RFC 9110, section 15).
 MAX_STATUS = 599
+# A line of a head that continues the one before, or the empty line at the end of the head.
+_FOLDED_LINE_OR_END = re.compile(rb"\n(?:(?P<folded>[ \t])|\r?\n)")
 # Parts of a response, for example chunks, that are processed before other connections are served: about 20 ms.
 MAX_EVENTS_PER_TURN = 512
 
@@ -369,6 +372,8 @@
     def _process_events(self) -> None:
         parts: list[bytes] = []
         for _ in range(MAX_EVENTS_PER_TURN):
+            if self._http.their_state is h11.SEND_RESPONSE:
+                self._check_for_folded_line()
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError:
@@ -404,6 +409,16 @@
                 self._poller.removeReader(self._sock)
             self._listener.processing_deferred(self)
 
+    def _check_for_folded_line(self) -> None:
+        """Raise `h11.RemoteProtocolError` if the received part of a head has a folded line.
+
+        h11 would append it to the field before. A line that is a field of its own, for example one that
+        states the length, would be lost, so gateways may reject the response (RFC 9112, section 5.2).
+        """
+        found = _FOLDED_LINE_OR_END.search(self._http.trailing_data[0])
+        if found is not None and found["folded"]:
+            raise h11.RemoteProtocolError("a line of the head begins with a blank")
+
     def _check_status_line(self, response: h11.Response) -> None:
         """Raise `h11.RemoteProtocolError` for a status line that h11 accepts although it is invalid."""
         if response.status_code > MAX_STATUS:
--- a/tests/daemon/test_broken_heads.py
+++ b/tests/daemon/test_broken_heads.py
@@ -14,7 +14,11 @@
 from ibispaddle_daemon.events import CallFailure, HttpCall, http_call
 from ibispaddle_daemon.http_client import HttpClient
 
-from tests.support.broken_heads import FOREIGN_VERSION_HEADS, INVALID_STATUS_HEADS
+from tests.support.broken_heads import (
+    FOREIGN_VERSION_HEADS,
+    INVALID_FIELD_HEADS,
+    INVALID_STATUS_HEADS,
+)
 from tests.support.certificates import CertificateAuthority
 from tests.support.event_loop import RootComponent
 from tests.support.upstreams import RawUpstream, read_request
@@ -83,6 +87,17 @@
         """Guard against a response in a protocol that the client does not speak."""
         self.assert_rejected(FOREIGN_VERSION_HEADS)
 
+    def test_invalid_field(self) -> None:
+        """Guard against a line that is passed on, and against a body whose length it hides."""
+        self.assert_rejected(INVALID_FIELD_HEADS)
+
+    def test_folded_line_byte_by_byte(self) -> None:
+        """Guard against a line that is accepted because its first byte arrives separately."""
+        for head in INVALID_FIELD_HEADS[-2:]:
+            with self.subTest(head):
+                events = self.events_after(head + b"\r\nhi", repr(head), False, size=1)
+                self.assertEqual(events[-1][-1].failure, CallFailure.PROTOCOL)
+
     def test_valid_head(self) -> None:
         """Guard against the rejection of a response with the same bytes where they are allowed."""
         head = b"HTTP/1.1 599 X\r\nX-First: a  b\t c\r\nX-Empty:\r\nX-Blank:  a \t\r\n"
--- a/tests/platform_adapter/test_faulty_upstreams.py
+++ b/tests/platform_adapter/test_faulty_upstreams.py
@@ -6,7 +6,11 @@
 from collections.abc import Sequence
 from http.client import HTTPException, IncompleteRead
 
-from tests.support.broken_heads import FOREIGN_VERSION_HEADS, INVALID_STATUS_HEADS
+from tests.support.broken_heads import (
+    FOREIGN_VERSION_HEADS,
+    INVALID_FIELD_HEADS,
+    INVALID_STATUS_HEADS,
+)
 from tests.support.http import HttpResponse
 from tests.support.waiting import wait_until
 
@@ -151,6 +155,10 @@
         """Guards against a response in a protocol that the instance does not speak."""
         self.assert_rejected(FOREIGN_VERSION_HEADS)
 
+    def test_invalid_field(self) -> None:
+        """Guards against a line that callers get, and against a body whose length it hides."""
+        self.assert_rejected(INVALID_FIELD_HEADS)
+
     def test_stream_that_ends_with_its_connection(self) -> None:
         """Guards against a stream without a length that is cut within an event and looks complete."""
         whole = STREAM_HEAD + b"\r\nid: 1\ndata: a\n\n"
--- a/tests/support/broken_heads.py
+++ b/tests/support/broken_heads.py
@@ -13,3 +13,25 @@
     version + b" 200 OK\r\n"
     for version in (b"HTTP/2.0", b"HTTP/0.9", b"HTTP/11", b"HTTP/1.1.1", b"HTTPS/1.1")
 )
+# A blank or a control byte in a field name. A line that begins with a blank continues the field before.
+INVALID_FIELD_HEADS = tuple(
+    b"HTTP/1.1 200 OK\r\nX-First: a\r\n" + line + b"\r\n"
+    for line in (
+        b"Bad Name: a",
+        b"Bad\tName: a",
+        b"Bad\x01Name: a",
+        b"Bad\x00Name: a",
+        b"Bad\x7fName: a",
+        b"Bad\rName: a",
+        b"\x0bName: a",
+        b"X-Blank : a",
+        b"Content-Length : 1",
+        b"Content-Length\t: 1",
+        b"Transfer-Encoding : chunked",
+        b"Transfer-Encoding\x00: chunked",
+        b" X-Leading: a",
+        b" Content-Length: 1",
+        b" Transfer-Encoding: chunked",
+        b"\tTransfer-Encoding: chunked",
+    )
+)
