--- a/tests/daemon/test_bad_upstreams.py
+++ b/tests/daemon/test_bad_upstreams.py
@@ -9,6 +9,11 @@
 import openai
 from ibispaddle_bench.processes import call_json
 
+from tests.support.broken_heads import (
+    FOREIGN_VERSION_HEADS,
+    INVALID_FIELD_HEADS,
+    INVALID_STATUS_HEADS,
+)
 from tests.support.entries import runner_entry
 from tests.support.upstreams import RawUpstream, read_request
 from tests.support.waiting import wait_until
@@ -30,6 +35,11 @@
     "role": "mixed",
     "state": "live",
 }
+TOKEN = {
+    "id": "c",
+    "choices": [{"index": 0, "token_index": 0, "text": "a", "finish_reason": "stop"}],
+}
+BROKEN_HEADS = INVALID_STATUS_HEADS + FOREIGN_VERSION_HEADS + INVALID_FIELD_HEADS
 ERROR = b'{"error": {"message": "text of the engine", "code": "%s"}}'
 
 
@@ -54,7 +64,8 @@
     def __init__(self) -> None:
         self.behave = None
         self.cancel_answer = {"cancelled": False, "ran": True}
-        self.prompts = 0
+        self.load_head = b"HTTP/1.1 200 OK\r\n"
+        self.prompts = self.load_calls = 0
         self.upstream = RawUpstream(self._script)
 
     def _script(self, conn: socket.socket, number: int) -> None:
@@ -64,9 +75,13 @@
                 return
             path = head.split(b" ")[1]
             if path == b"/load":
-                conn.sendall(response(b"200 OK", json.dumps(LOAD).encode()))
+                self.load_calls += 1
+                body = json.dumps(LOAD).encode()
+                conn.sendall(self.load_head + b"Content-Length: %d\r\n\r\n%s" % (len(body), body))
             elif path == b"/v1/cancel":
                 conn.sendall(response(b"200 OK", json.dumps(self.cancel_answer).encode()))
+            elif path.startswith(b"/kv"):
+                conn.sendall(response(b"200 OK", b"{}"))
             else:
                 self.prompts += 1
                 if self.behave(conn, head):
@@ -181,6 +196,42 @@
                 with self.subTest(name=name, stream=stream):
                     self.assertEqual(self.failure(behave, stream), expected)
 
+    def test_completions_with_broken_heads(self):
+        """Guard against a whole completion in a response that is not valid HTTP/1.1."""
+        token = b"data: %s\n\ndata: [DONE]\n\n" % json.dumps(TOKEN).encode()
+
+        def respond_after(broken):
+            def behave(conn, head):
+                sse = b"Content-Type: text/event-stream\r\n\r\n"
+                conn.sendall(broken + matching_headers(head) + sse + token)
+                return True
+
+            return behave
+
+        for broken in BROKEN_HEADS:
+            for stream in (True, False):
+                with self.subTest(broken, stream=stream):
+                    expected = (502, "upstream_failed", "unknown")
+                    self.assertEqual(self.failure(respond_after(broken), stream), expected)
+
+    def test_status_checks_with_broken_heads(self):
+        """Guard against a runner that counts as live by a response that is not valid HTTP/1.1."""
+        metric = self.fleet.instance.metric
+
+        def is_live():
+            return metric("ibispaddle_runners_live") == 1
+
+        sound_head = self.runner.load_head
+        self.addCleanup(wait_until, is_live, "a live runner")
+        self.addCleanup(setattr, self.runner, "load_head", sound_head)
+        for broken in BROKEN_HEADS:
+            with self.subTest(broken):
+                self.runner.load_head = broken
+                wait_until(lambda: not is_live(), "a runner that is down")
+                calls = self.runner.load_calls
+                wait_until(lambda calls=calls: self.runner.load_calls > calls + 1, "status checks")
+                self.assertFalse(is_live())
+
     def test_failure_is_not_run_if_the_engine_confirms_it(self):
         """Guard against an unknown run state although the engine states that nothing ran."""
         self.runner.cancel_answer = {"cancelled": True, "ran": False}
--- a/tests/daemon/test_services.py
+++ b/tests/daemon/test_services.py
@@ -6,6 +6,7 @@
 import urllib.request
 
 from circuits import BaseComponent, handler
+from ibispaddle_bench.processes import call_json
 from ibispaddle_core.clock import ManualClock
 from ibispaddle_core.idempotency import (
     CallCompleted,
@@ -35,7 +36,15 @@
 from ibispaddle_daemon.timers import TimerQueue
 from ibispaddle_daemon.tracing import Tracing
 
-from .processes import KEY, Fleet, fleet_document
+from tests.support.broken_heads import (
+    FOREIGN_VERSION_HEADS,
+    INVALID_FIELD_HEADS,
+    INVALID_STATUS_HEADS,
+)
+from tests.support.upstreams import RawUpstream, read_request
+from tests.support.waiting import wait_until
+
+from .processes import KEY, Fleet, fleet_document, service_entry
 
 
 class RepeatableCallTest(unittest.TestCase):
@@ -96,6 +105,35 @@
         self.assertEqual(error["run_state"], "not_run")
 
 
+class BrokenHeadTest(unittest.TestCase):
+    def test_response_that_is_not_valid_http(self):
+        """Guard against a response that the caller gets although its head is broken."""
+        heads = INVALID_STATUS_HEADS + FOREIGN_VERSION_HEADS + INVALID_FIELD_HEADS
+        sent = []
+
+        def script(conn, number):
+            if read_request(conn)[0]:
+                sent.append(heads[len(sent) % len(heads)])
+                conn.sendall(sent[-1] + b"\r\nwhole")
+
+        upstream = RawUpstream(script)
+        self.addCleanup(upstream.close)
+        fleet = self.enterContext(Fleet(0))
+        entries = [service_entry("broken", upstream.address)]
+        call_json(f"{fleet.list.url}/admin/entries", {"entries": entries}, method="PUT")
+        url = f"{fleet.instance.url}/services/shop/x"
+        headers = {"Authorization": f"Bearer {KEY}", "X-Request-Timeout-Ms": "300"}
+
+        def are_all_sent():
+            with self.assertRaises(urllib.error.HTTPError) as caught:
+                urllib.request.urlopen(urllib.request.Request(url, None, headers), timeout=10)
+            self.assertIn(caught.exception.code, (502, 503, 504))
+            caught.exception.close()
+            return len(sent) >= len(heads)
+
+        wait_until(are_all_sent, "a response with each head", timeout_s=60.0)
+
+
 class FakeExchange:
     """Fake exchange that records the response."""
 
