Counted only statuses from 200 to 299 as success in the operators' client

What operators would see: a response with the status 600 or 999 counted as a success, so that a change looked accepted.

Cause: the client took `response.ok` of `requests`, which is false for 400 to 599 only.

Evidence, on the code before: `tests.client.test_broken_responses` failed for 600 and 999 ("ClientError not raised") and passed for the other invalid statuses, for parts of a response that is reset during a long request, and for bodies whose length an invalid field hides. All pass now. The client's library skips invalid fields and joins folded lines; a body that is not one whole JSON object is an error, so none of them changes what the operator gets.

Why it works: any other status becomes an error with its number.

--- a/packages/client/src/ibispaddle_client/api.py
+++ b/packages/client/src/ibispaddle_client/api.py
@@ -54,7 +54,8 @@
             raise ClientError(f"the response of '{self.server}' is not JSON") from exc
         except (requests.exceptions.RequestException, ValueError) as exc:
             raise UnreachableError(f"the instance '{self.server}' does not respond: {exc}") from exc
-        if response.ok:
+        # `response.ok` is also true for statuses that are invalid, for example 600.
+        if 200 <= response.status_code < 300:
             return dict(body)
         raise _to_error(response.status_code, body)
 
