--- a/tests/daemon/test_broken_heads.py
+++ b/tests/daemon/test_broken_heads.py
@@ -19,7 +19,7 @@
     INVALID_FIELD_HEADS,
     INVALID_STATUS_HEADS,
 )
-from tests.support.certificates import CertificateAuthority
+from tests.support.certificates import upstream_contexts
 from tests.support.event_loop import RootComponent
 from tests.support.upstreams import RawUpstream, read_request
 from tests.support.waiting import wait_until
@@ -121,10 +121,8 @@
     @classmethod
     def setUpClass(cls) -> None:
         folder = Path(cls.enterClassContext(tempfile.TemporaryDirectory()))
-        authority = CertificateAuthority(folder, "operators")
-        cls.server_context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
-        cls.server_context.load_cert_chain(*authority.sign("upstream"))
-        cls.contexts = {cls.scheme: ssl.create_default_context(cafile=str(authority.file))}
+        cls.server_context, client_context = upstream_contexts(folder)
+        cls.contexts = {cls.scheme: client_context}
 
 
 if __name__ == "__main__":
--- a/tests/daemon/test_http_connection.py
+++ b/tests/daemon/test_http_connection.py
@@ -15,7 +15,7 @@
 from ibispaddle_daemon.http_connection import HttpConnection
 
 from tests.failures.scripted_engine import reset_connection
-from tests.support.certificates import CertificateAuthority
+from tests.support.certificates import upstream_contexts
 
 # More than the buffers of both sockets hold.
 LONG_BODY = b"p" * 8_000_000
@@ -167,10 +167,7 @@
     @classmethod
     def setUpClass(cls) -> None:
         folder = Path(cls.enterClassContext(tempfile.TemporaryDirectory()))
-        authority = CertificateAuthority(folder, "operators")
-        cls.server_context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
-        cls.server_context.load_cert_chain(*authority.sign("upstream"))
-        cls.context = ssl.create_default_context(cafile=str(authority.file))
+        cls.server_context, cls.context = upstream_contexts(folder)
 
     def accept(self) -> socket.socket:
         server_side = super().accept()
--- a/tests/platform_adapter/processes.py
+++ b/tests/platform_adapter/processes.py
@@ -114,6 +114,14 @@
         """Return the log lines of an event."""
         return [line for line in list(self.lines) if line.get("event") == name]
 
+    def wait_for_upstream(self, name: str) -> None:
+        """Wait until the instance has read an upstream's entry."""
+
+        def is_known() -> bool:
+            return any(line["upstream"] == name for line in self.events("upstream_added"))
+
+        wait_until(is_known, "the upstream in the instance's list")
+
     def is_ready(self) -> bool:
         """Return whether the instance reports that it is ready."""
         try:
--- a/tests/platform_adapter/test_broken_heads.py
+++ b/tests/platform_adapter/test_broken_heads.py
@@ -78,12 +78,12 @@
 
     def test_orders(self) -> None:
         """Guards against a reservation that counts as granted by a broken response."""
+        instance = self.platform.instance
         runners = [GrantingRunner(number) for number in range(4)]
         for runner in runners:
             self.addCleanup(runner.close)
             self.platform.register(runner, "llm")
-        instance = self.platform.instance
-        wait_until(lambda: len(instance.events("upstream_added")) == len(runners), "runners")
+            instance.wait_for_upstream(runner.name)
         heads = INVALID_STATUS_HEADS[0], FOREIGN_VERSION_HEADS[0], *INVALID_FIELD_HEADS[-2:]
         for number, head in enumerate(heads):
             with self.subTest(head):
--- a/tests/platform_adapter/test_early_responses.py
+++ b/tests/platform_adapter/test_early_responses.py
@@ -7,7 +7,6 @@
 
 from tests.failures.scripted_engine import reset_connection
 from tests.support.early_upstreams import limit_window
-from tests.support.waiting import wait_until
 
 from .processes import Platform
 from .raw_server import RawServer
@@ -60,12 +59,7 @@
         upstream = EarlyUpstream(response, is_reset)
         self.addCleanup(upstream.close)
         self.platform.register(upstream, service)
-
-        def is_known() -> bool:
-            lines = self.instance.events("upstream_added")
-            return any(line["upstream"] == upstream.name for line in lines)
-
-        wait_until(is_known, "the upstream in the instance's list")
+        self.instance.wait_for_upstream(upstream.name)
         return upstream
 
     def outcomes(self, path: str, **headers: str) -> list[int | str]:
--- a/tests/platform_adapter/test_endless_upstreams.py
+++ b/tests/platform_adapter/test_endless_upstreams.py
@@ -97,12 +97,7 @@
         self.addCleanup(upstream.close)
         upstream.name = f"{service}-{upstream.address.rpartition(':')[2]}"
         self.platform.register(upstream, service)
-
-        def is_known() -> bool:
-            lines = self.instance.events("upstream_added")
-            return any(line["upstream"] == upstream.name for line in lines)
-
-        wait_until(is_known, "the upstream in the instance's list")
+        self.instance.wait_for_upstream(upstream.name)
         return upstream
 
     def remove(self, upstream: EndlessUpstream) -> None:
--- a/tests/platform_adapter/test_faulty_upstreams.py
+++ b/tests/platform_adapter/test_faulty_upstreams.py
@@ -62,12 +62,7 @@
         upstream = ScriptedUpstream(responses, keep)
         self.addCleanup(upstream.close)
         self.platform.register(upstream, service)
-
-        def is_known() -> bool:
-            lines = self.instance.events("upstream_added")
-            return any(line["upstream"] == upstream.name for line in lines)
-
-        wait_until(is_known, "the upstream in the instance's list")
+        self.instance.wait_for_upstream(upstream.name)
         return upstream
 
     def remove(self, upstream: ScriptedUpstream) -> None:
--- a/tests/support/certificates.py
+++ b/tests/support/certificates.py
@@ -1,5 +1,6 @@
 """Certificates for tests, created with the openssl 3 command."""
 
+import ssl
 import subprocess
 from pathlib import Path
 
@@ -29,3 +30,11 @@
     def _create_certificate(cert: Path, key: Path, *options: object) -> None:
         request = ("req", "-x509", "-newkey", "rsa:2048", "-nodes", "-days", 2)
         run_openssl(*request, "-keyout", key, "-out", cert, *options)
+
+
+def upstream_contexts(folder: Path) -> tuple[ssl.SSLContext, ssl.SSLContext]:
+    """Return the contexts of an upstream and of a client that trusts it."""
+    authority = CertificateAuthority(folder, "operators")
+    server = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    server.load_cert_chain(*authority.sign("upstream"))
+    return server, ssl.create_default_context(cafile=str(authority.file))
