--- a/tests/client/test_broken_responses.py
+++ b/tests/client/test_broken_responses.py
@@ -53,7 +53,7 @@
                 api.post("config", LONG_DOCUMENT)
 
     def test_invalid_status(self) -> None:
-        """Guard against a change that counts as accepted by a status that is none."""
+        """Guard against a change that counts as accepted because of an invalid status."""
         self.assert_rejected([head + b"\r\n" + BODY for head in INVALID_STATUS_HEADS])
 
     def test_invalid_field(self) -> None:
--- a/tests/daemon/test_broken_heads.py
+++ b/tests/daemon/test_broken_heads.py
@@ -80,7 +80,7 @@
                     self.assertFalse({"call_head", "call_data"} & {event[0] for event in events})
 
     def test_invalid_status(self) -> None:
-        """Guard against a response with a status that is none."""
+        """Guard against a response with an invalid status, which looks like an answer."""
         self.assert_rejected(INVALID_STATUS_HEADS)
 
     def test_foreign_version(self) -> None:
--- a/tests/platform_adapter/test_faulty_upstreams.py
+++ b/tests/platform_adapter/test_faulty_upstreams.py
@@ -143,7 +143,7 @@
             self.assertNotIn(b"data: a", response.body)
 
     def test_invalid_status(self) -> None:
-        """Guards against a response with a status that is none."""
+        """Guards against a response with an invalid status, which callers get as an answer."""
         self.assert_rejected(INVALID_STATUS_HEADS)
 
     def test_foreign_version(self) -> None:
