Waited for the log of a caller that stopped reading before the test reads it

Cause: the test took the runner's end of the stream for the sign that the instance's log had been read. The instance writes the line before it closes, but the test's reader may get it later. Traced in 70 copies, 14 at a time: in five the line was missing at that moment and came after 5 to 12 ms, with the expected content; one other copy failed on the line `forwarding_ended` of the same request, because the wait ended with that of another.

The test now waits for the end of this request and then checks the same: exactly one line `caller_given_up`, its reason and the request's code. 70 of 70 copies passed so.

--- a/tests/platform_adapter/test_slow_readers.py
+++ b/tests/platform_adapter/test_slow_readers.py
@@ -132,11 +132,16 @@
         wait_until(lambda: self.streams[0].open == 0, "free slot", 10)
         self.assertLess(time.monotonic() - started_s, GIVEN_UP_S + SLACK_S)
         self.assertLess(max(times), CALL_S)
-        (event,) = self.instance.events("caller_given_up")
+
+        def ends() -> dict[str, str]:
+            lines = self.instance.events("forwarding_ended")
+            return {line["request"]: line["code"] for line in lines}
+
+        # The runner can notice the end before the test has read the instance's log.
+        wait_until(lambda: "stopped" in ends(), "end")
+        (event,) = self.instance.events("caller_given_up")  # Logged before the end.
         self.assertEqual(event["reason"], "not_reading")
-        wait_until(lambda: self.instance.events("forwarding_ended"), "end")
-        ends = {line["request"]: line["code"] for line in self.instance.events("forwarding_ended")}
-        self.assertEqual(ends["stopped"], "caller_not_reading")
+        self.assertEqual(ends()["stopped"], "caller_not_reading")
         with self.assertRaises(ConnectionError):  # Not an end that looks complete.
             while sock.recv(65_536):
                 pass
