--- a/tests/daemon/test_bad_upstreams.py
+++ b/tests/daemon/test_bad_upstreams.py
@@ -9,11 +9,7 @@
 import openai
 from ibispaddle_bench.processes import call_json
 
-from tests.support.broken_heads import (
-    FOREIGN_VERSION_HEADS,
-    INVALID_FIELD_HEADS,
-    INVALID_STATUS_HEADS,
-)
+from tests.support.broken_heads import BROKEN_HEADS
 from tests.support.entries import runner_entry
 from tests.support.upstreams import RawUpstream, read_request
 from tests.support.waiting import wait_until
@@ -39,7 +35,6 @@
     "id": "c",
     "choices": [{"index": 0, "token_index": 0, "text": "a", "finish_reason": "stop"}],
 }
-BROKEN_HEADS = INVALID_STATUS_HEADS + FOREIGN_VERSION_HEADS + INVALID_FIELD_HEADS
 ERROR = b'{"error": {"message": "text of the engine", "code": "%s"}}'
 
 
--- a/tests/daemon/test_http_connection.py
+++ b/tests/daemon/test_http_connection.py
@@ -24,10 +24,9 @@
 
 
 class RecordingListener:
-    """Record the response and how the connection ended."""
+    """Record the body of the response and how the connection ended."""
 
     def __init__(self) -> None:
-        self.status = 0
         self.body = b""
         self.end: CallFailure | str | None = None
 
@@ -41,7 +40,7 @@
         pass
 
     def head_received(self, conn, status, headers):
-        self.status = status
+        pass
 
     def data_received(self, conn, data):
         self.body += data
--- a/tests/daemon/test_services.py
+++ b/tests/daemon/test_services.py
@@ -36,11 +36,7 @@
 from ibispaddle_daemon.timers import TimerQueue
 from ibispaddle_daemon.tracing import Tracing
 
-from tests.support.broken_heads import (
-    FOREIGN_VERSION_HEADS,
-    INVALID_FIELD_HEADS,
-    INVALID_STATUS_HEADS,
-)
+from tests.support.broken_heads import BROKEN_HEADS
 from tests.support.upstreams import RawUpstream, read_request
 from tests.support.waiting import wait_until
 
@@ -108,12 +104,11 @@
 class BrokenHeadTest(unittest.TestCase):
     def test_response_that_is_not_valid_http(self):
         """Guard against a response that the caller gets although its head is broken."""
-        heads = INVALID_STATUS_HEADS + FOREIGN_VERSION_HEADS + INVALID_FIELD_HEADS
         sent = []
 
         def script(conn, number):
             if read_request(conn)[0]:
-                sent.append(heads[len(sent) % len(heads)])
+                sent.append(BROKEN_HEADS[len(sent) % len(BROKEN_HEADS)])
                 conn.sendall(sent[-1] + b"\r\nwhole")
 
         upstream = RawUpstream(script)
@@ -129,7 +124,7 @@
                 urllib.request.urlopen(urllib.request.Request(url, None, headers), timeout=10)
             self.assertIn(caught.exception.code, (502, 503, 504))
             caught.exception.close()
-            return len(sent) >= len(heads)
+            return len(sent) >= len(BROKEN_HEADS)
 
         wait_until(are_all_sent, "a response with each head", timeout_s=60.0)
 
--- a/tests/platform_adapter/test_broken_heads.py
+++ b/tests/platform_adapter/test_broken_heads.py
@@ -8,6 +8,7 @@
 from http.client import HTTPException
 
 from tests.support.broken_heads import (
+    BROKEN_HEADS,
     FOREIGN_VERSION_HEADS,
     INVALID_FIELD_HEADS,
     INVALID_STATUS_HEADS,
@@ -19,7 +20,6 @@
 from .processes import Instance, Platform
 from .raw_server import RawServer
 
-HEADS = INVALID_STATUS_HEADS + FOREIGN_VERSION_HEADS + INVALID_FIELD_HEADS
 GRANTED = json.dumps({"free": 0}).encode()
 LONG_TOKENS = "400000,700"  # Needs memory that is reserved at several runners.
 STREAM = b"HTTP/1.1 200 OK\r\nServer-Stamp: x\r\nContent-Type: text/event-stream\r\n\r\n"
@@ -50,7 +50,7 @@
 
     def __init__(self, port: int) -> None:
         self._port = port
-        self.heads = itertools.cycle(HEADS)
+        self.heads = itertools.cycle(BROKEN_HEADS)
         self.is_faulty = True
         self.faulty_responses = 0
         super().__init__()
@@ -105,7 +105,7 @@
 
         def are_all_sent() -> bool:
             self.assertFalse(instance.is_ready())
-            return proxy.faulty_responses >= len(HEADS)
+            return proxy.faulty_responses >= len(BROKEN_HEADS)
 
         wait_until(are_all_sent, "a response with each head", timeout_s=60.0)
         proxy.is_faulty = False
--- a/tests/support/broken_heads.py
+++ b/tests/support/broken_heads.py
@@ -35,3 +35,4 @@
         b"\tTransfer-Encoding: chunked",
     )
 )
+BROKEN_HEADS = INVALID_STATUS_HEADS + FOREIGN_VERSION_HEADS + INVALID_FIELD_HEADS
