Logged when an answer of the store leaves records missing

An answer to a read of changes may end before the end that it names. Nothing showed this, so the log could not tell a reader that is behind from one that got outdated data through a hub.

The new events `topic_behind` and `topic_caught_up` tell them apart.

--- a/packages/core/src/ibispaddle_core/logevents.py
+++ b/packages/core/src/ibispaddle_core/logevents.py
@@ -265,6 +265,15 @@
 RELAY_FAILED = LogEvent(
     4013, "relay_failed", Level.WARNING, "An instance failed to relay data from the store."
 )
+TOPIC_BEHIND = LogEvent(
+    4014,
+    "topic_behind",
+    Level.INFO,
+    "An answer of the store ends before the end of the topic that it names.",
+)
+TOPIC_CAUGHT_UP = LogEvent(
+    4015, "topic_caught_up", Level.INFO, "A topic that was behind has been read up to its end."
+)
 LOG_UNAVAILABLE = LogEvent(
     4000, "log_unavailable", Level.WARNING, "The platform's log cannot be read or appended to."
 )
--- a/packages/daemon/src/ibispaddle_daemon/store/follower.py
+++ b/packages/daemon/src/ibispaddle_daemon/store/follower.py
@@ -89,6 +89,7 @@
         self._call_started_ms = 0
         self._failures = 0
         self._last_failure_ms = 0
+        self._behind_since_ms: int | None = None
         self.confirmed_ms: int | None = None
         self.recovered_ms: int | None = None
         if relay is not None:
@@ -173,6 +174,8 @@
     def _apply(self, answer: NewestPage | ChangesPage | OffsetExpired, confirmed_ms: int) -> bool:
         """Apply the result of a read and return whether it brought the reader up to date."""
         update = self._reader.handle_answer(answer).update
+        if isinstance(answer, ChangesPage):
+            self._log_progress(answer.end - answer.next_offset)
         if update is None:
             return False
         self.confirmed_ms = max(confirmed_ms, self.confirmed_ms or confirmed_ms)
@@ -181,6 +184,21 @@
         self._on_update(update)
         return True
 
+    def _log_progress(self, missing: int) -> None:
+        """Log when an answer leaves records missing, and when none is missing any more."""
+        now_ms = self._clock.now_ms()
+        if missing > 0 and self._behind_since_ms is None:
+            self._behind_since_ms = now_ms
+            log_event(
+                logevents.TOPIC_BEHIND,
+                topic=self._topic,
+                position=self._reader.offset,
+                missing=missing,
+            )
+        elif missing <= 0 and self._behind_since_ms is not None:
+            duration_ms, self._behind_since_ms = now_ms - self._behind_since_ms, None
+            log_event(logevents.TOPIC_CAUGHT_UP, topic=self._topic, duration_ms=duration_ms)
+
     @property
     def _is_read_often(self) -> bool:
         return self._clock.now_ms() < self._read_often_until_ms
