Counted a topic as up to date only once an end that the store named is reached

What callers saw: requests with a revoked key ran later than `revoke_ms` after the store had confirmed its removal, and callers with a key that had just been added got 401 in place of 503.

Cause: `TopicFollower` took the start of any answered read as the time of confirmation, whether the answer held all records or not. A store may answer with fewer records than there are; the instance then trusted the keys of one of the versions in between, and passed the time on to the instances that it is the hub of. The same for the newest records in several pages: the start of the last page's call counted, although the first pages were as of an earlier time. And a page of the store was combined with the answer of a hub that came between two pages, which could lose changes.

Why it works: the reader keeps each end that the store has named with the start of the call that it was named in, and counts as up to date as of that start once it has applied all records before that end. This holds for any number of answers, with retries between them, and does not need a moment without news: with a steady flow of records the ends named earlier are reached while there are later ones. A hub passes on the time of its own reader, so it is right too.

The key that is not revoked is refused no longer: a reader that is behind reads the newest records of all keys, unless the missing changes take fewer calls, and continues at once, also if there is a hub.

--- a/packages/core/src/ibispaddle_core/topics/reader.py
+++ b/packages/core/src/ibispaddle_core/topics/reader.py
@@ -1,5 +1,8 @@
 """Reading of a compacted topic: the newest record of each key, then all changes."""
 
+from collections import deque
+from dataclasses import dataclass, field
+
 from .messages import (
     ChangesPage,
     KeyedRecord,
@@ -12,71 +15,174 @@
 )
 
 
+@dataclass
+class _NewestRead:
+    """The pages of the newest records that have been read so far."""
+
+    end: int | None = None  # End of the topic as of the first page.
+    values: dict[str, bytes | None] = field(default_factory=dict)
+    after: str | None = None
+    pages: int = 0
+
+
+@dataclass(frozen=True)
+class _NamedEnd:
+    """An end of the topic and the start of the call whose answer named it."""
+
+    end: int
+    started_ms: int
+
+
 class TopicReader:
     """Follow a topic; performs no I/O and uses no timers.
 
+    The reader is up to date as of a time if it has applied all records before an end that the store
+    named at or after that time. An answer may hold fewer records than there are before the end that it
+    names, so `confirmed_ms` is the start of the latest call whose end has been reached, however many
+    answers that takes.
+
     The pages of the newest records are not a consistent snapshot: changes made while they are read may
-    or may not be included. Changes are therefore read from the end offset of the first page, which
-    repeats some records and skips none.
+    or may not be included. Changes are therefore read from the end of the first page, which repeats
+    some records and skips none.
 
     >>> reader = TopicReader(wait_ms=0)
     >>> reader.next_call()
     ReadNewest(after=None)
     >>> page = NewestPage((KeyedRecord("a", b"1", 4),), has_more=False, end=5)
-    >>> reader.handle_answer(page).call
+    >>> reader.handle_answer(page, started_ms=100).call
     ReadChanges(offset=5, wait_ms=0)
+    >>> reader.handle_answer(ChangesPage((), next_offset=6, end=8), started_ms=200).call
+    ReadNewest(after=None)
+    >>> reader.confirmed_ms, reader.missing_records
+    (100, 2)
     """
 
     def __init__(self, wait_ms: int) -> None:
         self._wait_ms = wait_ms
-        self._offset: int | None = None  # None until all pages of the newest records are read.
-        self._pages: dict[str, bytes | None] = {}
-        self._pages_end: int | None = None
-        self._after: str | None = None
+        self._position: int | None = None
+        self._newest_read: _NewestRead | None = _NewestRead()  # None while changes are read.
+        self._newest_pages = 1  # Calls that the last read of all newest records took.
+        self._pending_ends: deque[_NamedEnd] = deque()  # Ends beyond the position, ascending.
+        self._needs_all_keys_from_hub = False
+        self.confirmed_ms: int | None = None
+
+    @property
+    def position(self) -> int | None:
+        """Return the offset up to which all records are applied, or None before the first."""
+        return self._position
 
     @property
     def offset(self) -> int | None:
-        """Return the offset of the next record, or None until all keys have been read."""
-        return self._offset
+        """Return the offset from which a hub is queried for changes, or None to get all keys."""
+        return None if self._needs_all_keys_from_hub else self._position
+
+    @property
+    def is_behind(self) -> bool:
+        """Return whether more calls are needed to reach the ends that the store has named."""
+        return self._newest_read is not None or bool(self._pending_ends)
+
+    @property
+    def missing_records(self) -> int:
+        """Return the number of records before the last named end that are not applied."""
+        if not self._pending_ends:
+            return 0
+        return self._pending_ends[-1].end - (self._position or 0)
 
     def next_call(self) -> ReadNewest | ReadChanges:
         """Return the call to make; after a failure this is the same call again."""
-        if self._offset is None:
-            return ReadNewest(self._after)
-        return ReadChanges(self._offset, self._wait_ms)
+        if self._newest_read is not None or self._position is None:
+            return ReadNewest(self._newest_read.after if self._newest_read is not None else None)
+        return ReadChanges(self._position, self._wait_ms)
 
-    def handle_answer(self, answer: NewestPage | ChangesPage | OffsetExpired) -> ReaderStep:
-        """Process the answer to the last call."""
+    def handle_answer(
+        self, answer: NewestPage | ChangesPage | OffsetExpired, started_ms: int
+    ) -> ReaderStep:
+        """Process the store's answer to the last call, which was sent at `started_ms`."""
         update: TopicUpdate | None = None
         match answer:
             case NewestPage():
-                update = self._on_newest_page(answer)
+                update = self._handle_newest_page(answer, started_ms)
             case ChangesPage():
-                update = TopicUpdate(_newest(answer.records))
-                self._offset = answer.next_offset
-                # An end before the next offset means that the store was restored; the known offsets
-                # are no longer valid.
-                if answer.end < answer.next_offset:
-                    self._restart()
+                update = self._handle_changes(answer, started_ms)
             case OffsetExpired():
-                self._restart()
+                self._newest_read = _NewestRead()
         return ReaderStep(self.next_call(), update)
 
-    def _on_newest_page(self, answer: NewestPage) -> TopicUpdate | None:
-        if self._pages_end is None:
-            self._pages_end = answer.end
-        self._pages |= _newest(answer.records)
-        if answer.has_more and answer.records:
-            self._after = answer.records[-1].key
+    def handle_relayed(
+        self, answer: NewestPage | ChangesPage | OffsetExpired, confirmed_ms: int
+    ) -> ReaderStep:
+        """Process a hub's answer, which was up to date as of `confirmed_ms`.
+
+        The answer stands alone: it is not combined with pages that were read from the store.
+        """
+        match answer:
+            case OffsetExpired():
+                self._needs_all_keys_from_hub = True
+                if self._newest_read is None:
+                    self._newest_read = _NewestRead()
+                return ReaderStep(self.next_call())
+            case NewestPage(records, _, position):
+                self._needs_all_keys_from_hub = False
+                if self._position is not None and position < self._position:
+                    return ReaderStep(self.next_call())  # The hub is behind this reader.
+                self._newest_read = None
+                update = TopicUpdate(_newest(records), is_snapshot=True)
+            case ChangesPage(records, position, _):
+                if position != self._position:
+                    self._newest_read = None
+                update = TopicUpdate(_newest(records))
+        self._move_to(position)
+        self._confirm(confirmed_ms)
+        return ReaderStep(self.next_call(), update)
+
+    def _handle_newest_page(self, answer: NewestPage, started_ms: int) -> TopicUpdate | None:
+        read = self._newest_read or _NewestRead()
+        self._newest_read = read
+        if read.end is None:
+            read.end = answer.end
+        self._add_end(answer.end, started_ms)
+        read.pages += 1
+        read.values |= _newest(answer.records)
+        if answer.has_more:
+            read.after = answer.records[-1].key
             return None
-        update = TopicUpdate(self._pages, is_snapshot=True)
-        self._offset = self._pages_end
-        self._pages, self._pages_end, self._after = {}, None, None
+        self._newest_read, self._newest_pages = None, read.pages
+        self._needs_all_keys_from_hub = False
+        self._move_to(read.end)
+        return TopicUpdate(read.values, is_snapshot=True)
+
+    def _handle_changes(self, answer: ChangesPage, started_ms: int) -> TopicUpdate:
+        update = TopicUpdate(_newest(answer.records))
+        if answer.end < answer.next_offset:
+            # The store was restored; the known offsets are no longer valid.
+            self._position, self._newest_read = None, _NewestRead()
+            self._pending_ends.clear()
+            return update
+        count = answer.next_offset - (self._position or 0)
+        missing = answer.end - answer.next_offset
+        self._add_end(answer.end, started_ms)
+        self._move_to(answer.next_offset)
+        # Reading the newest records takes fewer calls than the changes, or as many of less data.
+        if missing > (self._newest_pages - 1) * count:
+            self._newest_read = _NewestRead()
         return update
 
-    def _restart(self) -> None:
-        self._offset = None
-        self._pages, self._pages_end, self._after = {}, None, None
+    def _add_end(self, end: int, started_ms: int) -> None:
+        # A later call makes the same end more recent. Higher ends are those of a store that was
+        # restored since.
+        while self._pending_ends and self._pending_ends[-1].end >= end:
+            self._pending_ends.pop()
+        self._pending_ends.append(_NamedEnd(end, started_ms))
+
+    def _move_to(self, position: int) -> None:
+        """Record that all records before a position are applied."""
+        self._position = position
+        while self._pending_ends and self._pending_ends[0].end <= position:
+            self._confirm(self._pending_ends.popleft().started_ms)
+
+    def _confirm(self, confirmed_ms: int) -> None:
+        if self.confirmed_ms is None or confirmed_ms > self.confirmed_ms:
+            self.confirmed_ms = confirmed_ms
 
 
 def _newest(records: tuple[KeyedRecord, ...]) -> dict[str, bytes | None]:
--- a/packages/daemon/src/ibispaddle_daemon/store/follower.py
+++ b/packages/daemon/src/ibispaddle_daemon/store/follower.py
@@ -10,6 +10,8 @@
     ChangesPage,
     NewestPage,
     OffsetExpired,
+    ReaderStep,
+    ReadNewest,
     TopicFormatError,
     TopicMirror,
     TopicReader,
@@ -55,9 +57,8 @@
 
     `wait_ms` is the long-poll wait: the time for which the store holds a read until there is a new
     record. Calls start at least `interval_ms` apart. With a `relay`, a hub may be queried instead of the
-    store; changes for which `is_same` returns True are not relayed to other instances. `confirmed_ms`
-    is the start of the last call that brought the reader up to date, and `recovered_ms` the time at
-    which the store last became available again.
+    store; changes for which `is_same` returns True are not relayed to other instances. `recovered_ms`
+    is the time at which the store last became available again.
     """
 
     def __init__(
@@ -86,11 +87,9 @@
         self._read_often_until_ms = 0
         self._next_read: TimerHandle | None = None
         self._calls = CallbackHttpClient(f"topic-calls-{topic}", clock).register(self)
-        self._call_started_ms = 0
         self._failures = 0
         self._last_failure_ms = 0
         self._behind_since_ms: int | None = None
-        self.confirmed_ms: int | None = None
         self.recovered_ms: int | None = None
         if relay is not None:
             relay.add(topic, self, is_urgent)
@@ -105,6 +104,11 @@
         """Return the offset of the next record, or None before all keys are read."""
         return self._reader.offset
 
+    @property
+    def confirmed_ms(self) -> int | None:
+        """Return the time as of which all records are applied, or None before all keys are read."""
+        return self._reader.confirmed_ms
+
     @handler("started", channel="*")
     def _on_started(self, *_: object) -> None:
         if self._relay is None:
@@ -130,12 +134,12 @@
         """Apply data that a hub has sent."""
         if confirmed_ms >= self._last_failure_ms:
             self._record_success()  # The hub reached the store after this instance's last failure.
-        if self._apply(answer, confirmed_ms):
-            self._publish()
+        self._apply(self._reader.handle_relayed(answer, confirmed_ms))
 
     def _read(self) -> None:
-        self._call_started_ms = self._clock.now_ms()
-        call = self._reader.next_call()
+        self._next_read = None
+        started_ms = self._clock.now_ms()
+        call, position = self._reader.next_call(), self._reader.position
         request = self._codec.read(self._topic, call)
 
         def done(result: CallResult) -> None:
@@ -148,14 +152,16 @@
                 self._record_failure(str(exc))
                 return
             self._record_success()
-            if call != self._reader.next_call():
+            if (call, position) != (self._reader.next_call(), self._reader.position):
                 self._schedule(0)  # A hub has responded since, with newer data.
-            elif self._apply(answer, self._call_started_ms):
-                self._publish()
-                interval_ms = OFTEN_INTERVAL_MS if self._is_read_often else self._interval_ms
-                self._schedule(self._call_started_ms + interval_ms - self._clock.now_ms())
-            else:
-                self._schedule(0)
+                return
+            self._apply(self._reader.handle_answer(answer, started_ms))
+            if self._reader.is_behind:
+                # Also if there is a hub: its data may be older than what the store has named.
+                self._schedule(0, self._read)
+                return
+            interval_ms = OFTEN_INTERVAL_MS if self._is_read_often else self._interval_ms
+            self._schedule(started_ms + interval_ms - self._clock.now_ms())
 
         self._calls.send(
             request.method,
@@ -167,35 +173,30 @@
             may_reuse_connection=True,
         )
 
-    def _publish(self) -> None:
+    def _apply(self, step: ReaderStep) -> None:
+        """Apply the result of a read, and make it available to other instances."""
+        self._log_progress()
+        if step.update is None:
+            return
+        if self._reader.position is not None:
+            self._mirror.apply(step.update, self._reader.position)
+        self._on_update(step.update)
         if self._relay is not None and self.confirmed_ms is not None:
             self._relay.publish(self._topic, self._mirror, self.confirmed_ms)
 
-    def _apply(self, answer: NewestPage | ChangesPage | OffsetExpired, confirmed_ms: int) -> bool:
-        """Apply the result of a read and return whether it brought the reader up to date."""
-        update = self._reader.handle_answer(answer).update
-        if isinstance(answer, ChangesPage):
-            self._log_progress(answer.end - answer.next_offset)
-        if update is None:
-            return False
-        self.confirmed_ms = max(confirmed_ms, self.confirmed_ms or confirmed_ms)
-        if self._reader.offset is not None:
-            self._mirror.apply(update, self._reader.offset)
-        self._on_update(update)
-        return True
-
-    def _log_progress(self, missing: int) -> None:
-        """Log when an answer leaves records missing, and when none is missing any more."""
-        now_ms = self._clock.now_ms()
-        if missing > 0 and self._behind_since_ms is None:
+    def _log_progress(self) -> None:
+        """Log when the reader falls behind an end that the store has named, and when it reaches it."""
+        missing, now_ms = self._reader.missing_records, self._clock.now_ms()
+        if missing and self._behind_since_ms is None:
             self._behind_since_ms = now_ms
             log_event(
                 logevents.TOPIC_BEHIND,
                 topic=self._topic,
-                position=self._reader.offset,
+                position=self._reader.position,
                 missing=missing,
+                reads_newest=isinstance(self._reader.next_call(), ReadNewest),
             )
-        elif missing <= 0 and self._behind_since_ms is not None:
+        elif not missing and self._behind_since_ms is not None:
             duration_ms, self._behind_since_ms = now_ms - self._behind_since_ms, None
             log_event(logevents.TOPIC_CAUGHT_UP, topic=self._topic, duration_ms=duration_ms)
 
@@ -203,10 +204,10 @@
     def _is_read_often(self) -> bool:
         return self._clock.now_ms() < self._read_often_until_ms
 
-    def _schedule(self, delay_ms: int) -> None:
+    def _schedule(self, delay_ms: int, read: Callable[[], None] | None = None) -> None:
         if self._next_read is not None:
             self._next_read.cancel()
-        self._next_read = self._timers.after(max(0, delay_ms), self._read_next)
+        self._next_read = self._timers.after(max(0, delay_ms), read or self._read_next)
 
     def _read_next(self) -> None:
         self._next_read = None
--- a/packages/standins/src/ibispaddle_standins/platform_store.py
+++ b/packages/standins/src/ibispaddle_standins/platform_store.py
@@ -12,6 +12,7 @@
 from .server import Handler, StandIn, abort_connection, main
 
 MAX_ITEMS = 500
+DEFAULT_MAX_KB = 1_024
 _LENGTH = struct.Struct(">I")
 
 
@@ -41,6 +42,17 @@
         self.appended.set()
         self.appended = asyncio.Event()
 
+    def changes(self, start: int, max_bytes: int, max_records: int | None) -> list[bytes]:
+        """Return the records from an offset on: at least one if there is any, and within the limits."""
+        selected: list[bytes] = []
+        size = 0
+        for record in self.records[start - self.first :][:max_records]:
+            size += len(record)
+            if selected and size > max_bytes:
+                break
+            selected.append(record)
+        return selected
+
     def compact(self) -> None:
         """Drop all records, but keep the newest value of each key."""
         self.first, self.records = self.end, []
@@ -54,6 +66,9 @@
         "outage",  # All requests fail with 503.
         "silent",  # Requests aren't handled for a minute.
         "lose_answers",  # Appends take effect, but the connection closes without a response.
+        "read_delay_ms",  # Time after which a read is answered, with the data of that time.
+        "max_read_records",  # Changes in one response; there are fewer than `max_kb` allows.
+        "max_read_items",  # Newest records in one response.
     )
 
     def __init__(self, args: Any) -> None:
@@ -100,23 +115,31 @@
     async def _read(self, request: web.Request) -> web.Response:
         topic, start = self._topic(request), int(request.query["from"])
         wait_s = int(request.query.get("wait_ms", "0")) / 1000
-        if start < topic.first:
-            return web.json_response({"first": topic.first}, status=410)
         if start >= topic.end and wait_s:
             with contextlib.suppress(TimeoutError):  # Without new records the response has none.
                 await asyncio.wait_for(topic.appended.wait(), wait_s)
+        await self._delay_read()
+        if start < topic.first:
+            return web.json_response({"first": topic.first}, status=410)
+        max_bytes = int(request.query.get("max_kb", DEFAULT_MAX_KB)) * 1_024
+        records = topic.changes(start, max_bytes, self.faults.get("max_read_records"))
         head = struct.pack(">QQ", topic.end, topic.first)
-        return web.Response(body=head + b"".join(topic.records[start - topic.first :]))
+        return web.Response(body=head + b"".join(records))
+
+    async def _delay_read(self) -> None:
+        await asyncio.sleep(self.faults.get("read_delay_ms", 0) / 1_000)
 
     async def _newest(self, request: web.Request) -> web.Response:
         topic, after = self._topic(request), request.query.get("after", "")
+        await self._delay_read()
+        max_items = self.faults.get("max_read_items", MAX_ITEMS)
         keys = sorted(key for key in topic.newest if key > after)
         items = [
             {"key": key, "value": b64encode(value).decode(), "offset": offset}
-            for key in keys[:MAX_ITEMS]
+            for key in keys[:max_items]
             for value, offset in [topic.newest[key]]
         ]
-        more = len(keys) > MAX_ITEMS
+        more = len(keys) > max_items
         return web.json_response({"items": items, "has_more": more, "end": topic.end})
 
     async def _put(self, request: web.Request) -> web.Response:
--- a/tests/platform_adapter/processes.py
+++ b/tests/platform_adapter/processes.py
@@ -204,6 +204,10 @@
         record = {"topic": topic, "key": key, "value": text}
         call_json(f"{self.store.url}/admin/put", record)
 
+    def compact(self, topic: str) -> None:
+        """Drop the history of a topic; the newest record of each key stays."""
+        call_json(f"{self.store.url}/admin/compact", {"topic": topic})
+
     def configure(self, config: dict[str, Any]) -> None:
         """Write a configuration, as the operator does."""
         self.put("keyed.op", "config", config)
--- a/tests/topics/test_mirror.py
+++ b/tests/topics/test_mirror.py
@@ -77,7 +77,9 @@
                 continue
             for _ in range(3):
                 answer = mirror.answer(reader.next_call())
-                received = reader.handle_answer(answer).update if answer is not None else None
+                received = (
+                    reader.handle_relayed(answer, position).update if answer is not None else None
+                )
                 if received is not None:
                     apply(known, received)
                     break
--- a/tests/topics/test_reader.py
+++ b/tests/topics/test_reader.py
@@ -64,7 +64,7 @@
         topic, reader, known = Topic(), TopicReader(0), {}
 
         def read(page: int) -> bool:
-            update = reader.handle_answer(topic.answer(reader.next_call(), page)).update
+            update = reader.handle_answer(topic.answer(reader.next_call(), page), 0).update
             if update is None:
                 return False
             if update.is_snapshot:
@@ -87,8 +87,8 @@
     def test_restored_topic_is_read_again_from_the_newest_records(self) -> None:
         """Guards against a reader that waits at an offset that no longer exists in the store."""
         reader = TopicReader(0)
-        reader.handle_answer(NewestPage((), False, 9))
-        advance = reader.handle_answer(ChangesPage((), 9, 2))
+        reader.handle_answer(NewestPage((), False, 9), 0)
+        advance = reader.handle_answer(ChangesPage((), 9, 2), 0)
         self.assertEqual(advance.call, ReadNewest())
 
 
--- /dev/null
+++ b/tests/topics/test_recency.py
@@ -0,0 +1,265 @@
+"""Tests of the time as of which a reader is up to date, for any sequence and size of answers."""
+
+import unittest
+from dataclasses import dataclass, field
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from ibispaddle_core.topics import (
+    ChangesPage,
+    KeyedRecord,
+    NewestPage,
+    OffsetExpired,
+    ReadChanges,
+    ReadNewest,
+    TopicMirror,
+    TopicReader,
+    TopicUpdate,
+)
+
+KEYS = "abcde"
+# Time between the steps of a history. An answer leaves the store one step after its call was sent.
+STEP_MS = 10
+
+
+@dataclass
+class Store:
+    """A topic whose answers hold as many records as the test chooses."""
+
+    now_ms: int = 0
+    first: int = 0
+    records: list[KeyedRecord] = field(default_factory=list)
+    times_ms: list[int] = field(default_factory=list)
+
+    def put(self, key: str, is_removal: bool = False) -> None:
+        number = len(self.records)
+        self.records.append(KeyedRecord(key, None if is_removal else b"%d" % number, number))
+        self.times_ms.append(self.now_ms)
+
+    def last_before(self, key: str, time_ms: int) -> int | None:
+        """Return the offset of the key's last record that was confirmed before a time."""
+        offsets = [
+            record.offset
+            for record, put_ms in zip(self.records, self.times_ms, strict=True)
+            if record.key == key and put_ms < time_ms
+        ]
+        return offsets[-1] if offsets else None
+
+    def answer(
+        self, call: ReadNewest | ReadChanges, size: int
+    ) -> NewestPage | ChangesPage | OffsetExpired:
+        end = len(self.records)
+        match call:
+            case ReadNewest(after):
+                newest = {record.key: record for record in self.records}
+                keys = sorted(
+                    key
+                    for key, record in newest.items()
+                    if record.value is not None and (after is None or key > after)
+                )
+                size = max(1, size)
+                page = tuple(newest[key] for key in keys[:size])
+                return NewestPage(page, len(keys) > size, end)
+            case ReadChanges(offset):
+                if offset < self.first:
+                    return OffsetExpired()
+                records = tuple(self.records[offset : offset + size])
+                return ChangesPage(records, offset + len(records), end)
+
+
+class Instance:
+    """A reader with the values that it has applied and the copy that it serves to others."""
+
+    def __init__(self) -> None:
+        self.reader, self.mirror = TopicReader(0), TopicMirror()
+        self.values: dict[str, bytes] = {}
+        self.call: ReadNewest | ReadChanges | None = None
+        self.position: int | None = None
+        self.started_ms = 0
+
+    def send(self, now_ms: int) -> None:
+        self.call, self.position = self.reader.next_call(), self.reader.position
+        self.started_ms = now_ms
+
+    def receive(self, store: Store, size: int) -> None:
+        """Handle the store's answer to the call that was sent, unless a hub's data overtook it."""
+        call, self.call = self.call, None
+        if call is None or (call, self.position) != (self.reader.next_call(), self.reader.position):
+            return
+        answer = store.answer(call, size)
+        self.apply(self.reader.handle_answer(answer, self.started_ms).update)
+
+    def query(self, hub: "Instance") -> None:
+        """Query a hub, as the relay does."""
+        offset = self.reader.offset
+        call = ReadNewest() if offset is None else ReadChanges(offset, 0)
+        answer, confirmed_ms = hub.mirror.answer(call), hub.reader.confirmed_ms
+        if answer is not None and confirmed_ms is not None:
+            self.apply(self.reader.handle_relayed(answer, confirmed_ms).update)
+
+    def apply(self, update: TopicUpdate | None) -> None:
+        if update is None:
+            return
+        if self.reader.position is not None:
+            self.mirror.apply(update, self.reader.position)
+        if update.is_snapshot:
+            self.values.clear()
+        for key, value in update.values.items():
+            self.values.pop(key, None)
+            if value is not None:
+                self.values[key] = value
+
+
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("put"), st.sampled_from(KEYS), st.booleans()),
+        st.tuples(st.just("send"), st.integers(0, 1), st.none()),
+        st.tuples(st.just("receive"), st.integers(0, 1), st.integers(0, 3)),
+        st.tuples(st.just("lost"), st.integers(0, 1), st.none()),
+        st.tuples(st.just("query"), st.integers(0, 1), st.none()),
+        st.tuples(st.just("compact"), st.none(), st.none()),
+    ),
+    max_size=60,
+)
+
+
+class RecencyTest(unittest.TestCase):
+    def assert_recent(self, store: Store, instance: Instance) -> None:
+        """Assert that all that was confirmed before `confirmed_ms` is applied."""
+        confirmed_ms = instance.reader.confirmed_ms
+        if confirmed_ms is None:
+            return
+        for key in KEYS:
+            required = store.last_before(key, confirmed_ms)
+            if required is None:
+                continue
+            known = instance.values.get(key)
+            if known is not None:
+                self.assertGreaterEqual(int(known), required, key)
+            else:  # Only a removal explains the missing key.
+                later = [r for r in store.records[required:] if r.key == key and r.value is None]
+                self.assertTrue(later, key)
+
+    @settings(max_examples=1_000, deadline=None)
+    @given(STEPS)
+    def test_everything_confirmed_before_is_applied(self, steps: list[tuple]) -> None:
+        """Guards against a revoked key that is trusted because a short answer counts as all there is."""
+        store, instances = Store(), [Instance(), Instance()]
+        for kind, first, second in steps:
+            store.now_ms += STEP_MS
+            match kind:
+                case "put":
+                    store.put(first, second)
+                case "send":
+                    instances[first].send(store.now_ms)
+                case "receive":
+                    instances[first].receive(store, second)
+                case "lost":
+                    instances[first].call = None
+                case "query":
+                    instances[first].query(instances[1 - first])
+                case "compact":
+                    store.first = len(store.records)
+            for instance in instances:
+                self.assert_recent(store, instance)
+
+    @settings(max_examples=200, deadline=None)
+    @given(st.lists(st.integers(0, 3), min_size=8, max_size=20), st.integers(1, 4))
+    def test_reader_keeps_up_with_a_steady_flow(self, sizes: list[int], puts: int) -> None:
+        """Guards against sound keys that are refused because there is always something new."""
+        store, instance = Store(), Instance()
+        for key in KEYS[:3]:
+            store.put(key)
+        for size in sizes:
+            store.now_ms += STEP_MS
+            instance.send(store.now_ms)
+            for number in range(puts):
+                store.put(KEYS[number % 3])
+            store.now_ms += STEP_MS
+            # All keys fit into one page, but the changes between two reads do not.
+            is_newest = isinstance(instance.reader.next_call(), ReadNewest)
+            instance.receive(store, 3 if is_newest else size)
+            age_ms = store.now_ms - (instance.reader.confirmed_ms or 0)
+            # The read of the newest records, the short one after it, and the next one.
+            self.assertLessEqual(age_ms, 3 * 2 * STEP_MS)
+
+    def test_short_answer(self) -> None:
+        """Guards against a read that is cut short and counts as up to date (review/6)."""
+        reader = TopicReader(0)
+        reader.handle_answer(NewestPage((), False, 5), 100)
+        reader.handle_answer(ChangesPage((), 9, 12), 200)
+        self.assertEqual((reader.confirmed_ms, reader.is_behind), (100, True))
+        self.assertEqual(reader.missing_records, 3)
+        reader.handle_answer(NewestPage((), False, 12), 300)
+        self.assertEqual((reader.confirmed_ms, reader.is_behind), (300, False))
+
+    def test_answers_that_reach_an_earlier_end(self) -> None:
+        """Guards against a reader that counts as outdated until there is nothing new for a moment."""
+        reader = TopicReader(0)
+        reader.handle_answer(NewestPage((KeyedRecord("a", b"1", 0),), True, 10), 100)
+        reader.handle_answer(NewestPage((), False, 11), 110)
+        self.assertEqual(reader.confirmed_ms, 100)
+        # Four records of each answer are fewer calls than two pages while less than that is missing.
+        reader.handle_answer(ChangesPage((), 14, 18), 200)
+        self.assertEqual(reader.next_call(), ReadChanges(14, 0))
+        self.assertEqual(reader.confirmed_ms, 110)
+        reader.handle_answer(ChangesPage((), 18, 22), 300)
+        self.assertEqual((reader.confirmed_ms, reader.is_behind), (200, True))
+
+    def test_pages_of_the_newest_records(self) -> None:
+        """Guards against pages that count as read when the last one was, after retries or none."""
+        reader = TopicReader(0)
+        reader.handle_answer(NewestPage((KeyedRecord("a", b"1", 0),), True, 5), 100)
+        self.assertIsNone(reader.confirmed_ms)
+        reader.handle_answer(NewestPage((KeyedRecord("b", b"1", 6),), False, 7), 9_000)
+        self.assertEqual((reader.confirmed_ms, reader.is_behind), (100, True))
+        reader.handle_answer(ChangesPage((), 7, 7), 9_100)
+        self.assertEqual((reader.confirmed_ms, reader.is_behind), (9_100, False))
+
+    def test_pages_without_changes_between_them(self) -> None:
+        """Guards against data that appears older than it is where nothing was written meanwhile."""
+        reader = TopicReader(0)
+        reader.handle_answer(NewestPage((KeyedRecord("a", b"1", 0),), True, 5), 100)
+        reader.handle_answer(NewestPage((), False, 5), 200)
+        self.assertEqual((reader.confirmed_ms, reader.is_behind), (200, False))
+
+    def test_few_missing_records_of_many_pages(self) -> None:
+        """Guards against a read of thousands of upstreams to catch up with a few changes."""
+        reader = TopicReader(0)
+        for name in "abc":
+            reader.handle_answer(NewestPage((KeyedRecord(name, b"1", 0),), name != "c", 5), 100)
+        reader.handle_answer(ChangesPage((), 25, 30), 200)
+        self.assertEqual(reader.next_call(), ReadChanges(25, 0))
+        reader.handle_answer(ChangesPage((), 45, 90), 300)
+        self.assertEqual(reader.next_call(), ReadNewest())
+
+    def test_pages_are_not_combined_with_a_hubs_data(self) -> None:
+        """Guards against changes that are lost if a hub answers between two pages of the store."""
+        reader = TopicReader(0)
+        reader.handle_answer(NewestPage((KeyedRecord("a", b"1", 8),), True, 9), 100)
+        step = reader.handle_relayed(NewestPage((KeyedRecord("b", b"1", 4),), False, 4), 50)
+        self.assertEqual(step.update, TopicUpdate({"b": b"1"}, is_snapshot=True))
+        self.assertEqual((reader.position, reader.confirmed_ms), (4, 50))
+        self.assertEqual(reader.next_call(), ReadChanges(4, 0))
+
+    def test_hub_that_is_behind(self) -> None:
+        """Guards against a configuration that reverts, and confirmation of it, through a slow hub."""
+        reader = TopicReader(0)
+        reader.handle_answer(NewestPage((), False, 9), 100)
+        self.assertIsNone(reader.handle_relayed(OffsetExpired(), 200).update)
+        self.assertIsNone(reader.offset)
+        self.assertIsNone(reader.handle_relayed(NewestPage((), False, 4), 200).update)
+        self.assertEqual((reader.offset, reader.confirmed_ms), (9, 100))
+
+    def test_restored_topic_is_not_confirmed(self) -> None:
+        """Guards against data of a lost future that counts as up to date."""
+        reader = TopicReader(0)
+        reader.handle_answer(NewestPage((), False, 9), 100)
+        reader.handle_answer(ChangesPage((), 9, 2), 200)
+        self.assertEqual(reader.confirmed_ms, 100)
+        reader.handle_answer(NewestPage((), False, 2), 300)
+        self.assertEqual((reader.position, reader.confirmed_ms), (2, 300))
+
+
+if __name__ == "__main__":
+    unittest.main()
