Kept a hub that pauses from making its data appear newer

What callers could see: a revoked key that is accepted for longer than `revoke_ms` at an instance whose hub was suspended while it answered.

Cause: a hub computed the age of its data and then, with a later reading of the clock, how long the query had waited. An instance adds the waiting time to the start of its query and subtracts the age, so a pause between the two readings made the data appear newer by its length. One response is sent to many held queries, which widens the gap.

Why it works: both times are computed from one reading of the clock, which is not later than the response.

--- a/packages/daemon/src/ibispaddle_daemon/fleet/topics.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/topics.py
@@ -290,6 +290,7 @@
     def publish(self, topic: str, mirror: TopicMirror, confirmed_ms: int) -> None:
         """Send new data to the instances whose held queries it answers."""
         self._published[topic] = _PublishedTopic(mirror, confirmed_ms)
+        now_ms = self._clock.now_ms()
         held, self._held_queries = self._held_queries, deque()
         responses: dict[tuple[tuple[str, int | None], ...], TopicResponse] = {}
         for item in held:
@@ -298,26 +299,27 @@
                 continue
             key = tuple(item.query.offsets.items())
             if key not in responses:
-                responses[key] = self._response(item.query)
-            self._send(item, responses[key])
+                responses[key] = self._response(item.query, now_ms)
+            self._send(item, responses[key], now_ms)
 
     def notify_store_unavailable(self) -> None:
         """Answer all held queries, to report that this instance cannot reach the store."""
         held, self._held_queries = self._held_queries, deque()
+        now_ms = self._clock.now_ms()
         for item in held:
-            self._send(item, self._response(item.query))
+            self._send(item, self._response(item.query, now_ms), now_ms)
 
-    def _send(self, held: _HeldQuery, response: TopicResponse) -> None:
-        waited_ms = self._clock.now_ms() - held.received_ms
+    def _send(self, held: _HeldQuery, response: TopicResponse, now_ms: int) -> None:
+        """Send a response whose ages are as of `now_ms`, which is not later than the present."""
         response = msgspec.structs.replace(
-            response, query_id=held.query.query_id, waited_ms=waited_ms
+            response, query_id=held.query.query_id, waited_ms=now_ms - held.received_ms
         )
         self._links.answer(held.peer_id, response)
 
     def _on_query(self, instance_id: str, query: TopicQuery) -> None:
         held = _HeldQuery(instance_id, query, self._clock.now_ms())
         if self._has_changes(query):
-            self._send(held, self._response(query))
+            self._send(held, self._response(query, held.received_ms), held.received_ms)
             return
         self._held_queries.append(held)
         if self._hold_timer is None:
@@ -333,25 +335,23 @@
                 return True
         return False
 
-    def _age_ms(self, published: _PublishedTopic) -> int:
-        return self._clock.now_ms() - published.confirmed_ms
-
     def _answer_expired_queries(self) -> None:
         self._hold_timer = None
         now_ms = self._clock.now_ms()
         while self._held_queries and self._held_queries[0].received_ms + self._hold_ms <= now_ms:
             item = self._held_queries.popleft()
-            self._send(item, self._response(item.query))
+            self._send(item, self._response(item.query, now_ms), now_ms)
         if self._held_queries:
             due_ms = self._held_queries[0].received_ms + self._hold_ms
             self._hold_timer = self._timers.at(due_ms, self._answer_expired_queries)
 
-    def _response(self, query: TopicQuery) -> TopicResponse:
+    def _response(self, query: TopicQuery, now_ms: int) -> TopicResponse:
         deltas = {}
         for topic, offset in query.offsets.items():
             published = self._published.get(topic)
             if published is not None:
-                item = _delta(published.mirror, offset, self._age_ms(published))
+                age_ms = now_ms - published.confirmed_ms
+                item = _delta(published.mirror, offset, age_ms)
                 if item is not None:
                     deltas[topic] = item
         data = _ENCODER.encode(deltas)
--- a/tests/fleet/test_topics.py
+++ b/tests/fleet/test_topics.py
@@ -6,6 +6,7 @@
 
 import unittest
 
+from ibispaddle_core.clock import ManualClock
 from ibispaddle_core.topics import (
     ChangesPage,
     NewestPage,
@@ -31,6 +32,7 @@
 IN_FORCE_MS = 2_000
 NAMES = "abcdefghijklmnopqrst"
 HOLD_MS = round(HOLD_FRACTION * IN_FORCE_MS)
+PAUSE_MS = 400
 
 
 class FakeFollower:
@@ -60,6 +62,18 @@
         self._relay.publish(self._topic, self._mirror, confirmed_ms)
 
 
+class PausingClock:
+    """A clock of a process that is suspended after each reading."""
+
+    def __init__(self, clock: ManualClock) -> None:
+        self._clock = clock
+
+    def now_ms(self) -> int:
+        now_ms = self._clock.now_ms()
+        self._clock.advance(PAUSE_MS)
+        return now_ms
+
+
 class TopicRelayTest(unittest.TestCase):
     def setUp(self) -> None:
         self.network = FakeNetwork(NAMES)
@@ -116,6 +130,20 @@
             self.timers.advance(HOLD_MS)
             self.assertLessEqual(self.followers["e"].confirmed_ms, read_ms)
 
+    def test_age_is_not_underestimated_by_a_hub_that_pauses(self) -> None:
+        """Guards against a revoked key that is accepted for longer because its hub was suspended.
+
+        The hub computed the age of its data before the pause, and the time that the query waited after it.
+        """
+        self.start_reading()
+        self.read("a", b"1", 5)
+        self.relays["a"]._clock = PausingClock(self.clock)
+        read_ms = self.clock.now_ms()
+        self.mirror.apply(TopicUpdate({"k": b"2"}), 6)
+        self.relays["a"].publish("t", self.mirror, read_ms)
+        self.assertEqual(self.followers["e"].values["k"], b"2")
+        self.assertLessEqual(self.followers["e"].confirmed_ms, read_ms)
+
     def test_only_the_hub_reads_while_nothing_fails(self) -> None:
         """Guards against data that appears too old, so that every instance reads the store as well."""
         self.start_reading()
