Skipped changes that a later page of the newest records already has

What callers could see: a request at an upstream that the instance had read to be leaving, if the list has several pages.

Cause: changes are read from the end of the first page. For the keys of a later page, which is newer, they brought back older values until the last of them had been read.

Evidence: `test_changes_before_a_page` of `tests.topics.test_recency` failed before: the update had the entry with which the upstream was ready. It passes now.

Why it works: each page is retained with its last key and the end that it named until the position reaches that end, and a record before the end of the page of its key is skipped. A hub's data, which may be older than the pages, ends that, so that no change is skipped that the hub does not have (`test_changes_after_a_hubs_older_data`).

--- a/packages/core/src/ibispaddle_core/topics/reader.py
+++ b/packages/core/src/ibispaddle_core/topics/reader.py
@@ -1,6 +1,7 @@
 """Reading of a compacted topic: the newest record of each key, then all changes."""
 
 from collections import deque
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from .messages import (
@@ -15,6 +16,14 @@
 )
 
 
+@dataclass(frozen=True)
+class _Page:
+    """A page that was read: it has all records before `end` of the keys up to `last_key`."""
+
+    last_key: str | None  # None for the last page, which has all further keys.
+    end: int
+
+
 @dataclass
 class _NewestRead:
     """The pages of the newest records that have been read so far."""
@@ -22,7 +31,7 @@
     end: int | None = None  # End of the topic as of the first page.
     values: dict[str, bytes | None] = field(default_factory=dict)
     after: str | None = None
-    pages: int = 0
+    pages: list["_Page"] = field(default_factory=list)
 
 
 @dataclass(frozen=True)
@@ -42,8 +51,8 @@
     answers that takes.
 
     The pages of the newest records are not a consistent snapshot: changes made while they are read may
-    or may not be included. Changes are therefore read from the end of the first page, which repeats
-    some records and skips none.
+    or may not be included. Changes are therefore read from the end of the first page, and those that a
+    later page already has are skipped.
 
     >>> reader = TopicReader(wait_ms=0)
     >>> reader.next_call()
@@ -62,6 +71,7 @@
         self._position: int | None = None
         self._newest_read: _NewestRead | None = _NewestRead()  # None while changes are read.
         self._newest_pages = 1  # Calls that the last read of all newest records took.
+        self._pages: list[_Page] = []  # Those that have changes beyond the position.
         self._pending_ends: deque[_NamedEnd] = deque()  # Ends beyond the position, ascending.
         self._needs_all_keys_from_hub = False
         self.confirmed_ms: int | None = None
@@ -131,6 +141,7 @@
                 if position != self._position:
                     self._newest_read = None
                 update = TopicUpdate(_newest(records))
+        self._pages = []  # The hub's data may be older than they are.
         self._move_to(position)
         self._confirm(confirmed_ms)
         return ReaderStep(self.next_call(), update)
@@ -141,21 +152,23 @@
         if read.end is None:
             read.end = answer.end
         self._add_end(answer.end, started_ms)
-        read.pages += 1
         read.values |= _newest(answer.records)
+        read.after = answer.records[-1].key if answer.has_more else None
+        read.pages.append(_Page(read.after, answer.end))
         if answer.has_more:
-            read.after = answer.records[-1].key
             return None
-        self._newest_read, self._newest_pages = None, read.pages
+        self._newest_read, self._newest_pages = None, len(read.pages)
         self._needs_all_keys_from_hub = False
+        self._pages = read.pages
         self._move_to(read.end)
         return TopicUpdate(read.values, is_snapshot=True)
 
     def _handle_changes(self, answer: ChangesPage, started_ms: int) -> TopicUpdate:
-        update = TopicUpdate(_newest(answer.records))
+        update = TopicUpdate(_newest(r for r in answer.records if not self._is_in_page(r)))
         if answer.end < answer.next_offset:
             # The store was restored; the known offsets are no longer valid.
             self._position, self._newest_read = None, _NewestRead()
+            self._pages = []
             self._pending_ends.clear()
             return update
         count = answer.next_offset - (self._position or 0)
@@ -167,6 +180,13 @@
             self._newest_read = _NewestRead()
         return update
 
+    def _is_in_page(self, record: KeyedRecord) -> bool:
+        """Return whether the page that has the key was read after the record was written."""
+        for page in self._pages:
+            if page.last_key is None or record.key <= page.last_key:
+                return record.offset < page.end
+        return False
+
     def _add_end(self, end: int, started_ms: int) -> None:
         # A later call makes the same end more recent. Higher ends are those of a store that was
         # restored since.
@@ -177,6 +197,8 @@
     def _move_to(self, position: int) -> None:
         """Record that all records before a position are applied."""
         self._position = position
+        if all(page.end <= position for page in self._pages):
+            self._pages = []
         while self._pending_ends and self._pending_ends[0].end <= position:
             self._confirm(self._pending_ends.popleft().started_ms)
 
@@ -185,5 +207,5 @@
             self.confirmed_ms = confirmed_ms
 
 
-def _newest(records: tuple[KeyedRecord, ...]) -> dict[str, bytes | None]:
+def _newest(records: Iterable[KeyedRecord]) -> dict[str, bytes | None]:
     return {record.key: record.value for record in records}
--- a/tests/topics/test_recency.py
+++ b/tests/topics/test_recency.py
@@ -73,6 +73,7 @@
     def __init__(self) -> None:
         self.reader, self.mirror = TopicReader(0), TopicMirror()
         self.values: dict[str, bytes] = {}
+        self.newest: dict[str, int] = {}  # The highest offset that each key's value has had.
         self.call: ReadNewest | ReadChanges | None = None
         self.position: int | None = None
         self.started_ms = 0
@@ -108,6 +109,7 @@
             self.values.pop(key, None)
             if value is not None:
                 self.values[key] = value
+                self.newest[key] = max(self.newest.get(key, 0), int(value))
 
 
 STEPS = st.lists(
@@ -125,10 +127,12 @@
 
 class RecencyTest(unittest.TestCase):
     def assert_recent(self, store: Store, instance: Instance) -> None:
-        """Assert that all that was confirmed before `confirmed_ms` is applied."""
+        """Assert that all that was confirmed before `confirmed_ms` is applied, and nothing reverted."""
         confirmed_ms = instance.reader.confirmed_ms
         if confirmed_ms is None:
             return
+        for key, value in instance.values.items():
+            self.assertEqual(int(value), instance.newest[key], f"the value of {key} went back")
         for key in KEYS:
             required = store.last_before(key, confirmed_ms)
             if required is None:
@@ -233,6 +237,33 @@
         reader.handle_answer(ChangesPage((), 45, 90), 300)
         self.assertEqual(reader.next_call(), ReadNewest())
 
+    def test_changes_before_a_page(self) -> None:
+        """Guards against an upstream that is used again because a page is newer than the changes.
+
+        The second page was read after the upstream had left; the changes before that are read last.
+        """
+        reader = TopicReader(0)
+        reader.handle_answer(NewestPage((KeyedRecord("a", b"1", 0),), True, 5), 100)
+        reader.handle_answer(NewestPage((KeyedRecord("b", b"leaves", 7),), False, 9), 200)
+        records = (
+            KeyedRecord("a", b"2", 5),
+            KeyedRecord("b", b"ready", 6),
+            KeyedRecord("b", b"leaves", 7),
+            KeyedRecord("c", b"gone", 8),
+            KeyedRecord("c", b"back", 9),
+        )
+        step = reader.handle_answer(ChangesPage(records, 10, 10), 300)
+        self.assertEqual(step.update, TopicUpdate({"a": b"2", "c": b"back"}))
+
+    def test_changes_after_a_hubs_older_data(self) -> None:
+        """Guards against changes that are skipped because of a page that a hub's data has replaced."""
+        reader = TopicReader(0)
+        reader.handle_answer(NewestPage((KeyedRecord("a", b"1", 0),), True, 5), 100)
+        reader.handle_answer(NewestPage((KeyedRecord("b", b"leaves", 7),), False, 9), 200)
+        reader.handle_relayed(ChangesPage((KeyedRecord("b", b"ready", 7),), 7, 7), 150)
+        step = reader.handle_answer(ChangesPage((KeyedRecord("b", b"leaves", 7),), 9, 9), 300)
+        self.assertEqual(step.update, TopicUpdate({"b": b"leaves"}))
+
     def test_pages_are_not_combined_with_a_hubs_data(self) -> None:
         """Guards against changes that are lost if a hub answers between two pages of the store."""
         reader = TopicReader(0)
