--- a/tests/platform_adapter/test_records.py
+++ b/tests/platform_adapter/test_records.py
@@ -296,6 +296,12 @@
         read = self.codec.decode(ReadNewest(), 200, body)
         self.assertEqual((read.records, read.end), ((KeyedRecord("a", b"1", 4),), 6))
 
+    def test_page_that_cannot_be_continued(self) -> None:
+        """Guards against upstreams that are taken for gone because a page has no records."""
+        body = json.dumps({"items": [], "has_more": True, "end": 6}).encode()
+        with self.assertRaises(TopicFormatError):
+            self.codec.decode(ReadNewest(), 200, body)
+
     def test_expired_offset(self) -> None:
         self.assertEqual(self.codec.decode(ReadChanges(9, 0), 410, b""), OffsetExpired())
 
