Applied a reloaded revocation time without waiting for the store

What callers saw: after a reload of the settings that shortened `revoke_ms` while the store was away, requests with a key ran for the former time, so a revoked key could run later than the new one allows.

Cause: the reloaded value reached the check of requests with the next confirmation of the configuration only, which does not come during an outage. The settings counted as reloaded all the while.

Why it works: the reload replaces the time in the check and keeps the time of confirmation.

--- a/packages/daemon/src/ibispaddle_daemon/gateway.py
+++ b/packages/daemon/src/ibispaddle_daemon/gateway.py
@@ -309,6 +309,10 @@
         }
         in_force = changed & RELOADABLE_FIELDS
         self.settings = old.replace(**{name: getattr(settings, name) for name in in_force})
+        # The store may be unavailable, so this does not wait for the next confirmation.
+        self.forwarder.freshness = ConfigFreshness(
+            self.forwarder.freshness.confirmed_ms, self.settings.revocation_ms
+        )
         log_event(
             logevents.SETTINGS_RELOADED,
             in_force=sorted(in_force),
--- a/tests/platform_adapter/test_instance.py
+++ b/tests/platform_adapter/test_instance.py
@@ -259,6 +259,19 @@
             wait_until(lambda: instance.events("settings_rejected"), "rejection")
             self.assertEqual(instance.stream().status, 200)
 
+    def test_revocation_time_is_reloaded_during_an_outage(self) -> None:
+        """Guards against revoked keys that are accepted for the former time until the store is back."""
+        with Platform() as platform:
+            instance = platform.instance
+            platform.store.set_faults(outage=True)
+            began_s = time.monotonic()
+            wait_until(lambda: instance.events("store_unavailable"), "outage")
+            instance.path.write_text(instance.path.read_text().replace("5000", "2000"))
+            instance.proc.send_signal(signal.SIGHUP)
+            wait_until(lambda: instance.events("settings_reloaded"), "reload")
+            time.sleep(began_s + 2.0 - time.monotonic())
+            self.assertEqual(instance.call("GET", "/read/x").status, 503)
+
     def test_limits_of_the_configuration(self) -> None:
         """Guards against a configured limit that the HTTP server does not apply."""
         with Platform() as platform:
