Limited the changes that one answer of the store may hold

What callers saw: after an outage with many large versions of the configuration, sound keys were refused for good by an instance with little bandwidth.

Cause: a read asked for up to 1,024 KB of changes, the store's default. Where that takes longer than the timeout of the read, each attempt failed, and the next one asked for the same again.

Why it works: a response has at most 256 KB of changes, and a reader that is further behind reads the newest records, whose size does not grow with the number of versions that were missed. Reads that are up to date are far smaller.

--- a/packages/daemon/src/ibispaddle_daemon/store/codec.py
+++ b/packages/daemon/src/ibispaddle_daemon/store/codec.py
@@ -5,6 +5,10 @@
 
 from ibispaddle_core.topics import ChangesPage, NewestPage, OffsetExpired, ReadChanges, ReadNewest
 
+# Maximum size of the changes in one response. A reader that is further behind needs the newest records
+# only, and a larger response may take longer than the timeout of a read where there is little bandwidth.
+MAX_CHANGES_KB = 256
+
 
 @dataclass(frozen=True)
 class StoreCall:
@@ -19,7 +23,7 @@
     """Encode calls to keyed topics and decode their responses."""
 
     def read(self, topic: str, call: ReadNewest | ReadChanges) -> StoreCall:
-        """Return the call that reads from a topic."""
+        """Return the call that reads from a topic, with at most `MAX_CHANGES_KB` of changes."""
 
     def put(self, topic: str, key: str, value: bytes | None) -> StoreCall:
         """Return the call that writes the newest record of a key; None removes the key."""
--- a/packages/standins/src/ibispaddle_standins/platform_store.py
+++ b/packages/standins/src/ibispaddle_standins/platform_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import json
 import struct
 from base64 import b64encode
 from dataclasses import dataclass, field
@@ -67,6 +68,7 @@
         "silent",  # Requests aren't handled for a minute.
         "lose_answers",  # Appends take effect, but the connection closes without a response.
         "read_delay_ms",  # Time after which a read is answered, with the data of that time.
+        "read_kb_per_s",  # Rate at which the responses to reads are sent.
         "max_read_records",  # Changes in one response; there are fewer than `max_kb` allows.
         "max_read_items",  # Newest records in one response.
     )
@@ -123,12 +125,18 @@
             return web.json_response({"first": topic.first}, status=410)
         max_bytes = int(request.query.get("max_kb", DEFAULT_MAX_KB)) * 1_024
         records = topic.changes(start, max_bytes, self.faults.get("max_read_records"))
-        head = struct.pack(">QQ", topic.end, topic.first)
-        return web.Response(body=head + b"".join(records))
+        body = struct.pack(">QQ", topic.end, topic.first) + b"".join(records)
+        await self._send_slowly(body)
+        return web.Response(body=body)
 
     async def _delay_read(self) -> None:
         await asyncio.sleep(self.faults.get("read_delay_ms", 0) / 1_000)
 
+    async def _send_slowly(self, body: bytes) -> None:
+        kb_per_s = self.faults.get("read_kb_per_s")
+        if kb_per_s is not None:
+            await asyncio.sleep(len(body) / 1_024 / kb_per_s)
+
     async def _newest(self, request: web.Request) -> web.Response:
         topic, after = self._topic(request), request.query.get("after", "")
         await self._delay_read()
@@ -140,7 +148,9 @@
             for value, offset in [topic.newest[key]]
         ]
         more = len(keys) > max_items
-        return web.json_response({"items": items, "has_more": more, "end": topic.end})
+        body = json.dumps({"items": items, "has_more": more, "end": topic.end}).encode()
+        await self._send_slowly(body)
+        return web.Response(body=body, content_type="application/json")
 
     async def _put(self, request: web.Request) -> web.Response:
         record = await request.json()
--- a/tests/platform_adapter/test_outdated_keys.py
+++ b/tests/platform_adapter/test_outdated_keys.py
@@ -14,7 +14,7 @@
 
 from tests.support.waiting import wait_until
 
-from .processes import KEY, Instance, Platform, configuration
+from .processes import KEY, Instance, Platform, configuration, route
 
 INSTANCES = 3
 REVOKED_KEY = "key-of-red"
@@ -26,6 +26,9 @@
 VERSIONS = 20
 VERSION_GAP_S = 0.1
 HEARTBEAT_GAP_S = 0.05
+IDLE_ROUTES = 500
+# The backlog of all versions takes four seconds, the newest records take 0.3.
+BANDWIDTH_KB_PER_S = 500
 # Pages of the newest records, each of which has one key.
 PAGES = 10
 
@@ -76,6 +79,7 @@
         self.addCleanup(self.platform.__exit__)
         wait_until(lambda: len(self.platform.followers()) == INSTANCES - 1, "relays", 20)
         self.versions = itertools.count(2)
+        self.routes = configuration(1)["routes"]
         self.put_version(KEY, REVOKED_KEY)
         for instance in self.platform.instances:
             self.wait_for(instance, REVOKED_KEY, 200)
@@ -86,7 +90,8 @@
 
     def put_version(self, *keys: str) -> None:
         tenants = [{"name": f"tenant-of-{key}", "api_keys": [key]} for key in keys]
-        self.platform.configure(configuration(next(self.versions), tenants=tenants))
+        config = configuration(next(self.versions), tenants=tenants, routes=self.routes)
+        self.platform.configure(config)
 
     def put_versions_and_change_keys(self) -> None:
         """Write many versions with the same keys, then one that revokes a key and adds another."""
@@ -164,6 +169,19 @@
         self.platform.store.set_faults(outage=None, read_delay_ms=100, max_read_records=1)
         self.check_return(time.monotonic(), callers)
 
+    def test_large_versions_with_little_bandwidth(self) -> None:
+        """Guards against sound keys that are refused for good because the missed versions are too large.
+
+        A response with all that the store sends at once took longer than the timeout of the read.
+        """
+        self.routes += [route(f"idle-{n}", "idempotent", "shop") for n in range(IDLE_ROUTES)]
+        self.platform.store.set_faults(outage=True)
+        callers = self.start_callers()
+        self.put_versions_and_change_keys()
+        time.sleep(REVOKE_S)
+        self.platform.store.set_faults(outage=None, read_kb_per_s=BANDWIDTH_KB_PER_S)
+        self.check_return(time.monotonic(), callers)
+
     def test_pages_of_the_newest_records(self) -> None:
         """Guards against keys that are trusted again from a page that was read long before the last."""
         for number in range(PAGES - 1):
