Used answers of the store that come after the timeout of the read

What callers saw: sound keys were refused for as long as each answer of the store took longer than 0.9 s, although its data would have been recent enough.

Cause: a read was aborted at its timeout, which is short so that a dead connection is noticed, and the next one had the same. No read was ever answered.

Evidence: `test_very_slow_answers` of `tests.platform_adapter.test_outdated_keys` (1.2 s an answer, 5 s until a revoked key must stop working) failed before, and passes now.

Why it works: the timeout still counts as a failure and another read is made, as before, so an outage is noticed and ends no later. The call itself is only aborted some seconds later. An answer until then is applied if the reader has not moved on, with the start of its own call as the time of confirmation.

--- a/packages/daemon/src/ibispaddle_daemon/store/follower.py
+++ b/packages/daemon/src/ibispaddle_daemon/store/follower.py
@@ -10,6 +10,7 @@
     ChangesPage,
     NewestPage,
     OffsetExpired,
+    ReadChanges,
     ReaderStep,
     ReadNewest,
     TopicFormatError,
@@ -24,9 +25,12 @@
 from ..timers import TimerHandle, TimerQueue
 from .codec import StoreCodec
 
-# Added to the long-poll wait to get the timeout of a call. Longer than the response time of a slow
-# store; calls on dead connections are aborted after it.
+# Added to the long-poll wait to get the time after which a call counts as failed and another one is made.
+# Longer than the response time of a slow store, and short enough for calls on dead connections.
 RESPONSE_MARGIN_MS = 900
+# Added to the long-poll wait to get the time after which a call is aborted. The answer to a call that
+# counted as failed is still used until then.
+LATE_RESPONSE_MARGIN_MS = 4_000
 # Delay before a failed call is retried, doubled with each failure up to the maximum.
 INITIAL_RETRY_MS = 100
 MAX_RETRY_MS = 400
@@ -86,6 +90,7 @@
         self._is_reading = False
         self._read_often_until_ms = 0
         self._next_read: TimerHandle | None = None
+        self._read_number = 0  # Number of the last read that has neither failed nor been answered.
         self._calls = CallbackHttpClient(f"topic-calls-{topic}", clock).register(self)
         self._failures = 0
         self._last_failure_ms = 0
@@ -138,41 +143,67 @@
 
     def _read(self) -> None:
         self._next_read = None
-        started_ms = self._clock.now_ms()
+        self._read_number += 1
+        number, started_ms = self._read_number, self._clock.now_ms()
         call, position = self._reader.next_call(), self._reader.position
         request = self._codec.read(self._topic, call)
 
+        def fail_if_unanswered() -> None:
+            self._read_number += 1
+            self._record_failure(f"no answer within {self._wait_ms + RESPONSE_MARGIN_MS} ms")
+
+        timer = self._timers.after(self._wait_ms + RESPONSE_MARGIN_MS, fail_if_unanswered)
+
         def done(result: CallResult) -> None:
-            if result.error is not None:
-                self._record_failure(result.error.text)
-                return
-            try:
-                answer = self._codec.decode(call, result.status, result.body)
-            except TopicFormatError as exc:
-                self._record_failure(str(exc))
+            timer.cancel()
+            is_late = (
+                number != self._read_number
+            )  # Its failure is recorded, and another read follows.
+            answer = self._decode(call, result, is_late)
+            if answer is None:
                 return
             self._record_success()
-            if (call, position) != (self._reader.next_call(), self._reader.position):
-                self._schedule(0)  # A hub has responded since, with newer data.
-                return
-            self._apply(self._reader.handle_answer(answer, started_ms))
-            if self._reader.is_behind:
-                # Also if there is a hub: its data may be older than what the store has named.
-                self._schedule(0, self._read)
-                return
-            interval_ms = OFTEN_INTERVAL_MS if self._is_read_often else self._interval_ms
-            self._schedule(started_ms + interval_ms - self._clock.now_ms())
+            is_overtaken = (call, position) != (self._reader.next_call(), self._reader.position)
+            if not is_overtaken:  # Otherwise the reader has newer data from a hub or another call.
+                self._apply(self._reader.handle_answer(answer, started_ms))
+            if not is_late:
+                self._schedule_next(started_ms, is_overtaken)
 
         self._calls.send(
             request.method,
             self._url + request.path,
             request.body,
-            self._wait_ms + RESPONSE_MARGIN_MS,
+            self._wait_ms + LATE_RESPONSE_MARGIN_MS,
             done,
             MAX_BUFFERED_BODY_BYTES,
             may_reuse_connection=True,
         )
 
+    def _decode(
+        self, call: ReadNewest | ReadChanges, result: CallResult, is_late: bool
+    ) -> NewestPage | ChangesPage | OffsetExpired | None:
+        """Return the answer to a call, or record its failure, unless it has been, and return None."""
+        try:
+            if result.error is None:
+                return self._codec.decode(call, result.status, result.body)
+            reason = result.error.text
+        except TopicFormatError as exc:
+            reason = str(exc)
+        if not is_late:
+            self._record_failure(reason)
+        return None
+
+    def _schedule_next(self, started_ms: int, is_overtaken: bool) -> None:
+        """Schedule the read that follows one that was answered."""
+        if is_overtaken:
+            self._schedule(0)
+        elif self._reader.is_behind:
+            # Also if there is a hub: its data may be older than what the store has named.
+            self._schedule(0, self._read)
+        else:
+            interval_ms = OFTEN_INTERVAL_MS if self._is_read_often else self._interval_ms
+            self._schedule(started_ms + interval_ms - self._clock.now_ms())
+
     def _apply(self, step: ReaderStep) -> None:
         """Apply the result of a read, and make it available to other instances."""
         self._log_progress()
--- a/tests/platform_adapter/test_outdated_keys.py
+++ b/tests/platform_adapter/test_outdated_keys.py
@@ -5,6 +5,7 @@
 """
 
 import itertools
+import signal
 import threading
 import time
 import unittest
@@ -84,6 +85,7 @@
         for instance in self.platform.instances:
             self.wait_for(instance, REVOKED_KEY, 200)
         self.changed_s = inf
+        self.revoke_s = REVOKE_S
 
     def wait_for(self, instance: Instance, key: str, status: int) -> None:
         wait_until(lambda: instance.call("GET", "/read/x", Key=key).status == status, str(status))
@@ -122,7 +124,9 @@
     def assert_keys(self, callers: Callers) -> None:
         """Assert that no request ran with an outdated key, and none was denied with a new one."""
         late_s = [at_s - self.changed_s for at_s in callers.times_s(REVOKED_KEY, 200)]
-        self.assertEqual([at_s for at_s in late_s if at_s > REVOKE_S], [], "revoked key served")
+        self.assertEqual(
+            [at_s for at_s in late_s if at_s > self.revoke_s], [], "revoked key served"
+        )
         denied_s = [at_s - self.changed_s for at_s in callers.times_s(ADDED_KEY, 401)]
         self.assertEqual([at_s for at_s in denied_s if at_s > IN_FORCE_S], [], "added key denied")
         self.assertEqual(callers.times_s(KEY, 401), [], "sound key denied")
@@ -149,6 +153,24 @@
         self.assertEqual(callers.times_s(KEY, 503), [], "sound key refused")
         self.assert_answers(callers, self.changed_s + REVOKE_S, ADDED_KEY, 200)
 
+    def test_very_slow_answers(self) -> None:
+        """Guards against sound keys that are refused because each answer comes after its timeout."""
+        self.revoke_s = 5.0
+        for instance in self.platform.instances:
+            text = instance.path.read_text()
+            instance.path.write_text(text.replace("revoke_ms = 3000", "revoke_ms = 5000"))
+            instance.proc.send_signal(signal.SIGHUP)
+            wait_until(lambda i=instance: i.events("settings_reloaded"), "reload")
+        self.platform.store.set_faults(read_delay_ms=1_200)
+        callers = self.start_callers()
+        time.sleep(2.0)
+        self.put_version(KEY, ADDED_KEY)
+        self.changed_s = time.monotonic()
+        time.sleep(8.0)
+        callers.end()
+        self.assert_keys(callers)
+        self.assertEqual(callers.times_s(KEY, 503), [], "sound key refused")
+
     def check_return(self, returned_s: float, callers: Callers) -> None:
         """Check the requests during and after an outage that has just ended."""
         time.sleep(4.0)
