Tested the time of confirmation with late answers and longer histories

The histories were so short that mutations of the reader passed: one that confirms with short answers, one that confirms with the last page, and one that combines a hub's data with pages of the store. Calls may also be answered late and out of order.

--- a/tests/topics/test_recency.py
+++ b/tests/topics/test_recency.py
@@ -1,6 +1,7 @@
 """Tests of the time as of which a reader is up to date, for any sequence and size of answers."""
 
 import unittest
+from collections import deque
 from dataclasses import dataclass, field
 
 from hypothesis import given, settings
@@ -18,8 +19,10 @@
 )
 
 KEYS = "abcde"
-# Time between the steps of a history. An answer leaves the store one step after its call was sent.
+# Time between the steps of a history.
 STEP_MS = 10
+# Calls of an instance that may be answered late.
+MAX_CALLS = 3
 
 
 @dataclass
@@ -67,6 +70,16 @@
                 return ChangesPage(records, offset + len(records), end)
 
 
+@dataclass
+class Call:
+    """A call to the store, and its answer once it has one."""
+
+    read: ReadNewest | ReadChanges
+    position: int | None
+    started_ms: int
+    answer: NewestPage | ChangesPage | OffsetExpired | None = None
+
+
 class Instance:
     """A reader with the values that it has applied and the copy that it serves to others."""
 
@@ -74,21 +87,20 @@
         self.reader, self.mirror = TopicReader(0), TopicMirror()
         self.values: dict[str, bytes] = {}
         self.newest: dict[str, int] = {}  # The highest offset that each key's value has had.
-        self.call: ReadNewest | ReadChanges | None = None
-        self.position: int | None = None
-        self.started_ms = 0
+        self.sent: deque[Call] = deque(maxlen=MAX_CALLS)
 
     def send(self, now_ms: int) -> None:
-        self.call, self.position = self.reader.next_call(), self.reader.position
-        self.started_ms = now_ms
+        """Make a call; earlier ones may still be answered."""
+        self.sent.append(Call(self.reader.next_call(), self.reader.position, now_ms))
 
-    def receive(self, store: Store, size: int) -> None:
-        """Handle the store's answer to the call that was sent, unless a hub's data overtook it."""
-        call, self.call = self.call, None
-        if call is None or (call, self.position) != (self.reader.next_call(), self.reader.position):
+    def receive(self, number: int) -> None:
+        """Handle an answer to one of the calls, unless the reader has moved on."""
+        if number >= len(self.sent) or self.sent[number].answer is None:
             return
-        answer = store.answer(call, size)
-        self.apply(self.reader.handle_answer(answer, self.started_ms).update)
+        call = self.sent[number]
+        del self.sent[number]
+        if (call.read, call.position) == (self.reader.next_call(), self.reader.position):
+            self.apply(self.reader.handle_answer(call.answer, call.started_ms).update)
 
     def query(self, hub: "Instance") -> None:
         """Query a hub, as the relay does."""
@@ -112,15 +124,27 @@
                 self.newest[key] = max(self.newest.get(key, 0), int(value))
 
 
+INSTANCE = st.integers(0, 1)
+SIZE = st.integers(0, 3)
+PUT = st.tuples(st.just("put"), st.sampled_from(KEYS), st.booleans())
+READ = st.tuples(st.just("read"), INSTANCE, SIZE)
+QUERY = st.tuples(st.just("query"), INSTANCE, st.none())
+# Mostly changes, complete reads and queries, so that most histories get beyond the first read.
 STEPS = st.lists(
     st.one_of(
-        st.tuples(st.just("put"), st.sampled_from(KEYS), st.booleans()),
-        st.tuples(st.just("send"), st.integers(0, 1), st.none()),
-        st.tuples(st.just("receive"), st.integers(0, 1), st.integers(0, 3)),
-        st.tuples(st.just("lost"), st.integers(0, 1), st.none()),
-        st.tuples(st.just("query"), st.integers(0, 1), st.none()),
+        PUT,
+        PUT,
+        PUT,
+        READ,
+        READ,
+        QUERY,
+        st.tuples(st.just("send"), INSTANCE, st.none()),
+        st.tuples(st.just("answer"), INSTANCE, SIZE),
+        st.tuples(st.just("receive"), INSTANCE, st.integers(0, MAX_CALLS - 1)),
+        st.tuples(st.just("lost"), INSTANCE, st.none()),
         st.tuples(st.just("compact"), st.none(), st.none()),
     ),
+    min_size=30,
     max_size=60,
 )
 
@@ -156,10 +180,19 @@
                     store.put(first, second)
                 case "send":
                     instances[first].send(store.now_ms)
+                case "read":
+                    instances[first].send(store.now_ms)
+                    store.now_ms += STEP_MS
+                    call = instances[first].sent[-1]
+                    call.answer = store.answer(call.read, second)
+                    instances[first].receive(len(instances[first].sent) - 1)
+                case "answer":
+                    for call in instances[first].sent:
+                        call.answer = call.answer or store.answer(call.read, second)
                 case "receive":
-                    instances[first].receive(store, second)
+                    instances[first].receive(second)
                 case "lost":
-                    instances[first].call = None
+                    instances[first].sent.clear()
                 case "query":
                     instances[first].query(instances[1 - first])
                 case "compact":
@@ -182,7 +215,8 @@
             store.now_ms += STEP_MS
             # All keys fit into one page, but the changes between two reads do not.
             is_newest = isinstance(instance.reader.next_call(), ReadNewest)
-            instance.receive(store, 3 if is_newest else size)
+            instance.sent[0].answer = store.answer(instance.sent[0].read, 3 if is_newest else size)
+            instance.receive(0)
             age_ms = store.now_ms - (instance.reader.confirmed_ms or 0)
             # The read of the newest records, the short one after it, and the next one.
             self.assertLessEqual(age_ms, 3 * 2 * STEP_MS)
