--- a/tests/platform_adapter/processes.py
+++ b/tests/platform_adapter/processes.py
@@ -8,7 +8,7 @@
 import sys
 import tempfile
 import threading
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from contextlib import ExitStack
 from pathlib import Path
 from typing import Any, Protocol
@@ -155,7 +155,16 @@
 class Platform:
     """A store, runners and instances, as a context manager."""
 
-    def __init__(self, runners: int = 2, services: int = 1, instances: int = 1, **bounds: Any):
+    def __init__(
+        self,
+        runners: int = 2,
+        services: int = 1,
+        instances: int = 1,
+        gate: Callable[[str], HasAddress | None] = lambda address: None,
+        **bounds: Any,
+    ):
+        """Start the processes; `gate` may return an instance's proxy of the store at an address."""
+        self._gate = gate
         self._stack = ExitStack()
         self.folder = self._stack.enter_context(tempfile.TemporaryDirectory())
         self.store = self._stand_in("platform_store")
@@ -184,7 +193,8 @@
 
     def start_instance(self, number: int, **bounds: Any) -> Instance:
         """Start an instance and wait until it is ready."""
-        instance = Instance(self.folder, number, self.store, **bounds)
+        store = self._gate(self.store.address) or self.store
+        instance = Instance(self.folder, number, store, **bounds)
         self._stack.callback(instance.close)
         wait_until(instance.is_ready, "ready")
         return instance
--- a/tests/platform_adapter/test_outdated_keys.py
+++ b/tests/platform_adapter/test_outdated_keys.py
@@ -4,6 +4,7 @@
 revoked, one that is added and one that stays, to all instances, before and after the change.
 """
 
+import asyncio
 import itertools
 import signal
 import threading
@@ -13,9 +14,10 @@
 from dataclasses import dataclass
 from math import inf
 
+from tests.soak.links import Link, LinkMode
 from tests.support.waiting import wait_until
 
-from .processes import KEY, Instance, Platform, configuration, route
+from .processes import KEY, HasAddress, Instance, Platform, configuration, route
 
 INSTANCES = 3
 REVOKED_KEY = "key-of-red"
@@ -74,9 +76,16 @@
         return sorted(item.sent_s for item in self.sent if (item.key, item.status) == (key, status))
 
 
-class OutdatedKeysTest(unittest.TestCase):
+class KeysTestCase(unittest.TestCase):
+    """Three instances, and versions of the configuration with some of three keys."""
+
+    def gate(self, address: str) -> HasAddress | None:
+        """Return an instance's proxy of the store, or None to use the store itself."""
+        return None
+
     def setUp(self) -> None:
-        self.platform = Platform(instances=INSTANCES, revoke_ms=round(REVOKE_S * 1_000))
+        bounds = {"revoke_ms": round(REVOKE_S * 1_000)}
+        self.platform = Platform(instances=INSTANCES, gate=self.gate, **bounds)
         self.addCleanup(self.platform.__exit__)
         wait_until(lambda: len(self.platform.followers()) == INSTANCES - 1, "relays", 20)
         self.versions = itertools.count(2)
@@ -138,6 +147,19 @@
         }
         self.assertEqual(answers, {status}, key)
 
+    def check_return(self, returned_s: float, callers: Callers) -> None:
+        """Check the requests during and after an outage that has just ended."""
+        time.sleep(4.0)
+        callers.end()
+        self.assert_keys(callers)
+        refused_s = callers.times_s(KEY, 503)
+        self.assertTrue(refused_s, "the outage was too short")
+        self.assertLess(refused_s[-1] - returned_s, IN_FORCE_S, "sound key refused too long")
+        for key, status in ((KEY, 200), (ADDED_KEY, 200), (REVOKED_KEY, 401)):
+            self.assert_answers(callers, returned_s + IN_FORCE_S, key, status)
+
+
+class OutdatedKeysTest(KeysTestCase):
     def test_slow_and_short_answers(self) -> None:
         """Guards against a revoked key that works until the last of many versions has been read."""
         self.platform.store.set_faults(read_delay_ms=400, max_read_records=1)
@@ -171,17 +193,6 @@
         self.assert_keys(callers)
         self.assertEqual(callers.times_s(KEY, 503), [], "sound key refused")
 
-    def check_return(self, returned_s: float, callers: Callers) -> None:
-        """Check the requests during and after an outage that has just ended."""
-        time.sleep(4.0)
-        callers.end()
-        self.assert_keys(callers)
-        refused_s = callers.times_s(KEY, 503)
-        self.assertTrue(refused_s, "the outage was too short")
-        self.assertLess(refused_s[-1] - returned_s, IN_FORCE_S, "sound key refused too long")
-        for key, status in ((KEY, 200), (ADDED_KEY, 200), (REVOKED_KEY, 401)):
-            self.assert_answers(callers, returned_s + IN_FORCE_S, key, status)
-
     def test_many_versions_during_an_outage(self) -> None:
         """Guards against keys that are trusted again from the first of several short answers (review/6)."""
         self.platform.store.set_faults(outage=True)
@@ -228,5 +239,34 @@
             self.assert_answers(callers, in_force_s, key, 200)
 
 
+class TurnedAwayHubTest(KeysTestCase):
+    def gate(self, address: str) -> HasAddress:
+        if not hasattr(self, "links"):
+            self.links: list[Link] = []
+            self.loop = asyncio.new_event_loop()
+            thread = threading.Thread(target=self.loop.run_forever, daemon=True)
+            thread.start()
+            self.addCleanup(thread.join, 10)
+            self.addCleanup(self.loop.call_soon_threadsafe, self.loop.stop)
+        opening = asyncio.run_coroutine_threadsafe(Link(address).open(), self.loop)
+        self.links.append(opening.result(10))
+        return self.links[-1]
+
+    def set_mode(self, instance: Instance, mode: LinkMode) -> None:
+        link = self.links[self.platform.instances.index(instance)]
+        self.loop.call_soon_threadsafe(link.set_mode, mode)
+
+    def test_hub_that_the_store_turns_away(self) -> None:
+        """Guards against keys that a hub, and those that query it, trust after its return (review/6)."""
+        (hub,) = set(self.platform.instances) - set(self.platform.followers())
+        self.platform.store.set_faults(read_delay_ms=100, max_read_records=1)
+        callers = self.start_callers()
+        self.set_mode(hub, LinkMode.RESET)
+        self.put_versions_and_change_keys()
+        time.sleep(REVOKE_S)
+        self.set_mode(hub, LinkMode.OPEN)
+        self.check_return(time.monotonic(), callers)
+
+
 if __name__ == "__main__":
     unittest.main()
