--- a/packages/daemon/src/ibispaddle_daemon/store/follower.py
+++ b/packages/daemon/src/ibispaddle_daemon/store/follower.py
@@ -156,9 +156,8 @@
 
         def done(result: CallResult) -> None:
             timer.cancel()
-            is_late = (
-                number != self._read_number
-            )  # Its failure is recorded, and another read follows.
+            # The failure of a late call is recorded, and another read follows it.
+            is_late = number != self._read_number
             answer = self._decode(call, result, is_late)
             if answer is None:
                 return
