Sent an instance within a hub's read the records that changed nothing at the hub

What callers could see: an evacuation that goes on at one instance, or an upstream that it takes for leaving, although the store has confirmed otherwise and the instance counts as up to date.

Cause: a hub leaves out records that change nothing for it. An instance that read the store itself may be at a position within one of the hub's reads, and know a value that the hub never had: the hub read an evacuation and its end at once, the instance only its start. It got neither, and the hub's time of confirmation.

Why it works: a mirror retains the unchanged records of its last reads for callers within them, and knows the positions after its reads. A caller at any other position reads all keys again.

--- a/packages/core/src/ibispaddle_core/topics/mirror.py
+++ b/packages/core/src/ibispaddle_core/topics/mirror.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass, field
 
 from .messages import (
     ChangesPage,
@@ -15,13 +16,26 @@
 
 # Changes retained for followers; a follower that is further behind reads all keys again.
 MAX_CHANGES = 1_024
+# Reads of which the records without a change are retained as well, and positions that are.
+MAX_READS = 8
+MAX_POSITIONS = 1_024
+
+
+@dataclass(frozen=True)
+class _Read:
+    """The records of a read, from `start` to before `end`, that changed nothing here."""
+
+    start: int
+    end: int
+    unchanged: dict[str, bytes | None] = field(default_factory=dict)
 
 
 class TopicMirror:
     """Answer the calls of a `TopicReader` with the data that another reader has read.
 
     A change is not passed on if `is_same` returns true for the known and the new value of the key, for
-    example for a heartbeat of an upstream without any new information.
+    example for a heartbeat of an upstream without any new information. A caller whose position is within
+    one of the reads may know another value, so it gets all records of that read.
 
     >>> mirror = TopicMirror()
     >>> mirror.apply(TopicUpdate({"a": b"1"}, is_snapshot=True), position=5)
@@ -38,46 +52,88 @@
         # Each with the position after the read that returned it.
         self._changes: deque[tuple[int, str, bytes | None]] = deque(maxlen=MAX_CHANGES)
         self._first_position = 0  # Changes after this position are retained.
+        self._positions: dict[int, None] = {}  # Those after each read, in order.
+        self._reads: deque[_Read] = deque(maxlen=MAX_READS)
         self.position: int | None = None
 
-    def apply(self, update: TopicUpdate, position: int) -> None:
-        """Apply an update that was read; `position` is the offset of the next record."""
+    def apply(
+        self,
+        update: TopicUpdate,
+        position: int,
+        settled_position: int | None = None,
+        is_relayed: bool = False,
+    ) -> None:
+        """Apply an update that was read; `position` is the offset of the next record.
+
+        A snapshot may have some of the later records, all of which are before `settled_position`; nothing
+        is served until that is reached. An update that another mirror has relayed lacks the records that
+        changed nothing there.
+        """
         if update.is_snapshot or self.position is None or position < self.position:
             self._changes.clear()
+            self._reads.clear()
+            self._positions.clear()
             self._newest = {k: v for k, v in update.values.items() if v is not None}
-            self._first_position = self.position = position
+            self._first_position = max(position, settled_position or position)
+            self._move_to(position)
             return
+        unchanged: dict[str, bytes | None] = {}
         for key, value in update.values.items():
             old = self._newest.get(key)
             if value is None:
                 if old is None:
+                    unchanged[key] = value
                     continue
                 del self._newest[key]
             else:
                 if old is not None and self._is_same(key, old, value):
+                    unchanged[key] = value
                     continue
                 self._newest[key] = value
             if len(self._changes) == MAX_CHANGES:
                 self._first_position = self._changes[0][0]
             self._changes.append((position, key, value))
+        if not is_relayed and position > self.position:
+            self._reads.append(_Read(self.position, position, unchanged))
+        self._move_to(position)
+
+    def _move_to(self, position: int) -> None:
         self.position = position
+        self._positions[position] = None
+        if len(self._positions) > MAX_POSITIONS:
+            del self._positions[next(iter(self._positions))]
+
+    @property
+    def _is_settled(self) -> bool:
+        return self.position is not None and self.position >= self._first_position
+
+    def _read_around(self, offset: int) -> _Read | None:
+        """Return the read within which an offset is, or None if it is not retained."""
+        return next((read for read in self._reads if read.start < offset < read.end), None)
+
+    def _is_retained(self, offset: int) -> bool:
+        """Return whether all changes since a caller's position are known."""
+        if self.position is None or not self._first_position <= offset <= self.position:
+            return False
+        return offset in self._positions or self._read_around(offset) is not None
 
     def has_changes_for(self, call: ReadNewest | ReadChanges) -> bool:
         """Return whether the answer to a call would be anything but an empty list of changes."""
+        if not self._is_settled:
+            return False
         match call:
             case ReadNewest():
                 return True
             case ReadChanges(offset):
-                is_retained = (
-                    self.position is not None and self._first_position <= offset <= self.position
-                )
-                return not is_retained or (bool(self._changes) and self._changes[-1][0] > offset)
+                if not self._is_retained(offset) or offset not in self._positions:
+                    return True
+                return bool(self._changes) and self._changes[-1][0] > offset
 
     def answer(
         self, call: ReadNewest | ReadChanges
     ) -> NewestPage | ChangesPage | OffsetExpired | None:
-        """Return the answer to a call, or None if the mirror is empty or behind the caller."""
-        if self.position is None:
+        """Return the answer to a call, or None if the mirror has no data or is behind the caller."""
+        if self.position is None or not self._is_settled:
             return None
         match call:
             case ReadNewest(after):
@@ -90,9 +146,13 @@
             case ReadChanges(offset):
                 if offset > self.position:
                     return None
-                if offset < self._first_position:
+                if not self._is_retained(offset):
                     return OffsetExpired()
+                read = self._read_around(offset)
+                unchanged = read.unchanged.items() if read is not None else ()
                 records = tuple(
+                    KeyedRecord(key, value, offset) for key, value in unchanged
+                ) + tuple(
                     KeyedRecord(key, value, position)
                     for position, key, value in self._changes
                     if position > offset
--- a/packages/core/src/ibispaddle_core/topics/reader.py
+++ b/packages/core/src/ibispaddle_core/topics/reader.py
@@ -81,6 +81,11 @@
         """Return the offset up to which all records are applied, or None before the first."""
         return self._position
 
+    @property
+    def settled_position(self) -> int | None:
+        """Return the position before which all applied records are; higher only after several pages."""
+        return max((page.end for page in self._pages), default=self._position)
+
     @property
     def offset(self) -> int | None:
         """Return the offset from which a hub is queried for changes, or None to get all keys."""
--- a/packages/daemon/src/ibispaddle_daemon/store/follower.py
+++ b/packages/daemon/src/ibispaddle_daemon/store/follower.py
@@ -139,7 +139,7 @@
         """Apply data that a hub has sent."""
         if confirmed_ms >= self._last_failure_ms:
             self._record_success()  # The hub reached the store after this instance's last failure.
-        self._apply(self._reader.handle_relayed(answer, confirmed_ms))
+        self._apply(self._reader.handle_relayed(answer, confirmed_ms), is_relayed=True)
 
     def _read(self) -> None:
         self._next_read = None
@@ -203,13 +203,14 @@
             interval_ms = OFTEN_INTERVAL_MS if self._is_read_often else self._interval_ms
             self._schedule(started_ms + interval_ms - self._clock.now_ms())
 
-    def _apply(self, step: ReaderStep) -> None:
+    def _apply(self, step: ReaderStep, is_relayed: bool = False) -> None:
         """Apply the result of a read, and make it available to other instances."""
         self._log_progress()
         if step.update is None:
             return
-        if self._reader.position is not None:
-            self._mirror.apply(step.update, self._reader.position)
+        position, settled_position = self._reader.position, self._reader.settled_position
+        if position is not None:
+            self._mirror.apply(step.update, position, settled_position, is_relayed)
         self._on_update(step.update)
         if self._relay is not None and self.confirmed_ms is not None:
             self._relay.publish(self._topic, self._mirror, self.confirmed_ms)
--- a/tests/topics/test_mirror.py
+++ b/tests/topics/test_mirror.py
@@ -55,6 +55,37 @@
         self.assertEqual(self.mirror.answer(ReadChanges(5, 0)), OffsetExpired())
         self.assertIsInstance(self.mirror.answer(ReadNewest()), NewestPage)
 
+    def test_callers_within_a_read(self) -> None:
+        """Guards against an evacuation that goes on at an instance that read its start but not its end.
+
+        The mirror read both at once, so that nothing changed there.
+        """
+        self.mirror.apply(TopicUpdate({"a": b"1 again", "e": None}), 9)
+        records = (KeyedRecord("a", b"1 again", 7), KeyedRecord("e", None, 7))
+        self.assertTrue(self.mirror.has_changes_for(ReadChanges(7, 0)))
+        self.assertEqual(self.mirror.answer(ReadChanges(7, 0)), ChangesPage(records, 9, 9))
+        self.assertEqual(self.mirror.answer(ReadChanges(9, 0)), ChangesPage((), 9, 9))
+
+    def test_callers_within_relayed_changes(self) -> None:
+        """Guards against the same where the changes came from another hub, which left out the records."""
+        self.mirror.apply(TopicUpdate({"b": b"2"}), 9, is_relayed=True)
+        self.assertEqual(self.mirror.answer(ReadChanges(7, 0)), OffsetExpired())
+        self.assertEqual(
+            self.mirror.answer(ReadChanges(5, 0)), ChangesPage((KeyedRecord("b", b"2", 9),), 9, 9)
+        )
+
+    def test_snapshot_of_several_pages(self) -> None:
+        """Guards against a change that a caller misses because a page of the snapshot had it already."""
+        self.mirror.apply(TopicUpdate({"a": b"2"}, is_snapshot=True), 8, settled_position=12)
+        for call in (ReadNewest(), ReadChanges(8, 0), ReadChanges(10, 0)):
+            self.assertFalse(self.mirror.has_changes_for(call))
+            self.assertIsNone(self.mirror.answer(call))
+        self.mirror.apply(TopicUpdate({}), 13, settled_position=13)
+        self.assertEqual(self.mirror.answer(ReadChanges(10, 0)), OffsetExpired())
+        self.assertEqual(
+            self.mirror.answer(ReadNewest()), NewestPage((KeyedRecord("a", b"2", 13),), False, 13)
+        )
+
     def test_no_answer_before_the_first_read(self) -> None:
         """Guards against an empty list from an instance that has just started."""
         self.assertIsNone(TopicMirror().answer(ReadNewest()))
