--- a/tests/topics/test_mirror.py
+++ b/tests/topics/test_mirror.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 from ibispaddle_core.topics import (
     ChangesPage,
@@ -28,6 +28,14 @@
             known[key] = value
 
 
+CHANGE = st.tuples(st.sampled_from("ab"), st.sampled_from([None, b"1", b"2"]))
+
+
+def state_after(changes: list[tuple[str, bytes | None]]) -> dict:
+    """Return the values of all keys after some changes."""
+    return {key: value for key, value in dict(changes).items() if value is not None}
+
+
 class TopicMirrorTest(unittest.TestCase):
     def setUp(self) -> None:
         self.mirror = TopicMirror(lambda key, old, new: old[:1] == new[:1])
@@ -86,6 +94,34 @@
             self.mirror.answer(ReadNewest()), NewestPage((KeyedRecord("a", b"2", 13),), False, 13)
         )
 
+    @settings(max_examples=300, deadline=None)
+    @given(st.lists(st.lists(CHANGE, max_size=5), max_size=6), st.lists(CHANGE, max_size=5))
+    def test_callers_at_any_position(self, reads: list[list], paged: list) -> None:
+        """Guards against a caller that counts as up to date but misses a change, wherever it is.
+
+        The snapshot has the changes of `paged` to one of the two keys already, as a later page would.
+        """
+        mirror = TopicMirror()
+        mirror.apply(
+            TopicUpdate(state_after([c for c in paged if c[0] == "b"]), is_snapshot=True),
+            0,
+            settled_position=len(paged),
+        )
+        history: list[tuple[str, bytes | None]] = []
+        for changes in [paged, *reads]:
+            history += changes
+            mirror.apply(TopicUpdate(dict(changes)), len(history))
+            for offset in range(len(history) + 1):
+                answer = mirror.answer(ReadChanges(offset, 0))
+                if not isinstance(answer, ChangesPage):
+                    self.assertIsInstance(answer, OffsetExpired)
+                    answer = mirror.answer(ReadNewest())
+                    known = {}
+                else:
+                    known = state_after(history[:offset])
+                apply(known, TopicUpdate({r.key: r.value for r in answer.records}))
+                self.assertEqual(known, state_after(history), offset)
+
     def test_no_answer_before_the_first_read(self) -> None:
         """Guards against an empty list from an instance that has just started."""
         self.assertIsNone(TopicMirror().answer(ReadNewest()))
