--- a/packages/daemon/src/ibispaddle_daemon/orders.py
+++ b/packages/daemon/src/ibispaddle_daemon/orders.py
@@ -73,7 +73,7 @@
         self._state = OrdersState()
         self._reconciler = Reconciler(self._executor)
         self._calls = CallbackHttpClient("order_calls", clock).register(self)
-        self._next_offset = 0
+        self._position = 0  # Offset of the next record to be read.
         self._tokens = itertools.count(1)
         self._appends: dict[int, AppendCallback] = {}
         # Takeovers that were appended but not yet read back, with their offsets once known.
@@ -94,16 +94,17 @@
         self, stream: str, records: Iterable[LogRecord], first_offset: int, next_offset: int
     ) -> None:
         has_changed = False
+        self._position = max(self._position, first_offset)
         for record in records:
+            self._position = record.offset + 1
             parsed = parse_record(record.data)
             if parsed.is_err():
                 log_unreadable_record(stream, record.offset, parsed.unwrap_err())
             else:
                 self._state.fold(record.offset, parsed.unwrap())
                 has_changed = True
-        self._next_offset = next_offset
         for upstream_id, offset in list(self._unread_takeovers.items()):
-            if offset is not None and offset < next_offset:
+            if offset is not None and offset < self._position:
                 del self._unread_takeovers[upstream_id]
         if has_changed:
             self._reconcile()
@@ -148,7 +149,7 @@
             return
 
         def on_appended(offset: int | None) -> None:
-            if offset is None or offset < self._next_offset:
+            if offset is None or offset < self._position:
                 self._unread_takeovers.pop(upstream_id, None)
             else:
                 self._unread_takeovers[upstream_id] = offset
