Asked the property of recency for exact values again

Half of the histories now have mirrors that leave nothing out, and ask for such a value again; the other half ask for the state.

The check that no value goes back, which dropped as well, is not restored: it does not hold where a hub's changes are older than a later page. That is an open fault.

--- a/tests/topics/test_recency.py
+++ b/tests/topics/test_recency.py
@@ -75,6 +75,11 @@
     return None if value is None else int(value) % 2
 
 
+def is_same_state(key: str, old: bytes, new: bytes) -> bool:
+    """Return whether a value differs from another one in its number only."""
+    return state(old) == state(new)
+
+
 @dataclass
 class Call:
     """A call to the store, and its answer once it has one."""
@@ -88,9 +93,9 @@
 class Instance:
     """A reader with the values that it has applied and the copy that it serves to others."""
 
-    def __init__(self) -> None:
+    def __init__(self, leaves_out_heartbeats: bool = False) -> None:
         self.reader = TopicReader(0)
-        self.mirror = TopicMirror(lambda key, old, new: state(old) == state(new))
+        self.mirror = TopicMirror(is_same_state if leaves_out_heartbeats else None)
         self.values: dict[str, bytes] = {}
         self.sent: deque[Call] = deque(maxlen=MAX_CALLS)
 
@@ -155,8 +160,8 @@
 
 
 class RecencyTest(unittest.TestCase):
-    def assert_recent(self, store: Store, instance: Instance) -> None:
-        """Assert that each key has a state that it had at `confirmed_ms` or later."""
+    def assert_recent(self, store: Store, instance: Instance, is_exact: bool) -> None:
+        """Assert that each key has a value that it had at `confirmed_ms` or later, or only its state."""
         confirmed_ms = instance.reader.confirmed_ms
         if confirmed_ms is None:
             return
@@ -164,14 +169,21 @@
             required = store.last_before(key, confirmed_ms)
             if required is None:
                 continue
-            possible = {state(r.value) for r in store.records[required:] if r.key == key}
-            self.assertIn(state(instance.values.get(key)), possible, key)
+            known = instance.values.get(key)
+            possible = {r.value for r in store.records[required:] if r.key == key}
+            if is_exact:
+                self.assertIn(known, possible, key)
+            else:
+                self.assertIn(state(known), {state(value) for value in possible}, key)
 
     @settings(max_examples=1_000, deadline=None)
-    @given(STEPS)
-    def test_everything_confirmed_before_is_applied(self, steps: list[tuple]) -> None:
+    @given(STEPS, st.booleans())
+    def test_everything_confirmed_before_is_applied(
+        self, steps: list[tuple], leaves_out_heartbeats: bool
+    ) -> None:
         """Guards against a revoked key that is trusted because a short answer counts as all there is."""
-        store, instances = Store(), [Instance(), Instance()]
+        store = Store()
+        instances = [Instance(leaves_out_heartbeats) for _ in range(2)]
         for kind, first, second in steps:
             store.now_ms += STEP_MS
             match kind:
@@ -197,7 +209,7 @@
                 case "compact":
                     store.first = len(store.records)
             for instance in instances:
-                self.assert_recent(store, instance)
+                self.assert_recent(store, instance, not leaves_out_heartbeats)
 
     @settings(max_examples=200, deadline=None)
     @given(st.lists(st.integers(0, 3), min_size=8, max_size=20), st.integers(1, 4))
