--- a/tests/topics/test_recency.py
+++ b/tests/topics/test_recency.py
@@ -309,6 +309,14 @@
         step = reader.handle_answer(ChangesPage((KeyedRecord("b", b"leaves", 7),), 9, 9), 300)
         self.assertEqual(step.update, TopicUpdate({"b": b"leaves"}))
 
+    def test_older_changes_of_a_hub(self) -> None:
+        """Guards against an upstream that is used again because a hub is behind a page of the store."""
+        reader = TopicReader(0)
+        reader.handle_answer(NewestPage((KeyedRecord("a", b"1", 0),), True, 5), 100)
+        reader.handle_answer(NewestPage((KeyedRecord("b", b"leaves", 7),), False, 9), 200)
+        relayed = ChangesPage((KeyedRecord("b", b"ready", 7),), 7, 7)
+        self.assertEqual(reader.handle_relayed(relayed, 150).update, TopicUpdate({}))
+
     def test_pages_are_not_combined_with_a_hubs_data(self) -> None:
         """Guards against changes that are lost if a hub answers between two pages of the store."""
         reader = TopicReader(0)
