--- a/packages/core/src/ibispaddle_core/logevents.py
+++ b/packages/core/src/ibispaddle_core/logevents.py
@@ -274,6 +274,12 @@
 TOPIC_CAUGHT_UP = LogEvent(
     4015, "topic_caught_up", Level.INFO, "A topic that was behind has been read up to its end."
 )
+STORE_READ_FAILED = LogEvent(
+    4016,
+    "store_read_failed",
+    Level.INFO,
+    "A read of a topic failed after one that succeeded, and is repeated.",
+)
 LOG_UNAVAILABLE = LogEvent(
     4000, "log_unavailable", Level.WARNING, "The platform's log cannot be read or appended to."
 )
--- a/packages/daemon/src/ibispaddle_daemon/fleet/topics.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/topics.py
@@ -165,11 +165,8 @@
     def _check_confirmation_age(self) -> None:
         """Read the store if no hub has confirmed the urgent topics for a while."""
         now_ms = self._clock.now_ms()
-        oldest_ms = min(
-            (follower.confirmed_ms or 0) for follower in self._urgent_followers.values()
-        )
         due_ms = max(
-            oldest_ms + self._catch_up_ms,
+            self._confirmed_ms + self._catch_up_ms,
             self._last_catch_up_ms + (CATCH_UP_RETRY_MS if self._is_store_unavailable else 0),
         )
         if now_ms >= due_ms:
@@ -179,6 +176,15 @@
             due_ms = now_ms + self._hold_ms
         self._timers.at(due_ms, self._check_confirmation_age)
 
+    @property
+    def _confirmed_ms(self) -> int:
+        """Return the time as of which all urgent topics are known."""
+        return min((item.confirmed_ms or 0 for item in self._urgent_followers.values()), default=0)
+
+    def _age_ms(self, now_ms: int) -> int | None:
+        """Return the age of the urgent topics, or None if one has not been read yet."""
+        return now_ms - self._confirmed_ms if self._confirmed_ms else None
+
     @property
     def _is_store_unavailable(self) -> bool:
         return any(follower.is_store_unavailable for follower in self._urgent_followers.values())
@@ -208,7 +214,7 @@
         if self._hub_id is None or self._hub_id not in usable:
             chosen = usable[0] if usable else None
             if chosen != self._hub_id:
-                log_event(logevents.RELAY_CHANGED, relay=chosen)
+                log_event(logevents.RELAY_CHANGED, relay=chosen, age_ms=self._age_ms(now_ms))
             self._hub_id = chosen
         return self._hub_id
 
@@ -231,8 +237,10 @@
     def _abandon_query(self, query: _PendingQuery, reason: str) -> None:
         if self._pending_query is not query:
             return
-        self._dead_until_ms[query.hub_id] = self._clock.now_ms() + EXCLUSION_MS
-        log_event(logevents.RELAY_FAILED, relay=query.hub_id, reason=reason)
+        now_ms = self._clock.now_ms()
+        self._dead_until_ms[query.hub_id] = now_ms + EXCLUSION_MS
+        age_ms = self._age_ms(now_ms)
+        log_event(logevents.RELAY_FAILED, relay=query.hub_id, reason=reason, age_ms=age_ms)
         self._clear_query()
         self._query_next()
 
@@ -276,6 +284,7 @@
                 logevents.RELAY_FAILED,
                 relay=instance_id,
                 reason="the hub has no recent data from the store",
+                age_ms=self._age_ms(self._clock.now_ms()),
             )
             self._timers.after(STALE_RETRY_DELAY_MS, self._query_if_idle)
             return
--- a/packages/daemon/src/ibispaddle_daemon/gateway.py
+++ b/packages/daemon/src/ibispaddle_daemon/gateway.py
@@ -291,6 +291,7 @@
             revision=routing.version,
             routes=len(routing.routes),
             keys=len(routing.workspaces),
+            age_ms=self.forwarder.freshness.age_ms(self.clock.now_ms()),
         )
 
     def _reload_settings(self) -> None:
--- a/packages/daemon/src/ibispaddle_daemon/store/follower.py
+++ b/packages/daemon/src/ibispaddle_daemon/store/follower.py
@@ -256,6 +256,8 @@
     def _record_failure(self, reason: str) -> None:
         self._failures += 1
         self._last_failure_ms = self._clock.now_ms()
+        if self._failures == 1:
+            log_event(logevents.STORE_READ_FAILED, topic=self._topic, reason=reason)
         if self._failures == UNAVAILABLE_AFTER_FAILURES:
             log_event(logevents.STORE_UNAVAILABLE, topic=self._topic, reason=reason)
             if self._relay is not None:
