--- a/packages/core/src/ibispaddle_core/topics/reader.py
+++ b/packages/core/src/ibispaddle_core/topics/reader.py
@@ -138,15 +138,15 @@
                 return ReaderStep(self.next_call())
             case NewestPage(records, _, position):
                 self._needs_all_keys_from_hub = False
-                if self._position is not None and position < self._position:
+                settled_position = self.settled_position
+                if settled_position is not None and position < settled_position:
                     return ReaderStep(self.next_call())  # The hub is behind this reader.
                 self._newest_read = None
                 update = TopicUpdate(_newest(records), is_snapshot=True)
             case ChangesPage(records, position, _):
                 if position != self._position:
                     self._newest_read = None
-                update = TopicUpdate(_newest(records))
-        self._pages = []  # The hub's data may be older than they are.
+                update = self._newer_than_pages(records)
         self._move_to(position)
         self._confirm(confirmed_ms)
         return ReaderStep(self.next_call(), update)
@@ -169,7 +169,7 @@
         return TopicUpdate(read.values, is_snapshot=True)
 
     def _handle_changes(self, answer: ChangesPage, started_ms: int) -> TopicUpdate:
-        update = TopicUpdate(_newest(r for r in answer.records if not self._is_in_page(r)))
+        update = self._newer_than_pages(answer.records)
         if answer.end < answer.next_offset:
             # The store was restored; the known offsets are no longer valid.
             self._position, self._newest_read = None, _NewestRead()
@@ -185,6 +185,14 @@
             self._newest_read = _NewestRead()
         return update
 
+    def _newer_than_pages(self, records: Iterable[KeyedRecord]) -> TopicUpdate:
+        """Return the update from changes, without those that a page already has.
+
+        The records of a hub bear its position. A hub that has passed the end of a page has the newest
+        records of the page's keys as well.
+        """
+        return TopicUpdate(_newest(record for record in records if not self._is_in_page(record)))
+
     def _is_in_page(self, record: KeyedRecord) -> bool:
         """Return whether the page that has the key was read after the record was written."""
         for page in self._pages:
--- a/tests/topics/test_recency.py
+++ b/tests/topics/test_recency.py
@@ -97,6 +97,7 @@
         self.reader = TopicReader(0)
         self.mirror = TopicMirror(is_same_state if leaves_out_heartbeats else None)
         self.values: dict[str, bytes] = {}
+        self.applied: dict[str, int] = {}  # Number of each key's value in its history.
         self.sent: deque[Call] = deque(maxlen=MAX_CALLS)
 
     def send(self, now_ms: int) -> None:
@@ -160,6 +161,22 @@
 
 
 class RecencyTest(unittest.TestCase):
+    def assert_no_return(self, store: Store, instance: Instance, is_exact: bool) -> None:
+        """Assert that no key has a value again that it had before the one that was last applied."""
+        for key in KEYS:
+            known = instance.values.get(key)
+            history = [None, *(r.value for r in store.records if r.key == key)]
+            start = instance.applied.get(key, 0)
+            following = (
+                number
+                for number in range(start, len(history))
+                if history[number] == known
+                or (not is_exact and state(history[number]) == state(known))
+            )
+            number = next(following, None)
+            self.assertIsNotNone(number, f"{key} is {known}, after {history[start:]}")
+            instance.applied[key] = number
+
     def assert_recent(self, store: Store, instance: Instance, is_exact: bool) -> None:
         """Assert that each key has a value that it had at `confirmed_ms` or later, or only its state."""
         confirmed_ms = instance.reader.confirmed_ms
@@ -210,6 +227,7 @@
                     store.first = len(store.records)
             for instance in instances:
                 self.assert_recent(store, instance, not leaves_out_heartbeats)
+                self.assert_no_return(store, instance, not leaves_out_heartbeats)
 
     @settings(max_examples=200, deadline=None)
     @given(st.lists(st.integers(0, 3), min_size=8, max_size=20), st.integers(1, 4))
@@ -301,12 +319,34 @@
         self.assertEqual(step.update, TopicUpdate({"a": b"2", "c": b"back"}))
 
     def test_changes_after_a_hubs_older_data(self) -> None:
+        """Guards against a value that goes back because of a hub's older data, or changes that are lost after it."""
+        instance = Instance()
+        reader = instance.reader
+        page = NewestPage((KeyedRecord("a", b"1", 0),), True, 5)
+        instance.apply(reader.handle_answer(page, 100).update)
+        page = NewestPage((KeyedRecord("b", b"leaves", 7),), False, 9)
+        instance.apply(reader.handle_answer(page, 200).update)
+        relayed = ChangesPage((KeyedRecord("b", b"ready", 7),), 7, 7)
+        instance.apply(reader.handle_relayed(relayed, 150).update, is_relayed=True)
+        self.assertEqual(instance.values["b"], b"leaves")
+        changes = (KeyedRecord("b", b"ready", 7), KeyedRecord("b", b"leaves", 8))
+        instance.apply(reader.handle_answer(ChangesPage(changes[:1], 8, 10), 250).update)
+        self.assertEqual(instance.values["b"], b"leaves")
+        changes = (*changes[1:], KeyedRecord("b", b"back", 9))
+        instance.apply(reader.handle_answer(ChangesPage(changes, 10, 10), 300).update)
+        self.assertEqual(instance.values, {"a": b"1", "b": b"back"})
+
+    def test_changes_after_a_hubs_snapshot(self) -> None:
         """Guards against changes that are skipped because of a page that a hub's data has replaced."""
         reader = TopicReader(0)
         reader.handle_answer(NewestPage((KeyedRecord("a", b"1", 0),), True, 5), 100)
         reader.handle_answer(NewestPage((KeyedRecord("b", b"leaves", 7),), False, 9), 200)
-        reader.handle_relayed(ChangesPage((KeyedRecord("b", b"ready", 7),), 7, 7), 150)
-        step = reader.handle_answer(ChangesPage((KeyedRecord("b", b"leaves", 7),), 9, 9), 300)
+        older = NewestPage((KeyedRecord("b", b"ready", 7),), False, 7)
+        self.assertIsNone(reader.handle_relayed(older, 150).update)
+        newer = NewestPage((KeyedRecord("b", b"ready", 9),), False, 9)
+        step = reader.handle_relayed(newer, 250)
+        self.assertEqual(step.update, TopicUpdate({"b": b"ready"}, is_snapshot=True))
+        step = reader.handle_answer(ChangesPage((KeyedRecord("b", b"leaves", 9),), 10, 10), 300)
         self.assertEqual(step.update, TopicUpdate({"b": b"leaves"}))
 
     def test_older_changes_of_a_hub(self) -> None:
