--- a/tests/platform_adapter/processes.py
+++ b/tests/platform_adapter/processes.py
@@ -74,7 +74,7 @@
         memory_mb: int | None = None,
         **bounds: Any,
     ) -> None:
-        self.arguments = arguments
+        self.arguments, self.store = arguments, store
         front, self.ready_port, peers = reserve_ports_for(self, 3)
         self.port, self.peer_port = front, peers
         limits = {"grace_s": 8, "fail_closed": True, "revoke_ms": 5_000, "stall_ms": 300}
--- a/tests/platform_adapter/test_outdated_keys.py
+++ b/tests/platform_adapter/test_outdated_keys.py
@@ -4,7 +4,6 @@
 revoked, one that is added and one that stays, to all instances, before and after the change.
 """
 
-import asyncio
 import itertools
 import signal
 import threading
@@ -14,10 +13,11 @@
 from dataclasses import dataclass
 from math import inf
 
-from tests.soak.links import Link, LinkMode
+from tests.soak.links import LinkMode
 from tests.support.waiting import wait_until
 
 from .processes import KEY, HasAddress, Instance, Platform, configuration, route
+from .store_links import StoreLinks
 
 INSTANCES = 3
 REVOKED_KEY = "key-of-red"
@@ -240,31 +240,23 @@
 
 
 class TurnedAwayHubTest(KeysTestCase):
-    def gate(self, address: str) -> HasAddress:
-        if not hasattr(self, "links"):
-            self.links: list[Link] = []
-            self.loop = asyncio.new_event_loop()
-            thread = threading.Thread(target=self.loop.run_forever, daemon=True)
-            thread.start()
-            self.addCleanup(thread.join, 10)
-            self.addCleanup(self.loop.call_soon_threadsafe, self.loop.stop)
-        opening = asyncio.run_coroutine_threadsafe(Link(address).open(), self.loop)
-        self.links.append(opening.result(10))
-        return self.links[-1]
+    def setUp(self) -> None:
+        self.links = StoreLinks()
+        self.addCleanup(self.links.close)
+        super().setUp()
 
-    def set_mode(self, instance: Instance, mode: LinkMode) -> None:
-        link = self.links[self.platform.instances.index(instance)]
-        self.loop.call_soon_threadsafe(link.set_mode, mode)
+    def gate(self, address: str) -> HasAddress:
+        return self.links.open(address)
 
     def test_hub_that_the_store_turns_away(self) -> None:
         """Guards against keys that a hub, and those that query it, trust after its return (review/6)."""
         (hub,) = set(self.platform.instances) - set(self.platform.followers())
         self.platform.store.set_faults(read_delay_ms=100, max_read_records=1)
         callers = self.start_callers()
-        self.set_mode(hub, LinkMode.RESET)
+        self.links.set_mode(LinkMode.RESET, hub)
         self.put_versions_and_change_keys()
         time.sleep(REVOKE_S)
-        self.set_mode(hub, LinkMode.OPEN)
+        self.links.set_mode(LinkMode.OPEN, hub)
         self.check_return(time.monotonic(), callers)
 
 
--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -1,4 +1,4 @@
-"""TCP proxies on loopback that can delay, reset or discard the traffic of connections."""
+"""TCP proxies on loopback that can delay, reset, discard or answer the traffic of connections."""
 
 import asyncio
 import contextlib
@@ -9,6 +9,9 @@
 READ_BYTES = 65_536
 DELAY_S = 0.15
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+_UNAVAILABLE_RESPONSE = (
+    b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+)
 
 
 class LinkMode(StrEnum):
@@ -19,6 +22,7 @@
     RESET = "reset"  # Open and new connections are reset.
     SILENT = "silent"  # Data is discarded in both directions.
     ONE_WAY = "one_way"  # Data from the target is discarded.
+    UNAVAILABLE = "unavailable"  # HTTP requests are answered with 503.
 
 
 class Link:
@@ -81,7 +85,7 @@
             # At the end of the run the tasks of open connections are cancelled.
             with contextlib.suppress(asyncio.CancelledError):
                 await asyncio.gather(
-                    self._forward_bytes(reader, target_writer, discarding_modes[0]),
+                    self._forward_bytes(reader, target_writer, discarding_modes[0], writer),
                     self._forward_bytes(target_reader, writer, discarding_modes[1]),
                 )
         finally:
@@ -94,12 +98,17 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         discarding_modes: tuple[LinkMode, ...],
+        source_writer: asyncio.StreamWriter | None = None,
     ) -> None:
+        """Forward data in one direction; `source_writer` sends responses of the link itself."""
         is_discarding = False
         with contextlib.suppress(OSError):
             while data := await reader.read(READ_BYTES):
                 if self.mode is LinkMode.DELAY:
                     await asyncio.sleep(DELAY_S)
+                if self.mode is LinkMode.UNAVAILABLE and source_writer is not None:
+                    source_writer.write(_UNAVAILABLE_RESPONSE)
+                    break
                 is_discarding = is_discarding or self.mode in discarding_modes
                 if not is_discarding:
                     writer.write(data)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -50,7 +50,7 @@
 
 class LinkTest(unittest.TestCase):
     def exchange(self, mode: LinkMode) -> bytes:
-        """Return the response of an echo server through a link, or how the exchange failed."""
+        """Return the first line of an echo server's response through a link, or how it failed."""
 
         async def echo(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             writer.write(b"echo " + await reader.read(100))
@@ -67,7 +67,7 @@
             writer.write(b"x")
             try:
                 async with asyncio.timeout(0.6):
-                    return await reader.read(100)
+                    return (await reader.read(100)).partition(b"\r\n")[0]
             except TimeoutError:
                 return b"silent"
             except ConnectionError:
@@ -87,6 +87,7 @@
             LinkMode.RESET: b"reset",
             LinkMode.SILENT: b"silent",
             LinkMode.ONE_WAY: b"silent",
+            LinkMode.UNAVAILABLE: b"HTTP/1.1 503 Service Unavailable",
         }
         self.assertEqual({mode: self.exchange(mode) for mode in LinkMode}, expected)
 
