Checked the data of turned away instances in the soak

A cut between an instance and the store no longer excuses the instance from the checks of added routes, revoked keys, draining runners and evacuations, as long as another instance was not disturbed at all. New: a request that is refused because of old data there breaks DENIED.

Faults are recorded from their begin on. Before, a pause of an instance or a fault of the store that had not ended yet was not known when an added route or a planned stop was checked, so the check could fail for an instance that did not run or for a store that was down for all.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -13,14 +13,15 @@
 import sys
 import time
 from concurrent.futures import ProcessPoolExecutor, as_completed
+from typing import Any
 
 from .plan import create_plan
 from .run import Result, run
 
 
-def run_seed(seed: int, scale: int, is_planned_only: bool, has_short_reads: bool) -> Result:
-    """Execute the run of a seed."""
-    return run(create_plan(seed, scale, is_planned_only, has_short_reads))
+def run_seed(seed: int, *options: Any) -> Result:
+    """Execute the run of a seed with the options of `create_plan`."""
+    return run(create_plan(seed, *options))
 
 
 def write_log(result: Result, folder: pathlib.Path) -> None:
@@ -44,13 +45,16 @@
     parser.add_argument(
         "--short-reads", action="store_true", help="one or two records in each answer of the store"
     )
+    parser.add_argument(
+        "--cut-links", action="store_true", help="the store turns away several instances at once"
+    )
     parser.add_argument("--logs", type=pathlib.Path, default=pathlib.Path("out/soak"))
     args = parser.parse_args()
     ends = time.monotonic() + 60 * args.minutes if args.minutes else None
     failed_runs = finished_runs = 0
     with ProcessPoolExecutor(args.jobs) as pool:
         seeds = range(args.first, args.first + args.seeds)
-        options = (args.scale, args.planned, args.short_reads)
+        options = (args.scale, args.planned, args.short_reads, args.cut_links)
         futures = [pool.submit(run_seed, seed, *options) for seed in seeds]
         for future in as_completed(futures):
             result = future.result()
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -6,7 +6,8 @@
 import json
 import signal
 import time
-from dataclasses import dataclass, field
+from collections.abc import Iterator
+from dataclasses import dataclass, field, replace
 from math import inf
 from pathlib import Path
 from typing import Any
@@ -16,7 +17,7 @@
 from tests.platform_adapter.processes import KEY, Instance, configuration, route
 
 from .links import Link, LinkMode
-from .plan import PLANNED, Fault, FaultKind, Plan
+from .plan import PLANNED, STORE_LINK_KINDS, Fault, FaultKind, Plan
 
 # Limits that the platform specifies; the instances get them in their settings.
 SHUTDOWN_GRACE_S = 8.0
@@ -24,6 +25,8 @@
 CONFIGURATION_LIMIT_S = 2.0
 # The platform restarts a process after a short delay.
 RESTART_DELAY_S = 0.3
+# Period after a fault in which its consequences may last.
+SETTLED_AFTER_FAULT_S = 3.0
 READY_TIMEOUT_S = 10.0
 # Period for which a runner is listed as draining; it serves for another second after that.
 DRAIN_PERIOD_S = 3.0
@@ -40,6 +43,28 @@
     begin_s: float
     end_s: float
 
+    def overlaps(self, begin_s: float, end_s: float) -> bool:
+        """Return whether a part of the disturbance is in a period."""
+        return self.begin_s < end_s and self.end_s > begin_s
+
+
+def must_be_informed(
+    disturbances: list[Disturbance], number: int, instances: int, begin_s: float, end_s: float
+) -> bool:
+    """Return whether an instance must have the store's data at the end of a period.
+
+    It must unless it failed, or the store did, in the period. If the store turned it away, it gets the
+    data from others, provided that there was one that was not disturbed at all.
+    """
+    found = [item for item in disturbances if item.overlaps(begin_s, end_s)]
+    own = {item.kind for item in found if item.subject in (f"instance {number}", "store")}
+    faults = own.difference(PLANNED)
+    if not faults:
+        return True
+    disturbed = {item.subject for item in found}
+    is_any_served = any(f"instance {other}" not in disturbed for other in range(instances))
+    return faults.issubset(STORE_LINK_KINDS) and is_any_served
+
 
 @dataclass
 class Runner:
@@ -181,6 +206,14 @@
             case FaultKind.STORE_LINK:
                 number = fault.target % len(self.instances)
                 await self._disturb_link(f"instance {number}", fault, self._store_links[number])
+            case FaultKind.STORE_LINKS:
+                chosen = [(fault.target + n) % len(self.instances) for n in range(fault.count)]
+                await asyncio.gather(
+                    *(
+                        self._disturb_link(f"instance {number}", fault, self._store_links[number])
+                        for number in chosen
+                    )
+                )
             case FaultKind.STORE_FAULT:
                 await self._disturb_store(fault)
             case FaultKind.STORE_COMPACT:
@@ -197,32 +230,40 @@
     def _target_runner(self, fault: Fault) -> Runner:
         return self.runners[fault.target % len(self.runners)]
 
-    def _record_disturbance(self, subject: str, kind: FaultKind, begin_s: float) -> None:
-        self.disturbances.append(Disturbance(subject, kind, begin_s, time.monotonic()))
+    @contextlib.contextmanager
+    def _disturbance(self, subject: str, kind: FaultKind) -> Iterator[Disturbance]:
+        """Record a disturbance for the time of a `with` block, without an end until then."""
+        item = Disturbance(subject, kind, time.monotonic(), inf)
+        self.disturbances.append(item)
+        try:
+            yield item
+        finally:
+            self.disturbances.remove(item)
+            self.disturbances.append(replace(item, end_s=time.monotonic()))
 
     async def _kill_and_restart(self, kind: FaultKind, number: int) -> None:
-        begin_s = time.monotonic()
-        async with self._locks[number]:
-            await asyncio.to_thread(self.instances[number].close)
-            await self._start_again(number)
-        self._record_disturbance(f"instance {number}", kind, begin_s)
+        with self._disturbance(f"instance {number}", kind):
+            async with self._locks[number]:
+                await asyncio.to_thread(self.instances[number].close)
+                await self._start_again(number)
 
     async def _stop_and_restart(self, number: int) -> None:
-        begin_s = time.monotonic()
-        async with self._locks[number]:
-            proc = self.instances[number].proc
-            proc.send_signal(signal.SIGTERM)
-            status: int | str = "killed"
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(SHUTDOWN_GRACE_S):
-                    while (found := proc.poll()) is None:
-                        await asyncio.sleep(0.02)
-                    status = found
-            stopped_s = time.monotonic()
-            await asyncio.to_thread(self.instances[number].close)
-            await self._start_again(number)
-        self._record_disturbance(f"instance {number}", FaultKind.INSTANCE_STOP, begin_s)
-        if status != 0 and not self.is_disturbed(f"instance {number}", begin_s - 3, stopped_s):
+        with self._disturbance(f"instance {number}", FaultKind.INSTANCE_STOP) as stop:
+            async with self._locks[number]:
+                proc = self.instances[number].proc
+                proc.send_signal(signal.SIGTERM)
+                status: int | str = "killed"
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(SHUTDOWN_GRACE_S):
+                        while (found := proc.poll()) is None:
+                            await asyncio.sleep(0.02)
+                        status = found
+                stopped_s = time.monotonic()
+                await asyncio.to_thread(self.instances[number].close)
+                await self._start_again(number)
+        if status != 0 and not self.is_disturbed(
+            number, stop.begin_s - SETTLED_AFTER_FAULT_S, stopped_s
+        ):
             self.changes.bad_stops.append(f"instance {number}: {status} after a planned stop")
 
     async def _start_again(self, number: int) -> None:
@@ -241,35 +282,31 @@
                     await asyncio.sleep(0.05)
 
     async def _pause(self, subject: str, fault: Fault, proc: Any) -> None:
-        begin_s = time.monotonic()
-        if proc.poll() is None:
-            proc.send_signal(signal.SIGSTOP)
-            await asyncio.sleep(fault.duration_s)
+        with self._disturbance(subject, fault.kind):
             if proc.poll() is None:
-                proc.send_signal(signal.SIGCONT)
-        self._record_disturbance(subject, fault.kind, begin_s)
+                proc.send_signal(signal.SIGSTOP)
+                await asyncio.sleep(fault.duration_s)
+                if proc.poll() is None:
+                    proc.send_signal(signal.SIGCONT)
 
     async def _disturb_link(self, subject: str, fault: Fault, link: Link) -> None:
-        begin_s = time.monotonic()
-        link.set_mode(LinkMode(fault.variant))
-        await asyncio.sleep(fault.duration_s)
-        link.set_mode(LinkMode.OPEN)
-        self._record_disturbance(subject, fault.kind, begin_s)
+        with self._disturbance(subject, fault.kind):
+            link.set_mode(LinkMode(fault.variant))
+            await asyncio.sleep(fault.duration_s)
+            link.set_mode(LinkMode.OPEN)
 
     async def _disturb_store(self, fault: Fault) -> None:
-        begin_s = time.monotonic()
-        await asyncio.to_thread(self.store.set_faults, **{fault.variant: True})
-        await asyncio.sleep(fault.duration_s)
-        await asyncio.to_thread(self.store.set_faults, **{fault.variant: None})
-        self._record_disturbance("store", fault.kind, begin_s)
+        with self._disturbance("store", fault.kind):
+            await asyncio.to_thread(self.store.set_faults, **{fault.variant: True})
+            await asyncio.sleep(fault.duration_s)
+            await asyncio.to_thread(self.store.set_faults, **{fault.variant: None})
 
     async def _inject_runner_fault(self, runner: Runner, fault: Fault) -> None:
-        begin_s = time.monotonic()
-        with contextlib.suppress(OSError):  # The runner may be killed by another fault.
+        # The runner may be killed by another fault.
+        with self._disturbance(f"runner {runner.name}", fault.kind), contextlib.suppress(OSError):
             await asyncio.to_thread(runner.process.set_faults, **{fault.variant: fault.count})
             await asyncio.sleep(fault.duration_s)
             await asyncio.to_thread(runner.process.set_faults, **{fault.variant: None})
-        self._record_disturbance(f"runner {runner.name}", fault.kind, begin_s)
 
     # Runners
 
@@ -291,14 +328,13 @@
 
     async def _kill_and_replace(self, runner: Runner, fault: Fault) -> None:
         """Kill a runner and start a new one; the entry of the killed one is removed later."""
-        begin_s = time.monotonic()
-        self._retire(runner)
-        await asyncio.to_thread(runner.process.kill)
-        runner.link.set_mode(LinkMode.RESET)
-        await self._add_runner(runner.service)
-        await asyncio.sleep(fault.duration_s)
-        await self._put_in_store("keyed.servers", runner.name, None)
-        self._record_disturbance(f"runner {runner.name}", fault.kind, begin_s)
+        with self._disturbance(f"runner {runner.name}", fault.kind):
+            self._retire(runner)
+            await asyncio.to_thread(runner.process.kill)
+            runner.link.set_mode(LinkMode.RESET)
+            await self._add_runner(runner.service)
+            await asyncio.sleep(fault.duration_s)
+            await self._put_in_store("keyed.servers", runner.name, None)
 
     async def _drain_and_replace(self, runner: Runner) -> None:
         """Start a new runner, then drain the old one and stop it."""
@@ -337,7 +373,10 @@
         await self._publish_configuration()
         await asyncio.sleep(CONFIGURATION_LIMIT_S)
         for number, instance in enumerate(self.instances):
-            if self.is_disturbed(f"instance {number}", begin_s - 3, time.monotonic()):
+            period = (begin_s - SETTLED_AFTER_FAULT_S, time.monotonic())
+            if self._locks[number].locked() or not must_be_informed(
+                self.disturbances, number, len(self.instances), *period
+            ):
                 continue
             with contextlib.suppress(OSError):
                 answer = await asyncio.to_thread(instance.call, "GET", f"/{name}/x")
@@ -363,22 +402,14 @@
         evacuations[-1] = (begin_s, time.monotonic())
         await self._put_in_store("keyed.op", f"evacuate/{EVACUATED}", None)
 
-    def is_disturbed(self, subject: str, begin_s: float, end_s: float) -> bool:
-        """Return whether an unplanned fault affected a subject or the store in a period.
+    def is_disturbed(self, number: int, begin_s: float, end_s: float) -> bool:
+        """Return whether an unplanned fault affected an instance or the store in a period.
 
-        Faults of an instance that haven't ended yet are found through its lock and its store link.
+        An instance that is being restarted counts as disturbed as well.
         """
-        ended = any(
-            item.subject in (subject, "store")
+        return self._locks[number].locked() or any(
+            item.subject in (f"instance {number}", "store")
             and item.kind not in PLANNED
-            and item.begin_s < end_s
-            and item.end_s > begin_s
+            and item.overlaps(begin_s, end_s)
             for item in self.disturbances
         )
-        return ended or self.is_faulty_now(subject)
-
-    def is_faulty_now(self, subject: str) -> bool:
-        """Return whether the store link or the process of an instance is disturbed now."""
-        number = int(subject.split()[1])
-        is_locked = self._locks[number].locked()
-        return is_locked or self._store_links[number].mode is not LinkMode.OPEN
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -3,22 +3,24 @@
 from collections import Counter, defaultdict
 from collections.abc import Iterable
 
+from ibispaddle_daemon.forwarding.refusals import CODE_OUTDATED
+
 from .callers import EVENT_COUNT, TIME_LIMIT_S, Call
 from .fleet import (
     CONFIGURATION_LIMIT_S,
     EVACUATED,
     REVOCATION_LIMIT_S,
+    SETTLED_AFTER_FAULT_S,
     Disturbance,
     SoakFleet,
     data_centre,
+    must_be_informed,
 )
 from .plan import PLANNED
 
 NOT_RUN = (408, 421, 429, 503)
 # The callers and all processes share one machine.
 SCHEDULING_MARGIN_S = 1.0
-# Period after a disturbance in which its subject still counts as disturbed.
-DISTURBED_AFTER_FAULT_S = 3.0
 # Maximum number of runners that may run one attempt of a caller, as the routes configure.
 MAX_RUNS = 2
 # Minimum fraction of successful requests in the last seconds of a run, long after the last fault.
@@ -38,7 +40,7 @@
     - REFUSED: a request ran although its caller was told that it didn't.
     - TIME: a request ended after its deadline, or not at all.
     - LOST: a request got no response, although no fault interfered.
-    - DENIED: a valid key was rejected.
+    - DENIED: a valid key was rejected, or refused because of old data.
     - CONFIG: a change of the configuration wasn't in force in time.
     - STOP: a planned stop of an instance failed.
     - START: an instance ended while it was starting.
@@ -83,6 +85,8 @@
             yield f"REFUSED: {label} ran at {[name for name, _ in runs]}"
         if self._is_undisturbed(call):
             yield from self._check_undisturbed_call(call, label, runs)
+        if self._is_informed(call):
+            yield from self._check_informed_call(call, label)
 
     def _find_answer_errors(self, call: Call, runs: list[tuple[str, dict]]) -> Iterable[str]:
         stamp = call.headers.get("server-stamp", "")
@@ -106,15 +110,29 @@
         # it, then a client sends it again.
         if is_cut and self._is_without_faults(call) and (runs or not call.is_connection_reused):
             yield f"LOST: {label} got no answer; runs: {[name for name, _ in runs]}"
+        if call.outcome == 401 and call.key not in self.fleet.changes.revoked:
+            yield f"DENIED: {label}"
+
+    def _check_informed_call(self, call: Call, label: str) -> Iterable[str]:
+        """Check the invariants that also hold for instances that the store turns away."""
         revoked_s = self.fleet.changes.revoked.get(call.key)
         is_revoked = (
             revoked_s is not None
             and call.sent_s > revoked_s + CONFIGURATION_LIMIT_S + SCHEDULING_MARGIN_S
         )
-        if call.outcome == 401 and revoked_s is None:
-            yield f"DENIED: {label}"
         if is_revoked and call.outcome == 200:
             yield f"CONFIG: {label} was served {call.sent_s - (revoked_s or 0):.1f} s after revocation"
+        if call.outcome == 503 and CODE_OUTDATED.encode() in call.body:
+            yield f"DENIED: {label} was refused because of old data"
+
+    def _is_informed(self, call: Call) -> bool:
+        return must_be_informed(
+            self.fleet.disturbances,
+            call.instance,
+            len(self.fleet.instances),
+            call.sent_s - SETTLED_AFTER_FAULT_S,
+            call.ended_s,
+        )
 
     def _is_undisturbed(self, call: Call) -> bool:
         subjects = (f"instance {call.instance}", "store")
@@ -131,7 +149,7 @@
 
     @staticmethod
     def _overlaps(item: Disturbance, call: Call) -> bool:
-        return item.begin_s < call.ended_s and item.end_s + DISTURBED_AFTER_FAULT_S > call.sent_s
+        return item.overlaps(call.sent_s - SETTLED_AFTER_FAULT_S, call.ended_s)
 
     # Runs
 
@@ -154,11 +172,10 @@
                 if revoked_s is not None and call.sent_s > revoked_s + REVOCATION_LIMIT_S:
                     yield f"CONFIG: {name} ran {attempt_id} with a revoked key"
                 delay_s = run["at_s"] - released.get(name, run["at_s"])
-                if delay_s > CONFIGURATION_LIMIT_S + SCHEDULING_MARGIN_S and self._is_undisturbed(
-                    call
-                ):
+                is_late = delay_s > CONFIGURATION_LIMIT_S + SCHEDULING_MARGIN_S
+                if is_late and self._is_informed(call):
                     yield f"DRAIN: {name} ran {attempt_id} {delay_s:.1f} s after it began to drain"
-                if self._is_evacuated(name, run["at_s"]) and self._is_undisturbed(call):
+                if self._is_evacuated(name, run["at_s"]) and self._is_informed(call):
                     yield f"EVAC: {name} ran {attempt_id} in an evacuated data centre"
 
     def _is_evacuated(self, runner_name: str, at_s: float) -> bool:
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -27,6 +27,7 @@
     RUNNER_FAULT = "runner_fault"
     RUNNER_LINK = "runner_link"
     STORE_LINK = "store_link"  # Between one instance and the store.
+    STORE_LINKS = "store_links"  # Between several instances and the store.
     STORE_FAULT = "store_fault"
     STORE_COMPACT = "store_compact"
     ROUTE_ADDED = "route_added"
@@ -41,6 +42,7 @@
     FaultKind.KEY_REVOKED,
     FaultKind.EVACUATION,
 )
+STORE_LINK_KINDS = (FaultKind.STORE_LINK, FaultKind.STORE_LINKS)
 _WEIGHTS = {
     FaultKind.INSTANCE_KILL: 3,
     FaultKind.INSTANCE_PAUSE: 3,
@@ -58,7 +60,10 @@
     FaultKind.KEY_REVOKED: 1,
     FaultKind.EVACUATION: 2,
 }
+# Weight of STORE_LINKS in plans that have them.
+_STORE_LINKS_WEIGHT = 8
 _LINK_MODES = ("delay", "reset", "silent", "one_way")
+_CUT_MODES = ("reset", "silent", "one_way", "unavailable")
 _RUNNER_FAULTS = (
     ("shed", 5),
     ("false_refusal", 3),
@@ -75,7 +80,10 @@
 
 @dataclass(frozen=True)
 class Fault:
-    """One fault; `target` is an index of instances or runners, modulo their number."""
+    """One fault; `target` is an index of instances or runners, modulo their number.
+
+    `count` is the number of instances from that index on, or how often a runner's fault occurs.
+    """
 
     start_s: float
     kind: FaultKind
@@ -98,10 +106,16 @@
 
 
 def create_plan(
-    seed: int, scale: int = 1, is_planned_only: bool = False, has_short_reads: bool = False
+    seed: int,
+    scale: int = 1,
+    is_planned_only: bool = False,
+    has_short_reads: bool = False,
+    has_cut_links: bool = False,
 ) -> Plan:
     """Return the plan for a seed; `scale` multiplies the number of processes.
 
+    With `has_cut_links`, the store turns away several instances at once, but not all of them.
+
     >>> create_plan(7) == create_plan(7)
     True
     """
@@ -109,7 +123,10 @@
     instances, runners = scale * rng.randint(2, 4), scale * rng.randint(3, 5)
     services = scale * 2
     faulty_s = rng.uniform(10.0, 16.0)
-    kinds = {kind: _WEIGHTS[kind] for kind in (PLANNED if is_planned_only else FaultKind)}
+    kinds = {kind: _WEIGHTS[kind] for kind in (PLANNED if is_planned_only else _WEIGHTS)}
+    if has_cut_links:
+        instances += 1
+        kinds[FaultKind.STORE_LINKS] = _STORE_LINKS_WEIGHT
     faults: list[Fault] = []
     for _ in range(rng.randint(8, 16) * (1 + scale) // 2):
         last = faults[-1] if faults else None
@@ -121,6 +138,8 @@
         match kind:
             case FaultKind.RUNNER_LINK | FaultKind.STORE_LINK:
                 variant = rng.choice(_LINK_MODES)
+            case FaultKind.STORE_LINKS:
+                variant, count = rng.choice(_CUT_MODES), rng.randint(2, instances - 1)
             case FaultKind.RUNNER_FAULT:
                 variant, count = rng.choice(_RUNNER_FAULTS)
             case FaultKind.STORE_FAULT:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,4 +1,4 @@
-"""Three short seeded soak runs, and tests of the soak's own parts."""
+"""Four short seeded soak runs, and tests of the soak's own parts."""
 
 import asyncio
 import unittest
@@ -15,6 +15,7 @@
 SEEDS = (1,)
 PLANNED_SEEDS = (1,)
 SHORT_READS_SEEDS = (1,)
+CUT_LINKS_SEEDS = (1,)
 
 
 class SeededRunTest(unittest.TestCase):
@@ -39,6 +40,13 @@
             self.assertEqual(list(result.violations), [], result.plan)
             self.assertGreater(result.outcomes["200"], 100)
 
+    def test_invariants_hold_while_the_store_turns_instances_away(self) -> None:
+        """Guards against old data at instances that the store turns away (issue 49)."""
+        for seed in CUT_LINKS_SEEDS:
+            result = run(create_plan(seed, has_cut_links=True))
+            self.assertEqual(list(result.violations), [], result.plan)
+            self.assertGreater(result.outcomes["200"], 100)
+
 
 class PlanTest(unittest.TestCase):
     def test_planned_runs_have_planned_faults_only(self) -> None:
@@ -47,6 +55,13 @@
             kinds = {fault.kind for fault in create_plan(seed, is_planned_only=True).faults}
             self.assertLessEqual(kinds, set(PLANNED))
 
+    def test_cut_links_leave_one_instance(self) -> None:
+        """Guards against runs in which the store serves nobody, so that nothing is checked."""
+        plans = [create_plan(seed, has_cut_links=True) for seed in range(20)]
+        cuts = [(p, f) for p in plans for f in p.faults if f.kind is FaultKind.STORE_LINKS]
+        self.assertTrue(cuts)
+        self.assertTrue(all(2 <= fault.count < plan.instances for plan, fault in cuts))
+
 
 class LinkTest(unittest.TestCase):
     def exchange(self, mode: LinkMode) -> bytes:
@@ -118,7 +133,10 @@
             ),
             retired=[retired],
             runners=[idle],
-            instances=[SimpleNamespace(events=lambda name: changes.get(name, []))],
+            instances=[
+                SimpleNamespace(events=lambda name: changes.get(name, []))
+                for _ in range(changes.get("instances", 1))
+            ],
         )
         return set(count_by_invariant(InvariantChecker(fleet, [call], 10.0).find_violations()))
 
@@ -185,6 +203,32 @@
         stop = Disturbance("instance 0", FaultKind.INSTANCE_STOP, 8.0, 9.5)
         self.assertIn("LOST", self.find_broken_invariants(cut, "s", disturbances=[stop]))
 
+    def test_store_links(self) -> None:
+        """Guards against a turned away instance that is excused although another one is served."""
+        cut = Disturbance("instance 0", FaultKind.STORE_LINKS, 8.0, 9.5)
+        kill = Disturbance("instance 0", FaultKind.INSTANCE_KILL, 8.0, 9.5)
+        other = Disturbance("instance 1", FaultKind.INSTANCE_STOP, 8.0, 9.5)
+        outage = Disturbance("store", FaultKind.STORE_FAULT, 8.0, 8.5)
+        served = self.call(
+            body=b"answer of llm-2", headers={"server-stamp": "llm-2", "attempt-id": "a1"}
+        )
+        refused = self.call(outcome=503, body=b'{"error":{"code":"outdated_configuration"}}')
+        cases = (
+            ((), True, True),
+            ((cut,), True, False),
+            ((cut, other), False, False),
+            ((cut, kill), False, False),
+            ((cut, outage), False, False),
+        )
+        for faults, *is_found in cases:
+            for number, expected in zip((2, 1), is_found, strict=True):
+                changes = {"instances": number, "disturbances": list(faults)}
+                changes |= {"revoked": {"k": 5.0}, "evacuations": [(5.0, 12.0)]}
+                found = self.find_broken_invariants(served, "llm-2", **changes)
+                self.assertEqual({"CONFIG", "EVAC"} <= found, expected, (faults, number))
+                found = self.find_broken_invariants(refused, **changes)
+                self.assertEqual("DENIED" in found, expected, (faults, number))
+
     def test_configuration_and_leftovers(self) -> None:
         """Guards against undetected use of revoked keys, leaked memory and failed handlers."""
         found = self.find_broken_invariants(self.call(), "s", revoked={"k": 2.0})
