Let instances that the store turns away query any other instance

Cause: who may ask whom was a matter of rank. An instance queried only hubs ranked before it, so the first one had nobody to ask; one further down excluded a hub for three seconds, longer than the time in force, as soon as an answer was older than a second, also if there was no better one; and a store that did not answer was noticed after 2.7 s. Class of fault: a state that others have is out of reach because of a fixed order.

Now the age of the data decides. SourceSelection chooses a hub by rank as before; if the store is unavailable to the instance and no hub has recent data, any other instance is asked, in rounds, and one that is asked with old data reads the store itself. An instance that is cut off says so in each answer, so nobody follows it and queries cannot go in a circle; an age that two instances pass to each other only grows. A read that is not answered within 0.3 to 0.6 s beyond its wait counts as a sign that the store is unavailable, a stale hub is tried again after one second, and a query to a hub that hangs is abandoned sooner once the data is old.

--- a/packages/core/src/ibispaddle_core/hubs/__init__.py
+++ b/packages/core/src/ibispaddle_core/hubs/__init__.py
@@ -4,6 +4,7 @@
 from .pacing import PaceAggregator
 from .pending_choices import PendingChoices
 from .ranking import HUB_COUNT, Candidate, HubRanking
+from .sources import SourceSelection
 from .work import FLEET_INSTANCE_ID, WorkAggregator
 
 __all__ = [
@@ -14,5 +15,6 @@
     "HubRanking",
     "PaceAggregator",
     "PendingChoices",
+    "SourceSelection",
     "WorkAggregator",
 ]
--- a/packages/core/src/ibispaddle_core/hubs/ranking.py
+++ b/packages/core/src/ibispaddle_core/hubs/ranking.py
@@ -49,7 +49,7 @@
     """
 
     def __init__(self, instance_id: str) -> None:
-        self._instance_id = instance_id
+        self.instance_id = instance_id
         self._candidates: dict[str, Candidate] = {}
         self._ranked: tuple[str, ...] = ()
         self._position = 0
@@ -59,7 +59,7 @@
         """Replace the list of instances."""
         self._candidates = {candidate.instance_id: candidate for candidate in candidates}
         self._ranked = tuple(sorted(self._candidates, key=self._sort_key))
-        self._position = sum(name < self._instance_id for name in self._candidates)
+        self._position = sum(name < self.instance_id for name in self._candidates)
         for name in self._backoffs.keys() - self._candidates.keys():
             del self._backoffs[name]
 
@@ -97,7 +97,7 @@
         An unreachable instance that stayed listed would be tried again by each process that starts.
         An instance that recovers registers itself again.
         """
-        if self.hubs(now_ms)[:1] != (self._instance_id,):
+        if self.hubs(now_ms)[:1] != (self.instance_id,):
             return ()
         return tuple(
             name
@@ -113,26 +113,37 @@
         """Return the hubs, highest rank first."""
         selected: list[str] = []
         for name in self._ranked:
-            if name != self._instance_id and (name in excluded or self._is_skipped(name, now_ms)):
+            if name != self.instance_id and (name in excluded or self._is_skipped(name, now_ms)):
                 continue
             selected.append(name)
             if len(selected) == HUB_COUNT:
                 break
         return tuple(selected)
 
+    def others(self) -> tuple[str, ...]:
+        """Return all other listed instances, highest rank first."""
+        return tuple(name for name in self._ranked if name != self.instance_id)
+
+    def before(self, excluded: Collection[str] = ()) -> tuple[str, ...]:
+        """Return the instances that are ranked before this one, highest rank first."""
+        if self.instance_id not in self._ranked:
+            return ()
+        first = self._ranked[: self._ranked.index(self.instance_id)]
+        return tuple(name for name in first if name not in excluded)
+
     def hubs_before(self, now_ms: int, excluded: Collection[str] = ()) -> tuple[str, ...]:
         """Return the hubs that are ranked before this instance.
 
         A hub queries only hubs of a higher rank, so two hubs never wait for each other.
         """
         hubs = self.hubs(now_ms, excluded)
-        if self._instance_id in hubs:
-            return hubs[: hubs.index(self._instance_id)]
+        if self.instance_id in hubs:
+            return hubs[: hubs.index(self.instance_id)]
         return hubs
 
     def is_hub(self, now_ms: int, excluded: Collection[str] = ()) -> bool:
         """Return whether this instance considers itself a hub; true if it knows no instance."""
-        return not self._ranked or self._instance_id in self.hubs(now_ms, excluded)
+        return not self._ranked or self.instance_id in self.hubs(now_ms, excluded)
 
     def _is_skipped(self, name: str, now_ms: int) -> bool:
         backoff = self._backoffs.get(name)
--- a/packages/core/src/ibispaddle_core/logevents.py
+++ b/packages/core/src/ibispaddle_core/logevents.py
@@ -280,6 +280,18 @@
     Level.INFO,
     "A read of a topic failed after one that succeeded, and is repeated.",
 )
+STORE_CUT_OFF = LogEvent(
+    4017,
+    "store_cut_off",
+    Level.WARNING,
+    "The store is unavailable, and no hub has recent data; other instances are queried.",
+)
+SUBSTITUTE_FOUND = LogEvent(
+    4018,
+    "substitute_found",
+    Level.INFO,
+    "An instance that is no hub has recent data from the store.",
+)
 LOG_UNAVAILABLE = LogEvent(
     4000, "log_unavailable", Level.WARNING, "The platform's log cannot be read or appended to."
 )
--- a/packages/daemon/src/ibispaddle_daemon/fleet/links.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/links.py
@@ -80,7 +80,11 @@
     @property
     def connected_count(self) -> int:
         """Return the number of connected instances."""
-        return sum(1 for peer in self._peers.values() if peer.links)
+        return len(self.connected_ids())
+
+    def connected_ids(self) -> tuple[str, ...]:
+        """Return the ids of the connected instances."""
+        return tuple(name for name, peer in self._peers.items() if peer.links)
 
     def count_heard(self, since_ms: int) -> int:
         """Return the number of instances that have sent a message since a time."""
--- a/packages/daemon/src/ibispaddle_daemon/fleet/messages.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/messages.py
@@ -125,11 +125,13 @@
 class TopicQuery(msgspec.Struct, frozen=True, array_like=True, tag="t"):
     """Query for changes of topics.
 
-    `offsets` maps each topic to the offset of the next record, or to None to get all keys.
+    `offsets` maps each topic to the offset of the next record, or to None to get all keys. With a
+    `wanted_age_ms`, the response follows at once, and an instance whose data is older reads the store.
     """
 
     query_id: int
     offsets: dict[str, int | None]
+    wanted_age_ms: int | None = None
 
 
 class TopicDelta(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/daemon/src/ibispaddle_daemon/fleet/topics.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/topics.py
@@ -1,7 +1,7 @@
 """Relaying of the store's topics through hubs.
 
 To limit the number of calls to the store, only the first hub reads it, and all other instances query a
-hub. An instance derives the age of the data from the time of its own query, which the hub's response
+hub. An instance to which the store is unavailable queries any other one. An instance derives the age of the data from the time of its own query, which the hub's response
 follows, and from the age in the response. A configuration therefore never appears newer than it is.
 """
 
@@ -17,7 +17,8 @@
 from ibispaddle_core import logevents
 from ibispaddle_core.clock import Clock
 from ibispaddle_core.decoding import DECODE_ERRORS
-from ibispaddle_core.hubs import HubRanking
+from ibispaddle_core.hubs import HubRanking, SourceSelection
+from ibispaddle_core.hubs.sources import Source
 from ibispaddle_core.topics import (
     ChangesPage,
     KeyedRecord,
@@ -39,18 +40,20 @@
 CATCH_UP_FRACTION = 0.7  # Age of the data from which an instance reads the store itself.
 # Added to the hold time to get the timeout of a query.
 RESPONSE_MARGIN_MS = 350
-# Delay before the store is read again after a failure, while a hub is queried as well.
+# The same once the data is old.
+SHORT_RESPONSE_MARGIN_MS = 150
+# Timeout of a query that is answered at once, and the delay after an answer without recent data.
+SEARCH_TIMEOUT_MS = 200
+SEARCH_DELAY_MS = 10
+# Delay before the store is read again after a failure, while another instance is queried as well. Shorter in a
+# small fleet, whose instances make few calls.
 CATCH_UP_RETRY_MS = 2_000
+CATCH_UP_RETRY_MS_PER_INSTANCE = 100
+MIN_CATCH_UP_RETRY_MS = 500
 # A process that has received no data within this time after its start reads the store itself.
 START_TIMEOUT_MS = 150
-# Time for which a hub that does not respond, or cannot reach the store, is not queried.
-EXCLUSION_MS = 3_000
 # Delay before the next query after a hub reported that it cannot reach the store.
 STALE_RETRY_DELAY_MS = 20
-# Number of hubs without access to the store from which the store is considered unavailable to all.
-MAX_STALE_HUBS = 4
-# Number of unresponsive hubs from which an instance reads the store itself.
-MAX_DEAD_HUBS = 3
 # Larger responses are compressed, because a hub may have little bandwidth. A configuration shrinks to
 # a tenth of its size.
 MIN_COMPRESSED_BYTES = 1_024
@@ -79,8 +82,8 @@
     def read_store(self) -> None:
         """Start to read the store, unless it is being read already."""
 
-    def apply_relayed(self, answer: TopicRead, confirmed_ms: int) -> None:
-        """Apply data that a hub has sent."""
+    def apply_relayed(self, answer: TopicRead, confirmed_ms: int, is_from_hub: bool) -> None:
+        """Apply data that another instance has sent, which is a hub that the store serves or not."""
 
 
 @dataclass(frozen=True)
@@ -125,17 +128,15 @@
         self._stale_ms = round(STALE_FRACTION * in_force_ms)
         self._catch_up_ms = round(CATCH_UP_FRACTION * in_force_ms)
         self._last_catch_up_ms = 0
-        self._ranking, self._links = ranking, links
-        self._clock, self._timers = clock, timers
+        self._sources = SourceSelection(ranking)
+        self._links, self._clock, self._timers = links, clock, timers
         self._followers: dict[str, Follower] = {}
         self._urgent_followers: dict[str, Follower] = {}  # Topics whose data must be recent.
         self._is_started = False
         self._query_ids = itertools.count(1)
         self._pending_query: _PendingQuery | None = None
         self._query_timer: TimerHandle | None = None
-        self._dead_until_ms: dict[str, int] = {}  # Time until which a hub is not queried.
-        self._stale_until_ms: dict[str, int] = {}
-        self._hub_id: str | None = None
+        self._delayed_query: TimerHandle | None = None
         self._published: dict[str, _PublishedTopic] = {}
         self._held_queries: deque[_HeldQuery] = deque()  # Ordered by due time.
         self._hold_timer: TimerHandle | None = None
@@ -166,24 +167,35 @@
         """Read the store if no hub has confirmed the urgent topics for a while."""
         now_ms = self._clock.now_ms()
         due_ms = max(
-            self._confirmed_ms + self._catch_up_ms,
-            self._last_catch_up_ms + (CATCH_UP_RETRY_MS if self._is_store_unavailable else 0),
+            (self._confirmed_ms or 0) + self._catch_up_ms,
+            self._last_catch_up_ms + (self._retry_ms if self._is_store_unavailable else 0),
         )
         if now_ms >= due_ms:
-            self._last_catch_up_ms = now_ms
-            for follower in self._urgent_followers.values():
-                follower.read_store()
+            self._read_urgent_topics(now_ms)
             due_ms = now_ms + self._hold_ms
         self._timers.at(due_ms, self._check_confirmation_age)
 
     @property
-    def _confirmed_ms(self) -> int:
-        """Return the time as of which all urgent topics are known."""
-        return min((item.confirmed_ms or 0 for item in self._urgent_followers.values()), default=0)
+    def _retry_ms(self) -> int:
+        by_size_ms = CATCH_UP_RETRY_MS_PER_INSTANCE * self._sources.fleet_size
+        return max(MIN_CATCH_UP_RETRY_MS, min(CATCH_UP_RETRY_MS, by_size_ms))
+
+    def _read_urgent_topics(self, now_ms: int) -> None:
+        self._last_catch_up_ms = now_ms
+        for follower in self._urgent_followers.values():
+            follower.read_store()
+
+    @property
+    def _confirmed_ms(self) -> int | None:
+        """Return the time as of which all urgent topics are known, or None if one is not."""
+        times_ms = [follower.confirmed_ms for follower in self._urgent_followers.values()]
+        known_ms = [time_ms for time_ms in times_ms if time_ms is not None]
+        return min(known_ms) if known_ms and len(known_ms) == len(times_ms) else None
 
     def _age_ms(self, now_ms: int) -> int | None:
         """Return the age of the urgent topics, or None if one has not been read yet."""
-        return now_ms - self._confirmed_ms if self._confirmed_ms else None
+        confirmed_ms = self._confirmed_ms
+        return None if confirmed_ms is None else now_ms - confirmed_ms
 
     @property
     def _is_store_unavailable(self) -> bool:
@@ -195,50 +207,81 @@
         """Return whether the store must be read; otherwise make sure that a hub is being queried."""
         if not self._is_started:
             return True
-        if self._pending_query is None and self._choose_hub() is None:
-            return True
-        if self._pending_query is None:
-            self._query_next()
-        return self._hub_id is None
+        self._query_if_idle()
+        return self._sources.current.reads_store
 
-    def _choose_hub(self) -> str | None:
-        """Return the hub to query, which stays the same while it responds; None to read the store."""
-        now_ms = self._clock.now_ms()
-        dead = [name for name, until_ms in self._dead_until_ms.items() if now_ms < until_ms]
-        stale = [name for name, until_ms in self._stale_until_ms.items() if now_ms < until_ms]
-        usable = self._ranking.hubs_before(now_ms, {*dead, *stale})
-        if len(stale) >= MAX_STALE_HUBS:
-            usable = self._ranking.hubs_before(now_ms, dead)
-        if len(dead) >= MAX_DEAD_HUBS:
-            usable = ()
-        if self._hub_id is None or self._hub_id not in usable:
-            chosen = usable[0] if usable else None
-            if chosen != self._hub_id:
-                log_event(logevents.RELAY_CHANGED, relay=chosen, age_ms=self._age_ms(now_ms))
-            self._hub_id = chosen
-        return self._hub_id
+    def _choose_source(self) -> Source:
+        """Return the instance to query, which stays the same while it has recent data."""
+        now_ms, previous = self._clock.now_ms(), self._sources.current
+        age_ms = self._age_ms(now_ms)
+        source = self._sources.choose(
+            now_ms,
+            self._is_store_unavailable,
+            self._is_old(age_ms),
+            self._links.connected_ids(),
+        )
+        if source.is_substitute and not previous.is_substitute:
+            log_event(logevents.STORE_CUT_OFF, age_ms=age_ms)
+            self._answer_held_queries(now_ms)
+        elif not source.is_substitute and source.instance_id != previous.instance_id:
+            log_event(logevents.RELAY_CHANGED, relay=source.instance_id, age_ms=age_ms)
+        return source
+
+    def _is_old(self, age_ms: int | None) -> bool:
+        return age_ms is None or age_ms > self._stale_ms
+
+    @property
+    def _is_cut_off(self) -> bool:
+        """Return whether the store is unavailable, and no hub is queried in place of it."""
+        source = self._sources.current
+        is_without_hub = source.is_substitute or source.instance_id is None
+        return is_without_hub and self._is_store_unavailable
 
     def _query_next(self) -> None:
-        hub_id = self._choose_hub()
-        if hub_id is None:
+        source, now_ms = self._choose_source(), self._clock.now_ms()
+        if source.reads_store:
             for follower in self._followers.values():
                 follower.read_store()
+        if source.instance_id is None:
+            due_ms = self._sources.next_choice_ms(now_ms)
+            if due_ms is not None:
+                self._query_later(due_ms - now_ms)
             return
+        age_ms = self._age_ms(now_ms)
+        wanted_age_ms = self._stale_ms if source.is_substitute and self._is_old(age_ms) else None
         offsets = {topic: follower.offset for topic, follower in self._followers.items()}
-        query = _PendingQuery(next(self._query_ids), hub_id, self._clock.now_ms(), offsets)
+        query = _PendingQuery(next(self._query_ids), source.instance_id, now_ms, offsets)
         self._pending_query = query
         self._query_timer = self._timers.after(
-            self._hold_ms + RESPONSE_MARGIN_MS,
+            SEARCH_TIMEOUT_MS if wanted_age_ms is not None else self._timeout_ms(age_ms),
             lambda: self._abandon_query(query, "no response to a query"),
         )
-        if not self._links.send(hub_id, TopicQuery(query.query_id, offsets)):
+        message = TopicQuery(query.query_id, offsets, wanted_age_ms)
+        if not self._links.send(query.hub_id, message):
             self._abandon_query(query, "no connection")
 
+    def _timeout_ms(self, age_ms: int | None) -> int:
+        """Return the timeout of a query that may be held; it is shorter once the data is old."""
+        until_old_ms = self._stale_ms - (age_ms if age_ms is not None else self._stale_ms)
+        shortest_ms = self._hold_ms + SHORT_RESPONSE_MARGIN_MS
+        return min(self._hold_ms + RESPONSE_MARGIN_MS, max(shortest_ms, until_old_ms))
+
+    def _query_later(self, delay_ms: int) -> None:
+        """Continue after a delay, in place of any delay before."""
+
+        def run() -> None:
+            self._delayed_query = None
+            self._query_if_idle()
+
+        if self._delayed_query is not None:
+            self._delayed_query.cancel()
+        self._delayed_query = self._timers.after(delay_ms, run)
+
     def _abandon_query(self, query: _PendingQuery, reason: str) -> None:
         if self._pending_query is not query:
             return
         now_ms = self._clock.now_ms()
-        self._dead_until_ms[query.hub_id] = now_ms + EXCLUSION_MS
+        self._sources.mark_unresponsive(query.hub_id, now_ms)
         age_ms = self._age_ms(now_ms)
         log_event(logevents.RELAY_FAILED, relay=query.hub_id, reason=reason, age_ms=age_ms)
         self._clear_query()
@@ -263,8 +306,9 @@
             self._abandon_query(query, f"invalid response: {exc}")
             return
         self._clear_query()
-        self._dead_until_ms.pop(instance_id, None)
+        self._sources.mark_responsive(instance_id)
         is_stale = message.is_store_unavailable
+        is_from_hub = not (is_stale or self._sources.current.is_substitute)
         for topic, follower in self._followers.items():
             item = deltas.get(topic)
             read = _decode_read(item) if item is not None else None
@@ -274,20 +318,43 @@
                 continue  # The store was read since; the response may be older.
             # Earliest time at which the hub can have responded; the network delay is unknown.
             responded_ms = query.sent_ms + message.waited_ms
-            follower.apply_relayed(read, responded_ms - item.age_ms)
+            follower.apply_relayed(read, responded_ms - item.age_ms, is_from_hub)
             is_stale = is_stale or (
                 topic in self._urgent_followers and item.age_ms > self._stale_ms
             )
-        if is_stale:
-            self._stale_until_ms[instance_id] = self._clock.now_ms() + EXCLUSION_MS
-            log_event(
-                logevents.RELAY_FAILED,
-                relay=instance_id,
-                reason="the hub has no recent data from the store",
-                age_ms=self._age_ms(self._clock.now_ms()),
-            )
-            self._timers.after(STALE_RETRY_DELAY_MS, self._query_if_idle)
+        if self._sources.current.is_substitute:
+            # The next query gets all keys of a topic whose changes the other one does not have.
+            is_complete = all(item.kind != "gone" for item in deltas.values())
+            self._continue_search(instance_id, is_stale, is_complete)
+        elif is_stale:
+            self._leave_stale_hub(instance_id)
+        else:
+            self._query_next()
+
+    def _leave_stale_hub(self, hub_id: str) -> None:
+        now_ms = self._clock.now_ms()
+        self._sources.mark_stale(hub_id, now_ms)
+        log_event(
+            logevents.RELAY_FAILED,
+            relay=hub_id,
+            reason="the hub has no recent data from the store",
+            age_ms=self._age_ms(now_ms),
+        )
+        are_all_stale = self._sources.are_all_stale(now_ms)
+        self._query_later(self._hold_ms if are_all_stale else STALE_RETRY_DELAY_MS)
+
+    def _continue_search(self, instance_id: str, is_cut_off: bool, is_complete: bool) -> None:
+        """Query a substitute again if it has recent data, else the next one."""
+        now_ms = self._clock.now_ms()
+        age_ms = self._age_ms(now_ms)
+        has_recent_data = not is_cut_off and not self._is_old(age_ms)
+        if not has_recent_data and is_complete:
+            self._sources.mark_stale(instance_id, now_ms)
+        if not has_recent_data:
+            self._query_later(SEARCH_DELAY_MS)
             return
+        if self._sources.mark_recent(instance_id):
+            log_event(logevents.SUBSTITUTE_FOUND, relay=instance_id, age_ms=age_ms)
         self._query_next()
 
     def _query_if_idle(self) -> None:
@@ -312,9 +379,16 @@
             self._send(item, responses[key], now_ms)
 
     def notify_store_unavailable(self) -> None:
-        """Answer all held queries, to report that this instance cannot reach the store."""
+        """Answer all held queries, to report that this instance cannot reach the store.
+
+        If it has no hub, it queries other instances.
+        """
+        self._answer_held_queries(self._clock.now_ms())
+        if self._is_started:
+            self._query_if_idle()
+
+    def _answer_held_queries(self, now_ms: int) -> None:
         held, self._held_queries = self._held_queries, deque()
-        now_ms = self._clock.now_ms()
         for item in held:
             self._send(item, self._response(item.query, now_ms), now_ms)
 
@@ -327,13 +401,24 @@
 
     def _on_query(self, instance_id: str, query: TopicQuery) -> None:
         held = _HeldQuery(instance_id, query, self._clock.now_ms())
-        if self._has_changes(query):
+        is_urgent = query.wanted_age_ms is not None
+        if is_urgent or self._is_cut_off or self._has_changes(query):
             self._send(held, self._response(query, held.received_ms), held.received_ms)
+            if is_urgent:
+                self._refresh(query.wanted_age_ms or 0, held.received_ms)
             return
         self._held_queries.append(held)
         if self._hold_timer is None:
             self._hold_timer = self._timers.after(self._hold_ms, self._answer_expired_queries)
 
+    def _refresh(self, wanted_age_ms: int, now_ms: int) -> None:
+        """Read the store if the data is older than another instance needs, for its next query."""
+        if self._is_store_unavailable and now_ms < self._last_catch_up_ms + self._retry_ms:
+            return
+        age_ms = self._age_ms(now_ms)
+        if age_ms is None or age_ms > wanted_age_ms:
+            self._read_urgent_topics(now_ms)
+
     def _has_changes(self, query: TopicQuery) -> bool:
         for topic, offset in query.offsets.items():
             published = self._published.get(topic)
@@ -365,9 +450,9 @@
                     deltas[topic] = item
         data = _ENCODER.encode(deltas)
         if len(data) < MIN_COMPRESSED_BYTES:
-            return TopicResponse(query.query_id, 0, self._is_store_unavailable, False, data)
+            return TopicResponse(query.query_id, 0, self._is_cut_off, False, data)
         body = zlib.compress(data, COMPRESSION_LEVEL)
-        return TopicResponse(query.query_id, 0, self._is_store_unavailable, True, body)
+        return TopicResponse(query.query_id, 0, self._is_cut_off, True, body)
 
 
 def _delta(mirror: TopicMirror, offset: int | None, age_ms: int) -> TopicDelta | None:
--- a/packages/daemon/src/ibispaddle_daemon/store/follower.py
+++ b/packages/daemon/src/ibispaddle_daemon/store/follower.py
@@ -34,6 +34,10 @@
 # Delay before a failed call is retried, doubled with each failure up to the maximum.
 INITIAL_RETRY_MS = 100
 MAX_RETRY_MS = 400
+# Added to the long-poll wait to get the time after which a store that does not answer counts as unavailable to
+# this instance: twice the time that the last answer took beyond the wait, between these bounds.
+MIN_LATE_MARGIN_MS = 300
+MAX_LATE_MARGIN_MS = 600
 # Consecutive failures after which the store counts as unavailable; a single one can be a lost response.
 UNAVAILABLE_AFTER_FAILURES = 2
 # Interval between reads after `read_often`.
@@ -94,6 +98,8 @@
         self._calls = CallbackHttpClient(f"topic-calls-{topic}", clock).register(self)
         self._failures = 0
         self._last_failure_ms = 0
+        self._is_late = False  # The store has not answered the read in progress in time.
+        self._late_margin_ms = MIN_LATE_MARGIN_MS
         self._behind_since_ms: int | None = None
         self.recovered_ms: int | None = None
         if relay is not None:
@@ -101,8 +107,8 @@
 
     @property
     def is_store_unavailable(self) -> bool:
-        """Return whether the store is unavailable."""
-        return self._failures >= UNAVAILABLE_AFTER_FAILURES
+        """Return whether the store is unavailable to this instance."""
+        return self._is_late or self._failures >= UNAVAILABLE_AFTER_FAILURES
 
     @property
     def offset(self) -> int | None:
@@ -134,10 +140,13 @@
             self.read_store()
 
     def apply_relayed(
-        self, answer: NewestPage | ChangesPage | OffsetExpired, confirmed_ms: int
+        self,
+        answer: NewestPage | ChangesPage | OffsetExpired,
+        confirmed_ms: int,
+        is_from_hub: bool,
     ) -> None:
-        """Apply data that a hub has sent."""
-        if confirmed_ms >= self._last_failure_ms:
+        """Apply data that another instance has sent, which is a hub that the store serves or not."""
+        if is_from_hub and confirmed_ms >= self._last_failure_ms:
             self._record_success()  # The hub reached the store after this instance's last failure.
         self._apply(self._reader.handle_relayed(answer, confirmed_ms), is_relayed=True)
 
@@ -152,16 +161,27 @@
             self._read_number += 1
             self._record_failure(f"no answer within {self._wait_ms + RESPONSE_MARGIN_MS} ms")
 
-        timer = self._timers.after(self._wait_ms + RESPONSE_MARGIN_MS, fail_if_unanswered)
+        def report_late() -> None:
+            self._is_late = True
+            if self._relay is not None:
+                self._relay.notify_store_unavailable()
+
+        timers = [
+            self._timers.after(self._wait_ms + RESPONSE_MARGIN_MS, fail_if_unanswered),
+            self._timers.after(self._wait_ms + self._late_margin_ms, report_late),
+        ]
 
         def done(result: CallResult) -> None:
-            timer.cancel()
+            for timer in timers:
+                timer.cancel()
             # The failure of a late call is recorded, and another read follows it.
             is_late = number != self._read_number
             answer = self._decode(call, result, is_late)
             if answer is None:
                 return
             self._record_success()
+            excess_ms = self._clock.now_ms() - started_ms - self._wait_ms
+            self._late_margin_ms = max(MIN_LATE_MARGIN_MS, min(MAX_LATE_MARGIN_MS, 2 * excess_ms))
             is_overtaken = (call, position) != (self._reader.next_call(), self._reader.position)
             if not is_overtaken:  # Otherwise the reader has newer data from a hub or another call.
                 self._apply(self._reader.handle_answer(answer, started_ms))
@@ -248,10 +268,10 @@
             self._is_reading = False  # A hub is queried instead.
 
     def _record_success(self) -> None:
-        if self.is_store_unavailable:
+        if self._failures >= UNAVAILABLE_AFTER_FAILURES:
             self.recovered_ms = self._clock.now_ms()
             log_event(logevents.STORE_AVAILABLE, topic=self._topic, failures=self._failures)
-        self._failures = 0
+        self._failures, self._is_late = 0, False
 
     def _record_failure(self, reason: str) -> None:
         self._failures += 1
--- a/tests/fleet/fakes.py
+++ b/tests/fleet/fakes.py
@@ -71,6 +71,9 @@
         gone = self._network.unresponsive | self._network.unreachable
         return len(self._network.links.keys() - gone - {self.instance_id})
 
+    def connected_ids(self) -> tuple[str, ...]:
+        return ()
+
     def answer(self, instance_id: str, message) -> None:
         self.send(instance_id, message)
 
