--- /dev/null
+++ b/tests/fleet/test_delisting.py
@@ -0,0 +1,81 @@
+"""Tests of the removal of lost instances by a first hub that the store turns away."""
+
+import unittest
+from collections import Counter
+from types import SimpleNamespace
+from unittest import mock
+
+import msgspec
+from ibispaddle_core.topics import TopicUpdate
+from ibispaddle_daemon.store import InstanceDirectory
+from ibispaddle_daemon.store.instances import (
+    SWEEP_INTERVAL_MS,
+    WRITE_RETRY_MS,
+    _InstanceRecord,
+)
+
+from .fakes import FakeNetwork
+
+RESPONSE_MS = 10
+LOST_FOR_MS = 13_000
+OUTAGE_MS = 40_000
+
+
+class DelistingTest(unittest.TestCase):
+    def setUp(self) -> None:
+        patch = mock.patch("ibispaddle_daemon.store.instances.log_event")
+        patch.start()
+        self.addCleanup(patch.stop)
+        network = FakeNetwork("ab")
+        self.clock, self.timers, self.ranking = (
+            network.clock,
+            network.timers,
+            network.ranking("a"),
+        )
+        instance = SimpleNamespace(instance_id="a", data_centre="z")
+        settings = SimpleNamespace(
+            instance=instance, is_first_start=False, capacity=9.0, store_url=""
+        )
+        self.directory = InstanceDirectory(
+            settings,
+            "127.0.0.1:1",
+            mock.Mock(),
+            self.ranking,
+            self.clock,
+            self.timers,
+            mock.Mock(),
+        )
+        self.directory._topic = mock.Mock()
+        self.directory._writer = SimpleNamespace(write=self.write)
+        self.writes: Counter[str] = Counter()
+        own = msgspec.json.encode(self.directory._own_record)
+        lost = msgspec.json.encode(_InstanceRecord("127.0.0.1:2", "z"))
+        self.directory._apply(TopicUpdate({"a": own, "b": lost}, is_snapshot=True))
+        self.directory._on_started()
+        for _ in range(3):
+            self.ranking.mark_unreachable("b", self.clock.now_ms())
+            self.timers.advance(LOST_FOR_MS)
+
+    def write(self, key: str, value: bytes | None, on_failed) -> None:
+        """Respond to all writes with an error, as a store does that turns the instance away."""
+        self.writes[key] += 1
+        self.timers.after(RESPONSE_MS, on_failed)
+
+    def test_writes_while_the_store_turns_the_hub_away(self) -> None:
+        """Guards against repeated writes that grow with each sweep."""
+        self.timers.advance(OUTAGE_MS)
+        self.writes.clear()
+        self.timers.advance(SWEEP_INTERVAL_MS)
+        self.assertLessEqual(self.writes["b"], 1 + SWEEP_INTERVAL_MS // WRITE_RETRY_MS)
+
+    def test_instance_that_returns_meanwhile(self) -> None:
+        """Guards against the removal of an instance that has returned before the store has."""
+        self.ranking.mark_reachable("b")
+        self.timers.advance(WRITE_RETRY_MS + RESPONSE_MS)
+        self.writes.clear()
+        self.timers.advance(SWEEP_INTERVAL_MS)
+        self.assertEqual(self.writes["b"], 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
