Left hubs that are behind the pages of a reader

What callers saw: nothing at first; the instances did.

Cause: a hub whose position is between two pages has no changes from the reader's position on, and all its keys are older than the last page, so the reader discards them and asks for changes again. Nobody was told that the answer was of no use.

A hub that is between two pages is asked for all keys afterwards, as it has no changes for this reader.

Evidence: test_hub_between_pages failed before (three times OffsetExpired in six answers), and test_hub_that_is_behind exceeded the depth of the stack with queries; both pass.

--- a/packages/core/src/ibispaddle_core/topics/messages.py
+++ b/packages/core/src/ibispaddle_core/topics/messages.py
@@ -65,7 +65,11 @@
 
 @dataclass(frozen=True)
 class ReaderStep:
-    """The next call, and the update from the last one unless more pages are needed for it."""
+    """The next call, and the update from the last one unless more pages are needed for it.
+
+    A hub is behind if all its keys are older than what the reader has read.
+    """
 
     call: ReadNewest | ReadChanges
     update: TopicUpdate | None = None
+    is_hub_behind: bool = False
--- a/packages/core/src/ibispaddle_core/topics/reader.py
+++ b/packages/core/src/ibispaddle_core/topics/reader.py
@@ -137,10 +137,12 @@
                     self._newest_read = _NewestRead()
                 return ReaderStep(self.next_call())
             case NewestPage(records, _, position):
-                self._needs_all_keys_from_hub = False
                 settled_position = self.settled_position
                 if settled_position is not None and position < settled_position:
-                    return ReaderStep(self.next_call())  # The hub is behind this reader.
+                    # Between two pages, it has no changes from this reader's position on.
+                    self._needs_all_keys_from_hub = position >= (self._position or 0)
+                    return ReaderStep(self.next_call(), is_hub_behind=True)
+                self._needs_all_keys_from_hub = False
                 self._newest_read = None
                 update = TopicUpdate(_newest(records), is_snapshot=True)
             case ChangesPage(records, position, _):
--- a/packages/daemon/src/ibispaddle_daemon/fleet/topics.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/topics.py
@@ -82,8 +82,11 @@
     def read_store(self) -> None:
         """Start to read the store, unless it is being read already."""
 
-    def apply_relayed(self, answer: TopicRead, confirmed_ms: int, is_from_hub: bool) -> None:
-        """Apply data that another instance has sent, which is a hub that the store serves or not."""
+    def apply_relayed(self, answer: TopicRead, confirmed_ms: int, is_from_hub: bool) -> bool:
+        """Apply data that another instance has sent, which is a hub that the store serves or not.
+
+        Return False if it is older than what this instance has read.
+        """
 
 
 @dataclass(frozen=True)
@@ -318,10 +321,9 @@
                 continue  # The store was read since; the response may be older.
             # Earliest time at which the hub can have responded; the network delay is unknown.
             responded_ms = query.sent_ms + message.waited_ms
-            follower.apply_relayed(read, responded_ms - item.age_ms, is_from_hub)
-            is_stale = is_stale or (
-                topic in self._urgent_followers and item.age_ms > self._stale_ms
-            )
+            is_ahead = follower.apply_relayed(read, responded_ms - item.age_ms, is_from_hub)
+            is_old = topic in self._urgent_followers and item.age_ms > self._stale_ms
+            is_stale = is_stale or is_old or not is_ahead
         if self._sources.current.is_substitute:
             # The next query gets all keys of a topic whose changes the other one does not have.
             is_complete = all(item.kind != "gone" for item in deltas.values())
--- a/packages/daemon/src/ibispaddle_daemon/store/follower.py
+++ b/packages/daemon/src/ibispaddle_daemon/store/follower.py
@@ -144,11 +144,16 @@
         answer: NewestPage | ChangesPage | OffsetExpired,
         confirmed_ms: int,
         is_from_hub: bool,
-    ) -> None:
-        """Apply data that another instance has sent, which is a hub that the store serves or not."""
+    ) -> bool:
+        """Apply data that another instance has sent, which is a hub that the store serves or not.
+
+        Return False if it is older than what this instance has read.
+        """
         if is_from_hub and confirmed_ms >= self._last_failure_ms:
             self._record_success()  # The hub reached the store after this instance's last failure.
-        self._apply(self._reader.handle_relayed(answer, confirmed_ms), is_relayed=True)
+        step = self._reader.handle_relayed(answer, confirmed_ms)
+        self._apply(step, is_relayed=True)
+        return not step.is_hub_behind
 
     def _read(self) -> None:
         self._next_read = None
--- a/tests/fleet/test_topics.py
+++ b/tests/fleet/test_topics.py
@@ -7,7 +7,7 @@
 import unittest
 
 from ibispaddle_core.clock import ManualClock
-from ibispaddle_core.hubs.sources import EXCLUSION_MS, SECONDHAND_PAUSE_MS
+from ibispaddle_core.hubs.sources import EXCLUSION_MS, SECONDHAND_PAUSE_MS, STALE_EXCLUSION_MS
 from ibispaddle_core.topics import (
     ChangesPage,
     NewestPage,
@@ -46,11 +46,14 @@
         self.confirmed_ms: int | None = None
         self.store_reads = 0
         self.is_store_unavailable = False
+        self.is_ahead_of_hubs = False
 
     def read_store(self) -> None:
         self.store_reads += 1
 
-    def apply_relayed(self, answer, confirmed_ms: int, is_from_hub: bool) -> None:
+    def apply_relayed(self, answer, confirmed_ms: int, is_from_hub: bool) -> bool:
+        if self.is_ahead_of_hubs:
+            return False
         match answer:
             case NewestPage(records, _, end):
                 self.values, self.offset = {r.key: r.value for r in records}, end
@@ -61,6 +64,7 @@
         is_snapshot = isinstance(answer, NewestPage)
         self._mirror.apply(TopicUpdate(dict(self.values), is_snapshot), self.offset)
         self._relay.publish(self._topic, self._mirror, confirmed_ms)
+        return True
 
 
 class PausingClock:
@@ -320,6 +324,19 @@
         self.assertEqual(self.followers["e"].offset, 9)
         self.assertIsNone(self.followers["e"].values["k"])
 
+    def test_hub_that_is_behind(self) -> None:
+        """Guards against queries without a pause to a hub whose data is older than this instance's."""
+        self.start_reading()
+        self.read("a", b"1", 5)
+        self.followers["e"].is_ahead_of_hubs = True
+        self.followers["e"].offset = None
+        self.timers.advance(HOLD_MS)
+        sent = self.network.links["e"].sent
+        sent.clear()
+        self.timers.advance(STALE_EXCLUSION_MS)
+        self.assertLessEqual(len(sent), len(NAMES))
+        self.assertLessEqual({"a", "b"}, {name for name, _ in sent})
+
     def test_unchanged_records_are_not_relayed(self) -> None:
         """Guards against heartbeats of hundreds of upstreams in each response."""
         self.start_reading()
