Kept the hub while the store's answers are slow but the data is recent

What callers saw: nothing; the store did.

Cause: 0.3 s without an answer made a hub count as cut off although its data was recent. Its followers went to the next one by rank, whose first call was as slow, and so on through the fleet.

Now an answer is late after 0.45 s. 0.25 s are enough only once the data is older than 0.7 of the time in force: then all others read the store themselves anyway, so that a hub that reports that it is cut off adds no calls. The bound for stores that stay slow is the same as before. `LateMargin` decides; the follower asks the relay for the age.

Evidence: test_readers_while_the_store_is_slow failed before and passes.

--- a/packages/core/src/ibispaddle_core/topics/__init__.py
+++ b/packages/core/src/ibispaddle_core/topics/__init__.py
@@ -1,5 +1,6 @@
 """Compacted topics of the platform's store, which retain the newest record of each key."""
 
+from .lateness import LateMargin
 from .messages import (
     ChangesPage,
     KeyedRecord,
@@ -19,6 +20,7 @@
     "ChangesPage",
     "OffsetExpired",
     "KeyedRecord",
+    "LateMargin",
     "NewestPage",
     "ReadChanges",
     "ReadNewest",
--- a/packages/daemon/src/ibispaddle_daemon/fleet/topics.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/topics.py
@@ -213,6 +213,11 @@
         self._query_if_idle()
         return self._sources.current.reads_store
 
+    def is_data_overdue(self) -> bool:
+        """Return whether the urgent topics are so old that the store is read whether or not there is a hub."""
+        age_ms = self._age_ms(self._clock.now_ms())
+        return age_ms is None or age_ms >= self._catch_up_ms
+
     def _choose_source(self) -> Source:
         """Return the instance to query, which stays the same while it has recent data."""
         now_ms, previous = self._clock.now_ms(), self._sources.current
--- a/packages/daemon/src/ibispaddle_daemon/store/follower.py
+++ b/packages/daemon/src/ibispaddle_daemon/store/follower.py
@@ -8,6 +8,7 @@
 from ibispaddle_core.clock import Clock
 from ibispaddle_core.topics import (
     ChangesPage,
+    LateMargin,
     NewestPage,
     OffsetExpired,
     ReadChanges,
@@ -34,10 +35,6 @@
 # Delay before a failed call is retried, doubled with each failure up to the maximum.
 INITIAL_RETRY_MS = 100
 MAX_RETRY_MS = 400
-# Added to the long-poll wait to get the time after which a store that does not answer counts as unavailable to
-# this instance: twice the time that the last answer took beyond the wait, between these bounds.
-MIN_LATE_MARGIN_MS = 300
-MAX_LATE_MARGIN_MS = 600
 # Consecutive failures after which the store counts as unavailable; a single one can be a lost response.
 UNAVAILABLE_AFTER_FAILURES = 2
 # Interval between reads after `read_often`.
@@ -53,6 +50,9 @@
     def must_read_store(self) -> bool:
         """Return whether the store must be read; otherwise make sure that a hub is being queried."""
 
+    def is_data_overdue(self) -> bool:
+        """Return whether the urgent topics are so old that the store is read whether or not there is a hub."""
+
     def publish(self, topic: str, mirror: TopicMirror, confirmed_ms: int) -> None:
         """Make new data available to other instances."""
 
@@ -99,7 +99,7 @@
         self._failures = 0
         self._last_failure_ms = 0
         self._is_late = False  # The store has not answered the read in progress in time.
-        self._late_margin_ms = MIN_LATE_MARGIN_MS
+        self._late_margin = LateMargin()
         self._behind_since_ms: int | None = None
         self.recovered_ms: int | None = None
         if relay is not None:
@@ -171,9 +171,17 @@
             if self._relay is not None:
                 self._relay.notify_store_unavailable()
 
+        def report_late_if_overdue() -> None:
+            if self._relay is not None and self._relay.is_data_overdue():
+                report_late()
+
         timers = [
-            self._timers.after(self._wait_ms + RESPONSE_MARGIN_MS, fail_if_unanswered),
-            self._timers.after(self._wait_ms + self._late_margin_ms, report_late),
+            self._timers.after(self._wait_ms + after_ms, callback)
+            for after_ms, callback in (
+                (self._late_margin.after_ms(is_data_overdue=True), report_late_if_overdue),
+                (self._late_margin.after_ms(is_data_overdue=False), report_late),
+                (RESPONSE_MARGIN_MS, fail_if_unanswered),
+            )
         ]
 
         def done(result: CallResult) -> None:
@@ -185,8 +193,7 @@
             if answer is None:
                 return
             self._record_success()
-            excess_ms = self._clock.now_ms() - started_ms - self._wait_ms
-            self._late_margin_ms = max(MIN_LATE_MARGIN_MS, min(MAX_LATE_MARGIN_MS, 2 * excess_ms))
+            self._late_margin.record_answer(self._clock.now_ms() - started_ms - self._wait_ms)
             is_overtaken = (call, position) != (self._reader.next_call(), self._reader.position)
             if not is_overtaken:  # Otherwise the reader has newer data from a hub or another call.
                 self._apply(self._reader.handle_answer(answer, started_ms))
