Looked for a served instance beyond the first four that are turned away

What callers saw: while the store turned away the first four instances by rank, no instance got a change of the instance list or the quarantine, although the store served the rest.

Cause: an instance whose first four hubs were cut off took the store for unavailable to all, followed the first of them again, and read the store only once its urgent data was old.

Now 16 such hubs are needed, as many as a search asks in a round. The fifth instance becomes the reader of all topics, and the others follow it.

--- a/packages/core/src/ibispaddle_core/hubs/sources.py
+++ b/packages/core/src/ibispaddle_core/hubs/sources.py
@@ -11,7 +11,7 @@
 # The same for a hub without recent data. It answers at once if the store is unavailable to it.
 STALE_EXCLUSION_MS = 1_000
 # Number of hubs without recent data from which the store is considered unavailable to all.
-MAX_STALE_HUBS = 4
+MAX_STALE_HUBS = 16
 # Number of unresponsive hubs from which an instance reads the store itself.
 MAX_DEAD_HUBS = 3
 # Number of instances, the first ones by rank, that keep reading the store while it is unavailable to them.
