Used late answers of other instances, and answered them again with recent data

What callers saw: an instance that the store did not answer had data of 20 s, because messages took 105 ms; one whose neighbours ran the release before had data of 8 s; and in a fleet of 195 of which the store served one again, the last instance had the data 3.9 s after the first.

Cause: the answer to a query was discarded if it came after the timeout of the search, although its data is as good and its age is known, as it counts from the time of the query. An instance without recent data answered at once and forgot the query, so whoever had asked it got the data only with its next round, up to 1.6 s later, and that for each instance on the way.

Now the last query to each instance stays known. A late answer is applied like any other, and ends the search if its data is recent and the other one is not cut off. An instance that is asked for more recent data than it has answers a second time as soon as it has some, within the time in force. Others of the release before hold the query in place of that, which is a late answer. Ages count from the first sending of the query, so they are never underestimated.

--- a/packages/core/src/ibispaddle_core/hubs/sources.py
+++ b/packages/core/src/ibispaddle_core/hubs/sources.py
@@ -155,6 +155,11 @@
         pause_ms = min(MAX_LONGEST_PAUSE_MS, LONGEST_PAUSE_MS_PER_INSTANCE * len(others))
         return _Search(sample, max(MIN_LONGEST_PAUSE_MS, pause_ms))
 
+    @property
+    def is_searching(self) -> bool:
+        """Return whether the instance looks for one that has recent data, and has not found it yet."""
+        return self._search is not None and self._search.found is None
+
     @property
     def fleet_size(self) -> int:
         """Return the number of listed instances."""
--- a/packages/daemon/src/ibispaddle_daemon/fleet/topics.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/topics.py
@@ -8,7 +8,7 @@
 import itertools
 import zlib
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -127,6 +127,7 @@
     ) -> None:
         """Create the relay; changes in the store must be known within `in_force_ms`."""
         super().__init__()
+        self._in_force_ms = in_force_ms
         self._hold_ms = round(HOLD_FRACTION * in_force_ms)
         self._stale_ms = round(STALE_FRACTION * in_force_ms)
         self._catch_up_ms = round(CATCH_UP_FRACTION * in_force_ms)
@@ -138,11 +139,14 @@
         self._is_started = False
         self._query_ids = itertools.count(1)
         self._pending_query: _PendingQuery | None = None
+        self._last_queries: dict[str, _PendingQuery] = {}  # To each instance, also if abandoned.
         self._query_timer: TimerHandle | None = None
         self._delayed_query: TimerHandle | None = None
         self._published: dict[str, _PublishedTopic] = {}
         self._held_queries: deque[_HeldQuery] = deque()  # Ordered by due time.
         self._hold_timer: TimerHandle | None = None
+        # The last query of each instance that was answered with older data than it wanted.
+        self._unmet_queries: dict[str, _HeldQuery] = {}
         links.receivers[TopicQuery] = self._on_query
         links.receivers[TopicResponse] = self._on_response
         links.on_peer_lost.append(self._on_lost)
@@ -259,7 +263,7 @@
         wanted_age_ms = self._stale_ms if source.is_substitute and self._is_old(age_ms) else None
         offsets = {topic: follower.offset for topic, follower in self._followers.items()}
         query = _PendingQuery(next(self._query_ids), source.instance_id, now_ms, offsets)
-        self._pending_query = query
+        self._pending_query = self._last_queries[source.instance_id] = query
         self._query_timer = self._timers.after(
             SEARCH_TIMEOUT_MS if wanted_age_ms is not None else self._timeout_ms(age_ms),
             lambda: self._abandon_query(query, "no response to a query"),
@@ -288,40 +292,51 @@
     def _abandon_query(self, query: _PendingQuery, reason: str) -> None:
         if self._pending_query is not query:
             return
-        now_ms = self._clock.now_ms()
-        self._sources.mark_unresponsive(query.hub_id, now_ms)
-        age_ms = self._age_ms(now_ms)
-        log_event(logevents.RELAY_FAILED, relay=query.hub_id, reason=reason, age_ms=age_ms)
+        self._sources.mark_unresponsive(query.hub_id, self._clock.now_ms())
+        self._log_failure(query.hub_id, reason)
         self._clear_query()
         self._query_next()
 
+    def _log_failure(self, hub_id: str, reason: str) -> None:
+        age_ms = self._age_ms(self._clock.now_ms())
+        log_event(logevents.RELAY_FAILED, relay=hub_id, reason=reason, age_ms=age_ms)
+
     def _clear_query(self) -> None:
         self._pending_query = None
         if self._query_timer is not None:
             self._query_timer.cancel()
 
     def _on_lost(self, instance_id: str) -> None:
+        self._last_queries.pop(instance_id, None)
+        self._unmet_queries.pop(instance_id, None)
         if self._pending_query is not None and self._pending_query.hub_id == instance_id:
             self._abandon_query(self._pending_query, "connection lost")
 
     def _on_response(self, instance_id: str, message: TopicResponse) -> None:
-        query = self._pending_query
-        if query is None or (query.query_id, query.hub_id) != (message.query_id, instance_id):
-            return  # Another hub has been queried since.
+        query = self._last_queries.get(instance_id)
+        if query is None or query.query_id != message.query_id:
+            return  # It has been queried again since.
+        is_pending = query is self._pending_query
         try:
             deltas = _decode(message)
         except (*DECODE_ERRORS, zlib.error) as exc:
-            self._abandon_query(query, f"invalid response: {exc}")
+            if is_pending:
+                self._abandon_query(query, f"invalid response: {exc}")
+            else:
+                self._log_failure(instance_id, f"invalid late response: {exc}")
             return
-        self._clear_query()
+        if is_pending:
+            self._clear_query()
         self._sources.mark_responsive(instance_id)
         is_stale = message.is_store_unavailable
-        is_from_hub = not (is_stale or self._sources.current.is_substitute)
+        is_from_hub = is_pending and not (is_stale or self._sources.current.is_substitute)
         for topic, follower in self._followers.items():
             item = deltas.get(topic)
             read = _decode_read(item) if item is not None else None
             if item is None or read is None:
                 continue  # The hub has not read the topic yet, or its data is older.
+            if isinstance(read, OffsetExpired) and not is_pending:
+                continue  # The next query gets all keys.
             if follower.offset != query.offsets.get(topic):
                 continue  # The store was read since; the response may be older.
             # Earliest time at which the hub can have responded; the network delay is unknown.
@@ -329,7 +344,9 @@
             is_ahead = follower.apply_relayed(read, responded_ms - item.age_ms, is_from_hub)
             is_old = topic in self._urgent_followers and item.age_ms > self._stale_ms
             is_stale = is_stale or is_old or not is_ahead
-        if self._sources.current.is_substitute:
+        if not is_pending:
+            self._use_late_response(instance_id, is_stale)
+        elif self._sources.current.is_substitute:
             # The next query gets all keys of a topic whose changes the other one does not have.
             is_complete = all(item.kind != "gone" for item in deltas.values())
             self._continue_search(instance_id, is_stale, is_complete)
@@ -338,15 +355,19 @@
         else:
             self._query_next()
 
+    def _use_late_response(self, instance_id: str, is_cut_off: bool) -> None:
+        """End a search if it is in progress and the late data is recent."""
+        age_ms = self._age_ms(self._clock.now_ms())
+        if is_cut_off or self._is_old(age_ms) or not self._sources.is_searching:
+            return
+        if self._sources.mark_recent(instance_id):
+            log_event(logevents.SUBSTITUTE_FOUND, relay=instance_id, age_ms=age_ms)
+        self._query_if_idle()
+
     def _leave_stale_hub(self, hub_id: str) -> None:
         now_ms = self._clock.now_ms()
         self._sources.mark_stale(hub_id, now_ms)
-        log_event(
-            logevents.RELAY_FAILED,
-            relay=hub_id,
-            reason="the hub has no recent data from the store",
-            age_ms=self._age_ms(now_ms),
-        )
+        self._log_failure(hub_id, "the hub has no recent data from the store")
         are_all_stale = self._sources.are_all_stale(now_ms)
         self._query_later(self._hold_ms if are_all_stale else STALE_RETRY_DELAY_MS)
 
@@ -375,15 +396,12 @@
         self._published[topic] = _PublishedTopic(mirror, confirmed_ms)
         now_ms = self._clock.now_ms()
         held, self._held_queries = self._held_queries, deque()
-        responses: dict[tuple[tuple[str, int | None], ...], TopicResponse] = {}
+        answered: list[_HeldQuery] = []
         for item in held:
-            if topic not in item.query.offsets or not self._has_changes(item.query):
-                self._held_queries.append(item)
-                continue
-            key = tuple(item.query.offsets.items())
-            if key not in responses:
-                responses[key] = self._response(item.query, now_ms)
-            self._send(item, responses[key], now_ms)
+            has_changes = topic in item.query.offsets and self._has_changes(item.query)
+            (answered if has_changes else self._held_queries).append(item)
+        self._answer(answered, now_ms)
+        self._answer_unmet_queries(now_ms)
 
     def notify_store_unavailable(self) -> None:
         """Answer all held queries, to report that this instance cannot reach the store.
@@ -396,8 +414,24 @@
 
     def _answer_held_queries(self, now_ms: int) -> None:
         held, self._held_queries = self._held_queries, deque()
-        for item in held:
-            self._send(item, self._response(item.query, now_ms), now_ms)
+        self._answer(held, now_ms)
+
+    def _answer_unmet_queries(self, now_ms: int) -> None:
+        """Answer a second time, with recent data, unless that is too late for the sender."""
+        if not self._unmet_queries or self._is_old(self._age_ms(now_ms)):
+            return
+        unmet, self._unmet_queries = self._unmet_queries, {}
+        first_ms = now_ms - self._in_force_ms
+        self._answer([item for item in unmet.values() if item.received_ms > first_ms], now_ms)
+
+    def _answer(self, items: Iterable[_HeldQuery], now_ms: int) -> None:
+        """Answer queries, those from the same offsets with the same response."""
+        responses: dict[tuple[tuple[str, int | None], ...], TopicResponse] = {}
+        for item in items:
+            key = tuple(item.query.offsets.items())
+            if key not in responses:
+                responses[key] = self._response(item.query, now_ms)
+            self._send(item, responses[key], now_ms)
 
     def _send(self, held: _HeldQuery, response: TopicResponse, now_ms: int) -> None:
         """Send a response whose ages are as of `now_ms`, which is not later than the present."""
@@ -408,22 +442,25 @@
 
     def _on_query(self, instance_id: str, query: TopicQuery) -> None:
         held = _HeldQuery(instance_id, query, self._clock.now_ms())
+        self._unmet_queries.pop(instance_id, None)
         is_urgent = query.wanted_age_ms is not None
         if is_urgent or self._is_cut_off or self._has_changes(query):
             self._send(held, self._response(query, held.received_ms), held.received_ms)
             if is_urgent:
-                self._refresh(query.wanted_age_ms or 0, held.received_ms)
+                self._refresh(held)
             return
         self._held_queries.append(held)
         if self._hold_timer is None:
             self._hold_timer = self._timers.after(self._hold_ms, self._answer_expired_queries)
 
-    def _refresh(self, wanted_age_ms: int, now_ms: int) -> None:
-        """Read the store if the data is older than another instance needs, for its next query."""
-        if self._is_store_unavailable and now_ms < self._last_catch_up_ms + self._retry_ms:
-            return
+    def _refresh(self, held: _HeldQuery) -> None:
+        """Read the store if the data is older than another instance needs, to answer it again."""
+        now_ms = held.received_ms
         age_ms = self._age_ms(now_ms)
-        if age_ms is None or age_ms > wanted_age_ms:
+        if age_ms is not None and age_ms <= (held.query.wanted_age_ms or 0):
+            return
+        self._unmet_queries[held.peer_id] = held
+        if not self._is_store_unavailable or now_ms >= self._last_catch_up_ms + self._retry_ms:
             self._read_urgent_topics(now_ms)
 
     def _has_changes(self, query: TopicQuery) -> bool:
--- a/tests/hubs/test_sources.py
+++ b/tests/hubs/test_sources.py
@@ -115,6 +115,18 @@
         self.assertEqual(sources.choose(later_ms, True, is_data_old=False).instance_id, "d")
         self.assertEqual(sources.mark_recent("d"), 0)
 
+    def test_late_answer(self) -> None:
+        """Guards against a search that goes on although one of those asked has answered late."""
+        sources = selection("a")
+        sources.choose(0, True, True)
+        sources.mark_unresponsive("b", 200)
+        self.assertEqual(sources.choose(200, True, True).instance_id, "c")
+        self.assertTrue(sources.is_searching)
+        sources.mark_responsive("b")
+        sources.mark_recent("b")
+        self.assertFalse(sources.is_searching)
+        self.assertEqual(sources.choose(210, True, is_data_old=False).instance_id, "b")
+
     def test_substitute_that_is_turned_away_later(self) -> None:
         sources = selection("a")
         sources.mark_recent(sources.choose(0, True, True).instance_id or "")
