--- a/packages/core/src/ibispaddle_core/hubs/sources.py
+++ b/packages/core/src/ibispaddle_core/hubs/sources.py
@@ -11,7 +11,7 @@
 # The same for a hub without recent data. It answers at once if the store is unavailable to it.
 STALE_EXCLUSION_MS = 1_000
 # Number of hubs without recent data from which the store is considered unavailable to all.
-MAX_STALE_HUBS = 4
+MAX_STALE_HUBS = 16
 # Number of unresponsive hubs from which an instance reads the store itself.
 MAX_DEAD_HUBS = 3
 # Number of instances, the first ones by rank, that keep reading the store while it is unavailable to them.
@@ -155,6 +155,11 @@
         pause_ms = min(MAX_LONGEST_PAUSE_MS, LONGEST_PAUSE_MS_PER_INSTANCE * len(others))
         return _Search(sample, max(MIN_LONGEST_PAUSE_MS, pause_ms))
 
+    @property
+    def is_searching(self) -> bool:
+        """Return whether the instance looks for one that has recent data, and has not found it yet."""
+        return self._search is not None and self._search.found is None
+
     @property
     def fleet_size(self) -> int:
         """Return the number of listed instances."""
