--- a/packages/daemon/src/ibispaddle_daemon/store/instances.py
+++ b/packages/daemon/src/ibispaddle_daemon/store/instances.py
@@ -27,8 +27,9 @@
 FIRST_START_DELAY_MS = 600
 # Time after which an instance continues without the list of the others.
 START_TIMEOUT_MS = 300
-# Interval at which every instance checks for lost instances, of which only the first hub finds any. Also
-# the minimum time between two writes of the own record.
+# Interval at which every instance checks for lost instances, of which only the first hub finds any, and
+# removes them until they are off the list or have returned. Also the minimum time between two writes of the
+# own record, unless the store refuses it.
 SWEEP_INTERVAL_MS = 5_000
 WRITE_RETRY_MS = 500
 
@@ -101,19 +102,18 @@
         for name in self._ranking.instances_to_delist(self._clock.now_ms()):
             if name in self._records:
                 log_event(logevents.INSTANCE_DELISTED, delisted=name)
-                self._write(name, None)
+                # The next sweep repeats a removal that failed, unless the instance has returned. A removal
+                # that arrives later does no harm: the instance writes its record again in `_apply`.
+                self._writer.write(name, None, lambda: None)
 
     def _write_own(self) -> None:
         self._last_write_ms = self._clock.now_ms()
-        self._write(self._instance_id, msgspec.json.encode(self._own_record))
+        value = msgspec.json.encode(self._own_record)
+        self._writer.write(self._instance_id, value, self._retry_own)
 
-    def _write(self, name: str, value: bytes | None) -> None:
-        # Repeating a write that did succeed does no harm: the value is the same, and an instance that
-        # is removed although it has returned writes its record again in `_apply`.
-        def retry() -> None:
-            self._timers.after(WRITE_RETRY_MS, lambda: self._write(name, value))
-
-        self._writer.write(name, value, retry)
+    def _retry_own(self) -> None:
+        # Repeating a write that did succeed does no harm, since the value is the same.
+        self._timers.after(WRITE_RETRY_MS, self._write_own)
 
     def _apply(self, update: TopicUpdate) -> None:
         if update.is_snapshot:
--- a/tests/fleet/test_delisting.py
+++ b/tests/fleet/test_delisting.py
@@ -1,4 +1,4 @@
-"""Tests of the removal of lost instances by a first hub that the store turns away."""
+"""Tests of the writes to the list of instances by a first hub that the store turns away."""
 
 import unittest
 from collections import Counter
@@ -76,6 +76,16 @@
         self.timers.advance(SWEEP_INTERVAL_MS)
         self.assertEqual(self.writes["b"], 0)
 
+    def test_own_record_of_an_earlier_process(self) -> None:
+        """Guards against repeated writes that grow with each change of the list."""
+        earlier = msgspec.json.encode(_InstanceRecord("127.0.0.1:3", "z"))
+        for _ in range(OUTAGE_MS // SWEEP_INTERVAL_MS):
+            self.directory._apply(TopicUpdate({"a": earlier}, is_snapshot=False))
+            self.timers.advance(SWEEP_INTERVAL_MS)
+        self.writes.clear()
+        self.timers.advance(SWEEP_INTERVAL_MS)
+        self.assertIn(self.writes["a"], range(1, 2 + SWEEP_INTERVAL_MS // WRITE_RETRY_MS))
+
 
 if __name__ == "__main__":
     unittest.main()
