Let the first hub connect to listed instances that know no address

Cause: connections are opened by the instance that queries, which needs an address for that. The started one has no list, and of the others only those ranked after it query it, so nobody connects to the last one.

Connections are usable in both directions, and a search asks whoever is connected. Once a second, the first instance by rank that responds now connects to listed instances from which it has no connection (SourceSelection.unconnected decides, TopicRelay asks FleetLinks.connect): 16 at most, those first that it has tried least often, so that instances that are gone hold up nobody. The next instance takes over while the first one does not respond. A failed attempt of this kind is not reported as a lost connection, because nobody waits for it, so it doesn't count towards the removal from the list.

--- a/packages/core/src/ibispaddle_core/hubs/sources.py
+++ b/packages/core/src/ibispaddle_core/hubs/sources.py
@@ -29,6 +29,8 @@
 LONGEST_PAUSE_MS_PER_INSTANCE = 20
 # The pause after a round in which only instances that are cut off as well had recent data.
 SECONDHAND_PAUSE_MS = 400
+# Number of instances to which a hub connects at once, which bounds its attempts to reach those that are gone.
+MAX_CONNECTIONS_AT_ONCE = 16
 
 
 @dataclass(frozen=True)
@@ -108,6 +110,7 @@
         self._dead_until_ms: dict[str, int] = {}
         self._stale_until_ms: dict[str, int] = {}
         self._search: _Search | None = None
+        self._connection_attempts: dict[str, int] = {}  # Since the instance was last connected.
         self.current = Source(reads_store=True)
 
     def choose(
@@ -155,6 +158,28 @@
         pause_ms = min(MAX_LONGEST_PAUSE_MS, LONGEST_PAUSE_MS_PER_INSTANCE * len(others))
         return _Search(sample, max(MIN_LONGEST_PAUSE_MS, pause_ms))
 
+    def unconnected(self, connected: Collection[str], now_ms: int) -> tuple[str, ...]:
+        """Return the instances to connect to, as they may know no address under which to query this one.
+
+        They are listed, but not `connected`. Only the first instance by rank that responds connects to
+        others, those first to which it has tried to connect least often.
+
+        >>> from ibispaddle_core.hubs import Candidate
+        >>> ranking = HubRanking("a")
+        >>> ranking.replace_candidates([Candidate("a", "x:1", capacity=2.0), Candidate("b", "x:2")])
+        >>> SourceSelection(ranking).unconnected(connected=(), now_ms=0)
+        ('b',)
+        """
+        if self._ranking.hubs_before(now_ms, _pending(self._dead_until_ms, now_ms)):
+            self._connection_attempts.clear()
+            return ()
+        known = set(connected)
+        names = [name for name in self._ranking.others() if name not in known]
+        attempts = {name: self._connection_attempts.get(name, 0) for name in names}
+        chosen = sorted(names, key=attempts.__getitem__)[:MAX_CONNECTIONS_AT_ONCE]
+        self._connection_attempts = attempts | {name: attempts[name] + 1 for name in chosen}
+        return tuple(chosen)
+
     @property
     def fleet_size(self) -> int:
         """Return the number of listed instances."""
--- a/packages/daemon/src/ibispaddle_daemon/fleet/links.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/links.py
@@ -1,4 +1,4 @@
-"""Connections to the hubs, opened on demand."""
+"""Connections between instances, opened on demand or by the first hub."""
 
 import random
 from collections import deque
@@ -43,7 +43,9 @@
     """Send messages to other instances and dispatch received ones to the handlers in `receivers`.
 
     Connections are opened by the instance that sends a query; the hub responds on the same connection.
-    `on_peer_lost` callbacks get the id of an instance whose last connection failed.
+    A hub opens those that `connect` names, over which the other instance can query it as well.
+    `on_peer_lost` callbacks get the id of an instance whose last connection failed, or to which messages
+    could not be sent.
     """
 
     channel = "fleet_links"
@@ -116,6 +118,12 @@
         if peer is not None and peer.links:
             self.transport.send(peer.links[-1], self._codec.encode(message))
 
+    def connect(self, instance_id: str) -> None:
+        """Open a connection to a listed instance, unless there is one or the last attempt has just failed."""
+        peer = self._peers.setdefault(instance_id, _Peer())
+        if not peer.links and peer.dialling_link is None:
+            self._dial(instance_id, peer)
+
     def drop(self, instance_id: str, reason: str) -> None:
         """Close the connections to an instance that may not respond any more."""
         peer = self._peers.get(instance_id)
@@ -182,12 +190,13 @@
             self._schedule_retry(peer)
         if peer.links or peer.dialling_link is not None:
             return
+        is_awaited = was_connected or bool(peer.pending)
         peer.pending.clear()
         if was_connected:
             log_event(logevents.PEER_LOST, peer=instance_id, reason=reason)
         if self._ranking.candidate(instance_id) is None:
             self._peers.pop(instance_id, None)
-        if reason:
+        if reason and is_awaited:
             for callback in self.on_peer_lost:
                 callback(instance_id)
 
--- a/packages/daemon/src/ibispaddle_daemon/fleet/topics.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/topics.py
@@ -52,6 +52,8 @@
 MIN_CATCH_UP_RETRY_MS = 500
 # A process that has received no data within this time after its start reads the store itself.
 START_TIMEOUT_MS = 150
+# Interval at which a hub connects to listed instances that have not connected to it.
+CONNECT_INTERVAL_MS = 1_000
 # Delay before the next query after a hub reported that it cannot reach the store.
 STALE_RETRY_DELAY_MS = 20
 # Larger responses are compressed, because a hub may have little bandwidth. A configuration shrinks to
@@ -156,8 +158,16 @@
             self._is_started = True
             self._timers.after(START_TIMEOUT_MS, self._read_missing_topics)
             self._timers.after(self._catch_up_ms, self._check_confirmation_age)
+            self._timers.after(CONNECT_INTERVAL_MS, self._connect_others)
             self._query_next()
 
+    def _connect_others(self) -> None:
+        """Let instances that may know no address query this one, over a connection that it opens."""
+        self._timers.after(CONNECT_INTERVAL_MS, self._connect_others)
+        connected = self._links.connected_ids()
+        for instance_id in self._sources.unconnected(connected, self._clock.now_ms()):
+            self._links.connect(instance_id)
+
     def _read_missing_topics(self) -> None:
         for follower in self._followers.values():
             if follower.offset is None:
--- a/tests/fleet/fakes.py
+++ b/tests/fleet/fakes.py
@@ -51,6 +51,7 @@
         self.on_peer_lost = []
         self.sent = []
         self.dropped = []
+        self.connected = {}  # In the order of the connections.
 
     def encode(self, message):
         return message
@@ -72,7 +73,15 @@
         return len(self._network.links.keys() - gone - {self.instance_id})
 
     def connected_ids(self) -> tuple[str, ...]:
-        return ()
+        return tuple(name for name in self.connected if name not in self._network.unreachable)
+
+    def connect(self, instance_id: str) -> None:
+        """Open a connection, which both sides can use."""
+        gone = self._network.unresponsive | self._network.unreachable
+        other = self._network.links.get(instance_id)
+        if other is not None and not gone & {self.instance_id, instance_id}:
+            self.connected[instance_id] = None
+            other.connected[self.instance_id] = None
 
     def answer(self, instance_id: str, message) -> None:
         self.send(instance_id, message)
--- a/tests/hubs/test_sources.py
+++ b/tests/hubs/test_sources.py
@@ -9,6 +9,8 @@
 from hypothesis import strategies as st
 from ibispaddle_core.hubs import Candidate, HubRanking, SourceSelection
 from ibispaddle_core.hubs.sources import (
+    EXCLUSION_MS,
+    MAX_CONNECTIONS_AT_ONCE,
     MAX_DEAD_HUBS,
     MAX_RANKED_SUBSTITUTES,
     MAX_SAMPLED_SUBSTITUTES,
@@ -76,6 +78,35 @@
         self.assertEqual(sources.choose(0, False, False).instance_id, "b")
 
 
+class ConnectionTest(unittest.TestCase):
+    def test_first_hub_connects_to_the_others(self) -> None:
+        self.assertEqual(selection("a").unconnected(["c", "x"], 0), tuple("bdef"))
+
+    def test_others_connect_to_nobody(self) -> None:
+        """Guards against connections between all instances of a fleet of hundreds."""
+        for name in NAMES[1:]:
+            self.assertEqual(selection(name).unconnected([], 0), ())
+
+    def test_first_hub_that_does_not_respond(self) -> None:
+        """Guards against instances to which nobody connects while the first one is suspended."""
+        sources = selection("b")
+        sources.mark_unresponsive("a", 0)
+        self.assertEqual(sources.unconnected([], 10), tuple("acdef"))
+        self.assertEqual(sources.unconnected([], EXCLUSION_MS), ())
+
+    def test_unreachable_instances(self) -> None:
+        """Guards against a started instance that waits behind hundreds that are gone, and bounds the attempts."""
+        names = [f"n{number:03}" for number in range(1 + 3 * MAX_CONNECTIONS_AT_ONCE)]
+        sources = selection("n000", names)
+        tried = [sources.unconnected([], 0) for _ in range(3)]
+        self.assertEqual([name for chosen in tried for name in chosen], names[1:])
+        # One that was connected meanwhile, and is lost again, comes first.
+        sources.unconnected(["n040"], 0)
+        chosen = sources.unconnected([], 0)
+        self.assertEqual(chosen[0], "n040")
+        self.assertEqual(len(chosen), MAX_CONNECTIONS_AT_ONCE)
+
+
 class SubstituteTest(unittest.TestCase):
     def test_first_hub_that_the_store_turns_away(self) -> None:
         """Guards against a first hub that keeps an old configuration although its neighbours have the new one."""
--- a/tests/platform_adapter/test_restarts_without_the_store.py
+++ b/tests/platform_adapter/test_restarts_without_the_store.py
@@ -15,10 +15,15 @@
 
 
 class RestartTest(TurnedAwayTestCase):
-    def check_restart(self, instance: Instance) -> None:
-        """Restart an instance that the store turns away; the others have the data and its address."""
+    def check_restart(
+        self, instance: Instance, *cut: Instance, mode: LinkMode = LinkMode.UNAVAILABLE
+    ) -> None:
+        """Restart an instance that the store turns away; the others have the data and its address.
+
+        The store turns away the instances `cut` as well.
+        """
         instance.close()
-        self.cut(LinkMode.UNAVAILABLE, instance)
+        self.cut(mode, instance, *cut)
         time.sleep(DOWN_S)
         started_s = time.monotonic()
         instance.start()
@@ -42,6 +47,13 @@
         """Guards against an instance without a configuration because no other one queries it."""
         self.check_restart(self.ranked[-1])
 
+    def test_last_while_the_store_does_not_answer(self) -> None:
+        self.check_restart(self.ranked[-1], mode=LinkMode.SILENT)
+
+    def test_last_while_the_first_hub_is_turned_away(self) -> None:
+        """Guards against the same while the instance that connects to it is cut off itself."""
+        self.check_restart(self.ranked[-1], self.ranked[0])
+
 
 if __name__ == "__main__":
     unittest.main()
