Reproduced first tries that fail at instances which reach no upstream

Callers of instances that are cut off from all upstreams get 502, 503 or 504 from the cut's begin to its end.

Each instance gets links of its own to each upstream. When they hang, the kernel drops new connections, and what was sent passes when the cut ends, as on a network.

--- a/tests/platform_adapter/processes.py
+++ b/tests/platform_adapter/processes.py
@@ -19,6 +19,8 @@
 from tests.support.ports import reserve_ports_for
 from tests.support.waiting import wait_until
 
+from . import linked_instance
+from .linked_instance import OWN_IP_VARIABLE
 from .test_records import ENGINE
 
 KEY = "key-of-blue"
@@ -72,14 +74,18 @@
         store: HasAddress,
         arguments: Sequence[str] = (),
         memory_mb: int | None = None,
+        data_centre: str = "a",
+        upstream_ip: str | None = None,
         **bounds: Any,
     ) -> None:
+        """Start the process; with `upstream_ip`, it reaches upstreams through links there."""
         self.arguments, self.store = arguments, store
+        self.data_centre, self.upstream_ip = data_centre, upstream_ip
         front, self.ready_port, peers = reserve_ports_for(self, 3)
         self.port, self.peer_port = front, peers
         limits = {"grace_s": 8, "fail_closed": True, "revoke_ms": 5_000, "stall_ms": 300}
         limits |= {"retry_budget_ratio": 0.2, "budget_slack": 100} | bounds
-        text = f'node_name = "edge-{number}"\nip = "127.0.0.1"\nzone = "a"\n'
+        text = f'node_name = "edge-{number}"\nip = "127.0.0.1"\nzone = "{data_centre}"\n'
         text += f"port_range = [{peers}, {peers + 15}]\n"
         text += f'[listen]\nfront = "127.0.0.1:{front}"\nready = "127.0.0.1:{self.ready_port}"\n'
         text += f'[platform]\naddress = "{store.address}"\n[bounds]\n'
@@ -94,10 +100,13 @@
 
     def start(self) -> None:
         """Start the process, or restart it with the same addresses after its end."""
+        module, environment = "ibispaddle_platform", {"IBISPADDLE_CONFIG": str(self.path)}
+        if self.upstream_ip is not None:
+            module, environment[OWN_IP_VARIABLE] = linked_instance.__name__, self.upstream_ip
         self.proc = subprocess.Popen(
-            [sys.executable, "-m", "ibispaddle_platform", *self.arguments],
+            [sys.executable, "-m", module, *self.arguments],
             stdout=subprocess.PIPE,
-            env=dict(os.environ, IBISPADDLE_CONFIG=str(self.path)),
+            env=os.environ | environment,
         )
         threading.Thread(target=self._read, args=(self.proc,), daemon=True).start()
 
@@ -161,17 +170,22 @@
         services: int = 1,
         instances: int = 1,
         gate: Callable[[str], HasAddress | None] = lambda address: None,
-        **bounds: Any,
+        listed_address: Callable[[str], str] = lambda address: address,
+        **options: Any,
     ):
-        """Start the processes; `gate` may return an instance's proxy of the store at an address."""
-        self._gate = gate
+        """Start the processes with options of `Instance`.
+
+        `gate` may return an instance's proxy of the store at an address. `listed_address` is called once
+        with each upstream's address and returns that of its entry in the store.
+        """
+        self._gate, self._listed_address = gate, listed_address
         self._stack = ExitStack()
         self.folder = self._stack.enter_context(tempfile.TemporaryDirectory())
         self.store = self._stand_in("platform_store")
         self.runners = [self.start_runner(f"llm-{n}", "llm") for n in range(runners)]
         self.services = [self.start_runner(f"shop-{n}", "shop") for n in range(services)]
         self.configure(configuration(1))
-        self.instances = [self.start_instance(n, **bounds) for n in range(instances)]
+        self.instances = [self.start_instance(n, **options) for n in range(instances)]
         self.instance = self.instances[0]
 
     def __enter__(self) -> "Platform":
@@ -185,16 +199,19 @@
         self._stack.callback(process.kill)
         return process
 
-    def start_runner(self, name: str, service: str) -> ManagedProcess:
-        process = self._stand_in("platform_runner", "--id", name)
+    def start_runner(
+        self, name: str, service: str, *arguments: str, **values: Any
+    ) -> ManagedProcess:
+        """Start a runner with more arguments and register it with more values of its entry."""
+        process = self._stand_in("platform_runner", "--id", name, *arguments)
         process.name = name
-        self.register(process, service)
+        self.register_at(name, self._listed_address(process.address), service, **values)
         return process
 
-    def start_instance(self, number: int, **bounds: Any) -> Instance:
-        """Start an instance and wait until it is ready."""
+    def start_instance(self, number: int, **options: Any) -> Instance:
+        """Start an instance with options of `Instance` and wait until it is ready."""
         store = self._gate(self.store.address) or self.store
-        instance = Instance(self.folder, number, store, **bounds)
+        instance = Instance(self.folder, number, store, **options)
         self._stack.callback(instance.close)
         wait_until(instance.is_ready, "ready")
         return instance
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -49,13 +49,29 @@
         self.http = h11.Connection(h11.CLIENT)
         self.is_used = False
 
-    async def exchange(self, call: Call, headers: list[tuple[str, str]], body: bytes) -> bool:
-        """Send a request and record its response; return whether the connection can be reused."""
+    async def exchange(
+        self,
+        call: Call,
+        headers: list[tuple[str, str]],
+        body: bytes,
+        part_bytes: int | None = None,
+        pause_s: float = 0.0,
+    ) -> bool:
+        """Send a request and record its response; return whether the connection can be reused.
+
+        With `part_bytes`, the body is sent in parts of this size, with pauses between them.
+        """
         method = "GET" if call.route == "read" else "POST"
         request = h11.Request(method=method, target=call.path, headers=headers)
         data = self.http.send(request)
-        if body:
-            data += self.http.send(h11.Data(data=body))
+        size = part_bytes or max(1, len(body))
+        for begin in range(0, len(body), size):
+            if begin:
+                self.writer.write(data)
+                await self.writer.drain()
+                await asyncio.sleep(pause_s)
+                data = b""
+            data += self.http.send(h11.Data(data=body[begin : begin + size]))
         data += self.http.send(h11.EndOfMessage())
         self.writer.write(data)
         await self.writer.drain()
