Cut instances off from all upstreams in the soak

RECOVER compares their first tries with those of the other instances by the platform's rule, from 3 s after the cut; no other promise is relaxed but DRAIN and EVAC for requests that a cut has held up on their way. The plans of all other options stay the same, and there is no such fault in them: a cut has to last for eight seconds to be compared, which would lengthen every run.

--- a/tests/platform_adapter/isolation.py
+++ b/tests/platform_adapter/isolation.py
@@ -14,6 +14,7 @@
 
 from tests.soak.callers import Call
 from tests.soak.judge import STREAM_BODY
+from tests.support.service import is_served_worse
 
 from .consumers import KINDS, Consumers
 from .processes import Instance, Platform, configuration, route
@@ -30,11 +31,6 @@
 RETURN_S = 2.0
 # Time in which requests that were under way run, or end.
 SETTLE_S = 1.5
-# The platform's rule for first tries at instances that reach no upstream: it is broken if they are served less
-# than this fraction as often as elsewhere, and more than this number and fraction of all first tries fail there.
-MIN_SERVED_RATIO = 2 / 3
-ALLOWED_FAILURES = 10
-ALLOWED_FAILURE_FRACTION = 1 / 50
 ATTEMPTS = 2
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 # The consumers and all processes share one machine.
@@ -154,13 +150,7 @@
             there = [call for call in group if call.instance in isolated]
             others = [call for call in group if call.instance not in isolated]
             self.assertTrue(there and others, f"{name}: no request to compare")
-            failed = sum(not call.is_success for call in there)
-            served_there = 1 - failed / len(there)
-            served_elsewhere = sum(call.is_success for call in others) / len(others)
-            if (
-                served_there < MIN_SERVED_RATIO * served_elsewhere
-                and failed > ALLOWED_FAILURES + ALLOWED_FAILURE_FRACTION * len(group)
-            ):
+            if is_served_worse([c.is_success for c in there], [c.is_success for c in others]):
                 texts = count_served(there), count_served(others)
                 faults.append(f"RECOVER, {name}: {texts[0]} there; {texts[1]} elsewhere")
         return faults
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -48,13 +48,16 @@
     parser.add_argument(
         "--cut-links", action="store_true", help="the store turns away several instances at once"
     )
+    parser.add_argument(
+        "--isolate", action="store_true", help="several instances at once reach no upstream"
+    )
     parser.add_argument("--logs", type=pathlib.Path, default=pathlib.Path("out/soak"))
     args = parser.parse_args()
     ends = time.monotonic() + 60 * args.minutes if args.minutes else None
     failed_runs = finished_runs = 0
     with ProcessPoolExecutor(args.jobs) as pool:
         seeds = range(args.first, args.first + args.seeds)
-        options = (args.scale, args.planned, args.short_reads, args.cut_links)
+        options = (args.scale, args.planned, args.short_reads, args.cut_links, args.isolate)
         futures = [pool.submit(run_seed, seed, *options) for seed in seeds]
         for future in as_completed(futures):
             result = future.result()
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -14,7 +14,9 @@
 
 from ibispaddle_bench.processes import ManagedProcess, call_json, start_stand_in
 
+from tests.platform_adapter.linked_instance import SHARED_IP
 from tests.platform_adapter.processes import KEY, Instance, configuration, route
+from tests.platform_adapter.upstream_links import CutMode, UpstreamLink, UpstreamLinks
 
 from .links import Link, LinkMode
 from .plan import PLANNED, STORE_LINK_KINDS, Fault, FaultKind, Plan
@@ -38,7 +40,7 @@
 class Disturbance:
     """A period, in monotonic seconds, in which a fault affected a subject."""
 
-    subject: str  # "instance N", "runner NAME" or "store".
+    subject: str  # "instance N", "upstreams of instance N", "runner NAME" or "store".
     kind: FaultKind
     begin_s: float
     end_s: float
@@ -75,6 +77,7 @@
     process: ManagedProcess
     link: Link
     record: Path
+    listed_address: str
     draining_s: float = inf
 
 
@@ -114,6 +117,11 @@
         self.retired: list[Runner] = []
         self.instances: list[Instance] = []
         self._store_links: list[Link] = []
+        # Links to upstreams by instance; without isolation, upstreams are reached directly.
+        self._upstream_links: dict[int, list[UpstreamLink]] = {}
+        if plan.has_isolation:
+            self._upstream_links = {number: [] for number in range(plan.instances)}
+        self._cut_modes = dict.fromkeys(self._upstream_links, CutMode.OPEN)
         self._locks: list[asyncio.Lock] = []
         self._numbers = itertools.count(1)
         self._version = 0
@@ -144,7 +152,9 @@
             self._store_links.append(link)
             self._locks.append(asyncio.Lock())
             bounds = {"grace_s": SHUTDOWN_GRACE_S, "revoke_ms": int(1000 * REVOCATION_LIMIT_S)}
-            self.instances.append(Instance(str(self.folder), number, link, **bounds))
+            upstream_ip = UpstreamLinks.own_ip(number) if self.plan.has_isolation else None
+            options = bounds | {"upstream_ip": upstream_ip}
+            self.instances.append(Instance(str(self.folder), number, link, **options))
         await asyncio.gather(*(self._wait_ready(instance) for instance in self.instances))
 
     async def close(self) -> None:
@@ -156,6 +166,9 @@
             await asyncio.to_thread(runner.process.kill)
         for link in self._store_links:
             link.close()
+        for upstream_links in self._upstream_links.values():
+            for upstream_link in upstream_links:
+                await upstream_link.close()
         await asyncio.to_thread(self.store.kill)
 
     async def run_faults(self, faults_start_s: float) -> None:
@@ -214,6 +227,9 @@
                         for number in chosen
                     )
                 )
+            case FaultKind.ISOLATION:
+                chosen = [(fault.target + n) % len(self.instances) for n in range(fault.count)]
+                await asyncio.gather(*(self._isolate(number, fault) for number in chosen))
             case FaultKind.STORE_FAULT:
                 await self._disturb_store(fault)
             case FaultKind.STORE_COMPACT:
@@ -295,6 +311,32 @@
             await asyncio.sleep(fault.duration_s)
             link.set_mode(LinkMode.OPEN)
 
+    async def _isolate(self, number: int, fault: Fault) -> None:
+        if self._cut_modes[number] is not CutMode.OPEN:
+            return  # It is isolated already.
+        with self._disturbance(f"upstreams of instance {number}", fault.kind):
+            await self._set_cut_mode(number, CutMode(fault.variant))
+            await asyncio.sleep(fault.duration_s)
+            await self._set_cut_mode(number, CutMode.OPEN)
+
+    async def _set_cut_mode(self, number: int, mode: CutMode) -> None:
+        self._cut_modes[number] = mode
+        for link in list(self._upstream_links[number]):
+            await link.set_mode(mode)
+
+    async def _open_upstream_links(self, address: str) -> str:
+        """Open a link of each instance to a runner and return the address to list the runner at."""
+        for number, links in self._upstream_links.items():
+            link = await UpstreamLink(UpstreamLinks.own_ip(number), address).open()
+            await link.set_mode(self._cut_modes[number])
+            links.append(link)
+        return address.replace("127.0.0.1", SHARED_IP) if self._upstream_links else address
+
+    def senders(self, attempt_id: str) -> set[int]:
+        """Return the instances that have sent a request through links of their own."""
+        links = self._upstream_links.items()
+        return {n for n, found in links if any(attempt_id in link.attempt_ids for link in found)}
+
     async def _disturb_store(self, fault: Fault) -> None:
         with self._disturbance("store", fault.kind):
             await asyncio.to_thread(self.store.set_faults, **{fault.variant: True})
@@ -316,13 +358,14 @@
         options = ("--id", name, "--record", str(record))
         process = await asyncio.to_thread(start_stand_in, "platform_runner", *options)
         link = await Link(process.address).open()
-        runner = Runner(name, service, process, link, record)
+        listed_address = await self._open_upstream_links(link.address)
+        runner = Runner(name, service, process, link, record, listed_address)
         self.runners.append(runner)
         await self._register(runner, "ready")
         return runner
 
     async def _register(self, runner: Runner, state: str) -> None:
-        entry = {"service": runner.service, "address": runner.link.address}
+        entry = {"service": runner.service, "address": runner.listed_address}
         entry["zone"] = data_centre(runner.name)
         await self._put_in_store("keyed.servers", runner.name, entry | {"state": state})
 
@@ -402,6 +445,13 @@
         evacuations[-1] = (begin_s, time.monotonic())
         await self._put_in_store("keyed.op", f"evacuate/{EVACUATED}", None)
 
+    def is_isolated(self, number: int, begin_s: float, end_s: float) -> bool:
+        """Return whether an instance reached no upstream in a part of a period."""
+        return any(
+            item.subject == f"upstreams of instance {number}" and item.overlaps(begin_s, end_s)
+            for item in self.disturbances
+        )
+
     def is_disturbed(self, number: int, begin_s: float, end_s: float) -> bool:
         """Return whether an unplanned fault affected an instance or the store in a period.
 
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -5,6 +5,8 @@
 
 from ibispaddle_daemon.forwarding.refusals import CODE_OUTDATED
 
+from tests.support.service import is_served_worse
+
 from .callers import EVENT_COUNT, TIME_LIMIT_S, Call
 from .fleet import (
     CONFIGURATION_LIMIT_S,
@@ -16,7 +18,7 @@
     data_centre,
     must_be_informed,
 )
-from .plan import PLANNED
+from .plan import PLANNED, FaultKind
 
 NOT_RUN = (408, 421, 429, 503)
 # The callers and all processes share one machine.
@@ -48,7 +50,7 @@
     - DRAIN: a draining runner got a new request.
     - EVAC: a runner of an evacuated data centre got a new request.
     - LOG: an instance logged an internal failure.
-    - RECOVER: too few requests succeeded at the end of the run.
+    - RECOVER: too few requests succeeded at the end of the run, or at instances that reached no upstream.
     - LEAK: a runner has reserved memory or running requests at the end of the run.
     """
 
@@ -67,6 +69,7 @@
         found += [f"STOP: {stop}" for stop in self.fleet.changes.bad_stops]
         found += [f"START: {start}" for start in self.fleet.changes.bad_starts]
         found += self._check_logs()
+        found += self.find_recovery_faults()
         found += self._check_recovery()
         return found
 
@@ -173,9 +176,11 @@
                     yield f"CONFIG: {name} ran {attempt_id} with a revoked key"
                 delay_s = run["at_s"] - released.get(name, run["at_s"])
                 is_late = delay_s > CONFIGURATION_LIMIT_S + SCHEDULING_MARGIN_S
-                if is_late and self._is_informed(call):
+                is_held_up = self._is_held_up(attempt_id, run["at_s"])
+                if is_late and self._is_informed(call) and not is_held_up:
                     yield f"DRAIN: {name} ran {attempt_id} {delay_s:.1f} s after it began to drain"
-                if self._is_evacuated(name, run["at_s"]) and self._is_informed(call):
+                is_evacuated = self._is_evacuated(name, run["at_s"])
+                if is_evacuated and self._is_informed(call) and not is_held_up:
                     yield f"EVAC: {name} ran {attempt_id} in an evacuated data centre"
 
     def _is_evacuated(self, runner_name: str, at_s: float) -> bool:
@@ -184,8 +189,47 @@
             for begin_s, end_s in self.fleet.changes.evacuations
         )
 
+    def _is_held_up(self, attempt_id: str, at_s: float) -> bool:
+        """Return whether the links of an instance that sent the request were cut before it ran."""
+        begin_s = at_s - SETTLED_AFTER_FAULT_S
+        senders = self.fleet.senders(attempt_id)
+        return any(self.fleet.is_isolated(number, begin_s, at_s) for number in senders)
+
     # Entire run
 
+    def find_recovery_faults(self) -> Iterable[str]:
+        """Yield periods in which instances that reached no upstream served worse than the others."""
+        cuts = [item for item in self.fleet.disturbances if item.kind is FaultKind.ISOLATION]
+        spans = [(cut.begin_s + SETTLED_AFTER_FAULT_S, cut.end_s) for cut in cuts]
+        for begin_s, end_s in merge_spans(spans):
+            calls = [c for c in self.calls if begin_s <= c.sent_s < end_s and self._is_in_touch(c)]
+            there, others = [], []
+            for call in calls:
+                subject = f"upstreams of instance {call.instance}"
+                own = [item for item in cuts if item.subject == subject]
+                if any(i.begin_s + SETTLED_AFTER_FAULT_S <= call.sent_s < i.end_s for i in own):
+                    there.append(call)
+                elif not any(self._overlaps(item, call) for item in own):
+                    others.append(call)
+            if is_served_worse(
+                [call.is_success for call in there], [call.is_success for call in others]
+            ):
+                yield (
+                    f"RECOVER: {sum(c.is_success for c in there)} of {len(there)} served at instances"
+                    f" without upstreams, {sum(c.is_success for c in others)} of {len(others)}"
+                    f" elsewhere: {dict(Counter(str(c.outcome) for c in there))}"
+                )
+
+    def _is_in_touch(self, call: Call) -> bool:
+        """Return whether the instance ran, with the store, from some time before the call on."""
+        if call.key in self.fleet.changes.revoked:
+            return False
+        subjects = (f"instance {call.instance}", "store")
+        return not any(
+            item.subject in subjects and self._overlaps(item, call)
+            for item in self.fleet.disturbances
+        )
+
     def _check_logs(self) -> Iterable[str]:
         for number, instance in enumerate(self.fleet.instances):
             for event in ("handler_failed", "daemon_failed"):
@@ -208,6 +252,21 @@
                 yield f"LEAK: {runner.name}: {left}"
 
 
+def merge_spans(spans: Iterable[tuple[float, float]]) -> list[tuple[float, float]]:
+    """Return spans without overlaps that cover the same time; empty ones are left out.
+
+    >>> merge_spans([(5.0, 7.0), (1.0, 3.0), (2.0, 4.0), (9.0, 8.0)])
+    [(1.0, 4.0), (5.0, 7.0)]
+    """
+    merged: list[tuple[float, float]] = []
+    for begin_s, end_s in sorted(span for span in spans if span[0] < span[1]):
+        if merged and begin_s <= merged[-1][1]:
+            merged[-1] = (merged[-1][0], max(end_s, merged[-1][1]))
+        else:
+            merged.append((begin_s, end_s))
+    return merged
+
+
 def count_by_invariant(violations: Iterable[str]) -> Counter[str]:
     """Count violations by invariant."""
     return Counter(violation.split(":")[0] for violation in violations)
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -28,6 +28,7 @@
     RUNNER_LINK = "runner_link"
     STORE_LINK = "store_link"  # Between one instance and the store.
     STORE_LINKS = "store_links"  # Between several instances and the store.
+    ISOLATION = "isolation"  # Between several instances and all upstreams.
     STORE_FAULT = "store_fault"
     STORE_COMPACT = "store_compact"
     ROUTE_ADDED = "route_added"
@@ -60,10 +61,14 @@
     FaultKind.KEY_REVOKED: 1,
     FaultKind.EVACUATION: 2,
 }
-# Weight of STORE_LINKS in plans that have them.
+# Weights of STORE_LINKS and ISOLATION in plans that have them.
 _STORE_LINKS_WEIGHT = 8
+_ISOLATION_WEIGHT = 6
+# Long enough for requests that are sent after the platform's stable window.
+_ISOLATION_S = (8.0, 11.0)
 _LINK_MODES = ("delay", "reset", "silent", "one_way")
 _CUT_MODES = ("reset", "silent", "one_way", "unavailable")
+_ISOLATION_MODES = ("hang", "reset", "refuse_new")
 _RUNNER_FAULTS = (
     ("shed", 5),
     ("false_refusal", 3),
@@ -103,6 +108,7 @@
     services: int
     faults: tuple[Fault, ...] = field(default=())
     has_short_reads: bool = False  # Whether each answer of the store has one or two records.
+    has_isolation: bool = False  # Whether instances reach upstreams through links of their own.
 
 
 def create_plan(
@@ -111,10 +117,12 @@
     is_planned_only: bool = False,
     has_short_reads: bool = False,
     has_cut_links: bool = False,
+    has_isolation: bool = False,
 ) -> Plan:
     """Return the plan for a seed; `scale` multiplies the number of processes.
 
-    With `has_cut_links`, the store turns away several instances at once, but not all of them.
+    With `has_cut_links`, the store turns away several instances at once, but not all of them. With
+    `has_isolation`, some instances, but not all of them, reach no upstream, at least once.
 
     >>> create_plan(7) == create_plan(7)
     True
@@ -127,6 +135,9 @@
     if has_cut_links:
         instances += 1
         kinds[FaultKind.STORE_LINKS] = _STORE_LINKS_WEIGHT
+    if has_isolation:
+        instances += 2
+        kinds[FaultKind.ISOLATION] = _ISOLATION_WEIGHT
     faults: list[Fault] = []
     for _ in range(rng.randint(8, 16) * (1 + scale) // 2):
         last = faults[-1] if faults else None
@@ -134,17 +145,22 @@
         target = rng.randrange(10_000)
         if last is not None and rng.random() < REPEAT_PROBABILITY:
             kind, target = last.kind, last.target
-        variant, count = "", 0
+        if has_isolation and last is None:
+            kind = FaultKind.ISOLATION
+        variant, count, duration_s = "", 0, (0.3, 4.0)
         match kind:
             case FaultKind.RUNNER_LINK | FaultKind.STORE_LINK:
                 variant = rng.choice(_LINK_MODES)
             case FaultKind.STORE_LINKS:
                 variant, count = rng.choice(_CUT_MODES), rng.randint(2, instances - 1)
+            case FaultKind.ISOLATION:
+                variant, count = rng.choice(_ISOLATION_MODES), rng.randint(1, instances - 1)
+                duration_s = _ISOLATION_S
             case FaultKind.RUNNER_FAULT:
                 variant, count = rng.choice(_RUNNER_FAULTS)
             case FaultKind.STORE_FAULT:
                 variant = rng.choice(_STORE_FAULTS)
         start_s = WARM_UP_S + rng.uniform(0, faulty_s)
-        faults.append(Fault(start_s, kind, target, rng.uniform(0.3, 4.0), variant, count))
+        faults.append(Fault(start_s, kind, target, rng.uniform(*duration_s), variant, count))
     faults.sort(key=lambda fault: fault.start_s)
-    return Plan(seed, instances, runners, services, tuple(faults), has_short_reads)
+    return Plan(seed, instances, runners, services, tuple(faults), has_short_reads, has_isolation)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -26,6 +26,11 @@
     logs: dict[int, list[dict]]
 
 
+def _caller_count(plan: Plan) -> int:
+    # Callers wait at instances that reach no upstream; the others must send enough meanwhile.
+    return CALLERS * plan.instances // (1 if plan.has_isolation else 2)
+
+
 async def _run(plan: Plan, folder: str) -> Result:
     fleet = SoakFleet(plan, folder)
     try:
@@ -33,7 +38,7 @@
         faults_start_s = time.monotonic()
         callers = [
             Caller(number, plan.seed, lambda: fleet.ports, lambda: fleet.keys)
-            for number in range(CALLERS * plan.instances // 2)
+            for number in range(_caller_count(plan))
         ]
         stop_requested = asyncio.Event()
         caller_tasks = asyncio.gather(*(caller.run(stop_requested.is_set) for caller in callers))
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -16,6 +16,7 @@
 PLANNED_SEEDS = (1,)
 SHORT_READS_SEEDS = (1,)
 CUT_LINKS_SEEDS = (1,)
+ISOLATION_SEEDS = (1,)
 
 
 class SeededRunTest(unittest.TestCase):
@@ -47,6 +48,13 @@
             self.assertEqual(list(result.violations), [], result.plan)
             self.assertGreater(result.outcomes["200"], 100)
 
+    def test_invariants_hold_while_instances_reach_no_upstream(self) -> None:
+        """Guards against callers who are served worse where no upstream is reached (issue 49)."""
+        for seed in ISOLATION_SEEDS:
+            result = run(create_plan(seed, has_isolation=True))
+            self.assertEqual(list(result.violations), [], result.plan)
+            self.assertGreater(result.outcomes["200"], 100)
+
 
 class PlanTest(unittest.TestCase):
     def test_planned_runs_have_planned_faults_only(self) -> None:
@@ -62,6 +70,14 @@
         self.assertTrue(cuts)
         self.assertTrue(all(2 <= fault.count < plan.instances for plan, fault in cuts))
 
+    def test_isolation_leaves_one_instance(self) -> None:
+        """Guards against runs in which no instance is cut, or all are, so that nothing is compared."""
+        for seed in range(20):
+            plan = create_plan(seed, has_isolation=True)
+            counts = [f.count for f in plan.faults if f.kind is FaultKind.ISOLATION]
+            self.assertTrue(counts)
+            self.assertTrue(all(1 <= count < plan.instances for count in counts))
+
 
 class LinkTest(unittest.TestCase):
     def exchange(self, mode: LinkMode) -> bytes:
@@ -127,6 +143,8 @@
         )
         fleet = SimpleNamespace(
             runs=lambda: [(name, run_record) for name in runs],
+            senders=lambda attempt_id: {0},
+            is_isolated=lambda *period: changes.get("is_isolated", False),
             disturbances=changes.get("disturbances", []),
             changes=Changes(
                 revoked=changes.get("revoked", {}), evacuations=changes.get("evacuations", [])
@@ -182,6 +200,38 @@
             self.find_broken_invariants(self.call(), "s", evacuations=[(5.0, 12.0)]), set()
         )
 
+    def test_held_up_requests(self) -> None:
+        """Guards against late runs that count although the cut of a link has held them up."""
+        call = self.call(body=b"answer of old", headers={"server-stamp": "old", "attempt-id": "a1"})
+        for is_isolated, expected in ((False, {"DRAIN"}), (True, set())):
+            found = self.find_broken_invariants(call, "old", is_isolated=is_isolated)
+            self.assertEqual(found, expected)
+
+    def test_isolated_instances(self) -> None:
+        """Guards against an undetected difference between isolated instances and the others."""
+        cut = Disturbance("upstreams of instance 0", FaultKind.ISOLATION, 10.0, 20.0)
+        kill = Disturbance("instance 0", FaultKind.INSTANCE_KILL, 12.0, 13.0)
+        cases = (
+            (40, 13.5, (cut,), True),
+            (10, 13.5, (cut,), False),  # As many as may fail.
+            (40, 12.5, (cut,), False),  # Sent too soon after the begin of the cut.
+            (40, 20.5, (cut,), False),
+            (40, 13.5, (cut, kill), False),
+        )
+        for failed, sent_s, faults, expected in cases:
+            calls = [
+                self.call(
+                    instance=n % 2, sent_s=sent_s, ended_s=sent_s, outcome=200 if n % 2 else 503
+                )
+                for n in range(2 * failed)
+            ]
+            fleet = SimpleNamespace(
+                runs=list, disturbances=faults, changes=SimpleNamespace(revoked={})
+            )
+            checker = InvariantChecker(fleet, calls, 30.0)
+            found = count_by_invariant(checker.find_recovery_faults())
+            self.assertEqual(found["RECOVER"] > 0, expected, (failed, sent_s, faults))
+
     def test_runs(self) -> None:
         """Guards against undetected runs: twice, unrequested, too many or despite a refusal."""
         self.assertEqual(self.find_broken_invariants(self.call(route="once"), "s", "t"), {"TWICE"})
