--- /dev/null
+++ b/packages/core/src/ibispaddle_core/delegation/selection.py
@@ -0,0 +1,89 @@
+"""Selection of the instance that serves a delegated request."""
+
+import random
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass
+
+# Time for which an instance that refused or failed is left out.
+EXCLUSION_MS = 1_000
+
+
+@dataclass(frozen=True)
+class Delegate:
+    """An instance that takes delegated requests; `capacity` is its processor time in cores."""
+
+    instance_id: str
+    address: str
+    data_centre: str
+    capacity: float
+
+
+class DelegateSelection:
+    """Choose the delegate of a request: near, and with few delegated requests for its capacity.
+
+    Of two at random, the one with less is chosen, so that instances that are cut off at the same time
+    spread their requests although none knows of the others'.
+
+    >>> selection = DelegateSelection("dc1", random.Random(1))
+    >>> selection.replace([Delegate("a", "x:1", "dc1", 1.0), Delegate("b", "x:2", "dc2", 1.0)])
+    >>> selection.choose(None, tried=(), now_ms=0).instance_id
+    'a'
+    >>> selection.choose(None, tried=("a",), now_ms=0).instance_id
+    'b'
+    >>> selection.choose(frozenset({"dc1"}), tried=("a",), now_ms=0) is None
+    True
+    """
+
+    def __init__(self, data_centre: str, rng: random.Random) -> None:
+        self._data_centre, self._rng = data_centre, rng
+        self._delegates: dict[str, Delegate] = {}
+        self._in_flight: dict[str, int] = {}  # By instance; without those that have none.
+        self._excluded_until_ms: dict[str, int] = {}
+
+    def replace(self, delegates: Iterable[Delegate]) -> None:
+        """Replace the instances that take delegated requests."""
+        self._delegates = {delegate.instance_id: delegate for delegate in delegates}
+        for name in self._excluded_until_ms.keys() - self._delegates.keys():
+            del self._excluded_until_ms[name]
+
+    def choose(
+        self, data_centres: frozenset[str] | None, tried: Collection[str], now_ms: int
+    ) -> Delegate | None:
+        """Return an instance for a request, or None.
+
+        `data_centres` are those of the request's home, None for all, and `tried` the instances that
+        have failed with it. Instances of the own data centre come first.
+        """
+        near, far = [], []
+        for name, delegate in self._delegates.items():
+            if name in tried or now_ms < self._excluded_until_ms.get(name, now_ms):
+                continue
+            if delegate.data_centre == self._data_centre:
+                near.append(delegate)
+            elif data_centres is None or delegate.data_centre in data_centres:
+                far.append(delegate)
+        nearest = near or far
+        if not nearest:
+            return None
+        return min(self._rng.sample(nearest, min(2, len(nearest))), key=self._load)
+
+    def begin(self, instance_id: str) -> None:
+        """Record that a request is delegated to an instance."""
+        self._in_flight[instance_id] = self._in_flight.get(instance_id, 0) + 1
+
+    def end(self, instance_id: str) -> None:
+        """Record the end of a delegated request."""
+        count = self._in_flight.get(instance_id, 0) - 1
+        if count > 0:
+            self._in_flight[instance_id] = count
+        else:
+            self._in_flight.pop(instance_id, None)
+
+    def exclude(self, instance_id: str, now_ms: int) -> None:
+        """Leave out an instance that refused or failed for a while."""
+        self._excluded_until_ms[instance_id] = now_ms + EXCLUSION_MS
+
+    def _load(self, delegate: Delegate) -> float:
+        """Return the delegated requests in flight for each core, with the one to choose for."""
+        count = self._in_flight.get(delegate.instance_id, 0) + 1
+        return count / max(delegate.capacity, 0.01)
