--- a/packages/core/src/ibispaddle_core/delegation/__init__.py
+++ b/packages/core/src/ibispaddle_core/delegation/__init__.py
@@ -1,6 +1,7 @@
 """Delegation of requests by an instance that reaches no upstream to one that does."""
 
 from .admission import DelegateAdmission, DelegateVerdict
+from .answers import may_ask_another
 from .reachability import UpstreamReachability
 from .rules import (
     DelegationState,
@@ -23,5 +24,6 @@
     "TryAgain",
     "UpstreamReachability",
     "after_failed_hop",
+    "may_ask_another",
     "may_delegate",
 ]
--- a/packages/core/src/ibispaddle_core/forwarding/attempt.py
+++ b/packages/core/src/ibispaddle_core/forwarding/attempt.py
@@ -149,9 +149,11 @@
             # The caller has received the head of the stream, so this response is not for it.
             text = f"status {head.status} in place of the rest of the stream"
             return self._finish(Outcome.ERROR, text)
+        answer = CompleteResponse(head.status, head.headers, bytes(self._body))
+        if head.is_final:
+            return self._finish(Outcome.COMPLETED, answer=answer)
         if 200 <= head.status < 300 and not head.is_authentic:
             return self._finish(Outcome.FAILED, f"status {head.status} without proof of origin")
-        answer = CompleteResponse(head.status, head.headers, bytes(self._body))
         if head.status in NOT_RUN_STATUSES:
             return self._finish(
                 Outcome.FAILED, f"status {head.status} without proof that it did not run"
--- a/packages/core/src/ibispaddle_core/forwarding/messages.py
+++ b/packages/core/src/ibispaddle_core/forwarding/messages.py
@@ -23,6 +23,9 @@
     retry_after_ms: int = 0
     is_leaving: bool = False  # The upstream is about to end and wants no new work.
     cold_remaining_ms: int | None = None  # Time for which it stays cold, if it states that.
+    # Another instance has decided that the caller gets this response, whatever its status.
+    is_final: bool = False
+    upstream_id: str = ""  # Its upstream, if another instance has passed it on.
 
 
 @dataclass(frozen=True)
--- a/packages/core/src/ibispaddle_core/hubs/ranking.py
+++ b/packages/core/src/ibispaddle_core/hubs/ranking.py
@@ -22,12 +22,16 @@
 
 @dataclass(frozen=True)
 class Candidate:
-    """A listed instance that may become a hub; `capacity` is its processor time in cores."""
+    """A listed instance that may become a hub; `capacity` is its processor time in cores.
+
+    `delegate_address` is that of its listener for delegated requests; it takes none if it is empty.
+    """
 
     instance_id: str
     address: str
     data_centre: str = ""
     capacity: float = 1.0
+    delegate_address: str = ""
 
 
 @dataclass(slots=True)
--- a/packages/core/src/ibispaddle_core/logevents.py
+++ b/packages/core/src/ibispaddle_core/logevents.py
@@ -217,6 +217,24 @@
 UPSTREAMS_WARM = LogEvent(
     3031, "upstreams_warm", Level.INFO, "Upstreams that were cold are warm again."
 )
+REQUEST_DELEGATED = LogEvent(
+    3057,
+    "request_delegated",
+    Level.INFO,
+    "A request was sent to an instance that reaches upstreams.",
+)
+HOP_FAILED = LogEvent(
+    3058,
+    "hop_failed",
+    Level.WARNING,
+    "An instance refused a delegated request, or its response was lost.",
+)
+DELEGATION_REFUSED = LogEvent(
+    3059,
+    "delegation_refused",
+    Level.INFO,
+    "A request that another instance delegated to this one was refused as not run.",
+)
 LIST_UNAVAILABLE = LogEvent(
     3002, "list_unavailable", Level.WARNING, "The instance list cannot be read."
 )
--- a/packages/core/src/ibispaddle_core/settings/gateway.py
+++ b/packages/core/src/ibispaddle_core/settings/gateway.py
@@ -17,6 +17,12 @@
     status_listen: Annotated[
         str, Meta(description="Address of the listener for readiness and metrics, IP:PORT.")
     ] = "127.0.0.1:8082"
+    delegate_listen: Annotated[
+        str,
+        Meta(
+            description="Address of the listener for requests that other instances delegate to this one, IP:PORT; empty: it takes none."
+        ),
+    ] = ""
     store_url: Annotated[str, Meta(description="Base URL of the platform's store.")]
     revocation_ms: Annotated[
         Annotated[int, Meta(ge=500)] | None,
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/attempts.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/attempts.py
@@ -22,11 +22,12 @@
 from ibispaddle_core.scheduling import Outcome, RetryPolicy
 
 from ..buffer_limit import BufferLimit
+from ..delegated_call import relayed_headers
 from ..events import CallFailure, Headers, HttpCall, HttpCallError
 from ..http_client import HttpClient
 from ..logs import log_event
 from ..timers import TimerHandle, TimerQueue
-from .codec import ForwardingCodec, UpstreamCall
+from .codec import ForwardingCodec
 from .requests import AttemptState, ForwardedRequest
 
 # Upstreams accept a connection within a few milliseconds. TCP retransmits a lost SYN only after a
@@ -40,6 +41,9 @@
 STALL_RECHECK_MS = 500
 _NUMBERS = itertools.count(1)
 
+# Parses the status and headers of a response; the last argument is the caller's id of the request.
+HeadReader = Callable[[int, Headers, str], ResponseHead]
+
 
 @dataclass(eq=False)
 class _RunningAttempt:
@@ -50,6 +54,7 @@
     is_paused: bool = False
     pauses: Pauses = Pauses()
     stall_timer: TimerHandle | None = None
+    read_head: HeadReader | None = None
 
 
 class ForwardedAttempts(BaseComponent):
@@ -70,7 +75,7 @@
         codec: ForwardingCodec,
         clock: Clock,
         timers: TimerQueue,
-        on_head: Callable[[str, ResponseHead], None],
+        on_head: Callable[[AttemptState, ResponseHead], None],
         on_race: Callable[[ForwardedRequest, AttemptState, AttemptState], None],
         on_output: Callable[[ForwardedRequest, AttemptState, int], None],
         on_stall: Callable[[ForwardedRequest, AttemptState], None],
@@ -88,14 +93,19 @@
         self.stall_timeout_ms = 5_000
 
     def start(
-        self, request: ForwardedRequest, attempt: AttemptState, address: str, call: UpstreamCall
+        self,
+        request: ForwardedRequest,
+        attempt: AttemptState,
+        address: str,
+        headers: Headers,
+        read_head: HeadReader | None = None,
     ) -> None:
-        """Start an attempt at an upstream."""
+        """Start an attempt at an upstream; `read_head` replaces the parser of its response's head."""
         call_id = f"forward-{next(_NUMBERS)}"
         state_machine = ForwardedAttempt(
             request.route.streams, request.is_response_started, request.last_event_id
         )
-        running = _RunningAttempt(request, attempt, call_id, state_machine)
+        running = _RunningAttempt(request, attempt, call_id, state_machine, read_head=read_head)
         attempt.last_event_ms = self._clock.now_ms()
         self._running[call_id] = running
         attempt.cancel = lambda: self._cancel(running)
@@ -106,7 +116,7 @@
                 call_id,
                 exchange.method,
                 f"http://{address}{exchange.target}",
-                self._codec.upstream_headers(exchange.headers, call),
+                headers,
                 exchange.body,
                 request.req.deadline_ms + DEADLINE_MARGIN_MS,
                 self.channel,
@@ -128,6 +138,8 @@
         self._buffered.release(running.call_id)
         running.state_machine.is_ended = True
         running.attempt.cancel = None
+        if running.attempt.on_released is not None:
+            running.attempt.on_released()
         running.request.in_flight.pop(running.attempt.upstream_id, None)
         running.request.exchange.is_upstream_waiting = False
         if running.stall_timer is not None:
@@ -141,10 +153,15 @@
     def call_head(self, call_id: str, status: int, headers: Headers) -> None:
         """Handle the head of a response."""
         running = self._running.get(call_id)
-        if running is not None:
-            head = self._codec.read_head(status, headers, running.request.caller.attempt_id)
-            self._on_head(running.attempt.upstream_id, head)
-            self._handle_event(running, HeadReceived(head))
+        if running is None:
+            return
+        read_head = running.read_head or self._codec.read_head
+        head = read_head(status, headers, running.request.caller.attempt_id)
+        if running.request.exchange.delegated_call is not None:
+            kept = relayed_headers(head.headers, running.attempt.upstream_id)
+            head = replace(head, headers=kept)
+        self._on_head(running.attempt, head)
+        self._handle_event(running, HeadReceived(head))
 
     def call_data(self, call_id: str, data: bytes) -> None:
         """Handle a part of a response's body."""
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/codec.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/codec.py
@@ -71,6 +71,14 @@
     def upstream_headers(self, headers: Headers, call: UpstreamCall) -> Headers:
         """Return the headers for the upstream, based on the caller's."""
 
+    def delegated_headers(
+        self, headers: Headers, time_left_ms: int, last_event_id: int | None = None
+    ) -> Headers:
+        """Return the caller's headers for another instance that gets the request.
+
+        With a `last_event_id`, the stream is to continue after that event.
+        """
+
     def read_head(self, status: int, headers: Headers, attempt_id: str) -> ResponseHead:
         """Return the head of an upstream's response to the attempt."""
 
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
@@ -3,6 +3,7 @@
 import random
 import secrets
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 
 from circuits import BaseComponent, handler
 from ibispaddle_core import logevents
@@ -45,10 +46,8 @@
     PeerWork,
     RefusalReason,
     Refuse,
-    Request,
     RequestArrived,
     ReserveMemory,
-    RetryPolicy,
     Scheduler,
     Tick,
     UpstreamsChanged,
@@ -60,18 +59,20 @@
 from ..http_client import HttpClient
 from ..http_exchange import Exchange
 from ..logs import log_event
-from ..metrics import Metrics, prompt_length_class
+from ..metrics import Metrics
 from ..scheduling_loop import SchedulingLoop
 from ..timers import TimerQueue
+from .admission import build_request, has_home, may_admit
 from .attempts import ForwardedAttempts
 from .codec import CallerRequest, ForwardingCodec, UpstreamCall
 from .cold_log import ColdLog
+from .hand_over import HandOver
 from .hedges import HedgeReports
 from .late_attempts import LateAttempts
 from .part_guard import PartGuard
-from .refusals import CODE_OUTDATED, DEFAULT_RETRY_AFTER_MS, STATUS_NOT_RUN, refuse, reject
-from .request_log import log_ended, log_failed, log_forwarded
-from .requests import AttemptState, ForwardedRequest
+from .refusals import CODE_OUTDATED, DEFAULT_RETRY_AFTER_MS, STATUS_NOT_RUN, refuse, reject, respond
+from .request_log import log_failed, log_forwarded, record_end
+from .requests import NOT_RUN_OUTCOMES, AttemptState, ForwardedRequest
 from .startup import StartupExchanges
 from .upstreams import ListedUpstreams, is_in_use, read_statement
 
@@ -104,6 +105,7 @@
         seed = secrets.randbits(64)
         self._rng = random.Random(seed)
         self._config: RoutingConfig | None = None
+        self.config_version: int | None = None
         self._table = RouteTable({})
         self._regions = DataCentreRegions({})
         self.freshness = ConfigFreshness()
@@ -137,7 +139,8 @@
             self._hedge_reports,
             lambda: self.drain_admission is not None,
         )
-        self._attempts = ForwardedAttempts(
+        self.hand_over = HandOver(clock, self.handle_event)
+        self.attempts = ForwardedAttempts(
             client,
             codec,
             clock,
@@ -153,7 +156,7 @@
     @property
     def incomplete_response_bytes(self) -> int:
         """Return the size of the responses and events that are not complete."""
-        return self._attempts.buffered_bytes
+        return self.attempts.buffered_bytes
 
     @property
     def requests_in_flight(self) -> int:
@@ -168,11 +171,11 @@
 
     def replace_config(self, config: RoutingConfig, fleet: FleetConfig) -> None:
         """Apply a version of the routing configuration and of the scheduler's configuration."""
-        self._config = config
+        self._config, self.config_version = config, config.version
         self._table = RouteTable.from_config(config)
         self._regions = DataCentreRegions(fleet.region_by_data_centre)
-        self._attempts.max_unsent_bytes = config.limits.max_unsent_bytes
-        self._attempts.stall_timeout_ms = fleet.scheduling.stall_timeout_ms
+        self.attempts.max_unsent_bytes = config.limits.max_unsent_bytes
+        self.attempts.stall_timeout_ms = fleet.scheduling.stall_timeout_ms
         self.handle_event(ConfigurationReplaced(fleet))
         for message in (*check_routes(config), *check_homes(config, self._regions)):
             log_event(logevents.CONFIG_WARNING, id=message.id, path=message.path, text=message.text)
@@ -252,32 +255,15 @@
         self, exchange: Exchange, caller: CallerRequest, route: Route, workspace: str
     ) -> None:
         self._request_number += 1
-        allowed_ms = route.timeout_ms
-        if caller.time_left_ms is not None:
-            allowed_ms = min(allowed_ms, caller.time_left_ms)
-        req = Request(
-            request_id=f"{self._boot_id}-{self._request_number}",
-            workspace=workspace,
-            neighbour=workspace,
-            model=choose_service(route, self._rng),  # The scheduler's term for a service.
-            prompt_tokens=caller.prompt_tokens,
-            max_output_tokens=max(1, caller.max_output_tokens),
-            arrived_ms=exchange.arrived_ms,
-            deadline_ms=exchange.arrived_ms + allowed_ms,
-            retry_policy=route.retry_policy,
-            ttft_objective_ms=route.ttft_objective_ms,
-            max_runs=route.max_runs,
-            max_silence_ms=route.max_silence_ms,
-            patience_ms=route.patience_ms,
-            streams=route.streams,
-            data_centres=self._home(route, caller.key),
-            may_hedge=True,
-        )
-        if not self._has_home(req):
+        request_id = f"{self._boot_id}-{self._request_number}"
+        service = choose_service(route, self._rng)
+        home = self._home(route, caller.key)
+        req = build_request(request_id, exchange, caller, route, workspace, service, home)
+        if not has_home(self.scheduler, req):
             code = str(RefusalReason.NO_UPSTREAM_IN_HOME)
             self._reject(exchange, caller, STATUS_NOT_RUN, code)
             return
-        if not self._may_admit(req):
+        if not may_admit(self.scheduler, self.drain_admission, req, self._clock.now_ms()):
             self._reject(
                 exchange,
                 caller,
@@ -295,14 +281,17 @@
         request.last_event_id = caller.last_event_id
         self._requests[req.request_id] = request
         exchange.on_closed = lambda: self._on_caller_disconnected(request)
-        exchange.on_drained = lambda: self._attempts.resume_reading(request)
+        exchange.on_drained = lambda: self.attempts.resume_reading(request)
         request.deadline_timer = self._timers.at(
             req.deadline_ms, lambda: self._on_deadline(request)
         )
-        self.before_selection(lambda: self._schedule(request), req.model)
+        if not self.hand_over.take(request):
+            self.before_selection(lambda: self._schedule(request), req.model)
 
     def _schedule(self, request: ForwardedRequest) -> None:
-        if request.request_id in self._requests and not self._refuse_if_quarantined(request):
+        if request.request_id not in self._requests or request.in_flight:
+            return  # It has ended, or it was delegated meanwhile.
+        if not self._refuse_if_quarantined(request) and not self.hand_over.take(request):
             self.handle_event(RequestArrived(request.req))
 
     def _home(self, route: Route, key: str) -> frozenset[str] | None:
@@ -314,28 +303,6 @@
         workspace = self._config.workspaces.get(key, "")
         return self._regions.data_centres(route.regions, self._config.homes.get(workspace))
 
-    def _has_home(self, req: Request) -> bool:
-        """Return whether an upstream may run the request; checked only for requests with a home.
-
-        An evacuation of the home is left to the scheduler, which knows when the caller may return.
-        """
-        if req.data_centres is None or self.scheduler.runners.live_for(req):
-            return True
-        return self.scheduler.evacuations.count_withheld(req) > 0
-
-    def _may_admit(self, req: Request) -> bool:
-        """Return whether the request can be admitted; during a drain it must end in time.
-
-        A request that may not be repeated could not be sent again if it took longer than predicted.
-        """
-        if self.drain_admission is None:
-            return True
-        now_ms = self._clock.now_ms()
-        max_duration_ms = float(req.deadline_ms - now_ms)
-        if req.retry_policy is not RetryPolicy.PROVED_NOT_RUN:
-            max_duration_ms = min(max_duration_ms, self.scheduler.cost.max_duration_ms(req))
-        return self.drain_admission.may_admit(now_ms, max_duration_ms)
-
     def end_requests(self) -> None:
         """Respond to all requests, because the process is about to end.
 
@@ -350,7 +317,7 @@
         self, request: ForwardedRequest, reason: RefusalReason, retry_after_ms: int = 0
     ) -> None:
         """Remove a request from the scheduler and refuse it."""
-        run_state = RunState.UNKNOWN if request.attempts else RunState.NOT_RUN
+        run_state = RunState.UNKNOWN if request.attempts else request.run_state
         self.handle_event(CallerDisconnected(request.request_id))
         self._refuse(request, Refuse(request.request_id, reason, run_state, retry_after_ms))
 
@@ -383,6 +350,35 @@
         if request.request_id in self._requests:
             self._end_request(request, RefusalReason.DEADLINE)
 
+    # Delegation
+
+    def begin_isolation(self) -> None:
+        """Delegate the waiting requests; the callers of other instances are sent elsewhere."""
+        # Not now, because decisions about waiting requests may be in the course of execution.
+        self._timers.after(0, self._hand_over_waiting)
+
+    def _hand_over_waiting(self) -> None:
+        for request in list(self._requests.values()):
+            if request.request_id not in self._requests or request.in_flight:
+                continue
+            if not self.hand_over.take(request) and request.must_return_to_sender:
+                self._end_request(request, RefusalReason.ISOLATED)
+
+    def complete_delegated(self, request: ForwardedRequest, result: AttemptResult) -> None:
+        """Respond to a request with the delegate's response."""
+        respond(request.exchange, result.answer)
+        self._finish(request, "ok", request.exchange.status)
+
+    def schedule_again(self, request: ForwardedRequest) -> None:
+        """Let a request that no delegate has taken wait for the own upstreams."""
+        request.req = replace(request.req, max_runs=max(1, request.route.max_runs - request.runs))
+        self.before_selection(lambda: self._schedule(request), request.req.model)
+
+    def end_delegated(self, request: ForwardedRequest, run_state: RunState) -> None:
+        """Refuse a request, or cut its response."""
+        reason = RefusalReason.UPSTREAM_FAILED
+        self._refuse(request, Refuse(request.request_id, reason, run_state, 0))
+
     # Quarantine
 
     def _refuse_if_quarantined(self, request: ForwardedRequest) -> bool:
@@ -426,7 +422,7 @@
                 self._cancel(request, decision)
             case ConfirmSilence(_, upstream_id):
                 if (attempt := request.in_flight.get(upstream_id)) is not None:
-                    self._late_attempts.report_silence(request, attempt, has_output=False)
+                    self._on_silence(request, attempt, has_output=False)
             case ConfirmDelay(_, upstream_id):
                 if (attempt := request.in_flight.get(upstream_id)) is not None:
                     self._late_attempts.report_delay(request, attempt)
@@ -456,7 +452,8 @@
         if decision.is_hedge:
             self._hedge_reports.record_start(request, attempt, now_ms)
         address = self._upstreams.address(decision.upstream_id)
-        self._attempts.start(request, attempt, address, call)
+        headers = self._codec.upstream_headers(request.exchange.headers, call)
+        self.attempts.start(request, attempt, address, headers)
         self.on_work_changed(True)
 
     def _cancel(self, request: ForwardedRequest, decision: CancelAttempt) -> None:
@@ -477,14 +474,17 @@
 
     def _refuse(self, request: ForwardedRequest, refusal: Refuse) -> None:
         """Respond to a request that gets no further attempt."""
+        if request.runs:  # The scheduler doesn't know what became of hops.
+            refusal = replace(refusal, run_state=RunState.UNKNOWN)
         request.cancel_attempts()
         status = refuse(request, refusal, self._codec, self._clock)
         self._finish(request, str(refusal.reason), status)
 
     # Callbacks of the attempts
 
-    def _on_head(self, upstream_id: str, head: ResponseHead) -> None:
+    def _on_head(self, attempt: AttemptState, head: ResponseHead) -> None:
         """Apply what an upstream states about itself in the head of any response."""
+        upstream_id = head.upstream_id if attempt.is_hop else attempt.upstream_id
         statement = read_statement(self.scheduler, upstream_id, head)
         if statement is not None:
             self.handle_event(statement)
@@ -504,13 +504,9 @@
         self, request: ForwardedRequest, attempt: AttemptState, event_count: int
     ) -> None:
         now_ms = self._clock.now_ms()
-        request.event_count += event_count
-        if request.first_output_ms is None:
-            request.first_output_ms = now_ms
-        if request.last_output_ms is not None:
-            gap_ms = now_ms - request.last_output_ms
-            request.longest_gap_ms = max(request.longest_gap_ms, gap_ms)
-        request.last_output_ms = now_ms
+        request.record_output(now_ms, event_count)
+        if attempt.is_hop:
+            return
         self.part_guard.record_output(request, attempt)
         # The request's counters do not show the first output of a retry, so every output of a retry is
         # reported. Repeated reports have no effect on the scheduler.
@@ -519,20 +515,33 @@
             self.on_work_changed(False)
 
     def _on_stall(self, request: ForwardedRequest, attempt: AttemptState) -> None:
-        self._late_attempts.report_silence(request, attempt, has_output=True)
+        self._on_silence(request, attempt, has_output=True)
+
+    def _on_silence(
+        self, request: ForwardedRequest, attempt: AttemptState, has_output: bool
+    ) -> None:
+        """Handle a silent attempt; a delegate replaces its own silent attempts."""
+        if not attempt.is_hop and not self.hand_over.take_silent(request, attempt):
+            self._late_attempts.report_silence(request, attempt, has_output)
 
     def _on_attempt_result(
         self, request: ForwardedRequest, attempt: AttemptState, result: AttemptResult
     ) -> None:
         upstream_id = attempt.upstream_id
+        if attempt.is_hop:
+            self.hand_over.handle_result(request, attempt, result)
+            return
         self._metrics.attempts.inc({"outcome": str(result.outcome)})
         if result.outcome is Outcome.COMPLETED:
             self._complete(request, attempt, result)
             return
+        request.runs += result.outcome not in NOT_RUN_OUTCOMES
         request.failures += (f"{upstream_id}: {result.outcome}: {result.text}",)
         request.failed_response = result.answer
         faulty_upstream_id = self._upstreams.upstream_at(result.faulty_address)
         log_failed(request, attempt, result, faulty_upstream_id)
+        if self.hand_over.take(request):
+            return
         ended = AttemptEnded(
             request.request_id,
             upstream_id,
@@ -558,7 +567,9 @@
         )
 
     def _handle_failed_attempt(self, request: ForwardedRequest, ended: AttemptEnded) -> None:
-        if request.request_id in self._requests and self._refuse_if_quarantined(request):
+        if request.request_id in self._requests and (
+            self._refuse_if_quarantined(request) or self.hand_over.take(request)
+        ):
             return
         self.handle_event(ended)
         self.on_work_changed(False)
@@ -569,10 +580,7 @@
         response, exchange = result.answer, request.exchange
         if response is None or 200 <= response.status < 300:
             self.part_guard.record_completion(request, attempt)
-        if response is not None:
-            exchange.respond(response.status, response.headers, response.body)
-        else:
-            exchange.end()
+        respond(exchange, response)
         self._finish(request, "ok", exchange.status)
         self.handle_event(AttemptEnded(request.request_id, attempt.upstream_id, result.outcome))
         self.on_work_changed(False)
@@ -585,13 +593,5 @@
             request.deadline_timer.cancel()
         request.cancel_attempts()
         request.exchange.on_closed = request.exchange.on_drained = None
-        self._attempts.forget(request)
-        now_ms, arrived_ms = self._clock.now_ms(), request.req.arrived_ms
-        self._metrics.requests.inc({"code": code})
-        self._metrics.duration.observe({}, (now_ms - arrived_ms) / 1000)
-        first_ms = None
-        if request.first_output_ms is not None:
-            first_ms = request.first_output_ms - arrived_ms
-            labels = {"prompt": prompt_length_class(request.req.prompt_tokens)}
-            self._metrics.first_token.observe(labels, first_ms / 1000)
-        log_ended(request, code, status, first_ms, now_ms - arrived_ms)
+        self.attempts.forget(request)
+        record_end(self._metrics, request, code, status, self._clock.now_ms())
--- /dev/null
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/hand_over.py
@@ -0,0 +1,97 @@
+"""Hand-over of requests to other instances while this one reaches no upstream."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+from ibispaddle_core.clock import Clock
+from ibispaddle_core.delegation import Delegate, DelegationState, may_delegate
+from ibispaddle_core.forwarding import AttemptResult
+from ibispaddle_core.scheduling import CallerDisconnected, Event
+
+from .requests import AttemptState, ForwardedRequest
+
+
+class RequestDelegator(Protocol):
+    """Send requests to other instances."""
+
+    def choose(self, request: ForwardedRequest) -> Delegate | None:
+        """Return the instance that a request is to be sent to, or None."""
+
+    def send(self, request: ForwardedRequest, delegate: Delegate) -> None:
+        """Send a request to an instance."""
+
+    def handle_result(
+        self, request: ForwardedRequest, attempt: AttemptState, result: AttemptResult
+    ) -> None:
+        """Handle the end of a hop."""
+
+
+def delegation_state(request: ForwardedRequest) -> DelegationState:
+    """Return what of a request decides whether it may be delegated."""
+    return DelegationState(
+        request.req.retry_policy,
+        request.req.deadline_ms,
+        request.route.max_runs,
+        request.runs,
+        request.exchange.delegated_call is not None,
+        bool(request.in_flight),
+        request.is_response_started,
+    )
+
+
+class HandOver:
+    """Take requests out of the scheduler and send them to delegates.
+
+    `is_isolated` returns whether this instance reaches no upstream; `handle_event` passes an event to the
+    scheduler.
+    """
+
+    def __init__(self, clock: Clock, handle_event: Callable[[Event], None]) -> None:
+        self._clock, self._handle_event = clock, handle_event
+        self.is_isolated: Callable[[], bool] = lambda: False
+        self.delegator: RequestDelegator | None = None
+
+    def handle_result(
+        self, request: ForwardedRequest, attempt: AttemptState, result: AttemptResult
+    ) -> None:
+        """Handle the end of a hop."""
+        assert self.delegator is not None  # It has started the hop.
+        self.delegator.handle_result(request, attempt, result)
+
+    def take(self, request: ForwardedRequest) -> bool:
+        """Delegate a request without an attempt in flight; return False if it stays here."""
+        if self.delegator is None or not self.is_isolated():
+            return False
+        if not may_delegate(delegation_state(request), self._clock.now_ms()):
+            return False
+        delegate = self.delegator.choose(request)
+        if delegate is None:
+            return False
+        # The scheduler of the delegate sends it and counts it. Here it is unknown from now on.
+        self._handle_event(CallerDisconnected(request.request_id))
+        self.delegator.send(request, delegate)
+        return True
+
+    def take_silent(self, request: ForwardedRequest, attempt: AttemptState) -> bool:
+        """Cancel a silent attempt and delegate its request, if the route allows another run."""
+        if self.delegator is None or not self.is_isolated() or len(request.in_flight) != 1:
+            return False
+        state = delegation_state(request)
+        following = DelegationState(
+            state.retry_policy,
+            state.deadline_ms,
+            state.max_runs,
+            state.runs + 1,
+            state.is_delegated,
+            has_output=state.has_output,
+        )
+        if not may_delegate(following, self._clock.now_ms()):
+            return False
+        delegate = self.delegator.choose(request)
+        if delegate is None or attempt.cancel is None:
+            return False
+        attempt.cancel()
+        request.runs += 1
+        self._handle_event(CallerDisconnected(request.request_id))
+        self.delegator.send(request, delegate)
+        return True
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/refusals.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/refusals.py
@@ -3,9 +3,12 @@
 import msgspec
 from ibispaddle_core import logevents
 from ibispaddle_core.clock import Clock
+from ibispaddle_core.delegation import may_ask_another
+from ibispaddle_core.forwarding import CompleteResponse
 from ibispaddle_core.runstate import RunState
 from ibispaddle_core.scheduling import RefusalReason, Refuse
 
+from ..delegated_call import answer_headers
 from ..events import Headers
 from ..http_exchange import Exchange
 from ..logs import log_event
@@ -48,10 +51,11 @@
         config_age_ms=config_age_ms,
     )
     headers = _headers(codec, retry_after_ms if status == STATUS_NOT_RUN else 0)
+    headers += _origin(exchange, code, RunState.NOT_RUN, is_certain=status != STATUS_NOT_RUN)
     if code == CODE_OUTDATED:
         # On a persistent connection, the caller's next request would reach this instance again.
         headers = (*headers, ("Connection", "close"))
-    exchange.respond(status, headers, _error_body(code))
+    exchange.respond(status, headers, error_body(code))
 
 
 def refuse(request: ForwardedRequest, refusal: Refuse, codec: ForwardingCodec, clock: Clock) -> int:
@@ -71,10 +75,21 @@
     retry_after_ms = 0
     if status == STATUS_NOT_RUN:
         retry_after_ms = _retry_after_ms(refusal, request.req.deadline_ms - clock.now_ms())
-    exchange.respond(status, _headers(codec, retry_after_ms), _error_body(str(refusal.reason)))
+    code = str(refusal.reason)
+    headers = _headers(codec, retry_after_ms)
+    headers += _origin(exchange, code, refusal.run_state)
+    exchange.respond(status, headers, error_body(code))
     return status
 
 
+def respond(exchange: Exchange, response: CompleteResponse | None) -> None:
+    """Send a complete response, or the end of a stream without one."""
+    if response is not None:
+        exchange.respond(response.status, response.headers, response.body)
+    else:
+        exchange.end()
+
+
 def _retry_after_ms(refusal: Refuse, left_ms: int) -> int:
     if refusal.reason is RefusalReason.QUARANTINED:
         return refusal.retry_after_ms  # An earlier retry would be refused as well.
@@ -93,5 +108,15 @@
     return (*JSON, *codec.refusal_headers(retry_after_ms))
 
 
-def _error_body(code: str) -> bytes:
+def _origin(
+    exchange: Exchange, code: str, run_state: RunState, is_certain: bool = False
+) -> Headers:
+    """Return the headers that tell another instance, which sent the request, what it may do."""
+    if exchange.delegated_call is None:
+        return ()
+    return answer_headers(run_state, may_ask_another(code, run_state, is_certain))
+
+
+def error_body(code: str) -> bytes:
+    """Return the body of a response that an instance makes itself."""
     return msgspec.json.encode({"error": {"code": code}})
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/request_log.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/request_log.py
@@ -1,10 +1,11 @@
-"""Log lines about forwarded requests and their attempts."""
+"""Log lines and metrics of forwarded requests and their attempts."""
 
 from ibispaddle_core import logevents
 from ibispaddle_core.forwarding import AttemptResult
 from ibispaddle_core.scheduling import Dispatch
 
 from ..logs import log_event
+from ..metrics import Metrics, prompt_length_class
 from .codec import UpstreamCall
 from .requests import AttemptState, ForwardedRequest
 
@@ -51,10 +52,18 @@
     )
 
 
-def log_ended(
-    request: ForwardedRequest, code: str, status: int, first_ms: int | None, duration_ms: int
+def record_end(
+    metrics: Metrics, request: ForwardedRequest, code: str, status: int, now_ms: int
 ) -> None:
-    """Log the end of a request."""
+    """Count and log the end of a request."""
+    arrived_ms, prompt_tokens = request.req.arrived_ms, request.req.prompt_tokens
+    metrics.requests.inc({"code": code})
+    metrics.duration.observe({}, (now_ms - arrived_ms) / 1000)
+    first_ms = None
+    if request.first_output_ms is not None:
+        first_ms = request.first_output_ms - arrived_ms
+        labels = {"prompt": prompt_length_class(prompt_tokens)}
+        metrics.first_token.observe(labels, first_ms / 1000)
     log_event(
         logevents.FORWARDING_ENDED,
         request=request.caller.attempt_id,
@@ -62,13 +71,14 @@
         route=request.route.name,
         service=request.req.model,
         workspace=request.req.workspace,
-        prompt_tokens=request.req.prompt_tokens,
+        prompt_tokens=prompt_tokens,
         code=code,
         status=status,
         upstream=request.upstream_id,
         attempts=request.attempts,
+        hops=len(request.tried_delegates),
         first_ms=first_ms,
-        duration_ms=duration_ms,
+        duration_ms=now_ms - arrived_ms,
         longest_gap_ms=request.longest_gap_ms,
         events=request.event_count,
         failures=request.failures,
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/requests.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/requests.py
@@ -8,13 +8,16 @@
 from ibispaddle_core.forwarding import CompleteResponse
 from ibispaddle_core.quarantine import part_key
 from ibispaddle_core.routing import Route
-from ibispaddle_core.scheduling import Request
+from ibispaddle_core.runstate import RunState
+from ibispaddle_core.scheduling import Outcome, Request
 
 from ..http_exchange import Exchange
 from ..timers import TimerHandle
 from .codec import CallerRequest
 
 FINGERPRINT_BYTES = 16
+# Outcomes that prove that the request did not run.
+NOT_RUN_OUTCOMES = frozenset({Outcome.REJECTED, Outcome.WRONG_UPSTREAM, Outcome.NOT_SENT})
 
 
 @dataclass(eq=False)
@@ -24,6 +27,8 @@
     upstream_id: str
     number: int = 1  # Counted from 1 within the request.
     is_hedge: bool = False
+    is_hop: bool = False  # The upstream is another instance, to which the request is delegated.
+    on_released: Callable[[], None] | None = None  # Called when it is no longer in flight.
     cancel: Callable[[], None] | None = None  # Set while the attempt is in flight.
     last_event_ms: int = 0  # Time of its last event, or of its start.
     boot_ms: int | None = None  # Start of its upstream, if known.
@@ -41,7 +46,9 @@
     route: Route
     caller: CallerRequest
     exchange: Exchange
-    attempts: int = 0
+    attempts: int = 0  # At upstreams.
+    runs: int = 0  # Ended attempts and hops without proof that the request did not run.
+    tried_delegates: set[str] = field(default_factory=set)
     upstream_id: str = ""  # Upstream of the last attempt.
     first_output_ms: int | None = None
     last_output_ms: int | None = None
@@ -85,8 +92,28 @@
         """Return whether a part of the response was sent to the caller."""
         return self.exchange.is_response_started
 
+    @property
+    def must_return_to_sender(self) -> bool:
+        """Return whether the instance that sent the request has to find another delegate."""
+        return self.exchange.delegated_call is not None and not self.runs
+
+    @property
+    def run_state(self) -> RunState:
+        """Return whether the request may have run."""
+        return RunState.UNKNOWN if self.runs or self.in_flight else RunState.NOT_RUN
+
+    def record_output(self, now_ms: int, event_count: int) -> None:
+        """Record that events were sent to the caller."""
+        self.event_count += event_count
+        if self.first_output_ms is None:
+            self.first_output_ms = now_ms
+        if self.last_output_ms is not None:
+            self.longest_gap_ms = max(self.longest_gap_ms, now_ms - self.last_output_ms)
+        self.last_output_ms = now_ms
+
     def cancel_attempts(self) -> None:
         """Cancel the attempts in flight without reporting their ends."""
         for attempt in list(self.in_flight.values()):
             if attempt.cancel is not None:
                 attempt.cancel()
+                self.runs += 1
--- a/packages/daemon/src/ibispaddle_daemon/gateway.py
+++ b/packages/daemon/src/ibispaddle_daemon/gateway.py
@@ -1,5 +1,6 @@
 """Components and life cycle of an instance that forwards requests by route."""
 
+import random
 import signal
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
@@ -10,6 +11,7 @@
 from circuits.core.pollers import EPoll
 from ibispaddle_core import logevents
 from ibispaddle_core.clock import Clock, SystemClock
+from ibispaddle_core.delegation import DelegateSelection
 from ibispaddle_core.evacuations import Evacuation, EvacuationRecords
 from ibispaddle_core.forwarding import DrainAdmission, MemoryBudget
 from ibispaddle_core.hubs import HubRanking
@@ -18,6 +20,7 @@
 from ibispaddle_core.settings import FleetConfig, GatewaySettings, SettingsError
 from ibispaddle_core.topics import TopicUpdate
 
+from .delegation import DelegateListener, Delegator
 from .engine_memory import EngineMemoryCodec
 from .evacuations import EvacuationMonitor
 from .events import drain_completed, drain_started, readiness_changed
@@ -29,7 +32,7 @@
 from .logs import log_event, log_handler_failure
 from .memory_metrics import add_memory_metrics
 from .metrics import Metrics, Status
-from .stopping import Drain
+from .stopping import Drain, DrainableServers
 from .store import (
     InstanceDirectory,
     QuarantineDirectory,
@@ -137,6 +140,17 @@
             budget=self._budget,
             paused_calls=lambda: self.http_client.paused_calls,
         ).register(self)
+        self.delegate_listener: DelegateListener | None = None
+        if settings.delegate_listen:
+            self.delegate_listener = DelegateListener(
+                settings.delegate_listen,
+                self._codecs.requests,
+                clock,
+                timers,
+                limits,
+                self.server,
+                self.forwarder.channel,
+            ).register(self)
         self.status_server = HttpServer(
             self._status_bind,
             clock,
@@ -163,9 +177,25 @@
         ranking = HubRanking(instance.instance_id)
         self.links = FleetLinks(instance, clock.wall_ms(), ranking, clock, timers).register(self)
         relay = TopicRelay(ranking, self.links, clock, timers, settings.in_force_ms).register(self)
-        InstanceDirectory(
-            settings, self.links.transport.address, store, ranking, clock, timers, relay
+        delegate_address = ""
+        if self.delegate_listener is not None:
+            delegate_address = self.delegate_listener.server.address
+        directory = InstanceDirectory(
+            settings,
+            self.links.transport.address,
+            store,
+            ranking,
+            clock,
+            timers,
+            relay,
+            delegate_address,
         ).register(self)
+        selection = DelegateSelection(instance.data_centre, random.Random())
+        delegator = Delegator(
+            instance.instance_id, self.forwarder, self._codecs.requests, clock, selection
+        )
+        directory.on_instances = delegator.replace_instances
+        self.forwarder.hand_over.delegator = delegator
         guard = self.forwarder.part_guard
         quarantine = QuarantineExchange(
             guard, ranking, self.links, clock, timers, instance.instance_id
@@ -284,8 +314,11 @@
         if self._config_version is not None and routing.version <= self._config_version:
             return
         self._config_version = routing.version
-        self.server.replace_limits(routing.limits)
+        for server in self._servers:
+            server.replace_limits(routing.limits)
         self.forwarder.replace_config(routing, fleet)
+        if self.delegate_listener is not None:
+            self.delegate_listener.admission.replace_version(routing.version)
         log_event(
             logevents.CONFIG_IN_FORCE,
             revision=routing.version,
@@ -354,10 +387,10 @@
             ends_ms = now_ms + self.settings.instance.drain_timeout_ms
             admits_all_ms = now_ms + min(self.settings.unready_ms, MAX_ADMIT_ALL_MS)
             self.forwarder.drain_admission = DrainAdmission(admits_all_ms, ends_ms)
-            log_event(logevents.INSTANCE_DRAINING, requests=self.server.active_requests)
+            log_event(logevents.INSTANCE_DRAINING, requests=self._active_requests)
             self.fire(drain_started(), "*")
             Drain(
-                self.server,
+                DrainableServers(self._servers),
                 self.clock,
                 self.timers,
                 self._is_busy,
@@ -366,14 +399,24 @@
                 redirected_ms,
             ).begin()
 
+    @property
+    def _servers(self) -> tuple[HttpServer, ...]:
+        """Return the servers for callers and for other instances' requests."""
+        listener = self.delegate_listener
+        return (self.server,) if listener is None else (self.server, listener.server)
+
+    @property
+    def _active_requests(self) -> int:
+        return sum(server.active_requests for server in self._servers)
+
     def _is_busy(self) -> bool:
-        return self.server.active_requests + self.server.unsent_connections > 0
+        return self._active_requests > 0 or any(s.unsent_connections for s in self._servers)
 
     def _finish_drain(self, is_complete: bool) -> None:
         if is_complete:
             self._stop()
             return
-        log_event(logevents.DRAIN_TIMEOUT, requests=self.server.active_requests)
+        log_event(logevents.DRAIN_TIMEOUT, requests=self._active_requests)
         self.forwarder.end_requests()
         self.timers.after(FLUSH_MS, self._stop)
 
--- a/packages/daemon/src/ibispaddle_daemon/http_exchange.py
+++ b/packages/daemon/src/ibispaddle_daemon/http_exchange.py
@@ -7,6 +7,7 @@
 import h11
 from ibispaddle_core.forwarding.memory_budget import pause_limit, resume_limit
 
+from .delegated_call import DelegatedCall
 from .events import Headers, find_header
 from .http_listener import CallerConnection
 
@@ -67,6 +68,9 @@
         )
         self.accepted_while_draining = http.accepted_while_draining
         self.is_complete = False
+        self.delegated_call: DelegatedCall | None = (
+            None  # Set if another instance sent the request.
+        )
         self.on_closed: Callable[[], None] | None = None
         self.on_drained: Callable[[], None] | None = None
 
--- a/packages/daemon/src/ibispaddle_daemon/http_server.py
+++ b/packages/daemon/src/ibispaddle_daemon/http_server.py
@@ -36,7 +36,8 @@
     """Receive requests, limit their memory use and pass them to other components.
 
     `channel_of` returns the channel of the component that handles an exchange. `paused_calls` returns the
-    number of upstream responses whose reading is paused, which take memory in the kernel.
+    number of upstream responses whose reading is paused, which take memory in the kernel. The limits of
+    memory hold for this server and the one in `shares_memory_of` together.
     """
 
     channel = "web"
@@ -53,6 +54,7 @@
         channel_of: Callable[[Exchange], str | None] = lambda exchange: None,
         budget: MemoryBudget | None = None,
         paused_calls: Callable[[], int] = lambda: 0,
+        shares_memory_of: "HttpServer | None" = None,
     ) -> None:
         super().__init__(channel=channel)
         self._channel_of = channel_of
@@ -68,10 +70,19 @@
         self._paused_calls = paused_calls
         self._bodies = BufferLimit(self._budget.request_bodies)
         self._heads = BufferLimit(self._budget.request_heads)
+        self._listeners: list[Listener] = []
+        if shares_memory_of is not None:
+            self._budget, self._paused_calls = (
+                shares_memory_of._budget,
+                shares_memory_of._paused_calls,
+            )
+            self._bodies, self._heads = shares_memory_of._bodies, shares_memory_of._heads
+            self._listeners = shares_memory_of._listeners
         self._slow_readers = SlowReaders(clock)
         self._body_progress_ms: dict[CallerConnection, int] = {}
         self.active_requests = 0
         self.listener = Listener(bind, self, self.channel, tls).register(self)
+        self._listeners.append(self.listener)
         timers.after(SWEEP_INTERVAL_MS, self._sweep)
 
     @handler("configuration_changed", channel="*")
@@ -109,8 +120,8 @@
 
     @property
     def unsent_bytes(self) -> int:
-        """Return the number of unsent bytes of all connections."""
-        return self.listener.unsent_bytes
+        """Return the number of unsent bytes of all connections, with those of the sharing servers."""
+        return sum(listener.unsent_bytes for listener in self._listeners)
 
     @property
     def request_body_bytes(self) -> int:
@@ -182,7 +193,7 @@
 
     def response_room(self) -> int:
         """Return the number of bytes of unread responses for which there is room."""
-        return self._budget.room(self.listener.unsent_bytes, self._paused_calls())
+        return self._budget.room(self.unsent_bytes, self._paused_calls())
 
     def after(self, delay_ms: int, callback: Callable[[], None]) -> TimerHandle:
         """Run `callback` after `delay_ms`."""
@@ -211,7 +222,7 @@
             path=exchange.path[:200] if exchange is not None else None,
             held=conn.unsent_bytes,
             idle_ms=self._slow_readers.idle_ms(conn),
-            unread_bytes=self.listener.unsent_bytes,
+            unread_bytes=self.unsent_bytes,
         )
         self._slow_readers.given_up += 1
         self.listener.reset(conn)
--- a/packages/daemon/src/ibispaddle_daemon/stopping/drain.py
+++ b/packages/daemon/src/ibispaddle_daemon/stopping/drain.py
@@ -1,6 +1,6 @@
 """Graceful shutdown without interrupting requests."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Protocol
 
 from ibispaddle_core.clock import Clock
@@ -26,6 +26,23 @@
         """Close the connections without a request in progress."""
 
 
+class DrainableServers:
+    """Several servers that are shut down together."""
+
+    def __init__(self, servers: Sequence[DrainableServer]) -> None:
+        self._servers = servers
+
+    def stop_accepting(self) -> None:
+        """Accept the connections in the backlogs, then refuse new ones."""
+        for server in self._servers:
+            server.stop_accepting()
+
+    def close_idle_connections(self) -> None:
+        """Close the connections without a request in progress."""
+        for server in self._servers:
+            server.close_idle_connections()
+
+
 class Drain:
     """Wait until callers use other instances, close the listener and finish the remaining requests.
 
--- a/packages/daemon/src/ibispaddle_daemon/store/instances.py
+++ b/packages/daemon/src/ibispaddle_daemon/store/instances.py
@@ -1,5 +1,7 @@
 """Directory of the instances, each of which registers itself in the store."""
 
+from collections.abc import Callable, Sequence
+
 import msgspec
 from circuits import BaseComponent, handler
 from ibispaddle_core import logevents
@@ -39,6 +41,7 @@
     peer_address: str
     data_centre: str
     capacity: float = 1.0
+    delegate_address: str = ""
 
 
 class InstanceDirectory(BaseComponent):
@@ -60,12 +63,15 @@
         clock: Clock,
         timers: TimerQueue,
         relay: TopicRelay,
+        delegate_address: str = "",
     ) -> None:
         super().__init__()
+        # Called with all listed instances when the list has changed.
+        self.on_instances: Callable[[Sequence[Candidate]], None] = lambda candidates: None
         self._instance_id = settings.instance.instance_id
         self._is_first_start = settings.is_first_start
         self._own_record = _InstanceRecord(
-            peer_address, settings.instance.data_centre, settings.capacity
+            peer_address, settings.instance.data_centre, settings.capacity, delegate_address
         )
         self._ranking = ranking
         self._clock, self._timers, self._relay = clock, timers, relay
@@ -141,7 +147,11 @@
 
     def _rank(self) -> None:
         known = {**self._records, self._instance_id: self._own_record}
-        self._ranking.replace_candidates(
-            Candidate(name, item.peer_address, item.data_centre, item.capacity)
+        candidates = [
+            Candidate(
+                name, item.peer_address, item.data_centre, item.capacity, item.delegate_address
+            )
             for name, item in known.items()
-        )
+        ]
+        self._ranking.replace_candidates(candidates)
+        self.on_instances(candidates)
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -42,6 +42,13 @@
     def upstream_headers(self, headers: Headers, call: UpstreamCall) -> Headers:
         return (("id", call.attempt_id), ("left", str(call.time_left_ms)))
 
+    def delegated_headers(
+        self, headers: Headers, time_left_ms: int, last_event_id: int | None = None
+    ) -> Headers:
+        kept = tuple(item for item in headers if item[0] != "left")
+        last = (("last", str(last_event_id)),) if last_event_id is not None else ()
+        return (*kept, ("left", str(time_left_ms)), *last)
+
     def read_head(self, status: int, headers: Headers, attempt_id: str) -> ResponseHead:
         values = dict(headers)
         return ResponseHead(status, headers, not_run="not-run" in values, is_authentic=True)
--- a/tests/platform_adapter/processes.py
+++ b/tests/platform_adapter/processes.py
@@ -75,12 +75,12 @@
         **bounds: Any,
     ) -> None:
         self.arguments, self.store = arguments, store
-        front, self.ready_port, peers = reserve_ports_for(self, 3)
+        front, self.ready_port, peers, delegate = reserve_ports_for(self, 4)
         self.port, self.peer_port = front, peers
         limits = {"grace_s": 8, "fail_closed": True, "revoke_ms": 5_000, "stall_ms": 300}
         limits |= {"retry_budget_ratio": 0.2, "budget_slack": 100} | bounds
         text = f'node_name = "edge-{number}"\nip = "127.0.0.1"\nzone = "a"\n'
-        text += f"port_range = [{peers}, {peers + 15}]\n"
+        text += f"port_range = [{peers}, {delegate}]\n"
         text += f'[listen]\nfront = "127.0.0.1:{front}"\nready = "127.0.0.1:{self.ready_port}"\n'
         text += f'[platform]\naddress = "{store.address}"\n[bounds]\n'
         text += "".join(f"{key} = {json.dumps(value)}\n" for key, value in limits.items())
--- a/tests/support/exchanges.py
+++ b/tests/support/exchanges.py
@@ -31,6 +31,7 @@
     arrived_ms = 0
     unsent_bytes = 0
     is_closed = False
+    delegated_call = None
     is_upstream_waiting = False
     close_reason = ""
     room = 100_000_000
