--- a/packages/core/src/ibispaddle_core/delegation/answers.py
+++ b/packages/core/src/ibispaddle_core/delegation/answers.py
@@ -8,8 +8,7 @@
 _CODES_OF_ONE_INSTANCE = frozenset(
     {
         str(RefusalReason.DRAINING),
-        str(RefusalReason.ISOLATED),
-        str(RefusalReason.NO_UPSTREAM),
+        str(RefusalReason.NO_UPSTREAM),  # It reaches none itself.
         str(RefusalReason.QUEUE_FULL),
         str(RefusalReason.UPSTREAM_FAILED),  # It may be cut off without having noticed.
         "no_configuration",
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
@@ -362,7 +362,7 @@
             if request.request_id not in self._requests or request.in_flight:
                 continue
             if not self.hand_over.take(request) and request.must_return_to_sender:
-                self._end_request(request, RefusalReason.ISOLATED)
+                self._end_request(request, RefusalReason.NO_UPSTREAM)
 
     def complete_delegated(self, request: ForwardedRequest, result: AttemptResult) -> None:
         """Respond to a request with the delegate's response."""
