--- a/packages/core/src/ibispaddle_core/delegation/reachability.py
+++ b/packages/core/src/ibispaddle_core/delegation/reachability.py
@@ -49,6 +49,7 @@
         self._probed_ms: dict[str, int] = {}  # Start of the probes in flight.
         self._contact_ms: int | None = None  # Opening of the newest connection with a contact.
         self._contact_id = ""
+        self._second_contact_ms: int | None = None  # Likewise, of the other upstreams.
         self._isolated_ms = 0  # Start of the isolation.
         self._last_round_ms: int | None = None
         self._is_round_due = False
@@ -75,8 +76,7 @@
         self._probed_ms.pop(upstream_id, None)
         if upstream_id not in self._services or self.is_isolated and opened_ms < self._isolated_ms:
             return False
-        if self._contact_ms is None or opened_ms >= self._contact_ms:
-            self._contact_ms, self._contact_id = opened_ms, upstream_id
+        self._record_opening(upstream_id, opened_ms)
         if self.is_isolated:
             self._end()
             return True
@@ -118,6 +118,31 @@
         if upstream_id in self._services and upstream_id not in self._broken:
             self._is_round_due = True
 
+    def cancel_probe(self, upstream_id: str) -> None:
+        """Record that the outcome of a probe is unknown."""
+        self._probed_ms.pop(upstream_id, None)
+
+    def reaches_others(self, upstream_id: str, since_ms: int) -> bool:
+        """Return whether an upstream other than this one was reached since a time.
+
+        A contact counts from the opening of its connection.
+
+        >>> reachability = UpstreamReachability(random.Random(1))
+        >>> reachability.replace_upstreams({"a": "s", "b": "s"})
+        >>> reachability.record_contact("b", now_ms=20)
+        False
+        >>> reachability.reaches_others("a", 20), reachability.reaches_others("b", 20)
+        (True, False)
+        """
+        is_newest = upstream_id == self._contact_id
+        opened_ms = self._second_contact_ms if is_newest else self._contact_ms
+        return opened_ms is not None and opened_ms >= since_ms
+
+    @property
+    def last_contact_ms(self) -> int:
+        """Return when the newest connection with a contact was opened; 0 if there was none."""
+        return self._contact_ms or 0
+
     def upstreams_to_probe(self, now_ms: int) -> tuple[str, ...]:
         """Return the upstreams to probe now; empty if no probe is due."""
         for name, started_ms in list(self._probed_ms.items()):
@@ -143,6 +168,14 @@
             self._probed_ms[name] = now_ms
         return tuple(chosen)
 
+    def _record_opening(self, upstream_id: str, opened_ms: int) -> None:
+        if self._contact_ms is None or opened_ms >= self._contact_ms:
+            if upstream_id != self._contact_id:
+                self._second_contact_ms = self._contact_ms
+            self._contact_ms, self._contact_id = opened_ms, upstream_id
+        elif upstream_id != self._contact_id:
+            self._second_contact_ms = max(opened_ms, self._second_contact_ms or opened_ms)
+
     def _is_proved(self) -> bool:
         """Return whether enough upstreams failed that were sound, and no probe may contradict."""
         if self._probed_ms:
--- a/packages/core/src/ibispaddle_core/logevents.py
+++ b/packages/core/src/ibispaddle_core/logevents.py
@@ -217,6 +217,15 @@
 UPSTREAMS_WARM = LogEvent(
     3031, "upstreams_warm", Level.INFO, "Upstreams that were cold are warm again."
 )
+UPSTREAMS_UNREACHABLE = LogEvent(
+    3050,
+    "upstreams_unreachable",
+    Level.ERROR,
+    "This instance reaches no upstream; its requests are delegated to other instances.",
+)
+UPSTREAMS_REACHED = LogEvent(
+    3051, "upstreams_reached", Level.WARNING, "This instance reaches upstreams again."
+)
 LIST_UNAVAILABLE = LogEvent(
     3002, "list_unavailable", Level.WARNING, "The instance list cannot be read."
 )
