Let instances find out that they reach no upstream

The gateway now has an Isolation and a Prober, and forwarded attempts record contacts and failures: a connection that is refused, reset or not made in time, and the head of a response with the time at which its call began. Long responses on connections from before a cut therefore hide nothing.

--- a/packages/daemon/src/ibispaddle_daemon/forwarding/attempts.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/attempts.py
@@ -27,6 +27,7 @@
 from ..logs import log_event
 from ..timers import TimerHandle, TimerQueue
 from .codec import ForwardingCodec, UpstreamCall
+from .contacts import UncheckedContacts, UpstreamContacts
 from .requests import AttemptState, ForwardedRequest
 
 # Upstreams accept a connection within a few milliseconds. TCP retransmits a lost SYN only after a
@@ -38,6 +39,8 @@
 WRITE_TIMEOUT_MS = 3_000
 # Interval at which a stalled stream that no other upstream can resume is checked again.
 STALL_RECHECK_MS = 500
+# Delay of the own event loop from which a missing connection proves nothing: it may wait to be noticed.
+MAX_LOOP_DELAY_MS = 60
 _NUMBERS = itertools.count(1)
 
 
@@ -47,6 +50,7 @@
     attempt: AttemptState
     call_id: str
     state_machine: ForwardedAttempt
+    started_ms: int
     is_paused: bool = False
     pauses: Pauses = Pauses()
     stall_timer: TimerHandle | None = None
@@ -76,6 +80,7 @@
         on_stall: Callable[[ForwardedRequest, AttemptState], None],
         on_result: Callable[[ForwardedRequest, AttemptState, AttemptResult], None],
         max_buffered_bytes: int = MAX_INCOMPLETE_RESPONSES_BYTES,
+        contacts: UpstreamContacts | None = None,
     ) -> None:
         super().__init__()
         self._client, self._codec = client, codec
@@ -84,6 +89,7 @@
         self._on_stall, self._on_result = on_stall, on_result
         self._running: dict[str, _RunningAttempt] = {}
         self._buffered = BufferLimit(max_buffered_bytes)
+        self._contacts = contacts or UncheckedContacts()
         self.max_unsent_bytes = 262_144
         self.stall_timeout_ms = 5_000
 
@@ -95,8 +101,8 @@
         state_machine = ForwardedAttempt(
             request.route.streams, request.is_response_started, request.last_event_id
         )
-        running = _RunningAttempt(request, attempt, call_id, state_machine)
-        attempt.last_event_ms = self._clock.now_ms()
+        attempt.last_event_ms = now_ms = self._clock.now_ms()
+        running = _RunningAttempt(request, attempt, call_id, state_machine, now_ms)
         self._running[call_id] = running
         attempt.cancel = lambda: self._cancel(running)
         request.in_flight[attempt.upstream_id] = attempt
@@ -142,6 +148,7 @@
         """Handle the head of a response."""
         running = self._running.get(call_id)
         if running is not None:
+            self._contacts.record_contact(running.attempt.upstream_id, running.started_ms)
             head = self._codec.read_head(status, headers, running.request.caller.attempt_id)
             self._on_head(running.attempt.upstream_id, head)
             self._handle_event(running, HeadReceived(head))
@@ -166,11 +173,22 @@
         if error is None:
             self._handle_event(running, CallEnded(is_complete=True))
             return
+        self._record_failure(running, error)
         request_sent = error.byte_sent and error.failure is not CallFailure.UNREACHABLE
         is_closed = error.failure is CallFailure.CLOSED
         text = f"{error.failure}: {error.text}"
         self._handle_event(running, CallEnded(False, request_sent, text, is_closed))
 
+    def _record_failure(self, running: _RunningAttempt, error: HttpCallError) -> None:
+        """Record whether the failure of a call shows that nobody was found at the upstream."""
+        upstream_id, started_ms = running.attempt.upstream_id, running.started_ms
+        if error.failure is CallFailure.CLOSED:
+            self._contacts.record_unreachable(upstream_id, error.text)
+        elif error.failure is CallFailure.UNREACHABLE:
+            limit_ms = CONNECT_TIMEOUT_MS + MAX_LOOP_DELAY_MS
+            if error.is_refused or self._clock.now_ms() - started_ms <= limit_ms:
+                self._contacts.record_unreachable(upstream_id, error.text, started_ms)
+
     def _handle_event(self, running: _RunningAttempt, event: ForwardingEvent) -> None:
         request, exchange = running.request, running.request.exchange
         for effect in running.state_machine.handle(event):
--- /dev/null
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/contacts.py
@@ -0,0 +1,34 @@
+"""What attempts and checks show about whether this instance reaches the upstreams."""
+
+from typing import Protocol
+
+
+class UpstreamContacts(Protocol):
+    """Collects contacts and failures; one that is isolated finds nobody at any upstream."""
+
+    def record_contact(self, upstream_id: str, opened_ms: int | None = None) -> None:
+        """Record a byte of a response on a connection that was opened at `opened_ms`, or now."""
+
+    def record_unreachable(
+        self, upstream_id: str, reason: str, started_ms: int | None = None
+    ) -> None:
+        """Record that nobody was found at an upstream by a try that began at `started_ms`, or now."""
+
+    def reaches_others(self, upstream_id: str, since_ms: int) -> bool:
+        """Return whether an upstream other than this one was reached since a time."""
+
+
+class UncheckedContacts:
+    """Take the upstreams for reachable."""
+
+    def record_contact(self, upstream_id: str, opened_ms: int | None = None) -> None:
+        """Ignore a contact."""
+
+    def record_unreachable(
+        self, upstream_id: str, reason: str, started_ms: int | None = None
+    ) -> None:
+        """Ignore a failure."""
+
+    def reaches_others(self, upstream_id: str, since_ms: int) -> bool:
+        """Return true."""
+        return True
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
@@ -66,6 +66,7 @@
 from .attempts import ForwardedAttempts
 from .codec import CallerRequest, ForwardingCodec, UpstreamCall
 from .cold_log import ColdLog
+from .contacts import UpstreamContacts
 from .hedges import HedgeReports
 from .late_attempts import LateAttempts
 from .part_guard import PartGuard
@@ -95,6 +96,7 @@
         metrics: Metrics,
         budget: MemoryBudget | None = None,
         data_centre: str = "",
+        contacts: UpstreamContacts | None = None,
     ) -> None:
         super().__init__()
         budget = budget or MemoryBudget.from_memory()
@@ -148,6 +150,7 @@
             self._on_stall,
             self._on_attempt_result,
             budget.incomplete_responses,
+            contacts,
         ).register(self)
 
     @property
--- a/packages/daemon/src/ibispaddle_daemon/gateway.py
+++ b/packages/daemon/src/ibispaddle_daemon/gateway.py
@@ -18,6 +18,8 @@
 from ibispaddle_core.settings import FleetConfig, GatewaySettings, SettingsError
 from ibispaddle_core.topics import TopicUpdate
 
+from .delegation.isolation import Isolation
+from .delegation.prober import Prober
 from .engine_memory import EngineMemoryCodec
 from .evacuations import EvacuationMonitor
 from .events import drain_completed, drain_started, readiness_changed
@@ -115,6 +117,8 @@
 
     def _add_request_components(self) -> None:
         settings, clock, timers = self.settings, self.clock, self.timers
+        self.isolation = Isolation(clock)
+        Prober(self.isolation, self._codecs.requests, clock, timers).register(self)
         self.forwarder = Forwarder(
             settings.instance.instance_id,
             self.http_client,
@@ -125,6 +129,7 @@
             self.metrics,
             self._budget,
             settings.instance.data_centre,
+            self.isolation,
         ).register(self)
         limits = FleetConfig().limits
         self.server = HttpServer(
@@ -230,6 +235,11 @@
             "Parts of requests that are refused because they crash upstreams.",
             lambda: len(self.forwarder.part_guard.registry.quarantined_parts),
         )
+        self.metrics.add_gauge(
+            "ibispaddle_isolated",
+            "1 while this instance reaches no upstream, else 0.",
+            lambda: int(self.isolation.is_isolated),
+        )
         pacing = self.forwarder.scheduler.pacing
         self.metrics.add_gauge(
             "ibispaddle_cold_upstreams",
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -14,6 +14,7 @@
 from ibispaddle_daemon.events import Headers, exchange_started, list_changed
 from ibispaddle_daemon.forwarding import Forwarder
 from ibispaddle_daemon.forwarding.codec import CallerRequest, UpstreamCall
+from ibispaddle_daemon.forwarding.contacts import UpstreamContacts
 from ibispaddle_daemon.metrics import Metrics
 from ibispaddle_daemon.timers import TimerQueue
 
@@ -59,7 +60,12 @@
 class ForwarderFixture:
     """A forwarder with a manual clock, one route and some upstreams."""
 
-    def __init__(self, route: Route, upstreams: Sequence[str] = ("u1", "u2")) -> None:
+    def __init__(
+        self,
+        route: Route,
+        upstreams: Sequence[str] = ("u1", "u2"),
+        contacts: UpstreamContacts | None = None,
+    ) -> None:
         self.clock = ManualClock()
         self.timers = TimerQueue(self.clock)
         self.client = FakeHttpClient()
@@ -71,6 +77,7 @@
             self.clock,
             self.timers,
             Metrics(),
+            contacts=contacts,
         )
         self.root = BaseComponent()
         for component in (self.timers, self.forwarder):
