--- a/packages/daemon/src/ibispaddle_daemon/delegation/__init__.py
+++ b/packages/daemon/src/ibispaddle_daemon/delegation/__init__.py
@@ -1,6 +1,8 @@
-"""Delegation of requests: the hop as the sender, and the listener of the delegate."""
+"""Delegation of requests by an instance that reaches no upstream to one that does."""
 
 from .delegator import Delegator
+from .isolation import Isolation
 from .listener import DelegateListener
+from .prober import Prober
 
-__all__ = ["DelegateListener", "Delegator"]
+__all__ = ["DelegateListener", "Delegator", "Isolation", "Prober"]
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/attempts.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/attempts.py
@@ -28,6 +28,7 @@
 from ..logs import log_event
 from ..timers import TimerHandle, TimerQueue
 from .codec import ForwardingCodec
+from .contacts import UncheckedContacts, UpstreamContacts
 from .requests import AttemptState, ForwardedRequest
 
 # Upstreams accept a connection within a few milliseconds. TCP retransmits a lost SYN only after a
@@ -39,6 +40,8 @@
 WRITE_TIMEOUT_MS = 3_000
 # Interval at which a stalled stream that no other upstream can resume is checked again.
 STALL_RECHECK_MS = 500
+# Delay of the own event loop from which a missing connection proves nothing: it may wait to be noticed.
+MAX_LOOP_DELAY_MS = 60
 _NUMBERS = itertools.count(1)
 
 # Parses the status and headers of a response; the last argument is the caller's id of the request.
@@ -51,6 +54,7 @@
     attempt: AttemptState
     call_id: str
     state_machine: ForwardedAttempt
+    started_ms: int
     is_paused: bool = False
     pauses: Pauses = Pauses()
     stall_timer: TimerHandle | None = None
@@ -81,6 +85,7 @@
         on_stall: Callable[[ForwardedRequest, AttemptState], None],
         on_result: Callable[[ForwardedRequest, AttemptState, AttemptResult], None],
         max_buffered_bytes: int = MAX_INCOMPLETE_RESPONSES_BYTES,
+        contacts: UpstreamContacts | None = None,
     ) -> None:
         super().__init__()
         self._client, self._codec = client, codec
@@ -89,6 +94,7 @@
         self._on_stall, self._on_result = on_stall, on_result
         self._running: dict[str, _RunningAttempt] = {}
         self._buffered = BufferLimit(max_buffered_bytes)
+        self._contacts = contacts or UncheckedContacts()
         self.max_unsent_bytes = 262_144
         self.stall_timeout_ms = 5_000
 
@@ -105,8 +111,10 @@
         state_machine = ForwardedAttempt(
             request.route.streams, request.is_response_started, request.last_event_id
         )
-        running = _RunningAttempt(request, attempt, call_id, state_machine, read_head=read_head)
-        attempt.last_event_ms = self._clock.now_ms()
+        attempt.last_event_ms = now_ms = self._clock.now_ms()
+        running = _RunningAttempt(
+            request, attempt, call_id, state_machine, now_ms, read_head=read_head
+        )
         self._running[call_id] = running
         attempt.cancel = lambda: self._cancel(running)
         request.in_flight[attempt.upstream_id] = attempt
@@ -155,6 +163,8 @@
         running = self._running.get(call_id)
         if running is None:
             return
+        if not running.attempt.is_hop:
+            self._contacts.record_contact(running.attempt.upstream_id, running.started_ms)
         read_head = running.read_head or self._codec.read_head
         head = read_head(status, headers, running.request.caller.attempt_id)
         if running.request.exchange.delegated_call is not None:
@@ -183,11 +193,24 @@
         if error is None:
             self._handle_event(running, CallEnded(is_complete=True))
             return
+        self._record_failure(running, error)
         request_sent = error.byte_sent and error.failure is not CallFailure.UNREACHABLE
         is_closed = error.failure is CallFailure.CLOSED
         text = f"{error.failure}: {error.text}"
         self._handle_event(running, CallEnded(False, request_sent, text, is_closed))
 
+    def _record_failure(self, running: _RunningAttempt, error: HttpCallError) -> None:
+        """Record whether the failure of a call shows that nobody was found at the upstream."""
+        upstream_id, started_ms = running.attempt.upstream_id, running.started_ms
+        if running.attempt.is_hop:
+            return
+        if error.failure is CallFailure.CLOSED:
+            self._contacts.record_unreachable(upstream_id, error.text)
+        elif error.failure is CallFailure.UNREACHABLE:
+            limit_ms = CONNECT_TIMEOUT_MS + MAX_LOOP_DELAY_MS
+            if error.is_refused or self._clock.now_ms() - started_ms <= limit_ms:
+                self._contacts.record_unreachable(upstream_id, error.text, started_ms)
+
     def _handle_event(self, running: _RunningAttempt, event: ForwardingEvent) -> None:
         request, exchange = running.request, running.request.exchange
         for effect in running.state_machine.handle(event):
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
@@ -66,6 +66,7 @@
 from .attempts import ForwardedAttempts
 from .codec import CallerRequest, ForwardingCodec, UpstreamCall
 from .cold_log import ColdLog
+from .contacts import UpstreamContacts
 from .hand_over import HandOver
 from .hedges import HedgeReports
 from .late_attempts import LateAttempts
@@ -96,6 +97,7 @@
         metrics: Metrics,
         budget: MemoryBudget | None = None,
         data_centre: str = "",
+        contacts: UpstreamContacts | None = None,
     ) -> None:
         super().__init__()
         budget = budget or MemoryBudget.from_memory()
@@ -151,6 +153,7 @@
             self._on_stall,
             self._on_attempt_result,
             budget.incomplete_responses,
+            contacts,
         ).register(self)
 
     @property
@@ -264,13 +267,8 @@
             self._reject(exchange, caller, STATUS_NOT_RUN, code)
             return
         if not may_admit(self.scheduler, self.drain_admission, req, self._clock.now_ms()):
-            self._reject(
-                exchange,
-                caller,
-                STATUS_NOT_RUN,
-                str(RefusalReason.DRAINING),
-                DRAINING_RETRY_AFTER_MS,
-            )
+            code = str(RefusalReason.DRAINING)
+            self._reject(exchange, caller, STATUS_NOT_RUN, code, DRAINING_RETRY_AFTER_MS)
             return
         request = ForwardedRequest(req, route, caller, exchange)
         blocked_ms = self.part_guard.blocked_ms(request)
--- a/packages/daemon/src/ibispaddle_daemon/gateway.py
+++ b/packages/daemon/src/ibispaddle_daemon/gateway.py
@@ -20,7 +20,7 @@
 from ibispaddle_core.settings import FleetConfig, GatewaySettings, SettingsError
 from ibispaddle_core.topics import TopicUpdate
 
-from .delegation import DelegateListener, Delegator
+from .delegation import DelegateListener, Delegator, Isolation, Prober
 from .engine_memory import EngineMemoryCodec
 from .evacuations import EvacuationMonitor
 from .events import drain_completed, drain_started, readiness_changed
@@ -118,6 +118,8 @@
 
     def _add_request_components(self) -> None:
         settings, clock, timers = self.settings, self.clock, self.timers
+        self.isolation = Isolation(clock)
+        Prober(self.isolation, self._codecs.requests, clock, timers).register(self)
         self.forwarder = Forwarder(
             settings.instance.instance_id,
             self.http_client,
@@ -128,6 +130,7 @@
             self.metrics,
             self._budget,
             settings.instance.data_centre,
+            self.isolation,
         ).register(self)
         limits = FleetConfig().limits
         self.server = HttpServer(
@@ -196,6 +199,8 @@
         )
         directory.on_instances = delegator.replace_instances
         self.forwarder.hand_over.delegator = delegator
+        self.forwarder.hand_over.is_isolated = lambda: self.isolation.is_isolated
+        self.isolation.subscribe(self._on_isolation_changed)
         guard = self.forwarder.part_guard
         quarantine = QuarantineExchange(
             guard, ranking, self.links, clock, timers, instance.instance_id
@@ -260,6 +265,11 @@
             "Parts of requests that are refused because they crash upstreams.",
             lambda: len(self.forwarder.part_guard.registry.quarantined_parts),
         )
+        self.metrics.add_gauge(
+            "ibispaddle_isolated",
+            "1 while this instance reaches no upstream, else 0.",
+            lambda: int(self.isolation.is_isolated),
+        )
         pacing = self.forwarder.scheduler.pacing
         self.metrics.add_gauge(
             "ibispaddle_cold_upstreams",
@@ -272,6 +282,12 @@
             lambda: pacing.cold_skips,
         )
 
+    def _on_isolation_changed(self, is_isolated: bool) -> None:
+        if self.delegate_listener is not None:
+            self.delegate_listener.admission.is_isolated = is_isolated
+        if is_isolated:
+            self.forwarder.begin_isolation()
+
     # Configuration and evacuations
 
     def _check_state(self) -> None:
