--- a/packages/core/src/ibispaddle_core/delegation/admission.py
+++ b/packages/core/src/ibispaddle_core/delegation/admission.py
@@ -29,6 +29,11 @@
         """Return whether another instance may take the request."""
         return not self.is_accepted and self is not DelegateVerdict.NO_TIME
 
+    @property
+    def takes_requests(self) -> bool:
+        """Return whether other requests may be accepted soon."""
+        return self not in (DelegateVerdict.DRAINING, DelegateVerdict.ISOLATED)
+
 
 class DelegateAdmission:
     """Decide whether this instance takes a delegated request.
--- a/packages/core/src/ibispaddle_core/delegation/selection.py
+++ b/packages/core/src/ibispaddle_core/delegation/selection.py
@@ -6,6 +6,8 @@
 
 # Time for which an instance that refused or failed is left out.
 EXCLUSION_MS = 1_000
+# Instances of the own data centre that may fail with a request before others come first.
+MAX_TRIED_NEAR = 2
 
 
 @dataclass(frozen=True)
@@ -37,12 +39,18 @@
     def __init__(self, data_centre: str, rng: random.Random) -> None:
         self._data_centre, self._rng = data_centre, rng
         self._delegates: dict[str, Delegate] = {}
+        self._near_ids: set[str] = set()
         self._in_flight: dict[str, int] = {}  # By instance; without those that have none.
         self._excluded_until_ms: dict[str, int] = {}
 
     def replace(self, delegates: Iterable[Delegate]) -> None:
         """Replace the instances that take delegated requests."""
         self._delegates = {delegate.instance_id: delegate for delegate in delegates}
+        self._near_ids = {
+            name
+            for name, delegate in self._delegates.items()
+            if delegate.data_centre == self._data_centre
+        }
         for name in self._excluded_until_ms.keys() - self._delegates.keys():
             del self._excluded_until_ms[name]
 
@@ -62,7 +70,9 @@
                 near.append(delegate)
             elif data_centres is None or delegate.data_centre in data_centres:
                 far.append(delegate)
-        nearest = near or far
+        # A data centre may be cut off as a whole.
+        tried_near = sum(name in tried for name in self._near_ids)
+        nearest = far or near if tried_near >= MAX_TRIED_NEAR else near or far
         if not nearest:
             return None
         return min(self._rng.sample(nearest, min(2, len(nearest))), key=self._load)
--- a/packages/daemon/src/ibispaddle_daemon/delegated_call.py
+++ b/packages/daemon/src/ibispaddle_daemon/delegated_call.py
@@ -13,6 +13,7 @@
 UPSTREAM_HEADER = "Ibispaddle-Upstream"
 RUN_STATE_HEADER = "Ibispaddle-Run-State"
 ASK_ANOTHER_HEADER = "Ibispaddle-Ask-Another"
+TAKES_REQUESTS_HEADER = "Ibispaddle-Takes-Requests"
 _ALL = frozenset(
     name.lower()
     for name in (
@@ -22,6 +23,7 @@
         UPSTREAM_HEADER,
         RUN_STATE_HEADER,
         ASK_ANOTHER_HEADER,
+        TAKES_REQUESTS_HEADER,
     )
 )
 MAX_NUMBER_DIGITS = 15
@@ -44,12 +46,14 @@
 class ResponseOrigin:
     """Who has made the response to a delegated request.
 
-    If the delegate itself has, `run_state` is set; otherwise `upstream_id`.
+    If the delegate itself has, `run_state` is set; otherwise `upstream_id`. `takes_requests` is false if the
+    delegate would refuse any other request as well.
     """
 
     upstream_id: str = ""
     run_state: RunState | None = None
     may_ask_another: bool = False
+    takes_requests: bool = True
 
 
 def call_headers(call: DelegatedCall) -> Headers:
@@ -76,11 +80,14 @@
     return DelegatedCall(sender_id, version, _number(values.get(RUNS_LEFT_HEADER.lower())) or 1)
 
 
-def answer_headers(run_state: RunState, may_ask_another: bool) -> Headers:
+def answer_headers(
+    run_state: RunState, may_ask_another: bool, takes_requests: bool = True
+) -> Headers:
     """Return the headers of a response that a delegate makes itself."""
     return (
         (RUN_STATE_HEADER, str(run_state)),
         (ASK_ANOTHER_HEADER, "1" if may_ask_another else "0"),
+        (TAKES_REQUESTS_HEADER, "1" if takes_requests else "0"),
     )
 
 
@@ -104,7 +111,9 @@
         return ResponseOrigin(upstream_id)
     # A state that a later release adds proves nothing.
     run_state = RunState.NOT_RUN if state == RunState.NOT_RUN else RunState.UNKNOWN
-    return ResponseOrigin("", run_state, values.get(ASK_ANOTHER_HEADER.lower()) == "1")
+    may_ask_another = values.get(ASK_ANOTHER_HEADER.lower()) == "1"
+    takes_requests = values.get(TAKES_REQUESTS_HEADER.lower()) != "0"
+    return ResponseOrigin("", run_state, may_ask_another, takes_requests)
 
 
 def without_hop_headers(headers: Headers) -> Headers:
--- a/packages/daemon/src/ibispaddle_daemon/delegation/delegator.py
+++ b/packages/daemon/src/ibispaddle_daemon/delegation/delegator.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from dataclasses import replace
+from functools import partial
 from typing import Protocol
 
 from ibispaddle_core import logevents
@@ -26,12 +27,16 @@
 from ..forwarding.hand_over import delegation_state
 from ..forwarding.requests import AttemptState, ForwardedRequest
 from ..logs import log_event
+from ..timers import TimerQueue
 
 # Part of the time left that is kept for the way there and back, so that the delegate's refusal, which states
 # whether the request has run, arrives before the deadline.
 HOP_MARGIN_MS = 20
-# Delegates that are asked for one request; each may refuse at once.
-MAX_HOPS = 4
+# Hops of one request; a delegate may refuse at once.
+MAX_HOPS = 12
+# Delay after which a request is offered again that all delegates have refused, for example because they
+# have not read the newest configuration yet.
+RETRY_DELAY_MS = 100
 
 
 class DelegationOwner(Protocol):
@@ -44,7 +49,7 @@
         """Respond to a request with the delegate's response."""
 
     def schedule_again(self, request: ForwardedRequest) -> None:
-        """Let a request that no delegate has taken wait for the own upstreams."""
+        """Offer a request to delegates again, or let it wait for the own upstreams."""
 
     def end_delegated(self, request: ForwardedRequest, run_state: RunState) -> None:
         """Refuse a request, or cut its response."""
@@ -63,10 +68,12 @@
         owner: DelegationOwner,
         codec: ForwardingCodec,
         clock: Clock,
+        timers: TimerQueue,
         selection: DelegateSelection,
     ) -> None:
         self._instance_id, self._owner = instance_id, owner
-        self._codec, self._clock, self._selection = codec, clock, selection
+        self._codec, self._clock, self._timers = codec, clock, timers
+        self._selection = selection
 
     def replace_instances(self, candidates: Iterable[Candidate]) -> None:
         """Replace the listed instances."""
@@ -78,7 +85,7 @@
 
     def choose(self, request: ForwardedRequest) -> Delegate | None:
         """Return the instance that a request is to be sent to, or None."""
-        if len(request.tried_delegates) >= MAX_HOPS:
+        if request.hops >= MAX_HOPS:
             return None
         return self._selection.choose(
             request.req.data_centres, request.tried_delegates, self._clock.now_ms()
@@ -87,6 +94,7 @@
     def send(self, request: ForwardedRequest, delegate: Delegate) -> None:
         """Send a request to an instance."""
         name = delegate.instance_id
+        request.hops += 1
         request.tried_delegates.add(name)
         request.upstream_id = name
         left_ms = max(1, request.req.deadline_ms - self._clock.now_ms() - HOP_MARGIN_MS)
@@ -101,18 +109,24 @@
             id=request.request_id,
             delegate=name,
             left_ms=left_ms,
-            hops=len(request.tried_delegates),
+            hops=request.hops,
         )
         self._selection.begin(name)
-        attempt = AttemptState(name, len(request.tried_delegates), is_hop=True)
+        attempt = AttemptState(name, request.hops, is_hop=True)
         attempt.on_released = lambda: self._selection.end(name)
         self._owner.attempts.start(
-            request, attempt, delegate.address, (*headers, *call_headers(call)), self._read_head
+            request,
+            attempt,
+            delegate.address,
+            (*headers, *call_headers(call)),
+            partial(self._read_head, attempt),
         )
 
-    def _read_head(self, status: int, headers: Headers, attempt_id: str) -> ResponseHead:
+    def _read_head(
+        self, attempt: AttemptState, status: int, headers: Headers, attempt_id: str
+    ) -> ResponseHead:
         """Parse the head of a delegate's response, which the delegate has validated."""
-        origin = read_origin(headers)
+        origin = attempt.origin = read_origin(headers)
         head = self._codec.read_head(status, without_hop_headers(headers), attempt_id)
         return replace(
             head,
@@ -139,7 +153,8 @@
             case _:
                 failure = HopFailure.LOST
         now_ms = self._clock.now_ms()
-        self._selection.exclude(attempt.upstream_id, now_ms)
+        if attempt.origin is None or not attempt.origin.takes_requests:
+            self._selection.exclude(attempt.upstream_id, now_ms)
         log_event(
             logevents.HOP_FAILED,
             request=request.caller.attempt_id,
@@ -156,6 +171,6 @@
                 if delegate is not None:
                     self.send(request, delegate)
                 else:
-                    self._owner.schedule_again(request)
+                    self._timers.after(RETRY_DELAY_MS, lambda: self._owner.schedule_again(request))
             case EndRequest(run_state):
                 self._owner.end_delegated(request, run_state)
--- a/packages/daemon/src/ibispaddle_daemon/delegation/listener.py
+++ b/packages/daemon/src/ibispaddle_daemon/delegation/listener.py
@@ -84,10 +84,13 @@
             sender=call.sender_id,
             code=str(verdict),
         )
-        _refuse(exchange, STATUS_NOT_RUN, str(verdict), verdict.may_ask_another)
+        asks_another, takes_requests = verdict.may_ask_another, verdict.takes_requests
+        _refuse(exchange, STATUS_NOT_RUN, str(verdict), asks_another, takes_requests)
 
 
-def _refuse(exchange: Exchange, status: int, code: str, asks_another: bool) -> None:
+def _refuse(
+    exchange: Exchange, status: int, code: str, asks_another: bool, takes_requests: bool = True
+) -> None:
     """Refuse a request that has not run."""
-    headers = answer_headers(RunState.NOT_RUN, asks_another)
+    headers = answer_headers(RunState.NOT_RUN, asks_another, takes_requests)
     exchange.respond(status, (*JSON, *headers), error_body(code))
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
@@ -4,6 +4,7 @@
 import secrets
 from collections.abc import Callable, Sequence
 from dataclasses import replace
+from functools import partial
 
 from circuits import BaseComponent, handler
 from ibispaddle_core import logevents
@@ -150,7 +151,7 @@
             self._on_head,
             self._on_race,
             self._on_output,
-            self._on_stall,
+            partial(self._on_silence, has_output=True),
             self._on_attempt_result,
             budget.incomplete_responses,
             contacts,
@@ -287,9 +288,10 @@
             self.before_selection(lambda: self._schedule(request), req.model)
 
     def _schedule(self, request: ForwardedRequest) -> None:
-        if request.request_id not in self._requests or request.in_flight:
+        if request.request_id not in self._requests or request.in_flight or request.is_scheduled:
             return  # It has ended, or it was delegated meanwhile.
         if not self._refuse_if_quarantined(request) and not self.hand_over.take(request):
+            request.is_scheduled = True
             self.handle_event(RequestArrived(request.req))
 
     def _home(self, route: Route, key: str) -> frozenset[str] | None:
@@ -315,9 +317,9 @@
         self, request: ForwardedRequest, reason: RefusalReason, retry_after_ms: int = 0
     ) -> None:
         """Remove a request from the scheduler and refuse it."""
-        run_state = RunState.UNKNOWN if request.attempts else request.run_state
+        refusal = Refuse(request.request_id, reason, request.run_state, retry_after_ms)
         self.handle_event(CallerDisconnected(request.request_id))
-        self._refuse(request, Refuse(request.request_id, reason, run_state, retry_after_ms))
+        self._refuse(request, refusal)
 
     def _reject(
         self,
@@ -368,7 +370,7 @@
         self._finish(request, "ok", request.exchange.status)
 
     def schedule_again(self, request: ForwardedRequest) -> None:
-        """Let a request that no delegate has taken wait for the own upstreams."""
+        """Offer a request to delegates again, or let it wait for the own upstreams."""
         request.req = replace(request.req, max_runs=max(1, request.route.max_runs - request.runs))
         self.before_selection(lambda: self._schedule(request), request.req.model)
 
@@ -483,6 +485,8 @@
     def _on_head(self, attempt: AttemptState, head: ResponseHead) -> None:
         """Apply what an upstream states about itself in the head of any response."""
         upstream_id = head.upstream_id if attempt.is_hop else attempt.upstream_id
+        if not upstream_id:
+            return  # The delegate itself has made the response.
         statement = read_statement(self.scheduler, upstream_id, head)
         if statement is not None:
             self.handle_event(statement)
@@ -512,9 +516,6 @@
             self.handle_event(FirstToken(request.request_id, attempt.upstream_id))
             self.on_work_changed(False)
 
-    def _on_stall(self, request: ForwardedRequest, attempt: AttemptState) -> None:
-        self._on_silence(request, attempt, has_output=True)
-
     def _on_silence(
         self, request: ForwardedRequest, attempt: AttemptState, has_output: bool
     ) -> None:
@@ -566,7 +567,9 @@
 
     def _handle_failed_attempt(self, request: ForwardedRequest, ended: AttemptEnded) -> None:
         if request.request_id in self._requests and (
-            self._refuse_if_quarantined(request) or self.hand_over.take(request)
+            not request.is_scheduled  # It was delegated meanwhile.
+            or self._refuse_if_quarantined(request)
+            or self.hand_over.take(request)
         ):
             return
         self.handle_event(ended)
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/hand_over.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/hand_over.py
@@ -64,12 +64,11 @@
             return False
         if not may_delegate(delegation_state(request), self._clock.now_ms()):
             return False
+        request.tried_delegates.clear()
         delegate = self.delegator.choose(request)
         if delegate is None:
             return False
-        # The scheduler of the delegate sends it and counts it. Here it is unknown from now on.
-        self._handle_event(CallerDisconnected(request.request_id))
-        self.delegator.send(request, delegate)
+        self._send(self.delegator, request, delegate)
         return True
 
     def take_silent(self, request: ForwardedRequest, attempt: AttemptState) -> bool:
@@ -87,11 +86,19 @@
         )
         if not may_delegate(following, self._clock.now_ms()):
             return False
+        request.tried_delegates.clear()
         delegate = self.delegator.choose(request)
         if delegate is None or attempt.cancel is None:
             return False
         attempt.cancel()
         request.runs += 1
-        self._handle_event(CallerDisconnected(request.request_id))
-        self.delegator.send(request, delegate)
+        self._send(self.delegator, request, delegate)
         return True
+
+    def _send(
+        self, delegator: RequestDelegator, request: ForwardedRequest, delegate: Delegate
+    ) -> None:
+        """Send a request, which the delegate's scheduler counts; the own one forgets it first."""
+        request.is_scheduled = False
+        self._handle_event(CallerDisconnected(request.request_id))
+        delegator.send(request, delegate)
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/request_log.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/request_log.py
@@ -76,7 +76,7 @@
         status=status,
         upstream=request.upstream_id,
         attempts=request.attempts,
-        hops=len(request.tried_delegates),
+        hops=request.hops,
         first_ms=first_ms,
         duration_ms=now_ms - arrived_ms,
         longest_gap_ms=request.longest_gap_ms,
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/requests.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/requests.py
@@ -11,6 +11,7 @@
 from ibispaddle_core.runstate import RunState
 from ibispaddle_core.scheduling import Outcome, Request
 
+from ..delegated_call import ResponseOrigin
 from ..http_exchange import Exchange
 from ..timers import TimerHandle
 from .codec import CallerRequest
@@ -34,6 +35,9 @@
     boot_ms: int | None = None  # Start of its upstream, if known.
     boot_id: str = ""  # Identifies the process of its upstream.
     output_ms: int | None = None  # Time of its first output.
+    origin: ResponseOrigin | None = (
+        None  # Who made the response to a hop, once its head has arrived.
+    )
     output_sequence: int = 0  # Crashes known at that time.
     is_output_settled: bool = False  # Whether its upstream has survived the start of the output.
 
@@ -48,7 +52,11 @@
     exchange: Exchange
     attempts: int = 0  # At upstreams.
     runs: int = 0  # Ended attempts and hops without proof that the request did not run.
-    tried_delegates: set[str] = field(default_factory=set)
+    hops: int = 0  # Times that it was sent to another instance.
+    tried_delegates: set[str] = field(
+        default_factory=set
+    )  # Since it was taken out of the scheduler.
+    is_scheduled: bool = False  # Whether the scheduler knows it.
     upstream_id: str = ""  # Upstream of the last attempt.
     first_output_ms: int | None = None
     last_output_ms: int | None = None
--- a/packages/daemon/src/ibispaddle_daemon/gateway.py
+++ b/packages/daemon/src/ibispaddle_daemon/gateway.py
@@ -195,7 +195,7 @@
         ).register(self)
         selection = DelegateSelection(instance.data_centre, random.Random())
         delegator = Delegator(
-            instance.instance_id, self.forwarder, self._codecs.requests, clock, selection
+            instance.instance_id, self.forwarder, self._codecs.requests, clock, timers, selection
         )
         directory.on_instances = delegator.replace_instances
         self.forwarder.hand_over.delegator = delegator
