Counted refused connections as crashes only if another upstream is reached

What callers would see: behind a cut that resets connections, every upstream refuses the check after its connection broke, as if its process had ended. A few requests with a common part were enough to quarantine it, and the whole fleet then refused all requests with that part.

Cause: the crash detector took a refused connection for proof that the upstream had ended. It is proof only if this instance reaches the upstreams. A changed start of the process is proof by itself, as before.

FakeDetector takes the upstream's id, which the detector needs to know the other ones; its tests are unchanged.

--- a/packages/core/src/ibispaddle_core/delegation/reachability.py
+++ b/packages/core/src/ibispaddle_core/delegation/reachability.py
@@ -118,6 +118,10 @@
         if upstream_id in self._services and upstream_id not in self._broken:
             self._is_round_due = True
 
+    def seek_contact(self) -> None:
+        """Let a round of probes be due, also if there is no new suspicion."""
+        self._is_round_due = not self.is_isolated
+
     def cancel_probe(self, upstream_id: str) -> None:
         """Record that the outcome of a probe is unknown."""
         self._probed_ms.pop(upstream_id, None)
--- a/packages/daemon/src/ibispaddle_daemon/delegation/isolation.py
+++ b/packages/daemon/src/ibispaddle_daemon/delegation/isolation.py
@@ -87,6 +87,11 @@
         self._reachability.record_silence(upstream_id)
         self.on_suspicion()
 
+    def seek_contact(self) -> None:
+        """Probe upstreams soon, also if there is no new suspicion."""
+        self._reachability.seek_contact()
+        self.on_suspicion()
+
     def cancel_probe(self, upstream_id: str) -> None:
         """Record that the outcome of a probe is unknown."""
         self._reachability.cancel_probe(upstream_id)
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/contacts.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/contacts.py
@@ -17,6 +17,9 @@
     def reaches_others(self, upstream_id: str, since_ms: int) -> bool:
         """Return whether an upstream other than this one was reached since a time."""
 
+    def seek_contact(self) -> None:
+        """Probe other upstreams soon."""
+
 
 class UncheckedContacts:
     """Take the upstreams for reachable."""
@@ -32,3 +35,6 @@
     def reaches_others(self, upstream_id: str, since_ms: int) -> bool:
         """Return true."""
         return True
+
+    def seek_contact(self) -> None:
+        """Do nothing."""
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
@@ -130,7 +130,7 @@
         )
         self._memory = EngineMemory(clock, timers, memory_codec).register(self)
         self._memory.add_to(metrics, self.scheduler)
-        self.part_guard = PartGuard(codec, clock, timers).register(self)
+        self.part_guard = PartGuard(codec, clock, timers, contacts).register(self)
         self.part_guard.on_quarantined = self._refuse_quarantined_requests
         self._late_attempts = LateAttempts(
             lambda callback, service: self.before_selection(callback, service),
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/part_guard.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/part_guard.py
@@ -12,6 +12,7 @@
 from ..logs import log_event
 from ..timers import TimerHandle, TimerQueue
 from .codec import ForwardingCodec
+from .contacts import UpstreamContacts
 from .crashes import CrashDetector
 from .requests import AttemptState, ForwardedRequest
 
@@ -31,11 +32,17 @@
 
     channel = "part_guard"
 
-    def __init__(self, codec: ForwardingCodec, clock: Clock, timers: TimerQueue) -> None:
+    def __init__(
+        self,
+        codec: ForwardingCodec,
+        clock: Clock,
+        timers: TimerQueue,
+        contacts: UpstreamContacts | None = None,
+    ) -> None:
         super().__init__()
         self.registry = PartQuarantine()
         self._clock, self._timers = clock, timers
-        self._crashes = CrashDetector(codec, clock, timers).register(self)
+        self._crashes = CrashDetector(codec, clock, timers, contacts).register(self)
         self._evaluation_timer: TimerHandle | None = None
         self.before_decision: Callable[[Callable[[], None]], None] = lambda callback: callback()
         self.on_changed: Callable[[], None] = lambda: None
@@ -178,7 +185,7 @@
                 parts = tuple(part for part in request.parts if not self.registry.is_sound(part))
                 self._report_crash(request, death, parts)
 
-        self._crashes.check(address, attempt.boot_ms, done, done_late)
+        self._crashes.check(address, attempt.boot_ms, done, done_late, attempt.upstream_id)
 
     def _report_crash(self, request: ForwardedRequest, death: Death, parts: Sequence[str]) -> None:
         report = self.registry.crash_report(death, parts, request.fingerprint)
--- a/tests/forwarding/test_part_guard.py
+++ b/tests/forwarding/test_part_guard.py
@@ -33,7 +33,9 @@
         self.callbacks: list = []
         self.late_callbacks: list = []
 
-    def check(self, address: str, boot_ms: int | None, callback, late_callback) -> None:
+    def check(
+        self, address: str, boot_ms: int | None, callback, late_callback, upstream_id: str
+    ) -> None:
         self.callbacks.append(callback)
         self.late_callbacks.append(late_callback)
 
