Forgot after an isolation what it had shown about the upstreams

What callers would see: after a cut every upstream is avoided for up to four seconds, because attempts failed there, so the way back would be slower than the way in; and the other instances are told to avoid sound upstreams. Now an isolated instance reports no upstream as failing, and at the end of the isolation the failures since the last contact are forgotten and waiting requests are tried at once.

An instance that is isolated and finds no delegate reports that it is not ready (component 'upstreams' of /readyz), so that the balancer sends its callers elsewhere; one that finds a delegate stays ready. DelegationReadiness.has_delegate is to be set by the component that owns the selection; until then, an isolated instance finds none.

Evidence: tests.delegation.test_readiness; nothing was run with processes yet.

--- a/packages/core/src/ibispaddle_core/delegation/selection.py
+++ b/packages/core/src/ibispaddle_core/delegation/selection.py
@@ -56,7 +56,7 @@
         """
         near, far = [], []
         for name, delegate in self._delegates.items():
-            if name in tried or now_ms < self._excluded_until_ms.get(name, now_ms):
+            if name in tried or self._is_excluded(name, now_ms):
                 continue
             if delegate.data_centre == self._data_centre:
                 near.append(delegate)
@@ -83,6 +83,13 @@
         """Leave out an instance that refused or failed for a while."""
         self._excluded_until_ms[instance_id] = now_ms + EXCLUSION_MS
 
+    def has_delegate(self, now_ms: int) -> bool:
+        """Return whether there is an instance that has not just refused or failed."""
+        return any(not self._is_excluded(name, now_ms) for name in self._delegates)
+
+    def _is_excluded(self, instance_id: str, now_ms: int) -> bool:
+        return now_ms < self._excluded_until_ms.get(instance_id, now_ms)
+
     def _load(self, delegate: Delegate) -> float:
         """Return the delegated requests in flight for each core, with the one to choose for."""
         count = self._in_flight.get(delegate.instance_id, 0) + 1
--- a/packages/core/src/ibispaddle_core/scheduling/health.py
+++ b/packages/core/src/ibispaddle_core/scheduling/health.py
@@ -55,6 +55,7 @@
 
     def __init__(self) -> None:
         self._records: dict[str, _Record] = {}
+        self._is_isolated = False
 
     def observe(self, upstream_id: str, outcome: Outcome, now_ms: int) -> None:
         """Record the outcome of an attempt. Cancelled attempts are ignored."""
@@ -95,7 +96,9 @@
             record.peer_avoided_until_ms = now_ms + PEER_PAUSE_MS
 
     def own_avoided(self, now_ms: int) -> tuple[str, ...]:
-        """Return the upstreams to report to other instances as failing."""
+        """Return the upstreams to report to other instances as failing; none during an isolation."""
+        if self._is_isolated:
+            return ()
         return tuple(
             upstream_id
             for upstream_id, record in sorted(self._records.items())
@@ -129,6 +132,25 @@
         has_own = bool(record.failures) and now_ms < record.paused_until_ms
         return has_own or now_ms < record.peer_avoided_until_ms
 
+    def begin_isolation(self) -> None:
+        """Take outcomes for the fault of this instance, which reaches no upstream."""
+        self._is_isolated = True
+
+    def end_isolation(self, since_ms: int) -> None:
+        """Forget what attempts have shown since the time from which no upstream was reached.
+
+        >>> health = UpstreamHealth()
+        >>> health.begin_isolation()
+        >>> health.observe("r1", Outcome.NOT_SENT, now_ms=100)
+        >>> health.end_isolation(since_ms=50)
+        >>> health.is_avoided("r1", now_ms=100)
+        False
+        """
+        self._is_isolated = False
+        for upstream_id, record in list(self._records.items()):
+            if record.failures and record.at_ms >= since_ms:
+                del self._records[upstream_id]
+
     def forget_missing(self, upstream_ids: set[str]) -> None:
         """Remove the records of upstreams that no longer exist."""
         for upstream_id in self._records.keys() - upstream_ids:
--- a/packages/daemon/src/ibispaddle_daemon/gateway.py
+++ b/packages/daemon/src/ibispaddle_daemon/gateway.py
@@ -20,6 +20,7 @@
 
 from .delegation.isolation import Isolation
 from .delegation.prober import Prober
+from .delegation.readiness import DelegationReadiness
 from .engine_memory import EngineMemoryCodec
 from .evacuations import EvacuationMonitor
 from .events import drain_completed, drain_started, readiness_changed
@@ -118,7 +119,9 @@
     def _add_request_components(self) -> None:
         settings, clock, timers = self.settings, self.clock, self.timers
         self.isolation = Isolation(clock)
+        self.isolation.subscribe(self._on_isolation_changed)
         Prober(self.isolation, self._codecs.requests, clock, timers).register(self)
+        self.delegation_readiness = DelegationReadiness(self.isolation, timers).register(self)
         self.forwarder = Forwarder(
             settings.instance.instance_id,
             self.http_client,
@@ -330,6 +333,15 @@
             after_restart=sorted(changed - in_force),
         )
 
+    def _on_isolation_changed(self, is_isolated: bool) -> None:
+        health = self.forwarder.scheduler.health
+        if is_isolated:
+            health.begin_isolation()
+            return
+        health.end_isolation(self.isolation.unreached_since_ms)
+        # Not now, because the event that ended the isolation may be in the course of processing.
+        self.timers.after(0, self.forwarder.schedule_waiting)
+
     # Life cycle
 
     @handler("started", channel="*")
