--- a/packages/daemon/src/ibispaddle_daemon/delegation/__init__.py
+++ b/packages/daemon/src/ibispaddle_daemon/delegation/__init__.py
@@ -4,5 +4,6 @@
 from .isolation import Isolation
 from .listener import DelegateListener
 from .prober import Prober
+from .readiness import DelegationReadiness
 
-__all__ = ["DelegateListener", "Delegator", "Isolation", "Prober"]
+__all__ = ["DelegateListener", "DelegationReadiness", "Delegator", "Isolation", "Prober"]
--- a/packages/daemon/src/ibispaddle_daemon/gateway.py
+++ b/packages/daemon/src/ibispaddle_daemon/gateway.py
@@ -20,7 +20,7 @@
 from ibispaddle_core.settings import FleetConfig, GatewaySettings, SettingsError
 from ibispaddle_core.topics import TopicUpdate
 
-from .delegation import DelegateListener, Delegator, Isolation, Prober
+from .delegation import DelegateListener, DelegationReadiness, Delegator, Isolation, Prober
 from .engine_memory import EngineMemoryCodec
 from .evacuations import EvacuationMonitor
 from .events import drain_completed, drain_started, readiness_changed
@@ -119,7 +119,9 @@
     def _add_request_components(self) -> None:
         settings, clock, timers = self.settings, self.clock, self.timers
         self.isolation = Isolation(clock)
+        self.isolation.subscribe(self._on_isolation_changed)
         Prober(self.isolation, self._codecs.requests, clock, timers).register(self)
+        self.delegation_readiness = DelegationReadiness(self.isolation, timers).register(self)
         self.forwarder = Forwarder(
             settings.instance.instance_id,
             self.http_client,
@@ -200,7 +202,7 @@
         directory.on_instances = delegator.replace_instances
         self.forwarder.hand_over.delegator = delegator
         self.forwarder.hand_over.is_isolated = lambda: self.isolation.is_isolated
-        self.isolation.subscribe(self._on_isolation_changed)
+        self.delegation_readiness.has_delegate = lambda: selection.has_delegate(clock.now_ms())
         guard = self.forwarder.part_guard
         quarantine = QuarantineExchange(
             guard, ranking, self.links, clock, timers, instance.instance_id
@@ -282,12 +284,6 @@
             lambda: pacing.cold_skips,
         )
 
-    def _on_isolation_changed(self, is_isolated: bool) -> None:
-        if self.delegate_listener is not None:
-            self.delegate_listener.admission.is_isolated = is_isolated
-        if is_isolated:
-            self.forwarder.begin_isolation()
-
     # Configuration and evacuations
 
     def _check_state(self) -> None:
@@ -369,6 +365,18 @@
             after_restart=sorted(changed - in_force),
         )
 
+    def _on_isolation_changed(self, is_isolated: bool) -> None:
+        health = self.forwarder.scheduler.health
+        if self.delegate_listener is not None:
+            self.delegate_listener.admission.is_isolated = is_isolated
+        if is_isolated:
+            health.begin_isolation()
+            self.forwarder.begin_isolation()
+            return
+        health.end_isolation(self.isolation.unreached_since_ms)
+        # Not now, because the event that ended the isolation may be in the course of processing.
+        self.timers.after(0, self.forwarder.schedule_waiting)
+
     # Life cycle
 
     @handler("started", channel="*")
