Reduced the cost of the probes of upstreams

A probe takes an upstream some milliseconds and is made on a new connection, and it showed at three a second and instance. An instance without contact now probes one upstream a second, of its own data centre if there is one, and a late response is a reason for further probes once in five seconds only, so that upstreams that are late because they are busy do not get more of them.

With traffic, attempts that fail start the probes at once.

--- a/packages/core/src/ibispaddle_core/delegation/reachability.py
+++ b/packages/core/src/ibispaddle_core/delegation/reachability.py
@@ -9,8 +9,12 @@
 
 # Different upstreams that must have been found unreachable since the last contact.
 MIN_UNREACHABLE = 3
-# An instance that had no contact for so long probes an upstream, with and without traffic.
-IDLE_PROBE_INTERVAL_MS = 400
+# An instance that had no contact for so long probes an upstream, with and without traffic. A probe takes
+# some milliseconds of an upstream's time, and hundreds of instances may probe a few upstreams.
+IDLE_PROBE_INTERVAL_MS = 1_000
+# Time after a late response within which another one is no reason for probes. Busy upstreams are late
+# again and again, and probes would add to their load.
+SILENCE_PAUSE_MS = 5_000
 # Minimum time between two rounds of probes because of a suspicion.
 ROUND_INTERVAL_MS = 100
 # Number of upstreams that a round covers, more than the minimum: many may be dead at the same time.
@@ -37,9 +41,9 @@
     (True, False)
     """
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(self, rng: random.Random, data_centre: str = "") -> None:
         self.is_isolated = False
-        self._rng = rng
+        self._rng, self._data_centre = rng, data_centre
         self._services: Mapping[str, str] = {}
         self._data_centres: Mapping[str, str] = {}
         self._ids: tuple[str, ...] = ()
@@ -53,6 +57,7 @@
         self._isolated_ms = 0  # Start of the isolation.
         self._last_round_ms: int | None = None
         self._is_round_due = False
+        self._silence_ms: int | None = None  # Time of the last late response that counted.
         self._turns: list[str] = []  # Upstreams still to be probed in turn while it is isolated.
 
     def replace_upstreams(
@@ -113,9 +118,12 @@
         self._last_round_ms = None
         return True
 
-    def record_silence(self, upstream_id: str) -> None:
+    def record_silence(self, upstream_id: str, now_ms: int) -> None:
         """Record that an upstream is late to respond, which proves nothing but is worth probes."""
-        if upstream_id in self._services and upstream_id not in self._broken:
+        if upstream_id not in self._services or upstream_id in self._broken:
+            return
+        if self._silence_ms is None or now_ms - self._silence_ms >= SILENCE_PAUSE_MS:
+            self._silence_ms = now_ms
             self._is_round_due = True
 
     def seek_contact(self) -> None:
@@ -165,7 +173,7 @@
             last_ms = max(self._contact_ms or 0, self._last_round_ms or 0)
             if now_ms - last_ms < IDLE_PROBE_INTERVAL_MS:
                 return ()
-            chosen = self._sample(self._candidates(), 1)
+            chosen = self._sample(self._near(self._candidates()), 1)
         self._is_round_due = False
         self._last_round_ms = now_ms
         for name in chosen:
@@ -196,6 +204,7 @@
     def _end(self) -> None:
         self.is_isolated = self._is_round_due = False
         self._unreachable.clear()
+        self._silence_ms = None
         self._last_round_ms = None
 
     def _candidates(self) -> list[str]:
@@ -203,6 +212,10 @@
         free = [name for name in self._ids if name not in self._probed_ms]
         return [name for name in free if name not in self._broken] or free
 
+    def _near(self, names: list[str]) -> list[str]:
+        """Return those of the own data centre, if any."""
+        return [n for n in names if self._data_centres.get(n) == self._data_centre] or names
+
     def _choose_while_isolated(self) -> list[str]:
         """Return an upstream that was sound before, and all in turn: the sound ones may be gone."""
         chosen = self._sample(self._candidates(), 1)
--- a/packages/daemon/src/ibispaddle_daemon/delegation/isolation.py
+++ b/packages/daemon/src/ibispaddle_daemon/delegation/isolation.py
@@ -24,9 +24,11 @@
     False
     """
 
-    def __init__(self, clock: Clock, rng: random.Random | None = None) -> None:
+    def __init__(
+        self, clock: Clock, rng: random.Random | None = None, data_centre: str = ""
+    ) -> None:
         self._clock = clock
-        self._reachability = UpstreamReachability(rng or random.Random())
+        self._reachability = UpstreamReachability(rng or random.Random(), data_centre)
         self._subscribers: list[Callable[[bool], None]] = []
         # Called when an upstream may be out of reach, so that probes need not wait for their interval.
         self.on_suspicion: Callable[[], None] = lambda: None
@@ -84,7 +86,7 @@
 
     def record_silence(self, upstream_id: str) -> None:
         """Record that an upstream is late to respond."""
-        self._reachability.record_silence(upstream_id)
+        self._reachability.record_silence(upstream_id, self._clock.now_ms())
         self.on_suspicion()
 
     def seek_contact(self) -> None:
--- a/packages/daemon/src/ibispaddle_daemon/gateway.py
+++ b/packages/daemon/src/ibispaddle_daemon/gateway.py
@@ -118,7 +118,7 @@
 
     def _add_request_components(self) -> None:
         settings, clock, timers = self.settings, self.clock, self.timers
-        self.isolation = Isolation(clock)
+        self.isolation = Isolation(clock, data_centre=settings.instance.data_centre)
         self.isolation.subscribe(self._on_isolation_changed)
         Prober(self.isolation, self._codecs.requests, clock, timers).register(self)
         self.delegation_readiness = DelegationReadiness(self.isolation, timers).register(self)
