Let responses that wait to be read count in probes

The timeout of a probe is now extended up to three times while the event loop is late, so that a response that has arrived is read first, and after that the probe counts. An attempt whose connection was late for the same reason starts probes.

--- a/packages/core/src/ibispaddle_core/delegation/reachability.py
+++ b/packages/core/src/ibispaddle_core/delegation/reachability.py
@@ -25,7 +25,7 @@
 ISOLATED_PROBE_INTERVAL_MS = 300
 ISOLATED_PROBES = 2
 # A probe whose outcome was not recorded within this time no longer counts as in flight.
-PROBE_EXPIRY_MS = 600
+PROBE_EXPIRY_MS = 1_500
 
 
 class UpstreamReachability:
--- a/packages/daemon/src/ibispaddle_daemon/delegation/prober.py
+++ b/packages/daemon/src/ibispaddle_daemon/delegation/prober.py
@@ -9,7 +9,7 @@
 from ..calls import CallbackHttpClient, CallResult
 from ..events import CallFailure
 from ..forwarding import ForwardingCodec
-from ..timers import TimerQueue
+from ..timers import TimerHandle, TimerQueue
 from .isolation import Isolation
 
 TICK_INTERVAL_MS = 50
@@ -17,8 +17,10 @@
 PROBE_TIMEOUT_MS = 400
 # Time without a response after which other upstreams are probed as well.
 LATE_MS = 100
-# Delay of the own event loop from which a missing response proves nothing: it may wait to be read.
+# Delay of the own event loop from which a response may wait to be read, so that the timeout is extended.
 MAX_LOOP_DELAY_MS = 60
+MAX_EXTENSIONS = 3
+LONGEST_CALL_MS = 5_000  # The prober ends the calls sooner.
 # Interval at which a changed list of upstreams is taken over.
 LIST_INTERVAL_MS = 500
 # Failures of calls in which the upstream has sent something.
@@ -80,29 +82,37 @@
 
     def _send(self, upstream_id: str) -> None:
         started_ms = self._clock.now_ms()
-
-        def on_late() -> None:
-            if self._clock.now_ms() - started_ms <= LATE_MS + MAX_LOOP_DELAY_MS:
-                self._isolation.record_silence(upstream_id)
-
-        late = self._timers.at(started_ms + LATE_MS, on_late)
+        silence_ms = started_ms + LATE_MS
+        late = self._timers.at(silence_ms, lambda: self._isolation.record_silence(upstream_id))
+        timeout: TimerHandle
+
+        def schedule_timeout(due_ms: int, extensions: int = 0) -> None:
+            nonlocal timeout
+            timeout = self._timers.at(due_ms, lambda: check(due_ms, extensions))
+
+        def check(due_ms: int, extensions: int) -> None:
+            now_ms = self._clock.now_ms()
+            if now_ms - due_ms > MAX_LOOP_DELAY_MS and extensions < MAX_EXTENSIONS:
+                schedule_timeout(now_ms + LATE_MS, extensions + 1)
+                return
+            self._calls.cancel(call_id)
+            text = f"no response within {now_ms - started_ms} ms"
+            self._isolation.record_unreachable(upstream_id, text)
 
         def on_result(result: CallResult) -> None:
             late.cancel()
+            timeout.cancel()
             self._handle_result(upstream_id, started_ms, result)
 
         url = f"http://{self._addresses[upstream_id]}{self._path}"
-        self._calls.send("GET", url, b"", PROBE_TIMEOUT_MS, on_result)
+        call_id = self._calls.send("GET", url, b"", LONGEST_CALL_MS, on_result)
+        schedule_timeout(started_ms + PROBE_TIMEOUT_MS)
 
     def _handle_result(self, upstream_id: str, started_ms: int, result: CallResult) -> None:
         error = result.error
         if error is None or error.failure in _ANSWERED:
             self._isolation.record_contact(upstream_id, started_ms)
-            return
-        is_own = error.failure in _OWN_FAILURES
-        if error.failure is CallFailure.TIMEOUT:
-            is_own = self._clock.now_ms() - started_ms > PROBE_TIMEOUT_MS + MAX_LOOP_DELAY_MS
-        if is_own:
+        elif error.failure in _OWN_FAILURES:
             self._isolation.cancel_probe(upstream_id)
         else:
             self._isolation.record_unreachable(upstream_id, f"{error.failure}: {error.text}")
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/attempts.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/attempts.py
@@ -188,6 +188,8 @@
             limit_ms = CONNECT_TIMEOUT_MS + MAX_LOOP_DELAY_MS
             if error.is_refused or self._clock.now_ms() - started_ms <= limit_ms:
                 self._contacts.record_unreachable(upstream_id, error.text, started_ms)
+            else:
+                self._contacts.seek_contact()
 
     def _handle_event(self, running: _RunningAttempt, event: ForwardingEvent) -> None:
         request, exchange = running.request, running.request.exchange
--- a/tests/delegation/test_prober.py
+++ b/tests/delegation/test_prober.py
@@ -9,11 +9,13 @@
 import unittest
 from types import SimpleNamespace
 
-from ibispaddle_core.clock import SystemClock
+from circuits import BaseComponent, handler
+from circuits.core.events import started
+from ibispaddle_core.clock import ManualClock, SystemClock
 from ibispaddle_core.membership import ListedState, ListEntry, MemberKind
 from ibispaddle_daemon.delegation.isolation import Isolation
 from ibispaddle_daemon.delegation.prober import Prober
-from ibispaddle_daemon.events import list_changed
+from ibispaddle_daemon.events import HttpCall, call_completed, list_changed
 from ibispaddle_daemon.http_client import HttpClient
 from ibispaddle_daemon.timers import TimerQueue
 
@@ -84,6 +86,18 @@
         self.mode = "sound"
 
 
+class Calls(BaseComponent):
+    """Records the calls of the prober."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.calls: list[HttpCall] = []
+
+    @handler("http_call", channel="*")
+    def _on_http_call(self, call: HttpCall) -> None:
+        self.calls.append(call)
+
+
 class ProberTest(unittest.TestCase):
     """Without traffic, an instance finds a cut of each kind within about 1.5 s, and its end."""
 
@@ -142,5 +156,47 @@
         self.upstreams[4].listen()
 
 
+class PausedProcessTest(unittest.TestCase):
+    def test_responses_that_wait_to_be_read(self) -> None:
+        """Guards against an isolation because the instance itself was paused."""
+        clock = ManualClock(monotonic_ms=10_000)
+        timers = TimerQueue(clock)
+        isolation = Isolation(clock, random.Random(1))
+        root = Calls()
+        prober = Prober(isolation, CODEC, clock, timers)
+        for component in (timers, prober):
+            component.register(root)
+        names = [f"u{number}" for number in range(6)]
+        entries = [
+            ListEntry(name, MemberKind.RUNNER, f"{name}:1", "dc1", ListedState.LIVE, models=("s",))
+            for name in names
+        ]
+
+        def turn() -> None:
+            timers._on_generate_events(SimpleNamespace(reduce_time_left=lambda left_s: None))
+            while len(root):
+                root.flush()
+
+        root.fire(list_changed(entries), "*")
+        root.fire(started(root), "*")
+        turn()
+        clock.advance(100)
+        isolation.record_unreachable("u0", "reset")
+        turn()
+        self.assertGreater(len(root.calls), 2)
+        clock.advance(4_000)
+        turn()
+        self.assertFalse(isolation.is_isolated)
+        clock.advance(500)  # Nothing is read in this turn either.
+        turn()
+        self.assertFalse(isolation.is_isolated)
+        for call in list(root.calls):
+            root.fire(call_completed(call.call_id, 200, (), b"", None), call.channel)
+        turn()
+        clock.advance(1_000)
+        turn()
+        self.assertFalse(isolation.is_isolated)
+
+
 if __name__ == "__main__":
     unittest.main()
