--- a/packages/core/src/ibispaddle_core/delegation/selection.py
+++ b/packages/core/src/ibispaddle_core/delegation/selection.py
@@ -4,7 +4,7 @@
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 
-# Time for which an instance that refused or failed is left out.
+# Time for which an instance that refuses all requests is left out, and one that failed comes last.
 EXCLUSION_MS = 1_000
 # Instances of the own data centre that may fail with a request before others come first.
 MAX_TRIED_NEAR = 2
@@ -42,6 +42,7 @@
         self._near_ids: set[str] = set()
         self._in_flight: dict[str, int] = {}  # By instance; without those that have none.
         self._excluded_until_ms: dict[str, int] = {}
+        self._suspected_until_ms: dict[str, int] = {}
 
     def replace(self, delegates: Iterable[Delegate]) -> None:
         """Replace the instances that take delegated requests."""
@@ -51,8 +52,9 @@
             for name, delegate in self._delegates.items()
             if delegate.data_centre == self._data_centre
         }
-        for name in self._excluded_until_ms.keys() - self._delegates.keys():
-            del self._excluded_until_ms[name]
+        for times in (self._excluded_until_ms, self._suspected_until_ms):
+            for name in times.keys() - self._delegates.keys():
+                del times[name]
 
     def choose(
         self, data_centres: frozenset[str] | None, tried: Collection[str], now_ms: int
@@ -60,22 +62,30 @@
         """Return an instance for a request, or None.
 
         `data_centres` are those of the request's home, None for all, and `tried` the instances that
-        have failed with it. Instances of the own data centre come first.
+        have failed with it. Instances of the own data centre come first, and suspected ones last.
         """
-        near, far = [], []
+        near, far, suspected = [], [], []
         for name, delegate in self._delegates.items():
-            if name in tried or self._is_excluded(name, now_ms):
+            is_near = name in self._near_ids
+            if name in tried or now_ms < self._excluded_until_ms.get(name, now_ms):
                 continue
-            if delegate.data_centre == self._data_centre:
-                near.append(delegate)
-            elif data_centres is None or delegate.data_centre in data_centres:
-                far.append(delegate)
+            if (
+                not is_near
+                and data_centres is not None
+                and delegate.data_centre not in data_centres
+            ):
+                continue
+            if now_ms < self._suspected_until_ms.get(name, now_ms):
+                suspected.append(delegate)
+            else:
+                (near if is_near else far).append(delegate)
         # A data centre may be cut off as a whole.
         tried_near = sum(name in tried for name in self._near_ids)
-        nearest = far or near if tried_near >= MAX_TRIED_NEAR else near or far
-        if not nearest:
+        first = far or near if tried_near >= MAX_TRIED_NEAR else near or far
+        pool = first or suspected
+        if not pool:
             return None
-        return min(self._rng.sample(nearest, min(2, len(nearest))), key=self._load)
+        return min(self._rng.sample(pool, min(2, len(pool))), key=self._load)
 
     def begin(self, instance_id: str) -> None:
         """Record that a request is delegated to an instance."""
@@ -90,15 +100,20 @@
             self._in_flight.pop(instance_id, None)
 
     def exclude(self, instance_id: str, now_ms: int) -> None:
-        """Leave out an instance that refused or failed for a while."""
+        """Leave out an instance that refuses all requests for a while."""
         self._excluded_until_ms[instance_id] = now_ms + EXCLUSION_MS
 
+    def suspect(self, instance_id: str, now_ms: int) -> None:
+        """Choose an instance that failed only if there is no other, for a while."""
+        self._suspected_until_ms[instance_id] = now_ms + EXCLUSION_MS
+
     def has_delegate(self, now_ms: int) -> bool:
         """Return whether there is an instance that has not just refused or failed."""
-        return any(not self._is_excluded(name, now_ms) for name in self._delegates)
-
-    def _is_excluded(self, instance_id: str, now_ms: int) -> bool:
-        return now_ms < self._excluded_until_ms.get(instance_id, now_ms)
+        times = (self._excluded_until_ms, self._suspected_until_ms)
+        return any(
+            all(now_ms >= until_ms.get(name, now_ms) for until_ms in times)
+            for name in self._delegates
+        )
 
     def _load(self, delegate: Delegate) -> float:
         """Return the delegated requests in flight for each core, with the one to choose for."""
--- a/packages/daemon/src/ibispaddle_daemon/delegation/delegator.py
+++ b/packages/daemon/src/ibispaddle_daemon/delegation/delegator.py
@@ -153,7 +153,9 @@
             case _:
                 failure = HopFailure.LOST
         now_ms = self._clock.now_ms()
-        if attempt.origin is None or not attempt.origin.takes_requests:
+        if attempt.origin is None:
+            self._selection.suspect(attempt.upstream_id, now_ms)
+        elif not attempt.origin.takes_requests:
             self._selection.exclude(attempt.upstream_id, now_ms)
         log_event(
             logevents.HOP_FAILED,
--- a/tests/delegation/test_delegation.py
+++ b/tests/delegation/test_delegation.py
@@ -46,6 +46,26 @@
             [selection.choose(None, (), 0).instance_id for _ in range(30)].count("c"), 12
         )
 
+    def test_suspected_delegate(self):
+        """Guards against requests that are lost here because the only delegate has failed once."""
+        selection = DelegateSelection("dc1", random.Random(1))
+        selection.replace([Delegate("a", "x:1", "dc1", 1.0), Delegate("b", "x:2", "dc2", 1.0)])
+        selection.suspect("a", 0)
+        self.assertEqual("b", selection.choose(None, (), 10).instance_id)
+        self.assertTrue(selection.has_delegate(10))
+        selection.exclude("b", 10)
+        self.assertEqual("a", selection.choose(None, (), 20).instance_id)
+        self.assertFalse(selection.has_delegate(20))
+
+    def test_data_centre_that_is_cut_as_a_whole(self):
+        selection = DelegateSelection("dc1", random.Random(1))
+        near = [Delegate(f"n{i}", "x:1", "dc1", 1.0) for i in range(9)]
+        selection.replace([*near, Delegate("far", "x:2", "dc2", 1.0)])
+        tried = []
+        for _ in range(3):
+            tried.append(selection.choose(None, tried, 0).instance_id)
+        self.assertEqual("far", tried[-1])
+
     def test_excluded_delegate(self):
         selection = DelegateSelection("dc1", random.Random(1))
         selection.replace([Delegate("a", "a:1", "dc2", 1.0)])
