--- a/packages/core/src/ibispaddle_core/delegation/selection.py
+++ b/packages/core/src/ibispaddle_core/delegation/selection.py
@@ -64,7 +64,9 @@
         `data_centres` are those of the request's home, None for all, and `tried` the instances that
         have failed with it. Instances of the own data centre come first, and suspected ones last.
         """
-        near, far, suspected = [], [], []
+        near: list[Delegate] = []
+        far: list[Delegate] = []
+        suspected: list[Delegate] = []
         for name, delegate in self._delegates.items():
             is_near = name in self._near_ids
             if name in tried or now_ms < self._excluded_until_ms.get(name, now_ms):
