--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -14,6 +14,7 @@
 from ibispaddle_daemon.events import Headers, exchange_started, list_changed
 from ibispaddle_daemon.forwarding import Forwarder
 from ibispaddle_daemon.forwarding.codec import CallerRequest, UpstreamCall
+from ibispaddle_daemon.forwarding.contacts import UpstreamContacts
 from ibispaddle_daemon.metrics import Metrics
 from ibispaddle_daemon.timers import TimerQueue
 
@@ -42,6 +43,13 @@
     def upstream_headers(self, headers: Headers, call: UpstreamCall) -> Headers:
         return (("id", call.attempt_id), ("left", str(call.time_left_ms)))
 
+    def delegated_headers(
+        self, headers: Headers, time_left_ms: int, last_event_id: int | None = None
+    ) -> Headers:
+        kept = tuple(item for item in headers if item[0] != "left")
+        last = (("last", str(last_event_id)),) if last_event_id is not None else ()
+        return (*kept, ("left", str(time_left_ms)), *last)
+
     def read_head(self, status: int, headers: Headers, attempt_id: str) -> ResponseHead:
         values = dict(headers)
         return ResponseHead(status, headers, not_run="not-run" in values, is_authentic=True)
@@ -59,7 +67,12 @@
 class ForwarderFixture:
     """A forwarder with a manual clock, one route and some upstreams."""
 
-    def __init__(self, route: Route, upstreams: Sequence[str] = ("u1", "u2")) -> None:
+    def __init__(
+        self,
+        route: Route,
+        upstreams: Sequence[str] = ("u1", "u2"),
+        contacts: UpstreamContacts | None = None,
+    ) -> None:
         self.clock = ManualClock()
         self.timers = TimerQueue(self.clock)
         self.client = FakeHttpClient()
@@ -71,6 +84,7 @@
             self.clock,
             self.timers,
             Metrics(),
+            contacts=contacts,
         )
         self.root = BaseComponent()
         for component in (self.timers, self.forwarder):
