--- a/packages/core/src/ibispaddle_core/scheduling/messages.py
+++ b/packages/core/src/ibispaddle_core/scheduling/messages.py
@@ -57,9 +57,6 @@
     EVACUATED = "evacuated"
     NO_MEMORY = "no_memory"  # No group of engines had the memory in time.
     MEMORY_INVALID = "memory_invalid"  # Engines can never reserve the memory.
-    ISOLATED = (
-        "isolated"  # This instance, which got the request from another one, reaches no upstream.
-    )
 
 
 class ReservationOutcome(StrEnum):
