Queried others when the store's answers do not keep a hub's data recent

What callers saw: the first hub had data of 5.2 s while the others had data of 0.8 s, because the store answered it in short, slow pages; so did the fourth of four instances, seconds after its hubs had returned.

Cause: an instance queried others only if the store was unavailable to it, and a store that answers is available, however little the answers hold. A reader that was behind read page after page without a choice of its source, and the end of an exclusion for no response caused none either.

A second is needed so that an instance that has just left its hub, with old data, reads the store first: otherwise each in turn would pass for behind. A reader chooses its source after each page, and the end of each exclusion is a time of choice.

--- a/packages/core/src/ibispaddle_core/hubs/sources.py
+++ b/packages/core/src/ibispaddle_core/hubs/sources.py
@@ -20,6 +20,8 @@
 # which the store is unavailable.
 MAX_RANKED_SUBSTITUTES = 8
 MAX_SAMPLED_SUBSTITUTES = 8
+# Time for which an instance reads the store before it takes overdue data as a sign that the store is behind.
+MIN_READING_MS = 1_000
 # Pause of a search after a round in which no instance had recent data, doubled with each further one.
 MIN_SEARCH_PAUSE_MS = 100
 # Bounds of the longest such pause, and its length by the size of the fleet, since all its instances may ask the
@@ -108,7 +110,9 @@
         self._dead_until_ms: dict[str, int] = {}
         self._stale_until_ms: dict[str, int] = {}
         self._search: _Search | None = None
+        self.is_store_behind = False  # The store answers, but that does not keep the data recent.
         self.current = Source(reads_store=True)
+        self._chosen_ms = 0  # Since when the source has been the current one.
 
     def choose(
         self,
@@ -116,12 +120,22 @@
         is_store_unavailable: bool,
         is_data_old: bool,
         connected: Collection[str] = (),
+        is_data_overdue: bool = False,
+        is_read_recent: bool = True,
     ) -> Source:
         """Return the source to use now.
 
         `is_data_old` is whether the instance has no recent data. `connected` are instances that can be
-        queried although they may not be listed.
+        queried although they may not be listed. Data that is overdue is so old that reading the store
+        itself for a while should have renewed it; a store that does not counts as unavailable until
+        `is_read_recent`, which is whether its own answers have confirmed recent data.
         """
+        is_reading = self.current == Source(reads_store=True)
+        if is_data_overdue and is_reading and now_ms >= self._chosen_ms + MIN_READING_MS:
+            self.is_store_behind = True
+        elif is_read_recent:
+            self.is_store_behind = False
+        has_no_store = is_store_unavailable or self.is_store_behind
         dead = _pending(self._dead_until_ms, now_ms)
         stale = _pending(self._stale_until_ms, now_ms)
         hubs = self._ranking.hubs_before(now_ms, {*dead, *stale})
@@ -131,7 +145,7 @@
         elif are_all_stale:
             hubs = self._ranking.hubs_before(now_ms, dead)
         is_searching = self._search is not None
-        if is_store_unavailable and (is_data_old or not hubs or (are_all_stale and is_searching)):
+        if has_no_store and (is_data_old or not hubs or (are_all_stale and is_searching)):
             others = self._ranking.others()
             search = self._search = self._search or self._new_search(others)
             unlisted = sorted(set(connected).difference(others))
@@ -141,13 +155,19 @@
             chosen = search.next_candidate(candidates, is_data_old, now_ms)
             # The first ones read the store as soon as it serves them again; others follow them.
             is_first = len(self._ranking.before(dead)) < MAX_SEARCHING_READERS
-            self.current = Source(chosen, is_substitute=True, reads_store=is_first)
-            return self.current
-        self._search = None
+            reads_store = is_first or not is_store_unavailable
+            return self._change_to(
+                Source(chosen, is_substitute=True, reads_store=reads_store), now_ms
+            )
+        self._search, self.is_store_behind = None, False
         known = self.current.instance_id
         chosen = known if known in hubs else next(iter(hubs), None)
-        self.current = Source(chosen, reads_store=chosen is None)
-        return self.current
+        return self._change_to(Source(chosen, reads_store=chosen is None), now_ms)
+
+    def _change_to(self, source: Source, now_ms: int) -> Source:
+        if source != self.current:
+            self.current, self._chosen_ms = source, now_ms
+        return source
 
     def _new_search(self, others: Sequence[str]) -> _Search:
         unranked = others[MAX_RANKED_SUBSTITUTES:]
@@ -169,8 +189,8 @@
         """Return when another instance may be chosen although none is now, or None if that is open."""
         if self._search is not None:
             return self._search.next_round_ms
-        stale_until_ms = [end_ms for end_ms in self._stale_until_ms.values() if now_ms < end_ms]
-        return min(stale_until_ms, default=None)
+        ends_ms = (*self._stale_until_ms.values(), *self._dead_until_ms.values())
+        return min((end_ms for end_ms in ends_ms if now_ms < end_ms), default=None)
 
     def are_all_stale(self, now_ms: int) -> bool:
         """Return whether the store is considered unavailable to all."""
--- a/packages/core/src/ibispaddle_core/logevents.py
+++ b/packages/core/src/ibispaddle_core/logevents.py
@@ -284,7 +284,7 @@
     4017,
     "store_cut_off",
     Level.WARNING,
-    "The store is unavailable, and no hub has recent data; other instances are queried.",
+    "The store is unavailable or behind, and no hub has recent data; other instances are queried.",
 )
 SUBSTITUTE_FOUND = LogEvent(
     4018,
--- a/packages/daemon/src/ibispaddle_daemon/fleet/topics.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/topics.py
@@ -70,6 +70,7 @@
     """Reads one topic, through the relay or from the store."""
 
     confirmed_ms: int | None
+    read_confirmed_ms: int | None  # The last time that an answer of the store itself confirmed.
 
     @property
     def offset(self) -> int | None:
@@ -179,6 +180,7 @@
         )
         if now_ms >= due_ms:
             self._read_urgent_topics(now_ms)
+            self._query_if_idle()
             due_ms = now_ms + self._hold_ms
         self._timers.at(due_ms, self._check_confirmation_age)
 
@@ -195,9 +197,7 @@
     @property
     def _confirmed_ms(self) -> int | None:
         """Return the time as of which all urgent topics are known, or None if one is not."""
-        times_ms = [follower.confirmed_ms for follower in self._urgent_followers.values()]
-        known_ms = [time_ms for time_ms in times_ms if time_ms is not None]
-        return min(known_ms) if known_ms and len(known_ms) == len(times_ms) else None
+        return _earliest(item.confirmed_ms for item in self._urgent_followers.values())
 
     def _age_ms(self, now_ms: int) -> int | None:
         """Return the age of the urgent topics, or None if one has not been read yet."""
@@ -231,6 +231,8 @@
             self._is_store_unavailable,
             self._is_old(age_ms),
             self._links.connected_ids(),
+            is_data_overdue=age_ms is not None and age_ms >= self._catch_up_ms,
+            is_read_recent=self._is_read_recent(now_ms),
         )
         if source.is_substitute and not previous.is_substitute:
             log_event(logevents.STORE_CUT_OFF, age_ms=age_ms)
@@ -239,15 +241,20 @@
             log_event(logevents.RELAY_CHANGED, relay=source.instance_id, age_ms=age_ms)
         return source
 
+    def _is_read_recent(self, now_ms: int) -> bool:
+        """Return whether the store's own answers have confirmed recent data of the urgent topics."""
+        read_ms = _earliest(item.read_confirmed_ms for item in self._urgent_followers.values())
+        return read_ms is not None and not self._is_old(now_ms - read_ms)
+
     def _is_old(self, age_ms: int | None) -> bool:
         return age_ms is None or age_ms > self._stale_ms
 
     @property
     def _is_cut_off(self) -> bool:
-        """Return whether the store is unavailable, and no hub is queried in place of it."""
+        """Return whether the store is unavailable, or its data old, and no hub is queried in place of it."""
         source = self._sources.current
         is_without_hub = source.is_substitute or source.instance_id is None
-        return is_without_hub and self._is_store_unavailable
+        return is_without_hub and (self._is_store_unavailable or self._sources.is_store_behind)
 
     def _query_next(self) -> None:
         source, now_ms = self._choose_source(), self._clock.now_ms()
@@ -499,6 +506,16 @@
         return TopicResponse(query.query_id, 0, self._is_cut_off, True, body)
 
 
+def _earliest(times_ms: Iterable[int | None]) -> int | None:
+    """Return the earliest time, or None if one is not known."""
+    earliest_ms = None
+    for time_ms in times_ms:
+        if time_ms is None:
+            return None
+        earliest_ms = time_ms if earliest_ms is None else min(earliest_ms, time_ms)
+    return earliest_ms
+
+
 def _delta(mirror: TopicMirror, offset: int | None, age_ms: int) -> TopicDelta | None:
     call = ReadNewest() if offset is None else ReadChanges(offset, 0)
     match mirror.answer(call):
--- a/packages/daemon/src/ibispaddle_daemon/store/follower.py
+++ b/packages/daemon/src/ibispaddle_daemon/store/follower.py
@@ -101,6 +101,9 @@
         self._is_late = False  # The store has not answered the read in progress in time.
         self._late_margin = LateMargin()
         self._behind_since_ms: int | None = None
+        self.read_confirmed_ms: int | None = (
+            None  # The same as `confirmed_ms`, of the store's own answers.
+        )
         self.recovered_ms: int | None = None
         if relay is not None:
             relay.add(topic, self, is_urgent)
@@ -196,7 +199,7 @@
             self._late_margin.record_answer(self._clock.now_ms() - started_ms - self._wait_ms)
             is_overtaken = (call, position) != (self._reader.next_call(), self._reader.position)
             if not is_overtaken:  # Otherwise the reader has newer data from a hub or another call.
-                self._apply(self._reader.handle_answer(answer, started_ms))
+                self._handle_answer(answer, started_ms)
             if not is_late:
                 self._schedule_next(started_ms, is_overtaken)
 
@@ -210,6 +213,15 @@
             may_reuse_connection=True,
         )
 
+    def _handle_answer(
+        self, answer: NewestPage | ChangesPage | OffsetExpired, started_ms: int
+    ) -> None:
+        before_ms = self.confirmed_ms
+        step = self._reader.handle_answer(answer, started_ms)
+        if self.confirmed_ms != before_ms:
+            self.read_confirmed_ms = self.confirmed_ms
+        self._apply(step)
+
     def _decode(
         self, call: ReadNewest | ReadChanges, result: CallResult, is_late: bool
     ) -> NewestPage | ChangesPage | OffsetExpired | None:
@@ -230,7 +242,7 @@
             self._schedule(0)
         elif self._reader.is_behind:
             # Also if there is a hub: its data may be older than what the store has named.
-            self._schedule(0, self._read)
+            self._schedule(0, self._read_on)
         else:
             interval_ms = OFTEN_INTERVAL_MS if self._is_read_often else self._interval_ms
             self._schedule(started_ms + interval_ms - self._clock.now_ms())
@@ -279,6 +291,11 @@
         else:
             self._is_reading = False  # A hub is queried instead.
 
+    def _read_on(self) -> None:
+        if self._relay is not None:
+            self._relay.must_read_store()  # Another instance may have more recent data meanwhile.
+        self._read()
+
     def _record_success(self) -> None:
         if self._failures >= UNAVAILABLE_AFTER_FAILURES:
             self.recovered_ms = self._clock.now_ms()
--- a/tests/fleet/test_topics.py
+++ b/tests/fleet/test_topics.py
@@ -44,6 +44,7 @@
         self.offset: int | None = None
         self.values: dict[str, bytes | None] = {}
         self.confirmed_ms: int | None = None
+        self.read_confirmed_ms: int | None = None
         self.store_reads = 0
         self.is_store_unavailable = False
         self.is_ahead_of_hubs = False
--- a/tests/hubs/test_sources.py
+++ b/tests/hubs/test_sources.py
@@ -9,11 +9,13 @@
 from hypothesis import strategies as st
 from ibispaddle_core.hubs import Candidate, HubRanking, SourceSelection
 from ibispaddle_core.hubs.sources import (
+    EXCLUSION_MS,
     MAX_DEAD_HUBS,
     MAX_RANKED_SUBSTITUTES,
     MAX_SAMPLED_SUBSTITUTES,
     MAX_STALE_HUBS,
     MIN_LONGEST_PAUSE_MS,
+    MIN_READING_MS,
     MIN_SEARCH_PAUSE_MS,
     SECONDHAND_PAUSE_MS,
     STALE_EXCLUSION_MS,
@@ -127,6 +129,47 @@
         self.assertFalse(sources.is_searching)
         self.assertEqual(sources.choose(210, True, is_data_old=False).instance_id, "b")
 
+    def test_store_whose_answers_hold_too_little(self) -> None:
+        """Guards against a hub that queries nobody because the store answers it, if with old data."""
+        sources = selection("a")
+        sources.choose(0, False, is_data_old=True, is_read_recent=False)
+        source = sources.choose(MIN_READING_MS, False, is_data_old=True, is_data_overdue=True)
+        self.assertEqual(source, Source("b", is_substitute=True, reads_store=True))
+        sources.mark_recent("b")
+        # The data is recent, but not by the store's own answers.
+        later_ms = MIN_READING_MS + STEP_MS
+        source = sources.choose(later_ms, False, is_data_old=False, is_read_recent=False)
+        self.assertEqual(source, Source("b", is_substitute=True, reads_store=True))
+        self.assertTrue(sources.is_store_behind)
+        self.assertEqual(sources.choose(later_ms, False, False), Source(reads_store=True))
+        self.assertFalse(sources.is_store_behind)
+
+    def test_instance_that_has_just_left_its_hub(self) -> None:
+        """Guards against instances that count as cut off, one after the other, before they have read the store."""
+        sources = selection("b")
+        sources.choose(0, False, False)
+        sources.mark_unresponsive("a", 5_000)
+        for now_ms in range(5_000, 5_000 + MIN_READING_MS, STEP_MS):
+            source = sources.choose(now_ms, False, True, is_data_overdue=True, is_read_recent=False)
+            self.assertEqual(source, Source(reads_store=True))
+
+    def test_overdue_data_of_a_hub(self) -> None:
+        """Guards against followers that stop reading the store because their hub's data is old."""
+        sources = selection("e")
+        sources.choose(0, False, False)
+        source = sources.choose(10, False, True, is_data_overdue=True, is_read_recent=False)
+        self.assertEqual(source, Source("a"))
+        self.assertFalse(sources.is_store_behind)
+
+    def test_end_of_an_exclusion(self) -> None:
+        """Guards against an instance that reads the store after its hubs have returned."""
+        sources = selection("d")
+        for name in "abc":
+            sources.mark_unresponsive(name, 100)
+        self.assertEqual(sources.choose(100, False, False), Source(reads_store=True))
+        self.assertEqual(sources.next_choice_ms(100), 100 + EXCLUSION_MS)
+        self.assertEqual(sources.choose(100 + EXCLUSION_MS, False, False), Source("a"))
+
     def test_substitute_that_is_turned_away_later(self) -> None:
         sources = selection("a")
         sources.mark_recent(sources.choose(0, True, True).instance_id or "")
