Asked the next committer when the log turns away the first one

Cause: one refusal decided for all. ClaimManager ended the call at the first REFUSED, and an update stayed with a committer that had queued it, however long it could not append it.

A refusal now makes the client ask the next committer by rank, under the same claim id, and after three refusals the own instance, so a call is refused only if the log serves none of them.

Why at most once still holds: a claim keeps its id, entries are deduplicated by it, and a committer says WON only after it has read the claim as the first of its key. Which committers may still append the claim is counted by committer: a refusal is certain only if it answers the only message that this committer got, since nothing is queued then; the claim counts as unsent only if all refusals were certain, and is released otherwise.

As an ended tail may be the only one that has seen the outage, PlatformLog then repeats a read of another one; otherwise the log would count as unavailable until it ends a held read.

Evidence: test_first_committer_is_turned_away failed before, as did the new tests of a caller that only the log serves, and of the outcome; two new tests with the daemon's components in virtual time failed with refused calls. The test of the held read fails without the repeated one. The model of the committers (tests.models) asks the other committer after a refusal and sends claims again: all properties hold in all states, with two copies as well, and "key is not blocked" is refuted if a refusal counts as certain although the claim was sent twice. The state machine of test_fleet lets the log turn away single instances. The fakes of the fleet got that from TurnedAwayFleet, whose two tests stay as they were.

--- a/packages/core/src/ibispaddle_core/idempotency/claim_manager.py
+++ b/packages/core/src/ibispaddle_core/idempotency/claim_manager.py
@@ -76,7 +76,8 @@
     def __init__(
         self, prefix: str, window_ms: int, committers_for: Callable[[int], Sequence[str]]
     ) -> None:
-        self.committer_client = CommitterClient(committers_for)
+        own_id = prefix.partition("/")[0]
+        self.committer_client = CommitterClient(committers_for, own_id)
         self._prefix = prefix
         self._window_ms = window_ms
         self._sequence = 0
@@ -122,9 +123,14 @@
         call = self._calls_by_claim_id.get(message.claim_id)
         if call is None or call.session.claim_id != message.claim_id:
             return []
-        self.committer_client.record_response(message.claim_id, instance_id, now_ms)
+        if message.verdict is ClaimVerdict.REFUSED:
+            # The log may be available to another committer.
+            if self.committer_client.record_refusal(message.claim_id, instance_id, now_ms):
+                return []
+        else:
+            self.committer_client.record_response(message.claim_id, instance_id, now_ms)
+            call.is_contested = message.verdict is ClaimVerdict.CONTESTED
         call.holder = message.holder
-        call.is_contested = message.verdict is ClaimVerdict.CONTESTED
         decided: list[DecidedCall] = []
         for event in self._session_events(message, now_ms):
             if call.session.state is not State.DONE:
@@ -164,7 +170,7 @@
             case ClaimVerdict.VOID:
                 return (ClaimVoid(),)
             case ClaimVerdict.REFUSED:
-                return (ClaimRefused(was_sent_once),)
+                return (ClaimRefused(self.committer_client.is_unsent(message.claim_id)),)
         return ()
 
     def finish_call(self, call_id: str, result: SendResult, now_ms: int) -> None:
--- a/packages/core/src/ibispaddle_core/idempotency/committer.py
+++ b/packages/core/src/ibispaddle_core/idempotency/committer.py
@@ -165,6 +165,15 @@
             if (request := self._requests.get(claim_id)) is not None
         ]
 
+    def refuse_unread(self) -> list[OutgoingMessage]:
+        """Refuse all requests if the stream has not been read, so that no claim is queued."""
+        if self.is_ready:
+            return []
+        return [
+            self._respond(request, ClaimVerdict.REFUSED)
+            for request in list(self._requests.values())
+        ]
+
     def tick(self, now_ms: int) -> None:
         """Remove requests that are no longer repeated, and updates that expired in the queue."""
         for claim_id, request in list(self._requests.items()):
--- a/packages/daemon/src/ibispaddle_daemon/committers.py
+++ b/packages/daemon/src/ibispaddle_daemon/committers.py
@@ -11,7 +11,10 @@
     PARTITIONS,
     ClaimMessage,
     ClaimRequest,
+    ClaimResponse,
     ClaimUpdate,
+    ClaimUpdateAck,
+    ClaimVerdict,
     Committer,
     OutgoingMessage,
     partition_of,
@@ -23,7 +26,7 @@
 
 from .events import log_append, peer_received, peer_send
 from .peer_codec import Message
-from .platform_log import LogError, LogFailure, log_follow_since, log_unfollow
+from .platform_log import MAX_BACKOFF_MS, LogError, LogFailure, log_follow_since, log_unfollow
 from .timers import TimerHandle, TimerQueue
 
 # Interval at which the followed partitions are compared with the membership view.
@@ -31,6 +34,9 @@
 # A partition is followed this long after its last assignment to this instance or its last request.
 # Reading the claim window again costs more than following a stream for a minute.
 UNFOLLOW_DELAY_MS = 60_000
+# Time after the return of the log in which an instance follows only its assigned partitions: their other
+# committers notice the return within this time.
+RECOVERY_MS = MAX_BACKOFF_MS + 1_000
 
 
 @dataclass(eq=False)
@@ -71,6 +77,8 @@
         self._followed_partitions: dict[int, _FollowedPartition] = {}
         self._generations = itertools.count(1)
         self._log_available = False
+        self._has_been_unavailable = False
+        self._recovered_ms: int | None = None  # Time of the log's last return.
         # Before the first list the view has only this instance, which would follow everything.
         self._has_instance_list = False
 
@@ -103,18 +111,23 @@
             followed.committer.tick(now_ms)
             is_unused = followed.committer.is_ready and followed.committer.is_idle
             if is_unused and now_ms - followed.last_used_ms > UNFOLLOW_DELAY_MS:
-                del self._followed_partitions[partition]
-                self.fire(log_unfollow(stream_of(partition), self.channel), "*")
+                self._unfollow(partition)
 
     def _follow_assigned(self) -> None:
         """Follow the partitions assigned to this instance before their first claim arrives."""
+        for partition in self._assigned_partitions():
+            self._follow(partition)
+
+    def _assigned_partitions(self) -> list[int]:
         if not self._has_instance_list:
-            return
+            return []
+        own_id = self._settings.instance_id
         ranked = self._view.ranked_instances(self._clock.now_ms())
-        for partition in range(PARTITIONS):
-            own_id = self._settings.instance_id
-            if rank_committers(partition, ranked, own_id)[0] == own_id:
-                self._follow(partition)
+        return [
+            partition
+            for partition in range(PARTITIONS)
+            if rank_committers(partition, ranked, own_id)[0] == own_id
+        ]
 
     def _follow(self, partition: int) -> _FollowedPartition:
         followed = self._followed_partitions.get(partition)
@@ -151,11 +164,17 @@
         match message:
             case ClaimRequest(claim):
                 key_hash = claim.key_hash
+                refusal: ClaimMessage = ClaimResponse(claim.claim_id, ClaimVerdict.REFUSED)
             case ClaimUpdate(entry):
                 key_hash = entry.key_hash
+                refusal = ClaimUpdateAck(entry.claim_id, in_stream=False)
             case _:
                 return
         partition = partition_of(key_hash)
+        if partition not in self._followed_partitions and not self._can_follow_more:
+            # The instances that are asked in turn would all read the stream after an outage.
+            self._send([OutgoingMessage(instance_id, refusal)])
+            return
         followed = self._follow(partition)
         now_ms = self._clock.now_ms()
         self._send(followed.committer.receive(instance_id, message, now_ms, self._log_available))
@@ -172,7 +191,37 @@
 
     @handler("log_health", channel="*")
     def _on_log_health(self, available: bool) -> None:
+        if available and self._has_been_unavailable:
+            self._recovered_ms = self._clock.now_ms()
+        self._has_been_unavailable = self._has_been_unavailable or not available
         self._log_available = available
+        if not available:
+            self._unfollow_unread()
+
+    @property
+    def _can_follow_more(self) -> bool:
+        """Return whether this instance may act as committer of a partition not assigned to it."""
+        is_settled = (
+            self._recovered_ms is None or self._clock.now_ms() >= self._recovered_ms + RECOVERY_MS
+        )
+        return self._log_available and is_settled
+
+    def _unfollow_unread(self) -> None:
+        """Leave the partitions that are not assigned to this instance and cannot be read now.
+
+        All instances that were asked before they noticed the outage would read the streams after it.
+        """
+        assigned = set(self._assigned_partitions())
+        for partition, followed in list(self._followed_partitions.items()):
+            if partition in assigned or followed.committer.is_ready:
+                continue
+            self._send(followed.committer.refuse_unread())
+            if followed.committer.is_idle:
+                self._unfollow(partition)
+
+    def _unfollow(self, partition: int) -> None:
+        del self._followed_partitions[partition]
+        self.fire(log_unfollow(stream_of(partition), self.channel), "*")
 
     @handler("log_located")
     def _on_log_located(self, stream: str, offset: int, since_ms: int) -> None:
--- a/packages/daemon/src/ibispaddle_daemon/platform_log.py
+++ b/packages/daemon/src/ibispaddle_daemon/platform_log.py
@@ -256,6 +256,15 @@
                 self.fire(http_cancel(tail.call_id), "http_client")
             if tail.is_stale:
                 self._check_all_caught_up()
+        self._probe_health()
+
+    def _probe_health(self) -> None:
+        """Repeat a read if no tail is left that failed; the log may hold those of the others for long."""
+        if self._are_reads_failing and self._tails and not any(t.failures for t in self._tails):
+            tail = self._tails[0]
+            if self._reads.pop(tail.call_id, None) is not None:
+                self.fire(http_cancel(tail.call_id), "http_client")
+                self._read(tail)
 
     def _read(self, tail: _Tail) -> None:
         if self._are_tails_stopped or tail.is_ended:
--- a/tests/failures/virtual_fleet.py
+++ b/tests/failures/virtual_fleet.py
@@ -37,7 +37,7 @@
     """Simulation of the platform's log.
 
     With the fault "unreachable" connections are refused; with any other fault requests fail with
-    503.
+    503, and so do those of the instances in `turned_away`.
     """
 
     def __init__(self, clock, timers):
@@ -45,6 +45,7 @@
         self.streams = {}
         self.waiting_reads = []
         self.fault = ""
+        self.turned_away = set()
         self.appends_ms = []  # Times of all append requests, including failed ones.
         self.rate_limited_appends = 0
         self._available_appends, self._available_updated_ms = RATE_CAP_PER_S * RATE_WINDOW_S, 0
@@ -64,7 +65,7 @@
         if self.fault == "unreachable":
             error = HttpCallError(CallFailure.UNREACHABLE, "refused", False)
             root.fire(call_completed(call.call_id, 0, (), b"", error), call.channel)
-        elif self.fault:
+        elif self.fault or root.own_id in self.turned_away:
             self.answer(root, call, 503, {})
         elif call.method == "POST":
             self.append(root, call, records)
@@ -102,7 +103,7 @@
             item = (root, call, records, query, wait_deadline_ms)
             self.waiting_reads.append(item)
             self.timers.at(wait_deadline_ms, lambda: self.end_wait(item))
-        elif self.fault:
+        elif self.fault or root.own_id in self.turned_away:
             self.answer(root, call, 503, {})
         else:
             page = {"first_offset": 0, "next_offset": len(records)}
--- a/tests/idempotency/fleet.py
+++ b/tests/idempotency/fleet.py
@@ -69,6 +69,7 @@
         self.appends: list[Append] = []
         self.messages: list[tuple] = []  # Sender's name, receiver's name and message.
         self.available = True
+        self.turned_away: set[str] = set()  # Instances to which the log is not available.
         self.boots = 0
         self.calls: dict[str, str] = {}  # call id -> key
         self.answers: dict[str, object] = {}
@@ -105,8 +106,11 @@
                 instance, [OutgoingMessage(sender, instance.manager.long_bodies.reply_to(message))]
             )
         else:
-            committer = instance.committer
-            self.post(instance, committer.receive(sender, message, self.now_ms, self.available))
+            committer, available = instance.committer, self.is_available_to(instance)
+            self.post(instance, committer.receive(sender, message, self.now_ms, available))
+
+    def is_available_to(self, instance):
+        return self.available and instance.name not in self.turned_away
 
     def deliver_message(self, index):
         sender, receiver, message = self.messages.pop(index)
@@ -201,6 +205,8 @@
 
     def read(self, number, limit=1_000):
         instance = self.instances[number]
+        if instance.name in self.turned_away:
+            return
         start = max(instance.committer.table.position, self.first_offset)
         page = self.log[start : start + limit]
         wall_ms = self.wall_ms(instance.skew_ms)
--- a/tests/idempotency/test_committers.py
+++ b/tests/idempotency/test_committers.py
@@ -20,7 +20,7 @@
 
 class CommitterClientTest(unittest.TestCase):
     def setUp(self):
-        self.committer_client = CommitterClient(lambda partition: ("a", "b"))
+        self.committer_client = CommitterClient(lambda partition: ("a", "b"), "b")
         self.committer_client.add(0, claim_request("c"), 0, 60_000)
 
     def targets(self, *times_ms):
--- a/tests/idempotency/test_fleet.py
+++ b/tests/idempotency/test_fleet.py
@@ -152,6 +152,12 @@
     def change_log_health(self, available):
         self.fleet.available = available
 
+    @rule(number=INSTANCES, turned_away=st.booleans())
+    def change_log_access(self, number, turned_away):
+        """Let the log turn away an instance, or serve it again."""
+        change = self.fleet.turned_away.add if turned_away else self.fleet.turned_away.discard
+        change(self.fleet.instances[number].name)
+
     @invariant()
     def at_most_one_run_and_true_answers(self):
         self.fleet.check()
@@ -162,6 +168,7 @@
         if fleet is None:
             return
         fleet.available = True
+        fleet.turned_away.clear()
         fleet.settle()
         fleet.check()
         for key in self.keys:
--- a/tests/idempotency/test_turned_away_committers.py
+++ b/tests/idempotency/test_turned_away_committers.py
@@ -2,7 +2,8 @@
 
 import unittest
 
-from ibispaddle_core.idempotency import Send
+from ibispaddle_core.idempotency import Replay, Send
+from ibispaddle_core.runstate import RunState
 
 from .fleet import EPOCH_MS, Fleet
 
@@ -16,16 +17,6 @@
     def __init__(self):
         super().__init__((0, 0, 0))
         self.choices = dict.fromkeys(self.choices, ["i0", "i1", "i2"])
-        self.turned_away = set()
-
-    def receive(self, instance, sender, message):
-        self.available = instance.name not in self.turned_away
-        super().receive(instance, sender, message)
-
-    def read(self, number, limit=1_000):
-        self.available = self.instances[number].name not in self.turned_away
-        if self.available:
-            super().read(number, limit)
 
     def start_append(self, number):
         started = super().start_append(number)
@@ -73,6 +64,32 @@
         self.fleet.turned_away = {"i0"}
         self.assertTrue(self.sent(1))
 
+    def test_all_other_committers_are_turned_away(self) -> None:
+        """Guards against a refused call of an instance that could append the claim itself."""
+        self.fleet.turned_away = {"i0", "i1"}
+        self.assertTrue(self.sent(2))
+
+    def test_log_serves_nobody(self) -> None:
+        """Guards against a call that asks one committer after the other until its deadline."""
+        self.fleet.turned_away = {"i0", "i1", "i2"}
+        call_id = self.fleet.start_call(1, f"{EPOCH_MS}-k")
+        self.fleet.deliver_messages()
+        self.assertIs(self.fleet.answers[call_id].run_state, RunState.NOT_RUN)
+        client = self.fleet.instances[1].manager.committer_client
+        self.assertEqual(len(client), 0, "a release of a claim that nobody has")
+
+    def test_outcome_while_the_first_committer_is_turned_away(self) -> None:
+        """Guards against a retry without the outcome, which waits at a committer that cannot append it."""
+        self.fleet.turned_away = {"i0"}
+        self.assertTrue(self.sent(1))
+        self.fleet.check_send(1)
+        self.fleet.write(1)
+        self.fleet.finish(1)
+        self.fleet.run()
+        retry = self.fleet.start_call(2, f"{EPOCH_MS}-k")
+        self.fleet.run()
+        self.assertIsInstance(self.fleet.answers.get(retry), Replay)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/models/claims.py
+++ b/tests/models/claims.py
@@ -57,7 +57,9 @@
     answer: str = ""
     crashed: bool = False
     expired: bool = False  # The deadline has passed.
-    asked: tuple[int, ...] = ()  # Committers to which the current claim was sent.
+    # Committers to which the current claim was sent, once for each time, without certain refusals.
+    asked: tuple[int, ...] = ()
+    refused: tuple[int, ...] = ()  # Committers that have refused the current claim.
 
 
 class SystemState(NamedTuple):
--- a/tests/models/committers.py
+++ b/tests/models/committers.py
@@ -68,18 +68,22 @@
     def __init__(
         self,
         log_order=True,  # If false, a committer lets the first claim win that it receives.
-        always_certain=False,  # A refusal is final even if another committer received the claim.
+        always_certain=False,  # A refusal is final even if the claim was sent more than once.
         always_sent_once=False,  # A release cancels a claim even if another committer received it.
         releases_pending_claims=True,  # A lost claim that may still be appended is released.
         multi_committer_copies=2,  # Number of copies that can use a second committer.
+        ignores_resends=False,  # A refusal is certain although the claim was sent to the committer twice.
         has_queues=False,  # Claims are queued, and can be refused or cancelled in the queue.
+        max_resends=0,  # Number of times a claim can be sent again to the same committer.
         **options,
     ):
         super().__init__(crashes=False, **options)
         self.log_order = log_order
         self.always_certain = always_certain
+        self.ignores_resends = ignores_resends
         self.always_sent_once = always_sent_once
         self.has_queues = has_queues
+        self.max_resends = max_resends
         self.multi_committer_copies = multi_committer_copies
         self.releases_pending_claims = releases_pending_claims
 
@@ -113,12 +117,30 @@
             rest = tuple(item for item in committer.queued if item != claim)
             emptied = self.replace_committer(system, number, committer._replace(queued=rest))
             yield f"{name} appends {claim.claim_id}", self.start_append(emptied, claim)
-            copy_number = int(claim.claim_id[1])
-            copy = emptied.copies[copy_number]
-            if copy.session.claim_id == claim.claim_id:
-                certain = self.always_certain or len(copy.asked) == 1
-                refused = self.apply_event(emptied, copy_number, ClaimRefused(certain))
-                yield f"{name} refuses {claim.claim_id}", refused
+            yield f"{name} refuses {claim.claim_id}", self.refuse(emptied, number, claim)
+
+    def refuse(self, system, number, claim):
+        """Let a committer drop a claim; the copy asks the other one, unless that has refused too."""
+        committer = system.committers[number]
+        forgotten = committer._replace(
+            asked=tuple(item for item in committer.asked if item != claim.claim_id),
+            taken=tuple(item for item in committer.taken if item != claim.claim_id),
+        )
+        system = self.replace_committer(system, number, forgotten)
+        copy_number = int(claim.claim_id[1])
+        copy = system.copies[copy_number]
+        if copy.session.claim_id != claim.claim_id or copy.session.state is not State.CLAIMING:
+            return system
+        asked = copy.asked
+        if self.always_certain:
+            asked = ()
+        elif self.ignores_resends or asked.count(number) == 1:
+            asked = tuple(item for item in asked if item != number)
+        refused = tuple(sorted({*copy.refused, number}))
+        system = self.replace_copy(system, copy_number, copy._replace(asked=asked, refused=refused))
+        if len(refused) < len(system.committers):
+            return system
+        return self.apply_event(system, copy_number, ClaimRefused(is_certain=not asked))
 
     def copy_steps(self, system, number, copy):
         name = f"copy {number}"
@@ -136,8 +158,17 @@
             is_claiming = copy.session.state is State.CLAIMING
             for target in range(len(system.committers)):
                 can_request = number < self.multi_committer_copies or not copy.asked
+                can_resend = is_claiming and target not in copy.refused
+                if target in copy.asked and can_resend and system.repeats < self.max_resends:
+                    resent = copy._replace(asked=(*copy.asked, target))
+                    repeated = system._replace(repeats=system.repeats + 1)
+                    yield f"{name} sends its claim to {target} again", self.send(
+                        self.replace_copy(repeated, number, resent), RequestMessage(target, claim)
+                    )
+                if target in copy.refused and target not in copy.asked:
+                    continue
                 if target not in copy.asked and is_claiming and can_request:
-                    if target and not copy.asked and not number:
+                    if target and not (copy.asked or copy.refused) and not number:
                         continue  # Committers are interchangeable before the first request.
                     asked = self.replace_copy(
                         system, number, copy._replace(asked=(*copy.asked, target))
@@ -230,11 +261,11 @@
         own = copy.session
         match decision:
             case AppendClaim():
-                return self.replace_copy(system, number, copy._replace(asked=()))
+                return self.replace_copy(system, number, copy._replace(asked=(), refused=()))
             case AppendOutcome(outcome):
                 return self.start_append(system, Settlement(own.claim_id, KEY, outcome))
             case AppendRelease():
-                if not copy.asked:
+                if not copy.asked and self.is_undecided(copy):
                     return system
                 # A copy with a new claim releases its previous claim.
                 attempt = own.attempt - (own.state is State.CLAIMING)
@@ -244,7 +275,7 @@
                 sent_once = self.always_sent_once or (
                     len(copy.asked) == 1 and self.is_undecided(copy)
                 )
-                update = UpdateMessage(copy.asked[-1], release, sent_once)
+                update = UpdateMessage((copy.asked or (0,))[-1], release, sent_once)
                 return self.send(system, update)
 
     @staticmethod
--- a/tests/models/test_committers.py
+++ b/tests/models/test_committers.py
@@ -27,7 +27,12 @@
 
     def test_queues_of_two_committers(self):
         """Guard against a claim that is still appended after it was refused or cancelled."""
-        verdicts = self.verdicts(copies=1, has_queues=True, expiring=1)
+        verdicts = self.verdicts(copies=1, has_queues=True, expiring=1, max_resends=1)
+        self.assertEqual(set(verdicts.values()), {True})
+
+    def test_two_copies_with_queues(self):
+        """Guard against a second run or a blocked key when a committer refuses and the other one is asked."""
+        verdicts = self.verdicts(has_queues=True, multi_committer_copies=1, expiring=1)
         self.assertEqual(set(verdicts.values()), {True})
 
     def test_log_order_is_needed(self):
@@ -49,6 +54,11 @@
             "key_is_not_blocked", copies=1, has_queues=True, expiring=1, always_certain=True
         )
 
+    def test_refusal_is_certain_only_if_the_committer_received_the_claim_once(self):
+        """Guard against a blocked key: the committer may append the claim when it receives it again."""
+        options = {"copies": 1, "has_queues": True, "expiring": 1, "max_resends": 1}
+        self.check_refuted("key_is_not_blocked", ignores_resends=True, **options)
+
     def test_release_cancels_only_a_claim_that_was_sent_once(self):
         """Guard against a release that is dropped while another committer has queued the claim."""
         self.check_refuted(
--- a/tests/platform_log/support.py
+++ b/tests/platform_log/support.py
@@ -25,6 +25,7 @@
         self.responses = []
         self.reads = []
         self.read_status = 200
+        self.max_hold_s = 0.3  # Longest time for which a read is held.
         self.body = None
         super().__init__()
 
@@ -51,7 +52,7 @@
         if self.read_status != 200:
             self.reply(request, self.read_status, {})
             return
-        limit = time.monotonic() + min(0.3, query["wait_ms"] / 1000)
+        limit = time.monotonic() + min(self.max_hold_s, query["wait_ms"] / 1000)
         while query["from"] >= len(self.records) and time.monotonic() < limit:
             time.sleep(0.005)
         start = max(query["from"], self.first_offset)
--- a/tests/platform_log/test_platform_log.py
+++ b/tests/platform_log/test_platform_log.py
@@ -4,7 +4,7 @@
 import unittest
 
 from ibispaddle_daemon.events import drain_completed, log_append, log_follow
-from ibispaddle_daemon.platform_log import LogFailure, log_follow_since
+from ibispaddle_daemon.platform_log import LogFailure, log_follow_since, log_unfollow
 
 from tests.support.waiting import wait_until
 
@@ -94,6 +94,18 @@
         wait_until(lambda: self.follower.records, "record")
         self.assertIs(self.follower.health[-1], True)
 
+    def test_outage_that_only_an_ended_tail_has_seen(self):
+        """Guard against a log that counts as unavailable until it ends the held read of another tail."""
+        self.fake.max_hold_s = 5.0
+        self.follow()
+        wait_until(lambda: self.fake.reads and self.fake.reads[-1]["wait_ms"], "long poll")
+        self.fake.read_status = 503
+        self.root.fire(log_follow("t", 0, "follower"), "*")
+        wait_until(lambda: self.follower.health[-1:] == [False], "outage")
+        self.fake.read_status = 200
+        self.root.fire(log_unfollow("t", "follower"), "*")
+        wait_until(lambda: self.follower.health[-1:] == [True], "recovery", 2)
+
     def test_malformed_page_is_a_failure_of_the_log(self):
         """Guard against a tail that ends or skips records after a page that cannot be decoded."""
         self.fake.body = b'{"first_offset": 0'
