Waited for the first log lines before instances are ranked in tests

test_restarts_without_the_store failed once with an IndexError in setUp (load average 20): an instance answered that it is ready before the thread that reads its log had its first line, which names the instance. The test asks for the same as before, after a bounded wait.

--- a/tests/platform_adapter/test_turned_away_instances.py
+++ b/tests/platform_adapter/test_turned_away_instances.py
@@ -110,6 +110,8 @@
         with ThreadPoolExecutor() as pool:
             start = lambda number: self.platform.start_instance(number, **bounds)  # noqa: E731
             self.platform.instances += pool.map(start, range(1, INSTANCES))
+        # On a busy machine, an instance is ready before its first log line has been read.
+        wait_until(lambda: all(instance.lines for instance in self.platform.instances), "log lines")
         self.ranked = sorted(
             self.platform.instances,
             key=lambda instance: rendezvous_score("hub", instance.lines[0]["instance"]),
