--- a/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
@@ -142,7 +142,9 @@
             self._hedge_reports,
             lambda: self.drain_admission is not None,
         )
-        self.hand_over = HandOver(clock, self.handle_event)
+        self.hand_over = HandOver(
+            clock, self.handle_event, partial(self._end_request, reason=RefusalReason.NO_UPSTREAM)
+        )
         self.attempts = ForwardedAttempts(
             client,
             codec,
@@ -361,8 +363,7 @@
         for request in list(self._requests.values()):
             if request.request_id not in self._requests or request.in_flight:
                 continue
-            if not self.hand_over.take(request) and request.must_return_to_sender:
-                self._end_request(request, RefusalReason.NO_UPSTREAM)
+            self.hand_over.take(request)
 
     def complete_delegated(self, request: ForwardedRequest, result: AttemptResult) -> None:
         """Respond to a request with the delegate's response."""
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/hand_over.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/hand_over.py
@@ -6,6 +6,7 @@
 from ibispaddle_core.clock import Clock
 from ibispaddle_core.delegation import Delegate, DelegationState, may_delegate
 from ibispaddle_core.forwarding import AttemptResult
+from ibispaddle_core.runstate import RunState
 from ibispaddle_core.scheduling import CallerDisconnected, Event
 
 from .requests import AttemptState, ForwardedRequest
@@ -43,11 +44,17 @@
     """Take requests out of the scheduler and send them to delegates.
 
     `is_isolated` returns whether this instance reaches no upstream; `handle_event` passes an event to the
-    scheduler.
+    scheduler, and `return_request` refuses a request that another instance has sent.
     """
 
-    def __init__(self, clock: Clock, handle_event: Callable[[Event], None]) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        handle_event: Callable[[Event], None],
+        return_request: Callable[[ForwardedRequest], None],
+    ) -> None:
         self._clock, self._handle_event = clock, handle_event
+        self._return_request = return_request
         self.is_isolated: Callable[[], bool] = lambda: False
         self.delegator: RequestDelegator | None = None
 
@@ -59,9 +66,16 @@
         self.delegator.handle_result(request, attempt, result)
 
     def take(self, request: ForwardedRequest) -> bool:
-        """Delegate a request without an attempt in flight; return False if it stays here."""
+        """Delegate a request without an attempt in flight; return False if it stays here.
+
+        One that another instance has sent is refused as not run, so that it finds another delegate.
+        """
         if self.delegator is None or not self.is_isolated():
             return False
+        is_delegated = request.exchange.delegated_call is not None
+        if is_delegated and request.run_state is RunState.NOT_RUN:
+            self._return_request(request)
+            return True
         if not may_delegate(delegation_state(request), self._clock.now_ms()):
             return False
         request.tried_delegates.clear()
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/requests.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/requests.py
@@ -100,11 +100,6 @@
         """Return whether a part of the response was sent to the caller."""
         return self.exchange.is_response_started
 
-    @property
-    def must_return_to_sender(self) -> bool:
-        """Return whether the instance that sent the request has to find another delegate."""
-        return self.exchange.delegated_call is not None and not self.runs
-
     @property
     def run_state(self) -> RunState:
         """Return whether the request may have run."""
--- a/tests/delegation/test_listener.py
+++ b/tests/delegation/test_listener.py
@@ -139,8 +139,15 @@
     def test_request_is_never_delegated_again(self) -> None:
         self.send()
         self.fixture.isolate()
+        self.assertEqual((self.fixture.hops, self.fixture.forwarder.requests_in_flight), ([], 1))
+
+    def test_attempt_of_a_delegate_that_becomes_isolated(self) -> None:
+        """Guards against requests that wait at a delegate until their deadline."""
+        exchange = self.send()
+        self.fixture.isolate()
         self.fixture.fail(self.fixture.attempts[0], UNREACHABLE)
-        self.assertEqual(self.fixture.hops, [])
+        self.assertEqual((exchange.status, self.origin(exchange).may_ask_another), (503, True))
+        self.assertEqual((len(self.fixture.attempts), self.fixture.hops), (1, []))
 
     def test_waiting_request_of_a_delegate_that_becomes_isolated(self) -> None:
         self.fixture.forwarder.before_selection = lambda callback, service: None
