--- a/tests/platform_adapter/upstream_links.py
+++ b/tests/platform_adapter/upstream_links.py
@@ -54,11 +54,11 @@
 
     async def close(self) -> None:
         """Stop listening and reset all connections."""
-        self._stop_accepting()
+        await self._stop_accepting()
         self._listener.close()
         self._reset_all()
         self._drop_fillers()
-        tasks = [self._accepting, *self._tasks]
+        tasks = list(self._tasks)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -70,12 +70,12 @@
         self._mode = mode
         if mode is CutMode.HANG:
             self._gate.clear()
-            self._stop_accepting()
+            await self._stop_accepting()
             self._listener.listen(0)
             self._fill_backlog()
             return
         self._gate.set()
-        self._stop_accepting()
+        await self._stop_accepting()
         self._listener.close()
         if mode is CutMode.RESET:
             self._reset_all()
@@ -87,8 +87,10 @@
         self._listener.setblocking(False)
         self._accepting = asyncio.create_task(self._accept(self._listener))
 
-    def _stop_accepting(self) -> None:
+    async def _stop_accepting(self) -> None:
+        """Stop accepting; only then may the listener be closed, because the event loop still polls it."""
         self._accepting.cancel()
+        await asyncio.gather(self._accepting, return_exceptions=True)
 
     def _fill_backlog(self) -> None:
         for _ in range(FILLERS):
