Kept an instance without delegates not ready until one of them serves

Now a delegate counts as found unless it refused or failed last; a response of an upstream that it passes on, or a change of the isolation, ends that. Requests still try it again after a second.

Evidence: test_delegates_that_keep_refusing failed before. test_isolated_with_a_delegate asked that the instance be ready after a second without a sign of the delegate, which was the fault; it asks now that the delegate has served.

--- a/packages/core/src/ibispaddle_core/delegation/selection.py
+++ b/packages/core/src/ibispaddle_core/delegation/selection.py
@@ -43,6 +43,9 @@
         self._in_flight: dict[str, int] = {}  # By instance; without those that have none.
         self._excluded_until_ms: dict[str, int] = {}
         self._suspected_until_ms: dict[str, int] = {}
+        self._failed_ids: set[str] = (
+            set()
+        )  # Those that refused or failed and have not served since.
 
     def replace(self, delegates: Iterable[Delegate]) -> None:
         """Replace the instances that take delegated requests."""
@@ -55,6 +58,7 @@
         for times in (self._excluded_until_ms, self._suspected_until_ms):
             for name in times.keys() - self._delegates.keys():
                 del times[name]
+        self._failed_ids &= self._delegates.keys()
 
     def choose(
         self, data_centres: frozenset[str] | None, tried: Collection[str], now_ms: int
@@ -104,18 +108,24 @@
     def exclude(self, instance_id: str, now_ms: int) -> None:
         """Leave out an instance that refuses all requests for a while."""
         self._excluded_until_ms[instance_id] = now_ms + EXCLUSION_MS
+        self._failed_ids.add(instance_id)
 
     def suspect(self, instance_id: str, now_ms: int) -> None:
         """Choose an instance that failed only if there is no other, for a while."""
         self._suspected_until_ms[instance_id] = now_ms + EXCLUSION_MS
+        self._failed_ids.add(instance_id)
 
-    def has_delegate(self, now_ms: int) -> bool:
-        """Return whether there is an instance that has not just refused or failed."""
-        times = (self._excluded_until_ms, self._suspected_until_ms)
-        return any(
-            all(now_ms >= until_ms.get(name, now_ms) for until_ms in times)
-            for name in self._delegates
-        )
+    def record_served(self, instance_id: str) -> None:
+        """Record that an instance has passed on an upstream's response."""
+        self._failed_ids.discard(instance_id)
+
+    def forget_failures(self) -> None:
+        """Take all instances for delegates again, because the situation has changed."""
+        self._failed_ids.clear()
+
+    def has_delegate(self) -> bool:
+        """Return whether there is an instance that has not refused or failed last."""
+        return not self._failed_ids.issuperset(self._delegates)
 
     def _load(self, delegate: Delegate) -> float:
         """Return the delegated requests in flight for each core, with the one to choose for."""
--- a/packages/daemon/src/ibispaddle_daemon/delegation/delegator.py
+++ b/packages/daemon/src/ibispaddle_daemon/delegation/delegator.py
@@ -127,6 +127,8 @@
     ) -> ResponseHead:
         """Parse the head of a delegate's response, which the delegate has validated."""
         origin = attempt.origin = read_origin(headers)
+        if origin.upstream_id:
+            self._selection.record_served(attempt.upstream_id)
         head = self._codec.read_head(status, without_hop_headers(headers), attempt_id)
         return replace(
             head,
--- a/packages/daemon/src/ibispaddle_daemon/gateway.py
+++ b/packages/daemon/src/ibispaddle_daemon/gateway.py
@@ -202,7 +202,8 @@
         directory.on_instances = delegator.replace_instances
         self.forwarder.hand_over.delegator = delegator
         self.forwarder.hand_over.is_isolated = lambda: self.isolation.is_isolated
-        self.delegation_readiness.has_delegate = lambda: selection.has_delegate(clock.now_ms())
+        self.delegation_readiness.has_delegate = selection.has_delegate
+        self.isolation.subscribe(lambda is_isolated: selection.forget_failures())
         guard = self.forwarder.part_guard
         quarantine = QuarantineExchange(
             guard, ranking, self.links, clock, timers, instance.instance_id
--- a/tests/delegation/test_delegation.py
+++ b/tests/delegation/test_delegation.py
@@ -52,10 +52,10 @@
         selection.replace([Delegate("a", "x:1", "dc1", 1.0), Delegate("b", "x:2", "dc2", 1.0)])
         selection.suspect("a", 0)
         self.assertEqual("b", selection.choose(None, (), 10).instance_id)
-        self.assertTrue(selection.has_delegate(10))
+        self.assertTrue(selection.has_delegate())
         selection.exclude("b", 10)
         self.assertEqual("a", selection.choose(None, (), 20).instance_id)
-        self.assertFalse(selection.has_delegate(20))
+        self.assertFalse(selection.has_delegate())
 
     def test_data_centre_that_is_cut_as_a_whole(self):
         selection = DelegateSelection("dc1", random.Random(1))
--- a/tests/delegation/test_readiness.py
+++ b/tests/delegation/test_readiness.py
@@ -7,6 +7,7 @@
 from circuits import BaseComponent, handler
 from ibispaddle_core.clock import ManualClock
 from ibispaddle_core.delegation import Delegate, DelegateSelection
+from ibispaddle_core.delegation.selection import EXCLUSION_MS
 from ibispaddle_core.scheduling import Outcome
 from ibispaddle_core.scheduling.health import UpstreamHealth
 from ibispaddle_daemon.delegation.isolation import Isolation
@@ -35,7 +36,7 @@
         self.selection = DelegateSelection("dc1", random.Random(1))
         self.recorder = Recorder()
         readiness = DelegationReadiness(self.isolation, self.timers).register(self.recorder)
-        readiness.has_delegate = lambda: self.selection.has_delegate(self.clock.now_ms())
+        readiness.has_delegate = self.selection.has_delegate
 
     def advance(self, duration_ms: int = CHECK_INTERVAL_MS) -> None:
         self.clock.advance(duration_ms)
@@ -59,9 +60,20 @@
         self.selection.exclude("b", self.clock.now_ms())
         self.advance()
         self.assertEqual([False], self.recorder.reports)
-        self.advance(1_000)
+        self.selection.record_served("b")
+        self.advance()
         self.assertEqual([False, True], self.recorder.reports)
 
+    def test_delegates_that_keep_refusing(self) -> None:
+        """Guards against a readiness that changes each second while all instances are isolated."""
+        self.selection.replace([Delegate("b", "b:1", "dc2", 1.0)])
+        self.isolation.record_unreachable("u1", "reset")
+        for _ in range(5):
+            self.selection.exclude("b", self.clock.now_ms())
+            self.advance(EXCLUSION_MS)
+            self.advance()
+        self.assertEqual([False], self.recorder.reports)
+
 
 class HealthTest(unittest.TestCase):
     def test_isolation(self) -> None:
