Counted answers to reservations as contacts with upstreams

Engines that hold memory answer an order on a new connection within milliseconds, while the first event of a stream may take a second, so an instance with traffic there probed for no reason. Orders that are refused or whose connection is closed count as failures; a missing answer shows nothing. What an attempt, a check and an order know about contacts moved to daemon/contacts.py, since all three use it.

--- a/packages/daemon/src/ibispaddle_daemon/forwarding/contacts.py
+++ b/packages/daemon/src/ibispaddle_daemon/contacts.py
@@ -2,6 +2,9 @@
 
 from typing import Protocol
 
+from .calls import CallResult
+from .events import CallFailure
+
 
 class UpstreamContacts(Protocol):
     """Collects contacts and failures; one that is isolated finds nobody at any upstream."""
@@ -21,6 +24,20 @@
         """Probe other upstreams soon."""
 
 
+def record_call(
+    contacts: UpstreamContacts, upstream_id: str, result: CallResult, sent_ms: int
+) -> None:
+    """Record what a call to an upstream's own interface shows, which was sent at `sent_ms`.
+
+    A missing response shows nothing: the upstream may be busy.
+    """
+    error = result.error
+    if error is None:
+        contacts.record_contact(upstream_id, sent_ms)
+    elif error.is_refused or error.failure is CallFailure.CLOSED:
+        contacts.record_unreachable(upstream_id, error.text)
+
+
 class UncheckedContacts:
     """Take the upstreams for reachable."""
 
--- a/packages/daemon/src/ibispaddle_daemon/engine_memory.py
+++ b/packages/daemon/src/ibispaddle_daemon/engine_memory.py
@@ -19,6 +19,7 @@
 )
 
 from .calls import CallbackHttpClient, CallResult
+from .contacts import UncheckedContacts, UpstreamContacts, record_call
 from .events import CallFailure
 from .logs import log_event
 from .metrics import Labels, Metrics
@@ -133,9 +134,14 @@
     channel = "engine_memory"
 
     def __init__(
-        self, clock: Clock, timers: TimerQueue, codec: EngineMemoryCodec | None = None
+        self,
+        clock: Clock,
+        timers: TimerQueue,
+        codec: EngineMemoryCodec | None = None,
+        contacts: UpstreamContacts | None = None,
     ) -> None:
         super().__init__()
+        self._contacts = contacts or UncheckedContacts()
         self._clock = clock
         self._timers = timers
         self._codec = codec or EngineApiMemoryCodec()
@@ -185,6 +191,7 @@
         sent_ms = self._clock.now_ms()
 
         def on_result(result: CallResult) -> None:
+            record_call(self._contacts, decision.upstream_id, result, sent_ms)
             outcome = self._outcome(result)
             self._count_outcome(decision, outcome, result)
             if outcome is ReservationOutcome.GRANTED and decision.handle in self._active_handles:
@@ -238,6 +245,7 @@
             sent_ms = self._clock.now_ms()
 
             def on_result(result: CallResult) -> None:
+                record_call(self._contacts, decision.upstream_id, result, sent_ms)
                 if decision.handle not in self._active_handles:
                     return
                 is_renewed = self._outcome(result) is ReservationOutcome.GRANTED
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/attempts.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/attempts.py
@@ -22,12 +22,12 @@
 from ibispaddle_core.scheduling import Outcome, RetryPolicy
 
 from ..buffer_limit import BufferLimit
+from ..contacts import UncheckedContacts, UpstreamContacts
 from ..events import CallFailure, Headers, HttpCall, HttpCallError
 from ..http_client import HttpClient
 from ..logs import log_event
 from ..timers import TimerHandle, TimerQueue
 from .codec import ForwardingCodec, UpstreamCall
-from .contacts import UncheckedContacts, UpstreamContacts
 from .requests import AttemptState, ForwardedRequest
 
 # Upstreams accept a connection within a few milliseconds. TCP retransmits a lost SYN only after a
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/crashes.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/crashes.py
@@ -8,10 +8,10 @@
 from ibispaddle_core.clock import Clock
 
 from ..calls import CallbackHttpClient, CallResult
+from ..contacts import UncheckedContacts, UpstreamContacts
 from ..events import CallFailure
 from ..timers import TimerQueue
 from .codec import ForwardingCodec
-from .contacts import UncheckedContacts, UpstreamContacts
 
 # Timeout of the check whether an upstream is still running, during which the request's retry waits.
 LIVENESS_TIMEOUT_MS = 150
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
@@ -55,6 +55,7 @@
 )
 from ibispaddle_core.settings import FleetConfig
 
+from ..contacts import UpstreamContacts
 from ..engine_memory import EngineMemory, EngineMemoryCodec
 from ..events import list_questioned
 from ..http_client import HttpClient
@@ -66,7 +67,6 @@
 from .attempts import ForwardedAttempts
 from .codec import CallerRequest, ForwardingCodec, UpstreamCall
 from .cold_log import ColdLog
-from .contacts import UpstreamContacts
 from .hedges import HedgeReports
 from .late_attempts import LateAttempts
 from .part_guard import PartGuard
@@ -128,7 +128,7 @@
         self.before_selection: Callable[[Callable[[], None], str], None] = (
             lambda callback, service: callback()
         )
-        self._memory = EngineMemory(clock, timers, memory_codec).register(self)
+        self._memory = EngineMemory(clock, timers, memory_codec, contacts).register(self)
         self._memory.add_to(metrics, self.scheduler)
         self.part_guard = PartGuard(codec, clock, timers, contacts).register(self)
         self.part_guard.on_quarantined = self._refuse_quarantined_requests
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/part_guard.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/part_guard.py
@@ -9,10 +9,10 @@
 from ibispaddle_core.quarantine import Death, PartChange, PartQuarantine, PartQuarantined
 from ibispaddle_core.scheduling import Outcome, RetryPolicy
 
+from ..contacts import UpstreamContacts
 from ..logs import log_event
 from ..timers import TimerHandle, TimerQueue
 from .codec import ForwardingCodec
-from .contacts import UpstreamContacts
 from .crashes import CrashDetector
 from .requests import AttemptState, ForwardedRequest
 
--- a/packages/daemon/src/ibispaddle_daemon/gateway.py
+++ b/packages/daemon/src/ibispaddle_daemon/gateway.py
@@ -243,6 +243,11 @@
             "1 while this instance reaches no upstream, else 0.",
             lambda: int(self.isolation.is_isolated),
         )
+        self.metrics.add_counter(
+            "ibispaddle_isolations_total",
+            "Times that this instance has found that it reaches no upstream.",
+            lambda: self.isolation.count,
+        )
         pacing = self.forwarder.scheduler.pacing
         self.metrics.add_gauge(
             "ibispaddle_cold_upstreams",
--- a/tests/daemon/test_engine_memory.py
+++ b/tests/daemon/test_engine_memory.py
@@ -1,5 +1,6 @@
 """Tests of the calls that reserve, renew and free engine memory, without a network."""
 
+import random
 import unittest
 from collections.abc import Callable
 
@@ -13,6 +14,7 @@
 )
 from ibispaddle_core.scheduling.retry_rules import MAX_LIST_CHECKS_AFTER_RENEWALS
 from ibispaddle_daemon.calls import CallResult
+from ibispaddle_daemon.delegation.isolation import Isolation
 from ibispaddle_daemon.engine_memory import (
     LATE_RENEWAL_INTERVAL_MS,
     LEASE_CALL_TIMEOUT_MS,
@@ -59,6 +61,7 @@
     def __init__(self, timers: FakeTimers) -> None:
         self.timers, self.status = timers, 200
         self.silent_from_ms: int | None = None
+        self.error: HttpCallError | None = None
         self.calls: list[tuple[int, str, bytes]] = []
 
     def send(
@@ -75,8 +78,8 @@
             error = HttpCallError(CallFailure.TIMEOUT, "timeout", True)
             self.timers.after(timeout_ms, lambda: callback(CallResult(0, (), b"", error)))
         else:
-            status = self.status
-            self.timers.after(2, lambda: callback(CallResult(status, (), b"", None)))
+            result = CallResult(self.status, (), b"", self.error)
+            self.timers.after(2, lambda: callback(result))
         return "call"
 
 
@@ -92,7 +95,11 @@
     def setUp(self) -> None:
         self.clock = ManualClock()
         self.timers = FakeTimers(self.clock)
-        self.memory = EngineMemory(self.clock, self.timers, LeaseCodec())  # type: ignore[arg-type]
+        self.isolation = Isolation(self.clock, random.Random(1))
+        self.isolation.replace_upstreams({"r1": "llm", "r2": "llm"}, {})
+        self.memory = EngineMemory(
+            self.clock, self.timers, LeaseCodec(), self.isolation  # type: ignore[arg-type]
+        )
         self.engine = Engine(self.timers)
         self.memory._calls = self.engine  # type: ignore[assignment]
         self.events: list[tuple[int, ReservationAnswered | ReservationRenewed]] = []
@@ -113,6 +120,30 @@
         return [at_ms - self.start_ms for at_ms, _, _ in self.engine.calls]
 
 
+class ContactTest(EngineMemoryTest):
+    def test_answered_order(self) -> None:
+        self.reserve()
+        self.run_until(50)
+        self.assertTrue(self.isolation.reaches_others("r2", self.start_ms))
+        self.assertFalse(self.isolation.reaches_others("r2", self.start_ms + 1))
+
+    def test_orders_without_an_answer(self) -> None:
+        """Guards against an isolation because engines are busy."""
+        self.isolation.record_unreachable("r2", "reset")
+        self.engine.silent_from_ms = 0
+        self.reserve()
+        self.run_until(20_000)
+        self.assertFalse(self.isolation.is_isolated)
+
+    def test_refused_orders(self) -> None:
+        self.isolation.record_unreachable("r2", "reset")
+        error = HttpCallError(CallFailure.UNREACHABLE, "refused", False, is_refused=True)
+        self.engine.error = error
+        self.reserve()
+        self.run_until(50)
+        self.assertTrue(self.isolation.is_isolated)
+
+
 class LeaseTest(EngineMemoryTest):
     def test_prompt_of_two_seconds_needs_two_calls(self) -> None:
         """Guards against renewals each second, which were most of the orders at calm load."""
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -10,11 +10,11 @@
 from ibispaddle_core.routing import Route, RoutingConfig, Target
 from ibispaddle_core.scheduling import RetryPolicy
 from ibispaddle_core.settings import FleetConfig
+from ibispaddle_daemon.contacts import UpstreamContacts
 from ibispaddle_daemon.engine_memory import EngineApiMemoryCodec
 from ibispaddle_daemon.events import Headers, exchange_started, list_changed
 from ibispaddle_daemon.forwarding import Forwarder
 from ibispaddle_daemon.forwarding.codec import CallerRequest, UpstreamCall
-from ibispaddle_daemon.forwarding.contacts import UpstreamContacts
 from ibispaddle_daemon.metrics import Metrics
 from ibispaddle_daemon.timers import TimerQueue
 
