Took the head of a response for the contact of a probe

An instance whose only upstream sent chunks without an end took it for unreachable, was isolated and probed it all the time: a probe waited for the complete response, although any byte is a contact. A probe now ends with the head.

--- a/packages/daemon/src/ibispaddle_daemon/delegation/prober.py
+++ b/packages/daemon/src/ibispaddle_daemon/delegation/prober.py
@@ -1,13 +1,14 @@
 """Probes of upstreams, which show whether this instance reaches any."""
 
+import itertools
 from collections.abc import Sequence
+from dataclasses import dataclass
 
 from circuits import BaseComponent, handler
 from ibispaddle_core.clock import Clock
 from ibispaddle_core.membership import ListEntry, MemberKind
 
-from ..calls import CallbackHttpClient, CallResult
-from ..events import CallFailure
+from ..events import CallFailure, Headers, HttpCall, HttpCallError, http_call, http_cancel
 from ..forwarding import ForwardingCodec
 from ..timers import TimerHandle, TimerQueue
 from .isolation import Isolation
@@ -27,6 +28,15 @@
 _ANSWERED = frozenset({CallFailure.PROTOCOL, CallFailure.TOO_LARGE})
 # Failures of calls that are due to this instance.
 _OWN_FAILURES = frozenset({CallFailure.BUSY, CallFailure.CANCELLED})
+_NUMBERS = itertools.count(1)
+
+
+@dataclass(eq=False)
+class _Probe:
+    upstream_id: str
+    started_ms: int
+    late_timer: TimerHandle | None = None
+    timeout_timer: TimerHandle | None = None
 
 
 class Prober(BaseComponent):
@@ -43,7 +53,7 @@
         super().__init__()
         self._isolation, self._clock, self._timers = isolation, clock, timers
         self._path = codec.liveness_path
-        self._calls = CallbackHttpClient("prober_calls", clock).register(self)
+        self._probes: dict[str, _Probe] = {}  # In flight, by call.
         self._entries: Sequence[ListEntry] = ()
         self._is_list_new = False
         self._list_due_ms = 0
@@ -81,38 +91,73 @@
             self._send(upstream_id)
 
     def _send(self, upstream_id: str) -> None:
-        started_ms = self._clock.now_ms()
-        silence_ms = started_ms + LATE_MS
-        late = self._timers.at(silence_ms, lambda: self._isolation.record_silence(upstream_id))
-        timeout: TimerHandle
-
-        def schedule_timeout(due_ms: int, extensions: int = 0) -> None:
-            nonlocal timeout
-            timeout = self._timers.at(due_ms, lambda: check(due_ms, extensions))
+        call_id = f"probe-{next(_NUMBERS)}"
+        now_ms = self._clock.now_ms()
+        probe = self._probes[call_id] = _Probe(upstream_id, now_ms)
+        probe.late_timer = self._timers.at(
+            now_ms + LATE_MS, lambda: self._isolation.record_silence(upstream_id)
+        )
+        self._schedule_timeout(call_id, probe, now_ms + PROBE_TIMEOUT_MS)
+        call = HttpCall(
+            call_id,
+            "GET",
+            f"http://{self._addresses[upstream_id]}{self._path}",
+            (),
+            b"",
+            now_ms + LONGEST_CALL_MS,
+            self.channel,
+            stream=True,
+            sink=self,
+            may_reuse_connection=False,
+        )
+        self.fire(http_call(call), "http_client")
 
-        def check(due_ms: int, extensions: int) -> None:
+    def _schedule_timeout(
+        self, call_id: str, probe: _Probe, due_ms: int, extensions: int = 0
+    ) -> None:
+        def check() -> None:
             now_ms = self._clock.now_ms()
             if now_ms - due_ms > MAX_LOOP_DELAY_MS and extensions < MAX_EXTENSIONS:
-                schedule_timeout(now_ms + LATE_MS, extensions + 1)
-                return
-            self._calls.cancel(call_id)
-            text = f"no response within {now_ms - started_ms} ms"
-            self._isolation.record_unreachable(upstream_id, text)
-
-        def on_result(result: CallResult) -> None:
-            late.cancel()
-            timeout.cancel()
-            self._handle_result(upstream_id, started_ms, result)
-
-        url = f"http://{self._addresses[upstream_id]}{self._path}"
-        call_id = self._calls.send("GET", url, b"", LONGEST_CALL_MS, on_result)
-        schedule_timeout(started_ms + PROBE_TIMEOUT_MS)
-
-    def _handle_result(self, upstream_id: str, started_ms: int, result: CallResult) -> None:
-        error = result.error
-        if error is None or error.failure in _ANSWERED:
-            self._isolation.record_contact(upstream_id, started_ms)
+                self._schedule_timeout(call_id, probe, now_ms + LATE_MS, extensions + 1)
+            elif self._end(call_id) is not None:
+                text = f"no response within {now_ms - probe.started_ms} ms"
+                self._isolation.record_unreachable(probe.upstream_id, text)
+
+        probe.timeout_timer = self._timers.at(due_ms, check)
+
+    def _end(self, call_id: str) -> _Probe | None:
+        """Close the connection of a probe, and return the probe unless it had ended."""
+        probe = self._probes.pop(call_id, None)
+        if probe is not None:
+            for timer in (probe.late_timer, probe.timeout_timer):
+                if timer is not None:
+                    timer.cancel()
+            self.fire(http_cancel(call_id), "http_client")
+        return probe
+
+    # Callbacks of the HTTP client
+
+    def call_sent(self, call_id: str) -> None:
+        """Ignore that the first byte of the request was written."""
+
+    def call_head(self, call_id: str, status: int, headers: Headers) -> None:
+        """Record a contact; the rest of the response may never end."""
+        probe = self._end(call_id)
+        if probe is not None:
+            self._isolation.record_contact(probe.upstream_id, probe.started_ms)
+
+    def call_data(self, call_id: str, data: bytes) -> None:
+        """Ignore the body."""
+
+    def call_ended(self, call_id: str, error: HttpCallError | None) -> None:
+        """Record what the end of a call without a response shows."""
+        probe = self._end(call_id)
+        if probe is None or error is None:
+            return
+        if error.failure in _ANSWERED:
+            self._isolation.record_contact(probe.upstream_id, probe.started_ms)
         elif error.failure in _OWN_FAILURES:
-            self._isolation.cancel_probe(upstream_id)
+            self._isolation.cancel_probe(probe.upstream_id)
         else:
-            self._isolation.record_unreachable(upstream_id, f"{error.failure}: {error.text}")
+            text = f"{error.failure}: {error.text}"
+            self._isolation.record_unreachable(probe.upstream_id, text)
