Offered waiting requests to delegates again while the instance is isolated

What callers may see: a request that finds no delegate waits at an isolated instance until its deadline and gets 503, although a delegate is found soon after and serves newer requests.

Cause: a waiting request was offered to delegates when the isolation began and after each attempt that reached nobody. Once its attempts were used up there was no further occasion.

Now an isolated instance offers what waits each 250 ms. A request that ends while others are handed over is not sent (`is_ended`). The hand-over of waiting requests has moved from the forwarder to `HandOver`.

Evidence: test_delegate_that_is_found_later; before, there was no timer that could have sent the request.

--- a/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
@@ -143,7 +143,11 @@
             lambda: self.drain_admission is not None,
         )
         self.hand_over = HandOver(
-            clock, self.handle_event, partial(self._end_request, reason=RefusalReason.NO_UPSTREAM)
+            clock,
+            timers,
+            self.handle_event,
+            lambda: [r for r in self._requests.values() if not r.in_flight],
+            partial(self._end_request, reason=RefusalReason.NO_UPSTREAM),
         )
         self.attempts = ForwardedAttempts(
             client,
@@ -354,17 +358,6 @@
 
     # Delegation
 
-    def begin_isolation(self) -> None:
-        """Delegate the waiting requests; the callers of other instances are sent elsewhere."""
-        # Not now, because decisions about waiting requests may be in the course of execution.
-        self._timers.after(0, self._hand_over_waiting)
-
-    def _hand_over_waiting(self) -> None:
-        for request in list(self._requests.values()):
-            if request.request_id not in self._requests or request.in_flight:
-                continue
-            self.hand_over.take(request)
-
     def complete_delegated(self, request: ForwardedRequest, result: AttemptResult) -> None:
         """Respond to a request with the delegate's response."""
         respond(request.exchange, result.answer)
@@ -591,6 +584,7 @@
         """Remove a request whose caller got a response or disconnected, and log its end."""
         if self._requests.pop(request.request_id, None) is None:
             return
+        request.is_ended = True
         if request.deadline_timer is not None:
             request.deadline_timer.cancel()
         request.cancel_attempts()
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/hand_over.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/hand_over.py
@@ -1,6 +1,6 @@
 """Hand-over of requests to other instances while this one reaches no upstream."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Protocol
 
 from ibispaddle_core.clock import Clock
@@ -9,8 +9,12 @@
 from ibispaddle_core.runstate import RunState
 from ibispaddle_core.scheduling import CallerDisconnected, Event
 
+from ..timers import TimerHandle, TimerQueue
 from .requests import AttemptState, ForwardedRequest
 
+# Interval at which waiting requests are offered to delegates again.
+OFFER_INTERVAL_MS = 250
+
 
 class RequestDelegator(Protocol):
     """Send requests to other instances."""
@@ -44,20 +48,39 @@
     """Take requests out of the scheduler and send them to delegates.
 
     `is_isolated` returns whether this instance reaches no upstream; `handle_event` passes an event to the
-    scheduler, and `return_request` refuses a request that another instance has sent.
+    scheduler, `waiting_requests` returns those without an attempt in flight, and `return_request` refuses
+    one that another instance has sent.
     """
 
     def __init__(
         self,
         clock: Clock,
+        timers: TimerQueue,
         handle_event: Callable[[Event], None],
+        waiting_requests: Callable[[], Sequence[ForwardedRequest]],
         return_request: Callable[[ForwardedRequest], None],
     ) -> None:
-        self._clock, self._handle_event = clock, handle_event
-        self._return_request = return_request
+        self._clock, self._timers, self._handle_event = clock, timers, handle_event
+        self._waiting_requests, self._return_request = waiting_requests, return_request
+        self._timer: TimerHandle | None = None
         self.is_isolated: Callable[[], bool] = lambda: False
         self.delegator: RequestDelegator | None = None
 
+    def begin_isolation(self) -> None:
+        """Delegate the waiting requests, and offer those again that find no delegate."""
+        # Not now, because decisions about waiting requests may be in the course of execution.
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = self._timers.after(0, self._take_waiting)
+
+    def _take_waiting(self) -> None:
+        self._timer = None
+        if not self.is_isolated():
+            return
+        self._timer = self._timers.after(OFFER_INTERVAL_MS, self._take_waiting)
+        for request in self._waiting_requests():
+            self.take(request)
+
     def handle_result(
         self, request: ForwardedRequest, attempt: AttemptState, result: AttemptResult
     ) -> None:
@@ -70,7 +93,7 @@
 
         One that another instance has sent is refused as not run, so that it finds another delegate.
         """
-        if self.delegator is None or not self.is_isolated():
+        if self.delegator is None or not self.is_isolated() or request.is_ended:
             return False
         is_delegated = request.exchange.delegated_call is not None
         if is_delegated and request.run_state is RunState.NOT_RUN:
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/requests.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/requests.py
@@ -57,6 +57,7 @@
         default_factory=set
     )  # Since it was taken out of the scheduler.
     is_scheduled: bool = False  # Whether the scheduler knows it.
+    is_ended: bool = False
     upstream_id: str = ""  # Upstream of the last attempt.
     first_output_ms: int | None = None
     last_output_ms: int | None = None
--- a/packages/daemon/src/ibispaddle_daemon/gateway.py
+++ b/packages/daemon/src/ibispaddle_daemon/gateway.py
@@ -377,7 +377,7 @@
             self.delegate_listener.admission.is_isolated = is_isolated
         if is_isolated:
             health.begin_isolation()
-            self.forwarder.begin_isolation()
+            self.forwarder.hand_over.begin_isolation()
             return
         health.end_isolation(self.isolation.unreached_since_ms)
         # Not now, because the event that ended the isolation may be in the course of processing.
--- a/tests/delegation/hops.py
+++ b/tests/delegation/hops.py
@@ -37,7 +37,7 @@
     def isolate(self) -> None:
         """Cut the instance from all upstreams."""
         self.is_isolated = True
-        self.forwarder.begin_isolation()
+        self.forwarder.hand_over.begin_isolation()
         self.advance(0)
 
     @property
--- a/tests/delegation/test_delegator.py
+++ b/tests/delegation/test_delegator.py
@@ -2,9 +2,11 @@
 
 import unittest
 
+from ibispaddle_core.hubs import Candidate
 from ibispaddle_core.runstate import RunState
 from ibispaddle_core.scheduling import RetryPolicy
 from ibispaddle_daemon.delegation.delegator import HOP_MARGIN_MS, RETRY_DELAY_MS
+from ibispaddle_daemon.forwarding.hand_over import OFFER_INTERVAL_MS
 
 from tests.delegation.hops import LOST, UNREACHABLE, HopFixture
 from tests.forwarding.fakes import TIMEOUT_MS, streams
@@ -235,6 +237,18 @@
         self.fixture.send()
         self.assertEqual((len(self.fixture.attempts), len(self.fixture.hops)), (1, 0))
 
+    def test_delegate_that_is_found_later(self) -> None:
+        """Guards against requests that wait until their deadline although others are delegated."""
+        self.use()
+        self.fixture.forwarder.before_selection = lambda callback, service: None
+        self.fixture.delegator.replace_instances([])
+        self.fixture.isolate()
+        self.fixture.send()
+        self.assertEqual(self.fixture.client.calls, [])
+        self.fixture.delegator.replace_instances([Candidate("d", "d:1", delegate_address="d:2")])
+        self.fixture.advance(OFFER_INTERVAL_MS)
+        self.assertEqual(len(self.fixture.hops), 1)
+
     def test_work_is_not_counted_here(self) -> None:
         self.use()
         self.fixture.isolate()
