Distinguished status requests from runs in a stand-in

The stand-in of tests.platform_adapter.test_slow_readers counted each connection as a run of a stream, and instances now probe runners without contact: test_stream_that_its_runner_cut_off_in_a_pause failed with 3 and 4 in place of 2. It answers status requests apart, as the stand-ins of test_faulty_upstreams and test_early_responses do, and counts all others as before.

--- a/tests/platform_adapter/test_slow_readers.py
+++ b/tests/platform_adapter/test_slow_readers.py
@@ -21,6 +21,10 @@
 # Time that calls may take beside slow consumers: the users' timeout of such a call.
 CALL_S = 0.6
 
+# Instances check at any time whether they reach a runner; that is no run.
+STATUS_REQUEST = b"GET /ibispaddle/report "
+STATUS_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+
 
 class LongStreams(RawServer):
     """A runner with long streams, which cuts off those that remain unread for a time."""
@@ -32,14 +36,21 @@
         super().__init__()
 
     def serve(self, sock: socket.socket) -> None:
+        with sock:
+            sock.settimeout(self._cut_s)
+            head = sock.recv(65_536)
+            if head.startswith(STATUS_REQUEST):
+                sock.sendall(STATUS_RESPONSE)
+            else:
+                self._stream(sock, head)
+
+    def _stream(self, sock: socket.socket, head: bytes) -> None:
         with self._lock:
             self.open += 1
             self.runs += 1
         try:
             with sock:
-                sock.settimeout(self._cut_s)
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
-                head = sock.recv(65_536)
                 attempt = re.search(rb"(?i)attempt-id: *(\S+)", head)
                 last = re.search(rb"(?i)last-event-id: *(\d+)", head)
                 sock.sendall(
