--- a/tests/delegation/test_attempts.py
+++ b/tests/delegation/test_attempts.py
@@ -11,6 +11,7 @@
 from tests.forwarding.fakes import ForwarderFixture, streams
 
 UPSTREAMS = ("u1", "u2", "u3")
+MAX_REQUESTS = 100  # Upstreams are chosen at random.
 RESET = HttpCallError(CallFailure.CLOSED, "reset", byte_sent=True)
 NO_CONNECTION = HttpCallError(CallFailure.UNREACHABLE, "no connection", byte_sent=False)
 REFUSED = HttpCallError(CallFailure.UNREACHABLE, "refused", byte_sent=False, is_refused=True)
@@ -24,9 +25,11 @@
         route = streams(RetryPolicy.PROVED_NOT_RUN, timeout_ms=9_000)
         self.fixture = ForwarderFixture(route, UPSTREAMS, self.isolation)
         self.fixture.clock.monotonic_ms = self.clock.monotonic_ms = 1_000
-        for _ in range(12):
-            self.fixture.send()
-        by_url = {call.url: call for call in self.fixture.client.calls}
+        by_url: dict = {}
+        for _ in range(MAX_REQUESTS):
+            if len(by_url) < len(UPSTREAMS):
+                self.fixture.send()
+            by_url = {call.url: call for call in self.fixture.client.calls}
         self.calls = list(by_url.values())  # One at each upstream.
         self.assertEqual(len(UPSTREAMS), len(self.calls))
 
--- a/tests/delegation/test_crash_evidence.py
+++ b/tests/delegation/test_crash_evidence.py
@@ -20,6 +20,7 @@
 from tests.forwarding.fakes import FakeCodec, ForwarderFixture, streams
 
 UPSTREAMS = ("u1", "u2", "u3", "u4")
+MAX_REQUESTS = 100  # Upstreams are chosen at random.
 RESET = HttpCallError(CallFailure.CLOSED, "reset", byte_sent=True)
 REFUSED = HttpCallError(CallFailure.UNREACHABLE, "refused", byte_sent=False, is_refused=True)
 STEP_MS = 10
@@ -56,9 +57,11 @@
         self.checks = Checks().register(self.fixture.root)
         self.fixture.flush()
         self.advance(1_000)
-        for _ in range(20):
-            self.fixture.send(parts="a,b")
-        self.calls = {call.url: call for call in self.fixture.client.calls}
+        self.calls: dict = {}
+        for _ in range(MAX_REQUESTS):
+            if len(self.calls) < len(UPSTREAMS):
+                self.fixture.send(parts="a,b")
+            self.calls = {call.url: call for call in self.fixture.client.calls}
         self.assertEqual(len(UPSTREAMS), len(self.calls))
 
     def advance(self, duration_ms: int) -> None:
