Counted an instance as behind the store after 0.5 s of reading

What callers could see: data of more than the time in force at an instance whose store answers too little, since it read the store in vain for a second before it asked others. Half a second is enough for an instance that has just left its hub to read the store first.

Calls and queries in an outage are as before.

--- a/packages/core/src/ibispaddle_core/hubs/sources.py
+++ b/packages/core/src/ibispaddle_core/hubs/sources.py
@@ -21,7 +21,7 @@
 MAX_RANKED_SUBSTITUTES = 8
 MAX_SAMPLED_SUBSTITUTES = 8
 # Time for which an instance reads the store before it takes overdue data as a sign that the store is behind.
-MIN_READING_MS = 1_000
+MIN_READING_MS = 500
 # Pause of a search after a round in which no instance had recent data, doubled with each further one.
 MIN_SEARCH_PAUSE_MS = 100
 # Bounds of the longest such pause, and its length by the size of the fleet, since all its instances may ask the
