--- a/packages/core/src/ibispaddle_core/topics/lateness.py
+++ b/packages/core/src/ibispaddle_core/topics/lateness.py
@@ -2,7 +2,7 @@
 
 # Bounds of the time beyond the long-poll wait. A hub that counts as cut off makes others read the store, which
 # a slow answer is not worth.
-MIN_LATE_MARGIN_MS = 450
+MIN_LATE_MARGIN_MS = 350
 MAX_LATE_MARGIN_MS = 600
 # The lower bound once the data is so old that the others read the store anyway.
 MIN_OVERDUE_LATE_MARGIN_MS = 250
@@ -13,7 +13,7 @@
 
     >>> margin = LateMargin()
     >>> margin.after_ms(is_data_overdue=False), margin.after_ms(is_data_overdue=True)
-    (450, 250)
+    (350, 250)
     >>> margin.record_answer(excess_ms=260)
     >>> margin.after_ms(is_data_overdue=False), margin.after_ms(is_data_overdue=True)
     (520, 520)
--- a/tests/fleet/test_recent_data.py
+++ b/tests/fleet/test_recent_data.py
@@ -399,6 +399,15 @@
     @example(4, [(2_000, "refused", 0, 6_000), (0, "refused", 1, 6_000)])
     @example(4, [(2_000, "refused", 0, 6_000), (1_000, "killed", 1, 0)])
     @example(4, [(2_000, "refused", 0, 6_000), (1_000, "suspended", 1, 4_000)])
+    @example(
+        5,
+        [
+            (160, "refused", 3, 2_226),
+            (329, "refused", 1, 1_682),
+            (1_035, "ignored", 0, 200),
+            (26, "suspended", 2, 1_236),
+        ],
+    )
     def test_data_stays_recent(self, size: int, faults: list[tuple[int, str, int, int]]) -> None:
         """Guards against old versions at instances that the store turns away (issue 49)."""
         fleet = Fleet(NAMES[:size])
