--- a/packages/core/src/ibispaddle_core/delegation/rules.py
+++ b/packages/core/src/ibispaddle_core/delegation/rules.py
@@ -29,11 +29,12 @@
 class HopFailure(Enum):
     """Why a hop ended without a response that the caller gets."""
 
-    NOT_SENT = auto()  # No byte of the request was sent.
-    REFUSED = (
-        auto()
-    )  # The delegate answered that the request did not run and may be sent elsewhere.
-    LOST = auto()  # The connection broke or the response is missing; the request may have run.
+    # No byte of the request was sent.
+    NOT_SENT = auto()
+    # The delegate answered that the request did not run and may be sent elsewhere.
+    REFUSED = auto()
+    # The connection broke or the response is missing; the request may have run.
+    LOST = auto()
 
 
 @dataclass(frozen=True)
--- a/packages/core/src/ibispaddle_core/delegation/selection.py
+++ b/packages/core/src/ibispaddle_core/delegation/selection.py
@@ -43,9 +43,8 @@
         self._in_flight: dict[str, int] = {}  # By instance; without those that have none.
         self._excluded_until_ms: dict[str, int] = {}
         self._suspected_until_ms: dict[str, int] = {}
-        self._failed_ids: set[str] = (
-            set()
-        )  # Those that refused or failed and have not served since.
+        # Those that refused or failed, and have not served since.
+        self._failed_ids: set[str] = set()
 
     def replace(self, delegates: Iterable[Delegate]) -> None:
         """Replace the instances that take delegated requests."""
--- a/packages/daemon/src/ibispaddle_daemon/fleet/topics.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/topics.py
@@ -1,8 +1,10 @@
 """Relaying of the store's topics through hubs.
 
 To limit the number of calls to the store, only the first hub reads it, and all other instances query a
-hub. An instance to which the store is unavailable queries any other one. An instance derives the age of the data from the time of its own query, which the hub's response
-follows, and from the age in the response. A configuration therefore never appears newer than it is.
+hub. An instance to which the store is unavailable queries any other one.
+
+An instance derives the age of the data from the time of its own query, which the hub's response follows,
+and from the age in the response. A configuration therefore never appears newer than it is.
 """
 
 import itertools
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/crashes.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/crashes.py
@@ -52,9 +52,9 @@
 
     It has if its host answers that no process listens at the address, or if the process there was started
     later. Behind a cut that resets connections, every upstream refuses them, so a refusal counts only if
-    another upstream was reached since, and this one refuses again. An upstream that does not respond may be slow or unreachable and does not count as crashed; it
-    is checked again for some seconds, because the next process may be starting behind a socket that
-    already accepts connections.
+    another upstream was reached since, and this one refuses again. An upstream that does not respond may
+    be slow or unreachable and does not count as crashed; it is checked again for some seconds, because the
+    next process may be starting behind a socket that already accepts connections.
     """
 
     channel = "crash_detector"
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/requests.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/requests.py
@@ -35,9 +35,8 @@
     boot_ms: int | None = None  # Start of its upstream, if known.
     boot_id: str = ""  # Identifies the process of its upstream.
     output_ms: int | None = None  # Time of its first output.
-    origin: ResponseOrigin | None = (
-        None  # Who made the response to a hop, once its head has arrived.
-    )
+    # Who made the response to a hop, once its head has arrived.
+    origin: ResponseOrigin | None = None
     output_sequence: int = 0  # Crashes known at that time.
     is_output_settled: bool = False  # Whether its upstream has survived the start of the output.
 
--- a/packages/daemon/src/ibispaddle_daemon/http_exchange.py
+++ b/packages/daemon/src/ibispaddle_daemon/http_exchange.py
@@ -68,9 +68,8 @@
         )
         self.accepted_while_draining = http.accepted_while_draining
         self.is_complete = False
-        self.delegated_call: DelegatedCall | None = (
-            None  # Set if another instance sent the request.
-        )
+        # Set if another instance sent the request.
+        self.delegated_call: DelegatedCall | None = None
         self.on_closed: Callable[[], None] | None = None
         self.on_drained: Callable[[], None] | None = None
 
--- a/packages/daemon/src/ibispaddle_daemon/http_server.py
+++ b/packages/daemon/src/ibispaddle_daemon/http_server.py
@@ -72,12 +72,10 @@
         self._heads = BufferLimit(self._budget.request_heads)
         self._listeners: list[Listener] = []
         if shares_memory_of is not None:
-            self._budget, self._paused_calls = (
-                shares_memory_of._budget,
-                shares_memory_of._paused_calls,
-            )
-            self._bodies, self._heads = shares_memory_of._bodies, shares_memory_of._heads
-            self._listeners = shares_memory_of._listeners
+            other = shares_memory_of
+            self._budget, self._paused_calls = other._budget, other._paused_calls
+            self._bodies, self._heads = other._bodies, other._heads
+            self._listeners = other._listeners
         self._slow_readers = SlowReaders(clock)
         self._body_progress_ms: dict[CallerConnection, int] = {}
         self.active_requests = 0
--- a/packages/daemon/src/ibispaddle_daemon/store/follower.py
+++ b/packages/daemon/src/ibispaddle_daemon/store/follower.py
@@ -101,9 +101,8 @@
         self._is_late = False  # The store has not answered the read in progress in time.
         self._late_margin = LateMargin()
         self._behind_since_ms: int | None = None
-        self.read_confirmed_ms: int | None = (
-            None  # The same as `confirmed_ms`, of the store's own answers.
-        )
+        # The same as `confirmed_ms`, of the store's own answers.
+        self.read_confirmed_ms: int | None = None
         self.recovered_ms: int | None = None
         if relay is not None:
             relay.add(topic, self, is_urgent)
