Used one copy of three rules of delegated requests

The outcomes that prove that a request did not run were defined a second time beside retry_rules.NOT_RUN_OUTCOMES, the delay of the event loop that makes a missing answer prove nothing stood in attempts and prober, and the state that follows another run was put together field by field in two places, with the choice of a delegate after it. Behaviour stays as it is.

--- a/packages/core/src/ibispaddle_core/delegation/rules.py
+++ b/packages/core/src/ibispaddle_core/delegation/rules.py
@@ -1,6 +1,6 @@
 """Rules for delegated requests: which may be delegated, and what follows a failed hop."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum, auto
 
 from ..runstate import RunState
@@ -79,10 +79,7 @@
     is_run = failure is HopFailure.LOST
     runs = state.runs + is_run
     has_time = state.deadline_ms - now_ms >= MIN_TIME_LEFT_MS
-    following = DelegationState(
-        state.retry_policy, state.deadline_ms, state.max_runs, runs, has_output=state.has_output
-    )
-    if has_time and _may_run(following):
+    if has_time and _may_run(replace(state, runs=runs)):
         return TryAgain(is_run)
     return EndRequest(RunState.UNKNOWN if runs else RunState.NOT_RUN)
 
--- a/packages/daemon/src/ibispaddle_daemon/contacts.py
+++ b/packages/daemon/src/ibispaddle_daemon/contacts.py
@@ -5,6 +5,9 @@
 from .calls import CallResult
 from .events import CallFailure
 
+# Delay of the own event loop from which a missing connection or response proves nothing: it may wait to be noticed.
+MAX_LOOP_DELAY_MS = 60
+
 
 class UpstreamContacts(Protocol):
     """Collects contacts and failures; one that is isolated finds nobody at any upstream."""
--- a/packages/daemon/src/ibispaddle_daemon/delegation/prober.py
+++ b/packages/daemon/src/ibispaddle_daemon/delegation/prober.py
@@ -8,6 +8,7 @@
 from ibispaddle_core.clock import Clock
 from ibispaddle_core.membership import ListEntry, MemberKind
 
+from ..contacts import MAX_LOOP_DELAY_MS
 from ..events import CallFailure, Headers, HttpCall, HttpCallError, http_call, http_cancel
 from ..forwarding import ForwardingCodec
 from ..timers import TimerHandle, TimerQueue
@@ -18,8 +19,6 @@
 PROBE_TIMEOUT_MS = 400
 # Time without a response after which other upstreams are probed as well.
 LATE_MS = 100
-# Delay of the own event loop from which a response may wait to be read, so that the timeout is extended.
-MAX_LOOP_DELAY_MS = 60
 MAX_EXTENSIONS = 3
 LONGEST_CALL_MS = 5_000  # The prober ends the calls sooner.
 # Interval at which a changed list of upstreams is taken over.
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/attempts.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/attempts.py
@@ -22,7 +22,7 @@
 from ibispaddle_core.scheduling import Outcome, RetryPolicy
 
 from ..buffer_limit import BufferLimit
-from ..contacts import UncheckedContacts, UpstreamContacts
+from ..contacts import MAX_LOOP_DELAY_MS, UncheckedContacts, UpstreamContacts
 from ..delegated_call import relayed_headers
 from ..events import CallFailure, Headers, HttpCall, HttpCallError
 from ..http_client import HttpClient
@@ -40,8 +40,6 @@
 WRITE_TIMEOUT_MS = 3_000
 # Interval at which a stalled stream that no other upstream can resume is checked again.
 STALL_RECHECK_MS = 500
-# Delay of the own event loop from which a missing connection proves nothing: it may wait to be noticed.
-MAX_LOOP_DELAY_MS = 60
 _NUMBERS = itertools.count(1)
 
 # Parses the status and headers of a response; the last argument is the caller's id of the request.
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/forwarder.py
@@ -53,6 +53,7 @@
     Tick,
     UpstreamsChanged,
 )
+from ibispaddle_core.scheduling.retry_rules import NOT_RUN_OUTCOMES
 from ibispaddle_core.settings import FleetConfig
 
 from ..contacts import UpstreamContacts
@@ -74,7 +75,7 @@
 from .part_guard import PartGuard
 from .refusals import CODE_OUTDATED, DEFAULT_RETRY_AFTER_MS, STATUS_NOT_RUN, refuse, reject, respond
 from .request_log import log_failed, log_forwarded, record_end
-from .requests import NOT_RUN_OUTCOMES, AttemptState, ForwardedRequest
+from .requests import AttemptState, ForwardedRequest
 from .startup import StartupExchanges
 from .upstreams import ListedUpstreams, is_in_use, read_statement
 
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/hand_over.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/hand_over.py
@@ -1,6 +1,7 @@
 """Hand-over of requests to other instances while this one reaches no upstream."""
 
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 from typing import Protocol
 
 from ibispaddle_core.clock import Clock
@@ -99,10 +100,7 @@
         if is_delegated and request.run_state is RunState.NOT_RUN:
             self._return_request(request)
             return True
-        if not may_delegate(delegation_state(request), self._clock.now_ms()):
-            return False
-        request.tried_delegates.clear()
-        delegate = self.delegator.choose(request)
+        delegate = self._find_delegate(self.delegator, request, delegation_state(request))
         if delegate is None:
             return False
         self._send(self.delegator, request, delegate)
@@ -113,18 +111,8 @@
         if self.delegator is None or not self.is_isolated() or len(request.in_flight) != 1:
             return False
         state = delegation_state(request)
-        following = DelegationState(
-            state.retry_policy,
-            state.deadline_ms,
-            state.max_runs,
-            state.runs + 1,
-            state.is_delegated,
-            has_output=state.has_output,
-        )
-        if not may_delegate(following, self._clock.now_ms()):
-            return False
-        request.tried_delegates.clear()
-        delegate = self.delegator.choose(request)
+        following = replace(state, runs=state.runs + 1, is_in_flight=False)
+        delegate = self._find_delegate(self.delegator, request, following)
         if delegate is None or attempt.cancel is None:
             return False
         attempt.cancel()
@@ -132,6 +120,15 @@
         self._send(self.delegator, request, delegate)
         return True
 
+    def _find_delegate(
+        self, delegator: RequestDelegator, request: ForwardedRequest, state: DelegationState
+    ) -> Delegate | None:
+        """Return an instance for a request, or None if there is none or it may not be delegated."""
+        if not may_delegate(state, self._clock.now_ms()):
+            return None
+        request.tried_delegates.clear()
+        return delegator.choose(request)
+
     def _send(
         self, delegator: RequestDelegator, request: ForwardedRequest, delegate: Delegate
     ) -> None:
--- a/packages/daemon/src/ibispaddle_daemon/forwarding/requests.py
+++ b/packages/daemon/src/ibispaddle_daemon/forwarding/requests.py
@@ -9,7 +9,7 @@
 from ibispaddle_core.quarantine import part_key
 from ibispaddle_core.routing import Route
 from ibispaddle_core.runstate import RunState
-from ibispaddle_core.scheduling import Outcome, Request
+from ibispaddle_core.scheduling import Request
 
 from ..delegated_call import ResponseOrigin
 from ..http_exchange import Exchange
@@ -17,8 +17,6 @@
 from .codec import CallerRequest
 
 FINGERPRINT_BYTES = 16
-# Outcomes that prove that the request did not run.
-NOT_RUN_OUTCOMES = frozenset({Outcome.REJECTED, Outcome.WRONG_UPSTREAM, Outcome.NOT_SENT})
 
 
 @dataclass(eq=False)
@@ -52,9 +50,8 @@
     attempts: int = 0  # At upstreams.
     runs: int = 0  # Ended attempts and hops without proof that the request did not run.
     hops: int = 0  # Times that it was sent to another instance.
-    tried_delegates: set[str] = field(
-        default_factory=set
-    )  # Since it was taken out of the scheduler.
+    # Since it was taken out of the scheduler.
+    tried_delegates: set[str] = field(default_factory=set)
     is_scheduled: bool = False  # Whether the scheduler knows it.
     is_ended: bool = False
     upstream_id: str = ""  # Upstream of the last attempt.
