--- a/tests/idempotency/fleet.py
+++ b/tests/idempotency/fleet.py
@@ -272,20 +272,24 @@
         for other in self.instances:
             other.manager.committer_client.connection_lost(old.name, self.now_ms)
 
+    def exchange_all(self, duration_ms):
+        """Let time pass, then deliver all messages and appends, and read the log."""
+        self.advance(duration_ms)
+        for instance in self.instances:
+            self.pump(instance)
+        self.deliver_messages()
+        for number in range(len(self.instances)):
+            self.start_append(number)
+        while self.appends:
+            self.deliver(0)
+        for number in range(len(self.instances)):
+            self.read(number)
+        self.deliver_messages()
+
     def settle(self):
         """Complete all work: deliver messages and appends, read, send, and record the responses."""
         for _ in range(12):
-            self.advance(6_000)
-            for instance in self.instances:
-                self.pump(instance)
-            self.deliver_messages()
-            for number in range(len(self.instances)):
-                self.start_append(number)
-            while self.appends:
-                self.deliver(0)
-            for number in range(len(self.instances)):
-                self.read(number)
-            self.deliver_messages()
+            self.exchange_all(6_000)
             for number in range(len(self.instances)):
                 self.tick(number)
                 self.check_send(number)
--- a/tests/idempotency/test_turned_away_committers.py
+++ b/tests/idempotency/test_turned_away_committers.py
@@ -28,17 +28,7 @@
     def run(self):
         """Let the time pass for which a call waits."""
         for _ in range(DURATION_MS // STEP_MS):
-            self.advance(STEP_MS)
-            for instance in self.instances:
-                self.pump(instance)
-            self.deliver_messages()
-            for number in range(len(self.instances)):
-                self.start_append(number)
-            while self.appends:
-                self.deliver(0)
-            for number in range(len(self.instances)):
-                self.read(number)
-            self.deliver_messages()
+            self.exchange_all(STEP_MS)
             for number in range(len(self.instances)):
                 self.tick(number)
 
