Logged when the store was restored from a copy

The adapter now decodes the era, and store_restored states the old and the new one with the reader's position and the topic's end. Nothing else uses the era yet.

--- a/packages/core/src/ibispaddle_core/logevents.py
+++ b/packages/core/src/ibispaddle_core/logevents.py
@@ -319,6 +319,12 @@
     Level.INFO,
     "An instance that is no hub has recent data from the store.",
 )
+STORE_RESTORED = LogEvent(
+    4019,
+    "store_restored",
+    Level.WARNING,
+    "The store was restored from a copy, or names its era differently; its offsets start anew.",
+)
 LOG_UNAVAILABLE = LogEvent(
     4000, "log_unavailable", Level.WARNING, "The platform's log cannot be read or appended to."
 )
--- a/packages/core/src/ibispaddle_core/topics/messages.py
+++ b/packages/core/src/ibispaddle_core/topics/messages.py
@@ -1,4 +1,9 @@
-"""Calls to a compacted topic and their responses."""
+"""Calls to a compacted topic and their responses.
+
+Each response states the era of the store in which its offsets were given out. A store that was restored from
+a copy begins a new era: it lacks the last records of the one before and gives out their offsets again. Era 0
+is that of a store that states none.
+"""
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -39,6 +44,7 @@
     records: tuple[KeyedRecord, ...]
     has_more: bool
     end: int
+    era: int = 0
 
 
 @dataclass(frozen=True)
@@ -48,11 +54,14 @@
     records: tuple[KeyedRecord, ...]
     next_offset: int
     end: int
+    era: int = 0
 
 
 @dataclass(frozen=True)
 class OffsetExpired:
-    """Response to `ReadChanges` if the records are no longer retained."""
+    """Response to `ReadChanges` if the records are no longer retained, or not yet written."""
+
+    era: int = 0
 
 
 @dataclass(frozen=True)
--- a/packages/daemon/src/ibispaddle_daemon/store/codec.py
+++ b/packages/daemon/src/ibispaddle_daemon/store/codec.py
@@ -5,6 +5,8 @@
 
 from ibispaddle_core.topics import ChangesPage, NewestPage, OffsetExpired, ReadChanges, ReadNewest
 
+from ..events import Headers
+
 # Maximum size of the changes in one response. A reader that is further behind needs the newest records
 # only, and a larger response may take longer than the timeout of a read where there is little bandwidth.
 MAX_CHANGES_KB = 256
@@ -29,6 +31,6 @@
         """Return the call that writes the newest record of a key; None removes the key."""
 
     def decode(
-        self, call: ReadNewest | ReadChanges, status: int, body: bytes
+        self, call: ReadNewest | ReadChanges, status: int, headers: Headers, body: bytes
     ) -> NewestPage | ChangesPage | OffsetExpired:
         """Decode the response to a read; raise `TopicFormatError` if it is invalid."""
--- a/packages/daemon/src/ibispaddle_daemon/store/follower.py
+++ b/packages/daemon/src/ibispaddle_daemon/store/follower.py
@@ -101,6 +101,7 @@
         self._is_late = False  # The store has not answered the read in progress in time.
         self._late_margin = LateMargin()
         self._behind_since_ms: int | None = None
+        self._era: int | None = None  # Of the last answer of the store.
         # The same as `confirmed_ms`, of the store's own answers.
         self.read_confirmed_ms: int | None = None
         self.recovered_ms: int | None = None
@@ -196,6 +197,7 @@
                 return
             self._record_success()
             self._late_margin.record_answer(self._clock.now_ms() - started_ms - self._wait_ms)
+            self._log_restored(answer)
             is_overtaken = (call, position) != (self._reader.next_call(), self._reader.position)
             if not is_overtaken:  # Otherwise the reader has newer data from a hub or another call.
                 self._handle_answer(answer, started_ms)
@@ -227,7 +229,7 @@
         """Return the answer to a call, or record its failure, unless it has been, and return None."""
         try:
             if result.error is None:
-                return self._codec.decode(call, result.status, result.body)
+                return self._codec.decode(call, result.status, result.headers, result.body)
             reason = result.error.text
         except TopicFormatError as exc:
             reason = str(exc)
@@ -258,6 +260,19 @@
         if self._relay is not None and self.confirmed_ms is not None:
             self._relay.publish(self._topic, self._mirror, self.confirmed_ms)
 
+    def _log_restored(self, answer: NewestPage | ChangesPage | OffsetExpired) -> None:
+        """Log that the store was restored from a copy since the last answer."""
+        known_era, self._era = self._era, answer.era
+        if known_era is not None and known_era != answer.era:
+            log_event(
+                logevents.STORE_RESTORED,
+                topic=self._topic,
+                era=answer.era,
+                known_era=known_era,
+                position=self._reader.position,
+                end=None if isinstance(answer, OffsetExpired) else answer.end,
+            )
+
     def _log_progress(self) -> None:
         """Log when the reader falls behind an end that the store has named, and when it reaches it."""
         missing, now_ms = self._reader.missing_records, self._clock.now_ms()
--- a/tests/fleet/test_recent_data.py
+++ b/tests/fleet/test_recent_data.py
@@ -169,7 +169,7 @@
         return StoreCall("GET", path)
 
     def decode(
-        self, call: ReadNewest | ReadChanges, status: int, body
+        self, call: ReadNewest | ReadChanges, status: int, headers, body
     ) -> NewestPage | ChangesPage | OffsetExpired:
         if status != 200:
             raise TopicFormatError(f"status {status}")
--- a/tests/platform_adapter/test_records.py
+++ b/tests/platform_adapter/test_records.py
@@ -282,7 +282,7 @@
             for key, value in (("a", b"1"), ("b", None), ("c", b""))
         ]
         answer = struct.pack(">QQ", 12, 3) + b"".join(call.body for call in bodies)
-        read = self.codec.decode(ReadChanges(9, 0), 200, answer)
+        read = self.codec.decode(ReadChanges(9, 0), 200, (), answer)
         expected = (
             KeyedRecord("a", b"1", 9),
             KeyedRecord("b", None, 10),
@@ -293,17 +293,28 @@
     def test_newest(self) -> None:
         item = {"key": "a", "value": b64encode(b"1").decode(), "offset": 4}
         body = json.dumps({"items": [item], "has_more": False, "end": 6}).encode()
-        read = self.codec.decode(ReadNewest(), 200, body)
+        read = self.codec.decode(ReadNewest(), 200, (), body)
         self.assertEqual((read.records, read.end), ((KeyedRecord("a", b"1", 4),), 6))
 
     def test_page_that_cannot_be_continued(self) -> None:
         """Guards against upstreams that are taken for gone because a page has no records."""
         body = json.dumps({"items": [], "has_more": True, "end": 6}).encode()
         with self.assertRaises(TopicFormatError):
-            self.codec.decode(ReadNewest(), 200, body)
+            self.codec.decode(ReadNewest(), 200, (), body)
 
     def test_expired_offset(self) -> None:
-        self.assertEqual(self.codec.decode(ReadChanges(9, 0), 410, b""), OffsetExpired())
+        self.assertEqual(self.codec.decode(ReadChanges(9, 0), 410, (), b""), OffsetExpired())
+
+    def test_era(self) -> None:
+        """Guards against offsets that are compared although the store was restored between them."""
+        changes = struct.pack(">QQ", 12, 3)
+        newest = json.dumps({"items": [], "has_more": False, "end": 6}).encode()
+        calls = ((ReadChanges(9, 0), 200, changes), (ReadNewest(), 200, newest))
+        for call, status, body in (*calls, (ReadChanges(9, 0), 410, b"")):
+            for value, era in (("7", 7), (" 7 ", 7), ("0", 0), ("-1", 0), ("x", 0), ("", 0)):
+                read = self.codec.decode(call, status, (("store-era", value),), body)
+                self.assertEqual(read.era, era, (call, value))
+            self.assertEqual(self.codec.decode(call, status, (), body).era, 0)
 
     def test_invalid_responses(self) -> None:
         """Guards against a truncated response that is taken for the end of the topic."""
@@ -312,16 +323,16 @@
         cut = [head[:5], head + record[:2], head + record[:-1]]
         for status, body in [(503, b""), (429, b""), *((200, data) for data in cut)]:
             with self.assertRaises(TopicFormatError):
-                self.codec.decode(ReadChanges(9, 0), status, body)
+                self.codec.decode(ReadChanges(9, 0), status, (), body)
         with self.assertRaises(TopicFormatError):
-            self.codec.decode(ReadNewest(), 200, b"{}")
+            self.codec.decode(ReadNewest(), 200, (), b"{}")
 
     @given(st.binary(max_size=60))
     def test_arbitrary_bytes_do_not_raise(self, body: bytes) -> None:
         """Guards against data from the store that crashes an instance."""
         for call in (ReadChanges(0, 0), ReadNewest()):
             try:
-                self.codec.decode(call, 200, body)
+                self.codec.decode(call, 200, (), body)
             except TopicFormatError:
                 continue
 
