Reproduced versions that instances miss after the store was restored

The stand-in of the store can make a copy and go back to it; it names its era and answers 410 to a read beyond its end, as the users' pages say.

--- a/packages/standins/src/ibispaddle_standins/platform_store.py
+++ b/packages/standins/src/ibispaddle_standins/platform_store.py
@@ -26,6 +26,10 @@
     newest: dict[str, tuple[bytes, int]] = field(default_factory=dict)
     appended: asyncio.Event = field(default_factory=asyncio.Event)
 
+    def copy(self) -> "Topic":
+        """Return a copy, for which no read waits."""
+        return Topic(self.first, list(self.records), dict(self.newest))
+
     @property
     def end(self) -> int:
         """Return the offset of the next record."""
@@ -60,7 +64,11 @@
 
 
 class PlatformStore(StandIn):
-    """Store all topics in memory."""
+    """Store all topics in memory.
+
+    `POST /admin/copy` makes a copy of all topics, and `POST /admin/restore` goes back to the last one. That
+    begins a new era, and reads that are waiting end without a response.
+    """
 
     name = "platform_store"
     known_faults = (
@@ -76,6 +84,8 @@
     def __init__(self, args: Any) -> None:
         super().__init__(args)
         self._topics: dict[str, Topic] = {}
+        self._copy: dict[str, Topic] = {}
+        self._era = 1
         self._calls = 0
 
     def add_routes(self, router: web.UrlDispatcher) -> None:
@@ -85,6 +95,8 @@
         router.add_get("/ibispaddle/log-newest", self._newest)
         router.add_post("/admin/put", self._put)
         router.add_post("/admin/compact", self._compact)
+        router.add_post("/admin/copy", self._make_copy)
+        router.add_post("/admin/restore", self._restore)
 
     def state(self) -> dict[str, Any]:
         """Return the keys of each topic and the number of requests."""
@@ -92,13 +104,18 @@
         return {"keys": keys, "calls": self._calls}
 
     async def intercept(self, request: web.Request, handler: Handler) -> web.StreamResponse:
-        """Count the request and apply the faults."""
+        """Count the request, apply the faults and name the era in the response."""
         self._calls += 1
         if self.faults.get("silent"):
             await asyncio.sleep(60)
         if self.faults.get("outage"):
             return web.Response(status=503)
-        return await handler(request)
+        era = self._era
+        response = await handler(request)
+        if era != self._era:
+            abort_connection(request)
+        response.headers["Store-Era"] = str(era)
+        return response
 
     def _topic(self, request: web.Request) -> Topic:
         return self._topics.setdefault(request.query["topic"], Topic())
@@ -121,7 +138,7 @@
             with contextlib.suppress(TimeoutError):  # Without new records the response has none.
                 await asyncio.wait_for(topic.appended.wait(), wait_s)
         await self._delay_read()
-        if start < topic.first:
+        if not topic.first <= start <= topic.end:
             return web.json_response({"first": topic.first}, status=410)
         max_bytes = int(request.query.get("max_kb", DEFAULT_MAX_KB)) * 1_024
         records = topic.changes(start, max_bytes, self.faults.get("max_read_records"))
@@ -163,6 +180,22 @@
         self._topics[(await request.json())["topic"]].compact()
         return web.json_response({})
 
+    async def _make_copy(self, request: web.Request) -> web.Response:
+        self._copy = copy_topics(self._topics)
+        return web.json_response({})
+
+    async def _restore(self, request: web.Request) -> web.Response:
+        replaced, self._topics = self._topics, copy_topics(self._copy)
+        self._era += 1
+        for topic in replaced.values():
+            topic.appended.set()
+        return web.json_response({})
+
+
+def copy_topics(topics: dict[str, Topic]) -> dict[str, Topic]:
+    """Return copies of topics."""
+    return {name: topic.copy() for name, topic in topics.items()}
+
 
 if __name__ == "__main__":
     main(PlatformStore)
--- a/tests/platform_adapter/processes.py
+++ b/tests/platform_adapter/processes.py
@@ -235,6 +235,14 @@
         """Drop the history of a topic; the newest record of each key stays."""
         call_json(f"{self.store.url}/admin/compact", {"topic": topic})
 
+    def copy_store(self) -> None:
+        """Make a copy of the store, for `restore_store`."""
+        call_json(f"{self.store.url}/admin/copy", {})
+
+    def restore_store(self) -> None:
+        """Restore the store from its copy, which begins a new era."""
+        call_json(f"{self.store.url}/admin/restore", {})
+
     def configure(self, config: dict[str, Any]) -> None:
         """Write a configuration, as the operator does."""
         self.put("keyed.op", "config", config)
