Read a topic anew when the store was restored

Cause: an offset counted as known whatever the store had given it out for. A restored store lacks its last records and gives out their offsets again. Once its end had reached the offset at which an instance reads on, the instance took the topic for read: it missed what had been written below that offset since, and confirmed the old version as recent.

The fix: a position in a topic has the era in which the store gave out its offset, and positions are ordered by era first. An answer of another era lets the reader get all newest records; until then it keeps its position, and its owner the values. Queries and answers between instances carry the eras in fields at their ends, so an instance that the store still turns away learns of the new era from another one, and data of an older era never replaces that of a newer one.

--- a/packages/core/src/ibispaddle_core/topics/__init__.py
+++ b/packages/core/src/ibispaddle_core/topics/__init__.py
@@ -10,6 +10,7 @@
     ReaderStep,
     ReadNewest,
     TopicFormatError,
+    TopicPosition,
     TopicUpdate,
 )
 from .mirror import TopicMirror
@@ -26,6 +27,7 @@
     "ReadNewest",
     "TopicFormatError",
     "TopicMirror",
+    "TopicPosition",
     "TopicReader",
     "TopicUpdate",
 ]
--- a/packages/core/src/ibispaddle_core/topics/messages.py
+++ b/packages/core/src/ibispaddle_core/topics/messages.py
@@ -13,6 +13,20 @@
     """A response of the store cannot be decoded."""
 
 
+@dataclass(frozen=True, order=True)
+class TopicPosition:
+    """The offset of the next record, in the era in which it was given out.
+
+    Each position of an era is before those of all later ones.
+
+    >>> TopicPosition(era=1, offset=9) < TopicPosition(era=2, offset=4)
+    True
+    """
+
+    era: int
+    offset: int
+
+
 @dataclass(frozen=True)
 class KeyedRecord:
     """One record; a value of None deletes the key."""
@@ -35,6 +49,12 @@
 
     offset: int
     wait_ms: int
+    era: int = 0
+
+    @property
+    def position(self) -> TopicPosition:
+        """Return the position from which on the records are requested."""
+        return TopicPosition(self.era, self.offset)
 
 
 @dataclass(frozen=True)
@@ -46,6 +66,11 @@
     end: int
     era: int = 0
 
+    @property
+    def position(self) -> TopicPosition:
+        """Return the position after the newest record."""
+        return TopicPosition(self.era, self.end)
+
 
 @dataclass(frozen=True)
 class ChangesPage:
@@ -56,6 +81,11 @@
     end: int
     era: int = 0
 
+    @property
+    def position(self) -> TopicPosition:
+        """Return the position after the last of the records."""
+        return TopicPosition(self.era, self.next_offset)
+
 
 @dataclass(frozen=True)
 class OffsetExpired:
@@ -66,10 +96,15 @@
 
 @dataclass(frozen=True)
 class TopicUpdate:
-    """Changed values: of all keys if `is_snapshot`, otherwise only of the keys in `values`."""
+    """Changed values: of all keys if `is_snapshot`, otherwise only of the keys in `values`.
+
+    The snapshot of a store that was restored since the last update (`is_restored`) may lack what has been
+    written, and have what has been removed, until it is written or removed again.
+    """
 
     values: Mapping[str, bytes | None] = field(default_factory=dict)
     is_snapshot: bool = False
+    is_restored: bool = False
 
 
 @dataclass(frozen=True)
--- a/packages/core/src/ibispaddle_core/topics/mirror.py
+++ b/packages/core/src/ibispaddle_core/topics/mirror.py
@@ -11,6 +11,7 @@
     OffsetExpired,
     ReadChanges,
     ReadNewest,
+    TopicPosition,
     TopicUpdate,
 )
 
@@ -25,8 +26,8 @@
 class _Read:
     """The records of a read, from `start` to before `end`, that changed nothing here."""
 
-    start: int
-    end: int
+    start: TopicPosition
+    end: TopicPosition
     unchanged: dict[str, bytes | None] = field(default_factory=dict)
 
 
@@ -38,32 +39,32 @@
     one of the reads may know another value, so it gets all records of that read.
 
     >>> mirror = TopicMirror()
-    >>> mirror.apply(TopicUpdate({"a": b"1"}, is_snapshot=True), position=5)
-    >>> mirror.apply(TopicUpdate({"a": b"2"}), position=7)
-    >>> mirror.answer(ReadChanges(offset=5, wait_ms=0)).records[0].value
+    >>> mirror.apply(TopicUpdate({"a": b"1"}, is_snapshot=True), TopicPosition(era=2, offset=5))
+    >>> mirror.apply(TopicUpdate({"a": b"2"}), TopicPosition(era=2, offset=7))
+    >>> mirror.answer(ReadChanges(offset=5, wait_ms=0, era=2)).records[0].value
     b'2'
-    >>> mirror.answer(ReadChanges(offset=4, wait_ms=0))
-    OffsetExpired()
+    >>> mirror.answer(ReadChanges(offset=7, wait_ms=0, era=1))
+    OffsetExpired(era=2)
     """
 
     def __init__(self, is_same: Callable[[str, bytes, bytes], bool] | None = None) -> None:
         self._is_same = is_same or (lambda key, old, new: old == new)
         self._newest: dict[str, bytes] = {}
         # Each with the position after the read that returned it.
-        self._changes: deque[tuple[int, str, bytes | None]] = deque(maxlen=MAX_CHANGES)
-        self._first_position = 0  # Changes after this position are retained.
-        self._positions: dict[int, None] = {}  # Those after each read, in order.
+        self._changes: deque[tuple[TopicPosition, str, bytes | None]] = deque(maxlen=MAX_CHANGES)
+        self._first_position = TopicPosition(0, 0)  # Changes after this position are retained.
+        self._positions: dict[TopicPosition, None] = {}  # Those after each read, in order.
         self._reads: deque[_Read] = deque(maxlen=MAX_READS)
-        self.position: int | None = None
+        self.position: TopicPosition | None = None
 
     def apply(
         self,
         update: TopicUpdate,
-        position: int,
-        settled_position: int | None = None,
+        position: TopicPosition,
+        settled_position: TopicPosition | None = None,
         is_relayed: bool = False,
     ) -> None:
-        """Apply an update that was read; `position` is the offset of the next record.
+        """Apply an update that was read; `position` is that of the next record.
 
         A snapshot may have some of the later records, all of which are before `settled_position`; nothing
         is served until that is reached. An update that another mirror has relayed lacks the records that
@@ -97,7 +98,7 @@
             self._reads.append(_Read(self.position, position, unchanged))
         self._move_to(position)
 
-    def _move_to(self, position: int) -> None:
+    def _move_to(self, position: TopicPosition) -> None:
         self.position = position
         self._positions[position] = None
         if len(self._positions) > MAX_POSITIONS:
@@ -107,15 +108,15 @@
     def _is_settled(self) -> bool:
         return self.position is not None and self.position >= self._first_position
 
-    def _read_around(self, offset: int) -> _Read | None:
-        """Return the read within which an offset is, or None if it is not retained."""
-        return next((read for read in self._reads if read.start < offset < read.end), None)
+    def _read_around(self, position: TopicPosition) -> _Read | None:
+        """Return the read within which a position is, or None if it is not retained."""
+        return next((read for read in self._reads if read.start < position < read.end), None)
 
-    def _is_retained(self, offset: int) -> bool:
+    def _is_retained(self, position: TopicPosition) -> bool:
         """Return whether all changes since a caller's position are known."""
-        if self.position is None or not self._first_position <= offset <= self.position:
+        if self.position is None or not self._first_position <= position <= self.position:
             return False
-        return offset in self._positions or self._read_around(offset) is not None
+        return position in self._positions or self._read_around(position) is not None
 
     def has_changes_for(self, call: ReadNewest | ReadChanges) -> bool:
         """Return whether the answer to a call would be anything but an empty list of changes."""
@@ -124,10 +125,11 @@
         match call:
             case ReadNewest():
                 return True
-            case ReadChanges(offset):
-                if not self._is_retained(offset) or offset not in self._positions:
+            case ReadChanges():
+                position = call.position
+                if not self._is_retained(position) or position not in self._positions:
                     return True
-                return bool(self._changes) and self._changes[-1][0] > offset
+                return bool(self._changes) and self._changes[-1][0] > position
 
     def answer(
         self, call: ReadNewest | ReadChanges
@@ -135,26 +137,28 @@
         """Return the answer to a call, or None if the mirror has no data or is behind the caller."""
         if self.position is None or not self._is_settled:
             return None
+        era, end = self.position.era, self.position.offset
         match call:
             case ReadNewest(after):
                 records = tuple(
-                    KeyedRecord(key, value, self.position)
+                    KeyedRecord(key, value, end)
                     for key, value in sorted(self._newest.items())
                     if after is None or key > after
                 )
-                return NewestPage(records, has_more=False, end=self.position)
-            case ReadChanges(offset):
-                if offset > self.position:
+                return NewestPage(records, has_more=False, end=end, era=era)
+            case ReadChanges():
+                position = call.position
+                if position > self.position:
                     return None
-                if not self._is_retained(offset):
-                    return OffsetExpired()
-                read = self._read_around(offset)
+                if not self._is_retained(position):
+                    return OffsetExpired(era)
+                read = self._read_around(position)
                 unchanged = read.unchanged.items() if read is not None else ()
                 records = tuple(
-                    KeyedRecord(key, value, offset) for key, value in unchanged
+                    KeyedRecord(key, value, position.offset) for key, value in unchanged
                 ) + tuple(
-                    KeyedRecord(key, value, position)
-                    for position, key, value in self._changes
-                    if position > offset
+                    KeyedRecord(key, value, changed.offset)
+                    for changed, key, value in self._changes
+                    if changed > position
                 )
-                return ChangesPage(records, self.position, self.position)
+                return ChangesPage(records, end, end, era)
--- a/packages/daemon/src/ibispaddle_daemon/fleet/messages.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/messages.py
@@ -127,11 +127,13 @@
 
     `offsets` maps each topic to the offset of the next record, or to None to get all keys. With a
     `wanted_age_ms`, the response follows at once, and an instance whose data is older reads the store.
+    `eras` maps each topic to the era of its offset; None is that of a sender that runs an earlier release.
     """
 
     query_id: int
     offsets: dict[str, int | None]
     wanted_age_ms: int | None = None
+    eras: dict[str, int] | None = None
 
 
 class TopicDelta(msgspec.Struct, frozen=True, array_like=True):
@@ -139,8 +141,11 @@
 
     kind: str  # "newest", "changes" or "gone".
     age_ms: int
-    position: int = 0
+    position: int = 0  # Offset of the next record.
     records: tuple[tuple[str, bytes | None], ...] = ()
+    era: int = (
+        0  # That of the offset; 0 if the store, or a hub that runs an earlier release, states none.
+    )
 
 
 class TopicResponse(msgspec.Struct, frozen=True, array_like=True, tag="a"):
--- a/packages/daemon/src/ibispaddle_daemon/fleet/topics.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/topics.py
@@ -21,20 +21,22 @@
 from ibispaddle_core.decoding import DECODE_ERRORS
 from ibispaddle_core.hubs import HubRanking, SourceSelection
 from ibispaddle_core.hubs.sources import Source
-from ibispaddle_core.topics import (
-    ChangesPage,
-    KeyedRecord,
-    NewestPage,
-    OffsetExpired,
-    ReadChanges,
-    ReadNewest,
-    TopicMirror,
-)
+from ibispaddle_core.topics import OffsetExpired, TopicMirror, TopicPosition
 
 from ..logs import log_event
 from ..timers import TimerHandle, TimerQueue
 from .links import FleetLinks
-from .messages import TopicDelta, TopicQuery, TopicResponse
+from .messages import TopicQuery, TopicResponse
+from .topic_bodies import (
+    TopicRead,
+    build_delta,
+    build_query,
+    build_response,
+    decode_delta,
+    decode_response,
+    is_ahead,
+    read_call,
+)
 
 # Fractions of `in_force_ms`, the time within which changes in the store must be known everywhere.
 HOLD_FRACTION = 0.25  # Time for which a hub holds a query while there are no changes.
@@ -58,16 +60,7 @@
 CONNECT_INTERVAL_MS = 1_000
 # Delay before the next query after a hub reported that it cannot reach the store.
 STALE_RETRY_DELAY_MS = 20
-# Larger responses are compressed, because a hub may have little bandwidth. A configuration shrinks to
-# a tenth of its size.
-MIN_COMPRESSED_BYTES = 1_024
-COMPRESSION_LEVEL = 1
-MAX_DECOMPRESSED_BYTES = 67_108_864
-
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(dict[str, TopicDelta])
-
-TopicRead = NewestPage | ChangesPage | OffsetExpired
 
 
 class Follower(Protocol):
@@ -77,8 +70,8 @@
     read_confirmed_ms: int | None  # The last time that an answer of the store itself confirmed.
 
     @property
-    def offset(self) -> int | None:
-        """Return the offset of the next record, or None before all keys are read."""
+    def position(self) -> TopicPosition | None:
+        """Return the position up to which the topic is known, or None to get all keys from a hub."""
 
     @property
     def is_store_unavailable(self) -> bool:
@@ -114,7 +107,7 @@
     query_id: int
     hub_id: str
     sent_ms: int
-    offsets: Mapping[str, int | None]
+    positions: Mapping[str, TopicPosition | None]
 
 
 class TopicRelay(BaseComponent):
@@ -180,7 +173,7 @@
 
     def _read_missing_topics(self) -> None:
         for follower in self._followers.values():
-            if follower.offset is None:
+            if follower.position is None:
                 follower.read_store()
 
     def _check_confirmation_age(self) -> None:
@@ -280,14 +273,14 @@
             return
         age_ms = self._age_ms(now_ms)
         wanted_age_ms = self._stale_ms if source.is_substitute and self._is_old(age_ms) else None
-        offsets = {topic: follower.offset for topic, follower in self._followers.items()}
-        query = _PendingQuery(next(self._query_ids), source.instance_id, now_ms, offsets)
+        positions = {topic: follower.position for topic, follower in self._followers.items()}
+        query = _PendingQuery(next(self._query_ids), source.instance_id, now_ms, positions)
         self._pending_query = self._last_queries[source.instance_id] = query
         self._query_timer = self._timers.after(
             SEARCH_TIMEOUT_MS if wanted_age_ms is not None else self._timeout_ms(age_ms),
             lambda: self._abandon_query(query, "no response to a query"),
         )
-        message = TopicQuery(query.query_id, offsets, wanted_age_ms)
+        message = build_query(query.query_id, positions, wanted_age_ms)
         if not self._links.send(query.hub_id, message):
             self._abandon_query(query, "no connection")
 
@@ -337,7 +330,7 @@
             return  # It has been queried again since.
         is_pending = query is self._pending_query
         try:
-            deltas = _decode(message)
+            deltas = decode_response(message)
         except (*DECODE_ERRORS, zlib.error) as exc:
             if is_pending:
                 self._abandon_query(query, f"invalid response: {exc}")
@@ -351,12 +344,12 @@
         is_from_hub = is_pending and not (is_stale or self._sources.current.is_substitute)
         for topic, follower in self._followers.items():
             item = deltas.get(topic)
-            read = _decode_read(item) if item is not None else None
+            read = decode_delta(item) if item is not None else None
             if item is None or read is None:
                 continue  # The hub has not read the topic yet, or its data is older.
             if isinstance(read, OffsetExpired) and not is_pending:
                 continue  # The next query gets all keys.
-            if follower.offset != query.offsets.get(topic):
+            if follower.position != query.positions.get(topic):
                 continue  # The store was read since; the response may be older.
             # Earliest time at which the hub can have responded; the network delay is unknown.
             responded_ms = query.sent_ms + message.waited_ms
@@ -445,11 +438,12 @@
 
     def _answer(self, items: Iterable[_HeldQuery], now_ms: int) -> None:
         """Answer queries, those from the same offsets with the same response."""
-        responses: dict[tuple[tuple[str, int | None], ...], TopicResponse] = {}
+        responses: dict[bytes, TopicResponse] = {}
         for item in items:
-            key = tuple(item.query.offsets.items())
+            query = item.query
+            key = _ENCODER.encode((query.offsets, query.eras))
             if key not in responses:
-                responses[key] = self._response(item.query, now_ms)
+                responses[key] = self._response(query, now_ms)
             self._send(item, responses[key], now_ms)
 
     def _send(self, held: _HeldQuery, response: TopicResponse, now_ms: int) -> None:
@@ -483,12 +477,11 @@
             self._read_urgent_topics(now_ms)
 
     def _has_changes(self, query: TopicQuery) -> bool:
-        for topic, offset in query.offsets.items():
+        for topic in query.offsets:
             published = self._published.get(topic)
-            if published is None or (offset or 0) > (published.mirror.position or 0):
+            if published is None or is_ahead(query, topic, published.mirror):
                 continue
-            call = ReadNewest() if offset is None else ReadChanges(offset, 0)
-            if published.mirror.has_changes_for(call):
+            if published.mirror.has_changes_for(read_call(query, topic, published.mirror)):
                 return True
         return False
 
@@ -504,18 +497,14 @@
 
     def _response(self, query: TopicQuery, now_ms: int) -> TopicResponse:
         deltas = {}
-        for topic, offset in query.offsets.items():
+        for topic in query.offsets:
             published = self._published.get(topic)
             if published is not None:
                 age_ms = now_ms - published.confirmed_ms
-                item = _delta(published.mirror, offset, age_ms)
+                item = build_delta(query, topic, published.mirror, age_ms)
                 if item is not None:
                     deltas[topic] = item
-        data = _ENCODER.encode(deltas)
-        if len(data) < MIN_COMPRESSED_BYTES:
-            return TopicResponse(query.query_id, 0, self._is_cut_off, False, data)
-        body = zlib.compress(data, COMPRESSION_LEVEL)
-        return TopicResponse(query.query_id, 0, self._is_cut_off, True, body)
+        return build_response(query.query_id, deltas, self._is_cut_off)
 
 
 def _earliest(times_ms: Iterable[int | None]) -> int | None:
@@ -526,38 +515,3 @@
             return None
         earliest_ms = time_ms if earliest_ms is None else min(earliest_ms, time_ms)
     return earliest_ms
-
-
-def _delta(mirror: TopicMirror, offset: int | None, age_ms: int) -> TopicDelta | None:
-    call = ReadNewest() if offset is None else ReadChanges(offset, 0)
-    match mirror.answer(call):
-        case NewestPage(records, _, end):
-            return TopicDelta("newest", age_ms, end, _key_values(records))
-        case ChangesPage(records, next_offset, _):
-            return TopicDelta("changes", age_ms, next_offset, _key_values(records))
-        case OffsetExpired():
-            return TopicDelta("gone", age_ms)
-    return None
-
-
-def _key_values(records: tuple[KeyedRecord, ...]) -> tuple[tuple[str, bytes | None], ...]:
-    return tuple((record.key, record.value) for record in records)
-
-
-def _decode(message: TopicResponse) -> dict[str, TopicDelta]:
-    data = message.body
-    if message.is_compressed:
-        data = zlib.decompressobj().decompress(data, MAX_DECOMPRESSED_BYTES)
-    return _DECODER.decode(data)
-
-
-def _decode_read(delta: TopicDelta) -> TopicRead | None:
-    records = tuple(KeyedRecord(key, value, delta.position) for key, value in delta.records)
-    match delta.kind:
-        case "newest":
-            return NewestPage(records, False, delta.position)
-        case "changes":
-            return ChangesPage(records, delta.position, delta.position)
-        case "gone":
-            return OffsetExpired()
-    return None
--- a/packages/daemon/src/ibispaddle_daemon/store/follower.py
+++ b/packages/daemon/src/ibispaddle_daemon/store/follower.py
@@ -16,6 +16,7 @@
     ReadNewest,
     TopicFormatError,
     TopicMirror,
+    TopicPosition,
     TopicReader,
     TopicUpdate,
 )
@@ -66,7 +67,7 @@
     `wait_ms` is the long-poll wait: the time for which the store holds a read until there is a new
     record. Calls start at least `interval_ms` apart. With a `relay`, a hub may be queried instead of the
     store; changes for which `is_same` returns True are not relayed to other instances. `recovered_ms`
-    is the time at which the store last became available again.
+    is the time at which the store last became available again, or was found to be restored.
     """
 
     def __init__(
@@ -101,7 +102,6 @@
         self._is_late = False  # The store has not answered the read in progress in time.
         self._late_margin = LateMargin()
         self._behind_since_ms: int | None = None
-        self._era: int | None = None  # Of the last answer of the store.
         # The same as `confirmed_ms`, of the store's own answers.
         self.read_confirmed_ms: int | None = None
         self.recovered_ms: int | None = None
@@ -114,9 +114,9 @@
         return self._is_late or self._failures >= UNAVAILABLE_AFTER_FAILURES
 
     @property
-    def offset(self) -> int | None:
-        """Return the offset of the next record, or None before all keys are read."""
-        return self._reader.offset
+    def position(self) -> TopicPosition | None:
+        """Return the position up to which the topic is known, or None to get all keys from a hub."""
+        return self._reader.relayed_position
 
     @property
     def confirmed_ms(self) -> int | None:
@@ -154,8 +154,9 @@
         """
         if is_from_hub and confirmed_ms >= self._last_failure_ms:
             self._record_success()  # The hub reached the store after this instance's last failure.
+        known = self._reader.position
         step = self._reader.handle_relayed(answer, confirmed_ms)
-        self._apply(step, is_relayed=True)
+        self._apply(step, known, is_relayed=True)
         return not step.is_hub_behind
 
     def _read(self) -> None:
@@ -197,7 +198,6 @@
                 return
             self._record_success()
             self._late_margin.record_answer(self._clock.now_ms() - started_ms - self._wait_ms)
-            self._log_restored(answer)
             is_overtaken = (call, position) != (self._reader.next_call(), self._reader.position)
             if not is_overtaken:  # Otherwise the reader has newer data from a hub or another call.
                 self._handle_answer(answer, started_ms)
@@ -217,11 +217,11 @@
     def _handle_answer(
         self, answer: NewestPage | ChangesPage | OffsetExpired, started_ms: int
     ) -> None:
-        before_ms = self.confirmed_ms
+        before_ms, known = self.confirmed_ms, self._reader.position
         step = self._reader.handle_answer(answer, started_ms)
         if self.confirmed_ms != before_ms:
             self.read_confirmed_ms = self.confirmed_ms
-        self._apply(step)
+        self._apply(step, known)
 
     def _decode(
         self, call: ReadNewest | ReadChanges, result: CallResult, is_late: bool
@@ -248,40 +248,47 @@
             interval_ms = OFTEN_INTERVAL_MS if self._is_read_often else self._interval_ms
             self._schedule(started_ms + interval_ms - self._clock.now_ms())
 
-    def _apply(self, step: ReaderStep, is_relayed: bool = False) -> None:
-        """Apply the result of a read, and make it available to other instances."""
+    def _apply(
+        self, step: ReaderStep, known: TopicPosition | None, is_relayed: bool = False
+    ) -> None:
+        """Apply the result of a read from a known position, and make it available to other instances."""
         self._log_progress()
         if step.update is None:
             return
+        if step.update.is_restored:
+            self.recovered_ms = self._clock.now_ms()
         position, settled_position = self._reader.position, self._reader.settled_position
+        self._log_restored(step.update, known)
         if position is not None:
             self._mirror.apply(step.update, position, settled_position, is_relayed)
         self._on_update(step.update)
         if self._relay is not None and self.confirmed_ms is not None:
             self._relay.publish(self._topic, self._mirror, self.confirmed_ms)
 
-    def _log_restored(self, answer: NewestPage | ChangesPage | OffsetExpired) -> None:
-        """Log that the store was restored from a copy since the last answer."""
-        known_era, self._era = self._era, answer.era
-        if known_era is not None and known_era != answer.era:
+    def _log_restored(self, update: TopicUpdate, known: TopicPosition | None) -> None:
+        position = self._reader.position
+        if known is None or position is None:
+            return
+        if update.is_restored or known.era != position.era:
             log_event(
                 logevents.STORE_RESTORED,
                 topic=self._topic,
-                era=answer.era,
-                known_era=known_era,
-                position=self._reader.position,
-                end=None if isinstance(answer, OffsetExpired) else answer.end,
+                era=position.era,
+                known_era=known.era,
+                position=position.offset,
+                known_position=known.offset,
             )
 
     def _log_progress(self) -> None:
         """Log when the reader falls behind an end that the store has named, and when it reaches it."""
         missing, now_ms = self._reader.missing_records, self._clock.now_ms()
+        position = self._reader.position
         if missing and self._behind_since_ms is None:
             self._behind_since_ms = now_ms
             log_event(
                 logevents.TOPIC_BEHIND,
                 topic=self._topic,
-                position=self._reader.position,
+                position=position.offset if position is not None else None,
                 missing=missing,
                 reads_newest=isinstance(self._reader.next_call(), ReadNewest),
             )
--- a/tests/fleet/test_messages.py
+++ b/tests/fleet/test_messages.py
@@ -2,12 +2,14 @@
 
 import unittest
 
+import msgspec
 from hypothesis import given
 from hypothesis import strategies as st
 from ibispaddle_core.gossip import Hello, Proof
 from ibispaddle_core.scheduling import UpstreamWork
 from ibispaddle_daemon.fleet.messages import (
     FleetCodec,
+    TopicDelta,
     TopicQuery,
     TopicResponse,
     WorkQuery,
@@ -16,6 +18,7 @@
     decode_work_rows,
     encode_work_rows,
 )
+from ibispaddle_daemon.fleet.topic_bodies import build_response, decode_response
 from ibispaddle_daemon.peer_frames import HEADER
 
 CODEC = FleetCodec()
@@ -36,6 +39,8 @@
         TopicQuery,
         NUMBERS,
         st.dictionaries(st.text(max_size=9), st.none() | NUMBERS, max_size=3),
+        st.none() | NUMBERS,
+        st.none() | st.dictionaries(st.text(max_size=9), NUMBERS, max_size=3),
     ),
     st.builds(
         TopicResponse, NUMBERS, NUMBERS, st.booleans(), st.booleans(), st.binary(max_size=50)
@@ -66,6 +71,40 @@
         if end < len(data):
             self.assertTrue(CODEC.decode(data[:end]).is_err())
 
+    def test_queries_of_an_earlier_release(self) -> None:
+        """Guards against instances that cannot read each other's queries while releases are mixed."""
+        earlier = msgspec.defstruct(
+            "Query",
+            [
+                ("query_id", int),
+                ("offsets", dict[str, int | None]),
+                ("wanted_age_ms", int | None, None),
+            ],
+            frozen=True,
+            array_like=True,
+            tag="t",
+        )
+        data = msgspec.msgpack.encode(earlier(7, {"a": 3, "b": None}))
+        self.assertEqual(CODEC.decode(data).unwrap(), TopicQuery(7, {"a": 3, "b": None}))
+        frame = CODEC.encode(TopicQuery(7, {"a": 3}, 500, {"a": 2}))
+        query = msgspec.msgpack.decode(frame[HEADER.size :], type=earlier)
+        self.assertEqual(query, earlier(7, {"a": 3}, 500))
+
+    def test_answers_of_an_earlier_release(self) -> None:
+        """Guards against data that cannot be read while releases are mixed."""
+        earlier = msgspec.defstruct(
+            "Delta",
+            [("kind", str), ("age_ms", int), ("position", int, 0), ("records", tuple, ())],
+            frozen=True,
+            array_like=True,
+        )
+        body = msgspec.msgpack.encode({"a": earlier("newest", 5, 9, (("k", b"1"),))})
+        (delta,) = decode_response(TopicResponse(1, 0, False, False, body)).values()
+        self.assertEqual(delta, TopicDelta("newest", 5, 9, (("k", b"1"),)))
+        response = build_response(1, {"a": TopicDelta("newest", 5, 9, (("k", b"1"),), 2)}, False)
+        read = msgspec.msgpack.decode(response.body, type=dict[str, earlier])
+        self.assertEqual(read["a"].position, 9)
+
     def test_work_rows_are_decoded_unchanged(self) -> None:
         """Guards against columns that are swapped by encoding and decoding."""
         work = {"r1": UpstreamWork(12.0, 3, 4_000, 2)}
--- a/tests/platform_adapter/test_restored_store.py
+++ b/tests/platform_adapter/test_restored_store.py
@@ -10,6 +10,7 @@
 from tests.soak.links import LinkMode
 
 from .changing_routes import IN_FORCE_S, ChangingRoutesTestCase
+from .processes import Instance
 
 AWAY_S = 1.1
 LOST_VERSIONS = 2
@@ -30,17 +31,40 @@
         time.sleep(AWAY_S)
         self.platform.restore_store()
 
-    def test_offsets_that_are_given_out_again(self) -> None:
-        """Guards against versions that all instances miss, as they continue at an offset of the lost ones."""
-        self.lose_versions()
+    def write_again(self) -> None:
+        """Write the newest version again, and others up to the offset that the instances have reached."""
         self.operator.repeat_version()
         for _ in range(LOST_VERSIONS - 1):
             self.operator.put_version()
-        self.links.set_mode(LinkMode.OPEN, *self.ranked)
+
+    def check_return(self, *instances: Instance) -> None:
+        """Let the store serve some or all instances again, and check the requests to all of them."""
+        self.links.set_mode(LinkMode.OPEN, *(instances or self.ranked))
         back_s = time.monotonic()
         time.sleep(CHECKED_S)
         self.check_requests(back_s)
 
+    def test_offsets_that_are_given_out_again(self) -> None:
+        """Guards against versions that all instances miss, as they continue at an offset of the lost ones."""
+        self.lose_versions()
+        self.write_again()
+        self.check_return()
+
+    def test_instance_that_learns_it_from_others(self) -> None:
+        """Guards against a version that the first hub misses because the store still turns it away."""
+        self.lose_versions()
+        self.write_again()
+        self.links.set_mode(LinkMode.UNAVAILABLE, self.ranked[0])
+        self.check_return(*self.ranked[1:])
+
+    def test_version_that_the_store_lacks(self) -> None:
+        """Guards against instances that go back to the version of the copy until the newest is written again."""
+        self.lose_versions()
+        self.links.set_mode(LinkMode.OPEN, *self.ranked)
+        time.sleep(CHECKED_S)
+        self.write_again()
+        self.check_return()
+
 
 if __name__ == "__main__":
     unittest.main()
