Told followers of an earlier release that their offsets are lost

While releases are mixed, instances of an earlier one that follow a hub of this one would miss versions after the store was restored: their queries state no era, so the hub takes a lost offset for one of the new era. A hub that has seen the store go back now answers such an offset as expired until its sender has asked for all keys. That lets the earlier release read all newest records, from the hub or from the store.

Evidence: test_offsets_of_the_lost_era failed without it ("changes" in place of "gone").

--- a/packages/daemon/src/ibispaddle_daemon/fleet/topic_bodies.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/topic_bodies.py
@@ -70,10 +70,15 @@
         case ChangesPage(records, next_offset, _, era):
             return TopicDelta("changes", age_ms, next_offset, _key_values(records), era)
         case OffsetExpired():
-            return TopicDelta("gone", age_ms)
+            return expired_delta(age_ms)
     return None
 
 
+def expired_delta(age_ms: int) -> TopicDelta:
+    """Return the answer after which the sender of a query gets all keys of a topic."""
+    return TopicDelta("gone", age_ms)
+
+
 def build_response(
     query_id: int, deltas: Mapping[str, TopicDelta], is_store_unavailable: bool
 ) -> TopicResponse:
--- a/packages/daemon/src/ibispaddle_daemon/fleet/topics.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/topics.py
@@ -34,6 +34,7 @@
     build_response,
     decode_delta,
     decode_response,
+    expired_delta,
     is_ahead,
     read_call,
 )
@@ -93,6 +94,7 @@
 
     mirror: TopicMirror
     confirmed_ms: int
+    era: int
 
 
 @dataclass(frozen=True)
@@ -141,6 +143,9 @@
         self._query_timer: TimerHandle | None = None
         self._delayed_query: TimerHandle | None = None
         self._published: dict[str, _PublishedTopic] = {}
+        # Topics of a store that was restored since the start, and the instances of an earlier release, which
+        # know no eras, that have asked for all keys since.
+        self._informed: dict[str, set[str]] = {}
         self._held_queries: deque[_HeldQuery] = deque()  # Ordered by due time.
         self._hold_timer: TimerHandle | None = None
         # The last query of each instance that was answered with older data than it wanted.
@@ -321,6 +326,8 @@
     def _on_lost(self, instance_id: str) -> None:
         self._last_queries.pop(instance_id, None)
         self._unmet_queries.pop(instance_id, None)
+        for peers in self._informed.values():
+            peers.discard(instance_id)
         if self._pending_query is not None and self._pending_query.hub_id == instance_id:
             self._abandon_query(self._pending_query, "connection lost")
 
@@ -405,12 +412,15 @@
 
     def publish(self, topic: str, mirror: TopicMirror, confirmed_ms: int) -> None:
         """Send new data to the instances whose held queries it answers."""
-        self._published[topic] = _PublishedTopic(mirror, confirmed_ms)
+        published = _PublishedTopic(mirror, confirmed_ms, _era(mirror))
+        previous, self._published[topic] = self._published.get(topic), published
+        if previous is not None and previous.era and previous.era != published.era:
+            self._informed[topic] = set()
         now_ms = self._clock.now_ms()
         held, self._held_queries = self._held_queries, deque()
         answered: list[_HeldQuery] = []
         for item in held:
-            has_changes = topic in item.query.offsets and self._has_changes(item.query)
+            has_changes = topic in item.query.offsets and self._has_changes(item)
             (answered if has_changes else self._held_queries).append(item)
         self._answer(answered, now_ms)
         self._answer_unmet_queries(now_ms)
@@ -441,9 +451,9 @@
         responses: dict[bytes, TopicResponse] = {}
         for item in items:
             query = item.query
-            key = _ENCODER.encode((query.offsets, query.eras))
+            key = _ENCODER.encode((query.offsets, query.eras, self._lost_topics(item)))
             if key not in responses:
-                responses[key] = self._response(query, now_ms)
+                responses[key] = self._response(item, now_ms)
             self._send(item, responses[key], now_ms)
 
     def _send(self, held: _HeldQuery, response: TopicResponse, now_ms: int) -> None:
@@ -453,12 +463,26 @@
         )
         self._links.answer(held.peer_id, response)
 
+    def _lost_topics(self, held: _HeldQuery) -> list[str]:
+        """Return the topics whose offsets may be of an era that the sender does not know to have ended."""
+        query = held.query
+        if query.eras is not None:
+            return []
+        return [
+            topic
+            for topic, peers in self._informed.items()
+            if held.peer_id not in peers and query.offsets.get(topic) is not None
+        ]
+
     def _on_query(self, instance_id: str, query: TopicQuery) -> None:
         held = _HeldQuery(instance_id, query, self._clock.now_ms())
         self._unmet_queries.pop(instance_id, None)
+        for topic, peers in self._informed.items():
+            if query.offsets.get(topic, 0) is None:
+                peers.add(instance_id)
         is_urgent = query.wanted_age_ms is not None
-        if is_urgent or self._is_cut_off or self._has_changes(query):
-            self._send(held, self._response(query, held.received_ms), held.received_ms)
+        if is_urgent or self._is_cut_off or self._has_changes(held):
+            self._send(held, self._response(held, held.received_ms), held.received_ms)
             if is_urgent:
                 self._refresh(held)
             return
@@ -476,7 +500,10 @@
         if not self._is_store_unavailable or now_ms >= self._last_catch_up_ms + self._retry_ms:
             self._read_urgent_topics(now_ms)
 
-    def _has_changes(self, query: TopicQuery) -> bool:
+    def _has_changes(self, held: _HeldQuery) -> bool:
+        if self._lost_topics(held):
+            return True
+        query = held.query
         for topic in query.offsets:
             published = self._published.get(topic)
             if published is None or is_ahead(query, topic, published.mirror):
@@ -490,23 +517,29 @@
         now_ms = self._clock.now_ms()
         while self._held_queries and self._held_queries[0].received_ms + self._hold_ms <= now_ms:
             item = self._held_queries.popleft()
-            self._send(item, self._response(item.query, now_ms), now_ms)
+            self._send(item, self._response(item, now_ms), now_ms)
         if self._held_queries:
             due_ms = self._held_queries[0].received_ms + self._hold_ms
             self._hold_timer = self._timers.at(due_ms, self._answer_expired_queries)
 
-    def _response(self, query: TopicQuery, now_ms: int) -> TopicResponse:
-        deltas = {}
+    def _response(self, held: _HeldQuery, now_ms: int) -> TopicResponse:
+        query, lost, deltas = held.query, self._lost_topics(held), {}
         for topic in query.offsets:
             published = self._published.get(topic)
-            if published is not None:
-                age_ms = now_ms - published.confirmed_ms
-                item = build_delta(query, topic, published.mirror, age_ms)
-                if item is not None:
-                    deltas[topic] = item
+            if published is None:
+                continue
+            age_ms = now_ms - published.confirmed_ms
+            if topic in lost:
+                deltas[topic] = expired_delta(age_ms)
+            elif (item := build_delta(query, topic, published.mirror, age_ms)) is not None:
+                deltas[topic] = item
         return build_response(query.query_id, deltas, self._is_cut_off)
 
 
+def _era(mirror: TopicMirror) -> int:
+    return 0 if mirror.position is None else mirror.position.era
+
+
 def _earliest(times_ms: Iterable[int | None]) -> int | None:
     """Return the earliest time, or None if one is not known."""
     earliest_ms = None
--- a/tests/fleet/test_restored_data.py
+++ b/tests/fleet/test_restored_data.py
@@ -5,8 +5,11 @@
 
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
+from ibispaddle_core.topics import TopicPosition
+from ibispaddle_daemon.fleet.messages import TopicQuery, TopicResponse
+from ibispaddle_daemon.fleet.topic_bodies import decode_response
 
-from .test_recent_data import IN_FORCE_MS, NAMES, Access, Fleet
+from .test_recent_data import DETECTION_MS, IN_FORCE_MS, NAMES, Access, Fleet
 
 # Versions are so rare that one that is missed stays missed.
 VERSION_GAP_MS = 60_000
@@ -109,5 +112,40 @@
         self.assertLessEqual(fleet.store.calls.total(), 2 * quiet)
 
 
+class EarlierReleaseTest(unittest.TestCase):
+    """A follower that knows no eras queries a hub that has seen the store go back."""
+
+    def setUp(self) -> None:
+        for module in ("fleet.topics", "store.follower"):
+            patch = mock.patch(f"ibispaddle_daemon.{module}.log_event")
+            patch.start()
+            self.addCleanup(patch.stop)
+        self.fleet = Fleet("ab", VERSION_GAP_MS)
+        self.fleet.advance(DETECTION_MS, lambda: None)
+        self.fleet.kill("b")
+        self.hub = self.fleet.network.links["a"]
+
+    def ask(self, number: int, offset: int | None) -> str:
+        """Return the kind of the hub's answer for the configuration."""
+        self.hub.sent.clear()
+        self.hub.receivers[TopicQuery]("b", TopicQuery(number, {"config": offset}))
+        self.fleet.advance(IN_FORCE_MS, lambda: None)
+        (response,) = [m for _, m in self.hub.sent if isinstance(m, TopicResponse)]
+        return decode_response(response)["config"].kind
+
+    def test_offsets_of_the_lost_era(self) -> None:
+        """Guards against a follower that misses versions, as its hub takes its offset for one of the new era."""
+        self.fleet.put_versions(2)
+        self.fleet.advance(IN_FORCE_MS, lambda: None)
+        self.assertEqual(self.ask(1, 3), "changes")
+        self.fleet.restore(5, lost=2, written=2)
+        self.fleet.advance(IN_FORCE_MS, lambda: None)
+        position = self.fleet.instances["a"].followers["config"].position
+        self.assertEqual(position, TopicPosition(2, 3))
+        # It may not have processed the first answer, for example because it read the store meanwhile.
+        answers = [self.ask(2, 3), self.ask(3, 3), self.ask(4, None), self.ask(5, 3)]
+        self.assertEqual(answers, ["gone", "gone", "newest", "changes"])
+
+
 if __name__ == "__main__":
     unittest.main()
