Followed no hub that cannot notice that the store was restored

While releases are mixed, an instance of this release may be ranked after hubs of an earlier one, which miss versions after the store was restored and confirm what they have as recent. Each instance reads the list of the others from the store when it starts, so it knows whether the store states eras. If it does, a hub whose data states none is left out for a minute, or until its connection is lost as its process is replaced. The first instance of this release reads the store, and the others of this release follow it.

--- a/packages/core/src/ibispaddle_core/hubs/sources.py
+++ b/packages/core/src/ibispaddle_core/hubs/sources.py
@@ -8,6 +8,8 @@
 
 # Time for which an instance that does not respond is not queried.
 EXCLUSION_MS = 3_000
+# The same for a hub that states no era of the store. It runs an earlier release until its process is replaced.
+ERALESS_EXCLUSION_MS = 60_000
 # The same for a hub without recent data. It answers at once if the store is unavailable to it.
 STALE_EXCLUSION_MS = 1_000
 # Number of hubs without recent data from which the store is considered unavailable to all.
@@ -111,6 +113,7 @@
         self._rng = Random(f"sources/{ranking.instance_id}")
         self._dead_until_ms: dict[str, int] = {}
         self._stale_until_ms: dict[str, int] = {}
+        self._eraless_until_ms: dict[str, int] = {}
         self._search: _Search | None = None
         self._connection_attempts: dict[str, int] = {}  # Since the instance was last connected.
         self.is_store_behind = False  # The store answers, but that does not keep the data recent.
@@ -141,12 +144,13 @@
         has_no_store = is_store_unavailable or self.is_store_behind
         dead = _pending(self._dead_until_ms, now_ms)
         stale = _pending(self._stale_until_ms, now_ms)
-        hubs = self._ranking.hubs_before(now_ms, {*dead, *stale})
+        eraless = _pending(self._eraless_until_ms, now_ms)
+        hubs = self._ranking.hubs_before(now_ms, {*dead, *stale, *eraless})
         are_all_stale = len(stale) >= MAX_STALE_HUBS
         if len(dead) >= MAX_DEAD_HUBS:
             hubs = ()
         elif are_all_stale:
-            hubs = self._ranking.hubs_before(now_ms, dead)
+            hubs = self._ranking.hubs_before(now_ms, {*dead, *eraless})
         is_searching = self._search is not None
         if has_no_store and (is_data_old or not hubs or (are_all_stale and is_searching)):
             others = self._ranking.others()
@@ -214,7 +218,11 @@
         """Return when another instance may be chosen although none is now, or None if that is open."""
         if self._search is not None:
             return self._search.next_round_ms
-        ends_ms = (*self._stale_until_ms.values(), *self._dead_until_ms.values())
+        ends_ms = (
+            *self._stale_until_ms.values(),
+            *self._dead_until_ms.values(),
+            *self._eraless_until_ms.values(),
+        )
         return min((end_ms for end_ms in ends_ms if now_ms < end_ms), default=None)
 
     def are_all_stale(self, now_ms: int) -> bool:
@@ -238,6 +246,14 @@
         else:
             self._stale_until_ms[instance_id] = now_ms + STALE_EXCLUSION_MS
 
+    def mark_eraless(self, instance_id: str, now_ms: int) -> None:
+        """Leave out a hub that does not notice if the store is restored, since it runs an earlier release."""
+        self._eraless_until_ms[instance_id] = now_ms + ERALESS_EXCLUSION_MS
+
+    def mark_disconnected(self, instance_id: str) -> None:
+        """Record that the connection to an instance was lost, whose process may have been replaced."""
+        self._eraless_until_ms.pop(instance_id, None)
+
     def mark_recent(self, instance_id: str) -> int:
         """Record that an instance has recent data; return how many a search had asked in vain."""
         if not self.current.is_substitute or self._search is None:
--- a/packages/daemon/src/ibispaddle_daemon/fleet/topics.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/topics.py
@@ -328,6 +328,7 @@
         self._unmet_queries.pop(instance_id, None)
         for peers in self._informed.values():
             peers.discard(instance_id)
+        self._sources.mark_disconnected(instance_id)
         if self._pending_query is not None and self._pending_query.hub_id == instance_id:
             self._abandon_query(self._pending_query, "connection lost")
 
@@ -349,6 +350,9 @@
         self._sources.mark_responsive(instance_id)
         is_stale = message.is_store_unavailable
         is_from_hub = is_pending and not (is_stale or self._sources.current.is_substitute)
+        if is_from_hub and self._knows_eras and not all(item.era for item in deltas.values()):
+            self._leave_eraless_hub(instance_id)
+            return
         for topic, follower in self._followers.items():
             item = deltas.get(topic)
             read = decode_delta(item) if item is not None else None
@@ -383,6 +387,17 @@
             log_event(logevents.SUBSTITUTE_FOUND, relay=instance_id, age_ms=age_ms)
         self._query_if_idle()
 
+    @property
+    def _knows_eras(self) -> bool:
+        """Return whether the store states its era."""
+        positions = (follower.position for follower in self._followers.values())
+        return any(position is not None and position.era for position in positions)
+
+    def _leave_eraless_hub(self, hub_id: str) -> None:
+        self._sources.mark_eraless(hub_id, self._clock.now_ms())
+        self._log_failure(hub_id, "the hub states no era of the store")
+        self._query_next()
+
     def _leave_stale_hub(self, hub_id: str) -> None:
         now_ms = self._clock.now_ms()
         self._sources.mark_stale(hub_id, now_ms)
--- a/tests/fleet/test_recent_data.py
+++ b/tests/fleet/test_recent_data.py
@@ -8,7 +8,7 @@
 import unittest
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import StrEnum
 from unittest import mock
 
@@ -153,6 +153,7 @@
         self.topics = {topic: Store() for topic in (*URGENT_TOPICS, *OTHER_TOPICS)}
         self.access = dict.fromkeys(network.links, Access.SERVED)
         self.calls: Counter[str] = Counter()  # By instance.
+        self.eraless: set[str] = set()  # Instances that do not read the era.
         self._numbers = itertools.count()
         self._reads: dict[str, tuple[str, ReadNewest | ReadChanges]] = {}
         self._held: list[PendingCall] = []
@@ -205,6 +206,8 @@
         match self.access[call.instance]:
             case Access.SERVED:
                 page = self.topics[call.topic].answer(call.read, MAX_ANSWER_RECORDS)
+                if call.instance in self.eraless:
+                    page = replace(page, era=0)
                 result = CallResult(200, (), page, None)
             case Access.REFUSED:
                 result = UNAVAILABLE
--- a/tests/fleet/test_restored_data.py
+++ b/tests/fleet/test_restored_data.py
@@ -146,6 +146,24 @@
         answers = [self.ask(2, 3), self.ask(3, 3), self.ask(4, None), self.ask(5, 3)]
         self.assertEqual(answers, ["gone", "gone", "newest", "changes"])
 
+    def test_hub_of_an_earlier_release(self) -> None:
+        """Guards against instances that miss versions because their hub does."""
+        fleet = Fleet("abcd", VERSION_GAP_MS)
+        fleet.store.eraless.add("a")
+        for name in "bcd":
+            # An instance reads the list of the others before it queries a hub.
+            fleet.instances[name].followers["instances"].read_store()
+        fleet.advance(IN_FORCE_MS, lambda: None)
+        fleet.put_versions(2)
+        fleet.advance(IN_FORCE_MS, lambda: None)
+        fleet.restore(5, lost=2, written=2)
+        fleet.store.calls.clear()
+        fleet.advance(5 * IN_FORCE_MS, lambda: None)
+        outdated = [line for line in fleet.find_outdated() if not line.startswith("a")]
+        self.assertEqual(outdated, [])
+        # The first one of this release reads the store for the others.
+        self.assertLess(fleet.store.calls["c"] + fleet.store.calls["d"], fleet.store.calls["b"])
+
 
 if __name__ == "__main__":
     unittest.main()
