Kept upstreams out that a restored store brings back

A store that was restored from a copy lists upstreams again that have left since, and those that were about to leave as ready. Instances would have sent them requests until the store's expiry removed the entry, or the upstream wrote it again (DRAIN). An entry of the restored store that is older than what is known of the same process is now ignored until it is written again, for four seconds at most: by then the store removes the entries of upstreams that are silent. An upstream whose registration was lost keeps its place for as long as after an absence of the store.

The new tests fail on the code before, which makes no difference between the entries of a restored store and others.

--- a/packages/core/src/ibispaddle_core/membership/registrations.py
+++ b/packages/core/src/ibispaddle_core/membership/registrations.py
@@ -8,6 +8,11 @@
 # Upstreams whose entries expired during a store outage register again within about two seconds
 # after the store has recovered. Entries that are still missing after that are removed.
 STORE_RECOVERY_GRACE_MS = 1_900
+# Time for which a restored store's entry is ignored that is older than what is known of its upstream. If the
+# upstream is gone, the store removes the entry after three heartbeats of silence.
+RESTORED_ENTRY_GRACE_MS = 4_000
+# Time for which a removed upstream is remembered. Copies from which a store is restored are some seconds old.
+REMOVAL_MEMORY_MS = 60_000
 # Difference between two statements of the end of an upstream's cold time that does not count as a
 # change: entries are read with a delay.
 COUNTDOWN_TOLERANCE_MS = 500
@@ -56,12 +61,17 @@
 
     An upstream whose entry disappears shortly after the store has recovered is kept until
     `STORE_RECOVERY_GRACE_MS` after the recovery, because the entry may have expired only because
-    the store could not accept heartbeats.
+    the store could not accept heartbeats. The entries of a store that was restored from a copy do not
+    bring back upstreams that have left since, or were about to leave.
     """
 
     def __init__(self) -> None:
         self._registrations: dict[str, Registration] = {}
         self._grace_until_ms: dict[str, int] = {}
+        self._removed: dict[str, tuple[Registration, int]] = {}  # With the time of the removal.
+        self._outdated: dict[str, tuple[Registration, int]] = (
+            {}
+        )  # With the time until they are ignored.
         self._listed: dict[str, ListEntry] = {}
         self._entries: tuple[ListEntry, ...] | None = None  # Cached until an entry changes.
         self._countdowns = ColdCountdowns()
@@ -72,11 +82,16 @@
         is_snapshot: bool,
         now_ms: int,
         store_recovered_ms: int | None = None,
+        is_restored: bool = False,
     ) -> None:
-        """Apply changes, or all entries at once if `is_snapshot`; `None` removes an entry."""
+        """Apply changes, or all entries at once if `is_snapshot`; `None` removes an entry.
+
+        `is_restored` states that they are those of a store that was restored since the last ones.
+        """
         removed = {name for name, value in values.items() if value is None}
         if is_snapshot:
             removed |= self._registrations.keys() - values.keys()
+            self._outdated.clear()
         grace_until_ms = (
             0 if store_recovered_ms is None else store_recovered_ms + STORE_RECOVERY_GRACE_MS
         )
@@ -87,12 +102,17 @@
             if now_ms < grace_until_ms and not known.is_leaving:
                 self._grace_until_ms[name] = grace_until_ms
             else:
-                self._remove(name)
+                self._remove(name, now_ms)
                 self._grace_until_ms.pop(name, None)
         for name, value in values.items():
+            self._outdated.pop(name, None)
             if value is None:
                 continue
+            if is_restored and self._is_outdated(name, value):
+                self._outdated[name] = (value, now_ms + RESTORED_ENTRY_GRACE_MS)
+                continue
             self._grace_until_ms.pop(name, None)
+            self._removed.pop(name, None)
             is_changed = self._registrations.get(name) != value
             left_ms = value.cold_remaining_ms
             if left_ms is not None and self._countdowns.apply(name, left_ms, now_ms):
@@ -103,14 +123,33 @@
                 self._listed[name] = _entry(value, None if left_ms is None else cold_until_ms)
                 self._entries = None
 
+    def _is_outdated(self, name: str, value: Registration) -> bool:
+        """Return whether an entry is older than what is known of the same process of an upstream."""
+        known = self._registrations.get(name)
+        if known is None and name in self._removed:
+            known, _ = self._removed[name]
+        elif known is None or not known.is_leaving or value.is_leaving:
+            return False
+        return (known.boot_ms, known.address) == (value.boot_ms, value.address)
+
     def expire(self, now_ms: int) -> None:
-        """Remove the upstreams that are still missing at the end of their grace period."""
+        """Remove the upstreams that are still missing at the end of their grace period.
+
+        Entries that were ignored apply if they have neither been changed nor removed meanwhile.
+        """
         for name, until_ms in list(self._grace_until_ms.items()):
             if now_ms >= until_ms:
                 del self._grace_until_ms[name]
-                self._remove(name)
+                self._remove(name, now_ms)
+        for name, (value, until_ms) in list(self._outdated.items()):
+            if now_ms >= until_ms:
+                self.apply({name: value}, is_snapshot=False, now_ms=now_ms)
+        for name, (_, removed_ms) in list(self._removed.items()):
+            if now_ms >= removed_ms + REMOVAL_MEMORY_MS:
+                del self._removed[name]
 
-    def _remove(self, name: str) -> None:
+    def _remove(self, name: str, now_ms: int) -> None:
+        self._removed[name] = (self._registrations[name], now_ms)
         del self._registrations[name], self._listed[name]
         self._countdowns.until_ms.pop(name, None)
         self._entries = None
--- a/packages/daemon/src/ibispaddle_daemon/store/upstreams.py
+++ b/packages/daemon/src/ibispaddle_daemon/store/upstreams.py
@@ -69,8 +69,13 @@
             values[key] = None if value is None else self._decode(key, value)
             if value is not None and values[key] is None:
                 log_event(logevents.ENTRY_UNREADABLE, key=key[:80], size=len(value))
-        recovered_ms = self._topic.recovered_ms
-        self._table.apply(values, update.is_snapshot, self._clock.now_ms(), recovered_ms)
+        self._table.apply(
+            values,
+            update.is_snapshot,
+            self._clock.now_ms(),
+            self._topic.recovered_ms,
+            update.is_restored,
+        )
         self._report()
 
     @handler("list_questioned", channel="*")
--- a/tests/membership/test_registrations.py
+++ b/tests/membership/test_registrations.py
@@ -3,11 +3,14 @@
 import unittest
 
 from ibispaddle_core.membership import ListedState, Registration, RegistrationTable
-from ibispaddle_core.membership.registrations import STORE_RECOVERY_GRACE_MS
+from ibispaddle_core.membership.registrations import (
+    RESTORED_ENTRY_GRACE_MS,
+    STORE_RECOVERY_GRACE_MS,
+)
 
 
-def registration(name: str, leaving: bool = False) -> Registration:
-    return Registration(name, "s", f"10.0.0.1:{len(name)}", "dc", leaving)
+def registration(name: str, leaving: bool = False, boot_ms: int = 1) -> Registration:
+    return Registration(name, "s", f"10.0.0.1:{len(name)}", "dc", leaving, boot_ms)
 
 
 class RegistrationTableTest(unittest.TestCase):
@@ -57,6 +60,52 @@
         )
         self.assertEqual(self.ids(), ["b"])
 
+    def restore(self, *entries: Registration, now_ms: int = 2_000) -> None:
+        """Apply the entries of a store that was restored."""
+        values = {entry.upstream_id: entry for entry in entries}
+        self.table.apply(values, True, now_ms, store_recovered_ms=now_ms, is_restored=True)
+
+    def states(self) -> dict[str, ListedState]:
+        return {entry.id: entry.state for entry in self.table.entries()}
+
+    def test_restored_entry_of_a_leaving_upstream(self) -> None:
+        """Guards against new work for an upstream whose statement that it leaves was lost."""
+        self.table.apply({"a": registration("a", True)}, False, 1_000)
+        self.restore(registration("a"), registration("b"))
+        self.table.expire(2_000 + RESTORED_ENTRY_GRACE_MS - 1)
+        self.assertEqual(self.states(), {"a": ListedState.LEAVING, "b": ListedState.LIVE})
+        self.table.expire(2_000 + RESTORED_ENTRY_GRACE_MS)
+        self.assertEqual(self.states()["a"], ListedState.LIVE)
+
+    def test_restored_entry_of_an_upstream_that_has_left(self) -> None:
+        """Guards against work for an upstream that is gone because its removal was lost."""
+        self.table.apply({"a": None}, False, 1_000)
+        self.restore(registration("a"), registration("b"))
+        self.assertEqual(self.ids(), ["b"])
+        self.table.apply({"a": None}, False, 3_000)
+        self.table.expire(2_000 + RESTORED_ENTRY_GRACE_MS)
+        self.assertEqual(self.ids(), ["b"])
+
+    def test_restored_entry_that_is_written_again(self) -> None:
+        """Guards against an upstream that is left out although it has reported since the restoration."""
+        self.table.apply({"a": None}, False, 1_000)
+        self.restore(registration("a"), registration("b"))
+        self.table.apply({"a": registration("a")}, False, 2_100)
+        self.assertEqual(self.ids(), ["a", "b"])
+
+    def test_restored_entry_of_another_process(self) -> None:
+        """Guards against an upstream that is left out because another process under its id has left."""
+        self.table.apply({"a": None}, False, 1_000)
+        self.restore(registration("a", boot_ms=2), registration("b"))
+        self.assertEqual(self.ids(), ["a", "b"])
+
+    def test_entry_that_a_restored_store_lacks(self) -> None:
+        """Guards against an upstream that is removed because its registration was lost."""
+        self.restore(registration("b"))
+        self.assertEqual(self.ids(), ["a", "b"])
+        self.table.expire(2_000 + STORE_RECOVERY_GRACE_MS)
+        self.assertEqual(self.ids(), ["b"])
+
     def test_heartbeats_do_not_rebuild_the_entries(self) -> None:
         """Guards against rebuilding thousands of entries several times a second.
 
