--- a/packages/core/src/ibispaddle_core/evacuations.py
+++ b/packages/core/src/ibispaddle_core/evacuations.py
@@ -44,9 +44,10 @@
     def apply(self, update: TopicUpdate) -> tuple[str, ...]:
         """Apply changed records and return the keys of those that cannot be read.
 
-        A snapshot ends the evacuations that it does not contain.
+        A snapshot ends the evacuations that it does not contain, unless the store was restored: then the
+        operators write what is missing again.
         """
-        if update.is_snapshot:
+        if update.is_snapshot and not update.is_restored:
             self._by_key = {}
         unreadable = []
         for key, value in update.values.items():
--- a/tests/topics/test_evacuations.py
+++ b/tests/topics/test_evacuations.py
@@ -20,6 +20,13 @@
         self.records.apply(TopicUpdate({"e/b": b"1"}, is_snapshot=True))
         self.assertEqual(self.records.data_centres, {"b"})
 
+    def test_restored_store_without_a_key(self) -> None:
+        """Guards against an evacuation that ends because the store has lost its record."""
+        self.records.apply(TopicUpdate({"e/b": b"1"}, is_snapshot=True, is_restored=True))
+        self.assertEqual(self.records.data_centres, {"a", "b"})
+        self.records.apply(TopicUpdate({"e/a": None}))
+        self.assertEqual(self.records.data_centres, {"b"})
+
     def test_changes_of_other_records(self) -> None:
         """Guards against an evacuation that ends with any other change of the topic."""
         self.records.apply(TopicUpdate({"other": b"2"}))
