Wrote the own record again that a restored store lacks

An instance that had listed itself since the copy was made was unknown to those that start later, for up to five seconds, and left the ranking of the others at once. It now writes its record as soon as it sees the restored list without it, and the others keep the record meanwhile. The three tests of RestoredListTest failed before.

--- a/packages/daemon/src/ibispaddle_daemon/store/instances.py
+++ b/packages/daemon/src/ibispaddle_daemon/store/instances.py
@@ -50,7 +50,8 @@
 
     An instance that dies stays listed at first, because it is expected to return. The instances that
     query it exclude it while it does not respond. After repeated failures the first hub removes it from
-    the list, and it registers itself again when it returns.
+    the list, and it registers itself again when it returns. So does an instance whose record a restored store
+    lacks; the others keep it meanwhile.
     """
 
     channel = "instance_directory"
@@ -122,7 +123,7 @@
         self._timers.after(WRITE_RETRY_MS, self._write_own)
 
     def _apply(self, update: TopicUpdate) -> None:
-        if update.is_snapshot:
+        if update.is_snapshot and not update.is_restored:
             self._records.clear()
         for key, value in update.values.items():
             self._records.pop(key, None)
@@ -138,10 +139,12 @@
                 self._records[key] = record
         if update.values or update.is_snapshot:
             self._rank()
+        is_lost = update.is_restored and self._instance_id not in update.values
         is_due = self._last_write_ms is None or (
             self._clock.now_ms() - self._last_write_ms >= SWEEP_INTERVAL_MS
         )
-        if is_due and self._records.get(self._instance_id) != self._own_record:
+        is_outdated = self._records.get(self._instance_id) != self._own_record
+        if is_lost or (is_outdated and (is_due or update.is_restored)):
             self._write_own()
         self._relay.start_reading()
 
--- a/tests/fleet/test_delisting.py
+++ b/tests/fleet/test_delisting.py
@@ -87,5 +87,52 @@
         self.assertIn(self.writes["a"], range(1, 2 + SWEEP_INTERVAL_MS // WRITE_RETRY_MS))
 
 
+class RestoredListTest(unittest.TestCase):
+    def setUp(self) -> None:
+        network = FakeNetwork("a")
+        self.ranking = network.ranking("a")
+        instance = SimpleNamespace(instance_id="a", data_centre="z")
+        settings = SimpleNamespace(
+            instance=instance, is_first_start=False, capacity=1.0, store_url=""
+        )
+        self.directory = InstanceDirectory(
+            settings,
+            "127.0.0.1:1",
+            mock.Mock(),
+            self.ranking,
+            network.clock,
+            network.timers,
+            mock.Mock(),
+        )
+        self.writes: list[str] = []
+        write = lambda key, value, on_failed: self.writes.append(key)  # noqa: E731
+        self.directory._writer = SimpleNamespace(write=write)
+        self.own = msgspec.json.encode(self.directory._own_record)
+        self.other = msgspec.json.encode(_InstanceRecord("127.0.0.1:2", "z"))
+        self.directory._apply(TopicUpdate({"b": self.other}, is_snapshot=True))
+        self.directory._apply(TopicUpdate({"a": self.own}))
+        self.writes.clear()
+
+    def restore(self, **records: bytes) -> None:
+        self.directory._apply(TopicUpdate(records, is_snapshot=True, is_restored=True))
+
+    def test_own_record_that_was_lost(self) -> None:
+        """Guards against an instance that is unknown to those that start after the restoration."""
+        self.restore(b=self.other)
+        self.assertEqual(self.writes, ["a"])
+        self.restore(a=self.own, b=self.other)
+        self.assertEqual(self.writes, ["a"])
+
+    def test_own_record_of_an_earlier_process(self) -> None:
+        """Guards against an instance that is listed with the address of its last process."""
+        self.restore(a=msgspec.json.encode(_InstanceRecord("127.0.0.1:9", "z")), b=self.other)
+        self.assertEqual(self.writes, ["a"])
+
+    def test_record_of_another_instance_that_was_lost(self) -> None:
+        """Guards against hubs that change until an instance has listed itself again."""
+        self.restore(a=self.own)
+        self.assertEqual(self.ranking.size, 2)
+
+
 if __name__ == "__main__":
     unittest.main()
