Stored parts in quarantine again that a restored store lacks

Entries written since the copy was made were gone from the store, so an instance that started later did not know them. The one that is responsible for the topic writes them again, the others only what is still missing some seconds later. test_restored_store_without_an_entry failed before.

--- a/packages/daemon/src/ibispaddle_daemon/store/quarantine.py
+++ b/packages/daemon/src/ibispaddle_daemon/store/quarantine.py
@@ -90,6 +90,9 @@
             entries.append(msgspec.structs.replace(entry, part=key))
         if entries:
             self._guard.merge(entries)
+        if update.is_restored:
+            lost = self._guard.registry.quarantined_parts - self._stored
+            self._on_decided(frozenset(lost), frozenset())
 
     def _on_decided(self, added: frozenset[str], released: frozenset[str]) -> None:
         for part in sorted(added | released):
--- a/tests/fleet/test_quarantine_directory.py
+++ b/tests/fleet/test_quarantine_directory.py
@@ -64,6 +64,15 @@
         """Simulate that the topic was read."""
         self.directory._apply(TopicUpdate({"p": value}))
 
+    def test_restored_store_without_an_entry(self) -> None:
+        """Guards against a quarantine that instances which start later do not know."""
+        self.guard.merge([self.entry()])
+        [(_, value)] = self.writes
+        self.read(value)
+        self.writes.clear()
+        self.directory._apply(TopicUpdate({}, is_snapshot=True, is_restored=True))
+        self.assertEqual([key for key, _ in self.writes], ["p"])
+
     def test_one_instance_writes(self) -> None:
         """Guards against a write of each of hundreds of instances."""
         self.guard.merge([self.entry()])
