Applied a version whose number the operators give out again

After the store was restored, the operators may write another version under the number of one that was lost. Instances that had the lost one in force ignored it, so callers got the lost version until the number was exceeded. A record with the number in force now applies if it differs and the store was restored since; an older one is ignored as before, and config_older states that the store has one. test_number_that_is_given_out_again failed before: 62 and more requests to each instance ran by the lost version.

--- a/packages/core/src/ibispaddle_core/logevents.py
+++ b/packages/core/src/ibispaddle_core/logevents.py
@@ -358,6 +358,12 @@
     Level.WARNING,
     "The configuration in force has parts that do not fit together.",
 )
+CONFIG_OLDER = LogEvent(
+    5005,
+    "config_older",
+    Level.WARNING,
+    "The store has an older version of the configuration than the one in force, which stays.",
+)
 INSTANCE_DELISTED = LogEvent(
     6012,
     "instance_delisted",
--- a/packages/daemon/src/ibispaddle_daemon/gateway.py
+++ b/packages/daemon/src/ibispaddle_daemon/gateway.py
@@ -100,6 +100,9 @@
         self._listen_bind, self._status_bind = binds
         self.clock = clock or SystemClock()
         self._config_version: int | None = None
+        self._config_value = b""  # The record in force.
+        # Whether the operators may give out the version in force again, as the store has lost its record.
+        self._may_repeat_version = False
         self._is_newest_config_usable = True
         self._is_draining = False
         self._was_ready = self._is_config_fresh = False
@@ -313,6 +316,7 @@
     def _on_config_update(self, update: TopicUpdate) -> None:
         value = update.values.get(self._codecs.config_key)
         decoded = None
+        self._may_repeat_version |= update.is_restored
         if value is not None:
             decoded = self._codecs.config(value)
             self._is_newest_config_usable = decoded is not None
@@ -325,13 +329,23 @@
         self.forwarder.freshness = ConfigFreshness(
             self.config_topic.confirmed_ms, self.settings.revocation_ms
         )
-        if decoded is not None:
-            self._apply_config(*decoded)
+        if decoded is not None and value is not None and value != self._config_value:
+            self._apply_config(value, *decoded)
 
-    def _apply_config(self, routing: RoutingConfig, fleet: FleetConfig) -> None:
-        if self._config_version is not None and routing.version <= self._config_version:
+    def _apply_config(self, value: bytes, routing: RoutingConfig, fleet: FleetConfig) -> None:
+        """Apply a record of the configuration, unless it is not newer than the one in force.
+
+        A store that was restored has an older record until the operators write the newest one again, or
+        another one with the same version.
+        """
+        in_force = self._config_version
+        if in_force is not None and routing.version < in_force:
+            log_event(logevents.CONFIG_OLDER, revision=routing.version, in_force=in_force)
+            return
+        if routing.version == in_force and not self._may_repeat_version:
             return
-        self._config_version = routing.version
+        self._config_version, self._config_value = routing.version, value
+        self._may_repeat_version = False
         for server in self._servers:
             server.replace_limits(routing.limits)
         self.forwarder.replace_config(routing, fleet)
--- a/tests/platform_adapter/changing_routes.py
+++ b/tests/platform_adapter/changing_routes.py
@@ -73,6 +73,10 @@
         self.versions.append(version)
         return number
 
+    def reuse_number(self) -> None:
+        """Give the number of the newest version, which the store has lost, to the next one."""
+        self._numbers = itertools.count(self._config["version"])
+
     def repeat_version(self) -> None:
         """Write the newest version again, which the store has lost."""
         self._platform.configure(self._config)
--- a/tests/platform_adapter/test_restored_store.py
+++ b/tests/platform_adapter/test_restored_store.py
@@ -65,6 +65,13 @@
         self.write_again()
         self.check_return()
 
+    def test_number_that_is_given_out_again(self) -> None:
+        """Guards against a version that is ignored because the one that was lost had its number."""
+        self.lose_versions()
+        self.operator.reuse_number()
+        self.operator.put_version()
+        self.check_return()
+
 
 if __name__ == "__main__":
     unittest.main()
