Ranked instances of this release before those of earlier ones

While releases are mixed, the first hub may run an earlier one: it asks nobody when the store turns it away, or misses versions after the store was restored, and its followers with it. Nothing that newer instances send reaches it, since a first hub queries nobody. All releases rank by the processor time in the records of the instances. This release adds a tenth of a core to its own, so that its instances come first among those with as much; an older hub then queries them, and is told about eras.

Evidence: test_instances_of_an_earlier_release failed before.

--- a/packages/daemon/src/ibispaddle_daemon/store/instances.py
+++ b/packages/daemon/src/ibispaddle_daemon/store/instances.py
@@ -34,6 +34,9 @@
 # own record, unless the store refuses it.
 SWEEP_INTERVAL_MS = 5_000
 WRITE_RETRY_MS = 500
+# Added to the processor time in the record, which all releases rank by: instances of this release come before
+# those of earlier ones with as much, which may not notice that their own data is outdated.
+RELEASE_PRECEDENCE_CORES = 0.1
 
 
 class _InstanceRecord(msgspec.Struct, frozen=True):
@@ -72,8 +75,10 @@
         self.on_instances: Callable[[Sequence[Candidate]], None] = lambda candidates: None
         self._instance_id = settings.instance.instance_id
         self._is_first_start = settings.is_first_start
+        # Rounded like in the ranking, so that the difference counts.
+        capacity = round(settings.capacity, 1) + RELEASE_PRECEDENCE_CORES
         self._own_record = _InstanceRecord(
-            peer_address, settings.instance.data_centre, settings.capacity, delegate_address
+            peer_address, settings.instance.data_centre, capacity, delegate_address
         )
         self._ranking = ranking
         self._clock, self._timers, self._relay = clock, timers, relay
--- a/tests/fleet/test_delisting.py
+++ b/tests/fleet/test_delisting.py
@@ -133,6 +133,15 @@
         self.restore(a=self.own)
         self.assertEqual(self.ranking.size, 2)
 
+    def test_instances_of_an_earlier_release(self) -> None:
+        """Guards against hubs of an earlier release while releases are mixed."""
+        names = "bcdefgh"
+        earlier = msgspec.json.encode(_InstanceRecord("127.0.0.1:2", "z", capacity=1.0))
+        larger = msgspec.json.encode(_InstanceRecord("127.0.0.1:3", "z", capacity=1.4))
+        records = dict.fromkeys(names, earlier) | {"x": larger}
+        self.directory._apply(TopicUpdate(records, is_snapshot=True))
+        self.assertEqual(self.ranking.hubs(now_ms=0), ("x", "a"))
+
 
 if __name__ == "__main__":
     unittest.main()
