Started an instance although a port of its range is taken

What operators saw: an instance ended with start_failed, "[Errno 98] Address already in use", at each start while any process on the machine held the last port of the range, also an outgoing connection that had just ended. Callers of that instance were refused for as long, and the line named no port.

Cause: the listener for requests of other instances had one port, the last one, and the peers the first one, though other instances read both addresses from the list. The range has further ports that nothing uses.

Now a spare port takes the place of one that is taken, and port_replaced says so. Without a free port, an instance takes no delegated requests and serves its own callers. If the address for callers is taken, the instance still ends, and the line names it. The four tests of TakenPortTest failed before.

--- a/packages/core/src/ibispaddle_core/settings/gateway.py
+++ b/packages/core/src/ibispaddle_core/settings/gateway.py
@@ -23,6 +23,12 @@
             description="Address of the listener for requests that other instances delegate to this one, IP:PORT; empty: it takes none."
         ),
     ] = ""
+    spare_ports: Annotated[
+        tuple[int, ...],
+        Meta(
+            description="Ports that are used in place of that of `peer_listen` or `delegate_listen` if it is taken."
+        ),
+    ] = ()
     store_url: Annotated[str, Meta(description="Base URL of the platform's store.")]
     revocation_ms: Annotated[
         Annotated[int, Meta(ge=500)] | None,
--- a/packages/daemon/src/ibispaddle_daemon/fleet/links.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/links.py
@@ -4,6 +4,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from socket import socket
 from typing import Any
 
 from circuits import BaseComponent
@@ -57,7 +58,9 @@
         ranking: HubRanking,
         clock: Clock,
         timers: TimerQueue,
+        listener: socket | None = None,
     ) -> None:
+        """Create the connections; without a listening socket, `peer_listen` of the settings is opened."""
         super().__init__()
         self._ranking, self._clock = ranking, clock
         self._codec = FleetCodec()
@@ -67,7 +70,7 @@
             settings.instance_id,
             boot,
             b"",
-            (host, int(port)),
+            listener or (host, int(port)),
             clock,
             timers,
             self,
--- a/packages/daemon/src/ibispaddle_daemon/gateway.py
+++ b/packages/daemon/src/ibispaddle_daemon/gateway.py
@@ -28,7 +28,7 @@
 from .forwarding import Forwarder, ForwardingCodec
 from .http_client import HttpClient
 from .http_server import HttpServer
-from .listening import Listeners
+from .listening import Listeners, open_first_free, open_listeners
 from .logs import log_event, log_handler_failure
 from .memory_metrics import add_memory_metrics
 from .metrics import Metrics, Status
@@ -75,6 +75,16 @@
     config_key: str
 
 
+def _open_with_spares(address: str, spare_ports: Sequence[int]) -> socket:
+    """Return a socket that listens on an address, or on a spare port if that is taken."""
+    host, _, port = address.rpartition(":")
+    sock = open_first_free([address, *(f"{host}:{spare}" for spare in spare_ports)])
+    opened = sock.getsockname()[1]
+    if int(port) not in (0, opened):
+        log_event(logevents.PORT_REPLACED, address=address, spare=opened)
+    return sock
+
+
 class Gateway(BaseComponent):
     """The root component of an instance."""
 
@@ -96,8 +106,7 @@
         super().__init__()
         self.settings, self._codecs = settings, codecs
         addresses = (settings.instance.listen, settings.status_listen)
-        binds: Sequence[str | socket] = listeners or addresses
-        self._listen_bind, self._status_bind = binds
+        self._listen_bind, self._status_bind = listeners or open_listeners(addresses)
         self.clock = clock or SystemClock()
         self._config_version: int | None = None
         self._config_value = b""  # The record in force.
@@ -149,9 +158,10 @@
             paused_calls=lambda: self.http_client.paused_calls,
         ).register(self)
         self.delegate_listener: DelegateListener | None = None
-        if settings.delegate_listen:
+        bind = self._open_delegate_socket()
+        if bind is not None:
             self.delegate_listener = DelegateListener(
-                settings.delegate_listen,
+                bind,
                 self._codecs.requests,
                 clock,
                 timers,
@@ -179,11 +189,29 @@
             lambda: self.forwarder.requests_in_flight,
         )
 
+    def _open_delegate_socket(self) -> socket | None:
+        """Return the socket for delegated requests, or None if the instance takes none.
+
+        An instance without one serves its own callers nevertheless.
+        """
+        address = self.settings.delegate_listen
+        if not address:
+            return None
+        try:
+            # From the other end than for `peer_listen`.
+            return _open_with_spares(address, self.settings.spare_ports[::-1])
+        except OSError as exc:
+            log_event(logevents.PORT_REPLACED, address=address, spare=None, reason=str(exc))
+            return None
+
     def _add_fleet_components(self) -> None:
         settings, clock, timers = self.settings, self.clock, self.timers
         instance, store = settings.instance, self._codecs.store
         ranking = HubRanking(instance.instance_id)
-        self.links = FleetLinks(instance, clock.wall_ms(), ranking, clock, timers).register(self)
+        peer_socket = _open_with_spares(instance.peer_listen, settings.spare_ports)
+        self.links = FleetLinks(
+            instance, clock.wall_ms(), ranking, clock, timers, peer_socket
+        ).register(self)
         relay = TopicRelay(ranking, self.links, clock, timers, settings.in_force_ms).register(self)
         delegate_address = ""
         if self.delegate_listener is not None:
--- a/packages/daemon/src/ibispaddle_daemon/listening.py
+++ b/packages/daemon/src/ibispaddle_daemon/listening.py
@@ -3,8 +3,9 @@
 This module imports only the standard library, so that it can be used first in a process.
 """
 
+import errno
 import socket
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 # Maximum number of queued connections while the process starts; the system may apply a lower limit.
 BACKLOG = 4_096
@@ -34,6 +35,29 @@
     return listeners
 
 
+def open_first_free(addresses: Sequence[str]) -> socket.socket:
+    """Return a socket that listens on the first IP:PORT that is not in use.
+
+    An outgoing connection of any process may hold a port, also for a minute after its end. Raise `OSError`
+    if all are in use, or `ValueError` if one is invalid.
+
+    >>> taken = open_first_free(["127.0.0.1:0"])
+    >>> address = "127.0.0.1:%d" % taken.getsockname()[1]
+    >>> sock = open_first_free([address, "127.0.0.1:0"])
+    >>> sock.getsockname() == taken.getsockname()
+    False
+    >>> sock.close(), taken.close()
+    (None, None)
+    """
+    for address in addresses:
+        try:
+            return _open(address)
+        except OSError as exc:
+            if exc.errno != errno.EADDRINUSE:
+                raise
+    raise OSError(errno.EADDRINUSE, f"all of these are in use: {', '.join(addresses)}")
+
+
 def _open(address: str) -> socket.socket:
     host, _, port = address.rpartition(":")
     number = int(port)
@@ -46,7 +70,7 @@
         sock.setblocking(False)
         sock.bind((host, number))
         sock.listen(BACKLOG)
-    except OSError:
+    except OSError as exc:
         sock.close()
-        raise
+        raise OSError(exc.errno, f"cannot listen on {address}: {exc.strerror}") from exc
     return sock
--- a/packages/daemon/src/ibispaddle_daemon/peer_transport.py
+++ b/packages/daemon/src/ibispaddle_daemon/peer_transport.py
@@ -93,7 +93,7 @@
         instance_id: str,
         boot: int,
         secret: bytes,
-        bind: tuple[str, int],
+        bind: tuple[str, int] | socket.socket,
         clock: Clock,
         timers: TimerQueue,
         listener: LinkListener,
@@ -109,7 +109,10 @@
         self._unauthenticated: set[Link] = set()
         self._poller: Any = None
         self.traffic = TrafficCounters()
-        self._server = socket.create_server(bind, backlog=LISTEN_BACKLOG)
+        if isinstance(bind, socket.socket):
+            self._server = bind
+        else:
+            self._server = socket.create_server(bind, backlog=LISTEN_BACKLOG)
         self._server.setblocking(False)
         host, port = self._server.getsockname()[:2]
         self.address = f"{host}:{port}"
--- a/tests/platform_adapter/processes.py
+++ b/tests/platform_adapter/processes.py
@@ -81,8 +81,9 @@
         """Start the process; with `upstream_ip`, it reaches upstreams through links there."""
         self.arguments, self.store = arguments, store
         self.data_centre, self.upstream_ip = data_centre, upstream_ip
-        front, self.ready_port, peers, delegate = reserve_ports_for(self, 4)
-        self.port, self.peer_port = front, peers
+        front, self.ready_port, *peer_ports = reserve_ports_for(self, 4)
+        peers, delegate = sorted(peer_ports)
+        self.port, self.peer_port, self.delegate_port = front, peers, delegate
         limits = {"grace_s": 8, "fail_closed": True, "revoke_ms": 5_000, "stall_ms": 300}
         limits |= {"retry_budget_ratio": 0.2, "budget_slack": 100} | bounds
         text = f'node_name = "edge-{number}"\nip = "127.0.0.1"\nzone = "{data_centre}"\n'
--- a/tests/platform_adapter/test_starting.py
+++ b/tests/platform_adapter/test_starting.py
@@ -1,12 +1,15 @@
 """Tests of an instance's start, when callers connect while it loads its libraries."""
 
+import json
 import socket
 import subprocess
 import sys
 import tempfile
 import unittest
+from base64 import b64decode
 from pathlib import Path
 
+from ibispaddle_bench.processes import call_json
 from ibispaddle_daemon.listening import Listeners
 from ibispaddle_platform.__main__ import open_listeners_early
 
@@ -114,5 +117,68 @@
             wait_until(instance.is_ready, "ready")
 
 
+class TakenPortTest(unittest.TestCase):
+    """An outgoing connection of another process may hold a port of the instances' range."""
+
+    def setUp(self) -> None:
+        self.platform = Platform(runners=0)
+        self.addCleanup(self.platform.__exit__)
+        self.instance = self.platform.instance
+        self.assertEqual(self.instance.end(), 0)
+        self.instance.close()
+        self.instance.lines.clear()
+
+    def take(self, port: int) -> None:
+        sock = socket.create_server(("127.0.0.1", port))
+        self.addCleanup(sock.close)
+
+    def start(self) -> dict:
+        """Start the instance and return its record in the list of instances."""
+        self.instance.start()
+        wait_until(self.instance.is_ready, "ready")
+        (started,) = self.instance.events("instance_started")
+        url = f"{self.platform.store.url}/ibispaddle/log-newest?topic=keyed.instances&part=0"
+
+        def read() -> dict:
+            (item,) = call_json(url)["items"]
+            return json.loads(b64decode(item["value"]))
+
+        taken = [line["address"] for line in self.instance.events("port_replaced")]
+        wait_until(lambda: not set(taken) & set(read().values()), "the new addresses in the list")
+        return read()
+
+    def test_port_for_delegated_requests(self) -> None:
+        """Guards against an instance that ends at each start because the last port of its range is taken."""
+        self.take(self.instance.delegate_port)
+        address = self.start()["delegate_address"]
+        self.assertNotIn(address, ("", f"127.0.0.1:{self.instance.delegate_port}"))
+        self.assertEqual(self.instance.call("GET", "/read/x").status, 200)
+
+    def test_port_for_peers(self) -> None:
+        """Guards against an instance that ends at each start because the first port of its range is taken."""
+        self.take(self.instance.peer_port)
+        self.assertNotEqual(self.start()["peer_address"], f"127.0.0.1:{self.instance.peer_port}")
+        self.assertEqual(self.instance.call("GET", "/read/x").status, 200)
+
+    def test_no_port_for_delegated_requests(self) -> None:
+        """Guards against an instance that serves nobody since it can take no delegated requests."""
+        text = self.instance.path.read_text()
+        ports = f"[{self.instance.peer_port}, {self.instance.delegate_port}]"
+        ends = f"[{self.instance.delegate_port - 1}, {self.instance.delegate_port}]"
+        self.instance.path.write_text(text.replace(ports, ends))
+        self.take(self.instance.delegate_port)
+        self.assertEqual(self.start()["delegate_address"], "")
+        self.assertEqual(self.instance.call("GET", "/read/x").status, 200)
+
+    def test_port_for_callers(self) -> None:
+        """Guards against a failure to start that does not name the port."""
+        self.take(self.instance.port)
+        self.instance.start()
+        self.assertEqual(self.instance.proc.wait(10), 2)
+        wait_until(lambda: bool(self.instance.events("start_failed")), "the line")
+        (line,) = self.instance.events("start_failed")
+        self.assertIn(f"127.0.0.1:{self.instance.port}", line["reason"])
+
+
 if __name__ == "__main__":
     unittest.main()
