--- a/packages/core/src/ibispaddle_core/logevents.py
+++ b/packages/core/src/ibispaddle_core/logevents.py
@@ -41,7 +41,7 @@
     1005, "settings_rejected", Level.ERROR, "The settings are invalid and were not applied."
 )
 PORT_REPLACED = LogEvent(
-    1007, "port_replaced", Level.WARNING, "A port is taken; a spare one is used, or none."
+    1012, "port_replaced", Level.WARNING, "A port is taken; a spare one is used, or none."
 )
 START_FAILED = LogEvent(1006, "start_failed", Level.ERROR, "The instance failed to start.")
 HANDLER_FAILED = LogEvent(
