--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -51,13 +51,23 @@
     parser.add_argument(
         "--isolate", action="store_true", help="several instances at once reach no upstream"
     )
+    parser.add_argument(
+        "--restored-store", action="store_true", help="the store comes back from a copy"
+    )
     parser.add_argument("--logs", type=pathlib.Path, default=pathlib.Path("out/soak"))
     args = parser.parse_args()
     ends = time.monotonic() + 60 * args.minutes if args.minutes else None
     failed_runs = finished_runs = 0
     with ProcessPoolExecutor(args.jobs) as pool:
         seeds = range(args.first, args.first + args.seeds)
-        options = (args.scale, args.planned, args.short_reads, args.cut_links, args.isolate)
+        options = (
+            args.scale,
+            args.planned,
+            args.short_reads,
+            args.cut_links,
+            args.isolate,
+            args.restored_store,
+        )
         futures = [pool.submit(run_seed, seed, *options) for seed in seeds]
         for future in as_completed(futures):
             result = future.result()
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -32,6 +32,8 @@
 READY_TIMEOUT_S = 10.0
 # Period for which a runner is listed as draining; it serves for another second after that.
 DRAIN_PERIOD_S = 3.0
+# Time for which the store is away before it comes back from a copy.
+AWAY_S = (0.3, 1.5)
 EVACUATED = "b"  # The data centre that is evacuated; the other one is "a".
 TEMPORARY_KEYS = ("temporary-1", "temporary-2", "temporary-3")
 
@@ -125,6 +127,9 @@
         self._locks: list[asyncio.Lock] = []
         self._numbers = itertools.count(1)
         self._version = 0
+        self._store_lock = asyncio.Lock()  # Held while the store is away.
+        self._is_copied = False
+        self._written: dict[tuple[str, str], str | None] = {}  # Since the copy of the store.
         self._routes: list[dict[str, Any]] = list(configuration(1)["routes"])
 
     @property
@@ -236,6 +241,8 @@
                 for topic in ("keyed.op", "keyed.servers"):
                     url = f"{self.store.url}/admin/compact"
                     await asyncio.to_thread(call_json, url, {"topic": topic})
+            case FaultKind.STORE_RESTORE:
+                await self._restore_store(fault)
             case FaultKind.ROUTE_ADDED:
                 await self._add_route()
             case FaultKind.KEY_REVOKED:
@@ -343,6 +350,30 @@
             await asyncio.sleep(fault.duration_s)
             await asyncio.to_thread(self.store.set_faults, **{fault.variant: None})
 
+    async def _restore_store(self, fault: Fault) -> None:
+        """Copy the store, take it away later and restore it; what was written since is written again."""
+        if self._is_copied:
+            return  # It will be restored from an earlier copy.
+        self._is_copied = True
+        async with self._store_lock:
+            await asyncio.to_thread(call_json, f"{self.store.url}/admin/copy", {})
+            self._written.clear()
+        await asyncio.sleep(fault.duration_s)
+        away_s = AWAY_S[0] + fault.target % 100 / 100 * (AWAY_S[1] - AWAY_S[0])
+        with self._disturbance("store", fault.kind):
+            async with self._store_lock:
+                self._set_store_links(LinkMode.RESET)
+                await asyncio.sleep(away_s)
+                await asyncio.to_thread(call_json, f"{self.store.url}/admin/restore", {})
+                for (topic, key), text in self._written.items():
+                    await self._write(topic, key, text)
+            self._set_store_links(LinkMode.OPEN)
+        self._is_copied = False
+
+    def _set_store_links(self, mode: LinkMode) -> None:
+        for link in self._store_links:
+            link.set_mode(mode)
+
     async def _inject_runner_fault(self, runner: Runner, fault: Fault) -> None:
         # The runner may be killed by another fault.
         with self._disturbance(f"runner {runner.name}", fault.kind), contextlib.suppress(OSError):
@@ -399,6 +430,11 @@
 
     async def _put_in_store(self, topic: str, key: str, value: Any) -> None:
         text = None if value is None else json.dumps(value)
+        async with self._store_lock:
+            await self._write(topic, key, text)
+            self._written[topic, key] = text
+
+    async def _write(self, topic: str, key: str, text: str | None) -> None:
         record = {"topic": topic, "key": key, "value": text}
         await asyncio.to_thread(call_json, f"{self.store.url}/admin/put", record)
 
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -31,6 +31,7 @@
     ISOLATION = "isolation"  # Between several instances and all upstreams.
     STORE_FAULT = "store_fault"
     STORE_COMPACT = "store_compact"
+    STORE_RESTORE = "store_restore"  # It is away for a moment and comes back from a copy.
     ROUTE_ADDED = "route_added"
     KEY_REVOKED = "key_revoked"
     EVACUATION = "evacuation"  # Of one of two data centres.
@@ -61,9 +62,12 @@
     FaultKind.KEY_REVOKED: 1,
     FaultKind.EVACUATION: 2,
 }
-# Weights of STORE_LINKS and ISOLATION in plans that have them.
+# Weights of STORE_LINKS, ISOLATION and STORE_RESTORE in plans that have them. With the last, there are more
+# changes that the store may lose.
 _STORE_LINKS_WEIGHT = 8
 _ISOLATION_WEIGHT = 6
+_STORE_RESTORE_WEIGHT = 6
+_LOST_CHANGE_WEIGHTS = {FaultKind.ROUTE_ADDED: 6, FaultKind.KEY_REVOKED: 2}
 # Long enough for requests that are sent after the platform's stable window.
 _ISOLATION_S = (8.0, 11.0)
 _LINK_MODES = ("delay", "reset", "silent", "one_way")
@@ -118,11 +122,13 @@
     has_short_reads: bool = False,
     has_cut_links: bool = False,
     has_isolation: bool = False,
+    has_restored_store: bool = False,
 ) -> Plan:
     """Return the plan for a seed; `scale` multiplies the number of processes.
 
     With `has_cut_links`, the store turns away several instances at once, but not all of them. With
-    `has_isolation`, some instances, but not all of them, reach no upstream, at least once.
+    `has_isolation`, some instances, but not all of them, reach no upstream, at least once. With
+    `has_restored_store`, the store goes back to a copy at least once.
 
     >>> create_plan(7) == create_plan(7)
     True
@@ -138,6 +144,9 @@
     if has_isolation:
         instances += 2
         kinds[FaultKind.ISOLATION] = _ISOLATION_WEIGHT
+    if has_restored_store:
+        kinds |= _LOST_CHANGE_WEIGHTS
+        kinds[FaultKind.STORE_RESTORE] = _STORE_RESTORE_WEIGHT
     faults: list[Fault] = []
     for _ in range(rng.randint(8, 16) * (1 + scale) // 2):
         last = faults[-1] if faults else None
@@ -147,6 +156,8 @@
             kind, target = last.kind, last.target
         if has_isolation and last is None:
             kind = FaultKind.ISOLATION
+        if has_restored_store and last is None:
+            kind = FaultKind.STORE_RESTORE
         variant, count, duration_s = "", 0, (0.3, 4.0)
         match kind:
             case FaultKind.RUNNER_LINK | FaultKind.STORE_LINK:
