--- a/tests/topics/test_recency.py
+++ b/tests/topics/test_recency.py
@@ -261,6 +261,31 @@
                 self.assert_recent(store, instance, not leaves_out_heartbeats)
                 self.assert_no_return(store, instance, not leaves_out_heartbeats)
 
+    def test_eras_are_needed(self) -> None:
+        """Guards against a reader that could do without eras: with a single one, it trusts a lost value."""
+        for names_eras in (True, False):
+            store, instance = Store(), Instance()
+
+            def read(store: Store = store, instance: Instance = instance) -> None:
+                instance.send(store.now_ms)
+                instance.sent[0].answer = store.answer(instance.sent[0].read, len(KEYS))
+                store.now_ms += STEP_MS
+                instance.receive(0)
+
+            for _ in range(3):
+                store.put("a")
+            read()
+            store.restore(lost=2)
+            if not names_eras:
+                store.era = 1
+            store.put("a")
+            store.put("b")
+            for _ in range(3):
+                store.now_ms += STEP_MS
+                read()
+            self.assertEqual(instance.reader.confirmed_ms, store.now_ms - STEP_MS)
+            self.assertEqual(instance.values == store.newest(), names_eras)
+
     @settings(max_examples=200, deadline=None)
     @given(st.lists(st.integers(0, 3), min_size=8, max_size=20), st.integers(1, 4))
     def test_reader_keeps_up_with_a_steady_flow(self, sizes: list[int], puts: int) -> None:
