--- a/packages/core/src/ibispaddle_core/membership/registrations.py
+++ b/packages/core/src/ibispaddle_core/membership/registrations.py
@@ -68,10 +68,10 @@
     def __init__(self) -> None:
         self._registrations: dict[str, Registration] = {}
         self._grace_until_ms: dict[str, int] = {}
-        self._removed: dict[str, tuple[Registration, int]] = {}  # With the time of the removal.
-        self._outdated: dict[str, tuple[Registration, int]] = (
-            {}
-        )  # With the time until they are ignored.
+        # Each with the time of its removal.
+        self._removed: dict[str, tuple[Registration, int]] = {}
+        # Each with the time until which it is ignored.
+        self._outdated: dict[str, tuple[Registration, int]] = {}
         self._listed: dict[str, ListEntry] = {}
         self._entries: tuple[ListEntry, ...] | None = None  # Cached until an entry changes.
         self._countdowns = ColdCountdowns()
--- a/packages/daemon/src/ibispaddle_daemon/fleet/messages.py
+++ b/packages/daemon/src/ibispaddle_daemon/fleet/messages.py
@@ -143,9 +143,8 @@
     age_ms: int
     position: int = 0  # Offset of the next record.
     records: tuple[tuple[str, bytes | None], ...] = ()
-    era: int = (
-        0  # That of the offset; 0 if the store, or a hub that runs an earlier release, states none.
-    )
+    # That of the offset; 0 if the store, or a hub that runs an earlier release, states none.
+    era: int = 0
 
 
 class TopicResponse(msgspec.Struct, frozen=True, array_like=True, tag="a"):
