--- a/tests/fleet/fakes.py
+++ b/tests/fleet/fakes.py
@@ -2,7 +2,9 @@
 
 import heapq
 import itertools
+import unittest
 from collections.abc import Callable
+from unittest import mock
 
 from ibispaddle_core.clock import ManualClock
 from ibispaddle_core.hubs import Candidate, HubRanking
@@ -119,3 +121,13 @@
         handler = self.links[receiver].receivers.get(type(message))
         if handler is not None:
             handler(sender, message)
+
+
+class SilentTestCase(unittest.TestCase):
+    """A test of instances that would log the events of their topics."""
+
+    def setUp(self) -> None:
+        for module in ("fleet.topics", "store.follower"):
+            patch = mock.patch(f"ibispaddle_daemon.{module}.log_event")
+            patch.start()
+            self.addCleanup(patch.stop)
--- a/tests/fleet/test_delisting.py
+++ b/tests/fleet/test_delisting.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 import msgspec
+from ibispaddle_core.hubs import HubRanking
 from ibispaddle_core.topics import TopicUpdate
 from ibispaddle_daemon.store import InstanceDirectory
 from ibispaddle_daemon.store.instances import (
@@ -21,6 +22,20 @@
 OUTAGE_MS = 40_000
 
 
+def create_directory(
+    network: FakeNetwork, ranking: HubRanking, capacity: float
+) -> InstanceDirectory:
+    """Return the list of instances as the instance `a` keeps it."""
+    instance = SimpleNamespace(instance_id="a", data_centre="z")
+    settings = SimpleNamespace(
+        instance=instance, is_first_start=False, capacity=capacity, store_url=""
+    )
+    clock, timers = network.clock, network.timers
+    return InstanceDirectory(
+        settings, "127.0.0.1:1", mock.Mock(), ranking, clock, timers, mock.Mock()
+    )
+
+
 class DelistingTest(unittest.TestCase):
     def setUp(self) -> None:
         patch = mock.patch("ibispaddle_daemon.store.instances.log_event")
@@ -32,19 +47,7 @@
             network.timers,
             network.ranking("a"),
         )
-        instance = SimpleNamespace(instance_id="a", data_centre="z")
-        settings = SimpleNamespace(
-            instance=instance, is_first_start=False, capacity=9.0, store_url=""
-        )
-        self.directory = InstanceDirectory(
-            settings,
-            "127.0.0.1:1",
-            mock.Mock(),
-            self.ranking,
-            self.clock,
-            self.timers,
-            mock.Mock(),
-        )
+        self.directory = create_directory(network, self.ranking, capacity=9.0)
         self.directory._topic = mock.Mock()
         self.directory._writer = SimpleNamespace(write=self.write)
         self.writes: Counter[str] = Counter()
@@ -91,19 +94,7 @@
     def setUp(self) -> None:
         network = FakeNetwork("a")
         self.ranking = network.ranking("a")
-        instance = SimpleNamespace(instance_id="a", data_centre="z")
-        settings = SimpleNamespace(
-            instance=instance, is_first_start=False, capacity=1.0, store_url=""
-        )
-        self.directory = InstanceDirectory(
-            settings,
-            "127.0.0.1:1",
-            mock.Mock(),
-            self.ranking,
-            network.clock,
-            network.timers,
-            mock.Mock(),
-        )
+        self.directory = create_directory(network, self.ranking, capacity=1.0)
         self.writes: list[str] = []
         write = lambda key, value, on_failed: self.writes.append(key)  # noqa: E731
         self.directory._writer = SimpleNamespace(write=write)
--- a/tests/fleet/test_reachable_data.py
+++ b/tests/fleet/test_reachable_data.py
@@ -14,6 +14,7 @@
 from ibispaddle_daemon.fleet.messages import TopicQuery
 
 from tests.fleet import test_recent_data
+from tests.fleet.fakes import SilentTestCase
 from tests.fleet.test_recent_data import (
     IN_FORCE_MS,
     LATENCY_MS,
@@ -75,13 +76,7 @@
         self._timers.after(delay_ms, lambda: call.end(result))
 
 
-class ReachableDataTest(unittest.TestCase):
-    def setUp(self) -> None:
-        for module in ("fleet.topics", "store.follower"):
-            patch = mock.patch(f"ibispaddle_daemon.{module}.log_event")
-            patch.start()
-            self.addCleanup(patch.stop)
-
+class ReachableDataTest(SilentTestCase):
     def start(self, size: int, gap_ms: int = VERSION_GAP_MS, names: Sequence[str] = NAMES) -> Fleet:
         with (
             mock.patch.object(test_recent_data, "FakeStore", PagingStore),
--- a/tests/fleet/test_recent_data.py
+++ b/tests/fleet/test_recent_data.py
@@ -10,7 +10,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from enum import StrEnum
-from unittest import mock
 
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
@@ -32,7 +31,7 @@
 
 from tests.topics.test_recency import Store
 
-from .fakes import FakeNetwork, FakeTimer, FakeTimers
+from .fakes import FakeNetwork, FakeTimer, FakeTimers, SilentTestCase
 
 IN_FORCE_MS = 2_000
 # Time after an instance was killed or suspended in which others may have older data.
@@ -402,13 +401,7 @@
 )
 
 
-class RecentDataTest(unittest.TestCase):
-    def setUp(self) -> None:
-        for module in ("fleet.topics", "store.follower"):
-            patch = mock.patch(f"ibispaddle_daemon.{module}.log_event")
-            patch.start()
-            self.addCleanup(patch.stop)
-
+class RecentDataTest(SilentTestCase):
     def assert_recent(self, fleet: Fleet) -> None:
         if fleet.must_be_recent():
             at_ms = fleet.clock.now_ms() - START_MS
--- a/tests/fleet/test_restored_data.py
+++ b/tests/fleet/test_restored_data.py
@@ -1,7 +1,6 @@
 """Tests of instances whose store goes back to a copy and gives out its last offsets again, in virtual time."""
 
 import unittest
-from unittest import mock
 
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
@@ -9,6 +8,7 @@
 from ibispaddle_daemon.fleet.messages import TopicQuery, TopicResponse
 from ibispaddle_daemon.fleet.topic_bodies import decode_response
 
+from .fakes import SilentTestCase
 from .test_recent_data import DETECTION_MS, IN_FORCE_MS, NAMES, Access, Fleet
 
 # Versions are so rare that one that is missed stays missed.
@@ -26,13 +26,7 @@
 )
 
 
-class RestoredDataTest(unittest.TestCase):
-    def setUp(self) -> None:
-        for module in ("fleet.topics", "store.follower"):
-            patch = mock.patch(f"ibispaddle_daemon.{module}.log_event")
-            patch.start()
-            self.addCleanup(patch.stop)
-
+class RestoredDataTest(SilentTestCase):
     def start(self, size: int, versions: int) -> Fleet:
         """Return a fleet that has read a number of versions."""
         fleet = Fleet(NAMES[:size], VERSION_GAP_MS)
@@ -112,14 +106,11 @@
         self.assertLessEqual(fleet.store.calls.total(), 2 * quiet)
 
 
-class EarlierReleaseTest(unittest.TestCase):
+class EarlierReleaseTest(SilentTestCase):
     """A follower that knows no eras queries a hub that has seen the store go back."""
 
     def setUp(self) -> None:
-        for module in ("fleet.topics", "store.follower"):
-            patch = mock.patch(f"ibispaddle_daemon.{module}.log_event")
-            patch.start()
-            self.addCleanup(patch.stop)
+        super().setUp()
         self.fleet = Fleet("ab", VERSION_GAP_MS)
         self.fleet.advance(DETECTION_MS, lambda: None)
         self.fleet.kill("b")
