--- a/tests/platform_adapter/test_restarts_without_the_store.py
+++ b/tests/platform_adapter/test_restarts_without_the_store.py
@@ -5,8 +5,8 @@
 
 from tests.soak.links import LinkMode
 
+from .changing_routes import IN_FORCE_S, ChangingRoutesTestCase
 from .processes import Instance
-from .test_turned_away_instances import IN_FORCE_S, TurnedAwayTestCase
 
 # Time within which the process has started, and is known to have data.
 START_S = 3.0
@@ -14,7 +14,7 @@
 DOWN_S = 1.0
 
 
-class RestartTest(TurnedAwayTestCase):
+class RestartTest(ChangingRoutesTestCase):
     def check_restart(
         self, instance: Instance, *cut: Instance, mode: LinkMode = LinkMode.UNAVAILABLE
     ) -> None:
