Reserved the ports of a test of the start

test_no_port_for_delegated_requests took the port before the last one of the instance as the first of its range. It now reserves two ports in a row; the checks are the same.

--- a/tests/platform_adapter/test_starting.py
+++ b/tests/platform_adapter/test_starting.py
@@ -1,5 +1,6 @@
 """Tests of an instance's start, when callers connect while it loads its libraries."""
 
+import contextlib
 import json
 import socket
 import subprocess
@@ -18,6 +19,9 @@
 
 from .processes import Platform
 
+# Ports of which one must have a free port after it.
+MAX_PORTS = 200
+
 SLOW_IMPORTS = ("circuits", "h11", "msgspec", "ibispaddle_daemon.gateway")
 
 # All packages that an instance may import besides the standard library, including those that the
@@ -132,6 +136,18 @@
         sock = socket.create_server(("127.0.0.1", port))
         self.addCleanup(sock.close)
 
+    def reserve_adjacent_ports(self) -> tuple[int, int]:
+        """Reserve two ports in a row until the end of the test; most may be held by connections."""
+        for _ in range(MAX_PORTS):
+            (first,) = reserve_ports_for(self, 1)
+            sock = socket.socket()
+            self.addCleanup(sock.close)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            with contextlib.suppress(OSError):
+                sock.bind(("127.0.0.1", first + 1))
+                return first, first + 1
+        raise AssertionError("no two ports in a row are free")
+
     def start(self) -> dict:
         """Start the instance and return its record in the list of instances."""
         self.instance.start()
@@ -164,9 +180,9 @@
         """Guards against an instance that serves nobody since it can take no delegated requests."""
         text = self.instance.path.read_text()
         ports = f"[{self.instance.peer_port}, {self.instance.delegate_port}]"
-        ends = f"[{self.instance.delegate_port - 1}, {self.instance.delegate_port}]"
-        self.instance.path.write_text(text.replace(ports, ends))
-        self.take(self.instance.delegate_port)
+        first, last = self.reserve_adjacent_ports()
+        self.instance.path.write_text(text.replace(ports, f"[{first}, {last}]"))
+        self.take(last)
         self.assertEqual(self.start()["delegate_address"], "")
         self.assertEqual(self.instance.call("GET", "/read/x").status, 200)
 
