Counted late requests from the moment at which the signal is handled

The instance admits everything for three seconds after it has handled the signal; the test sent its first request 3.05 s after it had sent the signal. The checks and the times are the same.

--- a/tests/platform_adapter/test_planned_stop.py
+++ b/tests/platform_adapter/test_planned_stop.py
@@ -5,10 +5,12 @@
 import time
 import unittest
 
+from tests.support.waiting import wait_until
+
 from .processes import KEY, Platform, configuration, route
 
 GRACE_S = 8
-# Requests that are sent later than this after the signal must not be cut at the end of the grace time.
+# Requests that are sent later than this after the signal was handled must not be cut at the end of the grace time.
 LATE_S = 3.0
 SLOW_S = 6.0
 
@@ -46,8 +48,12 @@
             return type(exc).__name__
 
     def call_later(self, conn, at_s: float, path: str, deadline_ms: int) -> None:
+        """Send a request some time after the instance has handled the signal."""
+
         def run() -> None:
-            time.sleep(max(0.0, self.signal_s + at_s - time.monotonic()))
+            wait_until(lambda: bool(self.instance.events("instance_draining")), "the drain")
+            (drain,) = self.instance.events("instance_draining")
+            time.sleep(max(0.0, drain["time"] + at_s - time.time()))
             self.results.append((at_s, self.call(conn, path, deadline_ms)))
 
         self.threads.append(threading.Thread(target=run))
